--- /dev/null
+++ b/deps.go
@@ -0,0 +1,29 @@
+//go:build deps
+
+package eelgrasshub
+import (
+_ "gopkg.in/tomb.v2"
+_ "github.com/quic-go/quic-go"
+_ "goji.io"
+_ "goji.io/pat"
+_ "github.com/jessevdk/go-flags"
+_ "github.com/sirupsen/logrus"
+_ "github.com/rotisserie/eris"
+_ "github.com/frankban/quicktest"
+_ "github.com/HdrHistogram/hdrhistogram-go"
+_ "github.com/pelletier/go-toml/v2"
+_ "github.com/fxamacker/cbor/v2"
+_ "pgregory.net/rapid"
+_ "github.com/rogpeppe/go-internal/testscript"
+_ "github.com/cenkalti/backoff/v5"
+_ "golang.org/x/time/rate"
+_ "golang.org/x/sync/errgroup"
+_ "github.com/cespare/xxhash/v2"
+_ "github.com/dgryski/go-rendezvous"
+_ "github.com/bits-and-blooms/bitset"
+_ "github.com/google/uuid"
+_ "github.com/go-playground/validator/v10"
+_ "go.uber.org/goleak"
+_ "github.com/google/btree"
+_ "github.com/hashicorp/golang-lru/v2/expirable"
+)
