gang: reserve, record, commit, start over several agents, both sides

A job on several workers has to run on all of its accelerators or not at all, while messages are lost, planners pause and agents restart without memory.

--- /dev/null
+++ b/gang/member.go
@@ -0,0 +1,164 @@
+package gang
+
+import (
+	"slices"
+	"time"
+)
+
+// DefaultTombstones is how many ended attempts a Member remembers by default.
+const DefaultTombstones = 1024
+
+// MemberConfig is the fixed part of a Member.
+type MemberConfig struct {
+	// Accelerators is how many the worker has; they are numbered from 0.
+	Accelerators int
+	// Incarnation grows with each start of the agent's process.
+	Incarnation uint64
+	// Isolation is how long a task of several members runs without hearing that
+	// its gang is whole. Coordinator.Whole's window, Isolation and the time that
+	// a stop takes must add up to less than the planner's loss timeout.
+	Isolation time.Duration
+	// Tombstones bounds the memory of ended attempts; 0 means the default.
+	Tombstones int
+}
+
+// Member is the agent's side of all attempts on its worker. It is not safe for
+// concurrent use.
+type Member struct {
+	config   MemberConfig
+	attempts map[ID]*attempt
+	owners   []*attempt // by accelerator; nil is free
+	fence    uint64     // highest epoch heard of
+	floor    ID         // highest attempt that was forgotten
+	ended    int
+	ready    bool
+	draining bool
+	now      time.Time
+	actions  []MemberAction
+}
+
+// attempt is the member's account of one attempt.
+type attempt struct {
+	task     Task
+	spec     []byte
+	planner  string
+	deadline time.Time // of the hold, or of a running task's isolation
+	isolated bool
+	closed   bool // a coordinator has taken notice of the end
+}
+
+// NewMember returns a member that refuses everything until Adopted.
+func NewMember(c MemberConfig) *Member {
+	if c.Tombstones == 0 {
+		c.Tombstones = DefaultTombstones
+	}
+	return &Member{
+		config:   c,
+		attempts: make(map[ID]*attempt),
+		owners:   make([]*attempt, c.Accelerators),
+	}
+}
+
+// Step handles one event and returns what is to be done, in order.
+func (m *Member) Step(now time.Time, ev MemberEvent) []MemberAction {
+	m.now, m.actions = now, nil
+	// A renewal that waited behind a pause is taken before deadlines act, and
+	// a message after them: a hold that has expired must not be committed.
+	if c, ok := ev.(Contact); ok {
+		m.contact(c)
+	}
+	m.expire()
+	switch ev := ev.(type) {
+	case Received:
+		m.receive(ev)
+	case Adopted:
+		m.adopt(ev.Tasks)
+	case TaskEnded:
+		m.taskEnded(ev)
+	case Drain:
+		m.draining = true
+	}
+	m.wake()
+	return m.actions
+}
+
+// Tasks lists all attempts that hold accelerators and those ended ones that no
+// coordinator has closed, in the order of their IDs. Reports carry it.
+func (m *Member) Tasks() []Task {
+	var tasks []Task
+	for _, a := range m.attempts {
+		if !a.closed {
+			tasks = append(tasks, a.task)
+		}
+	}
+	slices.SortFunc(tasks, func(a, b Task) int { return a.ID.Compare(b.ID) })
+	return tasks
+}
+
+// Free lists the accelerators that are in no attempt.
+func (m *Member) Free() []int {
+	var free []int
+	for i, a := range m.owners {
+		if a == nil {
+			free = append(free, i)
+		}
+	}
+	return free
+}
+
+// Ready says whether Adopted has been handled.
+func (m *Member) Ready() bool { return m.ready }
+
+// Fence returns the highest epoch that the member has heard of.
+func (m *Member) Fence() uint64 { return m.fence }
+
+func (m *Member) adopt(tasks []Task) {
+	if m.ready {
+		return
+	}
+	m.ready = true
+	for _, t := range tasks {
+		t.State, t.Committed, t.Started = StateRunning, true, true
+		a := &attempt{task: t, deadline: m.now.Add(m.config.Isolation)}
+		m.attempts[t.ID] = a
+		m.grant(a)
+	}
+}
+
+func (m *Member) taskEnded(ev TaskEnded) {
+	a := m.attempts[ev.ID]
+	if a == nil || a.task.State != StateRunning && a.task.State != StateStopping {
+		return
+	}
+	a.task.Result = ev.Result
+	a.task.Checkpointed = ev.Checkpointed
+	a.task.Detail = ev.Detail
+	if a.isolated && ev.Result == TaskStopped {
+		a.task.Result = Isolated
+	}
+	m.end(a)
+	if a.planner != "" {
+		m.reply(a.planner, a.task, Accepted)
+	}
+}
+
+func (m *Member) contact(c Contact) {
+	for _, id := range c.Whole {
+		a := m.attempts[id]
+		if a == nil || a.task.State != StateRunning {
+			continue
+		}
+		if d := c.At.Add(m.config.Isolation); d.After(a.deadline) {
+			a.deadline = d
+		}
+	}
+}
+
+func (m *Member) reply(to string, t Task, r Refusal) {
+	m.actions = append(m.actions, SendReply{To: to, Reply: Reply{
+		Task:        t,
+		Incarnation: m.config.Incarnation,
+		Refusal:     r,
+		Fence:       m.fence,
+	}})
+}
--- /dev/null
+++ b/gang/member_deadline.go
@@ -0,0 +1,56 @@
+package gang
+
+import (
+	"slices"
+	"time"
+)
+
+// expire ends holds whose time is over and stops isolated tasks.
+func (m *Member) expire() {
+	for _, a := range m.due() {
+		if a.task.State == StateReserved {
+			m.end(a)
+			continue
+		}
+		// Cut off: the planner may be about to start the gang elsewhere. It waits
+		// longer than Isolation, so stopping here keeps the two from overlapping.
+		a.isolated = true
+		m.stopTask(a, true)
+	}
+}
+
+// due lists the attempts whose deadline has passed, in the order of their IDs.
+func (m *Member) due() []*attempt {
+	var due []*attempt
+	for _, a := range m.attempts {
+		if a.timed() && !m.now.Before(a.deadline) {
+			due = append(due, a)
+		}
+	}
+	slices.SortFunc(due, func(a, b *attempt) int { return a.task.ID.Compare(b.task.ID) })
+	return due
+}
+
+// timed says whether the attempt's deadline counts: a job of one member can't
+// run partially and is not stopped by isolation.
+func (a *attempt) timed() bool {
+	switch a.task.State {
+	case StateReserved:
+		return true
+	case StateRunning:
+		return a.task.Members > 1
+	}
+	return false
+}
+
+func (m *Member) wake() {
+	var next time.Time
+	for _, a := range m.attempts {
+		if a.timed() && (next.IsZero() || a.deadline.Before(next)) {
+			next = a.deadline
+		}
+	}
+	if !next.IsZero() {
+		m.actions = append(m.actions, WakeMember{At: next})
+	}
+}
--- /dev/null
+++ b/gang/member_grant.go
@@ -0,0 +1,81 @@
+package gang
+
+// grantable says why the accelerators can't be granted now, or Accepted.
+func (m *Member) grantable(accelerators []int) Refusal {
+	if len(accelerators) == 0 {
+		return Invalid
+	}
+	seen := make([]bool, len(m.owners))
+	for _, i := range accelerators {
+		if i < 0 || i >= len(m.owners) || seen[i] {
+			return Invalid
+		}
+		seen[i] = true
+	}
+	for _, i := range accelerators {
+		if m.owners[i] != nil {
+			return Busy
+		}
+	}
+	return Accepted
+}
+
+// grant enters the attempt as owner. Two owners of one accelerator would mean
+// that the table is broken; going on would damage both tasks.
+func (m *Member) grant(a *attempt) {
+	for _, i := range a.task.Accelerators {
+		if m.owners[i] != nil {
+			panic("gang: accelerator granted twice")
+		}
+		m.owners[i] = a
+	}
+}
+
+// end frees the accelerators and turns the attempt into a tombstone.
+func (m *Member) end(a *attempt) {
+	for _, i := range a.task.Accelerators {
+		if m.owners[i] == a {
+			m.owners[i] = nil
+		}
+	}
+	a.task.State = StateEnded
+	a.spec = nil
+	// What never started is of no interest to a planner that didn't ask.
+	a.closed = !a.task.Started
+	m.ended++
+	m.forget()
+}
+
+// forget drops the oldest tombstones above the bound, closed ones first.
+//
+// A forgotten attempt must not look like one never seen: a late Reserve, Commit
+// and Start would run it a second time, and a Seal would be told that it never
+// committed. The floor prevents both: IDs at or below it that have no account
+// are answered Forgotten, which proves nothing and permits nothing.
+func (m *Member) forget() {
+	for m.ended > m.config.Tombstones {
+		oldest := m.oldestTombstone()
+		if oldest.task.ID.Compare(m.floor) > 0 {
+			m.floor = oldest.task.ID
+		}
+		delete(m.attempts, oldest.task.ID)
+		m.ended--
+	}
+}
+
+func (m *Member) oldestTombstone() *attempt {
+	var oldest *attempt
+	for _, a := range m.attempts {
+		if a.task.State == StateEnded && (oldest == nil || a.dropsBefore(oldest)) {
+			oldest = a
+		}
+	}
+	return oldest
+}
+
+func (a *attempt) dropsBefore(b *attempt) bool {
+	if a.closed != b.closed {
+		return a.closed
+	}
+	return a.task.ID.Compare(b.task.ID) < 0
+}
--- /dev/null
+++ b/gang/member_receive.go
@@ -0,0 +1,155 @@
+package gang
+
+func (m *Member) receive(r Received) {
+	h := r.Message.Head()
+	if !m.ready {
+		m.reply(r.From, Task{ID: h.ID}, NotReady)
+		return
+	}
+	a := m.attempts[h.ID]
+	// A planner that was paused wakes after a successor has sealed attempts
+	// here: acting on its word could start what the successor proved not started.
+	if h.Sender < m.fence {
+		m.reply(r.From, account(a, h.ID), StaleEpoch)
+		return
+	}
+	m.fence = h.Sender
+	refusal := m.handle(a, r.Message)
+	a = m.attempts[h.ID]
+	if a != nil && a.task.State != StateEnded {
+		a.planner = r.From
+	}
+	m.reply(r.From, account(a, h.ID), refusal)
+}
+
+func account(a *attempt, id ID) Task {
+	if a == nil {
+		return Task{ID: id}
+	}
+	return a.task
+}
+
+func (m *Member) handle(a *attempt, msg Message) Refusal {
+	if a == nil {
+		return m.handleUnknown(msg)
+	}
+	switch msg := msg.(type) {
+	case Reserve:
+		return acceptIf(a.task.State != StateEnded, Sealed)
+	case Commit:
+		return m.commit(a)
+	case Start:
+		return m.start(a)
+	case Stop:
+		m.stop(a, msg.Checkpoint)
+	case Seal:
+		m.seal(a)
+	}
+	return Accepted
+}
+
+// handleUnknown handles a message for an attempt without an account. All but an
+// acceptable Reserve leave a tombstone, so that a Reserve still under way can't
+// open the attempt after this answer.
+func (m *Member) handleUnknown(msg Message) Refusal {
+	h := msg.Head()
+	if h.Incarnation != m.config.Incarnation {
+		return WrongIncarnation
+	}
+	if h.ID.Compare(m.floor) <= 0 {
+		return Forgotten
+	}
+	if msg, ok := msg.(Reserve); ok {
+		return m.reserve(msg)
+	}
+	a := &attempt{task: Task{ID: h.ID}}
+	m.attempts[h.ID] = a
+	m.end(a)
+	switch msg.(type) {
+	case Stop, Seal:
+		return Accepted
+	}
+	return Sealed
+}
+
+func (m *Member) reserve(r Reserve) Refusal {
+	h := r.Header
+	if h.Sender != h.ID.Epoch || r.Members < 1 || r.Hold <= 0 {
+		return Invalid
+	}
+	if m.draining {
+		return Draining
+	}
+	if refusal := m.grantable(r.Accelerators); refusal != Accepted {
+		return refusal
+	}
+	a := &attempt{
+		task: Task{
+			ID:           h.ID,
+			State:        StateReserved,
+			Accelerators: r.Accelerators,
+			Members:      r.Members,
+		},
+		spec:     r.Spec,
+		deadline: m.now.Add(r.Hold),
+	}
+	m.attempts[h.ID] = a
+	m.grant(a)
+	return Accepted
+}
+
+func (m *Member) commit(a *attempt) Refusal {
+	switch a.task.State {
+	case StateEnded:
+		return Sealed
+	case StateReserved:
+		a.task.State = StateCommitted
+		a.task.Committed = true
+	}
+	return Accepted
+}
+
+func (m *Member) start(a *attempt) Refusal {
+	switch a.task.State {
+	case StateEnded:
+		return Sealed
+	case StateReserved:
+		return Invalid
+	case StateCommitted:
+		a.task.State = StateRunning
+		a.task.Started = true
+		a.deadline = m.now.Add(m.config.Isolation)
+		m.actions = append(m.actions, StartTask{Task: a.task, Spec: a.spec})
+		a.spec = nil
+	}
+	return Accepted
+}
+
+func (m *Member) stop(a *attempt, checkpoint bool) {
+	switch a.task.State {
+	case StateReserved, StateCommitted:
+		m.end(a)
+	case StateRunning, StateStopping:
+		m.stopTask(a, checkpoint)
+	case StateEnded:
+		a.closed = true
+	}
+}
+
+func (m *Member) stopTask(a *attempt, checkpoint bool) {
+	a.task.State = StateStopping
+	m.actions = append(m.actions, StopTask{ID: a.task.ID, Checkpoint: checkpoint})
+}
+
+func (m *Member) seal(a *attempt) {
+	if a.task.State == StateReserved {
+		m.end(a)
+	}
+}
+
+func acceptIf(ok bool, otherwise Refusal) Refusal {
+	if ok {
+		return Accepted
+	}
+	return otherwise
+}
--- /dev/null
+++ b/gang/peer.go
@@ -0,0 +1,72 @@
+package gang
+
+import "time"
+
+// peer is what a coordinator knows of one member.
+type peer struct {
+	placed      Placed
+	task        Task      // its furthest account
+	incarnation uint64    // highest heard of
+	heard       time.Time // last sign of life of the attempt there
+	sent        time.Time // last message
+	refusal     Refusal   // of the reservation
+	gone        bool      // restarted without the task: its account is lost
+	lost        bool      // MemberLost
+}
+
+// learn takes over an account unless it is older than what is known.
+func (p *peer) learn(now time.Time, t Task, incarnation uint64) {
+	if incarnation < p.incarnation {
+		return
+	}
+	p.incarnation = incarnation
+	if t.State < p.task.State {
+		return
+	}
+	p.task = t
+	if t.State != StateUnknown {
+		p.heard = now
+	}
+}
+
+// over says whether nothing of the attempt runs or is held there any more.
+func (p *peer) over() bool { return p.task.State == StateEnded || p.gone || p.lost }
+
+// reached says whether the attempt got to the state and is still whole there: a
+// task that succeeded has passed all states.
+func (p *peer) reached(s State) bool {
+	if p.task.State == StateEnded {
+		return p.task.Result == Succeeded
+	}
+	return p.task.State >= s && p.task.State != StateStopping
+}
+
+// broken says whether the attempt can't be completed there.
+func (p *peer) broken() bool {
+	if p.task.State == StateEnded {
+		return p.task.Result != Succeeded
+	}
+	return p.gone || p.lost || p.task.State == StateStopping
+}
+
+// neverCommitted says whether the member proved that it never committed and
+// never will. An account of another incarnation is no proof: the one that was
+// asked to commit has lost its memory.
+func (p *peer) neverCommitted() bool {
+	return p.task.State == StateEnded && !p.task.Committed
+}
+
+// neverStarted is the same for the start of the task.
+func (p *peer) neverStarted() bool {
+	return p.task.State == StateEnded && !p.task.Started
+}
+
+func (p *peer) result() MemberResult {
+	return MemberResult{
+		Agent:        p.placed.Agent,
+		Started:      p.task.Started,
+		Result:       p.task.Result,
+		Checkpointed: p.task.Checkpointed,
+		Detail:       p.task.Detail,
+	}
+}
--- /dev/null
+++ b/gang/plan.go
@@ -0,0 +1,33 @@
+package gang
+
+import "time"
+
+// Plan is one attempt to start one job. The job's record holds it without the
+// Specs, so that a successor can resolve the attempt.
+type Plan struct {
+	ID      ID       `cbor:"1,keyasint"`
+	Members []Placed `cbor:"2,keyasint"`
+}
+
+// Placed is one member of a plan.
+type Placed struct {
+	Agent string `cbor:"1,keyasint"`
+	// Incarnation is the agent's as it last reported.
+	Incarnation  uint64 `cbor:"2,keyasint"`
+	Accelerators []int  `cbor:"3,keyasint"`
+	Spec         []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// Config is the fixed part of a Coordinator.
+type Config struct {
+	// Epoch is the fencing epoch of the planner that runs the coordinator.
+	Epoch uint64
+	// Resend is how long an answer is awaited before the message is sent again.
+	Resend time.Duration
+	// Hold is how long members hold a reservation. All must be reserved and the
+	// start recorded within three quarters of it, or the attempt is given up.
+	Hold time.Duration
+	// Window is how old the last sign of life of a member may be for the gang to
+	// count as whole.
+	Window time.Duration
+}
