api, target: contract of callers, protocol of targets and a stand-in worker

The client of a target tells a request that was not sent from one that may have run by counting the writes on its connection, and keeps net/http from repeating a request by itself.

--- /dev/null
+++ b/api/client.go
@@ -0,0 +1,130 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+)
+
+var (
+	// ErrNotSent: no connection to the entry; the call had no effect.
+	ErrNotSent = errors.New("api: request was not sent")
+	// ErrOutcomeUnknown: the call went out and no whole answer of an entry came
+	// back; it may have had its effect.
+	ErrOutcomeUnknown = errors.New("api: outcome is not known")
+)
+
+// MaxAnswerLen bounds an answer read by Client, in bytes.
+const MaxAnswerLen = 16 << 20
+
+// Client calls one entry, or the balancer before several.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient makes a client of the entry at base ("http://10.0.0.1:8080").
+// transport may be nil for the default one.
+func NewClient(base string, transport http.RoundTripper) *Client {
+	return &Client{
+		base: strings.TrimRight(base, "/"),
+		http: &http.Client{
+			Transport: transport,
+			// A redirect is the target's own answer.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// rawAnswer is a whole answer of whoever answered.
+type rawAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// exchange sends one request and reads the whole answer. The error is
+// ErrNotSent or ErrOutcomeUnknown.
+func (c *Client) exchange(ctx context.Context, method, path string, h http.Header, body []byte) (rawAnswer, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return rawAnswer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	// A body that net/http can't rewind keeps it from repeating a request by
+	// itself after a broken connection.
+	req.ContentLength = int64(len(body))
+	if h != nil {
+		req.Header = h
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return rawAnswer{}, sendError(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerLen+1))
+	if err != nil {
+		return rawAnswer{}, fmt.Errorf("%w: answer cut short: %w", ErrOutcomeUnknown, err)
+	}
+	if len(text) > MaxAnswerLen {
+		return rawAnswer{}, fmt.Errorf("%w: answer is longer than %d bytes", ErrOutcomeUnknown, MaxAnswerLen)
+	}
+	return rawAnswer{resp.StatusCode, resp.Header, text}, nil
+}
+
+func sendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+}
+
+// problem returns the Problem an entry answered with, or nil.
+func (a rawAnswer) problem() *Problem {
+	if a.header.Get("Content-Type") != ContentTypeProblem {
+		return nil
+	}
+	p := &Problem{}
+	if err := json.Unmarshal(a.body, p); err != nil {
+		return nil
+	}
+	return p
+}
+
+// callJSON makes a call whose answer is JSON. The error may be a *Problem.
+func (c *Client) callJSON(ctx context.Context, method, path string, h http.Header, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
+	if h == nil {
+		h = http.Header{}
+	}
+	h.Set("Content-Type", ContentTypeJSON)
+	a, err := c.exchange(ctx, method, path, h, body)
+	if err != nil {
+		return err
+	}
+	if a.status >= 300 {
+		if p := a.problem(); p != nil {
+			return p
+		}
+		return fmt.Errorf("%w: status %d without problem details", ErrOutcomeUnknown, a.status)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(a.body, out); err != nil {
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/api/decode.go
@@ -0,0 +1,59 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Decode reads one JSON value of at most limit bytes into v. The Problem names
+// the field and the reason. Fields that v doesn't have are refused, since a
+// misspelt "repeatable" would silently change how the work is treated.
+func Decode(r io.Reader, limit int64, v any) *Problem {
+	text, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return Invalid("body", "cut short: "+err.Error())
+	}
+	if int64(len(text)) > limit {
+		return &Problem{Reason: ReasonTooLarge, Field: "body",
+			Detail: "longer than " + strconv.FormatInt(limit, 10) + " bytes"}
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return decodeProblem(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return Invalid("body", "more than one JSON value")
+	}
+	return nil
+}
+
+func decodeProblem(err error) *Problem {
+	var mistyped *json.UnmarshalTypeError
+	if errors.As(err, &mistyped) {
+		return Invalid(mistyped.Field, "must be "+mistyped.Type.String()+", not "+mistyped.Value)
+	}
+	// encoding/json has no typed error for an unknown field.
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return Invalid(strings.Trim(name, `"`), "no such field")
+	}
+	return Invalid("body", err.Error())
+}
+
+// WriteJSON answers with v as JSON.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		NewProblem(ReasonInternal, "answer can't be encoded").WriteTo(w)
+		return
+	}
+	w.Header().Set("Content-Type", ContentTypeJSON)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/target/client.go
@@ -0,0 +1,78 @@
+package target
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxConns    = 64
+	DefaultMaxAnswer   = 8 << 20
+	DefaultDialTimeout = 2 * time.Second
+	defaultIdleTimeout = 30 * time.Second
+)
+
+// Options configure a Client. Zero values take the defaults.
+type Options struct {
+	// Base is the target's URL without a trailing slash.
+	Base string
+	// MaxConns bounds open connections, those of tasks included. Requests
+	// beyond wait for one; the wait ends with the context as ErrNotSent.
+	MaxConns int
+	// MaxAnswer bounds an answer's body, in bytes.
+	MaxAnswer   int64
+	DialTimeout time.Duration
+}
+
+// Client speaks to one target. It is safe for concurrent use.
+type Client struct {
+	base      string
+	maxAnswer int64
+	transport *http.Transport
+}
+
+// NewClient makes a client. It opens no connection yet.
+func NewClient(o Options) *Client {
+	if o.MaxConns <= 0 {
+		o.MaxConns = DefaultMaxConns
+	}
+	if o.MaxAnswer <= 0 {
+		o.MaxAnswer = DefaultMaxAnswer
+	}
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	return &Client{
+		base:      strings.TrimRight(o.Base, "/"),
+		maxAnswer: o.MaxAnswer,
+		transport: newTransport(o),
+	}
+}
+
+// Close ends idle connections. Requests in progress end undisturbed.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+func newTransport(o Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:     o.MaxConns,
+		MaxIdleConns:        o.MaxConns,
+		MaxIdleConnsPerHost: o.MaxConns,
+		IdleConnTimeout:     defaultIdleTimeout,
+		// The body is the target's own: no decoding on the way.
+		DisableCompression: true,
+	}
+}
--- /dev/null
+++ b/target/client_tasks.go
@@ -0,0 +1,133 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// StartTask starts the task, or returns the status of the same task started
+// before: it may be repeated after ErrOutcomeUnknown. Another spec under the
+// same id, a taken accelerator or an older epoch is ErrConflict, and nothing
+// was started.
+func (c *Client) StartTask(ctx context.Context, id TaskID, spec TaskSpec) (TaskStatus, error) {
+	var st TaskStatus
+	err := c.call(ctx, http.MethodPut, id.Path(), spec, &st)
+	return st, err
+}
+
+// Tasks lists the tasks the worker knows: all that run and the latest ended.
+func (c *Client) Tasks(ctx context.Context) ([]TaskStatus, error) {
+	var list []TaskStatus
+	err := c.call(ctx, http.MethodGet, PathTasks, nil, &list)
+	return list, err
+}
+
+// Task returns a task's status, held up to wait until the task ends.
+func (c *Client) Task(ctx context.Context, id TaskID, wait time.Duration) (TaskStatus, error) {
+	path := id.Path()
+	if wait > 0 {
+		path += "?" + ParamWaitMS + "=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	}
+	var st TaskStatus
+	err := c.call(ctx, http.MethodGet, path, nil, &st)
+	return st, err
+}
+
+// RenewTask prolongs the lease to lease from now. The status of a task that
+// ended comes back without an error.
+func (c *Client) RenewTask(ctx context.Context, id TaskID, lease time.Duration) (TaskStatus, error) {
+	var st TaskStatus
+	err := c.call(ctx, http.MethodPost, id.Path()+"/renew", Renewal{LeaseMS: lease.Milliseconds()}, &st)
+	return st, err
+}
+
+// CheckpointTask takes a checkpoint now and returns the status that holds it.
+func (c *Client) CheckpointTask(ctx context.Context, id TaskID) (TaskStatus, error) {
+	var st TaskStatus
+	err := c.call(ctx, http.MethodPost, id.Path()+"/checkpoint", nil, &st)
+	return st, err
+}
+
+// StopTask stops the task, after a checkpoint if asked for, and returns its
+// final status. Stopping a task that ended changes nothing. A task the worker
+// doesn't know is marked as stopped, so that a start that arrives late, after
+// the agent gave it up, is refused a run.
+func (c *Client) StopTask(ctx context.Context, id TaskID, checkpoint bool) (TaskStatus, error) {
+	path := id.Path()
+	if checkpoint {
+		path += "?" + ParamCheckpoint + "=true"
+	}
+	var st TaskStatus
+	err := c.call(ctx, http.MethodDelete, path, nil, &st)
+	return st, err
+}
+
+// Capacity returns what the worker has in all.
+func (c *Client) Capacity(ctx context.Context) (Capacity, error) {
+	var v Capacity
+	err := c.call(ctx, http.MethodGet, PathCapacity, nil, &v)
+	return v, err
+}
+
+// Usage returns what the worker used when Usage.At was taken.
+func (c *Client) Usage(ctx context.Context) (Usage, error) {
+	var v Usage
+	err := c.call(ctx, http.MethodGet, PathUsage, nil, &v)
+	return v, err
+}
+
+// call makes one exchange of JSON. All calls are idempotent, so net/http may
+// repeat them.
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		text, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		body = bytes.NewReader(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	var proof sendProof
+	resp, err := c.transport.RoundTrip(req.WithContext(proof.watch(ctx)))
+	if err != nil {
+		if proof.notSent() {
+			return fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	defer resp.Body.Close()
+	text, err := c.readBody(method, resp)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	return decodeCall(resp.StatusCode, text, out)
+}
+
+func decodeCall(status int, text []byte, out any) error {
+	switch status {
+	case http.StatusOK:
+		if err := json.Unmarshal(text, out); err != nil {
+			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		}
+		return nil
+	case http.StatusNotFound:
+		return ErrUnknownTask
+	case http.StatusConflict:
+		return fmt.Errorf("%w: %s", ErrConflict, strings.TrimSpace(string(text)))
+	case http.StatusBadRequest, http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: status %d: %s", ErrRefused, status, strings.TrimSpace(string(text)))
+	}
+	return fmt.Errorf("%w: status %d", ErrOutcomeUnknown, status)
+}
--- /dev/null
+++ b/target/request.go
@@ -0,0 +1,146 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Request is a quick request to forward.
+type Request struct {
+	ID      string
+	Attempt int
+	Account string
+	Class   string
+	// Deadline is the time that remains; 0 for none. The context bounds the
+	// wait; this one is only told to the target.
+	Deadline time.Duration
+	Method   string
+	// Path is below the requests path, escaped, without a leading slash.
+	Path     string
+	RawQuery string
+	// Header is copied, less the hop-by-hop fields.
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is the target's own whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Do forwards r once. The error is ErrNotSent, ErrRefused or ErrOutcomeUnknown
+// (by errors.Is); only the last allows that the request ran. A context that
+// ends after the request was sent gives ErrOutcomeUnknown.
+func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
+	req, err := c.newRequest(ctx, r)
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	var proof sendProof
+	resp, err := c.transport.RoundTrip(req.WithContext(proof.watch(ctx)))
+	if err != nil {
+		if proof.notSent() {
+			return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get(HeaderRefused) == "true" {
+		return Answer{}, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
+	}
+	body, err := c.readBody(req.Method, resp)
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	h := resp.Header
+	removeHopByHop(h)
+	return Answer{Status: resp.StatusCode, Header: h, Body: body}, nil
+}
+
+func (c *Client) newRequest(ctx context.Context, r Request) (*http.Request, error) {
+	url := c.base + PathRequests + r.Path
+	if r.RawQuery != "" {
+		url += "?" + r.RawQuery
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, url, &onceBody{rest: r.Body})
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(r.Body))
+	if r.Header != nil {
+		req.Header = r.Header.Clone()
+	}
+	removeHopByHop(req.Header)
+	req.Header.Set(HeaderRequest, r.ID)
+	req.Header.Set(HeaderAttempt, strconv.Itoa(r.Attempt))
+	req.Header.Set(HeaderAccount, r.Account)
+	req.Header.Set(HeaderClass, r.Class)
+	req.Header.Del(HeaderDeadline)
+	if r.Deadline > 0 {
+		req.Header.Set(HeaderDeadline, r.Deadline.String())
+	}
+	return req, nil
+}
+
+// onceBody is a request body that can't be rewound.
+//
+// The failure it guards against: net/http repeats a GET, or any request with an
+// Idempotency-Key, by itself when a reused connection breaks before the answer.
+// The target would run a request twice that was sent once. A body that is
+// neither nil nor rewindable makes the transport give the error back instead.
+type onceBody struct {
+	rest []byte
+}
+
+// Read implements io.Reader.
+func (b *onceBody) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (b *onceBody) Close() error {
+	return nil
+}
+
+var errNoLength = errors.New("answer without a length: its end can't be told from a cut")
+
+// readBody reads the whole body or fails. A body that ends with the connection
+// is refused: a cut by a dying target looks like its end.
+func (c *Client) readBody(method string, resp *http.Response) ([]byte, error) {
+	chunked := len(resp.TransferEncoding) > 0
+	if resp.ContentLength < 0 && !chunked && method != http.MethodHead {
+		return nil, errNoLength
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > c.maxAnswer {
+		return nil, ErrTooLarge
+	}
+	return body, nil
+}
+
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect",
+}
+
+func removeHopByHop(h http.Header) {
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/target/standin/payload.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/target"
+)
+
+// TaskPayload is the payload of a task that the stand-in understands.
+type TaskPayload struct {
+	// Tag is the caller's own name for the job, kept in the audit.
+	Tag string `json:"tag,omitempty"`
+	// RunMS is the run time in milliseconds.
+	RunMS int64 `json:"run_ms"`
+	// Fail lets the task fail after FailAfterMS of progress, or at its end.
+	Fail        bool  `json:"fail,omitempty"`
+	FailAfterMS int64 `json:"fail_after_ms,omitempty"`
+	// CheckpointEveryMS takes a checkpoint at each multiple; 0 for none.
+	CheckpointEveryMS int64 `json:"checkpoint_every_ms,omitempty"`
+}
+
+// TaskResult is the result of a task that is done.
+type TaskResult struct {
+	target.TaskID
+	Tag        string `json:"tag,omitempty"`
+	Member     int    `json:"member"`
+	Members    int    `json:"members"`
+	ProgressMS int64  `json:"progress_ms"`
+}
+
+func parsePayload(text json.RawMessage) (TaskPayload, error) {
+	var p TaskPayload
+	if len(text) == 0 {
+		return p, nil
+	}
+	if err := json.Unmarshal(text, &p); err != nil {
+		return p, fmt.Errorf("payload: %w", err)
+	}
+	if p.RunMS < 0 || p.RunMS > maxWork.Milliseconds() {
+		return p, fmt.Errorf("payload: run_ms: must be from 0 to %d", maxWork.Milliseconds())
+	}
+	return p, nil
+}
+
+// workMS is the progress at which the task ends.
+func (p TaskPayload) workMS() int64 {
+	if p.Fail && p.FailAfterMS > 0 {
+		return min(p.FailAfterMS, p.RunMS)
+	}
+	return p.RunMS
+}
+
+func msToDuration(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/target/standin/quick.go
@@ -0,0 +1,142 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/target"
+)
+
+// Query parameters of a quick request that the stand-in understands.
+const (
+	// ParamTag is the caller's own name for the request, kept in the audit.
+	ParamTag = "tag"
+	// ParamWorkMS is the service time in milliseconds, a decimal number.
+	ParamWorkMS = "work_ms"
+	// ParamPad asks for that many bytes of filling in the answer.
+	ParamPad = "pad"
+)
+
+const (
+	maxWork = time.Hour
+	maxPad  = 4 << 20
+	maxBody = 8 << 20
+)
+
+// quick runs a quick request. A run that began goes on to its end, also when
+// the caller is gone: that is what makes an outcome unknown.
+func (s *Server) quick(w http.ResponseWriter, r *http.Request) {
+	faults := s.quickFaults()
+	if faults.Reject {
+		refuse(w)
+		return
+	}
+	if faults.Hang {
+		s.hold(r)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		refuse(w)
+		return
+	}
+	query := r.URL.Query()
+	echo := newEcho(r, query, body)
+	run, took := s.beginQuick(r, query, s.workTime(query), faults)
+	completed := s.sleep(took)
+	s.endQuick(run, r, completed, echo.Sum)
+	if !completed {
+		panic(http.ErrAbortHandler)
+	}
+	s.answerQuick(w, r, faults, echo)
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(target.HeaderRefused, "true")
+	http.Error(w, "refused", http.StatusServiceUnavailable)
+}
+
+func newEcho(r *http.Request, query url.Values, body []byte) Echo {
+	pad, _ := strconv.Atoi(query.Get(ParamPad))
+	attempt, _ := strconv.Atoi(r.Header.Get(target.HeaderAttempt))
+	e := Echo{
+		Request: r.Header.Get(target.HeaderRequest),
+		Attempt: attempt,
+		Account: r.Header.Get(target.HeaderAccount),
+		Class:   r.Header.Get(target.HeaderClass),
+		Method:  r.Method,
+		Path:    strings.TrimPrefix(r.URL.EscapedPath(), target.PathRequests),
+		Query:   r.URL.RawQuery,
+		BodySum: BodySum(body),
+		Fill:    strings.Repeat("x", min(max(pad, 0), maxPad)),
+	}
+	e.Sum = e.Checksum()
+	return e
+}
+
+func (s *Server) workTime(query url.Values) time.Duration {
+	ms, err := strconv.ParseFloat(query.Get(ParamWorkMS), 64)
+	if err != nil || ms < 0 {
+		return s.opts.Work
+	}
+	return min(time.Duration(ms*float64(time.Millisecond)), maxWork)
+}
+
+// beginQuick logs the start and returns how long the run takes: more requests
+// at once than slots share the slots.
+func (s *Server) beginQuick(r *http.Request, query url.Values, work time.Duration, f Faults) (*QuickRun, time.Duration) {
+	attempt, _ := strconv.Atoi(r.Header.Get(target.HeaderAttempt))
+	run := &QuickRun{
+		Request: r.Header.Get(target.HeaderRequest),
+		Attempt: attempt,
+		Tag:     query.Get(ParamTag),
+		Account: r.Header.Get(target.HeaderAccount),
+		Class:   r.Header.Get(target.HeaderClass),
+		Start:   time.Now(),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quickRunning++
+	if s.room() {
+		s.quickLog = append(s.quickLog, run)
+	}
+	crowd := max(1, float64(s.quickRunning)/float64(s.opts.Slots))
+	return run, time.Duration(float64(work) * crowd * f.slow())
+}
+
+func (s *Server) endQuick(run *QuickRun, r *http.Request, completed bool, sum string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quickRunning--
+	run.End = time.Now()
+	run.Completed = completed
+	run.Abandoned = r.Context().Err() != nil
+	run.Checksum = sum
+}
+
+func (s *Server) answerQuick(w http.ResponseWriter, r *http.Request, f Faults, echo Echo) {
+	if f.HangAfterRun {
+		s.hold(r)
+	}
+	text, err := json.Marshal(echo)
+	if err != nil {
+		panic("standin: echo can't be encoded: " + err.Error())
+	}
+	status := http.StatusOK
+	if f.FailQuick {
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	if f.CutBody {
+		_, _ = w.Write(text[:len(text)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(text)
+}
--- /dev/null
+++ b/target/standin/server.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"goji.io"
+	"goji.io/pat"
+
+	"github.com/eelgrasshub/eelgrasshub/target"
+)
+
+// Paths of the stand-in's own controls, below its base URL.
+const (
+	// PathAudit answers an Audit to GET; DELETE resets the log.
+	PathAudit = "/standin/audit"
+	// PathFaults takes Faults by POST.
+	PathFaults = "/standin/faults"
+)
+
+// Server is a stand-in worker. It is an http.Handler, safe for concurrent use.
+// Serve it by [Server.HTTPServer] to have its connections counted.
+type Server struct {
+	opts   Options
+	mux    *goji.Mux
+	closed chan struct{}
+
+	mu           sync.Mutex
+	faults       Faults
+	released     chan struct{} // closed when the faults change
+	quickSeen    int
+	quickRunning int
+	tasks        map[target.TaskID]*task
+	ended        []target.TaskID // oldest first
+	holders      []*task         // by accelerator
+	epochs       map[string]uint64
+	conns        map[any]*connState
+	connsInUse   int
+	usage        target.Usage
+	quickLog     []*QuickRun
+	taskLog      []*TaskRun
+	violations   []Violation
+	dropped      int
+}
+
+// New makes a stand-in without faults.
+func New(o Options) *Server {
+	o = o.withDefaults()
+	s := &Server{
+		opts:     o,
+		closed:   make(chan struct{}),
+		released: make(chan struct{}),
+		tasks:    map[target.TaskID]*task{},
+		holders:  make([]*task, o.Accelerators),
+		epochs:   map[string]uint64{},
+		conns:    map[any]*connState{},
+	}
+	s.mux = s.routes()
+	return s
+}
+
+// Close stops all tasks and ends held requests. It doesn't end connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.closed:
+		return
+	default:
+	}
+	close(s.closed)
+	for _, t := range s.tasks {
+		s.finish(t, target.TaskStopped, "worker stopped")
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) routes() *goji.Mux {
+	m := goji.NewMux()
+	m.HandleFunc(pat.Get(PathAudit), s.getAudit)
+	m.HandleFunc(pat.Delete(PathAudit), s.deleteAudit)
+	m.HandleFunc(pat.Post(PathFaults), s.postFaults)
+	m.HandleFunc(pat.New(target.PathRequests+"*"), s.worker(s.quick))
+	m.HandleFunc(pat.Get(target.PathTasks), s.worker(s.listTasks))
+	m.HandleFunc(pat.Put(taskRoute), s.worker(s.putTask))
+	m.HandleFunc(pat.Get(taskRoute), s.worker(s.getTask))
+	m.HandleFunc(pat.Delete(taskRoute), s.worker(s.deleteTask))
+	m.HandleFunc(pat.Post(taskRoute+"/renew"), s.worker(s.renewTask))
+	m.HandleFunc(pat.Post(taskRoute+"/checkpoint"), s.worker(s.checkpointTask))
+	m.HandleFunc(pat.Get(target.PathCapacity), s.worker(s.getCapacity))
+	m.HandleFunc(pat.Get(target.PathUsage), s.worker(s.getUsage))
+	return m
+}
+
+// worker wraps a handler of the target protocol: its connection counts as one
+// of the worker's, and a silent worker answers nothing.
+func (s *Server) worker(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.countConn(r.Context())
+		s.mu.Lock()
+		silent := s.faults.Hang && s.faults.Every <= 1
+		s.mu.Unlock()
+		if silent {
+			s.hold(r)
+		}
+		h(w, r)
+	}
+}
+
+// hold keeps silent until the caller gives up, the faults change or the
+// stand-in is closed, and ends the connection. It doesn't return.
+func (s *Server) hold(r *http.Request) {
+	s.mu.Lock()
+	released := s.released
+	s.mu.Unlock()
+	select {
+	case <-r.Context().Done():
+	case <-released:
+	case <-s.closed:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// sleep waits for d and reports false if the stand-in was closed first.
+func (s *Server) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-s.closed:
+		return false
+	}
+}
--- /dev/null
+++ b/target/standin/worker_http.go
@@ -0,0 +1,77 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/target"
+)
+
+func (s *Server) getCapacity(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, target.Capacity{
+		Cores:        s.opts.Cores,
+		MemoryMB:     s.opts.MemoryMB,
+		Accelerators: s.opts.Accelerators,
+		Slots:        s.opts.Slots,
+		Connections:  s.opts.Connections,
+	})
+}
+
+// getUsage answers with the last sample until it is UsageLag old.
+func (s *Server) getUsage(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if now.Sub(s.usage.At) >= s.opts.UsageLag {
+		s.usage = s.sample(now)
+	}
+	writeJSON(w, s.usage)
+}
+
+func (s *Server) sample(now time.Time) target.Usage {
+	u := target.Usage{At: now, Quick: s.quickRunning, Connections: s.connsInUse, Accelerators: []int{}}
+	for a, t := range s.holders {
+		if t != nil {
+			u.Accelerators = append(u.Accelerators, a)
+		}
+	}
+	for _, t := range s.tasks {
+		if !t.state.Final() {
+			u.Tasks++
+		}
+	}
+	return u
+}
+
+func (s *Server) getAudit(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Audit())
+}
+
+func (s *Server) deleteAudit(w http.ResponseWriter, _ *http.Request) {
+	s.ResetAudit()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	d.DisallowUnknownFields()
+	var f Faults
+	if err := d.Decode(&f); err != nil {
+		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic("standin: answer can't be encoded: " + err.Error())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = w.Write(text)
+}
