document: service document, strict parsing with all problems at once, samples

Operators drive the system by one TOML document per service, so a refused document names every mistake with line, key and accepted range in one run. Defaults, units and ranges are struct tags; a shared package (document/schema) reads them for the decoder, the messages and the reference page.

Ruled out: one error at a time as the decoder gives them; a bare number as a duration, whose unit would be a guess.

Sizes and sums of guaranteed shapes are checked here; whether they fit together as blocks is a function value for the placement code.

--- /dev/null
+++ b/document/cross.go
@@ -0,0 +1,96 @@
+package document
+
+import (
+	"fmt"
+
+	"github.com/eelgrasshub/eelgrasshub/document/schema"
+)
+
+// checkCross checks what no single key can tell.
+func checkCross(d *Document, f *schema.File) {
+	checkNames(f, "account", len(d.Accounts), func(i int) string { return d.Accounts[i].Name })
+	checkNames(f, "class", len(d.Classes), func(i int) string { return d.Classes[i].Name })
+	for i := range d.Classes {
+		checkClass(&d.Classes[i], fmt.Sprintf("class[%d]", i), f)
+	}
+	checkOrder(d, f)
+	if d.Topology != nil {
+		zones := d.Topology.Zones
+		checkNames(f, "topology.zone", len(zones), func(i int) string { return zones[i].Name })
+		checkSizes(d, f)
+	}
+}
+
+func checkNames(f *schema.File, table string, n int, name func(int) string) {
+	first := map[string]int{}
+	for i := range n {
+		if name(i) == "" {
+			continue
+		}
+		if j, ok := first[name(i)]; ok {
+			f.Add(fmt.Sprintf("%s[%d].name", table, i), "%q is the name of %s[%d] already", name(i), table, j)
+			continue
+		}
+		first[name(i)] = i
+	}
+}
+
+func checkClass(c *Class, path string, f *schema.File) {
+	if !c.Repeatable && c.Retries > 0 {
+		f.Add(path+".retries", "got %d, want 0: the class is not repeatable and runs at most once", c.Retries)
+	}
+	if c.Kind == Quick {
+		checkQuick(path, f)
+		return
+	}
+	if c.Kind != Job {
+		return // reported already
+	}
+	// A borrower is evicted when the guarantee is claimed. Work that can be
+	// neither resumed nor run again would be lost, or the guarantee broken.
+	if c.MayBorrow && !c.Checkpointable && !c.Repeatable {
+		f.Add(path+".may_borrow", "got true, want false: the class is neither checkpointable nor repeatable, so it cannot be evicted")
+	}
+	if c.MaxRun.Duration > c.Deadline.Duration {
+		f.Add(path+".max_run", "got %s, want at most the deadline of %s", c.MaxRun, c.Deadline)
+	}
+}
+
+func checkQuick(path string, f *schema.File) {
+	for _, key := range []string{"checkpointable", "may_borrow", "max_run"} {
+		if f.Index.Set(path + "." + key) {
+			f.Add(path+"."+key, `only for kind = "job"`)
+		}
+	}
+}
+
+func checkOrder(d *Document, f *schema.File) {
+	below(f, "gang.isolation_timeout", d.Gang.IsolationTimeout, "gang.loss_timeout", d.Gang.LossTimeout)
+	below(f, "admission.target_sojourn", d.Admission.TargetSojourn, "admission.interval", d.Admission.Interval)
+	below(f, "routing.probe_every", d.Routing.ProbeEvery, "routing.silent_after", d.Routing.SilentAfter)
+}
+
+func below(f *schema.File, low string, a schema.Duration, high string, b schema.Duration) {
+	if a.Duration >= b.Duration {
+		f.Add(low, "got %s, want less than %s, which is %s", a, high, b)
+	}
+}
+
+// checkSizes refuses shapes larger than any place of the topology, and sums
+// above its total. Whether the shapes fit together as blocks is the FitCheck's
+// question.
+func checkSizes(d *Document, f *schema.File) {
+	sum := 0
+	for i, a := range d.Accounts {
+		for j, g := range a.Guaranteed {
+			sum += g.Accelerators * g.Count
+			if most := d.Topology.largest(g.Adjacent); g.Accelerators > most {
+				f.Add(guaranteePath(i, j)+".accelerators", "got %d, want at most %d, the largest %s of the topology",
+					g.Accelerators, most, g.Adjacent)
+			}
+		}
+	}
+	if total := d.Topology.Total(); sum > total {
+		f.Add("topology", "holds %d accelerators, the guaranteed shapes need %d", total, sum)
+	}
+}
--- /dev/null
+++ b/document/parse_test.go
@@ -0,0 +1,58 @@
+package document_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+)
+
+var update = flag.Bool("update", false, "write the golden error texts anew")
+
+const samples = "../testdata/documents"
+
+func readSample(c *qt.C, name string) []byte {
+	data, err := os.ReadFile(filepath.Join(samples, name))
+	c.Assert(err, qt.IsNil)
+	return data
+}
+
+func TestSamplesParse(t *testing.T) {
+	for _, name := range []string{"dispatch.toml", "slotbook.toml"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d, err := document.Parse(name, readSample(c, name))
+			c.Assert(err, qt.IsNil)
+			c.Assert(d.Accounts, qt.HasLen, 4)
+			c.Assert(d.Topology.Total(), qt.Equals, 11*8)
+		})
+	}
+}
+
+// An operator with several mistakes in one document sees all of them in one
+// run, each with its line, key and what is accepted.
+func TestBadSamples(t *testing.T) {
+	files, err := filepath.Glob(samples + "/bad/*.txtar")
+	qt.Assert(t, err, qt.IsNil)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			c := qt.New(t)
+			a, err := txtar.ParseFile(file)
+			c.Assert(err, qt.IsNil)
+			_, err = document.Parse(a.Files[0].Name, a.Files[0].Data)
+			c.Assert(err, qt.IsNotNil)
+			got := err.Error() + "\n"
+			if *update {
+				a.Files[1].Data = []byte(got)
+				c.Assert(os.WriteFile(file, txtar.Format(a), 0o644), qt.IsNil)
+				return
+			}
+			c.Assert(got, qt.Equals, string(a.Files[1].Data))
+		})
+	}
+}
--- /dev/null
+++ b/document/schema/key.go
@@ -0,0 +1,109 @@
+package schema
+
+import (
+	"reflect"
+	"regexp"
+	"strings"
+)
+
+// Key describes one key of a struct type, from its tags.
+type Key struct {
+	Path    string // without positions in arrays: account.weight
+	Type    string // as an operator knows it: integer, text, duration, ...
+	Default string // empty where there is none
+	Accepts string // accepted values with their unit, empty where any will do
+	Table   bool   // holds keys of its own
+
+	duration bool
+}
+
+var positions = regexp.MustCompile(`\[\d+\]`)
+
+// generic strips the positions in arrays from a path.
+func generic(path string) string {
+	return positions.ReplaceAllString(path, "")
+}
+
+// Keys lists the keys of struct type T and of the tables below it.
+func Keys[T any]() []Key {
+	return keysOf(reflect.TypeFor[T](), "", nil)
+}
+
+func keysOf(t reflect.Type, prefix string, keys []Key) []Key {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := tomlName(f)
+		if name == "" {
+			continue
+		}
+		if f.Anonymous {
+			keys = keysOf(f.Type, prefix, keys)
+			continue
+		}
+		k := keyOf(f, join(prefix, name))
+		keys = append(keys, k)
+		if k.Table {
+			keys = keysOf(tableType(f.Type), k.Path, keys)
+		}
+	}
+	return keys
+}
+
+func keyOf(f reflect.StructField, path string) Key {
+	return Key{
+		Path:    path,
+		Type:    typeName(f.Type),
+		Default: f.Tag.Get("default"),
+		Accepts: accepts(f),
+		Table:   tableType(f.Type) != nil,
+
+		duration: f.Type == durationType,
+	}
+}
+
+func tomlName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+	if name == "-" {
+		return ""
+	}
+	if name == "" && f.Anonymous {
+		return f.Name
+	}
+	return name
+}
+
+var durationType = reflect.TypeFor[Duration]()
+
+// tableType returns the struct type behind a table or an array of tables, nil
+// for a plain value.
+func tableType(t reflect.Type) reflect.Type {
+	for t.Kind() == reflect.Slice || t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct || t == durationType {
+		return nil
+	}
+	return t
+}
+
+func typeName(t reflect.Type) string {
+	if t == durationType {
+		return `duration such as "250ms" or "4h"`
+	}
+	switch t.Kind() {
+	case reflect.Pointer:
+		return typeName(t.Elem())
+	case reflect.String:
+		return "text"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "number"
+	case reflect.Slice:
+		return "list of " + typeName(t.Elem())
+	case reflect.Struct:
+		return "table"
+	default:
+		return "integer"
+	}
+}
--- /dev/null
+++ b/document/schema/toml.go
@@ -0,0 +1,134 @@
+package schema
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// maxTypeErrors bounds the passes over a file with values of a wrong type;
+// each pass finds one.
+const maxTypeErrors = 32
+
+// decode returns false where the syntax is broken, so that nothing else can
+// be said about the file.
+func (f *File) decode(data []byte, into any) bool {
+	keys := keysOf(reflect.TypeOf(into).Elem(), "", nil)
+	data = f.blankBareDurations(data, keys)
+	for range maxTypeErrors {
+		reflect.ValueOf(into).Elem().SetZero()
+		dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+		err := dec.Decode(into)
+		var strict *toml.StrictMissingError
+		var broken *toml.DecodeError
+		switch {
+		case err == nil:
+			return true
+		case errors.As(err, &strict):
+			f.addUnknown(data, strict)
+			return true
+		case !errors.As(err, &broken):
+			f.Problems = append(f.Problems, Problem{File: f.Name, Reason: err.Error()})
+			return false
+		}
+		rest, ok := f.addTypeError(data, broken, keys)
+		if !ok {
+			return false
+		}
+		data = rest
+	}
+	return true
+}
+
+func (f *File) addUnknown(data []byte, strict *toml.StrictMissingError) {
+	for _, e := range strict.Errors {
+		line, col := e.Position()
+		path := strings.Join(e.Key(), ".")
+		if at, ok := f.Index.at(offsetOf(data, line, col)); ok {
+			path = at.path
+		}
+		f.Problems = append(f.Problems, Problem{File: f.Name, Line: line, Key: path, Reason: "unknown key"})
+	}
+}
+
+// addTypeError notes the error and returns data without the expression that
+// caused it, so that the next pass finds the next error. It returns false
+// where no single value is to blame, such as for a key set twice.
+func (f *File) addTypeError(data []byte, broken *toml.DecodeError, keys []Key) ([]byte, bool) {
+	line, col := broken.Position()
+	offset := offsetOf(data, line, col)
+	at, ok := f.Index.at(offset)
+	if f.Index.syntax != nil || !ok || at.offset == offset || offset >= at.end {
+		f.Problems = append(f.Problems, Problem{
+			File:   f.Name,
+			Line:   line,
+			Key:    at.path,
+			Reason: strings.TrimPrefix(broken.Error(), "toml: "),
+		})
+		return nil, false
+	}
+	f.Add(at.path, "wrong type, want %s", want(keys, at.path))
+	return blank(data, at.start, at.end), true
+}
+
+// blankBareDurations notes durations that are not text. The decoder names no
+// line for them, so that they are looked for before it runs.
+func (f *File) blankBareDurations(data []byte, keys []Key) []byte {
+	for _, e := range f.Index.entries {
+		k, ok := lookup(keys, e.path)
+		if !ok || !k.duration || e.value == unstable.String {
+			continue
+		}
+		f.Add(e.path, "wrong type, want %s", want(keys, e.path))
+		data = blank(data, e.start, e.end)
+	}
+	return data
+}
+
+// blank returns a copy of data with spaces from start to end; line ends stay.
+func blank(data []byte, start, end int) []byte {
+	rest := bytes.Clone(data)
+	for i := start; i < end; i++ {
+		if rest[i] != '\n' {
+			rest[i] = ' '
+		}
+	}
+	return rest
+}
+
+func want(keys []Key, path string) string {
+	k, ok := lookup(keys, path)
+	if !ok {
+		return "another type"
+	}
+	if k.Accepts == "" || strings.HasPrefix(k.Accepts, "one of") {
+		return strings.TrimSpace(k.Type + " " + k.Accepts)
+	}
+	return k.Type + ", " + k.Accepts
+}
+
+func lookup(keys []Key, path string) (Key, bool) {
+	path = generic(path)
+	for _, k := range keys {
+		if k.Path == path {
+			return k, true
+		}
+	}
+	return Key{}, false
+}
+
+func offsetOf(data []byte, line, col int) int {
+	offset := 0
+	for range line - 1 {
+		next := bytes.IndexByte(data[offset:], '\n')
+		if next < 0 {
+			break
+		}
+		offset += next + 1
+	}
+	return offset + col - 1
+}
--- /dev/null
+++ b/document/topology.go
@@ -0,0 +1,56 @@
+package document
+
+// Topology is the capacity that the operators expect. Only the offline check
+// of the guaranteed shapes uses it; running processes learn the true workers
+// from the agents.
+type Topology struct {
+	Accelerators int            `toml:"accelerators" default:"8" validate:"min=1,max=1024" unit:"accelerators per worker"`
+	Zones        []TopologyZone `toml:"zone" validate:"min=1,max=64,dive"`
+}
+
+// TopologyZone is one availability zone of the expected capacity.
+type TopologyZone struct {
+	Name  string `toml:"name" validate:"required,name"`
+	Racks []int  `toml:"racks" validate:"min=1,max=4096,dive,min=1,max=1024" unit:"racks, each the number of its workers"`
+}
+
+// Workers counts the workers of the zone.
+func (z TopologyZone) Workers() int {
+	n := 0
+	for _, workers := range z.Racks {
+		n += workers
+	}
+	return n
+}
+
+// Total counts the accelerators of all workers.
+func (t *Topology) Total() int {
+	n := 0
+	for _, z := range t.Zones {
+		n += z.Workers() * t.Accelerators
+	}
+	return n
+}
+
+// largest returns the most accelerators that one place of the given adjacency
+// holds.
+func (t *Topology) largest(a Adjacency) int {
+	most := 0
+	switch a {
+	case SameWorker:
+		return t.Accelerators
+	case SameRack:
+		for _, z := range t.Zones {
+			for _, workers := range z.Racks {
+				most = max(most, workers*t.Accelerators)
+			}
+		}
+	case SameZone:
+		for _, z := range t.Zones {
+			most = max(most, z.Workers()*t.Accelerators)
+		}
+	default:
+		return t.Total()
+	}
+	return most
+}
