routing, admission: first usable API

The entry needs a choice of target and the agent a fair queue; both are pure packages with the time as an argument.

--- /dev/null
+++ b/admission/account.go
@@ -0,0 +1,45 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// account is what the queue keeps for a client account while it has work here
+// or owes for work done.
+type account struct {
+	name    string
+	weight  float64
+	start   float64 // virtual time at which its next request starts
+	backlog time.Duration
+	waiting []*request
+	running int
+	sojourn sojourn
+}
+
+func (a *account) push(r *request) {
+	a.waiting = append(a.waiting, r)
+	a.backlog += r.cost
+}
+
+// pop takes the oldest request, or the newest.
+func (a *account) pop(newest bool) *request {
+	i := 0
+	if newest {
+		i = len(a.waiting) - 1
+	}
+	r := a.waiting[i]
+	a.drop(r)
+	return r
+}
+
+func (a *account) drop(r *request) {
+	i := slices.Index(a.waiting, r)
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	a.backlog -= r.cost
+}
+
+// charge advances the account's virtual time by slot time used.
+func (a *account) charge(d time.Duration, weight float64) {
+	a.start += d.Seconds() / weight
+}
--- /dev/null
+++ b/routing/pick.go
@@ -0,0 +1,157 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// shareFactor bounds a client account to this multiple of the free places
+	// in all windows. Alone it can fill 4/5 of them; the rest stays free for
+	// others, whatever it offers.
+	shareFactor = 4
+	// minRetryAfter is the shortest time a refused request is told to wait.
+	minRetryAfter = 10 * time.Millisecond
+)
+
+// Pick chooses a target for one attempt and takes a place in its window. When
+// the Refusal is OK, the Ticket goes back to Done exactly once. Otherwise
+// nothing was taken and the request has not run.
+func (r *Router) Pick(now time.Time, q Query) (Ticket, Refusal) {
+	if !q.Deadline.IsZero() && !now.Before(q.Deadline) {
+		return Ticket{}, Refusal{Reason: TooLate}
+	}
+	a := r.accounts.of(q.Account)
+	if q.Attempt == 0 {
+		r.earn(a)
+	}
+	if !r.withinShare(a) {
+		return Ticket{}, Refusal{Reason: OverShare, RetryAfter: r.pause()}
+	}
+	at := now.UnixNano()
+	t := r.table.Load()
+	e, trial := r.choose(t, at, q)
+	if e == nil {
+		return Ticket{}, r.refusal(t, at, q)
+	}
+	a.inflight.Add(1)
+	r.inflight.Add(1)
+	return Ticket{Target: e.id, Incarnation: e.incarnation, Trial: trial, endpoint: e, account: a, sent: at}, Refusal{}
+}
+
+// withinShare keeps one client account's overload from filling the windows, so
+// that requests of the others still reach the agents, where the fair queue
+// serves them by weight.
+func (r *Router) withinShare(a *account) bool {
+	free := r.total.Load() - r.inflight.Load()
+	return a.inflight.Load() < max(1, shareFactor*free)
+}
+
+// choose takes a place at the cheapest of a few random endpoints: of the own
+// availability zone while one of them has a free slot, else of all. When none
+// of the sample has a place, the first endpoint with one is taken.
+func (r *Router) choose(t *table, now int64, q Query) (*endpoint, bool) {
+	stale := int64(r.options.StaleAfter)
+	if e, trial := r.sample(t.local, now, q); e != nil && (trial || e.idle(now, stale)) {
+		if trial || e.acquire() {
+			return e, trial
+		}
+	}
+	if e, trial := r.sample(t.all, now, q); e != nil && (trial || e.acquire()) {
+		return e, trial
+	}
+	return r.scan(t, now, q)
+}
+
+// sample returns the cheapest open endpoint of a few random ones, or one that
+// is due for its trial, with the trial already taken.
+func (r *Router) sample(from []*endpoint, now int64, q Query) (*endpoint, bool) {
+	if len(from) == 0 {
+		return nil, false
+	}
+	var best *endpoint
+	var least float64
+	for range r.options.Choices {
+		e := from[r.random(len(from))]
+		switch e.condition(now) {
+		case halfOpen:
+			if !q.Once && q.Attempt == 0 && e.tryOut() {
+				return e, true
+			}
+		case open:
+			if e == best || e.inflight.Load() >= e.window.Load() || slices.Contains(q.Exclude, e.id) {
+				continue
+			}
+			if cost := e.cost(now, int64(r.options.StaleAfter)); best == nil || cost < least {
+				best, least = e, cost
+			}
+		}
+	}
+	return best, false
+}
+
+// scan looks at every endpoint from a random one on. Trials come second here
+// and are open to every request: nothing else is left.
+func (r *Router) scan(t *table, now int64, q Query) (*endpoint, bool) {
+	if len(t.all) == 0 {
+		return nil, false
+	}
+	start := r.random(len(t.all))
+	var resting *endpoint
+	for i := range t.all {
+		e := t.all[(start+i)%len(t.all)]
+		if slices.Contains(q.Exclude, e.id) {
+			continue
+		}
+		switch e.condition(now) {
+		case halfOpen:
+			resting = e
+		case open:
+			if e.acquire() {
+				return e, false
+			}
+		}
+	}
+	if resting != nil && resting.tryOut() {
+		return resting, true
+	}
+	return nil, false
+}
+
+// tryOut takes the single trial of a half-open endpoint.
+func (e *endpoint) tryOut() bool {
+	if !e.trial.CompareAndSwap(false, true) {
+		return false
+	}
+	e.inflight.Add(1)
+	return true
+}
+
+func (r *Router) refusal(t *table, now int64, q Query) Refusal {
+	next := int64(0)
+	for _, e := range t.all {
+		if slices.Contains(q.Exclude, e.id) {
+			continue
+		}
+		if e.condition(now) == open {
+			return Refusal{Reason: AllSaturated, RetryAfter: r.pause()}
+		}
+		if until := e.ejectedUntil.Load(); until > now && (next == 0 || until < next) {
+			next = until
+		}
+	}
+	if next == 0 {
+		return Refusal{Reason: NoTargets, RetryAfter: r.options.EjectBase}
+	}
+	return Refusal{Reason: NoTargets, RetryAfter: max(minRetryAfter, time.Duration(next-now))}
+}
+
+// pause is how long a request refused for load is told to wait: what the agents
+// said last.
+func (r *Router) pause() time.Duration {
+	return max(minRetryAfter, time.Duration(r.retryAfter.Load()))
+}
+
+func (r *Router) random(n int) int {
+	return int(mix(r.sequence.Add(0x9e3779b97f4a7c15)) % uint64(n))
+}
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,132 @@
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// Router chooses targets for one service at one entry. See the package comment
+// for which methods may be called concurrently.
+type Router struct {
+	options  Options
+	table    atomic.Pointer[table]
+	accounts accounts
+	retries  budget
+
+	sequence   atomic.Uint64 // state of the random numbers
+	inflight   atomic.Int64  // attempts in flight
+	total      atomic.Int64  // sum of the windows of open endpoints
+	failures   atomic.Uint64 // moving share of failed answers, as float bits
+	retryAfter atomic.Int64  // as last reported by an agent
+}
+
+// New returns a Router without targets.
+func New(o Options) *Router {
+	r := &Router{options: o.withDefaults()}
+	r.accounts.salt = mix(o.Seed + 1)
+	r.sequence.Store(mix(o.Seed))
+	r.retries.fill(r.options.RetryBurst)
+	for i := range r.accounts.buckets {
+		r.accounts.buckets[i].retries.fill(r.options.RetryBurst)
+	}
+	r.table.Store(newTable(o.Zone, nil))
+	return r
+}
+
+// SetTargets replaces the set of targets. A target known before with the same
+// incarnation keeps its measurements. One goroutine calls it. A target that is
+// draining or absent gets nothing new from the next Pick on; tickets out for it
+// stay valid for Done.
+func (r *Router) SetTargets(_ time.Time, ts []Target) {
+	old := r.table.Load()
+	all := make([]*endpoint, 0, len(ts))
+	kept := make(map[*endpoint]bool, len(ts))
+	for _, t := range ts {
+		e := old.byID[t.ID]
+		if e == nil || e.incarnation != t.Incarnation {
+			e = newEndpoint(t, r.options.InitialWindow)
+		}
+		r.update(e, t)
+		kept[e] = true
+		all = append(all, e)
+	}
+	r.table.Store(newTable(r.options.Zone, all))
+	for _, e := range old.all {
+		if !kept[e] {
+			r.remove(e)
+		}
+	}
+}
+
+func (r *Router) update(e *endpoint, t Target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slots.Store(int64(max(1, t.Slots)))
+	e.win.limit = max(minWindow, float64(t.Connections))
+	e.win.size = min(e.win.size, e.win.limit)
+	// The agent's own word that it drains stands until its next incarnation:
+	// membership may be older than the reply that carried it.
+	if t.Draining {
+		e.draining.Store(true)
+	}
+	r.publish(e)
+}
+
+func (r *Router) remove(e *endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.removed.Store(true)
+	r.publish(e)
+}
+
+// publish makes the window visible to picks and to the total. The caller holds
+// e.mu.
+func (r *Router) publish(e *endpoint) {
+	e.window.Store(int64(e.win.size))
+	size := e.size()
+	r.total.Add(size - e.counted)
+	e.counted = size
+}
+
+// Retry asks the retry budget for one more attempt after an attempt of the
+// client account ended without an answer. It is the only place that permits
+// one. A refusal is final: the caller gets its answer now.
+func (r *Router) Retry(_ time.Time, name string) bool {
+	a := r.accounts.of(name)
+	if !a.retries.spend() {
+		return false
+	}
+	if r.retries.spend() {
+		return true
+	}
+	a.retries.refund()
+	return false
+}
+
+func (r *Router) earn(a *account) {
+	a.retries.earn(r.options.AccountRetryShare, r.options.RetryBurst)
+	r.retries.earn(r.options.RetryShare, r.options.RetryBurst)
+}
+
+func (r *Router) overallFailures() float64 {
+	return math.Float64frombits(r.failures.Load())
+}
+
+// Stats returns a snapshot; its parts may be of slightly different times.
+func (r *Router) Stats() Stats {
+	t := r.table.Load()
+	s := Stats{Inflight: int(r.inflight.Load()), Window: int(r.total.Load())}
+	for _, e := range t.all {
+		s.Targets = append(s.Targets, TargetStats{
+			ID:       e.id,
+			Inflight: int(e.inflight.Load()),
+			Window:   int(e.window.Load()),
+			Latency:  time.Duration(e.latency.Load()),
+			Load:     int(e.inflight.Load() + e.others.Load()),
+			Draining: e.draining.Load(),
+			Ejected:  e.ejectedUntil.Load() != 0,
+		})
+	}
+	return s
+}
