wire: typed exchanges over QUIC, identity from the cluster key

The entry and the agent need calls in both directions over one connection, and at most once needs to know when a message has certainly not been handled. The receiver handles a frame only after the end of the opener's direction, and the opener sends that end last: before it every failure is ErrNotSent, after it ErrOutcomeUnknown.

Ruled out: one UDP socket for all dials. A device that lost track of a flow would treat a redial from the same port as the same flow. QUIC's keepalive is off: an acknowledgement does not prove the peer's process.

--- /dev/null
+++ b/wire/call_test.go
@@ -0,0 +1,136 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestBothEndsCallOverOneConnection(t *testing.T) {
+	c := qt.New(t)
+	accepted := make(chan *Conn, 1)
+	server := open(c, "entry", Config{Accepted: func(conn *Conn) { accepted <- conn }}, echo)
+	client := open(c, "agent", Config{}, echo)
+	conn := dial(c, client, server.Addr())
+	c.Assert(conn.Peer().ID, qt.Equals, "entry")
+	back := await(c, accepted)
+	c.Assert(back.Peer(), qt.Equals, client.Identity().Peer())
+	for _, conn := range []*Conn{conn, back} {
+		reply, err := conn.Call(within(c, 10*time.Second), Gang{Payload: []byte("x")})
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply, qt.DeepEquals, &GangReply{Payload: []byte("x")})
+	}
+}
+
+// Story: an entry sends a booking and the connection dies before the answer.
+// If it believed the booking had not run, it would send it elsewhere and the
+// space would be booked twice. The handler has the message, so the outcome must
+// be unknown. A call on the dead connection afterwards never left.
+func TestConnectionLostMidCallIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	running := make(chan struct{})
+	cancelled := make(chan struct{})
+	server := open(c, "agent", Config{}, func(ctx context.Context, from *Conn, _ any) (any, error) {
+		close(running)
+		from.Close()
+		<-ctx.Done()
+		close(cancelled)
+		return nil, ctx.Err()
+	})
+	client := open(c, "entry", Config{}, echo)
+	conn := dial(c, client, server.Addr())
+	_, err := conn.Call(within(c, 10*time.Second), Gang{})
+	await(c, running)
+	c.Assert(errors.Is(err, ErrOutcomeUnknown), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(errors.Is(err, ErrNotSent), qt.IsFalse)
+	await(c, cancelled)
+	_, err = conn.Call(within(c, 10*time.Second), Gang{})
+	c.Assert(errors.Is(err, ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// Story: a caller cancels; its worker should stop computing an answer that
+// nobody reads. The handler's context must end although the connection lives.
+func TestCancelledCallCancelsHandler(t *testing.T) {
+	c := qt.New(t)
+	running := make(chan struct{})
+	cancelled := make(chan struct{})
+	server := open(c, "agent", Config{}, func(ctx context.Context, _ *Conn, _ any) (any, error) {
+		close(running)
+		<-ctx.Done()
+		close(cancelled)
+		return nil, ctx.Err()
+	})
+	client := open(c, "entry", Config{}, echo)
+	conn := dial(c, client, server.Addr())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-running
+		cancel()
+	}()
+	_, err := conn.Call(ctx, Gang{})
+	c.Assert(errors.Is(err, ErrOutcomeUnknown), qt.IsTrue)
+	c.Assert(errors.Is(err, context.Canceled), qt.IsTrue)
+	await(c, cancelled)
+	c.Assert(conn.Ping(within(c, 10*time.Second)), qt.IsNil)
+}
+
+type unregistered struct{}
+
+func TestRefusalsProveThatNothingRan(t *testing.T) {
+	c := qt.New(t)
+	var ran atomic.Int32
+	server := open(c, "agent", Config{MaxFrame: 100}, func(_ context.Context, _ *Conn, msg any) (any, error) {
+		ran.Add(1)
+		if string(msg.(*Gang).Payload) == "no" {
+			return nil, &CallError{Outcome: ErrNotSent, Cause: errors.New("full")}
+		}
+		return nil, errors.New("broken")
+	})
+	client := open(c, "entry", Config{}, echo)
+	conn := dial(c, client, server.Addr())
+	for _, test := range []struct {
+		story string
+		msg   any
+		want  []error
+		ran   int32
+	}{
+		{"a Go type that nobody registered", unregistered{}, []error{ErrNotSent, ErrUnknownKind}, 0},
+		{"a frame beyond the receiver's limit", Gang{Payload: make([]byte, 200)}, []error{ErrNotSent, ErrFrameTooLarge}, 0},
+		{"a frame beyond the sender's limit", Gang{Payload: make([]byte, DefaultMaxFrame)}, []error{ErrNotSent, ErrFrameTooLarge}, 0},
+		{"a handler that proves it did nothing", Gang{Payload: []byte("no")}, []error{ErrNotSent, ErrHandler}, 1},
+		{"a handler that failed somewhere", Gang{}, []error{ErrOutcomeUnknown, ErrHandler}, 2},
+	} {
+		_, err := conn.Call(within(c, 10*time.Second), test.msg)
+		for _, want := range test.want {
+			c.Check(errors.Is(err, want), qt.IsTrue, qt.Commentf("%s: %v", test.story, err))
+		}
+		c.Check(ran.Load(), qt.Equals, test.ran, qt.Commentf(test.story))
+	}
+}
+
+func TestWrongClusterKeyIsRefused(t *testing.T) {
+	c := qt.New(t)
+	server := open(c, "entry", Config{}, echo)
+	for _, test := range []struct {
+		story string
+		id    Identity
+		want  bool
+	}{
+		{"a process of another cluster", identity(c, "x", otherKey), false},
+		{"it trusts us but we don't trust it", identity(c, "x", otherKey, testKey), false},
+		{"the key is being replaced: ours, other accepted", identity(c, "x", testKey, otherKey), true},
+	} {
+		client, err := Listen("127.0.0.1:0", test.id, HandlerFunc(echo))
+		c.Assert(err, qt.IsNil)
+		_, err = client.Dial(within(c, 10*time.Second), server.Addr())
+		c.Check(err == nil, qt.Equals, test.want, qt.Commentf("%s: %v", test.story, err))
+		c.Check(err == nil || errors.Is(err, ErrNotSent), qt.IsTrue)
+		c.Assert(client.Close(), qt.IsNil)
+	}
+	_, err := NewIdentity(Peer{}, []byte("short"))
+	c.Assert(err, qt.IsNotNil)
+}
--- /dev/null
+++ b/wire/config.go
@@ -0,0 +1,80 @@
+package wire
+
+import (
+	"net"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultHandshakeTimeout = 3 * time.Second
+	DefaultPingTimeout      = 500 * time.Millisecond
+	DefaultBusyProbe        = 300 * time.Millisecond
+	DefaultIdleProbe        = 30 * time.Second
+	DefaultSuspectGrace     = 5 * time.Second
+	DefaultMaxConns         = 4096
+	DefaultAcceptRate       = 200
+	DefaultAcceptBurst      = 200
+)
+
+// Limits of one QUIC connection.
+const (
+	maxStreams       = 4096
+	maxStreamWindow  = 2 << 20
+	maxConnWindow    = 8 << 20
+	idleTimeoutFloor = time.Minute
+)
+
+// Config holds an endpoint's settings; a zero field takes its default.
+type Config struct {
+	// MaxFrame limits a frame's payload in bytes, in both directions.
+	MaxFrame int
+	// HandshakeTimeout limits dial, TLS handshake and Hello together.
+	HandshakeTimeout time.Duration
+	// PingTimeout is how long a Ping may stay unanswered.
+	PingTimeout time.Duration
+	// BusyProbe: a connection with calls outstanding that was silent for so
+	// long is probed with a Ping.
+	BusyProbe time.Duration
+	// IdleProbe is the same for a connection without calls. Keep it above
+	// the reporting period, so that reports alone prove idle paths.
+	IdleProbe time.Duration
+	// SuspectGrace: a suspected connection that stays silent for so long is
+	// closed; its outstanding calls end with ErrOutcomeUnknown.
+	SuspectGrace time.Duration
+	// MaxConns limits accepted connections.
+	MaxConns int
+	// AcceptRate (a second) and AcceptBurst limit accepted handshakes, so
+	// that an availability zone that returns at once does not take all
+	// processors. Refused dialers come back after their backoff.
+	AcceptRate  float64
+	AcceptBurst int
+	// Accepted is called for each accepted connection after its Hello and
+	// before the dialer learns of it. It must not block.
+	Accepted func(*Conn)
+	// ListenPacket opens the UDP sockets; net.ListenPacket by default.
+	ListenPacket func(network, addr string) (net.PacketConn, error)
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxFrame, DefaultMaxFrame)
+	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
+	setDefault(&c.PingTimeout, DefaultPingTimeout)
+	setDefault(&c.BusyProbe, DefaultBusyProbe)
+	setDefault(&c.IdleProbe, DefaultIdleProbe)
+	setDefault(&c.SuspectGrace, DefaultSuspectGrace)
+	setDefault(&c.MaxConns, DefaultMaxConns)
+	setDefault(&c.AcceptRate, DefaultAcceptRate)
+	setDefault(&c.AcceptBurst, DefaultAcceptBurst)
+	if c.ListenPacket == nil {
+		c.ListenPacket = net.ListenPacket
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/wire/endpoint.go
@@ -0,0 +1,197 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
+	"gopkg.in/tomb.v2"
+)
+
+// Application error codes of closed connections and cancelled streams.
+const (
+	closeNormal  quic.ApplicationErrorCode = 0
+	closeSilent  quic.ApplicationErrorCode = 1
+	closeNoHello quic.ApplicationErrorCode = 2
+	streamCancel quic.StreamErrorCode      = 1
+)
+
+// Endpoint accepts connections on one UDP socket and dials others, each from a
+// socket of its own. It is safe for concurrent use.
+//
+// Its goroutines live in one tomb: the accept loop, the monitor that probes
+// silent connections, and for each connection a loop and its exchanges.
+type Endpoint struct {
+	cfg       Config
+	id        Identity
+	handler   Handler
+	socket    net.PacketConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	quicCfg   *quic.Config
+	serving   inflight
+	accepted  atomic.Int64
+	limiter   *rate.Limiter
+
+	tomb   tomb.Tomb
+	mu     sync.Mutex
+	closed bool
+	conns  map[*Conn]struct{}
+}
+
+// Listen opens an endpoint with default settings.
+func Listen(addr string, id Identity, h Handler) (*Endpoint, error) {
+	return Config{}.Listen(addr, id, h)
+}
+
+// Listen opens an endpoint on addr, "host:port" with an IP number; port 0
+// takes a free one.
+func (c Config) Listen(addr string, id Identity, h Handler) (*Endpoint, error) {
+	c = c.withDefaults()
+	socket, err := c.ListenPacket("udp", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "open endpoint")
+	}
+	ep := &Endpoint{
+		cfg:     c,
+		id:      id,
+		handler: h,
+		socket:  socket,
+		limiter: rate.NewLimiter(rate.Limit(c.AcceptRate), c.AcceptBurst),
+		conns:   map[*Conn]struct{}{},
+	}
+	ep.quicCfg = ep.newQUICConfig()
+	if err := ep.listen(); err != nil {
+		socket.Close()
+		return nil, err
+	}
+	ep.tomb.Go(ep.acceptLoop)
+	ep.tomb.Go(ep.monitorLoop)
+	return ep, nil
+}
+
+func (ep *Endpoint) listen() error {
+	key, err := ep.id.resetKey(ep.socket.LocalAddr().String())
+	if err != nil {
+		return eris.Wrap(err, "derive reset key")
+	}
+	resetKey := quic.StatelessResetKey(key)
+	ep.transport = &quic.Transport{
+		Conn:              ep.socket,
+		StatelessResetKey: &resetKey,
+		ConnContext:       ep.admit,
+	}
+	ep.listener, err = ep.transport.Listen(ep.id.tlsConfig(), ep.quicCfg)
+	return eris.Wrap(err, "listen")
+}
+
+// newQUICConfig turns QUIC's keepalive off: an acknowledgement by the peer's
+// QUIC stack does not prove that its process works, and it would cost bytes on
+// every idle connection. The idle timeout only bounds what a bug could leak.
+func (ep *Endpoint) newQUICConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:       ep.cfg.HandshakeTimeout,
+		MaxIdleTimeout:             max(idleTimeoutFloor, 4*ep.cfg.IdleProbe),
+		MaxIncomingStreams:         maxStreams,
+		MaxIncomingUniStreams:      -1,
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnWindow,
+	}
+}
+
+// admit refuses handshakes beyond the limits, before their signatures are
+// computed. Without it an availability zone whose agents return together takes
+// all processors for seconds, and running requests wait.
+func (ep *Endpoint) admit(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	if ep.isDraining() || int(ep.accepted.Load()) >= ep.cfg.MaxConns || !ep.limiter.Allow() {
+		return nil, ErrDraining
+	}
+	return ctx, nil
+}
+
+// Addr returns the address the endpoint listens on.
+func (ep *Endpoint) Addr() string { return ep.socket.LocalAddr().String() }
+
+// Identity returns the endpoint's identity.
+func (ep *Endpoint) Identity() Identity { return ep.id }
+
+// Conns returns the open connections, accepted and dialled, in no order.
+func (ep *Endpoint) Conns() []*Conn {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	conns := make([]*Conn, 0, len(ep.conns))
+	for c := range ep.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Close closes all connections and waits for the endpoint's goroutines. The
+// contexts of running handlers are cancelled; Close waits for them to return,
+// so don't call it from a Handler. For a graceful stop call Drain first.
+func (ep *Endpoint) Close() error {
+	ep.shut()
+	for _, c := range ep.Conns() {
+		c.Close()
+	}
+	ep.listener.Close()
+	err := ep.tomb.Wait()
+	ep.transport.Close()
+	ep.socket.Close()
+	return err
+}
+
+// shut refuses new goroutines and lets the loops end. closed is set before the
+// tomb dies, and spawn checks it under the same lock: so nobody adds a
+// goroutine to a dead tomb, which would panic.
+func (ep *Endpoint) shut() {
+	ep.mu.Lock()
+	ep.closed = true
+	ep.mu.Unlock()
+	ep.tomb.Kill(nil)
+}
+
+// start registers a connection and runs its loop; false when closed.
+func (ep *Endpoint) start(c *Conn) bool {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	if ep.closed {
+		return false
+	}
+	ep.conns[c] = struct{}{}
+	ep.tomb.Go(c.loop)
+	return true
+}
+
+func (ep *Endpoint) forget(c *Conn) {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	delete(ep.conns, c)
+}
+
+func (ep *Endpoint) isDraining() bool { return ep.serving.isStopped() }
+
+func (ep *Endpoint) acceptLoop() error {
+	for {
+		q, err := ep.listener.Accept(context.Background())
+		if err != nil {
+			ep.shut()
+			return nil
+		}
+		ep.accepted.Add(1)
+		c := newConn(ep, q)
+		c.onEnd = func() { ep.accepted.Add(-1) }
+		if !ep.start(c) {
+			c.Close()
+			c.onEnd()
+		}
+	}
+}
+
+// now is the endpoint's monotonic clock.
+func (ep *Endpoint) now() time.Time { return time.Now() }
--- /dev/null
+++ b/wire/errors.go
@@ -0,0 +1,57 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// ErrNotSent: the message was certainly not handled by the peer and never
+	// will be. Trying again, also elsewhere, can't run it twice.
+	ErrNotSent = eris.New("message not handled by the peer")
+	// ErrOutcomeUnknown: the message may have been handled, or may still be;
+	// no valid reply arrived.
+	ErrOutcomeUnknown = eris.New("outcome of the message unknown")
+
+	// ErrClosed: the connection or endpoint was closed by this side, or was
+	// being closed.
+	ErrClosed = eris.New("wire connection closed")
+	// ErrFrameTooLarge: a frame exceeds the configured limit.
+	ErrFrameTooLarge = eris.New("frame exceeds the size limit")
+	// ErrMalformed: a frame or payload could not be decoded.
+	ErrMalformed = eris.New("malformed frame")
+	// ErrUnknownKind: the message's kind or Go type is not registered.
+	ErrUnknownKind = eris.New("unknown message kind")
+	// ErrDraining: the peer takes no new exchanges.
+	ErrDraining = eris.New("peer is draining")
+	// ErrNoHello: an exchange arrived before Hello.
+	ErrNoHello = eris.New("exchange before hello")
+	// ErrHandler: the peer's Handler returned an error.
+	ErrHandler = eris.New("handler failed")
+)
+
+// CallError is the error of every failed Call. errors.Is matches both its
+// Outcome (ErrNotSent or ErrOutcomeUnknown) and its Cause.
+type CallError struct {
+	Outcome error
+	Cause   error
+}
+
+// Error implements error.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("%v: %v", e.Outcome, e.Cause)
+}
+
+// Unwrap lets errors.Is and errors.As see both parts.
+func (e *CallError) Unwrap() []error {
+	return []error{e.Outcome, e.Cause}
+}
+
+func notSent(cause error) error {
+	return &CallError{Outcome: ErrNotSent, Cause: cause}
+}
+
+func outcomeUnknown(cause error) error {
+	return &CallError{Outcome: ErrOutcomeUnknown, Cause: cause}
+}
--- /dev/null
+++ b/wire/helpers_test.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var (
+	testKey  = []byte("0123456789abcdef")
+	otherKey = []byte("fedcba9876543210")
+)
+
+func identity(c *qt.C, name string, key []byte, accepted ...[]byte) Identity {
+	id, err := NewIdentity(Peer{ID: name, Role: RoleAgent, Incarnation: 7}, key, accepted...)
+	c.Assert(err, qt.IsNil)
+	return id
+}
+
+// open starts an endpoint that is closed with the test.
+func open(c *qt.C, name string, cfg Config, h HandlerFunc) *Endpoint {
+	ep, err := cfg.Listen("127.0.0.1:0", identity(c, name, testKey), h)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(ep.Close(), qt.IsNil) })
+	return ep
+}
+
+func dial(c *qt.C, from *Endpoint, addr string) *Conn {
+	conn, err := from.Dial(context.Background(), addr)
+	c.Assert(err, qt.IsNil)
+	return conn
+}
+
+// echo answers Gang with its payload.
+func echo(_ context.Context, _ *Conn, msg any) (any, error) {
+	return &GangReply{Payload: msg.(*Gang).Payload}, nil
+}
+
+func within(c *qt.C, limit time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	c.Cleanup(cancel)
+	return ctx
+}
+
+// await fails the test when ch is not closed or filled in a generous time.
+func await[T any](c *qt.C, ch <-chan T) T {
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(20 * time.Second):
+		c.Fatal("timed out")
+		panic("unreachable")
+	}
+}
--- /dev/null
+++ b/wire/identity.go
@@ -0,0 +1,151 @@
+package wire
+
+import (
+	"crypto/ed25519"
+	"crypto/hkdf"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// MinClusterKey is the least length of a cluster key in bytes.
+const MinClusterKey = 16
+
+const (
+	alpn       = "eelgrasshub/1"
+	serverName = "eelgrasshub"
+	caInfo     = "eelgrasshub wire ca 1"
+	resetInfo  = "eelgrasshub wire stateless reset 1 "
+)
+
+// Certificates carry a fixed validity and are checked at a fixed time, so that
+// an instance with a wrong clock is not locked out. What expires is the
+// cluster key: operators replace it (NewIdentity's accepted).
+var (
+	validFrom  = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+	validUntil = time.Date(9999, 12, 31, 23, 59, 59, 0, time.UTC)
+	checkedAt  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// Identity proves that a process belongs to the cluster and says who it is.
+// It is immutable.
+type Identity struct {
+	peer  Peer
+	key   []byte
+	leaf  tls.Certificate
+	roots *x509.CertPool
+}
+
+// NewIdentity derives the cluster's certificate authority from key and signs a
+// fresh certificate for this process. Peers that hold one of the accepted keys
+// are admitted too, so that a key can be replaced without an interruption:
+// first every process accepts the new key, then uses it, then drops the old.
+func NewIdentity(peer Peer, key []byte, accepted ...[]byte) (Identity, error) {
+	ca, signer, err := clusterCA(key)
+	if err != nil {
+		return Identity{}, err
+	}
+	leaf, err := newLeaf(ca, signer)
+	if err != nil {
+		return Identity{}, err
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(ca)
+	for _, other := range accepted {
+		otherCA, _, err := clusterCA(other)
+		if err != nil {
+			return Identity{}, err
+		}
+		roots.AddCert(otherCA)
+	}
+	peer.Version = Version
+	return Identity{peer: peer, key: key, leaf: leaf, roots: roots}, nil
+}
+
+// Peer returns what this process says of itself in Hello.
+func (id Identity) Peer() Peer { return id.peer }
+
+// clusterCA derives the authority: every holder of the key makes the same one.
+func clusterCA(key []byte) (*x509.Certificate, ed25519.PrivateKey, error) {
+	if len(key) < MinClusterKey {
+		return nil, nil, eris.Errorf("cluster key has %d bytes, needs %d", len(key), MinClusterKey)
+	}
+	seed, err := hkdf.Key(sha256.New, key, nil, caInfo, ed25519.SeedSize)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "derive cluster authority")
+	}
+	signer := ed25519.NewKeyFromSeed(seed)
+	id := sha256.Sum256(signer.Public().(ed25519.PublicKey))
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "eelgrasshub cluster"},
+		SubjectKeyId:          id[:20],
+		NotBefore:             validFrom,
+		NotAfter:              validUntil,
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, signer.Public(), signer)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "create cluster authority")
+	}
+	ca, err := x509.ParseCertificate(der)
+	return ca, signer, err
+}
+
+func newLeaf(ca *x509.Certificate, signer ed25519.PrivateKey) (tls.Certificate, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return tls.Certificate{}, eris.Wrap(err, "generate key")
+	}
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127))
+	if err != nil {
+		return tls.Certificate{}, eris.Wrap(err, "generate serial number")
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: serverName},
+		DNSNames:     []string{serverName},
+		NotBefore:    validFrom,
+		NotAfter:     validUntil,
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, ca, public, signer)
+	if err != nil {
+		return tls.Certificate{}, eris.Wrap(err, "create certificate")
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, nil
+}
+
+// tlsConfig serves both directions: each end checks the other.
+func (id Identity) tlsConfig() *tls.Config {
+	return &tls.Config{
+		Certificates:           []tls.Certificate{id.leaf},
+		RootCAs:                id.roots,
+		ClientCAs:              id.roots,
+		ClientAuth:             tls.RequireAndVerifyClientCert,
+		ServerName:             serverName,
+		NextProtos:             []string{alpn},
+		MinVersion:             tls.VersionTLS13,
+		SessionTicketsDisabled: true,
+		Time:                   func() time.Time { return checkedAt },
+	}
+}
+
+// resetKey lets a process that restarted on the same address tell peers at
+// once that it lost their connections. The address is part of the derivation:
+// with one key for all, a peer could be made to end another's connections.
+func (id Identity) resetKey(addr string) ([32]byte, error) {
+	var key [32]byte
+	raw, err := hkdf.Key(sha256.New, id.key, nil, resetInfo+addr, len(key))
+	copy(key[:], raw)
+	return key, err
+}
--- /dev/null
+++ b/wire/inflight.go
@@ -0,0 +1,62 @@
+package wire
+
+import "sync"
+
+// inflight counts exchanges and refuses new ones once stopped. Safe for
+// concurrent use.
+type inflight struct {
+	mu      sync.Mutex
+	n       int
+	stopped bool
+	idle    chan struct{}
+}
+
+// begin counts one exchange; false after stop.
+func (f *inflight) begin() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return false
+	}
+	f.n++
+	return true
+}
+
+func (f *inflight) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n--
+	f.signal()
+}
+
+// stop refuses further exchanges and returns a channel that is closed when
+// none is left.
+func (f *inflight) stop() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopped = true
+	if f.idle == nil {
+		f.idle = make(chan struct{})
+		f.signal()
+	}
+	return f.idle
+}
+
+// signal closes idle once stopped and empty; n can't grow again.
+func (f *inflight) signal() {
+	if f.stopped && f.n == 0 {
+		close(f.idle)
+	}
+}
+
+func (f *inflight) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.n
+}
+
+func (f *inflight) isStopped() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stopped
+}
--- /dev/null
+++ b/wire/liveness.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"context"
+	"time"
+)
+
+// monitorLoop probes silent connections. One goroutine serves all connections
+// of the endpoint; a timer for each would cost more memory than it is worth.
+func (ep *Endpoint) monitorLoop() error {
+	tick := time.NewTicker(max(time.Millisecond, min(ep.cfg.BusyProbe, ep.cfg.PingTimeout)/2))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ep.tomb.Dying():
+			return nil
+		case <-tick.C:
+		}
+		for _, c := range ep.Conns() {
+			ep.check(c)
+		}
+	}
+}
+
+// check guards against a path that went silent for good while new connections
+// work: calls on it would hang until QUIC's idle timeout. It shows as silence
+// of the peer's process; a Ping that stays unanswered within PingTimeout makes
+// the connection suspected, and Pool replaces it. Only the peer's own messages
+// count as life, so neither a middle box nor the peer's kernel can fake it.
+func (ep *Endpoint) check(c *Conn) {
+	now := ep.now()
+	quiet := now.Sub(c.LastHeard())
+	if c.peer.Load() == nil {
+		if quiet > 2*ep.cfg.HandshakeTimeout {
+			c.close(closeNoHello, "no hello")
+		}
+		return
+	}
+	if c.suspect.Load() && now.Sub(c.opened)-time.Duration(c.suspectAt.Load()) > ep.cfg.SuspectGrace {
+		c.close(closeSilent, "silent")
+		return
+	}
+	limit := ep.cfg.IdleProbe
+	if c.Outstanding() > 0 {
+		limit = ep.cfg.BusyProbe
+	}
+	if quiet < limit || !c.probing.CompareAndSwap(false, true) {
+		return
+	}
+	ep.tomb.Go(func() error {
+		defer c.probing.Store(false)
+		c.probe()
+		return nil
+	})
+}
+
+// probe pings once and suspects the connection when nothing at all was heard.
+func (c *Conn) probe() {
+	before := c.heard.Load()
+	ctx, cancel := context.WithTimeout(c.q.Context(), c.ep.cfg.PingTimeout)
+	defer cancel()
+	if err := c.Ping(ctx); err == nil || c.heard.Load() != before {
+		return
+	}
+	if c.suspect.CompareAndSwap(false, true) {
+		c.suspectAt.Store(int64(c.ep.now().Sub(c.opened)))
+	}
+	c.once.Do(func() { close(c.suspected) })
+}
+
+// Ping exchanges Ping and Pong with the peer's process.
+func (c *Conn) Ping(ctx context.Context) error {
+	_, err := c.exchange(ctx, &Ping{})
+	return err
+}
--- /dev/null
+++ b/wire/messages_execute.go
@@ -0,0 +1,92 @@
+package wire
+
+import "time"
+
+// Header is one HTTP header line.
+type Header struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// Outcomes. The zero value is invalid, so that a lost field is not a success.
+const (
+	// OutcomeDone: the whole answer is here.
+	OutcomeDone Outcome = 1 + iota
+	// OutcomeRefused: the attempt did not run and never will.
+	OutcomeRefused
+	// OutcomeUnknown: it may have run.
+	OutcomeUnknown
+)
+
+// Execute asks an agent to run one attempt of a request on its target.
+// Remaining is the time left until the deadline, because clocks differ; 0
+// means none.
+type Execute struct {
+	Attempt    string        `cbor:"1,keyasint,omitempty"`
+	Request    string        `cbor:"2,keyasint,omitempty"`
+	Service    string        `cbor:"3,keyasint,omitempty"`
+	Account    string        `cbor:"4,keyasint,omitempty"`
+	Class      string        `cbor:"5,keyasint,omitempty"`
+	Remaining  time.Duration `cbor:"6,keyasint,omitempty"`
+	Repeatable bool          `cbor:"7,keyasint,omitempty"`
+	Method     string        `cbor:"8,keyasint,omitempty"`
+	Path       string        `cbor:"9,keyasint,omitempty"`
+	Query      string        `cbor:"10,keyasint,omitempty"`
+	Header     []Header      `cbor:"11,keyasint,omitempty"`
+	Body       []byte        `cbor:"12,keyasint,omitempty"`
+	// Hops counts the entries that passed the attempt on.
+	Hops int `cbor:"13,keyasint,omitempty"`
+}
+
+// ExecuteReply ends an attempt. RetryAfter goes with OutcomeRefused.
+type ExecuteReply struct {
+	Outcome     Outcome       `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64        `cbor:"2,keyasint,omitempty"`
+	Status      int           `cbor:"3,keyasint,omitempty"`
+	Header      []Header      `cbor:"4,keyasint,omitempty"`
+	Body        []byte        `cbor:"5,keyasint,omitempty"`
+	Reason      string        `cbor:"6,keyasint,omitempty"`
+	Detail      string        `cbor:"7,keyasint,omitempty"`
+	RetryAfter  time.Duration `cbor:"8,keyasint,omitempty"`
+	Load        Load          `cbor:"9,keyasint,omitzero"`
+	// Marked: the agent's queue is growing; send less.
+	Marked   bool `cbor:"10,keyasint,omitempty"`
+	Draining bool `cbor:"11,keyasint,omitempty"`
+}
+
+// AttemptState is what an agent knows of an attempt.
+type AttemptState int
+
+// Attempt states.
+const (
+	// AttemptUnknown: the agent can't tell (another incarnation, forgotten).
+	AttemptUnknown AttemptState = iota
+	// AttemptNotRun: it did not run, and the agent now refuses it for good.
+	AttemptNotRun
+	AttemptRunning
+	AttemptAnswered
+)
+
+// Resolve asks what became of an attempt whose reply was lost. Incarnation is
+// the one of the agent that the attempt was sent to.
+type Resolve struct {
+	Attempt     string `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// ResolveReply answers Resolve; Answer is set for AttemptAnswered.
+type ResolveReply struct {
+	State  AttemptState  `cbor:"1,keyasint,omitempty"`
+	Answer *ExecuteReply `cbor:"2,keyasint,omitempty"`
+}
+
+func init() {
+	Register(KindExecute, Execute{})
+	Register(KindExecuteReply, ExecuteReply{})
+	Register(KindResolve, Resolve{})
+	Register(KindResolveReply, ResolveReply{})
+}
--- /dev/null
+++ b/wire/messages_hello.go
@@ -0,0 +1,60 @@
+package wire
+
+// Version of the protocol this build speaks, sent in Hello. It grows when a
+// receiver has to know which fields and kinds the peer understands.
+const Version = 1
+
+// Role of a process.
+type Role string
+
+// Roles.
+const (
+	RoleEntry    Role = "entry"
+	RoleAgent    Role = "agent"
+	RoleOperator Role = "operator"
+)
+
+// Peer is what a process says of itself. Incarnation grows with each start of
+// the same ID. Address is where the process listens, empty if it doesn't.
+type Peer struct {
+	ID          string `cbor:"1,keyasint,omitempty"`
+	Role        Role   `cbor:"2,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"3,keyasint,omitempty"`
+	Region      string `cbor:"4,keyasint,omitempty"`
+	Zone        string `cbor:"5,keyasint,omitempty"`
+	Version     int    `cbor:"6,keyasint,omitempty"`
+	Address     string `cbor:"7,keyasint,omitempty"`
+}
+
+// Hello is the first exchange on a connection, opened by the dialer.
+type Hello struct {
+	Peer Peer `cbor:"1,keyasint"`
+}
+
+// HelloReply answers Hello.
+type HelloReply struct {
+	Peer Peer `cbor:"1,keyasint"`
+}
+
+// Ping proves that the path and the peer's process work.
+type Ping struct{}
+
+// Pong answers Ping.
+type Pong struct{}
+
+// GoAway says that the sender will close the connection. The receiver opens no
+// further exchanges on it and answers when its outstanding calls have ended.
+type GoAway struct{}
+
+// GoAwayReply answers GoAway.
+type GoAwayReply struct{}
+
+func init() {
+	Register(kindError, remoteError{})
+	Register(KindHello, Hello{})
+	Register(KindHelloReply, HelloReply{})
+	Register(KindPing, Ping{})
+	Register(KindPong, Pong{})
+	Register(KindGoAway, GoAway{})
+	Register(KindGoAwayReply, GoAwayReply{})
+}
--- /dev/null
+++ b/wire/messages_report.go
@@ -0,0 +1,132 @@
+package wire
+
+import "time"
+
+// Changed says which groups of fields a delta report carries.
+type Changed uint8
+
+// Groups of an AgentReport's fields.
+const (
+	// ChangedPlace: Service, Region, Zone, Rack, Address.
+	ChangedPlace Changed = 1 << iota
+	// ChangedSize: Accelerators, Slots, Connections, Cores, MemoryMB.
+	ChangedSize
+	// ChangedDraining: Draining.
+	ChangedDraining
+	// ChangedLoad: Load.
+	ChangedLoad
+	// ChangedTasks: Tasks holds the changed ones, Ended the removed ones.
+	ChangedTasks
+	// ChangedGenerations: Generations.
+	ChangedGenerations
+	changedEnd
+)
+
+// ChangedAll is every group.
+const ChangedAll = changedEnd - 1
+
+// AgentReport is what an agent says of its worker and target. A full report
+// replaces all that was known of the agent. A delta (Full false) carries the
+// groups named in Changed: all that changed after sequence Base. Who knows the
+// agent at any sequence from Base on may apply it.
+type AgentReport struct {
+	ID          string `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+	Sequence    uint64 `cbor:"3,keyasint,omitempty"`
+	// Age is how long ago the agent made the report, as far as relays know.
+	Age     time.Duration `cbor:"4,keyasint,omitempty"`
+	Full    bool          `cbor:"5,keyasint,omitempty"`
+	Base    uint64        `cbor:"6,keyasint,omitempty"`
+	Changed Changed       `cbor:"7,keyasint,omitempty"`
+	// Goodbye: the agent has stopped; this incarnation does not come back.
+	Goodbye bool `cbor:"8,keyasint,omitempty"`
+
+	Service string `cbor:"10,keyasint,omitempty"`
+	Region  string `cbor:"11,keyasint,omitempty"`
+	Zone    string `cbor:"12,keyasint,omitempty"`
+	Rack    string `cbor:"13,keyasint,omitempty"`
+	Address string `cbor:"14,keyasint,omitempty"`
+
+	Accelerators int `cbor:"15,keyasint,omitempty"`
+	Slots        int `cbor:"16,keyasint,omitempty"`
+	Connections  int `cbor:"17,keyasint,omitempty"`
+	Cores        int `cbor:"18,keyasint,omitempty"`
+	MemoryMB     int `cbor:"19,keyasint,omitempty"`
+
+	// Draining is final within an incarnation.
+	Draining    bool         `cbor:"20,keyasint,omitempty"`
+	Load        Load         `cbor:"21,keyasint,omitzero"`
+	Tasks       []TaskReport `cbor:"22,keyasint,omitempty"`
+	Ended       []TaskKey    `cbor:"23,keyasint,omitempty"`
+	Generations []Generation `cbor:"24,keyasint,omitempty"`
+}
+
+// Load is the state of a target's queue. Marked counts answers that carried a
+// congestion mark.
+type Load struct {
+	Running int    `cbor:"1,keyasint,omitempty"`
+	Queued  int    `cbor:"2,keyasint,omitempty"`
+	Marked  uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Report carries one or many agents' reports: an aggregator or another entry
+// may relay them. Known is the Digest of the last ReportAck with content, so
+// that unchanged content is not repeated.
+type Report struct {
+	Batch []AgentReport `cbor:"1,keyasint,omitempty"`
+	Known uint64        `cbor:"2,keyasint,omitempty"`
+}
+
+// ReportAck answers Report. When Digest equals the report's Known, Entries,
+// Planners and Generations are left out because they have not changed.
+type ReportAck struct {
+	Entries     []EntryInfo   `cbor:"1,keyasint,omitempty"`
+	Planners    []PlannerInfo `cbor:"2,keyasint,omitempty"`
+	Generations []Generation  `cbor:"3,keyasint,omitempty"`
+	Digest      uint64        `cbor:"4,keyasint,omitempty"`
+	// NeedFull names agents whose delta could not be applied.
+	NeedFull []string `cbor:"5,keyasint,omitempty"`
+	// Newer names agents that the receiver knows at a later incarnation.
+	Newer []AgentSeen `cbor:"6,keyasint,omitempty"`
+	// Refused names agents whose report was shed; they report again after
+	// NextReport.
+	Refused []string `cbor:"7,keyasint,omitempty"`
+	// NextReport, if set, is when the sender should report next at the
+	// earliest; changes that stop new work (draining, goodbye) don't wait.
+	NextReport time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// AgentSeen is an agent's incarnation as the receiver knows it.
+type AgentSeen struct {
+	ID          string `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// EntryInfo is where an entry is found.
+type EntryInfo struct {
+	ID          string `cbor:"1,keyasint,omitempty"`
+	Address     string `cbor:"2,keyasint,omitempty"`
+	Zone        string `cbor:"3,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// PlannerInfo names the entry that plans a scheduling domain, and its epoch.
+type PlannerInfo struct {
+	Service string `cbor:"1,keyasint,omitempty"`
+	Region  string `cbor:"2,keyasint,omitempty"`
+	Entry   string `cbor:"3,keyasint,omitempty"`
+	Epoch   uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Generation names the version of a service's document; Digest is a hash of
+// its text.
+type Generation struct {
+	Service    string `cbor:"1,keyasint,omitempty"`
+	Generation uint64 `cbor:"2,keyasint,omitempty"`
+	Digest     uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+func init() {
+	Register(KindReport, Report{})
+	Register(KindReportAck, ReportAck{})
+}
--- /dev/null
+++ b/wire/registry.go
@@ -0,0 +1,69 @@
+package wire
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// kinds is an immutable pair of maps between kinds and message types.
+type kinds struct {
+	types map[Kind]reflect.Type
+	kinds map[reflect.Type]Kind
+}
+
+// registry is read on every exchange and written at start-up: readers load the
+// current copy, Register replaces it.
+var (
+	registryMu sync.Mutex
+	registry   atomic.Pointer[kinds]
+)
+
+// Register binds a kind to the struct type of prototype. It is meant for
+// package initialisation and safe for concurrent use; it panics when the kind
+// or the type is already bound.
+func Register(kind Kind, prototype any) {
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	t := reflect.TypeOf(prototype)
+	next := &kinds{types: map[Kind]reflect.Type{}, kinds: map[reflect.Type]Kind{}}
+	if old := registry.Load(); old != nil {
+		maps.Copy(next.types, old.types)
+		maps.Copy(next.kinds, old.kinds)
+	}
+	if _, ok := next.types[kind]; ok || t.Kind() != reflect.Struct {
+		panic(fmt.Sprintf("wire: kind %d can't be bound to %v", kind, t))
+	}
+	if _, ok := next.kinds[t]; ok {
+		panic(fmt.Sprintf("wire: %v is bound already", t))
+	}
+	next.types[kind] = t
+	next.kinds[t] = kind
+	registry.Store(next)
+}
+
+// kindOf returns the kind of a message given as struct or pointer to struct.
+func kindOf(msg any) (Kind, error) {
+	t := reflect.TypeOf(msg)
+	if t != nil && t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	kind, ok := registry.Load().kinds[t]
+	if !ok {
+		return 0, eris.Wrapf(ErrUnknownKind, "type %v", t)
+	}
+	return kind, nil
+}
+
+// newMessage returns a pointer to a zero message of the kind.
+func newMessage(kind Kind) (any, error) {
+	t, ok := registry.Load().types[kind]
+	if !ok {
+		return nil, eris.Wrapf(ErrUnknownKind, "kind %d", kind)
+	}
+	return reflect.New(t).Interface(), nil
+}
