attempts: at most once for quick requests, agent's table and entry's claim

A request that is not repeatable must not run twice when its key is delivered again through another entry, and "not run" must be true. The agent remembers attempts within bounds and seals what it says never arrived; the entry claims the key in the store before it sends, and resolves instead of sending again.

Ruled out: a key index at the agent (the claim already names one attempt, and a retry may reach another agent); "not run" while the store is out for a key that may have been delivered before (the caller would book a second time).

--- /dev/null
+++ b/attempts/request.go
@@ -0,0 +1,138 @@
+package attempts
+
+import "time"
+
+// RequestConfig is the fixed part of a Request.
+type RequestConfig struct {
+	// Keyed says that the caller gave a key, under which it may deliver the
+	// request again. Without one no claim is needed: there is one delivery.
+	Keyed bool
+	// First says that the caller vouches for this being the first delivery under
+	// the key. Without the store, NotRun can be said only then.
+	First    bool
+	Deadline time.Time
+	// Poll is how long after a SendResolve it is sent again.
+	Poll       time.Duration
+	RetryAfter time.Duration
+}
+
+// Request is one delivery of a request that is not repeatable. It is not safe
+// for concurrent use.
+type Request struct {
+	config   RequestConfig
+	own      Claim // what this delivery may run
+	watched  Claim // what is being resolved
+	step     step
+	spent    bool      // the own attempt was sent
+	asked    time.Time // last SendResolve
+	reason   Reason    // of the NotRun that a release is to make certain
+	now      time.Time
+	actions  []Action
+}
+
+type step uint8
+
+const (
+	stepNew step = iota
+	stepClaiming
+	stepReplacing
+	stepReleasing
+	stepSent
+	stepResolving
+	stepFinished
+)
+
+// NewRequest returns a delivery that runs the attempt of the claim, if any.
+func NewRequest(c RequestConfig, own Claim) *Request {
+	return &Request{config: c, own: own}
+}
+
+// Step handles one event and returns what is to be done, in order.
+func (r *Request) Step(now time.Time, ev Event) []Action {
+	r.now, r.actions = now, nil
+	if r.step == stepFinished {
+		return nil
+	}
+	switch ev := ev.(type) {
+	case Go:
+		r.start()
+	case Claimed:
+		r.claimed(ev)
+	case Begun:
+		r.begun(ev)
+	case Resolved:
+		r.resolved(ev)
+	case ConnectionLost:
+		if r.step == stepSent && ev.ID == r.own.ID {
+			r.resolve(r.own)
+		}
+	}
+	r.checkDeadline()
+	r.poll()
+	return r.actions
+}
+
+// Over says whether Finished was returned.
+func (r *Request) Over() bool { return r.step == stepFinished }
+
+func (r *Request) do(s step, a Action) {
+	r.step = s
+	r.actions = append(r.actions, a)
+}
+
+func (r *Request) finish(f Finished) { r.do(stepFinished, f) }
+
+func (r *Request) unknown(why Reason) {
+	f := Finished{Outcome: Unknown, Reason: why}
+	if why == ReasonStore {
+		f.RetryAfter = r.config.RetryAfter
+	}
+	r.finish(f)
+}
+
+func (r *Request) notRun(why Reason) {
+	r.finish(Finished{Outcome: NotRun, Reason: why, RetryAfter: r.config.RetryAfter})
+}
+
+func (r *Request) start() {
+	if r.step != stepNew {
+		return
+	}
+	if r.config.Keyed {
+		r.do(stepClaiming, WriteClaim{Claim: r.own})
+		return
+	}
+	r.send()
+}
+
+func (r *Request) send() {
+	r.spent = true
+	r.do(stepSent, SendBegin{Claim: r.own})
+}
+
+// resolve asks what became of a claim's attempt. Sending the attempt again
+// instead would need the same agent, and prove nothing if it refused.
+func (r *Request) resolve(c Claim) {
+	r.watched = c
+	r.asked = r.now
+	r.do(stepResolving, SendResolve{Claim: c})
+}
+
+// poll repeats a SendResolve whose attempt still runs or whose reply was lost.
+func (r *Request) poll() {
+	if r.step == stepFinished {
+		return
+	}
+	next := r.config.Deadline
+	if r.step == stepResolving {
+		if !r.now.Before(r.asked.Add(r.config.Poll)) {
+			r.resolve(r.watched)
+		}
+		if at := r.asked.Add(r.config.Poll); at.Before(next) {
+			next = at
+		}
+	}
+	if next.After(r.now) {
+		r.actions = append(r.actions, WakeAt{At: next})
+	}
+}
--- /dev/null
+++ b/attempts/request_claim.go
@@ -0,0 +1,70 @@
+package attempts
+
+func (r *Request) claimed(ev Claimed) {
+	switch r.step {
+	case stepClaiming:
+		r.claimTaken(ev)
+	case stepReplacing:
+		r.claimTaken(ev)
+	case stepReleasing:
+		r.claimReleased(ev)
+	}
+}
+
+// claimTaken follows an attempt to make the own claim the key's one.
+func (r *Request) claimTaken(ev Claimed) {
+	switch ev.Result {
+	case ClaimWritten:
+		r.begin()
+	case ClaimConflict:
+		r.follow(ev.Claim)
+	case ClaimGone:
+		r.do(stepClaiming, WriteClaim{Claim: r.own})
+	case ClaimUnavailable:
+		r.withoutStore()
+	}
+}
+
+// begin sends the attempt, unless the deadline has passed meanwhile: then it was
+// not sent and the claim is worth nothing.
+func (r *Request) begin() {
+	if r.expired() {
+		r.release(r.own, ReasonDeadline)
+		return
+	}
+	r.send()
+}
+
+// follow resolves another delivery's claim to give the caller the same answer.
+func (r *Request) follow(c Claim) {
+	if c.Fingerprint != r.own.Fingerprint {
+		r.finish(Finished{Outcome: NotRun, Reason: ReasonKeyReused})
+		return
+	}
+	r.resolve(c)
+}
+
+// withoutStore answers when the store could not be asked and nothing was sent.
+// An earlier delivery under the key may have run, and only the store knows of
+// it: to call this one "not run" would make the caller book a second time.
+func (r *Request) withoutStore() {
+	if r.config.First && r.step == stepClaiming {
+		r.notRun(ReasonStore)
+		return
+	}
+	r.unknown(ReasonStore)
+}
+
+// claimReleased follows the removal of a claim whose attempt was proved not run.
+func (r *Request) claimReleased(ev Claimed) {
+	switch ev.Result {
+	case ClaimWritten:
+		r.notRun(r.reason)
+	case ClaimConflict:
+		r.follow(ev.Claim)
+	case ClaimGone:
+		r.unknown(ReasonForgotten)
+	case ClaimUnavailable:
+		r.unknown(ReasonStore)
+	}
+}
--- /dev/null
+++ b/attempts/table.go
@@ -0,0 +1,138 @@
+package attempts
+
+import (
+	"time"
+
+	"github.com/google/btree"
+)
+
+// TableConfig is the fixed part of a Table.
+type TableConfig struct {
+	// Incarnation of the agent, which grows with each start of its process.
+	Incarnation uint64
+	// Entries and Bytes bound the attempts and the answers that are kept.
+	Entries int
+	Bytes   int
+	// MaxAge is how old an attempt may be when it begins. With Skew added it
+	// must be below the time for which claims are kept in the store.
+	MaxAge time.Duration
+	// Skew is how far the wall clocks of instances may differ.
+	Skew time.Duration
+}
+
+// Table is an agent's memory of attempts. It is not safe for concurrent use.
+type Table struct {
+	config  TableConfig
+	entries map[ID]*entry
+	// By ID, so that the oldest is found without a scan.
+	refused  *btree.BTreeG[*entry]
+	answered *btree.BTreeG[*entry]
+	ran      *btree.BTreeG[*entry]
+	bytes    int
+	floor    ID
+}
+
+type entry struct {
+	id     ID
+	status Status
+	answer []byte
+}
+
+const treeDegree = 16
+
+// NewTable returns an empty table.
+func NewTable(c TableConfig) *Table {
+	older := func(a, b *entry) bool { return a.id.Compare(b.id) < 0 }
+	return &Table{
+		config:   c,
+		entries:  make(map[ID]*entry),
+		refused:  btree.NewG(treeDegree, older),
+		answered: btree.NewG(treeDegree, older),
+		ran:      btree.NewG(treeDegree, older),
+	}
+}
+
+// Begin decides whether the attempt may run now. The answer is the kept one if
+// the verdict is Repeated, and is not to be changed.
+func (t *Table) Begin(now time.Time, id ID) (Verdict, []byte) {
+	if e := t.entries[id]; e != nil {
+		return e.verdict(), e.answer
+	}
+	if t.unprovable(id) {
+		return Unprovable, nil
+	}
+	if !t.timely(now, id) || !t.room() {
+		t.refuse(id)
+		return Refused, nil
+	}
+	t.entries[id] = &entry{id: id, status: StatusRunning}
+	return Fresh, nil
+}
+
+// Finish keeps the whole answer of an attempt that was Fresh.
+func (t *Table) Finish(id ID, answer []byte) {
+	e := t.running(id)
+	e.status = StatusAnswered
+	e.answer = answer
+	t.bytes += len(answer)
+	t.answered.ReplaceOrInsert(e)
+	t.trim()
+}
+
+// Interrupt notes that a Fresh attempt was handed to the target and that its
+// answer will never come.
+func (t *Table) Interrupt(id ID) {
+	e := t.running(id)
+	e.status = StatusRan
+	t.ran.ReplaceOrInsert(e)
+	t.trim()
+}
+
+// Refuse notes that a Fresh attempt was never handed to the target.
+func (t *Table) Refuse(id ID) {
+	e := t.running(id)
+	e.status = StatusNotRun
+	t.refused.ReplaceOrInsert(e)
+	t.trim()
+}
+
+// Resolve says what became of the attempt. One that never arrived is refused
+// from now on, so that StatusNotRun stays true.
+func (t *Table) Resolve(id ID) (Status, []byte) {
+	if e := t.entries[id]; e != nil {
+		return e.status, e.answer
+	}
+	if t.unprovable(id) {
+		return StatusUnknown, nil
+	}
+	t.refuse(id)
+	return StatusNotRun, nil
+}
+
+// Len returns the number of attempts remembered.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Bytes returns the size of the answers kept.
+func (t *Table) Bytes() int { return t.bytes }
+
+func (e *entry) verdict() Verdict {
+	switch e.status {
+	case StatusRunning:
+		return Joined
+	case StatusAnswered:
+		return Repeated
+	case StatusNotRun:
+		return Refused
+	}
+	return Unprovable
+}
+
+// running returns the entry of a Fresh attempt. Any other call would change an
+// account that was already given to somebody.
+func (t *Table) running(id ID) *entry {
+	e := t.entries[id]
+	if e == nil || e.status != StatusRunning {
+		panic("attempts: attempt is not running")
+	}
+	return e
+}
