gang: a successor waits until a lost member has stopped by isolation

A predecessor that is cut from the store still renews a member that the successor can't reach, until it hears that another member was fenced. Counting the loss timeout from the takeover alone let the gang start elsewhere while the old member ran on alone. The successor now counts from its first fence.

--- a/attempts/request.go
+++ b/attempts/request.go
@@ -19,15 +19,15 @@
 // Request is one delivery of a request that is not repeatable. It is not safe
 // for concurrent use.
 type Request struct {
-	config   RequestConfig
-	own      Claim // what this delivery may run
-	watched  Claim // what is being resolved
-	step     step
-	spent    bool      // the own attempt was sent
-	asked    time.Time // last SendResolve
-	reason   Reason    // of the NotRun that a release is to make certain
-	now      time.Time
-	actions  []Action
+	config  RequestConfig
+	own     Claim // what this delivery may run
+	watched Claim // what is being resolved
+	step    step
+	spent   bool      // the own attempt was sent
+	asked   time.Time // last SendResolve
+	reason  Reason    // of the NotRun that a release is to make certain
+	now     time.Time
+	actions []Action
 }
 
 type step uint8
--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -129,9 +129,13 @@
 	if c.superseded(p, r.Fence) {
 		return
 	}
-	switch r.Refusal {
-	case NotReady:
+	if r.Refusal == NotReady {
 		return
+	}
+	if r.Fence == c.config.Epoch {
+		p.fence(c.now)
+	}
+	switch r.Refusal {
 	case Busy, Draining, Invalid:
 		p.refusal = r.Refusal
 	case WrongIncarnation, Forgotten:
@@ -145,6 +149,9 @@
 	if p == nil || r.Incarnation < p.incarnation || c.superseded(p, r.Fence) {
 		return
 	}
+	if r.Fence == c.config.Epoch {
+		p.fence(c.now)
+	}
 	for _, t := range r.Tasks {
 		if t.ID == c.plan.ID {
 			p.learn(c.now, t, r.Incarnation)
@@ -155,6 +162,7 @@
 	// attempt; a new one would list the task if its target still had it.
 	if r.Incarnation > p.incarnation && p.task.State != StateEnded {
 		p.gone = true
+		p.fence(c.now)
 	}
 }
 
--- a/gang/coordinator_advance.go
+++ b/gang/coordinator_advance.go
@@ -105,6 +105,9 @@
 			return false
 		}
 	}
+	if c.now.Before(c.settled()) {
+		return false
+	}
 	return c.finish()
 }
 
--- a/gang/coordinator_end.go
+++ b/gang/coordinator_end.go
@@ -43,6 +43,29 @@
 	return true
 }
 
+// settled returns when a lost member has certainly stopped by isolation.
+//
+// The loss timeout alone doesn't tell a successor: a predecessor that still
+// reaches all members goes on renewing the lost one until it hears that another
+// has been fenced, which may have happened only just now. The gang would then be
+// started elsewhere while the lost member runs on alone. If no member was ever
+// reached there is nothing to wait for: what the predecessor renews is whole.
+func (c *Coordinator) settled() time.Time {
+	var first time.Time
+	if !c.successor || !c.any(func(p *peer) bool { return p.lost && p.task.State != StateEnded }) {
+		return first
+	}
+	for _, p := range c.peers {
+		if !p.fenced.IsZero() && (first.IsZero() || p.fenced.Before(first)) {
+			first = p.fenced
+		}
+	}
+	if first.IsZero() {
+		return first
+	}
+	return first.Add(c.config.Settle)
+}
+
 func (c *Coordinator) emitEnded(o Outcome) {
 	e := Ended{Outcome: o, Cause: c.cause, Fault: c.fault, Recorded: c.recording}
 	for _, p := range c.peers {
--- a/gang/coordinator_send.go
+++ b/gang/coordinator_send.go
@@ -80,6 +80,10 @@
 	case phaseRecording:
 		earlier(c.began.Add(c.holdMargin()))
 		earlier(c.recordSent.Add(c.config.Resend))
+	case phaseStopping:
+		if at := c.settled(); at.After(c.now) {
+			earlier(at)
+		}
 	}
 	for _, p := range c.peers {
 		if c.awaits(p) {
--- a/gang/member.go
+++ b/gang/member.go
@@ -122,6 +122,9 @@
 		a := &attempt{task: t, deadline: m.now.Add(m.config.Isolation)}
 		m.attempts[t.ID] = a
 		m.grant(a)
+		// The fence was lost with the restart. At least planners from before this
+		// attempt must not stop it.
+		m.fence = max(m.fence, t.ID.Epoch)
 	}
 }
 
--- a/gang/peer.go
+++ b/gang/peer.go
@@ -8,6 +8,7 @@
 	task        Task      // its furthest account
 	incarnation uint64    // highest heard of
 	heard       time.Time // last sign of life of the attempt there
+	fenced      time.Time // first sign that it refuses earlier planners
 	sent        time.Time // last message
 	refusal     Refusal   // of the reservation
 	gone        bool      // restarted without the task: its account is lost
@@ -29,6 +30,14 @@
 	}
 }
 
+// fence notes that earlier planners can't act on the member any more, or see
+// that the gang is not whole.
+func (p *peer) fence(now time.Time) {
+	if p.fenced.IsZero() {
+		p.fenced = now
+	}
+}
+
 // over says whether nothing of the attempt runs or is held there any more.
 func (p *peer) over() bool { return p.task.State == StateEnded || p.gone || p.lost }
 
--- a/gang/plan.go
+++ b/gang/plan.go
@@ -30,4 +30,8 @@
 	// Window is how old the last sign of life of a member may be for the gang to
 	// count as whole.
 	Window time.Duration
+	// Settle is the sum of Window, MemberConfig.Isolation, the longest stop of a
+	// task and the longest delay of a report. A successor that has lost a member
+	// waits this long after it has fenced another one.
+	Settle time.Duration
 }
