scheduler: pure decisions on blocks, gangs, queue and health

Guaranteed blocks are bound to workers as a witness that all fit at once; claims move an unused block to where the least is evicted; reservations hold capacity for the oldest gangs; workers and jobs are blamed apart.

--- /dev/null
+++ b/scheduler/bind.go
@@ -0,0 +1,141 @@
+package scheduler
+
+import "slices"
+
+// rebindLoose looks for a place for every block that has none. What is owed
+// comes before any new work. When the tightest first order finds no place, all
+// unused blocks are taken up and bound again, once per growth of capacity.
+func (s *Scheduler) rebindLoose() {
+	if len(s.loose) == 0 || s.packed == s.grown {
+		return
+	}
+	s.bindAll(slices.Clone(s.loose))
+	if len(s.loose) > 0 {
+		s.repack()
+	}
+	s.packed = s.grown
+}
+
+func (s *Scheduler) bindAll(blocks []*block) {
+	slices.SortStableFunc(blocks, tightestFirst)
+	for _, b := range blocks {
+		s.bind(b)
+	}
+}
+
+func tightestFirst(a, b *block) int {
+	if d := int(b.shape.Adjacency) - int(a.shape.Adjacency); d != 0 {
+		return d
+	}
+	return b.shape.Accelerators - a.shape.Accelerators
+}
+
+// bind gives an unbound block a place. It reports false if there is none.
+func (s *Scheduler) bind(b *block) bool {
+	at := s.slack.place(b.shape.Accelerators, b.shape.Adjacency, false, s.nodes)
+	if at == nil {
+		return false
+	}
+	s.attach(b, at)
+	return true
+}
+
+// repack takes up every unused block and binds all again, keeping the outcome
+// only if fewer are left without a place.
+func (s *Scheduler) repack() {
+	before := len(s.loose)
+	var moved []*block
+	var old [][]piece
+	for _, a := range s.accountList {
+		for _, b := range a.blocks {
+			if b.bound() && b.used == 0 {
+				moved = append(moved, b)
+				old = append(old, b.pieces())
+			}
+		}
+	}
+	if len(moved) == 0 {
+		return
+	}
+	all := append(slices.Clone(s.loose), moved...)
+	for _, b := range moved {
+		s.detach(b)
+	}
+	s.bindAll(all)
+	if len(s.loose) < before {
+		return
+	}
+	for _, b := range all {
+		if b.bound() {
+			s.detach(b)
+		}
+	}
+	for i, b := range moved {
+		s.attach(b, old[i])
+	}
+}
+
+func (b *block) pieces() []piece {
+	out := make([]piece, len(b.parts))
+	for i, p := range b.parts {
+		out[i] = piece{node: p.node, n: p.n}
+	}
+	return out
+}
+
+// clear makes room for work that may not be evicted on workers where unused
+// blocks stand in the way, by moving those blocks. It reports false, with
+// nothing changed, if one of them would find no other place.
+func (s *Scheduler) clear(at []piece) bool {
+	before := s.grown
+	var moved []*block
+	var old [][]piece
+	for _, p := range at {
+		n := s.nodes[p.node]
+		for i := 0; i < len(n.blocks) && n.slack() < p.n; {
+			b := n.blocks[i]
+			if b.used > 0 {
+				i++
+				continue
+			}
+			moved = append(moved, b)
+			old = append(old, b.pieces())
+			s.detach(b)
+		}
+		if n.slack() < p.n {
+			s.putBack(moved, old)
+			s.grown = before
+			return false
+		}
+	}
+	s.reserveFirm(at, 1)
+	s.bindAll(slices.Clone(moved))
+	s.reserveFirm(at, -1)
+	for _, b := range moved {
+		if !b.bound() {
+			s.putBack(moved, old)
+			s.grown = before
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) reserveFirm(at []piece, sign int) {
+	for _, p := range at {
+		n := s.nodes[p.node]
+		n.firm += sign * p.n
+		s.refresh(n)
+	}
+}
+
+func (s *Scheduler) putBack(moved []*block, old [][]piece) {
+	for _, b := range moved {
+		if b.bound() {
+			s.detach(b)
+		}
+	}
+	for i, b := range moved {
+		s.attach(b, old[i])
+	}
+}
--- /dev/null
+++ b/scheduler/check.go
@@ -0,0 +1,211 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"math/bits"
+)
+
+// ErrInvariant is wrapped by every error of [Scheduler.Check].
+var ErrInvariant = errors.New("scheduler invariant broken")
+
+// Check recounts the whole state from its attempts, claims and blocks and
+// compares. It guarantees that no accelerator is held twice, that no gang is
+// held in part, that every job is in exactly one place, and that the unused
+// guaranteed shapes of all accounts fit at once, as blocks, into capacity that
+// is free or held by work that may be evicted, except those reported as
+// degraded. Its cost is linear in workers and jobs.
+func (s *Scheduler) Check() error {
+	for _, f := range []func() error{s.checkJobs, s.checkNodes, s.checkBlocks, s.checkQueues} {
+		if err := f(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func broken(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrInvariant, fmt.Sprintf(format, args...))
+}
+
+func (s *Scheduler) checkJobs() error {
+	for id, j := range s.jobs {
+		places := 0
+		for _, in := range []bool{j.queue != nil, j.run != nil, j.delayed >= 0} {
+			if in {
+				places++
+			}
+		}
+		if places != 1 {
+			return broken("job %q is in %d places", id, places)
+		}
+		if j.claim != nil && j.queue == nil {
+			return broken("job %q holds a claim but does not wait", id)
+		}
+		if err := s.checkRun(j.run); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) checkRun(r *run) error {
+	if r == nil || r.stop == StopConflict {
+		return nil
+	}
+	granted, shared := 0, 0
+	for _, h := range r.pieces {
+		granted += h.granted
+		if bits.OnesCount64(h.mask) != h.n {
+			return broken("job %q holds %d accelerators for a piece of %d", r.job.ID, bits.OnesCount64(h.mask), h.n)
+		}
+	}
+	for _, x := range r.shares {
+		shared += x.n
+	}
+	if granted != r.job.Accelerators {
+		return broken("job %q of %d accelerators was granted %d", r.job.ID, r.job.Accelerators, granted)
+	}
+	if shared != 0 && shared != r.size() {
+		return broken("job %q holds %d of a guarantee and %d in all", r.job.ID, shared, r.size())
+	}
+	return s.checkSpan(r)
+}
+
+func (s *Scheduler) checkSpan(r *run) error {
+	for _, h := range r.pieces {
+		a, b := s.nodes[r.pieces[0].node], s.nodes[h.node]
+		if a.up && b.up && spanOf(a, r.job.Adjacency) != spanOf(b, r.job.Adjacency) {
+			return broken("job %q is spread wider than a %s", r.job.ID, r.job.Adjacency)
+		}
+	}
+	return nil
+}
+
+// counts is what checkNodes recounts.
+type counts struct{ held, firm, soft, leave, bound, claim, wait int }
+
+func (s *Scheduler) checkNodes() error {
+	want := make([]counts, len(s.nodes))
+	used := make([]uint64, len(s.nodes))
+	for _, j := range s.jobs {
+		if j.run == nil {
+			continue
+		}
+		for _, h := range j.run.pieces {
+			if used[h.node]&h.mask != 0 {
+				return broken("an accelerator of worker %q is held twice", s.nodes[h.node].ID)
+			}
+			used[h.node] |= h.mask
+			j.run.recount(&want[h.node], h.n)
+		}
+	}
+	s.recountPlans(want)
+	for i, n := range s.nodes {
+		got := counts{n.held, n.firm, n.soft, n.leave, n.bound, n.claim, n.wait}
+		if got != want[i] || n.used != used[i] {
+			return broken("worker %q counts %+v, recounted %+v", n.ID, got, want[i])
+		}
+		if n.bound > 0 && n.firm+n.bound > n.capacity() {
+			return broken("worker %q has %d, of which %d are firm and %d bound", n.ID, n.capacity(), n.firm, n.bound)
+		}
+		if int(s.open.val[i]) != n.open() || int(s.slack.val[i]) != n.slack() {
+			return broken("the indexes of worker %q are stale", n.ID)
+		}
+	}
+	return nil
+}
+
+func (r *run) recount(c *counts, n int) {
+	c.held += n
+	switch {
+	case len(r.shares) > 0:
+	case r.firm:
+		c.firm += n
+	case r.state == runStopping:
+		c.leave += n
+	default:
+		c.soft += n
+	}
+}
+
+func (s *Scheduler) recountPlans(want []counts) {
+	for _, a := range s.accountList {
+		for _, b := range a.blocks {
+			for _, p := range b.parts {
+				want[p.node].bound += p.n - p.used
+				want[p.node].firm += p.used
+			}
+		}
+	}
+	for _, c := range s.claims {
+		for _, p := range c.pieces {
+			if c.guaranteed() {
+				want[p.node].claim += p.n
+			} else {
+				want[p.node].wait += p.n
+			}
+		}
+	}
+}
+
+func (s *Scheduler) checkBlocks() error {
+	loose := 0
+	for _, a := range s.accountList {
+		for _, b := range a.blocks {
+			if !b.bound() {
+				loose++
+				continue
+			}
+			if err := s.checkBlock(b); err != nil {
+				return err
+			}
+		}
+	}
+	if loose != len(s.loose) {
+		return broken("%d blocks have no place, %d are listed", loose, len(s.loose))
+	}
+	return nil
+}
+
+func (s *Scheduler) checkBlock(b *block) error {
+	sum, used := 0, 0
+	for _, p := range b.parts {
+		sum += p.n
+		used += p.used
+		if p.used < 0 || p.used > p.n {
+			return broken("a block of account %q uses %d of a part of %d", b.account.policy.ID, p.used, p.n)
+		}
+		n := s.nodes[p.node]
+		if !n.usable() || spanOf(n, b.shape.Adjacency) != spanOf(s.nodes[b.parts[0].node], b.shape.Adjacency) {
+			return broken("a block of account %q lies on worker %q outside its span", b.account.policy.ID, n.ID)
+		}
+	}
+	if sum != b.shape.Accelerators || used != b.used {
+		return broken("a block of account %q of %d has parts of %d", b.account.policy.ID, b.shape.Accelerators, sum)
+	}
+	return nil
+}
+
+func (s *Scheduler) checkQueues() error {
+	for _, a := range s.accountList {
+		waiting := 0
+		for _, q := range a.order {
+			n := 0
+			for j := q.head; j != nil; j = j.next {
+				if j.queue != q || j.next != nil && j.next.seq < j.seq {
+					return broken("the queue of job %q is out of order", j.ID)
+				}
+				n++
+			}
+			if n != q.n {
+				return broken("a queue of account %q counts %d of %d", a.policy.ID, q.n, n)
+			}
+			waiting += n
+		}
+		if waiting != a.waiting {
+			return broken("account %q counts %d of %d waiting", a.policy.ID, a.waiting, waiting)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scheduler/check_policy.go
@@ -0,0 +1,94 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+)
+
+// ShapeError says that guaranteed shapes don't fit together. Account and Shape
+// are the first that found no place when the tightest and largest are placed
+// first; Missing of its blocks were left over.
+type ShapeError struct {
+	Account AccountID
+	Shape   Shape
+	Missing int
+}
+
+// Error implements error.
+func (e *ShapeError) Error() string {
+	return fmt.Sprintf("account %q: %d of %d guaranteed blocks of %d accelerators within one %s do not fit beside the other guarantees",
+		e.Account, e.Missing, e.Shape.Count, e.Shape.Accelerators, e.Shape.Adjacency)
+}
+
+// AccountError says that an account is declared wrongly.
+type AccountError struct {
+	Account AccountID
+	Problem string
+}
+
+// Error implements error.
+func (e *AccountError) Error() string {
+	return fmt.Sprintf("account %q: %s", e.Account, e.Problem)
+}
+
+// CheckPolicy reports whether all guaranteed shapes of a policy fit at once on
+// idle workers, as blocks. It places the tightest and largest first, so in rare
+// cases it refuses shapes that a full search could fit.
+func CheckPolicy(p Policy, workers []Worker) error {
+	if err := checkAccounts(p); err != nil {
+		return err
+	}
+	s := New(Options{})
+	for _, w := range workers {
+		s.workerUp(w)
+	}
+	s.policyChanged(p)
+	s.rebindLoose()
+	if len(s.loose) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(s.loose, tightestFirst)
+	b := s.loose[0]
+	k := keyOfShape(b.account, b.shape)
+	missing := 0
+	for _, x := range s.loose {
+		if keyOfShape(x.account, x.shape) == k {
+			missing++
+		}
+	}
+	return &ShapeError{b.account.policy.ID, declared(b), missing}
+}
+
+// declared returns the shape of a block as its account declares it.
+func declared(b *block) Shape {
+	out := b.shape
+	out.Count = 0
+	for _, g := range b.account.policy.Guaranteed {
+		if same(g, b.shape) {
+			out.Count += g.Count
+		}
+	}
+	return out
+}
+
+func checkAccounts(p Policy) error {
+	seen := map[AccountID]bool{}
+	for _, a := range p.Accounts {
+		if a.ID == "" {
+			return &AccountError{a.ID, "an account needs an id"}
+		}
+		if seen[a.ID] {
+			return &AccountError{a.ID, "declared twice"}
+		}
+		seen[a.ID] = true
+		if a.Weight < 0 || a.MaxQueued < 0 {
+			return &AccountError{a.ID, "weight and max queued must not be negative"}
+		}
+		for _, g := range a.Guaranteed {
+			if g.Accelerators <= 0 || g.Count <= 0 || g.Adjacency > AdjacentWorker {
+				return &AccountError{a.ID, "a guaranteed shape needs accelerators, a count and a known adjacency"}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scheduler/degraded.go
@@ -0,0 +1,39 @@
+package scheduler
+
+// degradedKey is a shape of an account, without its count.
+type degradedKey struct {
+	account      AccountID
+	accelerators int
+	span         Adjacency
+}
+
+func keyOfShape(a *account, g Shape) degradedKey {
+	return degradedKey{a.policy.ID, g.Accelerators, g.Adjacency}
+}
+
+// reportGuarantees says which guarantees have changed between whole and degraded
+// since the last decision, in the order of the accounts.
+func (s *Scheduler) reportGuarantees() {
+	if len(s.loose) == 0 && len(s.degraded) == 0 {
+		return
+	}
+	now := map[degradedKey]int{}
+	for _, b := range s.loose {
+		now[keyOfShape(b.account, b.shape)]++
+	}
+	for _, a := range s.accountList {
+		for _, g := range a.policy.Guaranteed {
+			k := keyOfShape(a, g)
+			if now[k] == s.degraded[k] {
+				continue
+			}
+			if now[k] == 0 {
+				s.emit(GuaranteeRestored{a.policy.ID, g})
+			} else {
+				s.emit(GuaranteeDegraded{a.policy.ID, g, now[k]})
+			}
+			s.degraded[k] = now[k]
+		}
+	}
+	s.degraded = now
+}
--- /dev/null
+++ b/scheduler/evict.go
@@ -0,0 +1,189 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// stopCost is what any eviction costs, in accelerator seconds per
+	// accelerator, besides the work it loses: the time to stop and start again.
+	stopCost = 5.0
+	// againFactor makes each further eviction of the same job dearer, so that
+	// evictions don't fall on one job over and over.
+	againFactor = 1.0
+)
+
+// lostWork is the accelerator seconds that an eviction of the run would lose.
+// A run that can checkpoint loses only what the checkpoint does not cover.
+func (s *Scheduler) lostWork(r *run) float64 {
+	if r.state == runStarting {
+		return 0
+	}
+	since := r.started
+	if r.checkpoint.After(since) {
+		since = r.checkpoint
+	}
+	return max(0, s.now.Sub(since).Seconds()) * float64(r.size())
+}
+
+// evictionOf is the cost by which victims are chosen.
+func (s *Scheduler) evictionOf(r *run) float64 {
+	cost := stopCost * float64(r.size())
+	if !r.job.Checkpointable {
+		cost += s.lostWork(r)
+	}
+	return cost * (1 + againFactor*float64(r.job.evictions))
+}
+
+// victims returns the evictions that make the pieces available, and their cost.
+// Per node it takes the runs that cost least per accelerator they free there,
+// counting no run twice.
+func (s *Scheduler) victims(at []piece) ([]*run, float64) {
+	var out []*run
+	total := 0.0
+	for _, p := range at {
+		n := s.nodes[p.node]
+		short := p.n - s.coming(n, out)
+		if short <= 0 {
+			continue
+		}
+		for _, r := range s.cheapest(n, out, short) {
+			out = append(out, r)
+			total += s.evictionOf(r)
+		}
+	}
+	return out, total
+}
+
+// coming is what a claim may count on at a node: idle accelerators and those
+// being stopped, less earlier claims, plus what the chosen victims hold there.
+func (s *Scheduler) coming(n *node, chosen []*run) int {
+	have := max(0, n.capacity()-n.held+n.leave-n.claim)
+	for _, r := range chosen {
+		have += r.on(n.id)
+	}
+	return have
+}
+
+func (r *run) on(id nodeID) int {
+	for _, p := range r.pieces {
+		if p.node == id {
+			return p.n
+		}
+	}
+	return 0
+}
+
+type victim struct {
+	run  *run
+	n    int
+	cost float64
+}
+
+// cheapest chooses soft runs of a node that together free short accelerators:
+// greedily by cost per accelerator, then without those that turn out superfluous.
+func (s *Scheduler) cheapest(n *node, chosen []*run, short int) []*run {
+	var all []victim
+	for _, r := range n.runs {
+		if r.firm || r.state == runStopping || r.size() == 0 || slices.Contains(chosen, r) {
+			continue
+		}
+		all = append(all, victim{r, r.on(n.id), s.evictionOf(r)})
+	}
+	slices.SortStableFunc(all, func(a, b victim) int {
+		x, y := a.cost*float64(min(b.n, short)), b.cost*float64(min(a.n, short))
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	sum, used := 0, 0
+	for used < len(all) && sum < short {
+		sum += all[used].n
+		used++
+	}
+	all = all[:used]
+	slices.SortStableFunc(all, func(a, b victim) int {
+		if a.cost > b.cost {
+			return -1
+		}
+		return 1
+	})
+	var out []*run
+	for _, v := range all {
+		if sum-v.n >= short {
+			sum -= v.n
+			continue
+		}
+		out = append(out, v.run)
+	}
+	return out
+}
+
+// evictionCost is what a job of need accelerators would evict in a place that
+// may be larger than the job.
+func (s *Scheduler) evictionCost(at []piece, need int) float64 {
+	var part []piece
+	for _, p := range at {
+		if need == 0 {
+			break
+		}
+		k := min(need, p.n)
+		part = append(part, piece{node: p.node, n: k})
+		need -= k
+	}
+	_, cost := s.victims(part)
+	return cost
+}
+
+// sendEvictions sends the evictions of claims, oldest claim first, as far as the
+// bound on those in progress allows.
+func (s *Scheduler) sendEvictions() {
+	for _, c := range s.claims {
+		if c.guaranteed() {
+			s.evictFor(c)
+		}
+	}
+}
+
+// evictFor sends evictions of one claim. It chooses the victims afresh, since
+// work may have ended in the meantime.
+func (s *Scheduler) evictFor(c *claim) {
+	if s.stopping >= s.policy.MaxEvictions {
+		return
+	}
+	for _, r := range s.victimsOf(c) {
+		if s.stopping >= s.policy.MaxEvictions {
+			return
+		}
+		s.stopRun(r, StopReclaim, r.job.Checkpointable)
+	}
+}
+
+// victimsOf chooses whom a claim evicts. The claim itself counts among those of
+// its nodes, so it is taken out while choosing.
+func (s *Scheduler) victimsOf(c *claim) []*run {
+	for _, p := range c.pieces {
+		s.nodes[p.node].claim -= p.n
+	}
+	out, _ := s.victims(c.pieces)
+	for _, p := range c.pieces {
+		s.nodes[p.node].claim += p.n
+	}
+	return out
+}
+
+// evictedRun records what an eviction lost.
+func (s *Scheduler) evictedRun(r *run, checkpointed time.Time) {
+	if checkpointed.After(r.checkpoint) {
+		r.checkpoint = checkpointed
+	}
+	r.job.evictions++
+	e := &r.job.account.evicted
+	e.Gangs++
+	e.AcceleratorSeconds += s.lostWork(r)
+}
--- /dev/null
+++ b/scheduler/order.go
@@ -0,0 +1,44 @@
+package scheduler
+
+// aged reports whether a job has waited so long that it goes ahead of the fair
+// order.
+func (s *Scheduler) aged(j *job) bool {
+	return s.now.Sub(j.Submitted) >= s.policy.AgeAfter
+}
+
+// before orders the jobs of one account: urgent ones first, then those that
+// have waited long, then by priority and by the objective.
+func (s *Scheduler) before(a, b *job) bool {
+	if a.Urgent != b.Urgent {
+		return a.Urgent
+	}
+	if x, y := s.aged(a), s.aged(b); x != y {
+		return x
+	} else if x {
+		return a.seq < b.seq
+	}
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if s.policy.Objective == Fragmentation && a.Accelerators != b.Accelerators {
+		return a.Accelerators > b.Accelerators
+	}
+	return a.seq < b.seq
+}
+
+// ahead orders the first jobs of different accounts: urgent and aged ones as
+// within an account, the others by the weighted share of their accounts.
+func (s *Scheduler) ahead(a, b *job) bool {
+	if a.Urgent != b.Urgent {
+		return a.Urgent
+	}
+	if x, y := s.aged(a), s.aged(b); x != y {
+		return x
+	} else if x {
+		return a.seq < b.seq
+	}
+	if x, y := s.share(a.account), s.share(b.account); x != y {
+		return x < y
+	}
+	return a.seq < b.seq
+}
--- /dev/null
+++ b/scheduler/outcome.go
@@ -0,0 +1,15 @@
+package scheduler
+
+// Outcome is how an attempt ended.
+type Outcome uint8
+
+const (
+	// Done means that the job finished.
+	Done Outcome = iota
+	// Failed means that the job, or a worker under it, failed.
+	Failed
+	// Stopped means that the attempt ended because it was asked to.
+	Stopped
+	// Lost means that the attempt ended with a worker that went away.
+	Lost
+)
--- /dev/null
+++ b/scheduler/policy.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import "time"
+
+// Objective selects what the order of the queue and the choice of place favour.
+type Objective uint8
+
+const (
+	// CompletionTime favours the time from request to answer.
+	CompletionTime Objective = iota
+	// Fragmentation favours keeping large blocks whole.
+	Fragmentation
+)
+
+// Shape is a guaranteed block and how many of it an account is guaranteed.
+type Shape struct {
+	Accelerators int
+	Adjacency    Adjacency
+	Count        int
+}
+
+// AccountPolicy declares one client account. Weight divides the capacity beyond
+// the guarantees; 0 means 1. MaxQueued bounds the waiting jobs; 0 means
+// [DefaultMaxQueued].
+type AccountPolicy struct {
+	ID         AccountID
+	Weight     int
+	Guaranteed []Shape
+	MaxQueued  int
+}
+
+// DefaultMaxQueued bounds the waiting jobs of an account that sets no bound.
+const DefaultMaxQueued = 20_000
+
+// Policy is the part of a service's document that the scheduler obeys. A
+// policy whose Generation is lower than the one in force is ignored. Zero
+// tunables take their defaults.
+type Policy struct {
+	Generation uint64
+	Objective  Objective
+	Accounts   []AccountPolicy
+
+	// MaxReservations bounds the gangs that hold a reservation at once.
+	MaxReservations int
+	// ReserveAfter is how long a job waits before it may hold a reservation.
+	ReserveAfter time.Duration
+	// AgeAfter is how long a job waits before it goes ahead of fair order.
+	AgeAfter time.Duration
+	// MaxEvictions bounds the evictions in progress at once.
+	MaxEvictions int
+	// WorkerStrikes is how many different jobs in a row must fail on a worker
+	// before it is quarantined.
+	WorkerStrikes int
+	// JobStrikes is on how many different healthy workers a job must fail
+	// before it is rejected.
+	JobStrikes int
+	// MaxAttempts bounds the starts that end in failure.
+	MaxAttempts int
+	// RetryAfter is the first delay after a failure; it doubles up to 64 times.
+	RetryAfter time.Duration
+	// QuarantineFor is the first quarantine of a worker; it doubles up to
+	// QuarantineMax.
+	QuarantineFor time.Duration
+	// QuarantineMax bounds one quarantine.
+	QuarantineMax time.Duration
+	// CPUShare is the percentage of the cores and memory of a worker with
+	// accelerators that jobs without accelerators may use.
+	CPUShare int
+}
+
+// WithDefaults returns the policy with every zero tunable set.
+func (p Policy) WithDefaults() Policy {
+	p.MaxReservations = orInt(p.MaxReservations, 4)
+	p.ReserveAfter = orTime(p.ReserveAfter, time.Second)
+	p.AgeAfter = orTime(p.AgeAfter, 10*time.Minute)
+	p.MaxEvictions = orInt(p.MaxEvictions, 64)
+	p.WorkerStrikes = orInt(p.WorkerStrikes, 3)
+	p.JobStrikes = orInt(p.JobStrikes, 3)
+	p.MaxAttempts = orInt(p.MaxAttempts, 8)
+	p.RetryAfter = orTime(p.RetryAfter, time.Second)
+	p.QuarantineFor = orTime(p.QuarantineFor, 30*time.Second)
+	p.QuarantineMax = orTime(p.QuarantineMax, time.Hour)
+	p.CPUShare = orInt(p.CPUShare, 25)
+	return p
+}
+
+func orInt(v, def int) int {
+	if v > 0 {
+		return v
+	}
+	return def
+}
+
+func orTime(v, def time.Duration) time.Duration {
+	if v > 0 {
+		return v
+	}
+	return def
+}
--- /dev/null
+++ b/scheduler/queue.go
@@ -0,0 +1,126 @@
+package scheduler
+
+// queueKey is what makes two waiting jobs of an account interchangeable for
+// placement: if one finds no place, neither does the other.
+type queueKey struct {
+	class        string
+	accelerators int
+	span         Adjacency
+	cores        int
+	memory       int
+	urgent       bool
+	priority     int
+	evictable    bool
+}
+
+func keyOf(j *Job) queueKey {
+	return queueKey{
+		class: j.Class, accelerators: j.Accelerators, span: j.Adjacency,
+		cores: j.Cores, memory: j.MemoryMB,
+		urgent: j.Urgent, priority: j.Priority, evictable: j.Evictable(),
+	}
+}
+
+// queue is the waiting jobs of one account and key, by order of submission. It
+// is a linked list, so that a wave of cancellations costs the same per job.
+type queue struct {
+	key     queueKey
+	account *account
+	head    *job
+	tail    *job
+	n       int
+
+	blocked uint64 // capacity generation at which no place was found
+	claimed uint64 // account generation at which no block had room
+	sized   uint64 // topology generation at which the size was found possible
+}
+
+// insert puts a job at its place by order of submission, searching from the
+// tail, where new jobs go, or from the head, where evicted ones go.
+func (q *queue) insert(j *job) {
+	j.queue = q
+	q.n++
+	q.account.waiting++
+	if q.head == nil || j.seq < q.head.seq {
+		q.link(nil, j, q.head)
+		return
+	}
+	at := q.tail
+	for at.seq > j.seq {
+		at = at.prev
+	}
+	q.link(at, j, at.next)
+}
+
+func (q *queue) link(prev, j, next *job) {
+	j.prev, j.next = prev, next
+	if prev == nil {
+		q.head = j
+	} else {
+		prev.next = j
+	}
+	if next == nil {
+		q.tail = j
+	} else {
+		next.prev = j
+	}
+}
+
+func (q *queue) remove(j *job) {
+	if j.prev == nil {
+		q.head = j.next
+	} else {
+		j.prev.next = j.next
+	}
+	if j.next == nil {
+		q.tail = j.prev
+	} else {
+		j.next.prev = j.prev
+	}
+	j.prev, j.next, j.queue = nil, nil, nil
+	q.n--
+	q.account.waiting--
+}
+
+func (s *Scheduler) enqueue(j *job) {
+	k := keyOf(&j.Job)
+	q := j.account.queues[k]
+	if q == nil {
+		q = &queue{key: k, account: j.account}
+		j.account.queues[k] = q
+		j.account.order = append(j.account.order, q)
+	}
+	q.insert(j)
+}
+
+// dequeue takes a job out of its queue. Empty queues are swept later, once per
+// decision, so that a wave of cancellations stays linear.
+func (s *Scheduler) dequeue(j *job) {
+	if j.queue == nil {
+		return
+	}
+	q := j.queue
+	q.remove(j)
+	if q.n == 0 {
+		s.sweep = true
+	}
+}
+
+func (s *Scheduler) sweepQueues() {
+	if !s.sweep {
+		return
+	}
+	s.sweep = false
+	for _, a := range s.accountList {
+		kept := a.order[:0]
+		for _, q := range a.order {
+			if q.n > 0 {
+				kept = append(kept, q)
+				continue
+			}
+			delete(a.queues, q.key)
+		}
+		clear(a.order[len(kept):])
+		a.order = kept
+	}
+}
--- /dev/null
+++ b/scheduler/reserve.go
@@ -0,0 +1,244 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// backfillQuantile is how sure a backfilled job must be to end in time.
+	backfillQuantile = 0.9
+	// endQuantile is the quantile of learned run times at which running work is
+	// expected to end.
+	endQuantile = 0.5
+	// replanAfter is how often a reservation looks for an earlier place.
+	replanAfter = 30 * time.Second
+	// planCost paces planning at large sizes: after a plan that looked at n ends
+	// of work, the next one waits n times this long.
+	planCost = 2 * time.Microsecond
+)
+
+// reserve gives jobs that have waited longest a reservation, so that smaller
+// jobs don't pass them for ever.
+func (s *Scheduler) reserve() {
+	have := 0
+	for _, c := range s.claims {
+		if !c.guaranteed() {
+			have++
+		}
+	}
+	s.replan()
+	if have >= s.policy.MaxReservations || s.now.Before(s.planAt) {
+		return
+	}
+	for _, j := range s.stuck(s.policy.MaxReservations - have) {
+		s.reserveFor(j)
+	}
+}
+
+// stuck lists the first jobs of queues that found no place, oldest first.
+func (s *Scheduler) stuck(limit int) []*job {
+	var out []*job
+	for _, a := range s.accountList {
+		for _, q := range a.order {
+			j := s.claimHead(q)
+			if j == nil || j.claim != nil || j.cpuOn != nil || s.now.Sub(j.Submitted) < s.policy.ReserveAfter {
+				continue
+			}
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int {
+		switch {
+		case a.Urgent != b.Urgent && a.Urgent:
+			return -1
+		case a.Urgent != b.Urgent:
+			return 1
+		case a.seq < b.seq:
+			return -1
+		}
+		return 1
+	})
+	return out[:min(len(out), limit)]
+}
+
+func (s *Scheduler) reserveFor(j *job) {
+	if j.Accelerators == 0 {
+		s.reserveCPU(j)
+		return
+	}
+	if at, ready := s.plan(j); at != nil {
+		s.addClaim(&claim{job: j, pieces: at, ready: ready})
+	}
+}
+
+// replan moves reservations whose time has passed, or that a better place has
+// turned up for.
+func (s *Scheduler) replan() {
+	for _, c := range slices.Clone(s.claims) {
+		if c.guaranteed() || s.now.Before(s.planAt) {
+			continue
+		}
+		late := s.now.After(c.ready) && s.now.Sub(c.made) >= time.Second
+		if !late && s.now.Sub(c.made) < replanAfter {
+			continue
+		}
+		s.moveReservation(c)
+	}
+}
+
+func (s *Scheduler) moveReservation(c *claim) {
+	before := s.grown
+	s.countClaim(c, -1)
+	at, ready := s.plan(c.job)
+	if at != nil && (s.now.After(c.ready) || ready.Before(c.ready)) {
+		c.pieces, c.ready = at, ready
+	}
+	c.made = s.now
+	s.countClaim(c, 1)
+	s.grown = before + 1
+}
+
+// ending is accelerators of a node that become available at a time.
+type ending struct {
+	at   time.Time
+	node nodeID
+	n    int
+}
+
+// plan finds where a job could start first, going by learned run times: the unit
+// of its span where enough work ends soonest.
+func (s *Scheduler) plan(j *job) ([]piece, time.Time) {
+	k := keyOf(&j.Job)
+	groups := map[int32][]ending{}
+	count := 0
+	for _, n := range s.nodes {
+		if n.capacity() == 0 || slices.Contains(j.failed, n.id) {
+			continue
+		}
+		ends := s.endings(n, j.Evictable())
+		count += len(ends)
+		span := spanOf(n, k.span)
+		groups[span] = append(groups[span], ends...)
+	}
+	s.planAt = s.now.Add(time.Duration(count) * planCost)
+	var best []piece
+	var ready time.Time
+	bestSpan := int32(-1)
+	for span, ends := range groups {
+		at, t := s.gather(&k, ends)
+		if at == nil || best != nil && (t.After(ready) || t.Equal(ready) && span > bestSpan) {
+			continue
+		}
+		best, ready, bestSpan = at, t, span
+	}
+	return best, ready
+}
+
+// endings lists when accelerators of a node become available for a reservation.
+// Work that may not be evicted can't count on what is bound to guarantees.
+func (s *Scheduler) endings(n *node, evictable bool) []ending {
+	have := n.capacity() - n.held + n.leave - n.claim - n.wait
+	limit := n.capacity() - n.bound
+	if !evictable {
+		have = min(have, n.slack()-n.wait)
+	}
+	out := []ending{{s.now, n.id, have}}
+	for _, r := range n.runs {
+		k := r.on(n.id)
+		if k == 0 || !r.firm && r.state == runStopping {
+			continue
+		}
+		if !evictable && (len(r.shares) > 0 || !r.firm && limit <= 0) {
+			continue
+		}
+		out = append(out, ending{s.endOf(r), n.id, k})
+	}
+	return out
+}
+
+func (s *Scheduler) endOf(r *run) time.Time {
+	total, _ := s.learned.total(&r.job.Job, s.now.Sub(r.started), endQuantile)
+	return r.started.Add(total)
+}
+
+// gather accumulates the ends of work in one unit of a span until the job fits.
+func (s *Scheduler) gather(k *queueKey, ends []ending) ([]piece, time.Time) {
+	slices.SortStableFunc(ends, func(a, b ending) int { return a.at.Compare(b.at) })
+	have := map[nodeID]int{}
+	sum := 0
+	for _, e := range ends {
+		n := s.nodes[e.node]
+		u := s.units(k, n)
+		if u == 0 {
+			continue
+		}
+		old := max(0, have[e.node]) / u
+		have[e.node] += e.n
+		sum += max(0, have[e.node])/u - old
+		if sum >= k.accelerators {
+			return s.pick(k, have), e.at
+		}
+	}
+	return nil, time.Time{}
+}
+
+// pick takes what the job needs from the nodes that have most.
+func (s *Scheduler) pick(k *queueKey, have map[nodeID]int) []piece {
+	nodes := make([]nodeID, 0, len(have))
+	for id, n := range have {
+		if n > 0 {
+			nodes = append(nodes, id)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b nodeID) int {
+		if d := have[b] - have[a]; d != 0 {
+			return d
+		}
+		return int(a - b)
+	})
+	need := k.accelerators
+	var out []piece
+	for _, id := range nodes {
+		u := s.units(k, s.nodes[id])
+		got := min(need, have[id]/u)
+		if got == 0 {
+			continue
+		}
+		out = append(out, piece{node: id, n: got * u})
+		if need -= got; need == 0 {
+			break
+		}
+	}
+	return out
+}
+
+// reserveCPU sets a worker aside for a job without accelerators: the one with
+// the most cores left among those that could ever hold it.
+func (s *Scheduler) reserveCPU(j *job) {
+	var best *node
+	for _, n := range s.nodes {
+		if !n.usable() || n.cpuFor != nil || n.cpuBudget(s.policy.CPUShare) < j.Cores || n.memBudget(s.policy.CPUShare) < j.MemoryMB {
+			continue
+		}
+		if best == nil || n.cpuCores > best.cpuCores {
+			best = n
+		}
+	}
+	if best == nil {
+		return
+	}
+	best.cpuFor = j
+	j.cpuOn = best
+	s.refreshCPU(best)
+}
+
+// dropCPU gives up the worker that is set aside for a job.
+func (s *Scheduler) dropCPU(j *job) {
+	if j.cpuOn == nil {
+		return
+	}
+	n := j.cpuOn
+	n.cpuFor, j.cpuOn = nil, nil
+	s.refreshCPU(n)
+}
--- /dev/null
+++ b/scheduler/stats.go
@@ -0,0 +1,103 @@
+package scheduler
+
+// Stats is a summary of the state of a scheduler.
+type Stats struct {
+	// Workers that may be given work, and their accelerators.
+	Workers      int
+	Accelerators int
+	// Free accelerators are held by no attempt, Reserved ones are set aside.
+	Free     int
+	Reserved int
+	// Fragmentation is the free accelerators in pieces too small for the jobs
+	// that wait, averaged over those jobs by their size.
+	Fragmentation float64
+	Quarantined   int
+	// Unplaced is the guaranteed blocks that fit nowhere now.
+	Unplaced int
+	// Evicting is the evictions in progress.
+	Evicting int
+	Starts   uint64
+	Accounts []AccountStats
+}
+
+// AccountStats is the part of one account.
+type AccountStats struct {
+	ID AccountID
+	// Waiting counts jobs by class, Running all attempts.
+	Waiting map[string]int
+	Running int
+	// Borrowed accelerators are in use beyond the guarantee.
+	Borrowed int
+	Evicted  Evicted
+}
+
+// Stats summarises the state. Its cost is linear in workers and queues.
+func (s *Scheduler) Stats() Stats {
+	out := Stats{Unplaced: len(s.loose), Evicting: s.stopping, Starts: s.starts}
+	for _, n := range s.nodes {
+		if n.health.excluded && n.up {
+			out.Quarantined++
+		}
+		if n.usable() {
+			out.Workers++
+			out.Accelerators += n.capacity()
+			out.Free += n.idle()
+			out.Reserved += min(n.idle(), n.wait+n.claim)
+		}
+	}
+	for _, a := range s.accountList {
+		out.Accounts = append(out.Accounts, a.stats())
+	}
+	out.Fragmentation = s.fragmentation()
+	return out
+}
+
+func (a *account) stats() AccountStats {
+	out := AccountStats{ID: a.policy.ID, Waiting: map[string]int{}, Running: a.running, Borrowed: a.used, Evicted: a.evicted}
+	for _, q := range a.order {
+		out.Waiting[q.key.class] += q.n
+	}
+	return out
+}
+
+// need is what matters for the pieces that a waiting job can use.
+type need struct {
+	accelerators int
+	span         Adjacency
+}
+
+func (s *Scheduler) fragmentation() float64 {
+	waiting := map[need]int{}
+	weight := 0
+	for _, a := range s.accountList {
+		for _, q := range a.order {
+			if q.key.accelerators > 0 {
+				waiting[need{q.key.accelerators, q.key.span}] += q.n
+				weight += q.n * q.key.accelerators
+			}
+		}
+	}
+	lost := 0
+	for w, n := range waiting {
+		lost += n * w.accelerators * s.tooSmall(w)
+	}
+	if weight == 0 {
+		return 0
+	}
+	return float64(lost) / float64(weight)
+}
+
+// tooSmall is the free accelerators in units of a span that have too few.
+func (s *Scheduler) tooSmall(w need) int {
+	units := map[int32]int{}
+	for _, n := range s.nodes {
+		units[spanOf(n, w.span)] += n.idle()
+	}
+	t := 0
+	for _, free := range units {
+		if free < w.accelerators {
+			t += free
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/scheduler/worker.go
@@ -0,0 +1,16 @@
+package scheduler
+
+// MaxAccelerators is the largest number of accelerators of one worker that the
+// scheduler uses. Those above it stay idle.
+const MaxAccelerators = 64
+
+// Worker describes the capacity and the position of a worker. Accelerators may
+// be 0. Racks are scoped by their availability zone.
+type Worker struct {
+	ID           WorkerID
+	Zone         string
+	Rack         string
+	Accelerators int
+	Cores        int
+	MemoryMB     int
+}
