document: versions in the store by compare-and-swap, and what is in force

Put survives a lost reply: the same swap is sent again until it is known, since a late request may take effect after a read back.

InForce takes a higher generation only, whatever the source, so that a watch from an old revision or a restored store cannot take a configuration back. Feeder decides when a fresh process is confirmed and what a restored store gets written back.

Ruled out: readiness by the first answer of the store or a peer alone; a write back that overwrites whatever the restored store took since.

--- /dev/null
+++ b/document/conflict.go
@@ -0,0 +1,49 @@
+package document
+
+import (
+	"fmt"
+
+	"github.com/rogpeppe/go-internal/diff"
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// ErrConflict: another version was put since the operator's base. Nothing
+	// was written. The error is a *ConflictError.
+	ErrConflict = eris.New("document conflict")
+	// ErrOutcomeUnknown: the write may or may not have taken effect.
+	ErrOutcomeUnknown = eris.New("outcome not known: run config get")
+	// ErrStoreBehind: running processes hold a higher generation than the
+	// store, which was restored from a backup. They write theirs back within
+	// seconds. Nothing was written.
+	ErrStoreBehind = eris.New("store holds an older generation than the processes")
+)
+
+// ConflictError tells the operator who was faster and what differs.
+type ConflictError struct {
+	Base    uint64  // generation the operator began with
+	Current Version // what the store holds now
+	Diff    string  // unified line diff from Current to the operator's text
+}
+
+// Error names both generations and the other author, with the diff.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s of %s: your base is generation %d, the store holds generation %d by %s of %s; nothing was written\n%s",
+		ErrConflict, e.Current.Service, e.Base, e.Current.Generation, e.Current.Author,
+		e.Current.At.Format("2006-01-02 15:04:05Z"), e.Diff)
+}
+
+// Unwrap makes errors.Is find ErrConflict.
+func (e *ConflictError) Unwrap() error {
+	return ErrConflict
+}
+
+func conflict(p Proposal, current Version) error {
+	return &ConflictError{
+		Base:    p.Base,
+		Current: current,
+		Diff: string(diff.Diff(
+			fmt.Sprintf("generation %d in the store", current.Generation), current.TOML,
+			fmt.Sprintf("yours, based on generation %d", p.Base), p.TOML)),
+	}
+}
--- /dev/null
+++ b/document/fake_test.go
@@ -0,0 +1,183 @@
+package document_test
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// fault is what happens to one swap.
+type fault int
+
+const (
+	none           fault = iota
+	lostAfter            // takes effect, the reply is lost
+	lostBefore           // never arrives, the caller cannot tell
+	lostAndDelayed       // the reply is lost; takes effect before the next call
+)
+
+// fakeStore is the platform's store with faults. The zero value needs init.
+type fakeStore struct {
+	mu      sync.Mutex
+	rev     platform.Revision
+	keys    map[string]platform.KeyValue
+	events  []platform.Event
+	floor   platform.Revision // events up to it are compacted
+	changed chan struct{}     // closed at the next change
+	down    bool
+	next    func() fault // of each swap; nil for none
+	delayed []platform.Swap
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{keys: map[string]platform.KeyValue{}, changed: make(chan struct{})}
+}
+
+// backup is a copy of the store at one moment.
+type backup struct {
+	rev  platform.Revision
+	keys map[string]platform.KeyValue
+}
+
+func (s *fakeStore) backup() backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return backup{rev: s.rev, keys: maps.Clone(s.keys)}
+}
+
+func (s *fakeStore) restore(b backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.keys, s.delayed = b.rev, maps.Clone(b.keys), nil
+	s.events, s.floor = nil, b.rev
+	s.signal()
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) swap(w platform.Swap) bool {
+	if s.keys[w.Key].Mod != w.Expect {
+		return false
+	}
+	s.rev++
+	kv := platform.KeyValue{Key: w.Key, Value: w.Value, Mod: s.rev}
+	s.keys[w.Key] = kv
+	s.events = append(s.events, platform.Event{KeyValue: kv})
+	s.signal()
+	return true
+}
+
+// enter lets delayed writes arrive, then reports an outage.
+func (s *fakeStore) enter(ctx context.Context) error {
+	for _, w := range s.delayed {
+		s.swap(w)
+	}
+	s.delayed = nil
+	if s.down || ctx.Err() != nil {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *fakeStore) Get(ctx context.Context, key string) (platform.KeyValue, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(ctx); err != nil {
+		return platform.KeyValue{}, false, err
+	}
+	kv, ok := s.keys[key]
+	return kv, ok, nil
+}
+
+func (s *fakeStore) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(ctx); err != nil {
+		return platform.Snapshot{}, err
+	}
+	snapshot := platform.Snapshot{At: s.rev}
+	for key, kv := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			snapshot.Keys = append(snapshot.Keys, kv)
+		}
+	}
+	return snapshot, nil
+}
+
+func (s *fakeStore) Commit(ctx context.Context, swaps []platform.Swap) ([]platform.SwapResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(ctx); err != nil {
+		return nil, err
+	}
+	results := make([]platform.SwapResult, len(swaps))
+	for i, w := range swaps {
+		f := none
+		if s.next != nil {
+			f = s.next()
+		}
+		results[i].Unknown = f != none
+		switch f {
+		case none:
+			results[i].Swapped = s.swap(w)
+			results[i].Current = s.keys[w.Key]
+		case lostAfter:
+			s.swap(w)
+		case lostAndDelayed:
+			s.delayed = append(s.delayed, w)
+		}
+	}
+	return results, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, prefix string, from platform.Revision, deliver func(platform.WatchBatch)) error {
+	for {
+		s.mu.Lock()
+		changed, compacted := s.changed, from <= s.floor
+		var batch platform.WatchBatch
+		for _, e := range s.events {
+			if e.Mod >= from && strings.HasPrefix(e.Key, prefix) {
+				batch.Events = append(batch.Events, e)
+			}
+		}
+		batch.At = s.rev
+		s.mu.Unlock()
+		if compacted {
+			return platform.ErrCompacted
+		}
+		if len(batch.Events) > 0 {
+			from = batch.At + 1
+			deliver(batch)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	return 0, platform.ErrUnavailable
+}
+
+func (s *fakeStore) Renew(context.Context, platform.LeaseID) (time.Duration, error) {
+	return 0, platform.ErrUnavailable
+}
+
+func (s *fakeStore) Revoke(context.Context, platform.LeaseID) error {
+	return platform.ErrUnavailable
+}
--- /dev/null
+++ b/document/feeder_event.go
@@ -0,0 +1,43 @@
+package document
+
+// FeederEvent is what a Feeder is told.
+type FeederEvent interface{ feederEvent() }
+
+// StoreListed: a full listing of the documents arrived. Unreadable names the
+// services whose stored value this binary cannot read; it is left alone.
+type StoreListed struct {
+	Documents  []Stored
+	Unreadable []string
+}
+
+// StoreChanged: a watch delivered a document.
+type StoreChanged struct{ Document Stored }
+
+// StoreDeleted: a watch saw the document of a service deleted.
+type StoreDeleted struct{ Service string }
+
+// StoreFailed: a listing or a watch failed; the store may be out.
+type StoreFailed struct{}
+
+// PeersKnown: these are all peers known now, by the name that Ask takes.
+type PeersKnown struct{ IDs []string }
+
+// PeerAnswered: a peer told which versions it holds and sent those that we
+// lacked, as far as they fit into one answer.
+type PeerAnswered struct {
+	Peer        string
+	Ready       bool // its own configuration is confirmed
+	Generations []Summary
+	Versions    []Version
+}
+
+// FeederTick lets time pass. Send one several times a second.
+type FeederTick struct{}
+
+func (StoreListed) feederEvent()  {}
+func (StoreChanged) feederEvent() {}
+func (StoreDeleted) feederEvent() {}
+func (StoreFailed) feederEvent()  {}
+func (PeersKnown) feederEvent()   {}
+func (PeerAnswered) feederEvent() {}
+func (FeederTick) feederEvent()   {}
--- /dev/null
+++ b/document/inforce_test.go
@@ -0,0 +1,113 @@
+package document_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+)
+
+func version(generation uint64, mark string) document.Version {
+	toml := text("dispatch", mark)
+	return document.Version{
+		Service:    "dispatch",
+		Generation: generation,
+		Token:      fmt.Sprintf("token-%016s", mark),
+		Author:     mark,
+		At:         time.Unix(int64(generation), 0).UTC(),
+		TOML:       toml,
+		Digest:     document.DigestOf(toml),
+	}
+}
+
+// newerFormat is a version with a key that this binary does not know.
+func newerFormat(generation uint64) document.Version {
+	v := version(generation, "newer")
+	v.TOML = append([]byte("quantum = true\n"), v.TOML...)
+	v.Digest = document.DigestOf(v.TOML)
+	return v
+}
+
+func TestOffer(t *testing.T) {
+	damaged := version(3, "damaged")
+	damaged.Digest[0]++
+	foreign := version(3, "foreign")
+	foreign.TOML = text("slotbook", "foreign")
+	foreign.Digest = document.DigestOf(foreign.TOML)
+	for _, test := range []struct {
+		story string
+		offer document.Version
+		want  document.Decision
+	}{
+		{"an operator put a new generation", version(3, "new"), document.Accepted},
+		{"a watch restarted from an old revision", version(1, "old"), document.Older},
+		{"a peer has the same", version(2, "held"), document.Known},
+		{"a restored store was put to again", version(2, "other"), document.Conflicting},
+		{"the operators use a newer binary", newerFormat(3), document.Refused},
+		{"the text does not match its digest", damaged, document.Refused},
+		{"the text is another service's", foreign, document.Refused},
+		{"no generation", document.Version{Service: "dispatch"}, document.Older},
+	} {
+		t.Run(test.story, func(t *testing.T) {
+			c := qt.New(t)
+			f := document.NewInForce(nil)
+			c.Assert(f.Offer(time.Unix(1, 0), version(2, "held")), qt.Equals, document.Accepted)
+			c.Assert(f.Offer(time.Unix(2, 0), test.offer), qt.Equals, test.want)
+			held, ok := f.Current("dispatch")
+			c.Assert(ok, qt.IsTrue)
+			accepted := test.want == document.Accepted
+			c.Assert(held.Version.Generation == 3, qt.Equals, accepted)
+			c.Assert(held.Document.Owner == "held", qt.Equals, !accepted)
+		})
+	}
+}
+
+func TestSubscriberSeesChangesInOrder(t *testing.T) {
+	c := qt.New(t)
+	var seen []string
+	f := document.NewInForce(func(old, now *document.Held) {
+		from := uint64(0)
+		if old != nil {
+			from = old.Version.Generation
+		}
+		seen = append(seen, fmt.Sprint(from, "-", now.Version.Generation))
+	})
+	for _, g := range []uint64{1, 3, 2, 4} {
+		f.Offer(time.Unix(0, 0), version(g, fmt.Sprint(g)))
+	}
+	c.Assert(seen, qt.DeepEquals, []string{"0-1", "1-3", "3-4"})
+}
+
+func TestCompareForExchange(t *testing.T) {
+	c := qt.New(t)
+	a, b := document.NewInForce(nil), document.NewInForce(nil)
+	now := time.Unix(0, 0)
+	a.Offer(now, version(2, "two"))
+	b.Offer(now, version(3, "three"))
+	c.Assert(a.Missing(b.Generations()), qt.DeepEquals, []document.Summary{version(3, "three").Summary()})
+	c.Assert(b.Newer(a.Generations(), 1), qt.DeepEquals, []document.Version{version(3, "three")})
+	c.Assert(b.Compare(a.Generations()).Missing, qt.HasLen, 0)
+
+	refused := newerFormat(4)
+	a.Offer(now, refused)
+	c.Assert(a.Missing([]document.Summary{refused.Summary()}), qt.HasLen, 0)
+	c.Assert(a.Counts(), qt.Equals, document.Counts{Accepted: 1, Refused: 1})
+}
+
+func TestVersionRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	v := version(7, "seven")
+	data, err := v.Marshal()
+	c.Assert(err, qt.IsNil)
+	got, err := document.UnmarshalVersion(data)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, v)
+	_, err = document.UnmarshalVersion(data[:len(data)-1])
+	c.Assert(err, qt.ErrorIs, document.ErrBadVersion)
+	data[len(data)-1]++
+	_, err = document.UnmarshalVersion(data)
+	c.Assert(err, qt.ErrorIs, document.ErrBadVersion)
+}
--- /dev/null
+++ b/document/put.go
@@ -0,0 +1,86 @@
+package document
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// Proposal is an operator's new version of a document.
+type Proposal struct {
+	Name   string // of the file, for messages
+	TOML   []byte
+	Base   uint64 // generation the operator edited; 0 where there is none yet
+	Author string
+	Token  string    // unique to this proposal; a retry of it carries the same
+	At     time.Time // the operator's clock
+	// InForce is the highest generation that a running process reported, 0
+	// where none could be asked. It keeps a put away from a store that was
+	// restored and not yet repaired.
+	InForce uint64
+}
+
+// minToken is the shortest token taken: a UUID without dashes has 32.
+const minToken = 16
+
+// clockStep is how much At grows at least along the generations.
+const clockStep = time.Millisecond
+
+// Put writes a proposal by compare-and-swap and returns the version it became.
+// Success means that the store took the write. ErrConflict, ErrStoreBehind and
+// a refused text mean that it was not written; platform.ErrUnavailable the
+// same. After ErrOutcomeUnknown the operator reads the store; the same
+// proposal may be put again. Put keeps trying to learn a lost outcome until
+// ctx ends.
+func Put(ctx context.Context, store platform.Store, p Proposal) (Version, error) {
+	d, err := Parse(p.Name, p.TOML)
+	if err != nil {
+		return Version{}, err
+	}
+	if len(p.Token) < minToken || p.Author == "" {
+		return Version{}, eris.Errorf("proposal needs an author and a token of %d characters", minToken)
+	}
+	current, err := read(ctx, store, d.Service)
+	if err != nil {
+		return Version{}, eris.Wrap(err, "nothing was written")
+	}
+	if taken := current.Version.Token == p.Token; taken {
+		return current.Version, nil // an earlier try of this proposal
+	}
+	if current.Version.Generation != p.Base {
+		return Version{}, conflict(p, current.Version)
+	}
+	if p.InForce > current.Version.Generation {
+		return Version{}, eris.Wrapf(ErrStoreBehind, "store generation %d, in force %d, nothing was written",
+			current.Version.Generation, p.InForce)
+	}
+	next := succeed(current.Version, p)
+	next.Service = d.Service
+	w, err := newWrite(store, p, next, current.Revision)
+	if err != nil {
+		return Version{}, err
+	}
+	return w.run(ctx)
+}
+
+// succeed returns the version that follows current. At grows also where the
+// operator's clock is behind the one before: a version that is later in time
+// than another of the same document was accepted later.
+func succeed(current Version, p Proposal) Version {
+	at := p.At.UTC().Truncate(clockStep)
+	if floor := current.At.Add(clockStep); at.Before(floor) {
+		at = floor
+	}
+	return Version{
+		Generation: current.Generation + 1,
+		Token:      p.Token,
+		Replaces:   current.Token,
+		Author:     p.Author,
+		At:         at,
+		TOML:       p.TOML,
+		Digest:     DigestOf(p.TOML),
+	}
+}
--- /dev/null
+++ b/document/put_test.go
@@ -0,0 +1,176 @@
+package document_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// text returns a small document of service; mark tells texts apart.
+func text(service, mark string) []byte {
+	return fmt.Appendf(nil, `service = %q
+owner = "%s"
+
+[[account]]
+name = "harbourline"
+
+[[class]]
+name = "risk-check"
+kind = "quick"
+`, service, mark)
+}
+
+func proposal(mark string, base uint64) document.Proposal {
+	return document.Proposal{
+		Name:   mark + ".toml",
+		TOML:   text("dispatch", mark),
+		Base:   base,
+		Author: mark,
+		Token:  fmt.Sprintf("token-%016s", mark),
+		At:     time.Now(),
+	}
+}
+
+func TestPutAndGet(t *testing.T) {
+	c := qt.New(t)
+	store := newFakeStore()
+	ctx := context.Background()
+	_, ok, err := document.Get(ctx, store, "dispatch")
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(err, qt.IsNil)
+
+	first, err := document.Put(ctx, store, proposal("first", 0))
+	c.Assert(err, qt.IsNil)
+	late := proposal("second", 1)
+	late.At = first.At.Add(-time.Hour) // an operator's clock that is behind
+	second, err := document.Put(ctx, store, late)
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.Generation, qt.Equals, uint64(2))
+	c.Assert(second.At.After(first.At), qt.IsTrue)
+
+	got, _, err := document.Get(ctx, store, "dispatch")
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, second)
+	again, err := document.Put(ctx, store, late)
+	c.Assert(err, qt.IsNil)
+	c.Assert(again, qt.DeepEquals, second)
+}
+
+// Two operators edit generation 1. The slower one must not overwrite the
+// faster one's change unseen: she is told who was faster and what differs.
+func TestPutConflictShowsDiff(t *testing.T) {
+	c := qt.New(t)
+	store := newFakeStore()
+	ctx := context.Background()
+	for base, mark := range []string{"old", "fast"} {
+		_, err := document.Put(ctx, store, proposal(mark, uint64(base)))
+		c.Assert(err, qt.IsNil)
+	}
+	_, err := document.Put(ctx, store, proposal("slow", 1))
+	c.Assert(err, qt.ErrorIs, document.ErrConflict)
+	var conflict *document.ConflictError
+	c.Assert(errors.As(err, &conflict), qt.IsTrue)
+	c.Assert(conflict.Current.Author, qt.Equals, "fast")
+	c.Assert(err, qt.ErrorMatches, `(?s).*base is generation 1, the store holds generation 2 by fast.*`)
+	c.Assert(conflict.Diff, qt.Contains, "-owner = \"fast\"\n+owner = \"slow\"\n")
+}
+
+// The store was restored from a backup, the processes hold a higher
+// generation. A put on the old one would be lost when they write theirs back.
+func TestPutWaitsForRestoredStore(t *testing.T) {
+	c := qt.New(t)
+	store := newFakeStore()
+	_, err := document.Put(context.Background(), store, proposal("old", 0))
+	c.Assert(err, qt.IsNil)
+	p := proposal("new", 1)
+	p.InForce = 3
+	_, err = document.Put(context.Background(), store, p)
+	c.Assert(err, qt.ErrorIs, document.ErrStoreBehind)
+}
+
+func TestPutRefusesBadText(t *testing.T) {
+	c := qt.New(t)
+	p := proposal("bad", 0)
+	p.TOML = []byte("service = 3\n")
+	_, err := document.Put(context.Background(), newFakeStore(), p)
+	c.Assert(err, qt.ErrorMatches, `(?s).*bad.toml:1: service: wrong type.*`)
+}
+
+// Every reply is lost and the store never answers again: the operator is told
+// that the outcome is not known, neither success nor "not written".
+func TestPutUnknownWhenNeverSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.next = func() fault { return lostBefore }
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, err := document.Put(ctx, store, proposal("first", 0))
+		qt.Assert(t, err, qt.ErrorIs, document.ErrOutcomeUnknown)
+	})
+}
+
+// Operators put on the same base at the same time while replies get lost,
+// before and after the write, and late requests arrive after the read back.
+// Exactly one may be told success; it must be the one that the store holds.
+func TestPutRaceUnderLostReplies(t *testing.T) {
+	const runs, operators = 400, 3
+	unknown := 0
+	for seed := range uint64(runs) {
+		synctest.Test(t, func(t *testing.T) { unknown += race(t, seed, operators) })
+	}
+	t.Logf("%d runs of %d operators, %d outcomes not known", runs, operators, unknown)
+}
+
+func race(t *testing.T, seed uint64, operators int) (unknown int) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	store := newFakeStore()
+	left := 20 // the store heals after so many swaps
+	store.next = func() fault {
+		left--
+		if left < 0 || rng.IntN(2) == 0 {
+			return none
+		}
+		return fault(1 + rng.IntN(3))
+	}
+	versions := make([]document.Version, operators)
+	errs := make([]error, operators)
+	var wg sync.WaitGroup
+	for i := range operators {
+		pause := time.Duration(rng.IntN(3))*time.Millisecond + time.Duration(i)*time.Microsecond
+		wg.Go(func() {
+			time.Sleep(pause)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			versions[i], errs[i] = document.Put(ctx, store, proposal(fmt.Sprintf("operator%d", i), 0))
+		})
+	}
+	wg.Wait()
+	held, ok, err := document.Get(context.Background(), store, "dispatch")
+	c.Assert(err, qt.IsNil)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("seed %d", seed))
+	for i, err := range errs {
+		won := held.Author == fmt.Sprintf("operator%d", i)
+		switch {
+		case err == nil:
+			c.Assert(won, qt.IsTrue, qt.Commentf("seed %d: operator %d was told success, the store holds %s", seed, i, held.Author))
+			c.Assert(versions[i], qt.DeepEquals, held)
+		case errors.Is(err, document.ErrConflict):
+			c.Assert(won, qt.IsFalse, qt.Commentf("seed %d: operator %d was told conflict, the store holds its write", seed, i))
+		default:
+			c.Assert(errors.Is(err, document.ErrOutcomeUnknown) || errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+			unknown++
+		}
+	}
+	return unknown
+}
--- /dev/null
+++ b/document/watcher.go
@@ -0,0 +1,194 @@
+package document
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// Pauses of a Watcher.
+const (
+	tickEvery    = 200 * time.Millisecond
+	retryPause   = 500 * time.Millisecond // after a listing or watch ended, plus up to as much again
+	writeTimeout = 5 * time.Second
+	askTimeout   = 2 * time.Second
+)
+
+// Ask sends our generations to a peer and returns its answer.
+type Ask func(ctx context.Context, peer string, have []Summary) (PeerAnswered, error)
+
+// Watcher runs a Feeder against the store and the peers: it lists and watches
+// the documents, asks peers while the process is not ready, and repairs a
+// restored store. It is safe for concurrent use.
+type Watcher struct {
+	store   platform.Store // nil in a process that does not read the store
+	ask     Ask
+	inForce *InForce
+	log     logrus.FieldLogger
+
+	tomb   tomb.Tomb
+	ready  chan struct{}
+	relist chan struct{}
+
+	mu      sync.Mutex // owns feeder and stopped
+	feeder  *Feeder
+	stopped bool
+
+	out bool // the store failed last; owned by follow
+
+	writeBacks, failures, unreadable atomic.Int64
+}
+
+// WatcherCounts counts what a Watcher did since the start of the process.
+type WatcherCounts struct {
+	WriteBacks    int64 `json:"write_backs"`    // repairs of the store that took effect
+	StoreFailures int64 `json:"store_failures"` // listings and watches that failed
+	Unreadable    int64 `json:"unreadable"`     // stored values that are no version for this binary
+}
+
+// NewWatcher starts a Watcher. store may be nil, ask may be nil. Stop ends it.
+func NewWatcher(store platform.Store, ask Ask, inForce *InForce, config FeederConfig, log logrus.FieldLogger) *Watcher {
+	config.Store = store != nil
+	w := &Watcher{
+		store:   store,
+		ask:     ask,
+		inForce: inForce,
+		log:     log,
+		ready:   make(chan struct{}),
+		relist:  make(chan struct{}, 1),
+		feeder:  NewFeeder(time.Now(), config, inForce),
+	}
+	w.tomb.Go(func() error {
+		w.tomb.Go(w.tick)
+		if store != nil {
+			w.tomb.Go(w.follow)
+		}
+		return nil
+	})
+	return w
+}
+
+// Stop ends the Watcher and waits for it.
+func (w *Watcher) Stop() error {
+	w.mu.Lock()
+	w.stopped = true
+	w.mu.Unlock()
+	w.tomb.Kill(nil)
+	return w.tomb.Wait()
+}
+
+// Ready is closed once the configuration is confirmed.
+func (w *Watcher) Ready() <-chan struct{} {
+	return w.ready
+}
+
+// Counts returns the counts so far.
+func (w *Watcher) Counts() WatcherCounts {
+	return WatcherCounts{
+		WriteBacks:    w.writeBacks.Load(),
+		StoreFailures: w.failures.Load(),
+		Unreadable:    w.unreadable.Load(),
+	}
+}
+
+// SetPeers names all peers known now.
+func (w *Watcher) SetPeers(ids []string) {
+	w.step(PeersKnown{IDs: ids})
+}
+
+// Answered passes on a peer's answer that came by another way than Ask.
+func (w *Watcher) Answered(a PeerAnswered) {
+	w.step(a)
+}
+
+// step holds the lock also over the actions, none of which waits: so they keep
+// the order of the steps, and none starts a goroutine in a dead tomb.
+func (w *Watcher) step(event FeederEvent) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	for _, a := range w.feeder.Step(time.Now(), event) {
+		w.do(a)
+	}
+}
+
+func (w *Watcher) do(action FeederAction) {
+	switch a := action.(type) {
+	case ListStore:
+		select {
+		case w.relist <- struct{}{}:
+		default:
+		}
+	case BecomeReady:
+		w.log.WithField("source", a.Source).Info("configuration confirmed")
+		close(w.ready)
+	case AskPeers:
+		for _, id := range a.IDs {
+			w.spawn(func() { w.askPeer(id) })
+		}
+	case WriteBack:
+		w.spawn(func() { w.writeBack(a) })
+	}
+}
+
+func (w *Watcher) spawn(f func()) {
+	w.tomb.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+func (w *Watcher) tick() error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			w.step(FeederTick{})
+		case <-w.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (w *Watcher) askPeer(id string) {
+	if w.ask == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), askTimeout)
+	defer cancel()
+	answer, err := w.ask(ctx, id, w.inForce.Generations())
+	if err != nil {
+		return // asked again at the next round
+	}
+	w.step(answer)
+}
+
+func (w *Watcher) writeBack(a WriteBack) {
+	value, err := a.Version.Marshal()
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), writeTimeout)
+	defer cancel()
+	swap := platform.Swap{Key: StoreKey(a.Version.Service), Expect: a.Expect, Value: value}
+	results, err := w.store.Commit(ctx, []platform.Swap{swap})
+	if err != nil || !results[0].Swapped {
+		return // the next listing shows what is left to do
+	}
+	w.writeBacks.Add(1)
+	w.log.WithFields(logrus.Fields{
+		"service":             a.Version.Service,
+		"generation":          a.Version.Generation,
+		"replaced_generation": a.Replaced.Generation,
+		"replaced_author":     a.Replaced.Author,
+	}).Warn("store held an older document, written back")
+}
