scheduler: randomised run against agents that hold the truth

Twelve fixed seeds of 1,500 events each: failures, refusals, drains, policy changes, takeovers, cancellations, and at random moments a claim of every guaranteed shape at once. After each event Check() and, from outside, no accelerator granted twice, no partial gang, one end for each job.

--- /dev/null
+++ b/scheduler/machine_test.go
@@ -0,0 +1,378 @@
+package scheduler
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	longSteps = flag.Int("scheduler.long", 0, "steps of the long randomised run; 0 skips it")
+	longSeed  = flag.Uint64("scheduler.seed", 1, "seed of the long randomised run")
+)
+
+// agents is what the workers hold: the truth against which plans are checked.
+type agents struct {
+	t       testing.TB
+	s       *Scheduler
+	rng     *rand.Rand
+	now     time.Time
+	workers map[WorkerID]Worker
+	up      map[WorkerID]bool
+	ids     []WorkerID
+	holds   map[string]JobID // by worker and accelerator
+	jobs    map[JobID]*modelJob
+	order   []JobID // live jobs, oldest first
+	next    int
+	gen     uint64
+	bad     bool // guarantees are degraded
+	deg     map[string]bool
+	ended   int
+}
+
+type modelJob struct {
+	Job
+	attempt  Attempt
+	place    Placement
+	running  bool
+	stopping bool
+}
+
+func newAgents(t testing.TB, seed uint64, workers int) *agents {
+	m := &agents{
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1e6, 0),
+		workers: map[WorkerID]Worker{}, up: map[WorkerID]bool{}, holds: map[string]JobID{},
+		jobs: map[JobID]*modelJob{}, deg: map[string]bool{},
+	}
+	m.s = New(Options{Start: m.now})
+	var evs []Event
+	for i := range workers {
+		w := Worker{ID: WorkerID(fmt.Sprint("w", i)), Zone: fmt.Sprint("z", i%3), Rack: fmt.Sprint("r", i/3%3), Accelerators: 8, Cores: 32, MemoryMB: 64_000}
+		if i%7 == 6 {
+			w.Accelerators = []int{0, 2, 4}[i/7%3]
+		}
+		m.workers[w.ID] = w
+		m.ids = append(m.ids, w.ID)
+		m.up[w.ID] = true
+		evs = append(evs, WorkerUp{w})
+	}
+	m.step(Batch{append(evs, m.policy(CompletionTime))})
+	return m
+}
+
+func (m *agents) policy(o Objective) Event {
+	m.gen++
+	p := Policy{Generation: m.gen, Objective: o, QuarantineFor: 5 * time.Second, Accounts: []AccountPolicy{
+		{ID: "a", Weight: 2, Guaranteed: []Shape{{8, AdjacentWorker, 2}, {1, AdjacentAny, 1 + m.rng.IntN(3)}}},
+		{ID: "b", Guaranteed: []Shape{{12, AdjacentRack, 1}, {2, AdjacentWorker, 2}}},
+		{ID: "c", MaxQueued: 40},
+	}}
+	return PolicyChanged{p}
+}
+
+// step runs one event and holds every action against the truth.
+func (m *agents) step(ev Event) {
+	for _, a := range m.s.Step(m.now, ev) {
+		switch a := a.(type) {
+		case StartGang:
+			m.start(a)
+		case StopGang:
+			if j := m.jobs[a.Job]; j == nil || j.attempt != a.Attempt {
+				m.fatalf("stop of %v, which does not run", a)
+			}
+			m.jobs[a.Job].stopping = true
+		case RejectJob:
+			m.end(a.Job)
+		case GuaranteeDegraded:
+			m.deg[fmt.Sprint(a.Account, a.Shape.Accelerators, a.Shape.Adjacency)] = true
+		case GuaranteeRestored:
+			delete(m.deg, fmt.Sprint(a.Account, a.Shape.Accelerators, a.Shape.Adjacency))
+		}
+	}
+	if err := m.s.Check(); err != nil {
+		m.fatalf("after %T: %v", ev, err)
+	}
+	if len(m.s.jobs) != len(m.jobs) {
+		m.fatalf("%d jobs live, the scheduler knows %d", len(m.jobs), len(m.s.jobs))
+	}
+}
+
+func (m *agents) fatalf(format string, args ...any) {
+	m.t.Helper()
+	m.t.Fatalf(format, args...)
+}
+
+func (m *agents) start(a StartGang) {
+	j := m.jobs[a.Job]
+	if j == nil || j.attempt >= a.Attempt || j.place != nil {
+		m.fatalf("start of %v beside %+v", a, j)
+	}
+	j.attempt, j.place, j.running, j.stopping = a.Attempt, a.Placement, false, false
+	total := 0
+	for _, g := range a.Placement {
+		total += len(g.Accelerators)
+		if !m.up[g.Worker] {
+			m.fatalf("start of %q on worker %q, which is not up", a.Job, g.Worker)
+		}
+		for _, x := range g.Accelerators {
+			k := fmt.Sprint(g.Worker, "/", x)
+			if other, ok := m.holds[k]; ok || x >= m.workers[g.Worker].Accelerators {
+				m.fatalf("accelerator %s granted to %q and %q", k, a.Job, other)
+			}
+			m.holds[k] = a.Job
+		}
+	}
+	if total != j.Accelerators {
+		m.fatalf("job %q got %d of %d", a.Job, total, j.Accelerators)
+	}
+}
+
+func (m *agents) free(j *modelJob) {
+	for _, g := range j.place {
+		for _, x := range g.Accelerators {
+			delete(m.holds, fmt.Sprint(g.Worker, "/", x))
+		}
+	}
+	j.place, j.running, j.stopping = nil, false, false
+}
+
+func (m *agents) end(id JobID) {
+	j := m.jobs[id]
+	if j == nil {
+		m.fatalf("job %q ended twice", id)
+	}
+	if j.place != nil {
+		m.fatalf("job %q ended while it runs", id)
+	}
+	delete(m.jobs, id)
+	m.order = slices.DeleteFunc(m.order, func(x JobID) bool { return x == id })
+	m.ended++
+}
+
+func (m *agents) newJob() Job {
+	m.next++
+	j := Job{
+		ID: JobID(fmt.Sprint("j", m.next)), Account: AccountID("abc"[m.rng.IntN(3):][:1]), Class: fmt.Sprint(m.rng.IntN(4)),
+		Accelerators: []int{0, 1, 1, 2, 2, 4, 8, 8, 12, 20, 500}[m.rng.IntN(11)], Adjacency: Adjacency(m.rng.IntN(4)),
+		Urgent: m.rng.IntN(10) == 0, Repeatable: m.rng.IntN(3) > 0, Checkpointable: m.rng.IntN(2) > 0,
+		Cores: m.rng.IntN(6), MemoryMB: 1000, Estimate: time.Minute, Submitted: m.now,
+	}
+	m.know(j)
+	return j
+}
+
+func (m *agents) know(j Job) {
+	m.jobs[j.ID] = &modelJob{Job: j}
+	m.order = append(m.order, j.ID)
+}
+
+// pick returns a live job for which the filter holds, or nil.
+func (m *agents) pick(f func(*modelJob) bool) *modelJob {
+	if len(m.order) == 0 {
+		return nil
+	}
+	at := m.rng.IntN(len(m.order))
+	for i := range m.order {
+		if j := m.jobs[m.order[(at+i)%len(m.order)]]; f(j) {
+			return j
+		}
+	}
+	return nil
+}
+
+func held1(j *modelJob) bool  { return j.place != nil }
+func stops(j *modelJob) bool  { return j.stopping }
+func runs(j *modelJob) bool   { return j.running && !j.stopping }
+func starts(j *modelJob) bool { return j.place != nil && !j.running && !j.stopping }
+
+// finish ends an attempt.
+func (m *agents) finish(j *modelJob, o Outcome) {
+	id, attempt, worker := j.ID, j.attempt, j.place[m.rng.IntN(len(j.place))].Worker
+	m.free(j)
+	if o == Done {
+		m.end(id)
+	}
+	m.step(GangEnded{Job: id, Attempt: attempt, Outcome: o, Worker: worker})
+}
+
+func (m *agents) random() {
+	m.now = m.now.Add(time.Duration(m.rng.IntN(3000)) * time.Millisecond)
+	id := m.ids[m.rng.IntN(len(m.ids))]
+	switch m.rng.IntN(17) {
+	case 0, 1, 2:
+		var jobs []Job
+		for range 1 + m.rng.IntN(6) {
+			jobs = append(jobs, m.newJob())
+		}
+		m.step(JobsSubmitted{jobs})
+	case 3, 4, 5:
+		if j := m.pick(starts); j != nil {
+			j.running = true
+			m.step(GangStarted{j.ID, j.attempt})
+		}
+	case 6, 7, 8:
+		if j := m.pick(runs); j != nil {
+			m.finish(j, Done)
+		}
+	case 9:
+		if j := m.pick(held1); j != nil {
+			m.finish(j, []Outcome{Failed, Lost}[m.rng.IntN(2)])
+		}
+	case 10, 11:
+		if j := m.pick(stops); j != nil {
+			m.finish(j, []Outcome{Stopped, Stopped, Done}[m.rng.IntN(3)])
+		}
+	case 12:
+		if j := m.pick(starts); j != nil {
+			w := j.place[0].Worker
+			m.free(j)
+			m.step(GangRefused{j.ID, j.attempt, w})
+		}
+	case 13:
+		var ids []JobID
+		for range 1 + m.rng.IntN(8) {
+			if j := m.pick(func(*modelJob) bool { return true }); j != nil {
+				ids = append(ids, j.ID)
+			}
+		}
+		m.step(JobsCancelled{ids})
+	case 14:
+		m.worker(id)
+	case 15:
+		if j := m.pick(runs); j != nil {
+			m.step(CheckpointTaken{j.ID, m.now})
+		}
+	case 16:
+		m.rare()
+	}
+}
+
+func (m *agents) worker(id WorkerID) {
+	switch {
+	case !m.up[id]:
+		m.up[id] = true
+		m.step(WorkerUp{m.workers[id]})
+	case m.rng.IntN(3) == 0:
+		m.up[id] = false
+		m.step(WorkerDraining{id})
+	case m.rng.IntN(2) == 0:
+		m.up[id] = false
+		m.step(WorkerDown{id})
+	}
+}
+
+func (m *agents) rare() {
+	switch m.rng.IntN(6) {
+	case 0:
+		m.step(m.policy(Objective(m.rng.IntN(2))))
+	case 1:
+		m.takeover()
+	case 2:
+		m.claimAll()
+	default:
+		m.step(Tick{})
+	}
+}
+
+// takeover replaces the scheduler and rebuilds it from the job records and what
+// the agents report.
+func (m *agents) takeover() {
+	m.s = New(Options{Start: m.now})
+	m.deg = map[string]bool{}
+	evs := []Event{m.policy(CompletionTime)}
+	for _, id := range m.ids {
+		if m.up[id] {
+			evs = append(evs, WorkerUp{m.workers[id]})
+		}
+	}
+	var waiting []Job
+	for _, id := range m.order {
+		j := m.jobs[id]
+		j.Job.LastAttempt = j.attempt
+		if j.place == nil {
+			waiting = append(waiting, j.Job)
+			continue
+		}
+		evs = append(evs, JobRestored{Job: j.Job, Attempt: j.attempt, Placement: j.place, Started: m.now, Stopping: j.stopping})
+		j.running = true
+	}
+	m.step(Batch{append(evs, JobsSubmitted{waiting})})
+}
+
+// claimAll is the guarantee seen from outside: with every worker up and nobody
+// else's work ending by itself, all accounts claim all their shapes at once, and
+// all must start as soon as evicted work has stopped.
+func (m *agents) claimAll() {
+	for _, id := range m.ids {
+		if !m.up[id] {
+			m.up[id] = true
+			m.step(WorkerUp{m.workers[id]})
+		}
+	}
+	m.step(JobsCancelled{slices.DeleteFunc(slices.Clone(m.order), func(id JobID) bool {
+		j := m.jobs[id]
+		return !slices.Contains([]AccountID{"a", "b"}, j.Account)
+	})})
+	m.drainStops()
+	if len(m.deg) > 0 || m.s.Stats().Quarantined > 0 {
+		return
+	}
+	for i := range 6 {
+		j := Job{ID: JobID(fmt.Sprint("other", m.next, i)), Account: "c", Accelerators: 8 << (i % 2), Repeatable: true, Submitted: m.now}
+		m.know(j)
+		m.step(JobsSubmitted{[]Job{j}})
+	}
+	var claims []Job
+	for _, a := range m.s.policy.Accounts {
+		for _, g := range a.Guaranteed {
+			for range g.Count {
+				m.next++
+				j := Job{ID: JobID(fmt.Sprint("claim", m.next)), Account: a.ID, Accelerators: g.Accelerators, Adjacency: g.Adjacency, Submitted: m.now}
+				m.know(j)
+				claims = append(claims, j)
+			}
+		}
+	}
+	m.step(JobsSubmitted{claims})
+	m.drainStops()
+	for _, j := range claims {
+		if m.jobs[j.ID].place == nil {
+			m.fatalf("guaranteed shape of account %q, %d within one %s, was not reclaimed", j.Account, j.Accelerators, j.Adjacency)
+		}
+	}
+}
+
+func (m *agents) drainStops() {
+	for j := m.pick(stops); j != nil; j = m.pick(stops) {
+		m.finish(j, Stopped)
+	}
+}
+
+func TestRandomisedRun(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			m := newAgents(t, seed, 8+int(seed)*3)
+			for range 1500 {
+				m.random()
+			}
+			qt.Assert(t, m.ended > 100, qt.IsTrue)
+		})
+	}
+}
+
+func TestRandomisedRunLong(t *testing.T) {
+	if *longSteps == 0 {
+		t.Skip("set -scheduler.long")
+	}
+	t.Logf("seed %d, %d steps", *longSeed, *longSteps)
+	m := newAgents(t, *longSeed, 30)
+	for range *longSteps {
+		m.random()
+	}
+	t.Logf("%d jobs ended", m.ended)
+}
