--- /dev/null
+++ b/membership/apply.go
@@ -0,0 +1,79 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// apply returns the full report that results from a report, and which groups
+// really changed. A full report replaces base; a delta replaces its groups.
+func apply(base, r wire.AgentReport) (wire.AgentReport, wire.Changed) {
+	next := base
+	groups := r.Changed
+	if r.Full {
+		groups = wire.ChangedAll
+		next.Tasks = nil
+	}
+	if groups&wire.ChangedPlace != 0 {
+		setPlace(&next, r)
+	}
+	if groups&wire.ChangedSize != 0 {
+		setSize(&next, r)
+	}
+	if groups&wire.ChangedDraining != 0 {
+		next.Draining = base.Draining || r.Draining
+	}
+	if groups&wire.ChangedLoad != 0 {
+		next.Load = r.Load
+	}
+	if groups&wire.ChangedTasks != 0 {
+		next.Tasks = mergeTasks(next.Tasks, r)
+		next.Fence = r.Fence
+	}
+	if groups&wire.ChangedGenerations != 0 {
+		next.Generations = r.Generations
+	}
+	next.ID = r.ID
+	next.Incarnation = r.Incarnation
+	next.Sequence = r.Sequence
+	next.Full = true
+	return next, groups
+}
+
+func setPlace(to *wire.AgentReport, r wire.AgentReport) {
+	to.Service = r.Service
+	to.Region = r.Region
+	to.Zone = r.Zone
+	to.Rack = r.Rack
+	to.Address = r.Address
+}
+
+func setSize(to *wire.AgentReport, r wire.AgentReport) {
+	to.Accelerators = r.Accelerators
+	to.Slots = r.Slots
+	to.Connections = r.Connections
+	to.Cores = r.Cores
+	to.MemoryMB = r.MemoryMB
+}
+
+// mergeTasks returns old without the ended tasks, with r's tasks put in. old
+// stays as it is, for it is part of a snapshot.
+func mergeTasks(old []wire.TaskReport, r wire.AgentReport) []wire.TaskReport {
+	replaced := make(map[wire.TaskKey]bool, len(r.Tasks)+len(r.Ended))
+	for _, t := range r.Tasks {
+		replaced[t.Key()] = true
+	}
+	for _, key := range r.Ended {
+		replaced[key] = true
+	}
+	next := make([]wire.TaskReport, 0, len(old)+len(r.Tasks))
+	for _, t := range old {
+		if !replaced[t.Key()] {
+			next = append(next, t)
+		}
+	}
+	next = append(next, r.Tasks...)
+	slices.SortFunc(next, compareTasks)
+	return next
+}
--- /dev/null
+++ b/membership/config.go
@@ -0,0 +1,59 @@
+package membership
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultSuspectAfter     = 25 * time.Second
+	DefaultLostAfter        = 60 * time.Second
+	DefaultForgetAfter      = 10 * time.Minute
+	DefaultReportEvery      = 10 * time.Second
+	DefaultMaxMembers       = 20000
+	DefaultFullPerSecond    = 200
+	DefaultFullBurst        = 50
+	DefaultReportsPerSecond = 500
+)
+
+// Config holds a Table's settings; a zero field takes its default.
+type Config struct {
+	// SuspectAfter and LostAfter count from when an agent was last heard.
+	// SuspectAfter should exceed two reporting periods.
+	SuspectAfter time.Duration
+	LostAfter    time.Duration
+	// ForgetAfter is how long the incarnation and sequence of a member that
+	// is lost or has left are kept, so that late relays can't revive it.
+	ForgetAfter time.Duration
+	// ReportEvery is the period asked of agents; it grows when they are more
+	// than ReportsPerSecond allows.
+	ReportEvery      time.Duration
+	ReportsPerSecond float64
+	// MaxMembers bounds all records, those of lost members included. The
+	// longest lost are dropped first; then new members are refused.
+	MaxMembers int
+	// FullPerSecond and FullBurst limit the admission of members that are
+	// not known yet.
+	FullPerSecond float64
+	FullBurst     float64
+	// PublishEvery is the least time between snapshots for changes that can
+	// wait, such as load. Joins, draining, loss and goodbye never wait.
+	PublishEvery time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.SuspectAfter, DefaultSuspectAfter)
+	setDefault(&c.LostAfter, DefaultLostAfter)
+	setDefault(&c.ForgetAfter, DefaultForgetAfter)
+	setDefault(&c.ReportEvery, DefaultReportEvery)
+	setDefault(&c.ReportsPerSecond, DefaultReportsPerSecond)
+	setDefault(&c.MaxMembers, DefaultMaxMembers)
+	setDefault(&c.FullPerSecond, DefaultFullPerSecond)
+	setDefault(&c.FullBurst, DefaultFullBurst)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/membership/diff.go
@@ -0,0 +1,49 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// diff returns the groups in which two full reports differ.
+func diff(a, b wire.AgentReport) wire.Changed {
+	var groups wire.Changed
+	add := func(same bool, group wire.Changed) {
+		if !same {
+			groups |= group
+		}
+	}
+	add(place(a) == place(b), wire.ChangedPlace)
+	add(size(a) == size(b), wire.ChangedSize)
+	add(a.Draining == b.Draining, wire.ChangedDraining)
+	add(a.Load == b.Load, wire.ChangedLoad)
+	add(a.Fence == b.Fence && sameTasks(a.Tasks, b.Tasks), wire.ChangedTasks)
+	add(slices.Equal(a.Generations, b.Generations), wire.ChangedGenerations)
+	return groups
+}
+
+func place(r wire.AgentReport) [5]string {
+	return [5]string{r.Service, r.Region, r.Zone, r.Rack, r.Address}
+}
+
+func size(r wire.AgentReport) [5]int {
+	return [5]int{r.Accelerators, r.Slots, r.Connections, r.Cores, r.MemoryMB}
+}
+
+// sameTasks compares without regard to order.
+func sameTasks(a, b []wire.TaskReport) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	byKey := make(map[wire.TaskKey]wire.TaskReport, len(a))
+	for _, t := range a {
+		byKey[t.Key()] = t
+	}
+	for _, t := range b {
+		if old, ok := byKey[t.Key()]; !ok || !sameTask(old, t) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/membership/pace.go
@@ -0,0 +1,30 @@
+package membership
+
+import "time"
+
+// pace is a token bucket that also counts whom it turned away, so that each is
+// told to return after those before it.
+type pace struct {
+	rate   float64 // a second
+	burst  float64
+	tokens float64
+	// waiting is the number turned away and not yet due to be back.
+	waiting float64
+	last    time.Time
+}
+
+// take admits one, or says after what time to try again.
+func (p *pace) take(now time.Time) (bool, time.Duration) {
+	if !p.last.IsZero() {
+		passed := now.Sub(p.last).Seconds() * p.rate
+		p.tokens = min(p.burst, p.tokens+passed)
+		p.waiting = max(0, p.waiting-passed)
+	}
+	p.last = now
+	if p.tokens >= 1 {
+		p.tokens--
+		return true, 0
+	}
+	p.waiting++
+	return false, time.Duration(p.waiting / p.rate * float64(time.Second))
+}
--- /dev/null
+++ b/membership/reporter.go
@@ -0,0 +1,182 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// maxEnded bounds the ended tasks that are kept for deltas.
+const maxEnded = 1024
+
+// Reporter decides when an agent reports to each receiver and what. One
+// goroutine owns it.
+//
+// Sequence counts changes of the agent's state, not reports, so it is the same
+// for all receivers and relays. A delta says what changed since the last report
+// that its receiver acknowledged.
+type Reporter struct {
+	cfg       ReporterConfig
+	random    func() float64
+	state     wire.AgentReport
+	groupSeq  [groupCount]uint64
+	taskSeq   map[wire.TaskKey]uint64
+	ended     []endedTask
+	forgotten uint64 // latest sequence of an ended task that was dropped
+	receivers map[string]*receiver
+}
+
+type endedTask struct {
+	key wire.TaskKey
+	seq uint64
+}
+
+// NewReporter returns a reporter for the agent that state describes. random
+// returns numbers in [0, 1).
+func NewReporter(cfg ReporterConfig, state wire.AgentReport, random func() float64) *Reporter {
+	r := &Reporter{
+		cfg:       cfg.withDefaults(),
+		random:    random,
+		taskSeq:   map[wire.TaskKey]uint64{},
+		receivers: map[string]*receiver{},
+	}
+	state.Sequence = 1
+	r.state = state
+	r.state.Full = true
+	r.state.Tasks = slices.Clone(state.Tasks)
+	for g := range groupCount {
+		r.groupSeq[g] = 1
+	}
+	for _, t := range state.Tasks {
+		r.taskSeq[t.Key()] = 1
+	}
+	return r
+}
+
+// Set takes the agent's whole state. ID and Incarnation stay what they were;
+// Sequence and the fields of deltas are the Reporter's own. Draining can't be
+// taken back.
+func (r *Reporter) Set(now time.Time, state wire.AgentReport) {
+	state.ID = r.state.ID
+	state.Incarnation = r.state.Incarnation
+	state.Draining = state.Draining || r.state.Draining
+	state.Full = true
+	state.Sequence = r.state.Sequence
+	state.Tasks = slices.Clone(state.Tasks)
+	groups := diff(r.state, state)
+	if groups == 0 {
+		return
+	}
+	state.Sequence++
+	for g := range groupCount {
+		if groups&(1<<g) != 0 {
+			r.groupSeq[g] = state.Sequence
+		}
+	}
+	r.noteTasks(state)
+	r.state = state
+	for _, to := range r.receivers {
+		to.changed(now, groups, r.cfg)
+	}
+}
+
+// noteTasks keeps at which sequence each task changed or ended.
+func (r *Reporter) noteTasks(next wire.AgentReport) {
+	before := make(map[wire.TaskKey]wire.TaskReport, len(r.state.Tasks))
+	for _, t := range r.state.Tasks {
+		before[t.Key()] = t
+	}
+	for _, t := range next.Tasks {
+		old, ok := before[t.Key()]
+		if !ok || !sameTask(old, t) {
+			r.taskSeq[t.Key()] = next.Sequence
+		}
+		delete(before, t.Key())
+	}
+	for _, t := range r.state.Tasks {
+		if _, gone := before[t.Key()]; gone {
+			delete(r.taskSeq, t.Key())
+			r.ended = append(r.ended, endedTask{t.Key(), next.Sequence})
+		}
+	}
+	r.forgetEnded(len(r.ended) - maxEnded)
+}
+
+// forgetEnded drops the n oldest ended tasks. Who has not acknowledged them
+// needs a full report.
+func (r *Reporter) forgetEnded(n int) {
+	if n <= 0 {
+		return
+	}
+	r.forgotten = r.ended[n-1].seq
+	r.ended = slices.Clone(r.ended[n:])
+}
+
+// Due returns when to report to the receiver next; a receiver not known yet is
+// due at once.
+func (r *Reporter) Due(now time.Time, to string) time.Time {
+	return r.receiver(now, to).due
+}
+
+// Report returns what to send to the receiver now. Follow it with Acked or
+// Failed.
+func (r *Reporter) Report(now time.Time, to string) wire.AgentReport {
+	rc := r.receiver(now, to)
+	rc.sentAt = now
+	rc.due = now.Add(r.jittered(r.cfg.Every))
+	if rc.acked == 0 || rc.acked < r.forgotten {
+		return r.state
+	}
+	return r.delta(rc.acked)
+}
+
+// Goodbye returns the report of the agent's end.
+func (r *Reporter) Goodbye() wire.AgentReport {
+	return wire.AgentReport{ID: r.state.ID, Incarnation: r.state.Incarnation, Goodbye: true}
+}
+
+// Forget drops a receiver that the agent no longer reports to.
+func (r *Reporter) Forget(to string) { delete(r.receivers, to) }
+
+// delta returns what changed after sequence base.
+func (r *Reporter) delta(base uint64) wire.AgentReport {
+	out := wire.AgentReport{
+		ID:          r.state.ID,
+		Incarnation: r.state.Incarnation,
+		Sequence:    r.state.Sequence,
+		Base:        base,
+	}
+	for g := range groupCount {
+		if r.groupSeq[g] > base {
+			out.Changed |= 1 << g
+		}
+	}
+	copyGroups(&out, r.state, out.Changed)
+	if out.Changed&wire.ChangedDraining != 0 {
+		out.Draining = r.state.Draining
+	}
+	if out.Changed&wire.ChangedTasks != 0 {
+		r.addTasks(&out, base)
+	}
+	return out
+}
+
+func (r *Reporter) addTasks(out *wire.AgentReport, base uint64) {
+	out.Fence = r.state.Fence
+	for _, t := range r.state.Tasks {
+		if r.taskSeq[t.Key()] > base {
+			out.Tasks = append(out.Tasks, t)
+		}
+	}
+	for _, e := range r.ended {
+		if e.seq > base && r.taskSeq[e.key] == 0 {
+			out.Ended = append(out.Ended, e.key)
+		}
+	}
+}
+
+// jittered spreads a period by the configured share to both sides.
+func (r *Reporter) jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + r.cfg.Jitter*(2*r.random()-1)))
+}
--- /dev/null
+++ b/membership/reporter_config.go
@@ -0,0 +1,28 @@
+package membership
+
+import "time"
+
+// Defaults of ReporterConfig.
+const (
+	DefaultCoalesce = 50 * time.Millisecond
+	DefaultJitter   = 0.2
+)
+
+// ReporterConfig holds a Reporter's settings; a zero field takes its default.
+type ReporterConfig struct {
+	// Every is the period of reports without news.
+	Every time.Duration
+	// Coalesce is the least time between two reports to one receiver, so
+	// that changes that come together travel together.
+	Coalesce time.Duration
+	// Jitter is the share by which periods are shortened or lengthened at
+	// random, so that agents that started together don't report together.
+	Jitter float64
+}
+
+func (c ReporterConfig) withDefaults() ReporterConfig {
+	setDefault(&c.Every, DefaultReportEvery)
+	setDefault(&c.Coalesce, DefaultCoalesce)
+	setDefault(&c.Jitter, DefaultJitter)
+	return c
+}
--- /dev/null
+++ b/membership/snapshot.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Snapshot is an immutable view of the members.
+type Snapshot struct {
+	services map[string]*Service
+}
+
+// Service is the view of one service. Its slices are shared: don't change
+// them.
+type Service struct {
+	Name string
+	// Members are all known ones by ID, draining ones included; the planner
+	// needs those for what they still run.
+	Members []*Member
+	// Offered are the members that may get new work, by ID.
+	Offered []*Member
+}
+
+// Service returns the view of a service, empty if it has no members.
+func (s *Snapshot) Service(name string) *Service {
+	if v := s.services[name]; v != nil {
+		return v
+	}
+	return &Service{Name: name}
+}
+
+// Services returns the names of services with members, sorted.
+func (s *Snapshot) Services() []string {
+	return slices.Sorted(maps.Keys(s.services))
+}
+
+// Find returns the member with the ID, or nil.
+func (v *Service) Find(id string) *Member {
+	i, ok := slices.BinarySearchFunc(v.Members, id, compareID)
+	if !ok {
+		return nil
+	}
+	return v.Members[i]
+}
+
+func compareID(m *Member, id string) int { return cmp.Compare(m.Report.ID, id) }
+
+// Snapshot returns the current view. Safe for concurrent use.
+func (t *Table) Snapshot() *Snapshot { return t.snapshot.Load() }
+
+// publish replaces the snapshot's services that changed.
+func (t *Table) publish(now time.Time) {
+	if len(t.dirty) == 0 || (!t.urgent && now.Sub(t.lastPub) < t.cfg.PublishEvery) {
+		return
+	}
+	services := maps.Clone(t.snapshot.Load().services)
+	if services == nil {
+		services = map[string]*Service{}
+	}
+	for name, ids := range t.dirty {
+		view := t.rebuild(services[name], name, ids)
+		if len(view.Members) == 0 {
+			delete(services, name)
+			continue
+		}
+		services[name] = view
+	}
+	clear(t.dirty)
+	t.urgent = false
+	t.lastPub = now
+	t.snapshot.Store(&Snapshot{services: services})
+}
+
+// rebuild merges the changed members, sorted, into the old sorted view.
+func (t *Table) rebuild(old *Service, name string, ids map[string]bool) *Service {
+	var before []*Member
+	if old != nil {
+		before = old.Members
+	}
+	changed := slices.Sorted(maps.Keys(ids))
+	view := &Service{Name: name, Members: make([]*Member, 0, len(before)+len(changed))}
+	for _, id := range changed {
+		i, found := slices.BinarySearchFunc(before, id, compareID)
+		view.Members = append(view.Members, before[:i]...)
+		if found {
+			i++
+		}
+		before = before[i:]
+		if m := t.records[id].memberOf(name); m != nil {
+			view.Members = append(view.Members, m)
+		}
+	}
+	view.Members = append(view.Members, before...)
+	view.Offered = offered(view.Members)
+	return view
+}
+
+// memberOf returns the member if it belongs to the service. r may be nil: the
+// record was dropped meanwhile.
+func (r *record) memberOf(service string) *Member {
+	if r == nil || r.member == nil || r.member.Report.Service != service {
+		return nil
+	}
+	return r.member
+}
+
+// offered shares the slice when nobody is draining, which is the usual case.
+func offered(members []*Member) []*Member {
+	for i, m := range members {
+		if m.Offered() {
+			continue
+		}
+		out := slices.Clone(members[:i])
+		for _, m := range members[i:] {
+			if m.Offered() {
+				out = append(out, m)
+			}
+		}
+		return out
+	}
+	return members
+}
--- /dev/null
+++ b/membership/sweep.go
@@ -0,0 +1,43 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// sweep lets silence show: alive to suspect to lost, and forgets what has been
+// gone for long.
+func (t *Table) sweep(now time.Time) {
+	var silent []*record
+	for id, r := range t.records {
+		if r.member == nil {
+			if now.Sub(r.gone) > t.cfg.ForgetAfter {
+				delete(t.records, id)
+			}
+			continue
+		}
+		if now.Sub(r.heard) > t.cfg.SuspectAfter {
+			silent = append(silent, r)
+		}
+	}
+	// Map order is random; the same run must give the same actions.
+	slices.SortFunc(silent, func(a, b *record) int { return cmp.Compare(a.id, b.id) })
+	for _, r := range silent {
+		t.silence(now, r)
+	}
+}
+
+func (t *Table) silence(now time.Time, r *record) {
+	if now.Sub(r.heard) > t.cfg.LostAfter {
+		t.emit(Lost{Member: t.remove(r, now)})
+		return
+	}
+	if r.member.State == Suspect {
+		return
+	}
+	m := r.member.with(func(m *Member) { m.State = Suspect })
+	t.set(r, m)
+	t.urgent = true
+	t.emit(Suspected{Member: m})
+}
