--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,38 @@
+package settings
+
+import "github.com/eelgrasshub/eelgrasshub/document/schema"
+
+// Entry is the settings of an entry.
+type Entry struct {
+	ID     string `toml:"id" validate:"required,name"`
+	Region string `toml:"region" validate:"required,name"`
+	Zone   string `toml:"zone" validate:"required,name"` // availability zone
+	// Services that this entry takes part in; empty means all.
+	Services []string `toml:"services"`
+
+	HTTPListen string `toml:"http_listen" default:"127.0.0.1:8080" validate:"addr"`
+	QUICListen string `toml:"quic_listen" default:"127.0.0.1:7800" validate:"addr"`
+	// Advertise is where agents and entries reach QUICListen, if elsewhere.
+	Advertise     string `toml:"advertise" validate:"omitempty,addr"`
+	MetricsListen string `toml:"metrics_listen" validate:"omitempty,addr"`
+	// Peers are QUIC addresses of other entries, to ask for documents while the
+	// store is out; those that register there are found without.
+	Peers []string `toml:"peers" validate:"dive,addr"`
+
+	// ClusterKey is the secret that all processes share. Accepted keys are
+	// admitted besides, for replacing it without an interruption.
+	ClusterKey   string   `toml:"cluster_key" validate:"required,min=16"`
+	AcceptedKeys []string `toml:"accepted_keys" validate:"dive,min=16"`
+
+	// Platform are base URLs of the platform's key-value service.
+	Platform        []string        `toml:"platform" validate:"required,min=1,dive,baseurl"`
+	PlatformTimeout schema.Duration `toml:"platform_timeout" default:"2s" validate:"min=10ms,max=60s"`
+	PlatformBudget  int             `toml:"platform_budget" default:"500" validate:"min=10,max=100000" unit:"calls a second"`
+
+	ReportEvery schema.Duration `toml:"report_every" default:"1s" validate:"min=100ms,max=60s"`
+	// DrainDelay is how long a stopping entry still serves new requests, until
+	// the balancer has seen that it is not ready.
+	DrainDelay schema.Duration `toml:"drain_delay" default:"3s" validate:"min=0s,max=60s"`
+	// StopGrace bounds a graceful stop.
+	StopGrace schema.Duration `toml:"stop_grace" default:"2m" validate:"min=1s,max=168h"`
+}
