document: split histories are joined, readiness counts rounds of asking

The randomised fleet found, each with its own test now: - a write back on the revision of an old watch event removed a newer write, since a restored store counts its revisions again: only a listing repairs; - a store restored twice, back and then forward, put an earlier text in force over a later acknowledged one: where generation and time disagree the later version stays, with a generation above both; - an answer asked for by an earlier incarnation confirmed an old copy: answers count while they are fresh; - a process paused at its start became ready by elapsed time alone: rounds of asking are counted.

--- a/document/decision.go
+++ b/document/decision.go
@@ -8,7 +8,7 @@
 	Accepted    Decision = iota + 1 // in force from now on
 	Known                           // in force already
 	Older                           // below the generation in force; ignored
-	Conflicting                     // the generation in force with another text; ours is kept
+	Conflicting                     // of a split history; the later of the two is in force, with a higher generation
 	Refused                         // cannot be read by this binary; the one in force is kept
 )
 
--- a/document/exchange.go
+++ b/document/exchange.go
@@ -2,9 +2,8 @@
 
 // Comparison is how the versions in force here relate to those of a peer.
 type Comparison struct {
-	Missing     []Summary // the peer's, higher than ours: to be fetched
-	Ahead       []Summary // ours, higher than the peer's: to be sent
-	Conflicting []Summary // the peer's, same generation with another text
+	Missing []Summary // the peer's that we should be offered
+	Ahead   []Summary // ours that the peer should be offered
 }
 
 // Generations names every version in force, sorted by service. It is what
@@ -18,37 +17,44 @@
 	return list
 }
 
-// Missing returns those of a peer's versions that are higher than ours.
+// Missing returns those of a peer's versions that we should be offered.
 func (f *InForce) Missing(peer []Summary) []Summary {
 	return f.Compare(peer).Missing
 }
 
-// Compare relates a peer's versions to ours. A version that this binary
+// Compare relates a peer's versions to ours. An equal generation with another
+// text is to be offered both ways, to end a split. A version that this binary
 // refused is not missing: fetching it again on every exchange would help
 // nobody.
 func (f *InForce) Compare(peer []Summary) Comparison {
+	ours, theirs := byService(f.Generations()), byService(peer)
 	var c Comparison
-	theirs := make(map[string]uint64, len(peer))
 	for _, s := range peer {
-		theirs[s.Service] = s.Generation
-		h, ok := f.Current(s.Service)
-		switch {
-		case !ok || s.Generation > h.Version.Generation:
-			if !f.hasRefused(s) {
-				c.Missing = append(c.Missing, s)
-			}
-		case s.Generation == h.Version.Generation && s.Digest != h.Version.Digest:
-			c.Conflicting = append(c.Conflicting, s)
+		if offers(s, ours[s.Service]) && !f.hasRefused(s) {
+			c.Missing = append(c.Missing, s)
 		}
 	}
 	for _, s := range f.Generations() {
-		if s.Generation > theirs[s.Service] {
+		if offers(s, theirs[s.Service]) {
 			c.Ahead = append(c.Ahead, s)
 		}
 	}
 	return c
 }
 
+func byService(list []Summary) map[string]Summary {
+	m := make(map[string]Summary, len(list))
+	for _, s := range list {
+		m[s.Service] = s
+	}
+	return m
+}
+
+// offers is true where a holder of held should be offered s.
+func offers(s, held Summary) bool {
+	return s.Generation > held.Generation || s.Generation == held.Generation && s.Digest != held.Digest
+}
+
 func (f *InForce) hasRefused(s Summary) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/document/feeder.go
+++ b/document/feeder.go
@@ -6,7 +6,8 @@
 type FeederConfig struct {
 	Store         bool          // whether this process reads the store; agents do not
 	Confirmations int           // distinct ready peers that stand in for the store
-	PeerWait      time.Duration // how long to wait for peers to become known and answer
+	AskRounds     int           // rounds of asking peers, AskEvery apart, before fewer or none have to do
+	AnswerAge     time.Duration // from question to answer, above which it confirms nothing
 	AskEvery      time.Duration // between two rounds of asking peers
 	RelistEvery   time.Duration // between two listings of the store
 	RetryAfter    time.Duration // from a write back to the listing that checks it
@@ -18,7 +19,8 @@
 	return FeederConfig{
 		Store:         store,
 		Confirmations: 2,
-		PeerWait:      time.Second,
+		AskRounds:     4,
+		AnswerAge:     2 * time.Second,
 		AskEvery:      500 * time.Millisecond,
 		RelistEvery:   10 * time.Second,
 		RetryAfter:    time.Second,
@@ -37,9 +39,15 @@
 //
 // It guards against a fresh process that goes into service with an old copy,
 // which shows as an old generation in force again after a restart during an
-// outage of the store. A fresh process is ready only once the store answered
-// and a peer had the chance to know better, or else Confirmations peers, each
-// ready itself, gave what they hold. The highest generation wins.
+// outage of the store, or after its restore. A fresh process is ready only
+// once the store answered and a ready peer had nothing higher, or else once
+// Confirmations ready peers answered. The highest generation wins. Where the
+// store answered and no ready peer does in AskRounds, the store's word has to
+// do: all processes may have started at once. Rounds are counted, not time: a
+// process that was paused has asked nobody meanwhile.
+//
+// An answer counts only while it is fresh. A late one, asked for by an earlier
+// incarnation of this process, shows what the peer held long ago.
 type Feeder struct {
 	config  FeederConfig
 	inForce *InForce
@@ -48,9 +56,9 @@
 	storeSeen bool
 	peers     []string
 	confirmed map[string]bool // peers that answered, are ready and have nothing we lack
-	answered  bool            // any peer answered
 	ready     bool
 	askAt     time.Time
+	rounds    int // of asking
 	asked     int // rotates over the peers
 	listAt    time.Time
 }
@@ -79,10 +87,11 @@
 	case StoreListed:
 		actions = f.listed(now, e)
 	case StoreChanged:
-		f.inForce.Offer(now, e.Document.Version)
-		actions = f.repair(now, e.Document)
+		if f.inForce.Offer(now, e.Document.Version) != Refused {
+			f.changed(now, e.Document.Version)
+		}
 	case StoreDeleted:
-		actions = f.repair(now, Stored{Version: Version{Service: e.Service}})
+		f.changed(now, Version{Service: e.Service})
 	case PeersKnown:
 		f.peers = e.IDs[:min(len(e.IDs), maxPeersKnown)]
 	case PeerAnswered:
@@ -103,8 +112,9 @@
 	}
 	for _, d := range e.Documents {
 		listed[d.Version.Service] = true
-		f.inForce.Offer(now, d.Version)
-		actions = append(actions, f.repair(now, d)...)
+		if f.inForce.Offer(now, d.Version) != Refused {
+			actions = append(actions, f.repair(now, d)...)
+		}
 	}
 	for _, h := range f.inForce.All() {
 		if service := h.Version.Service; !listed[service] {
@@ -114,33 +124,38 @@
 	return actions
 }
 
-// repair writes back where the store holds less than this process.
+// changed brings a listing forward where a watch shows less than this process
+// holds. It does not repair by itself: a restored store counts its revisions
+// again from the backup, so that an old event can name the revision of a newer
+// write, and a compare-and-swap on it would remove that write. A listing is
+// read now.
+func (f *Feeder) changed(now time.Time, v Version) {
+	h, ok := f.inForce.Current(v.Service)
+	if ok && h.Version.Generation > v.Generation {
+		f.listAt = now
+	}
+}
+
+// repair writes back where a listing shows less than this process holds, once
+// it was offered what the store holds. It guards against a store restored from
+// a backup, which shows as a lower generation than the one in force, or none.
 func (f *Feeder) repair(now time.Time, d Stored) []FeederAction {
 	h, ok := f.inForce.Current(d.Version.Service)
-	if !ok || !f.config.Store {
+	if !ok || h.Version.Generation <= d.Version.Generation {
 		return nil
 	}
-	v, ok := repair(h.Version, d.Version)
-	if !ok {
-		return nil
-	}
-	f.listSoon(now)
-	return []FeederAction{WriteBack{Version: v, Expect: d.Revision, Replaced: d.Version}}
-}
-
-// listSoon brings the next listing forward, to see whether a write back held.
-func (f *Feeder) listSoon(now time.Time) {
 	if at := now.Add(f.config.RetryAfter); at.Before(f.listAt) {
-		f.listAt = at
+		f.listAt = at // to see whether it held
 	}
+	return []FeederAction{WriteBack{Version: h.Version, Expect: d.Revision, Replaced: d.Version}}
 }
 
 func (f *Feeder) peerAnswered(now time.Time, e PeerAnswered) {
-	f.answered = true
 	for _, v := range e.Versions {
 		f.inForce.Offer(now, v)
 	}
-	if !e.Ready {
+	fresh := !e.Asked.Before(f.started) && now.Sub(e.Asked) <= f.config.AnswerAge
+	if !e.Ready || !fresh {
 		return
 	}
 	if len(f.inForce.Missing(e.Generations)) == 0 && len(f.confirmed) < maxPeersKnown {
@@ -152,10 +167,10 @@
 	if f.ready {
 		return nil
 	}
-	waited := now.Sub(f.started) >= f.config.PeerWait
+	waited := f.waited(now)
 	source := FromStore
 	switch {
-	case f.storeSeen && (f.answered || waited):
+	case f.storeSeen && (len(f.confirmed) > 0 || waited):
 	case f.confirmedByPeers(waited):
 		source = FromPeers
 	default:
@@ -165,8 +180,15 @@
 	return []FeederAction{BecomeReady{Source: source}}
 }
 
+// waited is true where peers had their chance to answer: enough rounds, the
+// last of them a short while ago.
+func (f *Feeder) waited(now time.Time) bool {
+	since := now.Sub(f.askAt.Add(-f.config.AskEvery))
+	return f.rounds >= f.config.AskRounds && since >= f.config.AskEvery && since <= f.config.AnswerAge
+}
+
 // confirmedByPeers needs Confirmations answers, or as many as peers are known
-// where these are fewer after PeerWait. A process without peers is not
+// where these are fewer after AskRounds. A process without peers is not
 // confirmed.
 func (f *Feeder) confirmedByPeers(waited bool) bool {
 	need := f.config.Confirmations
@@ -179,9 +201,12 @@
 // due returns the actions whose time has come.
 func (f *Feeder) due(now time.Time) []FeederAction {
 	var actions []FeederAction
-	if !f.ready && len(f.peers) > 0 && !now.Before(f.askAt) {
+	if !f.ready && !now.Before(f.askAt) {
 		f.askAt = now.Add(f.config.AskEvery)
-		actions = append(actions, AskPeers{IDs: f.nextPeers()})
+		f.rounds++
+		if ids := f.nextPeers(); len(ids) > 0 {
+			actions = append(actions, AskPeers{IDs: ids})
+		}
 	}
 	if f.config.Store && f.storeSeen && !now.Before(f.listAt) {
 		f.listAt = now.Add(f.config.RelistEvery)
--- a/document/feeder_event.go
+++ b/document/feeder_event.go
@@ -1,5 +1,7 @@
 package document
 
+import "time"
+
 // FeederEvent is what a Feeder is told.
 type FeederEvent interface{ feederEvent() }
 
@@ -26,7 +28,8 @@
 // lacked, as far as they fit into one answer.
 type PeerAnswered struct {
 	Peer        string
-	Ready       bool // its own configuration is confirmed
+	Asked       time.Time // when we sent the question, on our clock; zero for news that we did not ask for
+	Ready       bool      // its own configuration is confirmed
 	Generations []Summary
 	Versions    []Version
 }
--- /dev/null
+++ b/document/fleet_test.go
@@ -0,0 +1,333 @@
+package document_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+var (
+	fleetRuns = flag.Uint64("fleet.runs", 150, "seeded runs of the fleet")
+	fleetSeed = flag.Uint64("fleet.seed", 1, "first seed of the fleet")
+)
+
+const (
+	processes  = 4
+	fleetSteps = 250
+)
+
+// process is one incarnation: its floor is lost with it.
+type process struct {
+	id      string
+	inForce *document.InForce
+	feeder  *document.Feeder
+	floor   uint64 // highest generation seen in force here
+}
+
+// held is a generation that all ready processes held at one time.
+type held struct {
+	generation uint64
+	at         time.Time
+}
+
+// fleet is a store, processes around it and operators, in virtual time.
+type fleet struct {
+	c         *qt.C
+	rng       *rand.Rand
+	seed      uint64
+	store     *fakeStore
+	procs     []*process
+	backups   []backup
+	answers   []document.PeerAnswered // on their way, perhaps late
+	old       []document.Stored       // what a watch may deliver again
+	acked     document.Version        // the latest that an operator was told success for
+	puts      int
+	writeBack int
+	everyone  []held // what all ready processes held, by time
+}
+
+func newFleet(c *qt.C, seed uint64) *fleet {
+	f := &fleet{c: c, rng: rand.New(rand.NewPCG(seed, 7)), seed: seed, store: newFakeStore()}
+	f.store.next = func() fault {
+		if f.rng.IntN(4) > 0 {
+			return none
+		}
+		return fault(1 + f.rng.IntN(3))
+	}
+	f.procs = make([]*process, processes)
+	for i := range processes {
+		f.start(i)
+	}
+	return f
+}
+
+func (f *fleet) start(i int) {
+	p := &process{id: fmt.Sprint("p", i), inForce: document.NewInForce(nil)}
+	p.feeder = document.NewFeeder(time.Now(), document.DefaultFeederConfig(true), p.inForce)
+	f.procs[i] = p
+	var others []string
+	for j := range processes {
+		if j != i {
+			others = append(others, fmt.Sprint("p", j))
+		}
+	}
+	f.feed(p, document.PeersKnown{IDs: others})
+}
+
+func (f *fleet) generation(p *process) uint64 {
+	h, ok := p.inForce.Current("dispatch")
+	if !ok {
+		return 0
+	}
+	return h.Version.Generation
+}
+
+// feed steps a process and checks it.
+func (f *fleet) feed(p *process, event document.FeederEvent) {
+	for _, action := range p.feeder.Step(time.Now(), event) {
+		switch a := action.(type) {
+		case document.WriteBack:
+			f.repair(a)
+		case document.BecomeReady:
+			f.checkReady(p, a.Source)
+		case document.AskPeers:
+			for _, id := range a.IDs {
+				f.ask(p, f.procs[int(id[1]-'0')], false)
+			}
+		}
+	}
+	g := f.generation(p)
+	f.c.Assert(g >= p.floor, qt.IsTrue, qt.Commentf("seed %d: %s went from generation %d back to %d", f.seed, p.id, p.floor, g))
+	p.floor = g
+}
+
+func (f *fleet) repair(a document.WriteBack) {
+	value, err := a.Version.Marshal()
+	f.c.Assert(err, qt.IsNil)
+	swap := platform.Swap{Key: document.StoreKey("dispatch"), Expect: a.Expect, Value: value}
+	results, err := f.store.Commit(context.Background(), []platform.Swap{swap})
+	if err == nil && results[0].Swapped {
+		f.writeBack++
+	}
+}
+
+func (f *fleet) list(p *process) {
+	snapshot, err := f.store.List(context.Background(), document.Prefix)
+	if err != nil {
+		f.feed(p, document.StoreFailed{})
+		return
+	}
+	var l document.StoreListed
+	for _, kv := range snapshot.Keys {
+		v, err := document.UnmarshalVersion(kv.Value)
+		f.c.Assert(err, qt.IsNil)
+		l.Documents = append(l.Documents, document.Stored{Version: v, Revision: kv.Mod})
+	}
+	f.old = append(f.old, l.Documents...)
+	f.feed(p, l)
+}
+
+// ask lets from answer; the answer arrives now, or joins those on their way.
+func (f *fleet) ask(to, from *process, late bool) {
+	if from == nil || to == from {
+		return
+	}
+	a := document.PeerAnswered{
+		Peer:        from.id,
+		Asked:       time.Now(),
+		Ready:       from.feeder.Ready(),
+		Generations: from.inForce.Generations(),
+		Versions:    from.inForce.Newer(to.inForce.Generations(), 1),
+	}
+	if late {
+		f.answers = append(f.answers, a)
+		return
+	}
+	f.feed(to, a)
+}
+
+func (f *fleet) put() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	base, _, err := document.Get(ctx, f.store, "dispatch")
+	if err != nil {
+		return
+	}
+	f.puts++
+	p := proposal(fmt.Sprint("put", f.puts), base.Generation)
+	if f.rng.IntN(2) == 0 { // this operator reaches a process
+		p.InForce = f.generation(f.pick())
+	}
+	if v, err := document.Put(ctx, f.store, p); err == nil {
+		f.acked = v
+	}
+}
+
+func (f *fleet) pick() *process {
+	return f.procs[f.rng.IntN(processes)]
+}
+
+// holders counts the places that hold the latest acknowledged version or what
+// followed it. No design survives the loss of the last.
+func (f *fleet) holders(in backup, without int) int {
+	n := 0
+	for i, p := range f.procs {
+		h, ok := p.inForce.Current("dispatch")
+		if ok && i != without && !h.Version.At.Before(f.acked.At) {
+			n++
+		}
+	}
+	if kv, ok := in.keys[document.StoreKey("dispatch")]; ok {
+		v, err := document.UnmarshalVersion(kv.Value)
+		f.c.Assert(err, qt.IsNil)
+		if !v.At.Before(f.acked.At) {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) restart() {
+	i := f.rng.IntN(processes)
+	if f.acked.Generation == 0 || f.holders(f.store.backup(), i) > 0 {
+		f.start(i)
+	}
+}
+
+func (f *fleet) restore() {
+	if len(f.backups) == 0 {
+		return
+	}
+	b := f.backups[f.rng.IntN(len(f.backups))]
+	if f.acked.Generation == 0 || f.holders(b, -1) > 0 {
+		f.store.restore(b)
+	}
+}
+
+// step does one thing at random.
+func (f *fleet) step() {
+	time.Sleep(time.Duration(1+f.rng.IntN(100)) * time.Millisecond)
+	p := f.pick()
+	switch n := f.rng.IntN(100); {
+	case n < 25:
+		f.list(p)
+	case n < 55:
+		f.ask(p, f.pick(), f.rng.IntN(3) == 0)
+	case n < 65 && len(f.answers) > 0:
+		f.feed(p, f.answers[f.rng.IntN(len(f.answers))])
+	case n < 75 && len(f.old) > 0:
+		f.feed(p, document.StoreChanged{Document: f.old[f.rng.IntN(len(f.old))]})
+	case n < 85:
+		f.put()
+	case n < 89:
+		f.restart()
+	case n < 92:
+		f.store.setDown(f.rng.IntN(2) == 0)
+	case n < 95:
+		f.backups = append(f.backups, f.store.backup())
+	case n < 98:
+		f.restore()
+	default:
+		f.feed(p, document.FeederTick{})
+	}
+	f.noteEveryone()
+}
+
+// noteEveryone notes what all ready processes hold, where any is ready.
+func (f *fleet) noteEveryone() {
+	var lowest uint64
+	for _, p := range f.procs {
+		if !p.feeder.Ready() {
+			continue
+		}
+		if g := f.generation(p); lowest == 0 || g < lowest {
+			lowest = g
+		}
+	}
+	if n := len(f.everyone); lowest > 0 && (n == 0 || lowest > f.everyone[n-1].generation) {
+		f.everyone = append(f.everyone, held{generation: lowest, at: time.Now()})
+	}
+}
+
+// checkReady: seconds after all ready processes have a generation, and while
+// one of them lives, no process becomes ready with a lower one.
+func (f *fleet) checkReady(p *process, source document.Source) {
+	var highest uint64
+	for _, q := range f.procs {
+		if q != nil && q != p && q.feeder.Ready() {
+			highest = max(highest, f.generation(q))
+		}
+	}
+	for i, e := range f.everyone {
+		if e.generation > highest {
+			break // nobody is left to ask
+		}
+		settled := time.Since(e.at) > document.DefaultFeederConfig(true).AnswerAge
+		f.c.Assert(settled && f.generation(p) < e.generation, qt.IsFalse, qt.Commentf(
+			"seed %d: %s became ready from %s with generation %d after all had held %d",
+			f.seed, p.id, source, f.generation(p), e.generation))
+		if f.generation(p) < e.generation {
+			f.everyone = f.everyone[:i] // not held by all long enough
+			break
+		}
+	}
+}
+
+// heal ends all faults and lets everyone talk.
+func (f *fleet) heal() {
+	f.store.setDown(false)
+	f.store.next = nil
+	for range 6 {
+		for _, p := range f.procs {
+			f.list(p)
+			for _, q := range f.procs {
+				f.ask(p, q, false)
+			}
+		}
+	}
+}
+
+func (f *fleet) checkHealed() {
+	stored, _, err := document.Get(context.Background(), f.store, "dispatch")
+	f.c.Assert(err, qt.IsNil)
+	for _, p := range f.procs {
+		f.c.Assert(f.generation(p), qt.Equals, stored.Generation, qt.Commentf("seed %d: %s", f.seed, p.id))
+		if stored.Generation > 0 {
+			f.c.Assert(p.inForce.Generations()[0], qt.Equals, stored.Summary(), qt.Commentf("seed %d: %s", f.seed, p.id))
+		}
+	}
+	f.c.Assert(stored.At.Before(f.acked.At), qt.IsFalse, qt.Commentf(
+		"seed %d: acknowledged generation %d by %s, in force at the end %d by %s",
+		f.seed, f.acked.Generation, f.acked.Author, stored.Generation, stored.Author))
+}
+
+// Operators put while replies are lost, processes restart with nothing, the
+// store goes out and is restored from old backups, watches deliver old events
+// and peers answer late. On no process may the generation in force decrease,
+// and what an operator was told success for must not give way to anything
+// accepted before it.
+func TestFleetNeverGoesBack(t *testing.T) {
+	puts, writeBacks := 0, 0
+	for seed := *fleetSeed; seed < *fleetSeed+*fleetRuns; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(qt.New(t), seed)
+			for range fleetSteps {
+				f.step()
+			}
+			f.heal()
+			f.checkHealed()
+			puts += f.puts
+			writeBacks += f.writeBack
+		})
+	}
+	t.Logf("%d runs from seed %d: %d puts, %d write backs", *fleetRuns, *fleetSeed, puts, writeBacks)
+}
--- /dev/null
+++ b/document/fork.go
@@ -0,0 +1,44 @@
+package document
+
+// relate decides on an offered version by generation and time alone.
+//
+// Generations of one history grow together with At, which Put sees to. Where
+// the two disagree, the histories have split: the store was restored from a
+// backup and an operator put to it before a process wrote the version in force
+// back. Both operators were told success. This shows as a lower generation
+// that is later, a higher one that is earlier, or an equal one with another
+// text.
+func relate(held, offered Version) Decision {
+	same := offered.Generation == held.Generation && offered.Digest == held.Digest
+	switch {
+	case same:
+		return Known
+	case offered.Generation > held.Generation && !later(held, offered):
+		return Accepted
+	case offered.Generation < held.Generation && !later(offered, held):
+		return Older
+	}
+	return Conflicting
+}
+
+// later orders two versions by time, then by token, so that all processes
+// agree.
+func later(a, b Version) bool {
+	if !a.At.Equal(b.At) {
+		return a.At.After(b.At)
+	}
+	return a.Token > b.Token
+}
+
+// joinFork ends a split: the later version wins and gets a generation above both,
+// so that the generation in force grows in every process. All processes come
+// to the same text and generation from the same pair.
+func joinFork(a, b Version) Version {
+	winner, loser := a, b
+	if later(b, a) {
+		winner, loser = b, a
+	}
+	winner.Replaces = loser.Token
+	winner.Generation = max(a.Generation, b.Generation) + 1
+	return winner
+}
--- a/document/inforce.go
+++ b/document/inforce.go
@@ -62,40 +62,57 @@
 // Offer puts v in force where its generation is higher than the one in force,
 // whatever the source. A version that this binary cannot read is refused, and
 // the one in force stays: an older binary must not drop its configuration
-// because the operators use a newer one.
+// because the operators use a newer one. Of two split histories the later
+// version is in force afterwards, with a generation above both.
 func (f *InForce) Offer(now time.Time, v Version) Decision {
-	if d := f.compare(v); d != Accepted {
+	if d := f.decide(v); d == Known || d == Older {
 		return f.count(d)
 	}
 	// Parsing is slow, so it is done without the lock.
-	doc, err := Parse(v.Service, v.TOML)
+	doc := parseVersion(v)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := f.compare(v)
-	if d == Accepted && (err != nil || doc.Service != v.Service || DigestOf(v.TOML) != v.Digest) {
-		f.refused[v.Service] = v.Summary()
-		d = Refused
-	}
-	if d == Accepted {
-		f.publish(&Held{Version: v, Document: doc, Since: now})
+	return f.count(f.take(now, v, doc))
+}
+
+// parseVersion returns nil where v cannot be read or contradicts itself.
+func parseVersion(v Version) *Document {
+	doc, err := Parse(v.Service, v.TOML)
+	if err != nil || doc.Service != v.Service || DigestOf(v.TOML) != v.Digest {
+		return nil
 	}
-	return f.count(d)
+	return doc
 }
 
-// compare decides by generation and digest alone.
-func (f *InForce) compare(v Version) Decision {
+func (f *InForce) decide(v Version) Decision {
 	h, ok := f.Current(v.Service)
 	switch {
 	case v.Generation == 0:
 		return Older
-	case !ok || v.Generation > h.Version.Generation:
+	case !ok:
 		return Accepted
-	case v.Generation < h.Version.Generation:
-		return Older
-	case v.Digest != h.Version.Digest:
-		return Conflicting
 	}
-	return Known
+	return relate(h.Version, v)
+}
+
+func (f *InForce) take(now time.Time, v Version, doc *Document) Decision {
+	d := f.decide(v)
+	if d == Known || d == Older {
+		return d
+	}
+	if doc == nil {
+		f.refused[v.Service] = v.Summary()
+		return Refused
+	}
+	if d == Conflicting {
+		held, _ := f.Current(v.Service)
+		if later(held.Version, v) {
+			doc = held.Document
+		}
+		v = joinFork(held.Version, v)
+	}
+	f.publish(&Held{Version: v, Document: doc, Since: now})
+	return d
 }
 
 func (f *InForce) publish(h *Held) {
--- a/document/watcher.go
+++ b/document/watcher.go
@@ -20,7 +20,8 @@
 	askTimeout   = 2 * time.Second
 )
 
-// Ask sends our generations to a peer and returns its answer.
+// Ask sends our generations to a peer and returns its answer. Peer and Asked of
+// it are filled in by the Watcher.
 type Ask func(ctx context.Context, peer string, have []Summary) (PeerAnswered, error)
 
 // Watcher runs a Feeder against the store and the peers: it lists and watches
@@ -102,9 +103,10 @@
 	w.step(PeersKnown{IDs: ids})
 }
 
-// Answered passes on a peer's answer that came by another way than Ask.
-func (w *Watcher) Answered(a PeerAnswered) {
-	w.step(a)
+// Offered passes on versions that a peer sent unasked. They come into force
+// like any other, but confirm nothing.
+func (w *Watcher) Offered(peer string, versions []Version) {
+	w.step(PeerAnswered{Peer: peer, Versions: versions})
 }
 
 // step holds the lock also over the actions, none of which waits: so they keep
@@ -165,10 +167,12 @@
 	}
 	ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), askTimeout)
 	defer cancel()
+	asked := time.Now()
 	answer, err := w.ask(ctx, id, w.inForce.Generations())
 	if err != nil {
 		return // asked again at the next round
 	}
+	answer.Peer, answer.Asked = id, asked
 	w.step(answer)
 }
 
--- a/document/write.go
+++ b/document/write.go
@@ -58,9 +58,26 @@
 	return v, err
 }
 
+// standing is true while the store holds the version that ours replaces. It
+// guards a repeated send against a store restored in between, which counts its
+// revisions again: the revision we expect can then be that of another write.
+func (w *write) standing(ctx context.Context) (bool, error) {
+	now, err := read(ctx, w.store, w.next.Service)
+	return now.Version.Token == w.next.Replaces && now.Revision == w.request[0].Expect, err
+}
+
 // send sends the swap once. The second result is false while the outcome of
 // this or an earlier send is not known.
 func (w *write) send(ctx context.Context) (Version, bool, error) {
+	if w.lost {
+		standing, err := w.standing(ctx)
+		if err != nil {
+			return Version{}, false, err
+		}
+		if !standing {
+			return w.judge(ctx)
+		}
+	}
 	results, err := w.store.Commit(ctx, w.request)
 	switch {
 	case err != nil && w.lost:
