--- /dev/null
+++ b/agent/handle.go
@@ -0,0 +1,69 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+var errNotHandled = eris.New("not a message for an agent")
+
+// handle serves what entries send.
+func (a *Agent) handle(ctx context.Context, from *wire.Conn, msg any) (any, error) {
+	switch m := msg.(type) {
+	case *wire.Execute:
+		return a.execute(ctx, m), nil
+	case *wire.Resolve:
+		return a.resolve(m), nil
+	case *wire.Gang:
+		return a.gang(ctx, from, m)
+	case *wire.Publish:
+		return a.publish(m), nil
+	default:
+		return nil, errNotHandled
+	}
+}
+
+func (a *Agent) execute(ctx context.Context, m *wire.Execute) *wire.ExecuteReply {
+	reply := a.quick.execute(ctx, m)
+	reply.Incarnation = a.incarnation
+	return reply
+}
+
+// resolve answers for this incarnation only: an earlier one's memory is gone.
+func (a *Agent) resolve(m *wire.Resolve) *wire.ResolveReply {
+	if m.Incarnation != a.incarnation {
+		return &wire.ResolveReply{State: wire.AttemptUnknown}
+	}
+	return a.quick.resolveName(m.Attempt)
+}
+
+func (a *Agent) gang(ctx context.Context, from *wire.Conn, m *wire.Gang) (any, error) {
+	reply := a.gangs.handle(ctx, from.Peer().ID, m)
+	if reply == nil {
+		return nil, errNotHandled
+	}
+	return encodeGangReply(*reply), nil
+}
+
+func encodeGangReply(r gang.Reply) *wire.GangReply {
+	data, err := cbor.Marshal(r)
+	if err != nil {
+		panic("agent: a gang reply can't be encoded: " + err.Error())
+	}
+	return &wire.GangReply{Payload: data}
+}
+
+// publish takes documents that an entry sends and answers with what is in force
+// then.
+func (a *Agent) publish(m *wire.Publish) *wire.PublishAck {
+	for _, v := range m.Versions {
+		a.docs.Offer(time.Now(), v)
+	}
+	return &wire.PublishAck{Generations: a.docs.Generations()}
+}
--- /dev/null
+++ b/agent/taskid.go
@@ -0,0 +1,47 @@
+package agent
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/target"
+)
+
+// The target knows an attempt by one number: the epoch in the upper half, the
+// planner's counter in the lower. Both stay far below 2^31: an epoch grows with
+// each change of planner, the counter with each start under it.
+const numberBits = 32
+
+func targetID(id gang.ID) target.TaskID {
+	return target.TaskID{Job: id.Job, Attempt: int(id.Epoch<<numberBits | id.Number)}
+}
+
+func gangID(id target.TaskID) gang.ID {
+	n := uint64(id.Attempt)
+	return gang.ID{
+		Job:    id.Job,
+		Epoch:  n >> numberBits,
+		Number: n & (1<<numberBits - 1),
+	}
+}
+
+// adopted turns a task that the target still runs into the member's account of
+// it. It was started, so it had been committed. Its lease tells how long the
+// agent's earlier life let it run without hearing that the gang is whole.
+func adopted(s target.TaskStatus, now time.Time) gang.Task {
+	return gang.Task{
+		ID:           gangID(s.TaskID),
+		State:        gang.StateRunning,
+		Accelerators: s.Accelerators,
+		Members:      s.Members,
+		Committed:    true,
+		Started:      true,
+		RunUntil:     now.Add(time.Duration(s.LeaseLeftMS) * time.Millisecond).UnixNano(),
+	}
+}
+
+// attemptName is the key of an attempt in reports.
+func attemptName(id gang.ID) string {
+	return fmt.Sprintf("%d.%d", id.Epoch, id.Number)
+}
--- a/api/status.go
+++ b/api/status.go
@@ -42,6 +42,8 @@
 	Service string `json:"service,omitempty"`
 	State   string `json:"state"`
 	// Generation is of the service's document, as the member reported it.
-	Generation uint64    `json:"generation"`
-	Heard      time.Time `json:"heard,omitzero"`
+	Generation uint64 `json:"generation"`
+	// Since is when the answering entry first heard of that generation there.
+	Since time.Time `json:"since,omitzero"`
+	Heard time.Time `json:"heard,omitzero"`
 }
--- /dev/null
+++ b/cmd/eelgrasshub/config.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// commandTimeout bounds an operator's command.
+const commandTimeout = 15 * time.Second
+
+// storeOptions name the platform's store. Operators' commands speak to it
+// directly, so that a document can be changed while no process of the system is
+// up.
+type storeOptions struct {
+	Platform []string `long:"platform" required:"true" value-name:"URL" description:"base URL of the platform's store; may be repeated"`
+}
+
+func (o storeOptions) client() *platform.Client {
+	return platform.NewClient(platform.Options{Endpoints: o.Platform})
+}
+
+func commandContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), commandTimeout)
+}
+
+func configCommands() command {
+	return command{
+		name:  "config",
+		short: "check, read and change service documents",
+		long:  "A service's document is the operators' one lever. These commands speak to the platform's store directly.",
+		sub: []command{
+			configCheckCommand(),
+			configGetCommand(),
+			configPutCommand(),
+			configStatusCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/cmd/eelgrasshub/config_get.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+)
+
+// baseMark is the first line of a document that config get wrote. It tells
+// config put which generation was edited.
+const baseMark = "# eelgrasshub generation "
+
+// configGetCmd prints the document that the store holds.
+type configGetCmd struct {
+	storeOptions
+	Output string `short:"o" long:"output" value-name:"FILE" description:"write to FILE instead of standard output"`
+	Args   struct {
+		Service string `positional-arg-name:"SERVICE" required:"true"`
+	} `positional-args:"true"`
+}
+
+func configGetCommand() command {
+	return command{
+		name:  "get",
+		short: "print a service's document",
+		long:  "The first line names the generation, from which config put learns what was edited.",
+		data:  &configGetCmd{},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *configGetCmd) Execute([]string) error {
+	ctx, cancel := commandContext()
+	defer cancel()
+	store := c.client()
+	defer store.Close()
+	v, ok, err := document.Get(ctx, store, c.Args.Service)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return fmt.Errorf("the store holds no document of the service %q; put a first one with config put", c.Args.Service)
+	}
+	text := []byte(baseMark + strconv.FormatUint(v.Generation, 10) + "\n" + string(v.TOML))
+	if c.Output == "" {
+		_, err = os.Stdout.Write(text)
+		return err
+	}
+	return os.WriteFile(c.Output, text, 0o644)
+}
+
+// splitBase takes the line that config get wrote off a document. Without it the
+// base is 0: a first document.
+func splitBase(data []byte) (uint64, []byte) {
+	line, rest, ok := strings.Cut(string(data), "\n")
+	if !ok || !strings.HasPrefix(line, baseMark) {
+		return 0, data
+	}
+	base, err := strconv.ParseUint(strings.TrimSpace(strings.TrimPrefix(line, baseMark)), 10, 64)
+	if err != nil {
+		return 0, data
+	}
+	return base, []byte(rest)
+}
--- /dev/null
+++ b/cmd/eelgrasshub/config_put.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// configPutCmd puts a new generation of a document.
+type configPutCmd struct {
+	storeOptions
+	Base   int64  `long:"base" default:"-1" value-name:"N" description:"generation that was edited; otherwise the file's first line says it, as config get wrote it"`
+	Author string `long:"author" value-name:"NAME" description:"who makes the change (default: the user running this)"`
+	Region string `long:"region" value-name:"NAME" description:"also ask this region's entries which generation is in force, as a guard against a store that was restored from a backup"`
+	Args   struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+func configPutCommand() command {
+	return command{
+		name:  "put",
+		short: "put a new generation of a document",
+		long:  "The document is checked first. Where another operator was faster, nothing is written and the difference is shown.",
+		data:  &configPutCmd{},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *configPutCmd) Execute([]string) error {
+	data, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	base, text := splitBase(data)
+	if c.Base >= 0 {
+		base = uint64(c.Base)
+	}
+	doc, err := document.Check(c.Args.File, text, fit)
+	if err != nil {
+		return err
+	}
+	author, err := c.author()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := commandContext()
+	defer cancel()
+	store := c.client()
+	defer store.Close()
+	v, err := document.Put(ctx, store, document.Proposal{
+		Name:    c.Args.File,
+		TOML:    text,
+		Base:    base,
+		Author:  author,
+		Token:   uuid.NewString(),
+		At:      time.Now(),
+		InForce: c.inForce(ctx, store, doc.Service),
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: generation %d accepted\n", v.Service, v.Generation)
+	return nil
+}
+
+// author is who is named to an operator who loses a race.
+func (c *configPutCmd) author() (string, error) {
+	if c.Author != "" {
+		return c.Author, nil
+	}
+	u, err := user.Current()
+	if err != nil {
+		return "", fmt.Errorf("--author is needed: the user running this is not known: %w", err)
+	}
+	return u.Username, nil
+}
+
+// inForce is the highest generation that a running entry reports, 0 where none
+// can be asked.
+func (c *configPutCmd) inForce(ctx context.Context, store platform.Store, service string) uint64 {
+	if c.Region == "" {
+		return 0
+	}
+	highest := uint64(0)
+	for _, s := range askEntries(ctx, store, c.Region) {
+		for _, g := range s.Status.Generations {
+			if g.Service == service {
+				highest = max(highest, g.Generation)
+			}
+		}
+	}
+	return highest
+}
--- /dev/null
+++ b/cmd/eelgrasshub/config_status.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// configStatusCmd shows which process has which generation in force.
+type configStatusCmd struct {
+	storeOptions
+	Region string `long:"region" required:"true" value-name:"NAME" description:"region whose entries are asked"`
+	Entry  string `long:"entry" value-name:"URL" description:"ask this entry only, also while the store is out"`
+}
+
+func configStatusCommand() command {
+	return command{
+		name:  "status",
+		short: "show which process has which generation in force, and since when",
+		data:  &configStatusCmd{},
+	}
+}
+
+// entryStatus is the answer of one entry, or why there is none.
+type entryStatus struct {
+	Name   string
+	Status api.Status
+	Err    error
+}
+
+// Execute implements flags.Commander.
+func (c *configStatusCmd) Execute([]string) error {
+	ctx, cancel := commandContext()
+	defer cancel()
+	if c.Entry != "" {
+		return printStatus(os.Stdout, []entryStatus{askEntry(ctx, c.Entry, c.Entry)})
+	}
+	store := c.client()
+	defer store.Close()
+	all := askEntries(ctx, store, c.Region)
+	if len(all) == 0 {
+		return fmt.Errorf("no entry of region %q is registered, or the store can't be asked; name one with --entry", c.Region)
+	}
+	return printStatus(os.Stdout, all)
+}
+
+// askEntries asks every entry that is registered in the region.
+func askEntries(ctx context.Context, store platform.Store, region string) []entryStatus {
+	registered, err := entry.Registered(ctx, store, region)
+	if err != nil {
+		return nil
+	}
+	var out []entryStatus
+	for _, r := range registered {
+		out = append(out, askEntry(ctx, r.ID, "http://"+r.HTTP))
+	}
+	return out
+}
+
+func askEntry(ctx context.Context, name, url string) entryStatus {
+	s, err := api.NewClient(url, nil).Status(ctx)
+	return entryStatus{Name: name, Status: s, Err: err}
+}
+
+func printStatus(to io.Writer, all []entryStatus) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PROCESS\tROLE\tSTATE\tSERVICE\tGENERATION\tSINCE")
+	for _, e := range all {
+		if e.Err != nil {
+			fmt.Fprintf(w, "%s\tentry\tno answer: %v\t\t\t\n", e.Name, e.Err)
+			continue
+		}
+		printEntry(w, e.Status)
+	}
+	return w.Flush()
+}
+
+func printEntry(w io.Writer, s api.Status) {
+	state := "not ready"
+	switch {
+	case s.Draining:
+		state = "draining"
+	case s.Ready:
+		state = "ready"
+	}
+	for _, g := range s.Generations {
+		fmt.Fprintf(w, "%s\tentry\t%s\t%s\t%d\t%s\n", s.ID, state, g.Service, g.Generation, g.Since.Format(time.RFC3339))
+	}
+	for _, m := range s.Members {
+		if m.Role == "agent" {
+			fmt.Fprintf(w, "%s\tagent, by %s\t%s\t%s\t%d\t%s\n", m.ID, s.ID, m.State, m.Service, m.Generation, m.Since.Format(time.RFC3339))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/eelgrasshub/fit.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/planner"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// fit is a document.FitCheck by the scheduler's own placement.
+func fit(t *document.Topology, accounts []document.Account) []document.Misfit {
+	policy := scheduler.Policy{Generation: 1}
+	for _, a := range accounts {
+		policy.Accounts = append(policy.Accounts, planner.AccountPolicy(a))
+	}
+	err := scheduler.CheckPolicy(policy, workersOf(t))
+	if err == nil {
+		return nil
+	}
+	return []document.Misfit{misfitOf(err, policy)}
+}
+
+// workersOf is the expected topology as idle workers.
+func workersOf(t *document.Topology) []scheduler.Worker {
+	var workers []scheduler.Worker
+	for _, zone := range t.Zones {
+		for rack, count := range zone.Racks {
+			for i := range count {
+				workers = append(workers, scheduler.Worker{
+					ID:           scheduler.WorkerID(fmt.Sprintf("%s-%d-%d", zone.Name, rack, i)),
+					Zone:         zone.Name,
+					Rack:         fmt.Sprintf("%s-%d", zone.Name, rack),
+					Accelerators: t.Accelerators,
+				})
+			}
+		}
+	}
+	return workers
+}
+
+func misfitOf(err error, p scheduler.Policy) document.Misfit {
+	m := document.Misfit{Reason: err.Error()}
+	var shape *scheduler.ShapeError
+	if !errors.As(err, &shape) {
+		return m
+	}
+	for i, a := range p.Accounts {
+		if a.ID != shape.Account {
+			continue
+		}
+		m.Account = i
+		for j, g := range a.Guaranteed {
+			if g == shape.Shape {
+				m.Guarantee = j
+			}
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/cmd/eelgrasshub/job_status.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+)
+
+// waitStep is how long one status request is held at most.
+const waitStep = 10 * time.Second
+
+// jobStatusCmd shows one job.
+type jobStatusCmd struct {
+	entryOptions
+	Wait time.Duration `long:"wait" description:"wait up to this long for the job to end, and fail where it is not done then"`
+	Args struct {
+		ID string `positional-arg-name:"ID" required:"true"`
+	} `positional-args:"true"`
+}
+
+func jobStatusCommand() command {
+	return command{name: "status", short: "show a job", data: &jobStatusCmd{}}
+}
+
+// Execute implements flags.Commander.
+func (c *jobStatusCmd) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait+commandTimeout)
+	defer cancel()
+	status, err := c.follow(ctx)
+	if err != nil {
+		return err
+	}
+	if err := printJSON(status); err != nil {
+		return err
+	}
+	if c.Wait > 0 && status.State != api.JobDone {
+		return fmt.Errorf("job %s is %s", status.ID, status.State)
+	}
+	return nil
+}
+
+func (c *jobStatusCmd) follow(ctx context.Context) (api.JobStatus, error) {
+	until := time.Now().Add(c.Wait)
+	for {
+		left := max(time.Until(until), 0)
+		status, err := c.client().Job(ctx, c.Service, c.Args.ID, min(left, waitStep))
+		if err != nil || status.State.Final() || left == 0 {
+			return status, err
+		}
+	}
+}
--- /dev/null
+++ b/cmd/eelgrasshub/platform_standin.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+)
+
+// platformStandinCmd runs the stand-in of the platform's store.
+type platformStandinCmd struct {
+	Listen   string `long:"listen" default:"127.0.0.1:0" value-name:"ADDR" description:"address to serve the etcd v3 JSON API on"`
+	LogLevel string `long:"log-level" default:"info"`
+}
+
+func platformStandinCommand() command {
+	return command{
+		name:  "platform-standin",
+		short: "run a stand-in of the platform's key-value service, for trials and tests",
+		long:  "Keeps everything in memory. Faults are set by POST /standin/faults. It is no replacement for the platform's service.",
+		data:  &platformStandinCmd{},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *platformStandinCmd) Execute([]string) error {
+	store := standin.New(standin.Options{})
+	defer store.Close()
+	srv := &http.Server{Handler: store}
+	return serveStandin("platform stand-in", c.Listen, c.LogLevel, srv)
+}
+
+// serveStandin serves until a signal comes.
+func serveStandin(name, addr, level string, srv *http.Server) error {
+	log, err := newLog(level)
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	log.WithField("address", l.Addr().String()).Info(name + " started")
+	go func() { _ = srv.Serve(l) }() // ends with Close
+	return serveUntilSignal(stopFunc(func(context.Context) error { return srv.Close() }), commandTimeout, log)
+}
--- /dev/null
+++ b/cmd/eelgrasshub/process.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// newLog returns the process's log on standard error: structured, one line for
+// each change of state.
+func newLog(level string) (*logrus.Entry, error) {
+	lvl, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetLevel(lvl)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return logrus.NewEntry(log), nil
+}
+
+// stopper is a role that ends gracefully.
+type stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// serveUntilSignal waits for SIGTERM or SIGINT, then stops the role gracefully
+// within grace. A second signal ends the process at once.
+func serveUntilSignal(role stopper, grace time.Duration, log *logrus.Entry) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	log.WithField("signal", (<-signals).String()).Info("stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return role.Stop(ctx)
+}
--- /dev/null
+++ b/cmd/eelgrasshub/role.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"net"
+	"net/http"
+)
+
+// roleOptions are the options of every long-running role.
+type roleOptions struct {
+	Settings string `short:"s" long:"settings" required:"true" value-name:"FILE" description:"the process's settings, in TOML"`
+	LogLevel string `long:"log-level" default:"info" description:"least level of log lines: debug, info, warn or error"`
+}
+
+// metered is a role with metrics.
+type metered interface {
+	MetricsHandler() http.Handler
+}
+
+// serveMetrics serves a role's metrics on a local address until stop is called.
+// An empty address means none.
+func serveMetrics(addr string, role metered) (stop func(), err error) {
+	if addr == "" {
+		return func() {}, nil
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	srv := &http.Server{Handler: role.MetricsHandler()}
+	go func() { _ = srv.Serve(l) }() // ends with Close
+	return func() { _ = srv.Close() }, nil
+}
--- /dev/null
+++ b/cmd/eelgrasshub/stopfunc.go
@@ -0,0 +1,9 @@
+package main
+
+import "context"
+
+// stopFunc is a function as a stopper.
+type stopFunc func(ctx context.Context) error
+
+// Stop implements stopper.
+func (f stopFunc) Stop(ctx context.Context) error { return f(ctx) }
--- /dev/null
+++ b/entry/documents.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// exchangeBytes bounds the documents in one answer to a peer.
+const exchangeBytes = 4 << 20
+
+// documentChanged puts a new generation to work: for the planner duty, and at
+// every agent of the service. It must not block.
+func (e *Entry) documentChanged(_, now *document.Held) {
+	e.log.WithField("service", now.Version.Service).WithField("generation", now.Version.Generation).Info("document in force")
+	e.duties.setDocument(now)
+	e.members.publish(now.Version)
+}
+
+// peersChanged tells the watcher whom to ask when the store is out.
+func (e *Entry) peersChanged(others []peerEntry) {
+	addrs := append([]string{}, e.cfg.Peers...)
+	for _, p := range others {
+		addrs = append(addrs, p.Address)
+	}
+	e.watcher.SetPeers(addrs)
+}
+
+// askPeer implements document.Ask: it sends another entry what this one has, and
+// takes what that one has more.
+func (e *Entry) askPeer(ctx context.Context, peer string, _ []document.Summary) (document.PeerAnswered, error) {
+	got, err := e.pool.Call(ctx, peer, &wire.Fetch{Have: e.docs.Generations()})
+	if err != nil {
+		return document.PeerAnswered{}, err
+	}
+	reply, ok := got.(*wire.FetchReply)
+	if !ok {
+		return document.PeerAnswered{}, errBadReply
+	}
+	return document.PeerAnswered{
+		Peer:        peer,
+		Ready:       reply.Ready,
+		Generations: reply.Generations,
+		Versions:    reply.Versions,
+	}, nil
+}
+
+// fetch serves askPeer of another entry.
+func (e *Entry) fetch(m *wire.Fetch) *wire.FetchReply {
+	ready := e.unconfirmed() == nil
+	return &wire.FetchReply{
+		Ready:       ready,
+		Generations: e.docs.Generations(),
+		Versions:    e.docs.Newer(m.Have, exchangeBytes),
+	}
+}
+
+// exchange takes versions that another process holds.
+func (e *Entry) exchange(m *wire.Publish) *wire.PublishAck {
+	for _, v := range m.Versions {
+		e.docs.Offer(time.Now(), v)
+	}
+	return &wire.PublishAck{Generations: e.docs.Generations()}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+	"gopkg.in/tomb.v2"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/routing"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// Entry is one running entry. Its methods are safe for concurrent use.
+type Entry struct {
+	cfg         settings.Entry
+	log         *logrus.Entry
+	incarnation uint64
+	since       time.Time
+
+	t        tomb.Tomb
+	client   *platform.Client
+	store    platform.Store
+	swaps    *platform.Batcher
+	ep       *wire.Endpoint
+	pool     *wire.Pool
+	listener net.Listener
+	server   *http.Server
+
+	docs      *document.InForce
+	watcher   *document.Watcher
+	jobs      *jobs.Store
+	claims    *claims
+	retention *sharedLease
+	agents    *agents
+	members   *members
+	registry  *registry
+	duties    *duties
+	metrics   *meters
+	once      *onceRunner
+	draining  atomic.Bool
+
+	mu          sync.RWMutex
+	dispatchers map[string]*dispatcher
+}
+
+// Start starts an entry. Stop or Close ends it.
+func Start(cfg settings.Entry, log *logrus.Entry) (*Entry, error) {
+	e := &Entry{
+		cfg:         cfg,
+		log:         log.WithField("entry", cfg.ID),
+		incarnation: uint64(time.Now().UnixNano()),
+		since:       time.Now(),
+		agents:      newAgents(),
+		metrics:     newMeters(),
+		dispatchers: make(map[string]*dispatcher),
+	}
+	e.openStore()
+	if err := e.listen(); err != nil {
+		e.swaps.Close()
+		return nil, err
+	}
+	e.run()
+	e.log.WithFields(logrus.Fields{
+		"http":        e.HTTPAddr(),
+		"quic":        e.ep.Addr(),
+		"incarnation": e.incarnation,
+	}).Info("entry started")
+	return e, nil
+}
+
+func (e *Entry) openStore() {
+	e.client = platform.NewClient(platform.Options{
+		Endpoints:   e.cfg.Platform,
+		CallTimeout: e.cfg.PlatformTimeout.Duration,
+		Budget:      rate.Limit(e.cfg.PlatformBudget),
+		Burst:       e.cfg.PlatformBudget,
+	})
+	e.store = e.client
+	e.swaps = platform.NewBatcher(e.store, 0)
+	e.jobs = jobs.NewStore(e.cfg.Region, e.store, e.swaps)
+	e.retention = newSharedLease(e.store, jobRetention)
+	e.claims = &claims{prefix: e.cfg.Region, store: e.store, swaps: e.swaps, lease: newSharedLease(e.store, keyLife)}
+	e.once = &onceRunner{claims: e.claims, process: e.incarnation}
+}
+
+func (e *Entry) listen() error {
+	peer := wire.Peer{
+		ID:          e.cfg.ID,
+		Role:        wire.RoleEntry,
+		Incarnation: e.incarnation,
+		Region:      e.cfg.Region,
+		Zone:        e.cfg.Zone,
+		Version:     wire.Version,
+		Address:     e.cfg.Advertise,
+	}
+	id, err := wire.NewIdentity(peer, []byte(e.cfg.ClusterKey))
+	if err != nil {
+		return err
+	}
+	e.ep, err = wire.Config{Accepted: e.agents.accepted}.Listen(e.cfg.QUICListen, id, wire.HandlerFunc(e.handle))
+	if err != nil {
+		return err
+	}
+	e.pool = wire.NewPool(e.ep)
+	e.agents.pool = e.pool
+	e.listener, err = net.Listen("tcp", e.cfg.HTTPListen)
+	if err != nil {
+		e.pool.Close()
+		_ = e.ep.Close()
+	}
+	return err
+}
+
+// run starts everything that goes on beside requests.
+func (e *Entry) run() {
+	own := peerEntry{
+		ID:          e.cfg.ID,
+		Address:     e.advertised(),
+		HTTP:        e.HTTPAddr(),
+		Zone:        e.cfg.Zone,
+		Incarnation: e.incarnation,
+	}
+	e.registry = newRegistry(e.store, e.cfg.Region, own, e.log)
+	e.registry.changed = e.peersChanged
+	e.duties = newDuties(e)
+	e.members = newMembers(e)
+	e.docs = document.NewInForce(e.documentChanged)
+	e.watcher = document.NewWatcher(e.store, e.askPeer, e.docs, document.DefaultFeederConfig(true), e.log)
+	e.watcher.SetPeers(e.cfg.Peers)
+	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout}
+	ctx := e.t.Context(nil)
+	e.t.Go(func() error {
+		e.t.Go(e.members.tick)
+		e.t.Go(func() error { e.registry.register(ctx); return nil })
+		e.t.Go(func() error { e.registry.follow(ctx); return nil })
+		return nil
+	})
+	go func() { _ = e.server.Serve(e.listener) }() // ends with Shutdown or Close
+}
+
+// headerTimeout bounds how long a caller may take to send its headers.
+const headerTimeout = 10 * time.Second
+
+func (e *Entry) advertised() string {
+	if e.cfg.Advertise != "" {
+		return e.cfg.Advertise
+	}
+	return e.ep.Addr()
+}
+
+// serves says whether this entry takes part in a service.
+func (e *Entry) serves(service string) bool {
+	return len(e.cfg.Services) == 0 || slices.Contains(e.cfg.Services, service)
+}
+
+// dispatcher returns the dispatcher of a service, made when first asked for.
+func (e *Entry) dispatcher(service string) *dispatcher {
+	e.mu.RLock()
+	d := e.dispatchers[service]
+	e.mu.RUnlock()
+	if d != nil {
+		return d
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d := e.dispatchers[service]; d != nil {
+		return d
+	}
+	d = e.newDispatcher()
+	e.dispatchers[service] = d
+	return d
+}
+
+func (e *Entry) newDispatcher() *dispatcher {
+	return &dispatcher{
+		router: routing.New(routing.Options{Seed: e.incarnation, Zone: e.cfg.Zone}),
+		agents: e.agents,
+		once:   e.once,
+		now:    time.Now,
+	}
+}
+
+// HTTPAddr is where callers reach this entry.
+func (e *Entry) HTTPAddr() string { return e.listener.Addr().String() }
+
+// QUICAddr is where agents and other entries reach this entry.
+func (e *Entry) QUICAddr() string { return e.ep.Addr() }
+
+// Stop ends the entry gracefully: readiness drops, duties are handed over,
+// requests in progress end, and only then the connections close. What is left
+// when ctx ends is cut, and ctx's error returned.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.draining.Store(true)
+	e.log.Info("draining")
+	e.duties.resign(ctx)
+	pause(ctx, e.cfg.DrainDelay.Duration)
+	err := e.server.Shutdown(ctx)
+	if drainErr := e.ep.Drain(ctx); err == nil {
+		err = drainErr
+	}
+	e.Close()
+	return err
+}
+
+// Close ends the entry at once.
+func (e *Entry) Close() {
+	e.t.Kill(nil)
+	_ = e.server.Close()
+	_ = e.watcher.Stop()
+	e.abandonDuties()
+	e.pool.Close()
+	_ = e.ep.Close()
+	_ = e.t.Wait()
+	e.swaps.Close()
+	e.client.Close()
+	e.log.Info("entry stopped")
+}
+
+// abandonDuties stops the planners and lets the leases lapse, as a death would;
+// after Stop there are none left.
+func (e *Entry) abandonDuties() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	e.duties.resign(ctx)
+}
--- /dev/null
+++ b/entry/gangcaller.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// gangCaller carries messages of the gang protocol over the agents'
+// connections. It implements planner.Agents.
+type gangCaller struct {
+	agents *agents
+}
+
+// Gang implements planner.Agents.
+func (c gangCaller) Gang(ctx context.Context, agent string, m gang.Message) (gang.Reply, error) {
+	data, err := cbor.Marshal(gang.Pack(m))
+	if err != nil {
+		return gang.Reply{}, err
+	}
+	got, err := c.agents.call(ctx, agent, &wire.Gang{Payload: data, Epoch: m.Head().Sender}, true)
+	if err != nil {
+		return gang.Reply{}, err
+	}
+	reply, ok := got.(*wire.GangReply)
+	if !ok {
+		return gang.Reply{}, errBadReply
+	}
+	return decodeGangReply(reply.Payload)
+}
+
+func decodeGangReply(data []byte) (gang.Reply, error) {
+	var r gang.Reply
+	err := cbor.Unmarshal(data, &r)
+	return r, err
+}
--- /dev/null
+++ b/entry/handle.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+var errNotHandled = eris.New("not a message for an entry")
+
+// handle serves what agents and other entries send.
+func (e *Entry) handle(ctx context.Context, from *wire.Conn, msg any) (any, error) {
+	switch m := msg.(type) {
+	case *wire.Report:
+		return e.members.report(m), nil
+	case *wire.Gang:
+		return e.taskEnded(from, m)
+	case *wire.Publish:
+		return e.exchange(m), nil
+	case *wire.Fetch:
+		return e.fetch(m), nil
+	case *wire.JobStatus:
+		return e.answerStatus(ctx, m), nil
+	default:
+		return nil, errNotHandled
+	}
+}
+
+// taskEnded takes the reply that an agent sends by itself at the end of a task.
+func (e *Entry) taskEnded(from *wire.Conn, m *wire.Gang) (any, error) {
+	reply, err := decodeGangReply(m.Payload)
+	if err != nil {
+		return nil, err
+	}
+	member := e.members.find(from.Peer().ID)
+	if member == nil {
+		return nil, errNotHandled
+	}
+	if p := e.duties.planner(member.Report.Service); p != nil {
+		p.Replied(from.Peer().ID, reply)
+	}
+	return &wire.GangReply{}, nil
+}
--- /dev/null
+++ b/entry/http_jobs.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"goji.io/pat"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+)
+
+const (
+	// maxWait bounds how long a status request is held.
+	maxWait = 30 * time.Second
+	// statusPoll is how often the planner is asked meanwhile.
+	statusPoll = 100 * time.Millisecond
+	// storeWait bounds a call to the platform's store on a caller's behalf.
+	storeWait = 3 * time.Second
+)
+
+// jobIDs is the namespace of ids derived from idempotency keys: the same key of
+// the same client account gives the same job through every entry.
+var jobIDs = uuid.MustParse("6a0d9a2e-5f6c-4b39-9d0e-0f5b1c7f4a11")
+
+// submitJob makes a job durable and answers with where to ask for it.
+func (e *Entry) submitJob(w http.ResponseWriter, r *http.Request) {
+	rec, problem := e.parseJob(r)
+	if problem != nil {
+		problem.WriteTo(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), storeWait)
+	defer cancel()
+	got, err := e.jobs.Accept(ctx, rec)
+	w.Header().Set("Location", api.JobPath(rec.Service, rec.ID))
+	if err != nil {
+		acceptProblem(err).WriteTo(w)
+		return
+	}
+	api.WriteJSON(w, http.StatusAccepted, statusOf(got.Record))
+}
+
+func (e *Entry) parseJob(r *http.Request) (jobs.Record, *api.Problem) {
+	if p := e.unconfirmed(); p != nil {
+		return jobs.Record{}, p
+	}
+	service := pat.Param(r, "service")
+	held, ok := e.docs.Current(service)
+	if !ok {
+		return jobs.Record{}, api.NewProblem(api.ReasonUnknownService, "no document in force names the service "+service)
+	}
+	var req api.JobRequest
+	if p := api.Decode(r.Body, api.MaxBodyLen, &req); p != nil {
+		return jobs.Record{}, p
+	}
+	if p := req.Check(); p != nil {
+		return jobs.Record{}, p
+	}
+	class, problem := checkClass(held.Document, req.Account, req.Class, document.Job)
+	if problem != nil {
+		return jobs.Record{}, problem
+	}
+	key := r.Header.Get(api.HeaderIdempotencyKey)
+	if p := api.CheckIdempotencyKey(key); p != nil {
+		return jobs.Record{}, p
+	}
+	return jobs.Record{
+		ID:        jobID(service, req.Account, key),
+		Service:   service,
+		Spec:      specOf(&req, class),
+		Submitted: time.Now(),
+	}, nil
+}
+
+func jobID(service, account, key string) string {
+	if key == "" {
+		return uuid.NewString()
+	}
+	return uuid.NewSHA1(jobIDs, []byte(service+"\x00"+account+"\x00"+key)).String()
+}
+
+func specOf(req *api.JobRequest, class *document.Class) jobs.Spec {
+	adjacency := req.Adjacency
+	if adjacency == "" {
+		adjacency = api.AdjacentAny
+	}
+	return jobs.Spec{
+		Account:        req.Account,
+		Class:          req.Class,
+		Accelerators:   req.Accelerators,
+		Adjacency:      string(adjacency),
+		Cores:          share(req.Cores, req.Accelerators),
+		MemoryMB:       share(req.MemoryMB, req.Accelerators),
+		Estimate:       time.Duration(req.Estimate),
+		Repeatable:     chosen(req.Repeatable, class.Repeatable),
+		Checkpointable: chosen(req.Checkpointable, class.Checkpointable),
+		Payload:        req.Payload,
+	}
+}
+
+// share is the part of one accelerator, rounded up; a job without accelerators
+// takes all on one worker.
+func share(whole, accelerators int) int {
+	if accelerators <= 1 {
+		return whole
+	}
+	return (whole + accelerators - 1) / accelerators
+}
+
+func acceptProblem(err error) *api.Problem {
+	switch {
+	case eris.Is(err, jobs.ErrMismatch):
+		return api.NewProblem(api.ReasonKeyReused, "the key belongs to a job with another content")
+	case eris.Is(err, jobs.ErrOutcomeUnknown):
+		return api.NewProblem(api.ReasonAcceptanceLost, "the platform's store did not say whether it took the job; ask at Location")
+	default:
+		return api.Busy(api.ReasonStoreDown, "the platform's store can't make the job safe: "+err.Error(), comeBack)
+	}
+}
+
+// jobStatus answers what is known of a job, held until the job ends where the
+// caller asks for it.
+func (e *Entry) jobStatus(w http.ResponseWriter, r *http.Request) {
+	service, id := pat.Param(r, "service"), pat.Param(r, "id")
+	until, problem := waitUntil(r, time.Now())
+	if problem != nil {
+		problem.WriteTo(w)
+		return
+	}
+	for {
+		status, problem := e.lookUp(r.Context(), service, id)
+		if problem != nil {
+			problem.WriteTo(w)
+			return
+		}
+		if status.State.Final() || time.Now().After(until) || r.Context().Err() != nil {
+			api.WriteJSON(w, http.StatusOK, status)
+			return
+		}
+		pause(r.Context(), statusPoll)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func waitUntil(r *http.Request, now time.Time) (time.Time, *api.Problem) {
+	text := r.URL.Query().Get(api.ParamWait)
+	if text == "" {
+		return now, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 {
+		return now, api.Invalid(api.ParamWait, "not a duration such as 10s")
+	}
+	return now.Add(min(wait, maxWait)), nil
+}
+
+// cancelJob cancels one job. It may be repeated.
+func (e *Entry) cancelJob(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), storeWait)
+	defer cancel()
+	got, err := e.jobs.Cancel(ctx, pat.Param(r, "service"), pat.Param(r, "id"), time.Now())
+	if err != nil {
+		cancelProblem(err).WriteTo(w)
+		return
+	}
+	api.WriteJSON(w, http.StatusAccepted, statusOf(got.Record))
+}
+
+func cancelProblem(err error) *api.Problem {
+	if eris.Is(err, jobs.ErrNotFound) {
+		return api.NewProblem(api.ReasonUnknownJob, "no record of the job")
+	}
+	return api.Busy(api.ReasonStoreDown, "the platform's store did not take the cancellation; it may be repeated: "+err.Error(), comeBack)
+}
+
+// cancelJobs cancels a wave of jobs; their writes share calls to the store.
+func (e *Entry) cancelJobs(w http.ResponseWriter, r *http.Request) {
+	var req api.CancelRequest
+	if p := api.Decode(r.Body, api.MaxBodyLen, &req); p != nil {
+		p.WriteTo(w)
+		return
+	}
+	if p := req.Check(); p != nil {
+		p.WriteTo(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), maxWait)
+	defer cancel()
+	resp, problem := e.cancelAll(ctx, pat.Param(r, "service"), req.IDs)
+	if problem != nil {
+		problem.WriteTo(w)
+		return
+	}
+	api.WriteJSON(w, http.StatusAccepted, resp)
+}
--- /dev/null
+++ b/entry/http_quick.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"goji.io/pat"
+	"goji.io/pattern"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// quickRequest serves one quick request to its end.
+func (e *Entry) quickRequest(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	c, problem := e.parseCall(r, began)
+	if problem != nil {
+		problem.WriteTo(w)
+		return
+	}
+	w.Header().Set(api.HeaderRequest, c.id)
+	reply, problem := e.dispatcher(c.service).do(r.Context(), c)
+	if problem != nil {
+		problem.Request = c.id
+		e.observeQuick(c, problem.Outcome(), time.Since(began))
+		problem.WriteTo(w)
+		return
+	}
+	e.observeQuick(c, api.OutcomeDone, time.Since(began))
+	writeReply(w, reply)
+}
+
+// parseCall reads and checks a request against the document in force.
+func (e *Entry) parseCall(r *http.Request, now time.Time) (*call, *api.Problem) {
+	if p := e.unconfirmed(); p != nil {
+		return nil, p
+	}
+	service := pat.Param(r, "service")
+	held, ok := e.docs.Current(service)
+	if !ok {
+		return nil, api.NewProblem(api.ReasonUnknownService, "no document in force names the service "+service)
+	}
+	asked, problem := api.ParseCall(r.Header)
+	if problem != nil {
+		return nil, problem
+	}
+	class, problem := checkClass(held.Document, asked.Account, asked.Class, document.Quick)
+	if problem != nil {
+		return nil, problem
+	}
+	body, problem := readBody(r)
+	if problem != nil {
+		return nil, problem
+	}
+	return &call{
+		id:       uuid.NewString(),
+		service:  service,
+		account:  asked.Account,
+		class:    asked.Class,
+		key:      asked.IdempotencyKey,
+		repeat:   chosen(asked.Repeatable, class.Repeatable),
+		retries:  class.Retries,
+		deadline: now.Add(shorter(asked.Deadline, class.Deadline.Duration)),
+		method:   r.Method,
+		path:     strings.TrimPrefix(pattern.Path(r.Context()), "/"),
+		query:    r.URL.RawQuery,
+		header:   forwarded(r.Header),
+		body:     body,
+	}, nil
+}
+
+// unconfirmed refuses work while the entry does not know the configuration. A
+// draining entry still serves what the balancer sends it.
+func (e *Entry) unconfirmed() *api.Problem {
+	select {
+	case <-e.watcher.Ready():
+		return nil
+	default:
+		return api.Busy(api.ReasonNotReady, "the configuration is not confirmed yet", comeBack)
+	}
+}
+
+func checkClass(d *document.Document, account, class string, kind document.Kind) (*document.Class, *api.Problem) {
+	if _, ok := d.Account(account); !ok {
+		return nil, api.NewProblem(api.ReasonUnknownAccount, "the document does not declare the client account "+account)
+	}
+	c, ok := d.Class(class)
+	if !ok {
+		return nil, api.NewProblem(api.ReasonUnknownClass, "the document does not declare the class "+class)
+	}
+	if c.Kind != kind {
+		return nil, api.NewProblem(api.ReasonUnknownClass, "the class "+class+" is of kind "+string(c.Kind)+", not "+string(kind))
+	}
+	return c, nil
+}
+
+// readBody takes the whole body before anything is sent: a request that is cut
+// short must not run.
+func readBody(r *http.Request) ([]byte, *api.Problem) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, api.MaxBodyLen))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, api.NewProblem(api.ReasonTooLarge, "the body is larger than allowed")
+	case err != nil:
+		return nil, api.Invalid("body", "it was cut short")
+	}
+	return body, nil
+}
+
+func chosen(asked *bool, otherwise bool) bool {
+	if asked != nil {
+		return *asked
+	}
+	return otherwise
+}
+
+// shorter is the caller's deadline, at most the class's.
+func shorter(asked, class time.Duration) time.Duration {
+	if asked <= 0 || asked > class {
+		return class
+	}
+	return asked
+}
+
+// forwarded is what the target gets to see of the caller's headers: all but
+// those that speak to the system or to the connection.
+func forwarded(h http.Header) []wire.Header {
+	var out []wire.Header
+	for name, values := range h {
+		if !passes(name) {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+var heldBack = map[string]bool{
+	"Connection":        true,
+	"Keep-Alive":        true,
+	"Proxy-Connection":  true,
+	"Te":                true,
+	"Trailer":           true,
+	"Transfer-Encoding": true,
+	"Upgrade":           true,
+	"Content-Length":    true,
+}
+
+const ownPrefix = "Eelgrasshub-"
+
+func passes(name string) bool {
+	return !heldBack[name] && !strings.HasPrefix(name, ownPrefix)
+}
+
+// writeReply hands the target's whole answer to the caller.
+func writeReply(w http.ResponseWriter, reply *wire.ExecuteReply) {
+	h := w.Header()
+	for _, line := range reply.Header {
+		if passes(line.Name) {
+			h.Add(line.Name, line.Value)
+		}
+	}
+	h.Set(api.HeaderOutcome, string(api.OutcomeDone))
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body) // the caller may be gone; there is no one else to tell
+}
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/planner"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// cancelWidth is how many cancellations of a wave are under way at once. Their
+// reads are calls to the store, their writes share calls.
+const cancelWidth = 32
+
+// cancelAll cancels jobs of one service. On a Problem some may have been
+// cancelled; the whole call may be repeated.
+func (e *Entry) cancelAll(ctx context.Context, service string, ids []string) (api.CancelResponse, *api.Problem) {
+	var mu sync.Mutex
+	var resp api.CancelResponse
+	var group errgroup.Group
+	group.SetLimit(cancelWidth)
+	for _, id := range ids {
+		group.Go(func() error {
+			_, err := e.jobs.Cancel(ctx, service, id, time.Now())
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				resp.Accepted = append(resp.Accepted, id)
+			case eris.Is(err, jobs.ErrNotFound):
+				resp.Unknown = append(resp.Unknown, id)
+			default:
+				return err
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return resp, cancelProblem(err)
+	}
+	return resp, nil
+}
+
+// lookUp asks who knows a job best: this entry's planner, the planner's entry,
+// or else the store.
+func (e *Entry) lookUp(ctx context.Context, service, id string) (api.JobStatus, *api.Problem) {
+	ctx, cancel := context.WithTimeout(ctx, storeWait)
+	defer cancel()
+	if s, ok := e.duties.status(ctx, service, id); ok {
+		return s, nil
+	}
+	if s, ok := e.askPlanner(ctx, service, id); ok {
+		return s, nil
+	}
+	rec, err := e.jobs.Get(ctx, service, id)
+	switch {
+	case err == nil:
+		return statusOf(rec.Record), nil
+	case eris.Is(err, jobs.ErrNotFound):
+		return api.JobStatus{}, api.NewProblem(api.ReasonUnknownJob, "no record of the job")
+	default:
+		return api.JobStatus{}, api.Busy(api.ReasonUnknownJob, "neither the planner nor the platform's store can be asked: "+err.Error(), comeBack)
+	}
+}
+
+// askPlanner asks the entry that holds the planner duty.
+func (e *Entry) askPlanner(ctx context.Context, service, id string) (api.JobStatus, bool) {
+	addr, ok := e.duties.plannerAddr(service)
+	if !ok {
+		return api.JobStatus{}, false
+	}
+	got, err := e.pool.Call(ctx, addr, &wire.JobStatus{Service: service, IDs: []string{id}})
+	reply, isReply := got.(*wire.JobStatusReply)
+	if err != nil || !isReply || len(reply.States) != 1 {
+		return api.JobStatus{}, false
+	}
+	var s api.JobStatus
+	if json.Unmarshal(reply.States[0].Status, &s) != nil {
+		return api.JobStatus{}, false
+	}
+	return s, true
+}
+
+// answerStatus serves askPlanner of another entry.
+func (e *Entry) answerStatus(ctx context.Context, m *wire.JobStatus) *wire.JobStatusReply {
+	reply := &wire.JobStatusReply{Entry: e.cfg.ID}
+	for _, id := range m.IDs {
+		s, ok := e.duties.status(ctx, m.Service, id)
+		if !ok {
+			continue
+		}
+		data, err := json.Marshal(s)
+		if err != nil {
+			continue
+		}
+		reply.States = append(reply.States, wire.JobState{ID: id, Status: data})
+	}
+	return reply
+}
+
+// statusOf is a record as callers see it.
+func statusOf(r jobs.Record) api.JobStatus {
+	return api.JobStatus{
+		ID:        r.ID,
+		State:     api.JobState(r.State),
+		Attempt:   int(r.Attempt),
+		Reason:    reasonOf(r),
+		Detail:    r.Reason,
+		Result:    r.Result,
+		Placement: placementOf(r.Members),
+		Submitted: r.Submitted,
+		Started:   r.Started,
+		Ended:     r.Ended,
+	}
+}
+
+func reasonOf(r jobs.Record) api.Reason {
+	switch r.State {
+	case jobs.Rejected:
+		return api.ReasonImpossible
+	case jobs.Unknown:
+		return api.ReasonOutcomeLost
+	case jobs.Cancelled:
+		if r.Attempt == 0 {
+			return api.ReasonCancelled
+		}
+	}
+	return ""
+}
+
+func placementOf(members []jobs.Member) []api.Placement {
+	var out []api.Placement
+	for _, m := range members {
+		out = append(out, api.Placement{Agent: m.Agent, Accelerators: m.Accelerators})
+	}
+	return out
+}
+
+// liveStatus is a job as its planner sees it.
+func liveStatus(s planner.Status) api.JobStatus {
+	out := statusOf(s.Record)
+	if s.Phase == "" {
+		return out
+	}
+	out.State = api.JobState(s.Phase)
+	out.Placement = placementOf(s.Members)
+	return out
+}
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,293 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/eelgrasshub/eelgrasshub/clock"
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/membership"
+	"github.com/eelgrasshub/eelgrasshub/planner"
+	"github.com/eelgrasshub/eelgrasshub/routing"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// memberTick is the period in which silent agents are looked for.
+const memberTick = time.Second
+
+// publishTimeout bounds the sending of documents to one agent.
+const publishTimeout = 3 * time.Second
+
+// members takes the agents' reports: it keeps the membership table, and hands
+// what changed to the routers and planners. It is safe for concurrent use.
+type members struct {
+	e *Entry
+
+	mu      sync.Mutex // owns the table's Step, and sending
+	table   *membership.Table
+	sending map[string]bool      // agents to which documents are on their way
+	since   map[string]time.Time // when an agent's generation was first heard of
+}
+
+func newMembers(e *Entry) *members {
+	return &members{
+		e:       e,
+		table:   membership.NewTable(membership.Config{ReportEvery: e.cfg.ReportEvery.Duration}),
+		sending: make(map[string]bool),
+		since:   make(map[string]time.Time),
+	}
+}
+
+// report answers a batch of reports.
+func (m *members) report(r *wire.Report) *wire.ReportAck {
+	now := clock.Now()
+	m.mu.Lock()
+	actions := m.table.Step(time.Now(), membership.Reports{Batch: r.Batch})
+	m.mu.Unlock()
+	m.apply(actions)
+
+	ack := m.e.news(r.Known)
+	membership.FillAck(ack, actions)
+	for _, one := range r.Batch {
+		m.observe(one, now, ack)
+		m.offerDocuments(one)
+	}
+	return ack
+}
+
+// apply hands on what changed.
+func (m *members) apply(actions []membership.Action) {
+	services := make(map[string]bool)
+	for _, a := range actions {
+		member := memberOf(a)
+		if member == nil {
+			continue
+		}
+		services[member.Report.Service] = true
+		m.place(a, member)
+	}
+	for s := range services {
+		m.route(s)
+	}
+}
+
+func memberOf(a membership.Action) *membership.Member {
+	switch a := a.(type) {
+	case membership.Joined:
+		return a.Member
+	case membership.Changed:
+		if a.Groups&^wire.ChangedLoad == 0 {
+			return nil // load reaches the routers with each answer
+		}
+		return a.Member
+	case membership.Suspected:
+		return a.Member
+	case membership.Recovered:
+		return a.Member
+	case membership.Lost:
+		return a.Member
+	case membership.Left:
+		return a.Member
+	}
+	return nil
+}
+
+func (m *members) place(a membership.Action, member *membership.Member) {
+	id := member.Report.ID
+	m.noteGeneration(a, id)
+	switch a.(type) {
+	case membership.Left:
+		m.e.agents.forget(id)
+		if p := m.e.duties.planner(member.Report.Service); p != nil {
+			p.Left(id)
+		}
+	case membership.Joined, membership.Changed:
+		m.e.agents.place(id, member.Report.Address)
+	case membership.Suspected:
+		m.e.dispatcher(member.Report.Service).router.Suspect(time.Now(), routing.TargetID(id))
+	}
+}
+
+func (m *members) noteGeneration(a membership.Action, id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch a := a.(type) {
+	case membership.Joined:
+		m.since[id] = time.Now()
+	case membership.Changed:
+		if a.Groups&wire.ChangedGenerations != 0 {
+			m.since[id] = time.Now()
+		}
+	case membership.Lost, membership.Left:
+		delete(m.since, id)
+	}
+}
+
+func (m *members) generationSince(id string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.since[id]
+}
+
+// route hands the targets of a service to its router. The snapshot is published
+// at once for whatever stops new work.
+func (m *members) route(service string) {
+	view := m.table.Snapshot().Service(service)
+	targets := make([]routing.Target, 0, len(view.Members))
+	for _, member := range view.Members {
+		r := &member.Report
+		targets = append(targets, routing.Target{
+			ID:          routing.TargetID(r.ID),
+			Zone:        r.Zone,
+			Slots:       r.Slots,
+			Connections: r.Connections,
+			Draining:    !member.Offered(),
+			Incarnation: r.Incarnation,
+		})
+	}
+	m.e.dispatcher(service).setTargets(targets)
+}
+
+// observe tells the planner, if it is here, and adds its part to the answer.
+func (m *members) observe(r wire.AgentReport, now time.Time, ack *wire.ReportAck) {
+	member := m.find(r.ID)
+	if member == nil || r.Goodbye || member.Report.Incarnation != r.Incarnation {
+		return
+	}
+	p := m.e.duties.planner(member.Report.Service)
+	if p == nil {
+		return
+	}
+	p.Observe(seen(member, r.Stamp, now.Add(-r.Age)))
+	whole, stamp := p.Answer(r.ID)
+	ack.Whole = append(ack.Whole, whole...)
+	ack.Stamp = stamp
+}
+
+func (m *members) find(id string) *membership.Member {
+	snap := m.table.Snapshot()
+	for _, s := range snap.Services() {
+		if member := snap.Service(s).Find(id); member != nil {
+			return member
+		}
+	}
+	return nil
+}
+
+func seen(member *membership.Member, stamp gang.Stamp, at time.Time) planner.Seen {
+	r := &member.Report
+	return planner.Seen{
+		Worker: scheduler.Worker{
+			ID:           scheduler.WorkerID(r.ID),
+			Zone:         r.Zone,
+			Rack:         r.Rack,
+			Accelerators: r.Accelerators,
+			Cores:        r.Cores,
+			MemoryMB:     r.MemoryMB,
+		},
+		Incarnation: r.Incarnation,
+		Draining:    r.Draining,
+		Fence:       r.Fence,
+		Stamp:       stamp,
+		Tasks:       gangTasks(r.Tasks),
+		At:          at,
+	}
+}
+
+func gangTasks(reports []wire.TaskReport) []gang.Task {
+	tasks := make([]gang.Task, 0, len(reports))
+	for _, r := range reports {
+		var t gang.Task
+		if cbor.Unmarshal(r.Gang, &t) == nil {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+// replay tells a new planner of all agents known. What they last said is as old
+// as it is: only their own next reports prove that their gangs are whole.
+func (m *members) replay(service string, p *planner.Planner) {
+	for _, member := range m.table.Snapshot().Service(service).Members {
+		p.Observe(seen(member, gang.Stamp{Epoch: staleEpoch}, clock.Now()))
+	}
+}
+
+// staleEpoch is in no planner's stamp: evidence of nothing.
+const staleEpoch = ^uint64(0)
+
+// offerDocuments sends an agent what it lacks of its service's document.
+func (m *members) offerDocuments(r wire.AgentReport) {
+	member := m.find(r.ID)
+	if member == nil {
+		return
+	}
+	held, ok := m.e.docs.Current(member.Report.Service)
+	if !ok || hasGeneration(member.Report.Generations, held.Version.Summary()) {
+		return
+	}
+	m.mu.Lock()
+	busy := m.sending[r.ID]
+	m.sending[r.ID] = true
+	m.mu.Unlock()
+	if !busy {
+		go m.sendDocument(r.ID, wire.DocumentVersion(held.Version))
+	}
+}
+
+func hasGeneration(have []wire.Generation, want wire.Generation) bool {
+	for _, g := range have {
+		if g.Service == want.Service && g.Generation >= want.Generation {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *members) sendDocument(agent string, v wire.DocumentVersion) {
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	_, _ = m.e.agents.call(ctx, agent, &wire.Publish{Versions: []wire.DocumentVersion{v}}, true) // its next report shows what it lacks
+	m.mu.Lock()
+	delete(m.sending, agent)
+	m.mu.Unlock()
+}
+
+// publish sends a new generation to every agent of its service at once.
+func (m *members) publish(v wire.DocumentVersion) {
+	for _, member := range m.table.Snapshot().Service(v.Service).Members {
+		go m.sendDocument(member.Report.ID, v)
+	}
+}
+
+// tick lets time pass for the table until the entry stops.
+func (m *members) tick() error {
+	ticker := time.NewTicker(memberTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.e.t.Dying():
+			return nil
+		case now := <-ticker.C:
+			m.mu.Lock()
+			actions := m.table.Step(now, membership.Tick{})
+			m.mu.Unlock()
+			m.apply(actions)
+		}
+	}
+}
+
+// digestOf marks the content of an answer, so that it is not repeated.
+func digestOf(ack *wire.ReportAck) uint64 {
+	data, err := cbor.Marshal(ack)
+	if err != nil {
+		panic("entry: a report answer can't be encoded: " + err.Error())
+	}
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(data, 1))
+}
--- /dev/null
+++ b/entry/registry.go
@@ -0,0 +1,273 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+const (
+	// registryTTL is how long a dead entry stays registered.
+	registryTTL = 10 * time.Second
+	// registryPause is the pause before a failed registration or watch is tried
+	// again.
+	registryPause = time.Second
+	// absentFor is how long an entry whose registration has gone is still
+	// believed in: after an outage of the store all registrations have lapsed at
+	// once, while the entries live on.
+	absentFor = 30 * time.Second
+)
+
+// peerEntry is an entry as it registers itself in the platform's store.
+type peerEntry struct {
+	Token       string     `json:"token"`
+	ID          string     `json:"id"`
+	Address     string     `json:"address"` // of its QUIC endpoint
+	HTTP        string     `json:"http"`    // of its callers' interface
+	Zone        string     `json:"zone"`
+	Incarnation uint64     `json:"incarnation"`
+	Duties      []heldDuty `json:"duties,omitempty"`
+}
+
+// heldDuty is a planner duty that the entry holds.
+type heldDuty struct {
+	Service string `json:"service"`
+	Epoch   uint64 `json:"epoch"`
+}
+
+// registry lets the few entries of a region find each other through the
+// platform's store. It is safe for concurrent use.
+type registry struct {
+	store  platform.Store
+	prefix string
+	log    *logrus.Entry
+	// changed is told of the other entries after each change.
+	changed func(others []peerEntry)
+
+	mu     sync.Mutex
+	own    peerEntry
+	peers  map[string]peerEntry
+	absent map[string]time.Time
+	dirty  chan struct{}
+}
+
+func newRegistry(store platform.Store, region string, own peerEntry, log *logrus.Entry) *registry {
+	return &registry{
+		store:  store,
+		prefix: "entries/" + region + "/",
+		log:    log,
+		own:    own,
+		peers:  make(map[string]peerEntry),
+		absent: make(map[string]time.Time),
+		dirty:  make(chan struct{}, 1),
+	}
+}
+
+// setDuties registers which duties this entry holds.
+func (r *registry) setDuties(duties []heldDuty) {
+	r.mu.Lock()
+	r.own.Duties = duties
+	r.mu.Unlock()
+	select {
+	case r.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// others returns the other entries, by id.
+func (r *registry) others() []peerEntry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.SortedFunc(maps.Values(r.peers), func(a, b peerEntry) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+}
+
+// planner returns the other entry with the highest epoch of the service's duty.
+func (r *registry) planner(service string) (peerEntry, uint64, bool) {
+	var best peerEntry
+	var epoch uint64
+	for _, p := range r.others() {
+		for _, d := range p.Duties {
+			if d.Service == service && d.Epoch > epoch {
+				best, epoch = p, d.Epoch
+			}
+		}
+	}
+	return best, epoch, epoch > 0
+}
+
+// register keeps this entry's registration alive until ctx ends, then removes
+// it.
+func (r *registry) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.term(ctx); err != nil {
+			pause(ctx, registryPause)
+		}
+	}
+}
+
+// term is the life of one lease.
+func (r *registry) term(ctx context.Context) error {
+	lease, err := r.store.Grant(ctx, registryTTL)
+	if err != nil {
+		return err
+	}
+	defer r.revoke(lease)
+	rev := platform.Revision(0)
+	for {
+		rev, err = r.write(ctx, lease, rev)
+		if err != nil {
+			return err
+		}
+		if err := r.keep(ctx, lease); err != nil {
+			return err
+		}
+	}
+}
+
+// keep renews the lease until the registration has to be written again.
+func (r *registry) keep(ctx context.Context, lease platform.LeaseID) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.dirty:
+			return nil
+		case <-time.After(registryTTL / 3):
+			if _, err := r.store.Renew(ctx, lease); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// write registers the entry. An older registration under the same id is of an
+// earlier life and is replaced.
+func (r *registry) write(ctx context.Context, lease platform.LeaseID, rev platform.Revision) (platform.Revision, error) {
+	r.mu.Lock()
+	r.own.Token = uuid.NewString()
+	value, err := json.Marshal(r.own)
+	r.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	for {
+		res, err := r.store.Commit(ctx, []platform.Swap{{Key: r.prefix + r.own.ID, Expect: rev, Value: value, Lease: lease}})
+		switch {
+		case err != nil:
+			return 0, err
+		case res[0].Swapped:
+			return res[0].Current.Mod, nil
+		case res[0].Unknown:
+			return 0, platform.ErrUnavailable
+		}
+		rev = res[0].Current.Mod
+	}
+}
+
+func (r *registry) revoke(lease platform.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), registryPause)
+	defer cancel()
+	_ = r.store.Revoke(ctx, lease) // it lapses by itself otherwise
+}
+
+// follow keeps the list of the other entries until ctx ends.
+func (r *registry) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		snap, err := r.store.List(ctx, r.prefix)
+		if err == nil {
+			r.listed(snap)
+			_ = r.store.Watch(ctx, r.prefix, snap.At+1, r.deliver)
+		}
+		pause(ctx, registryPause)
+	}
+}
+
+func (r *registry) listed(snap platform.Snapshot) {
+	r.update(func() {
+		for id := range r.peers {
+			r.markAbsent(id)
+		}
+		for _, kv := range snap.Keys {
+			r.take(kv)
+		}
+	})
+}
+
+func (r *registry) deliver(b platform.WatchBatch) {
+	r.update(func() {
+		for _, ev := range b.Events {
+			if ev.Deleted {
+				r.markAbsent(ev.Key[len(r.prefix):])
+				continue
+			}
+			r.take(ev.KeyValue)
+		}
+	})
+}
+
+func (r *registry) update(f func()) {
+	r.mu.Lock()
+	f()
+	r.dropAbsent(time.Now())
+	r.mu.Unlock()
+	r.changed(r.others())
+}
+
+func (r *registry) take(kv platform.KeyValue) {
+	var p peerEntry
+	if json.Unmarshal(kv.Value, &p) != nil || p.ID == r.own.ID {
+		return
+	}
+	r.peers[p.ID] = p
+	delete(r.absent, p.ID)
+}
+
+func (r *registry) markAbsent(id string) {
+	if _, ok := r.peers[id]; ok && r.absent[id].IsZero() {
+		r.absent[id] = time.Now()
+	}
+}
+
+func (r *registry) dropAbsent(now time.Time) {
+	for id, since := range r.absent {
+		if now.Sub(since) > absentFor {
+			delete(r.absent, id)
+			delete(r.peers, id)
+		}
+	}
+}
+
+// Registration is where a registered entry is reached.
+type Registration struct {
+	ID   string
+	HTTP string // host:port of its callers' interface
+}
+
+// Registered lists the entries of a region that are registered in the store.
+func Registered(ctx context.Context, store platform.Store, region string) ([]Registration, error) {
+	snap, err := store.List(ctx, "entries/"+region+"/")
+	if err != nil {
+		return nil, err
+	}
+	var out []Registration
+	for _, kv := range snap.Keys {
+		var p peerEntry
+		if json.Unmarshal(kv.Value, &p) == nil {
+			out = append(out, Registration{ID: p.ID, HTTP: p.HTTP})
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/entry/sharedlease.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+const (
+	// jobRetention is for how long the record of an ended job is kept.
+	jobRetention = 24 * time.Hour
+	// leaseRenewal is how long one store lease collects keys. A key so lives
+	// between the life asked for and that plus leaseRenewal.
+	leaseRenewal = time.Hour
+)
+
+// sharedLease is the store lease under which this process writes keys that are
+// to be forgotten after some time. It is never renewed: all keys of an hour
+// share one, and the store deletes them when it lapses, which costs no call. It
+// is safe for concurrent use.
+type sharedLease struct {
+	store platform.Store
+	life  time.Duration
+
+	grants  singleflight.Group
+	mu      sync.Mutex
+	id      platform.LeaseID
+	granted time.Time
+}
+
+func newSharedLease(store platform.Store, life time.Duration) *sharedLease {
+	return &sharedLease{store: store, life: life}
+}
+
+// Current returns the lease for keys written now. Callers that need a new one
+// share the call for it, and each waits no longer than its own ctx.
+func (l *sharedLease) Current(ctx context.Context) (platform.LeaseID, error) {
+	if id, ok := l.valid(); ok {
+		return id, nil
+	}
+	granted := l.grants.DoChan("grant", func() (any, error) { return l.grant() })
+	select {
+	case r := <-granted:
+		id, _ := r.Val.(platform.LeaseID)
+		return id, r.Err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+func (l *sharedLease) valid() (platform.LeaseID, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.id, l.id != 0 && time.Since(l.granted) < leaseRenewal
+}
+
+func (l *sharedLease) grant() (platform.LeaseID, error) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), storeWait)
+	defer cancel()
+	id, err := l.store.Grant(ctx, l.life+leaseRenewal)
+	if err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id, l.granted = id, began
+	return id, nil
+}
+
+// Drop forgets a lease that the store no longer has, as after a restore.
+func (l *sharedLease) Drop(id platform.LeaseID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.id == id {
+		l.id = 0
+	}
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/membership"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// news is the part of a report's answer that is the same for all agents: which
+// entries there are, who plans, and which documents are in force. It is left out
+// when the sender has it already.
+func (e *Entry) news(known uint64) *wire.ReportAck {
+	ack := &wire.ReportAck{
+		Entries: []wire.EntryInfo{{
+			ID:          e.cfg.ID,
+			Address:     e.advertised(),
+			Zone:        e.cfg.Zone,
+			Incarnation: e.incarnation,
+		}},
+		Generations: e.docs.Generations(),
+	}
+	for _, p := range e.registry.others() {
+		ack.Entries = append(ack.Entries, wire.EntryInfo{
+			ID:          p.ID,
+			Address:     p.Address,
+			Zone:        p.Zone,
+			Incarnation: p.Incarnation,
+		})
+	}
+	digest := digestOf(ack)
+	if digest == known {
+		ack = &wire.ReportAck{}
+	}
+	ack.Digest = digest
+	return ack
+}
+
+// status answers with what this entry is and sees.
+func (e *Entry) status(w http.ResponseWriter, _ *http.Request) {
+	s := api.Status{
+		ID:          e.cfg.ID,
+		Incarnation: strconv.FormatUint(e.incarnation, 10),
+		Zone:        e.cfg.Zone,
+		Ready:       e.notReady() == nil,
+		Draining:    e.draining.Load(),
+		Since:       e.since,
+		Duties:      e.duties.held(),
+		Generations: []api.Generation{},
+		Members:     []api.Member{},
+	}
+	for _, h := range e.docs.All() {
+		s.Generations = append(s.Generations, api.Generation{
+			Service:    h.Version.Service,
+			Generation: h.Version.Generation,
+			Since:      h.Since,
+		})
+	}
+	snap := e.members.table.Snapshot()
+	for _, service := range snap.Services() {
+		for _, m := range snap.Service(service).Members {
+			one := memberStatus(m)
+			one.Since = e.members.generationSince(one.ID)
+			s.Members = append(s.Members, one)
+		}
+	}
+	for _, p := range e.registry.others() {
+		s.Members = append(s.Members, api.Member{ID: p.ID, Role: string(wire.RoleEntry), Zone: p.Zone, State: "registered"})
+	}
+	api.WriteJSON(w, http.StatusOK, s)
+}
+
+func memberStatus(m *membership.Member) api.Member {
+	out := api.Member{
+		ID:      m.Report.ID,
+		Role:    string(wire.RoleAgent),
+		Zone:    m.Report.Zone,
+		Service: m.Report.Service,
+		State:   stateName(m),
+	}
+	for _, g := range m.Report.Generations {
+		if g.Service == m.Report.Service {
+			out.Generation = g.Generation
+		}
+	}
+	return out
+}
+
+func stateName(m *membership.Member) string {
+	switch {
+	case m.Report.Draining:
+		return "draining"
+	case m.State == membership.Suspect:
+		return "suspect"
+	default:
+		return "alive"
+	}
+}
--- /dev/null
+++ b/planner/config.go
@@ -0,0 +1,100 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// Agents carries one message of the gang protocol to an agent and its reply
+// back. A lost message or reply is an error; the planner sends again.
+type Agents interface {
+	Gang(ctx context.Context, agent string, m gang.Message) (gang.Reply, error)
+}
+
+// Observer is told of what is measured. Its methods must not block.
+type Observer interface {
+	// JobStarted: a job waited for wait from its acceptance to its first start.
+	JobStarted(account, class string, wait time.Duration)
+	// JobEnded: a job ended in state, took after its acceptance.
+	JobEnded(account, class string, state jobs.State, took time.Duration)
+}
+
+// Retention is the store lease under which ended records are kept. Drop says
+// that the store no longer has it.
+type Retention interface {
+	Current(ctx context.Context) (platform.LeaseID, error)
+	Drop(id platform.LeaseID)
+}
+
+// Config is the fixed part of a Planner.
+type Config struct {
+	Service string
+	// Epoch is the fencing epoch of this term.
+	Epoch    uint64
+	Store    platform.Store // for listing and watching the job records
+	Jobs     *jobs.Store
+	Agents   Agents
+	Observer Observer
+	Log      *logrus.Entry
+	// Document is what is in force when the term begins.
+	Document *document.Held
+	Retention Retention
+}
+
+const (
+	// resend is how long the reply to a message of the gang protocol is awaited.
+	resend = 400 * time.Millisecond
+	// sendTimeout bounds one such exchange.
+	sendTimeout = 2 * time.Second
+	// stopAllowance is the longest that a target takes to stop a task.
+	stopAllowance = 3 * time.Second
+	// settleFor is how long after the begin of a term jobs are not rejected for
+	// being larger than the topology: agents may still be announcing themselves.
+	settleFor = 5 * time.Second
+	// storeRetry is the pause before a failed write or listing is tried again.
+	storeRetry = 500 * time.Millisecond
+	// recentJobs is how many ended jobs are remembered for status requests.
+	recentJobs = 4096
+	// workQueue bounds what waits for the planner's goroutine.
+	workQueue = 8192
+	// housekeeping is the period in which lost agents are looked for.
+	housekeeping = 250 * time.Millisecond
+)
+
+// gangConfig derives the coordinator's timing from the document. Window is a
+// quarter of what lies between isolation and loss, so that window, isolation and
+// the stop of a task fit below the loss timeout.
+func gangConfig(epoch uint64, g document.Gang) gang.Config {
+	window := window(g)
+	return gang.Config{
+		Epoch:  epoch,
+		Resend: resend,
+		Hold:   g.HoldTimeout.Duration,
+		Window: window,
+		Settle: window + g.IsolationTimeout.Duration + stopAllowance,
+	}
+}
+
+func window(g document.Gang) time.Duration {
+	return (g.LossTimeout.Duration - g.IsolationTimeout.Duration) / 4
+}
+
+// jsonOf returns text as JSON: as it is where it is valid, as a string where not.
+func jsonOf(text string) json.RawMessage {
+	if json.Valid([]byte(text)) {
+		return json.RawMessage(text)
+	}
+	quoted, err := json.Marshal(text)
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return quoted
+}
--- /dev/null
+++ b/planner/decide.go
@@ -0,0 +1,162 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/target"
+)
+
+// decide gives the scheduler an event and carries out what it decides. An
+// action may lead to further events; each is a Step of its own.
+func (p *Planner) decide(ev scheduler.Event) {
+	for _, a := range p.sched.Step(time.Now(), ev) {
+		p.carryOut(a)
+	}
+}
+
+func (p *Planner) carryOut(a scheduler.Action) {
+	switch a := a.(type) {
+	case scheduler.StartGang:
+		p.startGang(a)
+	case scheduler.StopGang:
+		p.stopGang(a)
+	case scheduler.RejectJob:
+		p.giveUp(a)
+	case scheduler.RequeuedJob:
+		p.requeued(a)
+	case scheduler.WakeAt:
+		p.wake.Reset(time.Until(a.At))
+	case scheduler.GuaranteeDegraded:
+		p.guarantee(a.Account, a.Shape).WithField("missing", a.Missing).Warn("guarantee degraded: blocks fit nowhere now")
+	case scheduler.GuaranteeRestored:
+		p.guarantee(a.Account, a.Shape).Info("guarantee restored")
+	case scheduler.QuarantineWorker:
+		p.cfg.Log.WithFields(logrus.Fields{"agent": a.Worker, "until": a.Until}).Warn("worker quarantined: what it starts fails")
+	case scheduler.WorkerHealthy:
+		p.cfg.Log.WithField("agent", a.Worker).Info("worker healthy again")
+	}
+}
+
+func (p *Planner) guarantee(account scheduler.AccountID, s scheduler.Shape) *logrus.Entry {
+	return p.cfg.Log.WithFields(logrus.Fields{
+		"account":      account,
+		"accelerators": s.Accelerators,
+		"adjacent":     s.Adjacency.String(),
+	})
+}
+
+// startGang makes the coordinator of a new attempt and lets it begin.
+func (p *Planner) startGang(a scheduler.StartGang) {
+	j := p.jobs[string(a.Job)]
+	plan, ok := p.plan(j, a)
+	if !ok {
+		p.decideLater(scheduler.GangRefused{Job: a.Job, Attempt: a.Attempt})
+		return
+	}
+	j.attempt = a.Attempt
+	j.phase = Starting
+	p.attach(j, gang.New(gangConfig(p.cfg.Epoch, p.doc.Document.Gang), plan))
+	p.post0(func() { p.coordinate(j, gang.Begin{}) })
+}
+
+// decideLater gives an event to the scheduler after the actions in progress.
+func (p *Planner) decideLater(ev scheduler.Event) {
+	p.post0(func() { p.decide(ev) })
+}
+
+// post0 is post for the loop's own goroutine, which must not wait for itself.
+func (p *Planner) post0(f func()) {
+	select {
+	case p.work <- f:
+	default:
+		go p.post(f)
+	}
+}
+
+// plan turns a placement into a plan for the agents. False: a worker is not
+// known here, or the job is already ending.
+func (p *Planner) plan(j *job, a scheduler.StartGang) (gang.Plan, bool) {
+	if j == nil || j.coord != nil || j.ending != nil {
+		return gang.Plan{}, false
+	}
+	p.number++
+	plan := gang.Plan{ID: gang.ID{Job: string(a.Job), Epoch: p.cfg.Epoch, Number: p.number}}
+	for i, g := range a.Placement {
+		w := p.workers[string(g.Worker)]
+		if w == nil {
+			return gang.Plan{}, false
+		}
+		spec, err := cbor.Marshal(taskSpec(j.stored.Record, i, len(a.Placement)))
+		if err != nil {
+			return gang.Plan{}, false
+		}
+		plan.Members = append(plan.Members, gang.Placed{
+			Agent:        string(g.Worker),
+			Incarnation:  w.seen.Incarnation,
+			Accelerators: g.Accelerators,
+			Spec:         spec,
+		})
+	}
+	return plan, true
+}
+
+func taskSpec(r jobs.Record, member, members int) target.TaskSpec {
+	return target.TaskSpec{
+		Account:        r.Spec.Account,
+		Class:          r.Spec.Class,
+		Member:         member,
+		Members:        members,
+		Repeatable:     r.Spec.Repeatable,
+		Checkpointable: r.Spec.Checkpointable,
+		Payload:        r.Spec.Payload,
+		Restore:        restoreOf(r),
+	}
+}
+
+func (p *Planner) stopGang(a scheduler.StopGang) {
+	j := p.jobs[string(a.Job)]
+	if j == nil || j.coord == nil || j.attempt != a.Attempt {
+		return
+	}
+	j.phase = Stopping
+	p.post0(func() { p.coordinate(j, gang.Abort{Checkpoint: a.Checkpoint}) })
+}
+
+func (p *Planner) requeued(a scheduler.RequeuedJob) {
+	if j := p.jobs[string(a.Job)]; j != nil && j.coord == nil {
+		j.phase = Queued
+	}
+}
+
+// giveUp ends a job that the scheduler will not start again.
+func (p *Planner) giveUp(a scheduler.RejectJob) {
+	j := p.jobs[string(a.Job)]
+	if j == nil {
+		return
+	}
+	p.end(j, finalState(a.Reason, j), a.Reason.String()+": "+a.Detail)
+}
+
+// finalState is what the caller is told. A job that was lost while it ran and
+// must not run twice may have done its work: that is unknown, not failed.
+func finalState(r scheduler.RejectReason, j *job) jobs.State {
+	switch r {
+	case scheduler.RejectCancelled:
+		return jobs.Cancelled
+	case scheduler.RejectFaulty:
+		return jobs.Failed
+	case scheduler.RejectNotRepeatable:
+		if j.last.Outcome == gang.Lost {
+			return jobs.Unknown
+		}
+		return jobs.Failed
+	default:
+		return jobs.Rejected
+	}
+}
--- /dev/null
+++ b/planner/end.go
@@ -0,0 +1,108 @@
+package planner
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// end writes the final record of a job. Until the store has it the job counts
+// as live, so that nothing is told twice and a takeover finds the truth.
+func (p *Planner) end(j *job, s jobs.State, reason string) {
+	if j.ending != nil {
+		return
+	}
+	final := j.stored
+	final.State = s
+	final.Reason = reason
+	final.Ended = time.Now()
+	if s == jobs.Done || s == jobs.Failed {
+		final.Result = j.result()
+	}
+	j.ending = &final
+	p.writeEnd(j, final)
+}
+
+// result is the list of what the members returned.
+func (j *job) result() json.RawMessage {
+	parts := make([]json.RawMessage, 0, len(j.last.Members))
+	for _, m := range j.last.Members {
+		parts = append(parts, jsonOf(m.Detail))
+	}
+	data, err := json.Marshal(parts)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// writeEnd writes until the store has the record, through outages.
+func (p *Planner) writeEnd(j *job, final jobs.Stored) {
+	p.t.Go(func() error {
+		ctx, cancel := p.context(sendTimeout)
+		defer cancel()
+		lease, err := p.cfg.Retention.Current(ctx)
+		var got jobs.Stored
+		if err == nil {
+			got, err = p.cfg.Jobs.End(ctx, final, lease)
+		}
+		if eris.Is(err, platform.ErrLeaseNotFound) {
+			p.cfg.Retention.Drop(lease)
+		}
+		p.post(func() { p.endWritten(j, got, err) })
+		return nil
+	})
+}
+
+func (p *Planner) endWritten(j *job, got jobs.Stored, err error) {
+	switch {
+	case err == nil:
+		p.forget(j, got)
+	case eris.Is(err, jobs.ErrConflict):
+		p.endConflict(j, got)
+	case eris.Is(err, jobs.ErrNotFound):
+		p.forget(j, *j.ending)
+	default:
+		p.later(storeRetry, func() { p.writeEnd(j, *j.ending) })
+	}
+}
+
+// endConflict meets a record that changed meanwhile: by an earlier try of this
+// very write, by a cancellation, or by a successor.
+func (p *Planner) endConflict(j *job, got jobs.Stored) {
+	switch {
+	case got.State.Ended():
+		p.forget(j, got)
+	case got.Epoch > p.cfg.Epoch:
+		p.superseded("a job's record names a higher epoch")
+	default:
+		j.ending.Rev = got.Rev
+		j.ending.CancelRequested = got.CancelRequested
+		p.writeEnd(j, *j.ending)
+	}
+}
+
+// forget drops a job whose end is on record.
+func (p *Planner) forget(j *job, final jobs.Stored) {
+	if p.jobs[final.ID] != j {
+		return
+	}
+	delete(p.jobs, final.ID)
+	p.recent.Add(final.ID, final)
+	spec := final.Spec
+	p.cfg.Observer.JobEnded(spec.Account, spec.Class, final.State, final.Ended.Sub(final.Submitted))
+	if j.coord != nil {
+		p.detach(j)
+	}
+	p.decideLater(scheduler.JobsCancelled{IDs: []scheduler.JobID{scheduler.JobID(final.ID)}})
+}
+
+// later runs f on the loop's goroutine after d.
+func (p *Planner) later(d time.Duration, f func()) {
+	time.AfterFunc(d, func() { p.post(f) })
+}
--- /dev/null
+++ b/planner/follow.go
@@ -0,0 +1,166 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// follow lists the job records and watches them from there, again after each
+// end of the watch.
+func (p *Planner) follow() error {
+	prefix := p.cfg.Jobs.Prefix(p.cfg.Service)
+	ctx := p.t.Context(nil)
+	for {
+		snap, err := p.cfg.Store.List(ctx, prefix)
+		if err == nil {
+			p.post(func() { p.listed(snap) })
+			_ = p.cfg.Store.Watch(ctx, prefix, snap.At+1, p.deliver)
+		}
+		select {
+		case <-time.After(storeRetry):
+		case <-p.t.Dying():
+			return nil
+		}
+	}
+}
+
+func (p *Planner) deliver(b platform.WatchBatch) {
+	if len(b.Events) == 0 {
+		return
+	}
+	p.post(func() {
+		var fresh []scheduler.Job
+		for _, ev := range b.Events {
+			if ev.Deleted {
+				continue // retention has passed; the job had ended
+			}
+			fresh = p.take(ev.KeyValue, fresh)
+		}
+		p.submit(fresh)
+	})
+}
+
+// listed takes in all records at once: at the begin of the term, and after a
+// watch could not be resumed.
+func (p *Planner) listed(snap platform.Snapshot) {
+	var fresh []scheduler.Job
+	for _, kv := range snap.Keys {
+		fresh = p.take(kv, fresh)
+	}
+	p.submit(fresh)
+	p.rebuilt = true
+}
+
+func (p *Planner) submit(fresh []scheduler.Job) {
+	if len(fresh) > 0 {
+		p.decide(scheduler.JobsSubmitted{Jobs: fresh})
+	}
+}
+
+// take brings one record in. New jobs that wait are appended to fresh, so that
+// a burst is one decision.
+func (p *Planner) take(kv platform.KeyValue, fresh []scheduler.Job) []scheduler.Job {
+	r, err := jobs.Decode(kv)
+	if err != nil {
+		p.cfg.Log.WithError(err).Error("job record can't be read; it is left alone")
+		return fresh
+	}
+	if p.jobs[r.ID] != nil {
+		p.changed(r)
+		return fresh
+	}
+	switch {
+	case r.State.Ended():
+		p.recent.Add(r.ID, r)
+	case r.State == jobs.Queued:
+		p.jobs[r.ID] = &job{stored: r, phase: Queued}
+		fresh = append(fresh, schedulerJob(r.Record, p.doc.Document))
+	default:
+		p.resume(r)
+	}
+	return fresh
+}
+
+// resume takes over an attempt that an earlier planner recorded.
+func (p *Planner) resume(r jobs.Stored) {
+	if r.Epoch > p.cfg.Epoch {
+		p.superseded("a job's record names a higher epoch")
+		return
+	}
+	j := &job{stored: r, begun: true}
+	p.jobs[r.ID] = j
+	p.resumeJob(j)
+	p.cancelIfAsked(j)
+}
+
+// resumeJob resolves the attempt that the job's record names with its agents.
+func (p *Planner) resumeJob(j *job) {
+	r := j.stored
+	j.phase = Starting
+	j.attempt = scheduler.Attempt(r.Attempt)
+	p.attach(j, gang.Resume(gangConfig(p.cfg.Epoch, p.doc.Document.Gang), planOf(r.Record)))
+	p.decide(scheduler.JobRestored{
+		Job:       schedulerJob(r.Record, p.doc.Document),
+		Attempt:   j.attempt,
+		Placement: placementOf(r.Record),
+		Started:   r.Started,
+	})
+	p.coordinate(j, gang.Begin{})
+}
+
+// startedElsewhere says whether the record names an attempt of another planner.
+// A predecessor that does not know yet that it was replaced can still record a
+// start, because a record's revision guards the job, not the duty. That attempt
+// may run; it has to be resolved before the job starts again.
+func (p *Planner) startedElsewhere(j *job) bool {
+	return j.stored.State == jobs.Starting && j.stored.Epoch != p.cfg.Epoch
+}
+
+// changed takes a later form of a record that is known: mostly our own writes
+// coming back, otherwise a cancellation.
+func (p *Planner) changed(r jobs.Stored) {
+	j := p.jobs[r.ID]
+	if j == nil || r.Rev <= j.stored.Rev {
+		return
+	}
+	if r.Epoch > p.cfg.Epoch {
+		p.superseded("a job's record names a higher epoch")
+		return
+	}
+	restore := j.stored.Restore
+	j.stored = r
+	if len(restore) > 0 {
+		j.stored.Restore = restore
+	}
+	if r.State.Ended() {
+		p.endedElsewhere(j, r)
+		return
+	}
+	if j.coord == nil && p.startedElsewhere(j) {
+		p.resumeJob(j)
+	}
+	p.cancelIfAsked(j)
+}
+
+// endedElsewhere: an entry cancelled the job while it was queued. An attempt
+// that was just being made finds the record changed and is given up; until then
+// the job stays known, so that its messages are not orphans.
+func (p *Planner) endedElsewhere(j *job, r jobs.Stored) {
+	id := scheduler.JobID(r.ID)
+	if j.coord != nil {
+		j.ending = &r
+		p.decide(scheduler.JobsCancelled{IDs: []scheduler.JobID{id}})
+		return
+	}
+	p.forget(j, r)
+}
+
+func (p *Planner) cancelIfAsked(j *job) {
+	if j.stored.CancelRequested {
+		p.decide(scheduler.JobsCancelled{IDs: []scheduler.JobID{scheduler.JobID(j.stored.ID)}})
+	}
+}
--- /dev/null
+++ b/planner/policy.go
@@ -0,0 +1,81 @@
+package planner
+
+import (
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// policyOf is the part of a document that the scheduler obeys.
+func policyOf(h *document.Held) scheduler.Policy {
+	d := h.Document
+	p := scheduler.Policy{
+		Generation:    h.Version.Generation,
+		Objective:     scheduler.CompletionTime,
+		WorkerStrikes: d.Health.FailureThreshold,
+		JobStrikes:    d.Health.JobFailureWorkers,
+		QuarantineFor: d.Health.Quarantine.Duration,
+	}
+	if d.Objective == document.Fragmentation {
+		p.Objective = scheduler.Fragmentation
+	}
+	for _, a := range d.Accounts {
+		p.Accounts = append(p.Accounts, AccountPolicy(a))
+	}
+	return p
+}
+
+// AccountPolicy is a client account of a document as the scheduler sees it.
+func AccountPolicy(a document.Account) scheduler.AccountPolicy {
+	p := scheduler.AccountPolicy{
+		ID:        scheduler.AccountID(a.Name),
+		Weight:    a.Weight,
+		MaxQueued: a.MaxJobs,
+	}
+	for _, g := range a.Guaranteed {
+		p.Guaranteed = append(p.Guaranteed, scheduler.Shape{
+			Accelerators: g.Accelerators,
+			Adjacency:    adjacencyOf(string(g.Adjacent)),
+			Count:        g.Count,
+		})
+	}
+	return p
+}
+
+func adjacencyOf(name string) scheduler.Adjacency {
+	switch document.Adjacency(name) {
+	case document.SameWorker:
+		return scheduler.AdjacentWorker
+	case document.SameRack:
+		return scheduler.AdjacentRack
+	case document.SameZone:
+		return scheduler.AdjacentZone
+	default:
+		return scheduler.AdjacentAny
+	}
+}
+
+// schedulerJob is a record as the scheduler sees it. Priority and urgency are
+// those of the class in force now, so that operators can change them for jobs
+// that wait.
+func schedulerJob(r jobs.Record, d *document.Document) scheduler.Job {
+	j := scheduler.Job{
+		ID:             scheduler.JobID(r.ID),
+		Account:        scheduler.AccountID(r.Spec.Account),
+		Class:          r.Spec.Class,
+		Accelerators:   r.Spec.Accelerators,
+		Adjacency:      adjacencyOf(r.Spec.Adjacency),
+		Cores:          r.Spec.Cores,
+		MemoryMB:       r.Spec.MemoryMB,
+		Estimate:       r.Spec.Estimate,
+		Repeatable:     r.Spec.Repeatable,
+		Checkpointable: r.Spec.Checkpointable,
+		Submitted:      r.Submitted,
+		LastAttempt:    scheduler.Attempt(r.Attempt),
+	}
+	if c, ok := d.Class(r.Spec.Class); ok {
+		j.Priority = c.Priority
+		j.Urgent = c.Urgent
+	}
+	return j
+}
--- /dev/null
+++ b/planner/worker.go
@@ -0,0 +1,171 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// Seen is what an agent reported of its worker.
+type Seen struct {
+	Worker      scheduler.Worker
+	Incarnation uint64
+	Draining    bool
+	// Fence and Tasks are the gang member's; see gang.Reported.
+	Fence uint64
+	Stamp gang.Stamp
+	Tasks []gang.Task
+	// At is when the report was received, by clock.Now.
+	At time.Time
+}
+
+// worker is the planner's view of one agent. The planner's goroutine owns it.
+type worker struct {
+	seen Seen
+	up   bool
+	jobs map[string]*job // with a coordinator that has a member here
+}
+
+// Observe takes the report of an agent. It is safe for concurrent use.
+func (p *Planner) Observe(s Seen) {
+	p.post(func() { p.observe(s) })
+}
+
+// Left says that an agent has stopped for good. It is safe for concurrent use.
+func (p *Planner) Left(agent string) {
+	p.post(func() {
+		if w := p.workers[agent]; w != nil {
+			p.lose(agent, w)
+		}
+	})
+}
+
+func (p *Planner) observe(s Seen) {
+	id := string(s.Worker.ID)
+	if s.Fence > p.cfg.Epoch {
+		p.superseded("an agent has heard of a higher epoch")
+		return
+	}
+	w := p.workers[id]
+	if w == nil {
+		w = &worker{jobs: make(map[string]*job)}
+		p.workers[id] = w
+	}
+	if s.Incarnation < w.seen.Incarnation {
+		return
+	}
+	before, wasUp := w.seen, w.up
+	w.seen, w.up = s, true
+	p.tellScheduler(before, wasUp, s)
+	p.tellCoordinators(id, w)
+	p.stopOrphans(id, w)
+}
+
+func (p *Planner) tellScheduler(before Seen, wasUp bool, s Seen) {
+	switch {
+	case s.Draining && (!wasUp || !before.Draining):
+		p.decide(scheduler.WorkerDraining{ID: s.Worker.ID})
+	case s.Draining:
+	case !wasUp || before.Draining || before.Worker != s.Worker:
+		p.decide(scheduler.WorkerUp{Worker: s.Worker})
+	}
+}
+
+func (p *Planner) tellCoordinators(id string, w *worker) {
+	ev := gang.Reported{
+		From:        id,
+		Incarnation: w.seen.Incarnation,
+		Fence:       w.seen.Fence,
+		Stamp:       w.seen.Stamp,
+		Tasks:       w.seen.Tasks,
+	}
+	for _, j := range w.jobs {
+		p.coordinate(j, ev)
+	}
+}
+
+// stopOrphans ends tasks that no coordinator and no record accounts for: left
+// over when an attempt ended while this agent could not be reached.
+func (p *Planner) stopOrphans(id string, w *worker) {
+	if !p.rebuilt {
+		return
+	}
+	for _, t := range w.seen.Tasks {
+		if p.accounted(id, t) {
+			continue
+		}
+		if msg, ok := gang.Orphan(t, w.seen.Incarnation, p.cfg.Epoch); ok {
+			p.send(nil, id, msg)
+		}
+	}
+}
+
+func (p *Planner) accounted(agent string, t gang.Task) bool {
+	j := p.jobs[t.ID.Job]
+	if j == nil {
+		return false
+	}
+	if j.coord != nil {
+		return j.coord.Plan().ID == t.ID
+	}
+	r := j.stored.Record
+	return r.Epoch == t.ID.Epoch && r.Number == t.ID.Number && !j.last.Recorded
+}
+
+// lose is called when nothing was heard of an agent for the loss timeout, or
+// when it said goodbye.
+func (p *Planner) lose(id string, w *worker) {
+	if !w.up {
+		return
+	}
+	w.up = false
+	p.cfg.Log.WithField("agent", id).Warn("agent lost")
+	for _, j := range w.jobs {
+		p.coordinate(j, gang.MemberLost{Agent: id})
+	}
+	p.decide(scheduler.WorkerDown{ID: scheduler.WorkerID(id)})
+}
+
+func (p *Planner) loseSilent(now time.Time) {
+	limit := p.doc.Document.Gang.LossTimeout.Duration
+	for id, w := range p.workers {
+		if w.up && now.Sub(w.seen.At) > limit {
+			p.lose(id, w)
+		}
+		if !w.up && len(w.jobs) == 0 && now.Sub(w.seen.At) > forgetWorkers {
+			delete(p.workers, id)
+		}
+	}
+}
+
+// forgetWorkers is how long a lost worker is remembered.
+const forgetWorkers = 10 * time.Minute
+
+// Answer returns what the answer to a report of the agent has to carry: the
+// attempts of several members with a member there that are whole, which is what
+// their tasks need to hear to run on, and the planner's stamp. It is safe for
+// concurrent use and reads what the last housekeeping published.
+func (p *Planner) Answer(agent string) ([]gang.ID, gang.Stamp) {
+	w := p.whole.Load()
+	return w.byAgent[agent], gang.NewStamp(p.cfg.Epoch, w.at)
+}
+
+// wholeAttempts is what was whole at one moment.
+type wholeAttempts struct {
+	byAgent map[string][]gang.ID
+	at      time.Time
+}
+
+func (p *Planner) publishWhole(now time.Time) {
+	whole := make(map[string][]gang.ID)
+	for _, j := range p.jobs {
+		if j.coord == nil || len(j.coord.Plan().Members) < 2 || !j.coord.Whole(now) {
+			continue
+		}
+		for _, m := range j.coord.Plan().Members {
+			whole[m.Agent] = append(whole[m.Agent], j.coord.Plan().ID)
+		}
+	}
+	p.whole.Store(&wholeAttempts{byAgent: whole, at: now})
+}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -16,6 +16,7 @@
 	onEnd func()
 	peer  atomic.Pointer[Peer]
 	calls inflight
+	used  credits
 
 	opened    time.Time
 	heard     atomic.Int64 // since opened
@@ -98,6 +99,7 @@
 			return nil
 		}
 		c.ep.tomb.Go(func() error {
+			defer c.used.add(stream)
 			c.serve(stream)
 			return nil
 		})
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -99,6 +99,7 @@
 		MaxIdleTimeout:             max(idleTimeoutFloor, 4*ep.cfg.IdleProbe),
 		MaxIncomingStreams:         maxStreams,
 		MaxIncomingUniStreams:      -1,
+		RequireStreamCreditRelease: true,
 		MaxStreamReceiveWindow:     maxStreamWindow,
 		MaxConnectionReceiveWindow: maxConnWindow,
 	}
--- a/wire/messages_document.go
+++ b/wire/messages_document.go
@@ -1,17 +1,9 @@
 package wire
 
-import "time"
+import "github.com/eelgrasshub/eelgrasshub/document"
 
-// DocumentVersion is one accepted version of a service's document. Token is
-// the unique token of the write that created it.
-type DocumentVersion struct {
-	Service    string    `cbor:"1,keyasint,omitempty"`
-	Generation uint64    `cbor:"2,keyasint,omitempty"`
-	Token      string    `cbor:"3,keyasint,omitempty"`
-	Author     string    `cbor:"4,keyasint,omitempty"`
-	At         time.Time `cbor:"5,keyasint,omitzero"`
-	TOML       []byte    `cbor:"6,keyasint,omitempty"`
-}
+// DocumentVersion is one accepted version of a service's document.
+type DocumentVersion = document.Version
 
 // Publish spreads document versions.
 type Publish struct {
@@ -23,15 +15,18 @@
 	Generations []Generation `cbor:"1,keyasint,omitempty"`
 }
 
-// Fetch asks for the versions that the receiver has in force; no Services
-// means all.
+// Fetch asks for the versions that the receiver has in force and that are higher
+// than what the sender has.
 type Fetch struct {
-	Services []string `cbor:"1,keyasint,omitempty"`
+	Have []Generation `cbor:"1,keyasint,omitempty"`
 }
 
-// FetchReply answers Fetch.
+// FetchReply answers Fetch with as many versions as fit. Ready says that the
+// sender's own configuration is confirmed; Generations is all it has in force.
 type FetchReply struct {
-	Versions []DocumentVersion `cbor:"1,keyasint,omitempty"`
+	Versions    []DocumentVersion `cbor:"1,keyasint,omitempty"`
+	Generations []Generation      `cbor:"2,keyasint,omitempty"`
+	Ready       bool              `cbor:"3,keyasint,omitempty"`
 }
 
 func init() {
--- a/wire/messages_job.go
+++ b/wire/messages_job.go
@@ -47,6 +47,8 @@
 	Detail     string        `cbor:"6,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"7,keyasint,omitempty"`
 	Position   int           `cbor:"8,keyasint,omitempty"`
+	// Status is the job as callers see it, in the JSON of the callers' interface.
+	Status []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // SubmitJob hands a job to the entry that plans its domain. The job's ID makes
--- a/wire/messages_report.go
+++ b/wire/messages_report.go
@@ -1,6 +1,11 @@
 package wire
 
-import "time"
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/gang"
+)
 
 // Changed says which groups of fields a delta report carries.
 type Changed uint8
@@ -59,6 +64,12 @@
 	Tasks       []TaskReport `cbor:"22,keyasint,omitempty"`
 	Ended       []TaskKey    `cbor:"23,keyasint,omitempty"`
 	Generations []Generation `cbor:"24,keyasint,omitempty"`
+	// Fence is the highest planner epoch that the agent has heard of. It goes
+	// with the group ChangedTasks.
+	Fence uint64 `cbor:"25,keyasint,omitempty"`
+	// Stamp is that of the planner's last answer. It is of this report alone and
+	// in no group.
+	Stamp gang.Stamp `cbor:"26,keyasint,omitzero"`
 }
 
 // Load is the state of a target's queue. Marked counts answers that carried a
@@ -94,6 +105,10 @@
 	// NextReport, if set, is when the sender should report next at the
 	// earliest; changes that stop new work (draining, goodbye) don't wait.
 	NextReport time.Duration `cbor:"8,keyasint,omitempty"`
+	// Whole lists the attempts of the reporting agents that their planner holds
+	// whole. It and Stamp come from the entry that plans alone.
+	Whole []gang.ID  `cbor:"9,keyasint,omitempty"`
+	Stamp gang.Stamp `cbor:"10,keyasint,omitzero"`
 }
 
 // AgentSeen is an agent's incarnation as the receiver knows it.
@@ -118,13 +133,8 @@
 	Epoch   uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Generation names the version of a service's document; Digest is a hash of
-// its text.
-type Generation struct {
-	Service    string `cbor:"1,keyasint,omitempty"`
-	Generation uint64 `cbor:"2,keyasint,omitempty"`
-	Digest     uint64 `cbor:"3,keyasint,omitempty"`
-}
+// Generation names the version of a service's document.
+type Generation = document.Summary
 
 func init() {
 	Register(KindReport, Report{})
--- a/wire/messages_task.go
+++ b/wire/messages_task.go
@@ -35,6 +35,8 @@
 	Account       string `cbor:"9,keyasint,omitempty"`
 	// Spec, when present, lets a new planner rebuild the job.
 	Spec *JobSpec `cbor:"10,keyasint,omitempty"`
+	// Gang is the gang package's Task, encoded by that package's tags.
+	Gang []byte `cbor:"11,keyasint,omitempty"`
 }
 
 // Key returns the task's identity.
