--- a/document/fleet_test.go
+++ b/document/fleet_test.go
@@ -269,7 +269,8 @@
 	}
 	for i, e := range f.everyone {
 		if e.generation > highest {
-			break // nobody is left to ask
+			f.everyone = f.everyone[:i] // nobody is left who could tell
+			break
 		}
 		settled := time.Since(e.at) > document.DefaultFeederConfig(true).AnswerAge
 		f.c.Assert(settled && f.generation(p) < e.generation, qt.IsFalse, qt.Commentf(
--- a/document/put_test.go
+++ b/document/put_test.go
@@ -145,9 +145,12 @@
 	}
 	versions := make([]document.Version, operators)
 	errs := make([]error, operators)
+	pauses := make([]time.Duration, operators)
+	for i := range pauses {
+		pauses[i] = time.Duration(rng.IntN(3))*time.Millisecond + time.Duration(i)*time.Microsecond
+	}
 	var wg sync.WaitGroup
-	for i := range operators {
-		pause := time.Duration(rng.IntN(3))*time.Millisecond + time.Duration(i)*time.Microsecond
+	for i, pause := range pauses {
 		wg.Go(func() {
 			time.Sleep(pause)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
--- /dev/null
+++ b/document/watcher_test.go
@@ -0,0 +1,127 @@
+package document_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// watch starts a Watcher in a bubble of virtual time and stops it at the end,
+// which also shows that it leaves no goroutine behind.
+func watch(t *testing.T, store platform.Store, ask document.Ask) (*document.InForce, *document.Watcher) {
+	f := document.NewInForce(nil)
+	w := document.NewWatcher(store, ask, f, document.DefaultFeederConfig(store != nil), quiet())
+	t.Cleanup(func() { qt.Check(t, w.Stop(), qt.IsNil) })
+	return f, w
+}
+
+func mustPut(c *qt.C, store platform.Store, mark string, base uint64) {
+	_, err := document.Put(context.Background(), store, proposal(mark, base))
+	c.Assert(err, qt.IsNil)
+}
+
+func generationOf(f *document.InForce) uint64 {
+	h, ok := f.Current("dispatch")
+	if !ok {
+		return 0
+	}
+	return h.Version.Generation
+}
+
+func TestWatcherFollowsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		mustPut(c, store, "one", 0)
+		f, w := watch(t, store, nil)
+		<-w.Ready()
+		c.Assert(generationOf(f), qt.Equals, uint64(1))
+		mustPut(c, store, "two", 1)
+		synctest.Wait()
+		c.Assert(generationOf(f), qt.Equals, uint64(2))
+	})
+}
+
+// The store is restored from a backup while processes watch it. The document
+// in force stays, the store gets it back, and an operator can go on from it.
+func TestWatcherRepairsRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		mustPut(c, store, "one", 0)
+		old := store.backup()
+		mustPut(c, store, "two", 1)
+		f, w := watch(t, store, nil)
+		<-w.Ready()
+		store.restore(old)
+		time.Sleep(15 * time.Second)
+		c.Assert(generationOf(f), qt.Equals, uint64(2))
+		c.Assert(w.Counts().WriteBacks, qt.Equals, int64(1))
+		stored, _, err := document.Get(context.Background(), store, "dispatch")
+		c.Assert(err, qt.IsNil)
+		c.Assert(stored.Generation, qt.Equals, uint64(2))
+		mustPut(c, store, "three", 2)
+		synctest.Wait()
+		c.Assert(generationOf(f), qt.Equals, uint64(3))
+	})
+}
+
+// The store is out when a process starts. It takes the document from two peers
+// and is ready; it follows the store when that returns.
+func TestWatcherStartsWithStoreOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		mustPut(c, store, "one", 0)
+		v, _, err := document.Get(context.Background(), store, "dispatch")
+		c.Assert(err, qt.IsNil)
+		store.setDown(true)
+		var asked atomic.Int64
+		f, w := watch(t, store, func(context.Context, string, []document.Summary) (document.PeerAnswered, error) {
+			asked.Add(1)
+			return answer("", true, v), nil
+		})
+		w.SetPeers([]string{"a", "b", "c"})
+		<-w.Ready()
+		c.Assert(generationOf(f), qt.Equals, uint64(1))
+		c.Assert(asked.Load() >= 2, qt.IsTrue)
+		store.setDown(false)
+		mustPut(c, store, "two", 1)
+		time.Sleep(2 * time.Second)
+		c.Assert(generationOf(f), qt.Equals, uint64(2))
+		c.Assert(w.Counts().StoreFailures > 0, qt.IsTrue)
+	})
+}
+
+// Somebody wrote a value that is no document. The others still come into force
+// and the value is left alone.
+func TestWatcherSkipsUnreadableValue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		mustPut(c, store, "one", 0)
+		swap := platform.Swap{Key: document.StoreKey("slotbook"), Value: []byte("not a document")}
+		_, err := store.Commit(context.Background(), []platform.Swap{swap})
+		c.Assert(err, qt.IsNil)
+		f, w := watch(t, store, nil)
+		<-w.Ready()
+		c.Assert(generationOf(f), qt.Equals, uint64(1))
+		c.Assert(w.Counts().Unreadable, qt.Equals, int64(1))
+		c.Assert(w.Counts().WriteBacks, qt.Equals, int64(0))
+	})
+}
