--- a/wire/call_test.go
+++ b/wire/call_test.go
@@ -85,10 +85,14 @@
 	var ran atomic.Int32
 	server := open(c, "agent", Config{MaxFrame: 100}, func(_ context.Context, _ *Conn, msg any) (any, error) {
 		ran.Add(1)
-		if string(msg.(*Gang).Payload) == "no" {
-			return nil, &CallError{Outcome: ErrNotSent, Cause: errors.New("full")}
+		switch string(msg.(*Gang).Payload) {
+		case "no":
+			return nil, NotRun(errors.New("full"))
+		case "big":
+			return GangReply{Payload: make([]byte, 200)}, nil
+		default:
+			return nil, &CallError{Outcome: ErrNotSent, Cause: errors.New("of another call")}
 		}
-		return nil, errors.New("broken")
 	})
 	client := open(c, "entry", Config{}, echo)
 	conn := dial(c, client, server.Addr())
@@ -102,9 +106,11 @@
 		{"a frame beyond the receiver's limit", Gang{Payload: make([]byte, 200)}, []error{ErrNotSent, ErrFrameTooLarge}, 0},
 		{"a frame beyond the sender's limit", Gang{Payload: make([]byte, DefaultMaxFrame)}, []error{ErrNotSent, ErrFrameTooLarge}, 0},
 		{"a handler that proves it did nothing", Gang{Payload: []byte("no")}, []error{ErrNotSent, ErrHandler}, 1},
-		{"a handler that failed somewhere", Gang{}, []error{ErrOutcomeUnknown, ErrHandler}, 2},
+		{"a handler that failed in a call of its own", Gang{}, []error{ErrOutcomeUnknown, ErrHandler}, 2},
+		{"a reply beyond the limit", Gang{Payload: []byte("big")}, []error{ErrOutcomeUnknown, ErrHandler}, 3},
 	} {
 		_, err := conn.Call(within(c, 10*time.Second), test.msg)
+		c.Check(errors.Is(err, ErrNotSent) != errors.Is(err, ErrOutcomeUnknown), qt.IsTrue)
 		for _, want := range test.want {
 			c.Check(errors.Is(err, want), qt.IsTrue, qt.Commentf("%s: %v", test.story, err))
 		}
@@ -112,6 +118,28 @@
 	}
 }
 
+// Story: an entry cancels a booking because another call of its own was not
+// sent. The booking is running; the cause of the cancellation must not make it
+// look as if it had not been sent either.
+func TestCauseDoesNotChangeTheOutcome(t *testing.T) {
+	c := qt.New(t)
+	running := make(chan struct{})
+	server := open(c, "agent", Config{}, func(ctx context.Context, _ *Conn, _ any) (any, error) {
+		close(running)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	conn := dial(c, open(c, "entry", Config{}, echo), server.Addr())
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		<-running
+		cancel(notSent(ErrClosed))
+	}()
+	_, err := conn.Call(ctx, Gang{})
+	c.Assert(errors.Is(err, ErrOutcomeUnknown), qt.IsTrue)
+	c.Assert(errors.Is(err, ErrNotSent), qt.IsFalse)
+}
+
 func TestWrongClusterKeyIsRefused(t *testing.T) {
 	c := qt.New(t)
 	server := open(c, "entry", Config{}, echo)
--- a/wire/errors.go
+++ b/wire/errors.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/rotisserie/eris"
@@ -49,9 +50,32 @@
 }
 
 func notSent(cause error) error {
-	return &CallError{Outcome: ErrNotSent, Cause: cause}
+	return &CallError{Outcome: ErrNotSent, Cause: opaque(cause)}
 }
 
 func outcomeUnknown(cause error) error {
-	return &CallError{Outcome: ErrOutcomeUnknown, Cause: cause}
+	return &CallError{Outcome: ErrOutcomeUnknown, Cause: opaque(cause)}
 }
+
+// opaque keeps only the text of a cause that has an outcome of its own, such as
+// the failed call because of which a context was cancelled. Otherwise an error
+// could match both outcomes, and a caller that asks for ErrNotSent first would
+// send a message twice.
+func opaque(cause error) error {
+	if errors.Is(cause, ErrNotSent) || errors.Is(cause, ErrOutcomeUnknown) {
+		return errors.New(cause.Error())
+	}
+	return cause
+}
+
+// notRunError is made by NotRun.
+type notRunError struct{ error }
+
+// Unwrap returns the cause.
+func (e notRunError) Unwrap() error { return e.error }
+
+// NotRun is for a Handler that can prove that a message had no effect and never
+// will: the caller sees ErrNotSent. It has to be said in this way. An
+// ErrNotSent that a handler merely passes on from a call of its own says
+// nothing of what the handler did before.
+func NotRun(cause error) error { return notRunError{cause} }
--- a/wire/handler.go
+++ b/wire/handler.go
@@ -8,9 +8,9 @@
 	// is called concurrently, once for each exchange.
 	//
 	// ctx is cancelled when the caller gives up or the connection ends;
-	// Handle should return soon after. An error that matches ErrNotSent
-	// tells the caller that msg had no effect; after any other error the
-	// caller sees ErrOutcomeUnknown.
+	// Handle should return soon after. An error made by NotRun tells the
+	// caller that msg had no effect; after any other error the caller sees
+	// ErrOutcomeUnknown.
 	Handle(ctx context.Context, from *Conn, msg any) (reply any, err error)
 }
 
--- /dev/null
+++ b/wire/measure_bytes_test.go
@@ -0,0 +1,114 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// countingConn counts what a socket sends. It keeps the methods of a UDP
+// socket that quic-go looks for; they bypass it only for reading.
+type countingConn struct {
+	*net.UDPConn
+	packets, bytes *atomic.Int64
+}
+
+// ipAndUDP is the size of the IPv4 and UDP headers of a packet.
+const ipAndUDP = 20 + 8
+
+func (c countingConn) WriteMsgUDP(b, oob []byte, addr *net.UDPAddr) (int, int, error) {
+	c.packets.Add(1)
+	c.bytes.Add(int64(len(b) + ipAndUDP))
+	return c.UDPConn.WriteMsgUDP(b, oob, addr)
+}
+
+func counting(packets, bytes *atomic.Int64) Config {
+	return Config{ListenPacket: func(_, addr string) (net.PacketConn, error) {
+		local, err := net.ResolveUDPAddr("udp", addr)
+		if err != nil {
+			return nil, err
+		}
+		socket, err := net.ListenUDP("udp", local)
+		return countingConn{socket, packets, bytes}, err
+	}}
+}
+
+func reports() map[string]*Report {
+	load := AgentReport{ID: "dispatch-wharf-07", Incarnation: 1767225600123456789, Sequence: 12345, Base: 12344}
+	quiet := load
+	quiet.Base = quiet.Sequence
+	load.Changed = ChangedLoad
+	load.Load = Load{Running: 6, Queued: 3, Marked: 120}
+	whole := AgentReport{ID: load.ID, Incarnation: load.Incarnation, Sequence: load.Sequence, Full: true,
+		Service: "dispatch", Region: "auckland", Zone: "wharf", Rack: "rack-03", Address: "10.20.30.40:7400",
+		Accelerators: 8, Slots: 8, Connections: 64, Cores: 32, MemoryMB: 65536, Load: load.Load}
+	tasks := whole
+	for i := range 8 {
+		tasks.Tasks = append(tasks.Tasks, TaskReport{Job: fmt.Sprint("0198f0c0-1111-7000-8000-00000000000", i),
+			Attempt: fmt.Sprint("0198f0c0-2222-7000-8000-00000000000", i), Epoch: 12, State: TaskRunning, Accelerators: []int{i}})
+	}
+	return map[string]*Report{
+		"no news":           {Batch: []AgentReport{quiet}},
+		"delta of the load": {Batch: []AgentReport{load}},
+		"full, no tasks":    {Batch: []AgentReport{whole}},
+		"full, 8 tasks":     {Batch: []AgentReport{tasks}},
+	}
+}
+
+func TestMeasureReportBytes(t *testing.T) {
+	c := needMeasure(t)
+	for name, report := range reports() {
+		frame, err := encodeFrame(report, DefaultMaxFrame)
+		c.Assert(err, qt.IsNil)
+		t.Logf("%s: frame of %d bytes", name, len(frame))
+	}
+	for name, report := range reports() {
+		for _, every := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second} {
+			t.Run(fmt.Sprint(name, " every ", every), func(t *testing.T) {
+				t.Parallel()
+				measureReports(t, report, every)
+			})
+		}
+	}
+	t.Run("idle", func(t *testing.T) {
+		t.Parallel()
+		measureReports(t, nil, time.Second)
+	})
+}
+
+// measureReports counts the bytes that both ends send for a minute, after the
+// handshake and path MTU discovery have settled.
+func measureReports(t *testing.T, report *Report, every time.Duration) {
+	c := qt.New(t)
+	var sent, sentBytes, back, backBytes atomic.Int64
+	ack := &ReportAck{Digest: 1, NextReport: 10 * time.Second}
+	server := open(c, "entry", counting(&back, &backBytes), func(context.Context, *Conn, any) (any, error) { return ack, nil })
+	client := open(c, "agent", counting(&sent, &sentBytes), echo)
+	conn := dial(c, client, server.Addr())
+	settle := func() {
+		for range 40 {
+			conn.Ping(context.Background())
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+	}
+	settle()
+	handshake := sentBytes.Load() + backBytes.Load()
+	s, sb, b, bb := sent.Load(), sentBytes.Load(), back.Load(), backBytes.Load()
+	const span = time.Minute
+	for range span / every {
+		if report != nil {
+			_, err := conn.Call(context.Background(), report)
+			c.Assert(err, qt.IsNil)
+		}
+		time.Sleep(every)
+	}
+	seconds := span.Seconds()
+	t.Logf("%.0f B/s to the entry in %d packets, %.0f B/s back in %d; before that %d bytes",
+		float64(sentBytes.Load()-sb)/seconds, sent.Load()-s, float64(backBytes.Load()-bb)/seconds, back.Load()-b, handshake)
+}
--- /dev/null
+++ b/wire/measure_memory_test.go
@@ -0,0 +1,106 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestMeasureConnectionPairs(t *testing.T) {
+	c := needMeasure(t)
+	server := open(c, "entry", openWide, echo)
+	client := open(c, "agents", openWide, echo)
+	base, baseRSS := memory(), resident(c)
+	total := 0
+	for _, n := range []int{100, 300, 1000} {
+		before := processorTime()
+		for ; total < n; total++ {
+			dialAndCall(c, client, server.Addr())
+		}
+		now := memory()
+		t.Logf("%d pairs: heap %d KB, stacks %d KB, resident %d KB a pair; processor since the last line %v",
+			n, grown(now.HeapAlloc, base.HeapAlloc, n), grown(now.StackInuse, base.StackInuse, n),
+			(resident(c)-baseRSS)/n/1024, processorTime()-before)
+	}
+}
+
+func dialAndCall(c *qt.C, client *Endpoint, addr string) {
+	conn := dial(c, client, addr)
+	for range creditBatch - 1 {
+		_, err := conn.Call(context.Background(), &Gang{Payload: make([]byte, 512)})
+		c.Assert(err, qt.IsNil)
+	}
+}
+
+func memory() runtime.MemStats {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m
+}
+
+// grown returns the growth in KB for each of n connections.
+func grown(now, before uint64, n int) int64 {
+	return (int64(now) - int64(before)) / int64(n) / 1024
+}
+
+const dialersEnv = "EELGRASSHUB_MEASURE_DIALERS"
+
+// The accepting end alone: the dialers are another process.
+func TestMeasureAcceptedConnections(t *testing.T) {
+	c := needMeasure(t)
+	if os.Getenv(dialersEnv) != "" {
+		t.Skip("is the dialers' process")
+	}
+	server := open(c, "entry", openWide, echo)
+	base, baseRSS, began := memory(), resident(c), processorTime()
+	dialers := exec.Command(os.Args[0], "-test.run=TestMeasureDialers", "-measure")
+	dialers.Env = append(os.Environ(), dialersEnv+"="+server.Addr())
+	out, err := dialers.StdoutPipe()
+	c.Assert(err, qt.IsNil)
+	in, err := dialers.StdinPipe()
+	c.Assert(err, qt.IsNil)
+	c.Assert(dialers.Start(), qt.IsNil)
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		n, err := strconv.Atoi(strings.TrimPrefix(lines.Text(), "connections "))
+		if err != nil {
+			continue
+		}
+		processor := processorTime() - began
+		now := memory()
+		t.Logf("%d accepted: heap %d KB, stacks %d KB, resident %d KB each; processor of this end %v each",
+			n, grown(now.HeapAlloc, base.HeapAlloc, n), grown(now.StackInuse, base.StackInuse, n),
+			(resident(c)-baseRSS)/n/1024, processor/time.Duration(n))
+		fmt.Fprintln(in, "next")
+	}
+	c.Assert(dialers.Wait(), qt.IsNil)
+}
+
+func TestMeasureDialers(t *testing.T) {
+	c := needMeasure(t)
+	addr := os.Getenv(dialersEnv)
+	if addr == "" {
+		t.Skip("is started by TestMeasureAcceptedConnections")
+	}
+	client := open(c, "agents", openWide, echo)
+	input := bufio.NewScanner(os.Stdin)
+	total := 0
+	for _, n := range []int{100, 300, 1000} {
+		for ; total < n; total++ {
+			dialAndCall(c, client, addr)
+		}
+		fmt.Printf("\nconnections %d\n", n)
+		input.Scan()
+	}
+}
--- a/wire/pool_test.go
+++ b/wire/pool_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/quic-go/quic-go"
 )
 
 // impatient makes faults show soon; nothing asserts these times.
@@ -84,6 +86,30 @@
 	c.Assert(await(c, done), qt.IsNil)
 }
 
+// Story: an agent's process dies without a word and another starts on its
+// address. A call of the entry must not hang until pings give up: the new
+// process answers with a stateless reset, for it can't know the connection.
+func TestCrashedPeerIsNoticedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	var socket net.PacketConn
+	dying := Config{ListenPacket: func(network, addr string) (net.PacketConn, error) {
+		var err error
+		socket, err = net.ListenPacket(network, addr)
+		return socket, err
+	}}
+	server := open(c, "agent", dying, echo)
+	slow := Config{BusyProbe: time.Hour, PingTimeout: time.Hour, IdleProbe: time.Hour}
+	conn := dial(c, open(c, "entry", slow, echo), server.Addr())
+	c.Assert(socket.Close(), qt.IsNil)
+	again, err := Listen(server.Addr(), identity(c, "agent", testKey), HandlerFunc(echo))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { again.Close() })
+	_, err = conn.Call(within(c, 20*time.Second), Gang{})
+	c.Assert(errors.Is(err, ErrOutcomeUnknown), qt.IsTrue)
+	var reset *quic.StatelessResetError
+	c.Assert(errors.As(err, &reset), qt.IsTrue, qt.Commentf("%v", err))
+}
+
 // Story: an agent's process restarts on its address. The entry's connection
 // points to a process that is gone; the pool reaches the new one, and while
 // nobody listens callers are told at once so that they can go elsewhere.
--- a/wire/remote_error.go
+++ b/wire/remote_error.go
@@ -13,8 +13,7 @@
 	codeTooLarge
 	codeDraining
 	codeNoHello
-	// codeNotRun: the handler proved that it did not act (it returned an
-	// error that matches ErrNotSent).
+	// codeNotRun: the handler proved that it did not act (NotRun).
 	codeNotRun
 )
 
@@ -77,7 +76,8 @@
 
 // handlerFailure builds the reply for an exchange whose handler failed.
 func handlerFailure(err error) *remoteError {
-	if errors.Is(err, ErrNotSent) {
+	var proof notRunError
+	if errors.As(err, &proof) {
 		return &remoteError{Code: codeNotRun, Text: err.Error()}
 	}
 	return &remoteError{Code: codeFailed, Text: err.Error()}
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -81,7 +81,7 @@
 	frame, err := encodeFrame(msg, c.ep.cfg.MaxFrame)
 	if err != nil {
 		// The handler has run: this is no proof of the opposite.
-		frame, err = encodeFrame(handlerFailure(eraseNotSent(err)), c.ep.cfg.MaxFrame)
+		frame, err = encodeFrame(handlerFailure(err), c.ep.cfg.MaxFrame)
 	}
 	if err != nil {
 		cancelStream(stream)
@@ -93,6 +93,3 @@
 	}
 	stream.Close()
 }
-
-// eraseNotSent keeps only the text of err.
-func eraseNotSent(err error) error { return errors.New(err.Error()) }
