planner: limits of a class and of the service's queue take effect

Need: deadline, max_run and retries of a job class and admission.max_jobs were accepted in documents and had no effect, which is worse than refusing them. A job past its deadline that never ran is rejected, one that ran has failed.

--- a/planner/coordinate.go
+++ b/planner/coordinate.go
@@ -182,8 +182,12 @@
 		p.afterConflict(j, e)
 		return
 	}
-	if e.Outcome == gang.Done {
+	switch {
+	case e.Outcome == gang.Done:
 		p.end(j, jobs.Done, "")
+	case p.failedTooOften(j, e):
+		p.end(j, jobs.Failed, reasonRetries)
+		p.decide(scheduler.JobsCancelled{IDs: []scheduler.JobID{id}})
 	}
 	ended := scheduler.GangEnded{Job: id, Attempt: attempt, Outcome: outcomeOf(e.Outcome)}
 	if e.Fault != "" {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -140,6 +140,10 @@
 	if j == nil {
 		return
 	}
+	if j.limit != nil && a.Reason == scheduler.RejectCancelled {
+		p.end(j, j.limit.state, j.limit.reason)
+		return
+	}
 	p.end(j, finalState(a.Reason, j), a.Reason.String()+": "+a.Detail)
 }
 
--- a/planner/follow.go
+++ b/planner/follow.go
@@ -56,6 +56,9 @@
 }
 
 func (p *Planner) submit(fresh []scheduler.Job) {
+	if p.rebuilt {
+		fresh = p.admit(fresh)
+	}
 	if len(fresh) > 0 {
 		p.decide(scheduler.JobsSubmitted{Jobs: fresh})
 	}
--- a/planner/job.go
+++ b/planner/job.go
@@ -31,6 +31,10 @@
 	last gang.Ended
 	// begun is set with the first start, for the waiting time.
 	begun bool
+	// failures counts attempts that the job itself failed.
+	failures int
+	// limit is set when the job is being stopped for a limit of its class.
+	limit *limit
 	// ending is the final record while it is being written.
 	ending *jobs.Stored
 }
--- /dev/null
+++ b/planner/limits.go
@@ -0,0 +1,92 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// Reasons of a job that met a limit of its class.
+const (
+	reasonDeadline = "the class's deadline passed"
+	reasonMaxRun   = "it ran longer than the class's max_run"
+	reasonRetries  = "it failed more often than the class's retries allow"
+	reasonQueue    = "the service has as many jobs waiting as admission.max_jobs allows"
+)
+
+// enforce ends jobs that have met a limit of their class: of the whole time from
+// acceptance, or of one run.
+func (p *Planner) enforce(now time.Time) {
+	for _, j := range p.jobs {
+		class, ok := p.doc.Document.Class(j.stored.Spec.Class)
+		if !ok || j.ending != nil || j.limit != nil {
+			continue
+		}
+		if l := limitOf(j, class, now); l != nil {
+			p.stopAtLimit(j, l)
+		}
+	}
+}
+
+// limit is why a job is being stopped, and how it ends.
+type limit struct {
+	state  jobs.State
+	reason string
+}
+
+func limitOf(j *job, c *document.Class, now time.Time) *limit {
+	switch {
+	case now.Sub(j.stored.Submitted) > c.Deadline.Duration && j.phase == Queued && !j.begun:
+		return &limit{jobs.Rejected, reasonDeadline}
+	case now.Sub(j.stored.Submitted) > c.Deadline.Duration:
+		return &limit{jobs.Failed, reasonDeadline}
+	case j.phase == Running && now.Sub(j.stored.Started) > c.MaxRun.Duration:
+		return &limit{jobs.Failed, reasonMaxRun}
+	}
+	return nil
+}
+
+// stopAtLimit withdraws the job from the scheduler, which stops what runs; the
+// job then ends as the limit says and not as cancelled.
+func (p *Planner) stopAtLimit(j *job, l *limit) {
+	j.limit = l
+	p.decide(scheduler.JobsCancelled{IDs: []scheduler.JobID{scheduler.JobID(j.stored.ID)}})
+}
+
+// failedTooOften counts a failure of the job itself. A worker that went away is
+// not one.
+func (p *Planner) failedTooOften(j *job, e gang.Ended) bool {
+	if e.Outcome != gang.Failed {
+		return false
+	}
+	j.failures++
+	class, ok := p.doc.Document.Class(j.stored.Spec.Class)
+	return ok && j.failures > class.Retries
+}
+
+// admit splits what has arrived into what may wait and what finds the service's
+// queue full.
+func (p *Planner) admit(fresh []scheduler.Job) []scheduler.Job {
+	room := p.doc.Document.Admission.MaxJobs - (p.queued() - len(fresh))
+	if len(fresh) <= room {
+		return fresh
+	}
+	room = max(room, 0)
+	for _, f := range fresh[room:] {
+		p.end(p.jobs[string(f.ID)], jobs.Rejected, reasonQueue)
+	}
+	return fresh[:room]
+}
+
+func (p *Planner) queued() int {
+	n := 0
+	for _, j := range p.jobs {
+		if j.phase == Queued && j.ending == nil {
+			n++
+		}
+	}
+	return n
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -112,6 +112,7 @@
 
 func (p *Planner) housekeep(now time.Time) {
 	p.loseSilent(now)
+	p.enforce(time.Now())
 	p.publishWhole(now)
 	stats := p.sched.Stats()
 	p.stats.Store(&stats)
