settings, docs: samples of settings and the reference page of every key

The page is checked against the struct tags: a key without its row, with another default or range, or a row whose key is gone fails the test. Values of secrets no longer appear in a message, also those of accepted_keys; an element of a list is named with its own line and what it accepts.

--- a/document/schema/accept.go
+++ b/document/schema/accept.go
@@ -5,9 +5,21 @@
 	"strings"
 )
 
-// accepts words the validate tag of f for an operator.
-func accepts(f reflect.StructField) string {
-	rules := rulesOf(f)
+// accepts words the validate tag of f for an operator: the value, or the
+// length of a list, and of a list of plain values what each element may be.
+func accepts(f reflect.StructField) (whole, each string) {
+	list, element, dives := strings.Cut(f.Tag.Get("validate"), ",dive,")
+	if !dives {
+		list, element, dives = strings.Cut(f.Tag.Get("validate"), "dive,")
+	}
+	whole = acceptedBy(rulesOf(list), unitOf(f))
+	if dives {
+		each = acceptedBy(rulesOf(element), unitOfType(f.Type.Elem()))
+	}
+	return whole, each
+}
+
+func acceptedBy(rules map[string]string, unit string) string {
 	for rule, words := range customRules {
 		if _, ok := rules[rule]; ok {
 			return words
@@ -17,27 +29,17 @@
 		return `one of "` + strings.Join(strings.Fields(choices), `", "`) + `"`
 	}
 	words := span(rules["min"], rules["max"])
-	if words == "" {
-		return ""
-	}
-	if unit := unitOf(f); unit != "" {
-		words += " " + unit
+	if words == "" || unit == "" {
+		return words
 	}
-	return words
+	return words + " " + unit
 }
 
-// rulesOf splits the validate tag up to dive: what follows holds for the
-// elements of a list.
-func rulesOf(f reflect.StructField) map[string]string {
+func rulesOf(tag string) map[string]string {
 	rules := map[string]string{}
-	for rule := range strings.SplitSeq(f.Tag.Get("validate"), ",") {
+	for rule := range strings.SplitSeq(tag, ",") {
 		name, param, _ := strings.Cut(rule, "=")
-		if name == "dive" {
-			continue
-		}
-		if _, ok := rules[name]; !ok {
-			rules[name] = param
-		}
+		rules[name] = param
 	}
 	return rules
 }
@@ -58,10 +60,14 @@
 	if unit := f.Tag.Get("unit"); unit != "" {
 		return unit
 	}
-	switch {
-	case f.Type.Kind() == reflect.String:
+	return unitOfType(f.Type)
+}
+
+func unitOfType(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
 		return "characters"
-	case f.Type.Kind() == reflect.Slice:
+	case reflect.Slice:
 		return "entries"
 	}
 	return ""
--- a/document/schema/index.go
+++ b/document/schema/index.go
@@ -134,7 +134,6 @@
 func (x *Index) value(p *unstable.Parser, path string, v *unstable.Node, start, end int) {
 	switch v.Kind {
 	case unstable.InlineTable:
-		x.lines[path] = p.Shape(v.Raw).Start.Line
 		it := v.Children()
 		for it.Next() {
 			if it.Node().Kind == unstable.KeyValue {
@@ -148,7 +147,9 @@
 			if it.Node().Kind == unstable.Comment {
 				continue
 			}
-			x.value(p, fmt.Sprintf("%s[%d]", path, i), it.Node(), start, end)
+			element := fmt.Sprintf("%s[%d]", path, i)
+			x.lines[element] = p.Shape(it.Node().Raw).Start.Line
+			x.value(p, element, it.Node(), start, end)
 			i++
 		}
 	}
--- a/document/schema/key.go
+++ b/document/schema/key.go
@@ -12,7 +12,9 @@
 	Type    string // as an operator knows it: integer, text, duration, ...
 	Default string // empty where there is none
 	Accepts string // accepted values with their unit, empty where any will do
+	Each    string // the same for each element of a list of plain values
 	Table   bool   // holds keys of its own
+	Secret  bool   // the value never appears in a message
 
 	duration bool
 }
@@ -24,6 +26,17 @@
 	return positions.ReplaceAllString(path, "")
 }
 
+// Range words what the key accepts, with the elements of a list.
+func (k Key) Range() string {
+	switch {
+	case k.Each == "":
+		return k.Accepts
+	case k.Accepts == "":
+		return "each " + k.Each
+	}
+	return k.Accepts + ", each " + k.Each
+}
+
 // Keys lists the keys of struct type T and of the tables below it.
 func Keys[T any]() []Key {
 	return keysOf(reflect.TypeFor[T](), "", nil)
@@ -50,12 +63,15 @@
 }
 
 func keyOf(f reflect.StructField, path string) Key {
+	whole, each := accepts(f)
 	return Key{
 		Path:    path,
 		Type:    typeName(f.Type),
 		Default: f.Tag.Get("default"),
-		Accepts: accepts(f),
+		Accepts: whole,
+		Each:    each,
 		Table:   tableType(f.Type) != nil,
+		Secret:  f.Tag.Get("secret") == "true",
 
 		duration: f.Type == durationType,
 	}
@@ -100,6 +116,9 @@
 	case reflect.Float32, reflect.Float64:
 		return "number"
 	case reflect.Slice:
+		if tableType(t) != nil {
+			return "list of tables"
+		}
 		return "list of " + typeName(t.Elem())
 	case reflect.Struct:
 		return "table"
--- a/document/schema/reason.go
+++ b/document/schema/reason.go
@@ -10,22 +10,21 @@
 
 func reason(fe validator.FieldError, keys []Key, path string) string {
 	k, _ := lookup(keys, path)
+	accepts := k.Range()
+	if strings.HasSuffix(path, "]") {
+		accepts = k.Each
+	}
 	if fe.Tag() == "required" {
-		return strings.TrimSuffix("is required: "+k.Accepts, ": ")
+		return strings.TrimSuffix("is required: "+accepts, ": ")
 	}
 	if fe.Kind() == reflect.Slice {
-		return fmt.Sprintf("got %d, want %s", reflect.ValueOf(fe.Value()).Len(), k.Accepts)
+		return fmt.Sprintf("got %d, want %s", reflect.ValueOf(fe.Value()).Len(), accepts)
 	}
-	if fe.Kind() == reflect.String && !k.secret() {
-		return fmt.Sprintf("got %q, want %s", fe.Value(), k.Accepts)
+	if k.Secret {
+		return "want " + accepts
 	}
-	if k.secret() {
-		return "want " + k.Accepts
+	if fe.Kind() == reflect.String {
+		return fmt.Sprintf("got %q, want %s", fe.Value(), accepts)
 	}
-	return fmt.Sprintf("got %v, want %s", fe.Value(), k.Accepts)
-}
-
-// secret is true for keys whose value must not appear in a message.
-func (k Key) secret() bool {
-	return strings.HasSuffix(k.Path, "cluster_key")
+	return fmt.Sprintf("got %v, want %s", fe.Value(), accepts)
 }
--- a/document/schema/toml.go
+++ b/document/schema/toml.go
@@ -105,10 +105,14 @@
 	if !ok {
 		return "another type"
 	}
-	if k.Accepts == "" || strings.HasPrefix(k.Accepts, "one of") {
-		return strings.TrimSpace(k.Type + " " + k.Accepts)
+	accepts := k.Range()
+	switch {
+	case accepts == "":
+		return k.Type
+	case strings.HasPrefix(accepts, "one of"):
+		return k.Type + " " + accepts
 	}
-	return k.Type + ", " + k.Accepts
+	return k.Type + ", " + accepts
 }
 
 func lookup(keys []Key, path string) (Key, bool) {
--- a/document/topology.go
+++ b/document/topology.go
@@ -11,7 +11,7 @@
 // TopologyZone is one availability zone of the expected capacity.
 type TopologyZone struct {
 	Name  string `toml:"name" validate:"required,name"`
-	Racks []int  `toml:"racks" validate:"min=1,max=4096,dive,min=1,max=1024" unit:"racks, each the number of its workers"`
+	Racks []int  `toml:"racks" validate:"min=1,max=4096,dive,min=1,max=1024" unit:"racks"`
 }
 
 // Workers counts the workers of the zone.
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -15,7 +15,7 @@
 	// Seeds are QUIC addresses of entries or of their balancer. Further entries
 	// are learnt from them.
 	Seeds      []string `toml:"seeds" validate:"required,min=1,dive,addr"`
-	ClusterKey string   `toml:"cluster_key" validate:"required,min=16"`
+	ClusterKey string   `toml:"cluster_key" validate:"required,min=16" secret:"true"`
 	// Target is the base URL of the target.
 	Target string `toml:"target" validate:"required,baseurl"`
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -21,8 +21,8 @@
 
 	// ClusterKey is the secret that all processes share. Accepted keys are
 	// admitted besides, for replacing it without an interruption.
-	ClusterKey   string   `toml:"cluster_key" validate:"required,min=16"`
-	AcceptedKeys []string `toml:"accepted_keys" validate:"dive,min=16"`
+	ClusterKey   string   `toml:"cluster_key" validate:"required,min=16" secret:"true"`
+	AcceptedKeys []string `toml:"accepted_keys" validate:"dive,min=16" secret:"true"`
 
 	// Platform are base URLs of the platform's key-value service.
 	Platform        []string        `toml:"platform" validate:"required,min=1,dive,baseurl"`
--- /dev/null
+++ b/settings/page_test.go
@@ -0,0 +1,57 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/document/schema"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+)
+
+// rowOf returns the row of a key in a section of the reference page.
+func rowOf(section, path string) string {
+	for line := range strings.Lines(section) {
+		if strings.HasPrefix(line, "| `"+path+"` |") {
+			return line
+		}
+	}
+	return ""
+}
+
+// An operator looks a key up. A key that was added, renamed or given another
+// default without its row on the page fails here.
+func TestReferencePageNamesEveryKey(t *testing.T) {
+	data, err := os.ReadFile("../docs/CONFIGURATION.md")
+	qt.Assert(t, err, qt.IsNil)
+	page := string(data)
+	for _, test := range []struct {
+		heading string
+		keys    []schema.Key
+	}{
+		{"## The document", schema.Keys[document.Document]()},
+		{"## Settings of an entry", schema.Keys[settings.Entry]()},
+		{"## Settings of an agent", schema.Keys[settings.Agent]()},
+	} {
+		t.Run(test.heading, func(t *testing.T) {
+			c := qt.New(t)
+			_, section, found := strings.Cut(page, test.heading+"\n")
+			c.Assert(found, qt.IsTrue)
+			section, _, _ = strings.Cut(section, "\n## ")
+			rows := 0
+			for _, k := range test.keys {
+				row := rowOf(section, k.Path)
+				c.Check(row, qt.Not(qt.Equals), "", qt.Commentf("no row for %s", k.Path))
+				c.Check(row, qt.Contains, "| "+k.Range()+" |", qt.Commentf("%s", k.Path))
+				if k.Default != "" {
+					c.Check(row, qt.Contains, "| `"+k.Default+"` |", qt.Commentf("%s", k.Path))
+				}
+				rows++
+			}
+			c.Assert(strings.Count(section, "\n| `"), qt.Equals, rows, qt.Commentf("a row names a key that is gone"))
+		})
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,74 @@
+package settings_test
+
+import (
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/settings"
+)
+
+func TestSamplesLoad(t *testing.T) {
+	c := qt.New(t)
+	for _, deployment := range []string{"tidewater", "peachline"} {
+		file := filepath.Join("../testdata/settings", deployment)
+		entry, err := settings.Load[settings.Entry](file + "-entry.toml")
+		c.Assert(err, qt.IsNil)
+		agent, err := settings.Load[settings.Agent](file + "-agent.toml")
+		c.Assert(err, qt.IsNil)
+		c.Assert(agent.Region, qt.Equals, entry.Region)
+		c.Assert(agent.ClusterKey, qt.Equals, entry.ClusterKey)
+	}
+}
+
+// A process with several mistakes in its settings names all of them, with what
+// is accepted, and never shows a secret.
+func TestProblemsNameKeyAndReason(t *testing.T) {
+	c := qt.New(t)
+	const text = `id = "Entry 1"
+region = "auckland"
+zone = "wharf"
+http_listen = "8080"
+cluster_key = "too short"
+accepted_keys = [
+  "sixteen characters",
+  "short",
+]
+platform = ["127.0.0.1:2379"]
+report_every = 5
+colour = "red"
+`
+	_, err := settings.Parse[settings.Entry]("entry.toml", []byte(text))
+	c.Assert(err, qt.ErrorMatches, `entry.toml:1: id: got "Entry 1", want 1 to 63 .*
+entry.toml:4: http_listen: got "8080", want an IP number or host name with a port.*
+entry.toml:5: cluster_key: want at least 16 characters
+entry.toml:8: accepted_keys\[1\]: want at least 16 characters
+entry.toml:10: platform\[0\]: got "127.0.0.1:2379", want a URL such as .*
+entry.toml:11: report_every: wrong type, want duration such as "250ms" or "4h", 100ms to 60s
+entry.toml:12: colour: unknown key`)
+}
+
+func TestFileThatIsNotThere(t *testing.T) {
+	_, err := settings.Load[settings.Agent]("nowhere.toml")
+	qt.Assert(t, err, qt.ErrorMatches, `.*nowhere.toml.*no such file.*`)
+}
+
+// A key set to zero is not a key left out: its default must not replace it.
+func TestZeroIsKept(t *testing.T) {
+	c := qt.New(t)
+	const text = `id = "w"
+service = "s"
+region = "r"
+zone = "z"
+rack = "k"
+seeds = ["10.0.0.1:7800"]
+cluster_key = "0123456789abcdef"
+target = "http://127.0.0.1:8090"
+accelerators = 0
+`
+	agent, err := settings.Parse[settings.Agent]("agent.toml", []byte(text))
+	c.Assert(err, qt.IsNil)
+	c.Assert(agent.Accelerators, qt.Equals, 0)
+	c.Assert(agent.Slots, qt.Equals, 8)
+}
