lease: duties under a store lease with a fencing epoch

A planner must be one at a time for efficiency, and its orders ordered for safety. The holder key is created first, the epoch raised second, and the key read again third; raising first was ruled out, since a late creation could bring in an older epoch, and an epoch tied to the store's revision, since it goes back when the store is restored.

--- /dev/null
+++ b/lease/elector.go
@@ -0,0 +1,189 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+const (
+	// driftShare: one part in so many of a lease's time is not used, for
+	// clocks of store and process that run at different rates.
+	driftShare = 50
+	// renewShare and retryShare are the parts of the TTL between a renewal and
+	// the next, and between a failed renewal and the next attempt.
+	renewShare = 3
+	retryShare = 10
+)
+
+// Elector decides what one candidate for one duty does next. It has one action
+// in progress at a time: Step takes the action's event and returns the next.
+// One goroutine owns it.
+type Elector struct {
+	ttl       time.Duration
+	lease     platform.LeaseID // zero: none
+	revoking  platform.LeaseID // given up, and Revoked not yet seen
+	until     time.Duration    // the lease lives until then at least
+	pending   time.Duration    // until, once the holder key is verified
+	epoch     uint64           // raised by us; valid while held
+	floor     uint64           // highest epoch known from receivers
+	held      bool
+	resigning bool
+}
+
+// NewElector returns an Elector for leases of the given TTL. The first event
+// is Start.
+func NewElector(ttl time.Duration) *Elector { return &Elector{ttl: ttl} }
+
+// Held returns the present holding. The caller compares Until with its clock.
+func (e *Elector) Held() (Held, bool) {
+	return Held{Epoch: e.epoch, Until: e.until}, e.held
+}
+
+// Deadline returns when the action in progress is no longer of use, and false
+// where it may take any time.
+func (e *Elector) Deadline() (time.Duration, bool) {
+	return e.until, e.lease != 0
+}
+
+// Step takes an event at time now and returns the next action. Outdated and
+// Resign may come at any time; the action in progress is then abandoned, and
+// its event must not be given any more.
+func (e *Elector) Step(now time.Duration, ev Event) Action {
+	switch ev := ev.(type) {
+	case Resign:
+		e.resigning = true
+		return e.release()
+	case Outdated:
+		return e.outdated(now, ev)
+	case Revoked:
+		e.revoking = 0
+		return e.idle()
+	}
+	// A holder that was paused finds here, before anything else, that its
+	// lease may have lapsed meanwhile.
+	if e.lease != 0 && now >= e.until {
+		return e.release()
+	}
+	if e.lease == 0 {
+		return e.candidate(ev)
+	}
+	if e.held {
+		return e.holder(now, ev)
+	}
+	return e.claimant(now, ev)
+}
+
+// candidate has no lease.
+func (e *Elector) candidate(ev Event) Action {
+	switch ev := ev.(type) {
+	case Vacant:
+		return Grant{}
+	case Granted:
+		e.lease = ev.Lease
+		e.until = e.usable(ev.Sent)
+		e.pending = e.until
+		return Claim{Lease: e.lease}
+	case Failed:
+		return Pause{}
+	}
+	return AwaitVacant{}
+}
+
+// claimant has a lease and does not hold the duty yet. Any doubt ends the
+// claim: revoking the lease also undoes a creation of the holder key that is
+// still on its way.
+func (e *Elector) claimant(now time.Duration, ev Event) Action {
+	switch ev := ev.(type) {
+	case Claimed:
+		if ev.Won {
+			return ReadEpoch{}
+		}
+	case EpochRead:
+		e.epoch = max(ev.Epoch, e.floor) + 1
+		return RaiseEpoch{Expect: ev.Mod, Epoch: e.epoch}
+	case Raised:
+		if ev.Won {
+			return Verify{Lease: e.lease}
+		}
+		// Another's raise, or a late one of our own; read and raise again.
+		return ReadEpoch{}
+	case Verified:
+		if ev.Ours {
+			e.held = true
+			return e.rest(now)
+		}
+	}
+	return e.release()
+}
+
+// holder holds the duty.
+func (e *Elector) holder(now time.Duration, ev Event) Action {
+	switch ev := ev.(type) {
+	case Woke:
+		return Renew{Lease: e.lease}
+	case Renewed:
+		// The lease may live on without the holder key: deleted by an
+		// operator, or lost in a restore. Only both together count.
+		e.pending = e.usable(ev.Sent)
+		return Verify{Lease: e.lease}
+	case Verified:
+		if !ev.Ours {
+			return e.release()
+		}
+		e.until = max(e.until, e.pending)
+		return e.rest(now)
+	case Failed:
+		if ev.Gone {
+			return e.release()
+		}
+		return Sleep{Until: min(now+e.ttl/retryShare, e.until)}
+	}
+	return e.release()
+}
+
+// rest sleeps until the next renewal.
+func (e *Elector) rest(now time.Duration) Action {
+	return Sleep{Until: min(now+e.ttl/renewShare, e.until)}
+}
+
+// outdated takes up a higher epoch. A holder that learns of one cannot be
+// obeyed until it has raised its own above it.
+func (e *Elector) outdated(now time.Duration, ev Outdated) Action {
+	e.floor = max(e.floor, ev.Epoch)
+	if !e.held || now >= e.until {
+		return e.release()
+	}
+	if ev.Epoch <= e.epoch {
+		return Renew{Lease: e.lease}
+	}
+	e.held = false
+	return ReadEpoch{}
+}
+
+// release drops the duty first and then gives the lease back, so that the next
+// candidate need not wait for it to lapse.
+func (e *Elector) release() Action {
+	e.held = false
+	if e.lease != 0 {
+		e.revoking, e.lease = e.lease, 0
+	}
+	if e.revoking != 0 {
+		return Revoke{Lease: e.revoking}
+	}
+	return e.idle()
+}
+
+func (e *Elector) idle() Action {
+	if e.resigning {
+		return Done{}
+	}
+	return Pause{}
+}
+
+// usable returns until when a lease granted or renewed by a call sent at sent
+// lives at least. The store counts from when it received the call, which is
+// later; counting from the reply would outlive the lease by the reply's delay.
+func (e *Elector) usable(sent time.Duration) time.Duration {
+	return sent + e.ttl - e.ttl/driftShare
+}
--- /dev/null
+++ b/lease/holder.go
@@ -0,0 +1,171 @@
+package lease
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// pauseFirst and pauseMax are the first and the longest Pause.
+	pauseFirst = 100 * time.Millisecond
+	pauseMax   = 5 * time.Second
+)
+
+// Holder competes for one duty until it resigns. It is safe for concurrent use.
+type Holder struct {
+	opts    Options
+	tomb    tomb.Tomb
+	current atomic.Pointer[Held] // nil: not held
+	over    atomic.Bool          // Resign was called
+	seen    atomic.Uint64        // highest epoch told to Observe
+	observe chan struct{}
+
+	// Owned by the tomb's goroutine.
+	elector *Elector
+	claim   []byte // value of the holder key that is ours
+	pause   *backoff.ExponentialBackOff
+}
+
+// Run starts a Holder.
+func Run(opts Options) *Holder {
+	if opts.Clock == nil {
+		opts.Clock = BootTime
+	}
+	h := &Holder{
+		opts:    opts,
+		observe: make(chan struct{}, 1),
+		elector: NewElector(opts.TTL),
+		pause:   backoff.NewExponentialBackOff(),
+	}
+	h.pause.InitialInterval = pauseFirst
+	h.pause.MaxInterval = pauseMax
+	h.pause.Reset()
+	h.tomb.Go(h.run)
+	return h
+}
+
+// Current returns the present holding, and false where the duty is not held.
+// It takes no lock and reads the clock, so that a process that was paused past
+// the end of its lease gets false at once, before any renewal has failed.
+func (h *Holder) Current() (Held, bool) {
+	held := h.current.Load()
+	if held == nil || h.over.Load() || h.opts.Clock() >= held.Until {
+		return Held{}, false
+	}
+	return *held, true
+}
+
+// Observe tells the Holder that a receiver refused it with a higher epoch. It
+// goes on with one above it, if it still holds the duty.
+func (h *Holder) Observe(epoch uint64) {
+	for {
+		seen := h.seen.Load()
+		if epoch <= seen {
+			return
+		}
+		if h.seen.CompareAndSwap(seen, epoch) {
+			break
+		}
+	}
+	select {
+	case h.observe <- struct{}{}:
+	default:
+	}
+}
+
+// Resign gives the duty up for good: Current is false from then on, and the
+// next candidate takes over at once, without waiting for the lease to lapse.
+// It returns when that is done, or with the context's error; the lease then
+// lapses by itself at worst.
+func (h *Holder) Resign(ctx context.Context) error {
+	h.over.Store(true)
+	h.tomb.Kill(nil)
+	select {
+	case <-h.tomb.Dead():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (h *Holder) run() error {
+	act := h.step(Start{})
+	told := false
+	for {
+		if !told && !h.tomb.Alive() {
+			told = true
+			act = h.step(Resign{})
+		}
+		if _, done := act.(Done); done {
+			return nil
+		}
+		act = h.step(h.perform(act))
+	}
+}
+
+// step lets the Elector decide and publishes what it holds.
+func (h *Holder) step(ev Event) Action {
+	act := h.elector.Step(h.opts.Clock(), ev)
+	held, ok := h.elector.Held()
+	before := h.current.Load()
+	switch {
+	case ok && (before == nil || *before != held):
+		h.current.Store(&held)
+	case !ok && before != nil:
+		h.current.Store(nil)
+	}
+	if ok != (before != nil) || ok && held.Epoch != before.Epoch {
+		h.changed(held, ok)
+	}
+	return act
+}
+
+func (h *Holder) changed(held Held, ok bool) {
+	if ok {
+		h.pause.Reset()
+	}
+	if h.opts.Log != nil {
+		log := h.opts.Log.WithField("duty", h.opts.Duty).WithField("epoch", held.Epoch)
+		if ok {
+			log.Info("duty gained")
+		} else {
+			log.Info("duty lost")
+		}
+	}
+	if h.opts.Changed != nil {
+		h.opts.Changed(held, ok)
+	}
+}
+
+// context returns the context of an action: it ends with the Holder, and when
+// the lease could have lapsed, so that a call that hangs cannot keep the
+// Holder from dropping the duty.
+func (h *Holder) context() (context.Context, context.CancelFunc) {
+	ctx := h.tomb.Context(context.Background())
+	if until, ok := h.elector.Deadline(); ok {
+		return context.WithTimeout(ctx, until-h.opts.Clock())
+	}
+	return context.WithCancel(ctx)
+}
+
+// sleep waits for d and returns early where the Holder resigns or, with
+// listen, where a higher epoch was observed.
+func (h *Holder) sleep(d time.Duration, listen bool) Event {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	observe := h.observe
+	if !listen {
+		observe = nil
+	}
+	select {
+	case <-timer.C:
+	case <-h.tomb.Dying():
+	case <-observe:
+		return Outdated{Epoch: h.seen.Load()}
+	}
+	return Woke{}
+}
--- /dev/null
+++ b/lease/options.go
@@ -0,0 +1,30 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// Options of a Holder. Store, Duty, Instance and TTL are needed.
+type Options struct {
+	Store platform.Store
+	// Duty names what is held; processes with the same name compete.
+	Duty string
+	// Instance is written into the keys, for operators to read.
+	Instance string
+	// TTL is the lease's, in whole seconds. It bounds how long nobody holds
+	// the duty after a holder's death, and is three times the time between
+	// renewals, each of which costs two calls to the store.
+	TTL time.Duration
+	// Changed is told when the duty is gained, lost, or goes on under another
+	// epoch, from the Holder's goroutine; it must not block. It may be nil. The
+	// loss of a duty whose renewal hangs is told at Until.
+	Changed func(held Held, ok bool)
+	// Clock reads a clock that runs during suspension; nil means BootTime.
+	Clock func() time.Duration
+	// Log gets a line for each change; nil means none.
+	Log logrus.FieldLogger
+}
--- /dev/null
+++ b/lease/record.go
@@ -0,0 +1,24 @@
+package lease
+
+import "encoding/json"
+
+const keyPrefix = "duty/"
+
+func holderKey(duty string) string { return keyPrefix + duty + "/holder" }
+func epochKey(duty string) string  { return keyPrefix + duty + "/epoch" }
+
+// record is the value of both keys. Token makes each value unique, so that a
+// write whose reply was lost can be recognised.
+type record struct {
+	Instance string `json:"instance"`
+	Token    string `json:"token"`
+	Epoch    uint64 `json:"epoch,omitempty"`
+}
+
+func (r record) encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic("lease: record of plain fields not encodable: " + err.Error())
+	}
+	return b
+}
