planner: tests against gang members in memory and a real store stand-in

Need: a start that races a cancellation, two planners at once, takeover of a running gang, the end of a gang during an outage.

--- a/planner/config.go
+++ b/planner/config.go
@@ -45,7 +45,7 @@
 	Observer Observer
 	Log      *logrus.Entry
 	// Document is what is in force when the term begins.
-	Document *document.Held
+	Document  *document.Held
 	Retention Retention
 }
 
--- /dev/null
+++ b/planner/fake_test.go
@@ -0,0 +1,212 @@
+package planner
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/clock"
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+var errCut = errors.New("no path to the agent")
+
+// fakeAgents is a set of gang members without targets: a task runs until the
+// test ends it. It counts the starts of each job.
+type fakeAgents struct {
+	mu      sync.Mutex
+	members map[string]*gang.Member
+	running map[string][]gang.ID // by agent
+	starts  map[string]int       // by job
+	cut     map[uint64]bool      // planners, by epoch, whose messages are lost
+}
+
+func newFakeAgents(names ...string) *fakeAgents {
+	f := &fakeAgents{
+		members: make(map[string]*gang.Member),
+		running: make(map[string][]gang.ID),
+		starts:  make(map[string]int),
+		cut:     make(map[uint64]bool),
+	}
+	for _, n := range names {
+		m := gang.NewMember(gang.MemberConfig{Accelerators: 8, Incarnation: 1, Isolation: time.Hour})
+		m.Step(clock.Now(), gang.Adopted{})
+		f.members[n] = m
+	}
+	return f
+}
+
+// Gang implements Agents.
+func (f *fakeAgents) Gang(_ context.Context, agent string, msg gang.Message) (gang.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[agent]
+	if m == nil || f.cut[msg.Head().Sender] {
+		return gang.Reply{}, errCut
+	}
+	return f.step(agent, gang.Received{From: "planner", Message: msg}), nil
+}
+
+func (f *fakeAgents) step(agent string, ev gang.MemberEvent) gang.Reply {
+	var reply gang.Reply
+	for _, a := range f.members[agent].Step(clock.Now(), ev) {
+		switch a := a.(type) {
+		case gang.SendReply:
+			reply = a.Reply
+		case gang.StartTask:
+			f.running[agent] = append(f.running[agent], a.Task.ID)
+			f.starts[a.Task.ID.Job]++
+		case gang.StopTask:
+			f.step(agent, gang.TaskEnded{ID: a.ID, Result: gang.TaskStopped})
+		}
+	}
+	return reply
+}
+
+// finish ends every running task with success.
+func (f *fakeAgents) finish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for agent, ids := range f.running {
+		for _, id := range ids {
+			f.step(agent, gang.TaskEnded{ID: id, Result: gang.Succeeded})
+		}
+		f.running[agent] = nil
+	}
+}
+
+func (f *fakeAgents) startsOf(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[job]
+}
+
+// report gives a planner what all agents would report now.
+func (f *fakeAgents) report(p *Planner) {
+	f.mu.Lock()
+	var all []Seen
+	for name, m := range f.members {
+		all = append(all, Seen{
+			Worker:      scheduler.Worker{ID: scheduler.WorkerID(name), Zone: "z", Rack: "r", Accelerators: 8, Cores: 32, MemoryMB: 65536},
+			Incarnation: 1,
+			Fence:       m.Fence(),
+			Tasks:       m.Tasks(),
+			At:          clock.Now(),
+		})
+	}
+	f.mu.Unlock()
+	for _, s := range all {
+		p.Observe(s)
+	}
+}
+
+// bench is a store stand-in with the job records in it.
+type bench struct {
+	c      *qt.C
+	server *standin.Server
+	store  *platform.Client
+	jobs   *jobs.Store
+	held   *document.Held
+}
+
+func newBench(t *testing.T) *bench {
+	c := qt.New(t)
+	server := standin.New(standin.Options{})
+	http := httptest.NewServer(server)
+	store := platform.NewClient(platform.Options{Endpoints: []string{http.URL}, CallTimeout: time.Second})
+	swaps := platform.NewBatcher(store, 0)
+	c.Cleanup(func() {
+		swaps.Close()
+		store.Close()
+		server.Close()
+		http.Close()
+	})
+	text, err := os.ReadFile("../testdata/documents/dispatch.toml")
+	c.Assert(err, qt.IsNil)
+	doc, err := document.Parse("dispatch.toml", text)
+	c.Assert(err, qt.IsNil)
+	return &bench{
+		c:      c,
+		server: server,
+		store:  store,
+		jobs:   jobs.NewStore("r", store, swaps),
+		held:   &document.Held{Document: doc, Version: document.Version{Generation: 1}},
+	}
+}
+
+func (b *bench) planner(epoch uint64, agents *fakeAgents) *Planner {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	p := Start(Config{
+		Service:   "dispatch",
+		Epoch:     epoch,
+		Store:     b.store,
+		Jobs:      b.jobs,
+		Agents:    agents,
+		Observer:  noObserver{},
+		Log:       logrus.NewEntry(log),
+		Document:  b.held,
+		Retention: noRetention{},
+	})
+	b.c.Cleanup(p.Stop)
+	return p
+}
+
+func (b *bench) accept(id string, accelerators int, repeatable bool) {
+	_, err := b.jobs.Accept(context.Background(), jobs.Record{
+		ID:        id,
+		Service:   "dispatch",
+		Submitted: time.Now(),
+		Spec: jobs.Spec{
+			Account:      "harbourline",
+			Class:        "risk-scoring",
+			Accelerators: accelerators,
+			Adjacency:    "any",
+			Repeatable:   repeatable,
+		},
+	})
+	b.c.Assert(err, qt.IsNil)
+}
+
+func (b *bench) state(id string) jobs.State {
+	r, err := b.jobs.Get(context.Background(), "dispatch", id)
+	if err != nil {
+		return ""
+	}
+	return r.State
+}
+
+// eventually drives step until done holds; it fails after a generous bound.
+func (b *bench) eventually(what string, step func(), done func() bool) {
+	b.c.Helper()
+	for range 1000 {
+		step()
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.c.Fatalf("never happened: %s", what)
+}
+
+type noObserver struct{}
+
+func (noObserver) JobStarted(string, string, time.Duration)           {}
+func (noObserver) JobEnded(string, string, jobs.State, time.Duration) {}
+
+type noRetention struct{}
+
+func (noRetention) Current(context.Context) (platform.LeaseID, error) { return 0, nil }
+func (noRetention) Drop(platform.LeaseID)                             {}
