cmd: scenario of separate processes by testscript

The first runs the store stand-in, two entries and three targets with an agent each as processes of their own: a document is put, its generation shows at every process, a request that must not run twice gets the same answer through the other entry, a gang of two workers is followed to its end through the other entry, the loser of a race for the document is refused, and SIGTERM of everything leaves a request in progress its whole answer. The second checks that mistakes name file, key and reason, and the exit codes.

testscript's own kill knows no SIGTERM, so the scripts have a command for it. The target stand-in closed its connections on SIGTERM and cut the request in progress; it now shuts down gracefully, as a target of the users does.

--- a/cmd/eelgrasshub/platform_standin.go
+++ b/cmd/eelgrasshub/platform_standin.go
@@ -28,11 +28,13 @@
 	store := standin.New(standin.Options{})
 	defer store.Close()
 	srv := &http.Server{Handler: store}
-	return serveStandin("platform stand-in", c.Listen, c.LogLevel, srv)
+	// Watches are held for good, so there is nothing to wait for.
+	stop := func(context.Context) error { return srv.Close() }
+	return serveStandin("platform stand-in", c.Listen, c.LogLevel, srv, stop)
 }
 
-// serveStandin serves until a signal comes.
-func serveStandin(name, addr, level string, srv *http.Server) error {
+// serveStandin serves until a signal comes, then stops.
+func serveStandin(name, addr, level string, srv *http.Server, stop stopFunc) error {
 	log, err := newLog(level)
 	if err != nil {
 		return err
@@ -42,6 +44,6 @@
 		return err
 	}
 	log.WithField("address", l.Addr().String()).Info(name + " started")
-	go func() { _ = srv.Serve(l) }() // ends with Close
-	return serveUntilSignal(stopFunc(func(context.Context) error { return srv.Close() }), commandTimeout, log)
+	go func() { _ = srv.Serve(l) }() // ends with stop
+	return serveUntilSignal(stop, commandTimeout, log)
 }
--- /dev/null
+++ b/cmd/eelgrasshub/script_commands_test.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	// pollLimit bounds every wait of a script.
+	pollLimit = 30 * time.Second
+	pollEvery = 50 * time.Millisecond
+)
+
+// addrCmd sets variables to loopback addresses whose port is free for TCP and
+// UDP: addr NAME...
+func addrCmd(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, len(args) > 0, "addr NAME...")
+	var held []io.Closer
+	for _, name := range args {
+		addr, closers := freeAddr(ts)
+		held = append(held, closers...)
+		ts.Setenv(name, addr)
+	}
+	// All are held until the last is found, so that no two are the same.
+	for _, c := range held {
+		ts.Check(c.Close())
+	}
+}
+
+func freeAddr(ts *testscript.TestScript) (string, []io.Closer) {
+	for {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		addr := tcp.Addr().String()
+		udp, err := net.ListenPacket("udp", addr)
+		if err == nil {
+			return addr, []io.Closer{tcp, udp}
+		}
+		ts.Check(tcp.Close())
+	}
+}
+
+// expandCmd replaces $NAME in files by the script's variables: expand FILE...
+func expandCmd(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, len(args) > 0, "expand FILE...")
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o644))
+	}
+}
+
+// exitsCmd runs a program that has to end with the given code; stdout and
+// stderr can be matched after it: exits CODE PROGRAM ARGS...
+func exitsCmd(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, len(args) > 1, "exits CODE PROGRAM ARGS...")
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	got := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("%v: exit code %d, want %d", args[1:], got, want)
+	}
+}
+
+// pollCmd runs a program until it succeeds and its output matches: poll REGEXP
+// PROGRAM ARGS...
+func pollCmd(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, len(args) > 1, "poll REGEXP PROGRAM ARGS...")
+	want := regexp.MustCompile(args[0])
+	until(ts, args, func() error {
+		if err := ts.Exec(args[1], args[2:]...); err != nil {
+			return err
+		}
+		if out := ts.ReadFile("stdout"); !want.MatchString(out) {
+			return fmt.Errorf("output does not match:\n%s", out)
+		}
+		return nil
+	})
+}
+
+// fetchCmd asks the URLs in turn until one answers 200 with a body that matches:
+// fetch REGEXP URL...
+func fetchCmd(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, len(args) > 1, "fetch REGEXP URL...")
+	want := regexp.MustCompile(args[0])
+	next := 0
+	until(ts, args, func() error {
+		body, err := get(args[1+next%(len(args)-1)])
+		next++
+		if err == nil && !want.Match(body) {
+			err = fmt.Errorf("body does not match:\n%s", body)
+		}
+		return err
+	})
+}
+
+func get(url string) ([]byte, error) {
+	client := http.Client{Timeout: pollLimit}
+	resp, err := client.Get(url)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", resp.Status, body)
+	}
+	return body, err
+}
+
+func until(ts *testscript.TestScript, what []string, try func() error) {
+	deadline := time.Now().Add(pollLimit)
+	for {
+		err := try()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%q: not within %s: %v", what, pollLimit, err)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// jsonenvCmd sets a variable to a string field of a JSON object: jsonenv NAME
+// FILE FIELD
+func jsonenvCmd(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, len(args) == 3, "jsonenv NAME FILE FIELD")
+	var object map[string]any
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[1])), &object))
+	value, ok := object[args[2]].(string)
+	if !ok {
+		ts.Fatalf("%s: no string field %q", args[1], args[2])
+	}
+	ts.Setenv(args[0], value)
+}
+
+// terminateCmd sends SIGTERM to every process that the script has started:
+// terminate
+func terminateCmd(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, len(args) == 0, "terminate")
+	for _, cmd := range ts.BackgroundCmds() {
+		ts.Check(cmd.Process.Signal(syscall.SIGTERM))
+	}
+}
+
+func usage(ts *testscript.TestScript, neg, ok bool, text string) {
+	if neg || !ok {
+		ts.Fatalf("usage: %s", text)
+	}
+}
--- /dev/null
+++ b/cmd/eelgrasshub/script_request_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+)
+
+// requestFlags are the flags of the scripts' request command.
+type requestFlags struct {
+	Entry   string `long:"entry" required:"true"`
+	Service string `long:"service" required:"true"`
+	Account string `long:"account" required:"true"`
+	Class   string `long:"class" required:"true"`
+	Key     string `long:"key"`
+	Query   string `long:"query"`
+	Args    struct {
+		Name string `required:"true"`
+	} `positional-args:"true"`
+}
+
+// requestsKey is under which a script keeps its requests by name.
+type requestsKey struct{}
+
+// sentRequest is a request under way.
+type sentRequest struct {
+	ended  chan struct{}
+	answer api.Answer
+	err    error
+}
+
+// requestCmd sends a quick request and goes on at once: request --entry URL
+// ... NAME
+func requestCmd(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, len(args) > 0, "request --entry=URL --service=S --account=A --class=C [--key=K] [--query=Q] NAME")
+	var f requestFlags
+	_, err := flags.NewParser(&f, flags.None).ParseArgs(args)
+	ts.Check(err)
+	sent := &sentRequest{ended: make(chan struct{})}
+	requestsOf(ts)[f.Args.Name] = sent
+	go func() {
+		defer close(sent.ended)
+		ctx, cancel := context.WithTimeout(context.Background(), pollLimit)
+		defer cancel()
+		sent.answer, sent.err = api.NewClient(f.Entry, nil).Request(ctx, api.QuickRequest{
+			Call:     api.Call{Account: f.Account, Class: f.Class, IdempotencyKey: f.Key},
+			Service:  f.Service,
+			Path:     "check",
+			RawQuery: f.Query,
+			Body:     []byte("consignment"),
+		})
+	}()
+}
+
+// answerCmd waits for the answer to a request, checks its outcome and writes its
+// body to the file NAME: answer OUTCOME NAME
+func answerCmd(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, len(args) == 2, "answer OUTCOME NAME")
+	sent := requestsOf(ts)[args[1]]
+	if sent == nil {
+		ts.Fatalf("no request %q", args[1])
+	}
+	<-sent.ended // bounded by the request's own context
+	ts.Check(sent.err)
+	if got := string(sent.answer.Outcome); got != args[0] {
+		ts.Fatalf("outcome %q, want %q: %s", got, args[0], describe(sent.answer))
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), sent.answer.Body, 0o644))
+}
+
+func describe(a api.Answer) string {
+	if a.Problem != nil {
+		return a.Problem.Error()
+	}
+	return fmt.Sprintf("status %d", a.Status)
+}
+
+// requestsOf are the requests of one script.
+func requestsOf(ts *testscript.TestScript) map[string]*sentRequest {
+	requests, ok := ts.Value(requestsKey{}).(map[string]*sentRequest)
+	if !ok {
+		ts.Fatalf("the script has no requests: Setup is missing")
+	}
+	return requests
+}
--- /dev/null
+++ b/cmd/eelgrasshub/script_test.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestMain puts the binary under test into the scripts' path: the test binary
+// itself, run under the name eelgrasshub.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"eelgrasshub": main})
+}
+
+// TestScript runs the scenarios of separate processes. Each script starts its
+// own processes, waits by asking them, and ends them.
+func TestScript(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Setup: func(env *testscript.Env) error {
+			env.Values[requestsKey{}] = make(map[string]*sentRequest)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"addr":      addrCmd,
+			"terminate": terminateCmd,
+			"expand":    expandCmd,
+			"exits":     exitsCmd,
+			"poll":      pollCmd,
+			"fetch":     fetchCmd,
+			"request":   requestCmd,
+			"answer":    answerCmd,
+			"jsonenv":   jsonenvCmd,
+		},
+	})
+}
--- a/cmd/eelgrasshub/target_standin.go
+++ b/cmd/eelgrasshub/target_standin.go
@@ -20,7 +20,7 @@
 	return command{
 		name:  "target-standin",
 		short: "run a stand-in worker with a target, for trials and tests",
-		long:  "Runs quick requests and gang tasks as the target protocol says and keeps an audit of what truly ran: GET /standin/audit. Faults are set by POST /standin/faults.",
+		long:  "Runs quick requests and gang tasks as the target protocol says and keeps an audit of what truly ran: GET /standin/audit. Faults are set by POST /standin/faults. SIGTERM lets requests in progress end.",
 		data:  &targetStandinCmd{},
 	}
 }
@@ -34,5 +34,6 @@
 		Work:         c.Work,
 	})
 	defer worker.Close()
-	return serveStandin("target stand-in "+c.Name, c.Listen, c.LogLevel, worker.HTTPServer())
+	srv := worker.HTTPServer()
+	return serveStandin("target stand-in "+c.Name, c.Listen, c.LogLevel, srv, srv.Shutdown)
 }
