target, api: tests of outcomes, stand-in runs and its audit log

The client's tests show that a broken reused connection isn't repeated, that a caller gone after the send is unknown and one gone while waiting for a connection is not sent. The stand-in's random run shows that its log never has two tasks on one accelerator. A silent stand-in now reads the request's body first: net/http reports a caller that went away only after that.

--- a/api/doc.go
+++ b/api/doc.go
@@ -5,6 +5,9 @@
 // follows from its [Reason] alone, so that "not run" can't be said for a reason
 // that allows the request to have run.
 //
+// Checks return a *Problem that is nil when all is well. Compare it with nil
+// before it becomes an error: an error that holds a nil *Problem isn't nil.
+//
 // Values of this package are plain data, safe to copy. [Client] is safe for
 // concurrent use.
 package api
--- /dev/null
+++ b/target/client_test.go
@@ -0,0 +1,159 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) *Client {
+	srv := httptest.NewServer(h)
+	client := NewClient(Options{Base: srv.URL})
+	t.Cleanup(func() {
+		client.Close()
+		srv.Close()
+	})
+	return client
+}
+
+func TestDoForwardsAndReturnsTheWholeAnswer(t *testing.T) {
+	c := qt.New(t)
+	client := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Seen", r.Method+" "+r.URL.EscapedPath()+"?"+r.URL.RawQuery+" "+r.Header.Get(HeaderRequest)+
+			" "+r.Header.Get(HeaderAttempt)+" "+r.Header.Get(HeaderDeadline))
+		w.WriteHeader(http.StatusFound)
+		_, _ = w.Write(body)
+	})
+	a, err := client.Do(context.Background(), Request{ID: "r1", Attempt: 2, Deadline: time.Second,
+		Method: "PUT", Path: "a%2Fb/c", RawQuery: "x=1", Body: []byte("pallet")})
+	c.Assert(err, qt.IsNil)
+	c.Check(a.Status, qt.Equals, http.StatusFound)
+	c.Check(string(a.Body), qt.Equals, "pallet")
+	c.Check(a.Header.Get("Seen"), qt.Equals, "PUT /requests/a%2Fb/c?x=1 r1 2 1s")
+}
+
+func TestDoErrors(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	nobody := "http://" + listener.Addr().String()
+	listener.Close()
+	qt.Check(t, errors.Is(do(NewClient(Options{Base: nobody})), ErrNotSent), qt.IsTrue)
+
+	for name, tc := range map[string]struct {
+		handler http.HandlerFunc
+		want    error
+	}{
+		"target dies before the answer": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, ErrOutcomeUnknown},
+		"body cut short": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+		}, ErrOutcomeUnknown},
+		"end of the body can't be told from a cut": {func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\nperhaps half")
+			conn.Close()
+		}, ErrOutcomeUnknown},
+		"refused": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderRefused, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, ErrRefused},
+		"answer too large": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, DefaultMaxAnswer+1))
+		}, ErrTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := do(serve(t, tc.handler))
+			qt.Check(t, errors.Is(err, tc.want), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func do(c *Client) error {
+	_, err := c.Do(context.Background(), Request{Method: "POST"})
+	return err
+}
+
+func TestCallerGoneAfterTheSendIsUnknown(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http sees a caller go only then
+		cancel()
+		<-r.Context().Done()
+	})
+	_, err := client.Do(ctx, Request{Method: "POST", Body: []byte("x")})
+	qt.Check(t, errors.Is(err, ErrOutcomeUnknown), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestBrokenReusedConnectionIsNotRepeated(t *testing.T) {
+	// A grower's space is booked twice: a GET with an Idempotency-Key goes out
+	// on a reused connection, the target runs it and the connection breaks
+	// before the answer. net/http would send it again by itself.
+	var runs atomic.Int32
+	client := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "warm" {
+			return
+		}
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	_, err := client.Do(context.Background(), Request{Method: "GET", RawQuery: "warm"})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = client.Do(context.Background(), Request{Method: "GET", Header: http.Header{"Idempotency-Key": {"k"}}})
+	qt.Check(t, errors.Is(err, ErrOutcomeUnknown), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, runs.Load(), qt.Equals, int32(1))
+}
+
+func TestSealedConnectionProvesNothingWasSent(t *testing.T) {
+	// A caller is told "not run", then the transport's writer wakes up and sends
+	// the request after all. A sealed connection refuses that late write.
+	c := qt.New(t)
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := &trackedConn{Conn: near}
+	var proof sendProof
+	proof.conns = []grant{{conn, conn.count()}}
+	c.Check(proof.notSent(), qt.IsTrue)
+	_, err := conn.Write([]byte("late"))
+	c.Check(err, qt.Equals, errSealed)
+
+	near, far = net.Pipe()
+	go func() { _, _ = bufio.NewReader(far).ReadByte() }()
+	conn = &trackedConn{Conn: near}
+	proof.conns = []grant{{conn, conn.count()}}
+	_, _ = conn.Write([]byte("x"))
+	c.Check(proof.notSent(), qt.IsFalse)
+	far.Close()
+}
+
+func TestWaitForAConnectionEndsAsNotSent(t *testing.T) {
+	// All connections are busy and the caller's time ends while it waits for
+	// one: nothing went out, so it must hear "not run" rather than "unknown".
+	hold := make(chan struct{})
+	entered := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(entered)
+		<-hold
+	}))
+	defer srv.Close()
+	client := NewClient(Options{Base: srv.URL, MaxConns: 1})
+	defer client.Close()
+	first := make(chan error)
+	go func() { first <- do(client) }()
+	<-entered
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := client.Do(ctx, Request{Method: "POST"})
+	qt.Check(t, errors.Is(err, ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+	close(hold)
+	qt.Check(t, <-first, qt.IsNil)
+}
--- a/target/standin/server.go
+++ b/target/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -118,6 +119,8 @@
 	s.mu.Lock()
 	released := s.released
 	s.mu.Unlock()
+	// net/http notices that the caller is gone only after the body was read.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBody))
 	select {
 	case <-r.Context().Done():
 	case <-released:
--- /dev/null
+++ b/target/standin/standin_test.go
@@ -0,0 +1,229 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/target"
+)
+
+// call serves one request without a socket, so that it runs in virtual time.
+func call(s *Server, method, path string, body any) (target.TaskStatus, int) {
+	text, _ := json.Marshal(body)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader(text)))
+	var st target.TaskStatus
+	_ = json.Unmarshal(w.Body.Bytes(), &st)
+	return st, w.Code
+}
+
+func spec(runMS, leaseMS int64, accelerators ...int) target.TaskSpec {
+	payload, _ := json.Marshal(TaskPayload{Tag: "t", RunMS: runMS, CheckpointEveryMS: 100})
+	return target.TaskSpec{Members: 1, Accelerators: accelerators, Checkpointable: true, LeaseMS: leaseMS, Payload: payload}
+}
+
+func TestTaskRunsToItsEndAndResumesFromACheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := New(Options{})
+		sp := spec(1000, 5000, 0, 1)
+		_, code := call(s, "PUT", "/tasks/j/1", sp)
+		c.Assert(code, qt.Equals, 200)
+		time.Sleep(250 * time.Millisecond)
+		st, _ := call(s, "GET", "/tasks/j/1", nil)
+		c.Check(st.Checkpoint.ProgressMS, qt.Equals, int64(200))
+		st, _ = call(s, "DELETE", "/tasks/j/1?checkpoint=true", nil)
+		c.Check(st.State, qt.Equals, target.TaskStopped)
+		c.Check(st.Checkpoint.ProgressMS, qt.Equals, int64(250))
+
+		sp.Restore = st.Checkpoint
+		_, _ = call(s, "PUT", "/tasks/j/2", sp)
+		begin := time.Now()
+		st, _ = call(s, "GET", "/tasks/j/2?wait_ms=10000", nil)
+		c.Check(st.State, qt.Equals, target.TaskDone)
+		c.Check(time.Since(begin), qt.Equals, 750*time.Millisecond)
+		run := s.Audit().Tasks[1]
+		c.Check([]int64{run.RestoredMS, run.ProgressMS}, qt.DeepEquals, []int64{250, 1000})
+	})
+}
+
+func TestTaskWhoseAgentDiedFreesItsAccelerators(t *testing.T) {
+	// An agent dies. Its task holds accelerators that no one else can free, and
+	// a gang waits for them for good. The worker ends the task with its lease.
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := New(Options{})
+		_, _ = call(s, "PUT", "/tasks/j/1", spec(60_000, 1000, 3))
+		time.Sleep(900 * time.Millisecond)
+		_, _ = call(s, "POST", "/tasks/j/1/renew", target.Renewal{LeaseMS: 1000})
+		time.Sleep(900 * time.Millisecond)
+		st, _ := call(s, "GET", "/tasks/j/1", nil)
+		c.Check(st.State, qt.Equals, target.TaskRunning)
+		time.Sleep(200 * time.Millisecond)
+		st, _ = call(s, "GET", "/tasks/j/1", nil)
+		c.Check(st.State, qt.Equals, target.TaskExpired)
+		_, code := call(s, "PUT", "/tasks/k/1", spec(10, 1000, 3))
+		c.Check(code, qt.Equals, 200)
+		s.Close()
+	})
+}
+
+func TestStartsThatAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := New(Options{})
+		first := spec(1000, 5000, 0)
+		first.Epoch = 7
+		_, _ = call(s, "PUT", "/tasks/j/1", first)
+		_, code := call(s, "PUT", "/tasks/j/1", first)
+		c.Check(code, qt.Equals, 200, qt.Commentf("the same start again"))
+		_, code = call(s, "PUT", "/tasks/j/1", spec(1, 5000, 1))
+		c.Check(code, qt.Equals, 409, qt.Commentf("another task under the id"))
+		_, code = call(s, "PUT", "/tasks/k/1", spec(1000, 5000, 0))
+		c.Check(code, qt.Equals, 409, qt.Commentf("taken accelerator"))
+		_, code = call(s, "PUT", "/tasks/j/2", spec(1000, 5000, 5))
+		c.Check(code, qt.Equals, 409, qt.Commentf("older epoch"))
+		a := s.Audit()
+		c.Check(len(a.Tasks), qt.Equals, 1)
+		c.Check(a.Violations[0].Kind, qt.Equals, ViolationReuse)
+		c.Check(a.Violations[1].Kind, qt.Equals, ViolationAccelerator)
+		s.Close()
+	})
+}
+
+func TestLateStartAfterAStopDoesNotRun(t *testing.T) {
+	// A gang is given up while one start is still under way. The stop overtakes
+	// it on another connection; the late start would run a part of the gang.
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := New(Options{})
+		_, code := call(s, "DELETE", "/tasks/j/1", nil)
+		c.Check(code, qt.Equals, 200)
+		st, _ := call(s, "PUT", "/tasks/j/1", spec(10, 1000, 0))
+		c.Check(st.State, qt.Equals, target.TaskStopped)
+		c.Check(len(s.Audit().Tasks), qt.Equals, 0)
+	})
+}
+
+func TestMoreRequestsThanSlotsAreSlower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Slots: 1})
+		begin := time.Now()
+		done := make(chan time.Duration, 2)
+		for range 2 {
+			go func() {
+				call(s, "POST", "/requests/a?work_ms=100", nil)
+				done <- time.Since(begin)
+			}()
+		}
+		qt.Check(t, <-done, qt.Equals, 100*time.Millisecond)
+		qt.Check(t, <-done, qt.Equals, 200*time.Millisecond)
+	})
+}
+
+func TestQuickFaultsAndTheirAudit(t *testing.T) {
+	for name, tc := range map[string]struct {
+		faults  Faults
+		err     error
+		status  int
+		runs    int
+		waitCut bool
+	}{
+		"none":           {Faults{}, nil, 200, 1, false},
+		"fails all":      {Faults{FailQuick: true}, nil, 500, 1, false},
+		"rejects":        {Faults{Reject: true}, target.ErrRefused, 0, 0, false},
+		"cuts the body":  {Faults{CutBody: true}, target.ErrOutcomeUnknown, 0, 1, false},
+		"silent":         {Faults{Hang: true}, target.ErrOutcomeUnknown, 0, 0, true},
+		"silent at last": {Faults{HangAfterRun: true}, target.ErrOutcomeUnknown, 0, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := New(Options{})
+			s.SetFaults(tc.faults)
+			srv := httptest.NewUnstartedServer(nil)
+			srv.Config = s.HTTPServer()
+			srv.Start()
+			defer srv.Close()
+			defer s.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if tc.waitCut {
+				time.AfterFunc(50*time.Millisecond, cancel)
+			}
+			client := target.NewClient(target.Options{Base: srv.URL})
+			defer client.Close()
+			a, err := client.Do(ctx, target.Request{ID: "r1", Attempt: 1, Method: "PUT", Path: "p", RawQuery: "tag=x&work_ms=0&pad=9", Body: []byte("b")})
+			c.Check(errors.Is(err, tc.err), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(a.Status, qt.Equals, tc.status)
+			runs := s.Audit().Quick
+			c.Assert(len(runs), qt.Equals, tc.runs)
+			if tc.err == nil {
+				var e Echo
+				c.Assert(json.Unmarshal(a.Body, &e), qt.IsNil)
+				c.Check(e.Checksum(), qt.Equals, e.Sum)
+				c.Check([]string{e.Request, e.Path, runs[0].Tag, runs[0].Checksum}, qt.DeepEquals, []string{"r1", "p", "x", e.Sum})
+			}
+		})
+	}
+}
+
+func TestConnectionsBeyondTheLimitAreRecorded(t *testing.T) {
+	s := New(Options{Connections: 1})
+	srv := httptest.NewUnstartedServer(nil)
+	srv.Config = s.HTTPServer()
+	srv.Start()
+	defer srv.Close()
+	for range 2 {
+		client := target.NewClient(target.Options{Base: srv.URL})
+		defer client.Close()
+		_, err := client.Capacity(context.Background())
+		qt.Assert(t, err, qt.IsNil)
+	}
+	v := s.Audit().Violations
+	qt.Assert(t, len(v), qt.Equals, 1)
+	qt.Check(t, v[0].Kind, qt.Equals, ViolationConnections)
+}
+
+// TestRandomTasksNeverShareAnAccelerator drives random starts, renewals and
+// stops through virtual time and checks the log that audits rely on.
+func TestRandomTasksNeverShareAnAccelerator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 2))
+		s := New(Options{Accelerators: 3})
+		for i := range 6000 {
+			path := fmt.Sprintf("/tasks/j%d/1", rng.IntN(i/10+5))
+			switch rng.IntN(4) {
+			case 0, 1:
+				call(s, "PUT", path, spec(rng.Int64N(300), 1+rng.Int64N(200), rng.IntN(3)))
+			case 2:
+				call(s, "POST", path+"/renew", target.Renewal{LeaseMS: 100})
+			case 3:
+				call(s, "DELETE", path, nil)
+			}
+			time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
+		}
+		s.Close()
+		runs := s.Audit().Tasks
+		qt.Assert(t, len(runs) > 200, qt.IsTrue, qt.Commentf("%d runs", len(runs)))
+		lastEnd := map[int]time.Time{}
+		for _, r := range runs { // in order of their start
+			a := r.Accelerators[0]
+			qt.Assert(t, r.Start.Before(lastEnd[a]), qt.IsFalse, qt.Commentf("%+v", r))
+			qt.Assert(t, r.End.IsZero(), qt.IsFalse)
+			lastEnd[a] = r.End
+		}
+		for _, h := range s.holders {
+			qt.Assert(t, h, qt.IsNil)
+		}
+	})
+}
