--- a/attempts/claim.go
+++ b/attempts/claim.go
@@ -4,8 +4,8 @@
 // run the request. It is created only if the key has none, and replaced or
 // removed only by compare-and-swap after its attempt was proved not run.
 //
-// Claims expire after a time that ends the life of their keys; see
-// TableConfig.MaxAge.
+// Claims expire. A caller may deliver a key again for as long as claims are kept,
+// less TableConfig.MaxAge and Skew; after that the key counts as new.
 type Claim struct {
 	ID    ID     `cbor:"1,keyasint"`
 	Agent string `cbor:"2,keyasint"`
--- a/attempts/doc.go
+++ b/attempts/doc.go
@@ -13,8 +13,10 @@
 // What holds, whatever is lost, delayed or restarted:
 //
 //   - No key, and no attempt without a key, is run twice.
-//   - NotRun is answered only if nothing ran under the key and the attempt can't
-//     run later. What can't be proved is answered Unknown.
+//   - NotRun is answered only if neither this nor an earlier delivery of the key
+//     ran, and none of them can run later. A delivery that the caller makes while
+//     this one is under way has its own answer. What can't be proved is answered
+//     Unknown.
 //   - An answer that was dropped to save memory turns into Unknown, never NotRun.
 //
 // The transport must deliver a begin message at most once, as a QUIC stream or a
--- a/attempts/request.go
+++ b/attempts/request.go
@@ -14,10 +14,14 @@
 	// Poll is how long after a SendResolve it is sent again.
 	Poll       time.Duration
 	RetryAfter time.Duration
+	// MaxAge is TableConfig.MaxAge. A delivery older than that, which happens when
+	// its entry was paused, may find an earlier claim of its key expired, and
+	// proves nothing any more.
+	MaxAge time.Duration
 }
 
-// Request is one delivery of a request that is not repeatable. It is not safe
-// for concurrent use.
+// Request is one delivery of a request that is not repeatable. Times given to it
+// are of the wall clock, as ID.Issued is. It is not safe for concurrent use.
 type Request struct {
 	config  RequestConfig
 	own     Claim // what this delivery may run
--- a/attempts/request_claim.go
+++ b/attempts/request_claim.go
@@ -28,6 +28,10 @@
 // begin sends the attempt, unless the deadline has passed meanwhile: then it was
 // not sent and the claim is worth nothing.
 func (r *Request) begin() {
+	if r.stale() {
+		r.unknown(ReasonDeadline)
+		return
+	}
 	if r.expired() {
 		r.release(r.own, ReasonDeadline)
 		return
@@ -35,6 +39,12 @@
 	r.send()
 }
 
+// stale says whether the delivery is so old that the key may have had another
+// claim, now expired, after the delivery arrived.
+func (r *Request) stale() bool {
+	return r.now.Sub(r.own.ID.issuedAt()) >= r.config.MaxAge
+}
+
 // follow resolves another delivery's claim to give the caller the same answer.
 func (r *Request) follow(c Claim) {
 	if c.Fingerprint != r.own.Fingerprint {
@@ -59,6 +69,10 @@
 func (r *Request) claimReleased(ev Claimed) {
 	switch ev.Result {
 	case ClaimWritten:
+		if r.stale() {
+			r.unknown(r.reason)
+			return
+		}
 		r.notRun(r.reason)
 	case ClaimConflict:
 		r.follow(ev.Claim)
