metrics: counters and histograms per client account and class

On call one needs to see each client account and class. Pairs are bounded: made-up class names would otherwise grow an entry until it is killed; pairs beyond the bound share one and are counted.

--- /dev/null
+++ b/metrics/counter.go
@@ -0,0 +1,75 @@
+package metrics
+
+// Counter names a number of events since the start of the process.
+type Counter uint8
+
+// Counters.
+const (
+	// PairsOverflowed counts observations that went to Other.
+	PairsOverflowed Counter = iota
+	// RequestsRetried counts further attempts of quick requests.
+	RequestsRetried
+	// RequestsDeduplicated counts requests answered from an earlier attempt
+	// with the same idempotency key.
+	RequestsDeduplicated
+	// JobsAccepted counts jobs made safe in the store.
+	JobsAccepted
+	// JobsEvicted counts running jobs stopped to give their capacity to others.
+	JobsEvicted
+	// GangsStarted counts gangs started on all their members.
+	GangsStarted
+	// GangsAborted counts gangs given up before all members started.
+	GangsAborted
+	// ReservationsRefused counts reservations that an agent refused.
+	ReservationsRefused
+	// StoreCalls counts calls to the platform's store.
+	StoreCalls
+	// StoreErrors counts calls to the platform's store that failed.
+	StoreErrors
+	// DocumentsApplied counts generations of documents put in force.
+	DocumentsApplied
+	// ConnectionsReplaced counts connections given up as silent.
+	ConnectionsReplaced
+
+	numCounters
+)
+
+// Description says what a metric means.
+type Description struct {
+	Name string
+	Unit string
+	Help string
+}
+
+var counters = [numCounters]Description{
+	PairsOverflowed:      {"pairs_overflowed", "observations", "went to the pair named other"},
+	RequestsRetried:      {"requests_retried", "attempts", "further attempts of quick requests"},
+	RequestsDeduplicated: {"requests_deduplicated", "requests", "answered from an earlier attempt with the same key"},
+	JobsAccepted:         {"jobs_accepted", "jobs", "made safe in the store"},
+	JobsEvicted:          {"jobs_evicted", "jobs", "running, and stopped to give capacity to others"},
+	GangsStarted:         {"gangs_started", "gangs", "started on all their members"},
+	GangsAborted:         {"gangs_aborted", "gangs", "given up before all members started"},
+	ReservationsRefused:  {"reservations_refused", "reservations", "refused by an agent"},
+	StoreCalls:           {"store_calls", "calls", "to the platform's store"},
+	StoreErrors:          {"store_errors", "calls", "to the platform's store that failed"},
+	DocumentsApplied:     {"documents_applied", "generations", "put in force"},
+	ConnectionsReplaced:  {"connections_replaced", "connections", "given up as silent"},
+}
+
+// Describe returns what the counter means.
+func (c Counter) Describe() Description {
+	return counters[c]
+}
+
+// Counters lists all counters.
+func Counters() []Counter {
+	return upTo(numCounters)
+}
+
+func upTo[T ~uint8](n T) []T {
+	list := make([]T, n)
+	for i := range list {
+		list[i] = T(i)
+	}
+	return list
+}
--- /dev/null
+++ b/metrics/snapshot.go
@@ -0,0 +1,32 @@
+package metrics
+
+// Snapshot is the state of a Set at one moment, in the JSON it is shown as.
+type Snapshot struct {
+	Counters map[string]int64 `json:"counters"`
+	Gauges   map[string]int64 `json:"gauges"`
+	// Timings are by client account, class and name of the timing.
+	Timings map[string]map[string]map[string]Summary `json:"timings"`
+}
+
+// Summary is a histogram in short. All but Count are in microseconds.
+type Summary struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P90   int64 `json:"p90"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+func (s *Snapshot) add(p pair, t Timing, sum Summary) {
+	classes := s.Timings[p.account]
+	if classes == nil {
+		classes = map[string]map[string]Summary{}
+		s.Timings[p.account] = classes
+	}
+	byName := classes[p.class]
+	if byName == nil {
+		byName = map[string]Summary{}
+		classes[p.class] = byName
+	}
+	byName[t.Describe().Name] = sum
+}
