--- a/membership/apply.go
+++ b/membership/apply.go
@@ -30,7 +30,6 @@
 	if groups&wire.ChangedTasks != 0 {
 		next.Tasks = mergeTasks(next.Tasks, r)
 		next.Fence = r.Fence
-		next.Fence = r.Fence
 	}
 	if groups&wire.ChangedGenerations != 0 {
 		next.Generations = r.Generations
--- a/membership/random_test.go
+++ b/membership/random_test.go
@@ -54,7 +54,8 @@
 func newWorld(c *qt.C, seed uint64) *world {
 	w := &world{c: c, rng: rand.New(rand.NewPCG(seed, 1)), now: start, truth: map[version]wire.AgentReport{}}
 	for i := range w.tables {
-		w.tables[i] = NewTable(Config{ForgetAfter: 1000 * time.Hour})
+		every := time.Duration(i) * 10 * time.Second
+		w.tables[i] = NewTable(Config{ForgetAfter: 1000 * time.Hour, PublishEvery: every})
 		w.seen[i] = map[string]version{}
 		w.drained[i] = map[string]uint64{}
 		w.left[i] = map[string]uint64{}
@@ -131,6 +132,7 @@
 		}
 	}
 	a.state.Tasks = next
+	a.state.Fence += w.rng.Uint64N(2)
 }
 
 func (w *world) report(a *agent, to int) {
--- a/membership/reporter.go
+++ b/membership/reporter.go
@@ -163,7 +163,6 @@
 }
 
 func (r *Reporter) addTasks(out *wire.AgentReport, base uint64) {
-	out.Fence = r.state.Fence
 	out.Fence = r.state.Fence
 	for _, t := range r.state.Tasks {
 		if r.taskSeq[t.Key()] > base {
--- a/wire/drain_test.go
+++ b/wire/drain_test.go
@@ -45,6 +45,40 @@
 	await(c, conn.Done())
 }
 
+// Story: an agent stops right after its last answer, and the network loses the
+// packet with the answer. QUIC would send it again, but not once the agent has
+// closed the connection. The caller must still get the answer.
+func TestDrainWaitsForALostReply(t *testing.T) {
+	c := qt.New(t)
+	running := make(chan struct{})
+	release := make(chan struct{})
+	server := open(c, "agent", Config{}, func(ctx context.Context, from *Conn, msg any) (any, error) {
+		close(running)
+		<-release
+		return echo(ctx, from, msg)
+	})
+	relay := startRelay(c, server.Addr())
+	conn := dial(c, open(c, "entry", Config{}, echo), relay.addr())
+	answered := make(chan error, 1)
+	go func() {
+		_, err := conn.Call(context.Background(), Gang{})
+		answered <- err
+	}()
+	await(c, running)
+	relay.muted.Store(true)
+	close(release)
+	drained := make(chan error, 1)
+	go func() { drained <- server.Drain(context.Background()) }()
+	select {
+	case <-drained:
+		c.Error("drained before the reply had arrived")
+	case <-time.After(200 * time.Millisecond):
+	}
+	relay.muted.Store(false)
+	c.Assert(await(c, answered), qt.IsNil)
+	c.Assert(await(c, drained), qt.IsNil)
+}
+
 func TestDrainGivesUpWithItsContext(t *testing.T) {
 	c := qt.New(t)
 	running := make(chan struct{})
--- a/wire/pool_test.go
+++ b/wire/pool_test.go
@@ -56,6 +56,21 @@
 	await(c, first.Done())
 }
 
+// Story: the path is silent and callers give up. A small message was handed to
+// the network whole and may have run, although it was lost here. Of a large one
+// the end never left: it can't run, and the caller may use it elsewhere.
+func TestOutcomeOnASilentPath(t *testing.T) {
+	c := qt.New(t)
+	server := open(c, "agent", Config{}, echo)
+	relay := startRelay(c, server.Addr())
+	conn := dial(c, open(c, "entry", Config{}, echo), relay.addr())
+	relay.loseFlows()
+	_, err := conn.Call(within(c, time.Second), Gang{Payload: make([]byte, 100)})
+	c.Assert(errors.Is(err, ErrOutcomeUnknown), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = conn.Call(within(c, 100*time.Millisecond), Gang{Payload: make([]byte, 8<<20)})
+	c.Assert(errors.Is(err, ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+}
+
 // Story: a quick request stays outstanding while its worker computes for long,
 // but the path is fine. Pings are answered, so the connection must not be
 // suspected and the slow call must not be cut off.
--- a/wire/relay_test.go
+++ b/wire/relay_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -15,6 +16,7 @@
 	socket   *net.UDPConn
 	upstream *net.UDPAddr
 	wg       sync.WaitGroup
+	muted    atomic.Bool // loses what comes back from upstream
 	mu       sync.Mutex
 	flows    map[netip.AddrPort]*flow
 }
@@ -82,7 +84,7 @@
 		if err != nil {
 			return
 		}
-		if !r.isLost(f) {
+		if !r.isLost(f) && !r.muted.Load() {
 			r.socket.WriteToUDPAddrPort(buf[:n], to)
 		}
 	}
