--- a/lease/fence.go
+++ b/lease/fence.go
@@ -7,7 +7,9 @@
 // seen nothing. It is safe for concurrent use.
 //
 // It guards against a holder that was paused, or cut off, while another took
-// over, and whose orders arrive after the successor's.
+// over, and whose orders arrive after the successor's. A receiver that restarts
+// starts with an empty Fence, and must not take orders before it knows that
+// nothing of what it forgot can still arrive.
 type Fence struct {
 	highest atomic.Uint64
 }
