attempts: stories, and a clock that is ahead can't close a worker

TestClockAheadIsRefused failed when written: an attempt issued an hour ahead was refused, its tombstone was dropped soon after and lifted the floor by an hour, so that the worker refused everybody. Such attempts now leave no tombstone when they ask to begin, and those that Resolve leaves are dropped last.

--- /dev/null
+++ b/attempts/stories_test.go
@@ -0,0 +1,190 @@
+package attempts
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var t0 = time.Unix(20000, 0)
+
+func testTable() *Table {
+	return NewTable(TableConfig{
+		Incarnation: 1,
+		Entries:     3,
+		Bytes:       10,
+		MaxAge:      time.Minute,
+		Skew:        time.Second,
+	})
+}
+
+func id(n uint64) ID { return ID{t0.UnixNano() + int64(n), 1, n, 1} }
+
+func claim(n uint64) Claim { return Claim{ID: id(n), Agent: "a", Fingerprint: 7} }
+
+func testRequest(first bool) *Request {
+	return NewRequest(RequestConfig{
+		Keyed:      true,
+		First:      first,
+		Deadline:   t0.Add(10 * time.Second),
+		Poll:       time.Second,
+		RetryAfter: 5 * time.Second,
+		MaxAge:     time.Minute,
+	}, claim(1))
+}
+
+// play gives the events to the request one second apart and returns the first
+// action of the last one.
+func play(r *Request, events ...Event) Action {
+	var last []Action
+	for i, ev := range events {
+		last = r.Step(t0.Add(time.Duration(i)*time.Second), ev)
+	}
+	if len(last) == 0 {
+		return nil
+	}
+	return last[0]
+}
+
+// A packhouse retries with its key through another entry. What it hears depends
+// on what the first delivery's agent can prove.
+func TestRetryThroughAnotherEntry(t *testing.T) {
+	conflict := Claimed{ClaimConflict, claim(2)}
+	unknown := Finished{Outcome: Unknown, Reason: ReasonForgotten}
+	for _, test := range []struct {
+		story  string
+		events []Event
+		want   Action
+	}{
+		{"first one has the answer", []Event{Go{}, conflict, Resolved{id(2), StatusAnswered, []byte("yes")}}, Finished{Outcome: Done, Answer: []byte("yes")}},
+		{"first one still runs", []Event{Go{}, conflict, Resolved{id(2), StatusRunning, nil}, Wake{}}, SendResolve{claim(2)}},
+		{"first one never arrived", []Event{Go{}, conflict, Resolved{id(2), StatusNotRun, nil}}, ReplaceClaim{claim(2), claim(1)}},
+		{"a third one was faster", []Event{Go{}, conflict, Resolved{id(2), StatusNotRun, nil}, Claimed{ClaimConflict, claim(3)}}, SendResolve{claim(3)}},
+		{"agent restarted", []Event{Go{}, conflict, Resolved{id(2), StatusUnknown, nil}}, unknown},
+		{"answer was dropped", []Event{Go{}, conflict, Resolved{id(2), StatusRan, nil}}, unknown},
+		{"key of another request", []Event{Go{}, Claimed{ClaimConflict, Claim{ID: id(2)}}}, Finished{Outcome: NotRun, Reason: ReasonKeyReused}},
+	} {
+		t.Run(test.story, func(t *testing.T) {
+			qt.Assert(t, play(testRequest(false), test.events...), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// The store is out. An earlier delivery under the key may have run, and a caller
+// that hears "not run" books again under a new key: only a delivery vouched for
+// as the first may be told so.
+func TestStoreOut(t *testing.T) {
+	for first, want := range map[bool]Outcome{true: NotRun, false: Unknown} {
+		got := play(testRequest(first), Go{}, Claimed{Result: ClaimUnavailable})
+		qt.Assert(t, got, qt.DeepEquals, Action(Finished{
+			Outcome:    want,
+			Reason:     ReasonStore,
+			RetryAfter: 5 * time.Second,
+		}))
+	}
+}
+
+// The agent refuses a delivery, but meanwhile another delivery of the key took
+// over its claim and runs. The first must not be told "not run"; it gets the
+// other's answer.
+func TestRefusedWhileAnotherRuns(t *testing.T) {
+	c := qt.New(t)
+	r := testRequest(true)
+	got := play(r, Go{}, Claimed{Result: ClaimWritten}, Begun{ID: id(1), Verdict: Refused})
+	c.Assert(got, qt.Equals, Action(ReleaseClaim{claim(1)}))
+	got = play(r, Claimed{ClaimConflict, claim(2)}, Resolved{id(2), StatusAnswered, []byte("yes")})
+	c.Assert(got, qt.DeepEquals, Action(Finished{Outcome: Done, Answer: []byte("yes")}))
+}
+
+// The connection goes silent after the attempt was sent. It is never sent again:
+// the agent is asked, and what it can't say is unknown at the deadline.
+func TestSilenceIsResolved(t *testing.T) {
+	c := qt.New(t)
+	r := testRequest(true)
+	got := play(r, Go{}, Claimed{Result: ClaimWritten}, ConnectionLost{id(1)})
+	c.Assert(got, qt.Equals, Action(SendResolve{claim(1)}))
+	got = r.Step(t0.Add(10*time.Second), Wake{})[0]
+	c.Assert(got, qt.DeepEquals, Action(Finished{Outcome: Unknown, Reason: ReasonDeadline}))
+}
+
+// An entry is paused while it claims a key. Before it wakes, an earlier claim of
+// the key has run and expired, so that its own is written. It must neither run
+// the request nor call it not run; if it pauses once more before it sends, the
+// agent refuses.
+func TestClaimAfterLongPause(t *testing.T) {
+	c := qt.New(t)
+	late := t0.Add(2 * time.Minute)
+	r := testRequest(false)
+	r.Step(t0, Go{})
+	got := r.Step(late, Claimed{Result: ClaimWritten})[0]
+	c.Assert(got, qt.DeepEquals, Action(Finished{Outcome: Unknown, Reason: ReasonDeadline}))
+
+	verdict, _ := testTable().Begin(late, id(1))
+	c.Assert(verdict, qt.Equals, Refused)
+	r = testRequest(false)
+	play(r, Go{}, Claimed{Result: ClaimWritten})
+	r.Step(t0.Add(2*time.Second), Begun{ID: id(1), Verdict: Refused})
+	got = r.Step(late, Claimed{Result: ClaimWritten})[0]
+	c.Assert(got.(Finished).Outcome, qt.Equals, Unknown)
+}
+
+// A worker is so busy that its memory of attempts is full. Whatever is dropped,
+// a copy that comes late must not run, and nobody may hear that a run was none.
+func TestDroppedEntriesProveNothing(t *testing.T) {
+	c := qt.New(t)
+	table := testTable()
+	for n := uint64(1); n <= 4; n++ {
+		verdict, _ := table.Begin(t0, id(n))
+		c.Assert(verdict, qt.Equals, Fresh)
+		table.Finish(id(n), []byte("four"))
+	}
+	c.Assert(table.Len(), qt.Equals, 3)
+	c.Assert(table.Bytes(), qt.Equals, 8)
+	status, _ := table.Resolve(id(1)) // dropped
+	c.Assert(status, qt.Equals, StatusUnknown)
+	verdict, _ := table.Begin(t0, id(1))
+	c.Assert(verdict, qt.Equals, Unprovable)
+	status, _ = table.Resolve(id(2)) // its answer was dropped
+	c.Assert(status, qt.Equals, StatusRan)
+	status, answer := table.Resolve(id(4))
+	c.Assert(status, qt.Equals, StatusAnswered)
+	c.Assert(string(answer), qt.Equals, "four")
+}
+
+// A worker takes no more attempts than it can remember. What it refused stays
+// refused after there is room again, because its caller was told.
+func TestRefusalStays(t *testing.T) {
+	c := qt.New(t)
+	table := testTable()
+	for n := uint64(1); n <= 3; n++ {
+		table.Begin(t0, id(n))
+	}
+	verdict, _ := table.Begin(t0, id(4))
+	c.Assert(verdict, qt.Equals, Refused)
+	table.Refuse(id(1))
+	verdict, _ = table.Begin(t0, id(4))
+	c.Assert(verdict, qt.Not(qt.Equals), Fresh)
+	verdict, _ = table.Begin(t0, id(2))
+	c.Assert(verdict, qt.Equals, Joined)
+	table.Finish(id(2), []byte("a"))
+	verdict, _ = table.Begin(t0, id(2))
+	c.Assert(verdict, qt.Equals, Repeated)
+}
+
+// An entry whose clock is an hour ahead sends one attempt. Accepted, it would be
+// dropped last and then lift the floor above everybody else's attempts.
+func TestClockAheadIsRefused(t *testing.T) {
+	c := qt.New(t)
+	table := testTable()
+	ahead := ID{t0.Add(time.Hour).UnixNano(), 1, 1, 1}
+	verdict, _ := table.Begin(t0, ahead)
+	c.Assert(verdict, qt.Equals, Unprovable)
+	status, _ := table.Resolve(ahead)
+	c.Assert(status, qt.Equals, StatusNotRun)
+	for n := uint64(1); n <= 5; n++ {
+		verdict, _ = table.Begin(t0, id(n))
+		c.Assert(verdict, qt.Equals, Fresh)
+		table.Finish(id(n), nil)
+	}
+}
--- a/attempts/table.go
+++ b/attempts/table.go
@@ -30,6 +30,7 @@
 	ran      *btree.BTreeG[*entry]
 	bytes    int
 	floor    ID
+	now      time.Time // of the last Begin
 }
 
 type entry struct {
@@ -58,10 +59,11 @@
 	if e := t.entries[id]; e != nil {
 		return e.verdict(), e.answer
 	}
-	if t.unprovable(id) {
+	t.now = now
+	if t.unprovable(id) || t.ahead(id) {
 		return Unprovable, nil
 	}
-	if !t.timely(now, id) || !t.room() {
+	if t.tooOld(id) || !t.room() {
 		t.refuse(id)
 		return Refused, nil
 	}
--- a/attempts/trim.go
+++ b/attempts/trim.go
@@ -1,10 +1,6 @@
 package attempts
 
-import (
-	"time"
-
-	"github.com/google/btree"
-)
+import "github.com/google/btree"
 
 // unprovable says whether an attempt without an entry may have run: on an
 // earlier incarnation, or so long ago that its entry was dropped.
@@ -12,16 +8,23 @@
 	return id.Incarnation != t.config.Incarnation || id.Compare(t.floor) <= 0
 }
 
-// timely says whether the attempt was issued recently enough, and not in the
-// future.
+// tooOld says whether the attempt was issued too long ago to begin.
 //
 // An entry that was paused between its claim and its message may wake after the
 // claim has expired and another entry has run the request: its attempt is too
-// old then. A clock far ahead would issue IDs that are dropped last and then
-// lift the floor above everybody else's attempts.
-func (t *Table) timely(now time.Time, id ID) bool {
-	issued := id.issuedAt()
-	return issued.After(now.Add(-t.config.MaxAge)) && issued.Before(now.Add(t.config.Skew))
+// old then.
+func (t *Table) tooOld(id ID) bool {
+	return !id.issuedAt().After(t.now.Add(-t.config.MaxAge))
+}
+
+// ahead says whether the attempt was issued in the future.
+//
+// An entry whose clock is far ahead issues IDs that lift the floor above all
+// other attempts when they are dropped, and a worker would refuse everybody.
+// They neither begin nor leave a tombstone; those that Resolve leaves are dropped
+// last.
+func (t *Table) ahead(id ID) bool {
+	return id.issuedAt().After(t.now.Add(t.config.Skew))
 }
 
 // room says whether another attempt may run within the bound.
@@ -58,7 +61,7 @@
 }
 
 func (t *Table) drop() bool {
-	for _, tree := range []*btree.BTreeG[*entry]{t.refused, t.ran, t.answered} {
+	for _, tree := range t.dropOrder() {
 		e, ok := tree.DeleteMin()
 		if !ok {
 			continue
@@ -72,3 +75,11 @@
 	}
 	return false
 }
+
+func (t *Table) dropOrder() []*btree.BTreeG[*entry] {
+	oldest, ok := t.refused.Min()
+	if ok && t.ahead(oldest.id) {
+		return []*btree.BTreeG[*entry]{t.ran, t.answered, t.refused}
+	}
+	return []*btree.BTreeG[*entry]{t.refused, t.ran, t.answered}
+}
