entry, agent, planner: metrics, key replacement, load without side effects

Need: histograms for each client account and class, and counters, were not fed. accepted_keys was read and not used. Found on the way: admission's Load counts out the congestion marks it returns, so reports and gauges took marks away from replies; Depth has no such effect.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/eelgrasshub/eelgrasshub/attempts"
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/settings"
 	"github.com/eelgrasshub/eelgrasshub/target"
 	"github.com/eelgrasshub/eelgrasshub/wire"
@@ -50,7 +51,7 @@
 	gangs    *gangs
 	docs     *document.InForce
 	reports  *reports
-	metrics  *meters
+	metrics  *metrics.Set
 	draining atomic.Bool
 }
 
@@ -61,7 +62,7 @@
 		log:         log.WithField("agent", cfg.ID),
 		incarnation: uint64(time.Now().UnixNano()),
 		target:      target.NewClient(target.Options{Base: cfg.Target, MaxConns: cfg.Connections}),
-		metrics:     newMeters(),
+		metrics:     metrics.New(0),
 	}
 	a.docs = document.NewInForce(a.documentChanged)
 	a.quick = a.newQuick()
@@ -70,9 +71,10 @@
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
+	a.gauges()
 	a.t.Go(func() error {
-		a.gangs.start()
 		a.reports.start()
+		a.gangs.start()
 		return nil
 	})
 	a.log.WithFields(logrus.Fields{"address": a.ep.Addr(), "incarnation": a.incarnation}).Info("agent started")
@@ -89,7 +91,7 @@
 		Version:     wire.Version,
 		Address:     a.cfg.Listen,
 	}
-	id, err := wire.NewIdentity(peer, []byte(a.cfg.ClusterKey))
+	id, err := wire.NewIdentity(peer, []byte(a.cfg.ClusterKey), a.cfg.Accepted()...)
 	if err != nil {
 		return err
 	}
@@ -114,7 +116,7 @@
 			Skew:        clockSkew,
 		}),
 		running: make(map[attempts.ID]chan struct{}),
-		observe: a.metrics.quick,
+		observe: a.observeQuick,
 		now:     time.Now,
 	}
 }
@@ -203,8 +205,8 @@
 }
 
 func (a *Agent) busy(ctx context.Context) bool {
-	l := a.quick.gate.load()
-	return l.Running+l.Queued > 0 || a.gangs.busy(ctx)
+	running, queued := a.quick.gate.depth()
+	return running+queued > 0 || a.gangs.busy(ctx)
 }
 
 // Close ends the agent at once.
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -88,6 +88,13 @@
 	return g.queue.Load(time.Now())
 }
 
+// depth returns how many requests run and wait, without counting out marks.
+func (g *gate) depth() (running, queued int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Depth()
+}
+
 // step is called with the lock held.
 func (g *gate) step(ev admission.Event) {
 	for _, a := range g.queue.Step(time.Now(), ev) {
--- a/agent/meters.go
+++ b/agent/meters.go
@@ -4,12 +4,41 @@
 	"net/http"
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
-type meters struct{}
+// observeQuick records how long an attempt spent here, by its end.
+func (a *Agent) observeQuick(account, class string, took time.Duration, o wire.Outcome) {
+	a.metrics.Observe(account, class, quickTiming(o), took)
+}
 
-func newMeters() *meters { return &meters{} }
+func quickTiming(o wire.Outcome) metrics.Timing {
+	switch o {
+	case wire.OutcomeDone:
+		return metrics.QuickDone
+	case wire.OutcomeRefused:
+		return metrics.QuickNotRun
+	default:
+		return metrics.QuickUnknown
+	}
+}
 
-func (m *meters) quick(account, class string, took time.Duration, o wire.Outcome) {}
-func (a *Agent) MetricsHandler() http.Handler                                     { return http.NotFoundHandler() }
+// gauges shows what other parts count by themselves.
+func (a *Agent) gauges() {
+	a.metrics.Gauge("running", func() int64 {
+		running, _ := a.quick.gate.depth()
+		return int64(running)
+	})
+	a.metrics.Gauge("queued", func() int64 {
+		_, queued := a.quick.gate.depth()
+		return int64(queued)
+	})
+	a.metrics.Gauge("attempts_remembered", func() int64 { return int64(a.quick.remembered()) })
+	a.metrics.Gauge("connections", func() int64 { return int64(len(a.ep.Conns())) })
+}
+
+// MetricsHandler serves the metrics in the form of /debug/vars.
+func (a *Agent) MetricsHandler() http.Handler {
+	return a.metrics.Handler("eelgrasshub")
+}
--- a/agent/quick.go
+++ b/agent/quick.go
@@ -281,3 +281,10 @@
 	}
 	return q.resolve(id)
 }
+
+// remembered returns how many attempts the table holds.
+func (q *quick) remembered() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Len()
+}
--- a/agent/reports.go
+++ b/agent/reports.go
@@ -124,8 +124,8 @@
 
 // load is taken into the state just before a report.
 func (r *reports) load() wire.Load {
-	l := r.a.quick.gate.load()
-	return wire.Load{Running: l.Running, Queued: l.Queued}
+	running, queued := r.a.quick.gate.depth()
+	return wire.Load{Running: running, Queued: queued}
 }
 
 func (r *reports) loop(link *entryLink) error {
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
@@ -15,6 +16,7 @@
 // every agent of the service. It must not block.
 func (e *Entry) documentChanged(_, now *document.Held) {
 	e.log.WithField("service", now.Version.Service).WithField("generation", now.Version.Generation).Info("document in force")
+	e.metrics.Add(metrics.DocumentsApplied, 1)
 	e.duties.setDocument(now)
 	e.members.publish(now.Version)
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -106,7 +106,7 @@
 		Store:     d.e.store,
 		Jobs:      d.e.jobs,
 		Agents:    gangCaller{d.e.agents},
-		Observer:  d.e.metrics,
+		Metrics:   d.e.metrics,
 		Log:       d.e.log.WithFields(logrus.Fields{"service": du.service, "epoch": epoch}),
 		Document:  held,
 		Retention: d.e.retention,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/routing"
 	"github.com/eelgrasshub/eelgrasshub/settings"
@@ -46,7 +47,7 @@
 	members   *members
 	registry  *registry
 	duties    *duties
-	metrics   *meters
+	metrics   *metrics.Set
 	once      *onceRunner
 	draining  atomic.Bool
 
@@ -62,7 +63,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		since:       time.Now(),
 		agents:      newAgents(),
-		metrics:     newMeters(),
+		metrics:     metrics.New(0),
 		dispatchers: make(map[string]*dispatcher),
 	}
 	e.openStore()
@@ -104,7 +105,7 @@
 		Version:     wire.Version,
 		Address:     e.cfg.Advertise,
 	}
-	id, err := wire.NewIdentity(peer, []byte(e.cfg.ClusterKey))
+	id, err := wire.NewIdentity(peer, []byte(e.cfg.ClusterKey), e.cfg.Accepted()...)
 	if err != nil {
 		return err
 	}
@@ -139,6 +140,7 @@
 	e.watcher = document.NewWatcher(e.store, e.askPeer, e.docs, document.DefaultFeederConfig(true), e.log)
 	e.watcher.SetPeers(e.cfg.Peers)
 	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout}
+	e.gauges()
 	ctx := e.t.Context(nil)
 	e.t.Go(func() error {
 		e.t.Go(e.members.tick)
@@ -188,6 +190,7 @@
 		agents: e.agents,
 		once:   e.once,
 		now:    time.Now,
+		count:  e.metrics.Add,
 	}
 }
 
--- a/entry/http_jobs.go
+++ b/entry/http_jobs.go
@@ -12,6 +12,7 @@
 	"github.com/eelgrasshub/eelgrasshub/api"
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 )
 
 const (
@@ -42,6 +43,7 @@
 		acceptProblem(err).WriteTo(w)
 		return
 	}
+	e.metrics.Add(metrics.JobsAccepted, 1)
 	api.WriteJSON(w, http.StatusAccepted, statusOf(got.Record))
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// count returns how many agents are remembered, those that have left included.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Len()
+}
+
 func (m *members) generationSince(id string) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -5,14 +5,38 @@
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/api"
-	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 )
 
-type meters struct{}
+// observeQuick records how long a caller waited for which outcome.
+func (e *Entry) observeQuick(c *call, o api.Outcome, took time.Duration) {
+	e.metrics.Observe(c.account, c.class, quickTiming(o), took)
+}
 
-func newMeters() *meters { return &meters{} }
+func quickTiming(o api.Outcome) metrics.Timing {
+	switch o {
+	case api.OutcomeDone:
+		return metrics.QuickDone
+	case api.OutcomeNotRun:
+		return metrics.QuickNotRun
+	default:
+		return metrics.QuickUnknown
+	}
+}
 
-func (m *meters) JobStarted(account, class string, wait time.Duration)                 {}
-func (m *meters) JobEnded(account, class string, state jobs.State, took time.Duration) {}
-func (e *Entry) observeQuick(c *call, o api.Outcome, took time.Duration)               {}
-func (e *Entry) MetricsHandler() http.Handler                                          { return http.NotFoundHandler() }
+// gauges shows what other parts count by themselves.
+func (e *Entry) gauges() {
+	e.metrics.Gauge("store_calls", func() int64 { return e.client.Calls().Total() })
+	e.metrics.Gauge("store_calls_refused", func() int64 { return e.client.Calls().Refused })
+	e.metrics.Gauge("store_replies_lost", func() int64 { return e.client.Calls().Lost })
+	e.metrics.Gauge("store_list_failures", func() int64 { return e.watcher.Counts().StoreFailures })
+	e.metrics.Gauge("documents_written_back", func() int64 { return e.watcher.Counts().WriteBacks })
+	e.metrics.Gauge("documents_refused", func() int64 { return e.docs.Counts().Refused })
+	e.metrics.Gauge("connections", func() int64 { return int64(len(e.ep.Conns())) })
+	e.metrics.Gauge("members", func() int64 { return int64(e.members.count()) })
+}
+
+// MetricsHandler serves the metrics in the form of /debug/vars.
+func (e *Entry) MetricsHandler() http.Handler {
+	return e.metrics.Handler("eelgrasshub")
+}
--- a/entry/once.go
+++ b/entry/once.go
@@ -12,6 +12,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/api"
 	"github.com/eelgrasshub/eelgrasshub/attempts"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/routing"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
@@ -21,6 +22,8 @@
 	resolvePoll = 250 * time.Millisecond
 	// resolveTimeout bounds one such question.
 	resolveTimeout = time.Second
+	// attemptMaxAge is that of the agents' tables; see attempts.RequestConfig.
+	attemptMaxAge = 5 * time.Minute
 	// onceEvents bounds what waits for a delivery's loop: one reply each of the
 	// store, the attempt and the questions about it.
 	onceEvents = 16
@@ -55,12 +58,16 @@
 		v := d.newDelivery(ctx, c, ticket, n)
 		end := v.run()
 		d.router.Done(d.now(), ticket, v.outcome(ctx))
+		if end.Outcome == attempts.Done && !v.sent {
+			d.count(metrics.RequestsDeduplicated, 1)
+		}
 		if end.Outcome == attempts.Done {
 			return decodeReply(end.Answer), nil
 		}
 		if !d.again(ctx, c, end) {
 			return nil, v.problem(end)
 		}
+		d.count(metrics.RequestsRetried, 1)
 		tried = append(tried, ticket.Target)
 	}
 }
@@ -108,6 +115,7 @@
 		Deadline:   c.deadline,
 		Poll:       resolvePoll,
 		RetryAfter: comeBack,
+		MaxAge:     attemptMaxAge,
 	}
 	return &delivery{
 		d:      d,
--- a/entry/quick.go
+++ b/entry/quick.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/routing"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
@@ -66,6 +67,7 @@
 	agents *agents
 	once   *onceRunner
 	now    func() time.Time
+	count  func(c metrics.Counter, n int64)
 
 	mu sync.Mutex // serialises setTargets, as the router requires
 }
@@ -106,6 +108,7 @@
 		if maybeRan > c.retries || ctx.Err() != nil || !d.router.Retry(d.now(), c.account) {
 			return nil, attemptProblem(reply, err, maybeRan > 0)
 		}
+		d.count(metrics.RequestsRetried, 1)
 		tried = append(tried, ticket.Target)
 	}
 }
--- /dev/null
+++ b/entry/stats.go
@@ -0,0 +1,13 @@
+package entry
+
+import "github.com/eelgrasshub/eelgrasshub/scheduler"
+
+// Stats returns the scheduler's summary of a service as of the planner's last
+// housekeeping. False: this entry does not hold the planner duty.
+func (e *Entry) Stats(service string) (scheduler.Stats, bool) {
+	p := e.duties.planner(service)
+	if p == nil {
+		return scheduler.Stats{}, false
+	}
+	return p.Stats(), true
+}
--- a/planner/config.go
+++ b/planner/config.go
@@ -10,6 +10,7 @@
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/platform"
 )
 
@@ -19,14 +20,6 @@
 	Gang(ctx context.Context, agent string, m gang.Message) (gang.Reply, error)
 }
 
-// Observer is told of what is measured. Its methods must not block.
-type Observer interface {
-	// JobStarted: a job waited for wait from its acceptance to its first start.
-	JobStarted(account, class string, wait time.Duration)
-	// JobEnded: a job ended in state, took after its acceptance.
-	JobEnded(account, class string, state jobs.State, took time.Duration)
-}
-
 // Retention is the store lease under which ended records are kept. Drop says
 // that the store no longer has it.
 type Retention interface {
@@ -38,12 +31,12 @@
 type Config struct {
 	Service string
 	// Epoch is the fencing epoch of this term.
-	Epoch    uint64
-	Store    platform.Store // for listing and watching the job records
-	Jobs     *jobs.Store
-	Agents   Agents
-	Observer Observer
-	Log      *logrus.Entry
+	Epoch   uint64
+	Store   platform.Store // for listing and watching the job records
+	Jobs    *jobs.Store
+	Agents  Agents
+	Metrics *metrics.Set
+	Log     *logrus.Entry
 	// Document is what is in force when the term begins.
 	Document  *document.Held
 	Retention Retention
--- a/planner/coordinate.go
+++ b/planner/coordinate.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrasshub/eelgrasshub/clock"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
 )
 
@@ -161,8 +162,9 @@
 	}
 	if !j.begun {
 		j.begun = true
-		p.cfg.Observer.JobStarted(j.stored.Spec.Account, j.stored.Spec.Class, time.Since(j.stored.Submitted))
+		p.cfg.Metrics.Observe(j.stored.Spec.Account, j.stored.Spec.Class, metrics.JobWaited, time.Since(j.stored.Submitted))
 	}
+	p.cfg.Metrics.Add(metrics.GangsStarted, 1)
 	p.decide(scheduler.GangStarted{Job: scheduler.JobID(j.stored.ID), Attempt: j.attempt})
 }
 
@@ -177,7 +179,11 @@
 	p.detach(j)
 	j.last = e
 	j.keepCheckpoint(e)
+	if e.Cause == gang.CauseRefused {
+		p.cfg.Metrics.Add(metrics.ReservationsRefused, 1)
+	}
 	if e.Outcome == gang.NotStarted {
+		p.cfg.Metrics.Add(metrics.GangsAborted, 1)
 		p.decide(scheduler.GangRefused{Job: id, Attempt: attempt, Worker: scheduler.WorkerID(e.Fault)})
 		p.afterConflict(j, e)
 		return
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -8,6 +8,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
 	"github.com/eelgrasshub/eelgrasshub/target"
 )
@@ -125,6 +126,9 @@
 		return
 	}
 	j.phase = Stopping
+	if a.Reason == scheduler.StopReclaim {
+		p.cfg.Metrics.Add(metrics.JobsEvicted, 1)
+	}
 	p.post0(func() { p.coordinate(j, gang.Abort{Checkpoint: a.Checkpoint}) })
 }
 
--- a/planner/end.go
+++ b/planner/end.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
 )
@@ -95,13 +96,28 @@
 	delete(p.jobs, final.ID)
 	p.recent.Add(final.ID, final)
 	spec := final.Spec
-	p.cfg.Observer.JobEnded(spec.Account, spec.Class, final.State, final.Ended.Sub(final.Submitted))
+	p.cfg.Metrics.Observe(spec.Account, spec.Class, timingOf(final.State), final.Ended.Sub(final.Submitted))
 	if j.coord != nil {
 		p.detach(j)
 	}
 	p.decideLater(scheduler.JobsCancelled{IDs: []scheduler.JobID{scheduler.JobID(final.ID)}})
 }
 
+func timingOf(s jobs.State) metrics.Timing {
+	switch s {
+	case jobs.Done:
+		return metrics.JobDone
+	case jobs.Cancelled:
+		return metrics.JobCancelled
+	case jobs.Rejected:
+		return metrics.JobRejected
+	case jobs.Unknown:
+		return metrics.JobUnknown
+	default:
+		return metrics.JobFailed
+	}
+}
+
 // later runs f on the loop's goroutine after d.
 func (p *Planner) later(d time.Duration, f func()) {
 	time.AfterFunc(d, func() { p.post(f) })
--- a/planner/fake_test.go
+++ b/planner/fake_test.go
@@ -16,6 +16,7 @@
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/platform/standin"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
@@ -155,7 +156,7 @@
 		Store:     b.store,
 		Jobs:      b.jobs,
 		Agents:    agents,
-		Observer:  noObserver{},
+		Metrics:   metrics.New(0),
 		Log:       logrus.NewEntry(log),
 		Document:  b.held,
 		Retention: noRetention{},
@@ -201,11 +202,6 @@
 	b.c.Fatalf("never happened: %s", what)
 }
 
-type noObserver struct{}
-
-func (noObserver) JobStarted(string, string, time.Duration)           {}
-func (noObserver) JobEnded(string, string, jobs.State, time.Duration) {}
-
 type noRetention struct{}
 
 func (noRetention) Current(context.Context) (platform.LeaseID, error) { return 0, nil }
