trial: a whole deployment in one process, with faults; entry gives up on a dead agent

Package trial runs the store and workers by their stand-ins, entries and agents as they are, over sockets on loopback, and injects deaths, restarts, outages and silent connections. First tests: work that must not run twice across the death of its entry, the restart of its agent, and through both entries at once.

Found by TestBookingAtAKilledAgentEndsBeforeItsDeadline: a booking whose agent had died for good was answered at its deadline only (22 s of a test with a deadline of 20 s), because the entry went on asking the dead agent.

--- a/entry/once.go
+++ b/entry/once.go
@@ -22,6 +22,10 @@
 	resolvePoll = 250 * time.Millisecond
 	// resolveTimeout bounds one such question.
 	resolveTimeout = time.Second
+	// resolvePatience is for how long the agent may leave such questions
+	// unanswered. When it is dead its answer is lost for good; its caller then
+	// hears so at once and not at the deadline.
+	resolvePatience = 3 * time.Second
 	// attemptMaxAge is that of the agents' tables; see attempts.RequestConfig.
 	attemptMaxAge = 5 * time.Minute
 	// onceEvents bounds what waits for a delivery's loop: one reply each of the
@@ -93,6 +97,8 @@
 	sent    bool
 	reply   *wire.ExecuteReply // of the own attempt, if one came
 	lastErr error              // of sending it
+	mute    time.Time          // since when the agent answers no question
+	gaveUp  bool               // because it did so for resolvePatience
 }
 
 // deliveryEvent is an event for the Request, with what the router wants to know
@@ -101,6 +107,8 @@
 	attempts.Event
 	reply *wire.ExecuteReply
 	err   error
+	// unresolved is the attempt of which the agent could not be asked.
+	unresolved attempts.ID
 }
 
 func (d *dispatcher) newDelivery(ctx context.Context, c *call, t routing.Ticket, hop int) *delivery {
@@ -157,7 +165,7 @@
 		select {
 		case ev := <-v.events:
 			v.note(ev)
-			actions = v.req.Step(v.d.now(), ev.Event)
+			actions = v.req.Step(v.d.now(), v.patience(ev))
 		case <-v.timer.C:
 			actions = v.req.Step(v.d.now(), attempts.Wake{})
 		}
@@ -212,6 +220,24 @@
 	}
 }
 
+// patience turns a question that could not be asked into the end of the
+// delivery, once that has lasted too long.
+func (v *delivery) patience(ev deliveryEvent) attempts.Event {
+	if ev.unresolved == (attempts.ID{}) {
+		v.mute = time.Time{}
+		return ev.Event
+	}
+	now := v.d.now()
+	if v.mute.IsZero() {
+		v.mute = now
+	}
+	if now.Sub(v.mute) < resolvePatience {
+		return attempts.Wake{}
+	}
+	v.gaveUp = true
+	return attempts.Resolved{ID: ev.unresolved, Status: attempts.StatusUnknown}
+}
+
 // begin sends the attempt. The end of the caller's connection withdraws it
 // where it is still queued; the agent runs on what it has started.
 func (v *delivery) begin(c attempts.Claim) {
@@ -259,7 +285,8 @@
 	}, true)
 	reply, ok := got.(*wire.ResolveReply)
 	if err != nil || !ok {
-		return // asked again at the next poll
+		v.emit(deliveryEvent{unresolved: c.ID}) // asked again at the next poll
+		return
 	}
 	v.emit(deliveryEvent{Event: resolvedOf(c.ID, reply)})
 }
--- a/entry/once_end.go
+++ b/entry/once_end.go
@@ -25,6 +25,9 @@
 	}
 	p := unknownProblem(end)
 	p.RetryAfter = end.RetryAfter
+	if v.gaveUp && v.call.key != "" {
+		p.RetryAfter = comeBack // the agent may be reached again, and the claim names it
+	}
 	return p
 }
 
--- /dev/null
+++ b/trial/cluster.go
@@ -0,0 +1,210 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+const (
+	loopback    = "127.0.0.1:0"
+	region      = "trial"
+	clusterKey  = "key of a trial on loopback"
+	storeBudget = 500 // calls a second, as an entry's default
+
+	rebindTries = 50
+	rebindPause = 20 * time.Millisecond
+	pollEvery   = 10 * time.Millisecond
+)
+
+// Cluster is a whole deployment of one service. Its fields don't change after
+// New; its methods are safe for concurrent use.
+type Cluster struct {
+	Service string
+	Store   *store.Server
+	Entries []*EntryNode
+	Workers []*Worker
+
+	link   *storeLink
+	client *platform.Client
+}
+
+// New starts a cluster, puts its document and waits until every entry is ready
+// and knows every agent with the document in force. Close ends it.
+func New(ctx context.Context, o Options) (*Cluster, error) {
+	o = o.withDefaults()
+	doc, err := document.Parse("trial", o.Document)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{Service: doc.Service, Store: store.New(store.Options{})}
+	if err := c.begin(ctx, doc, o); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) begin(ctx context.Context, doc *document.Document, o Options) error {
+	var err error
+	if c.link, err = newStoreLink(c.Store); err != nil {
+		return err
+	}
+	c.client = platform.NewClient(platform.Options{Endpoints: []string{c.link.url()}})
+	v, err := c.Put(ctx, o.Document, 0)
+	if err != nil {
+		return err
+	}
+	places := sites(doc, o.Workers)
+	if err := c.startEntries(places, o); err != nil {
+		return err
+	}
+	if err := c.startWorkers(places, o); err != nil {
+		return err
+	}
+	return c.WaitInForce(ctx, v.Generation)
+}
+
+func (c *Cluster) startEntries(places []site, o Options) error {
+	for i := range o.Entries {
+		zone := places[i*len(places)/o.Entries].zone
+		n, err := newEntryNode(fmt.Sprintf("entry-%d", i+1), zone, c.Store, o)
+		if err != nil {
+			return err
+		}
+		c.Entries = append(c.Entries, n)
+	}
+	for _, n := range c.Entries {
+		n.cfg.Peers = c.peersOf(n)
+		if err := n.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// peersOf are the other entries where their addresses are fixed beforehand.
+func (c *Cluster) peersOf(n *EntryNode) []string {
+	var peers []string
+	for _, other := range c.Entries {
+		if other != n && other.relay != nil {
+			peers = append(peers, other.relay.Addr())
+		}
+	}
+	return peers
+}
+
+func (c *Cluster) startWorkers(places []site, o Options) error {
+	var seeds []string
+	for _, n := range c.Entries {
+		seeds = append(seeds, n.addr())
+	}
+	for _, s := range places {
+		w, err := newWorker(s, c.Service, seeds, o)
+		if err != nil {
+			return err
+		}
+		c.Workers = append(c.Workers, w)
+		if err := w.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Put puts a new generation of the document, edited from the generation base.
+func (c *Cluster) Put(ctx context.Context, text []byte, base uint64) (document.Version, error) {
+	return document.Put(ctx, c.client, document.Proposal{
+		Name:   "trial",
+		TOML:   text,
+		Base:   base,
+		Author: "trial",
+		Token:  uuid.NewString(),
+		At:     time.Now(),
+	})
+}
+
+// WaitInForce waits until every entry that runs is ready and sees every agent
+// that runs alive, all with this generation or a later one.
+func (c *Cluster) WaitInForce(ctx context.Context, generation uint64) error {
+	return Poll(ctx, func(ctx context.Context) error { return c.inForce(ctx, generation) })
+}
+
+func (c *Cluster) inForce(ctx context.Context, generation uint64) error {
+	for _, n := range c.Entries {
+		if !n.Up() {
+			continue
+		}
+		s, err := n.Client().Status(ctx)
+		if err != nil {
+			return err
+		}
+		if err := c.entryInForce(s, generation); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stats are those of the planner, whichever entry has the duty.
+func (c *Cluster) Stats() (scheduler.Stats, bool) {
+	for _, n := range c.Entries {
+		if s, ok := n.Stats(c.Service); ok {
+			return s, true
+		}
+	}
+	return scheduler.Stats{}, false
+}
+
+// Planner returns the entry that holds the planner duty, or nil.
+func (c *Cluster) Planner() *EntryNode {
+	for _, n := range c.Entries {
+		if _, ok := n.Stats(c.Service); ok {
+			return n
+		}
+	}
+	return nil
+}
+
+// Audits returns what truly ran, worker by worker.
+func (c *Cluster) Audits() []standin.Audit {
+	audits := make([]standin.Audit, 0, len(c.Workers))
+	for _, w := range c.Workers {
+		audits = append(audits, w.Target.Audit())
+	}
+	return audits
+}
+
+// URLs are the callers' interfaces of all entries.
+func (c *Cluster) URLs() []string {
+	urls := make([]string, 0, len(c.Entries))
+	for _, n := range c.Entries {
+		urls = append(urls, n.URL())
+	}
+	return urls
+}
+
+// Close ends everything at once.
+func (c *Cluster) Close() {
+	for _, w := range c.Workers {
+		w.close()
+	}
+	for _, n := range c.Entries {
+		n.close()
+	}
+	if c.client != nil {
+		c.client.Close()
+	}
+	if c.link != nil {
+		c.link.close()
+	}
+	c.Store.Close()
+}
--- /dev/null
+++ b/trial/entrynode.go
@@ -0,0 +1,181 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/document/schema"
+	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+)
+
+// ErrDown: the process does not run now.
+var ErrDown = errors.New("trial: the process does not run")
+
+// EntryNode is one entry of a Cluster. It is safe for concurrent use.
+type EntryNode struct {
+	ID string
+
+	link  *storeLink
+	relay *Relay // nil without relays
+
+	mu  sync.Mutex
+	cfg settings.Entry
+	now *entry.Entry // nil while it is down
+	log Options
+	url string
+}
+
+func newEntryNode(id, zone string, store http.Handler, o Options) (*EntryNode, error) {
+	link, err := newStoreLink(store)
+	if err != nil {
+		return nil, err
+	}
+	n := &EntryNode{ID: id, link: link, log: o}
+	n.cfg = settings.Entry{
+		ID:              id,
+		Region:          region,
+		Zone:            zone,
+		HTTPListen:      loopback,
+		QUICListen:      loopback,
+		ClusterKey:      clusterKey,
+		Platform:        []string{link.url()},
+		PlatformTimeout: schema.Duration{Duration: o.StoreTimeout},
+		PlatformBudget:  storeBudget,
+		ReportEvery:     schema.Duration{Duration: o.ReportEvery},
+		DrainDelay:      schema.Duration{Duration: o.DrainDelay},
+		StopGrace:       schema.Duration{Duration: time.Minute},
+	}
+	if !o.Relays {
+		return n, nil
+	}
+	if n.relay, err = NewRelay(); err != nil {
+		link.close()
+		return nil, err
+	}
+	n.cfg.Advertise = n.relay.Addr()
+	return n, nil
+}
+
+// Start starts the entry, also again after it has ended: a new incarnation at
+// the same address.
+func (n *EntryNode) Start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.now != nil {
+		return nil
+	}
+	n.link.setCut(false)
+	e, err := n.start()
+	if err != nil {
+		return err
+	}
+	n.now = e
+	n.url = "http://" + e.HTTPAddr()
+	if n.relay != nil {
+		return n.relay.SetUpstream(e.QUICAddr())
+	}
+	n.cfg.QUICListen = e.QUICAddr()
+	return nil
+}
+
+// start tries for a while: the socket of the earlier life may be closing.
+func (n *EntryNode) start() (*entry.Entry, error) {
+	var err error
+	for range rebindTries {
+		var e *entry.Entry
+		if e, err = entry.Start(n.cfg, n.log.Log); err == nil {
+			return e, nil
+		}
+		time.Sleep(rebindPause)
+	}
+	return nil, err
+}
+
+// Kill ends the entry as the death of its instance does: it tells nobody. Without
+// relays its connections are closed, which their other ends notice at once.
+func (n *EntryNode) Kill() {
+	n.link.setCut(true)
+	if n.relay != nil {
+		_ = n.relay.SetUpstream("")
+		n.relay.SilenceFlows()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.now != nil {
+		n.now.Close()
+		n.now = nil
+	}
+}
+
+// Stop is a planned stop. It returns an error if work in progress was cut.
+func (n *EntryNode) Stop(ctx context.Context) error {
+	n.mu.Lock()
+	e := n.now
+	n.now = nil
+	n.mu.Unlock()
+	if e == nil {
+		return nil
+	}
+	return e.Stop(ctx)
+}
+
+// CutStore takes the store away from this entry, or gives it back.
+func (n *EntryNode) CutStore(cut bool) { n.link.setCut(cut) }
+
+// SilenceFlows makes the open connections to this entry go silent for good,
+// while new ones work, and returns how many. It needs Options.Relays.
+func (n *EntryNode) SilenceFlows() int { return n.relay.SilenceFlows() }
+
+// Up says whether the entry runs.
+func (n *EntryNode) Up() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.now != nil
+}
+
+// URL is where callers reach the entry; the last one while it is down.
+func (n *EntryNode) URL() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.url
+}
+
+// Client returns a client of this entry as it runs now.
+func (n *EntryNode) Client() *api.Client { return api.NewClient(n.URL(), nil) }
+
+// Stats are those of the service's planner, if this entry holds the duty.
+func (n *EntryNode) Stats(service string) (scheduler.Stats, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.now == nil {
+		return scheduler.Stats{}, false
+	}
+	return n.now.Stats(service)
+}
+
+// addr is where agents and other entries reach it.
+func (n *EntryNode) addr() string {
+	if n.relay != nil {
+		return n.relay.Addr()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cfg.QUICListen
+}
+
+func (n *EntryNode) close() {
+	n.Kill()
+	n.link.close()
+	if n.relay != nil {
+		n.relay.Close()
+	}
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/trial/helpers_test.go
@@ -0,0 +1,265 @@
+package trial_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/target"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+	"github.com/eelgrasshub/eelgrasshub/trial"
+)
+
+// limit bounds a whole test: every wait in it ends with its context.
+const limit = 90 * time.Second
+
+// isolation and loss are the gang timeouts of the tests' document.
+const (
+	isolation = 2 * time.Second
+	loss      = 4 * time.Second
+)
+
+const documentText = `
+service = "tiny"
+owner = "Tests"
+
+[[account]]
+name = "big"
+weight = 2
+max_jobs = 1000
+guaranteed = [{ accelerators = 16, adjacent = "rack", count = 1 }]
+
+[[account]]
+name = "small"
+max_jobs = 1000
+
+[[class]]
+name = "check"
+kind = "quick"
+deadline = "20s"
+repeatable = true
+retries = 2
+
+[[class]]
+name = "booking"
+kind = "quick"
+deadline = "20s"
+repeatable = false
+
+[[class]]
+name = "long"
+kind = "job"
+repeatable = true
+retries = 5
+max_run = "1m"
+
+[gang]
+hold_timeout = "1s"
+isolation_timeout = "2s"
+loss_timeout = "4s"
+
+[topology]
+accelerators = 8
+[[topology.zone]]
+name = "z1"
+racks = [4]
+`
+
+// world is a cluster under test.
+type world struct {
+	*qt.C
+	*trial.Cluster
+	ctx context.Context
+}
+
+func start(t *testing.T, change func(*trial.Options)) *world {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	c.Cleanup(cancel)
+	o := trial.Options{Document: []byte(documentText), ReportEvery: 200 * time.Millisecond}
+	if change != nil {
+		change(&o)
+	}
+	cluster, err := trial.New(ctx, o)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(cluster.Close)
+	return &world{C: c, Cluster: cluster, ctx: ctx}
+}
+
+// eventually waits until try says nothing is missing.
+func (w *world) eventually(try func() error) {
+	w.Helper()
+	err := trial.Poll(w.ctx, func(context.Context) error { return try() })
+	w.Assert(err, qt.IsNil)
+}
+
+// told is how a request ended for its caller.
+type told struct {
+	api.Answer
+	err error
+}
+
+// request makes a quick request whose tag names it in the audits.
+func (w *world) request(entry int, class, tag, key string, work time.Duration) told {
+	a, err := w.Entries[entry].Client().Request(w.ctx, api.QuickRequest{
+		Call:     api.Call{Account: "big", Class: class, IdempotencyKey: key},
+		Service:  w.Service,
+		Path:     "consignment",
+		RawQuery: fmt.Sprintf("%s=%s&%s=%d", standin.ParamTag, tag, standin.ParamWorkMS, work.Milliseconds()),
+		Body:     []byte(tag),
+	})
+	return told{a, err}
+}
+
+// send is request in the background.
+func (w *world) send(entry int, class, tag, key string, work time.Duration) <-chan told {
+	answers := make(chan told, 1)
+	go func() { answers <- w.request(entry, class, tag, key, work) }()
+	return answers
+}
+
+// checkDone checks that the answer is whole and the caller's own.
+func (w *world) checkDone(a told, tag string) {
+	w.Helper()
+	w.Assert(a.err, qt.IsNil)
+	w.Assert(a.Outcome, qt.Equals, api.OutcomeDone, qt.Commentf("%s: %v", tag, a.Problem))
+	var echo standin.Echo
+	w.Assert(json.Unmarshal(a.Body, &echo), qt.IsNil)
+	w.Check(echo.Sum, qt.Equals, echo.Checksum())
+	w.Check(echo.BodySum, qt.Equals, standin.BodySum([]byte(tag)))
+}
+
+// runs are the runs of a quick request, by its tag, and where.
+func (w *world) runs(tag string) (runs []standin.QuickRun, workers []*trial.Worker) {
+	for i, a := range w.Audits() {
+		for _, r := range a.Quick {
+			if r.Tag == tag {
+				runs = append(runs, r)
+				workers = append(workers, w.Workers[i])
+			}
+		}
+	}
+	return runs, workers
+}
+
+// whereItRuns waits for a request to start and returns the worker.
+func (w *world) whereItRuns(tag string) *trial.Worker {
+	w.Helper()
+	var at *trial.Worker
+	w.eventually(func() error {
+		_, workers := w.runs(tag)
+		if len(workers) == 0 {
+			return errors.New(tag + " has not started")
+		}
+		at = workers[0]
+		return nil
+	})
+	return at
+}
+
+// submit accepts a job whose key names it in the audits.
+func (w *world) submit(entry int, account, key string, accelerators int, run time.Duration) string {
+	w.Helper()
+	payload, err := json.Marshal(standin.TaskPayload{Tag: key, RunMS: run.Milliseconds()})
+	w.Assert(err, qt.IsNil)
+	s, err := w.Entries[entry].Client().Submit(w.ctx, w.Service, api.JobRequest{
+		Account:      account,
+		Class:        "long",
+		Accelerators: accelerators,
+		Payload:      payload,
+	}, key)
+	w.Assert(err, qt.IsNil)
+	return s.ID
+}
+
+// job waits until a job is in one of the states, asking an entry that runs.
+func (w *world) job(entry int, id string, states ...api.JobState) api.JobStatus {
+	w.Helper()
+	var s api.JobStatus
+	w.eventually(func() error {
+		var err error
+		s, err = w.Entries[entry].Client().Job(w.ctx, w.Service, id, 0)
+		if err != nil {
+			return err
+		}
+		for _, want := range states {
+			if s.State == want {
+				return nil
+			}
+		}
+		return fmt.Errorf("job is %s (attempt %d): %s", s.State, s.Attempt, s.Detail)
+	})
+	return s
+}
+
+// attempts are the task runs of a job in the audits, by attempt.
+func (w *world) attempts(tag string) map[int][]standin.TaskRun {
+	all := make(map[int][]standin.TaskRun)
+	for _, a := range w.Audits() {
+		for _, r := range a.Tasks {
+			if r.Tag == tag {
+				all[r.Attempt] = append(all[r.Attempt], r)
+			}
+		}
+	}
+	return all
+}
+
+// checkRanOnce checks that exactly one attempt of a job ended with all of its
+// members done, that no other attempt did, and that no two ran at once.
+func (w *world) checkRanOnce(tag string) {
+	w.Helper()
+	whole := 0
+	for n, members := range w.attempts(tag) {
+		done := 0
+		for _, m := range members {
+			if m.Outcome == target.TaskDone {
+				done++
+			}
+		}
+		switch done {
+		case 0:
+		case members[0].Members:
+			whole++
+		default:
+			w.Errorf("%s: attempt %d: %d of %d members done", tag, n, done, members[0].Members)
+		}
+	}
+	w.Check(whole, qt.Equals, 1, qt.Commentf("%s: whole attempts", tag))
+	w.checkNoOverlap(tag)
+}
+
+// checkNoOverlap checks that an attempt starts only after every member of each
+// earlier one has ended.
+func (w *world) checkNoOverlap(tag string) {
+	w.Helper()
+	all := w.attempts(tag)
+	for a, first := range all {
+		for b, second := range all {
+			if a >= b {
+				continue
+			}
+			for _, m := range first {
+				for _, n := range second {
+					apart := !m.End.IsZero() && !m.End.After(n.Start) || !n.End.IsZero() && !n.End.After(m.Start)
+					w.Check(apart, qt.IsTrue, qt.Commentf("%s: attempts %d and %d ran at once", tag, a, b))
+				}
+			}
+		}
+	}
+}
+
+// checkViolations checks that no worker's rule was broken.
+func (w *world) checkViolations() {
+	w.Helper()
+	for _, a := range w.Audits() {
+		w.Check(a.Violations, qt.HasLen, 0)
+		w.Check(a.Dropped, qt.Equals, 0)
+	}
+}
--- /dev/null
+++ b/trial/once_test.go
@@ -0,0 +1,78 @@
+package trial_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/trial"
+)
+
+func TestBookingIsRetriedAfterItsEntryDied(t *testing.T) {
+	// A caller books cargo space. While the target works, the entry's instance
+	// dies and the caller sees its connection break. It repeats the booking with
+	// the same key through the other entry and gets the answer of the one run.
+	w := start(t, func(o *trial.Options) { o.Relays = true })
+	first := w.send(0, "booking", "book", "k1", 1500*time.Millisecond)
+	w.whereItRuns("book")
+	w.Entries[0].Kill()
+
+	broken := <-first
+	w.Check(broken.Outcome, qt.Equals, api.OutcomeUnknown)
+	w.checkDone(w.request(1, "booking", "book", "k1", 1500*time.Millisecond), "book")
+	runs, _ := w.runs("book")
+	w.Check(runs, qt.HasLen, 1)
+}
+
+func TestAgentRestartNeverTurnsARunIntoNotRun(t *testing.T) {
+	// The agent beside the target is restarted while a booking runs there. It has
+	// forgotten the booking, the target works on. The caller must not hear "not
+	// run", neither then nor on a retry with the key, or it books a second time.
+	w := start(t, nil)
+	first := w.send(0, "booking", "book", "k1", 1500*time.Millisecond)
+	worker := w.whereItRuns("book")
+	worker.Kill()
+	w.Assert(worker.Start(), qt.IsNil)
+
+	w.Check((<-first).Outcome, qt.Equals, api.OutcomeUnknown)
+	for i := range w.Entries {
+		again := w.request(i, "booking", "book", "k1", 1500*time.Millisecond)
+		w.Check(again.Outcome, qt.Equals, api.OutcomeUnknown)
+	}
+	runs, _ := w.runs("book")
+	w.Check(runs, qt.HasLen, 1)
+}
+
+func TestBookingAtAKilledAgentEndsBeforeItsDeadline(t *testing.T) {
+	// The agent dies for good while bookings without a key run there. Each caller
+	// hears "unknown"; requests that may run twice go to another target instead.
+	w := start(t, nil)
+	booking := w.send(0, "booking", "book", "", time.Second)
+	worker := w.whereItRuns("book")
+	check := w.send(0, "check", "check", "", time.Second)
+	w.whereItRuns("check")
+	worker.Kill()
+
+	w.Check((<-booking).Outcome, qt.Equals, api.OutcomeUnknown)
+	w.checkDone(<-check, "check")
+}
+
+func TestSameKeyThroughBothEntriesAtOnce(t *testing.T) {
+	// An impatient caller sends the same booking through both entries at once.
+	// One runs it, both answer with that run.
+	w := start(t, nil)
+	for i := range 10 {
+		tag := fmt.Sprintf("book-%d", i)
+		one := w.send(0, "booking", tag, tag, 50*time.Millisecond)
+		two := w.send(1, "booking", tag, tag, 50*time.Millisecond)
+		a, b := <-one, <-two
+		w.checkDone(a, tag)
+		w.checkDone(b, tag)
+		w.Check(string(a.Body), qt.Equals, string(b.Body))
+		runs, _ := w.runs(tag)
+		w.Check(runs, qt.HasLen, 1)
+	}
+}
--- /dev/null
+++ b/trial/site.go
@@ -0,0 +1,41 @@
+package trial
+
+import (
+	"fmt"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+// site is where one worker stands.
+type site struct {
+	name, zone, rack string
+	accelerators     int
+}
+
+// sites lists the workers of a document, zone by zone and rack by rack. One
+// without a topology gets the given number of workers in one rack.
+func sites(d *document.Document, workers int) []site {
+	t := d.Topology
+	if t == nil {
+		t = &document.Topology{
+			Accelerators: standin.DefaultAccelerators,
+			Zones:        []document.TopologyZone{{Name: "z1", Racks: []int{workers}}},
+		}
+	}
+	var all []site
+	for _, zone := range t.Zones {
+		for k, count := range zone.Racks {
+			rack := fmt.Sprintf("%s-r%d", zone.Name, k+1)
+			for i := range count {
+				all = append(all, site{
+					name:         fmt.Sprintf("%s-w%d", rack, i+1),
+					zone:         zone.Name,
+					rack:         rack,
+					accelerators: t.Accelerators,
+				})
+			}
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/trial/wait.go
@@ -0,0 +1,55 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+)
+
+// Poll tries until try succeeds or ctx ends; the error then says why the last
+// try failed.
+func Poll(ctx context.Context, try func(context.Context) error) error {
+	for {
+		err := try(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w; last: %w", ctx.Err(), err)
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+// entryInForce says what is missing at one entry.
+func (c *Cluster) entryInForce(s api.Status, generation uint64) error {
+	if !s.Ready {
+		return fmt.Errorf("%s is not ready", s.ID)
+	}
+	if got := generationOf(s, c.Service); got < generation {
+		return fmt.Errorf("%s has generation %d, not %d", s.ID, got, generation)
+	}
+	members := make(map[string]api.Member, len(s.Members))
+	for _, m := range s.Members {
+		members[m.ID] = m
+	}
+	for _, w := range c.Workers {
+		m := members[w.ID]
+		if w.Up() && (m.State != "alive" || m.Generation < generation) {
+			return fmt.Errorf("%s sees %s in state %q with generation %d, not %d", s.ID, w.ID, m.State, m.Generation, generation)
+		}
+	}
+	return nil
+}
+
+func generationOf(s api.Status, service string) uint64 {
+	for _, g := range s.Generations {
+		if g.Service == service {
+			return g.Generation
+		}
+	}
+	return 0
+}
