planner, entry: a duty goes on above the epochs that agents have seen

Cause: after a restore of the store the duty's epoch can repeat. Agents refuse it, the planner ends as superseded, and no entry plans any more although one holds the duty. lease.Holder.Observe raises the epoch; nothing called it.

--- a/entry/duties.go
+++ b/entry/duties.go
@@ -133,9 +133,16 @@
 		du.planner = nil
 	}
 	d.mu.Unlock()
-	if current {
-		d.register()
+	if !current {
+		return
 	}
+	// The store may have been restored from a backup and have given this entry an
+	// epoch that was used before. It shows as agents that refuse it although no
+	// other entry plans; raising the epoch above theirs ends it.
+	if higher := p.Higher(); higher > 0 {
+		du.holder.Observe(higher)
+	}
+	d.register()
 }
 
 // register tells the other entries which duties this one holds.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,7 +139,12 @@
 	e.docs = document.NewInForce(e.documentChanged)
 	e.watcher = document.NewWatcher(e.store, e.askPeer, e.docs, document.DefaultFeederConfig(true), e.log)
 	e.watcher.SetPeers(e.cfg.Peers)
-	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout}
+	e.server = &http.Server{
+		Handler:           e.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       requestTimeout,
+		IdleTimeout:       idleTimeout,
+	}
 	e.gauges()
 	ctx := e.t.Context(nil)
 	e.t.Go(func() error {
@@ -151,8 +156,13 @@
 	go func() { _ = e.server.Serve(e.listener) }() // ends with Shutdown or Close
 }
 
-// headerTimeout bounds how long a caller may take to send its headers.
-const headerTimeout = 10 * time.Second
+// Bounds of a caller's connection: its headers, its whole request, and the
+// silence between two requests.
+const (
+	headerTimeout  = 10 * time.Second
+	requestTimeout = time.Minute
+	idleTimeout    = 2 * time.Minute
+)
 
 func (e *Entry) advertised() string {
 	if e.cfg.Advertise != "" {
--- a/planner/coordinate.go
+++ b/planner/coordinate.go
@@ -150,7 +150,7 @@
 		return
 	}
 	if got.Epoch > p.cfg.Epoch {
-		p.superseded("a job's record names a higher epoch")
+		p.superseded("a job's record names a higher epoch", got.Epoch)
 		return
 	}
 	p.changed(got)
@@ -172,7 +172,7 @@
 // that decides it.
 func (p *Planner) attemptEnded(j *job, e gang.Ended) {
 	if e.Outcome == gang.Superseded {
-		p.superseded("an agent refused our epoch")
+		p.superseded("an agent refused our epoch", 0)
 		return
 	}
 	id, attempt := scheduler.JobID(j.stored.ID), j.attempt
--- a/planner/end.go
+++ b/planner/end.go
@@ -80,7 +80,7 @@
 	case got.State.Ended():
 		p.forget(j, got)
 	case got.Epoch > p.cfg.Epoch:
-		p.superseded("a job's record names a higher epoch")
+		p.superseded("a job's record names a higher epoch", got.Epoch)
 	default:
 		j.ending.Rev = got.Rev
 		j.ending.CancelRequested = got.CancelRequested
--- a/planner/follow.go
+++ b/planner/follow.go
@@ -91,7 +91,7 @@
 // resume takes over an attempt that an earlier planner recorded.
 func (p *Planner) resume(r jobs.Stored) {
 	if r.Epoch > p.cfg.Epoch {
-		p.superseded("a job's record names a higher epoch")
+		p.superseded("a job's record names a higher epoch", r.Epoch)
 		return
 	}
 	j := &job{stored: r, begun: true}
@@ -131,7 +131,7 @@
 		return
 	}
 	if r.Epoch > p.cfg.Epoch {
-		p.superseded("a job's record names a higher epoch")
+		p.superseded("a job's record names a higher epoch", r.Epoch)
 		return
 	}
 	restore := j.stored.Restore
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -33,6 +33,8 @@
 
 	whole atomic.Pointer[wholeAttempts]
 	stats atomic.Pointer[scheduler.Stats]
+
+	higher atomic.Uint64
 }
 
 // Start begins a term. Stop ends it.
@@ -136,14 +138,20 @@
 }
 
 // superseded ends the term: a higher epoch is in charge, and nothing that this
-// planner still believes may be written.
-func (p *Planner) superseded(why string) {
+// planner still believes may be written. The epoch is 0 where it is not known.
+func (p *Planner) superseded(why string, epoch uint64) {
 	if !p.over {
-		p.cfg.Log.WithField("epoch", p.cfg.Epoch).Warn("planner superseded: " + why)
+		p.cfg.Log.WithField("higher_epoch", epoch).Warn("planner superseded: " + why)
 	}
 	p.over = true
+	p.higher.Store(max(epoch, p.cfg.Epoch+1))
 }
 
+// Higher returns an epoch above this planner's own by which it was superseded,
+// 0 if it was not. Where no other planner is behind it, as after the store was
+// restored from a backup, the duty has to go on above it.
+func (p *Planner) Higher() uint64 { return p.higher.Load() }
+
 // context ends with the term.
 func (p *Planner) context(timeout time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(p.t.Context(nil), timeout)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/platform/standin"
 )
@@ -144,3 +145,16 @@
 	p.post(func() { known <- p.rebuilt })
 	return <-known
 }
+
+// The store was restored from a backup and gives the duty an epoch that agents
+// have already seen surpassed. The planner must say by which epoch, so that the
+// duty can go on above it; otherwise nothing is ever started again.
+func TestSupersededSaysByWhichEpoch(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents("a")
+	agents.step("a", gang.Received{Message: gang.Seal{Header: gang.Header{ID: gang.ID{Job: "x", Epoch: 9}, Sender: 9, Incarnation: 1}}})
+	p := b.planner(3, agents)
+	agents.report(p)
+	<-p.Done()
+	b.c.Assert(p.Higher(), qt.Equals, uint64(9))
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -44,7 +44,7 @@
 func (p *Planner) observe(s Seen) {
 	id := string(s.Worker.ID)
 	if s.Fence > p.cfg.Epoch {
-		p.superseded("an agent has heard of a higher epoch")
+		p.superseded("an agent has heard of a higher epoch", s.Fence)
 		return
 	}
 	w := p.workers[id]
