--- /dev/null
+++ b/load/audit.go
@@ -0,0 +1,85 @@
+package load
+
+import (
+	"slices"
+
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+// Audit compares what callers were told with what truly ran. The audits must be
+// those of all workers of the service, taken after the run: a missing one makes
+// done work look as if it never ran. Runs whose tag isn't in the result are
+// passed over.
+func Audit(r Result, audits []standin.Audit) Findings {
+	var f Findings
+	quick := map[string][]standin.QuickRun{}
+	tasks := map[string][]workerTask{}
+	for _, a := range audits {
+		for _, run := range a.Quick {
+			quick[run.Tag] = append(quick[run.Tag], run)
+		}
+		for _, run := range a.Tasks {
+			tasks[run.Tag] = append(tasks[run.Tag], workerTask{run, a.Worker})
+		}
+		f.addWorker(a)
+	}
+	for i := range r.Quick {
+		f.auditQuick(&r.Quick[i], quick[r.Quick[i].Tag])
+	}
+	for i := range r.Jobs {
+		f.auditJob(&r.Jobs[i], tasks[r.Jobs[i].Tag])
+	}
+	return f
+}
+
+// workerTask is a task's run and the worker it ran on.
+type workerTask struct {
+	standin.TaskRun
+	worker string
+}
+
+func (f *Findings) addWorker(a standin.Audit) {
+	for _, v := range a.Violations {
+		f.Violations.add("worker %s: %s: %s", a.Worker, v.Kind, v.Detail)
+	}
+	if a.Dropped > 0 {
+		f.Incomplete.add("worker %s: %d records dropped", a.Worker, a.Dropped)
+	}
+}
+
+// deniedRun returns the request id of a try that was told not run although its
+// request ran. A run through another entry of the same request belongs to that
+// entry's try, so ids decide where they tell tries apart; where every try was
+// told not run, any run contradicts one of them.
+func deniedRun(tries []Try, ran []string) (string, bool) {
+	if len(ran) == 0 {
+		return "", false
+	}
+	if allDenied(tries) {
+		return tries[0].Request, true
+	}
+	for i, t := range tries {
+		if denied(t) && t.Request != "" && !sharedID(tries, i) && slices.Contains(ran, t.Request) {
+			return t.Request, true
+		}
+	}
+	return "", false
+}
+
+func allDenied(tries []Try) bool {
+	for _, t := range tries {
+		if !denied(t) {
+			return false
+		}
+	}
+	return len(tries) > 0
+}
+
+func sharedID(tries []Try, i int) bool {
+	for k, t := range tries {
+		if k != i && t.Request == tries[i].Request {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/load/audit_jobs.go
@@ -0,0 +1,175 @@
+package load
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/target"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+func (f *Findings) auditJob(j *JobResult, runs []workerTask) {
+	name := j.Account + "/" + j.Class + " " + j.Tag + " job " + j.ID
+	attempts := byAttempt(runs)
+	f.auditEnd(name, j)
+	f.auditDenial(name, j, runs)
+	f.auditOnce(name, j, attempts)
+	for _, a := range attempts {
+		f.auditMembers(name, a)
+	}
+	if j.State == api.JobDone {
+		f.auditJobDone(name, j, attempts)
+	}
+}
+
+func (f *Findings) auditEnd(name string, j *JobResult) {
+	switch {
+	case j.ID != "" && !j.State.Final():
+		f.Lost.add("%s: accepted, last seen %s", name, j.State)
+	case j.ID == "" && outcomeOf(j.Submits) == "" && !allNotSent(j.Submits):
+		f.Lost.add("%s: no answer to its submission: %s", name, lastError(j.Submits))
+	}
+}
+
+// auditDenial finds jobs told not run that ran.
+func (f *Findings) auditDenial(name string, j *JobResult, runs []workerTask) {
+	if len(runs) == 0 {
+		return
+	}
+	told := j.State == api.JobRejected ||
+		j.State == api.JobCancelled && j.Reason != "" && j.Reason.Outcome() == api.OutcomeNotRun ||
+		j.ID == "" && allDenied(j.Submits)
+	if told {
+		f.Misreported.add("%s: told not run (%s %s), and ran on %s", name, j.State, j.Reason, runs[0].worker)
+	}
+}
+
+// attempt is what ran of one attempt of a job.
+type attempt struct {
+	target.TaskID
+	members int
+	runs    []workerTask
+}
+
+func byAttempt(runs []workerTask) []attempt {
+	found := map[target.TaskID]*attempt{}
+	for _, r := range runs {
+		a := found[r.TaskID]
+		if a == nil {
+			a = &attempt{TaskID: r.TaskID, members: r.Members}
+			found[r.TaskID] = a
+		}
+		a.runs = append(a.runs, r)
+	}
+	var list []attempt
+	for _, id := range slices.SortedFunc(maps.Keys(found), compareTasks) {
+		list = append(list, *found[id])
+	}
+	return list
+}
+
+func compareTasks(a, b target.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Attempt, b.Attempt))
+}
+
+// count returns how many different members have a run that passes.
+func (a *attempt) count(ok func(workerTask) bool) int {
+	seen := map[int]bool{}
+	for _, r := range a.runs {
+		if ok(r) {
+			seen[r.Member] = true
+		}
+	}
+	return len(seen)
+}
+
+func (a *attempt) started() int {
+	return a.count(func(workerTask) bool { return true })
+}
+
+func (a *attempt) done() int {
+	return a.count(func(r workerTask) bool { return r.Outcome == target.TaskDone })
+}
+
+func (f *Findings) auditMembers(name string, a attempt) {
+	if n := a.started(); n < a.members {
+		f.Partial.add("%s attempt %d: %d of %d members ever started", name, a.Attempt, n, a.members)
+	}
+	if n := len(a.runs); n > a.started() {
+		f.Doubled.add("%s attempt %d: %d runs of %d members", name, a.Attempt, n, a.started())
+	}
+}
+
+func (f *Findings) auditOnce(name string, j *JobResult, attempts []attempt) {
+	for i := 1; i < len(attempts); i++ {
+		before, a := &attempts[i-1], &attempts[i]
+		switch {
+		case a.Job != before.Job:
+			f.Doubled.add("%s: one submission ran as jobs %s and %s", name, before.Job, a.Job)
+		case !j.Repeatable && repeats(attempts[:i], a):
+			f.Doubled.add("%s: not repeatable, attempt %d repeats work of an earlier one", name, a.Attempt)
+		}
+	}
+}
+
+// repeats reports whether a, started whole, does work again that an earlier
+// attempt started whole had done. One that resumes each member where the other
+// ended repeats nothing.
+func repeats(earlier []attempt, a *attempt) bool {
+	if a.started() < a.members {
+		return false
+	}
+	for _, e := range earlier {
+		if e.Job == a.Job && e.started() == e.members && !resumes(e.runs, a.runs) {
+			return true
+		}
+	}
+	return false
+}
+
+func resumes(earlier, later []workerTask) bool {
+	reached := map[int]int64{}
+	for _, r := range earlier {
+		reached[r.Member] = max(reached[r.Member], r.ProgressMS)
+	}
+	for _, r := range later {
+		if r.RestoredMS == 0 || r.RestoredMS < reached[r.Member] {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Findings) auditJobDone(name string, j *JobResult, attempts []attempt) {
+	best := 0
+	for _, a := range attempts {
+		n := a.done()
+		if n == a.members {
+			f.auditResult(name, j)
+			return
+		}
+		best = max(best, n)
+	}
+	if best > 0 {
+		f.Partial.add("%s: told done, %d members completed in its best attempt", name, best)
+		return
+	}
+	f.Misreported.add("%s: told done, no member completed", name)
+}
+
+// auditResult finds a result that belongs to another job.
+func (f *Findings) auditResult(name string, j *JobResult) {
+	var parts []standin.TaskResult
+	if len(j.Result) == 0 || json.Unmarshal(j.Result, &parts) != nil {
+		return // a form of result that carries no tags
+	}
+	for _, p := range parts {
+		if p.Tag != "" && p.Tag != j.Tag {
+			f.Misreported.add("%s: told the result of %s", name, p.Tag)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/load/audit_quick.go
@@ -0,0 +1,66 @@
+package load
+
+import (
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+// denied reports whether the try can't have run by what the caller knows.
+func denied(t Try) bool {
+	return t.NotSent || t.Answered && t.Outcome == api.OutcomeNotRun
+}
+
+func (f *Findings) auditQuick(q *QuickResult, runs []standin.QuickRun) {
+	name := q.Account + "/" + q.Class + " " + q.Tag
+	if q.Outcome() == "" && !allNotSent(q.Tries) {
+		f.Lost.add("%s: no answer in %d tries: %s", name, len(q.Tries), lastError(q.Tries))
+	}
+	if !q.Repeatable && len(runs) > 1 {
+		f.Doubled.add("%s: ran %d times, requests %s and %s", name, len(runs), runs[0].Request, runs[1].Request)
+	}
+	ran := make([]string, len(runs))
+	for i, run := range runs {
+		ran[i] = run.Request
+	}
+	if id, ok := deniedRun(q.Tries, ran); ok {
+		f.Misreported.add("%s: request %s told not run, and ran", name, id)
+	}
+	for _, t := range q.Tries {
+		f.auditDone(name, t, runs)
+	}
+}
+
+func (f *Findings) auditDone(name string, t Try, runs []standin.QuickRun) {
+	switch {
+	case !t.Answered || t.Outcome != api.OutcomeDone:
+	case t.BodyError != "":
+		f.Misreported.add("%s: request %s told done: %s", name, t.Request, t.BodyError)
+	case !completed(runs, t.Sum):
+		f.Misreported.add("%s: request %s told done, no completed run gave that answer", name, t.Request)
+	}
+}
+
+func completed(runs []standin.QuickRun, sum string) bool {
+	for _, run := range runs {
+		if run.Completed && run.Checksum == sum {
+			return true
+		}
+	}
+	return false
+}
+
+func allNotSent(tries []Try) bool {
+	for _, t := range tries {
+		if !t.NotSent {
+			return false
+		}
+	}
+	return len(tries) > 0
+}
+
+func lastError(tries []Try) string {
+	if len(tries) == 0 {
+		return "never sent"
+	}
+	return tries[len(tries)-1].Error
+}
--- /dev/null
+++ b/load/audit_test.go
@@ -0,0 +1,141 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/target"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+func answered(id string, o api.Outcome) Try {
+	return Try{Answered: true, Request: id, Outcome: o, Sum: "sum"}
+}
+
+func quickRan(id string) standin.QuickRun {
+	return standin.QuickRun{Request: id, Tag: "t", Completed: true, Checksum: "sum"}
+}
+
+type counts struct{ lost, doubled, misreported, partial int }
+
+func countsOf(f Findings) counts {
+	return counts{f.Lost.Count, f.Doubled.Count, f.Misreported.Count, f.Partial.Count}
+}
+
+func TestAuditOfQuickRequests(t *testing.T) {
+	done, notRun, unknown := answered("r1", api.OutcomeDone), answered("r1", api.OutcomeNotRun), answered("r1", api.OutcomeUnknown)
+	cut := quickRan("r1")
+	cut.Completed = false
+	stray := done
+	stray.BodyError = "body answers another"
+	other := done
+	other.Sum = "another"
+	type runs = []standin.QuickRun
+	for name, tc := range map[string]struct {
+		repeatable bool
+		tries      []Try
+		runs       runs
+		want       counts
+	}{
+		"done once":                            {false, []Try{done}, runs{quickRan("r1")}, counts{}},
+		"not run":                              {false, []Try{notRun}, nil, counts{}},
+		"unknown, ran":                         {false, []Try{unknown}, runs{quickRan("r1")}, counts{}},
+		"no connection at all":                 {false, []Try{{NotSent: true}}, nil, counts{}},
+		"silence":                              {false, []Try{{}, {}}, nil, counts{lost: 1}},
+		"never tried":                          {false, nil, nil, counts{lost: 1}},
+		"silence, then done":                   {false, []Try{{}, done}, runs{quickRan("r1")}, counts{}},
+		"ran twice":                            {false, []Try{done}, runs{quickRan("r1"), quickRan("r2")}, counts{doubled: 1}},
+		"ran twice, may be repeated":           {true, []Try{done}, runs{quickRan("r1"), quickRan("r2")}, counts{}},
+		"told not run, ran":                    {true, []Try{notRun}, runs{quickRan("r9")}, counts{misreported: 1}},
+		"told not run, ran to the half":        {true, []Try{notRun}, runs{cut}, counts{misreported: 1}},
+		"not sent by its word, ran":            {true, []Try{{NotSent: true}}, runs{quickRan("r1")}, counts{misreported: 1}},
+		"one entry refused, the other ran it":  {false, []Try{answered("r2", api.OutcomeNotRun), done}, runs{quickRan("r1")}, counts{}},
+		"refused try ran beside the done one":  {true, []Try{answered("r2", api.OutcomeNotRun), done}, runs{quickRan("r1"), quickRan("r2")}, counts{misreported: 1}},
+		"told done, never ran":                 {true, []Try{done}, nil, counts{misreported: 1}},
+		"told done, run was cut":               {true, []Try{done}, runs{cut}, counts{misreported: 1}},
+		"told done with another's answer":      {true, []Try{stray}, runs{quickRan("r1")}, counts{misreported: 1}},
+		"told done with an answer no run gave": {true, []Try{other}, runs{quickRan("r1")}, counts{misreported: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := Result{Quick: []QuickResult{{Tag: "t", Repeatable: tc.repeatable, Tries: tc.tries}}}
+			f := Audit(r, []standin.Audit{{Quick: tc.runs}})
+			qt.Check(t, countsOf(f), qt.Equals, tc.want, qt.Commentf("%+v", f))
+			qt.Check(t, f.Clean(), qt.Equals, tc.want == counts{})
+		})
+	}
+}
+
+// ran is a member's run: job, attempt, member of two, restored and reached.
+func ran(job string, attempt, member int, o target.TaskState, restored, reached int64) standin.TaskRun {
+	return standin.TaskRun{TaskID: target.TaskID{Job: job, Attempt: attempt}, Tag: "t",
+		Member: member, Members: 2, Outcome: o, RestoredMS: restored, ProgressMS: reached}
+}
+
+func TestAuditOfJobs(t *testing.T) {
+	const ok, stopped = target.TaskDone, target.TaskStopped
+	type runs = []standin.TaskRun
+	gang := func(attempt int, o target.TaskState, restored, reached int64) runs {
+		return runs{ran("a", attempt, 0, o, restored, reached), ran("a", attempt, 1, o, restored, reached)}
+	}
+	accepted := []Try{answered("a", api.OutcomeDone)}
+	job := func(s api.JobState) JobResult { return JobResult{ID: "a", State: s, Submits: accepted} }
+	again := job(api.JobDone)
+	again.Repeatable = true
+	stray := job(api.JobDone)
+	stray.Result = []byte(`[{"tag":"t"},{"tag":"other"}]`)
+	early := job(api.JobCancelled)
+	early.Reason = api.ReasonCancelled
+	for name, tc := range map[string]struct {
+		job  JobResult
+		runs runs
+		want counts
+	}{
+		"done":                            {job(api.JobDone), gang(1, ok, 0, 9), counts{}},
+		"rejected":                        {job(api.JobRejected), nil, counts{}},
+		"still running":                   {job(api.JobRunning), gang(1, target.TaskRunning, 0, 0), counts{lost: 1}},
+		"submission without an answer":    {JobResult{Submits: []Try{{}}}, nil, counts{lost: 1}},
+		"submission refused":              {JobResult{Submits: []Try{answered("", api.OutcomeNotRun)}}, nil, counts{}},
+		"submission refused, ran":         {JobResult{Submits: []Try{answered("", api.OutcomeNotRun)}}, gang(1, ok, 0, 9), counts{misreported: 1}},
+		"rejected, ran":                   {job(api.JobRejected), gang(1, ok, 0, 9), counts{misreported: 1}},
+		"cancelled before start, ran":     {early, gang(1, stopped, 0, 2), counts{misreported: 1}},
+		"cancelled while running":         {job(api.JobCancelled), gang(1, stopped, 0, 2), counts{}},
+		"told done, stopped":              {job(api.JobDone), gang(1, stopped, 0, 2), counts{misreported: 1}},
+		"told done, never ran":            {job(api.JobDone), nil, counts{misreported: 1}},
+		"another's result":                {stray, gang(1, ok, 0, 9), counts{misreported: 1}},
+		"done, one member stopped":        {job(api.JobDone), runs{ran("a", 1, 0, ok, 0, 9), ran("a", 1, 1, stopped, 0, 4)}, counts{partial: 1}},
+		"failed, one member only started": {job(api.JobFailed), gang(1, ok, 0, 9)[:1], counts{partial: 1}},
+		"ran twice":                       {job(api.JobDone), append(gang(1, stopped, 0, 5), gang(2, ok, 0, 9)...), counts{doubled: 1}},
+		"ran twice, repeatable":           {again, append(gang(1, stopped, 0, 5), gang(2, ok, 0, 9)...), counts{}},
+		"resumed where it ended":          {job(api.JobDone), append(gang(1, stopped, 0, 5), gang(2, ok, 5, 9)...), counts{}},
+		"resumed before where it ended":   {job(api.JobDone), append(gang(1, stopped, 0, 5), gang(2, ok, 3, 9)...), counts{doubled: 1}},
+		"one submission, two jobs":        {again, append(gang(1, ok, 0, 9), ran("b", 1, 0, ok, 0, 9), ran("b", 1, 1, ok, 0, 9)), counts{doubled: 1}},
+		"one member started twice":        {again, append(gang(1, ok, 0, 9), ran("a", 1, 1, ok, 0, 9)), counts{doubled: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tc.job.Tag = "t"
+			f := Audit(Result{Jobs: []JobResult{tc.job}}, []standin.Audit{{Tasks: tc.runs}})
+			qt.Check(t, countsOf(f), qt.Equals, tc.want, qt.Commentf("%+v", f))
+		})
+	}
+}
+
+func TestAuditTakesInWhatWorkersRecorded(t *testing.T) {
+	a := standin.Audit{Violations: make([]standin.Violation, 9), Dropped: 1}
+	f := Audit(Result{}, []standin.Audit{a})
+	qt.Check(t, f.Violations.Count, qt.Equals, 9)
+	qt.Check(t, len(f.Violations.Examples), qt.Equals, maxExamples)
+	qt.Check(t, f.Incomplete.Count, qt.Equals, 1)
+	qt.Check(t, f.Clean(), qt.IsFalse)
+}
+
+func TestPercentilesByNearestRank(t *testing.T) {
+	var list []time.Duration
+	for i := 100; i > 0; i-- {
+		list = append(list, time.Duration(i)*time.Millisecond)
+	}
+	qt.Check(t, percentiles(list), qt.Equals, "50.0ms\t90.0ms\t99.0ms")
+	qt.Check(t, percentiles(list[:1]), qt.Equals, "1.0ms\t1.0ms\t1.0ms")
+}
--- /dev/null
+++ b/load/echo.go
@@ -0,0 +1,29 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+// checkEcho returns the checksum of a done answer, and what shows that it isn't
+// the whole answer to r.
+func checkEcho(r *api.QuickRequest, body []byte) (sum, problem string) {
+	var e standin.Echo
+	if err := json.Unmarshal(body, &e); err != nil {
+		return "", fmt.Sprintf("body of %d bytes is no echo: %v", len(body), err)
+	}
+	switch {
+	case e.Sum != e.Checksum():
+		return e.Sum, "body isn't whole: its checksum is wrong"
+	case e.Path != r.Path || e.Query != r.RawQuery:
+		return e.Sum, fmt.Sprintf("body answers %s?%s", e.Path, e.Query)
+	case e.Account != r.Account || e.Class != r.Class:
+		return e.Sum, fmt.Sprintf("body answers %s/%s", e.Account, e.Class)
+	case e.BodySum != standin.BodySum(r.Body):
+		return e.Sum, "body answers a request with another body"
+	}
+	return e.Sum, ""
+}
--- /dev/null
+++ b/load/plan_read.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+)
+
+// ReadPlan reads a workload file. The error names the file, the key and the
+// reason.
+func ReadPlan(file string) (Plan, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Plan{}, err
+	}
+	return ParsePlan(file, text)
+}
+
+// ParsePlan parses the text of a workload file; file is for errors only.
+func ParsePlan(file string, text []byte) (Plan, error) {
+	var p Plan
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&p); err != nil {
+		return Plan{}, decodeError(file, err)
+	}
+	if err := p.check(); err != nil {
+		return Plan{}, fmt.Errorf("%s: %w", file, err)
+	}
+	return p, nil
+}
+
+func decodeError(file string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		e := strict.Errors[0]
+		row, _ := e.Position()
+		return fmt.Errorf("%s:%d: %s: no such key", file, row, strings.Join(e.Key(), "."))
+	}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		row, _ := de.Position()
+		return fmt.Errorf("%s:%d: %s: %w", file, row, strings.Join(de.Key(), "."), err)
+	}
+	return fmt.Errorf("%s: %w", file, err)
+}
+
+func (p *Plan) check() error {
+	switch {
+	case p.Name == "":
+		return errors.New("name: missing")
+	case p.Service == "":
+		return errors.New("service: missing")
+	case p.Duration <= 0:
+		return errors.New("duration: must be more than 0")
+	case p.Drain <= 0:
+		return errors.New("drain: must be more than 0")
+	}
+	for i, q := range p.Quick {
+		if err := q.check(); err != nil {
+			return fmt.Errorf("quick[%d].%w", i, err)
+		}
+		// A drain that ends before the caller's patience would count answers
+		// that are still due as lost.
+		if p.Drain < q.Deadline+Duration(patience) {
+			return fmt.Errorf("drain: must be at least the deadline of quick[%d] and %s", i, patience)
+		}
+	}
+	for i, j := range p.Jobs {
+		if err := j.check(); err != nil {
+			return fmt.Errorf("job[%d].%w", i, err)
+		}
+	}
+	for i, b := range p.Bursts {
+		if b.Kind != KindQuick && b.Kind != KindJob {
+			return fmt.Errorf(`burst[%d].kind: must be "quick" or "job"`, i)
+		}
+		if b.Factor < 1 {
+			return fmt.Errorf("burst[%d].factor: must be at least 1", i)
+		}
+	}
+	for i, w := range p.CancelWaves {
+		if !isShare(w.Share) {
+			return fmt.Errorf("cancel_wave[%d].share: must be from 0 to 1", i)
+		}
+	}
+	return nil
+}
+
+func (q *QuickLoad) check() error {
+	switch {
+	case q.Account == "":
+		return errors.New("account: missing")
+	case q.Class == "":
+		return errors.New("class: missing")
+	case q.Rate <= 0:
+		return errors.New("rate: must be more than 0")
+	case q.Deadline <= 0:
+		return errors.New("deadline: must be more than 0")
+	case !isShare(q.Resent):
+		return errors.New("resent: must be from 0 to 1")
+	}
+	return q.Work.check("work")
+}
+
+func (j *JobLoad) check() error {
+	switch {
+	case j.Account == "":
+		return errors.New("account: missing")
+	case j.Class == "":
+		return errors.New("class: missing")
+	case j.Rate <= 0:
+		return errors.New("rate: must be more than 0")
+	case len(j.Sizes) == 0:
+		return errors.New("sizes: missing")
+	case j.Misdeclared != 0 && j.Misdeclared < 1:
+		return errors.New("misdeclared: must be 0, or at least 1")
+	case !isShare(j.Failing):
+		return errors.New("failing: must be from 0 to 1")
+	case !isShare(j.Resent):
+		return errors.New("resent: must be from 0 to 1")
+	}
+	for i, s := range j.Sizes {
+		if err := s.check(); err != nil {
+			return fmt.Errorf("sizes[%d].%w", i, err)
+		}
+	}
+	return j.Run.check("run")
+}
+
+func (s *Size) check() error {
+	switch {
+	case s.Accelerators < 1:
+		return errors.New("accelerators: must be at least 1")
+	case s.Weight <= 0:
+		return errors.New("weight: must be more than 0")
+	case s.Adjacency != "" && !s.Adjacency.Valid():
+		return errors.New("adjacency: must be one of " + adjacencies)
+	}
+	return nil
+}
+
+const adjacencies = string(api.AdjacentWorker + ", " + api.AdjacentRack + ", " + api.AdjacentZone + ", " + api.AdjacentAny)
+
+func (l *LogNormal) check(key string) error {
+	switch {
+	case l.Median <= 0:
+		return errors.New(key + ".median: must be more than 0")
+	case l.Sigma < 0:
+		return errors.New(key + ".sigma: must not be negative")
+	case l.Max < l.Median:
+		return errors.New(key + ".max: must be at least the median")
+	}
+	return nil
+}
+
+func isShare(v float64) bool {
+	return v >= 0 && v <= 1
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,179 @@
+package load
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+)
+
+// Report writes a run as tables: outcomes and times per client account and
+// class, the samples if there are any, and the findings.
+func Report(w io.Writer, r Result, f Findings, s Samples) error {
+	var b bytes.Buffer
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "%s (%s): %d quick requests, %d jobs, sent at most %s late\n",
+		r.Plan, r.Service, len(r.Quick), len(r.Jobs), ms(r.MaxLag))
+	reportQuick(t, r.Quick)
+	reportJobs(t, r.Jobs)
+	reportSamples(t, s)
+	reportFindings(t, f)
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := w.Write(b.Bytes())
+	return err
+}
+
+type group struct {
+	account string
+	class   string
+}
+
+func compareGroups(a, b group) int {
+	return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.class, b.class))
+}
+
+func groupBy[T any](list []T, key func(*T) group) ([]group, map[group][]*T) {
+	groups := map[group][]*T{}
+	for i := range list {
+		k := key(&list[i])
+		groups[k] = append(groups[k], &list[i])
+	}
+	return slices.SortedFunc(maps.Keys(groups), compareGroups), groups
+}
+
+func reportQuick(w io.Writer, list []QuickResult) {
+	if len(list) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "account\tclass\tdone\tnot run\tunknown\tno answer\tp50\tp90\tp99")
+	keys, groups := groupBy(list, func(q *QuickResult) group { return group{q.Account, q.Class} })
+	for _, k := range keys {
+		n := map[api.Outcome]int{}
+		var took []time.Duration
+		for _, q := range groups[k] {
+			o := q.Outcome()
+			n[o]++
+			if o == api.OutcomeDone {
+				took = append(took, q.Took)
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%s\n", k.account, k.class,
+			n[api.OutcomeDone], n[api.OutcomeNotRun], n[api.OutcomeUnknown], n[""], percentiles(took))
+	}
+}
+
+func reportJobs(w io.Writer, list []JobResult) {
+	if len(list) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "account\tclass\tdone\tfailed\tcancelled\trejected\tunknown\tno end\tp50\tp90\tp99\tstart p50\tp90\tp99")
+	keys, groups := groupBy(list, func(j *JobResult) group { return group{j.Account, j.Class} })
+	for _, k := range keys {
+		n := map[api.JobState]int{}
+		var took, waited []time.Duration
+		for _, j := range groups[k] {
+			n[finalState(j)]++
+			if j.State == api.JobDone {
+				took = append(took, j.Took)
+			}
+			if j.Waited > 0 {
+				waited = append(waited, j.Waited)
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", k.account, k.class,
+			n[api.JobDone], n[api.JobFailed], n[api.JobCancelled], n[api.JobRejected],
+			n[api.JobUnknown], n[""], percentiles(took), percentiles(waited))
+	}
+}
+
+// finalState is empty for a job without an end. A submission told not run
+// counts as rejected.
+func finalState(j *JobResult) api.JobState {
+	switch {
+	case j.State.Final():
+		return j.State
+	case j.ID != "":
+		return ""
+	case allDenied(j.Submits):
+		return api.JobRejected
+	case outcomeOf(j.Submits) == api.OutcomeUnknown:
+		return api.JobUnknown
+	}
+	return ""
+}
+
+func reportSamples(w io.Writer, s Samples) {
+	if n := len(s.Fragmentation); n > 0 {
+		fmt.Fprintln(w, "fragmentation at\tfree\tstranded\twaiting")
+		step := max(1, n/10)
+		for i := 0; i < n; i += step {
+			f := s.Fragmentation[i]
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\n", f.At.Round(100*time.Millisecond), f.Free, f.Stranded, f.Waiting)
+		}
+		fmt.Fprintf(w, "stranded, mean over time\t%.2f accelerators\n", meanStranded(s.Fragmentation))
+	}
+	if len(s.Reclaims) > 0 {
+		var took []time.Duration
+		honoured := 0
+		for _, r := range s.Reclaims {
+			if r.Honoured {
+				honoured++
+				took = append(took, r.Took)
+			}
+		}
+		fmt.Fprintln(w, "guarantees claimed\thonoured\tp50\tp90\tp99")
+		fmt.Fprintf(w, "%d\t%d\t%s\n", len(s.Reclaims), honoured, percentiles(took))
+	}
+}
+
+// meanStranded weighs each sample by the time until the next one.
+func meanStranded(list []FragmentationSample) float64 {
+	span := list[len(list)-1].At - list[0].At
+	if span <= 0 {
+		return float64(list[0].Stranded)
+	}
+	area := 0.0
+	for i := 1; i < len(list); i++ {
+		area += float64(list[i-1].Stranded) * float64(list[i].At-list[i-1].At)
+	}
+	return area / float64(span)
+}
+
+func reportFindings(w io.Writer, f Findings) {
+	fmt.Fprintln(w, "lost\tdoubled\tmisreported\tpartial gangs\tworker violations\taudits cut")
+	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\n", f.Lost.Count, f.Doubled.Count,
+		f.Misreported.Count, f.Partial.Count, f.Violations.Count, f.Incomplete.Count)
+	for _, kind := range []struct {
+		name string
+		Finding
+	}{
+		{"lost", f.Lost}, {"doubled", f.Doubled}, {"misreported", f.Misreported},
+		{"partial", f.Partial}, {"violation", f.Violations}, {"audit", f.Incomplete},
+	} {
+		for _, e := range kind.Examples {
+			fmt.Fprintf(w, "%s: %s\n", kind.name, e)
+		}
+	}
+}
+
+// percentiles formats the 50th, 90th and 99th, by the nearest rank.
+func percentiles(list []time.Duration) string {
+	if len(list) == 0 {
+		return "-\t-\t-"
+	}
+	slices.Sort(list)
+	rank := func(p int) string { return ms(list[(len(list)*p+99)/100-1]) }
+	return rank(50) + "\t" + rank(90) + "\t" + rank(99)
+}
+
+func ms(d time.Duration) string {
+	return fmt.Sprintf("%.1fms", float64(d)/float64(time.Millisecond))
+}
--- /dev/null
+++ b/load/run_cancel.go
@@ -0,0 +1,51 @@
+package load
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+)
+
+// cancelWave cancels a share of the open jobs with few calls. Each call is
+// tried at all entries until one answers; a job that stays uncancelled just
+// runs to its end.
+func (r *runner) cancelWave(ctx context.Context, i int) {
+	wave := r.plan.CancelWaves[i]
+	if !sleepUntil(ctx, r.began.Add(time.Duration(wave.At))) {
+		return
+	}
+	rng := rand.New(rand.NewPCG(r.plan.Seed, streamCancel+uint64(i)))
+	ids := r.pick(rng, wave)
+	for chunk := range slices.Chunk(ids, api.MaxCancelIDs) {
+		for n := range r.entries {
+			client, _ := r.entry(n)
+			if _, err := client.CancelAll(ctx, r.plan.Service, chunk); err == nil {
+				break
+			}
+		}
+	}
+}
+
+func (r *runner) pick(rng *rand.Rand, wave CancelWave) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var open []*JobResult
+	for j := range r.open {
+		if wave.Account == "" || wave.Account == j.Account {
+			open = append(open, j)
+		}
+	}
+	slices.SortFunc(open, func(a, b *JobResult) int { return cmp.Compare(a.Tag, b.Tag) })
+	var ids []string
+	for _, j := range open {
+		if rng.Float64() < wave.Share {
+			j.CancelAsked = true
+			ids = append(ids, j.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/load/run_quick.go
@@ -0,0 +1,99 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+// doQuick is the caller of one quick request. It turns to the next entry when
+// an entry doesn't answer: with the same key, or because the request may be
+// repeated.
+func (r *runner) doQuick(ctx context.Context, n int, a Arrival, q *QuickResult) {
+	l := a.Quick.Load
+	*q = QuickResult{
+		Tag:        r.run + "-" + a.Tag,
+		Account:    l.Account,
+		Class:      l.Class,
+		Repeatable: l.Repeatable,
+		Scheduled:  r.began.Add(a.At),
+	}
+	req := r.quickRequest(q.Tag, a.Quick)
+	var second []Try
+	var wg sync.WaitGroup
+	if a.Quick.Resend {
+		wg.Go(func() { second = r.tryQuick(ctx, n+1, req) })
+	}
+	q.Tries = r.tryQuick(ctx, n, req)
+	q.Took = time.Since(q.Scheduled)
+	useful := outcomeOf(q.Tries) == api.OutcomeDone
+	wg.Wait()
+	if len(second) > 0 && !useful {
+		q.Took = time.Since(q.Scheduled)
+	}
+	q.Tries = append(q.Tries, second...)
+}
+
+func (r *runner) quickRequest(tag string, a *QuickArrival) *api.QuickRequest {
+	query := url.Values{}
+	query.Set(standin.ParamTag, tag)
+	query.Set(standin.ParamWorkMS, strconv.FormatFloat(a.Work.Seconds()*1000, 'f', 3, 64))
+	query.Set(standin.ParamPad, strconv.Itoa(a.Load.Pad))
+	req := &api.QuickRequest{
+		Call: api.Call{
+			Account:    a.Load.Account,
+			Class:      a.Load.Class,
+			Deadline:   time.Duration(a.Load.Deadline),
+			Repeatable: &a.Load.Repeatable,
+		},
+		Service:  r.plan.Service,
+		Path:     a.Load.Class,
+		RawQuery: query.Encode(),
+		Body:     []byte(tag),
+	}
+	if !a.Load.Repeatable || a.Resend {
+		req.IdempotencyKey = tag
+	}
+	return req
+}
+
+// tryQuick asks one entry after the other until one answers.
+func (r *runner) tryQuick(ctx context.Context, n int, req *api.QuickRequest) []Try {
+	var tries []Try
+	for i := range maxTries {
+		t := r.askQuick(ctx, n+i, req)
+		tries = append(tries, t)
+		if t.Answered || !sleepUntil(ctx, time.Now().Add(betweenTries)) {
+			break
+		}
+	}
+	return tries
+}
+
+func (r *runner) askQuick(ctx context.Context, n int, req *api.QuickRequest) Try {
+	ctx, cancel := context.WithTimeout(ctx, req.Deadline+patience)
+	defer cancel()
+	client, name := r.entry(n)
+	ans, err := client.Request(ctx, *req)
+	if err != nil {
+		return failedTry(name, err)
+	}
+	t := Try{Entry: name, Answered: true, Outcome: ans.Outcome, Request: ans.Request}
+	if ans.Problem != nil {
+		t.Reason = ans.Problem.Reason
+	}
+	if ans.Outcome == api.OutcomeDone {
+		t.Sum, t.BodyError = checkEcho(req, ans.Body)
+	}
+	return t
+}
+
+func failedTry(entry string, err error) Try {
+	return Try{Entry: entry, NotSent: errors.Is(err, api.ErrNotSent), Error: err.Error()}
+}
--- /dev/null
+++ b/load/run_test.go
@@ -0,0 +1,138 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/target"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+// fakeEntry hands everything to one worker; a job's id is its key.
+type fakeEntry struct {
+	worker *target.Client
+	// denies lets it tell "not run" of quick requests that it ran.
+	denies bool
+}
+
+func (e *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, rest, _ := strings.Cut(r.URL.Path, "/v1/services/s/")
+	kind, name, _ := strings.Cut(rest, "/")
+	switch {
+	case kind == "requests":
+		e.quick(w, r, name, body)
+	case r.Method == http.MethodPost:
+		id := target.TaskID{Job: r.Header.Get(api.HeaderIdempotencyKey), Attempt: 1}
+		var req api.JobRequest
+		_ = json.Unmarshal(body, &req)
+		st, err := e.worker.StartTask(r.Context(), id, target.TaskSpec{Members: 1, LeaseMS: 60_000, Payload: req.Payload})
+		e.job(w, http.StatusAccepted, st, err)
+	default:
+		st, err := e.worker.Task(r.Context(), target.TaskID{Job: name, Attempt: 1}, time.Second)
+		e.job(w, http.StatusOK, st, err)
+	}
+}
+
+func (e *fakeEntry) quick(w http.ResponseWriter, r *http.Request, path string, body []byte) {
+	call, _ := api.ParseCall(r.Header)
+	a, err := e.worker.Do(r.Context(), target.Request{ID: "r", Account: call.Account, Class: call.Class,
+		Method: r.Method, Path: path, RawQuery: r.URL.RawQuery, Body: body})
+	switch {
+	case err != nil:
+		api.NewProblem(api.ReasonOutcomeLost, err.Error()).WriteTo(w)
+	case e.denies:
+		api.NewProblem(api.ReasonRefused, "").WriteTo(w)
+	default:
+		w.Header().Set(api.HeaderOutcome, string(api.OutcomeDone))
+		_, _ = w.Write(a.Body)
+	}
+}
+
+func (e *fakeEntry) job(w http.ResponseWriter, status int, st target.TaskStatus, err error) {
+	if err != nil {
+		api.NewProblem(api.ReasonInternal, err.Error()).WriteTo(w)
+		return
+	}
+	state := api.JobRunning
+	if st.State == target.TaskDone {
+		state = api.JobDone
+	}
+	api.WriteJSON(w, status, api.JobStatus{ID: st.Job, State: state, Submitted: st.Started, Started: st.Started.Add(1)})
+}
+
+const runPlan = `
+name = "n"
+service = "s"
+duration = "500ms"
+drain = "15s"
+[[quick]]
+account = "a"
+class = "c"
+rate = 100.0
+deadline = "5s"
+work = { median = "1ms", sigma = 0.5, max = "5ms" }
+[[job]]
+account = "a"
+class = "j"
+rate = 20.0
+run = { median = "10ms", sigma = 0.5, max = "50ms" }
+sizes = [{ accelerators = 1, weight = 1 }]
+repeatable = false
+resent = 0.5
+`
+
+func runAgainst(t *testing.T, denies bool) (Result, Findings) {
+	worker := standin.New(standin.Options{Name: "w"})
+	wsrv := httptest.NewServer(worker)
+	defer wsrv.Close()
+	client := target.NewClient(target.Options{Base: wsrv.URL})
+	defer client.Close()
+	entry := httptest.NewServer(&fakeEntry{client, denies})
+	defer entry.Close()
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	p, err := ParsePlan("p.toml", []byte(runPlan))
+	qt.Assert(t, err, qt.IsNil)
+	r, err := Run(context.Background(), p, []string{entry.URL, gone.URL})
+	qt.Assert(t, err, qt.IsNil)
+	a, err := FetchAudit(context.Background(), wsrv.URL)
+	qt.Assert(t, err, qt.IsNil)
+	return r, Audit(r, []standin.Audit{a})
+}
+
+func TestRunThroughOneEntryWhileTheOtherIsGone(t *testing.T) {
+	c := qt.New(t)
+	r, f := runAgainst(t, false)
+	c.Check(f.Clean(), qt.IsTrue, qt.Commentf("%+v", f))
+	c.Assert(len(r.Quick) > 0 && len(r.Jobs) > 0, qt.IsTrue)
+	for _, q := range r.Quick {
+		c.Check(q.Outcome(), qt.Equals, api.OutcomeDone)
+	}
+	for _, j := range r.Jobs {
+		c.Check(j.State, qt.Equals, api.JobDone)
+	}
+	var out bytes.Buffer
+	samples := Samples{
+		Fragmentation: []FragmentationSample{{0, 8, 4, 1}, {time.Second, 8, 0, 0}, {4 * time.Second, 8, 0, 0}},
+		Reclaims:      []ReclaimSample{{"a", time.Second, true}},
+	}
+	c.Assert(Report(&out, r, f, samples), qt.IsNil)
+	c.Check(out.String(), qt.Contains, "stranded, mean over time  1.00 accelerators")
+	c.Check(out.String(), qt.Contains, "1000.0ms")
+}
+
+func TestRunFindsAnEntryThatDenies(t *testing.T) {
+	r, f := runAgainst(t, true)
+	qt.Check(t, f.Misreported.Count, qt.Equals, len(r.Quick))
+}
--- /dev/null
+++ b/load/schedule.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Arrival is one scheduled request or job.
+type Arrival struct {
+	// At is from the beginning of the run.
+	At time.Duration
+	// Tag names it within the schedule.
+	Tag string
+	// Quick or Job is set, the other nil.
+	Quick *QuickArrival
+	Job   *JobArrival
+}
+
+// QuickArrival is one quick request.
+type QuickArrival struct {
+	Load   *QuickLoad
+	Work   time.Duration
+	Resend bool
+}
+
+// JobArrival is one job.
+type JobArrival struct {
+	Load *JobLoad
+	Size Size
+	Run  time.Duration
+	// Estimate is the declared run time; 0 when not declared.
+	Estimate time.Duration
+	Fail     bool
+	Resend   bool
+}
+
+// Schedule draws all arrivals in order of time. It is the same for the same
+// plan. Each stream draws from its own generator, so that a change of one
+// leaves the others as they were.
+func (p *Plan) Schedule() []Arrival {
+	var all []Arrival
+	for i := range p.Quick {
+		all = append(all, p.quickStream(i)...)
+	}
+	for i := range p.Jobs {
+		all = append(all, p.jobStream(i)...)
+	}
+	slices.SortStableFunc(all, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
+// Streams of the generator, one range for each kind.
+const (
+	streamQuick  = 1 << 32
+	streamJob    = 2 << 32
+	streamCancel = 3 << 32
+)
+
+func (p *Plan) quickStream(i int) []Arrival {
+	l := &p.Quick[i]
+	rng := rand.New(rand.NewPCG(p.Seed, streamQuick+uint64(i)))
+	var list []Arrival
+	for _, at := range p.arrivals(rng, l.Rate, KindQuick, l.Account) {
+		list = append(list, Arrival{
+			At:    at,
+			Tag:   "q" + strconv.Itoa(i) + "-" + strconv.Itoa(len(list)),
+			Quick: &QuickArrival{Load: l, Work: l.Work.draw(rng), Resend: rng.Float64() < l.Resent},
+		})
+	}
+	return list
+}
+
+func (p *Plan) jobStream(i int) []Arrival {
+	l := &p.Jobs[i]
+	rng := rand.New(rand.NewPCG(p.Seed, streamJob+uint64(i)))
+	var list []Arrival
+	for _, at := range p.arrivals(rng, l.Rate, KindJob, l.Account) {
+		run := l.Run.draw(rng)
+		list = append(list, Arrival{
+			At:  at,
+			Tag: "j" + strconv.Itoa(i) + "-" + strconv.Itoa(len(list)),
+			Job: &JobArrival{
+				Load:     l,
+				Size:     l.drawSize(rng),
+				Run:      run,
+				Estimate: l.declare(rng, run),
+				Fail:     rng.Float64() < l.Failing,
+				Resend:   rng.Float64() < l.Resent,
+			},
+		})
+	}
+	return list
+}
+
+// arrivals draws a Poisson process whose rate follows the bursts, by thinning
+// one of the highest rate.
+func (p *Plan) arrivals(rng *rand.Rand, rate float64, kind Kind, account string) []time.Duration {
+	highest := 1.0
+	for _, b := range p.Bursts {
+		if b.matches(kind, account) {
+			highest *= b.Factor
+		}
+	}
+	var list []time.Duration
+	at := 0.0
+	for {
+		at += rng.ExpFloat64() / (rate * highest)
+		t := time.Duration(at * float64(time.Second))
+		if t >= time.Duration(p.Duration) {
+			return list
+		}
+		if rng.Float64()*highest < p.factorAt(t, kind, account) {
+			list = append(list, t)
+		}
+	}
+}
+
+func (p *Plan) factorAt(t time.Duration, kind Kind, account string) float64 {
+	factor := 1.0
+	for _, b := range p.Bursts {
+		since := t - time.Duration(b.At)
+		if b.matches(kind, account) && since >= 0 && since < time.Duration(b.Length) {
+			factor *= b.Factor
+		}
+	}
+	return factor
+}
+
+func (b *Burst) matches(kind Kind, account string) bool {
+	return b.Kind == kind && (b.Account == "" || b.Account == account)
+}
+
+func (l *LogNormal) draw(rng *rand.Rand) time.Duration {
+	v := float64(l.Median) * math.Exp(l.Sigma*rng.NormFloat64())
+	return time.Duration(min(v, float64(l.Max)))
+}
+
+func (l *JobLoad) drawSize(rng *rand.Rand) Size {
+	total := 0.0
+	for _, s := range l.Sizes {
+		total += s.Weight
+	}
+	v := rng.Float64() * total
+	for _, s := range l.Sizes {
+		if v < s.Weight {
+			return s
+		}
+		v -= s.Weight
+	}
+	return l.Sizes[len(l.Sizes)-1]
+}
+
+// declare draws a run time that is wrong by up to the factor, either way, and
+// evenly on a logarithmic scale.
+func (l *JobLoad) declare(rng *rand.Rand, run time.Duration) time.Duration {
+	if l.Misdeclared == 0 {
+		return 0
+	}
+	wrong := math.Pow(l.Misdeclared, 2*rng.Float64()-1)
+	return time.Duration(float64(run) * wrong).Round(time.Millisecond)
+}
