gang: a task that ends while its agent restarts is reported

The target's list holds it with its result; the member keeps it as an account that reports deliver. Before, the planner took a finished task for a lost one.

--- a/gang/member.go
+++ b/gang/member.go
@@ -122,21 +122,33 @@
 	}
 	m.ready = true
 	for _, t := range tasks {
-		t.State, t.Committed, t.Started = StateRunning, true, true
-		a := &attempt{task: t}
-		until := m.now.Add(m.config.Isolation)
-		if known := time.Unix(0, t.RunUntil); t.RunUntil != 0 && known.Before(until) {
-			until = known
-		}
-		a.runUntil(until)
-		m.attempts[t.ID] = a
-		m.grant(a)
+		m.adoptTask(t)
 		// The fence was lost with the restart. At least planners from before this
 		// attempt must not stop it.
 		m.fence = max(m.fence, t.ID.Epoch)
 	}
 }
 
+// adoptTask takes over a task of the agent's earlier life. One that ended while
+// there was no agent becomes an account that a report still delivers: without it
+// the planner would take a finished task for a lost one.
+func (m *Member) adoptTask(t Task) {
+	t.Committed, t.Started = true, true
+	a := &attempt{task: t}
+	m.attempts[t.ID] = a
+	if t.State == StateEnded {
+		m.end(a)
+		return
+	}
+	a.task.State = StateRunning
+	until := m.now.Add(m.config.Isolation)
+	if known := time.Unix(0, t.RunUntil); t.RunUntil != 0 && known.Before(until) {
+		until = known
+	}
+	a.runUntil(until)
+	m.grant(a)
+}
+
 func (m *Member) taskEnded(ev TaskEnded) {
 	a := m.attempts[ev.ID]
 	if a == nil || a.task.State != StateRunning && a.task.State != StateStopping {
--- a/gang/member_event.go
+++ b/gang/member_event.go
@@ -14,7 +14,8 @@
 }
 
 // Adopted opens a new Member: it lists the tasks that the target runs from
-// before the agent's restart. Until then all messages are refused, because an
+// before the agent's restart, and as StateEnded with their results those that
+// have ended and that it still remembers. Until then all messages are refused, because an
 // accelerator that looks free may be in use. The target must refuse a start
 // that an earlier incarnation of the agent sent and that arrives after the
 // listing.
--- a/gang/sim_agent_test.go
+++ b/gang/sim_agent_test.go
@@ -12,6 +12,7 @@
 	member      *Member // nil while the process is down
 	incarnation uint64
 	tasks       []Task // at the target
+	finished    []Task // while there was no agent
 	since       time.Time
 	reported    time.Time
 }
@@ -26,7 +27,8 @@
 		Tombstones:   8,
 	})
 	a.w.stats.adopted += len(a.tasks)
-	a.step(Adopted{Tasks: slices.Clone(a.tasks)})
+	a.step(Adopted{Tasks: slices.Concat(a.tasks, a.finished)})
+	a.finished = nil
 }
 
 func (a *simAgent) crash() {
@@ -147,6 +149,11 @@
 	}
 	i := slices.IndexFunc(a.tasks, func(t Task) bool { return t.ID == id })
 	if i >= 0 {
+		t := a.tasks[i]
+		t.State, t.Result = StateEnded, r
+		if a.member == nil {
+			a.finished = append(a.finished, t)
+		}
 		a.tasks = slices.Delete(a.tasks, i, i+1)
 		a.w.truth.ended(a, id, r)
 	}
--- a/gang/stories_test.go
+++ b/gang/stories_test.go
@@ -234,6 +234,21 @@
 	c.Assert(m.Free(), qt.DeepEquals, []int{1})
 }
 
+// A task succeeds while its agent restarts. The planner must hear of the success
+// and not take the task for lost, or a job that is done would be run again.
+func TestEndDuringRestartIsReported(t *testing.T) {
+	c := qt.New(t)
+	m := testMember(2, Task{ID: attempt1, State: StateEnded, Accelerators: []int{0}, Members: 1, Result: Succeeded})
+	c.Assert(m.Free(), qt.HasLen, 2)
+	co := Resume(testConfig(2), testPlan("a"))
+	co.Step(t0, Begin{})
+	co.Step(t0, Reported{From: "a", Incarnation: 2, Tasks: m.Tasks()})
+	e := lastEnded(c, co.Step(t0, ReplyReceived{"a", ask(m, t0, Seal{head(2, 1)})}))
+	c.Assert(e.Outcome, qt.Equals, Done)
+	ask(m, t0, Stop{Header: head(2, 1)})
+	c.Assert(m.Tasks(), qt.HasLen, 0)
+}
+
 // A worker ran so many jobs that the oldest was forgotten. Copies of that job's
 // messages arrive late and in order; they must not run it a second time, nor may
 // a successor hear that it never committed.
