--- a/admission/account.go
+++ b/admission/account.go
@@ -22,17 +22,6 @@
 	a.backlog += r.cost
 }
 
-// pop takes the oldest request, or the newest.
-func (a *account) pop(newest bool) *request {
-	i := 0
-	if newest {
-		i = len(a.waiting) - 1
-	}
-	r := a.waiting[i]
-	a.drop(r)
-	return r
-}
-
 func (a *account) drop(r *request) {
 	i := slices.Index(a.waiting, r)
 	a.waiting = slices.Delete(a.waiting, i, i+1)
--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,117 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/eelgrasshub/eelgrasshub/admission"
+)
+
+// ends is a heap of running requests by their end.
+type ends []end
+type end struct {
+	at time.Duration
+	id admission.ID
+}
+
+func (e ends) Len() int           { return len(e) }
+func (e ends) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *ends) Push(x any)        { *e = append(*e, x.(end)) }
+func (e *ends) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// flood offers one target of 8 slots three times its capacity for ten seconds,
+// nine tenths of it from one account, and returns the light account's waits in
+// microseconds. fifo names every request's account alike and takes the bounds
+// away, which makes the queue the baseline.
+func flood(fifo bool) *hdrhistogram.Histogram {
+	rng := rand.New(rand.NewPCG(1, 1))
+	o := admission.Options{Slots: 8}
+	if fifo {
+		o = admission.Options{Slots: 8, Control: admission.NoControl, MaxAccount: 1 << 30, MaxQueued: 1 << 30}
+	}
+	q := admission.New(o)
+	waits := hdrhistogram.New(1, 100_000_000, 3)
+	arrived := map[admission.ID]time.Duration{} // of the light account
+	var running ends
+	now, id := time.Duration(0), admission.ID(0)
+	act := func(actions []admission.Action) {
+		for _, action := range actions {
+			run, ok := action.(admission.Run)
+			if !ok {
+				continue
+			}
+			heap.Push(&running, end{at: now + time.Duration(rng.ExpFloat64()*float64(10*time.Millisecond)), id: run.ID})
+			if began, light := arrived[run.ID]; light {
+				_ = waits.RecordValue((now - began).Microseconds())
+			}
+		}
+	}
+	for next := time.Duration(0); next < 10*time.Second; {
+		if len(running) > 0 && running[0].at <= next {
+			done := heap.Pop(&running).(end)
+			now = done.at
+			act(q.Step(at(now), admission.Finished{ID: done.id, Took: 10 * time.Millisecond}))
+			continue
+		}
+		now = next
+		next += time.Duration(rng.ExpFloat64() * float64(time.Second) / 2400)
+		id++
+		ev := admission.Arrived{ID: id, Account: "heavy"}
+		if rng.IntN(10) == 0 {
+			arrived[id] = now
+			if !fifo {
+				ev.Account = "light"
+			}
+		}
+		act(q.Step(at(now), ev))
+	}
+	return waits
+}
+
+// The wait of a light account beside one that floods the target.
+func BenchmarkFlood(b *testing.B) {
+	for b.Loop() {
+		baseline, candidate := flood(true), flood(false)
+		b.ReportMetric(float64(baseline.ValueAtQuantile(99))/1000, "baseline-wait-p99-ms")
+		b.ReportMetric(float64(candidate.ValueAtQuantile(99))/1000, "wait-p99-ms")
+		b.ReportMetric(float64(baseline.ValueAtQuantile(99))/float64(candidate.ValueAtQuantile(99)), "ratio")
+	}
+}
+
+// One arrival and one end, with a request of each account queued.
+func BenchmarkStep(b *testing.B) {
+	for _, accounts := range []int{1, 4, 100, 1000} {
+		b.Run(fmt.Sprint("accounts=", accounts), func(b *testing.B) {
+			q := admission.New(admission.Options{Slots: 1})
+			id, oldest := admission.ID(0), admission.ID(1)
+			var running admission.ID
+			arrive := func() {
+				id++
+				q.Step(at(0), admission.Arrived{ID: id, Account: fmt.Sprint(int(id) % accounts), Deadline: at(time.Hour)})
+			}
+			for range accounts + 1 {
+				arrive()
+			}
+			running = oldest
+			b.ReportAllocs()
+			for b.Loop() {
+				for _, action := range q.Step(at(0), admission.Finished{ID: running, Took: time.Millisecond}) {
+					if run, ok := action.(admission.Run); ok {
+						running = run.ID
+					}
+				}
+				arrive()
+			}
+		})
+	}
+}
--- a/admission/costs.go
+++ b/admission/costs.go
@@ -9,6 +9,9 @@
 const (
 	// costWeight is the weight of the newest service time in an average.
 	costWeight = 1.0 / 16
+	// doubtWeight is the part by which one refusal lowers an average. By that, a
+	// kind that takes twice the time it may is tried once in thirty refusals.
+	doubtWeight = 1.0 / 512
 	// initialCost is assumed until the first request has finished.
 	initialCost = 5 * time.Millisecond
 )
@@ -16,8 +19,8 @@
 // costKey is what service times are learned by.
 type costKey struct{ account, class string }
 
-// costs learns the slot time of requests. Declared costs are only a first
-// guess: they are often far from the truth.
+// costs learns the slot time of requests from what they took. Declared costs are
+// not asked for: they are often far from the truth.
 type costs struct {
 	overall time.Duration
 	learned *simplelru.LRU[costKey, time.Duration]
@@ -32,16 +35,22 @@
 }
 
 // expect returns the slot time to expect of a request.
-func (c *costs) expect(k costKey, declared time.Duration) time.Duration {
+func (c *costs) expect(k costKey) time.Duration {
 	if d, ok := c.learned.Get(k); ok {
 		return d
 	}
-	if declared > 0 {
-		return declared
-	}
 	return c.mean()
 }
 
+// doubt lowers what is expected of a kind of request after one was refused for
+// it. Otherwise a kind that took too long for a while would be refused for ever:
+// nothing of it runs, so nothing shows that it has become faster.
+func (c *costs) doubt(k costKey) {
+	if d, ok := c.learned.Get(k); ok {
+		c.learned.Add(k, d-time.Duration(doubtWeight*float64(d)))
+	}
+}
+
 // mean returns the slot time to expect of any request.
 func (c *costs) mean() time.Duration {
 	if c.overall == 0 {
--- a/admission/event.go
+++ b/admission/event.go
@@ -13,10 +13,9 @@
 	ID       ID
 	Account  string // client account
 	Class    string
-	Weight   int           // of the account; a weight set by PolicyChanged goes first
-	Cost     time.Duration // expected slot time if the caller knows it, else 0
-	Deadline time.Time     // zero means none
-	Enqueued time.Time     // when the agent received it; zero means now
+	Weight   int       // of the account; a weight set by PolicyChanged goes first
+	Deadline time.Time // zero means none
+	Enqueued time.Time // when the agent received it; zero means now
 }
 
 // Finished says that a running request has left its slot.
--- a/admission/judge.go
+++ b/admission/judge.go
@@ -17,10 +17,11 @@
 		return Overload, q.retryAfter()
 	}
 	wait := q.expectWait(a)
-	if !r.deadline.IsZero() && now.Add(wait+r.cost).After(r.deadline) {
+	if r.late(now.Add(wait)) {
+		q.costs.doubt(r.key)
 		return Deadline, q.retryAfter()
 	}
-	if q.sheds(now, a) && wait > q.options.Target {
+	if q.sheds(now, a) && wait > q.target() {
 		return Overload, q.retryAfter()
 	}
 	return 0, 0
@@ -35,8 +36,8 @@
 	}
 	start := a.start + a.backlog.Seconds()/a.weight
 	ahead := a.backlog + q.costs.mean()
-	for _, b := range q.accounts {
-		if b != a && len(b.waiting) > 0 && b.start < start {
+	for _, b := range q.members.waiting {
+		if b != a && b.start < start {
 			share := time.Duration((start - b.start) * b.weight * float64(time.Second))
 			ahead += min(b.backlog, share)
 		}
@@ -47,7 +48,7 @@
 // retryAfter is the time until the present backlog is served.
 func (q *Queue) retryAfter() time.Duration {
 	var backlog time.Duration
-	for _, a := range q.accounts {
+	for _, a := range q.members.waiting {
 		backlog += a.backlog
 	}
 	return max(minRetryAfter, backlog/time.Duration(max(1, q.options.Slots)))
--- a/admission/members.go
+++ b/admission/members.go
@@ -1,70 +1,80 @@
 package admission
 
-import "slices"
+import (
+	"slices"
 
-// maxDebtors bounds the accounts that are kept only because they used more slot
-// time than their share. The one that owes least is dropped first.
-const maxDebtors = 1024
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
 
-// account returns the client account's state. A returning account starts at the
-// present virtual time at the earliest: time without work earns nothing.
-func (q *Queue) account(ev Arrived) *account {
-	a := q.byName[ev.Account]
-	if a == nil {
-		a = &account{name: ev.Account}
-		q.byName[a.name] = a
-		q.accounts = append(q.accounts, a)
-		q.bound()
-	}
-	if len(a.waiting) == 0 {
-		a.start = max(a.start, q.virtual)
-	}
-	a.weight = q.weight(ev)
-	return a
+// maxIdle bounds the accounts that are kept although they have no work here,
+// because they used more slot time than their share. The one idle for longest
+// is dropped first; it starts afresh, at the present virtual time.
+const maxIdle = 1024
+
+// members holds the client accounts. Its size is bounded by the requests at the
+// agent and maxIdle.
+type members struct {
+	busy    map[string]*account              // with requests queued or running
+	idle    *simplelru.LRU[string, *account] // without, but with a later start than others
+	waiting []*account                       // with requests queued, in order of arrival, so that every run settles ties alike
 }
 
-func (q *Queue) weight(ev Arrived) float64 {
-	if w, ok := q.weights[ev.Account]; ok {
-		return float64(max(1, w))
+func newMembers() members {
+	idle, err := simplelru.NewLRU[string, *account](maxIdle, nil)
+	if err != nil {
+		panic(err) // the size is positive
 	}
-	return float64(max(1, ev.Weight))
+	return members{busy: make(map[string]*account), idle: idle}
 }
 
-func (q *Queue) reweigh(weights map[string]int) {
-	q.weights = weights
-	for _, a := range q.accounts {
-		if w, ok := weights[a.name]; ok {
-			a.weight = float64(max(1, w))
-		}
+// take returns the account and counts it as busy until release.
+func (m *members) take(name string) *account {
+	if a := m.busy[name]; a != nil {
+		return a
+	}
+	a, ok := m.idle.Peek(name)
+	if ok {
+		m.idle.Remove(name)
+	} else {
+		a = &account{name: name}
 	}
+	m.busy[name] = a
+	return a
 }
 
-// release forgets an account that has no work here and owes nothing.
-func (q *Queue) release(a *account) {
-	if len(a.waiting) == 0 && a.running == 0 && a.start <= q.virtual {
-		q.forget(a)
+// release ends an account's being busy if it has no work here.
+func (m *members) release(a *account, virtual float64) {
+	if len(a.waiting) > 0 || a.running > 0 {
+		return
+	}
+	delete(m.busy, a.name)
+	if a.start > virtual {
+		m.idle.Add(a.name, a)
 	}
 }
 
-func (q *Queue) forget(a *account) {
-	delete(q.byName, a.name)
-	q.accounts = slices.Delete(q.accounts, slices.Index(q.accounts, a), slices.Index(q.accounts, a)+1)
+func (m *members) push(a *account, r *request) {
+	if len(a.waiting) == 0 {
+		m.waiting = append(m.waiting, a)
+	}
+	a.push(r)
 }
 
-// bound drops accounts without work while too many are kept.
-func (q *Queue) bound() {
-	if len(q.accounts) <= maxDebtors+q.options.MaxQueued+q.options.Slots {
-		return
+func (m *members) drop(a *account, r *request) {
+	a.drop(r)
+	if len(a.waiting) == 0 {
+		i := slices.Index(m.waiting, a)
+		m.waiting = slices.Delete(m.waiting, i, i+1)
 	}
-	var least *account
-	newest := q.accounts[len(q.accounts)-1]
-	for _, a := range q.accounts {
-		idle := len(a.waiting) == 0 && a.running == 0 && a != newest
-		if idle && (least == nil || a.start < least.start) {
-			least = a
+}
+
+// next returns the account whose queued request starts first in virtual time.
+func (m *members) next() *account {
+	first := m.waiting[0]
+	for _, a := range m.waiting[1:] {
+		if a.start < first.start {
+			first = a
 		}
 	}
-	if least != nil {
-		q.forget(least)
-	}
+	return first
 }
--- a/admission/options.go
+++ b/admission/options.go
@@ -1,7 +1,5 @@
 package admission
 
-import "time"
-
 // Options are the settings of a Queue. Zero fields take the defaults named
 // beside them.
 type Options struct {
@@ -10,10 +8,11 @@
 	MaxAccount int // requests queued for one client account (DefaultMaxAccount)
 	MaxCosts   int // learned costs kept, least recently used dropped first (DefaultMaxCosts)
 
-	Target   time.Duration // sojourn time aimed at (DefaultTarget)
-	Interval time.Duration // congestion longer than this is lasting (DefaultInterval)
-	Control  Control       // what congestion leads to (TwoPhase)
-	Newest   bool          // serve each account's newest request first
+	// Target is the sojourn time aimed at, as a multiple of the learned service
+	// time (DefaultTarget); Interval is how many target times of congestion are
+	// lasting (DefaultInterval).
+	Target, Interval float64
+	Control          Control // what congestion leads to (TwoPhase)
 }
 
 // Control selects what congestion leads to.
@@ -31,8 +30,8 @@
 	DefaultMaxQueued  = 1024
 	DefaultMaxAccount = 256
 	DefaultMaxCosts   = 256
-	DefaultTarget     = 20 * time.Millisecond
-	DefaultInterval   = 200 * time.Millisecond
+	DefaultTarget     = 2
+	DefaultInterval   = 10
 )
 
 func (o Options) withDefaults() Options {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -10,16 +10,16 @@
 	options  Options
 	costs    *costs
 	requests map[ID]*request
-	accounts []*account // in order of arrival, so that ties are settled alike in every run
-	byName   map[string]*account
+	members  members
 	weights  map[string]int
-	order    byHopeless // queued requests with a deadline
-	virtual  float64    // start of the last request that was started
+	order    byLatest // queued requests with a deadline
+	virtual  float64  // start of the last request that was started
 	queued   int
 	running  int
 	draining bool
 	wait     time.Duration // of the last request that started
 	marks    float64       // marks owed to replies
+	marked   bool          // the last reply
 	wake     time.Time     // as asked for last
 	actions  []Action
 }
@@ -31,7 +31,7 @@
 		options:  o,
 		costs:    newCosts(o.MaxCosts),
 		requests: make(map[ID]*request),
-		byName:   make(map[string]*account),
+		members:  newMembers(),
 	}
 }
 
@@ -69,27 +69,38 @@
 	a := q.account(ev)
 	if reason, after := q.judge(now, a, r); reason != 0 {
 		q.actions = append(q.actions, Refuse{ID: r.id, Reason: reason, RetryAfter: after})
-		q.release(a)
+		q.members.release(a, q.virtual)
 		return
 	}
 	q.requests[r.id] = r
-	a.push(r)
+	q.members.push(a, r)
 	q.queued++
-	if !r.deadline.IsZero() {
+	if !r.latest.IsZero() {
 		heap.Push(&q.order, r)
 	}
 }
 
 func (q *Queue) newRequest(now time.Time, ev Arrived) *request {
 	key := costKey{account: ev.Account, class: ev.Class}
-	r := &request{id: ev.ID, key: key, enqueued: ev.Enqueued, deadline: ev.Deadline}
-	r.cost = q.costs.expect(key, ev.Cost)
+	r := &request{id: ev.ID, key: key, cost: q.costs.expect(key), enqueued: ev.Enqueued}
 	if r.enqueued.IsZero() {
 		r.enqueued = now
 	}
+	if !ev.Deadline.IsZero() {
+		r.latest = q.latest(ev.Deadline, r.cost)
+	}
 	return r
 }
 
+// latest is when a request would have to start at the latest. A free slot costs
+// nothing, so what would run at once may try until its deadline.
+func (q *Queue) latest(deadline time.Time, cost time.Duration) time.Time {
+	if q.running < q.options.Slots {
+		return deadline
+	}
+	return deadline.Add(-cost)
+}
+
 func (q *Queue) finished(ev Finished) {
 	r := q.requests[ev.ID]
 	if r == nil || !r.running {
@@ -97,11 +108,12 @@
 	}
 	delete(q.requests, ev.ID)
 	q.running--
+	q.marked = q.mark()
 	q.costs.learn(r.key, ev.Took)
-	a := q.byName[r.key.account]
+	a := q.members.busy[r.key.account]
 	a.running--
 	a.charge(ev.Took-r.cost, r.weight)
-	q.release(a)
+	q.members.release(a, q.virtual)
 }
 
 func (q *Queue) cancelled(id ID) {
@@ -113,16 +125,17 @@
 
 // drop takes a queued request out.
 func (q *Queue) drop(r *request) {
-	a := q.byName[r.key.account]
-	a.drop(r)
-	q.unlink(r)
+	a := q.members.busy[r.key.account]
+	q.unlink(a, r)
 	delete(q.requests, r.id)
-	q.release(a)
+	q.members.release(a, q.virtual)
 }
 
-func (q *Queue) unlink(r *request) {
+// unlink takes a request out of the account's queue.
+func (q *Queue) unlink(a *account, r *request) {
+	q.members.drop(a, r)
 	q.queued--
-	if !r.deadline.IsZero() {
+	if !r.latest.IsZero() {
 		heap.Remove(&q.order, r.index)
 	}
 }
@@ -139,9 +152,9 @@
 
 func (q *Queue) dispatch(now time.Time) {
 	for q.running < q.options.Slots && q.queued > 0 {
-		a := q.next()
-		r := a.pop(q.options.Newest)
-		q.unlink(r)
+		a := q.members.next()
+		r := a.waiting[0]
+		q.unlink(a, r)
 		q.start(now, a, r)
 	}
 }
@@ -157,23 +170,12 @@
 	q.actions = append(q.actions, Run{ID: r.id})
 }
 
-// next returns the account with work whose virtual start time is smallest.
-func (q *Queue) next() *account {
-	var first *account
-	for _, a := range q.accounts {
-		if len(a.waiting) > 0 && (first == nil || a.start < first.start) {
-			first = a
-		}
-	}
-	return first
-}
-
-// schedule asks for a Tick when the first queued request becomes hopeless.
+// schedule asks for a Tick when the first queued request will be late.
 func (q *Queue) schedule() {
 	if len(q.order) == 0 {
 		return
 	}
-	at := q.order[0].hopeless()
+	at := q.order[0].latest
 	if !at.Equal(q.wake) {
 		q.wake = at
 		q.actions = append(q.actions, WakeAt{Time: at})
--- a/admission/sojourn.go
+++ b/admission/sojourn.go
@@ -11,16 +11,17 @@
 	lasting
 )
 
-// sojourn watches how long requests wait. It is in early congestion while waits
-// exceed the target, and in lasting congestion once they have done so for an
-// interval.
+// sojourn watches how long requests of one account wait. It is in early
+// congestion while waits exceed the target, and in lasting congestion once they
+// have done so for an interval. Without a start for an interval it knows
+// nothing, and says clear.
 type sojourn struct {
-	wait  time.Duration // of the last request that started
-	since time.Time     // first wait above the target; zero while below
+	since time.Time // first wait above the target; zero while below
+	last  time.Time // last start
 }
 
 func (s *sojourn) started(now time.Time, wait, target time.Duration) {
-	s.wait = wait
+	s.last = now
 	if wait < target {
 		s.since = time.Time{}
 		return
@@ -32,7 +33,7 @@
 
 func (s *sojourn) phase(now time.Time, interval time.Duration) phase {
 	switch {
-	case s.since.IsZero():
+	case s.since.IsZero() || now.Sub(s.last) > interval:
 		return clear
 	case now.Sub(s.since) < interval:
 		return early
--- /dev/null
+++ b/admission/weight.go
@@ -0,0 +1,28 @@
+package admission
+
+// account returns the client account of an arrival. A returning account starts
+// at the present virtual time at the earliest: time without work earns nothing.
+func (q *Queue) account(ev Arrived) *account {
+	a := q.members.take(ev.Account)
+	if len(a.waiting) == 0 {
+		a.start = max(a.start, q.virtual)
+	}
+	a.weight = q.weight(ev)
+	return a
+}
+
+func (q *Queue) weight(ev Arrived) float64 {
+	if w, ok := q.weights[ev.Account]; ok {
+		return float64(max(1, w))
+	}
+	return float64(max(1, ev.Weight))
+}
+
+func (q *Queue) reweigh(weights map[string]int) {
+	q.weights = weights
+	for name, a := range q.members.busy {
+		if w, ok := weights[name]; ok {
+			a.weight = float64(max(1, w))
+		}
+	}
+}
