gang: the bound on starting is its own setting

Window follows the reports and may be short; a start that is given up costs a job that is not repeatable its outcome.

--- a/gang/coordinator_advance.go
+++ b/gang/coordinator_advance.go
@@ -64,7 +64,7 @@
 	}
 	// The first answers may be so old that their tasks have stopped by isolation
 	// since, and a Start to the others would let them run alone.
-	if c.now.Sub(c.began) >= c.config.Window {
+	if c.now.Sub(c.began) >= c.config.startWithin() {
 		c.ask()
 		return false
 	}
@@ -106,7 +106,7 @@
 // that has started is not renewed before all have; when it stops by isolation,
 // a Start that reached another one only then would let that one run alone.
 func (c *Coordinator) giveUpStarting() bool {
-	if c.now.Sub(c.entered) < c.config.Window {
+	if c.now.Sub(c.entered) < c.config.startWithin() {
 		return false
 	}
 	return c.abort(CauseTimeout, "")
--- a/gang/coordinator_send.go
+++ b/gang/coordinator_send.go
@@ -83,7 +83,7 @@
 		earlier(c.began.Add(c.holdMargin()))
 		earlier(c.recordSent.Add(c.config.Resend))
 	case phaseStarting:
-		earlier(c.entered.Add(c.config.Window))
+		earlier(c.entered.Add(c.config.startWithin()))
 	case phaseStopping:
 		if at := c.settled(); at.After(c.now) {
 			earlier(at)
--- a/gang/outcome.go
+++ b/gang/outcome.go
@@ -43,7 +43,7 @@
 	// CauseRefused: a member refused the reservation.
 	CauseRefused
 	// CauseTimeout: reserving and recording took longer than the hold allows, or
-	// starting longer than Config.Window.
+	// starting longer than Config.StartWithin.
 	CauseTimeout
 	// CauseConflict: the job's record names another attempt.
 	CauseConflict
--- a/gang/plan.go
+++ b/gang/plan.go
@@ -1,6 +1,9 @@
 package gang
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Plan is one attempt to start one job. The job's record holds it without the
 // Specs, so that a successor can resolve the attempt.
@@ -28,11 +31,18 @@
 	// start recorded within three quarters of it, or the attempt is given up.
 	Hold time.Duration
 	// Window is how old the last sign of life of a member may be for the gang to
-	// count as whole, and how long starting all members may take. It must be well
-	// below MemberConfig.Isolation and above two periods of the reports.
+	// count as whole. It must be above two periods of the reports.
 	Window time.Duration
 	// Settle is the sum of Window, MemberConfig.Isolation, the longest stop of a
 	// task and the longest delay of a report. A successor that has lost a member
 	// waits this long after it has fenced another one.
 	Settle time.Duration
+	// StartWithin is how long starting all members may take. With the longest
+	// delay of a message added it must be below MemberConfig.Isolation. Zero means
+	// Window.
+	StartWithin time.Duration
+}
+
+func (c Config) startWithin() time.Duration {
+	return cmp.Or(c.StartWithin, c.Window)
 }
--- a/gang/sim_world_test.go
+++ b/gang/sim_world_test.go
@@ -11,13 +11,14 @@
 // The world of the randomised runs: agents with targets, planners of several
 // epochs, a store and a network, all of which fail, in virtual time.
 const (
-	simStep      = 500 * time.Millisecond
-	simReport    = 2 * time.Second
-	simWindow    = 6 * time.Second
-	simIsolation = 15 * time.Second
-	simDelay     = 1500 * time.Millisecond // longest of a message, a start or a stop
-	simSettle    = simWindow + simIsolation + 3*simDelay
-	simLoss      = simSettle + 10*time.Second
+	simStep        = 500 * time.Millisecond
+	simReport      = 2 * time.Second
+	simWindow      = 6 * time.Second
+	simIsolation   = 15 * time.Second
+	simStartWithin = 10 * time.Second
+	simDelay       = 1500 * time.Millisecond // longest of a message, a start or a stop
+	simSettle      = simWindow + simIsolation + 3*simDelay
+	simLoss        = simSettle + 10*time.Second
 	// simPartial is how long part of a gang may run without the rest.
 	simPartial  = simSettle + simDelay
 	simWorkers  = 4
