capacity: measurements of an entry by agents, return of a zone, documents

The stand-in agents use the real transport, reporter and documents; the entry runs in a process of its own so that its usage is its own. Ruled out: 1,000 real agents in one process, whose traffic could not be counted apart.

Without -measure every test skips.

--- /dev/null
+++ b/internal/capacity/callcount.go
@@ -0,0 +1,94 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// CallCount counts the calls to a store by kind and by the first part of the
+// key they concern ("txn jobs"). Calls that concern a lease count under the key
+// last written with it. It is safe for concurrent use.
+type CallCount struct {
+	store http.Handler
+
+	mu     sync.Mutex
+	calls  map[string]int
+	leases map[string]string
+}
+
+// NewCallCount returns a handler that counts and passes on.
+func NewCallCount(store http.Handler) *CallCount {
+	return &CallCount{store: store, calls: make(map[string]int), leases: make(map[string]string)}
+}
+
+// ServeHTTP implements http.Handler.
+func (c *CallCount) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	var call any
+	if json.Unmarshal(body, &call) == nil {
+		c.count(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:], call)
+	}
+	c.store.ServeHTTP(w, r)
+}
+
+func (c *CallCount) count(kind string, call any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := &concern{}
+	found.walk(call)
+	if found.key == "" {
+		found.key = c.leases[found.lease]
+	} else if found.lease != "" {
+		c.leases[found.lease] = found.key
+	}
+	c.calls[kind+" "+found.key]++
+}
+
+// concern is the first key and the lease that a call names.
+type concern struct{ key, lease string }
+
+func (f *concern) walk(v any) {
+	switch v := v.(type) {
+	case []any:
+		for _, e := range v {
+			f.walk(e)
+		}
+	case map[string]any:
+		for name, e := range v {
+			f.take(name, e)
+			f.walk(e)
+		}
+	}
+}
+
+func (f *concern) take(name string, v any) {
+	text := fmt.Sprint(v)
+	var key []byte
+	switch name {
+	case "key":
+		if f.key == "" && json.Unmarshal([]byte(`"`+text+`"`), &key) == nil {
+			f.key, _, _ = strings.Cut(string(key), "/")
+		}
+	case "lease", "ID":
+		if text != "0" {
+			f.lease = text
+		}
+	}
+}
+
+// Calls returns the calls so far.
+func (c *CallCount) Calls() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.calls)
+}
--- /dev/null
+++ b/internal/capacity/entry_test.go
@@ -0,0 +1,162 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const settle = 2 * time.Second
+
+// TestMeasureEntry gives an entry's memory, processor time and traffic with n
+// agents that report every so often, with and without a changing load.
+func TestMeasureEntry(t *testing.T) {
+	needMeasure(t)
+	for _, n := range []int{100, 300, 1000} {
+		for _, every := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second} {
+			for _, loads := range []bool{false, true} {
+				if !loads && every > time.Second {
+					continue // what the load adds is seen at one second
+				}
+				t.Run(fmt.Sprintf("agents=%d/every=%v/loads=%v", n, every, loads), func(t *testing.T) {
+					measureEntry(qt.New(t), n, 1, every, loads)
+				})
+			}
+		}
+	}
+}
+
+// TestMeasureEntryServices is the same for many services, whose documents all
+// agents hear of.
+func TestMeasureEntryServices(t *testing.T) {
+	needMeasure(t)
+	for _, n := range []int{1, 10, 94} {
+		t.Run(fmt.Sprintf("services=%d", n), func(t *testing.T) {
+			measureEntry(qt.New(t), 300, n, time.Second, true)
+		})
+	}
+}
+
+func measureEntry(c *qt.C, n, serviceCount int, every time.Duration, loads bool) {
+	names := services(serviceCount)
+	s := newSite(c, names...)
+	p := startProcess(c, entryEnv, s.entry("entry-1", every))
+	time.Sleep(settle)
+	start := p.usage()
+	time.Sleep(settle)
+	empty := p.usage()
+	f := NewFleet(p.ready[0], every, loads)
+	c.Cleanup(f.Stop)
+	began := time.Now()
+	c.Assert(f.Add(n, names...), qt.IsNil)
+	eventually(c, "all agents known", func() bool {
+		known, _ := s.alive(p.ready[1], 1)
+		return known == n
+	})
+	known := time.Since(began)
+	time.Sleep(3 * settle) // path MTU discovery ends
+	before := p.usage()
+	bytes := func() int64 { return f.Traffic.SentBytes.Load() + f.Traffic.ReceivedBytes.Load() }
+	b, reports := bytes(), f.Reports.Load()
+	span := max(8*time.Second, 2*every)
+	time.Sleep(span)
+	b, reports = bytes()-b, f.Reports.Load()-reports
+	after := p.usage()
+	each := func(a, b uint64) float64 { return (float64(a) - float64(b)) / float64(n) / 1024 }
+	processor := after.Since(before)
+	c.Logf("agents %d services %d every %v loads %v | empty heap %d KB resident %d KB | heap %.1f KB stacks %.1f KB resident %.1f KB goroutines %.1f an agent | processor %.1f us/s an agent, %.1f us a report, %.2f%% of a core | %.0f B/s an agent both ways, %.0f B a report | known after %v, empty %.2f%% of a core | load %s",
+		n, serviceCount, every, loads, empty.Heap>>10, empty.Resident>>10, each(after.Heap, empty.Heap), each(after.Stacks, empty.Stacks), each(after.Resident, empty.Resident),
+		float64(after.Goroutines-empty.Goroutines)/float64(n),
+		float64(processor.Microseconds())/float64(n)/span.Seconds(), float64(processor.Microseconds())/float64(max(1, reports)), 100*processor.Seconds()/span.Seconds(),
+		float64(b)/float64(n)/span.Seconds(), float64(b)/float64(max(1, reports)), known.Round(time.Millisecond), 100*(empty.Since(start)).Seconds()/settle.Seconds(), loadAverage())
+}
+
+// TestMeasureReturn lets all agents of an availability zone return at once.
+func TestMeasureReturn(t *testing.T) {
+	needMeasure(t)
+	for _, n := range []int{100, 300, 900} {
+		t.Run(fmt.Sprintf("agents=%d", n), func(t *testing.T) { measureReturn(qt.New(t), n) })
+	}
+}
+
+func measureReturn(c *qt.C, n int) {
+	const every = 10 * time.Second
+	names := services(1)
+	s := newSite(c, names...)
+	p := startProcess(c, entryEnv, s.entry("entry-1", every))
+	time.Sleep(settle)
+	f := NewFleet(p.ready[0], every, false)
+	c.Cleanup(f.Stop)
+	for round := range 3 {
+		failed, shed, bytes := f.Failed.Load(), f.Shed.Load(), f.Traffic.SentBytes.Load()+f.Traffic.ReceivedBytes.Load()
+		before := p.usage()
+		admitted := f.Admitted.Load()
+		began := time.Now()
+		c.Assert(f.Add(n, names...), qt.IsNil)
+		opened := time.Since(began)
+		eventually(c, "all agents reported", func() bool { return f.Admitted.Load()-admitted == int64(n) })
+		took := time.Since(began)
+		after := p.usage()
+		c.Logf("%d return, round %d: dialled within %v, all admitted after %v, entry's processor %v (%.2f ms an agent), heap %d MB resident %d MB, failed %d shed %d, %.1f KB an agent both ways | load %s",
+			n, round, opened.Round(time.Millisecond), took.Round(time.Millisecond), after.Since(before).Round(time.Millisecond),
+			float64((after.Processor-before.Processor).Microseconds())/1000/float64(n), after.Heap>>20, after.Resident>>20, f.Failed.Load()-failed, f.Shed.Load()-shed,
+			float64(f.Traffic.SentBytes.Load()+f.Traffic.ReceivedBytes.Load()-bytes)/1024/float64(n), loadAverage())
+		f.Stop()
+		time.Sleep(settle)
+	}
+}
+
+// TestMeasureDocument gives the time from an accepted put to the generation in
+// force at each agent, and the traffic that it costs.
+func TestMeasureDocument(t *testing.T) {
+	needMeasure(t)
+	for _, n := range []int{100, 300, 1000} {
+		t.Run(fmt.Sprintf("agents=%d", n), func(t *testing.T) { measureDocument(qt.New(t), n) })
+	}
+}
+
+func measureDocument(c *qt.C, n int) {
+	const every = 10 * time.Second
+	names := services(1)
+	s := newSite(c, names...)
+	p := startProcess(c, entryEnv, s.entry("entry-1", every))
+	f := NewFleet(p.ready[0], every, false)
+	c.Cleanup(f.Stop)
+	c.Assert(f.Add(n, names...), qt.IsNil)
+	eventually(c, "all agents in force", func() bool {
+		known, inForce := s.alive(p.ready[1], 1)
+		return known == n && inForce == n
+	})
+	time.Sleep(settle)
+	for generation := uint64(1); generation < 6; generation++ {
+		bytes := f.Traffic.SentBytes.Load() + f.Traffic.ReceivedBytes.Load()
+		before := p.usage()
+		calls := s.calls.Calls()
+		began := time.Now()
+		v := s.put(names[0], generation)
+		accepted := time.Since(began)
+		eventually(c, "in force", func() bool { return len(f.Reached(v.Generation)) == n })
+		reported := eventually(c, "reported", func() bool { _, inForce := s.alive(p.ready[1], v.Generation); return inForce == n })
+		after := p.usage()
+		var took []time.Duration
+		for _, at := range f.Reached(v.Generation) {
+			took = append(took, at.Sub(began))
+		}
+		c.Logf("%d agents, document of %d bytes: accepted after %v, in force p50 %v p99 %v max %v, all reported %v later | entry's processor %v, %.1f KB an agent both ways | calls %v | load %s",
+			n, len(v.TOML), accepted.Round(time.Microsecond), quantile(took, 0.5), quantile(took, 0.99), quantile(took, 1), reported.Round(time.Millisecond),
+			after.Since(before).Round(time.Millisecond), float64(f.Traffic.SentBytes.Load()+f.Traffic.ReceivedBytes.Load()-bytes)/1024/float64(n), grown(s.calls.Calls(), calls, 1), loadAverage())
+	}
+}
+
+// grown returns the calls by cause since before, divided by n.
+func grown(now, before map[string]int, n float64) string {
+	out := make(map[string]string)
+	for cause, calls := range now {
+		if calls > before[cause] {
+			out[cause] = fmt.Sprintf("%.2f", float64(calls-before[cause])/n)
+		}
+	}
+	return fmt.Sprint(out)
+}
--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,82 @@
+package capacity
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	region     = "r"
+	clusterKey = "key of a measurement on loopback"
+	loopback   = "127.0.0.1:0"
+)
+
+// Fleet is many stand-in agents of one entry. Its methods are safe for
+// concurrent use.
+type Fleet struct {
+	Traffic Traffic
+	// Reports counts answered reports, Failed those without an answer, Shed
+	// those that the entry refused. Admitted counts agents, by the first answer
+	// that did not refuse them.
+	Reports, Failed, Shed, Admitted atomic.Int64
+
+	entry string
+	every time.Duration
+	loads bool
+	known atomic.Uint64
+
+	mu      sync.Mutex
+	agents  []*standin
+	reached map[uint64][]time.Time // when a generation came in force, by agent
+}
+
+// NewFleet returns a fleet without agents. With loads, the load of each agent
+// changes between any two of its reports.
+func NewFleet(entry string, every time.Duration, loads bool) *Fleet {
+	return &Fleet{entry: entry, every: every, loads: loads, reached: make(map[uint64][]time.Time)}
+}
+
+// Add starts n agents at once, spread evenly over the services.
+func (f *Fleet) Add(n int, services ...string) error {
+	f.mu.Lock()
+	from := len(f.agents)
+	f.mu.Unlock()
+	for i := from; i < from+n; i++ {
+		a, err := startStandin(f, fmt.Sprintf("agent-%05d", i), services[i%len(services)])
+		if err != nil {
+			return err
+		}
+		f.mu.Lock()
+		f.agents = append(f.agents, a)
+		f.mu.Unlock()
+	}
+	return nil
+}
+
+// Stop ends all agents at once; the fleet may be filled again.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	agents := f.agents
+	f.agents = nil
+	f.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, a := range agents {
+		wg.Go(a.stop)
+	}
+	wg.Wait()
+}
+
+func (f *Fleet) inForce(generation uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reached[generation] = append(f.reached[generation], time.Now())
+}
+
+// Reached returns when each agent that has it put a generation in force.
+func (f *Fleet) Reached(generation uint64) []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]time.Time(nil), f.reached[generation]...)
+}
--- /dev/null
+++ b/internal/capacity/measure_test.go
@@ -0,0 +1,92 @@
+package capacity
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+)
+
+// Figures for docs/CAPACITY.md, one test at a time:
+//
+//	go test ./internal/capacity -run TestMeasureEntry/agents=300 -measure -v
+var measure = flag.Bool("measure", false, "run the measurements; each takes up to two minutes")
+
+func needMeasure(t testing.TB) *qt.C {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	return qt.New(t)
+}
+
+// loadAverage belongs to each figure: other work shares the machine.
+func loadAverage() string {
+	raw, _ := os.ReadFile("/proc/loadavg")
+	fields := strings.Fields(string(raw))
+	if len(fields) == 0 {
+		return "?"
+	}
+	return fields[0]
+}
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func quantile(all []time.Duration, q float64) time.Duration {
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(len(all)-1, int(q*float64(len(all))))].Round(time.Microsecond)
+}
+
+// documentText is a document of common size without a topology.
+func documentText(service string, accounts int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "service = %q\nowner = \"Tests\"\n", service)
+	for i := range accounts {
+		fmt.Fprintf(&b, "[[account]]\nname = \"account-%d\"\nweight = 2\nmax_jobs = 100000\n", i)
+	}
+	b.WriteString(`
+[[class]]
+name = "check"
+kind = "quick"
+deadline = "20s"
+repeatable = true
+[[class]]
+name = "booking"
+kind = "quick"
+deadline = "20s"
+repeatable = false
+[[class]]
+name = "long"
+kind = "job"
+repeatable = true
+max_run = "24h"
+`)
+	return []byte(b.String())
+}
+
+// eventually waits for what a measurement needs before it begins.
+func eventually(c *qt.C, what string, done func() bool) time.Duration {
+	c.Helper()
+	began := time.Now()
+	for time.Since(began) < time.Minute {
+		if done() {
+			return time.Since(began)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatalf("never happened: %s", what)
+	return 0
+}
--- /dev/null
+++ b/internal/capacity/process_test.go
@@ -0,0 +1,114 @@
+package capacity
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/agent"
+	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+)
+
+// A process under measurement is this test binary with its settings in the
+// environment, so that its usage is its own. It answers each line of input with
+// its usage and ends with its input.
+const (
+	entryEnv = "EELGRASSHUB_CAPACITY_ENTRY"
+	agentEnv = "EELGRASSHUB_CAPACITY_AGENT"
+	// profileEnv names the file for a processor profile of that process.
+	profileEnv = "EELGRASSHUB_CAPACITY_PROFILE"
+
+	answer = "usage "
+	ready  = "ready "
+)
+
+// process is a daemon in a process of its own.
+type process struct {
+	c     *qt.C
+	cmd   *exec.Cmd
+	in    io.WriteCloser
+	lines *bufio.Scanner
+	ready []string
+}
+
+func startProcess(c *qt.C, env string, cfg any) *process {
+	text, err := json.Marshal(cfg)
+	c.Assert(err, qt.IsNil)
+	p := &process{c: c, cmd: exec.Command(os.Args[0], "-test.run=TestProcess", "-measure", "-test.timeout=150s")}
+	if profile := os.Getenv(profileEnv); profile != "" {
+		p.cmd.Args = append(p.cmd.Args, "-test.cpuprofile="+profile)
+	}
+	p.cmd.Env = append(os.Environ(), env+"="+string(text))
+	p.cmd.Stderr = os.Stderr
+	out, err := p.cmd.StdoutPipe()
+	c.Assert(err, qt.IsNil)
+	p.in, err = p.cmd.StdinPipe()
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.cmd.Start(), qt.IsNil)
+	p.lines = bufio.NewScanner(out)
+	c.Cleanup(p.stop)
+	p.ready = strings.Fields(p.line(ready))
+	return p
+}
+
+func (p *process) line(prefix string) string {
+	p.c.Helper()
+	for p.lines.Scan() {
+		if rest, ok := strings.CutPrefix(p.lines.Text(), prefix); ok {
+			return rest
+		}
+	}
+	p.c.Fatal("the process ended")
+	return ""
+}
+
+func (p *process) usage() Usage {
+	p.c.Helper()
+	fmt.Fprintln(p.in, "usage")
+	var u Usage
+	p.c.Assert(json.Unmarshal([]byte(p.line(answer)), &u), qt.IsNil)
+	return u
+}
+
+func (p *process) stop() {
+	_ = p.in.Close()
+	_ = p.cmd.Wait()
+}
+
+// TestProcess is the process under measurement; it measures nothing itself.
+func TestProcess(t *testing.T) {
+	c := needMeasure(t)
+	var addresses []string
+	switch {
+	case os.Getenv(entryEnv) != "":
+		var cfg settings.Entry
+		c.Assert(json.Unmarshal([]byte(os.Getenv(entryEnv)), &cfg), qt.IsNil)
+		e, err := entry.Start(cfg, quiet())
+		c.Assert(err, qt.IsNil)
+		defer e.Close()
+		addresses = []string{e.QUICAddr(), e.HTTPAddr()}
+	case os.Getenv(agentEnv) != "":
+		var cfg settings.Agent
+		c.Assert(json.Unmarshal([]byte(os.Getenv(agentEnv)), &cfg), qt.IsNil)
+		a, err := agent.Start(cfg, quiet())
+		c.Assert(err, qt.IsNil)
+		defer a.Close()
+		addresses = []string{a.Addr()}
+	default:
+		t.Skip("is started by other measurements")
+	}
+	fmt.Printf("\n%s%s\n", ready, strings.Join(addresses, " "))
+	for input := bufio.NewScanner(os.Stdin); input.Scan(); {
+		text, err := json.Marshal(ReadUsage())
+		c.Assert(err, qt.IsNil)
+		fmt.Printf("%s%s\n", answer, text)
+	}
+}
--- /dev/null
+++ b/internal/capacity/site_test.go
@@ -0,0 +1,88 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/document/schema"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+)
+
+// site is a store with documents, before which entries are put.
+type site struct {
+	*qt.C
+	server *store.Server
+	calls  *CallCount
+	url    string
+	client *platform.Client
+}
+
+func newSite(c *qt.C, services ...string) *site {
+	s := &site{C: c, server: store.New(store.Options{})}
+	s.calls = NewCallCount(s.server)
+	http := httptest.NewServer(s.calls)
+	s.url = http.URL
+	s.client = platform.NewClient(platform.Options{Endpoints: []string{s.url}, CallTimeout: 10 * time.Second, Budget: 1e6, Burst: 1e6})
+	c.Cleanup(func() {
+		s.client.Close()
+		s.server.Close()
+		http.CloseClientConnections()
+		http.Close()
+	})
+	for _, name := range services {
+		s.put(name, 0)
+	}
+	return s
+}
+
+func (s *site) put(service string, base uint64) document.Version {
+	text := append(documentText(service, 4), fmt.Sprintf("# after generation %d\n", base)...)
+	v, err := document.Put(context.Background(), s.client, document.Proposal{
+		Name: service, TOML: text, Base: base, Author: "t", Token: uuid.NewString(), At: time.Now(),
+	})
+	s.Assert(err, qt.IsNil)
+	return v
+}
+
+func (s *site) entry(id string, reportEvery time.Duration) settings.Entry {
+	return settings.Entry{
+		ID: id, Region: region, Zone: "z1", HTTPListen: loopback, QUICListen: loopback, ClusterKey: clusterKey,
+		Platform: []string{s.url}, PlatformTimeout: schema.Duration{Duration: 2 * time.Second}, PlatformBudget: 500,
+		ReportEvery: schema.Duration{Duration: reportEvery}, StopGrace: schema.Duration{Duration: time.Minute},
+	}
+}
+
+// alive counts the agents that the entry knows, and those of them that reported
+// the generation.
+func (s *site) alive(http string, generation uint64) (known, inForce int) {
+	status, err := api.NewClient("http://"+http, nil).Status(context.Background())
+	if err != nil {
+		return 0, 0
+	}
+	for _, m := range status.Members {
+		if m.State == "alive" {
+			known++
+		}
+		if m.State == "alive" && m.Generation >= generation {
+			inForce++
+		}
+	}
+	return known, inForce
+}
+
+func services(n int) []string {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("service-%02d", i))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/capacity/usage.go
@@ -0,0 +1,62 @@
+package capacity
+
+import (
+	"bytes"
+	"os"
+	"runtime"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+// Usage is what this process has used so far.
+type Usage struct {
+	Processor  time.Duration // user and system
+	Reading    time.Duration // of it, spent by reading this
+	Heap       uint64        // live bytes
+	Stacks     uint64        // bytes
+	Resident   uint64        // bytes
+	Goroutines int
+}
+
+// ReadUsage reads the usage after two collections. Their processor time is in
+// Reading, and not yet in Processor.
+func ReadUsage() Usage {
+	u := Usage{Processor: ProcessorTime(), Goroutines: runtime.NumGoroutine()}
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	u.Heap, u.Stacks, u.Resident = m.HeapAlloc, m.StackInuse, resident()
+	u.Reading = ProcessorTime() - u.Processor
+	return u
+}
+
+// Since returns the processor time used between two readings, without the
+// reading itself.
+func (u Usage) Since(before Usage) time.Duration {
+	return u.Processor - before.Processor - before.Reading
+}
+
+// ProcessorTime returns the process's processor time, user and system.
+func ProcessorTime() time.Duration {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		return 0
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+// resident returns 0 where the system does not tell.
+func resident() uint64 {
+	raw, err := os.ReadFile("/proc/self/statm")
+	fields := bytes.Fields(raw)
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseUint(string(fields[1]), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return pages * uint64(os.Getpagesize())
+}
