--- a/load/plan_test.go
+++ b/load/plan_test.go
@@ -58,17 +58,25 @@
 }
 
 func TestSampleWorkloads(t *testing.T) {
-	for _, file := range []string{"tidewater", "peachline"} {
+	for file, tooLarge := range map[string]int{"tidewater": 9, "peachline": 32} {
 		p, err := ReadPlan("../testdata/workloads/" + file + ".toml")
 		qt.Assert(t, err, qt.IsNil)
-		work, n := 0.0, 0
+		work, possible, impossible, failing := 0.0, 0, 0, 0
 		for _, a := range p.Schedule() {
-			if a.Job != nil && a.Job.Size.Accelerators != 9 && a.Job.Size.Accelerators != 32 {
+			switch {
+			case a.Job == nil:
+			case a.Job.Size.Accelerators == tooLarge:
+				impossible++
+			default:
+				possible++
 				work += float64(a.Job.Size.Accelerators) * a.Job.Run.Seconds()
-				n++
+			}
+			if a.Job != nil && a.Job.Fail {
+				failing++
 			}
 		}
-		t.Logf("%s: %d jobs, %.0f accelerator-seconds in %s", file, n, work, time.Duration(p.Duration))
+		t.Logf("%s: %d jobs, %.0f accelerator-seconds in %s", file, possible, work, time.Duration(p.Duration))
 		qt.Check(t, work < 88*time.Duration(p.Duration).Seconds(), qt.IsTrue, qt.Commentf("more work than the workers can do"))
+		qt.Check(t, impossible > 0 && failing > 0, qt.IsTrue, qt.Commentf("%d impossible, %d failing", impossible, failing))
 	}
 }
