agent: a restarted agent reports what ended while it was away; checkpoints travel

Cause: a task that ended between two lives of its agent was taken for lost, and an evicted gang started again from nothing, because no report carried where its checkpoint is. Both are in the target's list and status.

--- a/agent/gangs.go
+++ b/agent/gangs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -22,6 +23,9 @@
 	taskPoll = taskLease / 4
 	// adoptRetry is the pause between attempts to list the target's tasks.
 	adoptRetry = 500 * time.Millisecond
+	// adoptEnded is how long ago a task may have ended for a restarted agent to
+	// report its result: an earlier end has been reported by the earlier life.
+	adoptEnded = time.Hour
 	// memberQueue bounds events that wait for the member's goroutine.
 	memberQueue = 1024
 )
@@ -118,18 +122,24 @@
 
 func (g *gangs) adoptTasks(statuses []target.TaskStatus) {
 	var tasks []gang.Task
+	running := 0
 	for _, s := range statuses {
-		if s.State.Final() {
+		if s.State.Final() && time.Since(s.Ended) > adoptEnded {
 			continue
 		}
 		tasks = append(tasks, adopted(s, clock.Now()))
+		if !s.State.Final() {
+			running++
+		}
 	}
 	if len(tasks) > 0 {
-		g.log.WithField("tasks", len(tasks)).Info("adopted tasks that the target runs")
+		g.log.WithFields(logrus.Fields{"running": running, "ended": len(tasks) - running}).Info("adopted the target's tasks")
 	}
 	g.event(gang.Adopted{Tasks: tasks})
 	for _, t := range tasks {
-		g.t.Go(func() error { return g.watch(t.ID) })
+		if t.State != gang.StateEnded {
+			g.t.Go(func() error { return g.watch(t.ID) })
+		}
 	}
 }
 
@@ -303,10 +313,17 @@
 	}
 }
 
+// detailOf is the task's result, its error, or the checkpoint that a stopped task
+// can go on from.
 func detailOf(s target.TaskStatus) string {
 	if s.Error != "" {
 		return s.Error
 	}
+	if s.State == target.TaskStopped && s.Checkpoint != nil {
+		if data, err := json.Marshal(s.Checkpoint); err == nil {
+			return string(data)
+		}
+	}
 	return string(s.Result)
 }
 
--- a/agent/taskid.go
+++ b/agent/taskid.go
@@ -30,7 +30,7 @@
 // it. It was started, so it had been committed. Its lease tells how long the
 // agent's earlier life let it run without hearing that the gang is whole.
 func adopted(s target.TaskStatus, now time.Time) gang.Task {
-	return gang.Task{
+	t := gang.Task{
 		ID:           gangID(s.TaskID),
 		State:        gang.StateRunning,
 		Accelerators: s.Accelerators,
@@ -39,6 +39,13 @@
 		Started:      true,
 		RunUntil:     now.Add(time.Duration(s.LeaseLeftMS) * time.Millisecond).UnixNano(),
 	}
+	if s.State.Final() {
+		t.State = gang.StateEnded
+		t.Result = resultOf(s.State)
+		t.Checkpointed = s.Checkpoint != nil
+		t.Detail = detailOf(s)
+	}
+	return t
 }
 
 // attemptName is the key of an attempt in reports.
--- a/planner/config.go
+++ b/planner/config.go
@@ -73,6 +73,8 @@
 		Hold:   g.HoldTimeout.Duration,
 		Window: window,
 		Settle: window + g.IsolationTimeout.Duration + stopAllowance,
+
+		StartWithin: g.IsolationTimeout.Duration / 2,
 	}
 }
 
