--- a/target/standin/standin_test.go
+++ b/target/standin/standin_test.go
@@ -131,6 +131,19 @@
 	})
 }
 
+// awaitSilence returns when a request has arrived and n runs have ended.
+func (s *Server) awaitSilence(n int) {
+	for {
+		s.mu.Lock()
+		there := s.connsInUse > 0 && len(s.quickLog) == n && s.quickRunning == 0
+		s.mu.Unlock()
+		if there {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestQuickFaultsAndTheirAudit(t *testing.T) {
 	for name, tc := range map[string]struct {
 		faults  Faults
@@ -158,7 +171,10 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			if tc.waitCut {
-				time.AfterFunc(50*time.Millisecond, cancel)
+				go func() {
+					s.awaitSilence(tc.runs)
+					cancel()
+				}()
 			}
 			client := target.NewClient(target.Options{Base: srv.URL})
 			defer client.Close()
