--- a/document/inforce_test.go
+++ b/document/inforce_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -110,3 +112,39 @@
 	_, err = document.UnmarshalVersion(data)
 	c.Assert(err, qt.ErrorIs, document.ErrBadVersion)
 }
+
+// Several sources offer at once while requests read: no reader may see the
+// generation go down, and the highest stays.
+func TestConcurrentOffersNeverGoDown(t *testing.T) {
+	c := qt.New(t)
+	const highest, sources = 40, 4
+	f := document.NewInForce(nil)
+	var wg sync.WaitGroup
+	for source := range sources {
+		wg.Go(func() {
+			for i := range highest {
+				g := uint64((i*7+source*11)%highest + 1)
+				f.Offer(time.Unix(0, 0), version(g, fmt.Sprint(g)))
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	for last, over := uint64(0), false; !over; {
+		select {
+		case <-done:
+			over = true
+		default:
+		}
+		if h, ok := f.Current("dispatch"); ok {
+			c.Assert(h.Version.Generation >= last, qt.IsTrue)
+			last = h.Version.Generation
+		}
+		runtime.Gosched()
+	}
+	h, _ := f.Current("dispatch")
+	c.Assert(h.Version.Generation, qt.Equals, uint64(highest))
+}
