--- a/cmd/eelgrasshub/command.go
+++ b/cmd/eelgrasshub/command.go
@@ -32,6 +32,8 @@
 		agentCommand(),
 		configCommands(),
 		jobCommands(),
+		loadCommand(),
+		trialCommand(),
 		platformStandinCommand(),
 		targetStandinCommand(),
 		versionCommand(),
--- /dev/null
+++ b/cmd/eelgrasshub/load.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/load"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+// loadCmd runs a workload file against entries.
+type loadCmd struct {
+	Entries  []string      `long:"entry" required:"true" value-name:"URL" description:"base URL of an entry; may be repeated, and requests go round them"`
+	Targets  []string      `long:"target" value-name:"URL" description:"base URL of a target stand-in, for the audit; all of the service's have to be given"`
+	Seed     uint64        `long:"seed" value-name:"N" description:"seed of the schedule (default: that of the file)"`
+	Duration time.Duration `long:"duration" value-name:"D" description:"time over which the load arrives (default: that of the file)"`
+	Args     struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+func loadCommand() command {
+	return command{
+		name:  "load",
+		short: "run a workload file against entries",
+		long:  "Prints what callers saw. With the target stand-ins given, it is audited against what truly ran, and any contradiction fails the command.",
+		data:  &loadCmd{},
+	}
+}
+
+var errFindings = errors.New("what callers were told is contradicted by what ran")
+
+// Execute implements flags.Commander.
+func (c *loadCmd) Execute([]string) error {
+	plan, err := load.ReadPlan(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if c.Seed != 0 {
+		plan.Seed = c.Seed
+	}
+	if c.Duration != 0 {
+		plan.Duration = load.Duration(c.Duration)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	result, err := load.Run(ctx, plan, c.Entries)
+	if err != nil {
+		return err
+	}
+	var findings load.Findings
+	if len(c.Targets) > 0 {
+		if findings, err = c.audit(ctx, result); err != nil {
+			return err
+		}
+	}
+	if err := load.Report(os.Stdout, result, findings, load.Samples{}); err != nil {
+		return err
+	}
+	if !findings.Clean() {
+		return errFindings
+	}
+	return nil
+}
+
+func (c *loadCmd) audit(ctx context.Context, r load.Result) (load.Findings, error) {
+	var audits []standin.Audit
+	for _, url := range c.Targets {
+		a, err := load.FetchAudit(ctx, url)
+		if err != nil {
+			return load.Findings{}, err
+		}
+		audits = append(audits, a)
+	}
+	return load.Audit(r, audits), nil
+}
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -11,3 +11,14 @@
 	}
 	return p.Stats(), true
 }
+
+// Epoch returns the fencing epoch of the planner duty that this entry holds for
+// a service, or 0.
+func (e *Entry) Epoch(service string) uint64 {
+	for _, d := range e.duties.held() {
+		if d.Service == service {
+			return d.Epoch
+		}
+	}
+	return 0
+}
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -154,24 +154,26 @@
 	return nil
 }
 
-// Stats are those of the planner, whichever entry has the duty.
+// Stats are those of the planner. False: no entry holds the duty.
 func (c *Cluster) Stats() (scheduler.Stats, bool) {
-	for _, n := range c.Entries {
-		if s, ok := n.Stats(c.Service); ok {
-			return s, true
-		}
+	n := c.Planner()
+	if n == nil {
+		return scheduler.Stats{}, false
 	}
-	return scheduler.Stats{}, false
+	return n.Stats(c.Service)
 }
 
-// Planner returns the entry that holds the planner duty, or nil.
+// Planner returns the entry that holds the planner duty, or nil. While an entry
+// does not know yet that it was succeeded, it is the one with the higher epoch.
 func (c *Cluster) Planner() *EntryNode {
+	var best *EntryNode
+	var highest uint64
 	for _, n := range c.Entries {
-		if _, ok := n.Stats(c.Service); ok {
-			return n
+		if epoch := n.epoch(c.Service); epoch > highest {
+			best, highest = n, epoch
 		}
 	}
-	return nil
+	return best
 }
 
 // Audits returns what truly ran, worker by worker.
--- a/trial/entrynode.go
+++ b/trial/entrynode.go
@@ -78,6 +78,7 @@
 	}
 	n.now = e
 	n.url = "http://" + e.HTTPAddr()
+	n.cfg.HTTPListen = e.HTTPAddr()
 	if n.relay != nil {
 		return n.relay.SetUpstream(e.QUICAddr())
 	}
@@ -140,7 +141,7 @@
 	return n.now != nil
 }
 
-// URL is where callers reach the entry; the last one while it is down.
+// URL is where callers reach the entry. It stays the same over restarts.
 func (n *EntryNode) URL() string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -160,6 +161,16 @@
 	return n.now.Stats(service)
 }
 
+// epoch is that of the planner duty held here, or 0.
+func (n *EntryNode) epoch(service string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.now == nil {
+		return 0
+	}
+	return n.now.Epoch(service)
+}
+
 // addr is where agents and other entries reach it.
 func (n *EntryNode) addr() string {
 	if n.relay != nil {
--- /dev/null
+++ b/trial/reclaim.go
@@ -0,0 +1,221 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/load"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+const (
+	// borrowRun is the run time of the borrowers: longer than any claim waits.
+	borrowRun = time.Minute
+	// borrowCheckpoint is how often a borrower's work is safe.
+	borrowCheckpoint = 100 * time.Millisecond
+	// claimRun is the run time of a claim.
+	claimRun = 200 * time.Millisecond
+	// claimLimit is how long a claim may wait; beyond it the guarantee counts
+	// as not honoured.
+	claimLimit = 20 * time.Second
+	// steady is for how long nothing may start before the borrowers count as
+	// settled.
+	steady = time.Second
+)
+
+// reclaimer measures how long a client account waits for its guaranteed shape
+// while others use the capacity.
+type reclaimer struct {
+	c     *Cluster
+	doc   *document.Document
+	class *document.Class
+	// borrower is the account with the smallest guarantee.
+	borrower string
+	result   load.Result
+}
+
+var errNoBorrowers = errors.New("trial: the document has no class that may borrow")
+
+// Reclaim fills the idle cluster with work that borrows, and then lets every
+// other client account claim its largest guaranteed shape, one after the other.
+// The result tells of all jobs made, for the audit.
+func (c *Cluster) Reclaim(ctx context.Context, doc *document.Document) ([]load.ReclaimSample, load.Result, error) {
+	r := &reclaimer{c: c, doc: doc, result: load.Result{Plan: "reclaim", Service: c.Service, Began: time.Now()}}
+	for i := range doc.Classes {
+		if doc.Classes[i].MayBorrow && r.class == nil {
+			r.class = &doc.Classes[i]
+		}
+	}
+	if r.class == nil {
+		return nil, r.result, errNoBorrowers
+	}
+	r.borrower = smallest(doc.Accounts)
+	if err := r.fill(ctx); err != nil {
+		return nil, r.result, err
+	}
+	var samples []load.ReclaimSample
+	for i := range doc.Accounts {
+		a := &doc.Accounts[i]
+		if a.Name == r.borrower || len(a.Guaranteed) == 0 {
+			continue
+		}
+		sample, err := r.claim(ctx, a)
+		if err != nil {
+			return samples, r.result, err
+		}
+		samples = append(samples, sample)
+	}
+	return samples, r.result, r.end(ctx)
+}
+
+func guaranteed(a document.Account) int {
+	sum := 0
+	for _, g := range a.Guaranteed {
+		sum += g.Accelerators * g.Count
+	}
+	return sum
+}
+
+func smallest(accounts []document.Account) string {
+	best := accounts[0]
+	for _, a := range accounts {
+		if guaranteed(a) < guaranteed(best) {
+			best = a
+		}
+	}
+	return best.Name
+}
+
+// fill submits borrowers of four accelerators until all capacity could be
+// theirs, and waits until no more of them start.
+func (r *reclaimer) fill(ctx context.Context) error {
+	const size = 4
+	accelerators := 0
+	for _, s := range sites(r.doc, len(r.c.Workers)) {
+		accelerators += s.accelerators
+	}
+	for range accelerators / size {
+		shape := document.Guarantee{Accelerators: size, Adjacent: document.SameWorker}
+		if _, err := r.submit(ctx, r.borrower, shape, borrowRun); err != nil {
+			return err
+		}
+	}
+	return r.settle(ctx)
+}
+
+func (r *reclaimer) settle(ctx context.Context) error {
+	free, since := -1, time.Now()
+	return Poll(ctx, func(context.Context) error {
+		s, ok := r.c.Stats()
+		if !ok || s.Free != free {
+			free, since = s.Free, time.Now()
+		}
+		if !ok || s.Starts == 0 || time.Since(since) < steady {
+			return fmt.Errorf("borrowers have not settled: %d accelerators free", free)
+		}
+		return nil
+	})
+}
+
+func (r *reclaimer) submit(ctx context.Context, account string, g document.Guarantee, run time.Duration) (int, error) {
+	tag := "reclaim-" + uuid.NewString()
+	payload, err := json.Marshal(standin.TaskPayload{
+		Tag:               tag,
+		RunMS:             run.Milliseconds(),
+		CheckpointEveryMS: borrowCheckpoint.Milliseconds(),
+	})
+	if err != nil {
+		return 0, err
+	}
+	j := load.JobResult{Tag: tag, Account: account, Class: r.class.Name, Repeatable: r.class.Repeatable, Scheduled: time.Now()}
+	s, err := r.c.Entries[0].Client().Submit(ctx, r.c.Service, api.JobRequest{
+		Account:      account,
+		Class:        r.class.Name,
+		Accelerators: g.Accelerators,
+		Adjacency:    api.Adjacency(g.Adjacent),
+		Payload:      payload,
+	}, tag)
+	if err != nil {
+		return 0, err
+	}
+	j.ID, j.State = s.ID, s.State
+	r.result.Jobs = append(r.result.Jobs, j)
+	return len(r.result.Jobs) - 1, nil
+}
+
+// claim lets an account demand its largest shape.
+func (r *reclaimer) claim(ctx context.Context, a *document.Account) (load.ReclaimSample, error) {
+	shape := a.Guaranteed[0]
+	for _, g := range a.Guaranteed {
+		if g.Accelerators > shape.Accelerators {
+			shape = g
+		}
+	}
+	n, err := r.submit(ctx, a.Name, shape, claimRun)
+	if err != nil {
+		return load.ReclaimSample{}, err
+	}
+	limited, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	status, err := r.final(limited, r.result.Jobs[n].ID)
+	sample := load.ReclaimSample{Account: a.Name, Took: claimLimit}
+	if err == nil && status.State == api.JobDone {
+		sample.Took = r.started(r.result.Jobs[n].Tag).Sub(r.result.Jobs[n].Scheduled)
+		sample.Honoured = true
+	}
+	return sample, ctx.Err()
+}
+
+// started is when the last member of a gang started, by the workers' logs.
+func (r *reclaimer) started(tag string) time.Time {
+	var last time.Time
+	for _, a := range r.c.Audits() {
+		for _, run := range a.Tasks {
+			if run.Tag == tag && run.Start.After(last) {
+				last = run.Start
+			}
+		}
+	}
+	return last
+}
+
+func (r *reclaimer) final(ctx context.Context, id string) (api.JobStatus, error) {
+	var s api.JobStatus
+	err := Poll(ctx, func(ctx context.Context) error {
+		var err error
+		s, err = r.c.Entries[0].Client().Job(ctx, r.c.Service, id, 0)
+		if err == nil && !s.State.Final() {
+			err = fmt.Errorf("job %s is %s", id, s.State)
+		}
+		return err
+	})
+	return s, err
+}
+
+// end cancels what still runs and notes how every job ended.
+func (r *reclaimer) end(ctx context.Context) error {
+	var ids []string
+	for _, j := range r.result.Jobs {
+		ids = append(ids, j.ID)
+	}
+	if _, err := r.c.Entries[0].Client().CancelAll(ctx, r.c.Service, ids); err != nil {
+		return err
+	}
+	for i := range r.result.Jobs {
+		j := &r.result.Jobs[i]
+		s, err := r.final(ctx, j.ID)
+		if err != nil {
+			return err
+		}
+		j.CancelAsked = true
+		j.State, j.Reason, j.Attempt, j.Result = s.State, s.Reason, s.Attempt, s.Result
+	}
+	return nil
+}
--- /dev/null
+++ b/trial/run.go
@@ -0,0 +1,96 @@
+package trial
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/load"
+)
+
+// RunOptions say what a run does.
+type RunOptions struct {
+	Document []byte
+	Plan     load.Plan
+	// Faults injects failures during the load.
+	Faults bool
+	// Log names each fault as it is injected.
+	Log *logrus.Entry
+	// ProcessLog takes the lines of the processes; discarded by default.
+	ProcessLog *logrus.Entry
+}
+
+// Outcome is what a run showed.
+type Outcome struct {
+	Result   load.Result
+	Samples  load.Samples
+	Findings load.Findings
+}
+
+const (
+	// startLimit bounds the start of a cluster.
+	startLimit = 30 * time.Second
+	// reclaimLimit bounds the claims of guarantees.
+	reclaimLimit = 90 * time.Second
+)
+
+// Run runs one service on its plan in a cluster of its own, measures it, claims
+// its guarantees and audits all of it.
+func Run(ctx context.Context, o RunOptions) (Outcome, error) {
+	doc, err := document.Parse("trial", o.Document)
+	if err != nil {
+		return Outcome{}, err
+	}
+	c, err := startFor(ctx, o)
+	if err != nil {
+		return Outcome{}, err
+	}
+	defer c.Close()
+	var out Outcome
+	if err := c.underLoad(ctx, o, &out); err != nil {
+		return out, err
+	}
+	reclaim, cancel := context.WithTimeout(ctx, reclaimLimit)
+	defer cancel()
+	samples, claims, err := c.Reclaim(reclaim, doc)
+	if err != nil {
+		return out, err
+	}
+	out.Samples.Reclaims = samples
+	audited := out.Result
+	audited.Jobs = append(audited.Jobs[:len(audited.Jobs):len(audited.Jobs)], claims.Jobs...)
+	out.Findings = load.Audit(audited, c.Audits())
+	return out, nil
+}
+
+func startFor(ctx context.Context, o RunOptions) (*Cluster, error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	return New(ctx, Options{Document: o.Document, Relays: o.Faults, Log: o.ProcessLog})
+}
+
+// underLoad makes the load, with samples and faults beside it.
+func (c *Cluster) underLoad(ctx context.Context, o RunOptions, out *Outcome) error {
+	sampling, stop := context.WithCancel(ctx)
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error {
+		out.Samples.Fragmentation = c.SampleFragmentation(sampling)
+		return nil
+	})
+	if o.Faults {
+		group.Go(func() error {
+			return c.Inject(ctx, Faults(o.Document), time.Duration(o.Plan.Duration), o.Log)
+		})
+	}
+	result, err := load.Run(ctx, o.Plan, c.URLs())
+	stop()
+	out.Result = result
+	if other := group.Wait(); err == nil {
+		err = other
+	}
+	return err
+}
--- /dev/null
+++ b/trial/sampler.go
@@ -0,0 +1,47 @@
+package trial
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/load"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// sampleEvery is the period of samples.
+const sampleEvery = 200 * time.Millisecond
+
+// SampleFragmentation samples the planner until ctx ends. While no entry holds
+// the duty there are no samples.
+func (c *Cluster) SampleFragmentation(ctx context.Context) []load.FragmentationSample {
+	began := time.Now()
+	ticker := time.NewTicker(sampleEvery)
+	defer ticker.Stop()
+	var list []load.FragmentationSample
+	for {
+		select {
+		case <-ctx.Done():
+			return list
+		case now := <-ticker.C:
+			if s, ok := c.Stats(); ok {
+				list = append(list, load.FragmentationSample{
+					At:       now.Sub(began),
+					Free:     s.Free,
+					Stranded: int(math.Round(s.Fragmentation)),
+					Waiting:  waiting(s),
+				})
+			}
+		}
+	}
+}
+
+func waiting(s scheduler.Stats) int {
+	n := 0
+	for _, a := range s.Accounts {
+		for _, jobs := range a.Waiting {
+			n += jobs
+		}
+	}
+	return n
+}
