document: keys without effect are gone; the loss timeout keeps a real margin

Silence of connections is a matter of the process's transport, not of one service; a stop's grace is a setting of the process.

gang.loss_timeout had to be above isolation_timeout only. The evidence window and a task's stop have to fit between the two, or gangs of several members never count as whole: now by 8 s.

--- a/document/cross.go
+++ b/document/cross.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/document/schema"
 )
@@ -57,7 +58,7 @@
 }
 
 func checkQuick(path string, f *schema.File) {
-	for _, key := range []string{"checkpointable", "may_borrow", "max_run"} {
+	for _, key := range []string{"priority", "urgent", "checkpointable", "may_borrow", "max_run"} {
 		if f.Index.Set(path + "." + key) {
 			f.Add(path+"."+key, `only for kind = "job"`)
 		}
@@ -65,9 +66,21 @@
 }
 
 func checkOrder(d *Document, f *schema.File) {
-	below(f, "gang.isolation_timeout", d.Gang.IsolationTimeout, "gang.loss_timeout", d.Gang.LossTimeout)
 	below(f, "admission.target_sojourn", d.Admission.TargetSojourn, "admission.interval", d.Admission.Interval)
-	below(f, "routing.probe_every", d.Routing.ProbeEvery, "routing.silent_after", d.Routing.SilentAfter)
+	checkLossMargin(d, f)
+}
+
+// minLossMargin is what lies at least between a gang's isolation and its loss
+// timeout: three quarters of it have to hold the longest stop of a task, and one
+// quarter two reports of an agent, or gangs would never count as whole.
+const minLossMargin = 8 * time.Second
+
+func checkLossMargin(d *Document, f *schema.File) {
+	least := d.Gang.IsolationTimeout.Duration + minLossMargin
+	if d.Gang.LossTimeout.Duration < least {
+		f.Add("gang.loss_timeout", "got %s, want at least %s: gang.isolation_timeout and %s more",
+			d.Gang.LossTimeout, schema.Duration{Duration: least}, schema.Duration{Duration: minLossMargin})
+	}
 }
 
 func below(f *schema.File, low string, a schema.Duration, high string, b schema.Duration) {
--- a/document/document.go
+++ b/document/document.go
@@ -23,7 +23,6 @@
 	Admission Admission `toml:"admission"`
 	Routing   Routing   `toml:"routing"`
 	Gang      Gang      `toml:"gang"`
-	Drain     Drain     `toml:"drain"`
 	Health    Health    `toml:"health"`
 	Topology  *Topology `toml:"topology" validate:"omitempty"`
 }
--- a/document/limits.go
+++ b/document/limits.go
@@ -12,11 +12,9 @@
 
 // Routing is how an entry chooses a target and when it tries another.
 type Routing struct {
-	RetryShare  float64         `toml:"retry_share" default:"0.1" validate:"min=0,max=1" unit:"retries per first attempt"`
-	RetryBurst  int             `toml:"retry_burst" default:"10" validate:"min=0,max=1000" unit:"retries"`
-	MaxInFlight int             `toml:"max_in_flight" default:"64" validate:"min=1,max=10000" unit:"requests per target and entry"`
-	ProbeEvery  schema.Duration `toml:"probe_every" default:"500ms" validate:"min=50ms,max=30s"`
-	SilentAfter schema.Duration `toml:"silent_after" default:"1500ms" validate:"min=100ms,max=60s"`
+	RetryShare  float64 `toml:"retry_share" default:"0.1" validate:"min=0,max=1" unit:"retries per first attempt"`
+	RetryBurst  int     `toml:"retry_burst" default:"10" validate:"min=0,max=1000" unit:"retries"`
+	MaxInFlight int     `toml:"max_in_flight" default:"64" validate:"min=1,max=10000" unit:"requests per target and entry"`
 }
 
 // Gang is the timing of the reserve, start and abort of jobs on several
@@ -29,23 +27,14 @@
 	IsolationTimeout schema.Duration `toml:"isolation_timeout" default:"10s" validate:"min=500ms,max=10m"`
 	// LossTimeout is how long the coordinator hears nothing from a member
 	// before it declares it lost and the gang may start elsewhere. It must be
-	// above IsolationTimeout: otherwise a member that is cut off still runs
-	// while its replacement starts.
+	// above IsolationTimeout by minLossMargin: otherwise a member that is cut off
+	// still runs while its replacement starts.
 	LossTimeout schema.Duration `toml:"loss_timeout" default:"20s" validate:"min=1s,max=20m"`
 }
 
-// Drain bounds a planned stop.
-type Drain struct {
-	// Grace is how long a stop waits for work in progress. Jobs that can be
-	// checkpointed are moved; others are waited for.
-	Grace schema.Duration `toml:"grace" default:"15m" validate:"min=1s,max=168h"`
-}
-
 // Health says when a worker is taken out because what it starts fails.
 type Health struct {
-	FailureThreshold    int             `toml:"failure_threshold" default:"3" validate:"min=1,max=100" unit:"different jobs failed within window"`
-	Window              schema.Duration `toml:"window" default:"10m" validate:"min=1s,max=24h"`
-	Quarantine          schema.Duration `toml:"quarantine" default:"5m" validate:"min=1s,max=24h"`
-	MaxQuarantinedShare float64         `toml:"max_quarantined_share" default:"0.3" validate:"min=0,max=1" unit:"of the workers"`
-	JobFailureWorkers   int             `toml:"job_failure_workers" default:"3" validate:"min=1,max=100" unit:"workers"`
+	FailureThreshold  int             `toml:"failure_threshold" default:"3" validate:"min=1,max=100" unit:"different jobs in a row"`
+	Quarantine        schema.Duration `toml:"quarantine" default:"5m" validate:"min=1s,max=24h"`
+	JobFailureWorkers int             `toml:"job_failure_workers" default:"3" validate:"min=1,max=100" unit:"workers"`
 }
