agent, entry: an agent holds its word on a running attempt until it ends

Ruled out: a shorter poll, which costs calls for every waiting retry.

Also: messages that reach an entry before its parts are there are refused as not handled; they could have met a nil pointer.

--- a/agent/handle.go
+++ b/agent/handle.go
@@ -19,7 +19,7 @@
 	case *wire.Execute:
 		return a.execute(ctx, m), nil
 	case *wire.Resolve:
-		return a.resolve(m), nil
+		return a.resolve(ctx, m), nil
 	case *wire.Gang:
 		return a.gang(ctx, from, m)
 	case *wire.Publish:
@@ -36,11 +36,11 @@
 }
 
 // resolve answers for this incarnation only: an earlier one's memory is gone.
-func (a *Agent) resolve(m *wire.Resolve) *wire.ResolveReply {
+func (a *Agent) resolve(ctx context.Context, m *wire.Resolve) *wire.ResolveReply {
 	if m.Incarnation != a.incarnation {
 		return &wire.ResolveReply{State: wire.AttemptUnknown}
 	}
-	return a.quick.resolveName(m.Attempt)
+	return a.quick.resolveName(ctx, m.Attempt, m.Wait)
 }
 
 func (a *Agent) gang(ctx context.Context, from *wire.Conn, m *wire.Gang) (any, error) {
--- a/agent/quick.go
+++ b/agent/quick.go
@@ -273,15 +273,33 @@
 	return lines
 }
 
-// resolveName is resolve for the text form of an attempt's id.
-func (q *quick) resolveName(name string) *wire.ResolveReply {
+// resolveName is resolve for the text form of an attempt's id. Where the attempt
+// runs, the answer is held until it ends, at most for wait: whoever asks wants
+// the end, and would ask again.
+func (q *quick) resolveName(ctx context.Context, name string, wait time.Duration) *wire.ResolveReply {
 	id, err := attempts.ParseID(name)
 	if err != nil {
 		return &wire.ResolveReply{State: wire.AttemptUnknown}
 	}
+	q.mu.Lock()
+	done := q.running[id]
+	q.mu.Unlock()
+	if done != nil {
+		awaitEnd(ctx, done, wait)
+	}
 	return q.resolve(id)
 }
 
+func awaitEnd(ctx context.Context, done <-chan struct{}, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // remembered returns how many attempts the table holds.
 func (q *quick) remembered() int {
 	q.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,6 +50,7 @@
 	metrics   *metrics.Set
 	once      *onceRunner
 	draining  atomic.Bool
+	started   chan struct{} // closed once all parts are there
 
 	mu          sync.RWMutex
 	dispatchers map[string]*dispatcher
@@ -65,6 +66,7 @@
 		agents:      newAgents(),
 		metrics:     metrics.New(0),
 		dispatchers: make(map[string]*dispatcher),
+		started:     make(chan struct{}),
 	}
 	e.openStore()
 	if err := e.listen(); err != nil {
@@ -146,6 +148,7 @@
 		IdleTimeout:       idleTimeout,
 	}
 	e.gauges()
+	close(e.started)
 	ctx := e.t.Context(nil)
 	e.t.Go(func() error {
 		e.t.Go(e.members.tick)
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -8,10 +8,20 @@
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
-var errNotHandled = eris.New("not a message for an entry")
+var (
+	errNotHandled = eris.New("not a message for an entry")
+	// errStarting: the endpoint listens already, for its address is part of the
+	// rest, but the parts that serve messages are not there yet.
+	errStarting = eris.Wrap(wire.ErrNotSent, "the entry is starting")
+)
 
 // handle serves what agents and other entries send.
 func (e *Entry) handle(ctx context.Context, from *wire.Conn, msg any) (any, error) {
+	select {
+	case <-e.started:
+	default:
+		return nil, errStarting
+	}
 	switch m := msg.(type) {
 	case *wire.Report:
 		return e.members.report(m), nil
--- a/entry/once.go
+++ b/entry/once.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// resolvePoll is how often an agent is asked what became of an attempt.
-	resolvePoll = 250 * time.Millisecond
+	// resolvePoll is how often an agent is asked what became of an attempt. It
+	// holds its answer for resolveHold while the attempt runs.
+	resolvePoll = 500 * time.Millisecond
+	resolveHold = 400 * time.Millisecond
 	// resolveTimeout bounds one such question.
 	resolveTimeout = time.Second
 	// resolvePatience is for how long the agent may leave such questions
@@ -282,6 +284,7 @@
 	got, err := v.d.agents.call(ctx, c.Agent, &wire.Resolve{
 		Attempt:     c.ID.String(),
 		Incarnation: c.ID.Incarnation,
+		Wait:        resolveHold,
 	}, true)
 	reply, ok := got.(*wire.ResolveReply)
 	if err != nil || !ok {
--- a/wire/messages_execute.go
+++ b/wire/messages_execute.go
@@ -76,6 +76,8 @@
 type Resolve struct {
 	Attempt     string `cbor:"1,keyasint,omitempty"`
 	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+	// Wait is how long the answer may be held until a running attempt ends.
+	Wait time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // ResolveReply answers Resolve; Answer is set for AttemptAnswered.
