wire: a pool does not make callers wait for each redial of a dead peer

While a peer was gone every redial made callers wait up to the handshake timeout of 3 s again, although the attempt before had just failed. They now get that failure at once until an attempt succeeds.

--- a/wire/link.go
+++ b/wire/link.go
@@ -18,18 +18,18 @@
 
 	mu      sync.Mutex
 	current *Conn
-	dialing bool
 	lastErr error
 	changed chan struct{} // closed and replaced on every change
 }
 
 func newLink(ep *Endpoint, addr string) *link {
-	l := &link{ep: ep, addr: addr, dialing: true, changed: make(chan struct{})}
+	l := &link{ep: ep, addr: addr, changed: make(chan struct{})}
 	l.tomb.Go(l.loop)
 	return l
 }
 
-// conn waits for a usable connection as long as a dial is under way.
+// conn waits for a usable connection as long as no dial has failed since the
+// last one that succeeded.
 func (l *link) conn(ctx context.Context) (*Conn, error) {
 	for {
 		c, changed, err := l.state()
@@ -48,14 +48,14 @@
 
 // state returns a usable connection, or an error, or what to wait for. A
 // connection that ended a moment ago is not usable although the loop has not
-// begun to dial yet; then changed tells when it has.
+// begun to dial yet; changed tells when that dial has an end.
 func (l *link) state() (*Conn, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.current != nil && l.current.Usable() {
 		return l.current, nil, nil
 	}
-	if !l.dialing && l.lastErr != nil {
+	if l.lastErr != nil {
 		return nil, nil, l.lastErr
 	}
 	return nil, l.changed, nil
@@ -77,7 +77,7 @@
 		if c == nil {
 			return nil
 		}
-		l.update(func() { l.current, l.dialing, l.lastErr = c, false, nil })
+		l.update(func() { l.current, l.lastErr = c, nil })
 		l.retire(old)
 		old = c
 		select {
@@ -97,12 +97,11 @@
 	wait.MaxInterval = redialMax
 	ctx := l.tomb.Context(context.Background())
 	for {
-		l.update(func() { l.dialing = true })
 		c, err := l.ep.Dial(ctx, l.addr)
 		if err == nil {
 			return c
 		}
-		l.update(func() { l.dialing, l.lastErr = false, err })
+		l.update(func() { l.lastErr = err })
 		select {
 		case <-time.After(wait.NextBackOff()):
 		case <-l.tomb.Dying():
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -29,9 +29,11 @@
 	return &Pool{ep: ep, links: map[string]*link{}}
 }
 
-// Conn returns a usable connection to addr. It waits while a dial is under
-// way; between attempts it fails at once with the last attempt's error, so that
-// a caller can turn to another peer. Errors match ErrNotSent.
+// Conn returns a usable connection to addr. It waits for the first attempt to
+// dial; once an attempt has failed it fails at once with that error, until a
+// later attempt succeeds, so that a caller can turn to another peer. A peer that
+// is gone is noticed only after HandshakeTimeout: give ctx a shorter deadline
+// where that matters. Errors match ErrNotSent.
 func (p *Pool) Conn(ctx context.Context, addr string) (*Conn, error) {
 	l, err := p.link(addr)
 	if err != nil {
