--- a/admission/members_test.go
+++ b/admission/members_test.go
@@ -23,3 +23,17 @@
 	qt.Assert(t, q.costs.learned.Len(), qt.Equals, DefaultMaxCosts)
 	qt.Assert(t, q.requests, qt.HasLen, 0)
 }
+
+// An account was in lasting congestion when it fell silent. An hour later its
+// next request finds other accounts' work in every slot, and must not be shed
+// for what was.
+func TestCongestionIsForgotten(t *testing.T) {
+	c := qt.New(t)
+	var s sojourn
+	start := time.Time{}.Add(time.Hour)
+	s.started(start, 2*time.Second, time.Second)
+	c.Assert(s.phase(start, time.Minute), qt.Equals, early)
+	s.started(start.Add(time.Minute), 2*time.Second, time.Second)
+	c.Assert(s.phase(start.Add(time.Minute), time.Minute), qt.Equals, lasting)
+	c.Assert(s.phase(start.Add(time.Hour), time.Minute), qt.Equals, clear)
+}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -111,6 +111,14 @@
 	c.Assert(ratio > 2.9 && ratio < 3.1, qt.IsTrue, qt.Commentf("%f", ratio))
 }
 
+// What is known of a class says that its deadline can't be met, but a slot is
+// free. To refuse it would leave the slot idle, and nothing new would be learned.
+func TestFreeSlotIsGivenWhateverIsExpected(t *testing.T) {
+	q := taught(admission.Options{})
+	got := q.Step(at(0), admission.Arrived{ID: 1, Deadline: at(time.Millisecond)})
+	qt.Assert(t, got, qt.DeepEquals, actions{admission.Run{ID: 1}})
+}
+
 // A class of requests took a second each while the target was slow, more than
 // its deadline of 100 ms. The target has recovered, and others keep it busy. The
 // class must get in again, though nothing of it ran meanwhile.
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -47,10 +47,11 @@
 	baseline, candidate := against(p)
 	c.Assert(baseline.quantile(99) > 5*candidate.quantile(99), qt.IsTrue)
 	p = overloadPlan()
-	p.length = 2 * time.Second
+	p.length, p.entries = 2*time.Second, 12
 	candidate = run(p)
 	c.Assert(candidate.goodput() > 0.95, qt.IsTrue)
 	c.Assert(candidate.success(3) > 0.99, qt.IsTrue)
+	c.Assert(float64(candidate.attempts) < 1.2*float64(candidate.useful), qt.IsTrue)
 	c.Assert(candidate.refusalWait.Max() < 20*time.Millisecond.Microseconds(), qt.IsTrue)
 }
 
--- a/routing/done.go
+++ b/routing/done.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// conclude ends a trial: an answer opens the endpoint with the smallest window,
-// anything else ejects it for longer.
+// conclude ends a trial: an answer opens the endpoint, anything else ejects it
+// for longer.
 func (r *Router) conclude(e *endpoint, now int64, o Outcome) {
 	e.trial.Store(false)
 	r.trials.Add(-1)
@@ -78,7 +78,6 @@
 	case Answered, Refused:
 		e.ejectedUntil.Store(0)
 		e.breaker.silent = false
-		e.win.size = minWindow
 	case Abandoned:
 	default:
 		r.eject(e, now)
--- a/routing/random_test.go
+++ b/routing/random_test.go
@@ -45,13 +45,13 @@
 func (w *world) step() {
 	id := name(w.rng.IntN(6))
 	switch n := w.rng.IntN(100); {
-	case n < 45:
+	case n < 40:
 		w.pick()
-	case n < 92:
+	case n < 80:
 		w.done()
-	case n < 94:
+	case n < 82:
 		w.router.Suspect(at(w.now), id)
-	case n < 95:
+	case n < 83:
 		w.router.Heard(at(w.now), id)
 	case n < 97 && w.router.Retry(at(w.now), fmt.Sprint(w.rng.IntN(3))):
 		w.retries++
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -85,6 +85,64 @@
 	c.Assert(seen, qt.IsTrue)
 }
 
+// A connection goes silent with eight requests on it, and their ends come in
+// long after the target was ejected. They tell nothing new: were each counted,
+// the target would stay away for minutes after it has recovered.
+func TestOneSilenceIsOneEjection(t *testing.T) {
+	c := qt.New(t)
+	r := newRouter("a")
+	var out []routing.Ticket
+	for range slots / 2 {
+		ticket, _ := r.Pick(at(0), routing.Query{})
+		out = append(out, ticket)
+	}
+	r.Suspect(at(time.Millisecond), "a")
+	late := routing.DefaultEjectBase + time.Second
+	for _, ticket := range out {
+		r.Done(at(late), ticket, routing.Outcome{Kind: routing.Unreachable, Latency: late})
+	}
+	c.Assert(exchange(r, late, answer), qt.Equals, routing.TargetID("a"))
+}
+
+// An availability zone returns: its targets all come due for a trial at once. If
+// most are still gone, each trial holds a client's request up, so only few may
+// be risked at a time.
+func TestFewTrialsAtOnce(t *testing.T) {
+	var ids []routing.TargetID
+	for i := range 96 {
+		ids = append(ids, name(i))
+	}
+	r := newRouter(ids...)
+	for _, id := range ids[1:] {
+		r.Suspect(at(0), id)
+	}
+	trials := 0
+	for range 200 {
+		if ticket, _ := r.Pick(at(time.Second), routing.Query{}); ticket.Trial {
+			trials++
+		}
+	}
+	qt.Assert(t, trials, qt.Equals, 4)
+}
+
+// A target fails everything, after a quiet hour in which all went well. Clients
+// and entry together would repeat each request several times; the budget holds
+// the extra load to its burst and a tenth, and the hour earns nothing.
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	r := newRouter("a")
+	for range 100_000 {
+		exchange(r, 0, answer)
+	}
+	retries := 0
+	for range 1000 {
+		exchange(r, 0, func(routing.TargetID) routing.OutcomeKind { return routing.Abandoned })
+		for r.Retry(at(0), "") {
+			retries++
+		}
+	}
+	qt.Assert(t, retries <= routing.DefaultRetryBurst+100, qt.IsTrue, qt.Commentf("%d", retries))
+}
+
 // One worker fails all that it starts, within a millisecond. It looks idle, so
 // every client would get its errors.
 func TestFastFailingTargetIsEjected(t *testing.T) {
