--- /dev/null
+++ b/scheduler/baseline_test.go
@@ -0,0 +1,247 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// baseline is the policy that the scheduler is measured against: jobs in order of
+// arrival, each on the first workers of a scan that have room, jobs that don't
+// fit are passed over, nothing is reserved, nothing is learned. With strict set
+// nothing passes the first job. Guarantees are sums: an account below the sum of
+// its shapes has the youngest borrowers evicted until the sum is free.
+type baseline struct {
+	strict  bool
+	workers []Worker
+	used    []uint64
+	busy    []int
+	queue   []*baseJob
+	jobs    map[JobID]*baseJob
+	at      map[WorkerID]int
+	sums    map[AccountID]int
+	use     map[AccountID]int
+	order   int
+}
+
+type baseJob struct {
+	Job
+	attempt   Attempt
+	on        []piece
+	masks     []uint64
+	running   bool
+	stopping  bool
+	cancelled bool
+	started   int // order of starts
+}
+
+func newBaseline(strict bool) *baseline {
+	return &baseline{strict: strict, jobs: map[JobID]*baseJob{}, at: map[WorkerID]int{}, sums: map[AccountID]int{}, use: map[AccountID]int{}}
+}
+
+func (b *baseline) Step(now time.Time, ev Event) []Action {
+	var out []Action
+	evs := []Event{ev}
+	if batch, ok := ev.(Batch); ok {
+		evs = batch.Events
+	}
+	for _, e := range evs {
+		switch e := e.(type) {
+		case WorkerUp:
+			b.at[e.Worker.ID] = len(b.workers)
+			b.workers = append(b.workers, e.Worker)
+			b.used, b.busy = append(b.used, 0), append(b.busy, 0)
+		case PolicyChanged:
+			for _, a := range e.Policy.Accounts {
+				for _, g := range a.Guaranteed {
+					b.sums[a.ID] += g.Accelerators * g.Count
+				}
+			}
+		case JobsSubmitted:
+			for _, j := range e.Jobs {
+				out = append(out, b.submit(j)...)
+			}
+		case JobsCancelled:
+			for _, id := range e.IDs {
+				out = append(out, b.cancel(id)...)
+			}
+		case GangEnded:
+			out = append(out, b.ended(e)...)
+		}
+	}
+	return append(out, b.decide()...)
+}
+
+func (b *baseline) submit(j Job) []Action {
+	total := 0
+	for _, w := range b.workers {
+		total += w.Accelerators
+	}
+	if j.Accelerators > total {
+		return []Action{RejectJob{Job: j.ID, Reason: RejectTooLarge}}
+	}
+	b.jobs[j.ID] = &baseJob{Job: j}
+	b.queue = append(b.queue, b.jobs[j.ID])
+	return nil
+}
+
+func (b *baseline) cancel(id JobID) []Action {
+	j := b.jobs[id]
+	if j == nil {
+		return nil
+	}
+	j.cancelled = true
+	if j.running {
+		j.stopping = true
+		return []Action{StopGang{Job: id, Attempt: j.attempt, Reason: StopCancelled}}
+	}
+	delete(b.jobs, id)
+	b.queue = slices.DeleteFunc(b.queue, func(x *baseJob) bool { return x == j })
+	return []Action{RejectJob{Job: id, Reason: RejectCancelled}}
+}
+
+func (b *baseline) ended(e GangEnded) []Action {
+	j := b.jobs[e.Job]
+	for i, p := range j.on {
+		b.used[p.node] &^= j.masks[i]
+		b.busy[p.node] -= p.n
+	}
+	b.use[j.Account] -= j.Accelerators
+	j.on, j.masks, j.running, j.stopping = nil, nil, false, false
+	if e.Outcome == Done || j.cancelled {
+		delete(b.jobs, e.Job)
+		return []Action{RejectJob{Job: e.Job, Reason: RejectCancelled}}
+	}
+	b.queue = append(b.queue, j)
+	return nil
+}
+
+func (b *baseline) decide() []Action {
+	var out []Action
+	failed := map[queueKey]bool{}
+	kept := b.queue[:0]
+	for i, j := range b.queue {
+		k := keyOf(&j.Job)
+		k.class = ""
+		at := []piece(nil)
+		if !failed[k] {
+			at = b.scan(j.Accelerators, j.Adjacency)
+		}
+		if at == nil {
+			failed[k] = true
+			out = append(out, b.reclaim(j)...)
+			kept = append(kept, j)
+			if b.strict {
+				kept = append(kept, b.queue[i+1:]...)
+				break
+			}
+			continue
+		}
+		out = append(out, b.start(j, at))
+	}
+	b.queue = kept
+	return out
+}
+
+// scan takes the first workers in order that have room within one span.
+func (b *baseline) scan(need int, span Adjacency) []piece {
+	have := map[string]int{}
+	name := func(w *Worker) string {
+		switch span {
+		case AdjacentWorker:
+			return string(w.ID)
+		case AdjacentRack:
+			return w.Zone + w.Rack
+		case AdjacentZone:
+			return w.Zone
+		}
+		return ""
+	}
+	for i := range b.workers {
+		w := &b.workers[i]
+		free := w.Accelerators - b.busy[i]
+		if free <= 0 {
+			continue
+		}
+		n := name(w)
+		if have[n] += free; have[n] >= need {
+			return b.take(need, n, name)
+		}
+	}
+	return nil
+}
+
+func (b *baseline) take(need int, in string, name func(*Worker) string) []piece {
+	var out []piece
+	for i := range b.workers {
+		w := &b.workers[i]
+		k := min(need, w.Accelerators-b.busy[i])
+		if k > 0 && name(w) == in {
+			out = append(out, piece{nodeID(i), k})
+			if need -= k; need == 0 {
+				break
+			}
+		}
+	}
+	return out
+}
+
+func (b *baseline) start(j *baseJob, at []piece) Action {
+	b.order++
+	j.attempt++
+	j.on, j.running, j.started = at, true, b.order
+	b.use[j.Account] += j.Accelerators
+	place := make(Placement, len(at))
+	for i, p := range at {
+		var mask uint64
+		for bit, n := 0, 0; n < p.n; bit++ {
+			if b.used[p.node]&(1<<bit) == 0 {
+				mask |= 1 << bit
+				n++
+			}
+		}
+		j.masks = append(j.masks, mask)
+		b.used[p.node] |= mask
+		b.busy[p.node] += p.n
+		place[i] = Grant{b.workers[p.node].ID, numbers(mask, p.n)}
+	}
+	return StartGang{j.ID, j.attempt, place}
+}
+
+// reclaim evicts the youngest borrowers until the sum that is free, or being
+// freed, would hold the job.
+func (b *baseline) reclaim(j *baseJob) []Action {
+	if b.sums[j.Account] == 0 || b.use[j.Account]+j.Accelerators > b.sums[j.Account] {
+		return nil
+	}
+	coming := 0
+	for i, w := range b.workers {
+		coming += w.Accelerators - b.busy[i]
+	}
+	var out []Action
+	for _, x := range b.jobs {
+		if x.stopping {
+			coming += x.Accelerators
+		}
+	}
+	for coming < j.Accelerators {
+		y := b.youngest(j.Account)
+		if y == nil {
+			return out
+		}
+		y.stopping = true
+		coming += y.Accelerators
+		out = append(out, StopGang{Job: y.ID, Attempt: y.attempt, Checkpoint: y.Checkpointable, Reason: StopReclaim})
+	}
+	return out
+}
+
+func (b *baseline) youngest(but AccountID) *baseJob {
+	var best *baseJob
+	for _, x := range b.jobs {
+		over := b.use[x.Account] > b.sums[x.Account]
+		if x.running && !x.stopping && over && x.Account != but && x.Evictable() && (best == nil || x.started > best.started) {
+			best = x
+		}
+	}
+	return best
+}
--- a/scheduler/bind.go
+++ b/scheduler/bind.go
@@ -10,12 +10,47 @@
 		return
 	}
 	s.bindAll(slices.Clone(s.loose))
+	if len(s.loose) > 0 && s.dropReservations() {
+		s.bindAll(slices.Clone(s.loose))
+	}
 	if len(s.loose) > 0 {
 		s.repack()
 	}
 	s.packed = s.grown
 }
 
+// dropReservations gives up the reservations of work that may not be evicted,
+// which keep blocks from being bound: what is owed goes first.
+func (s *Scheduler) dropReservations() bool {
+	dropped := false
+	for _, c := range slices.Clone(s.claims) {
+		if !c.guaranteed() && !c.job.Evictable() {
+			s.dropClaim(c)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// moveAway binds the unused blocks of some nodes elsewhere, as far as they find
+// another place.
+func (s *Scheduler) moveAway(at []piece) {
+	before := s.grown
+	for _, p := range at {
+		for _, b := range slices.Clone(s.nodes[p.node].blocks) {
+			if b.used > 0 {
+				continue
+			}
+			old := b.pieces()
+			s.detach(b)
+			if !s.bind(b) {
+				s.attach(b, old)
+			}
+		}
+	}
+	s.grown = before + 1
+}
+
 func (s *Scheduler) bindAll(blocks []*block) {
 	slices.SortStableFunc(blocks, tightestFirst)
 	for _, b := range blocks {
--- a/scheduler/block.go
+++ b/scheduler/block.go
@@ -27,6 +27,16 @@
 	return b.shape.Accelerators - b.used
 }
 
+// on is the part of the block on a node.
+func (b *block) on(id nodeID) int {
+	for _, p := range b.parts {
+		if p.node == id {
+			return p.n
+		}
+	}
+	return 0
+}
+
 // same reports whether two shapes differ in no more than their count.
 func same(a, b Shape) bool {
 	return a.Accelerators == b.Accelerators && a.Adjacency == b.Adjacency
--- a/scheduler/check.go
+++ b/scheduler/check.go
@@ -109,7 +109,7 @@
 		if n.bound > 0 && n.firm+n.bound > n.capacity() {
 			return broken("worker %q has %d, of which %d are firm and %d bound", n.ID, n.capacity(), n.firm, n.bound)
 		}
-		if int(s.open.val[i]) != n.open() || int(s.slack.val[i]) != n.slack() {
+		if int(s.open.val[i]) != n.open() || int(s.slack.val[i]) != n.bindable() {
 			return broken("the indexes of worker %q are stale", n.ID)
 		}
 	}
--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -41,6 +41,9 @@
 			n.claim += sign * p.n
 		} else {
 			n.wait += sign * p.n
+			if !c.job.Evictable() {
+				n.waitFirm += sign * p.n
+			}
 		}
 		s.refresh(n)
 	}
--- a/scheduler/delay.go
+++ b/scheduler/delay.go
@@ -71,7 +71,14 @@
 		}
 	}
 	sooner(s.settled)
-	sooner(s.planAt)
+	for _, a := range s.accountList {
+		for _, q := range a.order {
+			sooner(q.grace)
+		}
+	}
+	if s.wantPlan {
+		sooner(s.planAt)
+	}
 	if !at.IsZero() && !at.Equal(s.woken) {
 		s.woken = at
 		s.emit(WakeAt{at})
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -1,5 +1,15 @@
 package scheduler
 
+import "time"
+
+const (
+	// delayWeight is how many accelerator seconds of lost work weigh as much as
+	// an accelerator second of delay.
+	delayWeight = 1.0
+	// urgentWeight multiplies the delay of urgent jobs.
+	urgentWeight = 10
+)
+
 // shapeMatch selects which jobs may claim blocks. Jobs that are as large as a
 // block use it before they look for open capacity; smaller ones only when they
 // found none, so that they don't break up blocks without need.
@@ -34,7 +44,7 @@
 	var best *queue
 	for _, q := range a.order {
 		j := s.claimHead(q)
-		if j == nil || q.key.accelerators == 0 || q.claimed >= s.claimStamp(a, m) {
+		if j == nil || q.key.accelerators == 0 || q.claimed >= s.claimStamp(a, m) || m == anyShape && s.inGrace(q) {
 			continue
 		}
 		if best == nil || s.before(j, s.claimHead(best)) {
@@ -64,6 +74,11 @@
 	if c == nil {
 		return false
 	}
+	if m == anyShape && !s.mayEvict(c) {
+		q.graceAt = s.grown + 1
+		q.graceIn = s.steps
+		return true
+	}
 	if j.claim != nil {
 		s.dropClaim(j.claim)
 	}
@@ -76,6 +91,28 @@
 	return true
 }
 
+// inGrace reports whether the head of a queue waits to be allowed to evict, and
+// no capacity has come free since it was tried. It is tried once per step.
+func (s *Scheduler) inGrace(q *queue) bool {
+	return q.graceIn == s.steps || q.graceAt == s.grown+1 && s.now.Before(q.grace)
+}
+
+// mayEvict reports whether a claim of a job smaller than its guaranteed block may
+// evict what it has to. Such a claim waits until its own delay weighs as much as
+// the work that the evictions lose, and no longer than ReclaimAfter: most find
+// room soon, and one small job must not cost a gang its work.
+func (s *Scheduler) mayEvict(c *claim) bool {
+	_, cost := s.victims(c.pieces)
+	j := c.job
+	fair := time.Duration(cost / (delayWeight * float64(j.Accelerators)) * float64(time.Second))
+	if j.Urgent {
+		fair /= urgentWeight
+	}
+	at := j.Submitted.Add(min(fair, s.policy.ReclaimAfter))
+	j.queue.grace = at
+	return !s.now.Before(at)
+}
+
 // findClaim returns the claim that evicts least.
 func (s *Scheduler) findClaim(j *job, k *queueKey, m shapeMatch) *claim {
 	var best *block
--- a/scheduler/index.go
+++ b/scheduler/index.go
@@ -6,6 +6,7 @@
 // and racks by their sum within zones. An update costs the same at any size; a
 // search visits only the workers that it takes.
 type index struct {
+	whole   *index // accelerators of all workers, for the sizes of units
 	val     []uint8
 	rackPos []int32
 	zonePos []int32
--- a/scheduler/job_state.go
+++ b/scheduler/job_state.go
@@ -14,7 +14,8 @@
 	failures  int
 	evictions int
 	notBefore time.Time
-	delayed   int // index in the heap of delayed jobs, or -1
+	planAfter time.Time // no reservation before
+	delayed   int       // index in the heap of delayed jobs, or -1
 	cancelled bool
 	cpuOn     *node  // set aside for it, if it needs no accelerators
 	seq       uint64 // order of submission
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -99,6 +99,9 @@
 		}()
 	}
 	if j.Evictable() {
+		if at := s.find(&s.steady, k); at != nil {
+			return at
+		}
 		return s.find(&s.open, k)
 	}
 	if at := s.find(&s.steady, k); at != nil {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -28,19 +28,38 @@
 	return x.placeAny(need)
 }
 
-// placeWorker returns the tightest worker, in the rack with least left.
+// rank orders places that fit: a tighter fit first, then the smaller zone and
+// rack, so that what only a large unit can hold finds it whole, then the unit
+// with least left.
+type rank struct{ fit, zone, rack, left int }
+
+func (a rank) less(b rank) bool {
+	switch {
+	case a.fit != b.fit:
+		return a.fit < b.fit
+	case false:
+		return a.rack < b.rack
+	case a.left != b.left:
+		return a.left < b.left
+	}
+	return a.zone < b.zone
+}
+
+// placeWorker returns the tightest worker.
 func (x *index) placeWorker(need int, nodes []*node) []piece {
-	best, bestVal, bestSum := nodeID(-1), 0, 0
-	for _, z := range x.zones {
+	best := nodeID(-1)
+	var at rank
+	for i, z := range x.zones {
 		v := z.atLeast(need)
-		if v == 0 || best >= 0 && v > bestVal {
+		if v == 0 {
 			continue
 		}
 		list := z.lists[v-1]
 		for _, n := range list[:min(len(list), candidates)] {
-			sum := x.racks[nodes[n].rack].sum
-			if best < 0 || v < bestVal || sum < bestSum {
-				best, bestVal, bestSum = n, v, sum
+			rack := nodes[n].rack
+			r := rank{v, x.whole.zones[i].sum, x.whole.racks[rack].sum, x.racks[rack].sum}
+			if best < 0 || r.less(at) {
+				best, at = n, r
 			}
 		}
 	}
@@ -50,13 +69,20 @@
 	return []piece{{node: best, n: need}}
 }
 
-// placeRack returns pieces in the rack of least sum that holds all.
+// placeRack returns pieces in the best rack of those with least left.
 func (x *index) placeRack(need int) []piece {
-	best, bestSum := int32(-1), 0
-	for _, z := range x.zones {
-		r, sum, ok := z.tightRack(need)
-		if ok && (best < 0 || sum < bestSum) {
-			best, bestSum = r, sum
+	best := int32(-1)
+	var at rank
+	for i, z := range x.zones {
+		seen := 0
+		for sum, ok := z.sums.NextSet(uint(need)); ok && seen < candidates; sum, ok = z.sums.NextSet(sum + 1) {
+			for _, id := range z.bySum[sum][:min(len(z.bySum[sum]), candidates)] {
+				seen++
+				r := rank{0, x.whole.zones[i].sum, x.whole.racks[id].sum, int(sum)}
+				if best < 0 || r.less(at) {
+					best, at = id, r
+				}
+			}
 		}
 	}
 	if best < 0 {
@@ -66,7 +92,7 @@
 	return out
 }
 
-// placeZone returns pieces in the zone of least sum that holds all, in as few
+// placeZone returns pieces in the best zone that holds all, in as few
 // racks as possible.
 func (x *index) placeZone(need int) []piece {
 	best := x.tightZone(need)
@@ -79,9 +105,11 @@
 
 func (x *index) tightZone(need int) *zonePool {
 	var best *zonePool
-	for _, z := range x.zones {
-		if z.sum >= need && (best == nil || z.sum < best.sum) {
-			best = z
+	var at rank
+	for i, z := range x.zones {
+		r := rank{zone: x.whole.zones[i].sum, left: z.sum}
+		if z.sum >= need && (best == nil || r.less(at)) {
+			best, at = z, r
 		}
 	}
 	return best
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -42,10 +42,16 @@
 
 	// MaxReservations bounds the gangs that hold a reservation at once.
 	MaxReservations int
+	// ReservedShare is the percentage of all accelerators that reservations may
+	// hold, besides the first one, which may be of any size.
+	ReservedShare int
 	// ReserveAfter is how long a job waits before it may hold a reservation.
 	ReserveAfter time.Duration
 	// AgeAfter is how long a job waits before it goes ahead of fair order.
 	AgeAfter time.Duration
+	// ReclaimAfter is how long a job that is smaller than its guaranteed block
+	// waits at most before it evicts. A job as large as the block evicts at once.
+	ReclaimAfter time.Duration
 	// MaxEvictions bounds the evictions in progress at once.
 	MaxEvictions int
 	// WorkerStrikes is how many different jobs in a row must fail on a worker
@@ -71,8 +77,10 @@
 // WithDefaults returns the policy with every zero tunable set.
 func (p Policy) WithDefaults() Policy {
 	p.MaxReservations = orInt(p.MaxReservations, 4)
+	p.ReservedShare = orInt(p.ReservedShare, 40)
 	p.ReserveAfter = orTime(p.ReserveAfter, time.Second)
 	p.AgeAfter = orTime(p.AgeAfter, 10*time.Minute)
+	p.ReclaimAfter = orTime(p.ReclaimAfter, 5*time.Minute)
 	p.MaxEvictions = orInt(p.MaxEvictions, 64)
 	p.WorkerStrikes = orInt(p.WorkerStrikes, 3)
 	p.JobStrikes = orInt(p.JobStrikes, 3)
--- /dev/null
+++ b/scheduler/preempt.go
@@ -0,0 +1,79 @@
+package scheduler
+
+import "time"
+
+const (
+	// preemptSize is how many times larger than a victim a gang must be to evict
+	// it without a guarantee. Above 1 it excludes cycles: a victim never evicts
+	// what evicted it.
+	preemptSize = 2
+	// preemptGain is how much larger than the loss the delay that is saved must
+	// be, in accelerator seconds.
+	preemptGain = 2.0
+	// preemptMost is how often one job may be evicted without a guarantee.
+	preemptMost = 2
+)
+
+// preemptible reports whether a gang may evict a run without a guarantee.
+func (s *Scheduler) preemptible(r *run, j *job) bool {
+	return !r.firm && r.state == runRunning && !r.job.Urgent &&
+		r.job.Accelerators*preemptSize <= j.Accelerators &&
+		r.job.Priority <= j.Priority && r.job.evictions < preemptMost
+}
+
+// preemptEnd is the time at which a run counts as ended when a gang plans its
+// place: its likely end, or earlier if evicting it costs less than waiting.
+func (s *Scheduler) preemptEnd(r *run, j *job, end time.Time) time.Time {
+	if !s.preemptible(r, j) {
+		return end
+	}
+	worth := preemptGain * s.evictionOf(r) / float64(j.Accelerators)
+	at := s.now.Add(time.Duration(worth * float64(time.Second)))
+	if at.Before(end) {
+		return at
+	}
+	return end
+}
+
+// preempt evicts the work on the place of a reservation if that completes it and
+// loses less than the wait that it saves.
+func (s *Scheduler) preempt(c *claim) {
+	victims, cost := s.preemptVictims(c)
+	if len(victims) == 0 {
+		return
+	}
+	saved := c.ready.Sub(s.now).Seconds() * float64(c.job.Accelerators)
+	if preemptGain*cost > saved || s.stopping+len(victims) > s.policy.MaxEvictions {
+		return
+	}
+	for _, r := range victims {
+		s.stopRun(r, StopReclaim, r.job.Checkpointable)
+	}
+	c.ready = s.now
+}
+
+// preemptVictims returns whom a reservation has to evict to be complete, or
+// nothing if evictions alone don't complete it.
+func (s *Scheduler) preemptVictims(c *claim) ([]*run, float64) {
+	var out []*run
+	total := 0.0
+	for _, p := range c.pieces {
+		n := s.nodes[p.node]
+		short := p.n - s.coming(n, out)
+		if short <= 0 {
+			continue
+		}
+		for _, r := range s.cheapest(n, out, short) {
+			if !s.preemptible(r, c.job) {
+				return nil, 0
+			}
+			short -= r.on(n.id)
+			out = append(out, r)
+			total += s.evictionOf(r)
+		}
+		if short > 0 {
+			return nil, 0
+		}
+	}
+	return out, total
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "time"
+
 // queueKey is what makes two waiting jobs of an account interchangeable for
 // placement: if one finds no place, neither does the other.
 type queueKey struct {
@@ -30,9 +32,12 @@
 	tail    *job
 	n       int
 
-	blocked uint64 // capacity generation at which no place was found
-	claimed uint64 // account generation at which no block had room
-	sized   uint64 // topology generation at which the size was found possible
+	blocked uint64    // capacity generation at which no place was found
+	claimed uint64    // account generation at which no block had room
+	grace   time.Time // when its head may evict, if it is smaller than a block
+	graceAt uint64    // capacity generation at which grace was set
+	graceIn uint64    // step in which grace was set
+	sized   uint64    // topology generation at which the size was found possible
 }
 
 // insert puts a job at its place by order of submission, searching from the
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -16,23 +16,36 @@
 	// planCost paces planning at large sizes: after a plan that looked at n ends
 	// of work, the next one waits n times this long.
 	planCost = 2 * time.Microsecond
+	// planEvery is the shortest time between two plans.
+	planEvery = 100 * time.Millisecond
 )
 
 // reserve gives jobs that have waited longest a reservation, so that smaller
 // jobs don't pass them for ever.
 func (s *Scheduler) reserve() {
-	have := 0
+	have, reserved := 0, 0
 	for _, c := range s.claims {
 		if !c.guaranteed() {
 			have++
+			reserved += c.job.Accelerators
 		}
 	}
 	s.replan()
-	if have >= s.policy.MaxReservations || s.now.Before(s.planAt) {
+	s.wantPlan = false
+	if have >= s.policy.MaxReservations || have > 0 && reserved*100 >= s.size.total()*s.policy.ReservedShare {
 		return
 	}
 	for _, j := range s.stuck(s.policy.MaxReservations - have) {
+		if s.now.Before(s.planAt) {
+			s.wantPlan = true
+			return
+		}
+		reserved += j.Accelerators
+		if have > 0 && reserved*100 > s.size.total()*s.policy.ReservedShare {
+			return
+		}
 		s.reserveFor(j)
+		have++
 	}
 }
 
@@ -42,7 +55,7 @@
 	for _, a := range s.accountList {
 		for _, q := range a.order {
 			j := s.claimHead(q)
-			if j == nil || j.claim != nil || j.cpuOn != nil || s.now.Sub(j.Submitted) < s.policy.ReserveAfter {
+			if j == nil || j.claim != nil || j.cpuOn != nil || !s.mayReserve(j) {
 				continue
 			}
 			out = append(out, j)
@@ -62,14 +75,29 @@
 	return out[:min(len(out), limit)]
 }
 
+// mayReserve reports whether a job has waited long enough for a reservation and
+// has not just failed to get one.
+func (s *Scheduler) mayReserve(j *job) bool {
+	return s.now.Sub(j.Submitted) >= s.policy.ReserveAfter && !s.now.Before(j.planAfter)
+}
+
 func (s *Scheduler) reserveFor(j *job) {
 	if j.Accelerators == 0 {
 		s.reserveCPU(j)
 		return
 	}
-	if at, ready := s.plan(j); at != nil {
-		s.addClaim(&claim{job: j, pieces: at, ready: ready})
+	at, ready := s.plan(j)
+	if at == nil {
+		j.planAfter = s.now.Add(replanAfter)
+		return
+	}
+	c := &claim{job: j, pieces: at, ready: ready}
+	s.addClaim(c)
+	if !j.Evictable() {
+		s.moveAway(at)
 	}
+	s.expect(c)
+	s.preempt(c)
 }
 
 // replan moves reservations whose time has passed, or that a better place has
@@ -91,12 +119,45 @@
 	before := s.grown
 	s.countClaim(c, -1)
 	at, ready := s.plan(c.job)
-	if at != nil && (s.now.After(c.ready) || ready.Before(c.ready)) {
+	if at != nil {
 		c.pieces, c.ready = at, ready
 	}
 	c.made = s.now
 	s.countClaim(c, 1)
 	s.grown = before + 1
+	s.expect(c)
+	s.preempt(c)
+}
+
+// expect sets when a reservation is likely to be complete without evictions.
+func (s *Scheduler) expect(c *claim) {
+	c.ready = s.now
+	for _, p := range c.pieces {
+		if t := s.readyAt(s.nodes[p.node], p.n); t.After(c.ready) {
+			c.ready = t
+		}
+	}
+}
+
+// readyAt is when a node is likely to have need accelerators without work.
+func (s *Scheduler) readyAt(n *node, need int) time.Time {
+	have := n.capacity() - n.held + n.leave - n.claim
+	var ends []ending
+	for _, r := range n.runs {
+		if k := r.on(n.id); k > 0 && (r.firm || r.state != runStopping) {
+			ends = append(ends, ending{s.endOf(r), n.id, k})
+		}
+	}
+	slices.SortStableFunc(ends, func(a, b ending) int { return a.at.Compare(b.at) })
+	at := s.now
+	for _, e := range ends {
+		if have >= need {
+			break
+		}
+		have += e.n
+		at = e.at
+	}
+	return at
 }
 
 // ending is accelerators of a node that become available at a time.
@@ -116,12 +177,12 @@
 		if n.capacity() == 0 || slices.Contains(j.failed, n.id) {
 			continue
 		}
-		ends := s.endings(n, j.Evictable())
+		ends := s.endings(n, j)
 		count += len(ends)
 		span := spanOf(n, k.span)
 		groups[span] = append(groups[span], ends...)
 	}
-	s.planAt = s.now.Add(time.Duration(count) * planCost)
+	s.planAt = s.now.Add(max(planEvery, time.Duration(count)*planCost))
 	var best []piece
 	var ready time.Time
 	bestSpan := int32(-1)
@@ -137,11 +198,11 @@
 
 // endings lists when accelerators of a node become available for a reservation.
 // Work that may not be evicted can't count on what is bound to guarantees.
-func (s *Scheduler) endings(n *node, evictable bool) []ending {
+func (s *Scheduler) endings(n *node, j *job) []ending {
+	evictable := j.Evictable()
 	have := n.capacity() - n.held + n.leave - n.claim - n.wait
-	limit := n.capacity() - n.bound
 	if !evictable {
-		have = min(have, n.slack()-n.wait)
+		have = min(have, n.movable()-n.wait)
 	}
 	out := []ending{{s.now, n.id, have}}
 	for _, r := range n.runs {
@@ -149,10 +210,10 @@
 		if k == 0 || !r.firm && r.state == runStopping {
 			continue
 		}
-		if !evictable && (len(r.shares) > 0 || !r.firm && limit <= 0) {
+		if !evictable && len(r.shares) > 0 {
 			continue
 		}
-		out = append(out, ending{s.endOf(r), n.id, k})
+		out = append(out, ending{s.preemptEnd(r, j, s.endOf(r)), n.id, k})
 	}
 	return out
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -46,12 +46,14 @@
 	packed      uint64 // grown when the last repacking failed
 	stopping    int    // evictions in progress
 	quarantined []*node
-	heads       []*queue // scratch
-	planAt      time.Time
+	heads       []*queue  // scratch
+	planAt      time.Time // no plan for a reservation before
+	wantPlan    bool      // a job waits for such a plan
 	learned     learner
 	sweep       bool
 	woken       time.Time // last WakeAt
 	starts      uint64
+	steps       uint64
 }
 
 type rackKey struct{ zone, rack string }
@@ -59,7 +61,7 @@
 // New returns a scheduler without workers, accounts or jobs. Jobs of an unknown
 // account are rejected, so PolicyChanged goes first.
 func New(o Options) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		now:      o.Start,
 		settled:  o.Start.Add(o.SettleFor),
 		policy:   Policy{}.WithDefaults(),
@@ -71,6 +73,10 @@
 		degraded: map[degradedKey]int{},
 		learned:  newLearner(),
 	}
+	for _, x := range s.indexes() {
+		x.whole = &s.size
+	}
+	return s
 }
 
 // Step applies an event and returns what is to be done, in order. Time never
@@ -81,6 +87,7 @@
 		s.now = now
 	}
 	s.actions = nil
+	s.steps++
 	s.apply(ev)
 	s.decide()
 	return s.actions
--- a/scheduler/topology.go
+++ b/scheduler/topology.go
@@ -12,8 +12,8 @@
 
 // refresh brings the indexes up to date with a node.
 func (s *Scheduler) refresh(n *node) {
-	slack, open := n.slack(), n.open()
-	steady := min(open, slack)
+	slack, open := n.bindable(), n.open()
+	steady := min(open, n.slack())
 	if open > int(s.open.val[n.id]) || steady > int(s.steady.val[n.id]) {
 		s.grown++
 	}
--- /dev/null
+++ b/scheduler/workload_test.go
@@ -0,0 +1,166 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// site is a topology with the accounts that share it.
+type site struct {
+	name     string
+	workers  []Worker
+	accounts []AccountPolicy
+	largest  int // size of the largest gangs
+	horizon  time.Duration
+	cpuJobs  float64 // share of jobs without accelerators
+}
+
+// threeToARack is the site of today's two services: 11 workers of 8.
+func threeToARack(name string, zones []string, cores, mem int) site {
+	var ws []Worker
+	for i := range 11 {
+		ws = append(ws, Worker{
+			ID: WorkerID(fmt.Sprintf("w%02d", i)), Zone: zones[i/3%3], Rack: fmt.Sprint("r", i/3),
+			Accelerators: 8, Cores: cores, MemoryMB: mem,
+		})
+	}
+	return site{name: name, workers: ws, horizon: 24 * time.Hour, largest: 32,
+		accounts: []AccountPolicy{
+			{ID: "a0", Weight: 2, Guaranteed: []Shape{{16, AdjacentRack, 1}, {8, AdjacentWorker, 1}}},
+			{ID: "a1", Weight: 2, Guaranteed: []Shape{{8, AdjacentWorker, 2}}},
+			{ID: "a2", Weight: 1, Guaranteed: []Shape{{2, AdjacentWorker, 1}}},
+			{ID: "a3", Weight: 1},
+		}}
+}
+
+func tidewater() site {
+	return threeToARack("Tidewater", []string{"wharf", "airside", "east"}, 32, 64_000)
+}
+
+func peachline() site {
+	return threeToARack("Peachline", []string{"macon", "augusta", "valdosta"}, 128, 256_000)
+}
+
+// twoYears is 17,000 workers with 42,000 accelerators and 94 accounts.
+func twoYears() site {
+	s := site{name: "17,000 workers", horizon: 40 * time.Minute, largest: 256, cpuJobs: 0.3}
+	for i := range 17_000 {
+		acc := 0
+		switch rack := i / 20; {
+		case rack%17 >= 14:
+			acc = 8
+		case rack%17 >= 11:
+			acc = 4
+		case rack%17 >= 8:
+			acc = 2
+		}
+		s.workers = append(s.workers, Worker{
+			ID: WorkerID(fmt.Sprintf("w%05d", i)), Zone: fmt.Sprint("z", i/5667), Rack: fmt.Sprint("r", i/20),
+			Accelerators: acc, Cores: 64, MemoryMB: 256_000,
+		})
+	}
+	for i := range 94 {
+		a := AccountPolicy{ID: AccountID(fmt.Sprint("a", i)), Weight: 1 + i%4}
+		if i%3 == 0 {
+			a.Guaranteed = []Shape{{8, AdjacentWorker, 8}, {64, AdjacentRack, 1}, {128, AdjacentZone, 1}}
+		}
+		s.accounts = append(s.accounts, a)
+	}
+	return s
+}
+
+// workload draws jobs of the brief's kind at an offered load, given as a part of
+// the accelerators: heavy-tailed sizes and run times, declared run times wrong
+// by up to 10 times either way, bursts of small and of large jobs, waves of
+// cancellations, and jobs that can never run.
+func (s site) workload(load float64, seed uint64) []work {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	total := 0
+	for _, w := range s.workers {
+		total += w.Accelerators
+	}
+	budget := load * float64(total) * s.horizon.Seconds()
+	var out []work
+	for used := 0.0; used < budget; {
+		at := time.Duration(rng.Float64() * float64(s.horizon))
+		batch := 1
+		if rng.IntN(50) == 0 {
+			batch = 2 + rng.IntN(max(12, total/150))
+		}
+		first := s.draw(rng, at)
+		if batch > 1 && first.Accelerators > gangSize {
+			batch = min(batch, 3)
+		}
+		cancelled := batch > 1 && rng.IntN(3) == 0
+		for range batch {
+			w := first
+			w.ID = JobID(fmt.Sprint("j", len(out)))
+			w.run = runTime(rng, w.Accelerators)
+			w.Estimate = time.Duration(float64(w.run) * math.Pow(10, 2*rng.Float64()-1))
+			if cancelled && rng.IntN(2) == 0 {
+				w.cancel = at + time.Duration(rng.IntN(60))*time.Second
+			}
+			out = append(out, w)
+			if w.Accelerators <= total {
+				used += float64(w.Accelerators) * w.run.Seconds()
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b work) int { return int(a.at - b.at) })
+	return out
+}
+
+func (s site) draw(rng *rand.Rand, at time.Duration) work {
+	size := s.size(rng)
+	a := s.accounts[min(rng.IntN(len(s.accounts)), rng.IntN(len(s.accounts)))]
+	j := Job{
+		Account: a.ID, Accelerators: size, Cores: 2, MemoryMB: 4000,
+		Urgent: size <= 2 && rng.IntN(10) == 0, Repeatable: rng.IntN(10) < 7, Checkpointable: rng.IntN(10) < 4,
+		Class: fmt.Sprint("size", size), Adjacency: Adjacency(1 + rng.IntN(3)),
+	}
+	if rng.Float64() < s.cpuJobs {
+		j.Accelerators, j.Class = 0, "cpu"
+	}
+	switch {
+	case size > 64:
+		j.Adjacency = Adjacency(rng.IntN(2))
+	case size > 24 && len(s.workers) < 100:
+		// Only one of the three zones could hold it, and its own queue would
+		// hide everything else.
+		j.Adjacency = AdjacentAny
+	case size > 24:
+		j.Adjacency = AdjacentZone
+	case size > 8:
+		j.Adjacency = []Adjacency{AdjacentRack, AdjacentZone}[rng.IntN(2)]
+	}
+	if rng.IntN(200) == 0 {
+		j.Accelerators, j.Adjacency = 100_000, AdjacentAny
+	}
+	return work{Job: j, at: at}
+}
+
+// size draws powers of 2, each half as frequent as the one before, so that every
+// size asks for about as many accelerators in all. Half of the gangs of 32 ask
+// for 24, which is a whole rack of today's sites.
+func (s site) size(rng *rand.Rand) int {
+	size := 1
+	for size < s.largest && rng.IntN(2) == 0 {
+		size *= 2
+	}
+	if size == 32 && rng.IntN(2) == 0 {
+		return 24
+	}
+	return size
+}
+
+// runTime is log-normal, longer for larger jobs.
+func runTime(rng *rand.Rand, size int) time.Duration {
+	median := 60.0
+	if size >= gangSize {
+		median = 240
+	}
+	return time.Duration(min(7200, median*math.Exp(rng.NormFloat64())) * float64(time.Second))
+}
