--- /dev/null
+++ b/internal/capacity/agent_test.go
@@ -0,0 +1,129 @@
+package capacity
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/agent"
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/entry"
+)
+
+// relay passes on datagrams and counts them with their headers. Its flows end
+// with the test.
+type relay struct {
+	bytes  atomic.Int64
+	socket *net.UDPConn
+	to     *net.UDPAddr
+	flows  map[string]*net.UDPConn
+}
+
+func newRelay(c *qt.C, upstream string) *relay {
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	c.Assert(err, qt.IsNil)
+	to, err := net.ResolveUDPAddr("udp", upstream)
+	c.Assert(err, qt.IsNil)
+	r := &relay{socket: socket, to: to, flows: make(map[string]*net.UDPConn)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.run()
+	}()
+	c.Cleanup(func() {
+		_ = socket.Close()
+		<-done
+		for _, up := range r.flows {
+			_ = up.Close()
+		}
+	})
+	return r
+}
+
+func (r *relay) run() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := r.socket.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		up := r.flows[from.String()]
+		if up == nil {
+			if up, err = net.DialUDP("udp", nil, r.to); err != nil {
+				return
+			}
+			r.flows[from.String()] = up
+			go r.back(up, from)
+		}
+		r.bytes.Add(int64(n + headerBytes))
+		_, _ = up.Write(buf[:n])
+	}
+}
+
+func (r *relay) back(up *net.UDPConn, to *net.UDPAddr) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := up.Read(buf)
+		if err != nil {
+			return
+		}
+		r.bytes.Add(int64(n + headerBytes))
+		_, _ = r.socket.WriteToUDP(buf[:n], to)
+	}
+}
+
+// TestMeasureAgent gives what a real agent costs: idle, with 8 running tasks of
+// one member, and as a member of a gang of 16.
+func TestMeasureAgent(t *testing.T) {
+	needMeasure(t)
+	for _, every := range []time.Duration{time.Second, 5 * time.Second} {
+		t.Run(fmt.Sprint("every=", every), func(t *testing.T) { measureAgent(qt.New(t), every) })
+	}
+}
+
+func measureAgent(c *qt.C, every time.Duration) {
+	names := services(1)
+	s := newSite(c, names...)
+	cfg := s.entry("entry-1", every)
+	cfg.QUICListen = freeAddr(c)
+	r := newRelay(c, cfg.QUICListen)
+	cfg.Advertise = r.socket.LocalAddr().String()
+	e, err := entry.Start(cfg, quiet())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(e.Close)
+	other, err := agent.Start(s.worker("worker-2", names[0], cfg.Advertise, every), quiet())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(other.Close)
+	p := startProcess(c, agentEnv, s.worker("worker-1", names[0], cfg.Advertise, every))
+	eventually(c, "both known", func() bool { known, inForce := s.alive(e.HTTPAddr(), 1); return known == 2 && inForce == 2 })
+	client := api.NewClient("http://"+e.HTTPAddr(), nil)
+	watch := func(what string) {
+		time.Sleep(2 * settle)
+		const span = 10 * time.Second
+		bytes, before := r.bytes.Load(), p.usage()
+		time.Sleep(span)
+		bytes, after := r.bytes.Load()-bytes, p.usage()
+		c.Logf("agent, report every %v, %s: processor %.2f%% of a core, heap %d KB stacks %d KB resident %d KB goroutines %d, %.0f B/s both ways | load %s",
+			every, what, 100*after.Since(before).Seconds()/span.Seconds(), after.Heap>>10, after.Stacks>>10, after.Resident>>10, after.Goroutines, float64(bytes)/2/span.Seconds(), loadAverage())
+	}
+	watch("idle")
+	s.job(client, names[0], "gang", 16, 18*time.Second)
+	watch("one of two members of a gang of 16 runs")
+	time.Sleep(6 * time.Second)
+	for i := range 16 {
+		s.job(client, names[0], fmt.Sprint("small-", i), 1, time.Minute)
+	}
+	watch("8 tasks of one member run")
+}
+
+// freeAddr is an address that was free a moment ago.
+func freeAddr(c *qt.C) string {
+	l, err := net.ListenPacket("udp", loopback)
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.LocalAddr().String()
+}
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -28,7 +28,7 @@
 	known atomic.Uint64
 
 	mu      sync.Mutex
-	agents  []*standin
+	agents  []*standinAgent
 	reached map[uint64][]time.Time // when a generation came in force, by agent
 }
 
--- /dev/null
+++ b/internal/capacity/planner_test.go
@@ -0,0 +1,148 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/clock"
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
+	"github.com/eelgrasshub/eelgrasshub/planner"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+var errNoAgent = errors.New("no such agent")
+
+// gangAgents are the gang members of many workers, whose tasks run until the
+// end of the measurement.
+type gangAgents struct {
+	mu      sync.Mutex
+	members map[string]*gang.Member
+}
+
+func newGangAgents(n int) *gangAgents {
+	g := &gangAgents{members: make(map[string]*gang.Member)}
+	for i := range n {
+		m := gang.NewMember(gang.MemberConfig{Accelerators: 8, Incarnation: 1, Isolation: time.Hour})
+		m.Step(clock.Now(), gang.Adopted{})
+		g.members[fmt.Sprintf("agent-%05d", i)] = m
+	}
+	return g
+}
+
+// Gang implements planner.Agents.
+func (g *gangAgents) Gang(_ context.Context, agent string, msg gang.Message) (gang.Reply, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[agent]
+	if m == nil {
+		return gang.Reply{}, errNoAgent
+	}
+	var reply gang.Reply
+	for _, a := range m.Step(clock.Now(), gang.Received{From: "planner", Message: msg}) {
+		if a, ok := a.(gang.SendReply); ok {
+			reply = a.Reply
+		}
+	}
+	return reply, nil
+}
+
+func (g *gangAgents) report(p *planner.Planner) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, m := range g.members {
+		p.Observe(planner.Seen{
+			Worker:      scheduler.Worker{ID: scheduler.WorkerID(name), Zone: "z", Rack: "r", Accelerators: 8, Cores: 64, MemoryMB: 256_000},
+			Incarnation: 1, Fence: m.Fence(), Stamp: m.Stamp(), Tasks: m.Tasks(), At: clock.Now(),
+		})
+	}
+}
+
+type noRetention struct{}
+
+func (noRetention) Current(context.Context) (platform.LeaseID, error) { return 0, nil }
+func (noRetention) Drop(platform.LeaseID)                             {}
+
+// TestMeasureTakeover gives the time in which a successor has all jobs of its
+// predecessor, and what the planner costs when nothing changes.
+func TestMeasureTakeover(t *testing.T) {
+	needMeasure(t)
+	for _, n := range []int{100, 1000, 5000} {
+		t.Run(fmt.Sprintf("jobs=%d", n), func(t *testing.T) { measureTakeover(qt.New(t), n) })
+	}
+}
+
+func measureTakeover(c *qt.C, n int) {
+	s := newSite(c)
+	swaps := platform.NewBatcher(s.client, 0)
+	c.Cleanup(swaps.Close)
+	store := jobs.NewStore(region, s.client, swaps)
+	doc, err := document.Parse("service", documentText("service", 4))
+	c.Assert(err, qt.IsNil)
+	agents := newGangAgents(n/8 + 20)
+	start := func(epoch uint64) *planner.Planner {
+		return planner.Start(planner.Config{
+			Service: "service", Epoch: epoch, Store: s.client, Jobs: store, Agents: agents, Metrics: metrics.New(0), Log: quiet(),
+			Document: &document.Held{Document: doc, Version: document.Version{Service: "service", Generation: 1}}, Retention: noRetention{},
+		})
+	}
+	running := func(p *planner.Planner) bool {
+		total := 0
+		for _, a := range p.Stats().Accounts {
+			total += a.Running
+		}
+		return total == n
+	}
+	first := start(1)
+	agents.report(first)
+	accept := func(i int) {
+		_, err := store.Accept(context.Background(), jobs.Record{ID: fmt.Sprintf("job-%06d", i), Service: "service", Submitted: time.Now(),
+			Spec: jobs.Spec{Account: fmt.Sprint("account-", i%4), Class: "long", Accelerators: 1, Adjacency: "any", Repeatable: true, Payload: []byte(`{"command":"score","input":"a line of about fifty bytes of payload"}`)}})
+		c.Check(err, qt.IsNil)
+	}
+	calls, began := s.calls.Calls(), time.Now()
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { accept(i) })
+	}
+	wg.Wait()
+	accepted := time.Since(began)
+	eventually(c, "all jobs run", func() bool { agents.report(first); time.Sleep(100 * time.Millisecond); return running(first) })
+	c.Logf("%d jobs: accepted in %v, all running after %v, calls a job %s | load %s", n, accepted.Round(time.Millisecond), time.Since(began).Round(time.Millisecond), grown(s.calls.Calls(), calls, float64(n)), loadAverage())
+	first.Stop()
+	last := fmt.Sprintf("job-%06d", n-1)
+	for epoch := uint64(2); epoch < 5; epoch++ {
+		calls, used := s.calls.Calls(), ReadUsage()
+		began := time.Now()
+		p := start(epoch)
+		agents.report(p)
+		listed := eventually(c, "listed", func() bool { _, ok := p.Status(context.Background(), last); return ok })
+		eventually(c, "all jobs run", func() bool { return running(p) })
+		resumed := time.Since(began)
+		after := ReadUsage()
+		calls2, idle := s.calls.Calls(), ReadUsage()
+		time.Sleep(4 * time.Second)
+		rest := ReadUsage().Since(idle)
+		c.Logf("%d jobs: takeover: records listed and taken in after %v, all known to the scheduler (as published every 250 ms) after %v, processor %v (store stand-in included), heap grown %d KB; at rest %.2f%% of a core; calls %s, at rest %s a second | load %s",
+			n, listed.Round(time.Millisecond), resumed.Round(time.Millisecond), after.Since(used).Round(time.Millisecond), (int64(after.Heap)-int64(used.Heap))>>10, 100*rest.Seconds()/4,
+			grown(calls2, calls, 1), grown(s.calls.Calls(), calls2, 4), loadAverage())
+		idle = ReadUsage()
+		const rounds = 20
+		for range rounds {
+			agents.report(p)
+			p.Status(context.Background(), last) // all before it are done then
+		}
+		observed := ReadUsage().Since(idle)
+		c.Logf("%d jobs: a report of 8 tasks costs the planner %.1f us", n, float64(observed.Microseconds())/rounds/float64(len(agents.members)))
+		p.Stop()
+	}
+}
--- a/internal/capacity/standin.go
+++ b/internal/capacity/standin.go
@@ -21,10 +21,10 @@
 	reportCoalesce = 20 * time.Millisecond
 )
 
-// standin is a stand-in of an agent: the transport, the reporter and the documents
+// standinAgent is a stand-in of an agent: the transport, the reporter and the documents
 // are the real ones, quick requests and gangs are left out. It reports to one
 // entry.
-type standin struct {
+type standinAgent struct {
 	fleet *Fleet
 	tomb  tomb.Tomb
 	ep    *wire.Endpoint
@@ -38,8 +38,8 @@
 	admitted bool
 }
 
-func startStandin(f *Fleet, id string, service string) (*standin, error) {
-	a := &standin{fleet: f, kick: make(chan struct{}, 1)}
+func startStandin(f *Fleet, id string, service string) (*standinAgent, error) {
+	a := &standinAgent{fleet: f, kick: make(chan struct{}, 1)}
 	a.docs = document.NewInForce(a.documentChanged)
 	peer := wire.Peer{ID: id, Role: wire.RoleAgent, Incarnation: uint64(time.Now().UnixNano()), Region: region, Zone: "z1", Version: wire.Version}
 	identity, err := wire.NewIdentity(peer, []byte(clusterKey))
@@ -60,7 +60,7 @@
 	return a, nil
 }
 
-func (a *standin) handle(_ context.Context, _ *wire.Conn, msg any) (any, error) {
+func (a *standinAgent) handle(_ context.Context, _ *wire.Conn, msg any) (any, error) {
 	m, ok := msg.(*wire.Publish)
 	if !ok {
 		return nil, errNotHandled
@@ -71,7 +71,7 @@
 	return &wire.PublishAck{Generations: a.docs.Generations()}, nil
 }
 
-func (a *standin) documentChanged(_, now *document.Held) {
+func (a *standinAgent) documentChanged(_, now *document.Held) {
 	a.fleet.inForce(now.Version.Generation)
 	a.set(func(s *wire.AgentReport) {
 		s.Generations = []wire.Generation{now.Version.Summary()}
@@ -82,14 +82,14 @@
 	}
 }
 
-func (a *standin) set(change func(*wire.AgentReport)) {
+func (a *standinAgent) set(change func(*wire.AgentReport)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	change(&a.state)
 	a.reporter.Set(time.Now(), a.state)
 }
 
-func (a *standin) loop() error {
+func (a *standinAgent) loop() error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -108,14 +108,14 @@
 	}
 }
 
-func (a *standin) untilDue() time.Duration {
+func (a *standinAgent) untilDue() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	return a.reporter.Due(now, a.fleet.entry).Sub(now)
 }
 
-func (a *standin) report() {
+func (a *standinAgent) report() {
 	if a.fleet.loads {
 		a.set(func(s *wire.AgentReport) { s.Load.Queued++ })
 	}
@@ -143,7 +143,7 @@
 	a.reporter.Acked(time.Now(), a.fleet.entry, msg.Sequence, ack)
 }
 
-func (a *standin) stop() {
+func (a *standinAgent) stop() {
 	a.tomb.Kill(nil)
 	a.pool.Close()
 	_ = a.ep.Close()
--- /dev/null
+++ b/internal/capacity/store_test.go
@@ -0,0 +1,171 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/agent"
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/document/schema"
+	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+)
+
+// TestMeasureIdleStore counts the calls of a region in which nothing happens,
+// and those of a change of a document.
+func TestMeasureIdleStore(t *testing.T) {
+	needMeasure(t)
+	for _, entries := range []int{1, 2, 4} {
+		for _, n := range []int{1, 10, 94} {
+			t.Run(fmt.Sprintf("entries=%d/services=%d", entries, n), func(t *testing.T) {
+				measureIdleStore(qt.New(t), entries, n)
+			})
+		}
+	}
+}
+
+func measureIdleStore(c *qt.C, entries, n int) {
+	const span = 10 * time.Second
+	names := services(n)
+	s := newSite(c, names...)
+	began := s.calls.Calls()
+	used := ReadUsage()
+	for i := range entries {
+		e, err := entry.Start(s.entry(fmt.Sprint("entry-", i), time.Second), quiet())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(e.Close)
+	}
+	time.Sleep(5 * time.Second)
+	settled := s.calls.Calls()
+	before := ReadUsage()
+	time.Sleep(span)
+	after := ReadUsage()
+	idle := s.calls.Calls()
+	c.Logf("%d entries, %d services: to begin with %s; then a second %s; processor %.2f%% of a core with the stand-in, heap %d KB | load %s",
+		entries, n, grown(settled, began, 1), grown(idle, settled, span.Seconds()), 100*after.Since(before).Seconds()/span.Seconds(), (int64(after.Heap)-int64(used.Heap))>>10, loadAverage())
+	for generation := range uint64(10) {
+		s.put(names[0], generation+1)
+	}
+	time.Sleep(200 * time.Millisecond)
+	c.Logf("%d entries, %d services: a change of a document %s, its watches included", entries, n, grown(s.calls.Calls(), idle, 10))
+}
+
+// worker is a target stand-in and the settings of the agent beside it.
+func (s *site) worker(id, service, seed string, every time.Duration) settings.Agent {
+	target := standin.New(standin.Options{Name: id, Accelerators: 8, Work: time.Millisecond})
+	server := httptest.NewServer(target)
+	s.Cleanup(func() {
+		target.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return settings.Agent{
+		ID: id, Service: service, Region: region, Zone: "z1", Rack: "r1", Listen: loopback, Seeds: []string{seed}, ClusterKey: clusterKey,
+		Target: server.URL, Accelerators: 8, Slots: 8, Connections: 64, Cores: 32, MemoryMB: 65536,
+		ReportEvery: schema.Duration{Duration: every}, StopGrace: schema.Duration{Duration: time.Minute},
+	}
+}
+
+// running starts an entry with 8 agents.
+func running(c *qt.C) (*site, *entry.Entry, *api.Client, string) {
+	names := services(1)
+	s := newSite(c, names...)
+	e, err := entry.Start(s.entry("entry-1", time.Second), quiet())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(e.Close)
+	for i := range 8 {
+		a, err := agent.Start(s.worker(fmt.Sprint("worker-", i), names[0], e.QUICAddr(), time.Second), quiet())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(a.Close)
+	}
+	eventually(c, "ready", func() bool { known, inForce := s.alive(e.HTTPAddr(), 1); return known == 8 && inForce == 8 })
+	transport := &http.Transport{MaxIdleConnsPerHost: 200}
+	c.Cleanup(transport.CloseIdleConnections)
+	client := api.NewClient("http://"+e.HTTPAddr(), transport)
+	eventually(c, "ready", func() bool { return client.Ready(context.Background()) == nil })
+	return s, e, client, names[0]
+}
+
+// TestMeasureKeyedRequests counts the calls of requests with an idempotency key
+// that must not run twice.
+func TestMeasureKeyedRequests(t *testing.T) {
+	s, _, client, service := running(needMeasure(t))
+	c := s.C
+	for _, rate := range []int{10, 100, 1000} {
+		const span = 5 * time.Second
+		before, began := s.calls.Calls(), time.Now()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		done, why := 0, make(map[string]int)
+		ticker := time.NewTicker(time.Second / time.Duration(rate))
+		for i := range rate * int(span.Seconds()) {
+			<-ticker.C
+			wg.Go(func() {
+				a, err := client.Request(context.Background(), api.QuickRequest{
+					Service: service, Path: "x",
+					Call: api.Call{Account: "account-1", Class: "booking", IdempotencyKey: fmt.Sprintf("%d-%d", rate, i)},
+				})
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err != nil:
+					why[err.Error()]++
+				case a.Outcome == api.OutcomeDone:
+					done++
+				case a.Problem != nil:
+					why[a.Problem.Error()]++
+				}
+			})
+		}
+		wg.Wait()
+		ticker.Stop()
+		c.Logf("%d keyed requests a second: %d of %d done; calls a request %s, seconds %.1f | others %v | load %s",
+			rate, done, rate*int(span.Seconds()), grown(s.calls.Calls(), before, float64(rate)*span.Seconds()), time.Since(began).Seconds(), why, loadAverage())
+	}
+}
+
+// TestMeasureJobs counts the calls of jobs from acceptance to end.
+func TestMeasureJobs(t *testing.T) {
+	s, e, client, service := running(needMeasure(t))
+	c := s.C
+	for _, n := range []int{8, 64} {
+		before := s.calls.Calls()
+		var wg sync.WaitGroup
+		for i := range n {
+			wg.Go(func() { s.job(client, service, fmt.Sprintf("job-%d-%d", n, i), 1, time.Second) })
+		}
+		wg.Wait()
+		time.Sleep(settle) // longer than the jobs run
+		eventually(c, "jobs end", func() bool {
+			p, ok := e.Stats(service)
+			running := 0
+			for _, a := range p.Accounts {
+				running += a.Running
+				for _, w := range a.Waiting {
+					running += w
+				}
+			}
+			return ok && running == 0
+		})
+		time.Sleep(500 * time.Millisecond)
+		c.Logf("%d jobs at once: calls a job, idle ones of the region included, %s | load %s", n, grown(s.calls.Calls(), before, float64(n)), loadAverage())
+	}
+}
+
+func (s *site) job(client *api.Client, service, key string, accelerators int, run time.Duration) {
+	payload, err := json.Marshal(standin.TaskPayload{Tag: key, RunMS: run.Milliseconds()})
+	s.Check(err, qt.IsNil)
+	_, err = client.Submit(context.Background(), service, api.JobRequest{
+		Account: "account-1", Class: "long", Accelerators: accelerators, Payload: payload,
+	}, key)
+	s.Check(err, qt.IsNil)
+}
