routing: a refusal by a draining target refunds its retry

Cause: a planned stop while another fault has used the retry budget up would answer requests with not run, though other targets could serve them. The refund can't multiply load: the target gets nothing more.

--- a/routing/done.go
+++ b/routing/done.go
@@ -15,8 +15,11 @@
 	if o.hasLoad() {
 		e.observe(at, o.Load)
 	}
-	if o.Kind == Answered {
+	switch {
+	case o.Kind == Answered:
 		t.account.returns.served(at)
+	case o.Kind == Refused && o.Load.Draining:
+		r.refund(t.account)
 	}
 	r.judge(e, at, t, o, busy)
 	if t.Trial {
--- a/routing/router.go
+++ b/routing/router.go
@@ -102,6 +102,14 @@
 	return false
 }
 
+// refund pays for the attempt that follows a refusal by a draining target. A
+// planned stop would otherwise use up the budget, and then fail requests that
+// others could serve. It can't multiply load: the target gets nothing more.
+func (r *Router) refund(a *account) {
+	a.retries.refund()
+	r.retries.refund()
+}
+
 func (r *Router) earn(a *account) {
 	a.retries.earn(r.options.AccountRetryShare, r.options.RetryBurst)
 	r.retries.earn(r.options.RetryShare, r.options.RetryBurst)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -143,6 +143,24 @@
 	qt.Assert(t, retries <= routing.DefaultRetryBurst+100, qt.IsTrue, qt.Commentf("%d", retries))
 }
 
+// A worker is stopped as planned while another fails and has used the retry
+// budget up. Requests that reach the stopping one too late have not run; each
+// must still be allowed its attempt elsewhere.
+func TestPlannedStopNeedsNoRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	r := newRouter("a", "b")
+	for r.Retry(at(0), "") {
+	}
+	for range 5 {
+		ticket, _ := r.Pick(at(0), routing.Query{Attempt: 1, Exclude: []routing.TargetID{"b"}})
+		defer func() {
+			r.Done(at(1), ticket, routing.Outcome{Kind: routing.Refused, Load: routing.Load{Draining: true}})
+			c.Assert(r.Retry(at(1), ""), qt.IsTrue)
+			c.Assert(r.Retry(at(1), ""), qt.IsFalse)
+		}()
+	}
+}
+
 // One worker fails all that it starts, within a millisecond. It looks idle, so
 // every client would get its errors.
 func TestFastFailingTargetIsEjected(t *testing.T) {
