attempts, agent: two deliveries at once no longer forbid each other

The question about the first delivery's attempt reached the agent before the attempt and forbade it; the first delivery did the same to the second; and who found the claim removed by the other answered 'may have run'.

Now an agent gives an attempt that is asked about 50 ms to arrive before it forbids it, and a claim that is gone after the proof counts as released: claims go only after such a proof, or by age, which is excluded.

Ruled out: not forbidding at all, for then NotRun would be no proof.

--- a/agent/quick.go
+++ b/agent/quick.go
@@ -29,6 +29,13 @@
 // and its answer is wanted by a retry under the same key.
 const finishGrace = 30 * time.Second
 
+// arrivalWait is how long a question about an attempt waits for it to arrive,
+// arrivalPoll how often it looks.
+const (
+	arrivalWait = 50 * time.Millisecond
+	arrivalPoll = 2 * time.Millisecond
+)
+
 // noDeadline bounds a request that came without a deadline.
 const noDeadline = 10 * time.Minute
 
@@ -281,6 +288,7 @@
 	if err != nil {
 		return &wire.ResolveReply{State: wire.AttemptUnknown}
 	}
+	q.awaitArrival(ctx, id, min(wait, arrivalWait))
 	q.mu.Lock()
 	done := q.running[id]
 	q.mu.Unlock()
@@ -290,6 +298,26 @@
 	return q.resolve(id)
 }
 
+// awaitArrival gives an attempt that is on its way the time to arrive. Without
+// it, two deliveries of one request through two entries at once forbid each
+// other's attempt: the question about the first overtakes the first, and both
+// callers hear that nothing ran.
+func (q *quick) awaitArrival(ctx context.Context, id attempts.ID, wait time.Duration) {
+	for until := q.now().Add(wait); !q.known(id) && q.now().Before(until); {
+		select {
+		case <-time.After(arrivalPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (q *quick) known(id attempts.ID) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Known(id)
+}
+
 func awaitEnd(ctx context.Context, done <-chan struct{}, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/attempts/request_claim.go
+++ b/attempts/request_claim.go
@@ -68,7 +68,10 @@
 // claimReleased follows the removal of a claim whose attempt was proved not run.
 func (r *Request) claimReleased(ev Claimed) {
 	switch ev.Result {
-	case ClaimWritten:
+	case ClaimWritten, ClaimGone:
+		// A claim goes only after the proof that its attempt did not run, or by
+		// its age, which stale excludes. So where there is none left, because
+		// another delivery had the same proof and was faster, nothing has run.
 		if r.stale() {
 			r.unknown(r.reason)
 			return
@@ -76,8 +79,6 @@
 		r.notRun(r.reason)
 	case ClaimConflict:
 		r.follow(ev.Claim)
-	case ClaimGone:
-		r.unknown(ReasonForgotten)
 	case ClaimUnavailable:
 		r.unknown(ReasonStore)
 	}
--- a/attempts/stories_test.go
+++ b/attempts/stories_test.go
@@ -188,3 +188,19 @@
 		table.Finish(id(n), nil)
 	}
 }
+
+// Two entries deliver one request at the same moment. Each one's question about
+// the other's attempt overtakes it, so both attempts are forbidden, and both
+// deliveries remove the claim. The caller heard "may have run" from the slower
+// one, although both attempts were proved not to have run.
+func TestClaimGoneAfterProofIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	own := Claim{ID: ID{Issued: now.UnixNano(), Entry: 1, Sequence: 1, Incarnation: 7}, Agent: "a"}
+	r := NewRequest(RequestConfig{Keyed: true, Deadline: now.Add(time.Second), Poll: time.Second, MaxAge: time.Minute}, own)
+	r.Step(now, Go{})
+	r.Step(now, Claimed{Result: ClaimWritten})
+	r.Step(now, Begun{ID: own.ID, Verdict: Refused})
+	actions := r.Step(now, Claimed{Result: ClaimGone})
+	c.Assert(actions[0].(Finished).Outcome, qt.Equals, NotRun)
+}
