gang: stories for two guards that the worlds don't exercise

Not caught by the worlds, and so each with a story that fails without it: age of reports (Stamp), answers before a successor starts, the successor's wait, silence after a higher epoch, the floor, refusal before adoption. The tombstone for an attempt that was never seen is caught by the stories of takeover only.

--- a/gang/stories_test.go
+++ b/gang/stories_test.go
@@ -321,3 +321,39 @@
 	c.Assert(cl.members["b"].Free(), qt.HasLen, 2)
 	c.Assert(cl.members["a"].Tasks()[0].State, qt.Equals, StateStopping)
 }
+
+// A planner wakes from a pause and finds reports from before it in its queue. If
+// it took them for news it would renew a member whose gang has ended meanwhile.
+func TestQueuedReportIsNoNews(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster("a")
+	co := New(testConfig(1), testPlan("a"))
+	cl.step(co, t0, Begin{})
+	cl.step(co, t0, Recorded{RecordWritten})
+	woken := t0.Add(time.Minute)
+	for sent, whole := range map[time.Time]bool{t0: false, woken: true} {
+		r := Reported{From: "a", Incarnation: 1, Fence: 1, Tasks: cl.members["a"].Tasks()}
+		r.Stamp = NewStamp(1, sent)
+		again := *co
+		again.peers = []*peer{{}}
+		*again.peers[0] = *co.peers[0]
+		again.Step(woken, r)
+		c.Assert(again.Whole(woken), qt.Equals, whole)
+	}
+}
+
+// A successor reads in reports that all members have committed. They still obey
+// its predecessor, which could give up the attempt on one of them while the
+// successor starts the others.
+func TestReportsDoNotReplaceSeals(t *testing.T) {
+	c := qt.New(t)
+	co := Resume(testConfig(2), testPlan("a", "b"))
+	co.Step(t0, Begin{})
+	for _, a := range []string{"a", "b"} {
+		task := Task{ID: attempt1, State: StateCommitted, Committed: true, Members: 2}
+		for _, act := range co.Step(t0, Reported{From: a, Incarnation: 1, Fence: 1, Tasks: []Task{task}}) {
+			send, ok := act.(Send)
+			c.Assert(ok && send.Message == Message(Start{co.header(co.peer(send.To))}), qt.IsFalse)
+		}
+	}
+}
