agent: a gang's lease is renewed in time, and its first one ends with isolation

Found by the tests of package trial with an isolation timeout of 2 s: a gang of two workers was stopped every 2 s and started again, 44 attempts in 90 s. The agent renewed the lease for what isolation left (2 s) and then held a status call for 3.75 s, so the target let the lease lapse. With the default of 10 s this could show only when a renewal was late. A held call now lasts a quarter of the lease.

The lease that a task of several members starts with was 15 s whatever the isolation timeout; an agent that died before its first renewal would have left it running beside the next attempt where the loss timeout is short. It is now bounded like every renewal.

--- a/agent/gangs.go
+++ b/agent/gangs.go
@@ -19,8 +19,8 @@
 	// taskLease is how long the target runs a task after this agent's last
 	// renewal: the time in which accelerators come free when the agent dies.
 	taskLease = 15 * time.Second
-	// taskPoll bounds one held status call, after which the lease is renewed.
-	taskPoll = taskLease / 4
+	// renewals is how often a lease is renewed before it could lapse.
+	renewals = 4
 	// adoptRetry is the pause between attempts to list the target's tasks.
 	adoptRetry = 500 * time.Millisecond
 	// adoptEnded is how long ago a task may have ended for a restarted agent to
@@ -197,7 +197,7 @@
 		return nil
 	}
 	spec.Accelerators = a.Task.Accelerators
-	spec.LeaseMS = taskLease.Milliseconds()
+	spec.LeaseMS = max(1, leaseFor(a.Task).Milliseconds())
 	spec.Epoch = a.Task.ID.Epoch
 	ctx, cancel := context.WithTimeout(g.t.Context(nil), taskLease)
 	defer cancel()
@@ -255,30 +255,41 @@
 func (g *gangs) renewAndWait(ctx context.Context, id target.TaskID) (target.TaskStatus, error) {
 	lease, ok := g.leaseOf(ctx, id)
 	if !ok {
-		return g.target.Task(ctx, id, taskPoll)
+		return g.target.Task(ctx, id, taskLease/renewals)
 	}
 	status, err := g.target.RenewTask(ctx, id, lease)
 	if err != nil || status.State.Final() {
 		return status, err
 	}
-	return g.target.Task(ctx, id, taskPoll)
+	// A status call that is held for longer than the lease lasts would let the
+	// target stop a task that is well: isolation may be much shorter than
+	// taskLease.
+	return g.target.Task(ctx, id, lease/renewals)
 }
 
-// leaseOf is the lease to renew. A task of several members gets none beyond its
-// isolation deadline: if this agent dies, the target must have stopped the task
-// by the time after which a planner starts the gang elsewhere.
+// leaseOf is the lease to renew; false when there is none left.
 func (g *gangs) leaseOf(ctx context.Context, id target.TaskID) (time.Duration, bool) {
 	lease := taskLease
 	g.do(ctx, func() {
 		for _, t := range g.member.Tasks() {
-			if t.ID == gangID(id) && t.Members > 1 {
-				lease = min(lease, clock.Until(time.Unix(0, t.RunUntil)))
+			if t.ID == gangID(id) {
+				lease = leaseFor(t)
 			}
 		}
 	})
 	return lease, lease > 0
 }
 
+// leaseFor is the lease of a task. One of several members gets none beyond its
+// isolation deadline: if this agent dies, the target must have stopped the task
+// by the time after which a planner starts the gang elsewhere.
+func leaseFor(t gang.Task) time.Duration {
+	if t.Members <= 1 {
+		return taskLease
+	}
+	return min(taskLease, clock.Until(time.Unix(0, t.RunUntil)))
+}
+
 func (g *gangs) pause(d time.Duration) {
 	select {
 	case <-time.After(d):
