api, entry: a caller can vouch for its first delivery

Cause: while the store is out, keyed requests that must not run twice were all answered 'unknown', since an earlier delivery may have run. Callers that know better could not say so. Eelgrasshub-First-Delivery: true lets the entry say 'not run'.

A message to an entry that is starting is refused as provably not run; an error that only wraps ErrNotSent does not cross the wire as such.

--- a/api/call.go
+++ b/api/call.go
@@ -15,6 +15,10 @@
 	// Repeatable is nil for the class's default.
 	Repeatable     *bool
 	IdempotencyKey string
+	// First vouches that nothing was delivered under the key before. Only then
+	// can "not run" be said of a request that must not run twice while the
+	// platform's store is out: without it, an earlier delivery may have run.
+	First bool
 }
 
 // ParseCall reads and checks the headers of a quick request.
@@ -37,9 +41,14 @@
 	if c.Deadline, p = parseDeadline(h.Get(HeaderDeadline)); p != nil {
 		return Call{}, p
 	}
-	if c.Repeatable, p = parseRepeatable(h.Get(HeaderRepeatable)); p != nil {
+	if c.Repeatable, p = parseBool(h, HeaderRepeatable); p != nil {
 		return Call{}, p
 	}
+	first, p := parseBool(h, HeaderFirst)
+	if p != nil {
+		return Call{}, p
+	}
+	c.First = first != nil && *first
 	return c, nil
 }
 
@@ -56,6 +65,9 @@
 	if c.IdempotencyKey != "" {
 		h.Set(HeaderIdempotencyKey, c.IdempotencyKey)
 	}
+	if c.First {
+		h.Set(HeaderFirst, strconv.FormatBool(true))
+	}
 }
 
 // CheckIdempotencyKey checks the key of a request or a job; empty is allowed.
@@ -94,13 +106,13 @@
 	return d, nil
 }
 
-func parseRepeatable(s string) (*bool, *Problem) {
-	switch s {
+func parseBool(h http.Header, name string) (*bool, *Problem) {
+	switch s := h.Get(name); s {
 	case "":
 		return nil, nil
 	case "true", "false":
 		v := s == "true"
 		return &v, nil
 	}
-	return nil, Invalid(HeaderRepeatable, `must be "true" or "false"`)
+	return nil, Invalid(name, `must be "true" or "false"`)
 }
--- a/api/header.go
+++ b/api/header.go
@@ -14,6 +14,9 @@
 	// HeaderIdempotencyKey makes a retry of the same request recognisable,
 	// also when it arrives at another entry.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderFirst "true" vouches that nothing was delivered under the key before,
+	// nor is meanwhile; see Call.First.
+	HeaderFirst = "Eelgrasshub-First-Delivery"
 
 	// HeaderOutcome carries the Outcome of an answer.
 	HeaderOutcome = "Eelgrasshub-Outcome"
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -12,7 +12,7 @@
 	errNotHandled = eris.New("not a message for an entry")
 	// errStarting: the endpoint listens already, for its address is part of the
 	// rest, but the parts that serve messages are not there yet.
-	errStarting = eris.Wrap(wire.ErrNotSent, "the entry is starting")
+	errStarting = wire.NotRun(eris.New("the entry is starting"))
 )
 
 // handle serves what agents and other entries send.
--- a/entry/http_quick.go
+++ b/entry/http_quick.go
@@ -65,6 +65,7 @@
 		weight:   relativeWeight(held.Document, asked.Account),
 		class:    asked.Class,
 		key:      asked.IdempotencyKey,
+		first:    asked.First,
 		repeat:   chosen(asked.Repeatable, class.Repeatable),
 		retries:  class.Retries,
 		deadline: now.Add(shorter(asked.Deadline, class.Deadline.Duration)),
--- a/entry/once.go
+++ b/entry/once.go
@@ -122,6 +122,7 @@
 	}
 	cfg := attempts.RequestConfig{
 		Keyed:      c.key != "",
+		First:      c.first,
 		Deadline:   c.deadline,
 		Poll:       resolvePoll,
 		RetryAfter: comeBack,
--- a/entry/quick.go
+++ b/entry/quick.go
@@ -21,6 +21,7 @@
 	weight   float64 // over the mean weight of the service's accounts
 	class    string
 	key      string // idempotency key, empty for none
+	first    bool   // the caller vouches for the first delivery under the key
 	repeat   bool
 	retries  int // attempts after one that may have run
 	deadline time.Time
--- a/load/run_quick.go
+++ b/load/run_quick.go
@@ -28,9 +28,9 @@
 	var second []Try
 	var wg sync.WaitGroup
 	if a.Quick.Resend {
-		wg.Go(func() { second = r.tryQuick(ctx, n+1, req) })
+		wg.Go(func() { second = r.tryQuick(ctx, n+1, req, true) })
 	}
-	q.Tries = r.tryQuick(ctx, n, req)
+	q.Tries = r.tryQuick(ctx, n, req, a.Quick.Resend)
 	q.Took = time.Since(q.Scheduled)
 	useful := outcomeOf(q.Tries) == api.OutcomeDone
 	wg.Wait()
@@ -63,11 +63,14 @@
 	return req
 }
 
-// tryQuick asks one entry after the other until one answers.
-func (r *runner) tryQuick(ctx context.Context, n int, req *api.QuickRequest) []Try {
+// tryQuick asks one entry after the other until one answers. resent says that the
+// request is delivered elsewhere too, so that no delivery is surely the first.
+func (r *runner) tryQuick(ctx context.Context, n int, req *api.QuickRequest, resent bool) []Try {
 	var tries []Try
 	for i := range maxTries {
-		t := r.askQuick(ctx, n+i, req)
+		one := *req
+		one.First = i == 0 && !resent && req.IdempotencyKey != ""
+		t := r.askQuick(ctx, n+i, &one)
 		tries = append(tries, t)
 		if t.Answered || !sleepUntil(ctx, time.Now().Add(betweenTries)) {
 			break
