entry: silent connections are suspected after 0.4 s, not 0.8 s

Cause: when all open connections of an entry go silent, a repeatable request loses its attempt and its one retry within its deadline of 2 s. Ruled out: more retries for the class, which multiply load when targets fail.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,7 +111,12 @@
 	if err != nil {
 		return err
 	}
-	e.ep, err = wire.Config{Accepted: e.agents.accepted}.Listen(e.cfg.QUICListen, id, wire.HandlerFunc(e.handle))
+	transport := wire.Config{
+		Accepted:    e.agents.accepted,
+		BusyProbe:   busyProbe,
+		PingTimeout: pingTimeout,
+	}
+	e.ep, err = transport.Listen(e.cfg.QUICListen, id, wire.HandlerFunc(e.handle))
 	if err != nil {
 		return err
 	}
@@ -125,6 +130,15 @@
 	return err
 }
 
+// A connection with calls outstanding that was silent for busyProbe is probed, and
+// suspected when that stays unanswered for pingTimeout: a repeatable request is
+// then tried elsewhere. Both are far above a round trip within a region, and their
+// sum well below the deadlines of quick requests.
+const (
+	busyProbe   = 150 * time.Millisecond
+	pingTimeout = 250 * time.Millisecond
+)
+
 // run starts everything that goes on beside requests.
 func (e *Entry) run() {
 	own := peerEntry{
