planner: a job cancelled on record while its attempt is aborted is dropped

Found by TestWaveOfCancellations (300 jobs of 8 accelerators on 4 workers, cancelled at once): a job whose cancellation reached the planner while its attempt was being made stayed 'stopping' for good. The cancellation aborts the attempt, so it ends with the cause 'abort', and only the cause 'conflict' led to the job being dropped. Now every attempt that was not started drops its job where the record has ended.

--- a/planner/coordinate.go
+++ b/planner/coordinate.go
@@ -185,7 +185,7 @@
 	if e.Outcome == gang.NotStarted {
 		p.cfg.Metrics.Add(metrics.GangsAborted, 1)
 		p.decide(scheduler.GangRefused{Job: id, Attempt: attempt, Worker: scheduler.WorkerID(e.Fault)})
-		p.afterConflict(j, e)
+		p.afterNotStarted(j, e)
 		return
 	}
 	switch {
@@ -218,14 +218,15 @@
 	}
 }
 
-// afterConflict follows an attempt that was given up because the record named
-// something else: the end of the job, or another planner's attempt.
-func (p *Planner) afterConflict(j *job, e gang.Ended) {
+// afterNotStarted follows an attempt that was given up. The job may have ended
+// meanwhile, whatever the cause was: a cancellation that is on record aborts the
+// attempt before the attempt itself finds the record changed. Nobody else drops
+// the job then. Or the record names another planner's attempt.
+func (p *Planner) afterNotStarted(j *job, e gang.Ended) {
 	switch {
-	case e.Cause != gang.CauseConflict:
 	case j.stored.State.Ended():
 		p.forget(j, j.stored)
-	case p.startedElsewhere(j):
+	case e.Cause == gang.CauseConflict && p.startedElsewhere(j):
 		p.resumeJob(j)
 	}
 }
