scheduler: claims compare workers within a rack or zone by what they evict

Cause: of a rack or zone only the workers with most slack were weighed, so a claim evicted whatever ran there.

--- /dev/null
+++ b/scheduler/claim_test.go
@@ -0,0 +1,251 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// borrowed returns a scheduler whose site is full of borrowers of one account
+// without guarantees, started one after the other, some with checkpoints.
+func borrowed(site site, seed uint64) (*Scheduler, time.Time) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	now := time.Unix(1e9, 0)
+	s := New(Options{Start: now})
+	var evs []Event
+	for _, w := range site.workers {
+		evs = append(evs, WorkerUp{w})
+	}
+	accounts := append(slices.Clone(site.accounts), AccountPolicy{ID: "borrower"})
+	s.Step(now, Batch{append(evs, PolicyChanged{Policy{Generation: 1, Accounts: accounts}})})
+	for i := 0; s.open.total() > 0; i++ {
+		now = now.Add(time.Duration(rng.ExpFloat64() * float64(30*time.Second)))
+		j := Job{ID: JobID(fmt.Sprint("b", i)), Account: "borrower", Accelerators: 1 << rng.IntN(5), Adjacency: AdjacentZone, Repeatable: true, Checkpointable: rng.IntN(5) < 2}
+		if j.Accelerators > s.open.total() {
+			j.Accelerators = 1
+		}
+		s.Step(now, JobsSubmitted{[]Job{j}})
+		s.Step(now, GangStarted{j.ID, 1})
+		if rng.IntN(4) == 0 {
+			s.Step(now, CheckpointTaken{j.ID, now})
+		}
+	}
+	return s, now.Add(time.Minute)
+}
+
+// youngest is what evicting the youngest borrowers until every guaranteed shape
+// fits as a block would lose, and whether the shapes would have fitted when as
+// many accelerators were free in sum.
+func youngest(s *Scheduler, accounts []AccountPolicy) (lost float64, sumsHonoured int) {
+	free := index{}
+	free.whole = &free
+	for range s.open.zones {
+		free.addZone()
+	}
+	for _, z := range s.open.rackOf {
+		free.addRack(z)
+	}
+	for _, n := range s.nodes {
+		free.addNode()
+		free.set(n, n.idle())
+	}
+	var runs []*run
+	for _, j := range s.jobs {
+		if j.run != nil && !j.run.firm {
+			runs = append(runs, j.run)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return int(b.job.seq) - int(a.job.seq) })
+	for _, a := range accounts {
+		for _, g := range a.Guaranteed {
+			for range g.Count {
+				at := free.place(g.Accelerators, g.Adjacency, false, s.nodes)
+				bySum := at != nil
+				for at == nil && len(runs) > 0 {
+					if free.total() >= g.Accelerators {
+						bySum = false
+					}
+					r := runs[0]
+					runs = runs[1:]
+					if !r.job.Checkpointable {
+						lost += s.lostWork(r)
+					}
+					for _, h := range r.pieces {
+						free.set(s.nodes[h.node], int(free.val[h.node])+h.n)
+					}
+					at = free.place(g.Accelerators, g.Adjacency, false, s.nodes)
+					bySum = bySum || at != nil && free.total()-r.size() < g.Accelerators
+				}
+				if bySum {
+					sumsHonoured++
+				}
+				for _, p := range at {
+					free.set(s.nodes[p.node], int(free.val[p.node])-p.n)
+				}
+			}
+		}
+	}
+	return lost, sumsHonoured
+}
+
+// claimEverything claims every guaranteed shape at once and stops what is asked
+// to stop. It returns how many claims there were, how many started, and the work
+// that was lost.
+func claimEverything(s *Scheduler, now time.Time, accounts []AccountPolicy) (claims, started int, lost float64) {
+	var jobs []Job
+	for _, a := range accounts {
+		for _, g := range a.Guaranteed {
+			for range g.Count {
+				jobs = append(jobs, Job{ID: JobID(fmt.Sprint("c", len(jobs))), Account: a.ID, Accelerators: g.Accelerators, Adjacency: g.Adjacency})
+			}
+		}
+	}
+	todo := s.Step(now, JobsSubmitted{jobs})
+	for len(todo) > 0 {
+		var evs []Event
+		for _, a := range todo {
+			switch a := a.(type) {
+			case StopGang:
+				r := s.jobs[a.Job].run
+				if !a.Checkpoint {
+					lost += s.lostWork(r)
+				}
+				evs = append(evs, GangEnded{Job: a.Job, Attempt: a.Attempt, Outcome: Stopped})
+			case StartGang:
+				if a.Job[0] == 'c' {
+					started++
+				}
+			}
+		}
+		if len(evs) == 0 {
+			break
+		}
+		todo = s.Step(now, Batch{evs})
+	}
+	return len(jobs), started, lost
+}
+
+func BenchmarkReclaim(b *testing.B) {
+	for _, site := range []site{tidewater(), hundreds()} {
+		b.Run(site.name+"/all", func(b *testing.B) { reclaim(b, site, site.accounts) })
+		b.Run(site.name+"/one", func(b *testing.B) {
+			one := site.accounts[0]
+			one.Guaranteed = []Shape{{8, AdjacentWorker, 1}}
+			reclaim(b, site, []AccountPolicy{one})
+		})
+	}
+}
+
+// reclaim has accounts claim their shapes at once, on 20 sites full of borrowers.
+func reclaim(b *testing.B, site site, accounts []AccountPolicy) {
+	var claims, started, sums int
+	var ours, theirs float64
+	for seed := range uint64(20) {
+		s, now := borrowed(site, seed)
+		s.Step(now, Tick{})
+		lost, honoured := youngest(s, accounts)
+		theirs += lost
+		sums += honoured
+		n, ok, mine := claimEverything(s, now, accounts)
+		claims, started, ours = claims+n, started+ok, ours+mine
+	}
+	b.Logf("%d claims: honoured %d, by sums alone %d; work lost %.0f, evicting the youngest %.0f accelerator seconds", claims, started, sums, ours, theirs)
+	b.ReportMetric(ours/theirs, "lost/youngest")
+	b.ReportMetric(float64(started)/float64(claims), "honoured")
+}
+
+// hundreds is a site of 500 workers with a third of its capacity guaranteed.
+func hundreds() site {
+	s := twoYears()
+	s.name = "500 workers"
+	s.workers = nil
+	for i := range 500 {
+		s.workers = append(s.workers, Worker{ID: WorkerID(fmt.Sprint("w", i)), Zone: fmt.Sprint("z", i/167), Rack: fmt.Sprint("r", i/10), Accelerators: 8, Cores: 64, MemoryMB: 256_000})
+	}
+	s.accounts = s.accounts[:10]
+	for i := range s.accounts {
+		s.accounts[i].Guaranteed = []Shape{{8, AdjacentWorker, 4}, {32, AdjacentRack, 1}, {64, AdjacentZone, 1}}
+	}
+	return s
+}
+
+// BenchmarkPlace256 compares a search through the indexes with a scan of all
+// workers, for a gang of 256 on a busy site of growing size.
+func BenchmarkPlace256(b *testing.B) {
+	for _, workers := range []int{2_125, 4_250, 8_500, 17_000} {
+		site := twoYears()
+		site.workers = site.workers[:workers]
+		rng := rand.New(rand.NewPCG(1, 1))
+		s := New(Options{})
+		base := newBaseline(false)
+		for i, w := range site.workers {
+			s.workerUp(w)
+			base.Step(time.Time{}, WorkerUp{w})
+			busy := rng.IntN(w.Accelerators + 1)
+			n := s.nodes[i]
+			n.held, n.soft = busy, busy
+			s.refresh(n)
+			base.busy[i] = busy
+		}
+		for _, span := range []Adjacency{AdjacentZone, AdjacentAny} {
+			b.Run(fmt.Sprintf("index/%s/%d", span, workers), func(b *testing.B) {
+				for b.Loop() {
+					if s.open.place(256, span, false, s.nodes) == nil {
+						b.Fatal("no place")
+					}
+				}
+			})
+			b.Run(fmt.Sprintf("scan/%s/%d", span, workers), func(b *testing.B) {
+				for b.Loop() {
+					if base.scanAll(256, span) == nil {
+						b.Fatal("no place")
+					}
+				}
+			})
+		}
+	}
+}
+
+// scanAll is the scan with the best fit that the indexes also find: it looks at
+// every worker before it takes any.
+func (b *baseline) scanAll(need int, span Adjacency) []piece {
+	var sums [8]int
+	at := func(w *Worker) int {
+		if span == AdjacentAny {
+			return 0
+		}
+		return int(w.Zone[1] - '0')
+	}
+	for i := range b.workers {
+		sums[at(&b.workers[i])] += b.workers[i].Accelerators - b.busy[i]
+	}
+	best := -1
+	for i, sum := range sums {
+		if sum >= need && (best < 0 || sum < sums[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	var byFree [MaxAccelerators + 1][]int
+	for i := range b.workers {
+		if at(&b.workers[i]) == best {
+			free := b.workers[i].Accelerators - b.busy[i]
+			byFree[free] = append(byFree[free], i)
+		}
+	}
+	var out []piece
+	for free := MaxAccelerators; free > 0 && need > 0; free-- {
+		for _, i := range byFree[free] {
+			k := min(need, free)
+			out = append(out, piece{nodeID(i), k})
+			if need -= k; need == 0 {
+				break
+			}
+		}
+	}
+	return out
+}
--- a/scheduler/evict.go
+++ b/scheduler/evict.go
@@ -9,6 +9,9 @@
 	// stopCost is what any eviction costs, in accelerator seconds per
 	// accelerator, besides the work it loses: the time to stop and start again.
 	stopCost = 5.0
+	// reservedCost is what a claim is charged per accelerator that is reserved for
+	// a waiting gang, in accelerator seconds.
+	reservedCost = 60.0
 	// againFactor makes each further eviction of the same job dearer, so that
 	// evictions don't fall on one job over and over.
 	againFactor = 1.0
@@ -137,9 +140,21 @@
 		need -= k
 	}
 	_, cost := s.victims(part)
+	for _, p := range part {
+		n := s.nodes[p.node]
+		cost += reservedCost * float64(max(0, p.n-s.openTo(n)))
+	}
 	return cost
 }
 
+// openTo is what a claim could take of a node without touching a reservation.
+func (s *Scheduler) openTo(n *node) int {
+	if n.wait == 0 {
+		return n.capacity()
+	}
+	return n.open()
+}
+
 // sendEvictions sends the evictions of claims, oldest claim first, as far as the
 // bound on those in progress allows.
 func (s *Scheduler) sendEvictions() {
@@ -183,6 +198,7 @@
 		r.checkpoint = checkpointed
 	}
 	r.job.evictions++
+	r.job.steady = !r.job.Checkpointable
 	e := &r.job.account.evicted
 	e.Gangs++
 	e.AcceleratorSeconds += s.lostWork(r)
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -271,6 +271,9 @@
 	add(s.slack.place(need, shape.Adjacency, false, s.nodes))
 	for _, at := range s.slack.each(need, shape.Adjacency, maxPlaces) {
 		add(at)
+		if len(at) > 1 {
+			add(s.cheapestIn(at[0].node, shape))
+		}
 	}
 	return out
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -168,7 +168,7 @@
 // probeFor returns a worker on probe that is idle and may run the job. Only work
 // that may run again, and is not urgent, is risked.
 func (s *Scheduler) probeFor(j *job) *node {
-	if j.Urgent || !j.Evictable() {
+	if j.Urgent || !j.borrows() {
 		return nil
 	}
 	k := keyOf(&j.Job)
@@ -190,5 +190,5 @@
 func (s *Scheduler) startProbe(j *job, n *node) {
 	k := keyOf(&j.Job)
 	s.dropCPU(j)
-	s.start(j, []piece{{node: n.id, n: j.Accelerators * s.units(&k, n)}}, nil)
+	s.start(j, []piece{{node: n.id, n: j.Accelerators * s.units(&k, n)}}, nil, false)
 }
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -74,20 +74,37 @@
 	if j.Accelerators == 0 {
 		return s.tryCPU(j)
 	}
-	at := s.avoiding(j, func() []piece { return s.findOpen(j, &q.key) })
+	firm := !j.borrows()
+	if !firm && s.dear(j) {
+		at := s.avoiding(j, func() []piece { return s.findOpen(j, &q.key, true) })
+		if at != nil {
+			s.start(j, at, nil, true)
+			return true
+		}
+	}
+	at := s.avoiding(j, func() []piece { return s.findOpen(j, &q.key, firm) })
 	if at == nil {
 		at = s.findBackfill(j, &q.key)
 	}
 	if at == nil {
 		return false
 	}
-	s.start(j, at, nil)
+	s.start(j, at, nil, firm)
 	return true
 }
 
+// dearSize is from how many accelerators on a job that can't checkpoint is kept
+// off capacity that a guarantee may claim, if there is other capacity.
+const dearSize = 8
+
+// dear reports whether an eviction of the job would lose much.
+func (s *Scheduler) dear(j *job) bool {
+	return !j.Checkpointable && j.Accelerators >= dearSize
+}
+
 // findOpen looks for a place beyond the guarantees. Capacity that is reserved
 // for the job itself counts as open.
-func (s *Scheduler) findOpen(j *job, k *queueKey) []piece {
+func (s *Scheduler) findOpen(j *job, k *queueKey, firm bool) []piece {
 	before := s.grown
 	if j.claim != nil {
 		s.countClaim(j.claim, -1)
@@ -98,10 +115,7 @@
 			s.grown = before
 		}()
 	}
-	if j.Evictable() {
-		if at := s.find(&s.steady, k); at != nil {
-			return at
-		}
+	if !firm {
 		return s.find(&s.open, k)
 	}
 	if at := s.find(&s.steady, k); at != nil {
@@ -129,7 +143,7 @@
 		for _, p := range c.pieces {
 			n := s.nodes[p.node]
 			need := j.Accelerators * s.units(k, n)
-			if need == 0 || n.free() < need || !j.Evictable() && n.slack() < need {
+			if need == 0 || n.free() < need || !j.borrows() && n.slack() < need {
 				continue
 			}
 			return []piece{{node: n.id, n: need}}
@@ -179,6 +193,6 @@
 		return false
 	}
 	s.dropCPU(j)
-	s.start(j, []piece{{node: n.id}}, nil)
+	s.start(j, []piece{{node: n.id}}, nil, !j.Evictable())
 	return true
 }
--- a/scheduler/place_each.go
+++ b/scheduler/place_each.go
@@ -1,7 +1,7 @@
 package scheduler
 
 // maxPlaces bounds how many places are compared by what a claim would evict.
-const maxPlaces = 64
+const maxPlaces = 128
 
 // each lists up to limit places in different units of a span.
 func (x *index) each(need int, span Adjacency, limit int) [][]piece {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -89,6 +89,7 @@
 
 func (s *Scheduler) enqueue(j *job) {
 	k := keyOf(&j.Job)
+	k.evictable = j.borrows()
 	q := j.account.queues[k]
 	if q == nil {
 		q = &queue{key: k, account: j.account}
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -16,6 +16,10 @@
 	// planCost paces planning at large sizes: after a plan that looked at n ends
 	// of work, the next one waits n times this long.
 	planCost = 2 * time.Microsecond
+	// moveGain is the percentage of its remaining wait below which the wait at
+	// another place must lie for a reservation to move: one that moves often
+	// drains one place after the other.
+	moveGain = 50
 	// planEvery is the shortest time between two plans.
 	planEvery = 100 * time.Millisecond
 )
@@ -75,6 +79,13 @@
 	return out[:min(len(out), limit)]
 }
 
+// unsteady lets a job that fits nowhere beside the guarantees borrow again.
+func (s *Scheduler) unsteady(j *job) {
+	s.dequeue(j)
+	j.steady = false
+	s.enqueue(j)
+}
+
 // mayReserve reports whether a job has waited long enough for a reservation and
 // has not just failed to get one.
 func (s *Scheduler) mayReserve(j *job) bool {
@@ -87,13 +98,17 @@
 		return
 	}
 	at, ready := s.plan(j)
+	if at == nil && j.steady {
+		s.unsteady(j)
+		return
+	}
 	if at == nil {
 		j.planAfter = s.now.Add(replanAfter)
 		return
 	}
 	c := &claim{job: j, pieces: at, ready: ready}
 	s.addClaim(c)
-	if !j.Evictable() {
+	if !j.borrows() {
 		s.moveAway(at)
 	}
 	s.expect(c)
@@ -118,14 +133,19 @@
 func (s *Scheduler) moveReservation(c *claim) {
 	before := s.grown
 	s.countClaim(c, -1)
-	at, ready := s.plan(c.job)
-	if at != nil {
-		c.pieces, c.ready = at, ready
+	old := c.pieces
+	s.expect(c)
+	stay := c.ready
+	if at, _ := s.plan(c.job); at != nil {
+		c.pieces = at
+		s.expect(c)
+	}
+	if c.ready.Sub(s.now) > stay.Sub(s.now)*moveGain/100 {
+		c.pieces, c.ready = old, stay
 	}
 	c.made = s.now
 	s.countClaim(c, 1)
 	s.grown = before + 1
-	s.expect(c)
 	s.preempt(c)
 }
 
@@ -199,7 +219,7 @@
 // endings lists when accelerators of a node become available for a reservation.
 // Work that may not be evicted can't count on what is bound to guarantees.
 func (s *Scheduler) endings(n *node, j *job) []ending {
-	evictable := j.Evictable()
+	evictable := j.borrows()
 	have := n.capacity() - n.held + n.leave - n.claim - n.wait
 	if !evictable {
 		have = min(have, n.movable()-n.wait)
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -6,15 +6,15 @@
 )
 
 // start begins an attempt on pieces that are idle. With shares it runs within
-// the guarantee of its account and is never evicted.
-func (s *Scheduler) start(j *job, at []piece, shares []share) {
+// the guarantee of its account and is never evicted, nor is it if it is firm.
+func (s *Scheduler) start(j *job, at []piece, shares []share, firm bool) {
 	s.dequeue(j)
 	if j.claim != nil {
 		s.dropClaim(j.claim)
 	}
 	j.last++
 	r := &run{job: j, attempt: j.last, shares: shares, started: s.now}
-	r.firm = len(shares) > 0 || !j.Evictable()
+	r.firm = len(shares) > 0 || firm
 	j.run = r
 	key := keyOf(&j.Job)
 	for _, p := range at {
