entry: a retry goes only over a path on which the agent answers now

A connection without calls is not suspected yet, so the one retry was lost on the next silent connection as the first attempt was. Now an attempt after the first pings first, which costs a round trip, and a silent path is 'not sent' instead of lost.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -9,8 +9,12 @@
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
-// errNoPath: no connection to the agent and no address to dial.
-var errNoPath = eris.New("no path to the agent")
+var (
+	// errNoPath: no connection to the agent and no address to dial.
+	errNoPath = eris.New("no path to the agent")
+	// errSilent: a connection is open and the agent does not answer on it.
+	errSilent = eris.New("the agent does not answer a ping")
+)
 
 // agents keeps the connections that agents have dialled, and dials those whose
 // connection has gone. It is safe for concurrent use.
@@ -60,33 +64,59 @@
 	}
 }
 
-// conn returns a usable connection to the agent: its own, or one dialled now.
-// Errors match wire.ErrNotSent.
-func (a *agents) conn(ctx context.Context, id string) (*wire.Conn, error) {
+// path says which connections a call may use.
+type path int
+
+const (
+	// anyPath: one that is not suspected. It may have gone silent meanwhile.
+	anyPath path = iota
+	// provedPath: one on which the agent answered a ping just now. When many
+	// connections go silent at once, those without calls are not suspected yet,
+	// and a retry would be lost on the next one as the first attempt was.
+	provedPath
+)
+
+// conn returns a connection to the agent: its own, or one dialled now. Errors
+// match wire.ErrNotSent.
+func (a *agents) conn(ctx context.Context, id string, p path) (*wire.Conn, error) {
 	a.mu.RLock()
 	c := a.conns[id]
 	addr := a.addrs[id]
 	a.mu.RUnlock()
-	if c != nil && c.Usable() {
+	if c != nil && c.Usable() && (p == anyPath || proved(ctx, c)) {
 		return c, nil
 	}
 	if addr == "" {
-		return nil, &wire.CallError{Outcome: wire.ErrNotSent, Cause: errNoPath}
+		return nil, noPath(errNoPath)
+	}
+	c, err := a.pool.Conn(ctx, addr)
+	if err != nil {
+		return nil, err
 	}
-	return a.pool.Conn(ctx, addr)
+	if p == provedPath && !proved(ctx, c) {
+		return nil, noPath(errSilent)
+	}
+	return c, nil
+}
+
+func noPath(cause error) error {
+	return &wire.CallError{Outcome: wire.ErrNotSent, Cause: cause}
+}
+
+func proved(ctx context.Context, c *wire.Conn) bool {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return c.Ping(ctx) == nil
 }
 
 // call makes one exchange with the agent. It returns early, with
-// wire.ErrOutcomeUnknown, when the connection is suspected of having gone silent
-// and abandon is set; the exchange is then cancelled.
-func (a *agents) call(ctx context.Context, id string, msg any, abandon bool) (any, error) {
-	c, err := a.conn(ctx, id)
+// wire.ErrOutcomeUnknown, when the connection is suspected of having gone silent;
+// the exchange is then cancelled.
+func (a *agents) call(ctx context.Context, id string, msg any, p path) (any, error) {
+	c, err := a.conn(ctx, id, p)
 	if err != nil {
 		return nil, err
 	}
-	if !abandon {
-		return c.Call(ctx, msg)
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
--- a/entry/gangcaller.go
+++ b/entry/gangcaller.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return gang.Reply{}, err
 	}
-	got, err := c.agents.call(ctx, agent, &wire.Gang{Payload: data, Epoch: m.Head().Sender}, true)
+	got, err := c.agents.call(ctx, agent, &wire.Gang{Payload: data, Epoch: m.Head().Sender}, anyPath)
 	if err != nil {
 		return gang.Reply{}, err
 	}
--- a/entry/members.go
+++ b/entry/members.go
@@ -32,6 +32,7 @@
 	mu      sync.Mutex // owns the table's Step, and sending
 	table   *membership.Table
 	sending map[string]bool      // agents to which documents are on their way
+	homes   map[string]string    // service of each agent in the snapshot, by id
 	since   map[string]time.Time // when an agent's generation was first heard of
 }
 
@@ -40,6 +41,7 @@
 		e:       e,
 		table:   membership.NewTable(membership.Config{ReportEvery: e.cfg.ReportEvery.Duration}),
 		sending: make(map[string]bool),
+		homes:   make(map[string]string),
 		since:   make(map[string]time.Time),
 	}
 }
@@ -47,9 +49,7 @@
 // report answers a batch of reports.
 func (m *members) report(r *wire.Report) *wire.ReportAck {
 	now := clock.Now()
-	m.mu.Lock()
-	actions := m.table.Step(time.Now(), membership.Reports{Batch: r.Batch})
-	m.mu.Unlock()
+	actions := m.step(time.Now(), membership.Reports{Batch: r.Batch})
 	m.apply(actions)
 
 	ack := m.e.news(r.Known)
@@ -61,6 +61,28 @@
 	return ack
 }
 
+// step gives the table an event. The homes change under the same lock, in the
+// order of the table's own changes: noted later, a Lost that is overtaken by the
+// Joined after it would leave a member that can't be found.
+func (m *members) step(now time.Time, ev membership.Event) []membership.Action {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	actions := m.table.Step(now, ev)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case membership.Joined:
+			m.homes[a.Member.Report.ID] = a.Member.Report.Service
+		case membership.Changed:
+			m.homes[a.Member.Report.ID] = a.Member.Report.Service
+		case membership.Lost:
+			delete(m.homes, a.Member.Report.ID)
+		case membership.Left:
+			delete(m.homes, a.Member.Report.ID)
+		}
+	}
+	return actions
+}
+
 // apply hands on what changed.
 func (m *members) apply(actions []membership.Action) {
 	services := make(map[string]bool)
@@ -181,13 +203,13 @@
 }
 
 func (m *members) find(id string) *membership.Member {
-	snap := m.table.Snapshot()
-	for _, s := range snap.Services() {
-		if member := snap.Service(s).Find(id); member != nil {
-			return member
-		}
+	m.mu.Lock()
+	service, ok := m.homes[id]
+	m.mu.Unlock()
+	if !ok {
+		return nil
 	}
-	return nil
+	return m.table.Snapshot().Service(service).Find(id)
 }
 
 func seen(member *membership.Member, stamp gang.Stamp, at time.Time) planner.Seen {
@@ -263,7 +285,7 @@
 func (m *members) sendDocument(agent string, v wire.DocumentVersion) {
 	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
-	_, _ = m.e.agents.call(ctx, agent, &wire.Publish{Versions: []wire.DocumentVersion{v}}, true) // its next report shows what it lacks
+	_, _ = m.e.agents.call(ctx, agent, &wire.Publish{Versions: []wire.DocumentVersion{v}}, anyPath) // its next report shows what it lacks
 	m.mu.Lock()
 	delete(m.sending, agent)
 	m.mu.Unlock()
@@ -285,10 +307,7 @@
 		case <-m.e.t.Dying():
 			return nil
 		case now := <-ticker.C:
-			m.mu.Lock()
-			actions := m.table.Step(now, membership.Tick{})
-			m.mu.Unlock()
-			m.apply(actions)
+			m.apply(m.step(now, membership.Tick{}))
 		}
 	}
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -245,7 +245,7 @@
 // where it is still queued; the agent runs on what it has started.
 func (v *delivery) begin(c attempts.Claim) {
 	msg := v.call.execute(c.ID.String(), v.hop, v.d.now())
-	got, err := v.d.agents.call(v.ctx, c.Agent, msg, true)
+	got, err := v.d.agents.call(v.ctx, c.Agent, msg, pathOf(v.hop))
 	reply, _ := got.(*wire.ExecuteReply)
 	ev := deliveryEvent{reply: reply, err: err}
 	switch {
@@ -286,7 +286,7 @@
 		Attempt:     c.ID.String(),
 		Incarnation: c.ID.Incarnation,
 		Wait:        resolveHold,
-	}, true)
+	}, provedPath)
 	reply, ok := got.(*wire.ResolveReply)
 	if err != nil || !ok {
 		v.emit(deliveryEvent{unresolved: c.ID}) // asked again at the next poll
--- a/entry/quick.go
+++ b/entry/quick.go
@@ -129,7 +129,7 @@
 func (d *dispatcher) attempt(ctx context.Context, t routing.Ticket, c *call, n int) (*wire.ExecuteReply, error) {
 	began := d.now()
 	msg := c.execute(c.id, n, began)
-	got, err := d.agents.call(ctx, string(t.Target), msg, true)
+	got, err := d.agents.call(ctx, string(t.Target), msg, pathOf(n))
 	reply, _ := got.(*wire.ExecuteReply)
 	if err == nil && reply == nil {
 		err = errBadReply
@@ -138,6 +138,14 @@
 	return reply, err
 }
 
+// pathOf is the path for the n-th attempt of a request, from 0.
+func pathOf(n int) path {
+	if n == 0 {
+		return anyPath
+	}
+	return provedPath
+}
+
 var errBadReply = &wire.CallError{Outcome: wire.ErrOutcomeUnknown, Cause: wire.ErrMalformed}
 
 // ran says whether the attempt may have run.
