scheduler: the cheapest victims by knapsack, and claims displace unused blocks

Cause: with 11 workers most places are bound to some unused block, and a claim looked only at what was left. With 11 workers only about six hold work that may be evicted at all, so there is little to choose from.

--- a/scheduler/evict.go
+++ b/scheduler/evict.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -8,7 +9,7 @@
 const (
 	// stopCost is what any eviction costs, in accelerator seconds per
 	// accelerator, besides the work it loses: the time to stop and start again.
-	stopCost = 5.0
+	stopCost = 2.0
 	// reservedCost is what a claim is charged per accelerator that is reserved for
 	// a waiting gang, in accelerator seconds.
 	reservedCost = 60.0
@@ -40,8 +41,7 @@
 }
 
 // victims returns the evictions that make the pieces available, and their cost.
-// Per node it takes the runs that cost least per accelerator they free there,
-// counting no run twice.
+// It goes node by node and counts no run twice.
 func (s *Scheduler) victims(at []piece) ([]*run, float64) {
 	var out []*run
 	total := 0.0
@@ -78,53 +78,29 @@
 	return 0
 }
 
-type victim struct {
-	run  *run
-	n    int
-	cost float64
-}
-
-// cheapest chooses soft runs of a node that together free short accelerators:
-// greedily by cost per accelerator, then without those that turn out superfluous.
+// cheapest chooses the soft runs of a node that free at least short accelerators
+// there at the least cost: a knapsack over at most [MaxAccelerators].
 func (s *Scheduler) cheapest(n *node, chosen []*run, short int) []*run {
-	var all []victim
+	cost := make([]float64, short+1) // least cost to free i accelerators
+	for i := 1; i <= short; i++ {
+		cost[i] = math.Inf(1)
+	}
+	last := make([][]*run, short+1)
 	for _, r := range n.runs {
-		if r.firm || r.state == runStopping || r.size() == 0 || slices.Contains(chosen, r) {
+		k := r.on(n.id)
+		if r.firm || r.state == runStopping || k == 0 || slices.Contains(chosen, r) {
 			continue
 		}
-		all = append(all, victim{r, r.on(n.id), s.evictionOf(r)})
-	}
-	slices.SortStableFunc(all, func(a, b victim) int {
-		x, y := a.cost*float64(min(b.n, short)), b.cost*float64(min(a.n, short))
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	})
-	sum, used := 0, 0
-	for used < len(all) && sum < short {
-		sum += all[used].n
-		used++
-	}
-	all = all[:used]
-	slices.SortStableFunc(all, func(a, b victim) int {
-		if a.cost > b.cost {
-			return -1
+		price := s.evictionOf(r)
+		for i := short; i > 0; i-- {
+			from := max(0, i-k)
+			if c := cost[from] + price; c < cost[i] {
+				cost[i] = c
+				last[i] = append(slices.Clone(last[from]), r)
+			}
 		}
-		return 1
-	})
-	var out []*run
-	for _, v := range all {
-		if sum-v.n >= short {
-			sum -= v.n
-			continue
-		}
-		out = append(out, v.run)
 	}
-	return out
+	return last[short]
 }
 
 // evictionCost is what a job of need accelerators would evict in a place that
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -243,6 +243,10 @@
 	if cost == 0 {
 		return
 	}
+	if cost = s.displace(b, k, cost); cost == 0 {
+		return
+	}
+	here = b.pieces()
 	before := s.grown
 	s.detach(b)
 	best := here
