--- /dev/null
+++ b/scheduler/scenario_test.go
@@ -0,0 +1,239 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// bench is a small site for scenarios: steps advance the time by hand, and every
+// step is followed by Check.
+type bench struct {
+	*qt.C
+	s   *Scheduler
+	now time.Time
+}
+
+func newBench(t *testing.T, p Policy, workers ...Worker) *bench {
+	b := &bench{C: qt.New(t), now: time.Unix(1e6, 0)}
+	b.s = New(Options{Start: b.now})
+	p.Generation = 1
+	evs := []Event{PolicyChanged{p}}
+	for _, w := range workers {
+		evs = append(evs, WorkerUp{w})
+	}
+	b.step(Batch{evs})
+	return b
+}
+
+func (b *bench) step(ev Event) []Action {
+	b.Helper()
+	out := b.s.Step(b.now, ev)
+	b.Assert(b.s.Check(), qt.IsNil)
+	return out
+}
+
+func (b *bench) submit(jobs ...Job) []Action { return b.step(JobsSubmitted{jobs}) }
+
+func (b *bench) end(id JobID, o Outcome, at WorkerID) []Action {
+	return b.step(GangEnded{Job: id, Attempt: b.s.jobs[id].run.attempt, Outcome: o, Worker: at})
+}
+
+// of keeps the actions of one type.
+func of[A Action](actions []Action) []A {
+	var out []A
+	for _, a := range actions {
+		if a, ok := a.(A); ok {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func eight(n int) []Worker {
+	var out []Worker
+	for i := range n {
+		out = append(out, Worker{ID: WorkerID(fmt.Sprint("w", i)), Zone: "z", Rack: fmt.Sprint("r", i/3), Accelerators: 8, Cores: 32, MemoryMB: 64_000})
+	}
+	return out
+}
+
+var twoAccounts = Policy{Accounts: []AccountPolicy{{ID: "owner", Guaranteed: []Shape{{8, AdjacentWorker, 1}}}, {ID: "guest"}}}
+
+func TestGuaranteeIsABlock(t *testing.T) {
+	// A large tenant claims its guaranteed 8 on one worker and is told to wait:
+	// 8 are free, but as 4 and 4. Work that can't be evicted had been let onto
+	// both workers, because the sum still held.
+	b := newBench(t, twoAccounts, eight(2)...)
+	var guests []Job
+	for i := range 4 {
+		guests = append(guests, Job{ID: JobID(fmt.Sprint("g", i)), Account: "guest", Accelerators: 4, Adjacency: AdjacentWorker})
+	}
+	b.Assert(of[StartGang](b.submit(guests...)), qt.HasLen, 2)
+	b.Assert(of[StartGang](b.submit(Job{ID: "o", Account: "owner", Accelerators: 8, Adjacency: AdjacentWorker})), qt.HasLen, 1)
+}
+
+func TestCancelledClaimStopsItsEvictions(t *testing.T) {
+	// An owner claims and withdraws at once; borrowers go on being evicted one by
+	// one for nobody. Evictions beyond the bound had been queued on the claim.
+	p := twoAccounts
+	p.MaxEvictions = 2
+	b := newBench(t, p, eight(1)...)
+	for i := range 8 {
+		b.submit(Job{ID: JobID(fmt.Sprint("g", i)), Account: "guest", Accelerators: 1, Repeatable: true})
+	}
+	b.Assert(of[StopGang](b.submit(Job{ID: "o", Account: "owner", Accelerators: 8, Adjacency: AdjacentWorker})), qt.HasLen, 2)
+	b.Assert(of[RejectJob](b.step(JobsCancelled{[]JobID{"o"}})), qt.HasLen, 1)
+	for _, j := range b.s.jobs {
+		if j.run.state == runStopping {
+			b.Assert(of[StopGang](b.end(j.ID, Stopped, "")), qt.HasLen, 0)
+		}
+	}
+}
+
+func TestEvictionTakesTheLeastWork(t *testing.T) {
+	// A claim throws away an hour of one borrower although another had just
+	// checkpointed. Victims were chosen by when they started.
+	b := newBench(t, twoAccounts, eight(2)...)
+	b.submit(Job{ID: "old", Account: "guest", Accelerators: 8, Adjacency: AdjacentWorker, Checkpointable: true})
+	b.step(GangStarted{"old", 1})
+	b.now = b.now.Add(time.Hour)
+	b.submit(Job{ID: "young", Account: "guest", Accelerators: 8, Adjacency: AdjacentWorker, Repeatable: true, Class: "x"})
+	b.step(GangStarted{"young", 1})
+	b.now = b.now.Add(time.Minute)
+	stops := of[StopGang](b.submit(Job{ID: "o", Account: "owner", Accelerators: 8, Adjacency: AdjacentWorker}))
+	b.Assert(stops, qt.DeepEquals, []StopGang{{Job: "old", Attempt: 1, Checkpoint: true, Reason: StopReclaim}})
+}
+
+func TestImpossibleJobsAreAnsweredAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		story string
+		job   Job
+		why   RejectReason
+	}{
+		{"more than exists", Job{Accelerators: 17}, RejectTooLarge},
+		{"more than any worker has", Job{Accelerators: 9, Adjacency: AdjacentWorker}, RejectAdjacency},
+		{"more memory than comes with a worker", Job{Accelerators: 1, MemoryMB: 1 << 30}, RejectWorkerSize},
+		{"may not be evicted and everything else is guaranteed", Job{Accelerators: 9}, RejectTooLarge},
+		{"no capacity asked", Job{}, RejectInvalid},
+	} {
+		t.Run(c.story, func(t *testing.T) {
+			b := newBench(t, twoAccounts, eight(2)...)
+			c.job.ID, c.job.Account = "j", "guest"
+			got := of[RejectJob](b.submit(c.job))
+			b.Assert(got, qt.HasLen, 1)
+			b.Assert(got[0].Reason, qt.Equals, c.why, qt.Commentf("%s", got[0].Detail))
+		})
+	}
+}
+
+func TestGangIsNotPassedForEver(t *testing.T) {
+	// A gang of 16 waits for days on a busy site although it fits: each worker
+	// that comes free is taken by one of the small jobs that never stop coming.
+	b := newBench(t, Policy{Accounts: []AccountPolicy{{ID: "a"}, {ID: "b"}}}, eight(2)...)
+	for i := range 400 {
+		b.submit(Job{ID: JobID(fmt.Sprint("s", i)), Account: "a", Accelerators: 1, Class: "s", Submitted: b.now})
+		if i == 100 {
+			b.submit(Job{ID: "gang", Account: "b", Accelerators: 16, Submitted: b.now})
+		}
+		if i >= 16 {
+			if j := b.s.jobs[JobID(fmt.Sprint("s", i-16))]; j.run != nil {
+				b.end(j.ID, Done, "")
+			}
+		}
+		b.now = b.now.Add(time.Second)
+		if b.s.jobs["gang"] != nil && b.s.jobs["gang"].run != nil {
+			b.Assert(i < 130, qt.IsTrue, qt.Commentf("started after %d jobs", i))
+			return
+		}
+	}
+	b.Fatal("the gang never started")
+}
+
+func TestBadWorkerIsQuarantinedAndProbed(t *testing.T) {
+	// Every job that lands on one worker fails within a second. It is always idle,
+	// so it attracts all that comes, and the jobs are blamed.
+	b := newBench(t, Policy{Accounts: []AccountPolicy{{ID: "a"}}, QuarantineFor: time.Minute}, eight(3)...)
+	var out []Action
+	for i := 0; len(of[QuarantineWorker](out)) == 0; i++ {
+		b.Assert(i < 20, qt.IsTrue)
+		b.submit(Job{ID: JobID(fmt.Sprint("j", i)), Account: "a", Accelerators: 8, Adjacency: AdjacentWorker, Repeatable: true})
+		for _, j := range b.s.jobs {
+			if j.run != nil && b.s.nodes[j.run.pieces[0].node].ID == "w0" {
+				out = append(out, b.end(j.ID, Failed, "w0")...)
+			} else if j.run != nil && i%2 == 1 {
+				b.end(j.ID, Done, "")
+			}
+		}
+		b.now = b.now.Add(10 * time.Second)
+	}
+	b.Assert(of[RejectJob](out), qt.HasLen, 0)
+	b.now = b.now.Add(2 * time.Minute)
+	probes := 0
+	for _, a := range of[StartGang](b.submit(Job{ID: "p", Account: "a", Accelerators: 1, Repeatable: true}, Job{ID: "q", Account: "a", Accelerators: 1, Repeatable: true})) {
+		if a.Placement[0].Worker == "w0" {
+			probes++
+			b.Assert(of[WorkerHealthy](b.end(a.Job, Done, "")), qt.HasLen, 1)
+		}
+	}
+	b.Assert(probes, qt.Equals, 1)
+}
+
+func TestBadJobDoesNotTaintWorkers(t *testing.T) {
+	// One job crashes wherever it runs. Worker after worker goes into quarantine
+	// until nothing is left, because each failure was charged to the worker.
+	b := newBench(t, Policy{Accounts: []AccountPolicy{{ID: "a"}}}, eight(4)...)
+	b.submit(Job{ID: "bad", Account: "a", Accelerators: 1, Repeatable: true})
+	var out []Action
+	for i := 0; b.s.jobs["bad"] != nil; i++ {
+		b.Assert(i < 10, qt.IsTrue)
+		out = append(out, b.end("bad", Failed, "")...)
+		b.now = b.now.Add(time.Minute)
+		b.step(Tick{})
+	}
+	b.Assert(of[RejectJob](out)[0].Reason, qt.Equals, RejectFaulty)
+	b.Assert(of[QuarantineWorker](out), qt.HasLen, 0)
+}
+
+func TestNotRepeatableJobRunsOnce(t *testing.T) {
+	// A worker dies under a job that books cargo space. The job is started again
+	// elsewhere and the space is booked twice.
+	b := newBench(t, Policy{Accounts: []AccountPolicy{{ID: "a"}}}, eight(2)...)
+	b.submit(Job{ID: "once", Account: "a", Accelerators: 1})
+	b.step(GangStarted{"once", 1})
+	b.step(WorkerDown{b.s.nodes[b.s.jobs["once"].run.pieces[0].node].ID})
+	out := b.end("once", Lost, "")
+	b.Assert(of[StartGang](out), qt.HasLen, 0)
+	b.Assert(of[RejectJob](out)[0].Reason, qt.Equals, RejectNotRepeatable)
+}
+
+func TestLostWorkerDegradesAndRestoresGuarantee(t *testing.T) {
+	// Half the site fails. The operator must hear which account's block no longer
+	// fits, and the block must be whole again before new work takes the space.
+	b := newBench(t, Policy{Accounts: []AccountPolicy{{ID: "owner", Guaranteed: []Shape{{8, AdjacentWorker, 2}}}}}, eight(2)...)
+	out := b.step(WorkerDown{"w1"})
+	b.Assert(of[GuaranteeDegraded](out), qt.DeepEquals, []GuaranteeDegraded{{"owner", Shape{8, AdjacentWorker, 2}, 1}})
+	out = b.step(WorkerUp{eight(2)[1]})
+	b.Assert(of[GuaranteeRestored](out), qt.HasLen, 1)
+}
+
+func TestPolicyWhoseShapesDoNotFitIsRefused(t *testing.T) {
+	c := qt.New(t)
+	p := Policy{Accounts: []AccountPolicy{{ID: "a", Guaranteed: []Shape{{8, AdjacentWorker, 1}}}, {ID: "b", Guaranteed: []Shape{{6, AdjacentWorker, 2}}}}}
+	c.Assert(CheckPolicy(p, eight(3)), qt.IsNil)
+	err := CheckPolicy(p, eight(2)) // 20 of 16, and 6 and 6 never share a worker
+	c.Assert(err, qt.DeepEquals, &ShapeError{Account: "b", Shape: Shape{6, AdjacentWorker, 2}, Missing: 1})
+}
+
+func TestObjectivesDecideDifferently(t *testing.T) {
+	// The same two jobs wait for a worker. One firm wants the first answer soon,
+	// the other wants large blocks used whole.
+	for o, first := range map[Objective]JobID{CompletionTime: "small", Fragmentation: "large"} {
+		b := newBench(t, Policy{Objective: o, Accounts: []AccountPolicy{{ID: "a"}}}, eight(1)...)
+		b.submit(Job{ID: "busy", Account: "a", Accelerators: 8})
+		b.submit(Job{ID: "small", Account: "a", Accelerators: 1}, Job{ID: "large", Account: "a", Accelerators: 8})
+		b.Assert(of[StartGang](b.end("busy", Done, ""))[0].Job, qt.Equals, first)
+	}
+}
