wire: reports carry the gang package's tasks; messages that nobody sends are gone

Left behind by the parts having been built side by side: a task report with the gang's task inside it as opaque bytes, and job and result messages that the daemons do without. The bytes measurement now builds its full report from gang tasks; its figures in docs/design/wire.md are of the earlier form.

--- a/agent/reports.go
+++ b/agent/reports.go
@@ -118,7 +118,7 @@
 	})
 	r.mu.Unlock()
 	r.set(func(s *wire.AgentReport) {
-		s.Tasks = taskReports(tasks)
+		s.Tasks = tasks
 		s.Fence = fence
 	})
 }
--- a/agent/taskid.go
+++ b/agent/taskid.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/gang"
@@ -47,8 +46,3 @@
 	}
 	return t
 }
-
-// attemptName is the key of an attempt in reports.
-func attemptName(id gang.ID) string {
-	return fmt.Sprintf("%d.%d", id.Epoch, id.Number)
-}
--- a/entry/members.go
+++ b/entry/members.go
@@ -227,22 +227,11 @@
 		Draining:    r.Draining,
 		Fence:       r.Fence,
 		Stamp:       stamp,
-		Tasks:       gangTasks(r.Tasks),
+		Tasks:       r.Tasks,
 		At:          at,
 	}
 }
 
-func gangTasks(reports []wire.TaskReport) []gang.Task {
-	tasks := make([]gang.Task, 0, len(reports))
-	for _, r := range reports {
-		var t gang.Task
-		if cbor.Unmarshal(r.Gang, &t) == nil {
-			tasks = append(tasks, t)
-		}
-	}
-	return tasks
-}
-
 // replay tells a new planner of all agents known. What they last said is as old
 // as it is: only their own next reports prove that their gangs are whole.
 func (m *members) replay(service string, p *planner.Planner) {
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
@@ -59,17 +60,17 @@
 
 // mergeTasks returns old without the ended tasks, with r's tasks put in. old
 // stays as it is, for it is part of a snapshot.
-func mergeTasks(old []wire.TaskReport, r wire.AgentReport) []wire.TaskReport {
-	replaced := make(map[wire.TaskKey]bool, len(r.Tasks)+len(r.Ended))
+func mergeTasks(old []gang.Task, r wire.AgentReport) []gang.Task {
+	replaced := make(map[gang.ID]bool, len(r.Tasks)+len(r.Ended))
 	for _, t := range r.Tasks {
-		replaced[t.Key()] = true
+		replaced[t.ID] = true
 	}
 	for _, key := range r.Ended {
 		replaced[key] = true
 	}
-	next := make([]wire.TaskReport, 0, len(old)+len(r.Tasks))
+	next := make([]gang.Task, 0, len(old)+len(r.Tasks))
 	for _, t := range old {
-		if !replaced[t.Key()] {
+		if !replaced[t.ID] {
 			next = append(next, t)
 		}
 	}
--- a/membership/diff.go
+++ b/membership/diff.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
@@ -32,16 +33,16 @@
 }
 
 // sameTasks compares without regard to order.
-func sameTasks(a, b []wire.TaskReport) bool {
+func sameTasks(a, b []gang.Task) bool {
 	if len(a) != len(b) {
 		return false
 	}
-	byKey := make(map[wire.TaskKey]wire.TaskReport, len(a))
+	byKey := make(map[gang.ID]gang.Task, len(a))
 	for _, t := range a {
-		byKey[t.Key()] = t
+		byKey[t.ID] = t
 	}
 	for _, t := range b {
-		if old, ok := byKey[t.Key()]; !ok || !sameTask(old, t) {
+		if old, ok := byKey[t.ID]; !ok || !old.Equal(t) {
 			return false
 		}
 	}
--- a/membership/random_test.go
+++ b/membership/random_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
@@ -125,10 +126,10 @@
 }
 
 func (w *world) changeTasks(a *agent) {
-	var next []wire.TaskReport
+	var next []gang.Task
 	for i := range 4 {
 		if w.rng.IntN(2) == 0 {
-			next = append(next, wire.TaskReport{Job: fmt.Sprint("job-", i), State: wire.TaskState(w.rng.IntN(3))})
+			next = append(next, gang.Task{ID: gang.ID{Job: fmt.Sprint("job-", i)}, State: gang.State(w.rng.IntN(3))})
 		}
 	}
 	a.state.Tasks = next
--- a/membership/reporter.go
+++ b/membership/reporter.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
@@ -21,14 +22,14 @@
 	random    func() float64
 	state     wire.AgentReport
 	groupSeq  [groupCount]uint64
-	taskSeq   map[wire.TaskKey]uint64
+	taskSeq   map[gang.ID]uint64
 	ended     []endedTask
 	forgotten uint64 // latest sequence of an ended task that was dropped
 	receivers map[string]*receiver
 }
 
 type endedTask struct {
-	key wire.TaskKey
+	key gang.ID
 	seq uint64
 }
 
@@ -38,7 +39,7 @@
 	r := &Reporter{
 		cfg:       cfg.withDefaults(),
 		random:    random,
-		taskSeq:   map[wire.TaskKey]uint64{},
+		taskSeq:   map[gang.ID]uint64{},
 		receivers: map[string]*receiver{},
 	}
 	state.Sequence = 1
@@ -49,7 +50,7 @@
 		r.groupSeq[g] = 1
 	}
 	for _, t := range state.Tasks {
-		r.taskSeq[t.Key()] = 1
+		r.taskSeq[t.ID] = 1
 	}
 	return r
 }
@@ -83,21 +84,21 @@
 
 // noteTasks keeps at which sequence each task changed or ended.
 func (r *Reporter) noteTasks(next wire.AgentReport) {
-	before := make(map[wire.TaskKey]wire.TaskReport, len(r.state.Tasks))
+	before := make(map[gang.ID]gang.Task, len(r.state.Tasks))
 	for _, t := range r.state.Tasks {
-		before[t.Key()] = t
+		before[t.ID] = t
 	}
 	for _, t := range next.Tasks {
-		old, ok := before[t.Key()]
-		if !ok || !sameTask(old, t) {
-			r.taskSeq[t.Key()] = next.Sequence
+		old, ok := before[t.ID]
+		if !ok || !old.Equal(t) {
+			r.taskSeq[t.ID] = next.Sequence
 		}
-		delete(before, t.Key())
+		delete(before, t.ID)
 	}
 	for _, t := range r.state.Tasks {
-		if _, gone := before[t.Key()]; gone {
-			delete(r.taskSeq, t.Key())
-			r.ended = append(r.ended, endedTask{t.Key(), next.Sequence})
+		if _, gone := before[t.ID]; gone {
+			delete(r.taskSeq, t.ID)
+			r.ended = append(r.ended, endedTask{t.ID, next.Sequence})
 		}
 	}
 	r.forgetEnded(len(r.ended) - maxEnded)
@@ -165,7 +166,7 @@
 func (r *Reporter) addTasks(out *wire.AgentReport, base uint64) {
 	out.Fence = r.state.Fence
 	for _, t := range r.state.Tasks {
-		if r.taskSeq[t.Key()] > base {
+		if r.taskSeq[t.ID] > base {
 			out.Tasks = append(out.Tasks, t)
 		}
 	}
--- a/membership/reporter_test.go
+++ b/membership/reporter_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
@@ -28,7 +29,7 @@
 	state.Load.Queued = 5
 	r.Set(now, state)
 	c.Assert(r.Due(now, "x"), qt.Equals, now.Add(DefaultReportEvery), qt.Commentf("load alone waits"))
-	state.Tasks = []wire.TaskReport{{Job: "j"}}
+	state.Tasks = []gang.Task{{ID: gang.ID{Job: "j"}}}
 	r.Set(now, state)
 	c.Assert(r.Due(now, "x"), qt.Equals, now.Add(DefaultCoalesce))
 	delta := r.Report(now, "x")
@@ -49,7 +50,7 @@
 	r.Acked(start, "x", 1, &wire.ReportAck{Refused: []string{"a"}, NextReport: 4 * time.Second})
 	c.Assert(r.Due(start, "x"), qt.Equals, start.Add(5*time.Second))
 	state := full("a", 1, 0)
-	state.Tasks = []wire.TaskReport{{Job: "j"}}
+	state.Tasks = []gang.Task{{ID: gang.ID{Job: "j"}}}
 	r.Set(start, state)
 	c.Assert(r.Due(start, "x"), qt.Equals, start.Add(5*time.Second))
 	state.Draining = true
@@ -68,7 +69,7 @@
 	c := qt.New(t)
 	r := newReporter()
 	state := full("a", 1, 0)
-	state.Tasks = []wire.TaskReport{{Job: "j"}}
+	state.Tasks = []gang.Task{{ID: gang.ID{Job: "j"}}}
 	r.Set(start, state)
 	r.Report(start, "x")
 	r.Report(start, "y")
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -61,7 +63,7 @@
 // survives another round.
 func FuzzFrame(f *testing.F) {
 	for _, msg := range []any{&Ping{}, &Execute{Attempt: "a", Header: []Header{{Name: "A", Value: "b"}}},
-		&Report{Batch: []AgentReport{{ID: "x", Full: true, Tasks: []TaskReport{{Job: "j"}}}}}} {
+		&Report{Batch: []AgentReport{{ID: "x", Full: true, Tasks: []gang.Task{{ID: gang.ID{Job: "j"}}}}}}} {
 		frame, err := encodeFrame(msg, DefaultMaxFrame)
 		if err != nil {
 			f.Fatal(err)
--- a/wire/kind.go
+++ b/wire/kind.go
@@ -26,13 +26,7 @@
 	KindResolveReply
 	KindGang
 	KindGangReply
-	KindSubmitJob
-	KindSubmitJobReply
-	KindCancelJobs
-	KindCancelJobsReply
 	KindJobStatus
 	KindJobStatusReply
-	KindResultReport
-	KindResultReportAck
 	KindFirstFree Kind = 1000
 )
--- a/wire/measure_bytes_test.go
+++ b/wire/measure_bytes_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
 )
 
 // countingConn counts what a socket sends. It keeps the methods of a UDP
@@ -49,8 +51,14 @@
 		Accelerators: 8, Slots: 8, Connections: 64, Cores: 32, MemoryMB: 65536, Load: load.Load}
 	tasks := whole
 	for i := range 8 {
-		tasks.Tasks = append(tasks.Tasks, TaskReport{Job: fmt.Sprint("0198f0c0-1111-7000-8000-00000000000", i),
-			Attempt: fmt.Sprint("0198f0c0-2222-7000-8000-00000000000", i), Epoch: 12, State: TaskRunning, Accelerators: []int{i}})
+		tasks.Tasks = append(tasks.Tasks, gang.Task{
+			ID:           gang.ID{Job: fmt.Sprint("0198f0c0-1111-7000-8000-00000000000", i), Epoch: 12, Number: 4711},
+			State:        gang.StateRunning,
+			Accelerators: []int{i},
+			Members:      4,
+			Committed:    true,
+			Started:      true,
+		})
 	}
 	return map[string]*Report{
 		"no news":           {Batch: []AgentReport{quiet}},
--- a/wire/messages_report.go
+++ b/wire/messages_report.go
@@ -61,8 +61,8 @@
 	// Draining is final within an incarnation.
 	Draining    bool         `cbor:"20,keyasint,omitempty"`
 	Load        Load         `cbor:"21,keyasint,omitzero"`
-	Tasks       []TaskReport `cbor:"22,keyasint,omitempty"`
-	Ended       []TaskKey    `cbor:"23,keyasint,omitempty"`
+	Tasks       []gang.Task  `cbor:"22,keyasint,omitempty"`
+	Ended       []gang.ID    `cbor:"23,keyasint,omitempty"`
 	Generations []Generation `cbor:"24,keyasint,omitempty"`
 	// Fence is the highest planner epoch that the agent has heard of. It goes
 	// with the group ChangedTasks.
