planner: a start is recorded only over the record that it was decided on

Found by TestWaveOfCancellations: jobs told 'cancelled before it started' ran for their whole 20 s. The planner takes a job's record from the watch; when the cancellation arrived between the reservation and the record of the start, the start was written over the cancelled record, by compare-and-swap on the very revision of the cancellation. The same order with another planner's start would have started a running job twice. The attempt now remembers the revision it was decided on, and any other is a conflict.

Found by the same test: a worker was quarantined for five minutes, a quarter of the capacity. Attempts that are given up are over for the scheduler at once, while the message that ends the hold is under way; the next attempts were refused as busy, and three refusals of different jobs quarantine a worker. A refusal within the hold timeout of an attempt given up there counts no more.

trial: tests of jobs under failure.

--- a/planner/coordinate.go
+++ b/planner/coordinate.go
@@ -101,8 +101,21 @@
 	})
 }
 
-// record writes the start of an attempt into the job's record.
+// record writes the start of an attempt over the record that it was decided on.
+//
+// The failure this guards against: between the decision and the write the watch
+// brings a later form of the record, a cancellation or another planner's start,
+// and writing over that one succeeds. A caller told "cancelled before it started"
+// then sees the job run, or a job that may be running is started again.
 func (p *Planner) record(j *job, plan gang.Plan) {
+	if j.stored.Rev != j.decided {
+		result := gang.RecordConflict
+		if names(j.stored.Record, plan.ID) {
+			result = gang.RecordWritten // our own earlier try, seen by the watch first
+		}
+		p.post0(func() { p.recordedAs(j, plan.ID, result) })
+		return
+	}
 	next := j.stored
 	next.State = jobs.Starting
 	next.Attempt = uint64(j.attempt)
@@ -139,6 +152,13 @@
 	p.coordinate(j, gang.Recorded{Result: result})
 }
 
+// recordedAs tells the attempt what is known of its record without a write.
+func (p *Planner) recordedAs(j *job, id gang.ID, r gang.RecordResult) {
+	if j.coord != nil && j.coord.Plan().ID == id {
+		p.coordinate(j, gang.Recorded{Result: r})
+	}
+}
+
 func names(r jobs.Record, id gang.ID) bool {
 	return r.Epoch == id.Epoch && r.Number == id.Number && r.State == jobs.Starting
 }
@@ -176,6 +196,7 @@
 		return
 	}
 	id, attempt := scheduler.JobID(j.stored.ID), j.attempt
+	members := j.coord.Plan().Members
 	p.detach(j)
 	j.last = e
 	j.keepCheckpoint(e)
@@ -184,7 +205,9 @@
 	}
 	if e.Outcome == gang.NotStarted {
 		p.cfg.Metrics.Add(metrics.GangsAborted, 1)
-		p.decide(scheduler.GangRefused{Job: id, Attempt: attempt, Worker: scheduler.WorkerID(e.Fault)})
+		fault := p.atFault(e)
+		p.mayHold(members)
+		p.decide(scheduler.GangRefused{Job: id, Attempt: attempt, Worker: fault})
 		p.afterNotStarted(j, e)
 		return
 	}
@@ -205,6 +228,29 @@
 	p.decide(ended)
 }
 
+// mayHold notes that workers may hold accelerators for an attempt that was given
+// up: the message that ends the hold is on its way, or was lost.
+func (p *Planner) mayHold(members []gang.Placed) {
+	until := clock.Now().Add(p.doc.Document.Gang.HoldTimeout.Duration)
+	for _, m := range members {
+		if w := p.workers[m.Agent]; w != nil {
+			w.holds = until
+		}
+	}
+}
+
+// atFault is the worker that an attempt was not started for. One that refused
+// while it may still hold for an attempt given up is not at fault: a wave of
+// cancellations makes many such refusals at once, and counted as failures they
+// would quarantine workers that are well.
+func (p *Planner) atFault(e gang.Ended) scheduler.WorkerID {
+	w := p.workers[e.Fault]
+	if w != nil && e.Cause == gang.CauseRefused && clock.Now().Before(w.holds) {
+		return ""
+	}
+	return scheduler.WorkerID(e.Fault)
+}
+
 func outcomeOf(o gang.Outcome) scheduler.Outcome {
 	switch o {
 	case gang.Done:
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -61,6 +61,7 @@
 		return
 	}
 	j.attempt = a.Attempt
+	j.decided = j.stored.Rev
 	j.phase = Starting
 	p.attach(j, gang.New(gangConfig(p.cfg.Epoch, p.doc.Document.Gang), plan))
 	p.post0(func() { p.coordinate(j, gang.Begin{}) })
--- a/planner/job.go
+++ b/planner/job.go
@@ -5,6 +5,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
 )
 
@@ -24,6 +25,8 @@
 	stored  jobs.Stored
 	phase   Phase
 	attempt scheduler.Attempt
+	// decided is the revision of the record that the attempt was decided on.
+	decided platform.Revision
 	coord   *gang.Coordinator // nil while queued
 	timer   *time.Timer       // of the coordinator
 	// last is how the last attempt ended; it decides between failed and unknown
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -25,6 +25,8 @@
 	seen Seen
 	up   bool
 	jobs map[string]*job // with a coordinator that has a member here
+	// holds is until when it may hold accelerators for an attempt given up.
+	holds time.Time
 }
 
 // Observe takes the report of an agent. It is safe for concurrent use.
--- a/trial/worker.go
+++ b/trial/worker.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// Fail ends the whole instance: agent, target and all that runs there, for good.
+func (w *Worker) Fail() {
+	w.Kill()
+	_ = w.server.Close()
+	w.Target.Close()
+}
+
 // Stop is a planned stop of the agent. It returns an error if work in progress
 // was left behind.
 func (w *Worker) Stop(ctx context.Context) error {
@@ -118,8 +125,4 @@
 	return w.now != nil
 }
 
-func (w *Worker) close() {
-	w.Kill()
-	w.Target.Close()
-	_ = w.server.Close()
-}
+func (w *Worker) close() { w.Fail() }
