--- /dev/null
+++ b/agent/adopt.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/clock"
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/target"
+)
+
+// adopt asks the target what it runs. Until then an accelerator that looks
+// free may be in use by a task of the agent's earlier life, so the member
+// refuses everything.
+func (g *gangs) adopt() error {
+	ctx := g.t.Context(nil)
+	for {
+		tasks, err := g.target.Tasks(ctx)
+		if err == nil {
+			g.adoptTasks(tasks)
+			return nil
+		}
+		select {
+		case <-time.After(adoptRetry):
+		case <-g.t.Dying():
+			return nil
+		}
+	}
+}
+
+func (g *gangs) adoptTasks(statuses []target.TaskStatus) {
+	var tasks []gang.Task
+	running := 0
+	for _, s := range statuses {
+		if s.State.Final() && time.Since(s.Ended) > adoptEnded {
+			continue
+		}
+		tasks = append(tasks, adopted(s, clock.Now()))
+		if !s.State.Final() {
+			running++
+		}
+	}
+	if len(tasks) > 0 {
+		g.log.WithFields(logrus.Fields{"running": running, "ended": len(tasks) - running}).Info("adopted the target's tasks")
+	}
+	g.event(gang.Adopted{Tasks: tasks})
+	for _, t := range tasks {
+		if t.State != gang.StateEnded {
+			g.t.Go(func() error { return g.watch(t.ID) })
+		}
+	}
+}
--- a/entry/members.go
+++ b/entry/members.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/binary"
 	"sync"
 	"time"
@@ -10,20 +9,14 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/eelgrasshub/eelgrasshub/clock"
-	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/membership"
-	"github.com/eelgrasshub/eelgrasshub/planner"
 	"github.com/eelgrasshub/eelgrasshub/routing"
-	"github.com/eelgrasshub/eelgrasshub/scheduler"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
 // memberTick is the period in which silent agents are looked for.
 const memberTick = time.Second
 
-// publishTimeout bounds the sending of documents to one agent.
-const publishTimeout = 3 * time.Second
-
 // members takes the agents' reports: it keeps the membership table, and hands
 // what changed to the routers and planners. It is safe for concurrent use.
 type members struct {
@@ -186,22 +179,6 @@
 	m.e.dispatcher(service).setTargets(targets)
 }
 
-// observe tells the planner, if it is here, and adds its part to the answer.
-func (m *members) observe(r wire.AgentReport, now time.Time, ack *wire.ReportAck) {
-	member := m.find(r.ID)
-	if member == nil || r.Goodbye || member.Report.Incarnation != r.Incarnation {
-		return
-	}
-	p := m.e.duties.planner(member.Report.Service)
-	if p == nil {
-		return
-	}
-	p.Observe(seen(member, r.Stamp, now.Add(-r.Age)))
-	whole, stamp := p.Answer(r.ID)
-	ack.Whole = append(ack.Whole, whole...)
-	ack.Stamp = stamp
-}
-
 func (m *members) find(id string) *membership.Member {
 	m.mu.Lock()
 	service, ok := m.homes[id]
@@ -212,81 +189,6 @@
 	return m.table.Snapshot().Service(service).Find(id)
 }
 
-func seen(member *membership.Member, stamp gang.Stamp, at time.Time) planner.Seen {
-	r := &member.Report
-	return planner.Seen{
-		Worker: scheduler.Worker{
-			ID:           scheduler.WorkerID(r.ID),
-			Zone:         r.Zone,
-			Rack:         r.Rack,
-			Accelerators: r.Accelerators,
-			Cores:        r.Cores,
-			MemoryMB:     r.MemoryMB,
-		},
-		Incarnation: r.Incarnation,
-		Draining:    r.Draining,
-		Fence:       r.Fence,
-		Stamp:       stamp,
-		Tasks:       r.Tasks,
-		At:          at,
-	}
-}
-
-// replay tells a new planner of all agents known. What they last said is as old
-// as it is: only their own next reports prove that their gangs are whole.
-func (m *members) replay(service string, p *planner.Planner) {
-	for _, member := range m.table.Snapshot().Service(service).Members {
-		p.Observe(seen(member, gang.Stamp{Epoch: staleEpoch}, clock.Now()))
-	}
-}
-
-// staleEpoch is in no planner's stamp: evidence of nothing.
-const staleEpoch = ^uint64(0)
-
-// offerDocuments sends an agent what it lacks of its service's document.
-func (m *members) offerDocuments(r wire.AgentReport) {
-	member := m.find(r.ID)
-	if member == nil {
-		return
-	}
-	held, ok := m.e.docs.Current(member.Report.Service)
-	if !ok || hasGeneration(member.Report.Generations, held.Version.Summary()) {
-		return
-	}
-	m.mu.Lock()
-	busy := m.sending[r.ID]
-	m.sending[r.ID] = true
-	m.mu.Unlock()
-	if !busy {
-		go m.sendDocument(r.ID, wire.DocumentVersion(held.Version))
-	}
-}
-
-func hasGeneration(have []wire.Generation, want wire.Generation) bool {
-	for _, g := range have {
-		if g.Service == want.Service && g.Generation >= want.Generation {
-			return true
-		}
-	}
-	return false
-}
-
-func (m *members) sendDocument(agent string, v wire.DocumentVersion) {
-	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
-	defer cancel()
-	_, _ = m.e.agents.call(ctx, agent, &wire.Publish{Versions: []wire.DocumentVersion{v}}, anyPath) // its next report shows what it lacks
-	m.mu.Lock()
-	delete(m.sending, agent)
-	m.mu.Unlock()
-}
-
-// publish sends a new generation to every agent of its service at once.
-func (m *members) publish(v wire.DocumentVersion) {
-	for _, member := range m.table.Snapshot().Service(v.Service).Members {
-		go m.sendDocument(member.Report.ID, v)
-	}
-}
-
 // tick lets time pass for the table until the entry stops.
 func (m *members) tick() error {
 	ticker := time.NewTicker(memberTick)
--- /dev/null
+++ b/entry/members_documents.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// publishTimeout bounds the sending of documents to one agent.
+const publishTimeout = 3 * time.Second
+
+// offerDocuments sends an agent what it lacks of its service's document.
+func (m *members) offerDocuments(r wire.AgentReport) {
+	member := m.find(r.ID)
+	if member == nil {
+		return
+	}
+	held, ok := m.e.docs.Current(member.Report.Service)
+	if !ok || hasGeneration(member.Report.Generations, held.Version.Summary()) {
+		return
+	}
+	m.mu.Lock()
+	busy := m.sending[r.ID]
+	m.sending[r.ID] = true
+	m.mu.Unlock()
+	if !busy {
+		go m.sendDocument(r.ID, wire.DocumentVersion(held.Version))
+	}
+}
+
+func hasGeneration(have []wire.Generation, want wire.Generation) bool {
+	for _, g := range have {
+		if g.Service == want.Service && g.Generation >= want.Generation {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *members) sendDocument(agent string, v wire.DocumentVersion) {
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	_, _ = m.e.agents.call(ctx, agent, &wire.Publish{Versions: []wire.DocumentVersion{v}}, anyPath) // its next report shows what it lacks
+	m.mu.Lock()
+	delete(m.sending, agent)
+	m.mu.Unlock()
+}
+
+// publish sends a new generation to every agent of its service at once.
+func (m *members) publish(v wire.DocumentVersion) {
+	for _, member := range m.table.Snapshot().Service(v.Service).Members {
+		go m.sendDocument(member.Report.ID, v)
+	}
+}
--- /dev/null
+++ b/entry/members_planner.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/clock"
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/membership"
+	"github.com/eelgrasshub/eelgrasshub/planner"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// observe tells the planner, if it is here, and adds its part to the answer.
+func (m *members) observe(r wire.AgentReport, now time.Time, ack *wire.ReportAck) {
+	member := m.find(r.ID)
+	if member == nil || r.Goodbye || member.Report.Incarnation != r.Incarnation {
+		return
+	}
+	p := m.e.duties.planner(member.Report.Service)
+	if p == nil {
+		return
+	}
+	p.Observe(seen(member, r.Stamp, now.Add(-r.Age)))
+	whole, stamp := p.Answer(r.ID)
+	ack.Whole = append(ack.Whole, whole...)
+	ack.Stamp = stamp
+}
+
+func seen(member *membership.Member, stamp gang.Stamp, at time.Time) planner.Seen {
+	r := &member.Report
+	return planner.Seen{
+		Worker: scheduler.Worker{
+			ID:           scheduler.WorkerID(r.ID),
+			Zone:         r.Zone,
+			Rack:         r.Rack,
+			Accelerators: r.Accelerators,
+			Cores:        r.Cores,
+			MemoryMB:     r.MemoryMB,
+		},
+		Incarnation: r.Incarnation,
+		Draining:    r.Draining,
+		Fence:       r.Fence,
+		Stamp:       stamp,
+		Tasks:       r.Tasks,
+		At:          at,
+	}
+}
+
+// replay tells a new planner of all agents known. What they last said is as old
+// as it is: only their own next reports prove that their gangs are whole.
+func (m *members) replay(service string, p *planner.Planner) {
+	for _, member := range m.table.Snapshot().Service(service).Members {
+		p.Observe(seen(member, gang.Stamp{Epoch: staleEpoch}, clock.Now()))
+	}
+}
+
+// staleEpoch is in no planner's stamp: evidence of nothing.
+const staleEpoch = ^uint64(0)
