--- a/admission/options.go
+++ b/admission/options.go
@@ -1,5 +1,7 @@
 package admission
 
+import "cmp"
+
 // Options are the settings of a Queue. Zero fields take the defaults named
 // beside them.
 type Options struct {
@@ -35,18 +37,11 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Slots, 1)
-	setDefault(&o.MaxQueued, DefaultMaxQueued)
-	setDefault(&o.MaxAccount, DefaultMaxAccount)
-	setDefault(&o.MaxCosts, DefaultMaxCosts)
-	setDefault(&o.Target, DefaultTarget)
-	setDefault(&o.Interval, DefaultInterval)
+	o.Slots = cmp.Or(o.Slots, 1)
+	o.MaxQueued = cmp.Or(o.MaxQueued, DefaultMaxQueued)
+	o.MaxAccount = cmp.Or(o.MaxAccount, DefaultMaxAccount)
+	o.MaxCosts = cmp.Or(o.MaxCosts, DefaultMaxCosts)
+	o.Target = cmp.Or(o.Target, DefaultTarget)
+	o.Interval = cmp.Or(o.Interval, DefaultInterval)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/membership/config.go
+++ b/membership/config.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Config.
 const (
@@ -40,20 +43,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.SuspectAfter, DefaultSuspectAfter)
-	setDefault(&c.LostAfter, DefaultLostAfter)
-	setDefault(&c.ForgetAfter, DefaultForgetAfter)
-	setDefault(&c.ReportEvery, DefaultReportEvery)
-	setDefault(&c.ReportsPerSecond, DefaultReportsPerSecond)
-	setDefault(&c.MaxMembers, DefaultMaxMembers)
-	setDefault(&c.FullPerSecond, DefaultFullPerSecond)
-	setDefault(&c.FullBurst, DefaultFullBurst)
+	c.SuspectAfter = cmp.Or(c.SuspectAfter, DefaultSuspectAfter)
+	c.LostAfter = cmp.Or(c.LostAfter, DefaultLostAfter)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	c.ReportEvery = cmp.Or(c.ReportEvery, DefaultReportEvery)
+	c.ReportsPerSecond = cmp.Or(c.ReportsPerSecond, DefaultReportsPerSecond)
+	c.MaxMembers = cmp.Or(c.MaxMembers, DefaultMaxMembers)
+	c.FullPerSecond = cmp.Or(c.FullPerSecond, DefaultFullPerSecond)
+	c.FullBurst = cmp.Or(c.FullBurst, DefaultFullBurst)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/membership/reporter_config.go
+++ b/membership/reporter_config.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of ReporterConfig.
 const (
@@ -21,8 +24,8 @@
 }
 
 func (c ReporterConfig) withDefaults() ReporterConfig {
-	setDefault(&c.Every, DefaultReportEvery)
-	setDefault(&c.Coalesce, DefaultCoalesce)
-	setDefault(&c.Jitter, DefaultJitter)
+	c.Every = cmp.Or(c.Every, DefaultReportEvery)
+	c.Coalesce = cmp.Or(c.Coalesce, DefaultCoalesce)
+	c.Jitter = cmp.Or(c.Jitter, DefaultJitter)
 	return c
 }
--- a/routing/options.go
+++ b/routing/options.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options are the settings of a Router. Zero fields take the defaults named
 // beside them.
@@ -31,19 +34,12 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Choices, DefaultChoices)
-	setDefault(&o.EjectBase, DefaultEjectBase)
-	setDefault(&o.EjectMax, DefaultEjectMax)
-	setDefault(&o.StaleAfter, DefaultStaleAfter)
-	setDefault(&o.RetryShare, DefaultRetryShare)
-	setDefault(&o.AccountRetryShare, DefaultAccountRetryShare)
-	setDefault(&o.RetryBurst, DefaultRetryBurst)
+	o.Choices = cmp.Or(o.Choices, DefaultChoices)
+	o.EjectBase = cmp.Or(o.EjectBase, DefaultEjectBase)
+	o.EjectMax = cmp.Or(o.EjectMax, DefaultEjectMax)
+	o.StaleAfter = cmp.Or(o.StaleAfter, DefaultStaleAfter)
+	o.RetryShare = cmp.Or(o.RetryShare, DefaultRetryShare)
+	o.AccountRetryShare = cmp.Or(o.AccountRetryShare, DefaultAccountRetryShare)
+	o.RetryBurst = cmp.Or(o.RetryBurst, DefaultRetryBurst)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/target/standin/options.go
+++ b/target/standin/options.go
@@ -1,6 +1,9 @@
 package standin
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Options: a worker of the sample deployments.
 const (
@@ -36,20 +39,14 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Slots, DefaultSlots)
-	setDefault(&o.Connections, DefaultConnections)
-	setDefault(&o.Accelerators, DefaultAccelerators)
-	setDefault(&o.Cores, DefaultCores)
-	setDefault(&o.MemoryMB, DefaultMemoryMB)
-	setDefault(&o.Work, DefaultWork)
-	setDefault(&o.UsageLag, DefaultUsageLag)
-	setDefault(&o.MaxRecords, DefaultMaxRecords)
-	setDefault(&o.MaxEnded, DefaultMaxEnded)
+	o.Slots = cmp.Or(o.Slots, DefaultSlots)
+	o.Connections = cmp.Or(o.Connections, DefaultConnections)
+	o.Accelerators = cmp.Or(o.Accelerators, DefaultAccelerators)
+	o.Cores = cmp.Or(o.Cores, DefaultCores)
+	o.MemoryMB = cmp.Or(o.MemoryMB, DefaultMemoryMB)
+	o.Work = cmp.Or(o.Work, DefaultWork)
+	o.UsageLag = cmp.Or(o.UsageLag, DefaultUsageLag)
+	o.MaxRecords = cmp.Or(o.MaxRecords, DefaultMaxRecords)
+	o.MaxEnded = cmp.Or(o.MaxEnded, DefaultMaxEnded)
 	return o
 }
-
-func setDefault[T int | time.Duration](v *T, def T) {
-	if *v <= 0 {
-		*v = def
-	}
-}
--- a/trial/options.go
+++ b/trial/options.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"cmp"
 	"io"
 	"time"
 
@@ -42,11 +43,11 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Entries, DefaultEntries)
-	setDefault(&o.Workers, defaultWorkersInRack)
-	setDefault(&o.ReportEvery, DefaultReportEvery)
-	setDefault(&o.StoreTimeout, DefaultStoreTimeout)
-	setDefault(&o.DrainDelay, DefaultDrainDelay)
+	o.Entries = cmp.Or(o.Entries, DefaultEntries)
+	o.Workers = cmp.Or(o.Workers, defaultWorkersInRack)
+	o.ReportEvery = cmp.Or(o.ReportEvery, DefaultReportEvery)
+	o.StoreTimeout = cmp.Or(o.StoreTimeout, DefaultStoreTimeout)
+	o.DrainDelay = cmp.Or(o.DrainDelay, DefaultDrainDelay)
 	if o.Log == nil {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
@@ -54,10 +55,3 @@
 	}
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/wire/config.go
+++ b/wire/config.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"net"
 	"time"
 )
@@ -57,24 +58,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxFrame, DefaultMaxFrame)
-	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
-	setDefault(&c.PingTimeout, DefaultPingTimeout)
-	setDefault(&c.BusyProbe, DefaultBusyProbe)
-	setDefault(&c.IdleProbe, DefaultIdleProbe)
-	setDefault(&c.SuspectGrace, DefaultSuspectGrace)
-	setDefault(&c.MaxConns, DefaultMaxConns)
-	setDefault(&c.AcceptRate, DefaultAcceptRate)
-	setDefault(&c.AcceptBurst, DefaultAcceptBurst)
+	c.MaxFrame = cmp.Or(c.MaxFrame, DefaultMaxFrame)
+	c.HandshakeTimeout = cmp.Or(c.HandshakeTimeout, DefaultHandshakeTimeout)
+	c.PingTimeout = cmp.Or(c.PingTimeout, DefaultPingTimeout)
+	c.BusyProbe = cmp.Or(c.BusyProbe, DefaultBusyProbe)
+	c.IdleProbe = cmp.Or(c.IdleProbe, DefaultIdleProbe)
+	c.SuspectGrace = cmp.Or(c.SuspectGrace, DefaultSuspectGrace)
+	c.MaxConns = cmp.Or(c.MaxConns, DefaultMaxConns)
+	c.AcceptRate = cmp.Or(c.AcceptRate, DefaultAcceptRate)
+	c.AcceptBurst = cmp.Or(c.AcceptBurst, DefaultAcceptBurst)
 	if c.ListenPacket == nil {
 		c.ListenPacket = net.ListenPacket
 	}
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
