--- a/internal/capacity/agent_test.go
+++ b/internal/capacity/agent_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -80,7 +81,7 @@
 // one member, and as a member of a gang of 16.
 func TestMeasureAgent(t *testing.T) {
 	needMeasure(t)
-	for _, every := range []time.Duration{time.Second, 5 * time.Second} {
+	for _, every := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second} {
 		t.Run(fmt.Sprint("every=", every), func(t *testing.T) { measureAgent(qt.New(t), every) })
 	}
 }
@@ -111,9 +112,14 @@
 			every, what, 100*after.Since(before).Seconds()/span.Seconds(), after.Heap>>10, after.Stacks>>10, after.Resident>>10, after.Goroutines, float64(bytes)/2/span.Seconds(), loadAverage())
 	}
 	watch("idle")
-	s.job(client, names[0], "gang", 16, 18*time.Second)
+	gangJob := s.job(client, names[0], "gang", 16, 18*time.Second)
 	watch("one of two members of a gang of 16 runs")
-	time.Sleep(6 * time.Second)
+	time.Sleep(8 * time.Second)
+	status, err := client.Job(context.Background(), names[0], gangJob, 0)
+	c.Assert(err, qt.IsNil)
+	c.Logf("the gang, report every %v: %s in attempt %d, %s", every, status.State, status.Attempt, status.Detail)
+	_, err = client.Cancel(context.Background(), names[0], gangJob)
+	c.Assert(err, qt.IsNil)
 	for i := range 16 {
 		s.job(client, names[0], fmt.Sprint("small-", i), 1, time.Minute)
 	}
--- a/internal/capacity/entry_test.go
+++ b/internal/capacity/entry_test.go
@@ -56,7 +56,7 @@
 		return known == n
 	})
 	known := time.Since(began)
-	time.Sleep(3 * settle) // path MTU discovery ends
+	time.Sleep(3*settle + 3*every) // path MTU discovery ends
 	before := p.usage()
 	bytes := func() int64 { return f.Traffic.SentBytes.Load() + f.Traffic.ReceivedBytes.Load() }
 	b, reports := bytes(), f.Reports.Load()
@@ -73,6 +73,40 @@
 		float64(b)/float64(n)/span.Seconds(), float64(b)/float64(max(1, reports)), known.Round(time.Millisecond), 100*(empty.Since(start)).Seconds()/settle.Seconds(), loadAverage())
 }
 
+// TestMeasureNews gives the traffic of agents whose own documents do not change
+// while those of another service do.
+func TestMeasureNews(t *testing.T) {
+	needMeasure(t)
+	for _, n := range []int{2, 94} {
+		t.Run(fmt.Sprintf("services=%d", n), func(t *testing.T) { measureNews(qt.New(t), n) })
+	}
+}
+
+func measureNews(c *qt.C, serviceCount int) {
+	const n, every, span = 100, time.Second, 10
+	names := services(serviceCount)
+	s := newSite(c, names...)
+	p := startProcess(c, entryEnv, s.entry("entry-1", every))
+	f := NewFleet(p.ready[0], every, false)
+	c.Cleanup(f.Stop)
+	c.Assert(f.Add(n, names[0]), qt.IsNil)
+	eventually(c, "all agents in force", func() bool { _, inForce := s.alive(p.ready[1], 1); return inForce == n })
+	time.Sleep(5 * settle)
+	traffic := func() int64 { return f.Traffic.SentBytes.Load() + f.Traffic.ReceivedBytes.Load() }
+	for _, changes := range []bool{false, true} {
+		bytes, reports, before := traffic(), f.Reports.Load(), p.usage()
+		for i := range span {
+			if changes {
+				s.put(names[1], uint64(i+1))
+			}
+			time.Sleep(time.Second)
+		}
+		bytes, reports = traffic()-bytes, f.Reports.Load()-reports
+		c.Logf("%d agents, %d services, one document of another service changes each second: %v | %.0f B a report both ways, entry's processor %.0f us a report | load %s",
+			n, serviceCount, changes, float64(bytes)/float64(reports), float64(p.usage().Since(before).Microseconds())/float64(reports), loadAverage())
+	}
+}
+
 // TestMeasureReturn lets all agents of an availability zone return at once.
 func TestMeasureReturn(t *testing.T) {
 	needMeasure(t)
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -25,7 +25,6 @@
 	entry string
 	every time.Duration
 	loads bool
-	known atomic.Uint64
 
 	mu      sync.Mutex
 	agents  []*standinAgent
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -111,8 +111,13 @@
 	}
 	calls, began := s.calls.Calls(), time.Now()
 	var wg sync.WaitGroup
-	for i := range n {
-		wg.Go(func() { accept(i) })
+	const callers = 100
+	for k := range callers {
+		wg.Go(func() {
+			for i := k; i < n; i += callers {
+				accept(i)
+			}
+		})
 	}
 	wg.Wait()
 	accepted := time.Since(began)
--- a/internal/capacity/standin.go
+++ b/internal/capacity/standin.go
@@ -36,6 +36,7 @@
 	state    wire.AgentReport
 	reporter *membership.Reporter
 	admitted bool
+	known    uint64 // digest of the last answer with content; owned by loop
 }
 
 func startStandin(f *Fleet, id string, service string) (*standinAgent, error) {
@@ -124,7 +125,7 @@
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(a.tomb.Context(nil), reportTimeout)
 	defer cancel()
-	got, err := a.pool.Call(ctx, a.fleet.entry, &wire.Report{Batch: []wire.AgentReport{msg}, Known: a.fleet.known.Load()})
+	got, err := a.pool.Call(ctx, a.fleet.entry, &wire.Report{Batch: []wire.AgentReport{msg}, Known: a.known})
 	ack, ok := got.(*wire.ReportAck)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -139,7 +140,7 @@
 		a.fleet.Admitted.Add(1)
 	}
 	a.fleet.Shed.Add(int64(len(ack.Refused)))
-	a.fleet.known.Store(ack.Digest)
+	a.known = ack.Digest
 	a.reporter.Acked(time.Now(), a.fleet.entry, msg.Sequence, ack)
 }
 
--- a/internal/capacity/store_test.go
+++ b/internal/capacity/store_test.go
@@ -161,11 +161,12 @@
 	}
 }
 
-func (s *site) job(client *api.Client, service, key string, accelerators int, run time.Duration) {
+func (s *site) job(client *api.Client, service, key string, accelerators int, run time.Duration) string {
 	payload, err := json.Marshal(standin.TaskPayload{Tag: key, RunMS: run.Milliseconds()})
 	s.Check(err, qt.IsNil)
-	_, err = client.Submit(context.Background(), service, api.JobRequest{
+	status, err := client.Submit(context.Background(), service, api.JobRequest{
 		Account: "account-1", Class: "long", Accelerators: accelerators, Payload: payload,
 	}, key)
 	s.Check(err, qt.IsNil)
+	return status.ID
 }
