entry: a request does not wait for the handshake with a dead agent

A call now waits 400 ms for a connection and the request turns to another target; the dial goes on for later calls.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -89,7 +90,7 @@
 	if addr == "" {
 		return nil, noPath(errNoPath)
 	}
-	c, err := a.pool.Conn(ctx, addr)
+	c, err := a.dialled(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -99,6 +100,18 @@
 	return c, nil
 }
 
+// dialWait is how long a call waits for a connection that is being dialled. A
+// dead agent leaves the handshake unanswered for seconds; a request that waited
+// for it would miss its deadline although other targets are free. The dial goes
+// on in the pool for later calls.
+const dialWait = 400 * time.Millisecond
+
+func (a *agents) dialled(ctx context.Context, addr string) (*wire.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialWait)
+	defer cancel()
+	return a.pool.Conn(ctx, addr)
+}
+
 func noPath(cause error) error {
 	return &wire.CallError{Outcome: wire.ErrNotSent, Cause: cause}
 }
--- /dev/null
+++ b/trial/document_test.go
@@ -0,0 +1,103 @@
+package trial_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/trial"
+)
+
+// changed is the tests' document as an operator edits it.
+var changed = []byte(documentText + "\n# changed\n")
+
+// watchReady asks an entry's status until it is ready, and fails where it is
+// ready with an older generation than the one in force.
+func (w *world) watchReady(n *trial.EntryNode, want uint64) {
+	w.Helper()
+	w.eventually(func() error {
+		s, err := n.Client().Status(w.ctx)
+		if err != nil {
+			return err
+		}
+		if !s.Ready {
+			return fmt.Errorf("%s is not ready", n.ID)
+		}
+		w.Assert(s.Generations, qt.HasLen, 1)
+		w.Assert(s.Generations[0].Generation, qt.Equals, want)
+		return nil
+	})
+}
+
+func TestFreshEntryTakesTheDocumentFromItsPeer(t *testing.T) {
+	// An instance is replaced while the store is out. The new entry knows nothing.
+	// It takes the generation in force from the other entry and is not ready
+	// before; then it serves.
+	w := start(t, func(o *trial.Options) { o.Relays = true })
+	v, err := w.Put(w.ctx, changed, 1)
+	w.Assert(err, qt.IsNil)
+	w.Assert(w.WaitInForce(w.ctx, v.Generation), qt.IsNil)
+	w.Entries[0].Kill()
+	w.Store.SetFaults(store.Faults{Down: store.DownRefuse})
+	w.Assert(w.Entries[0].Start(), qt.IsNil)
+	w.watchReady(w.Entries[0], v.Generation)
+	w.checkDone(w.request(0, "check", "served", "", 0), "served")
+}
+
+func TestRestoredStoreDoesNotBringBackAnOldDocument(t *testing.T) {
+	// The platform restores its store from a backup taken before the last change.
+	// A new entry finds the old generation there and the later one at its peer. It
+	// is never ready with the old one, and the store gets the later one back.
+	w := start(t, func(o *trial.Options) { o.Relays = true })
+	w.Store.Snapshot()
+	v, err := w.Put(w.ctx, changed, 1)
+	w.Assert(err, qt.IsNil)
+	w.Assert(w.WaitInForce(w.ctx, v.Generation), qt.IsNil)
+	w.Entries[0].Kill()
+	w.Store.Restore()
+	w.Assert(w.Entries[0].Start(), qt.IsNil)
+	w.watchReady(w.Entries[0], v.Generation)
+	w.Assert(w.WaitInForce(w.ctx, v.Generation), qt.IsNil)
+	w.eventually(func() error {
+		_, err := w.Put(w.ctx, changed, v.Generation)
+		return err
+	})
+}
+
+func TestDocumentChangeWhileAnEntryIsCutFromTheStore(t *testing.T) {
+	// One entry has lost its way to the store. A change put meanwhile reaches it,
+	// and through it nobody goes back: every process has it.
+	w := start(t, nil)
+	w.Entries[0].CutStore(true)
+	v, err := w.Put(w.ctx, changed, 1)
+	w.Assert(err, qt.IsNil)
+	w.Assert(w.WaitInForce(w.ctx, v.Generation), qt.IsNil)
+}
+
+func TestEntryWithoutADocumentIsNotReady(t *testing.T) {
+	// All entries are replaced while the store is out. None knows any generation,
+	// so none is ready or takes work; callers hear that it was not run and when to
+	// come back. When the store is back they are.
+	w := start(t, func(o *trial.Options) { o.Relays = true })
+	w.Store.SetFaults(store.Faults{Down: store.DownHang})
+	for _, n := range w.Entries {
+		n.Kill()
+	}
+	for _, n := range w.Entries {
+		w.Assert(n.Start(), qt.IsNil)
+	}
+	for i := range w.Entries {
+		a := w.request(i, "check", "early", "", 0)
+		w.Check(a.Outcome, qt.Equals, api.OutcomeNotRun)
+		w.Assert(a.Problem, qt.IsNotNil)
+		w.Check(a.Problem.RetryAfter > 0, qt.IsTrue)
+	}
+	w.Store.SetFaults(store.Faults{})
+	for i, n := range w.Entries {
+		w.watchReady(n, 1)
+		w.checkDone(w.request(i, "check", n.ID, "", 0), n.ID)
+	}
+}
