entry: one that is cut from the store takes a change from the other entries

Found by TestDocumentChangeWhileAnEntryIsCutFromTheStore: an entry that had lost its own way to the store kept the old generation until the way was back (90 s, the limit of the test), while every other process had the new one. An entry asked its peers only until it was ready. It now asks them when an agent reports a later generation than its own.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
@@ -25,11 +26,18 @@
 
 // peersChanged tells the watcher whom to ask when the store is out.
 func (e *Entry) peersChanged(others []peerEntry) {
+	e.watcher.SetPeers(e.peerAddrs(others))
+}
+
+// peerAddrs are the addresses of the entries in the settings and the registry.
+func (e *Entry) peerAddrs(others []peerEntry) []string {
 	addrs := append([]string{}, e.cfg.Peers...)
 	for _, p := range others {
-		addrs = append(addrs, p.Address)
+		if !slices.Contains(addrs, p.Address) {
+			addrs = append(addrs, p.Address)
+		}
 	}
-	e.watcher.SetPeers(addrs)
+	return addrs
 }
 
 // askPeer implements document.Ask: it sends another entry what this one has, and
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,6 +50,7 @@
 	metrics   *metrics.Set
 	once      *onceRunner
 	draining  atomic.Bool
+	catching  atomic.Bool   // a catchUp is under way
 	started   chan struct{} // closed once all parts are there
 
 	mu          sync.RWMutex
--- a/entry/members_documents.go
+++ b/entry/members_documents.go
@@ -17,6 +17,9 @@
 		return
 	}
 	held, ok := m.e.docs.Current(member.Report.Service)
+	if ok && ahead(member.Report.Generations, held.Version.Summary()) {
+		m.e.catchUp()
+	}
 	if !ok || hasGeneration(member.Report.Generations, held.Version.Summary()) {
 		return
 	}
