--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -25,6 +25,7 @@
 	entry string
 	every time.Duration
 	loads bool
+	rack  int
 
 	mu      sync.Mutex
 	agents  []*standinAgent
@@ -37,6 +38,10 @@
 	return &Fleet{entry: entry, every: every, loads: loads, reached: make(map[uint64][]time.Time)}
 }
 
+// Rack makes each stand-in report for n agents in one batch, as a relay of their
+// rack would. Call it before Add.
+func (f *Fleet) Rack(n int) { f.rack = n }
+
 // Add starts n agents at once, spread evenly over the services.
 func (f *Fleet) Add(n int, services ...string) error {
 	f.mu.Lock()
--- a/internal/capacity/standin.go
+++ b/internal/capacity/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -125,7 +126,7 @@
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(a.tomb.Context(nil), reportTimeout)
 	defer cancel()
-	got, err := a.pool.Call(ctx, a.fleet.entry, &wire.Report{Batch: []wire.AgentReport{msg}, Known: a.known})
+	got, err := a.pool.Call(ctx, a.fleet.entry, &wire.Report{Batch: a.batch(msg), Known: a.known})
 	ack, ok := got.(*wire.ReportAck)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -135,6 +136,11 @@
 		return
 	}
 	a.fleet.Reports.Add(1)
+	if len(ack.NeedFull)+len(ack.Refused) > 0 && a.fleet.rack > 1 {
+		a.reporter.Forget(a.fleet.entry) // all of the rack report in full again
+		a.reporter.Failed(time.Now(), a.fleet.entry)
+		return
+	}
 	if !a.admitted && len(ack.Refused) == 0 {
 		a.admitted = true
 		a.fleet.Admitted.Add(1)
@@ -144,6 +150,18 @@
 	a.reporter.Acked(time.Now(), a.fleet.entry, msg.Sequence, ack)
 }
 
+// batch is what a relay of the rack would send: the report of this agent, and
+// the same of all others.
+func (a *standinAgent) batch(msg wire.AgentReport) []wire.AgentReport {
+	batch := []wire.AgentReport{msg}
+	for i := 1; i < a.fleet.rack; i++ {
+		other := msg
+		other.ID = fmt.Sprintf("%s-%02d", msg.ID, i)
+		batch = append(batch, other)
+	}
+	return batch
+}
+
 func (a *standinAgent) stop() {
 	a.tomb.Kill(nil)
 	a.pool.Close()
