entry: a fresh entry is ready when it knows a target

It is now ready once an agent has announced itself, or after 5 s without one.

A caller whose job's acceptance is not known hears when to come back.

--- a/entry/http.go
+++ b/entry/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"goji.io"
 	"goji.io/pat"
@@ -47,10 +48,22 @@
 	if e.draining.Load() {
 		return api.Busy(api.ReasonDraining, "this entry is leaving", comeBack)
 	}
-	select {
-	case <-e.watcher.Ready():
-		return nil
-	default:
-		return api.Busy(api.ReasonNotReady, "the configuration is not confirmed yet", comeBack)
+	if p := e.unconfirmed(); p != nil {
+		return p
 	}
+	if e.lonely(time.Now()) {
+		return api.Busy(api.ReasonNotReady, "no agent has announced itself here yet", comeBack)
+	}
+	return nil
+}
+
+// announceGrace is for how long a fresh entry waits for the first agent. After
+// it the entry is ready without one: there may be none, and jobs can be accepted.
+const announceGrace = 5 * time.Second
+
+// lonely says whether this entry has just started and knows no target. A balancer
+// that sent it requests would see them all refused, while the agents come back
+// from the pauses that they make between tries of an entry that was away.
+func (e *Entry) lonely(now time.Time) bool {
+	return now.Sub(e.since) < announceGrace && len(e.members.table.Snapshot().Services()) == 0
 }
--- a/entry/http_jobs.go
+++ b/entry/http_jobs.go
@@ -119,7 +119,7 @@
 	case eris.Is(err, jobs.ErrMismatch):
 		return api.NewProblem(api.ReasonKeyReused, "the key belongs to a job with another content")
 	case eris.Is(err, jobs.ErrOutcomeUnknown):
-		return api.NewProblem(api.ReasonAcceptanceLost, "the platform's store did not say whether it took the job; ask at Location")
+		return api.Busy(api.ReasonAcceptanceLost, "the platform's store did not say whether it took the job; ask at Location, or submit it again with the same idempotency key", comeBack)
 	default:
 		return api.Busy(api.ReasonStoreDown, "the platform's store can't make the job safe: "+err.Error(), comeBack)
 	}
--- a/trial/quick_test.go
+++ b/trial/quick_test.go
@@ -164,3 +164,16 @@
 		}
 	}
 }
+
+func TestFreshEntryIsReadyOnlyWithTargets(t *testing.T) {
+	// An entry's instance is replaced. The balancer sends requests as soon as the
+	// entry says that it is ready; none of them is refused for want of a target.
+	w := start(t, func(o *trial.Options) { o.Relays = true })
+	w.Entries[0].Kill()
+	w.Assert(w.Entries[0].Start(), qt.IsNil)
+	w.eventually(func() error { return w.Entries[0].Client().Ready(w.ctx) })
+	for i := range 10 {
+		tag := fmt.Sprintf("check-%d", i)
+		w.checkDone(w.request(0, "check", tag, "", 0), tag)
+	}
+}
