--- a/agent/adopt.go
+++ b/agent/adopt.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,7 +15,7 @@
 // free may be in use by a task of the agent's earlier life, so the member
 // refuses everything.
 func (g *gangs) adopt() error {
-	ctx := g.t.Context(nil)
+	ctx := g.t.Context(context.Background())
 	for {
 		tasks, err := g.target.Tasks(ctx)
 		if err == nil {
--- a/agent/gangs.go
+++ b/agent/gangs.go
@@ -38,7 +38,6 @@
 	work   chan func()
 	member *gang.Member
 	timer  *time.Timer
-	inc    uint64
 
 	// replies holds the reply of the Step in progress to the message it handled.
 	reply *gang.Reply
--- a/agent/reports.go
+++ b/agent/reports.go
@@ -181,7 +181,7 @@
 	link.sent = time.Now()
 	r.mu.Unlock()
 
-	ctx, cancel := context.WithTimeout(r.a.t.Context(nil), reportTimeout)
+	ctx, cancel := context.WithTimeout(r.a.t.Context(context.Background()), reportTimeout)
 	defer cancel()
 	got, err := r.a.pool.Call(ctx, link.addr, &wire.Report{Batch: []wire.AgentReport{msg}, Known: link.known})
 	ack, ok := got.(*wire.ReportAck)
@@ -248,7 +248,7 @@
 			if c.Peer().ID != to || !c.Usable() {
 				continue
 			}
-			ctx, cancel := context.WithTimeout(a.t.Context(nil), reportTimeout)
+			ctx, cancel := context.WithTimeout(a.t.Context(context.Background()), reportTimeout)
 			defer cancel()
 			_, _ = c.Call(ctx, &wire.Gang{Payload: encodeGangReply(reply).Payload})
 			return nil
--- a/agent/task.go
+++ b/agent/task.go
@@ -21,7 +21,7 @@
 	spec.Accelerators = a.Task.Accelerators
 	spec.LeaseMS = max(1, leaseFor(a.Task).Milliseconds())
 	spec.Epoch = a.Task.ID.Epoch
-	ctx, cancel := context.WithTimeout(g.t.Context(nil), taskLease)
+	ctx, cancel := context.WithTimeout(g.t.Context(context.Background()), taskLease)
 	defer cancel()
 	_, err := g.target.StartTask(ctx, targetID(a.Task.ID), spec)
 	if err != nil {
@@ -34,7 +34,7 @@
 // on unseen: the target marks the task as stopped, and refuses a late start.
 func (g *gangs) startFailed(id gang.ID, err error) error {
 	g.log.WithError(err).WithField("job", id.Job).Warn("target did not start the task")
-	ctx, cancel := context.WithTimeout(g.t.Context(nil), taskLease)
+	ctx, cancel := context.WithTimeout(g.t.Context(context.Background()), taskLease)
 	defer cancel()
 	if _, stopErr := g.target.StopTask(ctx, targetID(id), false); stopErr != nil {
 		g.ended(id, gang.TaskLost, false, err.Error())
@@ -49,7 +49,7 @@
 	tid := targetID(id)
 	lost := time.Now().Add(taskLease)
 	for {
-		ctx, cancel := context.WithTimeout(g.t.Context(nil), taskLease)
+		ctx, cancel := context.WithTimeout(g.t.Context(context.Background()), taskLease)
 		status, err := g.renewAndWait(ctx, tid)
 		cancel()
 		select {
@@ -111,7 +111,7 @@
 
 // stopTask asks the target to stop; watch then sees the end.
 func (g *gangs) stopTask(a gang.StopTask) error {
-	ctx, cancel := context.WithTimeout(g.t.Context(nil), taskLease)
+	ctx, cancel := context.WithTimeout(g.t.Context(context.Background()), taskLease)
 	defer cancel()
 	if _, err := g.target.StopTask(ctx, targetID(a.ID), a.Checkpoint); err != nil {
 		g.log.WithError(err).WithField("job", a.ID.Job).Warn("target did not stop the task")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -164,7 +164,7 @@
 	}
 	e.gauges()
 	close(e.started)
-	ctx := e.t.Context(nil)
+	ctx := e.t.Context(context.Background())
 	e.t.Go(func() error {
 		e.t.Go(e.members.tick)
 		e.t.Go(func() error { e.registry.register(ctx); return nil })
--- a/internal/capacity/standin.go
+++ b/internal/capacity/standin.go
@@ -124,7 +124,7 @@
 	a.mu.Lock()
 	msg := a.reporter.Report(time.Now(), a.fleet.entry)
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(a.tomb.Context(nil), reportTimeout)
+	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), reportTimeout)
 	defer cancel()
 	got, err := a.pool.Call(ctx, a.fleet.entry, &wire.Report{Batch: a.batch(msg), Known: a.known})
 	ack, ok := got.(*wire.ReportAck)
--- a/planner/follow.go
+++ b/planner/follow.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"context"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/gang"
@@ -13,7 +14,7 @@
 // end of the watch.
 func (p *Planner) follow() error {
 	prefix := p.cfg.Jobs.Prefix(p.cfg.Service)
-	ctx := p.t.Context(nil)
+	ctx := p.t.Context(context.Background())
 	for {
 		snap, err := p.cfg.Store.List(ctx, prefix)
 		if err == nil {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -154,5 +154,5 @@
 
 // context ends with the term.
 func (p *Planner) context(timeout time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(p.t.Context(nil), timeout)
+	return context.WithTimeout(p.t.Context(context.Background()), timeout)
 }
