scheduler: small jobs wait before they use a larger guaranteed block

They now look for open capacity for ReclaimAfter (10 minutes; a tenth if urgent); a job of the very shape still claims at once. Keeping repeatable gangs off claimable capacity is taken out: it cost more waiting than the evictions it saved.

--- a/scheduler/baseline_test.go
+++ b/scheduler/baseline_test.go
@@ -11,7 +11,13 @@
 // nothing passes the first job. Guarantees are sums: an account below the sum of
 // its shapes has the youngest borrowers evicted until the sum is free.
 type baseline struct {
-	strict  bool
+	strict bool
+	// parted keeps guarantees the simple way: workers of its own for each
+	// shape, which stay idle while their account does not use them.
+	parted  bool
+	own     []AccountID // account that a worker is set aside for
+	kept    []int       // accelerators of it set aside
+	inside  []int       // of these, in use
 	workers []Worker
 	used    []uint64
 	busy    []int
@@ -28,6 +34,7 @@
 	attempt   Attempt
 	on        []piece
 	masks     []uint64
+	within    []int // of each piece, what is in the part of the account
 	running   bool
 	stopping  bool
 	cancelled bool
@@ -50,10 +57,12 @@
 			b.at[e.Worker.ID] = len(b.workers)
 			b.workers = append(b.workers, e.Worker)
 			b.used, b.busy = append(b.used, 0), append(b.busy, 0)
+			b.own, b.kept, b.inside = append(b.own, ""), append(b.kept, 0), append(b.inside, 0)
 		case PolicyChanged:
 			for _, a := range e.Policy.Accounts {
 				for _, g := range a.Guaranteed {
 					b.sums[a.ID] += g.Accelerators * g.Count
+					b.part(a.ID, g)
 				}
 			}
 		case JobsSubmitted:
@@ -103,10 +112,11 @@
 	j := b.jobs[e.Job]
 	for i, p := range j.on {
 		b.used[p.node] &^= j.masks[i]
+		b.inside[p.node] -= j.within[i]
 		b.busy[p.node] -= p.n
 	}
 	b.use[j.Account] -= j.Accelerators
-	j.on, j.masks, j.running, j.stopping = nil, nil, false, false
+	j.on, j.masks, j.within, j.running, j.stopping = nil, nil, nil, false, false
 	if e.Outcome == Done || j.cancelled {
 		delete(b.jobs, e.Job)
 		return []Action{RejectJob{Job: e.Job, Reason: RejectCancelled}}
@@ -122,9 +132,12 @@
 	for i, j := range b.queue {
 		k := keyOf(&j.Job)
 		k.class = ""
+		if b.parted {
+			k.class = string(j.Account)
+		}
 		at := []piece(nil)
 		if !failed[k] {
-			at = b.scan(j.Accelerators, j.Adjacency)
+			at = b.scan(j.Account, j.Accelerators, j.Adjacency)
 		}
 		if at == nil {
 			failed[k] = true
@@ -143,7 +156,7 @@
 }
 
 // scan takes the first workers in order that have room within one span.
-func (b *baseline) scan(need int, span Adjacency) []piece {
+func (b *baseline) scan(a AccountID, need int, span Adjacency) []piece {
 	have := map[string]int{}
 	name := func(w *Worker) string {
 		switch span {
@@ -158,23 +171,23 @@
 	}
 	for i := range b.workers {
 		w := &b.workers[i]
-		free := w.Accelerators - b.busy[i]
+		free := b.room(i, a)
 		if free <= 0 {
 			continue
 		}
 		n := name(w)
 		if have[n] += free; have[n] >= need {
-			return b.take(need, n, name)
+			return b.take(a, need, n, name)
 		}
 	}
 	return nil
 }
 
-func (b *baseline) take(need int, in string, name func(*Worker) string) []piece {
+func (b *baseline) take(a AccountID, need int, in string, name func(*Worker) string) []piece {
 	var out []piece
 	for i := range b.workers {
 		w := &b.workers[i]
-		k := min(need, w.Accelerators-b.busy[i])
+		k := min(need, b.room(i, a))
 		if k > 0 && name(w) == in {
 			out = append(out, piece{nodeID(i), k})
 			if need -= k; need == 0 {
@@ -202,6 +215,12 @@
 		j.masks = append(j.masks, mask)
 		b.used[p.node] |= mask
 		b.busy[p.node] += p.n
+		in := 0
+		if b.own[p.node] == j.Account {
+			in = min(p.n, b.kept[p.node]-b.inside[p.node])
+		}
+		b.inside[p.node] += in
+		j.within = append(j.within, in)
 		place[i] = Grant{b.workers[p.node].ID, numbers(mask, p.n)}
 	}
 	return StartGang{j.ID, j.attempt, place}
@@ -210,7 +229,7 @@
 // reclaim evicts the youngest borrowers until the sum that is free, or being
 // freed, would hold the job.
 func (b *baseline) reclaim(j *baseJob) []Action {
-	if b.sums[j.Account] == 0 || b.use[j.Account]+j.Accelerators > b.sums[j.Account] {
+	if b.parted || b.sums[j.Account] == 0 || b.use[j.Account]+j.Accelerators > b.sums[j.Account] {
 		return nil
 	}
 	coming := 0
@@ -245,3 +264,27 @@
 	}
 	return best
 }
+
+// part sets workers aside for a shape, from the last one down so that racks stay
+// together.
+func (b *baseline) part(a AccountID, g Shape) {
+	if !b.parted {
+		return
+	}
+	for need, i := g.Accelerators*g.Count, len(b.workers)-1; need > 0 && i >= 0; i-- {
+		if b.kept[i] > 0 {
+			continue
+		}
+		b.own[i], b.kept[i] = a, min(need, b.workers[i].Accelerators)
+		need -= b.kept[i]
+	}
+}
+
+// room is what an account may still use of a worker.
+func (b *baseline) room(i int, a AccountID) int {
+	free := b.workers[i].Accelerators - b.busy[i]
+	if b.own[i] != a {
+		free -= b.kept[i] - b.inside[i]
+	}
+	return free
+}
--- a/scheduler/bind.go
+++ b/scheduler/bind.go
@@ -24,7 +24,7 @@
 func (s *Scheduler) dropReservations() bool {
 	dropped := false
 	for _, c := range slices.Clone(s.claims) {
-		if !c.guaranteed() && !c.job.borrows() {
+		if !c.guaranteed() && !c.job.Evictable() {
 			s.dropClaim(c)
 			dropped = true
 		}
--- a/scheduler/block.go
+++ b/scheduler/block.go
@@ -142,7 +142,7 @@
 func (s *Scheduler) leaveGuarantee(r *run) {
 	s.takeShares(r.shares, -1)
 	r.shares = nil
-	r.firm = !r.job.borrows()
+	r.firm = !r.job.Evictable()
 	r.job.account.used += r.size()
 	for _, p := range r.pieces {
 		n := s.nodes[p.node]
--- a/scheduler/evict.go
+++ b/scheduler/evict.go
@@ -174,7 +174,6 @@
 		r.checkpoint = checkpointed
 	}
 	r.job.evictions++
-	r.job.steady = !r.job.Checkpointable
 	e := &r.job.account.evicted
 	e.Gangs++
 	e.AcceleratorSeconds += s.lostWork(r)
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -1,12 +1,7 @@
 package scheduler
 
-import "time"
-
 const (
-	// delayWeight is how many accelerator seconds of lost work weigh as much as
-	// an accelerator second of delay.
-	delayWeight = 1.0
-	// urgentWeight multiplies the delay of urgent jobs.
+	// urgentWeight is by how much sooner urgent jobs may claim.
 	urgentWeight = 10
 )
 
@@ -70,15 +65,14 @@
 	if j == nil {
 		return false
 	}
+	if m == anyShape && !s.mayClaim(j) {
+		q.graceIn = s.steps
+		return true
+	}
 	c := s.findClaim(j, &q.key, m)
 	if c == nil {
 		return false
 	}
-	if m == anyShape && !s.mayEvict(c) {
-		q.graceAt = s.grown + 1
-		q.graceIn = s.steps
-		return true
-	}
 	if j.claim != nil {
 		s.dropClaim(j.claim)
 	}
@@ -91,26 +85,20 @@
 	return true
 }
 
-// inGrace reports whether the head of a queue waits to be allowed to evict, and
-// no capacity has come free since it was tried. It is tried once per step.
-func (s *Scheduler) inGrace(q *queue) bool {
-	return q.graceIn == s.steps || q.graceAt == s.grown+1 && s.now.Before(q.grace)
-}
+// inGrace reports whether the head of a queue has just been found to wait for
+// its turn to claim. It is looked at once per step.
+func (s *Scheduler) inGrace(q *queue) bool { return q.graceIn == s.steps }
 
-// mayEvict reports whether a claim of a job smaller than its guaranteed block may
-// evict what it has to. Such a claim waits until its own delay weighs as much as
-// the work that the evictions lose, and no longer than ReclaimAfter: most find
-// room soon, and one small job must not cost a gang its work.
-func (s *Scheduler) mayEvict(c *claim) bool {
-	_, cost := s.victims(c.pieces)
-	j := c.job
-	fair := time.Duration(cost / (delayWeight * float64(j.Accelerators)) * float64(time.Second))
+// mayClaim reports whether a job may use a guaranteed block that is larger than
+// the job. It first waits for open capacity: a small job in a block pins the
+// block where it is, and the gangs that need that place whole wait for it.
+func (s *Scheduler) mayClaim(j *job) bool {
+	wait := s.policy.ReclaimAfter
 	if j.Urgent {
-		fair /= urgentWeight
+		wait /= urgentWeight
 	}
-	at := j.Submitted.Add(min(fair, s.policy.ReclaimAfter))
-	j.queue.grace = at
-	return !s.now.Before(at)
+	j.queue.grace = j.Submitted.Add(wait)
+	return !s.now.Before(j.queue.grace)
 }
 
 // findClaim returns the claim that evicts least.
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -168,7 +168,7 @@
 // probeFor returns a worker on probe that is idle and may run the job. Only work
 // that may run again, and is not urgent, is risked.
 func (s *Scheduler) probeFor(j *job) *node {
-	if j.Urgent || !j.borrows() {
+	if j.Urgent || !j.Evictable() {
 		return nil
 	}
 	k := keyOf(&j.Job)
--- a/scheduler/job_state.go
+++ b/scheduler/job_state.go
@@ -17,18 +17,12 @@
 	planAfter time.Time // no reservation before
 	delayed   int       // index in the heap of delayed jobs, or -1
 	cancelled bool
-	steady    bool   // has lost its work to an eviction once
 	cpuOn     *node  // set aside for it, if it needs no accelerators
 	seq       uint64 // order of submission
 	prev      *job   // neighbours in the queue
 	next      *job
 }
 
-// borrows reports whether the job may run on capacity that a guarantee may claim.
-// One that has lost its work to an eviction no longer does, so that nothing is
-// evicted over and over.
-func (j *job) borrows() bool { return j.Evictable() && !j.steady }
-
 // run is an attempt of a job.
 type run struct {
 	job        *job
--- a/scheduler/measure_test.go
+++ b/scheduler/measure_test.go
@@ -55,7 +55,7 @@
 // objectives, and reports the ratios to first fit of gangs waiting at p99
 // (above 1 is shorter than the baseline) and of fragmentation (below 1 is less).
 func compare(b *testing.B, s site, load float64, seeds uint64) {
-	var base, fifo [3]float64
+	var base, fifo, parted [3]float64
 	var ours [2][3]float64
 	for seed := range seeds {
 		r := play(newBaseline(false), s, 0, load, seed)
@@ -65,6 +65,11 @@
 			r = play(newBaseline(true), s, 0, load, seed)
 			b.Log("\n", r.row("strict FIFO"))
 			r.addTo(&fifo)
+			p := newBaseline(false)
+			p.parted = true
+			r = play(p, s, 0, load, seed)
+			b.Log("\n", r.row("own workers"))
+			r.addTo(&parted)
 		}
 		for _, o := range []Objective{CompletionTime, Fragmentation} {
 			r := play(New(Options{Start: time.Unix(1e9, 0)}), s, o, load, seed)
@@ -75,6 +80,8 @@
 	for o, name := range []string{"ct", "frag"} {
 		b.ReportMetric(base[0]/ours[o][0], "p99-x-firstfit-"+name)
 		b.ReportMetric(fifo[0]/ours[o][0], "p99-x-fifo-"+name)
+		b.ReportMetric(parted[0]/ours[o][0], "p99-x-parted-"+name)
+		b.ReportMetric(ours[o][1]/parted[1], "frag-of-parted-"+name)
 		b.ReportMetric(ours[o][1]/base[1], "frag-of-firstfit-"+name)
 		b.ReportMetric(ours[o][2]/base[2], "completion-of-firstfit-"+name)
 	}
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -74,14 +74,7 @@
 	if j.Accelerators == 0 {
 		return s.tryCPU(j)
 	}
-	firm := !j.borrows()
-	if !firm && s.dear(j) {
-		at := s.avoiding(j, func() []piece { return s.findOpen(j, &q.key, true) })
-		if at != nil {
-			s.start(j, at, nil, true)
-			return true
-		}
-	}
+	firm := !j.Evictable()
 	at := s.avoiding(j, func() []piece { return s.findOpen(j, &q.key, firm) })
 	if at == nil {
 		at = s.findBackfill(j, &q.key)
@@ -93,15 +86,6 @@
 	return true
 }
 
-// dearSize is from how many accelerators on a job that can't checkpoint is kept
-// off capacity that a guarantee may claim, if there is other capacity.
-const dearSize = 8
-
-// dear reports whether an eviction of the job would lose much.
-func (s *Scheduler) dear(j *job) bool {
-	return !j.Checkpointable && j.Accelerators >= dearSize
-}
-
 // findOpen looks for a place beyond the guarantees. Capacity that is reserved
 // for the job itself counts as open.
 func (s *Scheduler) findOpen(j *job, k *queueKey, firm bool) []piece {
@@ -143,7 +127,7 @@
 		for _, p := range c.pieces {
 			n := s.nodes[p.node]
 			need := j.Accelerators * s.units(k, n)
-			if need == 0 || n.free() < need || !j.borrows() && n.slack() < need {
+			if need == 0 || n.free() < need || !j.Evictable() && n.slack() < need {
 				continue
 			}
 			return []piece{{node: n.id, n: need}}
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -80,7 +80,7 @@
 	p.ReservedShare = orInt(p.ReservedShare, 40)
 	p.ReserveAfter = orTime(p.ReserveAfter, time.Second)
 	p.AgeAfter = orTime(p.AgeAfter, 10*time.Minute)
-	p.ReclaimAfter = orTime(p.ReclaimAfter, 5*time.Minute)
+	p.ReclaimAfter = orTime(p.ReclaimAfter, 10*time.Minute)
 	p.MaxEvictions = orInt(p.MaxEvictions, 64)
 	p.WorkerStrikes = orInt(p.WorkerStrikes, 3)
 	p.JobStrikes = orInt(p.JobStrikes, 3)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -35,7 +35,6 @@
 	blocked uint64    // capacity generation at which no place was found
 	claimed uint64    // account generation at which no block had room
 	grace   time.Time // when its head may evict, if it is smaller than a block
-	graceAt uint64    // capacity generation at which grace was set
 	graceIn uint64    // step in which grace was set
 	sized   uint64    // topology generation at which the size was found possible
 }
@@ -89,7 +88,6 @@
 
 func (s *Scheduler) enqueue(j *job) {
 	k := keyOf(&j.Job)
-	k.evictable = j.borrows()
 	q := j.account.queues[k]
 	if q == nil {
 		q = &queue{key: k, account: j.account}
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -79,13 +79,6 @@
 	return out[:min(len(out), limit)]
 }
 
-// unsteady lets a job that fits nowhere beside the guarantees borrow again.
-func (s *Scheduler) unsteady(j *job) {
-	s.dequeue(j)
-	j.steady = false
-	s.enqueue(j)
-}
-
 // mayReserve reports whether a job has waited long enough for a reservation and
 // has not just failed to get one.
 func (s *Scheduler) mayReserve(j *job) bool {
@@ -98,17 +91,13 @@
 		return
 	}
 	at, ready := s.plan(j)
-	if at == nil && j.steady {
-		s.unsteady(j)
-		return
-	}
 	if at == nil {
 		j.planAfter = s.now.Add(replanAfter)
 		return
 	}
 	c := &claim{job: j, pieces: at, ready: ready}
 	s.addClaim(c)
-	if !j.borrows() {
+	if !j.Evictable() {
 		s.moveAway(at)
 	}
 	s.expect(c)
@@ -219,7 +208,7 @@
 // endings lists when accelerators of a node become available for a reservation.
 // Work that may not be evicted can't count on what is bound to guarantees.
 func (s *Scheduler) endings(n *node, j *job) []ending {
-	evictable := j.borrows()
+	evictable := j.Evictable()
 	have := n.capacity() - n.held + n.leave - n.claim - n.wait
 	if !evictable {
 		have = min(have, n.movable()-n.wait)
--- a/scheduler/restore.go
+++ b/scheduler/restore.go
@@ -23,7 +23,7 @@
 		s.dropClaim(j.claim)
 	}
 	j.last = max(j.last, e.Attempt)
-	r := &run{job: j, attempt: e.Attempt, state: runRunning, started: e.Started, firm: !j.borrows()}
+	r := &run{job: j, attempt: e.Attempt, state: runRunning, started: e.Started, firm: !j.Evictable()}
 	j.run = r
 	pieces, ok := s.restoredPieces(e, r)
 	if !ok {
