trial: callers of the tests come back when they are asked to; entry says when

TestSilentConnections failed once under -race beside other tests: its callers ignored Retry-After and were refused many times within the moment of silence, so the share of requests not done depended on the machine's speed. They now wait as told; the bound is as it was. A request that may run twice and ends as 'outcome lost' because no target took its retry carries a Retry-After now.

--- a/entry/problem.go
+++ b/entry/problem.go
@@ -17,7 +17,8 @@
 // may have run forbids the claim that the request did not.
 func pickProblem(r routing.Refusal, maybeRan bool) *api.Problem {
 	if maybeRan {
-		return api.NewProblem(api.ReasonOutcomeLost, "an attempt may have run, and no other target took the request")
+		// Only a request that may run twice has had an attempt before.
+		return api.Busy(api.ReasonOutcomeLost, "an attempt may have run, and no other target took the request", after(r.RetryAfter))
 	}
 	switch r.Reason {
 	case routing.NoTargets:
--- a/trial/quick_test.go
+++ b/trial/quick_test.go
@@ -50,7 +50,8 @@
 }
 
 // stream sends checks one after the other through all entries until stop is
-// called, which returns the answers.
+// called, which returns the answers. A caller that is told when to come back does
+// so: one that doesn't would be refused many times in the moment of a failure.
 func (w *world) stream(name string, work time.Duration) (stop func() map[string]told) {
 	ended := make(chan struct{})
 	answers := make(map[string]told)
@@ -69,6 +70,9 @@
 				mu.Lock()
 				answers[tag] = a
 				mu.Unlock()
+				if a.Problem != nil {
+					time.Sleep(a.Problem.RetryAfter) // as the caller is asked to
+				}
 			}
 		})
 	}
@@ -124,6 +128,7 @@
 	for tag, a := range answers {
 		if a.Outcome != api.OutcomeDone {
 			lost++
+			w.Logf("%s: %v", tag, a.Problem)
 			continue
 		}
 		w.checkDone(a, tag)
