scheduler: objectives pay differently for whole blocks

Fragmentation lets a waiting gang evict smaller work more readily (0.3 of an accelerator second saved per one lost, up to six times per job), CompletionTime only for twice the gain, and twice. Reservations look for a better place every 10 s and expect work to end at the 0.7 quantile of learned run times.

--- a/scheduler/bind.go
+++ b/scheduler/bind.go
@@ -67,7 +67,7 @@
 
 // bind gives an unbound block a place. It reports false if there is none.
 func (s *Scheduler) bind(b *block) bool {
-	at := s.slack.place(b.shape.Accelerators, b.shape.Adjacency, false, s.nodes)
+	at := s.slack.place(b.shape.Accelerators, b.shape.Adjacency, s.nodes)
 	if at == nil {
 		return false
 	}
--- a/scheduler/claim_test.go
+++ b/scheduler/claim_test.go
@@ -61,7 +61,7 @@
 	for _, a := range accounts {
 		for _, g := range a.Guaranteed {
 			for range g.Count {
-				at := free.place(g.Accelerators, g.Adjacency, false, s.nodes)
+				at := free.place(g.Accelerators, g.Adjacency, s.nodes)
 				bySum := at != nil
 				for at == nil && len(runs) > 0 {
 					if free.total() >= g.Accelerators {
@@ -75,7 +75,7 @@
 					for _, h := range r.pieces {
 						free.set(s.nodes[h.node], int(free.val[h.node])+h.n)
 					}
-					at = free.place(g.Accelerators, g.Adjacency, false, s.nodes)
+					at = free.place(g.Accelerators, g.Adjacency, s.nodes)
 					bySum = bySum || at != nil && free.total()-r.size() < g.Accelerators
 				}
 				if bySum {
@@ -192,7 +192,7 @@
 		for _, span := range []Adjacency{AdjacentZone, AdjacentAny} {
 			b.Run(fmt.Sprintf("index/%s/%d", span, workers), func(b *testing.B) {
 				for b.Loop() {
-					if s.open.place(256, span, false, s.nodes) == nil {
+					if s.open.place(256, span, s.nodes) == nil {
 						b.Fatal("no place")
 					}
 				}
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -256,11 +256,11 @@
 			out = append(out, at)
 		}
 	}
-	add(s.steady.place(need, shape.Adjacency, false, s.nodes))
+	add(s.steady.place(need, shape.Adjacency, s.nodes))
 	if len(out) > 0 && s.evictionCost(out[0], need) == 0 {
 		return out
 	}
-	add(s.slack.place(need, shape.Adjacency, false, s.nodes))
+	add(s.slack.place(need, shape.Adjacency, s.nodes))
 	for _, at := range s.slack.each(need, shape.Adjacency, maxPlaces) {
 		add(at)
 		if len(at) > 1 {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -9,13 +9,9 @@
 // candidates bounds how many equal workers are compared for a place.
 const candidates = 16
 
-// place finds need accelerators within the span. It returns nil if there are
-// none. With crumbs set, a gang that accepts a wide span takes the smallest
-// pieces first, which keeps large blocks whole at the price of more workers.
-func (x *index) place(need int, span Adjacency, crumbs bool, nodes []*node) []piece {
-	if crumbs && span <= AdjacentZone {
-		return x.placeCrumbs(need, span)
-	}
+// place finds need accelerators within the span, in the tightest unit that holds
+// them. It returns nil if there are none.
+func (x *index) place(need int, span Adjacency, nodes []*node) []piece {
 	if p := x.placeWorker(need, nodes); p != nil || span == AdjacentWorker {
 		return p
 	}
@@ -151,14 +147,3 @@
 	}
 	return out
 }
-
-func (x *index) placeCrumbs(need int, span Adjacency) []piece {
-	if z := x.tightZone(need); z != nil {
-		_, out := z.crumbs(need, nil)
-		return out
-	}
-	if span == AdjacentZone || x.total() < need {
-		return nil
-	}
-	return x.placeAny(need)
-}
--- a/scheduler/place_units.go
+++ b/scheduler/place_units.go
@@ -5,8 +5,7 @@
 // find returns a place for a job of the key in an index, in units of the nodes.
 func (s *Scheduler) find(x *index, k *queueKey) []piece {
 	if s.plain(k) {
-		crumbs := s.policy.Objective == Fragmentation
-		return x.place(k.accelerators, k.span, crumbs, s.nodes)
+		return x.place(k.accelerators, k.span, s.nodes)
 	}
 	return s.findUnits(x, k)
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -71,19 +71,3 @@
 	}
 	return took, out
 }
-
-// crumbs takes need accelerators from the pool, smallest pieces first.
-func (p *pool) crumbs(need int, out []piece) (int, []piece) {
-	took := 0
-	for v := 1; v <= MaxAccelerators && took < need; v++ {
-		for _, n := range p.lists[v-1] {
-			if took == need {
-				break
-			}
-			k := min(v, need-took)
-			out = append(out, piece{node: n, n: k})
-			took += k
-		}
-	}
-	return took, out
-}
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -2,23 +2,34 @@
 
 import "time"
 
-const (
-	// preemptSize is how many times larger than a victim a gang must be to evict
-	// it without a guarantee. Above 1 it excludes cycles: a victim never evicts
-	// what evicted it.
-	preemptSize = 2
-	// preemptGain is how much larger than the loss the delay that is saved must
-	// be, in accelerator seconds.
-	preemptGain = 2.0
-	// preemptMost is how often one job may be evicted without a guarantee.
-	preemptMost = 2
-)
+// preemptSize is how many times larger than a victim a gang must be to evict
+// it without a guarantee. Above 1 it excludes cycles: a victim never evicts
+// what evicted it.
+const preemptSize = 2
+
+// preemptMost is how often one job may be evicted without a guarantee.
+func (s *Scheduler) preemptMost() int {
+	if s.policy.Objective == Fragmentation {
+		return 6
+	}
+	return 2
+}
+
+// preemptGain is how much larger than the loss the delay that is saved must be,
+// in accelerator seconds: whoever weighs fragmentation more pays more work for
+// whole blocks.
+func (s *Scheduler) preemptGain() float64 {
+	if s.policy.Objective == Fragmentation {
+		return 0.3
+	}
+	return 2
+}
 
 // preemptible reports whether a gang may evict a run without a guarantee.
 func (s *Scheduler) preemptible(r *run, j *job) bool {
 	return !r.firm && r.state == runRunning && !r.job.Urgent &&
 		r.job.Accelerators*preemptSize <= j.Accelerators &&
-		r.job.Priority <= j.Priority && r.job.evictions < preemptMost
+		r.job.Priority <= j.Priority && r.job.evictions < s.preemptMost()
 }
 
 // preemptEnd is the time at which a run counts as ended when a gang plans its
@@ -27,7 +38,7 @@
 	if !s.preemptible(r, j) {
 		return end
 	}
-	worth := preemptGain * s.evictionOf(r) / float64(j.Accelerators)
+	worth := s.preemptGain() * s.evictionOf(r) / float64(j.Accelerators)
 	at := s.now.Add(time.Duration(worth * float64(time.Second)))
 	if at.Before(end) {
 		return at
@@ -43,7 +54,7 @@
 		return
 	}
 	saved := c.ready.Sub(s.now).Seconds() * float64(c.job.Accelerators)
-	if preemptGain*cost > saved || s.stopping+len(victims) > s.policy.MaxEvictions {
+	if s.preemptGain()*cost > saved || s.stopping+len(victims) > s.policy.MaxEvictions {
 		return
 	}
 	for _, r := range victims {
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -10,9 +10,9 @@
 	backfillQuantile = 0.9
 	// endQuantile is the quantile of learned run times at which running work is
 	// expected to end.
-	endQuantile = 0.5
+	endQuantile = 0.7
 	// replanAfter is how often a reservation looks for an earlier place.
-	replanAfter = 30 * time.Second
+	replanAfter = 10 * time.Second
 	// planCost paces planning at large sizes: after a plan that looked at n ends
 	// of work, the next one waits n times this long.
 	planCost = 2 * time.Microsecond
