--- a/scheduler/measure_test.go
+++ b/scheduler/measure_test.go
@@ -79,11 +79,14 @@
 	}
 	for o, name := range []string{"ct", "frag"} {
 		b.ReportMetric(base[0]/ours[o][0], "p99-x-firstfit-"+name)
+		b.ReportMetric(ours[o][1]/base[1], "frag-of-firstfit-"+name)
+		b.ReportMetric(ours[o][2]/base[2], "completion-of-firstfit-"+name)
+		if fifo[0] == 0 {
+			continue
+		}
 		b.ReportMetric(fifo[0]/ours[o][0], "p99-x-fifo-"+name)
 		b.ReportMetric(parted[0]/ours[o][0], "p99-x-parted-"+name)
 		b.ReportMetric(ours[o][1]/parted[1], "frag-of-parted-"+name)
-		b.ReportMetric(ours[o][1]/base[1], "frag-of-firstfit-"+name)
-		b.ReportMetric(ours[o][2]/base[2], "completion-of-firstfit-"+name)
 	}
 }
 
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -15,7 +15,7 @@
 	replanAfter = 10 * time.Second
 	// planCost paces planning at large sizes: after a plan that looked at n ends
 	// of work, the next one waits n times this long.
-	planCost = 2 * time.Microsecond
+	planCost = 20 * time.Microsecond
 	// moveGain is the percentage of its remaining wait below which the wait at
 	// another place must lie for a reservation to move: one that moves often
 	// drains one place after the other.
