planner: a watch that lags does not revive a job that has ended

Cause: after the planner has written a job's end and forgotten it, a delayed watch brings the record of its start. It was taken for another planner's attempt and resumed: the job showed 'stopping' for ever and its accelerators looked held. Found by a trial of a long outage of the store. TestLateWatchDoesNotReviveAJob fails without the guard.

--- a/planner/follow.go
+++ b/planner/follow.go
@@ -77,6 +77,12 @@
 		p.changed(r)
 		return fresh
 	}
+	// A watch that has fallen behind brings earlier forms of a record whose end
+	// this planner has written itself. Taken for news, the start among them would
+	// revive the job.
+	if last, ok := p.recent.Peek(r.ID); ok && r.Rev <= last.Rev {
+		return fresh
+	}
 	switch {
 	case r.State.Ended():
 		p.recent.Add(r.ID, r)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -158,3 +158,36 @@
 	<-p.Done()
 	b.c.Assert(p.Higher(), qt.Equals, uint64(9))
 }
+
+// The watch of the job records falls behind while a job starts and ends. When it
+// catches up it brings the record of the start, after the planner has seen the
+// end written and forgotten the job. An operator sees the job 'stopping' for ever
+// and its accelerators held, because the planner takes it for an attempt of
+// another planner.
+func TestLateWatchDoesNotReviveAJob(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents("a")
+	p := b.planner(1, agents)
+	report := func() { agents.report(p) }
+	agents.cut[1] = true
+	b.accept("j", 8, true)
+	b.eventually("the job is being started", report, func() bool {
+		s, ok := p.Status(context.Background(), "j")
+		return ok && s.Phase == Starting
+	})
+	b.server.SetFaults(standin.Faults{FreezeWatches: true})
+	agents.mu.Lock()
+	delete(agents.cut, 1)
+	agents.mu.Unlock()
+	b.eventually("it runs", report, func() bool { return agents.startsOf("j") == 1 })
+	agents.finish()
+	b.eventually("the planner has forgotten it", report, func() bool {
+		s, ok := p.Status(context.Background(), "j")
+		return ok && s.Phase == "" && s.Record.State == jobs.Done
+	})
+	b.server.SetFaults(standin.Faults{CutWatches: true})
+	b.accept("next", 8, true) // behind the late events in the watch
+	b.eventually("the next job runs", report, func() bool { return agents.startsOf("next") == 1 })
+	s, _ := p.Status(context.Background(), "j")
+	b.c.Assert(s.Phase, qt.Equals, Phase(""))
+}
