platform, entry: writes share calls on a fast store; duties keep their own calls

Cause, from the capacity measurements: a store that answers in less than a millisecond got a call for each swap, so 1,000 keyed requests a second spent the entry's budget, 1,507 to 1,911 of 5,000 heard 'unknown', and reads of the duty out of the same budget cost the planner its duty. Any change of a document made each agent receive all generations again, which no agent reads, and the digest of that was made for each report. 94 candidacies began at once and overran the budget; what was gained was given back.

A first try with a quarter of the budget and 20 ms between candidacies is not kept: renewing 94 duties takes 142 calls a second, more than the quarter, and duties were lost and won again without end.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -24,8 +24,10 @@
 	e.members.publish(now.Version)
 }
 
-// peersChanged tells the watcher whom to ask when the store is out.
+// peersChanged tells the agents which entries there are, and the watcher whom to
+// ask when the store is out.
 func (e *Entry) peersChanged(others []peerEntry) {
+	e.setNews(others)
 	e.watcher.SetPeers(e.peerAddrs(others))
 }
 
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -17,6 +17,9 @@
 // entry died.
 const dutyTTL = 4 * time.Second
 
+// candidacyPause is the time between the candidacies of one entry for two services.
+const candidacyPause = 50 * time.Millisecond
+
 // duties competes for the planner duty of every service that has a document,
 // and runs a planner for each one it gains. It is safe for concurrent use.
 //
@@ -62,9 +65,21 @@
 	}
 	du := &duty{service: service}
 	d.services[service] = du
+	// A store with many services would get the calls of all candidacies in the
+	// moment of an entry's start.
+	time.AfterFunc(candidacyPause*time.Duration(len(d.services)-1), func() { d.compete(du) })
+}
+
+// compete begins the candidacy.
+func (d *duties) compete(du *duty) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return
+	}
 	du.holder = lease.Run(lease.Options{
 		Store:    d.e.store,
-		Duty:     d.e.cfg.Region + "/" + service,
+		Duty:     d.e.cfg.Region + "/" + du.service,
 		Instance: d.e.cfg.ID,
 		TTL:      dutyTTL,
 		Changed:  func(held lease.Held, ok bool) { d.changed(du, held, ok) },
@@ -220,7 +235,9 @@
 			if du.planner != nil {
 				du.planner.Stop()
 			}
-			_ = du.holder.Resign(ctx) // the lease lapses by itself otherwise
+			if du.holder != nil {
+				_ = du.holder.Resign(ctx) // the lease lapses by itself otherwise
+			}
 		})
 	}
 	wg.Wait()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,8 +30,9 @@
 	since       time.Time
 
 	t        tomb.Tomb
-	client   *platform.Client
-	store    platform.Store
+	client   *platform.Client // for duties, membership of entries and documents
+	work     *platform.Client // for claims and jobs
+	store    platform.Store   // is client
 	swaps    *platform.Batcher
 	ep       *wire.Endpoint
 	pool     *wire.Pool
@@ -49,6 +50,7 @@
 	duties    *duties
 	metrics   *metrics.Set
 	once      *onceRunner
+	latest    atomic.Pointer[news]
 	draining  atomic.Bool
 	catching  atomic.Bool   // a catchUp is under way
 	started   chan struct{} // closed once all parts are there
@@ -84,18 +86,29 @@
 }
 
 func (e *Entry) openStore() {
-	e.client = platform.NewClient(platform.Options{
+	own := max(1, e.cfg.PlatformBudget/coordinationPart)
+	e.client = e.storeClient(own)
+	e.work = e.storeClient(e.cfg.PlatformBudget - own)
+	e.store = e.client
+	e.swaps = platform.NewBatcher(e.work, 0)
+	e.jobs = jobs.NewStore(e.cfg.Region, e.work, e.swaps)
+	e.retention = newSharedLease(e.work, jobRetention)
+	e.claims = &claims{prefix: e.cfg.Region, store: e.work, swaps: e.swaps, lease: newSharedLease(e.work, keyLife)}
+	e.once = &onceRunner{claims: e.claims, process: e.incarnation}
+}
+
+// coordinationPart: one part in so many of the call budget is kept for what holds
+// the entry together. In one budget, a burst of keyed requests uses up the calls
+// that renew the duties, and the planner changes in the middle of it.
+const coordinationPart = 2
+
+func (e *Entry) storeClient(budget int) *platform.Client {
+	return platform.NewClient(platform.Options{
 		Endpoints:   e.cfg.Platform,
 		CallTimeout: e.cfg.PlatformTimeout.Duration,
-		Budget:      rate.Limit(e.cfg.PlatformBudget),
-		Burst:       e.cfg.PlatformBudget,
+		Budget:      rate.Limit(budget),
+		Burst:       budget,
 	})
-	e.store = e.client
-	e.swaps = platform.NewBatcher(e.store, 0)
-	e.jobs = jobs.NewStore(e.cfg.Region, e.store, e.swaps)
-	e.retention = newSharedLease(e.store, jobRetention)
-	e.claims = &claims{prefix: e.cfg.Region, store: e.store, swaps: e.swaps, lease: newSharedLease(e.store, keyLife)}
-	e.once = &onceRunner{claims: e.claims, process: e.incarnation}
 }
 
 func (e *Entry) listen() error {
@@ -163,6 +176,7 @@
 		IdleTimeout:       idleTimeout,
 	}
 	e.gauges()
+	e.setNews(nil)
 	close(e.started)
 	ctx := e.t.Context(context.Background())
 	e.t.Go(func() error {
@@ -255,6 +269,7 @@
 	_ = e.t.Wait()
 	e.swaps.Close()
 	e.client.Close()
+	e.work.Close()
 	e.log.Info("entry stopped")
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -45,7 +45,7 @@
 	actions := m.step(time.Now(), membership.Reports{Batch: r.Batch})
 	m.apply(actions)
 
-	ack := m.e.news(r.Known)
+	ack := m.e.answer(r.Known)
 	membership.FillAck(ack, actions)
 	for _, one := range r.Batch {
 		m.observe(one, now, ack)
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -26,9 +26,10 @@
 
 // gauges shows what other parts count by themselves.
 func (e *Entry) gauges() {
-	e.metrics.Gauge("store_calls", func() int64 { return e.client.Calls().Total() })
-	e.metrics.Gauge("store_calls_refused", func() int64 { return e.client.Calls().Refused })
-	e.metrics.Gauge("store_replies_lost", func() int64 { return e.client.Calls().Lost })
+	e.metrics.Gauge("store_calls_coordination", func() int64 { return e.client.Calls().Total() })
+	e.metrics.Gauge("store_calls_work", func() int64 { return e.work.Calls().Total() })
+	e.metrics.Gauge("store_calls_refused", func() int64 { return e.client.Calls().Refused + e.work.Calls().Refused })
+	e.metrics.Gauge("store_replies_lost", func() int64 { return e.client.Calls().Lost + e.work.Calls().Lost })
 	e.metrics.Gauge("store_list_failures", func() int64 { return e.watcher.Counts().StoreFailures })
 	e.metrics.Gauge("documents_written_back", func() int64 { return e.watcher.Counts().WriteBacks })
 	e.metrics.Gauge("documents_refused", func() int64 { return e.docs.Counts().Refused })
--- a/entry/status.go
+++ b/entry/status.go
@@ -9,35 +9,6 @@
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
-// news is the part of a report's answer that is the same for all agents: which
-// entries there are, who plans, and which documents are in force. It is left out
-// when the sender has it already.
-func (e *Entry) news(known uint64) *wire.ReportAck {
-	ack := &wire.ReportAck{
-		Entries: []wire.EntryInfo{{
-			ID:          e.cfg.ID,
-			Address:     e.advertised(),
-			Zone:        e.cfg.Zone,
-			Incarnation: e.incarnation,
-		}},
-		Generations: e.docs.Generations(),
-	}
-	for _, p := range e.registry.others() {
-		ack.Entries = append(ack.Entries, wire.EntryInfo{
-			ID:          p.ID,
-			Address:     p.Address,
-			Zone:        p.Zone,
-			Incarnation: p.Incarnation,
-		})
-	}
-	digest := digestOf(ack)
-	if digest == known {
-		ack = &wire.ReportAck{}
-	}
-	ack.Digest = digest
-	return ack
-}
-
 // status answers with what this entry is and sees.
 func (e *Entry) status(w http.ResponseWriter, _ *http.Request) {
 	s := api.Status{
--- a/wire/messages_report.go
+++ b/wire/messages_report.go
@@ -88,13 +88,11 @@
 	Known uint64        `cbor:"2,keyasint,omitempty"`
 }
 
-// ReportAck answers Report. When Digest equals the report's Known, Entries,
-// Planners and Generations are left out because they have not changed.
+// ReportAck answers Report. When Digest equals the report's Known, Entries are left
+// out because they have not changed.
 type ReportAck struct {
-	Entries     []EntryInfo   `cbor:"1,keyasint,omitempty"`
-	Planners    []PlannerInfo `cbor:"2,keyasint,omitempty"`
-	Generations []Generation  `cbor:"3,keyasint,omitempty"`
-	Digest      uint64        `cbor:"4,keyasint,omitempty"`
+	Entries []EntryInfo `cbor:"1,keyasint,omitempty"`
+	Digest  uint64      `cbor:"4,keyasint,omitempty"`
 	// NeedFull names agents whose delta could not be applied.
 	NeedFull []string `cbor:"5,keyasint,omitempty"`
 	// Newer names agents that the receiver knows at a later incarnation.
@@ -125,14 +123,6 @@
 	Incarnation uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// PlannerInfo names the entry that plans a scheduling domain, and its epoch.
-type PlannerInfo struct {
-	Service string `cbor:"1,keyasint,omitempty"`
-	Region  string `cbor:"2,keyasint,omitempty"`
-	Entry   string `cbor:"3,keyasint,omitempty"`
-	Epoch   uint64 `cbor:"4,keyasint,omitempty"`
-}
-
 // Generation names the version of a service's document.
 type Generation = document.Summary
 
