--- a/planner/decide.go
+++ b/planner/decide.go
@@ -8,7 +8,6 @@
 
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
-	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
 	"github.com/eelgrasshub/eelgrasshub/target"
 )
@@ -122,14 +121,19 @@
 }
 
 func (p *Planner) stopGang(a scheduler.StopGang) {
+	if a.Reason == scheduler.StopReclaim {
+		p.evict(a)
+		return
+	}
+	p.stopNow(a)
+}
+
+func (p *Planner) stopNow(a scheduler.StopGang) {
 	j := p.jobs[string(a.Job)]
 	if j == nil || j.coord == nil || j.attempt != a.Attempt {
 		return
 	}
 	j.phase = Stopping
-	if a.Reason == scheduler.StopReclaim {
-		p.cfg.Metrics.Add(metrics.JobsEvicted, 1)
-	}
 	p.post0(func() { p.coordinate(j, gang.Abort{Checkpoint: a.Checkpoint}) })
 }
 
