entry, jobs: a wave of cancellations reads all records in one call

Cause: TestWaveOfCancellations failed with 'call budget used up' since half of an entry's calls are kept for its duties: each of 300 cancellations read its record by a call of its own. A wave of 16 or more now lists the service's records once; its writes shared calls already.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -15,20 +15,29 @@
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
-// cancelWidth is how many cancellations of a wave are under way at once. Their
-// reads are calls to the store, their writes share calls.
-const cancelWidth = 32
+const (
+	// cancelWidth is how many cancellations of a wave are under way at once;
+	// their writes share calls to the store.
+	cancelWidth = 256
+	// listAbove is from how many ids on a wave reads all records of the service
+	// in one call, instead of one call for each id.
+	listAbove = 16
+)
 
 // cancelAll cancels jobs of one service. On a Problem some may have been
 // cancelled; the whole call may be repeated.
 func (e *Entry) cancelAll(ctx context.Context, service string, ids []string) (api.CancelResponse, *api.Problem) {
+	cancel, err := e.canceller(ctx, service, len(ids))
+	if err != nil {
+		return api.CancelResponse{}, cancelProblem(err)
+	}
 	var mu sync.Mutex
 	var resp api.CancelResponse
 	var group errgroup.Group
 	group.SetLimit(cancelWidth)
 	for _, id := range ids {
 		group.Go(func() error {
-			_, err := e.jobs.Cancel(ctx, service, id, time.Now())
+			err := cancel(id)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -48,6 +57,28 @@
 	return resp, nil
 }
 
+// canceller returns how to cancel each of n jobs.
+func (e *Entry) canceller(ctx context.Context, service string, n int) (func(id string) error, error) {
+	if n < listAbove {
+		return func(id string) error {
+			_, err := e.jobs.Cancel(ctx, service, id, time.Now())
+			return err
+		}, nil
+	}
+	all, err := e.jobs.All(ctx, service)
+	if err != nil {
+		return nil, err
+	}
+	return func(id string) error {
+		cur, ok := all[id]
+		if !ok {
+			return jobs.ErrNotFound
+		}
+		_, err := e.jobs.CancelFrom(ctx, cur, time.Now())
+		return err
+	}, nil
+}
+
 // lookUp asks who knows a job best: this entry's planner, the planner's entry,
 // or else the store.
 func (e *Entry) lookUp(ctx context.Context, service, id string) (api.JobStatus, *api.Problem) {
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -100,23 +100,45 @@
 	return s.commit(ctx, r, retention)
 }
 
+// All reads the records of a service's jobs, by id, in one call.
+func (s *Store) All(ctx context.Context, service string) (map[string]Stored, error) {
+	snap, err := s.store.List(ctx, s.Prefix(service))
+	if err != nil {
+		return nil, err
+	}
+	all := make(map[string]Stored, len(snap.Keys))
+	for _, kv := range snap.Keys {
+		r, err := decode(kv)
+		if err != nil {
+			return nil, err
+		}
+		all[r.ID] = r
+	}
+	return all, nil
+}
+
 // Cancel ends a job that is still queued, or asks its planner to stop it. It
 // returns the record as it then is; a job that has ended stays as it is.
 func (s *Store) Cancel(ctx context.Context, service, id string, now time.Time) (Stored, error) {
+	cur, err := s.Get(ctx, service, id)
+	if err != nil {
+		return cur, err
+	}
+	return s.CancelFrom(ctx, cur, now)
+}
+
+// CancelFrom is Cancel for a record that was read already. Where the record has
+// changed since, it decides again on what it is now.
+func (s *Store) CancelFrom(ctx context.Context, cur Stored, now time.Time) (Stored, error) {
 	for {
-		cur, err := s.Get(ctx, service, id)
-		if err != nil {
-			return cur, err
-		}
 		if cur.State.Ended() || cur.CancelRequested {
 			return cur, nil
 		}
-		next := cancelled(cur, now)
-		got, err := s.write(ctx, next)
-		if eris.Is(err, ErrConflict) {
-			continue // the planner moved the job meanwhile: decide again
+		got, err := s.write(ctx, cancelled(cur, now))
+		if !eris.Is(err, ErrConflict) {
+			return got, err
 		}
-		return got, err
+		cur = got
 	}
 }
 
