scheduler: accounts use their unused blocks at once, and are not evicted there

Need: a job smaller than its account's guaranteed block, or of the block's size with a wider span, waited ten minutes on an idle site (urgent ones one minute), and one that started as a borrower was evicted seconds later by a reservation of an account without guarantees.

- Urgent jobs, those as large as a block, and those for which no larger job of the account waits use an unused block at once.
Others, and accounts that already run as much beside their blocks as these have room for, wait for ReclaimAfter, now 10 s.
- A job that could be evicted, within the guarantee, starts where nobody evicts it: where no block is bound, or else in a block.
- A reservation evicts only what an account runs beyond its guarantee.
- Job.NoBorrow keeps a job off capacity that guarantees of others need.
- A claim takes the idle parts of a block first, blocks in use before others, and is charged for racks that would no longer be whole.

--- a/scheduler/bind.go
+++ b/scheduler/bind.go
@@ -16,15 +16,23 @@
 	if len(s.loose) > 0 {
 		s.repack()
 	}
+	if len(s.loose) > 0 && s.unshelter() {
+		s.bindAll(slices.Clone(s.loose))
+		s.repack()
+	}
 	s.packed = s.grown
 }
 
+// unpacked has the blocks without a place tried again although no capacity has
+// grown: one has just lost its place and may fit where another worker has room.
+func (s *Scheduler) unpacked() { s.packed = s.grown - 1 }
+
 // dropReservations gives up the reservations of work that may not be evicted,
 // which keep blocks from being bound: what is owed goes first.
 func (s *Scheduler) dropReservations() bool {
 	dropped := false
 	for _, c := range slices.Clone(s.claims) {
-		if !c.guaranteed() && !c.job.Evictable() {
+		if !c.guaranteed() && !c.job.borrows() {
 			s.dropClaim(c)
 			dropped = true
 		}
--- a/scheduler/block.go
+++ b/scheduler/block.go
@@ -58,8 +58,9 @@
 // detach unbinds a block. Attempts that used it go on without a guarantee: those
 // that may be evicted become borrowers, others stay firm.
 func (s *Scheduler) detach(b *block) {
+	var others []*block
 	if b.used > 0 {
-		s.disown(b)
+		others = s.disown(b)
 	}
 	for _, p := range b.parts {
 		n := s.nodes[p.node]
@@ -69,6 +70,22 @@
 	}
 	b.parts = nil
 	s.loosen(b)
+	for _, x := range others {
+		s.detachCrowded(x)
+	}
+}
+
+// detachCrowded unbinds a block that an attempt has left which stays firm where
+// the block is. Block and attempt would both count on the same accelerators, and
+// the guarantee would show as whole although it could not be claimed.
+func (s *Scheduler) detachCrowded(b *block) {
+	for _, p := range b.parts {
+		if n := s.nodes[p.node]; n.bound > 0 && n.firm+n.bound > n.capacity() {
+			s.detach(b)
+			s.unpacked()
+			return
+		}
+	}
 }
 
 // loosen puts a block on the list of those that have no place.
@@ -93,11 +110,18 @@
 	b.index = -1
 }
 
-// disown takes every attempt and claim out of a block.
-func (s *Scheduler) disown(b *block) {
+// disown takes every attempt and claim out of a block. It returns the other
+// blocks that these attempts used.
+func (s *Scheduler) disown(b *block) []*block {
+	var others []*block
 	for _, p := range b.parts {
 		for _, r := range append([]*run(nil), s.nodes[p.node].runs...) {
 			if r.uses(b) {
+				for _, x := range r.shares {
+					if x.block != b {
+						others = append(others, x.block)
+					}
+				}
 				s.leaveGuarantee(r)
 			}
 		}
@@ -107,6 +131,7 @@
 			s.dropClaim(c)
 		}
 	}
+	return others
 }
 
 func (r *run) uses(b *block) bool { return sharesUse(r.shares, b) }
--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -41,7 +41,7 @@
 			n.claim += sign * p.n
 		} else {
 			n.wait += sign * p.n
-			if !c.job.Evictable() {
+			if !c.job.borrows() {
 				n.waitFirm += sign * p.n
 			}
 		}
@@ -92,10 +92,10 @@
 			return false
 		}
 	}
-	return c.guaranteed() || c.job.Evictable() || s.clear(c.pieces)
+	return c.guaranteed() || c.job.borrows() || s.clear(c.pieces)
 }
 
 func (s *Scheduler) startClaim(c *claim) {
 	s.forgetClaim(c)
-	s.start(c.job, c.pieces, c.shares, !c.job.Evictable())
+	s.start(c.job, c.pieces, c.shares, !c.job.borrows())
 }
--- /dev/null
+++ b/scheduler/covered.go
@@ -0,0 +1,31 @@
+package scheduler
+
+// room is how many accelerators of its guarantee an account does not use.
+func (a *account) room() int {
+	t := 0
+	for _, b := range a.blocks {
+		t += b.room()
+	}
+	return t
+}
+
+// covered reports whether evicting a run without need of a guarantee would leave
+// its account with less than its guarantee although it could use it all. Such a
+// run started beside the block, while a larger job waited or the block was in
+// use, and its account counts on it no less.
+func (r *run) covered() bool { return !beyondGuarantees([]*run{r}) }
+
+// beyondGuarantees reports whether the accounts of all runs would still use as
+// much as they are guaranteed without them.
+func beyondGuarantees(runs []*run) bool {
+	sizes := map[*account]int{}
+	for _, r := range runs {
+		sizes[r.job.account] += r.size()
+	}
+	for a, n := range sizes {
+		if a.used-n < a.room() {
+			return false
+		}
+	}
+	return true
+}
--- a/scheduler/displace.go
+++ b/scheduler/displace.go
@@ -6,7 +6,7 @@
 func (s *Scheduler) displace(b *block, k *queueKey, cost float64) float64 {
 	var best []piece
 	for _, at := range s.takenPlaces(b) {
-		if c := s.evictionCost(at, k.accelerators); c < cost {
+		if c := s.placeCost(at, k.accelerators); c < cost {
 			best, cost = at, c
 		}
 	}
@@ -20,7 +20,7 @@
 	}
 	s.attach(b, best)
 	s.grown = before
-	return s.evictionCost(best, k.accelerators)
+	return s.placeCost(best, k.accelerators)
 }
 
 // takenPlaces lists places to which unused blocks are bound and that could hold
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -1,48 +1,44 @@
 package scheduler
 
-const (
-	// urgentWeight is by how much sooner urgent jobs may claim.
-	urgentWeight = 10
-)
-
-// shapeMatch selects which jobs may claim blocks. Jobs that are as large as a
-// block use it before they look for open capacity; smaller ones only when they
-// found none, so that they don't break up blocks without need.
-type shapeMatch uint8
+// claimPhase is when in a decision an account claims its blocks. Urgent jobs
+// and those of exactly the shape of a block claim before open capacity is given
+// out. The others look there first, so that they don't pin a block without need.
+type claimPhase uint8
 
 const (
-	exactShapes shapeMatch = iota
-	anyShape
+	beforeOpen claimPhase = iota
+	afterOpen
 )
 
-func (s *Scheduler) claimGuarantees(m shapeMatch) {
+func (s *Scheduler) claimGuarantees(p claimPhase) {
 	for _, a := range s.accountList {
 		if len(a.blocks) == 0 || a.waiting == 0 {
 			continue
 		}
-		for q := s.nextClaimant(a, m); q != nil; q = s.nextClaimant(a, m) {
-			if !s.claimBlocks(q, m) {
-				q.claimed = s.claimStamp(a, m)
-			}
+		for q := s.nextClaimant(a, p); q != nil; q = s.nextClaimant(a, p) {
+			s.claimBlocks(q, p)
 		}
 	}
 }
 
 // claimStamp says at which state of an account's blocks a queue was tried.
-func (s *Scheduler) claimStamp(a *account, m shapeMatch) uint64 {
-	return (a.gen+1)*2 + uint64(m)
+func (s *Scheduler) claimStamp(a *account, p claimPhase) uint64 {
+	return (a.gen+1)*2 + uint64(p)
 }
 
+// phaseStamp numbers the claim phases of all steps.
+func (s *Scheduler) phaseStamp(p claimPhase) uint64 { return s.steps*2 + uint64(p) }
+
 // nextClaimant returns the queue whose head goes first among those of an
 // account that may still find room in its blocks.
-func (s *Scheduler) nextClaimant(a *account, m shapeMatch) *queue {
+func (s *Scheduler) nextClaimant(a *account, p claimPhase) *queue {
 	var best *queue
 	for _, q := range a.order {
 		j := s.claimHead(q)
-		if j == nil || q.key.accelerators == 0 || q.claimed >= s.claimStamp(a, m) || m == anyShape && s.inGrace(q) {
+		if j == nil || q.key.accelerators == 0 || q.claimed >= s.claimStamp(a, p) || q.yieldedIn == s.phaseStamp(p) {
 			continue
 		}
-		if best == nil || s.before(j, s.claimHead(best)) {
+		if best == nil || s.claimsBefore(j, s.claimHead(best)) {
 			best = q
 		}
 	}
@@ -60,73 +56,67 @@
 
 // claimBlocks sets room in the blocks of an account aside for the first job of
 // a queue, and starts it if that room is idle.
-func (s *Scheduler) claimBlocks(q *queue, m shapeMatch) bool {
+func (s *Scheduler) claimBlocks(q *queue, p claimPhase) {
 	j := s.claimHead(q)
-	if j == nil {
-		return false
+	c, yields := s.findClaim(j, &q.key, p)
+	switch {
+	case c != nil:
+		s.useClaim(c)
+	case yields:
+		q.yieldedIn = s.phaseStamp(p)
+		q.grace = j.Submitted.Add(s.policy.ReclaimAfter)
+	default:
+		q.claimed = s.claimStamp(q.account, p)
 	}
-	if m == anyShape && !s.mayClaim(j) {
-		q.graceIn = s.steps
-		return true
-	}
-	c := s.findClaim(j, &q.key, m)
-	if c == nil {
-		return false
-	}
-	if j.claim != nil {
-		s.dropClaim(j.claim)
+}
+
+func (s *Scheduler) useClaim(c *claim) {
+	if c.job.claim != nil {
+		s.dropClaim(c.job.claim)
 	}
 	s.addClaim(c)
 	if s.complete(c) {
 		s.startClaim(c)
-		return true
+		return
 	}
 	s.evictFor(c)
-	return true
-}
-
-// inGrace reports whether the head of a queue has just been found to wait for
-// its turn to claim. It is looked at once per step.
-func (s *Scheduler) inGrace(q *queue) bool { return q.graceIn == s.steps }
-
-// mayClaim reports whether a job may use a guaranteed block that is larger than
-// the job. It first waits for open capacity: a small job in a block pins the
-// block where it is, and the gangs that need that place whole wait for it.
-func (s *Scheduler) mayClaim(j *job) bool {
-	wait := s.policy.ReclaimAfter
-	if j.Urgent {
-		wait /= urgentWeight
-	}
-	j.queue.grace = j.Submitted.Add(wait)
-	return !s.now.Before(j.queue.grace)
 }
 
-// findClaim returns the claim that evicts least.
-func (s *Scheduler) findClaim(j *job, k *queueKey, m shapeMatch) *claim {
+// findClaim returns the claim on the block that a job fits best. It returns nil
+// if there is none, and whether that is only because larger jobs go first.
+func (s *Scheduler) findClaim(j *job, k *queueKey, p claimPhase) (c *claim, yields bool) {
 	var best *block
+	var offer offer
 	for _, b := range j.account.blocks {
-		if !s.serves(b, k, m) {
+		if !s.serves(b, k, p) {
 			continue
 		}
-		if best == nil || b.room() < best.room() {
-			best = b
+		if s.yields(j, k, b) {
+			yields = true
+			continue
+		}
+		at := s.offerOf(b, k)
+		if best == nil || at.less(offer) {
+			best, offer = b, at
 		}
 	}
 	if best != nil {
-		return s.claimOne(j, k, best)
+		return s.claimOne(j, k, best), false
 	}
-	if m == anyShape && k.span == AdjacentAny {
-		return s.claimMany(j, k)
+	if (k.urgent || p == afterOpen) && k.span == AdjacentAny {
+		return s.claimMany(j, k), yields
 	}
-	return nil
+	return nil, yields
 }
 
-// serves reports whether a job fits into what is left of a block.
-func (s *Scheduler) serves(b *block, k *queueKey, m shapeMatch) bool {
+// serves reports whether a job fits into what is left of a block and may use it
+// in a phase.
+func (s *Scheduler) serves(b *block, k *queueKey, p claimPhase) bool {
 	if b.room() < k.accelerators {
 		return false
 	}
-	if m == exactShapes && (b.shape.Accelerators != k.accelerators || k.span != b.shape.Adjacency) {
+	exact := b.shape.Accelerators == k.accelerators && b.shape.Adjacency == k.span
+	if p == beforeOpen && !exact && !k.urgent {
 		return false
 	}
 	return s.partsFor(b, k) != nil
@@ -137,7 +127,8 @@
 func (s *Scheduler) partsFor(b *block, k *queueKey) []share {
 	need := k.accelerators
 	var out []share
-	for i, p := range b.parts {
+	for _, i := range s.partOrder(b, k) {
+		p := b.parts[i]
 		u := s.units(k, s.nodes[p.node])
 		if u == 0 || p.used == p.n {
 			continue
@@ -185,6 +176,9 @@
 	need := k.accelerators
 	var out []share
 	for _, b := range j.account.blocks {
+		if s.yields(j, k, b) {
+			continue
+		}
 		for i, p := range b.parts {
 			got := min(need, p.n-p.used)
 			if got == 0 {
--- /dev/null
+++ b/scheduler/guarantee_test.go
@@ -0,0 +1,188 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// rackAndGuests guarantees the owner 16 accelerators in one rack. The others have
+// no guarantee.
+var rackAndGuests = Policy{Accounts: []AccountPolicy{
+	{ID: "owner", Guaranteed: []Shape{{16, AdjacentRack, 1}}}, {ID: "guest"}, {ID: "rival"},
+}}
+
+// fillSite has guests borrow everything that is idle.
+func (b *bench) fillSite() {
+	for i := 0; b.s.open.total() > 0; i++ {
+		b.submit(Job{ID: JobID(fmt.Sprint("g", i)), Account: "guest", Accelerators: 4, Adjacency: AdjacentWorker, Repeatable: true, Class: "fill", Submitted: b.now})
+	}
+	for id := range b.s.jobs {
+		b.step(GangStarted{id, 1})
+	}
+}
+
+// stopAll ends whatever is being stopped and returns all starts.
+func (b *bench) stopAll(actions []Action) []StartGang {
+	starts := of[StartGang](actions)
+	for _, a := range of[StopGang](actions) {
+		starts = append(starts, of[StartGang](b.end(a.Job, Stopped, ""))...)
+	}
+	return starts
+}
+
+func TestAccountUsesItsUnusedBlockAtOnce(t *testing.T) {
+	// An account with an unused guarantee of 16 submits a job to a full site and
+	// waits for minutes: jobs that are not of exactly the guaranteed shape had to
+	// wait for open capacity before they could claim.
+	for _, c := range []struct {
+		story string
+		job   Job
+	}{
+		{"smaller, must run once", Job{Accelerators: 4, Adjacency: AdjacentWorker}},
+		{"smaller, repeatable", Job{Accelerators: 4, Adjacency: AdjacentWorker, Repeatable: true}},
+		{"smaller, repeatable, may not borrow", Job{Accelerators: 4, Repeatable: true, NoBorrow: true}},
+		{"as large, accepts a wider span", Job{Accelerators: 16, Adjacency: AdjacentAny}},
+		{"as large, accepts a wider span, repeatable", Job{Accelerators: 16, Adjacency: AdjacentZone, Repeatable: true}},
+		{"urgent", Job{Accelerators: 2, Adjacency: AdjacentRack, Urgent: true, Repeatable: true}},
+	} {
+		t.Run(c.story, func(t *testing.T) {
+			b := newBench(t, rackAndGuests, eight(3)...)
+			b.fillSite()
+			b.now = b.now.Add(time.Minute)
+			c.job.ID, c.job.Account, c.job.Submitted = "o", "owner", b.now
+			starts := b.stopAll(b.submit(c.job))
+			b.Assert(len(starts) > 0 && starts[0].Job == "o", qt.IsTrue)
+		})
+	}
+}
+
+func TestSmallJobLeavesTheBlockToALargerOne(t *testing.T) {
+	// An account submits a small job and, in the same moment, one that needs most
+	// of its block. The small one takes the block, and the large one waits for it
+	// to end, although the site has room for the small one soon. Urgent work goes
+	// first all the same.
+	for _, c := range []struct {
+		story  string
+		urgent bool
+		large  int
+		want   JobID
+	}{
+		{"the larger one is the block", false, 16, "large"},
+		{"the larger one fits only alone", false, 15, "large"},
+		{"the small one is urgent", true, 16, "small"},
+	} {
+		t.Run(c.story, func(t *testing.T) {
+			b := newBench(t, rackAndGuests, eight(2)...)
+			b.fillSite()
+			small := Job{ID: "small", Account: "owner", Accelerators: 2, Urgent: c.urgent, Repeatable: true, Submitted: b.now}
+			large := Job{ID: "large", Account: "owner", Accelerators: c.large, Adjacency: AdjacentRack, Class: "l", Submitted: b.now}
+			starts := b.stopAll(b.submit(small, large))
+			b.Assert(starts[0].Job, qt.Equals, c.want)
+		})
+	}
+}
+
+func TestBeyondItsGuaranteeAnAccountWaitsSeconds(t *testing.T) {
+	// An account borrows more than its guarantee, whose block is unused. Each
+	// further small job of it evicts others at once, so that it would hold its
+	// borrowings and its guarantee. It waits for open capacity, but only seconds.
+	b := newBench(t, rackAndGuests, eight(4)...)
+	b.submit(Job{ID: "borrowed", Account: "owner", Accelerators: 24, Adjacency: AdjacentZone, Repeatable: true, Submitted: b.now})
+	b.fillSite()
+	b.Assert(b.submit(Job{ID: "o", Account: "owner", Accelerators: 2, Submitted: b.now}), qt.DeepEquals, []Action{WakeAt{b.now.Add(10 * time.Second)}})
+	b.now = b.now.Add(10 * time.Second)
+	b.Assert(b.stopAll(b.step(Tick{}))[0].Job, qt.Equals, JobID("o"))
+}
+
+func TestWorkWithinTheGuaranteeIsNotEvicted(t *testing.T) {
+	// An account runs 8 of its guaranteed 16, and is evicted seconds later for a
+	// gang of an account without any guarantee, or for another account's claim:
+	// the job had started as a borrower, beside its own unused block.
+	p := rackAndGuests
+	p.Objective = Fragmentation
+	p.Accounts = append(p.Accounts, AccountPolicy{ID: "other", Guaranteed: []Shape{{8, AdjacentWorker, 2}}})
+	for _, size := range []int{8, 16} {
+		b := newBench(t, p, eight(6)...)
+		b.submit(Job{ID: "o", Account: "owner", Accelerators: size, Adjacency: AdjacentAny, Repeatable: true, Submitted: b.now})
+		b.step(GangStarted{"o", 1})
+		b.fillSite()
+		claim := Job{Account: "other", Accelerators: 8, Adjacency: AdjacentWorker, Submitted: b.now}
+		gang := Job{ID: "gang", Account: "rival", Accelerators: 32, Adjacency: AdjacentAny, Repeatable: true, Submitted: b.now}
+		one, two := claim, claim
+		one.ID, two.ID = "c1", "c2"
+		out := b.submit(one, two, gang)
+		for range 30 {
+			b.now = b.now.Add(time.Second)
+			out = append(out, b.step(Tick{})...)
+		}
+		stops := of[StopGang](out)
+		b.Assert(len(stops) > 0, qt.IsTrue)
+		for _, a := range stops {
+			b.Assert(a.Job, qt.Not(qt.Equals), JobID("o"))
+		}
+	}
+}
+
+func TestReservationSparesWhatItsAccountIsGuaranteed(t *testing.T) {
+	// After a takeover an account's job runs beside its unused block, as a
+	// borrower. A reservation of an account without guarantees evicts it.
+	b := newBench(t, rackAndGuests, eight(4)...)
+	b.step(JobRestored{Job: Job{ID: "o", Account: "owner", Accelerators: 8, Repeatable: true}, Attempt: 1, Placement: Placement{{"w0", []int{0, 1, 2, 3, 4, 5, 6, 7}}}, Started: b.now})
+	gang := Job{ID: "gang", Account: "rival", Accelerators: 32, Repeatable: true, Submitted: b.now}
+	out := b.submit(gang)
+	for range 30 {
+		b.now = b.now.Add(time.Second)
+		out = append(out, b.step(Tick{})...)
+	}
+	b.Assert(of[StopGang](out), qt.HasLen, 0)
+}
+
+func TestSheltersGiveWayToBlocksWithoutAPlace(t *testing.T) {
+	// A worker fails and an account's guarantee shows as degraded until some work
+	// ends, although a worker has the room: work that could be evicted stands there
+	// and counted as fixed, and blocks were only tried again when capacity grew.
+	p := Policy{Accounts: []AccountPolicy{
+		{ID: "owner", Guaranteed: []Shape{{8, AdjacentWorker, 1}}},
+		{ID: "other", Guaranteed: []Shape{{8, AdjacentWorker, 1}}},
+	}}
+	b := newBench(t, p, eight(3)...)
+	b.submit(Job{ID: "o", Account: "owner", Accelerators: 4, Adjacency: AdjacentWorker, Repeatable: true})
+	b.Assert(b.s.jobs["o"].run.firm, qt.IsTrue)
+	for _, w := range []WorkerID{"w0", "w1", "w2"} {
+		if w == b.s.nodes[b.s.jobs["o"].run.pieces[0].node].ID {
+			continue
+		}
+		b.Assert(of[GuaranteeDegraded](b.step(WorkerDown{w})), qt.HasLen, 0)
+		break
+	}
+	b.Assert(b.s.jobs["o"].run.firm, qt.IsFalse)
+}
+
+func TestNoBorrowKeepsOffOthersGuarantees(t *testing.T) {
+	// A class with may_borrow = false runs on another account's guaranteed worker
+	// and is evicted when that is claimed: being repeatable was taken for leave to
+	// borrow. It must wait instead, and what it holds must never be claimed.
+	b := newBench(t, twoAccounts, eight(2)...)
+	job := Job{Account: "guest", Accelerators: 8, Adjacency: AdjacentWorker, Repeatable: true, NoBorrow: true}
+	first, second := job, job
+	first.ID, second.ID = "first", "second"
+	b.Assert(of[StartGang](b.submit(first, second)), qt.HasLen, 1)
+	out := b.submit(Job{ID: "o", Account: "owner", Accelerators: 8, Adjacency: AdjacentWorker})
+	b.Assert(of[StopGang](out), qt.HasLen, 0)
+	b.Assert(of[StartGang](out), qt.HasLen, 1)
+}
+
+func TestBlockIsNotCountedUnderWorkThatLeftIt(t *testing.T) {
+	// A job that must run once spans two blocks of its account. One of its workers
+	// drains, which ends that block. The other block counts as unused although the
+	// job still holds its worker: the operator sees the guarantee whole, and a claim
+	// of it waits for the job to end.
+	p := Policy{Accounts: []AccountPolicy{{ID: "owner", Guaranteed: []Shape{{8, AdjacentWorker, 2}}}}}
+	b := newBench(t, p, eight(2)...)
+	b.Assert(of[StartGang](b.submit(Job{ID: "o", Account: "owner", Accelerators: 16})), qt.HasLen, 1)
+	out := b.step(WorkerDraining{"w0"})
+	b.Assert(of[GuaranteeDegraded](out), qt.DeepEquals, []GuaranteeDegraded{{"owner", Shape{8, AdjacentWorker, 2}, 2}})
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -23,7 +23,10 @@
 	Repeatable bool
 	// Checkpointable jobs resume from their last checkpoint.
 	Checkpointable bool
-	Submitted      time.Time
+	// NoBorrow keeps the job off capacity that the guarantee of another account
+	// needs, although it could be evicted from there.
+	NoBorrow  bool
+	Submitted time.Time
 	// LastAttempt is the highest attempt known to have been started, so that a
 	// planner that takes over never reuses a number.
 	LastAttempt Attempt
@@ -33,3 +36,9 @@
 func (j *Job) Evictable() bool {
 	return j.Repeatable || j.Checkpointable
 }
+
+// borrows reports whether the job may run on capacity that the guarantee of
+// another account needs.
+func (j *Job) borrows() bool {
+	return j.Evictable() && !j.NoBorrow
+}
--- a/scheduler/machine_test.go
+++ b/scheduler/machine_test.go
@@ -84,6 +84,9 @@
 			if j := m.jobs[a.Job]; j == nil || j.attempt != a.Attempt {
 				m.fatalf("stop of %v, which does not run", a)
 			}
+			if r := m.s.jobs[a.Job].run; a.Reason == StopReclaim && len(r.shares) > 0 {
+				m.fatalf("job %q is evicted from the guarantee of its account", a.Job)
+			}
 			m.jobs[a.Job].stopping = true
 		case RejectJob:
 			m.end(a.Job)
@@ -112,6 +115,11 @@
 		m.fatalf("start of %v beside %+v", a, j)
 	}
 	j.attempt, j.place, j.running, j.stopping = a.Attempt, a.Placement, false, false
+	r := m.s.jobs[a.Job].run
+	probe := !m.s.nodes[r.pieces[0].node].usable()
+	if !j.borrows() && !r.firm && !probe {
+		m.fatalf("job %q may not borrow and runs where it can be evicted", a.Job)
+	}
 	total := 0
 	for _, g := range a.Placement {
 		total += len(g.Accelerators)
@@ -158,7 +166,7 @@
 	j := Job{
 		ID: JobID(fmt.Sprint("j", m.next)), Account: AccountID("abc"[m.rng.IntN(3):][:1]), Class: fmt.Sprint(m.rng.IntN(4)),
 		Accelerators: []int{0, 1, 1, 2, 2, 4, 8, 8, 12, 20, 500}[m.rng.IntN(11)], Adjacency: Adjacency(m.rng.IntN(4)),
-		Urgent: m.rng.IntN(10) == 0, Repeatable: m.rng.IntN(3) > 0, Checkpointable: m.rng.IntN(2) > 0,
+		Urgent: m.rng.IntN(10) == 0, Repeatable: m.rng.IntN(3) > 0, Checkpointable: m.rng.IntN(2) > 0, NoBorrow: m.rng.IntN(4) == 0,
 		Cores: m.rng.IntN(6), MemoryMB: 1000, Estimate: time.Minute, Submitted: m.now,
 	}
 	m.know(j)
--- a/scheduler/move_block.go
+++ b/scheduler/move_block.go
@@ -4,7 +4,7 @@
 // it is, where all is idle, or the tightest places that have slack.
 func (s *Scheduler) moveBlock(b *block, k *queueKey) {
 	here := b.pieces()
-	cost := s.evictionCost(here, k.accelerators)
+	cost := s.placeCost(here, k.accelerators)
 	if cost == 0 {
 		return
 	}
@@ -16,7 +16,7 @@
 	s.detach(b)
 	best := here
 	for _, at := range s.blockPlaces(b.shape) {
-		if c := s.evictionCost(at, k.accelerators); c < cost {
+		if c := s.placeCost(at, k.accelerators); c < cost {
 			best, cost = at, c
 		}
 	}
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -74,7 +74,10 @@
 	if j.Accelerators == 0 {
 		return s.tryCPU(j)
 	}
-	firm := !j.Evictable()
+	if s.sheltered(j) && s.startSheltered(j, &q.key) {
+		return true
+	}
+	firm := !j.borrows()
 	at := s.avoiding(j, func() []piece { return s.findOpen(j, &q.key, firm) })
 	if at == nil {
 		at = s.findBackfill(j, &q.key)
@@ -127,7 +130,7 @@
 		for _, p := range c.pieces {
 			n := s.nodes[p.node]
 			need := j.Accelerators * s.units(k, n)
-			if need == 0 || n.free() < need || !j.Evictable() && n.slack() < need {
+			if need == 0 || n.free() < need || !j.borrows() && n.slack() < need {
 				continue
 			}
 			return []piece{{node: n.id, n: need}}
@@ -177,6 +180,6 @@
 		return false
 	}
 	s.dropCPU(j)
-	s.start(j, []piece{{node: n.id}}, nil, !j.Evictable())
+	s.start(j, []piece{{node: n.id}}, nil, !j.borrows())
 	return true
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -44,9 +44,9 @@
 // endings lists when accelerators of a node become available for a reservation.
 // Work that may not be evicted can't count on what is bound to guarantees.
 func (s *Scheduler) endings(n *node, j *job) []ending {
-	evictable := j.Evictable()
+	borrows := j.borrows()
 	have := n.capacity() - n.held + n.leave - n.claim - n.wait
-	if !evictable {
+	if !borrows {
 		have = min(have, n.movable()-n.wait)
 	}
 	out := []ending{{s.now, n.id, have}}
@@ -55,7 +55,7 @@
 		if k == 0 || !r.firm && r.state == runStopping {
 			continue
 		}
-		if !evictable && len(r.shares) > 0 {
+		if !borrows && len(r.shares) > 0 {
 			continue
 		}
 		out = append(out, ending{s.preemptEnd(r, j, s.endOf(r)), n.id, k})
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -49,8 +49,10 @@
 	ReserveAfter time.Duration
 	// AgeAfter is how long a job waits before it goes ahead of fair order.
 	AgeAfter time.Duration
-	// ReclaimAfter is how long a job that is smaller than its guaranteed block
-	// waits at most before it evicts. A job as large as the block evicts at once.
+	// ReclaimAfter is how long a job leaves its account's guaranteed block to
+	// larger jobs of the account that wait, or waits for open capacity because the
+	// account already uses as much as it is guaranteed. Urgent jobs and those as
+	// large as the block use it at once.
 	ReclaimAfter time.Duration
 	// MaxEvictions bounds the evictions in progress at once.
 	MaxEvictions int
@@ -80,7 +82,7 @@
 	p.ReservedShare = orInt(p.ReservedShare, 40)
 	p.ReserveAfter = orTime(p.ReserveAfter, time.Second)
 	p.AgeAfter = orTime(p.AgeAfter, 10*time.Minute)
-	p.ReclaimAfter = orTime(p.ReclaimAfter, 10*time.Minute)
+	p.ReclaimAfter = orTime(p.ReclaimAfter, 10*time.Second)
 	p.MaxEvictions = orInt(p.MaxEvictions, 64)
 	p.WorkerStrikes = orInt(p.WorkerStrikes, 3)
 	p.JobStrikes = orInt(p.JobStrikes, 3)
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -29,7 +29,8 @@
 func (s *Scheduler) preemptible(r *run, j *job) bool {
 	return !r.firm && r.state == runRunning && !r.job.Urgent &&
 		r.job.Accelerators*preemptSize <= j.Accelerators &&
-		r.job.Priority <= j.Priority && r.job.evictions < s.preemptMost()
+		r.job.Priority <= j.Priority && r.job.evictions < s.preemptMost() &&
+		!r.covered()
 }
 
 // preemptEnd is the time at which a run counts as ended when a gang plans its
@@ -50,7 +51,7 @@
 // loses less than the wait that it saves.
 func (s *Scheduler) preempt(c *claim) {
 	victims, cost := s.preemptVictims(c)
-	if len(victims) == 0 {
+	if len(victims) == 0 || !beyondGuarantees(victims) {
 		return
 	}
 	saved := c.ready.Sub(s.now).Seconds() * float64(c.job.Accelerators)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -12,14 +12,14 @@
 	memory       int
 	urgent       bool
 	priority     int
-	evictable    bool
+	borrows      bool
 }
 
 func keyOf(j *Job) queueKey {
 	return queueKey{
 		class: j.Class, accelerators: j.Accelerators, span: j.Adjacency,
 		cores: j.Cores, memory: j.MemoryMB,
-		urgent: j.Urgent, priority: j.Priority, evictable: j.Evictable(),
+		urgent: j.Urgent, priority: j.Priority, borrows: j.borrows(),
 	}
 }
 
@@ -32,11 +32,13 @@
 	tail    *job
 	n       int
 
-	blocked uint64    // capacity generation at which no place was found
-	claimed uint64    // account generation at which no block had room
-	grace   time.Time // when its head may evict, if it is smaller than a block
-	graceIn uint64    // step in which grace was set
-	sized   uint64    // topology generation at which the size was found possible
+	blocked uint64 // capacity generation at which no place was found
+	claimed uint64 // account generation at which no block had room
+	// grace is when its head need no longer leave blocks to larger jobs, and
+	// yieldedIn the phase in which it last did.
+	grace     time.Time
+	yieldedIn uint64
+	sized     uint64 // topology generation at which the size was found possible
 }
 
 // insert puts a job at its place by order of submission, searching from the
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -97,7 +97,7 @@
 	}
 	c := &claim{job: j, pieces: at, ready: ready}
 	s.addClaim(c)
-	if !j.Evictable() {
+	if !j.borrows() {
 		s.moveAway(at)
 	}
 	s.expect(c)
--- a/scheduler/restore.go
+++ b/scheduler/restore.go
@@ -83,6 +83,7 @@
 		n := s.nodes[h.node]
 		for n.bound > 0 && n.firm+n.bound > n.capacity() {
 			s.detach(n.blocks[len(n.blocks)-1])
+			s.unpacked()
 		}
 	}
 }
@@ -126,6 +127,7 @@
 		}
 		for n.bound > 0 && n.firm+n.bound+h.n > n.capacity() {
 			s.detach(n.blocks[len(n.blocks)-1])
+			s.unpacked()
 		}
 		at = append(at, piece{node: h.node, n: h.n})
 	}
--- a/scheduler/topology.go
+++ b/scheduler/topology.go
@@ -133,6 +133,7 @@
 func (s *Scheduler) leave(n *node) {
 	for len(n.blocks) > 0 {
 		s.detach(n.blocks[0])
+		s.unpacked()
 	}
 	for _, c := range append([]*claim(nil), s.claims...) {
 		if c.on(n.id) {
