planner: class.may_borrow reaches the scheduler

Need: may_borrow = false of a class had no effect; its repeatable jobs ran on what is guaranteed to other accounts and were evicted. Jobs of a class that is no longer declared may borrow if they can be evicted, as before.

go test ./planner: all pass but TestLateWatchDoesNotReviveAJob, which failed before too. Its cause is not the scheduler: the record of its last job never reaches the planner (its status is unknown and the scheduler counts none waiting).

--- a/planner/policy.go
+++ b/planner/policy.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// schedulerJob is a record as the scheduler sees it. Priority and urgency are
-// those of the class in force now, so that operators can change them for jobs
+// schedulerJob is a record as the scheduler sees it. Priority, urgency
+// and borrowing are those of the class in force now, so that operators can change them for jobs
 // that wait.
 func schedulerJob(r jobs.Record, d *document.Document) scheduler.Job {
 	j := scheduler.Job{
@@ -76,6 +76,7 @@
 	if c, ok := d.Class(r.Spec.Class); ok {
 		j.Priority = c.Priority
 		j.Urgent = c.Urgent
+		j.NoBorrow = !c.MayBorrow
 	}
 	return j
 }
--- /dev/null
+++ b/planner/policy_test.go
@@ -0,0 +1,24 @@
+package planner
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+)
+
+// An operator sets may_borrow = false for a class, and its repeatable jobs still
+// run on what is guaranteed to other accounts: the key was never passed on.
+func TestClassDecidesWhetherItsJobsBorrow(t *testing.T) {
+	c := qt.New(t)
+	d := &document.Document{Classes: []document.Class{
+		{Name: "lends", Kind: document.Job, MayBorrow: true},
+		{Name: "stays", Kind: document.Job},
+	}}
+	for class, want := range map[string]bool{"lends": false, "stays": true} {
+		j := schedulerJob(jobs.Record{Spec: jobs.Spec{Class: class, Repeatable: true}}, d)
+		c.Assert(j.NoBorrow, qt.Equals, want)
+	}
+}
