scheduler: jobs that can never run are answered after a takeover too

They can never run, arrived before workers had had the time to announce themselves, and were set aside until capacity grows; after the takeover nothing grew. Ruled out: the size index (it is right) and the planner (it had handed them over). The named test fails without the guard (no rejection) and passes with it.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,8 +15,10 @@
 type Scheduler struct {
 	now     time.Time
 	settled time.Time
-	policy  Policy
-	actions []Action
+	// hasSettled is set by the first decision at or after settled.
+	hasSettled bool
+	policy     Policy
+	actions    []Action
 
 	nodes    []*node
 	nodeByID map[WorkerID]*node
@@ -134,6 +136,7 @@
 // decide brings what is owed up to date and then starts what fits: repairs of
 // guarantees go first, then claims on guarantees, then the open queue.
 func (s *Scheduler) decide() {
+	s.settle()
 	s.wakeWorkers()
 	s.wakeJobs()
 	s.rebindLoose()
