scheduler: urgent jobs look for open capacity before they use a block

Cause of the loss by blocks: urgent jobs, which are small, pinned an unused block although open capacity was free. They now look there first and use the block in the same decision. A job of exactly the block's shape leaves it to an urgent one that waits until then.

--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -1,8 +1,9 @@
 package scheduler
 
-// claimPhase is when in a decision an account claims its blocks. Urgent jobs
-// and those of exactly the shape of a block claim before open capacity is given
-// out. The others look there first, so that they don't pin a block without need.
+// claimPhase is when in a decision an account claims its blocks. Jobs of exactly
+// the shape of a block claim before open capacity is given out, unless an urgent
+// job of the account needs the block. The others look there first, so that they
+// don't pin a block without need.
 type claimPhase uint8
 
 const (
@@ -91,7 +92,7 @@
 		if !s.serves(b, k, p) {
 			continue
 		}
-		if s.yields(j, k, b) {
+		if s.yields(j, k, b) || p == beforeOpen && s.urgentWaits(j, b) {
 			yields = true
 			continue
 		}
@@ -103,7 +104,7 @@
 	if best != nil {
 		return s.claimOne(j, k, best), false
 	}
-	if (k.urgent || p == afterOpen) && k.span == AdjacentAny {
+	if p == afterOpen && k.span == AdjacentAny {
 		return s.claimMany(j, k), yields
 	}
 	return nil, yields
@@ -116,7 +117,7 @@
 		return false
 	}
 	exact := b.shape.Accelerators == k.accelerators && b.shape.Adjacency == k.span
-	if p == beforeOpen && !exact && !k.urgent {
+	if p == beforeOpen && !exact {
 		return false
 	}
 	return s.partsFor(b, k) != nil
--- a/scheduler/yield.go
+++ b/scheduler/yield.go
@@ -46,3 +46,17 @@
 	}
 	return false
 }
+
+// urgentWaits reports whether an urgent job of the same account waits that could
+// use a block. It may still find open capacity, and the block is claimed after.
+func (s *Scheduler) urgentWaits(j *job, b *block) bool {
+	if j.Urgent {
+		return false
+	}
+	for _, q := range j.account.order {
+		if q.key.urgent && q.key.accelerators > 0 && s.claimHead(q) != nil && s.serves(b, &q.key, afterOpen) {
+			return true
+		}
+	}
+	return false
+}
