--- a/document/class.go
+++ b/document/class.go
@@ -34,7 +34,8 @@
 
 	Checkpointable bool `toml:"checkpointable" default:"false"`
 	// MayBorrow lets the job run on capacity that is guaranteed to another
-	// account, from which it is evicted when that account claims it.
+	// account, from which it is evicted when that account claims it. Without it
+	// the job keeps to its own guarantee and to what no guarantee needs.
 	MayBorrow bool            `toml:"may_borrow" default:"false"`
 	MaxRun    schema.Duration `toml:"max_run" default:"4h" validate:"min=1s,max=168h"`
 }
