document: work that may be evicted borrows unless the class forbids it

Idle capacity that can be taken back at any moment is meant to be used; forbidding it is the exception.

Left: with may_borrow = false, or for a job that may not be evicted, a gang that needs its account's own block and open capacity together is not placed.

--- a/document/class.go
+++ b/document/class.go
@@ -36,7 +36,7 @@
 	// MayBorrow lets the job run on capacity that is guaranteed to another
 	// account, from which it is evicted when that account claims it. Without it
 	// the job keeps to its own guarantee and to what no guarantee needs.
-	MayBorrow bool            `toml:"may_borrow" default:"false"`
+	MayBorrow bool            `toml:"may_borrow" default:"true where repeatable or checkpointable, else false" derived:"repeatable"`
 	MaxRun    schema.Duration `toml:"max_run" default:"4h" validate:"min=1s,max=168h"`
 }
 
@@ -57,4 +57,7 @@
 	if !set("retries") && c.Repeatable {
 		c.Retries = repeatableRetries
 	}
+	if !set("may_borrow") && c.Kind == Job {
+		c.MayBorrow = c.Repeatable || c.Checkpointable
+	}
 }
