--- a/agent/agent.go
+++ b/agent/agent.go
@@ -116,7 +116,7 @@
 			Skew:        clockSkew,
 		}),
 		running: make(map[attempts.ID]chan struct{}),
-		observe: a.observeQuick,
+		observe: a.metrics.Observe,
 		now:     time.Now,
 	}
 }
--- a/agent/meters.go
+++ b/agent/meters.go
@@ -2,17 +2,12 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
-// observeQuick records how long an attempt spent here, by its end.
-func (a *Agent) observeQuick(account, class string, took time.Duration, o wire.Outcome) {
-	a.metrics.Observe(account, class, quickTiming(o), took)
-}
-
+// quickTiming is the timing of an attempt that ended so.
 func quickTiming(o wire.Outcome) metrics.Timing {
 	switch o {
 	case wire.OutcomeDone:
--- a/agent/quick.go
+++ b/agent/quick.go
@@ -8,6 +8,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/admission"
 	"github.com/eelgrasshub/eelgrasshub/attempts"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/target"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
@@ -45,7 +46,7 @@
 	table   *attempts.Table
 	running map[attempts.ID]chan struct{}
 
-	observe func(account, class string, took time.Duration, outcome wire.Outcome)
+	observe func(account, class string, t metrics.Timing, took time.Duration)
 	now     func() time.Time
 }
 
@@ -55,7 +56,7 @@
 	began := q.now()
 	reply := q.attempt(ctx, m)
 	reply.Load, reply.Marked, reply.Draining = q.loadOf()
-	q.observe(m.Account, m.Class, q.now().Sub(began), reply.Outcome)
+	q.observe(m.Account, m.Class, quickTiming(reply.Outcome), q.now().Sub(began))
 	return reply
 }
 
@@ -80,13 +81,14 @@
 // run queues the request under wait, then forwards it under ctx. sending is
 // called just before the target is asked.
 func (q *quick) run(wait, ctx context.Context, m *wire.Execute, sending func()) *wire.ExecuteReply {
-	deadline := q.now().Add(remaining(m))
+	arrived := q.now()
+	deadline := arrived.Add(remaining(m))
 	id, refusal, err := q.gate.enter(wait, admission.Arrived{
 		Account:  m.Account,
 		Class:    m.Class,
 		Weight:   q.weights(m.Account),
 		Deadline: deadline,
-		Enqueued: q.now(),
+		Enqueued: arrived,
 	})
 	if err != nil {
 		return refused(reasonCancelled, "the entry gave the attempt up while it was queued", 0)
@@ -95,7 +97,12 @@
 		return refused(refusal.Reason.String(), "", refusal.RetryAfter)
 	}
 	began := q.now()
-	defer func() { q.gate.leave(id, q.now().Sub(began)) }()
+	q.observe(m.Account, m.Class, metrics.QuickQueued, began.Sub(arrived))
+	defer func() {
+		took := q.now().Sub(began)
+		q.gate.leave(id, took)
+		q.observe(m.Account, m.Class, metrics.QuickServed, took)
+	}()
 	sending()
 	return q.forward(ctx, m, deadline)
 }
--- a/agent/quick_test.go
+++ b/agent/quick_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/admission"
 	"github.com/eelgrasshub/eelgrasshub/attempts"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/target"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
@@ -50,7 +51,7 @@
 			Skew:        time.Minute,
 		}),
 		running: make(map[attempts.ID]chan struct{}),
-		observe: func(string, string, time.Duration, wire.Outcome) {},
+		observe: func(string, string, metrics.Timing, time.Duration) {},
 		now:     time.Now,
 	}
 	t.Cleanup(func() {
--- a/metrics/counter.go
+++ b/metrics/counter.go
@@ -22,14 +22,8 @@
 	GangsAborted
 	// ReservationsRefused counts reservations that an agent refused.
 	ReservationsRefused
-	// StoreCalls counts calls to the platform's store.
-	StoreCalls
-	// StoreErrors counts calls to the platform's store that failed.
-	StoreErrors
 	// DocumentsApplied counts generations of documents put in force.
 	DocumentsApplied
-	// ConnectionsReplaced counts connections given up as silent.
-	ConnectionsReplaced
 
 	numCounters
 )
@@ -50,10 +44,7 @@
 	GangsStarted:         {"gangs_started", "gangs", "started on all their members"},
 	GangsAborted:         {"gangs_aborted", "gangs", "given up before all members started"},
 	ReservationsRefused:  {"reservations_refused", "reservations", "refused by an agent"},
-	StoreCalls:           {"store_calls", "calls", "to the platform's store"},
-	StoreErrors:          {"store_errors", "calls", "to the platform's store that failed"},
 	DocumentsApplied:     {"documents_applied", "generations", "put in force"},
-	ConnectionsReplaced:  {"connections_replaced", "connections", "given up as silent"},
 }
 
 // Describe returns what the counter means.
