--- /dev/null
+++ b/entry/registration.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// Registration is where a registered entry is reached.
+type Registration struct {
+	ID   string
+	HTTP string // host:port of its callers' interface
+}
+
+// Registered lists the entries of a region that are registered in the store.
+func Registered(ctx context.Context, store platform.Store, region string) ([]Registration, error) {
+	snap, err := store.List(ctx, "entries/"+region+"/")
+	if err != nil {
+		return nil, err
+	}
+	var out []Registration
+	for _, kv := range snap.Keys {
+		var p peerEntry
+		if json.Unmarshal(kv.Value, &p) == nil {
+			out = append(out, Registration{ID: p.ID, HTTP: p.HTTP})
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/planner/record.go
@@ -0,0 +1,85 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+)
+
+// record writes the start of an attempt over the record that it was decided on.
+//
+// The failure this guards against: between the decision and the write the watch
+// brings a later form of the record, a cancellation or another planner's start,
+// and writing over that one succeeds. A caller told "cancelled before it started"
+// then sees the job run, or a job that may be running is started again.
+func (p *Planner) record(j *job, plan gang.Plan) {
+	if j.stored.Rev != j.decided {
+		result := gang.RecordConflict
+		if names(j.stored.Record, plan.ID) {
+			result = gang.RecordWritten // our own earlier try, seen by the watch first
+		}
+		p.post0(func() { p.recordedAs(j, plan.ID, result) })
+		return
+	}
+	next := j.stored
+	next.State = jobs.Starting
+	next.Attempt = uint64(j.attempt)
+	next.Epoch = plan.ID.Epoch
+	next.Number = plan.ID.Number
+	next.Members = membersOf(plan)
+	next.Started = time.Now()
+	p.t.Go(func() error {
+		ctx, cancel := p.context(sendTimeout)
+		defer cancel()
+		got, err := p.cfg.Jobs.Update(ctx, next)
+		p.post(func() { p.recorded(j, plan.ID, got, err) })
+		return nil
+	})
+}
+
+func (p *Planner) recorded(j *job, id gang.ID, got jobs.Stored, err error) {
+	if j.coord == nil || j.coord.Plan().ID != id {
+		return
+	}
+	result := gang.RecordUnknown
+	switch {
+	case err == nil:
+		result = gang.RecordWritten
+		j.stored = got
+	case eris.Is(err, jobs.ErrConflict) && names(got.Record, id):
+		// An earlier try of this write took effect after its reply was lost.
+		result = gang.RecordWritten
+		j.stored = got
+	case eris.Is(err, jobs.ErrConflict), eris.Is(err, jobs.ErrNotFound):
+		result = gang.RecordConflict
+		p.adoptRecord(j, got, err)
+	}
+	p.coordinate(j, gang.Recorded{Result: result})
+}
+
+// recordedAs tells the attempt what is known of its record without a write.
+func (p *Planner) recordedAs(j *job, id gang.ID, r gang.RecordResult) {
+	if j.coord != nil && j.coord.Plan().ID == id {
+		p.coordinate(j, gang.Recorded{Result: r})
+	}
+}
+
+func names(r jobs.Record, id gang.ID) bool {
+	return r.Epoch == id.Epoch && r.Number == id.Number && r.State == jobs.Starting
+}
+
+// adoptRecord takes over a record that someone else has changed: an entry that
+// cancelled the job, or a planner with a higher epoch.
+func (p *Planner) adoptRecord(j *job, got jobs.Stored, err error) {
+	if eris.Is(err, jobs.ErrNotFound) {
+		return
+	}
+	if got.Epoch > p.cfg.Epoch {
+		p.superseded("a job's record names a higher epoch", got.Epoch)
+		return
+	}
+	p.changed(got)
+}
