--- a/agent/once.go
+++ b/agent/once.go
@@ -29,9 +29,9 @@
 	case attempts.Repeated:
 		return decodeAnswer(answer)
 	case attempts.Refused:
-		return refused(reasonAttempt, "the attempt was given up before it arrived", 0)
+		return refused(wire.ReasonAttempt, "the attempt was given up before it arrived", 0)
 	default:
-		return unknown(reasonAttempt, "the attempt is older than what this agent remembers")
+		return unknown(wire.ReasonAttempt, "the attempt is older than what this agent remembers")
 	}
 }
 
@@ -85,7 +85,7 @@
 	case wire.AttemptAnswered:
 		return r.Answer
 	case wire.AttemptNotRun:
-		return refused(reasonAttempt, "the attempt was refused", 0)
+		return refused(wire.ReasonAttempt, "the attempt was refused", 0)
 	default:
 		return unknown(reasonLost, "the attempt ran and its answer was lost")
 	}
--- a/agent/quick.go
+++ b/agent/quick.go
@@ -15,7 +15,6 @@
 
 // Reasons in an ExecuteReply, besides those of admission.
 const (
-	reasonAttempt   = "attempt"   // the attempt was seen before, or is too old
 	reasonTarget    = "target"    // the target could not be reached or refused
 	reasonCancelled = "cancelled" // the caller gave up before the start
 	reasonLost      = "lost"      // the target's answer did not come back whole
@@ -73,7 +72,7 @@
 	}
 	id, err := attempts.ParseID(m.Attempt)
 	if err != nil {
-		return refused(reasonAttempt, err.Error(), 0)
+		return refused(wire.ReasonAttempt, err.Error(), 0)
 	}
 	return q.once(ctx, id, m)
 }
--- a/entry/delivery_send.go
+++ b/entry/delivery_send.go
@@ -36,7 +36,7 @@
 		b.Answer = encodeReply(r)
 	case r.Outcome == wire.OutcomeRefused:
 		b.Verdict = attempts.Refused
-	case r.Reason == attemptReason:
+	case r.Reason == wire.ReasonAttempt:
 		b.Verdict = attempts.Unprovable
 	default:
 		b.Verdict = attempts.Fresh
@@ -45,9 +45,6 @@
 	return b
 }
 
-// attemptReason is the agent's reason where its table decided.
-const attemptReason = "attempt"
-
 func (v *delivery) resolve(c attempts.Claim) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(v.ctx), resolveTimeout)
 	defer cancel()
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
@@ -18,7 +17,7 @@
 func (e *Entry) documentChanged(_, now *document.Held) {
 	e.log.WithField("service", now.Version.Service).WithField("generation", now.Version.Generation).Info("document in force")
 	e.metrics.Add(metrics.DocumentsApplied, 1)
-	e.dispatcher(now.Version.Service).router.SetRetries(retriesOf(now.Document))
+	e.dispatcher(now.Version.Service).obey(now.Document)
 	e.duties.setDocument(now)
 	e.members.route(now.Version.Service)
 	e.members.publish(now.Version)
@@ -70,11 +69,3 @@
 		Versions:    e.docs.Newer(m.Have, exchangeBytes),
 	}
 }
-
-// exchange takes versions that another process holds.
-func (e *Entry) exchange(m *wire.Publish) *wire.PublishAck {
-	for _, v := range m.Versions {
-		e.docs.Offer(time.Now(), v)
-	}
-	return &wire.PublishAck{Generations: e.docs.Generations()}
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -227,13 +227,15 @@
 }
 
 func (e *Entry) newDispatcher() *dispatcher {
-	return &dispatcher{
+	d := &dispatcher{
 		router: routing.New(routing.Options{Seed: e.incarnation, Zone: e.cfg.Zone}),
 		agents: e.agents,
 		once:   e.once,
 		now:    time.Now,
 		count:  e.metrics.Add,
 	}
+	d.weights.Store(&map[string]float64{})
+	return d
 }
 
 // HTTPAddr is where callers reach this entry.
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -27,8 +27,6 @@
 		return e.members.report(m), nil
 	case *wire.Gang:
 		return e.taskEnded(from, m)
-	case *wire.Publish:
-		return e.exchange(m), nil
 	case *wire.Fetch:
 		return e.fetch(m), nil
 	case *wire.JobStatus:
--- a/entry/http_quick.go
+++ b/entry/http_quick.go
@@ -62,7 +62,6 @@
 		id:       uuid.NewString(),
 		service:  service,
 		account:  asked.Account,
-		weight:   relativeWeight(held.Document, asked.Account),
 		class:    asked.Class,
 		key:      asked.IdempotencyKey,
 		first:    asked.First,
--- a/entry/members.go
+++ b/entry/members.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/binary"
 	"sync"
 	"time"
 
@@ -48,8 +47,12 @@
 	ack := m.e.answer(r.Known)
 	membership.FillAck(ack, actions)
 	for _, one := range r.Batch {
-		m.observe(one, now, ack)
-		m.offerDocuments(one)
+		member := m.find(one.ID)
+		if member == nil {
+			continue
+		}
+		m.observe(member, one, now, ack)
+		m.offerDocuments(member)
 	}
 	return ack
 }
@@ -209,5 +212,5 @@
 	if err != nil {
 		panic("entry: a report answer can't be encoded: " + err.Error())
 	}
-	return xxhash.Sum64(binary.BigEndian.AppendUint64(data, 1))
+	return xxhash.Sum64(data)
 }
--- a/entry/members_documents.go
+++ b/entry/members_documents.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/membership"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
@@ -11,11 +12,8 @@
 const publishTimeout = 3 * time.Second
 
 // offerDocuments sends an agent what it lacks of its service's document.
-func (m *members) offerDocuments(r wire.AgentReport) {
-	member := m.find(r.ID)
-	if member == nil {
-		return
-	}
+func (m *members) offerDocuments(member *membership.Member) {
+	id := member.Report.ID
 	held, ok := m.e.docs.Current(member.Report.Service)
 	if ok && ahead(member.Report.Generations, held.Version.Summary()) {
 		m.e.catchUp()
@@ -24,11 +22,11 @@
 		return
 	}
 	m.mu.Lock()
-	busy := m.sending[r.ID]
-	m.sending[r.ID] = true
+	busy := m.sending[id]
+	m.sending[id] = true
 	m.mu.Unlock()
 	if !busy {
-		go m.sendDocument(r.ID, wire.DocumentVersion(held.Version))
+		go m.sendDocument(id, wire.DocumentVersion(held.Version))
 	}
 }
 
--- a/entry/members_planner.go
+++ b/entry/members_planner.go
@@ -11,10 +11,10 @@
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
-// observe tells the planner, if it is here, and adds its part to the answer.
-func (m *members) observe(r wire.AgentReport, now time.Time, ack *wire.ReportAck) {
-	member := m.find(r.ID)
-	if member == nil || r.Goodbye || member.Report.Incarnation != r.Incarnation {
+// observe tells the planner, if it is here, of a report of the member, and adds
+// its part to the answer.
+func (m *members) observe(member *membership.Member, r wire.AgentReport, now time.Time, ack *wire.ReportAck) {
+	if r.Goodbye || member.Report.Incarnation != r.Incarnation {
 		return
 	}
 	p := m.e.duties.planner(member.Report.Service)
--- a/entry/once.go
+++ b/entry/once.go
@@ -52,7 +52,7 @@
 func (d *dispatcher) onlyOnce(ctx context.Context, c *call) (*wire.ExecuteReply, *api.Problem) {
 	var tried []routing.TargetID
 	for n := 0; ; n++ {
-		ticket, refusal := d.router.Pick(d.now(), c.pick(n, tried))
+		ticket, refusal := d.router.Pick(d.now(), d.query(c, n, tried))
 		if !refusal.OK() {
 			return nil, pickProblem(refusal, false)
 		}
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -21,6 +21,13 @@
 	}
 }
 
+// obey puts a document in force for the requests of its service.
+func (d *dispatcher) obey(doc *document.Document) {
+	weights := relativeWeights(doc)
+	d.weights.Store(&weights)
+	d.router.SetRetries(retriesOf(doc))
+}
+
 // maxInFlight is how many requests this entry may have at one target.
 func (e *Entry) maxInFlight(service string) int {
 	held, ok := e.docs.Current(service)
@@ -30,17 +37,16 @@
 	return held.Document.Routing.MaxInFlight
 }
 
-// relativeWeight is the account's weight over the mean of all accounts.
-func relativeWeight(d *document.Document, account string) float64 {
-	sum, own := 0, 0
+// relativeWeights is each account's weight over the mean of all accounts.
+func relativeWeights(d *document.Document) map[string]float64 {
+	sum := 0
 	for i := range d.Accounts {
 		sum += d.Accounts[i].Weight
-		if d.Accounts[i].Name == account {
-			own = d.Accounts[i].Weight
-		}
 	}
-	if sum == 0 {
-		return 1
+	weights := make(map[string]float64, len(d.Accounts))
+	for i := range d.Accounts {
+		a := &d.Accounts[i]
+		weights[a.Name] = float64(a.Weight*len(d.Accounts)) / float64(sum)
 	}
-	return float64(own*len(d.Accounts)) / float64(sum)
+	return weights
 }
--- a/entry/quick.go
+++ b/entry/quick.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/admission"
 	"github.com/eelgrasshub/eelgrasshub/api"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/routing"
@@ -18,7 +20,6 @@
 	id       string
 	service  string
 	account  string
-	weight   float64 // over the mean weight of the service's accounts
 	class    string
 	key      string // idempotency key, empty for none
 	first    bool   // the caller vouches for the first delivery under the key
@@ -53,14 +54,14 @@
 }
 
 // query describes the next attempt to the router.
-func (c *call) pick(attempt int, tried []routing.TargetID) routing.Query {
+func (d *dispatcher) query(c *call, attempt int, tried []routing.TargetID) routing.Query {
 	return routing.Query{
 		Account:  c.account,
 		Attempt:  attempt,
 		Exclude:  tried,
 		Deadline: c.deadline,
 		Once:     !c.repeat,
-		Weight:   c.weight,
+		Weight:   (*d.weights.Load())[c.account],
 	}
 }
 
@@ -72,6 +73,9 @@
 	now    func() time.Time
 	count  func(c metrics.Counter, n int64)
 
+	// weights is each account's over the mean, by the document in force.
+	weights atomic.Pointer[map[string]float64]
+
 	mu sync.Mutex // serialises setTargets, as the router requires
 }
 
@@ -97,7 +101,7 @@
 	var tried []routing.TargetID
 	maybeRan := 0
 	for attempt := 0; ; attempt++ {
-		ticket, refusal := d.router.Pick(d.now(), c.pick(attempt, tried))
+		ticket, refusal := d.router.Pick(d.now(), d.query(c, attempt, tried))
 		if !refusal.OK() {
 			return nil, pickProblem(refusal, maybeRan > 0)
 		}
@@ -168,7 +172,7 @@
 		Running:    reply.Load.Running,
 		Queued:     reply.Load.Queued,
 		Marked:     reply.Marked,
-		Shedding:   reply.Reason == overloadReason,
+		Shedding:   reply.Reason == admission.Overload.String(),
 		Draining:   reply.Draining,
 		RetryAfter: reply.RetryAfter,
 	}
@@ -176,9 +180,6 @@
 	return o
 }
 
-// overloadReason is admission's reason for what it sheds.
-const overloadReason = "overload"
-
 func failureKind(ctx context.Context, err error) routing.OutcomeKind {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/planner/attempt_end.go
+++ b/planner/attempt_end.go
@@ -38,7 +38,7 @@
 		p.end(j, jobs.Done, "")
 	case p.failedTooOften(j, e):
 		p.end(j, jobs.Failed, reasonRetries)
-		p.decide(scheduler.JobsCancelled{IDs: []scheduler.JobID{id}})
+		p.withdraw(j.stored.ID)
 	}
 	ended := scheduler.GangEnded{Job: id, Attempt: attempt, Outcome: outcomeOf(e.Outcome)}
 	if e.Fault != "" {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -66,6 +66,11 @@
 	p.post0(func() { p.coordinate(j, gang.Begin{}) })
 }
 
+// withdraw takes a job out of the scheduler; what runs of it is stopped.
+func (p *Planner) withdraw(id string) {
+	p.decide(scheduler.JobsCancelled{IDs: []scheduler.JobID{scheduler.JobID(id)}})
+}
+
 // decideLater gives an event to the scheduler after the actions in progress.
 func (p *Planner) decideLater(ev scheduler.Event) {
 	p.post0(func() { p.decide(ev) })
--- a/planner/end.go
+++ b/planner/end.go
@@ -9,7 +9,6 @@
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/scheduler"
 )
 
 // end writes the final record of a job. Until the store has it the job counts
@@ -79,8 +78,7 @@
 	switch {
 	case got.State.Ended():
 		p.forget(j, got)
-	case got.Epoch > p.cfg.Epoch:
-		p.superseded("a job's record names a higher epoch", got.Epoch)
+	case p.outranked(got):
 	default:
 		j.ending.Rev = got.Rev
 		j.ending.CancelRequested = got.CancelRequested
@@ -100,7 +98,7 @@
 	if j.coord != nil {
 		p.detach(j)
 	}
-	p.decideLater(scheduler.JobsCancelled{IDs: []scheduler.JobID{scheduler.JobID(final.ID)}})
+	p.post0(func() { p.withdraw(final.ID) })
 }
 
 func timingOf(s jobs.State) metrics.Timing {
--- a/planner/follow.go
+++ b/planner/follow.go
@@ -97,8 +97,7 @@
 
 // resume takes over an attempt that an earlier planner recorded.
 func (p *Planner) resume(r jobs.Stored) {
-	if r.Epoch > p.cfg.Epoch {
-		p.superseded("a job's record names a higher epoch", r.Epoch)
+	if p.outranked(r) {
 		return
 	}
 	j := &job{stored: r, begun: true}
@@ -137,8 +136,7 @@
 	if j == nil || r.Rev <= j.stored.Rev {
 		return
 	}
-	if r.Epoch > p.cfg.Epoch {
-		p.superseded("a job's record names a higher epoch", r.Epoch)
+	if p.outranked(r) {
 		return
 	}
 	restore := j.stored.Restore
@@ -160,10 +158,9 @@
 // that was just being made finds the record changed and is given up; until then
 // the job stays known, so that its messages are not orphans.
 func (p *Planner) endedElsewhere(j *job, r jobs.Stored) {
-	id := scheduler.JobID(r.ID)
 	if j.coord != nil {
 		j.ending = &r
-		p.decide(scheduler.JobsCancelled{IDs: []scheduler.JobID{id}})
+		p.withdraw(r.ID)
 		return
 	}
 	p.forget(j, r)
@@ -171,6 +168,6 @@
 
 func (p *Planner) cancelIfAsked(j *job) {
 	if j.stored.CancelRequested {
-		p.decide(scheduler.JobsCancelled{IDs: []scheduler.JobID{scheduler.JobID(j.stored.ID)}})
+		p.withdraw(j.stored.ID)
 	}
 }
--- a/planner/limits.go
+++ b/planner/limits.go
@@ -53,7 +53,7 @@
 // job then ends as the limit says and not as cancelled.
 func (p *Planner) stopAtLimit(j *job, l *limit) {
 	j.limit = l
-	p.decide(scheduler.JobsCancelled{IDs: []scheduler.JobID{scheduler.JobID(j.stored.ID)}})
+	p.withdraw(j.stored.ID)
 }
 
 // failedTooOften counts a failure of the job itself. A worker that went away is
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -147,6 +147,15 @@
 	p.higher.Store(max(epoch, p.cfg.Epoch+1))
 }
 
+// outranked ends the term where a job's record names a higher epoch.
+func (p *Planner) outranked(r jobs.Stored) bool {
+	if r.Epoch <= p.cfg.Epoch {
+		return false
+	}
+	p.superseded("a job's record names a higher epoch", r.Epoch)
+	return true
+}
+
 // Higher returns an epoch above this planner's own by which it was superseded,
 // 0 if it was not. Where no other planner is behind it, as after the store was
 // restored from a backup, the duty has to go on above it.
--- a/planner/record.go
+++ b/planner/record.go
@@ -77,9 +77,5 @@
 	if eris.Is(err, jobs.ErrNotFound) {
 		return
 	}
-	if got.Epoch > p.cfg.Epoch {
-		p.superseded("a job's record names a higher epoch", got.Epoch)
-		return
-	}
 	p.changed(got)
 }
--- a/wire/messages_execute.go
+++ b/wire/messages_execute.go
@@ -42,6 +42,11 @@
 	Hops int `cbor:"13,keyasint,omitempty"`
 }
 
+// ReasonAttempt is the Reason of an ExecuteReply where the agent's memory of
+// attempts decided. With OutcomeUnknown it says that an earlier copy of the message
+// may have run; an attempt that was sent once has then not run.
+const ReasonAttempt = "attempt"
+
 // ExecuteReply ends an attempt. RetryAfter goes with OutcomeRefused.
 type ExecuteReply struct {
 	Outcome     Outcome       `cbor:"1,keyasint,omitempty"`
