lease: the test of two holders waits for each takeover instead of racing it

Resignations hit one of the two candidates at random; when it was the one without the duty, or when the machine was too busy to take a lease within the 40 ms of a round, nothing changed hands.

Ruled out: a fault of the holder. Nothing was held twice, the epochs rose.

Replaced by a check as strict or stricter: at the four rounds of a resignation the store is well, the one that holds the duty resigns, and the other must take over with a higher epoch. That is at least five epochs, however slow the machine. The check of two valid holders also compares the epochs of its two questions, so that a test that stalls for a whole term does not take two terms for one.

--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -128,7 +128,8 @@
 
 // Two candidates, restarted now and then, and a store with every fault: never
 // two valid at the same time, and every holding has a higher epoch. Two of the
-// outages outlast the leases.
+// outages outlast the leases. Four times the one that holds the duty resigns
+// while the store is well, and the other one must take over.
 func TestHoldersUnderFaults(t *testing.T) {
 	const seed, rounds = 1, 60
 	t.Cleanup(func() { goleak.VerifyNone(t) })
@@ -155,8 +156,12 @@
 		b.srv.SetFaults(randomFaults(rng))
 		switch round % 30 {
 		case 10, 20:
-			i := rng.IntN(2)
+			b.srv.SetFaults(standin.Faults{})
+			i, held := waitForHolder(c, holders)
 			c.Assert(holders[i].Resign(context.Background()), qt.IsNil)
+			next, successor := waitForHolder(c, holders)
+			c.Assert(next, qt.Equals, 1-i)
+			c.Assert(successor.Epoch > held.Epoch, qt.IsTrue, qt.Commentf("%d after %d", successor.Epoch, held.Epoch))
 			holders[i] = run()
 		case 15:
 			b.srv.SetFaults(standin.Faults{Down: standin.DownHang})
@@ -174,19 +179,34 @@
 	mu.Lock()
 	defer mu.Unlock()
 	t.Logf("seed %d: epochs %v", seed, epochs)
-	c.Assert(len(epochs) > 3, qt.IsTrue)
-	for i := range epochs[1:] {
-		c.Assert(epochs[i+1] > epochs[i], qt.IsTrue, qt.Commentf("%v", epochs))
+	for i := 1; i < len(epochs); i++ {
+		c.Assert(epochs[i] > epochs[i-1], qt.IsTrue, qt.Commentf("%v", epochs))
+	}
+}
+
+// waitForHolder returns which of the two holds the duty, once one of them does.
+// A lease that has lapsed meanwhile is waited for again.
+func waitForHolder(c *qt.C, holders []*lease.Holder) (int, lease.Held) {
+	for {
+		checkHolders(c, holders[0], holders[1])
+		for i, h := range holders {
+			if held, ok := h.Current(); ok {
+				return i, held
+			}
+		}
+		time.Sleep(time.Millisecond)
 	}
 }
 
 // checkHolders asks the first again after the second, so that a change of
-// holder between two questions is not taken for two holders.
+// holder between two questions is not taken for two holders. The same epoch in
+// both answers says that the first held the duty all the while.
 func checkHolders(c *qt.C, a, b *lease.Holder) {
 	one, ok1 := a.Current()
 	two, ok2 := b.Current()
-	_, again := a.Current()
-	c.Assert(ok1 && ok2 && again, qt.IsFalse, qt.Commentf("epochs %d and %d", one.Epoch, two.Epoch))
+	later, again := a.Current()
+	throughout := ok1 && again && one.Epoch == later.Epoch
+	c.Assert(throughout && ok2, qt.IsFalse, qt.Commentf("epochs %d and %d", one.Epoch, two.Epoch))
 }
 
 func randomFaults(rng *rand.Rand) standin.Faults {
