document: the listing of documents reads only what has changed

Cause: each entry lists all documents every 10 s, as guard against a watch that hears nothing.

Change: the listing asks for keys and revisions; documents not seen at their revision, by a listing or the watch, are read by themselves (more than four: all in one call). Everything is read again after a restore of the store, which its Source and its revision tell, and every 30 listings.

Without the read of unseen revisions TestListingFindsWhatTheWatchMissed failed.

--- a/document/fake_test.go
+++ b/document/fake_test.go
@@ -26,6 +26,7 @@
 	platform.Store // nil: leases are not used here
 
 	mu      sync.Mutex
+	source  uint64 // changes with each restore
 	rev     platform.Revision
 	keys    map[string]platform.KeyValue
 	events  []platform.Event
@@ -34,8 +35,10 @@
 	down    bool
 	next    func() fault // of each swap; nil for none
 	calls   int
-	delayed []delayedSwap
-	latency time.Duration // of the fastest call, in virtual time
+	// valuesRead counts the documents sent in answer to listings.
+	valuesRead int
+	delayed    []delayedSwap
+	latency    time.Duration // of the fastest call, in virtual time
 }
 
 // delayedSwap takes effect when the store has taken so many calls.
@@ -66,6 +69,7 @@
 func (s *fakeStore) restore(b backup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.source++
 	s.rev, s.keys, s.delayed = b.rev, maps.Clone(b.keys), nil
 	s.events, s.floor = nil, b.rev
 	s.signal()
@@ -135,15 +139,27 @@
 	if err := s.enter(ctx); err != nil {
 		return platform.Snapshot{}, err
 	}
-	snapshot := platform.Snapshot{At: s.rev}
+	snapshot := platform.Snapshot{At: s.rev, Source: s.source}
 	for key, kv := range s.keys {
 		if strings.HasPrefix(key, prefix) {
 			snapshot.Keys = append(snapshot.Keys, kv)
+			s.valuesRead++
 		}
 	}
 	return snapshot, nil
 }
 
+func (s *fakeStore) ListKeys(ctx context.Context, prefix string) (platform.Snapshot, error) {
+	snapshot, err := s.List(ctx, prefix)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range snapshot.Keys {
+		snapshot.Keys[i].Value = nil
+		s.valuesRead--
+	}
+	return snapshot, err
+}
+
 func (s *fakeStore) Commit(ctx context.Context, swaps []platform.Swap) ([]platform.SwapResult, error) {
 	s.travel()
 	s.mu.Lock()
--- a/document/follow.go
+++ b/document/follow.go
@@ -53,7 +53,7 @@
 func (w *Watcher) session() error {
 	ctx, cancel := context.WithCancel(w.tomb.Context(context.Background()))
 	defer cancel()
-	snapshot, err := w.store.List(ctx, Prefix)
+	snapshot, err := w.lister.list(ctx)
 	if err != nil {
 		return err
 	}
@@ -88,6 +88,7 @@
 }
 
 func (w *Watcher) deliver(b platform.WatchBatch) {
+	w.lister.changed(b)
 	for _, e := range b.Events {
 		if e.Deleted {
 			w.step(StoreDeleted{Service: e.Key[len(Prefix):]})
--- /dev/null
+++ b/document/lister_test.go
@@ -0,0 +1,80 @@
+package document_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// With many services the documents that every entry lists again and again would
+// use up what a node may send and receive. What has not changed, or came by the
+// watch, is not read again.
+func TestListingReadsOnlyWhatChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		mustPut(c, store, "one", 0)
+		f, w := watch(t, store, nil)
+		<-w.Ready()
+		mustPut(c, store, "two", 1)
+		before := store.calls
+		time.Sleep(4 * time.Minute)
+		c.Assert(store.calls-before > 20, qt.IsTrue)
+		c.Assert(store.valuesRead, qt.Equals, 1)
+		c.Assert(generationOf(f), qt.Equals, uint64(2))
+	})
+}
+
+// The watch hears nothing any more while its connection looks well, and the
+// document changes. The next listing sees another revision and reads it.
+func TestListingFindsWhatTheWatchMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		mustPut(c, store, "one", 0)
+		f, w := watch(t, deafStore{store}, nil)
+		<-w.Ready()
+		mustPut(c, store, "two", 1)
+		time.Sleep(15 * time.Second)
+		c.Assert(generationOf(f), qt.Equals, uint64(2))
+	})
+}
+
+// deafStore's watches never deliver.
+type deafStore struct{ *fakeStore }
+
+func (s deafStore) Watch(ctx context.Context, _ string, _ platform.Revision, _ func(platform.WatchBatch)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// The store is restored from a backup while the watch hears nothing, and before
+// the next listing an operator puts again. The store has counted its revisions
+// again meanwhile: the new document has the revision at which the process saw
+// another one. It must be read, and the two texts be settled.
+func TestListingAfterRestoreTrustsNoRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		mustPut(c, store, "one", 0)
+		old := store.backup()
+		mustPut(c, store, "two", 1)
+		f, w := watch(t, deafStore{store}, nil)
+		<-w.Ready()
+		store.restore(old)
+		time.Sleep(time.Second) // the later text wins
+		mustPut(c, store, "other two", 1)
+		time.Sleep(15 * time.Second)
+		stored, _, err := document.Get(context.Background(), store, "dispatch")
+		c.Assert(err, qt.IsNil)
+		held, _ := f.Current("dispatch")
+		c.Assert(string(held.Version.TOML), qt.Equals, string(stored.TOML))
+		c.Assert(string(stored.TOML), qt.Contains, "other two")
+	})
+}
--- a/document/watcher.go
+++ b/document/watcher.go
@@ -41,7 +41,8 @@
 	feeder  *Feeder
 	stopped bool
 
-	out bool // the store failed last; owned by follow
+	lister lister // owned by follow and the watch that it waits for
+	out    bool   // the store failed last; owned by follow
 
 	writeBacks, failures, unreadable atomic.Int64
 }
@@ -58,6 +59,7 @@
 	config.Store = store != nil
 	w := &Watcher{
 		store:   store,
+		lister:  lister{store: store},
 		ask:     ask,
 		inForce: inForce,
 		log:     log,
--- /dev/null
+++ b/internal/capacity/listing_test.go
@@ -0,0 +1,81 @@
+package capacity
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+)
+
+// byteCounter counts the bodies that a handler writes to answers of listings.
+type byteCounter struct {
+	http.Handler
+	answers, bytes atomic.Int64
+}
+
+func (b *byteCounter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasSuffix(r.URL.Path, "/range") {
+		b.Handler.ServeHTTP(w, r)
+		return
+	}
+	b.answers.Add(1)
+	b.Handler.ServeHTTP(countedWriter{w, &b.bytes}, r)
+}
+
+type countedWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+func (w countedWriter) Write(p []byte) (int, error) {
+	w.bytes.Add(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
+// TestMeasureDocumentListing gives the bytes of a whole listing of 94 documents
+// of the sample's size, and of a Watcher's later ones without news.
+func TestMeasureDocumentListing(t *testing.T) {
+	c := needMeasure(t)
+	srv := standin.New(standin.Options{})
+	counted := &byteCounter{Handler: srv}
+	web := httptest.NewServer(counted)
+	store := platform.NewClient(platform.Options{Endpoints: []string{web.URL}})
+	c.Cleanup(func() {
+		store.Close()
+		srv.Close()
+		web.Close()
+	})
+	sample, err := os.ReadFile("../../testdata/documents/dispatch.toml")
+	c.Assert(err, qt.IsNil)
+	for _, name := range services(94) {
+		text := strings.Replace(string(sample), `service = "dispatch"`, `service = "`+name+`"`, 1)
+		_, err := document.Put(context.Background(), store, document.Proposal{
+			Name: name, TOML: []byte(text), Author: "tests", Token: "token-of-" + name, At: time.Now(),
+		})
+		c.Assert(err, qt.IsNil)
+	}
+	cfg := document.DefaultFeederConfig(true)
+	cfg.RelistEvery = 400 * time.Millisecond
+	before := counted.bytes.Load()
+	_, err = store.List(context.Background(), document.Prefix)
+	c.Assert(err, qt.IsNil)
+	first := counted.bytes.Load() - before
+	w := document.NewWatcher(store, nil, document.NewInForce(nil), cfg, quiet())
+	<-w.Ready()
+	answers, bytes := counted.answers.Load(), counted.bytes.Load()
+	time.Sleep(5 * time.Second)
+	answers, bytes = counted.answers.Load()-answers, counted.bytes.Load()-bytes
+	c.Assert(w.Stop(), qt.IsNil)
+	c.Logf("94 documents of %d bytes: whole listing %d bytes, %d later ones %d bytes each | load %s",
+		len(sample), first, answers, bytes/max(answers, 1), loadAverage())
+}
