scheduler: say why a job waits, and what each account has, from the decision itself

Cause: nobody could say at night why a job does not start. The queue's stamps and indexes hold the answer but nothing reads them out.

Scheduler.Explain names one typed reason. It asks what the search for a place would find now (largest unit of the span in the same indexes, without changing them) and reads the scheduler's own marks for claims, reservations, delays, yields and degraded guarantees. "Fits now" is a promise for the next decision. Report sums accounts, classes and workers by attempts and queues.

Ruled out: "tried again at the next decision" wherever capacity had changed since the last try. Taking reservations out of the indexes for the question, as findOpen does, changes the order of equal workers and with it later placements.

--- /dev/null
+++ b/scheduler/explain.go
@@ -0,0 +1,123 @@
+package scheduler
+
+const (
+	// maxAhead bounds how many jobs before another one are counted.
+	maxAhead = 20_000
+	// maxUnits bounds the sizes of free units that an explanation names.
+	maxUnits = 8
+)
+
+// Explain says why a job has not started. It reads the state that the last
+// decision left, changes nothing, and reports false for a job that is not known.
+//
+// WaitFitsNow is a promise: the next Step starts the job unless its event or the
+// passing of time changes the state first. WaitNoPlace, WaitNoCapacity and
+// WaitOverShare say that no place for the job exists on open capacity. Like
+// Step, it belongs to the goroutine that owns the Scheduler.
+func (s *Scheduler) Explain(id JobID) (Explanation, bool) {
+	f := s.factsNow()
+	return s.explain(id, func(q *queue, j *job) Explanation { return s.explainHead(q, j, f) })
+}
+
+// explain leaves the first job of a queue to head, so that a caller can keep its
+// explanation for the others.
+func (s *Scheduler) explain(id JobID, head func(*queue, *job) Explanation) (Explanation, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return Explanation{}, false
+	}
+	q := j.queue
+	switch {
+	case j.run != nil:
+		return s.explained(j, WaitNone), true
+	case q == nil:
+		e := s.explained(j, WaitRetry)
+		e.Until = j.notBefore
+		return e, true
+	case j.claim != nil && j.claim.guaranteed():
+		return s.explainReclaim(j), true
+	}
+	if first := s.claimHead(q); first != j {
+		return s.explainBehind(j, head(q, first)), true
+	}
+	return head(q, j), true
+}
+
+func (s *Scheduler) explained(j *job, why WaitReason) Explanation {
+	return Explanation{
+		Job: j.ID, Account: j.Account, Reason: why, At: s.now,
+		Accelerators: j.Accelerators, Span: j.Adjacency,
+	}
+}
+
+// explainReclaim: what a claim waits for is evicted, or will be once the bound on
+// evictions in progress allows.
+func (s *Scheduler) explainReclaim(j *job) Explanation {
+	e := s.explained(j, WaitReclaim)
+	for _, p := range j.claim.pieces {
+		e.Evicting += max(0, p.n-s.nodes[p.node].idle())
+	}
+	return e
+}
+
+func (s *Scheduler) explainBehind(j *job, first Explanation) Explanation {
+	e := s.explained(j, WaitBehind)
+	e.First, e.FirstReason, e.Until = first.Job, first.Reason, first.Until
+	for x := j.prev; x != nil; x = x.prev {
+		if e.Ahead == maxAhead {
+			e.AheadMore = true
+			break
+		}
+		e.Ahead++
+	}
+	return e
+}
+
+// explainHead explains the first job of a queue that holds no claim on a
+// guarantee.
+func (s *Scheduler) explainHead(q *queue, j *job, f *facts) Explanation {
+	switch {
+	case len(s.nodeByID) == 0:
+		return s.explained(j, WaitNoWorkers)
+	case j.claim != nil:
+		e := s.explained(j, WaitReserved)
+		e.Until = j.claim.ready
+		return e
+	case j.cpuOn != nil:
+		return s.explained(j, WaitReserved)
+	}
+	if e, never := s.explainImpossible(q, j); never {
+		return e
+	}
+	if s.startsNext(q, j, f) {
+		return s.explained(j, WaitFitsNow)
+	}
+	if j.Accelerators == 0 {
+		return s.explainCores(j)
+	}
+	return s.explainBlocked(q, j, f)
+}
+
+func (s *Scheduler) explainCores(j *job) Explanation {
+	if s.placeCPU(j.Cores, j.MemoryMB) != nil {
+		return s.explained(j, WaitNextDecision)
+	}
+	return s.explained(j, WaitNoCores)
+}
+
+func (s *Scheduler) explainImpossible(q *queue, j *job) (Explanation, bool) {
+	if q.sized == s.shape+1 {
+		return Explanation{}, false
+	}
+	_, detail, never := s.impossible(q)
+	if !never {
+		return Explanation{}, false
+	}
+	e := s.explained(j, WaitImpossible)
+	e.Detail = detail
+	if s.now.Before(s.settled) {
+		e.Reason = WaitSettling
+		e.Until = s.settled
+	}
+	return e, true
+}
--- /dev/null
+++ b/scheduler/explain_blocked.go
@@ -0,0 +1,98 @@
+package scheduler
+
+// explainBlocked explains the first job of a queue that found no place, by what the
+// search for one would find now.
+func (s *Scheduler) explainBlocked(q *queue, j *job, f *facts) Explanation {
+	e := s.explained(j, WaitNoCapacity)
+	e.Free = s.open.total()
+	e.Units = s.open.freeUnits(j.Adjacency, maxUnits)
+	e.Largest = s.largest(&s.open, &q.key, nil)
+	if f.first != nil {
+		e.First = f.first.ID
+	}
+	switch {
+	case s.yielded(q):
+		e.Reason, e.Until = WaitYields, q.grace
+	case s.degradedFor(&q.key, j.account) > 0:
+		e.Reason, e.Blocks = WaitDegraded, s.degradedFor(&q.key, j.account)
+	case e.Largest >= j.Accelerators:
+		e.Reason = s.explainUnused(q, j)
+	case s.largest(&s.open, &q.key, f.reserved) >= j.Accelerators:
+		e.Reason = WaitReservations
+	case f.first != nil && s.overShare(j, f.first):
+		e.Reason = WaitOverShare
+	case e.Free >= j.Accelerators:
+		e.Reason = WaitNoPlace
+	}
+	return e
+}
+
+// yielded reports whether the last decision left the blocks of an account to
+// larger jobs than the first one of a queue.
+func (s *Scheduler) yielded(q *queue) bool {
+	last := max(s.phaseStamp(beforeOpen), s.phaseStamp(afterOpen))
+	return q.yieldedIn+1 >= last && q.grace.After(s.now)
+}
+
+// degradedFor counts the blocks of an account that have no place and could hold a
+// job of the key.
+func (s *Scheduler) degradedFor(k *queueKey, a *account) int {
+	t := 0
+	for _, b := range s.loose {
+		if b.account == a && b.shape.Accelerators >= k.accelerators && b.shape.Adjacency >= k.span {
+			t++
+		}
+	}
+	return t
+}
+
+// explainUnused says why a job does not use a place that any job could take.
+func (s *Scheduler) explainUnused(q *queue, j *job) WaitReason {
+	open, steady := changes(nil), changes(nil)
+	if s.avoids(q, j) {
+		open, steady = without(&s.open, j.failed), without(&s.steady, j.failed)
+	}
+	switch {
+	case s.largest(&s.open, &q.key, open) < j.Accelerators:
+		return WaitFailedWorkers
+	case !j.borrows() && s.largest(&s.steady, &q.key, steady) < j.Accelerators:
+		return WaitGuaranteed
+	}
+	return WaitNextDecision
+}
+
+// avoids reports whether a job is kept off the workers on which it has failed:
+// it is as long as it would fit without them.
+func (s *Scheduler) avoids(q *queue, j *job) bool {
+	return len(j.failed) > 0 && s.largest(&s.size, &q.key, without(&s.size, j.failed)) >= j.Accelerators
+}
+
+// reservations is what open capacity would be larger by without reservations.
+func (s *Scheduler) reservations() changes {
+	c := changes{}
+	for _, x := range s.claims {
+		if x.guaranteed() {
+			continue
+		}
+		for _, p := range x.pieces {
+			n := s.nodes[p.node]
+			c[p.node] = n.free() - n.open()
+		}
+	}
+	return c
+}
+
+// overShare reports whether first goes ahead of a job because its account has a
+// lower share, and fits wherever the job does: whatever turns up for the job, the
+// other one takes.
+func (s *Scheduler) overShare(j, first *job) bool {
+	if first.account == j.account || j.account.used == 0 || j.Urgent != first.Urgent || s.aged(j) || s.aged(first) {
+		return false
+	}
+	if s.share(first.account) >= s.share(j.account) {
+		return false
+	}
+	k := keyOf(&first.Job)
+	return first.Accelerators > 0 && first.Accelerators <= j.Accelerators && first.Adjacency <= j.Adjacency &&
+		(first.borrows() || !j.borrows()) && s.plain(&k) && len(first.failed) == 0
+}
--- /dev/null
+++ b/scheduler/explain_test.go
@@ -0,0 +1,255 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// explained counts what a randomised run was told, by reason.
+type explained map[WaitReason]int
+
+// TestExplanationsHoldAgainstDecisions: an operator acts at night on "fits now" or
+// on "no place". Each is held against what the scheduler does next and against a
+// search of every worker that shares no code with the scheduler's indexes.
+func TestExplanationsHoldAgainstDecisions(t *testing.T) {
+	told := explained{}
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			m := newAgents(t, seed+100, 8+int(seed)*3)
+			for range 400 {
+				m.random()
+				m.checkExplanations(told)
+				m.submitExplained(told)
+			}
+		})
+	}
+	t.Log(told)
+	for _, r := range []WaitReason{
+		WaitNone, WaitFitsNow, WaitRetry, WaitReclaim, WaitReserved, WaitBehind, WaitYields, WaitDegraded,
+		WaitGuaranteed, WaitReservations, WaitOverShare, WaitNoPlace, WaitNoCapacity,
+	} {
+		qt.Check(t, told[r] > 0, qt.IsTrue, qt.Commentf("%v was never told", r))
+	}
+}
+
+// submitExplained gives the scheduler a job, asks before the decision, and then
+// lets it decide.
+func (m *agents) submitExplained(told explained) {
+	if m.rng.IntN(3) > 0 {
+		return
+	}
+	j := m.newJob()
+	m.s.apply(JobsSubmitted{[]Job{j}})
+	if m.s.jobs[j.ID] == nil {
+		m.end(j.ID) // the queue of its account is full
+		return
+	}
+	m.checkPromises(told)
+}
+
+// checkExplanations holds every explanation against the truth.
+func (m *agents) checkExplanations(told explained) {
+	open, whole := m.bruteOpen(false), m.bruteOpen(true)
+	for _, id := range m.order {
+		e, ok := m.s.Explain(id)
+		if !ok {
+			m.fatalf("live job %q is not explained", id)
+		}
+		told[e.Reason]++
+		m.checkExplanation(m.jobs[id], e, open, whole)
+	}
+	m.checkPromises(told)
+}
+
+// checkPromises holds what is said to start against the next decision.
+func (m *agents) checkPromises(told explained) {
+	var promised, denied []JobID
+	for _, id := range m.order {
+		switch e, _ := m.s.Explain(id); e.Reason {
+		case WaitFitsNow:
+			promised = append(promised, id)
+			told[WaitFitsNow]++
+		case WaitNoPlace, WaitNoCapacity, WaitOverShare, WaitNoCores:
+			denied = append(denied, id)
+		}
+	}
+	m.now = m.s.now // no time passes
+	m.step(Tick{})
+	for _, id := range promised {
+		if m.jobs[id] == nil || m.jobs[id].place == nil {
+			m.fatalf("job %q fits now and did not start", id)
+		}
+	}
+	for _, id := range denied {
+		if m.jobs[id].place != nil {
+			m.fatalf("job %q had no place and started", id)
+		}
+	}
+}
+
+func (m *agents) checkExplanation(j *modelJob, e Explanation, open, whole map[WorkerID]int) {
+	fail := func(why string) { m.fatalf("job %q is said to wait by %+v: %s", j.ID, e, why) }
+	if (e.Reason == WaitNone) != (j.place != nil) {
+		fail("it has an attempt or not")
+	}
+	x := m.s.jobs[j.ID]
+	switch e.Reason {
+	case WaitNoPlace, WaitNoCapacity, WaitOverShare:
+		if m.bruteFits(j, open, nil) {
+			fail("there is a place")
+		}
+		if (e.Free >= j.Accelerators) != (m.total(open) >= j.Accelerators) {
+			fail("free accelerators")
+		}
+		if e.Reason == WaitOverShare && m.s.share(m.s.jobs[e.First].account) >= m.s.share(x.account) {
+			fail("the share of the first is not lower")
+		}
+	case WaitNextDecision:
+		if q := x.queue; q.blocked == m.s.stamp(q) {
+			fail("its queue was tried and is not tried again")
+		}
+	case WaitReservations:
+		if m.bruteFits(j, open, nil) || !m.bruteFits(j, whole, nil) {
+			fail("a place with or without reservations")
+		}
+	case WaitFailedWorkers:
+		if !m.bruteFits(j, open, nil) || m.bruteFits(j, open, x.failed) {
+			fail("a place with or without the workers it failed on")
+		}
+	case WaitGuaranteed:
+		if j.borrows() || !m.bruteFits(j, open, nil) {
+			fail("a place that is bound to a guarantee")
+		}
+	case WaitReclaim:
+		if e.Evicting == 0 || len(x.claim.shares) == 0 {
+			fail("it waits for nothing")
+		}
+	case WaitBehind:
+		if x.queue.head == x || m.s.jobs[e.First].queue != x.queue || e.Ahead == 0 {
+			fail("its queue")
+		}
+	case WaitRetry:
+		if x.queue != nil || !e.Until.After(e.At) {
+			fail("its delay")
+		}
+	case WaitDegraded:
+		if len(m.deg) == 0 {
+			fail("no guarantee is degraded")
+		}
+	}
+}
+
+// bruteOpen is what any job could take of each worker, counted from attempts and
+// claims one by one; with reservations as if they were not there. An attempt holds
+// more than it was granted where it needs more cores or memory than its share.
+func (m *agents) bruteOpen(reservations bool) map[WorkerID]int {
+	held, coming, claimed, reserved := map[nodeID]int{}, map[nodeID]int{}, map[nodeID]int{}, map[nodeID]int{}
+	for _, j := range m.s.jobs {
+		if j.run == nil {
+			continue
+		}
+		for _, p := range j.run.pieces {
+			held[p.node] += p.n
+			if !j.run.firm && j.run.state == runStopping {
+				coming[p.node] += p.n
+			}
+		}
+	}
+	for _, c := range m.s.claims {
+		for _, p := range c.pieces {
+			if c.guaranteed() {
+				claimed[p.node] += p.n
+			} else if !reservations {
+				reserved[p.node] += p.n
+			}
+		}
+	}
+	free := map[WorkerID]int{}
+	for _, id := range m.ids {
+		n := m.s.nodeByID[id]
+		if n == nil || !m.up[id] || n.health.excluded {
+			continue
+		}
+		idle := m.workers[id].Accelerators - held[n.id]
+		free[id] = max(0, max(0, min(idle, idle+coming[n.id]-claimed[n.id]))-reserved[n.id])
+	}
+	return free
+}
+
+func (m *agents) total(free map[WorkerID]int) int {
+	t := 0
+	for _, n := range free {
+		t += n
+	}
+	return t
+}
+
+// bruteFits reports whether one unit of the span of a job holds it.
+func (m *agents) bruteFits(j *modelJob, free map[WorkerID]int, except []nodeID) bool {
+	units := map[string]int{}
+	for id, n := range free {
+		skip := false
+		for _, x := range except {
+			skip = skip || m.s.nodes[x].ID == id
+		}
+		w := m.workers[id]
+		span := [...]string{"", w.Zone, w.Zone + "/" + w.Rack, string(id)}[j.Adjacency]
+		if u := bruteUnits(j, w); !skip && u <= w.Accelerators {
+			units[span] += n / u
+		}
+	}
+	for _, n := range units {
+		if n >= j.Accelerators {
+			return true
+		}
+	}
+	return false
+}
+
+// bruteUnits is how many accelerators of a worker one of the job takes up. A
+// quarter of cores and memory is kept for jobs without accelerators.
+func bruteUnits(j *modelJob, w Worker) int {
+	u := 1
+	for u <= w.Accelerators && (j.Cores > (w.Cores-w.Cores/4)/w.Accelerators*u || j.MemoryMB > (w.MemoryMB-w.MemoryMB/4)/w.Accelerators*u) {
+		u++
+	}
+	return u
+}
+
+// A job that waits behind another account's is told which one and why: the other
+// account uses less of what it is not guaranteed.
+func TestOverShareNamesWhoGoesFirst(t *testing.T) {
+	c := qt.New(t)
+	p := Policy{Generation: 1, Accounts: []AccountPolicy{{ID: "heavy"}, {ID: "light"}}}
+	b := newBench(t, p, eight(1)...)
+	b.submit(Job{ID: "runs", Account: "heavy", Accelerators: 8, Repeatable: true})
+	b.submit(Job{ID: "more", Account: "heavy", Accelerators: 4, Repeatable: true})
+	b.submit(Job{ID: "other", Account: "light", Accelerators: 4, Repeatable: true})
+	e, ok := b.s.Explain("more")
+	c.Assert(ok, qt.IsTrue)
+	c.Check(e.Reason, qt.Equals, WaitOverShare)
+	c.Check(e.First, qt.Equals, JobID("other"))
+	e, _ = b.s.Explain("other")
+	c.Check(e.Reason, qt.Equals, WaitNoCapacity)
+	_, ok = b.s.Explain("never submitted")
+	c.Check(ok, qt.IsFalse)
+}
+
+// Right after a takeover a large job finds too few workers. It isn't impossible:
+// the others are still announcing themselves.
+func TestSettlingIsNotImpossible(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1e6, 0)
+	s := New(Options{Start: at, SettleFor: 5 * time.Second})
+	s.Step(at, PolicyChanged{Policy{Generation: 1, Accounts: []AccountPolicy{{ID: "a"}}}})
+	s.Step(at, JobsSubmitted{[]Job{{ID: "j", Account: "a", Accelerators: 16, Repeatable: true}}})
+	e, _ := s.Explain("j")
+	c.Check(e.Reason, qt.Equals, WaitNoWorkers)
+	s.Step(at, WorkerUp{eight(1)[0]})
+	e, _ = s.Explain("j")
+	c.Check(e.Reason, qt.Equals, WaitSettling)
+	c.Check(e.Until, qt.Equals, at.Add(5*time.Second))
+}
--- /dev/null
+++ b/scheduler/report.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// maxListed bounds each list of workers of a Report.
+const maxListed = 64
+
+// Report is what operators and client accounts ask about a scheduling domain, as
+// of the last decision.
+type Report struct {
+	At time.Time
+	// Settling says that workers are still announcing themselves.
+	Settling bool
+	// FreeUnits counts, by span, the units by what any job could take of them now.
+	FreeUnits   map[Adjacency][]FreeUnits
+	Accounts    []AccountReport
+	Quarantined WorkerList
+	Draining    WorkerList
+	Lost        WorkerList
+}
+
+// WorkerList is workers in one state: how many, and the first of them.
+type WorkerList struct {
+	Count   int
+	Workers []WorkerNote
+}
+
+// WorkerNote is a worker that gets no new work. Until is the end of its
+// quarantine, Since when it was lost; each is zero where it does not apply.
+type WorkerNote struct {
+	ID    WorkerID
+	Since time.Time
+	Until time.Time
+	// Probing says that the quarantine is over and one job tries the worker.
+	Probing bool
+}
+
+func (l *WorkerList) add(n WorkerNote) {
+	l.Count++
+	if len(l.Workers) < maxListed {
+		l.Workers = append(l.Workers, n)
+	}
+}
+
+// AccountReport is the part of one account, in accelerators unless said.
+type AccountReport struct {
+	ID AccountID
+	// Guaranteed is the sum of its blocks, Used what runs in them, Borrowed what
+	// runs beside them, and Owed the sum of the blocks that have no place now.
+	Guaranteed int
+	Used       int
+	Borrowed   int
+	Owed       int
+	Evicted    Evicted
+	Classes    []ClassReport
+}
+
+// ClassReport is the jobs of one account and class.
+type ClassReport struct {
+	Class               string
+	Running             int
+	RunningAccelerators int
+	Waiting             int
+	WaitingAccelerators int
+	// Oldest is when the job that waits longest was submitted.
+	Oldest time.Time
+}
+
+// Report describes the state. Its cost is linear in workers, attempts and queues;
+// ask once for many readers.
+func (s *Scheduler) Report() Report {
+	out := Report{At: s.now, Settling: s.now.Before(s.settled), FreeUnits: map[Adjacency][]FreeUnits{}}
+	for span := AdjacentAny; span <= AdjacentWorker; span++ {
+		out.FreeUnits[span] = s.open.freeUnits(span, maxUnits)
+	}
+	s.reportWorkers(&out)
+	classes := s.reportClasses()
+	for _, a := range s.accountList {
+		out.Accounts = append(out.Accounts, a.report(classes[a]))
+	}
+	return out
+}
+
+func (s *Scheduler) reportWorkers(out *Report) {
+	for _, n := range s.nodes {
+		switch {
+		case n.ID == "":
+		case !n.up && s.now.Sub(n.health.until) < forgetAfter:
+			out.Lost.add(WorkerNote{ID: n.ID, Since: n.health.until})
+		case !n.up:
+		case n.draining:
+			out.Draining.add(WorkerNote{ID: n.ID})
+		case n.health.excluded:
+			out.Quarantined.add(WorkerNote{ID: n.ID, Until: n.health.until, Probing: n.health.probing})
+		}
+	}
+}
+
+// classReports is the classes of one account by name.
+type classReports map[string]*ClassReport
+
+func (c classReports) of(class string) *ClassReport {
+	if c[class] == nil {
+		c[class] = &ClassReport{Class: class}
+	}
+	return c[class]
+}
+
+// reportClasses counts by attempts and queues, so that its cost does not grow with
+// the jobs that wait.
+func (s *Scheduler) reportClasses() map[*account]classReports {
+	out := map[*account]classReports{}
+	for _, a := range s.accountList {
+		out[a] = classReports{}
+		for _, q := range a.order {
+			out[a].of(q.key.class).addQueue(q)
+		}
+	}
+	for _, j := range s.delayed {
+		out[j.account].of(j.Class).addWaiting(j, 1)
+	}
+	for _, n := range s.nodes {
+		for _, r := range n.runs {
+			if r.pieces[0].node == n.id {
+				out[r.job.account].of(r.job.Class).addRun(r)
+			}
+		}
+	}
+	return out
+}
+
+func (c *ClassReport) addQueue(q *queue) {
+	if q.n > 0 {
+		c.addWaiting(q.head, q.n)
+	}
+}
+
+// addWaiting counts n jobs of one size, of which first was submitted first.
+func (c *ClassReport) addWaiting(first *job, n int) {
+	c.Waiting += n
+	c.WaitingAccelerators += n * first.Accelerators
+	if c.Oldest.IsZero() || first.Submitted.Before(c.Oldest) {
+		c.Oldest = first.Submitted
+	}
+}
+
+func (c *ClassReport) addRun(r *run) {
+	c.Running++
+	c.RunningAccelerators += r.job.Accelerators
+}
+
+func (a *account) report(classes classReports) AccountReport {
+	out := AccountReport{ID: a.policy.ID, Borrowed: a.used, Evicted: a.evicted}
+	for _, b := range a.blocks {
+		out.Guaranteed += b.shape.Accelerators
+		out.Used += b.used
+		if !b.bound() {
+			out.Owed += b.shape.Accelerators
+		}
+	}
+	for _, c := range classes {
+		out.Classes = append(out.Classes, *c)
+	}
+	slices.SortFunc(out.Classes, func(x, y ClassReport) int {
+		if x.Class < y.Class {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
