report: what a service's planner knows, and why a job waits, from any entry

Cause: on call there was no way to see what an account has, owes or waits for, nor why a job does not start, but the metrics of the one process that plans, and its log.

`eelgrasshub report SERVICE` and `--job ID` ask any entry, which asks the planner's as job status does (wire.Inspect). The planner puts a report together once a second at most, whoever asks, and an explanation costs its goroutine no walk over workers. Beside the scheduler's reasons there are four of the entry's own: placed and not on record yet, store out, rebuilding, ending. "Store out" is said only after a read of the store went unanswered (at most one a second; a refusal by the own budget is none). Errors name the field, or, as no-planner, who was asked and when to try again.

Ruled out: adding the explanation to every job status. Callers hold that request for seconds and poll it; each poll would explain. Answering from a copy of the scheduler's state outside the planner's goroutine: the copy of 70,000 jobs costs more than all questions. Extending wire.JobStatus: an older planner's entry would answer without the new field and the operator would read "does not wait".

planner.go has one field more; status.go hands its way of asking the loop to the others. No existing test changed.

OPERATIONS.md has a row for each reason, and a test that says so.

--- /dev/null
+++ b/api/job_report.go
@@ -0,0 +1,58 @@
+package api
+
+import "time"
+
+// WaitReason says why a job has not started. The reasons that a planner decides
+// on are those of the scheduler; docs/OPERATIONS.md lists all. One that is not
+// known is of a newer entry.
+type WaitReason string
+
+// Reasons beside the scheduler's.
+const (
+	// WaitStarting: it is placed; its workers' reservations, or the store's word
+	// that its start is on record, are awaited.
+	WaitStarting WaitReason = "starting"
+	// WaitStoreOut: it is placed, and the platform's store does not answer, so that
+	// its start can't be put on record.
+	WaitStoreOut WaitReason = "store-out"
+	// WaitRebuilding: after a change of planner its record has not been read yet.
+	WaitRebuilding WaitReason = "rebuilding"
+	// WaitEnding: it does not start any more; its end is being put on record.
+	WaitEnding WaitReason = "ending"
+)
+
+// JobReport says why a job waits, if it does.
+type JobReport struct {
+	ID      string        `json:"id"`
+	Service string        `json:"service"`
+	State   JobState      `json:"state"`
+	Planner ReportPlanner `json:"planner"`
+	// At is when the planner answered, Decided the time of the decision that is
+	// explained, zero where none is. The planner decides at each change: an old
+	// decision says that nothing has changed since.
+	At      time.Time `json:"at"`
+	Decided time.Time `json:"decided,omitzero"`
+	// Waits is nil for a job that has an attempt or has ended.
+	Waits *JobWait `json:"waits,omitempty"`
+}
+
+// JobWait is why a job waits.
+type JobWait struct {
+	Reason   WaitReason `json:"reason"`
+	Sentence string     `json:"sentence"`
+	// Until is when the reason is expected to end, where that is known; of a
+	// reserved place, when it is expected to be complete.
+	Until time.Time `json:"until,omitzero"`
+	// First is the job that goes first, FirstReason why that one waits where both
+	// are of one queue, and Ahead how many of that queue go first.
+	First       string     `json:"first,omitempty"`
+	FirstReason WaitReason `json:"first_reason,omitempty"`
+	Ahead       int        `json:"ahead,omitempty"`
+	// Accelerators and Adjacency are what it needs; Free is free in all, Largest in
+	// one unit, and Units says how many units have how many.
+	Accelerators int         `json:"accelerators"`
+	Adjacency    Adjacency   `json:"adjacency"`
+	Free         int         `json:"free,omitempty"`
+	Largest      int         `json:"largest,omitempty"`
+	Units        []FreeUnits `json:"units,omitempty"`
+}
--- a/api/path.go
+++ b/api/path.go
@@ -18,6 +18,8 @@
 	RouteJobs       = "/v1/services/:service/jobs"
 	RouteJob        = "/v1/services/:service/jobs/:id"
 	RouteCancelJobs = "/v1/services/:service/jobs:cancel"
+	RouteReport     = "/v1/services/:service/report"
+	RouteJobReport  = "/v1/services/:service/jobs/:id/report"
 )
 
 // ParamWait is the query parameter of a job's status: how long the entry may
@@ -48,3 +50,13 @@
 func CancelPath(service string) string {
 	return JobsPath(service) + ":cancel"
 }
+
+// ReportPath is the path of a service's Report.
+func ReportPath(service string) string {
+	return servicePath(service) + "/report"
+}
+
+// JobReportPath is the path of one job's JobReport.
+func JobReportPath(service, id string) string {
+	return JobPath(service, id) + "/report"
+}
--- a/api/reason.go
+++ b/api/reason.go
@@ -37,6 +37,8 @@
 	ReasonNotReady Reason = "not-ready"
 	// ReasonDraining: this entry is leaving; another one takes the request.
 	ReasonDraining Reason = "draining"
+	// ReasonNoPlanner: no entry that plans the service answers just now.
+	ReasonNoPlanner Reason = "no-planner"
 	// ReasonStoreDown: the job could not be made safe, so it was not accepted.
 	ReasonStoreDown Reason = "store-unavailable"
 	// ReasonCancelled: cancelled before its start.
@@ -82,6 +84,7 @@
 	ReasonRefused:        {OutcomeNotRun, http.StatusServiceUnavailable, "refused by the targets tried"},
 	ReasonNotReady:       {OutcomeNotRun, http.StatusServiceUnavailable, "entry is not ready"},
 	ReasonDraining:       {OutcomeNotRun, http.StatusServiceUnavailable, "entry is leaving"},
+	ReasonNoPlanner:      {OutcomeNotRun, http.StatusServiceUnavailable, "no planner just now"},
 	ReasonStoreDown:      {OutcomeNotRun, http.StatusServiceUnavailable, "store is not available"},
 	ReasonCancelled:      {OutcomeNotRun, http.StatusConflict, "cancelled before the start"},
 
--- a/cmd/eelgrasshub/command.go
+++ b/cmd/eelgrasshub/command.go
@@ -32,6 +32,7 @@
 		agentCommand(),
 		configCommands(),
 		jobCommands(),
+		reportCommand(),
 		loadCommand(),
 		trialCommand(),
 		platformStandinCommand(),
--- /dev/null
+++ b/cmd/eelgrasshub/report.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+)
+
+// reportCmd shows what the planner of a service knows, or why one job waits.
+type reportCmd struct {
+	Entry string `long:"entry" required:"true" value-name:"URL" description:"base URL of any entry of the region, or of the balancer"`
+	Job   string `long:"job" value-name:"ID" description:"say why this job waits"`
+	JSON  bool   `long:"json" description:"print JSON in place of tables"`
+	Args  struct {
+		Service string `positional-arg-name:"SERVICE" required:"true"`
+	} `positional-args:"true"`
+}
+
+func reportCommand() command {
+	return command{
+		name:  "report",
+		short: "show accounts, capacity and workers of a service, or why a job waits",
+		long:  "Any entry answers; it asks the one that plans the service. Nothing is changed.",
+		data:  &reportCmd{},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *reportCmd) Execute([]string) error {
+	ctx, cancel := commandContext()
+	defer cancel()
+	client := api.NewClient(c.Entry, nil)
+	if c.Job != "" {
+		return c.job(ctx, client)
+	}
+	r, err := client.Report(ctx, c.Args.Service)
+	if err != nil {
+		return advised(err)
+	}
+	if c.JSON {
+		return printJSON(r)
+	}
+	return printReport(os.Stdout, r)
+}
+
+func (c *reportCmd) job(ctx context.Context, client *api.Client) error {
+	r, err := client.JobReport(ctx, c.Args.Service, c.Job)
+	if err != nil {
+		return advised(err)
+	}
+	if c.JSON {
+		return printJSON(r)
+	}
+	return printJobReport(os.Stdout, r)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,7 +52,8 @@
 	once      *onceRunner
 	latest    atomic.Pointer[news]
 	draining  atomic.Bool
-	catching  atomic.Bool   // a catchUp is under way
+	catching  atomic.Bool // a catchUp is under way
+	probe     storeProbe
 	started   chan struct{} // closed once all parts are there
 
 	mu          sync.RWMutex
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -29,6 +29,8 @@
 		return e.taskEnded(from, m)
 	case *wire.Fetch:
 		return e.fetch(m), nil
+	case *wire.Inspect:
+		return e.answerInspect(ctx, m), nil
 	case *wire.JobStatus:
 		return e.answerStatus(ctx, m), nil
 	default:
--- a/entry/http.go
+++ b/entry/http.go
@@ -20,6 +20,8 @@
 	mux.HandleFunc(pat.Get(api.RouteRequests), e.quickRequest)
 	mux.HandleFunc(pat.Post(api.RouteCancelJobs), e.cancelJobs)
 	mux.HandleFunc(pat.Post(api.RouteJobs), e.submitJob)
+	mux.HandleFunc(pat.Get(api.RouteReport), e.serviceReport)
+	mux.HandleFunc(pat.Get(api.RouteJobReport), e.jobReport)
 	mux.HandleFunc(pat.Get(api.RouteJob), e.jobStatus)
 	mux.HandleFunc(pat.Delete(api.RouteJob), e.cancelJob)
 	mux.HandleFunc(pat.New("/*"), noRoute)
--- /dev/null
+++ b/entry/inspect_job.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/planner"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// Sentences of the reasons that are not the scheduler's.
+const (
+	sentenceStarting   = "it is placed, and waits for its workers' reservations or for its start to be on record"
+	sentenceStoreOut   = "it is placed, and the platform's store does not answer, so that its start can't be put on record"
+	sentenceRebuilding = "the planner has just taken over and is still reading the records of jobs"
+	sentenceEnding     = "it does not start any more; its end is being put on record"
+)
+
+// explainHere is the word of this entry's planner on one job.
+func (e *Entry) explainHere(ctx context.Context, service, id string) (*api.JobReport, *api.Problem) {
+	p := e.duties.planner(service)
+	if p == nil {
+		return nil, noPlanner(service, "entry "+e.cfg.ID+" has lost the duty")
+	}
+	w, known, asked := p.Explain(ctx, id)
+	if !asked {
+		return nil, noPlanner(service, "the planner of entry "+e.cfg.ID+" has ended or is too busy")
+	}
+	out := &api.JobReport{ID: id, Service: service, Planner: e.reportPlanner(service), At: time.Now()}
+	if !known || w.Stage == planner.StageRebuilding {
+		return e.explainRecord(ctx, out)
+	}
+	out.State = liveStatus(w.Status).State
+	out.Waits = e.waitOf(ctx, &w, service)
+	if w.Stage == planner.StageQueued {
+		out.Decided = w.Why.At
+	}
+	return out, nil
+}
+
+// waitOf is why a job that its planner knows waits; nil if it does not.
+func (e *Entry) waitOf(ctx context.Context, w *planner.Wait, service string) *api.JobWait {
+	switch w.Stage {
+	case planner.StageQueued:
+		return schedulerWait(&w.Why)
+	case planner.StageEnding:
+		return recordWait(w.Record.Spec, api.WaitEnding, sentenceEnding)
+	case planner.StageStarting:
+		if !e.probe.answers(ctx, e.work, service) {
+			return recordWait(w.Record.Spec, api.WaitStoreOut, sentenceStoreOut)
+		}
+		return recordWait(w.Record.Spec, api.WaitStarting, sentenceStarting)
+	}
+	return nil
+}
+
+// explainRecord answers by the record of a job that the planner does not know: it
+// has ended long ago, or the planner has not read it yet.
+func (e *Entry) explainRecord(ctx context.Context, out *api.JobReport) (*api.JobReport, *api.Problem) {
+	ctx, cancel := context.WithTimeout(ctx, probeWait)
+	defer cancel()
+	rec, err := e.jobs.Get(ctx, out.Service, out.ID)
+	switch {
+	case eris.Is(err, jobs.ErrNotFound):
+		return nil, &api.Problem{Reason: api.ReasonUnknownJob, Field: "job", Detail: "no record of a job " + out.ID + " in the service " + out.Service}
+	case err != nil:
+		return nil, &api.Problem{
+			Reason: api.ReasonUnknownJob, Field: "job", RetryAfter: comeBack,
+			Detail: "the planner does not know the job, and the platform's store can't be asked: " + err.Error(),
+		}
+	}
+	out.State = api.JobState(rec.State)
+	if rec.State == jobs.Queued {
+		out.Waits = recordWait(rec.Spec, api.WaitRebuilding, sentenceRebuilding)
+	}
+	return out, nil
+}
+
+// recordWait is a reason that says nothing about places.
+func recordWait(spec jobs.Spec, why api.WaitReason, sentence string) *api.JobWait {
+	return &api.JobWait{
+		Reason:       why,
+		Sentence:     sentence,
+		Accelerators: spec.Accelerators,
+		Adjacency:    api.Adjacency(spec.Adjacency),
+	}
+}
+
+func schedulerWait(e *scheduler.Explanation) *api.JobWait {
+	if e.Reason == scheduler.WaitNone {
+		return nil
+	}
+	out := &api.JobWait{
+		Reason:       api.WaitReason(e.Reason.String()),
+		Sentence:     e.Sentence(),
+		Until:        e.Until,
+		First:        string(e.First),
+		Ahead:        e.Ahead,
+		Accelerators: e.Accelerators,
+		Adjacency:    api.Adjacency(e.Span.String()),
+		Free:         e.Free,
+		Largest:      e.Largest,
+		Units:        unitsOf(e.Units),
+	}
+	if e.Reason == scheduler.WaitBehind {
+		out.FirstReason = api.WaitReason(e.FirstReason.String())
+	}
+	return out
+}
--- /dev/null
+++ b/entry/inspect_service.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
+	"github.com/eelgrasshub/eelgrasshub/planner"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// reportHere is the report of this entry's planner.
+func (e *Entry) reportHere(ctx context.Context, service string) (*api.Report, *api.Problem) {
+	p := e.duties.planner(service)
+	if p == nil {
+		return nil, noPlanner(service, "entry "+e.cfg.ID+" has lost the duty")
+	}
+	r, ok := p.Report(ctx)
+	if !ok {
+		return nil, noPlanner(service, "the planner of entry "+e.cfg.ID+" has ended or is too busy")
+	}
+	out := reportOf(&r, time.Now())
+	out.Service = service
+	out.Planner = e.reportPlanner(service)
+	out.Planner.Generation = r.Generation
+	out.StoreOut = !e.probe.answers(ctx, e.work, service)
+	return out, nil
+}
+
+func reportOf(r *planner.Report, now time.Time) *api.Report {
+	out := &api.Report{
+		At:       r.Taken,
+		Age:      api.Duration(max(0, now.Sub(r.Taken))),
+		Decided:  r.At,
+		Settling: r.Settling || !r.Rebuilt,
+		Capacity: api.ReportCapacity{
+			Accelerators:  r.Stats.Accelerators,
+			Free:          r.Stats.Free,
+			Reserved:      r.Stats.Reserved,
+			Fragmentation: r.Stats.Fragmentation,
+			FreeUnits:     map[api.Adjacency][]api.FreeUnits{},
+			Evicting:      r.Stats.Evicting,
+		},
+		Workers: api.ReportWorkers{
+			Usable:      r.Stats.Workers,
+			Quarantined: workersOf(r.Quarantined),
+			Draining:    workersOf(r.Draining),
+			Lost:        workersOf(r.Lost),
+		},
+		Accounts: []api.ReportAccount{},
+	}
+	for span, units := range r.FreeUnits {
+		out.Capacity.FreeUnits[api.Adjacency(span.String())] = unitsOf(units)
+	}
+	for _, a := range r.Accounts {
+		out.Accounts = append(out.Accounts, accountOf(a, r.Waited[string(a.ID)], now))
+	}
+	return out
+}
+
+func accountOf(a scheduler.AccountReport, waited map[string]metrics.Summary, now time.Time) api.ReportAccount {
+	out := api.ReportAccount{
+		Account:                string(a.ID),
+		Guaranteed:             a.Guaranteed,
+		Used:                   a.Used,
+		Borrowed:               a.Borrowed,
+		Owed:                   a.Owed,
+		Evictions:              a.Evicted.Gangs,
+		LostAcceleratorSeconds: a.Evicted.AcceleratorSeconds,
+		Classes:                []api.ReportClass{},
+	}
+	for _, c := range a.Classes {
+		one := api.ReportClass{
+			Class:               c.Class,
+			Running:             c.Running,
+			RunningAccelerators: c.RunningAccelerators,
+			Waiting:             c.Waiting,
+			WaitingAccelerators: c.WaitingAccelerators,
+			Waited:              waitsOf(waited[c.Class]),
+		}
+		if !c.Oldest.IsZero() {
+			one.Oldest = api.Duration(max(0, now.Sub(c.Oldest)).Round(time.Millisecond))
+		}
+		out.Classes = append(out.Classes, one)
+	}
+	return out
+}
+
+func waitsOf(s metrics.Summary) api.Waits {
+	us := func(n int64) api.Duration { return api.Duration(time.Duration(n) * time.Microsecond) }
+	return api.Waits{Count: s.Count, P50: us(s.P50), P90: us(s.P90), P99: us(s.P99), Max: us(s.Max)}
+}
+
+func unitsOf(units []scheduler.FreeUnits) []api.FreeUnits {
+	out := []api.FreeUnits{}
+	for _, u := range units {
+		out = append(out, api.FreeUnits{Free: u.Free, Units: u.Units})
+	}
+	return out
+}
+
+func workersOf(l scheduler.WorkerList) api.WorkerList {
+	out := api.WorkerList{Count: l.Count}
+	for _, w := range l.Workers {
+		out.Workers = append(out.Workers, api.WorkerNote{ID: string(w.ID), Since: w.Since, Until: w.Until, Probing: w.Probing})
+	}
+	return out
+}
--- /dev/null
+++ b/entry/inspect_test.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// Whoever is on call looks a reason up. One without its row fails here.
+func TestOperationsPageNamesEveryReason(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	qt.Assert(t, err, qt.IsNil)
+	reasons := []string{
+		string(api.WaitStarting), string(api.WaitStoreOut), string(api.WaitRebuilding), string(api.WaitEnding),
+	}
+	for r := scheduler.WaitNone; r <= scheduler.WaitNoCores; r++ {
+		reasons = append(reasons, r.String())
+	}
+	for _, r := range reasons {
+		qt.Check(t, strings.Contains(string(page), "\n| `"+r+"` | "), qt.IsTrue, qt.Commentf("no row for %s", r))
+	}
+	_, table, _ := strings.Cut(string(page), "### Why does a job wait")
+	table, _, _ = strings.Cut(table, "\n## ")
+	qt.Check(t, strings.Count(table, "\n| `"), qt.Equals, len(reasons))
+}
--- /dev/null
+++ b/planner/explain.go
@@ -0,0 +1,78 @@
+package planner
+
+import (
+	"context"
+
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// Wait says where a job stands on its way to its start.
+type Wait struct {
+	Status
+	// Stage decides which of the other fields count.
+	Stage Stage
+	// Why is the scheduler's word, for StageQueued.
+	Why scheduler.Explanation
+}
+
+// Stage is how far a job has come.
+type Stage uint8
+
+const (
+	// StageOver: it has ended, or an attempt of it is on record.
+	StageOver Stage = iota
+	// StageQueued: the scheduler says why it waits.
+	StageQueued
+	// StageStarting: it is placed, and its start is not on record yet.
+	StageStarting
+	// StageEnding: it will not start; its end is being put on record.
+	StageEnding
+	// StageRebuilding: the records are still being read, and this one is not known.
+	StageRebuilding
+)
+
+// Explain says why a job waits. Known is false where no record of it was seen.
+// The context's or the term's end is an answer of neither: asked is false then. It
+// is safe for concurrent use; its cost for the planner's goroutine does not grow
+// with the number of workers, nor with how many ask.
+func (p *Planner) Explain(ctx context.Context, id string) (wait Wait, known, asked bool) {
+	type answer struct {
+		wait  Wait
+		known bool
+	}
+	a, asked := ask(ctx, p, func() answer {
+		w, ok := p.explain(id)
+		return answer{w, ok}
+	})
+	return a.wait, a.known, asked
+}
+
+func (p *Planner) explain(id string) (Wait, bool) {
+	s, ok := p.status(id)
+	if !ok {
+		return Wait{Stage: StageRebuilding}, !p.rebuilt
+	}
+	w := Wait{Status: s}
+	j := p.jobs[id]
+	switch {
+	case j == nil:
+	case j.ending != nil:
+		w.Stage = StageEnding
+	case j.phase == Queued:
+		w.Stage = StageQueued
+		w.Why, ok = p.explainer().Explain(scheduler.JobID(id))
+		if !ok {
+			w.Stage = StageEnding // withdrawn from the scheduler
+		}
+	case j.phase == Starting && j.stored.Attempt != uint64(j.attempt):
+		w.Stage = StageStarting
+	}
+	return w, true
+}
+
+func (p *Planner) explainer() *scheduler.Explainer {
+	if p.reports.explainer == nil {
+		p.reports.explainer = scheduler.NewExplainer(p.sched)
+	}
+	return p.reports.explainer
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -35,6 +35,8 @@
 	stats atomic.Pointer[scheduler.Stats]
 
 	higher atomic.Uint64
+
+	reports reports
 }
 
 // Start begins a term. Stop ends it.
--- /dev/null
+++ b/planner/report_test.go
@@ -0,0 +1,55 @@
+package planner
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// An operator asks why three jobs don't run. One is placed, but its worker doesn't
+// answer; one is larger than what is left; one nobody has heard of.
+func TestExplainFollowsAJobToItsStart(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents(allWorkers...)
+	p := b.planner(1, agents)
+	agents.cut[1] = true // reservations wait
+	report := func() { agents.report(p) }
+	b.accept("placed", 8, true)
+	b.eventually("it is placed", report, func() bool {
+		w, known, asked := p.Explain(context.Background(), "placed")
+		return known && asked && w.Stage == StageStarting && w.Phase == Starting
+	})
+	b.accept("large", 64, true)
+	b.eventually("the scheduler's word", report, func() bool {
+		w, _, _ := p.Explain(context.Background(), "large")
+		return w.Stage == StageQueued && w.Why.Reason != scheduler.WaitNone && w.Why.Accelerators == 64
+	})
+	_, known, asked := p.Explain(context.Background(), "nobody")
+	b.c.Assert(known, qt.IsFalse)
+	b.c.Assert(asked, qt.IsTrue)
+}
+
+// However many ask, one report is made in a second, and none after the term.
+func TestReportIsSharedAndEndsWithTheTerm(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents(allWorkers...)
+	p := b.planner(1, agents)
+	var last Report
+	b.eventually("all records are read", func() { agents.report(p) }, func() bool {
+		r, ok := p.Report(context.Background())
+		last = r
+		return ok && r.Rebuilt && len(r.Accounts) == 4
+	})
+	again, ok := p.Report(context.Background())
+	b.c.Assert(ok, qt.IsTrue)
+	if again.Taken.Sub(last.Taken) < reportEvery {
+		b.c.Assert(again.Taken, qt.Equals, last.Taken)
+	}
+	p.Stop()
+	p.reports.at = p.reports.at.Add(-2 * reportEvery)
+	_, ok = p.Report(context.Background())
+	b.c.Assert(ok, qt.IsFalse)
+}
--- a/planner/status.go
+++ b/planner/status.go
@@ -21,18 +21,26 @@
 		status Status
 		known  bool
 	}
-	answers := make(chan answer, 1)
-	p.post(func() {
+	a, _ := ask(ctx, p, func() answer {
 		s, ok := p.status(id)
-		answers <- answer{s, ok}
+		return answer{s, ok}
 	})
+	return a.status, a.known
+}
+
+// ask runs f on the loop's goroutine and returns what it does. False: the context
+// or the term ended first.
+func ask[T any](ctx context.Context, p *Planner, f func() T) (T, bool) {
+	answers := make(chan T, 1)
+	p.post(func() { answers <- f() })
 	select {
 	case a := <-answers:
-		return a.status, a.known
+		return a, true
 	case <-ctx.Done():
 	case <-p.t.Dying():
 	}
-	return Status{}, false
+	var none T
+	return none, false
 }
 
 func (p *Planner) status(id string) (Status, bool) {
--- a/scheduler/sentence.go
+++ b/scheduler/sentence.go
@@ -64,6 +64,9 @@
 
 // need is what the job needs and what is free.
 func (e *Explanation) need() string {
+	if e.Free == 0 {
+		return fmt.Sprintf("it needs %d accelerators and none is free", e.Accelerators)
+	}
 	if e.Span == AdjacentAny {
 		return fmt.Sprintf("it needs %d accelerators and %d are free", e.Accelerators, e.Free)
 	}
--- a/wire/kind.go
+++ b/wire/kind.go
@@ -28,5 +28,7 @@
 	KindGangReply
 	KindJobStatus
 	KindJobStatusReply
+	KindInspect
+	KindInspectReply
 	KindFirstFree Kind = 1000
 )
