entry: a cancellation that may have taken effect is not told as not run

Cause: every failure of a cancellation was answered 503 store-unavailable, outcome not-run, also when the store's reply was lost after the write, and when part of a wave had been cancelled before the store went out. A caller then counts on a job that is gone. Found by reading; the promise is that "not run" is true.

Now 504 cancellation-lost, outcome unknown, with when to come back; repeating a cancellation is harmless. A wave names how many are cancelled and how many may be. Failures for which the store certainly took nothing stay not-run.

Shown failing first: TestCancellationWithALostReplyIsUnknown got "store-unavailable" and "not-run", TestWaveCancelledInPartIsUnknown got "store-unavailable".

--- a/api/reason.go
+++ b/api/reason.go
@@ -56,6 +56,9 @@
 	ReasonKeyInDoubt Reason = "earlier-attempt-in-doubt"
 	// ReasonAcceptanceLost: the store's reply was lost; the job may be accepted.
 	ReasonAcceptanceLost Reason = "acceptance-lost"
+	// ReasonCancelLost: the store's reply was lost; the cancellation, or part of a
+	// wave, may have taken effect. It may be repeated.
+	ReasonCancelLost Reason = "cancellation-lost"
 	// ReasonUnknownJob: no record of the job. It may have run and been forgotten.
 	ReasonUnknownJob Reason = "unknown-job"
 	// ReasonInternal: a broken invariant; nothing is claimed.
@@ -92,6 +95,7 @@
 	ReasonDeadlineRunning: {OutcomeUnknown, http.StatusGatewayTimeout, "deadline passed while running"},
 	ReasonKeyInDoubt:      {OutcomeUnknown, http.StatusGatewayTimeout, "outcome of an earlier attempt is not known"},
 	ReasonAcceptanceLost:  {OutcomeUnknown, http.StatusGatewayTimeout, "acceptance is not known"},
+	ReasonCancelLost:      {OutcomeUnknown, http.StatusGatewayTimeout, "cancellation is not known"},
 	ReasonUnknownJob:      {OutcomeUnknown, http.StatusNotFound, "job is not known"},
 	ReasonInternal:        {OutcomeUnknown, http.StatusInternalServerError, "internal error"},
 }
--- /dev/null
+++ b/entry/cancel_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+)
+
+// queuedStore holds a queued job under each id that is asked for. Its swaps end as
+// result says, in turn; the last one for good.
+type queuedStore struct {
+	platform.Store // nil: leases and watches are not used here
+	results        chan swapEnd
+}
+
+type swapEnd struct {
+	platform.SwapResult
+	err error
+}
+
+func (s *queuedStore) Get(_ context.Context, key string) (platform.KeyValue, bool, error) {
+	value, err := json.Marshal(jobs.Record{ID: jobs.IDOf(key), Service: "dispatch", State: jobs.Queued})
+	return platform.KeyValue{Key: key, Value: value, Mod: 1}, true, err
+}
+
+func (s *queuedStore) Swap(context.Context, platform.Swap) (platform.SwapResult, error) {
+	end := <-s.results
+	return end.SwapResult, end.err
+}
+
+func cancelWith(c *qt.C, method, path, body string, ends ...swapEnd) *api.Problem {
+	store := &queuedStore{results: make(chan swapEnd, len(ends))}
+	for _, e := range ends {
+		store.results <- e
+	}
+	e := &Entry{jobs: jobs.NewStore("auckland", store, store)}
+	w := httptest.NewRecorder()
+	e.routes().ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	var p api.Problem
+	c.Assert(json.Unmarshal(w.Body.Bytes(), &p), qt.IsNil, qt.Commentf("%s", w.Body))
+	c.Assert(w.Header().Get(api.HeaderOutcome), qt.Equals, string(p.Outcome()))
+	c.Assert(p.RetryAfter > 0, qt.IsTrue)
+	return &p
+}
+
+// A caller cancels a job, and the store's reply is lost after the write took
+// effect. It was told "not run", as if the job were still there, and the job was
+// gone.
+func TestCancellationWithALostReplyIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	path := api.JobPath("dispatch", "a")
+	p := cancelWith(c, http.MethodDelete, path, "", swapEnd{SwapResult: platform.SwapResult{Unknown: true}})
+	c.Check(p.Reason, qt.Equals, api.ReasonCancelLost)
+	c.Check(p.Outcome(), qt.Equals, api.OutcomeUnknown)
+	p = cancelWith(c, http.MethodDelete, path, "", swapEnd{err: platform.ErrUnavailable})
+	c.Check(p.Outcome(), qt.Equals, api.OutcomeNotRun)
+}
+
+// The store goes out in the middle of a wave of cancellations. "Not run" would be
+// wrong of those that it took before.
+func TestWaveCancelledInPartIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	path := api.CancelPath("dispatch")
+	p := cancelWith(c, http.MethodPost, path, `{"ids": ["a", "b"]}`,
+		swapEnd{SwapResult: platform.SwapResult{Swapped: true}}, swapEnd{err: platform.ErrUnavailable})
+	c.Check(p.Reason, qt.Equals, api.ReasonCancelLost)
+	c.Check(p.Detail, qt.Contains, "1 of the jobs are cancelled, 0 may be")
+	p = cancelWith(c, http.MethodPost, path, `{"ids": ["a", "b"]}`,
+		swapEnd{err: platform.ErrUnavailable}, swapEnd{SwapResult: platform.SwapResult{Unknown: true}})
+	c.Check(p.Reason, qt.Equals, api.ReasonCancelLost)
+	c.Check(p.Detail, qt.Contains, "0 of the jobs are cancelled, 1 may be")
+}
--- a/entry/http_jobs.go
+++ b/entry/http_jobs.go
@@ -179,9 +179,14 @@
 	api.WriteJSON(w, http.StatusAccepted, statusOf(got.Record))
 }
 
+// cancelProblem guards against "not run" for a cancellation whose write may have
+// taken effect: its caller would go on counting on a job that is gone.
 func cancelProblem(err error) *api.Problem {
-	if eris.Is(err, jobs.ErrNotFound) {
+	switch {
+	case eris.Is(err, jobs.ErrNotFound):
 		return api.NewProblem(api.ReasonUnknownJob, "no record of the job")
+	case eris.Is(err, jobs.ErrOutcomeUnknown):
+		return api.Busy(api.ReasonCancelLost, "the platform's store did not say whether it took the cancellation; it may be repeated", comeBack)
 	}
 	return api.Busy(api.ReasonStoreDown, "the platform's store did not take the cancellation; it may be repeated: "+err.Error(), comeBack)
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	}
 	var mu sync.Mutex
 	var resp api.CancelResponse
+	inDoubt := 0
 	var group errgroup.Group
 	group.SetLimit(cancelWidth)
 	for _, id := range ids {
@@ -45,6 +47,9 @@
 				resp.Accepted = append(resp.Accepted, id)
 			case eris.Is(err, jobs.ErrNotFound):
 				resp.Unknown = append(resp.Unknown, id)
+			case eris.Is(err, jobs.ErrOutcomeUnknown):
+				inDoubt++
+				return err
 			default:
 				return err
 			}
@@ -52,11 +57,22 @@
 		})
 	}
 	if err := group.Wait(); err != nil {
-		return resp, cancelProblem(err)
+		return resp, waveProblem(err, len(resp.Accepted), inDoubt)
 	}
 	return resp, nil
 }
 
+// waveProblem is cancelProblem for a wave of which some were cancelled or may have
+// been: of the whole it can't be said that nothing happened.
+func waveProblem(err error, cancelled, inDoubt int) *api.Problem {
+	p := cancelProblem(err)
+	if cancelled+inDoubt > 0 {
+		p.Reason = api.ReasonCancelLost
+		p.Detail = strconv.Itoa(cancelled) + " of the jobs are cancelled, " + strconv.Itoa(inDoubt) + " may be: " + p.Detail
+	}
+	return p
+}
+
 // canceller returns how to cancel each of n jobs.
 func (e *Entry) canceller(ctx context.Context, service string, n int) (func(id string) error, error) {
 	if n < listAbove {
