entry: a job that can't be asked for is not answered as unknown

Cause: while the store is out and no planner answers, the state of a job was answered 404, unknown-job. A caller takes an accepted job for lost and submits it again. Found by reading.

Now 503 job-state-unavailable with when to come back, also in the report of a job. 404 is left for "no record", which the store itself has said.

Shown failing first: TestJobThatCannotBeAskedForIsNotUnknown got 404 for 503.

--- a/api/api_test.go
+++ b/api/api_test.go
@@ -17,7 +17,7 @@
 	c := qt.New(t)
 	mayHaveRun := []Reason{
 		ReasonOutcomeLost, ReasonDeadlineRunning, ReasonKeyInDoubt,
-		ReasonAcceptanceLost, ReasonCancelLost, ReasonUnknownJob, ReasonInternal, "of-a-newer-entry", "",
+		ReasonAcceptanceLost, ReasonCancelLost, ReasonUnknownJob, ReasonJobUnavailable, ReasonInternal, "of-a-newer-entry", "",
 	}
 	for _, r := range mayHaveRun {
 		c.Check(NewProblem(r, "").Outcome(), qt.Equals, OutcomeUnknown, qt.Commentf("%s", r))
--- a/api/reason.go
+++ b/api/reason.go
@@ -61,6 +61,9 @@
 	ReasonCancelLost Reason = "cancellation-lost"
 	// ReasonUnknownJob: no record of the job. It may have run and been forgotten.
 	ReasonUnknownJob Reason = "unknown-job"
+	// ReasonJobUnavailable: whoever knows the job can't be asked just now. It says
+	// nothing of whether there is such a job.
+	ReasonJobUnavailable Reason = "job-state-unavailable"
 	// ReasonInternal: a broken invariant; nothing is claimed.
 	ReasonInternal Reason = "internal"
 )
@@ -97,6 +100,7 @@
 	ReasonAcceptanceLost:  {OutcomeUnknown, http.StatusGatewayTimeout, "acceptance is not known"},
 	ReasonCancelLost:      {OutcomeUnknown, http.StatusGatewayTimeout, "cancellation is not known"},
 	ReasonUnknownJob:      {OutcomeUnknown, http.StatusNotFound, "job is not known"},
+	ReasonJobUnavailable:  {OutcomeUnknown, http.StatusServiceUnavailable, "state of the job can't be read just now"},
 	ReasonInternal:        {OutcomeUnknown, http.StatusInternalServerError, "internal error"},
 }
 
--- a/entry/cancel_test.go
+++ b/entry/http_jobs_test.go
@@ -15,6 +15,28 @@
 	"github.com/eelgrasshub/eelgrasshub/platform"
 )
 
+// The store is out and no planner is known when a caller asks for its accepted
+// job. It was answered 404, "job is not known", and took its job for lost.
+func TestJobThatCannotBeAskedForIsNotUnknown(t *testing.T) {
+	c := qt.New(t)
+	store := outStore{}
+	e := &Entry{jobs: jobs.NewStore("auckland", store, nil)}
+	e.registry = newRegistry(store, "auckland", peerEntry{}, nil)
+	e.duties = newDuties(e)
+	w := httptest.NewRecorder()
+	e.routes().ServeHTTP(w, httptest.NewRequest(http.MethodGet, api.JobPath("dispatch", "a"), nil))
+	c.Check(w.Code, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(w.Header().Get(api.HeaderOutcome), qt.Equals, string(api.OutcomeUnknown))
+	c.Check(w.Header().Get(api.HeaderRetryAfter), qt.Not(qt.Equals), "")
+}
+
+// outStore answers no read.
+type outStore struct{ platform.Store }
+
+func (outStore) Get(context.Context, string) (platform.KeyValue, bool, error) {
+	return platform.KeyValue{}, false, platform.ErrUnavailable
+}
+
 // queuedStore holds a queued job under each id that is asked for. Its swaps end as
 // result says, in turn; the last one for good.
 type queuedStore struct {
--- a/entry/inspect_job.go
+++ b/entry/inspect_job.go
@@ -69,7 +69,7 @@
 		return nil, &api.Problem{Reason: api.ReasonUnknownJob, Field: "job", Detail: "no record of a job " + out.ID + " in the service " + out.Service}
 	case err != nil:
 		return nil, &api.Problem{
-			Reason: api.ReasonUnknownJob, Field: "job", RetryAfter: comeBack,
+			Reason: api.ReasonJobUnavailable, Field: "job", RetryAfter: comeBack,
 			Detail: "the planner does not know the job, and the platform's store can't be asked: " + err.Error(),
 		}
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -113,7 +113,7 @@
 	case eris.Is(err, jobs.ErrNotFound):
 		return api.JobStatus{}, api.NewProblem(api.ReasonUnknownJob, "no record of the job")
 	default:
-		return api.JobStatus{}, api.Busy(api.ReasonUnknownJob, "neither the planner nor the platform's store can be asked: "+err.Error(), comeBack)
+		return api.JobStatus{}, api.Busy(api.ReasonJobUnavailable, "neither the planner nor the platform's store can be asked: "+err.Error(), comeBack)
 	}
 }
 
