--- /dev/null
+++ b/api/page_test.go
@@ -0,0 +1,27 @@
+package api
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Callers program against the page of the interface. A reason or a header without
+// its row, or with another status or outcome, fails here.
+func TestInterfacePageIsComplete(t *testing.T) {
+	page, err := os.ReadFile("../docs/INTERFACE.md")
+	qt.Assert(t, err, qt.IsNil)
+	for r, info := range reasons {
+		row := fmt.Sprintf("\n| `%s` | %d | %s | ", r, info.status, info.outcome)
+		qt.Check(t, strings.Contains(string(page), row), qt.IsTrue, qt.Commentf("no row %q", row))
+	}
+	for _, h := range []string{
+		HeaderAccount, HeaderClass, HeaderDeadline, HeaderRepeatable, HeaderIdempotencyKey, HeaderFirst,
+		HeaderOutcome, HeaderRequest, HeaderRetryAfter,
+	} {
+		qt.Check(t, strings.Contains(string(page), "\n| `"+h+"` | "), qt.IsTrue, qt.Commentf("no row for %s", h))
+	}
+}
--- a/entry/http.go
+++ b/entry/http.go
@@ -16,8 +16,9 @@
 	mux.HandleFunc(pat.Get(api.PathHealthz), e.healthz)
 	mux.HandleFunc(pat.Get(api.PathReadyz), e.readyz)
 	mux.HandleFunc(pat.Get(api.PathStatus), e.status)
-	mux.HandleFunc(pat.Post(api.RouteRequests), e.quickRequest)
-	mux.HandleFunc(pat.Get(api.RouteRequests), e.quickRequest)
+	for _, method := range []func(string) *pat.Pattern{pat.Get, pat.Post, pat.Put, pat.Patch, pat.Delete} {
+		mux.HandleFunc(method(api.RouteRequests), e.quickRequest)
+	}
 	mux.HandleFunc(pat.Post(api.RouteCancelJobs), e.cancelJobs)
 	mux.HandleFunc(pat.Post(api.RouteJobs), e.submitJob)
 	mux.HandleFunc(pat.Get(api.RouteReport), e.serviceReport)
--- /dev/null
+++ b/entry/http_test.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/document"
+)
+
+// A target's own interface uses more than GET and POST. Its other methods were
+// answered "no such path or method".
+func TestMethodsOfTargetsAreRouted(t *testing.T) {
+	c := qt.New(t)
+	e := &Entry{}
+	e.watcher = document.NewWatcher(nil, nil, document.NewInForce(nil), document.DefaultFeederConfig(false), nil)
+	c.Cleanup(func() { c.Check(e.watcher.Stop(), qt.IsNil) })
+	for _, method := range []string{
+		http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+	} {
+		w := httptest.NewRecorder()
+		e.routes().ServeHTTP(w, httptest.NewRequest(method, api.RequestPath("dispatch", "stalls/7"), nil))
+		c.Check(w.Code, qt.Equals, api.ReasonNotReady.Status(), qt.Commentf("%s", method))
+	}
+}
