--- a/entry/inspect.go
+++ b/entry/inspect.go
@@ -79,10 +79,10 @@
 	return p
 }
 
-// noPlanner says whom was asked and when to try again: within dutyTTL another
+// noPlanner says whom was asked and when to try again: within sessionTTL another
 // entry takes over from one that is gone.
 func noPlanner(service, detail string) *api.Problem {
-	return api.Busy(api.ReasonNoPlanner, "no planner of "+service+" answers: "+detail, dutyTTL)
+	return api.Busy(api.ReasonNoPlanner, "no planner of "+service+" answers: "+detail, sessionTTL)
 }
 
 // answerInspect serves inspected of another entry. It does not forward: two
