wire, trial: one UDP relay; tests on lost datagrams count them

Cause: the relay of ./trial stood a second time in wire/relay_test.go. Three tests of wire rested on real time. TestDrainWaitsForALostReply gave a drain 200 ms to end too early, which proves nothing where the machine is slower than that. TestOutcomeOnASilentPath gave a call one second to leave and another 100 ms; a pause of that length ends the first before it was sent. TestSilentConnectionIsReplaced suspected a path after 100 ms and closed it after 300 ms, which a busy machine can need for an answer.

Change: internal/relay is the one relay. It can lose a direction alone and counts what it loses. The tests now wait until the relay has lost three datagrams, that is until QUIC has sent a message and sent it again, and look then: the drain test fails as soon as a drain ends early, the outcome test gives up only once the message has left. Patience of the third test is 300 ms and 1 s.

Ruled out: making the waits longer only; the drain's would still prove nothing.

--- a/trial/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
-package trial
+package relay
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -10,12 +11,12 @@
 // datagram is larger than any that QUIC sends on loopback.
 const datagram = 64 << 10
 
-// Relay forwards datagrams to one upstream address, as a device between two
-// ends that keeps track of flows. It can lose the flows it knows, for good,
-// while new ones work. It is safe for concurrent use.
+// Relay is a running relay. It is safe for concurrent use.
 type Relay struct {
-	socket *net.UDPConn
-	wg     sync.WaitGroup
+	socket  *net.UDPConn
+	wg      sync.WaitGroup
+	muted   [directions]atomic.Bool
+	dropped [directions]atomic.Int64
 
 	mu       sync.Mutex
 	upstream *net.UDPAddr // nil: nobody is there
@@ -23,14 +24,8 @@
 	closed   bool
 }
 
-// flow is one source address and its own socket towards the upstream.
-type flow struct {
-	up   *net.UDPConn
-	lost atomic.Bool
-}
-
-// NewRelay returns a running relay without an upstream. Close ends it.
-func NewRelay() (*Relay, error) {
+// New returns a running relay without an upstream. Close ends it.
+func New() (*Relay, error) {
 	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, err
@@ -58,20 +53,26 @@
 	return nil
 }
 
-// SilenceFlows makes every flow known so far silent for good, in both
-// directions. Neither end is told.
-func (r *Relay) SilenceFlows() int {
+// Lose makes every flow known so far lose for good what goes these ways. Neither
+// end is told. It returns how many flows this changed.
+func (r *Relay) Lose(ways ...Direction) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lost := 0
+	changed := 0
 	for _, f := range r.flows {
-		if !f.lost.Swap(true) {
-			lost++
+		if f.lose(ways) {
+			changed++
 		}
 	}
-	return lost
+	return changed
 }
 
+// Mute loses all that goes this way, of new flows too, until it is set back.
+func (r *Relay) Mute(way Direction, muted bool) { r.muted[way].Store(muted) }
+
+// Dropped counts the datagrams that were lost on this way.
+func (r *Relay) Dropped(way Direction) int64 { return r.dropped[way].Load() }
+
 // Close ends the relay and all of its flows.
 func (r *Relay) Close() {
 	r.mu.Lock()
@@ -91,12 +92,22 @@
 		if err != nil {
 			return
 		}
-		if f := r.flow(from); f != nil && !f.lost.Load() {
+		if f := r.flow(from); f != nil && r.passes(f, Up) {
 			_, _ = f.up.Write(buf[:n]) // a lost datagram is what UDP allows
 		}
 	}
 }
 
+// passes says whether a datagram of the flow gets through, and counts one that
+// doesn't.
+func (r *Relay) passes(f *flow, way Direction) bool {
+	if !f.lost[way].Load() && !r.muted[way].Load() {
+		return true
+	}
+	r.dropped[way].Add(1)
+	return false
+}
+
 func (r *Relay) flow(from netip.AddrPort) *flow {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -116,15 +127,16 @@
 	return f
 }
 
-// back forwards from the upstream until the flow's socket is closed.
+// back forwards from the upstream until the flow's socket is closed. Other errors
+// are news of an upstream that is gone, which nobody hears here.
 func (r *Relay) back(f *flow, to netip.AddrPort) {
 	buf := make([]byte, datagram)
 	for {
 		n, err := f.up.Read(buf)
-		if isClosed(err) {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err == nil && !f.lost.Load() {
+		if err == nil && r.passes(f, Down) {
 			_, _ = r.socket.WriteToUDPAddrPort(buf[:n], to)
 		}
 	}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// limit is a generous bound of every wait.
+const limit = 20 * time.Second
+
+// echoServer answers each datagram with itself.
+func echoServer(c *qt.C) string {
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { socket.Close() })
+	go func() {
+		buf := make([]byte, 100)
+		for {
+			n, from, err := socket.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			socket.WriteTo(buf[:n], from)
+		}
+	}()
+	return socket.LocalAddr().String()
+}
+
+func start(c *qt.C) *Relay {
+	r, err := New()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(r.Close)
+	c.Assert(r.SetUpstream(echoServer(c)), qt.IsNil)
+	return r
+}
+
+func dial(c *qt.C, r *Relay) net.Conn {
+	conn, err := net.Dial("udp", r.Addr())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	c.Assert(conn.SetDeadline(time.Now().Add(limit)), qt.IsNil)
+	return conn
+}
+
+func exchange(c *qt.C, conn net.Conn, text string) {
+	_, err := conn.Write([]byte(text))
+	c.Assert(err, qt.IsNil)
+	buf := make([]byte, 100)
+	n, err := conn.Read(buf)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(buf[:n]), qt.Equals, text)
+}
+
+func awaitDropped(c *qt.C, r *Relay, way Direction, n int64) {
+	for range limit / time.Millisecond {
+		if r.Dropped(way) >= n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.Fatalf("%d dropped, want %d", r.Dropped(way), n)
+}
+
+func TestFlowsLostInOneDirection(t *testing.T) {
+	for _, way := range Both {
+		c := qt.New(t)
+		r := start(c)
+		known := dial(c, r)
+		exchange(c, known, "before")
+		c.Assert(r.Lose(way), qt.Equals, 1)
+		c.Assert(r.Lose(way), qt.Equals, 0)
+		_, err := known.Write([]byte("lost"))
+		c.Assert(err, qt.IsNil)
+		awaitDropped(c, r, way, 1)
+		exchange(c, dial(c, r), "new flow")
+		c.Assert(r.Dropped(Up)+r.Dropped(Down), qt.Equals, int64(1))
+	}
+}
+
+func TestMuteEnds(t *testing.T) {
+	c := qt.New(t)
+	r := start(c)
+	conn := dial(c, r)
+	r.Mute(Down, true)
+	_, err := conn.Write([]byte("lost"))
+	c.Assert(err, qt.IsNil)
+	awaitDropped(c, r, Down, 1)
+	r.Mute(Down, false)
+	exchange(c, conn, "after")
+}
--- a/trial/entrynode.go
+++ b/trial/entrynode.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/eelgrasshub/eelgrasshub/api"
 	"github.com/eelgrasshub/eelgrasshub/document/schema"
 	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/internal/relay"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
 	"github.com/eelgrasshub/eelgrasshub/settings"
 )
@@ -23,7 +23,7 @@
 	ID string
 
 	link  *storeLink
-	relay *Relay // nil without relays
+	relay *relay.Relay // nil without relays
 
 	mu  sync.Mutex
 	cfg settings.Entry
@@ -55,7 +55,7 @@
 	if !o.Relays {
 		return n, nil
 	}
-	if n.relay, err = NewRelay(); err != nil {
+	if n.relay, err = relay.New(); err != nil {
 		link.close()
 		return nil, err
 	}
@@ -105,7 +105,7 @@
 	n.link.setCut(true)
 	if n.relay != nil {
 		_ = n.relay.SetUpstream("")
-		n.relay.SilenceFlows()
+		n.relay.Lose(relay.Both...)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -132,7 +132,7 @@
 
 // SilenceFlows makes the open connections to this entry go silent for good,
 // while new ones work, and returns how many. It needs Options.Relays.
-func (n *EntryNode) SilenceFlows() int { return n.relay.SilenceFlows() }
+func (n *EntryNode) SilenceFlows() int { return n.relay.Lose(relay.Both...) }
 
 // Up says whether the entry runs.
 func (n *EntryNode) Up() bool {
@@ -188,5 +188,3 @@
 		n.relay.Close()
 	}
 }
-
-func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/wire/drain_test.go
+++ b/wire/drain_test.go
@@ -7,8 +7,20 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/internal/relay"
 )
 
+// repeated is how many lost datagrams show that an end has sent a message and sent
+// it again. QUIC doubles the time between, so they are well apart.
+const repeated = 3
+
+func awaitDraining(ep *Endpoint) {
+	for !ep.isDraining() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Story: an agent is asked to stop while it answers a request. The answer must
 // reach the caller, new requests must be told that they did not run, and then
 // the agent's connections close.
@@ -31,9 +43,7 @@
 	await(c, running)
 	drained := make(chan error, 1)
 	go func() { drained <- server.Drain(context.Background()) }()
-	for !server.isDraining() {
-		time.Sleep(time.Millisecond)
-	}
+	awaitDraining(server)
 	_, err := conn.Call(within(c, 20*time.Second), Gang{})
 	c.Assert(errors.Is(err, ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
 	c.Assert(errors.Is(err, ErrDraining), qt.IsTrue)
@@ -57,24 +67,30 @@
 		<-release
 		return echo(ctx, from, msg)
 	})
-	relay := startRelay(c, server.Addr())
-	conn := dial(c, open(c, "entry", Config{}, echo), relay.addr())
+	path := startRelay(c, server.Addr())
+	conn := dial(c, open(c, "entry", Config{}, echo), path.Addr())
 	answered := make(chan error, 1)
 	go func() {
 		_, err := conn.Call(context.Background(), Gang{})
 		answered <- err
 	}()
 	await(c, running)
-	relay.muted.Store(true)
+	path.Mute(relay.Down, true)
 	close(release)
 	drained := make(chan error, 1)
 	go func() { drained <- server.Drain(context.Background()) }()
+	awaitDraining(server)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		awaitDropped(c, path, relay.Down, repeated)
+	}()
 	select {
 	case <-drained:
 		c.Error("drained before the reply had arrived")
-	case <-time.After(200 * time.Millisecond):
+	case <-sent:
 	}
-	relay.muted.Store(false)
+	path.Mute(relay.Down, false)
 	c.Assert(await(c, answered), qt.IsNil)
 	c.Assert(await(c, drained), qt.IsNil)
 }
--- a/wire/helpers_test.go
+++ b/wire/helpers_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
+
+	"github.com/eelgrasshub/eelgrasshub/internal/relay"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -36,6 +38,26 @@
 	return conn
 }
 
+// startRelay puts a relay before an endpoint's address.
+func startRelay(c *qt.C, upstream string) *relay.Relay {
+	r, err := relay.New()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(r.Close)
+	c.Assert(r.SetUpstream(upstream), qt.IsNil)
+	return r
+}
+
+// awaitDropped waits until so many more datagrams than now were lost on this way,
+// or for a generous time.
+func awaitDropped(c *qt.C, r *relay.Relay, way relay.Direction, more int64) {
+	want := r.Dropped(way) + more
+	ctx := within(c, 20*time.Second)
+	for r.Dropped(way) < want && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	c.Check(ctx.Err(), qt.IsNil, qt.Commentf("%d datagrams lost", r.Dropped(way)))
+}
+
 // echo answers Gang with its payload.
 func echo(_ context.Context, _ *Conn, msg any) (any, error) {
 	return &GangReply{Payload: msg.(*Gang).Payload}, nil
--- a/wire/pool_test.go
+++ b/wire/pool_test.go
@@ -9,14 +9,18 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/quic-go/quic-go"
+
+	"github.com/eelgrasshub/eelgrasshub/internal/relay"
 )
 
-// impatient makes faults show soon; nothing asserts these times.
+// impatient makes faults show soon; nothing asserts these times. A path that works
+// is suspected where an answer takes longer than PingTimeout, and closed after
+// SuspectGrace: both are far above what a busy machine needs.
 var impatient = Config{
-	PingTimeout:  100 * time.Millisecond,
+	PingTimeout:  300 * time.Millisecond,
 	BusyProbe:    50 * time.Millisecond,
 	IdleProbe:    200 * time.Millisecond,
-	SuspectGrace: 300 * time.Millisecond,
+	SuspectGrace: time.Second,
 }
 
 // Story: a device between entry and agent forgets the entry's flow. The entry's
@@ -33,11 +37,11 @@
 		}
 		return echo(ctx, from, msg)
 	})
-	relay := startRelay(c, server.Addr())
+	path := startRelay(c, server.Addr())
 	client := open(c, "entry", impatient, echo)
 	pool := NewPool(client)
 	c.Cleanup(pool.Close)
-	first, err := pool.Conn(within(c, 20*time.Second), relay.addr())
+	first, err := pool.Conn(within(c, 20*time.Second), path.Addr())
 	c.Assert(err, qt.IsNil)
 
 	lost := make(chan error, 1)
@@ -46,9 +50,9 @@
 		lost <- err
 	}()
 	await(c, arrived)
-	relay.loseFlows()
+	path.Lose(relay.Both...)
 	await(c, first.Suspected())
-	reply, err := pool.Call(within(c, 20*time.Second), relay.addr(), Gang{Payload: []byte("x")})
+	reply, err := pool.Call(within(c, 20*time.Second), path.Addr(), Gang{Payload: []byte("x")})
 	c.Assert(err, qt.IsNil)
 	c.Assert(reply, qt.DeepEquals, &GangReply{Payload: []byte("x")})
 	err = await(c, lost)
@@ -62,12 +66,24 @@
 func TestOutcomeOnASilentPath(t *testing.T) {
 	c := qt.New(t)
 	server := open(c, "agent", Config{}, echo)
-	relay := startRelay(c, server.Addr())
-	conn := dial(c, open(c, "entry", Config{}, echo), relay.addr())
-	relay.loseFlows()
-	_, err := conn.Call(within(c, time.Second), Gang{Payload: make([]byte, 100)})
+	path := startRelay(c, server.Addr())
+	conn := dial(c, open(c, "entry", Config{}, echo), path.Addr())
+	path.Lose(relay.Both...)
+	// Callers give up once the connection has sent what it may and sent it again.
+	giveUp := func(size int) error {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := conn.Call(ctx, Gang{Payload: make([]byte, size)})
+			ended <- err
+		}()
+		awaitDropped(c, path, relay.Up, repeated)
+		cancel()
+		return await(c, ended)
+	}
+	err := giveUp(100)
 	c.Assert(errors.Is(err, ErrOutcomeUnknown), qt.IsTrue, qt.Commentf("%v", err))
-	_, err = conn.Call(within(c, 100*time.Millisecond), Gang{Payload: make([]byte, 8<<20)})
+	err = giveUp(8 << 20)
 	c.Assert(errors.Is(err, ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
 }
 
