--- a/load/run_test.go
+++ b/load/run_test.go
@@ -75,12 +75,12 @@
 name = "n"
 service = "s"
 duration = "500ms"
-drain = "15s"
+drain = "1m"
 [[quick]]
 account = "a"
 class = "c"
 rate = 100.0
-deadline = "5s"
+deadline = "30s"
 work = { median = "1ms", sigma = 0.5, max = "5ms" }
 [[job]]
 account = "a"
--- a/planner/fake_test.go
+++ b/planner/fake_test.go
@@ -126,7 +126,7 @@
 	c := qt.New(t)
 	server := standin.New(standin.Options{Progress: 50 * time.Millisecond})
 	http := httptest.NewServer(server)
-	store := platform.NewClient(platform.Options{Endpoints: []string{http.URL}, CallTimeout: time.Second, WatchIdle: time.Second})
+	store := platform.NewClient(platform.Options{Endpoints: []string{http.URL}, CallTimeout: time.Minute, WatchIdle: time.Second})
 	swaps := platform.NewBatcher(store, 0)
 	c.Cleanup(func() {
 		swaps.Close()
@@ -192,7 +192,7 @@
 // eventually drives step until done holds; it fails after a generous bound.
 func (b *bench) eventually(what string, step func(), done func() bool) {
 	b.c.Helper()
-	for range 1000 {
+	for range 6000 {
 		step()
 		if done() {
 			return
