scheduler: a job that lost work to an eviction borrows no more

A job that can't checkpoint now loses work to an eviction once and then runs only where no block needs the place, if it would fit there at all.

Found on the way: while an account ran a job larger than its blocks on what they were bound to, these blocks counted as owed, and all work that was sheltered in its account's guarantee became evictable.

--- a/scheduler/bind.go
+++ b/scheduler/bind.go
@@ -16,7 +16,7 @@
 	if len(s.loose) > 0 {
 		s.repack()
 	}
-	if len(s.loose) > 0 && s.unshelter() {
+	if s.owes() && s.unshelter() {
 		s.bindAll(slices.Clone(s.loose))
 		s.repack()
 	}
--- a/scheduler/evict.go
+++ b/scheduler/evict.go
@@ -177,4 +177,5 @@
 	e := &r.job.account.evicted
 	e.Gangs++
 	e.AcceleratorSeconds += s.lostWork(r)
+	s.retreat(r.job)
 }
--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -197,3 +197,32 @@
 	b.end("o", Done, "")
 	b.Assert(b.s.loose, qt.HasLen, 0)
 }
+
+func TestJobThatLostWorkBorrowsNoMore(t *testing.T) {
+	// A large job runs for half an hour on a guest's site, is evicted by a claim and
+	// starts over on capacity that is guaranteed to others, again and again: it lost
+	// 28 runs in a day, and all others waited behind it.
+	b := newBench(t, rackAndGuests, eight(4)...)
+	b.submit(Job{ID: "large", Account: "guest", Accelerators: 16, Repeatable: true, Submitted: b.now})
+	b.submit(Job{ID: "firm", Account: "rival", Accelerators: 8, Adjacency: AdjacentWorker, Submitted: b.now})
+	b.step(GangStarted{"large", 1})
+	claim := Job{ID: "o", Account: "owner", Accelerators: 16, Adjacency: AdjacentRack, Submitted: b.now}
+	b.stopAll(b.submit(claim))
+	b.Assert(of[StartGang](b.end("o", Done, "")), qt.HasLen, 0)
+	b.Assert(of[StartGang](b.end("firm", Done, "")), qt.HasLen, 1)
+	b.Assert(b.s.jobs["large"].run.firm, qt.IsTrue)
+}
+
+func TestShelterStaysWhileOthersFillTheirBlocks(t *testing.T) {
+	// A job within its account's guarantee is evicted by a claim of another account,
+	// since a third one runs a job larger than its blocks on what they were bound to.
+	// These blocks counted as owed, and all sheltered work gave way to them.
+	p := rackAndGuests
+	p.Accounts = append(p.Accounts, AccountPolicy{ID: "small", Guaranteed: []Shape{{2, AdjacentWorker, 1}}})
+	b := newBench(t, p, eight(4)...)
+	b.submit(Job{ID: "s", Account: "small", Accelerators: 1, Repeatable: true, Submitted: b.now})
+	b.submit(Job{ID: "o", Account: "owner", Accelerators: 24, Submitted: b.now})
+	b.Assert(b.s.loose, qt.HasLen, 1)
+	b.step(Tick{})
+	b.Assert(b.s.jobs["s"].run.firm, qt.IsTrue)
+}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -171,7 +171,7 @@
 	if j.Urgent || !j.Evictable() {
 		return nil
 	}
-	k := keyOf(&j.Job)
+	k := j.key()
 	for _, n := range s.quarantined {
 		if !n.health.probing || !n.up || n.draining || len(n.runs) > 0 {
 			continue
@@ -188,7 +188,7 @@
 }
 
 func (s *Scheduler) startProbe(j *job, n *node) {
-	k := keyOf(&j.Job)
+	k := j.key()
 	s.dropCPU(j)
 	s.start(j, []piece{{node: n.id, n: j.Accelerators * s.units(&k, n)}}, nil, false)
 }
--- a/scheduler/impossible.go
+++ b/scheduler/impossible.go
@@ -18,7 +18,7 @@
 	if s.find(&s.size, k) == nil {
 		return RejectAdjacency, fmt.Sprintf("no %s has %d accelerators with the cores and memory", k.span, k.accelerators), true
 	}
-	if reserved := s.othersBlocks(q.account); !q.head.borrows() && k.accelerators > s.size.total()-reserved {
+	if reserved := s.othersBlocks(q.account); !q.head.Job.borrows() && k.accelerators > s.size.total()-reserved {
 		return RejectTooLarge, "a job that may not borrow may not use what is guaranteed to others", true
 	}
 	return 0, "", false
--- a/scheduler/job_state.go
+++ b/scheduler/job_state.go
@@ -13,6 +13,7 @@
 	failed    []nodeID // different workers it failed on
 	failures  int
 	evictions int
+	retreated bool // borrows no more, since it lost work to a claim
 	notBefore time.Time
 	planAfter time.Time // no reservation before
 	delayed   int       // index in the heap of delayed jobs, or -1
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -153,7 +153,7 @@
 			x.set(s.nodes[id], 0)
 		}
 	}
-	k := keyOf(&j.Job)
+	k := j.key()
 	fits := s.find(&s.size, &k) != nil
 	var at []piece
 	if fits {
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -15,7 +15,7 @@
 // plan finds where a job could start first, going by learned run times: the unit
 // of its span where enough work ends soonest.
 func (s *Scheduler) plan(j *job) ([]piece, time.Time) {
-	k := keyOf(&j.Job)
+	k := j.key()
 	groups := map[int32][]ending{}
 	count := 0
 	for _, n := range s.nodes {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -15,6 +15,16 @@
 	borrows      bool
 }
 
+// borrows reports whether the job may run on capacity that the guarantee of
+// another account needs.
+func (j *job) borrows() bool { return j.Job.borrows() && !j.retreated }
+
+func (j *job) key() queueKey {
+	k := keyOf(&j.Job)
+	k.borrows = j.borrows()
+	return k
+}
+
 func keyOf(j *Job) queueKey {
 	return queueKey{
 		class: j.Class, accelerators: j.Accelerators, span: j.Adjacency,
@@ -89,7 +99,7 @@
 }
 
 func (s *Scheduler) enqueue(j *job) {
-	k := keyOf(&j.Job)
+	k := j.key()
 	q := j.account.queues[k]
 	if q == nil {
 		q = &queue{key: k, account: j.account}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -45,8 +45,10 @@
 	claims      []*claim
 	loose       []*block // guaranteed blocks without a place
 	degraded    map[degradedKey]int
-	packed      uint64 // grown when the last repacking failed
-	stopping    int    // evictions in progress
+	beside      map[need]bool // shapes that fit beside all blocks
+	besideAt    uint64        // shape when these were found
+	packed      uint64        // grown when the last repacking failed
+	stopping    int           // evictions in progress
 	quarantined []*node
 	heads       []*queue  // scratch
 	planAt      time.Time // no plan for a reservation before
@@ -73,6 +75,7 @@
 		accounts: map[AccountID]*account{},
 		jobs:     map[JobID]*job{},
 		degraded: map[degradedKey]int{},
+		beside:   map[need]bool{},
 		learned:  newLearner(),
 	}
 	for _, x := range s.indexes() {
--- a/scheduler/shelter.go
+++ b/scheduler/shelter.go
@@ -30,7 +30,7 @@
 	found := false
 	for _, n := range s.nodes {
 		for _, r := range n.runs {
-			if !r.firm || len(r.shares) > 0 || r.state == runStopping || !r.job.borrows() {
+			if !r.firm || len(r.shares) > 0 || r.state == runStopping || !r.job.Job.borrows() {
 				continue
 			}
 			s.soften(r)
@@ -40,6 +40,35 @@
 	return found
 }
 
+// owes reports whether an account misses a block that has no place: it does not
+// run jobs of that size on what its blocks were bound to.
+func (s *Scheduler) owes() bool {
+	missing := map[*account]int{}
+	for _, b := range s.loose {
+		missing[b.account] += b.shape.Accelerators
+	}
+	for a, n := range missing {
+		if n > s.beyond(a) {
+			return true
+		}
+	}
+	return false
+}
+
+// beyond is the size of the jobs of an account that are larger than its blocks and
+// may use what these are bound to.
+func (s *Scheduler) beyond(a *account) int {
+	t := 0
+	for _, n := range s.nodes {
+		for _, r := range n.runs {
+			if r.job.account == a && r.firm && len(r.shares) == 0 && r.job.beyondBlocks() != nil {
+				t += r.on(n.id)
+			}
+		}
+	}
+	return t
+}
+
 func (s *Scheduler) soften(r *run) {
 	r.firm = false
 	for _, p := range r.pieces {
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -16,7 +16,7 @@
 	r := &run{job: j, attempt: j.last, shares: shares, started: s.now}
 	r.firm = len(shares) > 0 || firm
 	j.run = r
-	key := keyOf(&j.Job)
+	key := j.key()
 	for _, p := range at {
 		s.holdPiece(r, p, s.units(&key, s.nodes[p.node]))
 	}
