scheduler: a job larger than its account's blocks gives their place to others'

Cause: such a job may use what its account's unused blocks are bound to, but only where it runs itself. If blocks of others stood on its place and the rest of the site was bound to its own account's blocks, those of the others found no other place, and it waited for ever. A dump of a jam showed a whole rack reserved and idle for 12 minutes that way.

--- a/scheduler/bind.go
+++ b/scheduler/bind.go
@@ -156,6 +156,9 @@
 	}
 	s.reserveFirm(at, 1)
 	s.bindAll(slices.Clone(moved))
+	if own != nil {
+		moved, old = s.giveWay(own, moved, old)
+	}
 	s.reserveFirm(at, -1)
 	for _, b := range moved {
 		if !b.bound() && b.account != own {
@@ -167,6 +170,33 @@
 	return true
 }
 
+// giveWay takes up the unused blocks of an account if blocks of others have no
+// place, so that these may be bound where they were. It returns moved and old with
+// what it took up.
+func (s *Scheduler) giveWay(own *account, moved []*block, old [][]piece) ([]*block, [][]piece) {
+	homeless := func(b *block) bool { return !b.bound() && b.account != own }
+	if !slices.ContainsFunc(moved, homeless) {
+		return moved, old
+	}
+	for _, b := range own.blocks {
+		if b.bound() && b.used == 0 && !slices.Contains(moved, b) {
+			moved = append(moved, b)
+			old = append(old, b.pieces())
+			s.detach(b)
+		}
+	}
+	var rest []*block
+	for _, b := range moved {
+		if homeless(b) {
+			s.bind(b)
+		} else if !b.bound() {
+			rest = append(rest, b)
+		}
+	}
+	s.bindAll(rest)
+	return moved, old
+}
+
 func (s *Scheduler) reserveFirm(at []piece, sign int) {
 	for _, p := range at {
 		n := s.nodes[p.node]
--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -226,3 +226,15 @@
 	b.step(Tick{})
 	b.Assert(b.s.jobs["s"].run.firm, qt.IsTrue)
 }
+
+func TestJobLargerThanItsBlockGivesItToOthers(t *testing.T) {
+	// An account guaranteed 16 submits 24 that must run once, and a rack is idle. It
+	// waits for ever: another account's block is bound there and finds no other
+	// place, since the account's own unused block takes the rest of the site.
+	p := rackAndGuests
+	p.Accounts = append(p.Accounts, AccountPolicy{ID: "other", Guaranteed: []Shape{{8, AdjacentWorker, 2}}})
+	b := newBench(t, p, eight(6)...)
+	b.step(JobRestored{Job: Job{ID: "r", Account: "rival", Accelerators: 8}, Attempt: 1, Placement: Placement{{"w5", []int{0, 1, 2, 3, 4, 5, 6, 7}}}, Started: b.now})
+	b.Assert(b.s.nodeByID["w3"].bound+b.s.nodeByID["w4"].bound, qt.Equals, 16)
+	b.Assert(of[StartGang](b.submit(Job{ID: "o", Account: "owner", Accelerators: 24, Adjacency: AdjacentRack})), qt.HasLen, 1)
+}
