--- a/scheduler/explain_blocked.go
+++ b/scheduler/explain_blocked.go
@@ -92,7 +92,7 @@
 	if s.share(first.account) >= s.share(j.account) {
 		return false
 	}
-	k := keyOf(&first.Job)
+	k := first.key()
 	return first.Accelerators > 0 && first.Accelerators <= j.Accelerators && first.Adjacency <= j.Adjacency &&
 		(first.borrows() || !j.borrows()) && s.plain(&k) && len(first.failed) == 0
 }
