planner, gang, jobs: permits written ahead of need start jobs while the store is out

Cause: a start has to be on record, so in an outage of the store no accepted job starts, however many accelerators come free.

Change: while the store works the planner writes for up to 64 jobs that have waited 2 s (repeatable ones that were never started, urgent first) a permit in place of the record of a start: "the planner of epoch e may have started this on any agents". A start on a permit needs no write; its placement is recorded once it has run 10 s and the store answers. Permits count as "may have started": cancellations by any entry only ask. The holder returns unused permits at the end of its term. A successor that finds one raises the fence at all agents it hears, looks in their reports for the job (gang.Search), goes on with an attempt that all of its members hold, and else starts the job again after the loss timeout, with every agent fenced for Settle. Jobs without permits start at once. While the store is out the scheduler sees only jobs that can be started; nothing is evicted, as before.

Also mended, as permits rest on it: a job of which a task may have run (a start that reached part of its gang, an attempt of a predecessor) could be told "rejected", which claims that it did not run. It ends as failed.

Ruled out: a list of the live agents in each permit (3,400 of them are 70 KB a record, and stale after each restart); a permit that names one attempt (a refused reservation would use it up); permits for jobs that must not run twice (a holder that is gone leaves no proof).

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -161,7 +161,7 @@
 		Reason:    reasonOf(r),
 		Detail:    r.Reason,
 		Result:    r.Result,
-		Placement: placementOf(r.Members),
+		Placement: placementOf(r.Placement()),
 		Submitted: r.Submitted,
 		Started:   r.Started,
 		Ended:     r.Ended,
--- a/gang/coordinator_end.go
+++ b/gang/coordinator_end.go
@@ -34,13 +34,21 @@
 
 func (c *Coordinator) finish() bool {
 	c.phase = phaseEnded
+	outcome := c.outcome()
+	if outcome != Done || !c.config.KeepDone {
+		c.closeAccounts()
+	}
+	c.emitEnded(outcome)
+	return true
+}
+
+// closeAccounts takes notice of the end at the members, which then forget it first.
+func (c *Coordinator) closeAccounts() {
 	for _, p := range c.peers {
 		if p.task.State == StateEnded {
-			c.sendStop(p) // closes the account
+			c.sendStop(p)
 		}
 	}
-	c.emitEnded(c.outcome())
-	return true
 }
 
 // settled returns when a lost member has certainly stopped by isolation.
--- a/gang/plan.go
+++ b/gang/plan.go
@@ -41,6 +41,11 @@
 	// delay of a message added it must be below MemberConfig.Isolation. Zero means
 	// Window.
 	StartWithin time.Duration
+	// KeepDone leaves the members' accounts open when all tasks have succeeded, so
+	// that reports go on listing them. It is for attempts that no record names: a
+	// successor finds the end of the job there until it is on record. Orphan closes
+	// them afterwards.
+	KeepDone bool
 }
 
 func (c Config) startWithin() time.Duration {
--- /dev/null
+++ b/gang/search.go
@@ -0,0 +1,141 @@
+package gang
+
+import (
+	"slices"
+	"time"
+)
+
+// Witness is what a successor knows of an agent that it hears.
+type Witness struct {
+	Agent       string
+	Incarnation uint64
+	// Fenced is when the incarnation first reported the successor's epoch as its
+	// fence, zero if it has not yet.
+	Fenced time.Time
+	// Tasks are those of the last report.
+	Tasks []Task
+}
+
+// SearchConfig is the timing of a Search.
+type SearchConfig struct {
+	// Wait is the loss timeout.
+	Wait time.Duration
+	// Settle is Config.Settle.
+	Settle time.Duration
+}
+
+// Search is a successor's look at all agents for what its predecessors started on
+// permits, which name no members. It is made from the reports of one moment.
+//
+// The failure it guards against: the planner that holds a permit starts the job in
+// an outage of the store and dies, or is cut off from its successor. No record says
+// where the job runs, so the successor would start it beside the first run, or
+// beside a part of it that runs on alone.
+type Search struct {
+	config SearchConfig
+	now    time.Time
+	fenced bool // all agents, for Settle
+	found  map[string][]remains
+}
+
+// remains is what the agents hold of one attempt.
+type remains struct {
+	plan  Plan
+	size  int // of the gang
+	whole bool
+}
+
+// Verdict is what a Search says of a permit.
+type Verdict uint8
+
+// Verdicts of a Search.
+const (
+	// Waiting: the job may be running somewhere; its tasks must be left alone.
+	Waiting Verdict = iota
+	// Adoptable: the returned plan is an attempt that all of its members hold.
+	Adoptable
+	// Incomplete: part of an attempt is left and the rest is not coming. Its tasks
+	// have to be stopped.
+	Incomplete
+	// Vanished: no agent that can be reached holds anything of the job or will
+	// start it, and what the others may hold does not run partially. The job may
+	// have run: this is no proof that it did not.
+	Vanished
+)
+
+// NewSearch looks at all agents that are not lost.
+func NewSearch(c SearchConfig, now time.Time, agents []Witness) *Search {
+	s := &Search{config: c, now: now, fenced: true, found: make(map[string][]remains)}
+	for _, w := range agents {
+		if w.Fenced.IsZero() || now.Sub(w.Fenced) < c.Settle {
+			s.fenced = false
+		}
+		for _, t := range w.Tasks {
+			s.add(w, t)
+		}
+	}
+	return s
+}
+
+// add enters a task. A reservation is none: it expires, and with the fence up it
+// can't be committed. Accounts from before the fence may still change and count
+// only as something that is there.
+func (s *Search) add(w Witness, t Task) {
+	if t.State == StateReserved && !w.Fenced.IsZero() {
+		return
+	}
+	all := s.found[t.ID.Job]
+	i := slices.IndexFunc(all, func(r remains) bool { return r.plan.ID == t.ID })
+	if i < 0 {
+		i = len(all)
+		all = append(all, remains{plan: Plan{ID: t.ID}, size: t.Members, whole: true})
+	}
+	r := &all[i]
+	r.plan.Members = append(r.plan.Members, Placed{
+		Agent:        w.Agent,
+		Incarnation:  w.Incarnation,
+		Accelerators: t.Accelerators,
+	})
+	held := peer{task: t}
+	r.whole = r.whole && !w.Fenced.IsZero() && held.reached(StateCommitted)
+	s.found[t.ID.Job] = all
+}
+
+// Resolve says what is known of a job with a permit of the epoch that the
+// successor has looked for since began.
+//
+// It waits for the loss timeout, so that agents which it never heard are lost to
+// it, and until every agent it hears has refused its predecessors for Settle. A
+// gang with a member among these is then whole and listed, or has stopped by
+// isolation: its planner has heard of the fence, or no longer hears the member.
+// A gang with no member among them can still run, whole, which is what repeatable
+// jobs allow.
+func (s *Search) Resolve(job string, epoch uint64, began time.Time) (Verdict, Plan) {
+	var best *remains
+	left := false
+	for i := range s.found[job] {
+		r := &s.found[job][i]
+		if r.plan.ID.Epoch != epoch {
+			continue
+		}
+		left = true
+		if r.whole && len(r.plan.Members) == r.size && (best == nil || r.plan.ID.Compare(best.plan.ID) > 0) {
+			best = r
+		}
+	}
+	switch {
+	case best != nil:
+		return Adoptable, best.plan
+	case s.now.Sub(began) < s.config.Wait || !s.fenced:
+		return Waiting, Plan{}
+	case left:
+		return Incomplete, Plan{}
+	}
+	return Vanished, Plan{}
+}
+
+// Fence returns a message that raises the fence of an agent and concerns no job:
+// planners with lower epochs can't start anything there after it.
+func Fence(epoch, incarnation uint64) Seal {
+	return Seal{Header: Header{ID: ID{Epoch: epoch}, Sender: epoch, Incarnation: incarnation}}
+}
--- /dev/null
+++ b/gang/search_test.go
@@ -0,0 +1,83 @@
+package gang
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The planner that holds a permit of job "j" started it on agents "a" and "b" and
+// is gone. Each row is what its successor hears at some moment and may conclude.
+//
+// The failures behind the rows: an agent that has not refused the predecessor yet
+// may be told to start a moment later. One that refused only just now may be a
+// member of a gang whose other members run on until isolation, and may have lost
+// its own account in a restart. Part of a gang must not be taken for all of it.
+func TestSearch(t *testing.T) {
+	const wait, settle = 20 * time.Second, 15 * time.Second
+	began := time.Unix(1000, 0)
+	id := ID{Job: "j", Epoch: 1, Number: 7}
+	running := Task{ID: id, State: StateRunning, Members: 2, Committed: true, Started: true}
+	with := func(s State, r Result) Task {
+		task := running
+		task.State, task.Result = s, r
+		return task
+	}
+	agent := func(name string, fenced time.Duration, tasks ...Task) Witness {
+		return Witness{Agent: name, Incarnation: 1, Fenced: began.Add(fenced), Tasks: tasks}
+	}
+	unfenced := func(name string, tasks ...Task) Witness {
+		return Witness{Agent: name, Incarnation: 1, Tasks: tasks}
+	}
+	for name, row := range map[string]struct {
+		after  time.Duration
+		agents []Witness
+		want   Verdict
+	}{
+		"whole":                    {time.Second, []Witness{agent("a", 0, running), agent("b", 0, running)}, Adoptable},
+		"whole, one done":          {time.Second, []Witness{agent("a", 0, with(StateEnded, Succeeded)), agent("b", 0, running)}, Adoptable},
+		"whole, not yet started":   {time.Second, []Witness{agent("a", 0, with(StateCommitted, NoResult)), agent("b", 0, with(StateCommitted, NoResult))}, Adoptable},
+		"whole, one not fenced":    {time.Second, []Witness{agent("a", 0, running), unfenced("b", running)}, Waiting},
+		"part of it, too early":    {wait - 1, []Witness{agent("a", 0, running)}, Waiting},
+		"part of it":               {wait, []Witness{agent("a", 0, running)}, Incomplete},
+		"one failed":               {wait, []Witness{agent("a", 0, running), agent("b", 0, with(StateEnded, TaskFailed))}, Incomplete},
+		"one only reserved":        {wait, []Witness{agent("a", 0, running), agent("b", 0, with(StateReserved, NoResult))}, Incomplete},
+		"nothing, too early":       {wait - 1, []Witness{agent("a", 0), agent("b", 0)}, Waiting},
+		"nothing, one not fenced":  {time.Hour, []Witness{agent("a", 0), unfenced("b")}, Waiting},
+		"nothing, one just fenced": {wait, []Witness{agent("a", 0), agent("b", wait-settle+1)}, Waiting},
+		"nothing":                  {wait, []Witness{agent("a", 0), agent("b", wait-settle)}, Vanished},
+		"only reserved":            {wait, []Witness{agent("a", 0, with(StateReserved, NoResult))}, Vanished},
+		"nobody there":             {wait, nil, Vanished},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := NewSearch(SearchConfig{Wait: wait, Settle: settle}, began.Add(row.after), row.agents)
+			verdict, plan := s.Resolve("j", 1, began)
+			c.Check(verdict, qt.Equals, row.want)
+			if verdict == Adoptable {
+				c.Check(plan.ID, qt.Equals, id)
+				c.Check(plan.Members, qt.HasLen, 2)
+			}
+			other, _ := s.Resolve("j", 2, began)
+			c.Check(other == Waiting || other == Vanished, qt.IsTrue)
+		})
+	}
+}
+
+// Two attempts on one permit: the first was given up, and an account of it is left.
+// The successor goes on with the last one.
+func TestSearchTakesTheLastAttempt(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	task := func(number uint64) Task {
+		return Task{ID: ID{Job: "j", Epoch: 1, Number: number}, State: StateCommitted, Members: 1}
+	}
+	s := NewSearch(SearchConfig{}, now, []Witness{
+		{Agent: "a", Incarnation: 1, Fenced: now, Tasks: []Task{task(9)}},
+		{Agent: "b", Incarnation: 1, Fenced: now, Tasks: []Task{task(8)}},
+	})
+	verdict, plan := s.Resolve("j", 1, now)
+	c.Assert(verdict, qt.Equals, Adoptable)
+	c.Assert(plan.ID.Number, qt.Equals, uint64(9))
+}
--- a/metrics/counter.go
+++ b/metrics/counter.go
@@ -18,6 +18,12 @@
 	JobsEvicted
 	// GangsStarted counts gangs started on all their members.
 	GangsStarted
+	// PermitsWritten counts permits to start a job without a write to the store.
+	PermitsWritten
+	// PermitsUsed counts attempts that were started on one.
+	PermitsUsed
+	// PermitsReturned counts permits given back unused at the end of a term.
+	PermitsReturned
 	// GangsAborted counts gangs given up before all members started.
 	GangsAborted
 	// ReservationsRefused counts reservations that an agent refused.
@@ -42,6 +48,9 @@
 	JobsAccepted:         {"jobs_accepted", "jobs", "made safe in the store"},
 	JobsEvicted:          {"jobs_evicted", "jobs", "running, and stopped to give capacity to others"},
 	GangsStarted:         {"gangs_started", "gangs", "started on all their members"},
+	PermitsWritten:       {"permits_written", "jobs", "allowed to start without a write to the store"},
+	PermitsUsed:          {"permits_used", "attempts", "started without a write to the store"},
+	PermitsReturned:      {"permits_returned", "jobs", "allowed to start, and given back at the end of a planner's term"},
 	GangsAborted:         {"gangs_aborted", "gangs", "given up before all members started"},
 	ReservationsRefused:  {"reservations_refused", "reservations", "refused by an agent"},
 	DocumentsApplied:     {"documents_applied", "generations", "put in force"},
--- a/planner/attempt_end.go
+++ b/planner/attempt_end.go
@@ -26,6 +26,7 @@
 		p.cfg.Metrics.Add(metrics.ReservationsRefused, 1)
 	}
 	if e.Outcome == gang.NotStarted {
+		j.permit.used = false
 		p.cfg.Metrics.Add(metrics.GangsAborted, 1)
 		fault := p.atFault(e)
 		p.mayHold(members)
@@ -33,6 +34,7 @@
 		p.afterNotStarted(j, e)
 		return
 	}
+	j.ran = true
 	switch {
 	case e.Outcome == gang.Done:
 		p.end(j, jobs.Done, "")
@@ -95,6 +97,6 @@
 	case j.stored.State.Ended():
 		p.forget(j, j.stored)
 	case e.Cause == gang.CauseConflict && p.startedElsewhere(j):
-		p.resumeJob(j)
+		p.takeOver(j)
 	}
 }
--- a/planner/config.go
+++ b/planner/config.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// gangConfig is that of an attempt of the job.
+func (p *Planner) gangConfig(j *job) gang.Config {
+	c := gangConfig(p.cfg.Epoch, p.doc.Document.Gang)
+	c.KeepDone = j.stored.Permitted()
+	return c
+}
+
 func window(g document.Gang) time.Duration {
 	return (g.LossTimeout.Duration - g.IsolationTimeout.Duration - stopAllowance) / 2
 }
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -62,7 +62,7 @@
 	j.attempt = a.Attempt
 	j.decided = j.stored.Rev
 	j.phase = Starting
-	p.attach(j, gang.New(gangConfig(p.cfg.Epoch, p.doc.Document.Gang), plan))
+	p.attach(j, gang.New(p.gangConfig(j), plan))
 	p.post0(func() { p.coordinate(j, gang.Begin{}) })
 }
 
@@ -86,9 +86,9 @@
 }
 
 // plan turns a placement into a plan for the agents. False: a worker is not
-// known here, or the job is already ending.
+// known here, the job is already ending, or its start can't be recorded now.
 func (p *Planner) plan(j *job, a scheduler.StartGang) (gang.Plan, bool) {
-	if j == nil || j.coord != nil || j.ending != nil {
+	if j == nil || j.coord != nil || j.ending != nil || p.storeOut && !p.usable(j) {
 		return gang.Plan{}, false
 	}
 	p.number++
@@ -151,7 +151,7 @@
 // giveUp ends a job that the scheduler will not start again.
 func (p *Planner) giveUp(a scheduler.RejectJob) {
 	j := p.jobs[string(a.Job)]
-	if j == nil {
+	if j == nil || j.withheld {
 		return
 	}
 	if j.limit != nil && a.Reason == scheduler.RejectCancelled {
@@ -174,7 +174,10 @@
 			return jobs.Unknown
 		}
 		return jobs.Failed
-	default:
-		return jobs.Rejected
 	}
+	// Rejected says that the job did not run.
+	if j.mayHaveRun() {
+		return jobs.Failed
+	}
+	return jobs.Rejected
 }
--- a/planner/end.go
+++ b/planner/end.go
@@ -24,10 +24,18 @@
 	if s == jobs.Done || s == jobs.Failed {
 		final.Result = j.result()
 	}
+	if j.stored.Permitted() {
+		p.closePermit(j, &final)
+	}
 	j.ending = &final
 	p.writeEnd(j, final)
 }
 
+// endCancelled ends a job that was cancelled while no attempt of it was made.
+func (p *Planner) endCancelled(j *job) {
+	p.end(j, jobs.Cancelled, "cancelled by the caller")
+}
+
 // result is the list of what the members returned.
 func (j *job) result() json.RawMessage {
 	parts := make([]json.RawMessage, 0, len(j.last.Members))
@@ -60,6 +68,7 @@
 }
 
 func (p *Planner) endWritten(j *job, got jobs.Stored, err error) {
+	p.noteStore(err)
 	switch {
 	case err == nil:
 		p.forget(j, got)
@@ -80,12 +89,24 @@
 		p.forget(j, got)
 	case p.outranked(got):
 	default:
+		if p.otherStarted(got) {
+			mayHaveRun(j.ending, got)
+		}
 		j.ending.Rev = got.Rev
 		j.ending.CancelRequested = got.CancelRequested
 		p.writeEnd(j, *j.ending)
 	}
 }
 
+// mayHaveRun takes the claim that the job did not run out of a final record: an
+// earlier planner has recorded a start or a permit meanwhile.
+func mayHaveRun(final *jobs.Stored, got jobs.Stored) {
+	final.Attempt = max(final.Attempt, got.Attempt)
+	if final.State == jobs.Rejected {
+		final.State = jobs.Failed
+	}
+}
+
 // forget drops a job whose end is on record.
 func (p *Planner) forget(j *job, final jobs.Stored) {
 	if p.jobs[final.ID] != j {
--- a/planner/follow.go
+++ b/planner/follow.go
@@ -102,20 +102,22 @@
 	}
 	j := &job{stored: r, begun: true}
 	p.jobs[r.ID] = j
-	p.resumeJob(j)
+	p.takeOver(j)
 	p.cancelIfAsked(j)
 }
 
-// resumeJob resolves the attempt that the job's record names with its agents.
-func (p *Planner) resumeJob(j *job) {
+// resumeJob resolves an attempt with its agents: the one that the job's record
+// names, or that a search has found.
+func (p *Planner) resumeJob(j *job, plan gang.Plan) {
 	r := j.stored
 	j.phase = Starting
+	j.held, j.withheld = false, false
 	j.attempt = scheduler.Attempt(r.Attempt)
-	p.attach(j, gang.Resume(gangConfig(p.cfg.Epoch, p.doc.Document.Gang), planOf(r.Record)))
+	p.attach(j, gang.Resume(p.gangConfig(j), plan))
 	p.decide(scheduler.JobRestored{
 		Job:       schedulerJob(r.Record, p.doc.Document),
 		Attempt:   j.attempt,
-		Placement: placementOf(r.Record),
+		Placement: placementOf(plan),
 		Started:   r.Started,
 	})
 	p.coordinate(j, gang.Begin{})
@@ -126,7 +128,11 @@
 // start, because a record's revision guards the job, not the duty. That attempt
 // may run; it has to be resolved before the job starts again.
 func (p *Planner) startedElsewhere(j *job) bool {
-	return j.stored.State == jobs.Starting && j.stored.Epoch != p.cfg.Epoch
+	return p.otherStarted(j.stored)
+}
+
+func (p *Planner) otherStarted(r jobs.Stored) bool {
+	return r.State == jobs.Starting && r.Epoch != p.cfg.Epoch
 }
 
 // changed takes a later form of a record that is known: mostly our own writes
@@ -139,17 +145,17 @@
 	if p.outranked(r) {
 		return
 	}
-	restore := j.stored.Restore
-	j.stored = r
-	if len(restore) > 0 {
-		j.stored.Restore = restore
-	}
+	j.replace(r)
 	if r.State.Ended() {
 		p.endedElsewhere(j, r)
 		return
 	}
-	if j.coord == nil && p.startedElsewhere(j) {
-		p.resumeJob(j)
+	if r.State == jobs.Queued && j.held {
+		p.unhold(j)
+		return
+	}
+	if j.coord == nil && j.ending == nil && p.startedElsewhere(j) {
+		p.takeOver(j)
 	}
 	p.cancelIfAsked(j)
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -31,7 +31,23 @@
 	timer   *time.Timer       // of the coordinator
 	// last is how the last attempt ended; it decides between failed and unknown
 	// when the scheduler gives the job up.
-	last gang.Ended
+	last   gang.Ended
+	permit permit
+	// placed is the plan of the last attempt on a permit, by this planner or found
+	// by its search.
+	placed gang.Plan
+	// withheld: the scheduler does not know the job for now.
+	withheld bool
+	// held: the record is a permit of another planner, and it is not known yet what
+	// was started on it. Since heldAt, by clock.Now.
+	held   bool
+	heldAt time.Time
+	// incomplete: what is left of an attempt on that permit has to be stopped.
+	incomplete bool
+	// cleared: the search found nothing of it.
+	cleared bool
+	// ran is set once an attempt may have started, as far as anyone can prove.
+	ran bool
 	// begun is set with the first start, for the waiting time.
 	begun bool
 	// failures counts attempts that the job itself failed.
@@ -42,6 +58,28 @@
 	ending *jobs.Stored
 }
 
+// waits says whether the job is accepted and no attempt of it is being made.
+func (j *job) waits() bool {
+	return j.phase == Queued && j.coord == nil && j.ending == nil
+}
+
+// mayHaveRun says whether a task of the job may ever have started. Nobody may be
+// told then that it did not run.
+func (j *job) mayHaveRun() bool { return j.begun || j.ran || j.permit.used }
+
+// replace takes a later form of the record, but for what this planner knows better.
+func (j *job) replace(r jobs.Stored) {
+	old := j.stored
+	j.stored = r
+	if len(old.Restore) > 0 {
+		j.stored.Restore = old.Restore
+	}
+	if r.Permitted() {
+		j.stored.Attempt = max(r.Attempt, old.Attempt)
+		j.stored.Started = old.Started
+	}
+}
+
 func (j *job) members() []jobs.Member {
 	if j.coord == nil {
 		return nil
@@ -74,9 +112,9 @@
 	return p
 }
 
-func placementOf(r jobs.Record) scheduler.Placement {
+func placementOf(plan gang.Plan) scheduler.Placement {
 	var p scheduler.Placement
-	for _, m := range r.Members {
+	for _, m := range plan.Members {
 		p = append(p, scheduler.Grant{Worker: scheduler.WorkerID(m.Agent), Accelerators: m.Accelerators})
 	}
 	return p
--- a/planner/limits.go
+++ b/planner/limits.go
@@ -39,7 +39,7 @@
 
 func limitOf(j *job, c *document.Class, now time.Time) *limit {
 	switch {
-	case now.Sub(j.stored.Submitted) > c.Deadline.Duration && j.phase == Queued && !j.begun:
+	case now.Sub(j.stored.Submitted) > c.Deadline.Duration && j.phase == Queued && !j.mayHaveRun():
 		return &limit{jobs.Rejected, reasonDeadline}
 	case now.Sub(j.stored.Submitted) > c.Deadline.Duration:
 		return &limit{jobs.Failed, reasonDeadline}
@@ -53,6 +53,10 @@
 // job then ends as the limit says and not as cancelled.
 func (p *Planner) stopAtLimit(j *job, l *limit) {
 	j.limit = l
+	if j.withheld {
+		p.end(j, l.state, l.reason)
+		return
+	}
 	p.withdraw(j.stored.ID)
 }
 
--- /dev/null
+++ b/planner/permit_test.go
@@ -0,0 +1,340 @@
+package planner
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
+)
+
+// all is so many of the accelerators of allWorkers that no two such jobs run at
+// once, and none beside the job that must not run twice.
+const all = 48
+
+// The store is out for longer than any timeout, and a running gang ends. A job
+// accepted before, which may run twice, starts at once on the accelerators that
+// came free, although some that must not run twice wait ahead of it; those
+// wait for the store. Each runs once and ends once.
+func TestPermittedJobStartsInAnOutage(t *testing.T) {
+	b := newBench(t)
+	for i := range b.held.Document.Accounts {
+		b.held.Document.Accounts[i].Guaranteed = nil // nothing is evicted for one
+	}
+	agents := newFakeAgents(allWorkers...)
+	p := b.planner(1, agents)
+	report := func() { agents.report(p) }
+	b.accept("runs", all, true)
+	b.eventually("the first runs", report, func() bool { return agents.whole("runs") })
+	others := []string{"settlement", "1", "2", "3", "4", "5", "6", "7"}
+	for _, id := range others {
+		b.acceptEarlier(id, 24, false)
+	}
+	b.acceptEarlier("waits", all, true)
+	b.eventually("one has a permit", report, func() bool { return b.permitted("waits") })
+
+	b.server.SetFaults(standin.Faults{Down: standin.DownRefuse})
+	agents.finish()
+	b.eventually("the next runs", report, func() bool { return agents.whole("waits") })
+	for _, id := range others {
+		b.c.Assert(agents.startsOf(id), qt.Equals, 0)
+	}
+	agents.finish()
+	b.server.SetFaults(standin.Faults{})
+	b.eventually("both ends are on record", report, func() bool {
+		return b.state("runs") == jobs.Done && b.state("waits") == jobs.Done
+	})
+	b.eventually("the other one runs", report, func() bool { return agents.whole2("settlement", 3) })
+	b.c.Assert(agents.startsOf("runs"), qt.Equals, all/8)
+	b.c.Assert(agents.startsOf("waits"), qt.Equals, all/8)
+}
+
+// The store is out, a job starts on its permit, and the planner's entry dies. No
+// record says where the job runs, or that it is done. The successor must find it
+// with the agents: to start it again would run it beside itself.
+func TestSuccessorFindsWhatStartedOnAPermit(t *testing.T) {
+	for _, done := range []bool{false, true} {
+		b := newBench(t)
+		agents := newFakeAgents(allWorkers...)
+		first := b.planner(1, agents)
+		report := func() { agents.report(first) }
+		b.startInOutage(first, agents)
+		if done {
+			agents.finish()
+			b.eventually("its planner knows the end", report, func() bool {
+				s, ok := first.Status(context.Background(), "waits")
+				return ok && s.Phase == Running && len(s.Members) == 0
+			})
+		}
+		first.Stop()
+		b.server.SetFaults(standin.Faults{})
+
+		second := b.planner(2, agents)
+		report = func() { agents.report(second) }
+		if !done {
+			b.eventually("its placement is on record", report, func() bool {
+				return b.state("waits") == jobs.Starting && !b.permitted("waits")
+			})
+			agents.finish()
+		}
+		b.eventually("its end is on record", report, func() bool { return b.state("waits") == jobs.Done })
+		b.c.Assert(agents.startsOf("waits"), qt.Equals, all/8)
+	}
+}
+
+// The planner is cut off from the store. A caller cancels a waiting job through
+// another entry; the planner, which can't know, starts it. The caller must not be
+// told that it did not run. When the cut is over the job is stopped and ends as
+// cancelled, once.
+func TestCancelWhileThePlannerIsCutOff(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents(allWorkers...)
+	p, cut := b.cutPlanner(1, agents)
+	report := func() { agents.report(p) }
+	b.fill(p, agents)
+	cut.Store(true)
+	got, err := b.jobs.Cancel(context.Background(), "dispatch", "waits", time.Now())
+	b.c.Assert(err, qt.IsNil)
+	b.c.Check(got.State, qt.Equals, jobs.Starting)
+	agents.finish()
+	b.eventually("the job runs", report, func() bool { return agents.whole("waits") })
+
+	cut.Store(false)
+	b.eventually("it is cancelled", report, func() bool { return b.state("waits") == jobs.Cancelled })
+	b.c.Assert(agents.runs("waits"), qt.Equals, 0)
+	final, err := b.jobs.Get(context.Background(), "dispatch", "waits")
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(final.Attempt, qt.Not(qt.Equals), uint64(0)) // 0 claims that it did not run
+}
+
+// A caller cancels a waiting job that has a permit. Its planner knows that it has
+// not started it and says so: the caller may safely submit it elsewhere.
+func TestHolderTellsThatAPermitWasNotUsed(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents(allWorkers...)
+	p := b.planner(1, agents)
+	b.fill(p, agents)
+	_, err := b.jobs.Cancel(context.Background(), "dispatch", "waits", time.Now())
+	b.c.Assert(err, qt.IsNil)
+	b.eventually("it is cancelled", func() { agents.report(p) }, func() bool { return b.state("waits") == jobs.Cancelled })
+	final, err := b.jobs.Get(context.Background(), "dispatch", "waits")
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(final.Attempt, qt.Equals, uint64(0))
+	b.c.Assert(final.Members, qt.HasLen, 0)
+}
+
+// The planner's entry is stopped as planned. The successor must not wait for the
+// loss timeout before it starts jobs whose permits were never used: an urgent one
+// would be late at each rolling update.
+func TestPlannedStopReturnsPermits(t *testing.T) {
+	b := newBench(t)
+	b.held.Document.Gang.LossTimeout.Duration = time.Hour
+	agents := newFakeAgents(allWorkers...)
+	first := b.planner(1, agents)
+	b.fill(first, agents)
+	first.Stop()
+	b.c.Assert(b.state("waits"), qt.Equals, jobs.Queued)
+
+	second := b.planner(2, agents)
+	agents.finish()
+	b.eventually("it runs", func() { agents.report(second) }, func() bool { return agents.whole("waits") })
+}
+
+// The planner's entry dies with a permit out that it has not used. The successor
+// can't know that, and starts the job once its agents refuse the predecessor and
+// what could run elsewhere is lost or isolated. Jobs without permits start at once.
+func TestSuccessorWaitsWithAnUnusedPermit(t *testing.T) {
+	b := newBench(t)
+	b.held.Document.Gang.LossTimeout.Duration = time.Hour
+	agents := newFakeAgents(allWorkers...)
+	first, cut := b.cutPlanner(1, agents)
+	b.fill(first, agents)
+	cut.Store(true)
+	first.Stop()
+	b.c.Assert(b.permitted("waits"), qt.IsTrue)
+	agents.finish()
+
+	second := b.planner(2, agents)
+	report := func() { agents.report(second) }
+	b.eventually("all agents refuse the first", report, func() bool { return agents.fenced(2) })
+	for _, id := range []string{"later", "last"} {
+		b.accept(id, 16, true)
+		b.eventually(id+" runs", report, func() bool { return agents.whole2(id, 2) })
+		agents.finish()
+	}
+	b.c.Assert(agents.startsOf("waits"), qt.Equals, 0)
+
+	brief := *b.held.Document
+	brief.Gang.IsolationTimeout.Duration = 500 * time.Millisecond
+	brief.Gang.LossTimeout.Duration = 4 * time.Second
+	second.SetDocument(&document.Held{Document: &brief, Version: b.held.Version})
+	b.eventually("it runs", report, func() bool { return agents.whole("waits") })
+	b.c.Assert(agents.startsOf("waits"), qt.Equals, all/8)
+}
+
+// The planner records where a job runs that it started on a permit. The store goes
+// out in that moment, and nobody knows whether the write took effect. Then the
+// attempt is lost. Another one on the permit would run unseen: a successor that
+// reads the placement resolves the first attempt and starts the job beside it.
+func TestPlacementEndsThePermit(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents(allWorkers...)
+	p := b.planner(1, agents)
+	report := func() { agents.report(p) }
+	b.fill(p, agents)
+	others := []string{"third", "fourth"}
+	for _, id := range others {
+		b.acceptEarlier(id, all, true)
+		b.eventually(id+" has a permit", report, func() bool { return b.permitted(id) })
+	}
+	agents.finish()
+	b.eventually("the second runs", report, func() bool { return agents.whole("waits") })
+	b.server.SetFaults(standin.Faults{Down: standin.DownRefuse})
+	p.post(func() { p.jobs["waits"].stored.Started = time.Now().Add(-placeAfter) })
+	b.eventually("its placement is being written", report, func() bool { return p.isVoid("waits") })
+
+	agents.endAll(gang.TaskLost)
+	for _, id := range others {
+		b.eventually(id+" runs", report, func() bool { return agents.whole(id) })
+		agents.finish()
+	}
+	b.c.Assert(agents.startsOf("waits"), qt.Equals, all/8)
+	b.server.SetFaults(standin.Faults{})
+	b.eventually("the second runs again", report, func() bool { return agents.whole("waits") })
+}
+
+func (p *Planner) isVoid(id string) bool {
+	void := make(chan bool, 1)
+	p.post(func() { void <- p.jobs[id].permit.void })
+	return <-void
+}
+
+// startInOutage leaves the job "waits" running on its permit in an outage.
+func (b *bench) startInOutage(p *Planner, agents *fakeAgents) {
+	b.fill(p, agents)
+	b.server.SetFaults(standin.Faults{Down: standin.DownRefuse})
+	report := func() { agents.report(p) }
+	agents.finish()
+	b.eventually("the job runs", report, func() bool { return agents.whole("waits") })
+}
+
+// fill leaves the job "runs" running and "waits" behind it with a permit.
+func (b *bench) fill(p *Planner, agents *fakeAgents) {
+	report := func() { agents.report(p) }
+	b.accept("runs", all, true)
+	b.eventually("the first runs", report, func() bool { return agents.whole("runs") })
+	b.acceptEarlier("waits", all, true)
+	b.eventually("the next has a permit", report, func() bool { return b.permitted("waits") })
+}
+
+func (b *bench) permitted(id string) bool {
+	r, err := b.jobs.Get(context.Background(), "dispatch", id)
+	return err == nil && r.Permitted()
+}
+
+func (f *fakeAgents) whole(job string) bool { return f.whole2(job, all/8) }
+
+func (f *fakeAgents) whole2(job string, members int) bool { return f.runs(job) == members }
+
+// runs is how many members of the job run.
+func (f *fakeAgents) runs(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.members {
+		for _, t := range m.Tasks() {
+			if t.ID.Job == job && t.State.String() == "running" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// cutStore loses all calls while it is cut.
+type cutStore struct {
+	platform.Store
+	cut *atomic.Bool
+}
+
+func (s cutStore) Get(ctx context.Context, key string) (platform.KeyValue, bool, error) {
+	if s.cut.Load() {
+		return platform.KeyValue{}, false, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s cutStore) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+	if s.cut.Load() {
+		return platform.Snapshot{}, platform.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s cutStore) Commit(ctx context.Context, swaps []platform.Swap) ([]platform.SwapResult, error) {
+	if s.cut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return s.Store.Commit(ctx, swaps)
+}
+
+func (s cutStore) Watch(ctx context.Context, prefix string, from platform.Revision, deliver func(platform.WatchBatch)) error {
+	if s.cut.Load() {
+		return platform.ErrUnavailable
+	}
+	ctx, lose := context.WithCancel(ctx)
+	defer lose()
+	return s.Store.Watch(ctx, prefix, from, func(b platform.WatchBatch) {
+		if s.cut.Load() {
+			lose()
+			return
+		}
+		deliver(b)
+	})
+}
+
+// cutPlanner is a planner that can be cut off from the store.
+func (b *bench) cutPlanner(epoch uint64, agents *fakeAgents) (*Planner, *atomic.Bool) {
+	own := *b
+	cut := new(atomic.Bool)
+	store := cutStore{b.store, cut}
+	swaps := platform.NewBatcher(store, 0)
+	b.c.Cleanup(swaps.Close)
+	own.store = store
+	own.jobs = jobs.NewStore("r", store, swaps)
+	return own.planner(epoch, agents), cut
+}
+
+// A gang's start reached one of its two members, and the attempt was given up. The
+// job waits again until its class's deadline passes, or turns out to fit nowhere.
+// Its caller must not be told "rejected", which says that it did not run.
+func TestJobThatMayHaveRunIsNotRejected(t *testing.T) {
+	b := newBench(t)
+	p := b.planner(1, newFakeAgents())
+	b.accept("j", 16, true)
+	b.eventually("the job is known", func() {}, func() bool {
+		_, ok := p.Status(context.Background(), "j")
+		return ok
+	})
+	done := make(chan struct{})
+	p.post(func() {
+		defer close(done)
+		j := p.jobs["j"]
+		class, _ := p.doc.Document.Class(j.stored.Spec.Class)
+		late := time.Now().Add(2 * class.Deadline.Duration)
+		b.c.Check(limitOf(j, class, late).state, qt.Equals, jobs.Rejected)
+		p.attach(j, gang.New(p.gangConfig(j), gang.Plan{ID: gang.ID{Job: "j", Epoch: 1, Number: 1}}))
+		p.attemptEnded(j, gang.Ended{Outcome: gang.Stopped})
+		b.c.Check(limitOf(j, class, late).state, qt.Equals, jobs.Failed)
+		b.c.Check(finalState(scheduler.RejectTooLarge, j), qt.Equals, jobs.Failed)
+	})
+	<-done
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -28,8 +28,10 @@
 	recent  *lru.Cache[string, jobs.Stored]
 	number  uint64 // of the last attempt under this epoch
 	rebuilt bool   // all records have been read
-	over    bool   // superseded: nothing is touched any more
-	wake    *time.Timer
+	// storeOut: the store did not answer the last write or probe.
+	storeOut bool
+	over     bool // superseded: nothing is touched any more
+	wake     *time.Timer
 
 	whole atomic.Pointer[wholeAttempts]
 	stats atomic.Pointer[scheduler.Stats]
@@ -91,6 +93,7 @@
 
 func (p *Planner) loop() error {
 	defer p.wake.Stop()
+	defer p.returnPermits()
 	ticker := time.NewTicker(housekeeping)
 	defer ticker.Stop()
 	p.decide(scheduler.PolicyChanged{Policy: policyOf(p.doc)})
@@ -116,7 +119,11 @@
 
 func (p *Planner) housekeep(now time.Time) {
 	p.loseSilent(now)
+	p.resolveHeld(now)
 	p.enforce(time.Now())
+	p.withholdUnpermitted()
+	p.writePermits(time.Now())
+	p.placeRunning(time.Now())
 	p.publishWhole(now)
 	stats := p.sched.Stats()
 	p.stats.Store(&stats)
--- a/planner/record.go
+++ b/planner/record.go
@@ -24,6 +24,10 @@
 		p.post0(func() { p.recordedAs(j, plan.ID, result) })
 		return
 	}
+	if p.usable(j) {
+		p.startOnPermit(j, plan)
+		return
+	}
 	next := j.stored
 	next.State = jobs.Starting
 	next.Attempt = uint64(j.attempt)
@@ -41,6 +45,7 @@
 }
 
 func (p *Planner) recorded(j *job, id gang.ID, got jobs.Stored, err error) {
+	p.noteStore(err)
 	if j.coord == nil || j.coord.Plan().ID != id {
 		return
 	}
@@ -53,6 +58,11 @@
 		// An earlier try of this write took effect after its reply was lost.
 		result = gang.RecordWritten
 		j.stored = got
+	case eris.Is(err, jobs.ErrConflict) && p.ownPermit(got.Record) && !got.CancelRequested:
+		// A permit whose write had an unknown outcome. It counts if it still may.
+		p.keep(j, got, j.decided)
+		p.record(j, j.coord.Plan())
+		return
 	case eris.Is(err, jobs.ErrConflict), eris.Is(err, jobs.ErrNotFound):
 		result = gang.RecordConflict
 		p.adoptRecord(j, got, err)
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -27,6 +27,9 @@
 	jobs map[string]*job // with a coordinator that has a member here
 	// holds is until when it may hold accelerators for an attempt given up.
 	holds time.Time
+	// fenced is when it first reported this planner's epoch as its fence, zero if it
+	// has not; fenceSent is when it was last sent one for that.
+	fenced, fenceSent time.Time
 }
 
 // Observe takes the report of an agent. It is safe for concurrent use.
@@ -59,6 +62,7 @@
 	}
 	before, wasUp := w.seen, w.up
 	w.seen, w.up = s, true
+	w.noteFence(before, p.cfg.Epoch)
 	p.tellScheduler(before, wasUp, s)
 	p.tellCoordinators(id, w)
 	p.stopOrphans(id, w)
@@ -94,6 +98,7 @@
 		return
 	}
 	for _, t := range w.seen.Tasks {
+		p.holdAgain(t)
 		if p.accounted(id, t) {
 			continue
 		}
@@ -111,6 +116,9 @@
 	if j.coord != nil {
 		return j.coord.Plan().ID == t.ID
 	}
+	if j.stored.Permitted() {
+		return accountedOnPermit(j, t.ID)
+	}
 	r := j.stored.Record
 	return r.Epoch == t.ID.Epoch && r.Number == t.ID.Number && !j.last.Recorded
 }
