api: a refused body names its field, in the caller's words

A wrong duration was refused as "body".

Now the field is "body" where no other can be named, types are JSON's, and a duration's error is the decoder's own type, to which the decoder adds the field: "estimate: must be a duration such as "10m", not 5".

FuzzCall (account, class, deadline, repeatable, idempotency key, first delivery): nothing found. The callers' interface has no Prefer header.

No existing test changed.

--- a/api/decode.go
+++ b/api/decode.go
@@ -36,15 +36,23 @@
 func decodeProblem(err error) *Problem {
 	var mistyped *json.UnmarshalTypeError
 	if errors.As(err, &mistyped) {
-		return Invalid(mistyped.Field, "must be "+mistyped.Type.String()+", not "+mistyped.Value)
+		return Invalid(orBody(mistyped.Field), "must be "+jsonType(mistyped.Type)+", not "+mistyped.Value)
 	}
 	// encoding/json has no typed error for an unknown field.
 	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		return Invalid(strings.Trim(name, `"`), "no such field")
+		return Invalid(orBody(strings.Trim(name, `"`)), "no such field")
 	}
 	return Invalid("body", err.Error())
 }
 
+// orBody names the whole body where no field of it can be named.
+func orBody(field string) string {
+	if field == "" {
+		return "body"
+	}
+	return field
+}
+
 // WriteJSON answers with v as JSON.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	body, err := json.Marshal(v)
--- a/api/duration.go
+++ b/api/duration.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"fmt"
+	"reflect"
 	"time"
 )
 
@@ -18,12 +18,23 @@
 func (d *Duration) UnmarshalJSON(text []byte) error {
 	var s string
 	if err := json.Unmarshal(text, &s); err != nil {
-		return fmt.Errorf(`must be a duration such as "10m", not %s`, text)
+		return notDuration(text)
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return fmt.Errorf(`must be a duration such as "10m", not %q`, s)
+		return notDuration(text)
 	}
 	*d = Duration(v)
 	return nil
 }
+
+// maxShown bounds how much of a wrong value an error repeats, in bytes.
+const maxShown = 64
+
+// notDuration is the error to which the decoder adds the field's name.
+func notDuration(text []byte) error {
+	return &json.UnmarshalTypeError{
+		Value: string(text[:min(len(text), maxShown)]),
+		Type:  reflect.TypeFor[Duration](),
+	}
+}
--- /dev/null
+++ b/api/fuzz_test.go
@@ -0,0 +1,114 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// checkProblem holds what every refusal owes its caller: that nothing ran, which
+// field is at fault and why, as problem details that can be read back.
+func checkProblem(t *testing.T, p *Problem) {
+	if p.Outcome() != OutcomeNotRun || p.Field == "" || p.Detail == "" {
+		t.Fatalf("refused as %+v", p)
+	}
+	w := httptest.NewRecorder()
+	p.WriteTo(w)
+	var back Problem
+	if err := json.Unmarshal(w.Body.Bytes(), &back); err != nil || back.Reason != p.Reason {
+		t.Fatalf("%+v is read back as %+v: %v", p, back, err)
+	}
+}
+
+// FuzzCall: whatever a caller's headers hold, they are refused with the name of the
+// header, or taken within their bounds so that another entry reads the same.
+func FuzzCall(f *testing.F) {
+	f.Add("harbourline", "booking", "250ms", "true", "k1", "true")
+	f.Add("", "", "", "", "", "")
+	f.Add("a", "b", "-5s", "yes", "k", "1")
+	f.Add("a", "b", "2562047h47m16.854775807s", "false", "\xff\x00", "false")
+	f.Add("a\r\nX: y", "b/../c", "1e9h", "TRUE", "", "")
+	f.Add("a", "b", "0.000000001ns", "", "", "")
+	f.Add("a", "b", ".5s", "", "", "")
+	f.Fuzz(func(t *testing.T, account, class, deadline, repeatable, key, first string) {
+		h := http.Header{}
+		for name, v := range map[string]string{
+			HeaderAccount: account, HeaderClass: class, HeaderDeadline: deadline,
+			HeaderRepeatable: repeatable, HeaderIdempotencyKey: key, HeaderFirst: first,
+		} {
+			h.Set(name, v)
+		}
+		c, p := ParseCall(h)
+		if p != nil {
+			checkProblem(t, p)
+			if h.Get(p.Field) != "" && p.Detail == "missing" {
+				t.Fatalf("%s is not missing", p.Field)
+			}
+			return
+		}
+		if c.Account == "" || len(c.Account) > MaxNameLen || len(c.IdempotencyKey) > MaxIdempotencyKeyLen || c.Deadline < 0 || deadline != "" && c.Deadline == 0 {
+			t.Fatalf("taken as %+v", c)
+		}
+		again := http.Header{}
+		c.SetHeader(again)
+		if back, p := ParseCall(again); p != nil || !reflect.DeepEqual(back, c) {
+			t.Fatalf("%+v is passed on as %+v, %v", c, back, p)
+		}
+	})
+}
+
+// FuzzJobRequest: a body is refused with the field, or taken so that its own JSON is
+// taken as the same.
+func FuzzJobRequest(f *testing.F) {
+	for _, body := range []string{
+		`{"account":"a","class":"c","accelerators":8,"adjacency":"rack","estimate":"10m","payload":{"x":1}}`,
+		`{"account":"a","class":"c","accelerators":1e99}`,
+		`{"account":"a","class":"c","accelerators":"8"}`,
+		`{"account":"a","class":"c","accelerators":8,"estimate":5}`,
+		`{"account":"a","class":"c","accelerators":8,"repeatable":null,"payload":null}`,
+		`[]`, `5`, `"x"`, `null`, ``, `{}{}`, `{"a`, `{"":1}`, `{"account":{"x":1}}`,
+		`{"account":"a","class":"c","accelerators":8,"cores":9223372036854775807}`,
+	} {
+		f.Add([]byte(body))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var r JobRequest
+		p := Decode(bytes.NewReader(body), MaxBodyLen, &r)
+		if p == nil {
+			p = r.Check()
+		}
+		if p != nil {
+			checkProblem(t, p)
+			return
+		}
+		text, err := json.Marshal(r)
+		if err != nil {
+			t.Fatalf("%+v can't be passed on: %v", r, err)
+		}
+		var back JobRequest
+		if p := Decode(bytes.NewReader(text), 2*MaxBodyLen, &back); p != nil || back.Check() != nil || back.Accelerators != r.Accelerators {
+			t.Fatalf("%s is read back as %+v: %v", text, back, p)
+		}
+	})
+}
+
+// FuzzDuration: what a Duration writes it reads, to the nanosecond.
+func FuzzDuration(f *testing.F) {
+	f.Add(int64(0))
+	f.Add(int64(-1 << 63))
+	f.Add(int64(time.Hour + 1))
+	f.Fuzz(func(t *testing.T, ns int64) {
+		text, err := json.Marshal(Duration(ns))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Duration
+		if err := json.Unmarshal(text, &back); err != nil || int64(back) != ns {
+			t.Fatalf("%d is written as %s and read as %d: %v", ns, text, back, err)
+		}
+	})
+}
