document: bound the sums of blocks and workers; fuzz the settings

Cause, found on writing down what a fuzz test of documents should assert, not by the fuzzer: an accepted document has to cost bounded memory, and it did not. Each count is in range (4,096), but half a megabyte of text holds about 18,000 shapes, and without a topology no sum is checked. The planner makes every block: 65,536 blocks took 6 MiB, 1,048,576 took 97 MiB and 362 ms (measured); 74 million, by extrapolation, about 7 GB, at each entry that takes the duty over in turn. `config check` makes every worker of a topology in the same way.

Settings: FuzzEntry and FuzzAgent assert that an error names the file and never shows the cluster key, whatever stands around it. Nothing found in 30 s each (268,702 and 281,567 executions, -fuzzminimizetime 1s, GOMAXPROCS=3). The existing FuzzParse of documents: 121,055 executions in 30 s, nothing found.

All tests of the module passed. No existing test changed; the reference page is untouched, since no key's own range changed.

--- a/document/cross.go
+++ b/document/cross.go
@@ -15,6 +15,7 @@
 		checkClass(&d.Classes[i], fmt.Sprintf("class[%d]", i), f)
 	}
 	checkLossMargin(d, f)
+	checkBounds(d, f)
 	if d.Topology != nil {
 		zones := d.Topology.Zones
 		checkNames(f, "topology.zone", len(zones), func(i int) string { return zones[i].Name })
--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,82 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/eelgrasshub/eelgrasshub/settings"
+)
+
+// fuzzSecret is longer than what a fuzz test would find by chance.
+const fuzzSecret = "vongole-secret-0123456789"
+
+// addSamples seeds a fuzz test with the sample settings and with what an operator
+// may have left behind after the secret.
+func addSamples(f *testing.F, pattern string) {
+	files, err := filepath.Glob("../testdata/settings/" + pattern)
+	if err != nil || len(files) == 0 {
+		f.Fatal(err, files)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		text := string(data)
+		start := strings.Index(text, "cluster_key")
+		end := start + strings.Index(text[start:], "\n")
+		f.Add(text[:start], "\""+text[end:])
+		f.Add(text, "\"\n")
+	}
+	for _, after := range []string{"", "\nregion = 5", "\"\naccepted_keys = [\"short\"]", "\" \"", "\\q\"", "\"]\ncolour = 1", "\x00\"", "\" }"} {
+		f.Add("id = \"e1\"\nreport_every = 5\n", after)
+		f.Add("[entry]\nlist = [", after)
+		f.Add("a = { ", after)
+	}
+}
+
+// fuzzText is a file with a secret between what comes before and after. It is empty
+// where the secret would be in a text of several lines, so of another key.
+func fuzzText(before, after string) []byte {
+	if strings.Contains(before, `"""`) || strings.Contains(before, "'''") {
+		return nil
+	}
+	return []byte(before + "\ncluster_key = \"" + fuzzSecret + after)
+}
+
+// checkParsed holds what must be true of any file: a problem is named with the file,
+// and the secret is not shown, whatever is wrong around it.
+func checkParsed(t *testing.T, id string, err error) {
+	if err == nil {
+		if id == "" {
+			t.Fatal("settings without an id were accepted")
+		}
+		return
+	}
+	if !strings.HasPrefix(err.Error(), "fuzz.toml:") {
+		t.Fatalf("the file is not named: %v", err)
+	}
+	if strings.Contains(err.Error(), fuzzSecret) {
+		t.Fatalf("a secret is shown: %v", err)
+	}
+}
+
+// FuzzEntry: an operator's file may be cut, mistyped or merged by hand.
+func FuzzEntry(f *testing.F) {
+	addSamples(f, "*-entry.toml")
+	f.Fuzz(func(t *testing.T, before, after string) {
+		s, err := settings.Parse[settings.Entry]("fuzz.toml", fuzzText(before, after))
+		checkParsed(t, s.ID, err)
+	})
+}
+
+// FuzzAgent is FuzzEntry for the settings of an agent.
+func FuzzAgent(f *testing.F) {
+	addSamples(f, "*-agent.toml")
+	f.Fuzz(func(t *testing.T, before, after string) {
+		s, err := settings.Parse[settings.Agent]("fuzz.toml", fuzzText(before, after))
+		checkParsed(t, s.ID, err)
+	})
+}
