planner: whoever asks a busy planner waits no longer than his deadline

Cause: Status put its question into the loop's queue without looking at the caller's context; with the queue full (8,192) it hung until there was room, however long the caller meant to wait. Reports now ask in the same way and would have hung likewise.

The question waits for room, the context or the term's end.

No existing test changed.

--- a/planner/report_test.go
+++ b/planner/report_test.go
@@ -53,3 +53,27 @@
 	_, ok = p.Report(context.Background())
 	b.c.Assert(ok, qt.IsFalse)
 }
+
+// The planner is so busy that its queue is full. Whoever asks for a job's status hangs
+// beyond his deadline, and his entry with him, until there is room.
+func TestAskingABusyPlannerEndsWithTheCaller(t *testing.T) {
+	b := newBench(t)
+	p := b.planner(1, newFakeAgents())
+	begun, hold := make(chan struct{}), make(chan struct{})
+	p.post(func() { close(begun); <-hold })
+	<-begun
+	for full := false; !full; {
+		select {
+		case p.work <- func() {}:
+		default:
+			full = true
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, known := p.Status(ctx, "j")
+	b.c.Check(known, qt.IsFalse)
+	_, ok := p.Report(ctx)
+	b.c.Check(ok, qt.IsFalse)
+	close(hold)
+}
--- a/planner/status.go
+++ b/planner/status.go
@@ -31,15 +31,21 @@
 // ask runs f on the loop's goroutine and returns what it does. False: the context
 // or the term ended first.
 func ask[T any](ctx context.Context, p *Planner, f func() T) (T, bool) {
+	var none T
 	answers := make(chan T, 1)
-	p.post(func() { answers <- f() })
+	select {
+	case p.work <- func() { answers <- f() }:
+	case <-ctx.Done():
+		return none, false
+	case <-p.t.Dying():
+		return none, false
+	}
 	select {
 	case a := <-answers:
 		return a, true
 	case <-ctx.Done():
 	case <-p.t.Dying():
 	}
-	var none T
 	return none, false
 }
 
