--- a/api/job_report.go
+++ b/api/job_report.go
@@ -48,6 +48,8 @@
 	First       string     `json:"first,omitempty"`
 	FirstReason WaitReason `json:"first_reason,omitempty"`
 	Ahead       int        `json:"ahead,omitempty"`
+	// AheadMore: more go first than were counted.
+	AheadMore bool `json:"ahead_more,omitempty"`
 	// Accelerators and Adjacency are what it needs; Free is free in all, Largest in
 	// one unit, and Units says how many units have how many.
 	Accelerators int         `json:"accelerators"`
--- a/planner/explain.go
+++ b/planner/explain.go
@@ -33,8 +33,9 @@
 
 // Explain says why a job waits. Known is false where no record of it was seen.
 // The context's or the term's end is an answer of neither: asked is false then. It
-// is safe for concurrent use; its cost for the planner's goroutine does not grow
-// with the number of workers, nor with how many ask.
+// is safe for concurrent use. The workers are walked over once a second at most for
+// each queue of jobs that need more cores or memory than comes with an accelerator,
+// and never for others, however many ask.
 func (p *Planner) Explain(ctx context.Context, id string) (wait Wait, known, asked bool) {
 	type answer struct {
 		wait  Wait
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -1,14 +1,16 @@
 package scheduler
 
 const (
-	// maxAhead bounds how many jobs before another one are counted.
-	maxAhead = 20_000
+	// maxAhead bounds how many jobs before another one are counted, which is a walk
+	// over them.
+	maxAhead = 1_000
 	// maxUnits bounds the sizes of free units that an explanation names.
 	maxUnits = 8
 )
 
 // Explain says why a job has not started. It reads the state that the last
-// decision left, changes nothing, and reports false for a job that is not known.
+// decision left, changes nothing that decides, and reports false for a job that is
+// not known. It counts as a use of what was learned of the job's class.
 //
 // WaitFitsNow is a promise: the next Step starts the job unless its event or the
 // passing of time changes the state first. WaitNoPlace, WaitNoCapacity and
--- a/scheduler/explain_blocked.go
+++ b/scheduler/explain_blocked.go
@@ -10,13 +10,19 @@
 	if f.first != nil {
 		e.First = f.first.ID
 	}
+	unused := WaitNone
+	if e.Largest >= j.Accelerators {
+		unused = s.explainUnused(q, j)
+	}
 	switch {
+	case unused == WaitNextDecision || s.triedAgain(q, j):
+		e.Reason = WaitNextDecision
 	case s.yielded(q):
 		e.Reason, e.Until = WaitYields, q.grace
 	case s.degradedFor(&q.key, j.account) > 0:
 		e.Reason, e.Blocks = WaitDegraded, s.degradedFor(&q.key, j.account)
-	case e.Largest >= j.Accelerators:
-		e.Reason = s.explainUnused(q, j)
+	case unused != WaitNone:
+		e.Reason = unused
 	case s.largest(&s.open, &q.key, f.reserved) >= j.Accelerators:
 		e.Reason = WaitReservations
 	case f.first != nil && s.overShare(j, f.first):
@@ -27,6 +33,30 @@
 	return e
 }
 
+// triedAgain reports whether a decision may start a job, or set capacity aside for
+// it, otherwise than on open capacity: on a worker on probe, in a block, or on what
+// is reserved for others until they need it.
+func (s *Scheduler) triedAgain(q *queue, j *job) bool {
+	if s.probeFor(j) != nil || s.claimsAgain(q, j) {
+		return true
+	}
+	return q.blocked != s.stamp(q) && s.findBackfill(j, &q.key) != nil
+}
+
+// claimsAgain reports whether room in the blocks of its account has turned up for a
+// job since its queue was last tried there.
+func (s *Scheduler) claimsAgain(q *queue, j *job) bool {
+	if q.claimed >= s.claimStamp(j.account, afterOpen) {
+		return false
+	}
+	for _, b := range j.account.blocks {
+		if s.serves(b, &q.key, afterOpen) && !s.yields(j, &q.key, b) {
+			return true
+		}
+	}
+	return q.key.span == AdjacentAny && s.claimMany(j, &q.key) != nil
+}
+
 // yielded reports whether the last decision left the blocks of an account to
 // larger jobs than the first one of a queue.
 func (s *Scheduler) yielded(q *queue) bool {
@@ -55,7 +85,9 @@
 	switch {
 	case s.largest(&s.open, &q.key, open) < j.Accelerators:
 		return WaitFailedWorkers
-	case !j.borrows() && s.largest(&s.steady, &q.key, steady) < j.Accelerators:
+	case !j.borrows() && q.blocked == s.stamp(q) && s.largest(&s.steady, &q.key, steady) < j.Accelerators:
+		// The last decision could not move the blocks away. One that comes after a
+		// change of capacity may.
 		return WaitGuaranteed
 	}
 	return WaitNextDecision
--- a/scheduler/sentence.go
+++ b/scheduler/sentence.go
@@ -14,7 +14,7 @@
 	case WaitFitsNow:
 		return "there is a place, and the next decision starts it"
 	case WaitNextDecision:
-		return "a place has turned up since it was last tried; it is tried again after those that go first"
+		return "a place, or room in its account's guarantee, has turned up since it was last tried; it is tried again after those that go first"
 	case WaitRetry:
 		return "an attempt failed or was refused, and it is tried again at " + clockTime(e.Until)
 	case WaitReclaim:
--- a/scheduler/wait_reason.go
+++ b/scheduler/wait_reason.go
@@ -10,8 +10,9 @@
 	// WaitFitsNow means that the next decision starts it, if nothing changes
 	// before.
 	WaitFitsNow
-	// WaitNextDecision means that a place has turned up since its queue was last
-	// tried, and that a later decision tries it, after others that go first.
+	// WaitNextDecision means that a place, or room in the blocks of its account, has
+	// turned up since its queue was last tried, and that a later decision tries it,
+	// after others that go first.
 	WaitNextDecision
 	// WaitRetry means that an attempt failed or was refused, and the delay before
 	// the next one is not over.
@@ -29,8 +30,8 @@
 	WaitSettling
 	// WaitNoWorkers means that no worker is known.
 	WaitNoWorkers
-	// WaitImpossible means that it can never run as declared; the next decision
-	// rejects it.
+	// WaitImpossible means that it can never run as declared; it is rejected when it
+	// is tried next.
 	WaitImpossible
 	// WaitYields means that it leaves its account's guaranteed blocks to larger
 	// jobs of the account.
