--- a/scheduler/job_state.go
+++ b/scheduler/job_state.go
@@ -35,6 +35,7 @@
 	started    time.Time
 	checkpoint time.Time
 	stop       StopReason
+	under      *claim // reservation that the run makes way for at once, if any
 }
 
 // held is the accelerators that an attempt holds on one worker. Jobs whose need
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -82,10 +82,15 @@
 	if at == nil {
 		at = s.findBackfill(j, &q.key)
 	}
+	var under *claim
+	if at == nil {
+		at, under = s.findFiller(j, &q.key)
+	}
 	if at == nil {
 		return false
 	}
 	s.start(j, at, nil, firm)
+	j.run.under = under
 	return true
 }
 
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -35,6 +35,11 @@
 		}
 	}
 	s.replan()
+	for _, c := range s.claims {
+		if !c.guaranteed() {
+			s.recall(c)
+		}
+	}
 	s.wantPlan = false
 	if have >= s.policy.MaxReservations || have > 0 && reserved*100 >= s.size.total()*s.policy.ReservedShare {
 		return
@@ -154,7 +159,11 @@
 	var ends []ending
 	for _, r := range n.runs {
 		if k := r.on(n.id); k > 0 && (r.firm || r.state != runStopping) {
-			ends = append(ends, ending{s.endOf(r), n.id, k})
+			end := s.endOf(r)
+			if r.under != nil && r.under.on(n.id) {
+				end = s.now
+			}
+			ends = append(ends, ending{end, n.id, k})
 		}
 	}
 	slices.SortStableFunc(ends, func(a, b ending) int { return a.at.Compare(b.at) })
