--- a/scheduler/explain_blocked.go
+++ b/scheduler/explain_blocked.go
@@ -40,7 +40,11 @@
 	if s.probeFor(j) != nil || s.claimsAgain(q, j) {
 		return true
 	}
-	return q.blocked != s.stamp(q) && s.findBackfill(j, &q.key) != nil
+	if q.blocked == s.stamp(q) {
+		return false
+	}
+	filler, _ := s.findFiller(j, &q.key)
+	return filler != nil || s.findBackfill(j, &q.key) != nil
 }
 
 // claimsAgain reports whether room in the blocks of its account has turned up for a
