entry: the duties of a dead process are taken at once, not when its lease lapses

Cause: the lease of an entry whose process died had to lapse, 4 s, before another could plan; urgent work is to start within 1.2 s.

Each entry probes the next two, in the order of ids, with one byte to the port of their QUIC endpoint four times a second. A live endpoint drops it. Where the process has ended, its machine refuses (ICMP port unreachable, seen as ECONNREFUSED on a connected socket); two refusals in a row are taken for proof, and the entry's lease is revoked, with its registration and all duties. An entry that starts again under its id revokes the lease of its earlier life itself, and an earlier life no longer replaces the registration of a later one.

Silence is no proof: an entry that hangs, is paused or cut off waits for the lapse. A false suspicion (a firewall refuses in place of the peer) does what a lapse does: agents refuse the lower epoch and each change of a job is a compare-and-swap on its record. The former holder's Current may be true until its next renewal meanwhile, beside the new one's (lease's doc says so); nothing is safe by it alone. It costs a start of a planner for each duty, once in the life of the peer's process.

Ruled out: a stateless reset as proof (only comes when a new process listens on the port); the standing connections (there are none between entries; their sockets are not connected and never told of refusals; pings cost ten times the bytes, worked out); a lease of 1 s (60 writes a second, and each pause of a second loses all duties).

The bytes (0.46 KB/s an entry) are worked out, not measured.

Not tried: real networks, where ICMP may be filtered; the lapse of 4 s stays there.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -187,6 +187,7 @@
 	e.t.Go(func() error {
 		e.t.Go(e.members.tick)
 		e.t.Go(e.duties.spread)
+		e.t.Go(newProber(e).run)
 		e.t.Go(func() error { e.registry.register(ctx); return nil })
 		e.t.Go(func() error { e.registry.follow(ctx); return nil })
 		return nil
--- /dev/null
+++ b/entry/prober_test.go
@@ -0,0 +1,171 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/document/schema"
+	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+)
+
+const service = "dispatch"
+
+// still is a region of two entries before a store in which no lease ever lapses:
+// a duty changes hands only where its lease is given back or revoked.
+type still struct {
+	*qt.C
+	client *platform.Client
+	cut    *httptest.Server // the store, as the first entry reaches it
+	url    string
+}
+
+func newStill(c *qt.C) *still {
+	now := time.Now()
+	srv := standin.New(standin.Options{Now: func() time.Time { return now }})
+	first, other := httptest.NewServer(srv), httptest.NewServer(srv)
+	s := &still{C: c, cut: first, url: other.URL, client: platform.NewClient(platform.Options{Endpoints: []string{other.URL}})}
+	c.Cleanup(func() {
+		s.client.Close()
+		srv.Close()
+		for _, web := range []*httptest.Server{first, other} {
+			web.CloseClientConnections()
+			web.Close()
+		}
+	})
+	text, err := os.ReadFile("../testdata/documents/dispatch.toml")
+	c.Assert(err, qt.IsNil)
+	_, err = document.Put(context.Background(), s.client, document.Proposal{
+		Name: service, TOML: text, Author: "t", Token: uuid.NewString(), At: now,
+	})
+	c.Assert(err, qt.IsNil)
+	return s
+}
+
+func (s *still) start(id, store, advertise string) *entry.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e, err := entry.Start(settings.Entry{
+		ID: id, Region: "auckland", Zone: "z1", HTTPListen: "127.0.0.1:0", QUICListen: "127.0.0.1:0",
+		Advertise: advertise, ClusterKey: "key of a test on loopback, long enough", Platform: []string{store},
+		PlatformTimeout: schema.Duration{Duration: time.Second}, PlatformBudget: 500,
+		ReportEvery: schema.Duration{Duration: time.Second}, StopGrace: schema.Duration{Duration: time.Minute},
+	}, logrus.NewEntry(log))
+	s.Assert(err, qt.IsNil)
+	s.Cleanup(e.Close)
+	return e
+}
+
+// until waits for a state; the test's own time limit is the only one.
+func until(state func() bool) {
+	for !state() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (s *still) registered() int {
+	all, err := entry.Registered(context.Background(), s.client, "auckland")
+	s.Assert(err, qt.IsNil)
+	return len(all)
+}
+
+// revoked says whether the entry has ended the lease of one dead peer.
+func revoked(e *entry.Entry) bool {
+	w := httptest.NewRecorder()
+	e.MetricsHandler().ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
+	return strings.Contains(w.Body.String(), `"dead_entries_revoked": 1`)
+}
+
+// silentPort is a UDP port on which something listens and never answers, and its
+// count of probes.
+func silentPort(c *qt.C) (net.PacketConn, <-chan struct{}) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	probes := make(chan struct{}, 1000)
+	go func() {
+		for {
+			if _, _, err := conn.ReadFrom(make([]byte, 2000)); err != nil {
+				return
+			}
+			probes <- struct{}{}
+		}
+	}()
+	c.Cleanup(func() { conn.Close() })
+	return conn, probes
+}
+
+// The planner's process dies, cut off from the store in the same moment, so that
+// its lease is not given back. Urgent work would wait for the lease to lapse; but
+// the process's port refuses, so the other entry ends the lease and plans.
+func TestDutyOfADeadProcessIsTakenAtOnce(t *testing.T) {
+	s := newStill(qt.New(t))
+	first := s.start("entry-1", s.cut.URL, "")
+	until(func() bool { return first.Epoch(service) == 1 })
+	other := s.start("entry-2", s.url, "")
+	until(func() bool { return s.registered() == 2 })
+	s.Assert(s.cut.Listener.Close(), qt.IsNil)
+	s.cut.CloseClientConnections()
+	first.Close()
+	until(func() bool { return other.Epoch(service) == 2 })
+	until(func() bool { return revoked(other) })
+	s.Check(s.registered(), qt.Equals, 1)
+}
+
+// The only entry dies, cut off from the store, and is started again at once under
+// its id. Nobody probes it; its new life would wait for the lease of the old one.
+func TestRestartedEntryPlansAtOnce(t *testing.T) {
+	s := newStill(qt.New(t))
+	first := s.start("entry-1", s.cut.URL, "")
+	until(func() bool { return first.Epoch(service) == 1 })
+	s.Assert(s.cut.Listener.Close(), qt.IsNil)
+	s.cut.CloseClientConnections()
+	first.Close()
+	again := s.start("entry-1", s.url, "")
+	until(func() bool { return again.Epoch(service) == 2 })
+	s.Check(s.registered(), qt.Equals, 1)
+}
+
+// The planner's entry is silent, as when its instance hangs or is cut off. That is
+// no proof of its end: it may plan. However often it is probed, its lease stays.
+func TestDutyOfASilentEntryIsNotTaken(t *testing.T) {
+	s := newStill(qt.New(t))
+	port, probes := silentPort(s.C)
+	first := s.start("entry-1", s.cut.URL, port.LocalAddr().String())
+	until(func() bool { return first.Epoch(service) == 1 })
+	other := s.start("entry-2", s.url, "")
+	for range 8 {
+		<-probes
+	}
+	s.Check(other.Epoch(service), qt.Equals, uint64(0))
+	s.Check(revoked(other), qt.IsFalse)
+	s.Check(s.registered(), qt.Equals, 2)
+}
+
+// Something refuses in place of an entry that lives, as a firewall may. Its lease
+// is revoked once: the other plans under a higher epoch, and the entry registers
+// itself again and is not taken for dead a second time.
+func TestFalseSuspicionEndsWell(t *testing.T) {
+	s := newStill(qt.New(t))
+	port, probes := silentPort(s.C)
+	first := s.start("entry-1", s.cut.URL, port.LocalAddr().String())
+	until(func() bool { return first.Epoch(service) == 1 })
+	other := s.start("entry-2", s.url, "")
+	<-probes
+	s.Assert(port.Close(), qt.IsNil)
+	until(func() bool { return other.Epoch(service) == 2 })
+	until(func() bool { return s.registered() == 2 })
+	until(func() bool { return revoked(other) })
+}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -40,6 +40,9 @@
 	Services []string `json:"services,omitempty"`
 	// Leaving: it is stopping and takes no duties.
 	Leaving bool `json:"leaving,omitempty"`
+
+	// lease is the store lease of the registration and of all its duties.
+	lease platform.LeaseID
 }
 
 // heldDuty is a planner duty that the entry holds.
@@ -144,6 +147,19 @@
 	return out
 }
 
+// present returns the other entries that are registered now.
+func (r *registry) present() []peerEntry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []peerEntry
+	for id, p := range r.peers {
+		if r.absent[id].IsZero() {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // follow keeps the list of the other entries until ctx ends.
 func (r *registry) follow(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -195,6 +211,7 @@
 	if json.Unmarshal(kv.Value, &p) != nil || p.ID == r.own.ID {
 		return
 	}
+	p.lease = kv.Lease
 	if r.since[p.ID].IsZero() || r.peers[p.ID].Incarnation != p.Incarnation {
 		r.since[p.ID] = time.Now()
 	}
--- a/entry/registry_write.go
+++ b/entry/registry_write.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 
 	"github.com/eelgrasshub/eelgrasshub/platform"
 )
@@ -42,8 +43,13 @@
 	}
 }
 
+// errLaterLife: another process with this entry's id began later.
+var errLaterLife = eris.New("registered by a later life of the entry")
+
 // write registers the entry. An older registration under the same id is of an
-// earlier life and is replaced.
+// earlier life and is replaced; one of a later life stays. The lease of an earlier
+// life is revoked: its process has ended, or is ending with its duties handed over,
+// and candidates wait for what is still bound to it.
 func (r *registry) write(ctx context.Context, id platform.LeaseID, rev platform.Revision) (platform.Revision, error) {
 	r.mu.Lock()
 	r.own.Token = uuid.NewString()
@@ -63,5 +69,25 @@
 			return 0, platform.ErrUnavailable
 		}
 		rev = res[0].Current.Mod
+		if res[0].Current.Lease == id || res[0].Current.Lease == 0 {
+			continue
+		}
+		if err := r.replace(ctx, res[0].Current); err != nil {
+			return 0, err
+		}
+		rev = 0 // gone with its lease
+	}
+}
+
+// replace ends the lease of a registration that is not of this life.
+func (r *registry) replace(ctx context.Context, kv platform.KeyValue) error {
+	var old peerEntry
+	if json.Unmarshal(kv.Value, &old) == nil && old.Incarnation > r.own.Incarnation {
+		return errLaterLife
+	}
+	err := r.store.Revoke(ctx, kv.Lease)
+	if eris.Is(err, platform.ErrLeaseNotFound) {
+		return nil
 	}
+	return err
 }
--- /dev/null
+++ b/internal/capacity/death_test.go
@@ -0,0 +1,73 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/agent"
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+)
+
+// TestMeasureDeath kills the process that plans and gives the time until another
+// holds its duties, and until a job that comes at that moment has run.
+func TestMeasureDeath(t *testing.T) {
+	needMeasure(t)
+	for _, n := range []int{1, 94} {
+		t.Run(fmt.Sprintf("services=%d", n), func(t *testing.T) { measureDeath(qt.New(t), n) })
+	}
+}
+
+func measureDeath(c *qt.C, n int) {
+	const rounds = 5
+	names := services(n)
+	var all, first, ran []time.Duration
+	for round := range rounds {
+		s := newSite(c, names...)
+		dying := startProcess(c, entryEnv, s.entry("entry-1", time.Second))
+		planner := api.NewClient("http://"+dying.ready[1], nil)
+		eventually(c, "all duties at the first", func() bool { return len(duties(c, planner)) == n })
+		e, err := entry.Start(s.entry("entry-2", time.Second), quiet())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(e.Close)
+		records := jobs.NewStore(region, s.client, nil)
+		client := api.NewClient("http://"+e.HTTPAddr(), nil)
+		for i := range 4 {
+			a, err := agent.Start(s.worker(fmt.Sprint("worker-", i), names[0], e.QUICAddr(), time.Second), quiet())
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(a.Close)
+		}
+		eventually(c, "ready", func() bool { return client.Ready(context.Background()) == nil })
+		time.Sleep(settle)
+		began := time.Now()
+		c.Assert(dying.cmd.Process.Kill(), qt.IsNil)
+		job := make(chan time.Duration)
+		go func() {
+			id := s.job(client, names[0], fmt.Sprint("job-", round), 1, time.Millisecond)
+			eventually(c, "the job is done", func() bool {
+				rec, err := records.Get(context.Background(), names[0], id)
+				return err == nil && rec.State == jobs.Done
+			})
+			job <- time.Since(began)
+		}()
+		eventually(c, "first duty", func() bool { return e.Epoch(names[0]) > 0 })
+		first = append(first, time.Since(began))
+		eventually(c, "all duties", func() bool { return len(duties(c, client)) == n })
+		all = append(all, time.Since(began))
+		ran = append(ran, <-job)
+		e.Close()
+	}
+	c.Logf("%d services, %d deaths of the planner's process: another holds the first duty after p50 %v max %v, all after p50 %v max %v; a job submitted at the death has run after p50 %v max %v | load %s",
+		n, rounds, quantile(first, 0.5), quantile(first, 1), quantile(all, 0.5), quantile(all, 1), quantile(ran, 0.5), quantile(ran, 1), loadAverage())
+}
+
+func duties(c *qt.C, client *api.Client) []api.Duty {
+	status, err := client.Status(context.Background())
+	c.Assert(err, qt.IsNil)
+	return status.Duties
+}
--- a/metrics/counter.go
+++ b/metrics/counter.go
@@ -32,6 +32,9 @@
 	DocumentsApplied
 	// DutiesHandedOver counts planner duties given to the entry preferred for them.
 	DutiesHandedOver
+	// DeadEntriesRevoked counts leases of other entries ended because their process
+	// was gone.
+	DeadEntriesRevoked
 
 	numCounters
 )
@@ -57,6 +60,7 @@
 	ReservationsRefused:  {"reservations_refused", "reservations", "refused by an agent"},
 	DocumentsApplied:     {"documents_applied", "generations", "put in force"},
 	DutiesHandedOver:     {"duties_handed_over", "duties", "given to the entry preferred for them"},
+	DeadEntriesRevoked:   {"dead_entries_revoked", "leases", "of other entries, ended because their process was gone"},
 }
 
 // Describe returns what the counter means.
