internal/capacity: duties are handed over under running gangs

Cause: the wait of 30 s before a hand-over is too long for a test of each commit, so that no run had moved a duty whose gang was running.

TestMeasureHandOver (needs -measure, 48 s): a gang of two members runs in each of ten services while a second entry comes. It has checks beside its figures: each gang's state and attempt.

Failed first form: it submitted before the entry had confirmed its configuration and was told "not-ready (not-run)"; it now waits for readiness.

--- /dev/null
+++ b/internal/capacity/handover_test.go
@@ -0,0 +1,64 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/agent"
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/jobs"
+)
+
+// TestMeasureHandOver has a gang of two members run in each of ten services while
+// an entry that came late is handed its share of the duties. It is the run that
+// shows that hand-overs disturb no gang; the wait before them is too long for a
+// test of each commit.
+func TestMeasureHandOver(t *testing.T) {
+	c := needMeasure(t)
+	const n, run = 10, 45 * time.Second
+	names := services(n)
+	s := newSite(c, names...)
+	begin := func(id string) *entry.Entry {
+		e, err := entry.Start(s.entry(id, time.Second), quiet())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(e.Close)
+		return e
+	}
+	first := begin("entry-1")
+	eventually(c, "all duties held", func() bool { return held(c, []*entry.Entry{first})[0] == n })
+	for i, name := range names {
+		for k := range 2 {
+			a, err := agent.Start(s.worker(fmt.Sprintf("worker-%d-%d", i, k), name, first.QUICAddr(), time.Second), quiet())
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(a.Close)
+		}
+	}
+	eventually(c, "agents known", func() bool { known, inForce := s.alive(first.HTTPAddr(), 1); return known == 2*n && inForce == 2*n })
+	second := begin("entry-2")
+	client := api.NewClient("http://"+first.HTTPAddr(), nil)
+	eventually(c, "ready", func() bool { return client.Ready(context.Background()) == nil })
+	records := jobs.NewStore(region, s.client, nil)
+	ids := make(map[string]string)
+	for _, name := range names {
+		ids[name] = s.job(client, name, "gang-"+name, 16, run)
+	}
+	moved := 0
+	for _, name := range names {
+		var rec jobs.Stored
+		eventually(c, "the gang is done", func() bool {
+			var err error
+			rec, err = records.Get(context.Background(), name, ids[name])
+			return err == nil && rec.State == jobs.Done
+		})
+		c.Check(rec.Attempt, qt.Equals, uint64(1), qt.Commentf("%s", name))
+		if second.Epoch(name) > 0 {
+			moved++
+		}
+	}
+	c.Logf("%d services with a running gang of two members each: %d duties were handed over, no gang was disturbed unless said above | load %s", n, moved, loadAverage())
+}
