entry: who asks for a job is answered while the planner's entry is frozen

Cause: an entry that does not plan asks the one that does before it asks the store, and the question lasted for as long as the caller is waited for (3 s). When the planner's process is frozen or its instance dead, nothing says so on the way; the time was used up and the store was then asked without any left.

Found by the script freeze_planner of cmd/eelgrasshub, which printed, with the store well: "unknown-job (unknown): neither the planner nor the platform's store can be asked: Post .../v3/kv/range: context deadline exceeded". It lasted until the lease of the planner's entry had lapsed.

Change: the question ends once the connection is suspected (0.4 s), or when no new connection is had within dialWait, as calls to agents do; the function is shared.

Ruled out: a shorter timeout. It would cut off a planner that is slow and answers, and makes every caller wait for it while the connection is known to be silent.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -130,6 +130,20 @@
 	if err != nil {
 		return nil, err
 	}
+	return callUnlessSilent(ctx, c, msg)
+}
+
+// callEntry makes one exchange with another entry, and ends as early as call.
+func (a *agents) callEntry(ctx context.Context, addr string, msg any) (any, error) {
+	c, err := a.dialled(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return callUnlessSilent(ctx, c, msg)
+}
+
+// callUnlessSilent makes one exchange, which ends when the connection is suspected.
+func callUnlessSilent(ctx context.Context, c *wire.Conn, msg any) (any, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -118,12 +118,18 @@
 }
 
 // askPlanner asks the entry that holds the planner duty.
+//
+// The failure this guards against: that entry is frozen or its instance is dead, and
+// nothing on the way says so. It shows as callers that hear "neither can be asked"
+// although the store holds the record, because the question to the planner lasts for
+// as long as they wait. It ends once the connection is suspected, or no new one is
+// had within dialWait, and leaves time for the store.
 func (e *Entry) askPlanner(ctx context.Context, service, id string) (api.JobStatus, bool) {
 	addr, ok := e.duties.plannerAddr(service)
 	if !ok {
 		return api.JobStatus{}, false
 	}
-	got, err := e.pool.Call(ctx, addr, &wire.JobStatus{Service: service, IDs: []string{id}})
+	got, err := e.agents.callEntry(ctx, addr, &wire.JobStatus{Service: service, IDs: []string{id}})
 	reply, isReply := got.(*wire.JobStatusReply)
 	if err != nil || !isReply || len(reply.States) != 1 {
 		return api.JobStatus{}, false
