--- a/entry/inspect.go
+++ b/entry/inspect.go
@@ -57,7 +57,7 @@
 	if !ok {
 		return nil, noPlanner(m.Service, "no entry has registered the duty; entry "+e.cfg.ID+" was asked")
 	}
-	got, err := e.pool.Call(ctx, peer.Address, m)
+	got, err := e.agents.callEntry(ctx, peer.Address, m)
 	if err != nil {
 		return nil, noPlanner(m.Service, "entry "+peer.ID+" at "+peer.Address+", which holds the duty, does not answer entry "+e.cfg.ID+": "+err.Error())
 	}
