--- a/gang/search.go
+++ b/gang/search.go
@@ -40,11 +40,14 @@
 
 // remains is what the agents hold of one attempt.
 type remains struct {
-	plan  Plan
-	size  int // of the gang
-	whole bool
+	plan   Plan
+	size   int  // of the gang
+	broken bool // at a member, or not fenced there
 }
 
+// complete says whether all members of the gang hold an account of the attempt.
+func (r *remains) complete() bool { return len(r.plan.Members) == r.size }
+
 // Verdict is what a Search says of a permit.
 type Verdict uint8
 
@@ -52,7 +55,8 @@
 const (
 	// Waiting: the job may be running somewhere; its tasks must be left alone.
 	Waiting Verdict = iota
-	// Adoptable: the returned plan is an attempt that all of its members hold.
+	// Adoptable: the returned plan is an attempt of which all members hold an
+	// account. Resume tells how far it got, or how it ended.
 	Adoptable
 	// Incomplete: part of an attempt is left and the rest is not coming. Its tasks
 	// have to be stopped.
@@ -88,7 +92,7 @@
 	i := slices.IndexFunc(all, func(r remains) bool { return r.plan.ID == t.ID })
 	if i < 0 {
 		i = len(all)
-		all = append(all, remains{plan: Plan{ID: t.ID}, size: t.Members, whole: true})
+		all = append(all, remains{plan: Plan{ID: t.ID}, size: t.Members})
 	}
 	r := &all[i]
 	r.plan.Members = append(r.plan.Members, Placed{
@@ -97,7 +101,7 @@
 		Accelerators: t.Accelerators,
 	})
 	held := peer{task: t}
-	r.whole = r.whole && !w.Fenced.IsZero() && held.reached(StateCommitted)
+	r.broken = r.broken || w.Fenced.IsZero() || !held.reached(StateCommitted)
 	s.found[t.ID.Job] = all
 }
 
@@ -109,9 +113,26 @@
 // gang with a member among these is then whole and listed, or has stopped by
 // isolation: its planner has heard of the fence, or no longer hears the member.
 // A gang with no member among them can still run, whole, which is what repeatable
-// jobs allow.
+// jobs allow. An attempt that is whole need not wait; one that has ended must, since
+// the job may have been started again elsewhere.
 func (s *Search) Resolve(job string, epoch uint64, began time.Time) (Verdict, Plan) {
-	var best *remains
+	last, left := s.last(job, epoch)
+	waiting := s.now.Sub(began) < s.config.Wait || !s.fenced
+	switch {
+	case last != nil && (!waiting || !last.broken):
+		return Adoptable, last.plan
+	case waiting:
+		return Waiting, Plan{}
+	case left:
+		return Incomplete, Plan{}
+	}
+	return Vanished, Plan{}
+}
+
+// last returns the last attempt under the epoch that is complete, and whether
+// anything is left of any.
+func (s *Search) last(job string, epoch uint64) (*remains, bool) {
+	var last *remains
 	left := false
 	for i := range s.found[job] {
 		r := &s.found[job][i]
@@ -119,19 +140,11 @@
 			continue
 		}
 		left = true
-		if r.whole && len(r.plan.Members) == r.size && (best == nil || r.plan.ID.Compare(best.plan.ID) > 0) {
-			best = r
+		if r.complete() && (last == nil || r.plan.ID.Compare(last.plan.ID) > 0) {
+			last = r
 		}
 	}
-	switch {
-	case best != nil:
-		return Adoptable, best.plan
-	case s.now.Sub(began) < s.config.Wait || !s.fenced:
-		return Waiting, Plan{}
-	case left:
-		return Incomplete, Plan{}
-	}
-	return Vanished, Plan{}
+	return last, left
 }
 
 // Fence returns a message that raises the fence of an agent and concerns no job:
--- a/gang/sim_check_test.go
+++ b/gang/sim_check_test.go
@@ -67,7 +67,7 @@
 func (w *world) checkStart(a *simAgent, t Task) {
 	truth := &w.truth
 	switch {
-	case !truth.recorded[t.ID] && !truth.permits[simGrant{w.jobIndex(t.ID.Job), t.ID.Epoch}]:
+	case !truth.recorded[t.ID] && !w.permitted(t.ID):
 		w.fail("%v started without a record or a permit", t.ID)
 	case truth.told[t.ID.Job]:
 		w.fail("%v started after its caller was told that it did not run", t.ID)
@@ -91,6 +91,11 @@
 	w.stats.starts++
 }
 
+func (w *world) permitted(id ID) bool {
+	job := w.jobIndex(id.Job)
+	return w.jobs[job].repeatable && w.truth.permits[simGrant{job, id.Epoch}]
+}
+
 func (w *world) checkOtherAttempts(t Task) {
 	job := w.jobs[slices.IndexFunc(w.jobs, func(j simJob) bool { return j.name == t.ID.Job })]
 	ran := w.truth.ran[job.name]
--- a/planner/permit.go
+++ b/planner/permit.go
@@ -64,21 +64,21 @@
 		return
 	}
 	room := maxPermits
-	var waiting []*job
+	var waiting []candidate
 	for _, j := range p.jobs {
 		switch {
 		case j.permit.writing, p.unused(j):
 			room--
 		case permittable(j, now):
-			waiting = append(waiting, j)
+			waiting = append(waiting, p.candidate(j))
 		}
 	}
-	if room <= 0 || len(waiting) == 0 {
+	if room <= 0 {
 		return
 	}
-	slices.SortFunc(waiting, p.firstPermitted)
-	for _, j := range waiting[:min(room, len(waiting))] {
-		p.writePermit(j)
+	slices.SortFunc(waiting, candidate.compare)
+	for _, c := range waiting[:min(room, len(waiting))] {
+		p.writePermit(c.job)
 	}
 }
 
@@ -87,15 +87,32 @@
 		j.stored.Permittable() && now.Sub(j.stored.Submitted) >= permitAfter
 }
 
-func (p *Planner) firstPermitted(a, b *job) int {
-	x, y := schedulerJob(a.stored.Record, p.doc.Document), schedulerJob(b.stored.Record, p.doc.Document)
-	if x.Urgent != y.Urgent {
-		if x.Urgent {
+// candidate is a job that may be given a permit, with what decides its turn.
+type candidate struct {
+	job      *job
+	urgent   bool
+	priority int
+}
+
+func (p *Planner) candidate(j *job) candidate {
+	c := candidate{job: j}
+	if class, ok := p.doc.Document.Class(j.stored.Spec.Class); ok {
+		c.urgent, c.priority = class.Urgent, class.Priority
+	}
+	return c
+}
+
+func (c candidate) compare(d candidate) int {
+	if c.urgent != d.urgent {
+		if c.urgent {
 			return -1
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(y.Priority, x.Priority), x.Submitted.Compare(y.Submitted))
+	return cmp.Or(
+		cmp.Compare(d.priority, c.priority),
+		c.job.stored.Submitted.Compare(d.job.stored.Submitted),
+	)
 }
 
 func (p *Planner) writePermit(j *job) {
--- a/planner/permit_test.go
+++ b/planner/permit_test.go
@@ -131,21 +131,31 @@
 	b.c.Assert(final.Members, qt.HasLen, 0)
 }
 
-// The planner's entry is stopped as planned. The successor must not wait for the
-// loss timeout before it starts jobs whose permits were never used: an urgent one
-// would be late at each rolling update.
-func TestPlannedStopReturnsPermits(t *testing.T) {
-	b := newBench(t)
-	b.held.Document.Gang.LossTimeout.Duration = time.Hour
-	agents := newFakeAgents(allWorkers...)
-	first := b.planner(1, agents)
-	b.fill(first, agents)
-	first.Stop()
-	b.c.Assert(b.state("waits"), qt.Equals, jobs.Queued)
+// The planner's entry is stopped as planned, or loses its lease and hears of a
+// successor from the agents. The successor must not wait for the loss timeout
+// before it starts jobs whose permits were never used: an urgent one would be late
+// at each rolling update and after each outage.
+func TestUnusedPermitsAreReturned(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		b := newBench(t)
+		b.held.Document.Gang.LossTimeout.Duration = time.Hour
+		agents := newFakeAgents(allWorkers...)
+		first := b.planner(1, agents)
+		b.fill(first, agents)
+		if planned {
+			first.Stop()
+			b.c.Assert(b.state("waits"), qt.Equals, jobs.Queued)
+		}
 
-	second := b.planner(2, agents)
-	agents.finish()
-	b.eventually("it runs", func() { agents.report(second) }, func() bool { return agents.whole("waits") })
+		second := b.planner(2, agents)
+		agents.finish()
+		report := func() {
+			agents.report(second)
+			agents.report(first)
+		}
+		b.eventually("it runs", report, func() bool { return agents.whole("waits") })
+		b.c.Assert(agents.startsOf("waits"), qt.Equals, all/8)
+	}
 }
 
 // The planner's entry dies with a permit out that it has not used. The successor
--- a/planner/status.go
+++ b/planner/status.go
@@ -51,7 +51,11 @@
 
 func (p *Planner) status(id string) (Status, bool) {
 	if j := p.jobs[id]; j != nil {
-		return Status{Record: j.stored.Record, Phase: j.phase, Members: j.members()}, true
+		phase := j.phase
+		if j.held {
+			phase = Starting // it may run
+		}
+		return Status{Record: j.stored.Record, Phase: phase, Members: j.members()}, true
 	}
 	if r, ok := p.recent.Get(id); ok {
 		return Status{Record: r.Record, Members: r.Members}, true
