--- /dev/null
+++ b/membership/announcer.go
@@ -0,0 +1,246 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// gangSilence: a gang's member that no entry with the planner duty has answered
+// for so long reports to all entries itself, so that a new planner hears of it as
+// soon as it plans.
+const gangSilence = 2500 * time.Millisecond
+
+// Announcer decides when an agent reports to whom and what: to each entry by
+// itself, or to the relay of its rack, and as a relay for others. One goroutine
+// owns it, or its owner locks it; now must not go back, and should run on during
+// suspension. There is at most one report under way to each entry and to the
+// relay.
+type Announcer struct {
+	cfg      AnnouncerConfig
+	self     wire.RelayInfo
+	draining bool
+	inGang   bool
+	stamp    gang.Stamp
+	planned  time.Time // when an entry with the planner duty last answered
+	reporter *Reporter
+	path     *Path
+	relayer  *Relayer
+	entries  map[string]*entryLink
+	toRelay  relayLink
+	served   time.Time // when an entry last named this agent as relay
+	ticked   time.Time
+	pausedAt time.Time
+}
+
+// AnnouncerConfig holds an Announcer's settings.
+type AnnouncerConfig struct {
+	ReporterConfig
+	// GangEvery is the longest period of an agent's own reports while a task of
+	// several members runs there.
+	GangEvery time.Duration
+	// MaxEntries bounds the entries that are reported to.
+	MaxEntries int
+}
+
+// NewAnnouncer returns one for the agent that state describes, without entries.
+func NewAnnouncer(cfg AnnouncerConfig, state wire.AgentReport, random func() float64) *Announcer {
+	cfg.ReporterConfig = cfg.withDefaults()
+	return &Announcer{
+		cfg:      cfg,
+		self:     RelayOf(&state),
+		reporter: NewReporter(cfg.ReporterConfig, state, random),
+		path:     NewPath(state.ID),
+		relayer:  NewRelayer(),
+		entries:  make(map[string]*entryLink),
+	}
+}
+
+// AddEntry begins reports to an entry. False: it is known, or there are too many.
+func (a *Announcer) AddEntry(addr string) bool {
+	if a.entries[addr] != nil || len(a.entries) >= a.cfg.MaxEntries {
+		return false
+	}
+	a.entries[addr] = &entryLink{}
+	return true
+}
+
+// DropEntry ends reports to an entry.
+func (a *Announcer) DropEntry(addr string) {
+	delete(a.entries, addr)
+	a.reporter.Forget(addr)
+	a.relayer.Forget(addr)
+}
+
+// Set takes the agent's whole state.
+func (a *Announcer) Set(now time.Time, state wire.AgentReport) {
+	a.draining = a.draining || state.Draining
+	a.inGang = slices.ContainsFunc(state.Tasks, func(t gang.Task) bool {
+		return t.Members > 1 && t.State == gang.StateRunning
+	})
+	a.reporter.Set(now, state)
+}
+
+// SetStamp takes the stamp that the next reports return.
+func (a *Announcer) SetStamp(s gang.Stamp) { a.stamp = s }
+
+// Due returns when to report to the entry, or to ask again because the relay's
+// word ends then.
+func (a *Announcer) Due(now time.Time, addr string) time.Time {
+	l := a.entries[addr]
+	if a.byRelay(now, addr) {
+		a.cover(now, addr)
+		if a.inGang {
+			return earlier(a.path.Until(), now.Add(a.cfg.GangEvery)) // for gangSilence
+		}
+		return a.path.Until()
+	}
+	l.covered = false
+	due := a.reporter.Due(now, addr)
+	if a.inGang {
+		due = earlier(due, l.sent.Add(a.cfg.GangEvery))
+	}
+	if a.relays() {
+		due = earlier(due, l.sent.Add(RelayPeriod))
+		due = earlier(due, a.batchDue(addr, l, due))
+	}
+	return due
+}
+
+// byRelay says whether the agent leaves its reports to an entry to its relay.
+//
+// One that drains reports itself: the news must not be lost with a relay that
+// dies in that moment. So does a member of a gang to the entry that plans:
+// its gang runs on by the evidence of its reports, whose age a relay would add
+// to, and stops when a relay dies for as long as that goes unnoticed.
+func (a *Announcer) byRelay(now time.Time, addr string) bool {
+	if a.draining || !a.path.Covered(now, addr) {
+		return false
+	}
+	return !a.inGang || (!a.entries[addr].planner && now.Sub(a.planned) <= gangSilence)
+}
+
+// cover notes that reports to the entry go by the relay from now on. What the
+// entry has is not followed any more, so the next own report is a full one, due
+// at once.
+func (a *Announcer) cover(now time.Time, addr string) {
+	l := a.entries[addr]
+	if l.covered {
+		return
+	}
+	*l = entryLink{covered: true, since: now}
+	a.reporter.Forget(addr)
+	a.relayer.Forget(addr)
+}
+
+// batchDue is when the entry has to hear news of members, or a full report of
+// one that it asked for. An entry that does not answer is not asked more often
+// for that.
+func (a *Announcer) batchDue(addr string, l *entryLink, due time.Time) time.Time {
+	if a.reporter.Failures(addr) > 0 {
+		return due
+	}
+	soon := l.sent.Add(a.cfg.Coalesce)
+	if l.news {
+		return soon
+	}
+	if at, ok := a.relayer.Owed(addr); ok {
+		return laterOf(at, soon)
+	}
+	return due
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Report returns what to send to the entry now. Follow it with Acked or Failed.
+func (a *Announcer) Report(now time.Time, addr string) *wire.Report {
+	l := a.entries[addr]
+	own := a.reporter.Report(now, addr)
+	own.Stamp = a.stamp
+	l.sent, l.sequence, l.news = now, own.Sequence, false
+	l.batch = nil
+	if a.relays() {
+		l.batch, l.cursor = a.relayer.Batch(now, addr)
+	}
+	return &wire.Report{Batch: append([]wire.AgentReport{own}, l.batch...), Known: l.known}
+}
+
+// Acked takes the entry's answer to the last report. It returns the addresses of
+// entries that the answer names and that are new.
+func (a *Announcer) Acked(now time.Time, addr string, ack *wire.ReportAck) []string {
+	l := a.entries[addr]
+	l.answered = true
+	a.reporter.Acked(now, addr, l.sequence, ack)
+	if a.relays() {
+		a.relayer.Acked(now, addr, l.batch, l.cursor, ack)
+	}
+	a.notePlanner(now, l, ack.Stamp.Epoch != 0)
+	fresh := ack.Digest != l.known
+	if fresh {
+		l.known, l.named = ack.Digest, ack.Relay
+	}
+	if l.named == a.self {
+		a.served = now
+	}
+	a.follow(now, l.named)
+	if !fresh {
+		return nil
+	}
+	return a.learn(ack.Entries)
+}
+
+// notePlanner: when the entry that planned does not any more, the member of a
+// gang has to find the next one at once.
+func (a *Announcer) notePlanner(now time.Time, l *entryLink, plans bool) {
+	if plans {
+		a.planned = now
+	} else if l.planner {
+		a.planned = time.Time{}
+	}
+	l.planner = plans
+}
+
+func (a *Announcer) learn(entries []wire.EntryInfo) []string {
+	var added []string
+	for _, e := range entries {
+		if a.AddEntry(e.Address) {
+			added = append(added, e.Address)
+		}
+	}
+	return added
+}
+
+// Failed notes that the entry did not answer the last report. It returns how
+// many it left unanswered in a row.
+func (a *Announcer) Failed(now time.Time, addr string) int {
+	a.notePlanner(now, a.entries[addr], false)
+	a.reporter.Failed(now, addr)
+	return a.reporter.Failures(addr)
+}
+
+// Unused says, once, that the connection to the entry has had no use for some
+// time: reports go by the relay.
+func (a *Announcer) Unused(now time.Time, addr string) bool {
+	l := a.entries[addr]
+	if !l.covered || l.closed || now.Sub(l.since) < linkUnused {
+		return false
+	}
+	l.closed = true
+	return true
+}
+
+// linkUnused is how long the connection to an entry stays open after the last
+// own report: a relay that is taken on and fails at once costs no new handshake.
+const linkUnused = 10 * time.Second
+
+// Goodbye returns the report of the agent's end.
+func (a *Announcer) Goodbye() *wire.Report {
+	return &wire.Report{Batch: []wire.AgentReport{a.reporter.Goodbye()}}
+}
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -48,6 +48,7 @@
 	to.Zone = r.Zone
 	to.Rack = r.Rack
 	to.Address = r.Address
+	to.Relays = r.Relays
 }
 
 func setSize(to *wire.AgentReport, r wire.AgentReport) {
--- a/membership/receiver.go
+++ b/membership/receiver.go
@@ -79,14 +79,22 @@
 }
 
 // Failed notes that a report got no answer. The next one comes after a wait
-// that doubles up to Every.
+// that doubles up to Every, or drainingRetry for an agent that drains: behind a
+// longer wait a receiver that is back would offer it for as long.
 func (r *Reporter) Failed(now time.Time, to string) {
 	rc := r.receiver(now, to)
-	wait := min(r.cfg.Coalesce<<min(rc.failures, 16), r.cfg.Every)
+	most := r.cfg.Every
+	if r.state.Draining {
+		most = min(most, drainingRetry)
+	}
+	wait := min(r.cfg.Coalesce<<min(rc.failures, 16), most)
 	rc.failures++
 	rc.due = now.Add(r.jittered(wait))
 }
 
+// drainingRetry is the longest wait of a draining agent after a failed report.
+const drainingRetry = time.Second
+
 // newsSince returns the groups that changed after the sequence.
 func (r *Reporter) newsSince(sequence uint64) wire.Changed {
 	var groups wire.Changed
--- a/wire/messages_report.go
+++ b/wire/messages_report.go
@@ -70,8 +70,15 @@
 	// Stamp is that of the planner's last answer. It is of this report alone and
 	// in no group.
 	Stamp gang.Stamp `cbor:"26,keyasint,omitzero"`
+	// Relays: the agent can relay the reports of its rack. It goes with the group
+	// ChangedPlace and does not change within an incarnation.
+	Relays bool `cbor:"27,keyasint,omitempty"`
 }
 
+// NoEvidence is the stamp of a report that must not count as evidence of a gang,
+// however late it comes: it is in no planner's epoch.
+var NoEvidence = gang.Stamp{Epoch: ^uint64(0)}
+
 // Load is the state of a target's queue. Marked counts answers that carried a
 // congestion mark.
 type Load struct {
@@ -88,8 +95,11 @@
 	Known uint64        `cbor:"2,keyasint,omitempty"`
 }
 
-// ReportAck answers Report. When Digest equals the report's Known, Entries are left
-// out because they have not changed.
+// ReportAck answers Report. When Digest equals the report's Known, Entries and
+// Relay are left out because they have not changed.
+//
+// A relay answers its members with it too. Its Entries are then those that take
+// its reports now: a member need not report to them itself.
 type ReportAck struct {
 	Entries []EntryInfo `cbor:"1,keyasint,omitempty"`
 	Digest  uint64      `cbor:"4,keyasint,omitempty"`
@@ -107,6 +117,16 @@
 	// whole. It and Stamp come from the entry that plans alone.
 	Whole []gang.ID  `cbor:"9,keyasint,omitempty"`
 	Stamp gang.Stamp `cbor:"10,keyasint,omitzero"`
+	// Relay is the agent by which those of the sender's rack report, the sender
+	// itself included. The zero value: each reports by itself.
+	Relay RelayInfo `cbor:"11,keyasint,omitzero"`
+}
+
+// RelayInfo names an agent that relays reports, in one of its incarnations.
+type RelayInfo struct {
+	ID          string `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+	Address     string `cbor:"3,keyasint,omitempty"`
 }
 
 // AgentSeen is an agent's incarnation as the receiver knows it.
