agent, entry: agents relay the reports of their rack

An entry names a relay for each (service, rack) of three or more agents in the answers to reports, once it knows more than `relay_above` agents (100 by default: what one entry carries by bytes). So 11 workers in racks of three go on as before. `report` of an agent now serves members: it takes their reports, answers with the entries it reaches, and sends batches. Agents close the connection to an entry that they no longer use after 10 s, once the calls of both ends have ended (`wire.Pool.Release`); entries close those they dialled for a request after a minute without one, and forget ended ones. A call that meets a connection in the moment of that close is tried once more. Entries push documents to agents that report themselves; a relay pushes them on to its members and repeats what was lost after their next report; after 4 s the entry pushes itself. `config status` data names the relay of a member; an agent counts relays that failed it (`relays_failed`) and shows `relayed_agents`.

Ruled out: a list of relays in the settings (nobody keeps one); relays for all sizes (a rack of three would save two connections and add a way); the entry as judge of a relay's death (it hears nothing for 25 s).

Tests with real agents and entries, some agents as processes of their own.

Existing tests are unchanged.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -159,6 +159,7 @@
 	a.quick.gate.event(admissionPolicy(now.Document))
 	a.gangs.setIsolation(now.Document.Gang.IsolationTimeout.Duration)
 	a.reports.generations()
+	a.reports.spread(now)
 }
 
 // Drain makes the agent refuse new work and tell all entries so.
--- a/agent/handle.go
+++ b/agent/handle.go
@@ -13,7 +13,7 @@
 
 var errNotHandled = eris.New("not a message for an agent")
 
-// handle serves what entries send.
+// handle serves what entries send, and the agents that this one relays for.
 func (a *Agent) handle(ctx context.Context, from *wire.Conn, msg any) (any, error) {
 	switch m := msg.(type) {
 	case *wire.Execute:
@@ -24,6 +24,8 @@
 		return a.gang(ctx, from, m)
 	case *wire.Publish:
 		return a.publish(m), nil
+	case *wire.Report:
+		return a.reports.serve(from, m)
 	default:
 		return nil, errNotHandled
 	}
--- a/agent/meters.go
+++ b/agent/meters.go
@@ -30,6 +30,7 @@
 		return int64(queued)
 	})
 	a.metrics.Gauge("attempts_remembered", func() int64 { return int64(a.quick.remembered()) })
+	a.metrics.Gauge("relayed_agents", func() int64 { return int64(a.reports.members()) })
 	a.metrics.Gauge("connections", func() int64 { return int64(len(a.ep.Conns())) })
 }
 
--- /dev/null
+++ b/agent/rack_test.go
@@ -0,0 +1,282 @@
+package agent_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/agent"
+	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/document/schema"
+	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/membership"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+const (
+	service    = "dispatch"
+	zone       = "wharf"
+	rackName   = "rack-1"
+	clusterKey = "key of a test on loopback"
+	loopback   = "127.0.0.1:0"
+	// patience bounds the wait for a state; it is no claim about time.
+	patience = time.Minute
+)
+
+// rack is one rack of agents and the entries they report to, which name a relay
+// from the first agents on.
+type rack struct {
+	*qt.C
+	store   string
+	client  *platform.Client
+	entries []*entry.Entry
+	configs []settings.Entry
+	agents  map[string]*agent.Agent
+}
+
+func newRack(c *qt.C, entries int) *rack {
+	server := store.New(store.Options{})
+	front := httptest.NewServer(server)
+	r := &rack{C: c, store: front.URL, agents: make(map[string]*agent.Agent)}
+	r.client = platform.NewClient(platform.Options{Endpoints: []string{r.store}, CallTimeout: 10 * time.Second, Budget: 1e6, Burst: 1e6})
+	c.Cleanup(func() {
+		r.client.Close()
+		server.Close()
+		front.CloseClientConnections()
+		front.Close()
+	})
+	r.put(0)
+	for i := range entries {
+		cfg := r.entryConfig(fmt.Sprint("entry-", i))
+		r.configs = append(r.configs, cfg)
+		r.entries = append(r.entries, nil)
+		r.startEntry(i)
+	}
+	c.Cleanup(func() {
+		for _, e := range r.entries {
+			e.Close()
+		}
+	})
+	return r
+}
+
+const documentText = `service = "dispatch"
+owner = "Tests"
+[[account]]
+name = "grower"
+[[class]]
+name = "score"
+kind = "job"
+repeatable = true
+max_run = "1h"
+[gang]
+isolation_timeout = "4s"
+loss_timeout = "20s"
+`
+
+// put puts the document that follows the generation.
+func (r *rack) put(base uint64) {
+	text := fmt.Appendf(nil, "%s# after %d\n", documentText, base)
+	_, err := document.Put(context.Background(), r.client, document.Proposal{
+		Name: service, TOML: text, Base: base, Author: "t", Token: uuid.NewString(), At: time.Now(),
+	})
+	r.Assert(err, qt.IsNil)
+}
+
+func (r *rack) entryConfig(id string) settings.Entry {
+	return settings.Entry{
+		ID: id, Region: "auckland", Zone: zone, HTTPListen: loopback, QUICListen: freeAddr(r.C), ClusterKey: clusterKey,
+		Platform: []string{r.store}, PlatformTimeout: schema.Duration{Duration: 2 * time.Second}, PlatformBudget: 500,
+		ReportEvery: schema.Duration{Duration: time.Second}, StopGrace: schema.Duration{Duration: time.Minute},
+		RelayAbove: 1,
+	}
+}
+
+func freeAddr(c *qt.C) string {
+	l, err := net.ListenPacket("udp", loopback)
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.LocalAddr().String()
+}
+
+func (r *rack) startEntry(i int) {
+	e, err := entry.Start(r.configs[i], quiet())
+	r.Assert(err, qt.IsNil)
+	r.entries[i] = e
+}
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func (r *rack) worker(id string) settings.Agent {
+	target := standin.New(standin.Options{Name: id, Accelerators: 8, Work: time.Millisecond})
+	server := httptest.NewServer(target)
+	r.Cleanup(func() {
+		target.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	cfg := settings.Agent{
+		ID: id, Service: service, Region: "auckland", Zone: zone, Rack: rackName, Listen: loopback, ClusterKey: clusterKey,
+		Target: server.URL, Accelerators: 8, Slots: 8, Connections: 64, Cores: 32, MemoryMB: 65536,
+		ReportEvery: schema.Duration{Duration: time.Second}, StopGrace: schema.Duration{Duration: time.Minute},
+	}
+	for _, e := range r.configs {
+		cfg.Seeds = append(cfg.Seeds, e.QUICListen)
+	}
+	return cfg
+}
+
+// names returns n agents of the rack, the one that entries name as relay first.
+func names(n int) []string {
+	view := &membership.Service{Name: service}
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprint("worker-", i))
+		report := wire.AgentReport{ID: ids[i], Service: service, Zone: zone, Rack: rackName, Relays: true}
+		view.Members = append(view.Members, &membership.Member{Report: report})
+	}
+	first := membership.ChooseRelays(view, n)[membership.Rack{Zone: zone, Name: rackName}].ID
+	for i, id := range ids {
+		if id == first {
+			ids[0], ids[i] = ids[i], ids[0]
+		}
+	}
+	return ids
+}
+
+func (r *rack) startAgents(ids ...string) {
+	for _, id := range ids {
+		a, err := agent.Start(r.worker(id), quiet())
+		r.Assert(err, qt.IsNil)
+		r.agents[id] = a
+		r.Cleanup(a.Close)
+	}
+}
+
+// startProcess starts an agent as a process of its own, which can be killed and
+// frozen.
+func (r *rack) startProcess(id string, accelerators int) *os.Process {
+	cfg := r.worker(id)
+	cfg.Accelerators = accelerators
+	text, err := json.Marshal(cfg)
+	r.Assert(err, qt.IsNil)
+	cmd := exec.Command(os.Args[0], "-test.run=^TestAgentProcess$")
+	cmd.Env = append(os.Environ(), processEnv+"="+string(text))
+	in, err := cmd.StdinPipe()
+	r.Assert(err, qt.IsNil)
+	r.Assert(cmd.Start(), qt.IsNil)
+	r.Cleanup(func() {
+		_ = in.Close()
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd.Process
+}
+
+const processEnv = "EELGRASSHUB_RACK_AGENT"
+
+// TestAgentProcess is the agent of startProcess; it tests nothing itself. It
+// ends with its input.
+func TestAgentProcess(t *testing.T) {
+	text := os.Getenv(processEnv)
+	if text == "" {
+		t.Skip("is started by other tests")
+	}
+	c := qt.New(t)
+	var cfg settings.Agent
+	c.Assert(json.Unmarshal([]byte(text), &cfg), qt.IsNil)
+	a, err := agent.Start(cfg, quiet())
+	c.Assert(err, qt.IsNil)
+	defer a.Close()
+	_, _ = bufio.NewReader(os.Stdin).ReadString(0)
+}
+
+// seen is what an entry shows of its agents, by id.
+func (r *rack) seen(i int) map[string]api.Member {
+	out := make(map[string]api.Member)
+	status, err := api.NewClient("http://"+r.entries[i].HTTPAddr(), nil).Status(context.Background())
+	r.Assert(err, qt.IsNil)
+	for _, m := range status.Members {
+		if m.Role == string(wire.RoleAgent) {
+			out[m.ID] = m
+		}
+	}
+	return out
+}
+
+// until waits for a state.
+func until(c *qt.C, what string, reached func() bool) {
+	c.Helper()
+	for began := time.Now(); time.Since(began) < patience; time.Sleep(10 * time.Millisecond) {
+		if reached() {
+			return
+		}
+	}
+	c.Fatalf("never happened: %s", what)
+}
+
+// eventually waits until each entry shows what is wanted. always, if set, must
+// hold all the time.
+func (r *rack) eventually(what string, wanted func(map[string]api.Member) bool, always func(map[string]api.Member) string) {
+	r.Helper()
+	until(r.C, what, func() bool {
+		reached := true
+		for i := range r.entries {
+			seen := r.seen(i)
+			if always != nil {
+				r.Assert(always(seen), qt.Equals, "", qt.Commentf("before: %s", what))
+			}
+			reached = reached && wanted(seen)
+		}
+		return reached
+	})
+}
+
+// by says that the agents' reports come by the relay; empty: by themselves.
+func by(relay string, ids []string) func(map[string]api.Member) bool {
+	return func(seen map[string]api.Member) bool {
+		for _, id := range ids {
+			if m := seen[id]; m.ID == "" || m.Relay != relay {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// alive says which of the agents is not shown as alive.
+func alive(ids []string) func(map[string]api.Member) string {
+	return func(seen map[string]api.Member) string {
+		var bad []string
+		for _, id := range ids {
+			if m := seen[id]; m.State != "alive" {
+				bad = append(bad, id+" is "+m.State)
+			}
+		}
+		return strings.Join(bad, ", ")
+	}
+}
--- a/agent/report_once.go
+++ b/agent/report_once.go
@@ -13,36 +13,44 @@
 // report sends one report. False: the entry has left and is no longer reported
 // to.
 func (r *reports) report(link *entryLink) bool {
-	sent := clock.Now()
 	r.mu.Lock()
-	r.state.Load = r.load()
-	r.reporter.Set(time.Now(), r.state)
-	msg := r.reporter.Report(time.Now(), link.addr)
-	msg.Stamp = r.stamp
-	link.sent = time.Now()
+	sent := clock.Now()
+	r.freshLoad(sent)
+	msg := r.announcer.Report(sent, link.addr)
 	r.mu.Unlock()
 
-	ctx, cancel := context.WithTimeout(r.a.t.Context(context.Background()), reportTimeout)
-	defer cancel()
-	got, err := r.a.pool.Call(ctx, link.addr, &wire.Report{Batch: []wire.AgentReport{msg}, Known: link.known})
-	ack, ok := got.(*wire.ReportAck)
-	if err != nil || !ok {
+	ack, ok := r.call(link.addr, msg)
+	if !ok {
 		return r.failed(link)
 	}
-	r.acked(link, sent, msg.Sequence, ack)
+	r.acked(link, sent, ack)
 	return true
 }
 
+// freshLoad is called with the lock held.
+func (r *reports) freshLoad(now time.Time) {
+	r.state.Load = r.load()
+	r.announcer.Set(now, r.state)
+}
+
+func (r *reports) call(addr string, msg *wire.Report) (*wire.ReportAck, bool) {
+	ctx, cancel := context.WithTimeout(r.a.t.Context(context.Background()), reportTimeout)
+	defer cancel()
+	got, err := r.a.pool.Call(ctx, addr, msg)
+	ack, ok := got.(*wire.ReportAck)
+	return ack, err == nil && ok
+}
+
 // failed backs off. An entry that was only named by another one and does not
 // answer is dropped; it is named again when it is back.
 func (r *reports) failed(link *entryLink) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reporter.Failed(time.Now(), link.addr)
-	if link.seed || r.reporter.Failures(link.addr) < dropAfter {
+	failures := r.announcer.Failed(clock.Now(), link.addr)
+	if link.seed || failures < dropAfter {
 		return true
 	}
-	r.reporter.Forget(link.addr)
+	r.announcer.DropEntry(link.addr)
 	delete(r.entries, link.addr)
 	return false
 }
@@ -51,32 +59,35 @@
 // dropped.
 const dropAfter = 20
 
-func (r *reports) acked(link *entryLink, sent time.Time, seq uint64, ack *wire.ReportAck) {
+func (r *reports) acked(link *entryLink, sent time.Time, ack *wire.ReportAck) {
 	if ack.Stamp.Epoch != 0 {
 		r.a.gangs.event(gang.Contact{At: sent, Whole: ack.Whole, Stamp: ack.Stamp})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reporter.Acked(time.Now(), link.addr, seq, ack)
-	if ack.Digest == link.known {
-		return
-	}
-	link.known = ack.Digest
-	for _, e := range ack.Entries {
-		r.add(e.Address, false)
+	added := r.announcer.Acked(clock.Now(), link.addr, ack)
+	for _, addr := range added {
+		r.begin(addr, false)
 	}
+	r.relayMoved()
 }
 
-// goodbye tells all entries that this incarnation has ended.
+// goodbye tells all entries, and the relay, that this incarnation has ended.
 func (r *reports) goodbye(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r.mu.Lock()
-	msg := &wire.Report{Batch: []wire.AgentReport{r.reporter.Goodbye()}}
+	msg := r.announcer.Goodbye()
 	var wg sync.WaitGroup
-	for addr := range r.entries {
+	tell := func(addr string) {
 		wg.Go(func() { _, _ = r.a.pool.Call(ctx, addr, msg) }) // an entry that misses it finds out by silence
 	}
+	for addr := range r.entries {
+		tell(addr)
+	}
+	if relay, ok := r.announcer.Relay(); ok {
+		tell(relay.Address)
+	}
 	r.mu.Unlock()
 	wg.Wait()
 }
--- a/agent/reports.go
+++ b/agent/reports.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/clock"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/membership"
 	"github.com/eelgrasshub/eelgrasshub/wire"
@@ -21,27 +21,28 @@
 	maxEntries = 16
 )
 
-// reports announces the agent to the entries. There is no list of targets
-// anywhere: an entry knows the agents that report to it. The entries are those
-// of the settings and those that entries name in their answers.
+// reports announces the agent to the entries, by itself or by the relay of its
+// rack, and relays the reports of others. There is no list of targets anywhere:
+// an entry knows the agents that report to it. The entries are those of the
+// settings and those that entries name in their answers. It is safe for
+// concurrent use.
 type reports struct {
 	a *Agent
 
-	mu       sync.Mutex
-	reporter *membership.Reporter
-	state    wire.AgentReport
-	stamp    gang.Stamp
-	inGang   bool                  // a task of several members runs here
-	entries  map[string]*entryLink // by address
+	mu        sync.Mutex
+	announcer *membership.Announcer // nil until the agent is announced
+	state     wire.AgentReport
+	stamp     gang.Stamp
+	entries   map[string]*entryLink // by address
+	relay     *relayLink
+	sending   map[string]bool // members to which a document is on its way
 }
 
 // entryLink is the loop that reports to one entry.
 type entryLink struct {
-	addr  string
-	seed  bool
-	known uint64 // digest of the last answer with content
-	sent  time.Time
-	kick  chan struct{}
+	addr string
+	seed bool
+	kick chan struct{}
 }
 
 func newReports(a *Agent) *reports {
@@ -49,6 +50,8 @@
 	return &reports{
 		a:       a,
 		entries: make(map[string]*entryLink),
+		relay:   &relayLink{kick: make(chan struct{}, 1)},
+		sending: make(map[string]bool),
 		state: wire.AgentReport{
 			ID:           cfg.ID,
 			Incarnation:  a.incarnation,
@@ -61,28 +64,33 @@
 			Connections:  cfg.Connections,
 			Cores:        cfg.Cores,
 			MemoryMB:     cfg.MemoryMB,
+			Relays:       true,
 		},
 	}
 }
 
 // start announces the agent to the entries of its settings.
 func (r *reports) start() {
-	cfg := r.a.cfg
-	every := membership.ReporterConfig{Every: cfg.ReportEvery.Duration, Coalesce: reportCoalesce}
+	cfg := membership.AnnouncerConfig{
+		ReporterConfig: membership.ReporterConfig{Every: r.a.cfg.ReportEvery.Duration, Coalesce: reportCoalesce},
+		GangEvery:      gangReportEvery,
+		MaxEntries:     maxEntries,
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state.Address = r.a.ep.Addr()
-	r.reporter = membership.NewReporter(every, r.state, random)
-	for _, addr := range cfg.Seeds {
-		r.add(addr, true)
+	r.announcer = membership.NewAnnouncer(cfg, r.state, random)
+	for _, addr := range r.a.cfg.Seeds {
+		if r.announcer.AddEntry(addr) {
+			r.begin(addr, true)
+		}
 	}
+	r.a.t.Go(r.relayLoop)
+	r.a.t.Go(r.tick)
 }
 
-// add is called with the lock held.
-func (r *reports) add(addr string, seed bool) {
-	if r.entries[addr] != nil || len(r.entries) >= maxEntries {
-		return
-	}
+// begin starts the reports to an entry. It is called with the lock held.
+func (r *reports) begin(addr string, seed bool) {
 	link := &entryLink{addr: addr, seed: seed, kick: make(chan struct{}, 1)}
 	r.entries[addr] = link
 	r.a.t.Go(func() error { return r.loop(link) })
@@ -93,18 +101,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	change(&r.state)
-	if r.reporter == nil {
+	if r.announcer == nil {
 		return // not announced yet
 	}
-	r.reporter.Set(time.Now(), r.state)
+	r.announcer.SetStamp(r.stamp)
+	r.announcer.Set(clock.Now(), r.state)
+	r.wake()
+}
+
+// wake is called with the lock held.
+func (r *reports) wake() {
 	for _, link := range r.entries {
-		link.wake()
+		kick(link.kick)
 	}
+	kick(r.relay.kick)
 }
 
-func (l *entryLink) wake() {
+func kick(c chan struct{}) {
 	select {
-	case l.kick <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -112,9 +127,6 @@
 func (r *reports) tasks(tasks []gang.Task, fence uint64, stamp gang.Stamp) {
 	r.mu.Lock()
 	r.stamp = stamp
-	r.inGang = slices.ContainsFunc(tasks, func(t gang.Task) bool {
-		return t.Members > 1 && t.State == gang.StateRunning
-	})
 	r.mu.Unlock()
 	r.set(func(s *wire.AgentReport) {
 		s.Tasks = tasks
@@ -160,12 +172,39 @@
 func (r *reports) untilDue(link *entryLink) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	wait := r.reporter.Due(now, link.addr).Sub(now)
-	if r.inGang {
-		wait = min(wait, gangReportEvery-now.Sub(link.sent))
+	now := clock.Now()
+	due := r.announcer.Due(now, link.addr)
+	if r.announcer.Unused(now, link.addr) {
+		r.release(link.addr)
+	}
+	return due.Sub(now)
+}
+
+// release closes a connection that is not used any more. What the entry still
+// waits for on it ends first.
+func (r *reports) release(addr string) {
+	r.a.t.Go(func() error {
+		_ = r.a.pool.Release(r.a.t.Context(context.Background()), addr) // the agent ends
+		return nil
+	})
+}
+
+// tickEvery is the period in which members that went silent are dropped.
+const tickEvery = time.Second
+
+func (r *reports) tick() error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.a.t.Dying():
+			return nil
+		case <-ticker.C:
+			r.mu.Lock()
+			r.announcer.Tick(clock.Now())
+			r.mu.Unlock()
+		}
 	}
-	return wait
 }
 
 // pushReply sends a gang reply that no message asked for to the entry that
--- a/api/status.go
+++ b/api/status.go
@@ -46,4 +46,6 @@
 	// Since is when the answering entry first heard of that generation there.
 	Since time.Time `json:"since,omitzero"`
 	Heard time.Time `json:"heard,omitzero"`
+	// Relay is the agent by which the member's last report came; empty: itself.
+	Relay string `json:"relay,omitempty"`
 }
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -22,15 +23,17 @@
 type agents struct {
 	pool *wire.Pool
 
-	mu    sync.RWMutex
-	conns map[string]*wire.Conn
-	addrs map[string]string
+	mu     sync.RWMutex
+	conns  map[string]*wire.Conn
+	addrs  map[string]string
+	dialed map[string]time.Time // last use of a connection dialled here, by address
 }
 
 func newAgents() *agents {
 	return &agents{
-		conns: make(map[string]*wire.Conn),
-		addrs: make(map[string]string),
+		conns:  make(map[string]*wire.Conn),
+		addrs:  make(map[string]string),
+		dialed: make(map[string]time.Time),
 	}
 }
 
@@ -59,6 +62,7 @@
 	addr := a.addrs[id]
 	delete(a.addrs, id)
 	delete(a.conns, id)
+	delete(a.dialed, addr)
 	a.mu.Unlock()
 	if addr != "" {
 		a.pool.Forget(addr)
@@ -107,6 +111,9 @@
 const dialWait = 400 * time.Millisecond
 
 func (a *agents) dialled(ctx context.Context, addr string) (*wire.Conn, error) {
+	a.mu.Lock()
+	a.dialed[addr] = time.Now()
+	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, dialWait)
 	defer cancel()
 	return a.pool.Conn(ctx, addr)
@@ -125,11 +132,22 @@
 // call makes one exchange with the agent. It returns early, with
 // wire.ErrOutcomeUnknown, when the connection is suspected of having gone silent;
 // the exchange is then cancelled.
+//
+// A connection may be closed for want of use, by either end, in the moment in
+// which it is chosen. It shows as a call that was not sent on a connection that
+// is not usable any more; that is tried once more on a new one.
 func (a *agents) call(ctx context.Context, id string, msg any, p path) (any, error) {
 	c, err := a.conn(ctx, id, p)
 	if err != nil {
 		return nil, err
 	}
+	reply, err := callUnlessSilent(ctx, c, msg)
+	if err == nil || !errors.Is(err, wire.ErrClosed) || !errors.Is(err, wire.ErrNotSent) || ctx.Err() != nil {
+		return reply, err
+	}
+	if c, err = a.conn(ctx, id, p); err != nil {
+		return nil, err
+	}
 	return callUnlessSilent(ctx, c, msg)
 }
 
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -24,7 +24,7 @@
 	}
 	switch m := msg.(type) {
 	case *wire.Report:
-		return e.members.report(m), nil
+		return e.members.report(from.Peer().ID, m), nil
 	case *wire.Gang:
 		return e.taskEnded(from, m)
 	case *wire.Fetch:
--- a/entry/members.go
+++ b/entry/members.go
@@ -26,6 +26,9 @@
 	sending map[string]bool      // agents to which documents are on their way
 	homes   map[string]string    // service of each agent in the snapshot, by id
 	since   map[string]time.Time // when an agent's generation was first heard of
+	via     map[string]string    // relay by which an agent's last report came, by id
+
+	relays *relays
 }
 
 func newMembers(e *Entry) *members {
@@ -35,28 +38,71 @@
 		sending: make(map[string]bool),
 		homes:   make(map[string]string),
 		since:   make(map[string]time.Time),
+		via:     make(map[string]string),
+		relays:  newRelays(e.cfg.RelayAbove),
 	}
 }
 
-// report answers a batch of reports.
-func (m *members) report(r *wire.Report) *wire.ReportAck {
+// report answers a batch of reports that the agent with the id sent: its own, and
+// those that it relays.
+func (m *members) report(sender string, r *wire.Report) *wire.ReportAck {
 	now := clock.Now()
 	actions := m.step(time.Now(), membership.Reports{Batch: r.Batch})
 	m.apply(actions)
+	m.noteWay(sender, r.Batch)
 
-	ack := m.e.answer(r.Known)
+	ack := m.e.answer(r.Known, m.relayFor(sender))
 	membership.FillAck(ack, actions)
 	for _, one := range r.Batch {
 		member := m.find(one.ID)
 		if member == nil {
 			continue
 		}
-		m.observe(member, one, now, ack)
+		m.observe(member, one, now, ack, one.ID != sender)
 		m.offerDocuments(member)
 	}
 	return ack
 }
 
+func (m *members) relayFor(sender string) wire.RelayInfo {
+	if member := m.find(sender); member != nil {
+		return m.relays.of(member)
+	}
+	return wire.RelayInfo{}
+}
+
+// noteWay notes who sent the agents' reports.
+func (m *members) noteWay(sender string, batch []wire.AgentReport) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, one := range batch {
+		if one.ID == sender {
+			delete(m.via, one.ID)
+		} else if m.homes[one.ID] != "" {
+			m.via[one.ID] = sender
+		}
+	}
+}
+
+// relayed says whether the agent's last report came by another one that is
+// there still.
+func (m *members) relayed(id string) bool {
+	via := m.relayOf(id)
+	if via == "" {
+		return false
+	}
+	relay := m.find(via)
+	return relay != nil && relay.State == membership.Alive
+}
+
+// relayOf returns the agent that sent the last report of another one; empty: it
+// reported itself.
+func (m *members) relayOf(id string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.via[id]
+}
+
 // step gives the table an event. The homes change under the same lock, in the
 // order of the table's own changes: noted later, a Lost that is overtaken by the
 // Joined after it would leave a member that can't be found.
@@ -71,14 +117,20 @@
 		case membership.Changed:
 			m.homes[a.Member.Report.ID] = a.Member.Report.Service
 		case membership.Lost:
-			delete(m.homes, a.Member.Report.ID)
+			m.drop(a.Member.Report.ID)
 		case membership.Left:
-			delete(m.homes, a.Member.Report.ID)
+			m.drop(a.Member.Report.ID)
 		}
 	}
 	return actions
 }
 
+// drop is called with the lock held.
+func (m *members) drop(id string) {
+	delete(m.homes, id)
+	delete(m.via, id)
+}
+
 // apply hands on what changed.
 func (m *members) apply(actions []membership.Action) {
 	services := make(map[string]bool)
@@ -192,7 +244,8 @@
 	return m.table.Snapshot().Service(service).Find(id)
 }
 
-// tick lets time pass for the table until the entry stops.
+// tick lets time pass for the table, the choice of relays and the connections
+// until the entry stops.
 func (m *members) tick() error {
 	ticker := time.NewTicker(memberTick)
 	defer ticker.Stop()
@@ -202,6 +255,8 @@
 			return nil
 		case now := <-ticker.C:
 			m.apply(m.step(now, membership.Tick{}))
+			m.relays.choose(m.table.Snapshot())
+			m.e.agents.sweep(now)
 		}
 	}
 }
--- a/entry/members_documents.go
+++ b/entry/members_documents.go
@@ -21,6 +21,9 @@
 	if !ok || hasGeneration(member.Report.Generations, held.Version.Summary()) {
 		return
 	}
+	if m.relayed(id) && time.Since(held.Since) < relayGrace {
+		return
+	}
 	m.mu.Lock()
 	busy := m.sending[id]
 	m.sending[id] = true
@@ -30,6 +33,11 @@
 	}
 }
 
+// relayGrace is how long a relay has to bring its members a new generation. One
+// of an older binary may refuse a document that its members can read; it shows as
+// members that lack the generation although they report.
+const relayGrace = 4 * time.Second
+
 func hasGeneration(have []wire.Generation, want wire.Generation) bool {
 	for _, g := range have {
 		if g.Service == want.Service && g.Generation >= want.Generation {
@@ -48,9 +56,12 @@
 	m.mu.Unlock()
 }
 
-// publish sends a new generation to every agent of its service at once.
+// publish sends a new generation at once to every agent of its service that
+// reports itself. Relays send it on to the others.
 func (m *members) publish(v wire.DocumentVersion) {
 	for _, member := range m.table.Snapshot().Service(v.Service).Members {
-		go m.sendDocument(member.Report.ID, v)
+		if !m.relayed(member.Report.ID) {
+			go m.sendDocument(member.Report.ID, v)
+		}
 	}
 }
--- a/entry/members_planner.go
+++ b/entry/members_planner.go
@@ -12,8 +12,9 @@
 )
 
 // observe tells the planner, if it is here, of a report of the member, and adds
-// its part to the answer.
-func (m *members) observe(member *membership.Member, r wire.AgentReport, now time.Time, ack *wire.ReportAck) {
+// its part to the answer. What a relay would hear of the gangs of its members is
+// left out: they ask themselves.
+func (m *members) observe(member *membership.Member, r wire.AgentReport, now time.Time, ack *wire.ReportAck, relayed bool) {
 	if r.Goodbye || member.Report.Incarnation != r.Incarnation {
 		return
 	}
@@ -22,6 +23,9 @@
 		return
 	}
 	p.Observe(seen(member, r.Stamp, now.Add(-r.Age)))
+	if relayed {
+		return
+	}
 	whole, stamp := p.Answer(r.ID)
 	ack.Whole = append(ack.Whole, whole...)
 	ack.Stamp = stamp
@@ -51,9 +55,6 @@
 // as it is: only their own next reports prove that their gangs are whole.
 func (m *members) replay(service string, p *planner.Planner) {
 	for _, member := range m.table.Snapshot().Service(service).Members {
-		p.Observe(seen(member, gang.Stamp{Epoch: staleEpoch}, clock.Now()))
+		p.Observe(seen(member, wire.NoEvidence, clock.Now()))
 	}
 }
-
-// staleEpoch is in no planner's stamp: evidence of nothing.
-const staleEpoch = ^uint64(0)
--- a/entry/news.go
+++ b/entry/news.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
@@ -31,10 +33,14 @@
 	e.latest.Store(n)
 }
 
-// answer begins the answer to a report whose sender knows the news with the
-// digest.
-func (e *Entry) answer(known uint64) *wire.ReportAck {
+// answer begins the answer to a report whose sender knows the news and the relay
+// of its rack with the digest.
+func (e *Entry) answer(known uint64, relay wire.RelayInfo) *wire.ReportAck {
 	ack := e.latest.Load().ack
+	ack.Relay = relay
+	if relay.ID != "" {
+		ack.Digest ^= xxhash.Sum64String(relay.ID+"/"+relay.Address) + relay.Incarnation
+	}
 	if ack.Digest == known {
 		return &wire.ReportAck{Digest: known}
 	}
--- a/metrics/counter.go
+++ b/metrics/counter.go
@@ -35,6 +35,8 @@
 	// DeadEntriesRevoked counts leases of other entries ended because their process
 	// was gone.
 	DeadEntriesRevoked
+	// RelaysFailed counts relays of the rack that left a report unanswered.
+	RelaysFailed
 
 	numCounters
 )
@@ -61,6 +63,7 @@
 	DocumentsApplied:     {"documents_applied", "generations", "put in force"},
 	DutiesHandedOver:     {"duties_handed_over", "duties", "given to the entry preferred for them"},
 	DeadEntriesRevoked:   {"dead_entries_revoked", "leases", "of other entries, ended because their process was gone"},
+	RelaysFailed:         {"relays_failed", "relays", "left a report unanswered, so that the agent reports itself"},
 }
 
 // Describe returns what the counter means.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -30,6 +30,9 @@
 	PlatformBudget  int             `toml:"platform_budget" default:"500" validate:"min=10,max=100000" unit:"calls a second"`
 
 	ReportEvery schema.Duration `toml:"report_every" default:"1s" validate:"min=100ms,max=60s"`
+	// RelayAbove is the number of agents known to this entry above which it names
+	// a relay for each rack; 0 names none.
+	RelayAbove int `toml:"relay_above" default:"100" validate:"min=0,max=1000000" unit:"agents"`
 	// DrainDelay is how long a stopping entry still serves new requests, until
 	// the balancer has seen that it is not ready.
 	DrainDelay schema.Duration `toml:"drain_delay" default:"3s" validate:"min=0s,max=60s"`
--- a/wire/link.go
+++ b/wire/link.go
@@ -143,3 +143,15 @@
 		c.Close()
 	}
 }
+
+// release ends dialling and leaves the connection without cutting a call.
+func (l *link) release(ctx context.Context) error {
+	l.kill()
+	l.mu.Lock()
+	c := l.current
+	l.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	return c.Leave(ctx)
+}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// Release stops redialling addr and closes the connection once the calls of both
+// ends have ended, however long they take. It returns when that is done, or with
+// ctx's error: the connection stays open then.
+func (p *Pool) Release(ctx context.Context, addr string) error {
+	p.mu.Lock()
+	l := p.links[addr]
+	delete(p.links, addr)
+	p.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	return l.release(ctx)
+}
+
 // Close stops all dialling. Connections stay open until their endpoint drains
 // or closes.
 func (p *Pool) Close() {
