report: jobs that a planner withholds wait for the store, and are counted

Cause: since permits, a planner takes jobs out of its scheduler while the store is out, or until it knows what an earlier planner started on a permit. Reports did not know of it: such a job was told "ending", "it does not start any more", and was missing from the account's counts; "nothing starts meanwhile" was no longer true either.

The planner says now which it is ("store-out", "predecessor-in-doubt"), counts them for each class as withheld, and says itself that the store is out. The entry's own probe is left for the service's report, where no write has shown it yet; a placed job is judged by the planner, which knows whether it has a permit.

The test would wait for ever for "store-out" without the change (not run so: it does not compile there).

--- a/api/job_report.go
+++ b/api/job_report.go
@@ -12,12 +12,16 @@
 	// WaitStarting: it is placed; its workers' reservations, or the store's word
 	// that its start is on record, are awaited.
 	WaitStarting WaitReason = "starting"
-	// WaitStoreOut: it is placed, and the platform's store does not answer, so that
-	// its start can't be put on record.
+	// WaitStoreOut: the platform's store does not answer, and it has no permit to
+	// start without a record of its start.
 	WaitStoreOut WaitReason = "store-out"
+	// WaitHeld: an earlier planner may have started it on a permit, and it is not
+	// known yet whether it did.
+	WaitHeld WaitReason = "predecessor-in-doubt"
 	// WaitRebuilding: after a change of planner its record has not been read yet.
 	WaitRebuilding WaitReason = "rebuilding"
-	// WaitEnding: it does not start any more; its end is being put on record.
+	// WaitEnding: it has ended or does not start any more; its end is being put on
+	// record.
 	WaitEnding WaitReason = "ending"
 )
 
--- a/api/report.go
+++ b/api/report.go
@@ -15,8 +15,8 @@
 	Decided time.Time `json:"decided"`
 	// Settling: after a change of planner, records or workers are still coming in.
 	Settling bool `json:"settling,omitempty"`
-	// StoreOut: the platform's store did not answer the planner's entry. Nothing
-	// starts meanwhile.
+	// StoreOut: the platform's store did not answer the planner or its entry. Only
+	// jobs that have a permit start meanwhile.
 	StoreOut bool            `json:"store_out,omitempty"`
 	Capacity ReportCapacity  `json:"capacity"`
 	Workers  ReportWorkers   `json:"workers"`
@@ -99,6 +99,9 @@
 	RunningAccelerators int    `json:"running_accelerators"`
 	Waiting             int    `json:"waiting"`
 	WaitingAccelerators int    `json:"waiting_accelerators"`
+	// Withheld jobs wait too, but not for a place: for the store, or for word of what
+	// an earlier planner started.
+	Withheld int `json:"withheld,omitempty"`
 	// Oldest is how long the job that waits longest has waited.
 	Oldest Duration `json:"oldest"`
 	// Waited is the waits of jobs from acceptance to first start, since the start
--- a/cmd/eelgrasshub/report_table.go
+++ b/cmd/eelgrasshub/report_table.go
@@ -29,7 +29,7 @@
 		fmt.Fprintln(w, "settling: the planner has just taken over, and records or workers are still coming in")
 	}
 	if r.StoreOut {
-		fmt.Fprintln(w, "the platform's store does not answer: nothing starts meanwhile")
+		fmt.Fprintln(w, "the platform's store does not answer: only jobs that have a permit start meanwhile")
 	}
 }
 
@@ -62,11 +62,11 @@
 }
 
 func printClasses(w io.Writer, accounts []api.ReportAccount) {
-	fmt.Fprintln(w, "\nACCOUNT\tCLASS\tRUNNING\tACCELERATORS\tWAITING\tACCELERATORS\tOLDEST\tWAITED P50\tP90\tP99\tSTARTS")
+	fmt.Fprintln(w, "\nACCOUNT\tCLASS\tRUNNING\tACCELERATORS\tWAITING\tACCELERATORS\tWITHHELD\tOLDEST\tWAITED P50\tP90\tP99\tSTARTS")
 	for _, a := range accounts {
 		for _, c := range a.Classes {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%d\n", a.Account, c.Class,
-				c.Running, c.RunningAccelerators, c.Waiting, c.WaitingAccelerators, rounded(c.Oldest),
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%d\n", a.Account, c.Class,
+				c.Running, c.RunningAccelerators, c.Waiting, c.WaitingAccelerators, c.Withheld, rounded(c.Oldest),
 				rounded(c.Waited.P50), rounded(c.Waited.P90), rounded(c.Waited.P99), c.Waited.Count)
 		}
 	}
--- a/entry/inspect_job.go
+++ b/entry/inspect_job.go
@@ -15,9 +15,10 @@
 // Sentences of the reasons that are not the scheduler's.
 const (
 	sentenceStarting   = "it is placed, and waits for its workers' reservations or for its start to be on record"
-	sentenceStoreOut   = "it is placed, and the platform's store does not answer, so that its start can't be put on record"
+	sentenceStoreOut   = "the platform's store does not answer, and it has no permit to start without a record of its start"
+	sentenceHeld       = "a planner before this one may have started it while the store was out; the workers are searched for it"
 	sentenceRebuilding = "the planner has just taken over and is still reading the records of jobs"
-	sentenceEnding     = "it does not start any more; its end is being put on record"
+	sentenceEnding     = "it has ended or does not start any more; its end is being put on record"
 )
 
 // explainHere is the word of this entry's planner on one job.
@@ -35,7 +36,7 @@
 		return e.explainRecord(ctx, out)
 	}
 	out.State = liveStatus(w.Status).State
-	out.Waits = e.waitOf(ctx, &w, service)
+	out.Waits = waitOf(&w)
 	if w.Stage == planner.StageQueued {
 		out.Decided = w.Why.At
 	}
@@ -43,17 +44,19 @@
 }
 
 // waitOf is why a job that its planner knows waits; nil if it does not.
-func (e *Entry) waitOf(ctx context.Context, w *planner.Wait, service string) *api.JobWait {
+func waitOf(w *planner.Wait) *api.JobWait {
+	spec := w.Record.Spec
 	switch w.Stage {
 	case planner.StageQueued:
 		return schedulerWait(&w.Why)
-	case planner.StageEnding:
-		return recordWait(w.Record.Spec, api.WaitEnding, sentenceEnding)
 	case planner.StageStarting:
-		if !e.probe.answers(ctx, e.work, service) {
-			return recordWait(w.Record.Spec, api.WaitStoreOut, sentenceStoreOut)
-		}
-		return recordWait(w.Record.Spec, api.WaitStarting, sentenceStarting)
+		return recordWait(spec, api.WaitStarting, sentenceStarting)
+	case planner.StageStoreOut:
+		return recordWait(spec, api.WaitStoreOut, sentenceStoreOut)
+	case planner.StageHeld:
+		return recordWait(spec, api.WaitHeld, sentenceHeld)
+	case planner.StageEnding:
+		return recordWait(spec, api.WaitEnding, sentenceEnding)
 	}
 	return nil
 }
--- a/entry/inspect_service.go
+++ b/entry/inspect_service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/api"
@@ -24,7 +26,7 @@
 	out.Service = service
 	out.Planner = e.reportPlanner(service)
 	out.Planner.Generation = r.Generation
-	out.StoreOut = !e.probe.answers(ctx, e.work, service)
+	out.StoreOut = r.StoreOut || !e.probe.answers(ctx, e.work, service)
 	return out, nil
 }
 
@@ -56,9 +58,24 @@
 	for _, a := range r.Accounts {
 		out.Accounts = append(out.Accounts, accountOf(a, r.Waited[string(a.ID)], now))
 	}
+	for i := range out.Accounts {
+		addWithheld(&out.Accounts[i], r.Withheld[out.Accounts[i].Account])
+	}
 	return out
 }
 
+// addWithheld adds the jobs that the scheduler does not know for now, by class.
+func addWithheld(a *api.ReportAccount, withheld map[string]int) {
+	for _, class := range slices.Sorted(maps.Keys(withheld)) {
+		i := slices.IndexFunc(a.Classes, func(c api.ReportClass) bool { return c.Class == class })
+		if i < 0 {
+			i = len(a.Classes)
+			a.Classes = append(a.Classes, api.ReportClass{Class: class})
+		}
+		a.Classes[i].Withheld = withheld[class]
+	}
+}
+
 func accountOf(a scheduler.AccountReport, waited map[string]metrics.Summary, now time.Time) api.ReportAccount {
 	out := api.ReportAccount{
 		Account:                string(a.ID),
--- a/planner/explain.go
+++ b/planner/explain.go
@@ -29,6 +29,12 @@
 	StageEnding
 	// StageRebuilding: the records are still being read, and this one is not known.
 	StageRebuilding
+	// StageStoreOut: the store does not answer, and the job has no permit to start
+	// without a record of it.
+	StageStoreOut
+	// StageHeld: an earlier planner may have started it on a permit, and the agents
+	// have not yet shown whether it did.
+	StageHeld
 )
 
 // Explain says why a job waits. Known is false where no record of it was seen.
@@ -53,22 +59,35 @@
 	if !ok {
 		return Wait{Stage: StageRebuilding}, !p.rebuilt
 	}
-	w := Wait{Status: s}
-	j := p.jobs[id]
+	w := Wait{Status: s, Stage: p.stageOf(p.jobs[id])}
+	if w.Stage != StageQueued {
+		return w, true
+	}
+	if w.Why, ok = p.explainer().Explain(scheduler.JobID(id)); !ok {
+		w.Stage = StageEnding // withdrawn for good
+	}
+	return w, true
+}
+
+// stageOf is the stage of a live job, or of one that has ended, which is nil.
+func (p *Planner) stageOf(j *job) Stage {
 	switch {
 	case j == nil:
+		return StageOver
 	case j.ending != nil:
-		w.Stage = StageEnding
+		return StageEnding
+	case j.held:
+		return StageHeld
+	case j.withheld:
+		return StageStoreOut
 	case j.phase == Queued:
-		w.Stage = StageQueued
-		w.Why, ok = p.explainer().Explain(scheduler.JobID(id))
-		if !ok {
-			w.Stage = StageEnding // withdrawn from the scheduler
-		}
-	case j.phase == Starting && j.stored.Attempt != uint64(j.attempt):
-		w.Stage = StageStarting
+		return StageQueued
+	case j.phase != Starting || j.stored.Attempt == uint64(j.attempt):
+		return StageOver
+	case p.storeOut && !p.usable(j):
+		return StageStoreOut
 	}
-	return w, true
+	return StageStarting
 }
 
 func (p *Planner) explainer() *scheduler.Explainer {
--- a/planner/report.go
+++ b/planner/report.go
@@ -22,6 +22,12 @@
 	// Waited is the waits of jobs by client account and class, since the start of
 	// the process.
 	Waited map[string]map[string]metrics.Summary
+	// Withheld counts, by client account and class, the jobs that the scheduler does
+	// not know for now: see StageStoreOut and StageHeld.
+	Withheld map[string]map[string]int
+	// StoreOut says that the store did not take a write of this planner and has not
+	// answered since.
+	StoreOut bool
 	// Generation is of the document in force.
 	Generation uint64
 	// Rebuilt says that all job records have been read.
@@ -64,6 +70,8 @@
 		Report:     p.sched.Report(),
 		Generation: p.doc.Version.Generation,
 		Rebuilt:    p.rebuilt,
+		StoreOut:   p.storeOut,
+		Withheld:   p.withheld(),
 		Taken:      time.Now(),
 	}
 }
@@ -79,3 +87,18 @@
 	}
 	return out
 }
+
+func (p *Planner) withheld() map[string]map[string]int {
+	out := make(map[string]map[string]int)
+	for _, j := range p.jobs {
+		if !j.withheld || !j.waits() {
+			continue
+		}
+		spec := &j.stored.Spec
+		if out[spec.Account] == nil {
+			out[spec.Account] = make(map[string]int)
+		}
+		out[spec.Account][spec.Class]++
+	}
+	return out
+}
--- a/planner/report_test.go
+++ b/planner/report_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/eelgrasshub/eelgrasshub/platform/standin"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
 )
 
@@ -77,3 +78,33 @@
 	b.c.Check(ok, qt.IsFalse)
 	close(hold)
 }
+
+// The store is out, and an operator asks why two jobs wait. The one without a permit
+// waits for the store, is not lost from the counts, and is back in the queue after it.
+func TestWithheldJobsAreToldToWaitForTheStore(t *testing.T) {
+	b := newBench(t)
+	for i := range b.held.Document.Accounts {
+		b.held.Document.Accounts[i].Guaranteed = nil // one of them must not be impossible
+	}
+	agents := newFakeAgents(allWorkers...)
+	p := b.planner(1, agents)
+	report := func() { agents.report(p) }
+	b.accept("runs", all, true)
+	b.eventually("the first runs", report, func() bool { return agents.whole("runs") })
+	b.acceptEarlier("once", 24, false)
+	b.acceptEarlier("waits", all, true)
+	b.eventually("one has a permit", report, func() bool { return b.permitted("waits") })
+	stage := func(id string) Stage {
+		w, _, _ := p.Explain(context.Background(), id)
+		return w.Stage
+	}
+	b.server.SetFaults(standin.Faults{Down: standin.DownRefuse})
+	agents.finish()
+	b.eventually("the other one waits for the store", report, func() bool { return stage("once") == StageStoreOut })
+	b.eventually("it is counted", report, func() bool {
+		r, ok := p.Report(context.Background())
+		return ok && r.StoreOut && r.Withheld["harbourline"]["risk-scoring"] == 1
+	})
+	b.server.SetFaults(standin.Faults{})
+	b.eventually("it is in the queue again", report, func() bool { return stage("once") != StageStoreOut })
+}
