agent: no report before the target has said what it runs

Cause: a restarted agent began to report and to ask its target for running tasks at the same time. A report of a new incarnation that lists no task is the proof that the earlier one's tasks are gone, so when it was faster than the target's answer, which is a matter of milliseconds, the planner gave up a gang that ran on: its job was started again, or, where it must not run twice, its caller was told that nothing is known of it.

Change: the agent announces itself once the answer is there. An agent whose target does not answer is not known to entries until it does; it could serve nothing.

Ruled out: a mark in the report that the tasks are not known yet. It costs a field that each reader has to heed, and members refuse everything until then anyway.

--- a/agent/adopt.go
+++ b/agent/adopt.go
@@ -45,7 +45,10 @@
 	if len(tasks) > 0 {
 		g.log.WithFields(logrus.Fields{"running": running, "ended": len(tasks) - running}).Info("adopted the target's tasks")
 	}
-	g.event(gang.Adopted{Tasks: tasks})
+	if !g.do(context.Background(), func() { g.step(gang.Adopted{Tasks: tasks}) }) {
+		return // the agent stops
+	}
+	close(g.adopted)
 	for _, t := range tasks {
 		if t.State != gang.StateEnded {
 			g.t.Go(func() error { return g.watch(t.ID) })
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -73,14 +73,29 @@
 	}
 	a.gauges()
 	a.t.Go(func() error {
-		a.reports.start()
 		a.gangs.start()
+		a.t.Go(a.announce)
 		return nil
 	})
 	a.log.WithFields(logrus.Fields{"address": a.ep.Addr(), "incarnation": a.incarnation}).Info("agent started")
 	return a, nil
 }
 
+// announce begins to report once the target's tasks are known.
+//
+// The failure this guards against: a restarted agent reports before it has asked its
+// target what runs there. A report of a new incarnation that lists no task is the
+// proof that the tasks of the earlier one are gone, so the planner gives up a gang
+// that runs on, and starts its job again or tells its caller that nothing is known.
+func (a *Agent) announce() error {
+	select {
+	case <-a.gangs.adopted:
+		a.reports.start()
+	case <-a.t.Dying():
+	}
+	return nil
+}
+
 func (a *Agent) listen() error {
 	peer := wire.Peer{
 		ID:          a.cfg.ID,
@@ -127,6 +142,9 @@
 		log:    a.log,
 		target: a.target,
 		work:   make(chan func(), memberQueue),
+
+		adopted: make(chan struct{}),
+
 		member: gang.NewMember(gang.MemberConfig{
 			Accelerators: a.cfg.Accelerators,
 			Incarnation:  a.incarnation,
--- /dev/null
+++ b/agent/announce_test.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/document/schema"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+	"github.com/eelgrasshub/eelgrasshub/target"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+const testKey = "a key for tests only"
+
+// listenEntry is an entry that hands on each report.
+func listenEntry(c *qt.C, reports chan<- wire.AgentReport) string {
+	id, err := wire.NewIdentity(wire.Peer{ID: "entry", Role: wire.RoleEntry}, []byte(testKey))
+	c.Assert(err, qt.IsNil)
+	ep, err := wire.Listen("127.0.0.1:0", id, wire.HandlerFunc(func(_ context.Context, _ *wire.Conn, msg any) (any, error) {
+		for _, r := range msg.(*wire.Report).Batch {
+			reports <- r
+		}
+		return &wire.ReportAck{}, nil
+	}))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(ep.Close(), qt.IsNil) })
+	return ep.Addr()
+}
+
+// slowTarget runs one task of a gang, and lets whoever asks for its tasks wait until
+// a report has come, or for so long that one surely would.
+func slowTarget(c *qt.C, reports chan wire.AgentReport) string {
+	running := []target.TaskStatus{{
+		TaskID:       target.TaskID{Job: "j", Attempt: 1<<numberBits | 1},
+		State:        target.TaskRunning,
+		Members:      2,
+		Accelerators: []int{0},
+		LeaseLeftMS:  time.Minute.Milliseconds(),
+	}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != target.PathTasks {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		select {
+		case early := <-reports:
+			reports <- early
+		case <-time.After(300 * time.Millisecond):
+		}
+		_ = json.NewEncoder(w).Encode(running)
+	}))
+	c.Cleanup(server.Close)
+	return server.URL
+}
+
+// An agent is restarted while a member of a gang runs at its target. A report that
+// overtakes the question what runs there lists no task, which proves to the planner
+// that the member is gone: it gives up a gang that runs on. The first report of the
+// new incarnation has to list the task, however late the target answers.
+func TestFirstReportListsTheTargetsTasks(t *testing.T) {
+	c := qt.New(t)
+	reports := make(chan wire.AgentReport, 1000)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a, err := Start(settings.Agent{
+		ID:           "agent",
+		Service:      "s",
+		Listen:       "127.0.0.1:0",
+		Seeds:        []string{listenEntry(c, reports)},
+		ClusterKey:   testKey,
+		Target:       slowTarget(c, reports),
+		Accelerators: 8,
+		Slots:        8,
+		Connections:  8,
+		ReportEvery:  schema.Duration{Duration: time.Second},
+	}, logrus.NewEntry(log))
+	c.Assert(err, qt.IsNil)
+	defer a.Close()
+	select {
+	case first := <-reports:
+		c.Assert(first.Tasks, qt.HasLen, 1)
+	case <-time.After(20 * time.Second):
+		c.Fatal("no report")
+	}
+}
--- a/agent/gangs.go
+++ b/agent/gangs.go
@@ -39,6 +39,9 @@
 	member *gang.Member
 	timer  *time.Timer
 
+	// adopted is closed once the member knows the target's tasks.
+	adopted chan struct{}
+
 	// replies holds the reply of the Step in progress to the message it handled.
 	reply *gang.Reply
 	// push sends a reply that no message asked for, to the entry it names.
--- a/agent/report_once.go
+++ b/agent/report_once.go
@@ -77,6 +77,10 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r.mu.Lock()
+	if r.announcer == nil {
+		r.mu.Unlock()
+		return // nobody has heard of this incarnation
+	}
 	msg := r.announcer.Goodbye()
 	var wg sync.WaitGroup
 	tell := func(addr string) {
