--- a/trial/entrynode.go
+++ b/trial/entrynode.go
@@ -132,7 +132,10 @@
 
 // SilenceFlows makes the open connections to this entry go silent for good,
 // while new ones work, and returns how many. It needs Options.Relays.
-func (n *EntryNode) SilenceFlows() int { return n.relay.Lose(relay.Both...) }
+func (n *EntryNode) SilenceFlows() int { return n.LoseFlows(relay.Both...) }
+
+// LoseFlows is SilenceFlows for what goes these ways only: Up is towards the entry.
+func (n *EntryNode) LoseFlows(ways ...relay.Direction) int { return n.relay.Lose(ways...) }
 
 // Up says whether the entry runs.
 func (n *EntryNode) Up() bool {
--- /dev/null
+++ b/trial/together_test.go
@@ -0,0 +1,144 @@
+package trial_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/api"
+	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
+	"github.com/eelgrasshub/eelgrasshub/trial"
+)
+
+func TestPlannerDiesWhileTheStoreIsOut(t *testing.T) {
+	// The store is out, and then the entry that plans dies: nobody can take over. A
+	// gang of two workers stops by isolation, a job of one worker runs to its end,
+	// nothing starts, and quick requests go on. When the store is back the other
+	// entry takes over: the gang runs again, whole, the end of the job that went on
+	// is found with its agent, and what waited runs.
+	w := start(t, func(o *trial.Options) { o.Relays = true })
+	planner := w.Planner()
+	other := w.other(planner)
+	gang := w.submit(other, "big", "gang", 16, 8*time.Second)
+	one := w.submit(other, "big", "one", 8, 5*time.Second)
+	w.job(other, gang, api.JobRunning)
+	w.job(other, one, api.JobRunning)
+	waits := w.submit(other, "big", "waits", 32, 100*time.Millisecond)
+	w.Store.SetFaults(store.Faults{Down: store.DownRefuse})
+	planner.Kill()
+
+	w.eventually(func() error {
+		over := allEnded(w.attempts("gang"), 2) && allEnded(w.attempts("one"), 1)
+		return unless(over, "the gang or the job of one worker still runs")
+	})
+	w.checkDone(w.request(other, "check", "check", "", time.Millisecond), "check")
+	refused, err := w.trySubmit(other, "late", 8)
+	w.Check(err, qt.IsNotNil)
+	w.Check(refused, qt.Equals, "")
+	w.Check(w.attempts("waits"), qt.HasLen, 0)
+	w.Check(w.attempts("gang"), qt.HasLen, 1)
+	w.Store.SetFaults(store.Faults{})
+
+	w.Check(w.job(other, one, api.JobDone).Attempt, qt.Equals, 1)
+	w.Check(w.job(other, gang, api.JobDone).Attempt > 1, qt.IsTrue)
+	w.job(other, waits, api.JobDone)
+	w.job(other, w.submit(other, "big", "late", 8, 100*time.Millisecond), api.JobDone)
+	for _, tag := range []string{"gang", "one", "waits", "late"} {
+		w.checkRanOnce(tag)
+	}
+	w.checkViolations()
+}
+
+func TestEntryDiesWhileTheStoreTakesJobs(t *testing.T) {
+	// Callers submit jobs with keys. The store is slow, takes them and loses its
+	// replies, and while the entry asks what became of them it dies. The callers see
+	// their connections break and submit again through the other entry, twice. Each
+	// gets one job, which runs once.
+	w := start(t, func(o *trial.Options) { o.Relays = true })
+	const n = 6
+	before := w.Store.Counters().Txn
+	w.Store.SetFaults(store.Faults{DelayMillis: 200, LoseReplies: 3})
+	ended := make(chan error, n)
+	for i := range n {
+		go func() {
+			_, err := w.trySubmit(0, fmt.Sprint("job-", i), 8)
+			ended <- err
+		}()
+	}
+	w.eventually(func() error { return unless(w.Store.Counters().Txn > before, "no write has begun") })
+	w.Entries[0].Kill()
+	for range n {
+		w.Check(errors.Is(<-ended, api.ErrOutcomeUnknown), qt.IsTrue)
+	}
+	w.Store.SetFaults(store.Faults{})
+
+	for i := range n {
+		key := fmt.Sprint("job-", i)
+		id := w.submit(1, "big", key, 8, 100*time.Millisecond)
+		w.Check(w.submit(1, "big", key, 8, 100*time.Millisecond), qt.Equals, id)
+		w.job(1, id, api.JobDone)
+		w.checkRanOnce(key)
+	}
+	w.checkViolations()
+}
+
+func TestAllAgentsReturnWhileTheStoreIsSlow(t *testing.T) {
+	// Every agent of an availability zone dies and is back at once, with a gang and
+	// bookings running at their targets, while the store takes most of its callers'
+	// patience for each call. Whoever hears "not run" may rely on it, no booking runs
+	// twice, the gang runs on to its end, and the zone takes work of its full size again.
+	w := start(t, func(o *trial.Options) { o.Document = patient })
+	gang := w.submit(0, "big", "gang", 16, 3*time.Second)
+	w.job(0, gang, api.JobRunning)
+	w.Store.SetFaults(store.Faults{DelayMillis: 600})
+	bookings := make(map[string]<-chan told)
+	for i := range 8 {
+		tag := fmt.Sprint("book-", i)
+		bookings[tag] = w.send(i%2, "booking", tag, "", time.Second)
+	}
+	w.whereItRuns("book-0")
+	for _, worker := range w.Workers {
+		worker.Kill()
+	}
+	for _, worker := range w.Workers {
+		w.Assert(worker.Start(), qt.IsNil)
+	}
+	w.Assert(w.WaitInForce(w.ctx, 1), qt.IsNil)
+	for tag, answer := range bookings {
+		a := <-answer
+		runs, _ := w.runs(tag)
+		w.Check(len(runs) <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", tag, len(runs)))
+		told := a.Outcome != api.OutcomeNotRun || len(runs) == 0
+		w.Check(told, qt.IsTrue, qt.Commentf("%s: told not run, and ran", tag))
+	}
+	whole := w.submit(1, "big", "whole", 32, 100*time.Millisecond)
+	for i := range 8 {
+		tag := fmt.Sprint("check-", i)
+		w.checkDone(w.request(i%2, "check", tag, "", time.Millisecond), tag)
+	}
+	w.Check(w.job(0, gang, api.JobDone).Attempt, qt.Equals, 1)
+	w.job(1, whole, api.JobDone)
+	w.checkRanOnce("gang")
+	w.checkRanOnce("whole")
+	w.checkViolations()
+}
+
+// trySubmit is submit of a short job, for a caller who may be refused.
+func (w *world) trySubmit(entry int, key string, accelerators int) (string, error) {
+	payload, err := json.Marshal(standin.TaskPayload{Tag: key, RunMS: 100})
+	if err != nil {
+		return "", err
+	}
+	s, err := w.Entries[entry].Client().Submit(w.ctx, w.Service, api.JobRequest{
+		Account:      "big",
+		Class:        "long",
+		Accelerators: accelerators,
+		Payload:      payload,
+	}, key)
+	return s.ID, err
+}
