target, agent: a target refuses starts sent by an earlier life of its agent

Cause: a start that was on its way when its agent died was taken by the target whenever it arrived. By then the planner had given the attempt up and started the gang again; the late part ran alone, on accelerators that the restarted agent took for free, and no agent renewed, watched or stopped it. The fence of the protocol was the planner's epoch only, which such a start carries rightly.

Change: an agent names its incarnation when it asks for the list of tasks, which it does before it grants or reports anything, and in each start. A target refuses a start under a lower incarnation than it has heard of. So the start of an earlier life is in the list and adopted, or refused. The stand-in does so, and has a fault that holds starts on their way.

Ruled out: a shorter lease. It bounds how long the late part runs, not that it runs beside the next attempt. A stop of all tasks that the new agent doesn't know: it can't name one that hasn't arrived.

--- a/agent/adopt.go
+++ b/agent/adopt.go
@@ -14,10 +14,15 @@
 // adopt asks the target what it runs. Until then an accelerator that looks
 // free may be in use by a task of the agent's earlier life, so the member
 // refuses everything.
+//
+// The question also fences the earlier life. A start that it sent may still be on its
+// way when the agent dies: it would run a part of a gang that was given up meanwhile,
+// on accelerators that look free, and no agent would know of it. Either the task is in
+// the list, or the target refuses it.
 func (g *gangs) adopt() error {
 	ctx := g.t.Context(context.Background())
 	for {
-		tasks, err := g.target.Tasks(ctx)
+		tasks, err := g.target.Tasks(ctx, g.incarnation)
 		if err == nil {
 			g.adoptTasks(tasks)
 			return nil
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -143,7 +143,8 @@
 		target: a.target,
 		work:   make(chan func(), memberQueue),
 
-		adopted: make(chan struct{}),
+		adopted:     make(chan struct{}),
+		incarnation: a.incarnation,
 
 		member: gang.NewMember(gang.MemberConfig{
 			Accelerators: a.cfg.Accelerators,
--- a/agent/gangs.go
+++ b/agent/gangs.go
@@ -37,7 +37,9 @@
 	target *target.Client
 	work   chan func()
 	member *gang.Member
-	timer  *time.Timer
+	// incarnation is the agent's.
+	incarnation uint64
+	timer       *time.Timer
 
 	// adopted is closed once the member knows the target's tasks.
 	adopted chan struct{}
--- a/agent/task.go
+++ b/agent/task.go
@@ -21,6 +21,7 @@
 	spec.Accelerators = a.Task.Accelerators
 	spec.LeaseMS = max(1, leaseFor(a.Task).Milliseconds())
 	spec.Epoch = a.Task.ID.Epoch
+	spec.Incarnation = g.incarnation
 	ctx, cancel := context.WithTimeout(g.t.Context(context.Background()), taskLease)
 	defer cancel()
 	_, err := g.target.StartTask(ctx, targetID(a.Task.ID), spec)
--- a/target/client_tasks.go
+++ b/target/client_tasks.go
@@ -14,18 +14,21 @@
 
 // StartTask starts the task, or returns the status of the same task started
 // before: it may be repeated after ErrOutcomeUnknown. Another spec under the
-// same id, a taken accelerator or an older epoch is ErrConflict, and nothing
-// was started.
+// same id, a taken accelerator, an older epoch or an earlier incarnation of the agent
+// is ErrConflict, and nothing was started.
 func (c *Client) StartTask(ctx context.Context, id TaskID, spec TaskSpec) (TaskStatus, error) {
 	var st TaskStatus
 	err := c.call(ctx, http.MethodPut, id.Path(), spec, &st)
 	return st, err
 }
 
-// Tasks lists the tasks the worker knows: all that run and the latest ended.
-func (c *Client) Tasks(ctx context.Context) ([]TaskStatus, error) {
+// Tasks lists the tasks the worker knows: all that run and the latest ended. Starts
+// that an earlier incarnation of the agent has sent and that are not in the list are
+// refused from then on.
+func (c *Client) Tasks(ctx context.Context, incarnation uint64) ([]TaskStatus, error) {
+	path := PathTasks + "?" + ParamIncarnation + "=" + strconv.FormatUint(incarnation, 10)
 	var list []TaskStatus
-	err := c.call(ctx, http.MethodGet, PathTasks, nil, &list)
+	err := c.call(ctx, http.MethodGet, path, nil, &list)
 	return list, err
 }
 
--- a/target/protocol.go
+++ b/target/protocol.go
@@ -34,6 +34,9 @@
 	ParamWaitMS = "wait_ms"
 	// ParamCheckpoint "true" asks for a checkpoint before a stop.
 	ParamCheckpoint = "checkpoint"
+	// ParamIncarnation names the agent's incarnation when it asks for the list of
+	// tasks. From the answer on, starts of earlier ones are refused.
+	ParamIncarnation = "incarnation"
 )
 
 // TaskID names one member's run of one attempt of a job on this worker.
--- a/target/standin/faults.go
+++ b/target/standin/faults.go
@@ -14,6 +14,9 @@
 	HangAfterRun bool `json:"hang_after_run,omitempty"`
 	// CutBody runs a quick request and closes the connection mid-body.
 	CutBody bool `json:"cut_body,omitempty"`
+	// HoldStarts holds starts of tasks on their way until the faults change, also
+	// when whoever sent one is gone.
+	HoldStarts bool `json:"hold_starts,omitempty"`
 	// Reject refuses quick requests and starts of tasks, without running them.
 	Reject bool `json:"reject,omitempty"`
 	// Every lets only each n-th quick request meet the faults; 0 and 1 mean all.
--- a/target/standin/server.go
+++ b/target/standin/server.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"goji.io"
@@ -26,6 +27,7 @@
 	opts   Options
 	mux    *goji.Mux
 	closed chan struct{}
+	held   atomic.Int64
 
 	mu           sync.Mutex
 	faults       Faults
@@ -36,6 +38,7 @@
 	ended        []target.TaskID // oldest first
 	holders      []*task         // by accelerator
 	epochs       map[string]uint64
+	agent        uint64 // highest incarnation of the agent heard of
 	conns        map[any]*connState
 	connsInUse   int
 	usage        target.Usage
@@ -129,6 +132,25 @@
 	panic(http.ErrAbortHandler)
 }
 
+// holdStart delays a start for as long as the faults say so.
+func (s *Server) holdStart() {
+	s.mu.Lock()
+	held, released := s.faults.HoldStarts, s.released
+	s.mu.Unlock()
+	if !held {
+		return
+	}
+	s.held.Add(1)
+	defer s.held.Add(-1)
+	select {
+	case <-released:
+	case <-s.closed:
+	}
+}
+
+// HeldStarts is how many starts are on their way, held by Faults.HoldStarts.
+func (s *Server) HeldStarts() int { return int(s.held.Load()) }
+
 // sleep waits for d and reports false if the stand-in was closed first.
 func (s *Server) sleep(d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/target/standin/task.go
+++ b/target/standin/task.go
@@ -52,6 +52,7 @@
 	}
 	s.tasks[id] = t
 	s.epochs[id.Job] = spec.Epoch
+	s.agent = max(s.agent, spec.Incarnation)
 	for _, a := range spec.Accelerators {
 		s.holders[a] = t
 	}
@@ -83,6 +84,9 @@
 	if spec.Epoch < s.epochs[id.Job] {
 		return fmt.Errorf("epoch %d is older than %d", spec.Epoch, s.epochs[id.Job])
 	}
+	if spec.Incarnation < s.agent {
+		return fmt.Errorf("the agent was restarted since: incarnation %d is older than %d", spec.Incarnation, s.agent)
+	}
 	for _, a := range spec.Accelerators {
 		if a < 0 || a >= len(s.holders) {
 			return fmt.Errorf("accelerator %d: no such accelerator", a)
--- a/target/standin/tasks_http.go
+++ b/target/standin/tasks_http.go
@@ -45,6 +45,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.holdStart()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Reject {
@@ -100,9 +101,12 @@
 	}
 }
 
-func (s *Server) listTasks(w http.ResponseWriter, _ *http.Request) {
+// listTasks answers an agent that was started, and fences its earlier lives.
+func (s *Server) listTasks(w http.ResponseWriter, r *http.Request) {
+	incarnation, _ := strconv.ParseUint(r.URL.Query().Get(target.ParamIncarnation), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.agent = max(s.agent, incarnation)
 	now := time.Now()
 	list := []target.TaskStatus{}
 	for _, t := range s.tasks {
--- a/target/task.go
+++ b/target/task.go
@@ -22,6 +22,9 @@
 	LeaseMS int64 `json:"lease_ms"`
 	// Epoch fences: a worker refuses a start of the same job under a lower one.
 	Epoch uint64 `json:"epoch"`
+	// Incarnation is the agent's, and fences its earlier lives: a worker refuses a
+	// start under a lower one than it has heard of, in a start or by ParamIncarnation.
+	Incarnation uint64 `json:"incarnation"`
 	// Restore is where to resume from; nil for a fresh start.
 	Restore *Checkpoint `json:"restore,omitempty"`
 }
--- a/trial/together_test.go
+++ b/trial/together_test.go
@@ -142,3 +142,37 @@
 	}, key)
 	return s.ID, err
 }
+
+// firstAttempt is the number that targets know the first attempt of a cluster's
+// first planner by.
+const firstAttempt = 1<<32 | 1
+
+func TestAgentRestartsDuringAStart(t *testing.T) {
+	// A gang is being started, and one start is held up on its way to the target. The
+	// agent that sent it dies and is back; the planner gives the attempt up and starts
+	// the gang again. Then the start of the earlier life arrives. It must not run: a
+	// part of a gang that was given up would hold accelerators that look free.
+	w := start(t, nil)
+	for _, worker := range w.Workers {
+		worker.Target.SetFaults(standin.Faults{HoldStarts: true})
+	}
+	gang := w.submit(0, "big", "gang", 16, 300*time.Millisecond)
+	placed := w.job(0, gang, api.JobStarting).Placement
+	w.Assert(placed, qt.HasLen, 2)
+	dying := w.worker(placed[0].Agent)
+	w.eventually(func() error { return unless(dying.Target.HeldStarts() > 0, "no start has arrived") })
+	dying.Kill()
+	w.Assert(dying.Start(), qt.IsNil)
+	w.Assert(w.WaitInForce(w.ctx, 1), qt.IsNil)
+	for _, worker := range w.Workers {
+		worker.Target.SetFaults(standin.Faults{})
+	}
+
+	w.Check(w.job(0, gang, api.JobDone).Attempt > 1, qt.IsTrue)
+	w.eventually(func() error { return unless(dying.Target.HeldStarts() == 0, "a start is still held") })
+	for _, run := range dying.Target.Audit().Tasks {
+		w.Check(run.Attempt, qt.Not(qt.Equals), firstAttempt)
+	}
+	w.checkRanOnce("gang")
+	w.checkViolations()
+}
