planner: what is left of a lost attempt is stopped though the next was refused

Cause: whether a task that an agent lists belongs to its job's attempt was judged by how the last attempt had ended. A lost attempt is on record. When the next one was given up before its record (no room, a refused reservation), the record still named the lost one and the last attempt had left no record, so the lost one's tasks counted as the job's own. They ran on to their end: the job waited for the accelerators that its own leftover held, and the leftover's result was dropped.

Change: a job remembers the last attempt that ended with its record, and a later one without a record doesn't change that.

--- a/planner/attempt_end.go
+++ b/planner/attempt_end.go
@@ -19,6 +19,9 @@
 	}
 	id, attempt := scheduler.JobID(j.stored.ID), j.attempt
 	members := j.coord.Plan().Members
+	if e.Recorded {
+		j.over = j.coord.Plan().ID
+	}
 	p.detach(j)
 	j.last = e
 	j.keepCheckpoint(e)
--- a/planner/fake_test.go
+++ b/planner/fake_test.go
@@ -49,6 +49,22 @@
 	return f
 }
 
+// remove cuts an agent off: its reports and messages to it are lost.
+func (f *fakeAgents) remove(name string) *gang.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	delete(f.members, name)
+	return m
+}
+
+// add connects an agent.
+func (f *fakeAgents) add(name string, m *gang.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members[name] = m
+}
+
 // Gang implements Agents.
 func (f *fakeAgents) Gang(_ context.Context, agent string, msg gang.Message) (gang.Reply, error) {
 	f.mu.Lock()
--- a/planner/job.go
+++ b/planner/job.go
@@ -31,7 +31,10 @@
 	timer   *time.Timer       // of the coordinator
 	// last is how the last attempt ended; it decides between failed and unknown
 	// when the scheduler gives the job up.
-	last   gang.Ended
+	last gang.Ended
+	// over is the last attempt that the record may name and that has ended. Later
+	// ones that were given up before their record don't change it.
+	over   gang.ID
 	permit permit
 	// placed is the plan of the last attempt on a permit, by this planner or found
 	// by its search.
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/eelgrasshub/eelgrasshub/clock"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/platform/standin"
@@ -106,6 +107,32 @@
 	b.c.Assert(agents.startsOf("j"), qt.Equals, 2)
 }
 
+// An agent is cut off for longer than the loss timeout while a job of one worker runs
+// there. The job's next attempt finds no room elsewhere and is given up before its
+// start is on record, so the record still names the lost one. When the agent is back
+// the leftover has to be stopped. Taken for the job's own attempt it would hold its
+// accelerators to its end, the job would wait for them, and its result be dropped.
+func TestLeftoverIsStoppedAfterARefusal(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents("a")
+	p := b.planner(1, agents)
+	report := func() { agents.report(p) }
+	b.accept("j", 8, true)
+	b.eventually("it runs", report, func() bool { return agents.startsOf("j") == 1 })
+	cut := agents.remove("a")
+	full := newFakeAgents("b").remove("b")
+	full.Step(clock.Now(), gang.Drain{})
+	agents.add("b", full)
+	p.Left("a")
+	b.eventually("no room elsewhere", report, func() bool {
+		return p.cfg.Metrics.Snapshot().Counters["reservations_refused"] > 0
+	})
+	agents.add("a", cut)
+	b.eventually("the leftover is stopped and the job starts again", report, func() bool {
+		return agents.startsOf("j") == 2
+	})
+}
+
 // The platform's store is out when a gang ends. The caller must not be told that
 // the job still runs for ever: the end is written when the store is back, once.
 func TestEndIsWrittenAfterOutage(t *testing.T) {
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -120,7 +120,7 @@
 		return accountedOnPermit(j, t.ID)
 	}
 	r := j.stored.Record
-	return r.Epoch == t.ID.Epoch && r.Number == t.ID.Number && !j.last.Recorded
+	return r.Epoch == t.ID.Epoch && r.Number == t.ID.Number && j.over != t.ID
 }
 
 // lose is called when nothing was heard of an agent for the loss timeout, or
