planner: an answer does not repeat what was whole long ago

Cause, found by reading while the freezes were tested: answers to reports take what was whole from the last housekeeping. A planner that was frozen answers the reports that have waited before it looks at anything, and so renews a member by what was whole before the freeze.

Change: what was found whole more than 2 s before is not repeated.

Ruled out: members that refuse contacts of lower epochs. A member that the successor can't reach has not heard of its epoch.

--- a/planner/worker.go
+++ b/planner/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/clock"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
 )
@@ -158,7 +159,7 @@
 // concurrent use and reads what the last housekeeping published.
 func (p *Planner) Answer(agent string) ([]gang.ID, gang.Stamp) {
 	w := p.whole.Load()
-	return w.byAgent[agent], gang.NewStamp(p.cfg.Epoch, w.at)
+	return w.of(agent, clock.Now()), gang.NewStamp(p.cfg.Epoch, w.at)
 }
 
 // wholeAttempts is what was whole at one moment.
@@ -167,6 +168,23 @@
 	at      time.Time
 }
 
+// staleWhole is how old what was whole may be for an answer to repeat it. It is many
+// periods of housekeeping, and below what a document leaves for the delay of reports.
+const staleWhole = 2 * time.Second
+
+// of returns what was whole with a member at the agent.
+//
+// The failure this guards against: the planner's process is frozen and goes on, and
+// answers the reports that have waited before it looks at anything again. It shows as
+// a member that is renewed by what was whole before the freeze, and so runs on alone
+// for longer than a successor waits before it starts the gang elsewhere.
+func (w *wholeAttempts) of(agent string, now time.Time) []gang.ID {
+	if now.Sub(w.at) > staleWhole {
+		return nil
+	}
+	return w.byAgent[agent]
+}
+
 func (p *Planner) publishWhole(now time.Time) {
 	whole := make(map[string][]gang.ID)
 	for _, j := range p.jobs {
