scheduler: unused blocks of an account adjoin for a job larger than each

Cause (waits by size and account): after evictions the longest waits were those of gangs of 16 of the account that is guaranteed two workers, and of 24 of the one guaranteed 16 and 8. They borrowed, and were evicted, beside unused blocks of their own account which held them in sum; only a job that may be spread used several blocks. Such blocks now move next to each other within the span of the job if that evicts little.

--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -107,6 +107,9 @@
 	if p == afterOpen && k.span == AdjacentAny {
 		return s.claimMany(j, k), yields
 	}
+	if p == afterOpen && k.span != AdjacentWorker {
+		return s.claimJoined(j, k), yields
+	}
 	return nil, yields
 }
 
--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -238,3 +238,16 @@
 	b.Assert(b.s.nodeByID["w3"].bound+b.s.nodeByID["w4"].bound, qt.Equals, 16)
 	b.Assert(of[StartGang](b.submit(Job{ID: "o", Account: "owner", Accelerators: 24, Adjacency: AdjacentRack})), qt.HasLen, 1)
 }
+
+func TestBlocksAdjoinForALargerJob(t *testing.T) {
+	// An account guaranteed two workers submits a job for both, within a rack. It
+	// waits for hours beside its own unused blocks, which lie in different racks or
+	// under guests: only a job that may be spread used several of them.
+	p := Policy{Accounts: []AccountPolicy{{ID: "owner", Guaranteed: []Shape{{8, AdjacentWorker, 2}}}, {ID: "guest"}}}
+	b := newBench(t, p, eight(6)...)
+	b.fillSite()
+	b.now = b.now.Add(10 * time.Second)
+	starts := b.stopAll(b.submit(Job{ID: "o", Account: "owner", Accelerators: 16, Adjacency: AdjacentRack, Submitted: b.now}))
+	b.Assert(len(starts) > 0 && starts[0].Job == "o", qt.IsTrue)
+	b.Assert(b.s.jobs["o"].run.shares, qt.HasLen, 2)
+}
