scheduler: a job that borrows no more does so again where it would wait for ever

Cause: a job that lost work to an eviction runs only where no block needs the place. Whether such a place exists was asked once, and remembered across the loss of workers. When the site shrank, or a policy guaranteed more, the job waited for ever beside idle capacity. Found by reading.

Now the question is asked again when workers leave or the policy changes, in the order of submission. Shown failing first: without it the new test finds the job still retreated.

--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -213,6 +213,23 @@
 	b.Assert(b.s.jobs["large"].run.firm, qt.IsTrue)
 }
 
+func TestJobThatLostWorkBorrowsAgainOnASmallerSite(t *testing.T) {
+	// A large job has lost work to a claim and waits for a place that no block needs.
+	// Then a worker fails for good, and there is no such place any more. The guarantee
+	// that evicted it stays unused, and the job would wait beside it for ever.
+	b := newBench(t, rackAndGuests, eight(4)...)
+	b.submit(Job{ID: "large", Account: "guest", Accelerators: 16, Repeatable: true, Submitted: b.now})
+	b.submit(Job{ID: "firm", Account: "rival", Accelerators: 8, Adjacency: AdjacentWorker, Submitted: b.now})
+	b.step(GangStarted{"large", 1})
+	b.stopAll(b.submit(Job{ID: "o", Account: "owner", Accelerators: 16, Adjacency: AdjacentRack, Submitted: b.now}))
+	b.Assert(b.s.jobs["large"].retreated, qt.IsTrue)
+	b.end("o", Done, "")
+	b.step(WorkerDown{b.s.nodes[b.s.jobs["firm"].run.pieces[0].node].ID})
+	starts := of[StartGang](b.end("firm", Lost, ""))
+	b.Assert(b.s.jobs["large"].retreated, qt.IsFalse)
+	b.Assert(b.s.jobs["large"].run != nil, qt.IsTrue, qt.Commentf("%+v", starts))
+}
+
 func TestShelterStaysWhileOthersFillTheirBlocks(t *testing.T) {
 	// A job within its account's guarantee is evicted by a claim of another account,
 	// since a third one runs a job larger than its blocks on what they were bound to.
--- a/scheduler/policy_change.go
+++ b/scheduler/policy_change.go
@@ -27,6 +27,7 @@
 	}
 	s.grown++
 	s.shape++
+	s.shrunk++ // blocks may need more
 }
 
 // setBlocks makes the blocks of an account those that its policy declares.
--- a/scheduler/retreat.go
+++ b/scheduler/retreat.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // retreat has a job that has just lost work to a claim run only where no block
 // needs the place from now on, if such a place exists once other work has ended.
@@ -17,6 +20,28 @@
 	j.retreated = s.plain(&k) && s.fitsBesideBlocks(need{j.Accelerators, j.Adjacency})
 }
 
+// endRetreats lets jobs borrow again that no longer fit beside all blocks, since
+// workers are gone or a policy guarantees more. They would wait for ever although
+// the capacity of a guarantee that nobody uses is idle.
+func (s *Scheduler) endRetreats() {
+	if s.retreatsAt == s.shrunk {
+		return
+	}
+	s.retreatsAt = s.shrunk
+	var back []*job
+	for _, j := range s.jobs {
+		if j.retreated && j.queue != nil && !s.fitsBesideBlocks(need{j.Accelerators, j.Adjacency}) {
+			back = append(back, j)
+		}
+	}
+	slices.SortFunc(back, func(a, b *job) int { return cmp.Compare(a.seq, b.seq) })
+	for _, j := range back {
+		s.dequeue(j)
+		j.retreated = false
+		s.enqueue(j)
+	}
+}
+
 func (s *Scheduler) guarantees() bool {
 	return slices.ContainsFunc(s.accountList, func(a *account) bool { return len(a.blocks) > 0 })
 }
@@ -24,8 +49,8 @@
 // fitsBesideBlocks reports whether a shape fits on idle workers together with
 // all guaranteed ones.
 func (s *Scheduler) fitsBesideBlocks(w need) bool {
-	if s.besideAt != s.shape {
-		s.besideAt = s.shape
+	if at := s.shape + s.shrunk; s.besideAt != at {
+		s.besideAt = at
 		clear(s.beside)
 	}
 	fits, ok := s.beside[w]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -46,7 +46,9 @@
 	loose       []*block // guaranteed blocks without a place
 	degraded    map[degradedKey]int
 	beside      map[need]bool // shapes that fit beside all blocks
-	besideAt    uint64        // shape when these were found
+	besideAt    uint64        // shape and shrunk when these were found
+	shrunk      uint64        // changes when the topology shrinks or blocks need more
+	retreatsAt  uint64        // shrunk when retreats were last looked at
 	packed      uint64        // grown when the last repacking failed
 	stopping    int           // evictions in progress
 	quarantined []*node
@@ -143,6 +145,7 @@
 	s.wakeWorkers()
 	s.wakeJobs()
 	s.rebindLoose()
+	s.endRetreats()
 	s.startClaims()
 	s.claimGuarantees(beforeOpen)
 	s.startOpen()
--- a/scheduler/topology.go
+++ b/scheduler/topology.go
@@ -131,6 +131,7 @@
 
 // leave gives up what is planned on a node that has just become unusable.
 func (s *Scheduler) leave(n *node) {
+	s.shrunk++
 	for len(n.blocks) > 0 {
 		s.detach(n.blocks[0])
 		s.unpacked()
