scheduler: a gang evicts any smaller job that can checkpoint, while it pays

Cause: a job that can checkpoint loses nothing to an eviction, but was as safe from gangs as one that loses all: only work at most half as large was evicted, and only twice (6 times under Fragmentation).

--- a/scheduler/filler_test.go
+++ b/scheduler/filler_test.go
@@ -28,6 +28,19 @@
 	b.Assert(of[StartGang](b.end("saves", Stopped, ""))[0].Job, qt.Equals, JobID("gang"))
 }
 
+func TestGangEvictsWhatLosesNothing(t *testing.T) {
+	// A gang of 24 waits for an hour for a job of 16 that could checkpoint and go on
+	// elsewhere: only work at most half as large was ever evicted for a gang, and no
+	// job more than a few times.
+	b := newBench(t, Policy{Accounts: []AccountPolicy{{ID: "a"}, {ID: "b"}}}, eight(3)...)
+	b.submit(Job{ID: "saves", Account: "a", Accelerators: 16, Checkpointable: true, Estimate: time.Hour})
+	b.step(GangStarted{"saves", 1})
+	b.s.jobs["saves"].evictions = b.s.preemptMost()
+	b.submit(Job{ID: "gang", Account: "b", Accelerators: 24, Submitted: b.now})
+	b.now = b.now.Add(2 * time.Second)
+	b.Assert(of[StopGang](b.step(Tick{})), qt.DeepEquals, []StopGang{{Job: "saves", Attempt: 1, Checkpoint: true, Reason: StopReclaim}})
+}
+
 func TestReservationThatIsBlockedIsNotFilledAgain(t *testing.T) {
 	// A job under a reservation is stopped and started without end: all else is free,
 	// so it makes way, but the gang can't start while a block there finds no other
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// preemptSize is how many times larger than a victim a gang must be to evict
-// it without a guarantee. Above 1 it excludes cycles: a victim never evicts
+// preemptSize is how many times larger than a victim that loses work a gang must
+// be to evict it without a guarantee. Above 1 it excludes cycles: a victim never evicts
 // what evicted it.
 const preemptSize = 2
 
-// preemptMost is how often one job may be evicted without a guarantee.
+// preemptMost is how often one job that loses work by it may be evicted without a guarantee.
 func (s *Scheduler) preemptMost() int {
 	if s.policy.Objective == Fragmentation {
 		return 6
@@ -31,9 +31,17 @@
 		return !r.firm
 	}
 	return !r.firm && r.state == runRunning && !r.job.Urgent &&
-		r.job.Accelerators*preemptSize <= j.Accelerators &&
-		r.job.Priority <= j.Priority && r.job.evictions < s.preemptMost() &&
-		!r.covered()
+		r.job.Priority <= j.Priority && s.outgrows(j, r.job) && !r.covered()
+}
+
+// outgrows reports whether a gang is large enough to evict a job. One that can
+// checkpoint loses nothing, so any larger gang may evict it, as often as that
+// costs less than the wait.
+func (s *Scheduler) outgrows(gang, victim *job) bool {
+	if victim.Checkpointable {
+		return victim.Accelerators < gang.Accelerators
+	}
+	return victim.Accelerators*preemptSize <= gang.Accelerators && victim.evictions < s.preemptMost()
 }
 
 // preemptEnd is the time at which a run counts as ended when a gang plans its
