planner, gang: an agent that can't be told holds no job up for good; no blame for busy workers

Cause, by reading the takeover once more: - An agent that reports but never takes the fence (its path is broken one way, or its target does not answer it) kept every job with a permit of a predecessor from starting. It counts as lost after twice the loss timeout. - A successor's scheduler takes accelerators for free that a job of its predecessor has and that it has not found yet. Their refusals counted as failures of the workers. They don't while a report lists a task of such a job. - A job whose permit was returned counted as begun, so that the successor could not return or deny it in its turn.

Failed first: TestWorkersOfAHeldJobAreNotAtFault, got "a", want "".

--- a/gang/search.go
+++ b/gang/search.go
@@ -12,6 +12,8 @@
 	// Fenced is when the incarnation first reported the successor's epoch as its
 	// fence, zero if it has not yet.
 	Fenced time.Time
+	// Asked is when the incarnation was first sent a fence, zero if it was not.
+	Asked time.Time
 	// Tasks are those of the last report.
 	Tasks []Task
 }
@@ -71,9 +73,7 @@
 func NewSearch(c SearchConfig, now time.Time, agents []Witness) *Search {
 	s := &Search{config: c, now: now, fenced: true, found: make(map[string][]remains)}
 	for _, w := range agents {
-		if w.Fenced.IsZero() || now.Sub(w.Fenced) < c.Settle {
-			s.fenced = false
-		}
+		s.fenced = s.fenced && s.refuses(w)
 		for _, t := range w.Tasks {
 			s.add(w, t)
 		}
@@ -81,6 +81,17 @@
 	return s
 }
 
+// refuses says whether the agent refuses the predecessors, and has for long enough.
+// One that reports and can't be told, because its path is broken one way or its
+// target does not answer it, counts as lost in the end: it would keep every job
+// with a permit from starting.
+func (s *Search) refuses(w Witness) bool {
+	if w.Fenced.IsZero() {
+		return !w.Asked.IsZero() && s.now.Sub(w.Asked) >= 2*s.config.Wait
+	}
+	return s.now.Sub(w.Fenced) >= s.config.Settle
+}
+
 // add enters a task. A reservation is none: it expires, and with the fence up it
 // can't be committed. Accounts from before the fence may still change and count
 // only as something that is there.
--- a/gang/sim_permit_test.go
+++ b/gang/sim_permit_test.go
@@ -149,6 +149,9 @@
 	for i, a := range p.w.agents {
 		if p.known[i] != 0 && p.fenced[i].IsZero() {
 			p.sendTo(a, Fence(p.epoch, p.known[i]))
+			if p.asked[i].IsZero() {
+				p.asked[i] = p.w.now
+			}
 		}
 	}
 }
@@ -157,7 +160,7 @@
 	var all []Witness
 	for i, a := range p.w.agents {
 		if p.known[i] != 0 && p.w.now.Sub(p.heard[i]) <= simLoss {
-			all = append(all, Witness{a.name, p.known[i], p.fenced[i], p.tasks[i]})
+			all = append(all, Witness{a.name, p.known[i], p.fenced[i], p.asked[i], p.tasks[i]})
 		}
 	}
 	return all
@@ -169,13 +172,15 @@
 	if r.Incarnation < p.known[i] {
 		return
 	}
-	restarted := r.Incarnation > p.known[i]
+	if r.Incarnation > p.known[i] {
+		p.fenced[i], p.asked[i] = time.Time{}, time.Time{}
+	}
 	p.known[i] = r.Incarnation
 	p.tasks[i] = r.Tasks
 	switch {
 	case r.Fence < p.epoch:
 		p.fenced[i] = time.Time{}
-	case restarted || p.fenced[i].IsZero():
+	case p.fenced[i].IsZero():
 		p.fenced[i] = p.w.now
 	}
 	for _, t := range r.Tasks {
--- a/gang/sim_planner_test.go
+++ b/gang/sim_planner_test.go
@@ -54,6 +54,7 @@
 	heard   []time.Time
 	known   []uint64 // incarnations by agent
 	fenced  []time.Time
+	asked   []time.Time
 	tasks   [][]Task
 	permits map[int]*simPermit
 	held    map[int]*simHeld
--- a/gang/sim_world_test.go
+++ b/gang/sim_world_test.go
@@ -217,7 +217,8 @@
 	w.epoch++
 	p := &simPlanner{w: w, epoch: w.epoch, cut: map[string]bool{}, view: w.store.snapshot()}
 	p.permits, p.held = map[int]*simPermit{}, map[int]*simHeld{}
-	p.fenced, p.tasks = make([]time.Time, len(w.agents)), make([][]Task, len(w.agents))
+	p.fenced, p.asked = make([]time.Time, len(w.agents)), make([]time.Time, len(w.agents))
+	p.tasks = make([][]Task, len(w.agents))
 	for range w.agents {
 		p.heard = append(p.heard, w.now)
 		p.known = append(p.known, 0)
--- a/planner/follow.go
+++ b/planner/follow.go
@@ -100,7 +100,7 @@
 	if p.outranked(r) {
 		return
 	}
-	j := &job{stored: r, begun: true}
+	j := &job{stored: r, begun: !r.Permitted()}
 	p.jobs[r.ID] = j
 	p.takeOver(j)
 	p.cancelIfAsked(j)
--- a/planner/permit_test.go
+++ b/planner/permit_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/eelgrasshub/eelgrasshub/clock"
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
@@ -323,6 +324,29 @@
 	return own.planner(epoch, agents), cut
 }
 
+// A successor places jobs on workers whose accelerators a job of its predecessor
+// has, which it has not found yet. They refuse, as they should, and must not be
+// quarantined for it.
+func TestWorkersOfAHeldJobAreNotAtFault(t *testing.T) {
+	b := newBench(t)
+	p := b.planner(2, newFakeAgents())
+	b.eventually("records read", func() {}, func() bool { return p.isRebuilt() })
+	done := make(chan struct{})
+	p.post(func() {
+		defer close(done)
+		j := &job{phase: Queued}
+		j.stored.ID, j.stored.Service = "j", "dispatch"
+		j.stored = j.stored.WithPermit(1)
+		p.jobs["j"] = j
+		p.hold(j)
+		task := gang.Task{ID: gang.ID{Job: "j", Epoch: 1, Number: 1}, State: gang.StateRunning, Members: 2}
+		p.observe(Seen{Worker: scheduler.Worker{ID: "a", Accelerators: 8}, Incarnation: 1, Tasks: []gang.Task{task}, At: clock.Now()})
+		refused := gang.Ended{Outcome: gang.NotStarted, Cause: gang.CauseRefused, Fault: "a"}
+		b.c.Check(p.atFault(refused), qt.Equals, scheduler.WorkerID(""))
+	})
+	<-done
+}
+
 // A gang's start reached one of its two members, and the attempt was given up. The
 // job waits again until its class's deadline passes, or turns out to fit nowhere.
 // Its caller must not be told "rejected", which says that it did not run.
--- a/planner/takeover.go
+++ b/planner/takeover.go
@@ -46,7 +46,15 @@
 	}
 }
 
-// unhold follows a predecessor that gave the permit back unused.
+// occupied notes that a task of a held job has accelerators there which the
+// scheduler takes for free: the worker's refusals are not its fault.
+func (p *Planner) occupied(w *worker, t gang.Task) {
+	if j := p.jobs[t.ID.Job]; j != nil && j.held && t.State != gang.StateEnded {
+		w.holds = clock.Now().Add(p.doc.Document.Gang.HoldTimeout.Duration)
+	}
+}
+
+// unhold follows a predecessor that gave the permit back unused: the job has not run.
 func (p *Planner) unhold(j *job) {
 	j.ran = false
 	p.release([]*job{j})
@@ -96,6 +104,7 @@
 // adopt goes on with an attempt that all of its agents hold.
 func (p *Planner) adopt(j *job, plan gang.Plan) {
 	j.permit = permit{used: true, void: true}
+	j.begun = true
 	j.placed = plan
 	j.stored.Started = time.Now()
 	p.resumeJob(j, plan)
@@ -109,6 +118,9 @@
 			continue
 		}
 		w.fenceSent = now
+		if w.fenceAsked.IsZero() {
+			w.fenceAsked = now
+		}
 		p.send(nil, id, gang.Fence(p.cfg.Epoch, w.seen.Incarnation))
 	}
 }
@@ -123,6 +135,7 @@
 			Agent:       id,
 			Incarnation: w.seen.Incarnation,
 			Fenced:      w.fenced,
+			Asked:       w.fenceAsked,
 			Tasks:       w.seen.Tasks,
 		})
 	}
@@ -132,10 +145,13 @@
 // noteFence dates the first report that shows our fence. A restarted agent has
 // forgotten it.
 func (w *worker) noteFence(before Seen, epoch uint64) {
+	if before.Incarnation != w.seen.Incarnation {
+		w.fenced, w.fenceAsked = time.Time{}, time.Time{}
+	}
 	switch {
 	case w.seen.Fence < epoch:
 		w.fenced = time.Time{}
-	case w.fenced.IsZero() || before.Incarnation != w.seen.Incarnation:
+	case w.fenced.IsZero():
 		w.fenced = w.seen.At
 	}
 }
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -29,8 +29,8 @@
 	// holds is until when it may hold accelerators for an attempt given up.
 	holds time.Time
 	// fenced is when it first reported this planner's epoch as its fence, zero if it
-	// has not; fenceSent is when it was last sent one for that.
-	fenced, fenceSent time.Time
+	// has not; fenceAsked and fenceSent are when it was first and last sent one.
+	fenced, fenceAsked, fenceSent time.Time
 }
 
 // Observe takes the report of an agent. It is safe for concurrent use.
@@ -100,6 +100,7 @@
 	}
 	for _, t := range w.seen.Tasks {
 		p.holdAgain(t)
+		p.occupied(w, t)
 		if p.accounted(id, t) {
 			continue
 		}
