gang: a successor does not complete an attempt of which one member ran alone

An attempt on record had committed on three members. The Start reached one, which did all of its work; the owner gave up and its Stop did not reach another. The successor counted the member that was done as one that had got as far as the rest, and started the others 42 s after it. The gang would have been reported as done without ever having run together.

Change: while resolving, an attempt with a member that is done and another that was never told to start is given up. A repeatable job runs again; one that is not ends as failed, which makes no claim that it did not run.

Ruled out: clearing the check's start of the partial run while nothing runs. It would pass, and hide that the parts ran one after the other.

Failed first: TestSuccessorDoesNotCompleteAPartialRun, no end of the attempt (the successor said Started).

--- a/gang/coordinator_advance.go
+++ b/gang/coordinator_advance.go
@@ -62,6 +62,11 @@
 	if !c.all(StateCommitted) || c.any((*peer).unanswered) {
 		return false
 	}
+	// One member ran alone to its end: its predecessor's Start reached it and no
+	// other. To start the others now would be a gang that never ran together.
+	if c.any((*peer).succeeded) && c.any((*peer).unstarted) {
+		return c.abort(CauseTimeout, "")
+	}
 	// The first answers may be so old that their tasks have stopped by isolation
 	// since, and a Start to the others would let them run alone.
 	if c.now.Sub(c.began) >= c.config.startWithin() {
--- a/gang/peer.go
+++ b/gang/peer.go
@@ -77,6 +77,14 @@
 	return p.task.State == StateEnded && !p.task.Started
 }
 
+// succeeded says whether the task did all of its work.
+func (p *peer) succeeded() bool {
+	return p.task.State == StateEnded && p.task.Result == Succeeded
+}
+
+// unstarted says whether the member has committed and not been told to start yet.
+func (p *peer) unstarted() bool { return p.task.State == StateCommitted }
+
 func (p *peer) result() MemberResult {
 	return MemberResult{
 		Agent:        p.placed.Agent,
--- a/gang/stories_test.go
+++ b/gang/stories_test.go
@@ -165,6 +165,26 @@
 	c.Assert(next.Whole(t0), qt.IsTrue)
 }
 
+// The planner's Start reaches one of two members, which does all of its work. The
+// planner gives up and dies; the message that stops the other member is lost. Its
+// successor finds one member done and one committed. To start that one would make
+// a gang whose parts ran one after the other, and report it as done.
+func TestSuccessorDoesNotCompleteAPartialRun(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster("a", "b")
+	old := New(testConfig(1), testPlan("a", "b"))
+	cl.step(old, t0, Begin{})
+	for _, m := range cl.members {
+		ask(m, t0, Commit{head(1, 1)})
+	}
+	ask(cl.members["a"], t0, Start{head(1, 1)})
+	cl.members["a"].Step(t0, TaskEnded{ID: attempt1, Result: Succeeded})
+	e := lastEnded(c, cl.step(Resume(testConfig(2), old.Plan()), t0.Add(time.Minute), Begin{}))
+	c.Assert(e.Outcome, qt.Equals, Stopped)
+	c.Assert(cl.members["b"].Free(), qt.HasLen, 2)
+	c.Assert(e.Members[1].Started, qt.IsFalse)
+}
+
 // An agent restarts after it has committed and its memory of that is gone. The
 // job may have run there, so the caller must not hear "not run".
 func TestRestartedMemberIsNoProof(t *testing.T) {
