--- a/internal/capacity/entry_test.go
+++ b/internal/capacity/entry_test.go
@@ -21,7 +21,7 @@
 					continue // what the load adds is seen at one second
 				}
 				t.Run(fmt.Sprintf("agents=%d/every=%v/loads=%v", n, every, loads), func(t *testing.T) {
-					measureEntry(qt.New(t), n, 1, 1, every, loads)
+					measureEntry(qt.New(t), n, 1, every, loads)
 				})
 			}
 		}
@@ -34,23 +34,12 @@
 	needMeasure(t)
 	for _, n := range []int{1, 10, 94} {
 		t.Run(fmt.Sprintf("services=%d", n), func(t *testing.T) {
-			measureEntry(qt.New(t), 300, 1, n, time.Second, true)
+			measureEntry(qt.New(t), 300, n, time.Second, true)
 		})
 	}
 }
 
-// TestMeasureRacks is the same where one stand-in reports for the 20 agents of
-// its rack, up to the agents of a region.
-func TestMeasureRacks(t *testing.T) {
-	needMeasure(t)
-	for _, n := range []int{1000, 3400} {
-		t.Run(fmt.Sprintf("agents=%d", n), func(t *testing.T) {
-			measureEntry(qt.New(t), n, 20, 1, 10*time.Second, true)
-		})
-	}
-}
-
-func measureEntry(c *qt.C, n, rack, serviceCount int, every time.Duration, loads bool) {
+func measureEntry(c *qt.C, n, serviceCount int, every time.Duration, loads bool) {
 	names := services(serviceCount)
 	s := newSite(c, names...)
 	p := startProcess(c, entryEnv, s.entry("entry-1", every))
@@ -59,10 +48,9 @@
 	time.Sleep(settle)
 	empty := p.usage()
 	f := NewFleet(p.ready[0], every, loads)
-	f.Rack(rack)
 	c.Cleanup(f.Stop)
 	began := time.Now()
-	c.Assert(f.Add(n/rack, names...), qt.IsNil)
+	c.Assert(f.Add(n, names...), qt.IsNil)
 	eventually(c, "all agents known", func() bool {
 		known, _ := s.alive(p.ready[1], 1)
 		return known == n
@@ -78,8 +66,8 @@
 	after := p.usage()
 	each := func(a, b uint64) float64 { return (float64(a) - float64(b)) / float64(n) / 1024 }
 	processor := after.Since(before)
-	c.Logf("agents %d in racks of %d services %d every %v loads %v | empty heap %d KB resident %d KB | heap %.1f KB stacks %.1f KB resident %.1f KB goroutines %.1f an agent | processor %.1f us/s an agent, %.1f us a report, %.2f%% of a core | %.0f B/s an agent both ways, %.0f B a report | known after %v, empty %.2f%% of a core | load %s",
-		n, rack, serviceCount, every, loads, empty.Heap>>10, empty.Resident>>10, each(after.Heap, empty.Heap), each(after.Stacks, empty.Stacks), each(after.Resident, empty.Resident),
+	c.Logf("agents %d services %d every %v loads %v | empty heap %d KB resident %d KB | heap %.1f KB stacks %.1f KB resident %.1f KB goroutines %.1f an agent | processor %.1f us/s an agent, %.1f us a report, %.2f%% of a core | %.0f B/s an agent both ways, %.0f B a report | known after %v, empty %.2f%% of a core | load %s",
+		n, serviceCount, every, loads, empty.Heap>>10, empty.Resident>>10, each(after.Heap, empty.Heap), each(after.Stacks, empty.Stacks), each(after.Resident, empty.Resident),
 		float64(after.Goroutines-empty.Goroutines)/float64(n),
 		float64(processor.Microseconds())/float64(n)/span.Seconds(), float64(processor.Microseconds())/float64(max(1, reports)), 100*processor.Seconds()/span.Seconds(),
 		float64(b)/float64(n)/span.Seconds(), float64(b)/float64(max(1, reports)), known.Round(time.Millisecond), 100*(empty.Since(start)).Seconds()/settle.Seconds(), loadAverage())
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -20,7 +20,8 @@
 	// Reports counts answered reports, Failed those without an answer, Shed
 	// those that the entry refused. Admitted counts agents, by the first answer
 	// that did not refuse them.
-	Reports, Failed, Shed, Admitted atomic.Int64
+	// Relayed counts reports answered by a relay.
+	Reports, Failed, Shed, Admitted, Relayed atomic.Int64
 
 	entry string
 	every time.Duration
@@ -38,17 +39,25 @@
 	return &Fleet{entry: entry, every: every, loads: loads, reached: make(map[uint64][]time.Time)}
 }
 
-// Rack makes each stand-in report for n agents in one batch, as a relay of their
-// rack would. Call it before Add.
+// Rack spreads the stand-ins over racks of n each, "rack-0" first. They report by
+// the relay that the entry names there, and are none themselves. Call it before
+// Add.
 func (f *Fleet) Rack(n int) { f.rack = n }
 
+func (f *Fleet) rackOf(i int) string {
+	if f.rack == 0 {
+		return "rack-0"
+	}
+	return fmt.Sprint("rack-", i/f.rack)
+}
+
 // Add starts n agents at once, spread evenly over the services.
 func (f *Fleet) Add(n int, services ...string) error {
 	f.mu.Lock()
 	from := len(f.agents)
 	f.mu.Unlock()
 	for i := from; i < from+n; i++ {
-		a, err := startStandin(f, fmt.Sprintf("agent-%05d", i), services[i%len(services)])
+		a, err := startStandin(f, fmt.Sprintf("agent-%05d", i), services[i%len(services)], f.rackOf(i))
 		if err != nil {
 			return err
 		}
--- a/internal/capacity/standin.go
+++ b/internal/capacity/standin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,24 +23,24 @@
 
 // standinAgent is a stand-in of an agent: the transport, the reporter and the documents
 // are the real ones, quick requests and gangs are left out. It reports to one
-// entry.
+// entry, by itself or by the relay that the entry names, and is no relay.
 type standinAgent struct {
 	fleet *Fleet
 	tomb  tomb.Tomb
 	ep    *wire.Endpoint
 	pool  *wire.Pool
 	docs  *document.InForce
-	kick  chan struct{}
 
-	mu       sync.Mutex
-	state    wire.AgentReport
-	reporter *membership.Reporter
-	admitted bool
-	known    uint64 // digest of the last answer with content; owned by loop
+	kickEntry, kickRelay chan struct{}
+
+	mu        sync.Mutex
+	state     wire.AgentReport
+	announcer *membership.Announcer
+	admitted  bool
 }
 
-func startStandin(f *Fleet, id string, service string) (*standinAgent, error) {
-	a := &standinAgent{fleet: f, kick: make(chan struct{}, 1)}
+func startStandin(f *Fleet, id, service, rack string) (*standinAgent, error) {
+	a := &standinAgent{fleet: f, kickEntry: make(chan struct{}, 1), kickRelay: make(chan struct{}, 1)}
 	a.docs = document.NewInForce(a.documentChanged)
 	peer := wire.Peer{ID: id, Role: wire.RoleAgent, Incarnation: uint64(time.Now().UnixNano()), Region: region, Zone: "z1", Version: wire.Version}
 	identity, err := wire.NewIdentity(peer, []byte(clusterKey))
@@ -54,11 +53,20 @@
 	}
 	a.pool = wire.NewPool(a.ep)
 	a.state = wire.AgentReport{
-		ID: id, Incarnation: peer.Incarnation, Service: service, Region: region, Zone: "z1", Rack: "r1", Address: a.ep.Addr(),
+		ID: id, Incarnation: peer.Incarnation, Service: service, Region: region, Zone: "z1", Rack: rack, Address: a.ep.Addr(),
 		Accelerators: 8, Slots: 8, Connections: 64, Cores: 32, MemoryMB: 65536,
 	}
-	a.reporter = membership.NewReporter(membership.ReporterConfig{Every: f.every, Coalesce: reportCoalesce}, a.state, rand.Float64)
-	a.tomb.Go(a.loop)
+	cfg := membership.AnnouncerConfig{
+		ReporterConfig: membership.ReporterConfig{Every: f.every, Coalesce: reportCoalesce},
+		MaxEntries:     1,
+	}
+	a.announcer = membership.NewAnnouncer(cfg, a.state, rand.Float64)
+	a.announcer.AddEntry(f.entry)
+	a.tomb.Go(func() error {
+		a.tomb.Go(func() error { return a.loop(a.kickEntry, a.untilDue, a.report) })
+		a.tomb.Go(func() error { return a.loop(a.kickRelay, a.untilRelayDue, a.reportToRelay) })
+		return nil
+	})
 	return a, nil
 }
 
@@ -78,9 +86,15 @@
 	a.set(func(s *wire.AgentReport) {
 		s.Generations = []wire.Generation{now.Version.Summary()}
 	})
-	select {
-	case a.kick <- struct{}{}:
-	default:
+	a.wake()
+}
+
+func (a *standinAgent) wake() {
+	for _, kick := range []chan struct{}{a.kickEntry, a.kickRelay} {
+		select {
+		case kick <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -88,10 +102,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	change(&a.state)
-	a.reporter.Set(time.Now(), a.state)
+	a.announcer.Set(time.Now(), a.state)
 }
 
-func (a *standinAgent) loop() error {
+func (a *standinAgent) loop(kick <-chan struct{}, until func() time.Duration, report func()) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -99,14 +113,14 @@
 		case <-a.tomb.Dying():
 			return nil
 		case <-timer.C:
-		case <-a.kick:
+		case <-kick:
 		}
-		if wait := a.untilDue(); wait > 0 {
+		if wait := until(); wait > 0 {
 			timer.Reset(wait)
 			continue
 		}
-		a.report()
-		timer.Reset(a.untilDue())
+		report()
+		timer.Reset(until())
 	}
 }
 
@@ -114,52 +128,85 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	return a.reporter.Due(now, a.fleet.entry).Sub(now)
+	due := a.announcer.Due(now, a.fleet.entry)
+	if a.announcer.Unused(now, a.fleet.entry) {
+		a.tomb.Go(func() error {
+			_ = a.pool.Release(a.tomb.Context(context.Background()), a.fleet.entry) // the stand-in ends
+			return nil
+		})
+	}
+	return due.Sub(now)
 }
 
-func (a *standinAgent) report() {
+// load changes the load, where the fleet's does.
+func (a *standinAgent) load() {
 	if a.fleet.loads {
 		a.set(func(s *wire.AgentReport) { s.Load.Queued++ })
 	}
-	a.mu.Lock()
-	msg := a.reporter.Report(time.Now(), a.fleet.entry)
-	a.mu.Unlock()
+}
+
+func (a *standinAgent) call(addr string, msg *wire.Report) (*wire.ReportAck, bool) {
 	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), reportTimeout)
 	defer cancel()
-	got, err := a.pool.Call(ctx, a.fleet.entry, &wire.Report{Batch: a.batch(msg), Known: a.known})
+	got, err := a.pool.Call(ctx, addr, msg)
 	ack, ok := got.(*wire.ReportAck)
+	return ack, err == nil && ok
+}
+
+func (a *standinAgent) report() {
+	a.load()
+	a.mu.Lock()
+	msg := a.announcer.Report(time.Now(), a.fleet.entry)
+	a.mu.Unlock()
+	ack, ok := a.call(a.fleet.entry, msg)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if err != nil || !ok {
+	if !ok {
 		a.fleet.Failed.Add(1)
-		a.reporter.Failed(time.Now(), a.fleet.entry)
+		a.announcer.Failed(time.Now(), a.fleet.entry)
 		return
 	}
 	a.fleet.Reports.Add(1)
-	if len(ack.NeedFull)+len(ack.Refused) > 0 && a.fleet.rack > 1 {
-		a.reporter.Forget(a.fleet.entry) // all of the rack report in full again
-		a.reporter.Failed(time.Now(), a.fleet.entry)
-		return
-	}
 	if !a.admitted && len(ack.Refused) == 0 {
 		a.admitted = true
 		a.fleet.Admitted.Add(1)
 	}
 	a.fleet.Shed.Add(int64(len(ack.Refused)))
-	a.known = ack.Digest
-	a.reporter.Acked(time.Now(), a.fleet.entry, msg.Sequence, ack)
+	a.announcer.Acked(time.Now(), a.fleet.entry, ack)
+	a.wake()
+}
+
+func (a *standinAgent) untilRelayDue() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	due, ok := a.announcer.RelayDue(now)
+	if !ok {
+		return time.Minute // report wakes
+	}
+	return due.Sub(now)
 }
 
-// batch is what a relay of the rack would send: the report of this agent, and
-// the same of all others.
-func (a *standinAgent) batch(msg wire.AgentReport) []wire.AgentReport {
-	batch := []wire.AgentReport{msg}
-	for i := 1; i < a.fleet.rack; i++ {
-		other := msg
-		other.ID = fmt.Sprintf("%s-%02d", msg.ID, i)
-		batch = append(batch, other)
+func (a *standinAgent) reportToRelay() {
+	a.load()
+	a.mu.Lock()
+	to, ok := a.announcer.Relay()
+	if !ok {
+		a.mu.Unlock()
+		return
+	}
+	msg := a.announcer.ReportToRelay(time.Now())
+	a.mu.Unlock()
+	ack, ok := a.call(to.Address, msg)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !ok {
+		a.announcer.RelayFailed(time.Now(), to)
+		a.wake()
+		return
 	}
-	return batch
+	a.fleet.Relayed.Add(1)
+	a.announcer.RelayAcked(time.Now(), to, ack)
 }
 
 func (a *standinAgent) stop() {
