--- a/cmd/eelgrasshub/script_commands_test.go
+++ b/cmd/eelgrasshub/script_commands_test.go
@@ -84,13 +84,6 @@
 	return ts.Getenv(key)
 }
 
-// lookupCmd sets a variable to a process's own, as settings does: lookup NAME X
-// PROCESS
-func lookupCmd(ts *testscript.TestScript, neg bool, args []string) {
-	usage(ts, neg, len(args) == 3, "lookup NAME X PROCESS")
-	ts.Setenv(args[0], variableOf(ts, args[2], args[1]))
-}
-
 // exitsCmd runs a program that has to end with the given code; stdout and
 // stderr can be matched after it: exits CODE PROGRAM ARGS...
 func exitsCmd(ts *testscript.TestScript, neg bool, args []string) {
--- a/cmd/eelgrasshub/script_test.go
+++ b/cmd/eelgrasshub/script_test.go
@@ -29,7 +29,6 @@
 			"signal":    signalCmd,
 			"expand":    expandCmd,
 			"settings":  settingsCmd,
-			"lookup":    lookupCmd,
 			"exits":     exitsCmd,
 			"poll":      pollCmd,
 			"fetch":     fetchCmd,
