membership: a gang that starts right after its relay took over is not isolated

Cause: a member of a gang reports itself to the entry that plans, and to all entries while none that plans has answered for 2.5 s. An agent whose reports a relay had just taken over still counted the planner's last answer to it, but had forgotten which entry it was: for up to 2.5 s nobody renewed the gang. With an isolation timeout of 2 s all members stopped, and the gang ran twice.

The log of a rack of real agents showed the start at 79.781 s, no report of a member until the stop at 81.784 s. The randomised run had not found it, since its bound on the planner's silence was 6 s; that is 2.5 s now, which would still not show it.

The planner's answers end to count when the entry's reports go by the relay, or when the entry is dropped.

Runs: go test of membership, agent and internal/capacity passed.

--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -69,6 +69,9 @@
 
 // DropEntry ends reports to an entry.
 func (a *Announcer) DropEntry(addr string) {
+	if a.entries[addr].planner {
+		a.planned = time.Time{}
+	}
 	delete(a.entries, addr)
 	a.reporter.Forget(addr)
 	a.relayer.Forget(addr)
@@ -130,6 +133,7 @@
 	if l.covered {
 		return
 	}
+	a.notePlanner(now, l, false) // or a gang that starts now would wait for gangSilence
 	*l = entryLink{covered: true, since: now}
 	a.reporter.Forget(addr)
 	a.relayer.Forget(addr)
--- a/membership/relay_world_test.go
+++ b/membership/relay_world_test.go
@@ -24,7 +24,7 @@
 	// the entry themselves.
 	mostSilence   = 17 * time.Second
 	mostDraining  = 3 * time.Second
-	mostGangQuiet = 6 * time.Second
+	mostGangQuiet = 2500 * time.Millisecond
 )
 
 // rackAgent is an agent of the rack: an Announcer and the network around it.
