--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -69,7 +69,7 @@
 
 // DropEntry ends reports to an entry.
 func (a *Announcer) DropEntry(addr string) {
-	if a.entries[addr].planner {
+	if l := a.entries[addr]; l != nil && l.planner {
 		a.planned = time.Time{}
 	}
 	delete(a.entries, addr)
