scheduler: names in the field's terms

Sheltered, firm, soft, loose, retreat and filler had to be learned; protected and evictable work, unbound blocks, the end of borrowing and work under a reservation say what they are. Files are named after what they hold. No change of behaviour.

--- a/scheduler/bind.go
+++ b/scheduler/bind.go
@@ -2,22 +2,22 @@
 
 import "slices"
 
-// rebindLoose looks for a place for every block that has none. What is owed
+// rebindUnbound looks for a place for every block that has none. What is owed
 // comes before any new work. When the tightest first order finds no place, all
 // unused blocks are taken up and bound again, once per growth of capacity.
-func (s *Scheduler) rebindLoose() {
-	if len(s.loose) == 0 || s.packed == s.grown {
+func (s *Scheduler) rebindUnbound() {
+	if len(s.unbound) == 0 || s.packed == s.grown {
 		return
 	}
-	s.bindAll(slices.Clone(s.loose))
-	if len(s.loose) > 0 && s.dropReservations() {
-		s.bindAll(slices.Clone(s.loose))
+	s.bindAll(slices.Clone(s.unbound))
+	if len(s.unbound) > 0 && s.dropReservations() {
+		s.bindAll(slices.Clone(s.unbound))
 	}
-	if len(s.loose) > 0 {
+	if len(s.unbound) > 0 {
 		s.repack()
 	}
-	if s.owes() && s.unshelter() {
-		s.bindAll(slices.Clone(s.loose))
+	if s.owes() && s.unprotectBorrowers() {
+		s.bindAll(slices.Clone(s.unbound))
 		s.repack()
 	}
 	s.packed = s.grown
@@ -86,7 +86,7 @@
 // repack takes up every unused block and binds all again, keeping the outcome
 // only if fewer are left without a place.
 func (s *Scheduler) repack() {
-	before := len(s.loose)
+	before := len(s.unbound)
 	var moved []*block
 	var old [][]piece
 	for _, a := range s.accountList {
@@ -100,12 +100,12 @@
 	if len(moved) == 0 {
 		return
 	}
-	all := append(slices.Clone(s.loose), moved...)
+	all := append(slices.Clone(s.unbound), moved...)
 	for _, b := range moved {
 		s.detach(b)
 	}
 	s.bindAll(all)
-	if len(s.loose) < before {
+	if len(s.unbound) < before {
 		return
 	}
 	for _, b := range all {
@@ -154,12 +154,12 @@
 			return false
 		}
 	}
-	s.reserveFirm(at, 1)
+	s.reserveProtected(at, 1)
 	s.bindAll(slices.Clone(moved))
 	if own != nil {
-		moved, old = s.giveWay(own, moved, old)
+		moved, old = s.releaseOwn(own, moved, old)
 	}
-	s.reserveFirm(at, -1)
+	s.reserveProtected(at, -1)
 	for _, b := range moved {
 		if !b.bound() && b.account != own {
 			s.putBack(moved, old)
@@ -170,12 +170,12 @@
 	return true
 }
 
-// giveWay takes up the unused blocks of an account if blocks of others have no
+// releaseOwn takes up the unused blocks of an account if blocks of others have no
 // place, so that these may be bound where they were. It returns moved and old with
 // what it took up.
-func (s *Scheduler) giveWay(own *account, moved []*block, old [][]piece) ([]*block, [][]piece) {
-	homeless := func(b *block) bool { return !b.bound() && b.account != own }
-	if !slices.ContainsFunc(moved, homeless) {
+func (s *Scheduler) releaseOwn(own *account, moved []*block, old [][]piece) ([]*block, [][]piece) {
+	unplaced := func(b *block) bool { return !b.bound() && b.account != own }
+	if !slices.ContainsFunc(moved, unplaced) {
 		return moved, old
 	}
 	for _, b := range own.blocks {
@@ -187,7 +187,7 @@
 	}
 	var rest []*block
 	for _, b := range moved {
-		if homeless(b) {
+		if unplaced(b) {
 			s.bind(b)
 		} else if !b.bound() {
 			rest = append(rest, b)
@@ -197,10 +197,10 @@
 	return moved, old
 }
 
-func (s *Scheduler) reserveFirm(at []piece, sign int) {
+func (s *Scheduler) reserveProtected(at []piece, sign int) {
 	for _, p := range at {
 		n := s.nodes[p.node]
-		n.firm += sign * p.n
+		n.protected += sign * p.n
 		s.refresh(n)
 	}
 }
--- a/scheduler/block.go
+++ b/scheduler/block.go
@@ -7,7 +7,7 @@
 	shape   Shape
 	parts   []part // empty while unbound
 	used    int
-	index   int // position in Scheduler.loose while unbound, else -1
+	index   int // position in Scheduler.unbound while unbound, else -1
 }
 
 // part is the piece of a block on one worker. Of its n accelerators, used are
@@ -56,7 +56,7 @@
 }
 
 // detach unbinds a block. Attempts that used it go on without a guarantee: those
-// that may be evicted become borrowers, others stay firm.
+// that may be evicted become borrowers, others stay protected.
 func (s *Scheduler) detach(b *block) {
 	var others []*block
 	if b.used > 0 {
@@ -69,18 +69,18 @@
 		s.refresh(n)
 	}
 	b.parts = nil
-	s.loosen(b)
+	s.addUnbound(b)
 	for _, x := range others {
 		s.detachCrowded(x)
 	}
 }
 
-// detachCrowded unbinds a block that an attempt has left which stays firm where
+// detachCrowded unbinds a block that an attempt has left which stays protected where
 // the block is. Block and attempt would both count on the same accelerators, and
 // the guarantee would show as whole although it could not be claimed.
 func (s *Scheduler) detachCrowded(b *block) {
 	for _, p := range b.parts {
-		if n := s.nodes[p.node]; n.bound > 0 && n.firm+n.bound > n.capacity() {
+		if n := s.nodes[p.node]; n.bound > 0 && n.protected+n.bound > n.capacity() {
 			s.detach(b)
 			s.unpacked()
 			return
@@ -88,13 +88,13 @@
 	}
 }
 
-// loosen puts a block on the list of those that have no place.
-func (s *Scheduler) loosen(b *block) {
+// addUnbound puts a block on the list of those that have no place.
+func (s *Scheduler) addUnbound(b *block) {
 	if b.index >= 0 {
 		return
 	}
-	b.index = len(s.loose)
-	s.loose = append(s.loose, b)
+	b.index = len(s.unbound)
+	s.unbound = append(s.unbound, b)
 }
 
 // tighten takes a block off the list of those that have no place.
@@ -102,11 +102,11 @@
 	if b.index < 0 {
 		return
 	}
-	last := len(s.loose) - 1
-	moved := s.loose[last]
-	s.loose[b.index] = moved
+	last := len(s.unbound) - 1
+	moved := s.unbound[last]
+	s.unbound[b.index] = moved
 	moved.index = b.index
-	s.loose = s.loose[:last]
+	s.unbound = s.unbound[:last]
 	b.index = -1
 }
 
@@ -155,7 +155,7 @@
 		x.block.used += sign * x.n
 		n := s.nodes[p.node]
 		n.bound -= sign * x.n
-		n.firm += sign * x.n
+		n.protected += sign * x.n
 		s.refresh(n)
 		if sign < 0 {
 			x.block.account.gen++
@@ -167,17 +167,17 @@
 func (s *Scheduler) leaveGuarantee(r *run) {
 	s.takeShares(r.shares, -1)
 	r.shares = nil
-	r.firm = !r.job.Evictable()
+	r.protected = !r.job.Evictable()
 	r.job.account.used += r.size()
 	for _, p := range r.pieces {
 		n := s.nodes[p.node]
 		switch {
-		case r.firm:
-			n.firm += p.n
+		case r.protected:
+			n.protected += p.n
 		case r.state == runStopping:
 			n.leave += p.n
 		default:
-			n.soft += p.n
+			n.evictable += p.n
 		}
 		s.refresh(n)
 	}
--- a/scheduler/retreat.go
+++ b/scheduler/borrowing.go
@@ -5,39 +5,39 @@
 	"slices"
 )
 
-// retreat has a job that has just lost work to a claim run only where no block
+// stopBorrowing has a job that has just lost work to a claim run only where no block
 // needs the place from now on, if such a place exists once other work has ended.
 //
 // The failure this guards against: a large gang borrows, runs for half an hour,
 // is evicted by the claim of a small job, starts again, and so on. It shows as
 // work lost over and over by the same job while all others wait behind it. A job
 // that may not borrow is never evicted, so each loses work to claims once.
-func (s *Scheduler) retreat(j *job) {
-	if j.Accelerators == 0 || j.Checkpointable || j.retreated || !s.guarantees() {
+func (s *Scheduler) stopBorrowing(j *job) {
+	if j.Accelerators == 0 || j.Checkpointable || j.borrowingEnded || !s.guarantees() {
 		return
 	}
 	k := j.key()
-	j.retreated = s.plain(&k) && s.fitsBesideBlocks(need{j.Accelerators, j.Adjacency})
+	j.borrowingEnded = s.plain(&k) && s.fitsBesideBlocks(need{j.Accelerators, j.Adjacency})
 }
 
-// endRetreats lets jobs borrow again that no longer fit beside all blocks, since
+// resumeBorrowing lets jobs borrow again that no longer fit beside all blocks, since
 // workers are gone or a policy guarantees more. They would wait for ever although
 // the capacity of a guarantee that nobody uses is idle.
-func (s *Scheduler) endRetreats() {
-	if s.retreatsAt == s.shrunk {
+func (s *Scheduler) resumeBorrowing() {
+	if s.borrowingAt == s.shrunk {
 		return
 	}
-	s.retreatsAt = s.shrunk
+	s.borrowingAt = s.shrunk
 	var back []*job
 	for _, j := range s.jobs {
-		if j.retreated && j.queue != nil && !s.fitsBesideBlocks(need{j.Accelerators, j.Adjacency}) {
+		if j.borrowingEnded && j.queue != nil && !s.fitsBesideBlocks(need{j.Accelerators, j.Adjacency}) {
 			back = append(back, j)
 		}
 	}
 	slices.SortFunc(back, func(a, b *job) int { return cmp.Compare(a.seq, b.seq) })
 	for _, j := range back {
 		s.dequeue(j)
-		j.retreated = false
+		j.borrowingEnded = false
 		s.enqueue(j)
 	}
 }
@@ -71,6 +71,6 @@
 		}
 	}
 	x.policyChanged(p)
-	x.rebindLoose()
-	return len(x.loose) == 0
+	x.rebindUnbound()
+	return len(x.unbound) == 0
 }
--- a/scheduler/check.go
+++ b/scheduler/check.go
@@ -83,7 +83,7 @@
 }
 
 // counts is what checkNodes recounts.
-type counts struct{ held, firm, soft, leave, bound, claim, wait int }
+type counts struct{ held, protected, evictable, leave, bound, claim, wait int }
 
 func (s *Scheduler) checkNodes() error {
 	want := make([]counts, len(s.nodes))
@@ -102,12 +102,12 @@
 	}
 	s.recountPlans(want)
 	for i, n := range s.nodes {
-		got := counts{n.held, n.firm, n.soft, n.leave, n.bound, n.claim, n.wait}
+		got := counts{n.held, n.protected, n.evictable, n.leave, n.bound, n.claim, n.wait}
 		if got != want[i] || n.used != used[i] {
 			return broken("worker %q counts %+v, recounted %+v", n.ID, got, want[i])
 		}
-		if n.bound > 0 && n.firm+n.bound > n.capacity() {
-			return broken("worker %q has %d, of which %d are firm and %d bound", n.ID, n.capacity(), n.firm, n.bound)
+		if n.bound > 0 && n.protected+n.bound > n.capacity() {
+			return broken("worker %q has %d, of which %d are protected and %d bound", n.ID, n.capacity(), n.protected, n.bound)
 		}
 		if int(s.open.val[i]) != n.open() || int(s.slack.val[i]) != n.bindable() {
 			return broken("the indexes of worker %q are stale", n.ID)
@@ -120,12 +120,12 @@
 	c.held += n
 	switch {
 	case len(r.shares) > 0:
-	case r.firm:
-		c.firm += n
+	case r.protected:
+		c.protected += n
 	case r.state == runStopping:
 		c.leave += n
 	default:
-		c.soft += n
+		c.evictable += n
 	}
 }
 
@@ -134,7 +134,7 @@
 		for _, b := range a.blocks {
 			for _, p := range b.parts {
 				want[p.node].bound += p.n - p.used
-				want[p.node].firm += p.used
+				want[p.node].protected += p.used
 			}
 		}
 	}
@@ -150,11 +150,11 @@
 }
 
 func (s *Scheduler) checkBlocks() error {
-	loose := 0
+	unbound := 0
 	for _, a := range s.accountList {
 		for _, b := range a.blocks {
 			if !b.bound() {
-				loose++
+				unbound++
 				continue
 			}
 			if err := s.checkBlock(b); err != nil {
@@ -162,8 +162,8 @@
 			}
 		}
 	}
-	if loose != len(s.loose) {
-		return broken("%d blocks have no place, %d are listed", loose, len(s.loose))
+	if unbound != len(s.unbound) {
+		return broken("%d blocks have no place, %d are listed", unbound, len(s.unbound))
 	}
 	return nil
 }
--- a/scheduler/check_policy.go
+++ b/scheduler/check_policy.go
@@ -43,15 +43,15 @@
 		s.workerUp(w)
 	}
 	s.policyChanged(p)
-	s.rebindLoose()
-	if len(s.loose) == 0 {
+	s.rebindUnbound()
+	if len(s.unbound) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(s.loose, tightestFirst)
-	b := s.loose[0]
+	slices.SortStableFunc(s.unbound, tightestFirst)
+	b := s.unbound[0]
 	k := keyOfShape(b.account, b.shape)
 	missing := 0
-	for _, x := range s.loose {
+	for _, x := range s.unbound {
 		if keyOfShape(x.account, x.shape) == k {
 			missing++
 		}
--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -25,7 +25,7 @@
 }
 
 // addClaim sets capacity aside. Capacity of a claim on a guarantee counts as
-// firm from now on, through its shares.
+// protected from now on, through its shares.
 func (s *Scheduler) addClaim(c *claim) {
 	c.made = s.now
 	c.job.claim = c
@@ -42,7 +42,7 @@
 		} else {
 			n.wait += sign * p.n
 			if !c.job.borrows() {
-				n.waitFirm += sign * p.n
+				n.waitProtected += sign * p.n
 			}
 		}
 		s.refresh(n)
--- a/scheduler/claim_test.go
+++ b/scheduler/claim_test.go
@@ -53,7 +53,7 @@
 	}
 	var runs []*run
 	for _, j := range s.jobs {
-		if j.run != nil && !j.run.firm {
+		if j.run != nil && !j.run.protected {
 			runs = append(runs, j.run)
 		}
 	}
@@ -185,7 +185,7 @@
 			base.Step(time.Time{}, WorkerUp{w})
 			busy := rng.IntN(w.Accelerators + 1)
 			n := s.nodes[i]
-			n.held, n.soft = busy, busy
+			n.held, n.evictable = busy, busy
 			s.refresh(n)
 			base.busy[i] = busy
 		}
--- a/scheduler/degraded.go
+++ b/scheduler/degraded.go
@@ -14,11 +14,11 @@
 // reportGuarantees says which guarantees have changed between whole and degraded
 // since the last decision, in the order of the accounts.
 func (s *Scheduler) reportGuarantees() {
-	if len(s.loose) == 0 && len(s.degraded) == 0 {
+	if len(s.unbound) == 0 && len(s.degraded) == 0 {
 		return
 	}
 	now := map[degradedKey]int{}
-	for _, b := range s.loose {
+	for _, b := range s.unbound {
 		now[keyOfShape(b.account, b.shape)]++
 	}
 	for _, a := range s.accountList {
--- a/scheduler/evict.go
+++ b/scheduler/evict.go
@@ -78,7 +78,7 @@
 	return 0
 }
 
-// cheapest chooses the soft runs of a node that free at least short accelerators
+// cheapest chooses the evictable runs of a node that free at least short accelerators
 // there at the least cost: a knapsack over at most [MaxAccelerators].
 func (s *Scheduler) cheapest(n *node, chosen []*run, short int) []*run {
 	cost := make([]float64, short+1) // least cost to free i accelerators
@@ -88,7 +88,7 @@
 	last := make([][]*run, short+1)
 	for _, r := range n.runs {
 		k := r.on(n.id)
-		if r.firm || r.state == runStopping || k == 0 || slices.Contains(chosen, r) {
+		if r.protected || r.state == runStopping || k == 0 || slices.Contains(chosen, r) {
 			continue
 		}
 		price := s.evictionOf(r)
@@ -177,5 +177,5 @@
 	e := &r.job.account.evicted
 	e.Gangs++
 	e.AcceleratorSeconds += s.lostWork(r)
-	s.retreat(r.job)
+	s.stopBorrowing(r.job)
 }
--- a/scheduler/explain_blocked.go
+++ b/scheduler/explain_blocked.go
@@ -43,7 +43,7 @@
 	if q.blocked == s.stamp(q) {
 		return false
 	}
-	filler, _ := s.findFiller(j, &q.key)
+	filler, _ := s.findUnderReservation(j, &q.key)
 	return filler != nil || s.findBackfill(j, &q.key) != nil
 }
 
@@ -72,7 +72,7 @@
 // job of the key.
 func (s *Scheduler) degradedFor(k *queueKey, a *account) int {
 	t := 0
-	for _, b := range s.loose {
+	for _, b := range s.unbound {
 		if b.account == a && b.shape.Accelerators >= k.accelerators && b.shape.Adjacency >= k.span {
 			t++
 		}
--- a/scheduler/explain_next.go
+++ b/scheduler/explain_next.go
@@ -19,7 +19,7 @@
 		return s.placeCPU(j.Cores, j.MemoryMB) != nil
 	}
 	x := &s.open
-	if !j.borrows() || s.sheltered(j) {
+	if !j.borrows() || s.withinGuarantee(j) {
 		x = &s.steady
 	}
 	var c changes
@@ -32,7 +32,7 @@
 // bindsNext reports whether the next decision looks for a place for blocks, or
 // wakes workers or jobs.
 func (s *Scheduler) bindsNext() bool {
-	if len(s.loose) > 0 && s.packed != s.grown {
+	if len(s.unbound) > 0 && s.packed != s.grown {
 		return true
 	}
 	if len(s.delayed) > 0 && !s.delayed[0].notBefore.After(s.now) {
--- a/scheduler/explain_test.go
+++ b/scheduler/explain_test.go
@@ -161,7 +161,7 @@
 		}
 		for _, p := range j.run.pieces {
 			held[p.node] += p.n
-			if !j.run.firm && j.run.state == runStopping {
+			if !j.run.protected && j.run.state == runStopping {
 				coming[p.node] += p.n
 			}
 		}
--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -150,7 +150,7 @@
 	}}
 	b := newBench(t, p, eight(3)...)
 	b.submit(Job{ID: "o", Account: "owner", Accelerators: 4, Adjacency: AdjacentWorker, Repeatable: true})
-	b.Assert(b.s.jobs["o"].run.firm, qt.IsTrue)
+	b.Assert(b.s.jobs["o"].run.protected, qt.IsTrue)
 	for _, w := range []WorkerID{"w0", "w1", "w2"} {
 		if w == b.s.nodes[b.s.jobs["o"].run.pieces[0].node].ID {
 			continue
@@ -158,7 +158,7 @@
 		b.Assert(of[GuaranteeDegraded](b.step(WorkerDown{w})), qt.HasLen, 0)
 		break
 	}
-	b.Assert(b.s.jobs["o"].run.firm, qt.IsFalse)
+	b.Assert(b.s.jobs["o"].run.protected, qt.IsFalse)
 }
 
 func TestNoBorrowKeepsOffOthersGuarantees(t *testing.T) {
@@ -195,7 +195,7 @@
 	out := b.submit(Job{ID: "o", Account: "owner", Accelerators: 24, Repeatable: true, NoBorrow: true})
 	b.Assert(of[StartGang](out), qt.HasLen, 1)
 	b.end("o", Done, "")
-	b.Assert(b.s.loose, qt.HasLen, 0)
+	b.Assert(b.s.unbound, qt.HasLen, 0)
 }
 
 func TestJobThatLostWorkBorrowsNoMore(t *testing.T) {
@@ -204,13 +204,13 @@
 	// 28 runs in a day, and all others waited behind it.
 	b := newBench(t, rackAndGuests, eight(4)...)
 	b.submit(Job{ID: "large", Account: "guest", Accelerators: 16, Repeatable: true, Submitted: b.now})
-	b.submit(Job{ID: "firm", Account: "rival", Accelerators: 8, Adjacency: AdjacentWorker, Submitted: b.now})
+	b.submit(Job{ID: "protected", Account: "rival", Accelerators: 8, Adjacency: AdjacentWorker, Submitted: b.now})
 	b.step(GangStarted{"large", 1})
 	claim := Job{ID: "o", Account: "owner", Accelerators: 16, Adjacency: AdjacentRack, Submitted: b.now}
 	b.stopAll(b.submit(claim))
 	b.Assert(of[StartGang](b.end("o", Done, "")), qt.HasLen, 0)
-	b.Assert(of[StartGang](b.end("firm", Done, "")), qt.HasLen, 1)
-	b.Assert(b.s.jobs["large"].run.firm, qt.IsTrue)
+	b.Assert(of[StartGang](b.end("protected", Done, "")), qt.HasLen, 1)
+	b.Assert(b.s.jobs["large"].run.protected, qt.IsTrue)
 }
 
 func TestJobThatLostWorkBorrowsAgainOnASmallerSite(t *testing.T) {
@@ -219,29 +219,29 @@
 	// that evicted it stays unused, and the job would wait beside it for ever.
 	b := newBench(t, rackAndGuests, eight(4)...)
 	b.submit(Job{ID: "large", Account: "guest", Accelerators: 16, Repeatable: true, Submitted: b.now})
-	b.submit(Job{ID: "firm", Account: "rival", Accelerators: 8, Adjacency: AdjacentWorker, Submitted: b.now})
+	b.submit(Job{ID: "protected", Account: "rival", Accelerators: 8, Adjacency: AdjacentWorker, Submitted: b.now})
 	b.step(GangStarted{"large", 1})
 	b.stopAll(b.submit(Job{ID: "o", Account: "owner", Accelerators: 16, Adjacency: AdjacentRack, Submitted: b.now}))
-	b.Assert(b.s.jobs["large"].retreated, qt.IsTrue)
+	b.Assert(b.s.jobs["large"].borrowingEnded, qt.IsTrue)
 	b.end("o", Done, "")
-	b.step(WorkerDown{b.s.nodes[b.s.jobs["firm"].run.pieces[0].node].ID})
-	starts := of[StartGang](b.end("firm", Lost, ""))
-	b.Assert(b.s.jobs["large"].retreated, qt.IsFalse)
+	b.step(WorkerDown{b.s.nodes[b.s.jobs["protected"].run.pieces[0].node].ID})
+	starts := of[StartGang](b.end("protected", Lost, ""))
+	b.Assert(b.s.jobs["large"].borrowingEnded, qt.IsFalse)
 	b.Assert(b.s.jobs["large"].run != nil, qt.IsTrue, qt.Commentf("%+v", starts))
 }
 
 func TestShelterStaysWhileOthersFillTheirBlocks(t *testing.T) {
 	// A job within its account's guarantee is evicted by a claim of another account,
 	// since a third one runs a job larger than its blocks on what they were bound to.
-	// These blocks counted as owed, and all sheltered work gave way to them.
+	// These blocks counted as owed, and all protected work gave way to them.
 	p := rackAndGuests
 	p.Accounts = append(p.Accounts, AccountPolicy{ID: "small", Guaranteed: []Shape{{2, AdjacentWorker, 1}}})
 	b := newBench(t, p, eight(4)...)
 	b.submit(Job{ID: "s", Account: "small", Accelerators: 1, Repeatable: true, Submitted: b.now})
 	b.submit(Job{ID: "o", Account: "owner", Accelerators: 24, Submitted: b.now})
-	b.Assert(b.s.loose, qt.HasLen, 1)
+	b.Assert(b.s.unbound, qt.HasLen, 1)
 	b.step(Tick{})
-	b.Assert(b.s.jobs["s"].run.firm, qt.IsTrue)
+	b.Assert(b.s.jobs["s"].run.protected, qt.IsTrue)
 }
 
 func TestJobLargerThanItsBlockGivesItToOthers(t *testing.T) {
--- a/scheduler/job_state.go
+++ b/scheduler/job_state.go
@@ -5,23 +5,23 @@
 // job is a Job that has not ended.
 type job struct {
 	Job
-	account   *account
-	queue     *queue // nil unless it waits there
-	run       *run   // nil unless an attempt exists
-	claim     *claim // nil unless capacity is set aside for it
-	last      Attempt
-	failed    []nodeID // different workers it failed on
-	failures  int
-	evictions int
-	retreated bool // borrows no more, since it lost work to a claim
-	notBefore time.Time
-	planAfter time.Time // no reservation before
-	delayed   int       // index in the heap of delayed jobs, or -1
-	cancelled bool
-	cpuOn     *node  // set aside for it, if it needs no accelerators
-	seq       uint64 // order of submission
-	prev      *job   // neighbours in the queue
-	next      *job
+	account        *account
+	queue          *queue // nil unless it waits there
+	run            *run   // nil unless an attempt exists
+	claim          *claim // nil unless capacity is set aside for it
+	last           Attempt
+	failed         []nodeID // different workers it failed on
+	failures       int
+	evictions      int
+	borrowingEnded bool // borrows no more, since it lost work to a claim
+	notBefore      time.Time
+	planAfter      time.Time // no reservation before
+	delayed        int       // index in the heap of delayed jobs, or -1
+	cancelled      bool
+	cpuOn          *node  // set aside for it, if it needs no accelerators
+	seq            uint64 // order of submission
+	prev           *job   // neighbours in the queue
+	next           *job
 }
 
 // run is an attempt of a job.
@@ -30,7 +30,7 @@
 	attempt    Attempt
 	pieces     []held
 	shares     []share // the parts of guaranteed blocks it uses
-	firm       bool
+	protected  bool
 	state      runState
 	started    time.Time
 	checkpoint time.Time
--- a/scheduler/machine_test.go
+++ b/scheduler/machine_test.go
@@ -117,7 +117,7 @@
 	j.attempt, j.place, j.running, j.stopping = a.Attempt, a.Placement, false, false
 	r := m.s.jobs[a.Job].run
 	probe := !m.s.nodes[r.pieces[0].node].usable()
-	if !j.borrows() && !r.firm && !probe {
+	if !j.borrows() && !r.protected && !probe {
 		m.fatalf("job %q may not borrow and runs where it can be evicted", a.Job)
 	}
 	total := 0
--- a/scheduler/node.go
+++ b/scheduler/node.go
@@ -14,17 +14,17 @@
 	draining bool
 	health   health
 
-	used     uint64 // bit per accelerator held by an attempt
-	held     int    // accelerators held by attempts, stopping ones included
-	firm     int    // held by, or claimed for, work that may not be evicted
-	soft     int    // held by evictable attempts that are not stopping
-	bound    int    // bound to the unused part of guaranteed blocks
-	claim    int    // claimed for guarantees, not yet held
-	wait     int    // reserved for gangs that wait for work to end
-	waitFirm int    // the part of wait for work that may not be evicted
-	leave    int    // held by attempts that are stopping
-	runs     []*run // attempts with a piece here
-	blocks   []*block
+	used          uint64 // bit per accelerator held by an attempt
+	held          int    // accelerators held by attempts, stopping ones included
+	protected     int    // held by, or claimed for, work that may not be evicted
+	evictable     int    // held by evictable attempts that are not stopping
+	bound         int    // bound to the unused part of guaranteed blocks
+	claim         int    // claimed for guarantees, not yet held
+	wait          int    // reserved for gangs that wait for work to end
+	waitProtected int    // the part of wait for work that may not be evicted
+	leave         int    // held by attempts that are stopping
+	runs          []*run // attempts with a piece here
+	blocks        []*block
 
 	cpuCores int // cores that jobs without accelerators may still use
 	cpuMem   int // memory that jobs without accelerators may still use
@@ -58,11 +58,11 @@
 func (n *node) open() int { return max(0, n.free()-n.wait) }
 
 // slack is what work that may not be evicted could take, if it were free.
-func (n *node) slack() int { return max(0, n.capacity()-n.firm-n.bound) }
+func (n *node) slack() int { return max(0, n.capacity()-n.protected-n.bound) }
 
 // bindable is the slack that blocks may be bound to: not what is reserved for
 // work that may not be evicted, which would then wait for the block to move.
-func (n *node) bindable() int { return max(0, n.slack()-n.waitFirm) }
+func (n *node) bindable() int { return max(0, n.slack()-n.waitProtected) }
 
 // movable is the slack if the unused blocks here were bound elsewhere.
 func (n *node) movable() int {
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -74,29 +74,29 @@
 	if j.Accelerators == 0 {
 		return s.tryCPU(j)
 	}
-	if s.sheltered(j) && s.startSheltered(j, &q.key) {
+	if s.withinGuarantee(j) && s.startWithinGuarantee(j, &q.key) {
 		return true
 	}
-	firm := !j.borrows()
-	at := s.avoiding(j, func() []piece { return s.findOpen(j, &q.key, firm) })
+	protected := !j.borrows()
+	at := s.avoiding(j, func() []piece { return s.findOpen(j, &q.key, protected) })
 	if at == nil {
 		at = s.findBackfill(j, &q.key)
 	}
 	var under *claim
 	if at == nil {
-		at, under = s.findFiller(j, &q.key)
+		at, under = s.findUnderReservation(j, &q.key)
 	}
 	if at == nil {
 		return false
 	}
-	s.start(j, at, nil, firm)
+	s.start(j, at, nil, protected)
 	j.run.under = under
 	return true
 }
 
 // findOpen looks for a place beyond the guarantees. Capacity that is reserved
 // for the job itself counts as open.
-func (s *Scheduler) findOpen(j *job, k *queueKey, firm bool) []piece {
+func (s *Scheduler) findOpen(j *job, k *queueKey, protected bool) []piece {
 	before := s.grown
 	if j.claim != nil {
 		s.countClaim(j.claim, -1)
@@ -107,7 +107,7 @@
 			s.grown = before
 		}()
 	}
-	if !firm {
+	if !protected {
 		return s.find(&s.open, k)
 	}
 	if at := s.find(&s.steady, k); at != nil {
--- a/scheduler/spoil.go
+++ b/scheduler/place_cost.go
@@ -16,7 +16,7 @@
 		}
 		need -= p.n
 		rack := s.nodes[p.node].rack
-		if rack != last && s.unpinned(rack) {
+		if rack != last && s.allEvictable(rack) {
 			cost += wholeCost * float64(s.size.racks[rack].sum)
 		}
 		last = rack
@@ -24,11 +24,11 @@
 	return cost
 }
 
-// unpinned reports whether all work in a rack could be evicted.
-func (s *Scheduler) unpinned(rack int32) bool {
+// allEvictable reports whether all work in a rack could be evicted.
+func (s *Scheduler) allEvictable(rack int32) bool {
 	for _, list := range s.size.racks[rack].lists {
 		for _, id := range list {
-			if s.nodes[id].firm > 0 {
+			if s.nodes[id].protected > 0 {
 				return false
 			}
 		}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -52,7 +52,7 @@
 	out := []ending{{s.now, n.id, have}}
 	for _, r := range n.runs {
 		k := r.on(n.id)
-		if k == 0 || !r.firm && r.state == runStopping {
+		if k == 0 || !r.protected && r.state == runStopping {
 			continue
 		}
 		if !borrows && len(r.shares) > 0 {
--- a/scheduler/policy_change.go
+++ b/scheduler/policy_change.go
@@ -48,7 +48,7 @@
 			b := &block{account: a, shape: g, index: -1}
 			b.shape.Count = 1
 			a.blocks = append(a.blocks, b)
-			s.loosen(b)
+			s.addUnbound(b)
 		}
 	}
 }
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -28,9 +28,9 @@
 // preemptible reports whether a gang may evict a run without a guarantee.
 func (s *Scheduler) preemptible(r *run, j *job) bool {
 	if r.under != nil && r.under == j.claim {
-		return !r.firm
+		return !r.protected
 	}
-	return !r.firm && r.state == runRunning && !r.job.Urgent &&
+	return !r.protected && r.state == runRunning && !r.job.Urgent &&
 		r.job.Priority <= j.Priority && s.outgrows(j, r.job) && !r.covered()
 }
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -17,7 +17,7 @@
 
 // borrows reports whether the job may run on capacity that the guarantee of
 // another account needs.
-func (j *job) borrows() bool { return j.Job.borrows() && !j.retreated }
+func (j *job) borrows() bool { return j.Job.borrows() && !j.borrowingEnded }
 
 func (j *job) key() queueKey {
 	k := keyOf(&j.Job)
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -158,7 +158,7 @@
 	have := n.capacity() - n.held + n.leave - n.claim
 	var ends []ending
 	for _, r := range n.runs {
-		if k := r.on(n.id); k > 0 && (r.firm || r.state != runStopping) {
+		if k := r.on(n.id); k > 0 && (r.protected || r.state != runStopping) {
 			end := s.endOf(r)
 			if r.under != nil && r.under.on(n.id) {
 				end = s.now
--- a/scheduler/restore.go
+++ b/scheduler/restore.go
@@ -23,7 +23,7 @@
 		s.dropClaim(j.claim)
 	}
 	j.last = max(j.last, e.Attempt)
-	r := &run{job: j, attempt: e.Attempt, state: runRunning, started: e.Started, firm: !j.Evictable()}
+	r := &run{job: j, attempt: e.Attempt, state: runRunning, started: e.Started, protected: !j.Evictable()}
 	j.run = r
 	pieces, ok := s.restoredPieces(e, r)
 	if !ok {
@@ -76,12 +76,12 @@
 	if s.adopt(r) {
 		return
 	}
-	if !r.firm {
+	if !r.protected {
 		return
 	}
 	for _, h := range r.pieces {
 		n := s.nodes[h.node]
-		for n.bound > 0 && n.firm+n.bound > n.capacity() {
+		for n.bound > 0 && n.protected+n.bound > n.capacity() {
 			s.detach(n.blocks[len(n.blocks)-1])
 			s.unpacked()
 		}
@@ -120,19 +120,19 @@
 	var at []piece
 	for _, h := range r.pieces {
 		n := s.nodes[h.node]
-		if r.firm {
-			n.firm -= h.n
+		if r.protected {
+			n.protected -= h.n
 		} else {
-			n.soft -= h.n
+			n.evictable -= h.n
 		}
-		for n.bound > 0 && n.firm+n.bound+h.n > n.capacity() {
+		for n.bound > 0 && n.protected+n.bound+h.n > n.capacity() {
 			s.detach(n.blocks[len(n.blocks)-1])
 			s.unpacked()
 		}
 		at = append(at, piece{node: h.node, n: h.n})
 	}
 	s.attach(b, at)
-	r.firm = true
+	r.protected = true
 	for i, p := range at {
 		r.shares = append(r.shares, share{b, i, p.n})
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -43,12 +43,12 @@
 	seq         uint64
 	delayed     delayHeap
 	claims      []*claim
-	loose       []*block // guaranteed blocks without a place
+	unbound     []*block // guaranteed blocks without a place
 	degraded    map[degradedKey]int
 	beside      map[need]bool // shapes that fit beside all blocks
 	besideAt    uint64        // shape and shrunk when these were found
 	shrunk      uint64        // changes when the topology shrinks or blocks need more
-	retreatsAt  uint64        // shrunk when retreats were last looked at
+	borrowingAt uint64        // shrunk when retreats were last looked at
 	packed      uint64        // grown when the last repacking failed
 	stopping    int           // evictions in progress
 	quarantined []*node
@@ -144,8 +144,8 @@
 	s.settle()
 	s.wakeWorkers()
 	s.wakeJobs()
-	s.rebindLoose()
-	s.endRetreats()
+	s.rebindUnbound()
+	s.resumeBorrowing()
 	s.startClaims()
 	s.claimGuarantees(beforeOpen)
 	s.startOpen()
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -6,15 +6,15 @@
 )
 
 // start begins an attempt on pieces that are idle. With shares it runs within
-// the guarantee of its account and is never evicted, nor is it if it is firm.
-func (s *Scheduler) start(j *job, at []piece, shares []share, firm bool) {
+// the guarantee of its account and is never evicted, nor is it if it is protected.
+func (s *Scheduler) start(j *job, at []piece, shares []share, protected bool) {
 	s.dequeue(j)
 	if j.claim != nil {
 		s.dropClaim(j.claim)
 	}
 	j.last++
 	r := &run{job: j, attempt: j.last, shares: shares, started: s.now}
-	r.firm = len(shares) > 0 || firm
+	r.protected = len(shares) > 0 || protected
 	j.run = r
 	key := j.key()
 	for _, p := range at {
@@ -48,10 +48,10 @@
 	n.held += h.n
 	switch {
 	case len(r.shares) > 0:
-	case r.firm:
-		n.firm += h.n
+	case r.protected:
+		n.protected += h.n
 	default:
-		n.soft += h.n
+		n.evictable += h.n
 	}
 	if r.job.Accelerators == 0 {
 		n.cpuCores -= r.job.Cores
@@ -81,12 +81,12 @@
 	n.held -= h.n
 	switch {
 	case len(r.shares) > 0:
-	case r.firm:
-		n.firm -= h.n
+	case r.protected:
+		n.protected -= h.n
 	case r.state == runStopping:
 		n.leave -= h.n
 	default:
-		n.soft -= h.n
+		n.evictable -= h.n
 	}
 	if r.job.Accelerators == 0 {
 		n.cpuCores += r.job.Cores
@@ -131,10 +131,10 @@
 	if r.state == runStopping {
 		return
 	}
-	if !r.firm {
+	if !r.protected {
 		for _, p := range r.pieces {
 			n := s.nodes[p.node]
-			n.soft -= p.n
+			n.evictable -= p.n
 			n.leave += p.n
 			s.refresh(n)
 		}
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -33,7 +33,7 @@
 
 // Stats summarises the state. Its cost is linear in workers and queues.
 func (s *Scheduler) Stats() Stats {
-	out := Stats{Unplaced: len(s.loose), Evicting: s.stopping, Starts: s.starts}
+	out := Stats{Unplaced: len(s.unbound), Evicting: s.stopping, Starts: s.starts}
 	for _, n := range s.nodes {
 		if n.health.excluded && n.up {
 			out.Quarantined++
--- a/scheduler/filler.go
+++ b/scheduler/under_reservation.go
@@ -5,22 +5,22 @@
 	"time"
 )
 
-// fillAtLeast is how far off a reservation must be for work to run.under it.
-const fillAtLeast = 30 * time.Second
+// underAtLeast is how far off a reservation must be for work to run under it.
+const underAtLeast = 30 * time.Second
 
-// findFiller looks for room under a reservation that still waits for other work
+// findUnderReservation looks for room under a reservation that still waits for other work
 // to end. Only a job that can checkpoint runs there: it makes way at once when
 // the rest is free, and loses no work by that. Under a reservation that waits for
 // nothing else but a block to move, it would be stopped and started without end.
-func (s *Scheduler) findFiller(j *job, k *queueKey) ([]piece, *claim) {
+func (s *Scheduler) findUnderReservation(j *job, k *queueKey) ([]piece, *claim) {
 	if !j.Checkpointable || !j.borrows() || j.Urgent || j.claim != nil || !s.plain(k) {
 		return nil, nil
 	}
 	for _, c := range s.claims {
-		if c.guaranteed() || c.ready.Sub(s.now) < fillAtLeast {
+		if c.guaranteed() || c.ready.Sub(s.now) < underAtLeast {
 			continue
 		}
-		if _, due := s.fillersOf(c); due {
+		if _, due := s.runsUnder(c); due {
 			continue
 		}
 		if at := s.roomUnder(c, k); at != nil {
@@ -63,18 +63,18 @@
 // recall stops the work under a reservation once nothing else keeps the
 // reservation from being complete.
 func (s *Scheduler) recall(c *claim) {
-	fillers, due := s.fillersOf(c)
+	under, due := s.runsUnder(c)
 	if !due {
 		return
 	}
-	for _, r := range fillers {
+	for _, r := range under {
 		s.stopRun(r, StopReclaim, true)
 	}
 }
 
-// fillersOf lists the work that a reservation has to wait for among that under
+// runsUnder lists the work that a reservation has to wait for among that under
 // it, and reports whether it waits for nothing else.
-func (s *Scheduler) fillersOf(c *claim) ([]*run, bool) {
+func (s *Scheduler) runsUnder(c *claim) ([]*run, bool) {
 	var out []*run
 	for _, p := range c.pieces {
 		n := s.nodes[p.node]
--- a/scheduler/filler_test.go
+++ b/scheduler/under_reservation_test.go
@@ -46,9 +46,9 @@
 	// so it makes way, but the gang can't start while a block there finds no other
 	// place, and the job takes the place again.
 	b := newBench(t, twoAccounts, eight(3)...)
-	firm := Job{ID: "firm", Account: "guest", Accelerators: 8, Adjacency: AdjacentWorker, Class: "f", Estimate: 2 * time.Hour}
+	protected := Job{ID: "protected", Account: "guest", Accelerators: 8, Adjacency: AdjacentWorker, Class: "f", Estimate: 2 * time.Hour}
 	soon := Job{ID: "soon", Account: "guest", Accelerators: 8, Adjacency: AdjacentWorker, Class: "s", Estimate: time.Hour}
-	b.submit(firm)
+	b.submit(protected)
 	b.submit(soon)
 	b.step(GangStarted{"soon", 1})
 	b.submit(Job{ID: "gang", Account: "guest", Accelerators: 16, Submitted: b.now})
--- a/scheduler/shelter.go
+++ b/scheduler/within_guarantee.go
@@ -1,16 +1,16 @@
 package scheduler
 
-// sheltered reports whether a job that could be evicted is within the guarantee
+// withinGuarantee reports whether a job that could be evicted is within the guarantee
 // of its account, together with all that the account runs beside its blocks.
-func (s *Scheduler) sheltered(j *job) bool {
+func (s *Scheduler) withinGuarantee(j *job) bool {
 	return j.borrows() && j.account.used+j.Accelerators <= j.account.room()
 }
 
-// startSheltered starts a job that is within the guarantee of its account where
+// startWithinGuarantee starts a job that is within the guarantee of its account where
 // nobody evicts it: on capacity that no block needs, which pins no block, or else
 // in a block of its account. As a borrower it would lose its work to a claim or a
 // reservation of another account while its own block is idle.
-func (s *Scheduler) startSheltered(j *job, k *queueKey) bool {
+func (s *Scheduler) startWithinGuarantee(j *job, k *queueKey) bool {
 	if at := s.avoiding(j, func() []piece { return s.find(&s.steady, k) }); at != nil {
 		s.start(j, at, nil, true)
 		return true
@@ -23,17 +23,17 @@
 	return true
 }
 
-// unshelter makes borrowers of all attempts that could be evicted and run beside
+// unprotectBorrowers makes borrowers of all attempts that could be evicted and run beside
 // the blocks without being evictable. They stand in the way when workers fail or
 // a policy adds guarantees: a block that has no place goes first.
-func (s *Scheduler) unshelter() bool {
+func (s *Scheduler) unprotectBorrowers() bool {
 	found := false
 	for _, n := range s.nodes {
 		for _, r := range n.runs {
-			if !r.firm || len(r.shares) > 0 || r.state == runStopping || !r.job.Job.borrows() {
+			if !r.protected || len(r.shares) > 0 || r.state == runStopping || !r.job.Job.borrows() {
 				continue
 			}
-			s.soften(r)
+			s.unprotect(r)
 			found = true
 		}
 	}
@@ -44,7 +44,7 @@
 // run jobs of that size on what its blocks were bound to.
 func (s *Scheduler) owes() bool {
 	missing := map[*account]int{}
-	for _, b := range s.loose {
+	for _, b := range s.unbound {
 		missing[b.account] += b.shape.Accelerators
 	}
 	for a, n := range missing {
@@ -61,7 +61,7 @@
 	t := 0
 	for _, n := range s.nodes {
 		for _, r := range n.runs {
-			if r.job.account == a && r.firm && len(r.shares) == 0 && r.job.beyondBlocks() != nil {
+			if r.job.account == a && r.protected && len(r.shares) == 0 && r.job.beyondBlocks() != nil {
 				t += r.on(n.id)
 			}
 		}
@@ -69,12 +69,12 @@
 	return t
 }
 
-func (s *Scheduler) soften(r *run) {
-	r.firm = false
+func (s *Scheduler) unprotect(r *run) {
+	r.protected = false
 	for _, p := range r.pieces {
 		n := s.nodes[p.node]
-		n.firm -= p.n
-		n.soft += p.n
+		n.protected -= p.n
+		n.evictable += p.n
 		s.refresh(n)
 	}
 }
