trial: the late start of an earlier life is let go once the agent has asked its target

Cause: TestAgentRestartsDuringAStart failed in 1 of 3 runs of all tests beside each other with two processors each: attempt 1 ended as done. The test let the held start go as soon as documents were in force, which entries may say of the agent's earlier life, before the restarted one had asked its target for tasks. A start that arrives by then is in the list and adopted, as designed (docs/design/gang-start.md), and the gang ran whole.

Ruled out: a hole in the fence. The stand-in checks incarnations when a held start is let go, under the lock that raises them.

--- a/target/standin/server.go
+++ b/target/standin/server.go
@@ -148,6 +148,13 @@
 	}
 }
 
+// AgentIncarnation is the highest of the agent that the stand-in has heard of.
+func (s *Server) AgentIncarnation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.agent
+}
+
 // HeldStarts is how many starts are on their way, held by Faults.HoldStarts.
 func (s *Server) HeldStarts() int { return int(s.held.Load()) }
 
--- a/trial/together_test.go
+++ b/trial/together_test.go
@@ -161,8 +161,14 @@
 	w.Assert(placed, qt.HasLen, 2)
 	dying := w.worker(placed[0].Agent)
 	w.eventually(func() error { return unless(dying.Target.HeldStarts() > 0, "no start has arrived") })
+	earlier := dying.Target.AgentIncarnation()
 	dying.Kill()
 	w.Assert(dying.Start(), qt.IsNil)
+	// What arrives before the agent has asked for its target's tasks is in the list, and
+	// adopted.
+	w.eventually(func() error {
+		return unless(dying.Target.AgentIncarnation() > earlier, "the agent has not asked its target")
+	})
 	w.Assert(w.WaitInForce(w.ctx, 1), qt.IsNil)
 	for _, worker := range w.Workers {
 		worker.Target.SetFaults(standin.Faults{})
