agent, entry, document: one loop of reports, one check of generations

The loop that reports to an entry stood again for the relay of the rack, and whether an agent holds a generation was asked by twins in agent and entry (document.Holds now).

--- a/agent/relay_documents.go
+++ b/agent/relay_documents.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/membership"
@@ -23,7 +22,7 @@
 func (r *reports) offer(to *wire.Conn, m *membership.Member) {
 	held, ok := r.a.docs.Current(m.Report.Service)
 	id := m.Report.ID
-	if !ok || r.sending[id] || has(m.Report.Generations, held.Version.Summary()) {
+	if !ok || r.sending[id] || document.Holds(m.Report.Generations, held.Version.Summary()) {
 		return
 	}
 	r.sending[id] = true
@@ -39,12 +38,6 @@
 	delete(r.sending, id)
 }
 
-func has(have []wire.Generation, want wire.Generation) bool {
-	return slices.ContainsFunc(have, func(g wire.Generation) bool {
-		return g.Service == want.Service && g.Generation >= want.Generation
-	})
-}
-
 // spread sends a new generation to every member at once, over the connections
 // that they hold to this relay.
 func (r *reports) spread(now *document.Held) {
--- a/agent/report_relay.go
+++ b/agent/report_relay.go
@@ -16,22 +16,10 @@
 
 // relayLoop reports to the relay as long as there is one.
 func (r *reports) relayLoop() error {
-	timer := time.NewTimer(tickEvery)
-	defer timer.Stop()
-	for {
-		select {
-		case <-r.a.t.Dying():
-			return nil
-		case <-timer.C:
-		case <-r.relay.kick:
-		}
-		if wait := r.untilRelayDue(); wait > 0 {
-			timer.Reset(wait)
-			continue
-		}
+	return r.repeat(tickEvery, r.relay.kick, r.untilRelayDue, func() bool {
 		r.reportToRelay()
-		timer.Reset(r.untilRelayDue())
-	}
+		return true
+	})
 }
 
 func (r *reports) untilRelayDue() time.Duration {
--- a/agent/reports.go
+++ b/agent/reports.go
@@ -149,23 +149,31 @@
 }
 
 func (r *reports) loop(link *entryLink) error {
-	timer := time.NewTimer(0)
+	due := func() time.Duration { return r.untilDue(link) }
+	return r.repeat(0, link.kick, due, func() bool { return r.report(link) })
+}
+
+// repeat reports first after a wait, and then whenever it is due: as due says, which
+// is asked again after each report and each kick. It ends with the agent, or when
+// report returns false.
+func (r *reports) repeat(first time.Duration, kick <-chan struct{}, due func() time.Duration, report func() bool) error {
+	timer := time.NewTimer(first)
 	defer timer.Stop()
 	for {
 		select {
 		case <-r.a.t.Dying():
 			return nil
 		case <-timer.C:
-		case <-link.kick:
+		case <-kick:
 		}
-		if wait := r.untilDue(link); wait > 0 {
+		if wait := due(); wait > 0 {
 			timer.Reset(wait)
 			continue
 		}
-		if !r.report(link) {
+		if !report() {
 			return nil
 		}
-		timer.Reset(r.untilDue(link))
+		timer.Reset(due())
 	}
 }
 
--- a/document/version.go
+++ b/document/version.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -41,6 +42,13 @@
 	return Summary{Service: v.Service, Generation: v.Generation, Digest: v.Digest}
 }
 
+// Holds reports whether have names the generation of want's service, or a later one.
+func Holds(have []Summary, want Summary) bool {
+	return slices.ContainsFunc(have, func(s Summary) bool {
+		return s.Service == want.Service && s.Generation >= want.Generation
+	})
+}
+
 // ErrBadVersion: bytes that are not a Version, or whose text does not match
 // its digest.
 var ErrBadVersion = eris.New("not a stored document version")
--- a/entry/members_documents.go
+++ b/entry/members_documents.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/membership"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
@@ -18,7 +19,7 @@
 	if ok && ahead(member.Report.Generations, held.Version.Summary()) {
 		m.e.catchUp()
 	}
-	if !ok || hasGeneration(member.Report.Generations, held.Version.Summary()) {
+	if !ok || document.Holds(member.Report.Generations, held.Version.Summary()) {
 		return
 	}
 	if m.relayed(id) && time.Since(held.Since) < relayGrace {
@@ -38,15 +39,6 @@
 // members that lack the generation although they report.
 const relayGrace = 4 * time.Second
 
-func hasGeneration(have []wire.Generation, want wire.Generation) bool {
-	for _, g := range have {
-		if g.Service == want.Service && g.Generation >= want.Generation {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *members) sendDocument(agent string, v wire.DocumentVersion) {
 	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
