--- a/agent/rack_test.go
+++ b/agent/rack_test.go
@@ -25,9 +25,9 @@
 	"github.com/eelgrasshub/eelgrasshub/document/schema"
 	"github.com/eelgrasshub/eelgrasshub/entry"
 	"github.com/eelgrasshub/eelgrasshub/membership"
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
 	"github.com/eelgrasshub/eelgrasshub/settings"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	kvstandin "github.com/eelgrasshub/eelgrasshub/store/standin"
 	"github.com/eelgrasshub/eelgrasshub/target/standin"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
@@ -47,17 +47,17 @@
 type rack struct {
 	*qt.C
 	store   string
-	client  *platform.Client
+	client  *store.Client
 	entries []*entry.Entry
 	configs []settings.Entry
 	agents  map[string]*agent.Agent
 }
 
 func newRack(c *qt.C, entries int) *rack {
-	server := store.New(store.Options{})
+	server := kvstandin.New(kvstandin.Options{})
 	front := httptest.NewServer(server)
 	r := &rack{C: c, store: front.URL, agents: make(map[string]*agent.Agent)}
-	r.client = platform.NewClient(platform.Options{Endpoints: []string{r.store}, CallTimeout: 10 * time.Second, Budget: 1e6, Burst: 1e6})
+	r.client = store.NewClient(store.Options{Endpoints: []string{r.store}, CallTimeout: 10 * time.Second, Budget: 1e6, Burst: 1e6})
 	c.Cleanup(func() {
 		r.client.Close()
 		server.Close()
--- a/cmd/eelgrasshub/config.go
+++ b/cmd/eelgrasshub/config.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // commandTimeout bounds an operator's command.
@@ -17,8 +17,8 @@
 	Platform []string `long:"platform" required:"true" value-name:"URL" description:"base URL of the platform's store; may be repeated"`
 }
 
-func (o storeOptions) client() *platform.Client {
-	return platform.NewClient(platform.Options{Endpoints: o.Platform})
+func (o storeOptions) client() *store.Client {
+	return store.NewClient(store.Options{Endpoints: o.Platform})
 }
 
 func commandContext() (context.Context, context.CancelFunc) {
--- a/cmd/eelgrasshub/config_put.go
+++ b/cmd/eelgrasshub/config_put.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // configPutCmd puts a new generation of a document.
@@ -85,7 +85,7 @@
 
 // inForce is the highest generation that a running entry reports, 0 where none
 // can be asked.
-func (c *configPutCmd) inForce(ctx context.Context, store platform.Store, service string) uint64 {
+func (c *configPutCmd) inForce(ctx context.Context, store store.Store, service string) uint64 {
 	if c.Region == "" {
 		return 0
 	}
--- a/cmd/eelgrasshub/config_status.go
+++ b/cmd/eelgrasshub/config_status.go
@@ -10,7 +10,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/api"
 	"github.com/eelgrasshub/eelgrasshub/entry"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // configStatusCmd shows which process has which generation in force.
@@ -52,7 +52,7 @@
 }
 
 // askEntries asks every entry that is registered in the region.
-func askEntries(ctx context.Context, store platform.Store, region string) []entryStatus {
+func askEntries(ctx context.Context, store store.Store, region string) []entryStatus {
 	registered, err := entry.Registered(ctx, store, region)
 	if err != nil {
 		return nil
--- a/cmd/eelgrasshub/platform_standin.go
+++ b/cmd/eelgrasshub/platform_standin.go
@@ -5,7 +5,7 @@
 	"net"
 	"net/http"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // platformStandinCmd runs the stand-in of the platform's store.
--- a/document/fake_test.go
+++ b/document/fake_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // fault is what happens to one swap.
@@ -23,15 +23,15 @@
 
 // fakeStore is the platform's store with faults, without leases.
 type fakeStore struct {
-	platform.Store // nil: leases are not used here
+	store.Store // nil: leases are not used here
 
 	mu      sync.Mutex
 	source  uint64 // changes with each restore
-	rev     platform.Revision
-	keys    map[string]platform.KeyValue
-	events  []platform.Event
-	floor   platform.Revision // events up to it are compacted
-	changed chan struct{}     // closed at the next change
+	rev     store.Revision
+	keys    map[string]store.KeyValue
+	events  []store.Event
+	floor   store.Revision // events up to it are compacted
+	changed chan struct{}  // closed at the next change
 	down    bool
 	next    func() fault // of each swap; nil for none
 	calls   int
@@ -43,7 +43,7 @@
 
 // delayedSwap takes effect when the store has taken so many calls.
 type delayedSwap struct {
-	platform.Swap
+	store.Swap
 	at int
 }
 
@@ -51,13 +51,13 @@
 const maxDelay = 4
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{keys: map[string]platform.KeyValue{}, changed: make(chan struct{})}
+	return &fakeStore{keys: map[string]store.KeyValue{}, changed: make(chan struct{})}
 }
 
 // backup is a copy of the store at one moment.
 type backup struct {
-	rev  platform.Revision
-	keys map[string]platform.KeyValue
+	rev  store.Revision
+	keys map[string]store.KeyValue
 }
 
 func (s *fakeStore) backup() backup {
@@ -93,14 +93,14 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) swap(w platform.Swap) bool {
+func (s *fakeStore) swap(w store.Swap) bool {
 	if s.keys[w.Key].Mod != w.Expect {
 		return false
 	}
 	s.rev++
-	kv := platform.KeyValue{Key: w.Key, Value: w.Value, Mod: s.rev}
+	kv := store.KeyValue{Key: w.Key, Value: w.Value, Mod: s.rev}
 	s.keys[w.Key] = kv
-	s.events = append(s.events, platform.Event{KeyValue: kv})
+	s.events = append(s.events, store.Event{KeyValue: kv})
 	s.signal()
 	return true
 }
@@ -124,29 +124,29 @@
 		return due
 	})
 	if s.down || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
 
-func (s *fakeStore) Get(ctx context.Context, key string) (platform.KeyValue, bool, error) {
+func (s *fakeStore) Get(ctx context.Context, key string) (store.KeyValue, bool, error) {
 	s.travel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(ctx); err != nil {
-		return platform.KeyValue{}, false, err
+		return store.KeyValue{}, false, err
 	}
 	kv, ok := s.keys[key]
 	return kv, ok, nil
 }
 
-func (s *fakeStore) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+func (s *fakeStore) List(ctx context.Context, prefix string) (store.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(ctx); err != nil {
-		return platform.Snapshot{}, err
+		return store.Snapshot{}, err
 	}
-	snapshot := platform.Snapshot{At: s.rev, Source: s.source}
+	snapshot := store.Snapshot{At: s.rev, Source: s.source}
 	for key, kv := range s.keys {
 		if strings.HasPrefix(key, prefix) {
 			snapshot.Keys = append(snapshot.Keys, kv)
@@ -156,7 +156,7 @@
 	return snapshot, nil
 }
 
-func (s *fakeStore) ListKeys(ctx context.Context, prefix string) (platform.Snapshot, error) {
+func (s *fakeStore) ListKeys(ctx context.Context, prefix string) (store.Snapshot, error) {
 	snapshot, err := s.List(ctx, prefix)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,14 +167,14 @@
 	return snapshot, err
 }
 
-func (s *fakeStore) Commit(ctx context.Context, swaps []platform.Swap) ([]platform.SwapResult, error) {
+func (s *fakeStore) Commit(ctx context.Context, swaps []store.Swap) ([]store.SwapResult, error) {
 	s.travel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(ctx); err != nil {
 		return nil, err
 	}
-	results := make([]platform.SwapResult, len(swaps))
+	results := make([]store.SwapResult, len(swaps))
 	for i, w := range swaps {
 		f := none
 		if s.next != nil {
@@ -194,11 +194,11 @@
 	return results, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, prefix string, from platform.Revision, deliver func(platform.WatchBatch)) error {
+func (s *fakeStore) Watch(ctx context.Context, prefix string, from store.Revision, deliver func(store.WatchBatch)) error {
 	for {
 		s.mu.Lock()
 		changed, compacted := s.changed, from <= s.floor
-		var batch platform.WatchBatch
+		var batch store.WatchBatch
 		for _, e := range s.events {
 			if e.Mod >= from && strings.HasPrefix(e.Key, prefix) {
 				batch.Events = append(batch.Events, e)
@@ -207,7 +207,7 @@
 		batch.At = s.rev
 		s.mu.Unlock()
 		if compacted {
-			return platform.ErrCompacted
+			return store.ErrCompacted
 		}
 		if len(batch.Events) > 0 {
 			from = batch.At + 1
--- a/document/feeder_action.go
+++ b/document/feeder_action.go
@@ -1,6 +1,6 @@
 package document
 
-import "github.com/eelgrasshub/eelgrasshub/platform"
+import "github.com/eelgrasshub/eelgrasshub/store"
 
 // FeederAction is what a Feeder asks its shell to do.
 type FeederAction interface{ feederAction() }
@@ -19,7 +19,7 @@
 // shows whether anything is left to do.
 type WriteBack struct {
 	Version  Version
-	Expect   platform.Revision
+	Expect   store.Revision
 	Replaced Version // what the store holds; zero where it holds none
 }
 
--- a/document/fleet_model_test.go
+++ b/document/fleet_model_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 const (
@@ -105,8 +105,8 @@
 func (f *fleet) repair(a document.WriteBack) {
 	value, err := a.Version.Marshal()
 	f.c.Assert(err, qt.IsNil)
-	swap := platform.Swap{Key: document.StoreKey("dispatch"), Expect: a.Expect, Value: value}
-	results, err := f.store.Commit(context.Background(), []platform.Swap{swap})
+	swap := store.Swap{Key: document.StoreKey("dispatch"), Expect: a.Expect, Value: value}
+	results, err := f.store.Commit(context.Background(), []store.Swap{swap})
 	if err == nil && results[0].Swapped {
 		f.writeBack++
 	}
--- a/document/follow.go
+++ b/document/follow.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // follow lists and watches until the Watcher ends. Each watch lasts until the
@@ -18,7 +18,7 @@
 		if !w.tomb.Alive() || err == nil {
 			continue
 		}
-		if !errors.Is(err, platform.ErrCompacted) {
+		if !errors.Is(err, store.ErrCompacted) {
 			w.failures.Add(1)
 			w.step(StoreFailed{})
 			w.setReachable(false)
@@ -74,7 +74,7 @@
 	}
 }
 
-func (w *Watcher) listing(s platform.Snapshot) StoreListed {
+func (w *Watcher) listing(s store.Snapshot) StoreListed {
 	var l StoreListed
 	for _, kv := range s.Keys {
 		d, ok := w.read(kv)
@@ -87,7 +87,7 @@
 	return l
 }
 
-func (w *Watcher) deliver(b platform.WatchBatch) {
+func (w *Watcher) deliver(b store.WatchBatch) {
 	w.lister.changed(b)
 	for _, e := range b.Events {
 		if e.Deleted {
@@ -101,7 +101,7 @@
 }
 
 // read skips what is not a version: it is not ours to repair.
-func (w *Watcher) read(kv platform.KeyValue) (Stored, bool) {
+func (w *Watcher) read(kv store.KeyValue) (Stored, bool) {
 	d, err := stored(kv)
 	if err != nil {
 		w.unreadable.Add(1)
--- a/document/lister.go
+++ b/document/lister.go
@@ -5,7 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 const (
@@ -22,24 +22,24 @@
 // use of the store where there are many services. One goroutine at a time owns
 // it: that of Watcher.follow, or of the watch that it waits for.
 type lister struct {
-	store platform.Store
+	store store.Store
 
-	seen   map[string]platform.KeyValue // by key, from listings and the watch
+	seen   map[string]store.KeyValue // by key, from listings and the watch
 	source uint64
-	at     platform.Revision
+	at     store.Revision
 	parts  int // listings since the last whole one
 }
 
 // list returns all documents at one revision or, where some had to be read by
 // themselves, these at a later one. A watch from the result's revision misses
 // nothing; it may bring such a document a second time.
-func (l *lister) list(ctx context.Context) (platform.Snapshot, error) {
+func (l *lister) list(ctx context.Context) (store.Snapshot, error) {
 	if l.seen == nil || l.parts >= wholeEvery {
 		return l.whole(ctx)
 	}
 	keys, err := l.store.ListKeys(ctx, Prefix)
 	if err != nil {
-		return platform.Snapshot{}, err
+		return store.Snapshot{}, err
 	}
 	if l.restored(keys) || l.unseen(keys) > maxReadOneByOne {
 		return l.whole(ctx)
@@ -51,11 +51,11 @@
 // restored guards against a store restored from a backup, which counts its
 // revisions again: a document written since can have the revision of another one
 // that was seen before, and would be taken for that one.
-func (l *lister) restored(s platform.Snapshot) bool {
+func (l *lister) restored(s store.Snapshot) bool {
 	return s.Source != l.source || s.At < l.at
 }
 
-func (l *lister) unseen(keys platform.Snapshot) int {
+func (l *lister) unseen(keys store.Snapshot) int {
 	n := 0
 	for _, kv := range keys.Keys {
 		if l.seen[kv.Key].Mod != kv.Mod {
@@ -65,10 +65,10 @@
 	return n
 }
 
-func (l *lister) whole(ctx context.Context) (platform.Snapshot, error) {
+func (l *lister) whole(ctx context.Context) (store.Snapshot, error) {
 	s, err := l.store.List(ctx, Prefix)
 	if err != nil {
-		return platform.Snapshot{}, err
+		return store.Snapshot{}, err
 	}
 	l.parts = 0
 	l.remember(s)
@@ -76,7 +76,7 @@
 }
 
 // fill puts the documents into a listing of their keys.
-func (l *lister) fill(ctx context.Context, keys platform.Snapshot) (platform.Snapshot, error) {
+func (l *lister) fill(ctx context.Context, keys store.Snapshot) (store.Snapshot, error) {
 	s := keys
 	s.Keys = nil
 	for _, kv := range keys.Keys {
@@ -84,7 +84,7 @@
 		if whole.Mod != kv.Mod {
 			now, ok, err := l.store.Get(ctx, kv.Key)
 			if err != nil {
-				return platform.Snapshot{}, eris.Wrapf(err, "key %s", kv.Key)
+				return store.Snapshot{}, eris.Wrapf(err, "key %s", kv.Key)
 			}
 			if !ok {
 				continue // deleted since; the watch brings that as well
@@ -97,16 +97,16 @@
 	return s, nil
 }
 
-func (l *lister) remember(s platform.Snapshot) {
+func (l *lister) remember(s store.Snapshot) {
 	l.source, l.at = s.Source, s.At
-	l.seen = make(map[string]platform.KeyValue, len(s.Keys))
+	l.seen = make(map[string]store.KeyValue, len(s.Keys))
 	for _, kv := range s.Keys {
 		l.seen[kv.Key] = kv
 	}
 }
 
 // changed takes in what the watch from the last listing delivers.
-func (l *lister) changed(b platform.WatchBatch) {
+func (l *lister) changed(b store.WatchBatch) {
 	l.at = max(l.at, b.At)
 	for _, e := range b.Events {
 		if e.Deleted {
--- a/document/lister_test.go
+++ b/document/lister_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // With many services the documents that every entry lists again and again would
@@ -18,14 +18,14 @@
 func TestListingReadsOnlyWhatChanged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		store := newFakeStore()
-		mustPut(c, store, "one", 0)
-		f, w := watch(t, store, nil)
+		kv := newFakeStore()
+		mustPut(c, kv, "one", 0)
+		f, w := watch(t, kv, nil)
 		<-w.Ready()
-		mustPut(c, store, "two", 1)
-		before, _ := store.counts()
+		mustPut(c, kv, "two", 1)
+		before, _ := kv.counts()
 		time.Sleep(4 * time.Minute)
-		calls, values := store.counts()
+		calls, values := kv.counts()
 		c.Assert(calls-before > 20, qt.IsTrue)
 		c.Assert(values, qt.Equals, 1)
 		c.Assert(generationOf(f), qt.Equals, uint64(2))
@@ -37,11 +37,11 @@
 func TestListingFindsWhatTheWatchMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		store := newFakeStore()
-		mustPut(c, store, "one", 0)
-		f, w := watch(t, deafStore{store}, nil)
+		kv := newFakeStore()
+		mustPut(c, kv, "one", 0)
+		f, w := watch(t, deafStore{kv}, nil)
 		<-w.Ready()
-		mustPut(c, store, "two", 1)
+		mustPut(c, kv, "two", 1)
 		time.Sleep(15 * time.Second)
 		c.Assert(generationOf(f), qt.Equals, uint64(2))
 	})
@@ -50,7 +50,7 @@
 // deafStore's watches never deliver.
 type deafStore struct{ *fakeStore }
 
-func (s deafStore) Watch(ctx context.Context, _ string, _ platform.Revision, _ func(platform.WatchBatch)) error {
+func (s deafStore) Watch(ctx context.Context, _ string, _ store.Revision, _ func(store.WatchBatch)) error {
 	<-ctx.Done()
 	return ctx.Err()
 }
@@ -62,17 +62,17 @@
 func TestListingAfterRestoreTrustsNoRevision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		store := newFakeStore()
-		mustPut(c, store, "one", 0)
-		old := store.backup()
-		mustPut(c, store, "two", 1)
-		f, w := watch(t, deafStore{store}, nil)
+		kv := newFakeStore()
+		mustPut(c, kv, "one", 0)
+		old := kv.backup()
+		mustPut(c, kv, "two", 1)
+		f, w := watch(t, deafStore{kv}, nil)
 		<-w.Ready()
-		store.restore(old)
+		kv.restore(old)
 		time.Sleep(time.Second) // the later text wins
-		mustPut(c, store, "other two", 1)
+		mustPut(c, kv, "other two", 1)
 		time.Sleep(15 * time.Second)
-		stored, _, err := document.Get(context.Background(), store, "dispatch")
+		stored, _, err := document.Get(context.Background(), kv, "dispatch")
 		c.Assert(err, qt.IsNil)
 		held, _ := f.Current("dispatch")
 		c.Assert(string(held.Version.TOML), qt.Equals, string(stored.TOML))
--- a/document/put.go
+++ b/document/put.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Proposal is an operator's new version of a document.
@@ -31,11 +31,11 @@
 
 // Put writes a proposal by compare-and-swap and returns the version it became.
 // Success means that the store took the write. ErrConflict, ErrStoreBehind and
-// a refused text mean that it was not written; platform.ErrUnavailable the
+// a refused text mean that it was not written; store.ErrUnavailable the
 // same. After ErrOutcomeUnknown the operator reads the store; the same
 // proposal may be put again. Put keeps trying to learn a lost outcome until
 // ctx ends.
-func Put(ctx context.Context, store platform.Store, p Proposal) (Version, error) {
+func Put(ctx context.Context, store store.Store, p Proposal) (Version, error) {
 	d, err := Parse(p.Name, p.TOML)
 	if err != nil {
 		return Version{}, err
--- a/document/put_test.go
+++ b/document/put_test.go
@@ -13,7 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // text returns a small document of service; mark tells texts apart.
@@ -43,25 +43,25 @@
 
 func TestPutAndGet(t *testing.T) {
 	c := qt.New(t)
-	store := newFakeStore()
+	kv := newFakeStore()
 	ctx := context.Background()
-	_, ok, err := document.Get(ctx, store, "dispatch")
+	_, ok, err := document.Get(ctx, kv, "dispatch")
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(err, qt.IsNil)
 
-	first, err := document.Put(ctx, store, proposal("first", 0))
+	first, err := document.Put(ctx, kv, proposal("first", 0))
 	c.Assert(err, qt.IsNil)
 	late := proposal("second", 1)
 	late.At = first.At.Add(-time.Hour) // an operator's clock that is behind
-	second, err := document.Put(ctx, store, late)
+	second, err := document.Put(ctx, kv, late)
 	c.Assert(err, qt.IsNil)
 	c.Assert(second.Generation, qt.Equals, uint64(2))
 	c.Assert(second.At.After(first.At), qt.IsTrue)
 
-	got, _, err := document.Get(ctx, store, "dispatch")
+	got, _, err := document.Get(ctx, kv, "dispatch")
 	c.Assert(err, qt.IsNil)
 	c.Assert(got, qt.DeepEquals, second)
-	again, err := document.Put(ctx, store, late)
+	again, err := document.Put(ctx, kv, late)
 	c.Assert(err, qt.IsNil)
 	c.Assert(again, qt.DeepEquals, second)
 }
@@ -70,13 +70,13 @@
 // faster one's change unseen: she is told who was faster and what differs.
 func TestPutConflictShowsDiff(t *testing.T) {
 	c := qt.New(t)
-	store := newFakeStore()
+	kv := newFakeStore()
 	ctx := context.Background()
 	for base, mark := range []string{"old", "fast"} {
-		_, err := document.Put(ctx, store, proposal(mark, uint64(base)))
+		_, err := document.Put(ctx, kv, proposal(mark, uint64(base)))
 		c.Assert(err, qt.IsNil)
 	}
-	_, err := document.Put(ctx, store, proposal("slow", 1))
+	_, err := document.Put(ctx, kv, proposal("slow", 1))
 	c.Assert(err, qt.ErrorIs, document.ErrConflict)
 	var conflict *document.ConflictError
 	c.Assert(errors.As(err, &conflict), qt.IsTrue)
@@ -89,12 +89,12 @@
 // generation. A put on the old one would be lost when they write theirs back.
 func TestPutWaitsForRestoredStore(t *testing.T) {
 	c := qt.New(t)
-	store := newFakeStore()
-	_, err := document.Put(context.Background(), store, proposal("old", 0))
+	kv := newFakeStore()
+	_, err := document.Put(context.Background(), kv, proposal("old", 0))
 	c.Assert(err, qt.IsNil)
 	p := proposal("new", 1)
 	p.InForce = 3
-	_, err = document.Put(context.Background(), store, p)
+	_, err = document.Put(context.Background(), kv, p)
 	c.Assert(err, qt.ErrorIs, document.ErrStoreBehind)
 }
 
@@ -110,11 +110,11 @@
 // that the outcome is not known, neither success nor "not written".
 func TestPutUnknownWhenNeverSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newFakeStore()
-		store.next = func() fault { return lostBefore }
+		kv := newFakeStore()
+		kv.next = func() fault { return lostBefore }
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
-		_, err := document.Put(ctx, store, proposal("first", 0))
+		_, err := document.Put(ctx, kv, proposal("first", 0))
 		qt.Assert(t, err, qt.ErrorIs, document.ErrOutcomeUnknown)
 	})
 }
@@ -134,10 +134,10 @@
 func race(t *testing.T, seed uint64, operators int) (unknown int) {
 	c := qt.New(t)
 	rng := rand.New(rand.NewPCG(seed, 1))
-	store := newFakeStore()
-	store.latency = time.Millisecond
+	kv := newFakeStore()
+	kv.latency = time.Millisecond
 	left := 20 // the store heals after so many swaps
-	store.next = func() fault {
+	kv.next = func() fault {
 		left--
 		if left < 0 || rng.IntN(2) == 0 {
 			return none
@@ -156,16 +156,16 @@
 			time.Sleep(pause)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
-			versions[i], errs[i] = document.Put(ctx, store, proposal(fmt.Sprintf("operator%d", i), 0))
+			versions[i], errs[i] = document.Put(ctx, kv, proposal(fmt.Sprintf("operator%d", i), 0))
 		})
 	}
 	wg.Wait()
-	store.next = nil
+	kv.next = nil
 	for range maxDelay { // what is still on its way arrives
-		_, _, err := document.Get(context.Background(), store, "dispatch")
+		_, _, err := document.Get(context.Background(), kv, "dispatch")
 		c.Assert(err, qt.IsNil)
 	}
-	held, ok, err := document.Get(context.Background(), store, "dispatch")
+	held, ok, err := document.Get(context.Background(), kv, "dispatch")
 	c.Assert(err, qt.IsNil)
 	c.Assert(ok, qt.IsTrue, qt.Commentf("seed %d", seed))
 	for i, err := range errs {
@@ -177,7 +177,7 @@
 		case errors.Is(err, document.ErrConflict):
 			c.Assert(won, qt.IsFalse, qt.Commentf("seed %d: operator %d was told conflict, the store holds its write", seed, i))
 		default:
-			c.Assert(errors.Is(err, document.ErrOutcomeUnknown) || errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+			c.Assert(errors.Is(err, document.ErrOutcomeUnknown) || errors.Is(err, store.ErrUnavailable), qt.IsTrue)
 			unknown++
 		}
 	}
--- a/document/watcher.go
+++ b/document/watcher.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"gopkg.in/tomb.v2"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Pauses of a Watcher.
@@ -28,7 +28,7 @@
 // the documents, asks peers while the process is not ready, and repairs a
 // restored store. It is safe for concurrent use.
 type Watcher struct {
-	store   platform.Store // nil in a process that does not read the store
+	store   store.Store // nil in a process that does not read the store
 	ask     Ask
 	inForce *InForce
 	log     logrus.FieldLogger
@@ -55,7 +55,7 @@
 }
 
 // NewWatcher starts a Watcher. store may be nil, ask may be nil. Stop ends it.
-func NewWatcher(store platform.Store, ask Ask, inForce *InForce, config FeederConfig, log logrus.FieldLogger) *Watcher {
+func NewWatcher(store store.Store, ask Ask, inForce *InForce, config FeederConfig, log logrus.FieldLogger) *Watcher {
 	config.Store = store != nil
 	w := &Watcher{
 		store:   store,
@@ -185,8 +185,8 @@
 	}
 	ctx, cancel := context.WithTimeout(w.tomb.Context(context.Background()), writeTimeout)
 	defer cancel()
-	swap := platform.Swap{Key: StoreKey(a.Version.Service), Expect: a.Expect, Value: value}
-	results, err := w.store.Commit(ctx, []platform.Swap{swap})
+	swap := store.Swap{Key: StoreKey(a.Version.Service), Expect: a.Expect, Value: value}
+	results, err := w.store.Commit(ctx, []store.Swap{swap})
 	if err != nil || !results[0].Swapped {
 		return // the next listing shows what is left to do
 	}
--- a/document/watcher_test.go
+++ b/document/watcher_test.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 func quiet() logrus.FieldLogger {
@@ -23,15 +23,15 @@
 
 // watch starts a Watcher in a bubble of virtual time and stops it at the end,
 // which also shows that it leaves no goroutine behind.
-func watch(t *testing.T, store platform.Store, ask document.Ask) (*document.InForce, *document.Watcher) {
+func watch(t *testing.T, kv store.Store, ask document.Ask) (*document.InForce, *document.Watcher) {
 	f := document.NewInForce(nil)
-	w := document.NewWatcher(store, ask, f, document.DefaultFeederConfig(store != nil), quiet())
+	w := document.NewWatcher(kv, ask, f, document.DefaultFeederConfig(kv != nil), quiet())
 	t.Cleanup(func() { qt.Check(t, w.Stop(), qt.IsNil) })
 	return f, w
 }
 
-func mustPut(c *qt.C, store platform.Store, mark string, base uint64) {
-	_, err := document.Put(context.Background(), store, proposal(mark, base))
+func mustPut(c *qt.C, kv store.Store, mark string, base uint64) {
+	_, err := document.Put(context.Background(), kv, proposal(mark, base))
 	c.Assert(err, qt.IsNil)
 }
 
@@ -46,12 +46,12 @@
 func TestWatcherFollowsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		store := newFakeStore()
-		mustPut(c, store, "one", 0)
-		f, w := watch(t, store, nil)
+		kv := newFakeStore()
+		mustPut(c, kv, "one", 0)
+		f, w := watch(t, kv, nil)
 		<-w.Ready()
 		c.Assert(generationOf(f), qt.Equals, uint64(1))
-		mustPut(c, store, "two", 1)
+		mustPut(c, kv, "two", 1)
 		synctest.Wait()
 		c.Assert(generationOf(f), qt.Equals, uint64(2))
 	})
@@ -62,20 +62,20 @@
 func TestWatcherRepairsRestoredStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		store := newFakeStore()
-		mustPut(c, store, "one", 0)
-		old := store.backup()
-		mustPut(c, store, "two", 1)
-		f, w := watch(t, store, nil)
+		kv := newFakeStore()
+		mustPut(c, kv, "one", 0)
+		old := kv.backup()
+		mustPut(c, kv, "two", 1)
+		f, w := watch(t, kv, nil)
 		<-w.Ready()
-		store.restore(old)
+		kv.restore(old)
 		time.Sleep(15 * time.Second)
 		c.Assert(generationOf(f), qt.Equals, uint64(2))
 		c.Assert(w.Counts().WriteBacks, qt.Equals, int64(1))
-		stored, _, err := document.Get(context.Background(), store, "dispatch")
+		stored, _, err := document.Get(context.Background(), kv, "dispatch")
 		c.Assert(err, qt.IsNil)
 		c.Assert(stored.Generation, qt.Equals, uint64(2))
-		mustPut(c, store, "three", 2)
+		mustPut(c, kv, "three", 2)
 		synctest.Wait()
 		c.Assert(generationOf(f), qt.Equals, uint64(3))
 	})
@@ -86,13 +86,13 @@
 func TestWatcherStartsWithStoreOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		store := newFakeStore()
-		mustPut(c, store, "one", 0)
-		v, _, err := document.Get(context.Background(), store, "dispatch")
+		kv := newFakeStore()
+		mustPut(c, kv, "one", 0)
+		v, _, err := document.Get(context.Background(), kv, "dispatch")
 		c.Assert(err, qt.IsNil)
-		store.setDown(true)
+		kv.setDown(true)
 		var asked atomic.Int64
-		f, w := watch(t, store, func(context.Context, string, []document.Summary) (document.PeerAnswered, error) {
+		f, w := watch(t, kv, func(context.Context, string, []document.Summary) (document.PeerAnswered, error) {
 			asked.Add(1)
 			return answer("", true, v), nil
 		})
@@ -100,8 +100,8 @@
 		<-w.Ready()
 		c.Assert(generationOf(f), qt.Equals, uint64(1))
 		c.Assert(asked.Load() >= 2, qt.IsTrue)
-		store.setDown(false)
-		mustPut(c, store, "two", 1)
+		kv.setDown(false)
+		mustPut(c, kv, "two", 1)
 		time.Sleep(2 * time.Second)
 		c.Assert(generationOf(f), qt.Equals, uint64(2))
 		c.Assert(w.Counts().StoreFailures > 0, qt.IsTrue)
@@ -113,12 +113,12 @@
 func TestWatcherSkipsUnreadableValue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		store := newFakeStore()
-		mustPut(c, store, "one", 0)
-		swap := platform.Swap{Key: document.StoreKey("slotbook"), Value: []byte("not a document")}
-		_, err := store.Commit(context.Background(), []platform.Swap{swap})
+		kv := newFakeStore()
+		mustPut(c, kv, "one", 0)
+		swap := store.Swap{Key: document.StoreKey("slotbook"), Value: []byte("not a document")}
+		_, err := kv.Commit(context.Background(), []store.Swap{swap})
 		c.Assert(err, qt.IsNil)
-		f, w := watch(t, store, nil)
+		f, w := watch(t, kv, nil)
 		<-w.Ready()
 		c.Assert(generationOf(f), qt.Equals, uint64(1))
 		c.Assert(w.Counts().Unreadable, qt.Equals, int64(1))
--- a/document/write.go
+++ b/document/write.go
@@ -7,7 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // maxSettleWait is the longest pause between two tries to learn the outcome of
@@ -22,20 +22,20 @@
 // swap is therefore sent again: whichever of the two arrives second fails,
 // since both expect the same revision, and finds the token of the first.
 type write struct {
-	store    platform.Store
+	store    store.Store
 	proposal Proposal
 	next     Version
-	request  []platform.Swap
+	request  []store.Swap
 	lost     bool // an earlier send may have taken effect
 }
 
-func newWrite(store platform.Store, p Proposal, next Version, expect platform.Revision) (*write, error) {
+func newWrite(kv store.Store, p Proposal, next Version, expect store.Revision) (*write, error) {
 	value, err := next.Marshal()
 	if err != nil {
 		return nil, err
 	}
-	swap := platform.Swap{Key: StoreKey(next.Service), Expect: expect, Value: value}
-	return &write{store: store, proposal: p, next: next, request: []platform.Swap{swap}}, nil
+	swap := store.Swap{Key: StoreKey(next.Service), Expect: expect, Value: value}
+	return &write{store: kv, proposal: p, next: next, request: []store.Swap{swap}}, nil
 }
 
 // run sends the write until its outcome is known or ctx ends.
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -10,7 +10,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/attempts"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // keyLife is for how long an idempotency key is remembered.
@@ -20,7 +20,7 @@
 // It is safe for concurrent use.
 type claims struct {
 	prefix string // region
-	store  platform.Store
+	store  store.Store
 	swaps  jobs.Swapper
 	lease  *sharedLease
 }
@@ -38,25 +38,25 @@
 type claimKey struct {
 	claims *claims
 	key    string
-	rev    platform.Revision
+	rev    store.Revision
 }
 
 func (k *claimKey) write(ctx context.Context, c attempts.Claim) attempts.Claimed {
-	return k.swap(ctx, platform.Swap{Key: k.key, Value: encodeClaim(c)})
+	return k.swap(ctx, store.Swap{Key: k.key, Value: encodeClaim(c)})
 }
 
 func (k *claimKey) replace(ctx context.Context, old, next attempts.Claim) attempts.Claimed {
 	if r, ok := k.seen(ctx, old); !ok {
 		return r
 	}
-	return k.swap(ctx, platform.Swap{Key: k.key, Expect: k.rev, Value: encodeClaim(next)})
+	return k.swap(ctx, store.Swap{Key: k.key, Expect: k.rev, Value: encodeClaim(next)})
 }
 
 func (k *claimKey) release(ctx context.Context, c attempts.Claim) attempts.Claimed {
 	if r, ok := k.seen(ctx, c); !ok {
 		return r
 	}
-	return k.swap(ctx, platform.Swap{Key: k.key, Expect: k.rev, Delete: true})
+	return k.swap(ctx, store.Swap{Key: k.key, Expect: k.rev, Delete: true})
 }
 
 // seen makes sure that rev is the revision at which the store held want. False:
@@ -75,7 +75,7 @@
 	return attempts.Claimed{}, true
 }
 
-func (k *claimKey) swap(ctx context.Context, s platform.Swap) attempts.Claimed {
+func (k *claimKey) swap(ctx context.Context, s store.Swap) attempts.Claimed {
 	if !s.Delete {
 		lease, err := k.claims.lease.Current(ctx)
 		if err != nil {
@@ -85,7 +85,7 @@
 	}
 	res, err := k.claims.swaps.Swap(ctx, s)
 	switch {
-	case eris.Is(err, platform.ErrLeaseNotFound):
+	case eris.Is(err, store.ErrLeaseNotFound):
 		k.claims.lease.Drop(s.Lease)
 		return attempts.Claimed{Result: attempts.ClaimUnavailable}
 	case err != nil || res.Unknown:
@@ -99,7 +99,7 @@
 	return conflict(res.Current)
 }
 
-func conflict(kv platform.KeyValue) attempts.Claimed {
+func conflict(kv store.KeyValue) attempts.Claimed {
 	var c attempts.Claim
 	if err := cbor.Unmarshal(kv.Value, &c); err != nil {
 		return attempts.Claimed{Result: attempts.ClaimUnavailable}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,9 +17,9 @@
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/lease"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
-	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/routing"
 	"github.com/eelgrasshub/eelgrasshub/settings"
+	"github.com/eelgrasshub/eelgrasshub/store"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
@@ -31,10 +31,10 @@
 	since       time.Time
 
 	t        tomb.Tomb
-	client   *platform.Client // for duties, membership of entries and documents
-	work     *platform.Client // for claims and jobs
-	store    platform.Store   // is client
-	swaps    *platform.Batcher
+	client   *store.Client // for duties, membership of entries and documents
+	work     *store.Client // for claims and jobs
+	store    store.Store   // is client
+	swaps    *store.Batcher
 	ep       *wire.Endpoint
 	pool     *wire.Pool
 	listener net.Listener
@@ -93,7 +93,7 @@
 	e.client = e.storeClient(own)
 	e.work = e.storeClient(e.cfg.PlatformBudget - own)
 	e.store = e.client
-	e.swaps = platform.NewBatcher(e.work, 0)
+	e.swaps = store.NewBatcher(e.work, 0)
 	e.jobs = jobs.NewStore(e.cfg.Region, e.work, e.swaps)
 	e.retention = newSharedLease(e.work, jobRetention)
 	e.claims = &claims{prefix: e.cfg.Region, store: e.work, swaps: e.swaps, lease: newSharedLease(e.work, keyLife)}
@@ -105,8 +105,8 @@
 // that renew the duties, and the planner changes in the middle of it.
 const coordinationPart = 2
 
-func (e *Entry) storeClient(budget int) *platform.Client {
-	return platform.NewClient(platform.Options{
+func (e *Entry) storeClient(budget int) *store.Client {
+	return store.NewClient(store.Options{
 		Endpoints:   e.cfg.Platform,
 		CallTimeout: e.cfg.PlatformTimeout.Duration,
 		Budget:      rate.Limit(budget),
--- a/entry/http_jobs_test.go
+++ b/entry/http_jobs_test.go
@@ -12,16 +12,16 @@
 
 	"github.com/eelgrasshub/eelgrasshub/api"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // The store is out and no planner is known when a caller asks for its accepted
 // job. It was answered 404, "job is not known", and took its job for lost.
 func TestJobThatCannotBeAskedForIsNotUnknown(t *testing.T) {
 	c := qt.New(t)
-	store := outStore{}
-	e := &Entry{jobs: jobs.NewStore("auckland", store, nil)}
-	e.registry = newRegistry(store, nil, "auckland", peerEntry{}, nil)
+	kv := outStore{}
+	e := &Entry{jobs: jobs.NewStore("auckland", kv, nil)}
+	e.registry = newRegistry(kv, nil, "auckland", peerEntry{}, nil)
 	e.duties = newDuties(e)
 	w := httptest.NewRecorder()
 	e.routes().ServeHTTP(w, httptest.NewRequest(http.MethodGet, api.JobPath("dispatch", "a"), nil))
@@ -31,40 +31,40 @@
 }
 
 // outStore answers no read.
-type outStore struct{ platform.Store }
+type outStore struct{ store.Store }
 
-func (outStore) Get(context.Context, string) (platform.KeyValue, bool, error) {
-	return platform.KeyValue{}, false, platform.ErrUnavailable
+func (outStore) Get(context.Context, string) (store.KeyValue, bool, error) {
+	return store.KeyValue{}, false, store.ErrUnavailable
 }
 
 // queuedStore holds a queued job under each id that is asked for. Its swaps end as
 // result says, in turn; the last one for good.
 type queuedStore struct {
-	platform.Store // nil: leases and watches are not used here
-	results        chan swapEnd
+	store.Store // nil: leases and watches are not used here
+	results     chan swapEnd
 }
 
 type swapEnd struct {
-	platform.SwapResult
+	store.SwapResult
 	err error
 }
 
-func (s *queuedStore) Get(_ context.Context, key string) (platform.KeyValue, bool, error) {
+func (s *queuedStore) Get(_ context.Context, key string) (store.KeyValue, bool, error) {
 	value, err := json.Marshal(jobs.Record{ID: jobs.IDOf(key), Service: "dispatch", State: jobs.Queued})
-	return platform.KeyValue{Key: key, Value: value, Mod: 1}, true, err
+	return store.KeyValue{Key: key, Value: value, Mod: 1}, true, err
 }
 
-func (s *queuedStore) Swap(context.Context, platform.Swap) (platform.SwapResult, error) {
+func (s *queuedStore) Swap(context.Context, store.Swap) (store.SwapResult, error) {
 	end := <-s.results
 	return end.SwapResult, end.err
 }
 
 func cancelWith(c *qt.C, method, path, body string, ends ...swapEnd) *api.Problem {
-	store := &queuedStore{results: make(chan swapEnd, len(ends))}
+	kv := &queuedStore{results: make(chan swapEnd, len(ends))}
 	for _, e := range ends {
-		store.results <- e
+		kv.results <- e
 	}
-	e := &Entry{jobs: jobs.NewStore("auckland", store, store)}
+	e := &Entry{jobs: jobs.NewStore("auckland", kv, kv)}
 	w := httptest.NewRecorder()
 	e.routes().ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
 	var p api.Problem
@@ -80,10 +80,10 @@
 func TestCancellationWithALostReplyIsUnknown(t *testing.T) {
 	c := qt.New(t)
 	path := api.JobPath("dispatch", "a")
-	p := cancelWith(c, http.MethodDelete, path, "", swapEnd{SwapResult: platform.SwapResult{Unknown: true}})
+	p := cancelWith(c, http.MethodDelete, path, "", swapEnd{SwapResult: store.SwapResult{Unknown: true}})
 	c.Check(p.Reason, qt.Equals, api.ReasonCancelLost)
 	c.Check(p.Outcome(), qt.Equals, api.OutcomeUnknown)
-	p = cancelWith(c, http.MethodDelete, path, "", swapEnd{err: platform.ErrUnavailable})
+	p = cancelWith(c, http.MethodDelete, path, "", swapEnd{err: store.ErrUnavailable})
 	c.Check(p.Outcome(), qt.Equals, api.OutcomeNotRun)
 }
 
@@ -93,11 +93,11 @@
 	c := qt.New(t)
 	path := api.CancelPath("dispatch")
 	p := cancelWith(c, http.MethodPost, path, `{"ids": ["a", "b"]}`,
-		swapEnd{SwapResult: platform.SwapResult{Swapped: true}}, swapEnd{err: platform.ErrUnavailable})
+		swapEnd{SwapResult: store.SwapResult{Swapped: true}}, swapEnd{err: store.ErrUnavailable})
 	c.Check(p.Reason, qt.Equals, api.ReasonCancelLost)
 	c.Check(p.Detail, qt.Contains, "1 of the jobs are cancelled, 0 may be")
 	p = cancelWith(c, http.MethodPost, path, `{"ids": ["a", "b"]}`,
-		swapEnd{err: platform.ErrUnavailable}, swapEnd{SwapResult: platform.SwapResult{Unknown: true}})
+		swapEnd{err: store.ErrUnavailable}, swapEnd{SwapResult: store.SwapResult{Unknown: true}})
 	c.Check(p.Reason, qt.Equals, api.ReasonCancelLost)
 	c.Check(p.Detail, qt.Contains, "0 of the jobs are cancelled, 1 may be")
 }
--- a/entry/prober.go
+++ b/entry/prober.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrasshub/eelgrasshub/metrics"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 const (
@@ -101,7 +101,7 @@
 // probed is what one probe is of: a peer under one lease.
 type probed struct {
 	id, address string
-	lease       platform.LeaseID
+	lease       store.LeaseID
 }
 
 // probe probes one peer until its process has ended, or ctx.
@@ -126,7 +126,7 @@
 	case err == nil:
 		p.e.metrics.Add(metrics.DeadEntriesRevoked, 1)
 		p.e.log.WithFields(logrus.Fields{"peer": t.ID, "address": t.Address}).Info("entry's process is gone, lease revoked")
-	case eris.Is(err, platform.ErrLeaseNotFound):
+	case eris.Is(err, store.ErrLeaseNotFound):
 		return nil // another was first, or it has lapsed
 	}
 	return err
--- a/entry/prober_test.go
+++ b/entry/prober_test.go
@@ -17,9 +17,9 @@
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/document/schema"
 	"github.com/eelgrasshub/eelgrasshub/entry"
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
 	"github.com/eelgrasshub/eelgrasshub/settings"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 const service = "dispatch"
@@ -28,7 +28,7 @@
 // a duty changes hands only where its lease is given back or revoked.
 type still struct {
 	*qt.C
-	client *platform.Client
+	client *store.Client
 	cut    *httptest.Server // the store, as the first entry reaches it
 	url    string
 }
@@ -37,7 +37,7 @@
 	now := time.Now()
 	srv := standin.New(standin.Options{Now: func() time.Time { return now }})
 	first, other := httptest.NewServer(srv), httptest.NewServer(srv)
-	s := &still{C: c, cut: first, url: other.URL, client: platform.NewClient(platform.Options{Endpoints: []string{other.URL}})}
+	s := &still{C: c, cut: first, url: other.URL, client: store.NewClient(store.Options{Endpoints: []string{other.URL}})}
 	c.Cleanup(func() {
 		s.client.Close()
 		srv.Close()
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Registration is where a registered entry is reached.
@@ -14,7 +14,7 @@
 }
 
 // Registered lists the entries of a region that are registered in the store.
-func Registered(ctx context.Context, store platform.Store, region string) ([]Registration, error) {
+func Registered(ctx context.Context, store store.Store, region string) ([]Registration, error) {
 	snap, err := store.List(ctx, "entries/"+region+"/")
 	if err != nil {
 		return nil, err
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrasshub/eelgrasshub/lease"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 const (
@@ -42,7 +42,7 @@
 	Leaving bool `json:"leaving,omitempty"`
 
 	// lease is the store lease of the registration and of all its duties.
-	lease platform.LeaseID
+	lease store.LeaseID
 }
 
 // heldDuty is a planner duty that the entry holds.
@@ -54,7 +54,7 @@
 // registry lets the few entries of a region find each other through the
 // platform's store. It is safe for concurrent use.
 type registry struct {
-	store   platform.Store
+	store   store.Store
 	session *lease.Session
 	prefix  string
 	log     *logrus.Entry
@@ -69,7 +69,7 @@
 	dirty  chan struct{}
 }
 
-func newRegistry(store platform.Store, session *lease.Session, region string, own peerEntry, log *logrus.Entry) *registry {
+func newRegistry(store store.Store, session *lease.Session, region string, own peerEntry, log *logrus.Entry) *registry {
 	return &registry{
 		store:   store,
 		session: session,
@@ -172,7 +172,7 @@
 	}
 }
 
-func (r *registry) listed(snap platform.Snapshot) {
+func (r *registry) listed(snap store.Snapshot) {
 	r.update(func() {
 		for id := range r.peers {
 			r.markAbsent(id)
@@ -183,7 +183,7 @@
 	})
 }
 
-func (r *registry) deliver(b platform.WatchBatch) {
+func (r *registry) deliver(b store.WatchBatch) {
 	r.update(func() {
 		for _, ev := range b.Events {
 			if ev.Deleted {
@@ -206,7 +206,7 @@
 	r.changed(r.others())
 }
 
-func (r *registry) take(kv platform.KeyValue) {
+func (r *registry) take(kv store.KeyValue) {
 	var p peerEntry
 	if json.Unmarshal(kv.Value, &p) != nil || p.ID == r.own.ID {
 		return
--- a/entry/registry_write_test.go
+++ b/entry/registry_write_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // An entry is replaced under its id while the old process still ends its requests.
@@ -22,24 +22,24 @@
 	web := httptest.NewServer(srv)
 	defer web.Close()
 	defer srv.Close()
-	store := platform.NewClient(platform.Options{Endpoints: []string{web.URL}})
-	defer store.Close()
+	kv := store.NewClient(store.Options{Endpoints: []string{web.URL}})
+	defer kv.Close()
 	ctx := context.Background()
-	register := func(incarnation uint64) (platform.LeaseID, error) {
-		id, err := store.Grant(ctx, time.Hour)
+	register := func(incarnation uint64) (store.LeaseID, error) {
+		id, err := kv.Grant(ctx, time.Hour)
 		c.Assert(err, qt.IsNil)
-		_, err = newRegistry(store, nil, "auckland", peerEntry{ID: "a", Incarnation: incarnation}, nil).write(ctx, id, 0)
+		_, err = newRegistry(kv, nil, "auckland", peerEntry{ID: "a", Incarnation: incarnation}, nil).write(ctx, id, 0)
 		return id, err
 	}
 	old, err := register(1)
 	c.Assert(err, qt.IsNil)
 	later, err := register(2)
 	c.Assert(err, qt.IsNil)
-	_, err = store.Renew(ctx, old)
-	c.Check(err, qt.ErrorIs, platform.ErrLeaseNotFound)
+	_, err = kv.Renew(ctx, old)
+	c.Check(err, qt.ErrorIs, store.ErrLeaseNotFound)
 	_, err = register(1)
 	c.Check(err, qt.ErrorIs, errLaterLife)
-	kv, _, err := store.Get(ctx, "entries/auckland/a")
+	held, _, err := kv.Get(ctx, "entries/auckland/a")
 	c.Assert(err, qt.IsNil)
-	c.Check(kv.Lease, qt.Equals, later)
+	c.Check(held.Lease, qt.Equals, later)
 }
--- a/entry/sharedlease.go
+++ b/entry/sharedlease.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/singleflight"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 const (
@@ -23,42 +23,42 @@
 // share one, and the store deletes them when it lapses, which costs no call. It
 // is safe for concurrent use.
 type sharedLease struct {
-	store platform.Store
+	store store.Store
 	life  time.Duration
 
 	grants  singleflight.Group
 	mu      sync.Mutex
-	id      platform.LeaseID
+	id      store.LeaseID
 	granted time.Time
 }
 
-func newSharedLease(store platform.Store, life time.Duration) *sharedLease {
+func newSharedLease(store store.Store, life time.Duration) *sharedLease {
 	return &sharedLease{store: store, life: life}
 }
 
 // Current returns the lease for keys written now. Callers that need a new one
 // share the call for it, and each waits no longer than its own ctx.
-func (l *sharedLease) Current(ctx context.Context) (platform.LeaseID, error) {
+func (l *sharedLease) Current(ctx context.Context) (store.LeaseID, error) {
 	if id, ok := l.valid(); ok {
 		return id, nil
 	}
 	granted := l.grants.DoChan("grant", func() (any, error) { return l.grant() })
 	select {
 	case r := <-granted:
-		id, _ := r.Val.(platform.LeaseID)
+		id, _ := r.Val.(store.LeaseID)
 		return id, r.Err
 	case <-ctx.Done():
 		return 0, ctx.Err()
 	}
 }
 
-func (l *sharedLease) valid() (platform.LeaseID, bool) {
+func (l *sharedLease) valid() (store.LeaseID, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.id, l.id != 0 && time.Since(l.granted) < leaseRenewal
 }
 
-func (l *sharedLease) grant() (platform.LeaseID, error) {
+func (l *sharedLease) grant() (store.LeaseID, error) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), storeWait)
 	defer cancel()
@@ -73,7 +73,7 @@
 }
 
 // Drop forgets a lease that the store no longer has, as after a restore.
-func (l *sharedLease) Drop(id platform.LeaseID) {
+func (l *sharedLease) Drop(id store.LeaseID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.id == id {
--- a/entry/storeprobe.go
+++ b/entry/storeprobe.go
@@ -9,7 +9,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/clock"
 	"github.com/eelgrasshub/eelgrasshub/document"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 const (
@@ -31,7 +31,7 @@
 
 // answers reads one small key, at most once a second. A call that this process's
 // own budget refuses says nothing against the store.
-func (p *storeProbe) answers(ctx context.Context, store platform.Store, service string) bool {
+func (p *storeProbe) answers(ctx context.Context, kv store.Store, service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.at.IsZero() && clock.Now().Sub(p.at) < probeEvery {
@@ -40,7 +40,7 @@
 	// A caller that goes away must not look like an outage to the next one.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeWait)
 	defer cancel()
-	_, _, err := store.Get(ctx, document.StoreKey(service))
-	p.at, p.ok = clock.Now(), err == nil || eris.Is(err, platform.ErrBudget)
+	_, _, err := kv.Get(ctx, document.StoreKey(service))
+	p.at, p.ok = clock.Now(), err == nil || eris.Is(err, store.ErrBudget)
 	return p.ok
 }
--- a/entry/storeprobe_test.go
+++ b/entry/storeprobe_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // An operator is told "store out" only if the store did not answer: not because
@@ -17,19 +17,19 @@
 	c := qt.New(t)
 	server := standin.New(standin.Options{})
 	web := httptest.NewServer(server)
-	store := platform.NewClient(platform.Options{Endpoints: []string{web.URL}, Budget: 1e-9, Burst: 1})
+	kv := store.NewClient(store.Options{Endpoints: []string{web.URL}, Budget: 1e-9, Burst: 1})
 	gone, cancel := context.WithCancel(context.Background())
 	cancel()
 	for range 2 { // the second call finds the budget used up
-		c.Check((&storeProbe{}).answers(gone, store, "s"), qt.IsTrue)
+		c.Check((&storeProbe{}).answers(gone, kv, "s"), qt.IsTrue)
 	}
-	c.Check(store.Calls().Refused, qt.Equals, int64(1))
+	c.Check(kv.Calls().Refused, qt.Equals, int64(1))
 	server.Close()
 	web.Close()
-	store = platform.NewClient(platform.Options{Endpoints: []string{web.URL}})
+	kv = store.NewClient(store.Options{Endpoints: []string{web.URL}})
 	probe := &storeProbe{}
-	c.Check(probe.answers(context.Background(), store, "s"), qt.IsFalse)
-	before := store.Calls().Get
-	c.Check(probe.answers(context.Background(), store, "s"), qt.IsFalse)
-	c.Check(store.Calls().Get, qt.Equals, before)
+	c.Check(probe.answers(context.Background(), kv, "s"), qt.IsFalse)
+	before := kv.Calls().Get
+	c.Check(probe.answers(context.Background(), kv, "s"), qt.IsFalse)
+	c.Check(kv.Calls().Get, qt.Equals, before)
 }
--- a/internal/capacity/listing_test.go
+++ b/internal/capacity/listing_test.go
@@ -13,8 +13,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // byteCounter counts the bodies that a handler writes to answers of listings.
@@ -49,7 +49,7 @@
 	srv := standin.New(standin.Options{})
 	counted := &byteCounter{Handler: srv}
 	web := httptest.NewServer(counted)
-	store := platform.NewClient(platform.Options{Endpoints: []string{web.URL}})
+	store := store.NewClient(store.Options{Endpoints: []string{web.URL}})
 	c.Cleanup(func() {
 		store.Close()
 		srv.Close()
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -16,8 +16,8 @@
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/planner"
-	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 var errNoAgent = errors.New("no such agent")
@@ -69,8 +69,8 @@
 
 type noRetention struct{}
 
-func (noRetention) Current(context.Context) (platform.LeaseID, error) { return 0, nil }
-func (noRetention) Drop(platform.LeaseID)                             {}
+func (noRetention) Current(context.Context) (store.LeaseID, error) { return 0, nil }
+func (noRetention) Drop(store.LeaseID)                             {}
 
 // TestMeasureTakeover gives the time in which a successor has all jobs of its
 // predecessor, and what the planner costs when nothing changes.
@@ -83,7 +83,7 @@
 
 func measureTakeover(c *qt.C, n int) {
 	s := newSite(c)
-	swaps := platform.NewBatcher(s.client, 0)
+	swaps := store.NewBatcher(s.client, 0)
 	c.Cleanup(swaps.Close)
 	store := jobs.NewStore(region, s.client, swaps)
 	doc, err := document.Parse("service", documentText("service", 4))
--- a/internal/capacity/site_test.go
+++ b/internal/capacity/site_test.go
@@ -12,26 +12,26 @@
 	"github.com/eelgrasshub/eelgrasshub/api"
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/document/schema"
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
 	"github.com/eelgrasshub/eelgrasshub/settings"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	kvstandin "github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // site is a store with documents, before which entries are put.
 type site struct {
 	*qt.C
-	server *store.Server
+	server *kvstandin.Server
 	calls  *CallCount
 	url    string
-	client *platform.Client
+	client *store.Client
 }
 
 func newSite(c *qt.C, services ...string) *site {
-	s := &site{C: c, server: store.New(store.Options{})}
+	s := &site{C: c, server: kvstandin.New(kvstandin.Options{})}
 	s.calls = NewCallCount(s.server)
 	http := httptest.NewServer(s.calls)
 	s.url = http.URL
-	s.client = platform.NewClient(platform.Options{Endpoints: []string{s.url}, CallTimeout: 10 * time.Second, Budget: 1e6, Burst: 1e6})
+	s.client = store.NewClient(store.Options{Endpoints: []string{s.url}, CallTimeout: 10 * time.Second, Budget: 1e6, Burst: 1e6})
 	c.Cleanup(func() {
 		s.client.Close()
 		s.server.Close()
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Spec is what the caller asked for. It never changes after acceptance.
@@ -33,7 +33,7 @@
 
 // Record is the durable form of one job.
 type Record struct {
-	// Token is unique to each write of the record; see platform.Swap.
+	// Token is unique to each write of the record; see store.Swap.
 	Token   string `json:"token"`
 	ID      string `json:"id"`
 	Service string `json:"service"`
@@ -60,10 +60,10 @@
 // Stored is a record with the revision it was read or written at.
 type Stored struct {
 	Record
-	Rev platform.Revision
+	Rev store.Revision
 }
 
-func decode(kv platform.KeyValue) (Stored, error) {
+func decode(kv store.KeyValue) (Stored, error) {
 	var r Record
 	if err := json.Unmarshal(kv.Value, &r); err != nil {
 		return Stored{}, eris.Wrapf(err, "job record %s", kv.Key)
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -10,25 +10,25 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Swapper commits one compare-and-swap, usually grouped with those of other
-// callers into one call to the store (platform.Batcher).
+// callers into one call to the store (store.Batcher).
 type Swapper interface {
-	Swap(ctx context.Context, s platform.Swap) (platform.SwapResult, error)
+	Swap(ctx context.Context, s store.Swap) (store.SwapResult, error)
 }
 
 // Store reads and writes the job records of one region. It is safe for
 // concurrent use and keeps nothing in memory.
 type Store struct {
 	region string
-	store  platform.Store
+	store  store.Store
 	swaps  Swapper
 }
 
 // NewStore returns a Store for the jobs of region.
-func NewStore(region string, store platform.Store, swaps Swapper) *Store {
+func NewStore(region string, store store.Store, swaps Swapper) *Store {
 	return &Store{region: region, store: store, swaps: swaps}
 }
 
@@ -93,7 +93,7 @@
 
 // End writes the final state under a lease, so that the store itself forgets
 // the record when its retention has passed.
-func (s *Store) End(ctx context.Context, r Stored, retention platform.LeaseID) (Stored, error) {
+func (s *Store) End(ctx context.Context, r Stored, retention store.LeaseID) (Stored, error) {
 	if !r.State.Ended() {
 		panic("jobs: End with state " + string(r.State))
 	}
@@ -157,13 +157,13 @@
 	return s.commit(ctx, r, 0)
 }
 
-func (s *Store) commit(ctx context.Context, r Stored, lease platform.LeaseID) (Stored, error) {
+func (s *Store) commit(ctx context.Context, r Stored, lease store.LeaseID) (Stored, error) {
 	r.Token = uuid.NewString()
 	value, err := json.Marshal(r.Record)
 	if err != nil {
 		return Stored{}, eris.Wrapf(err, "job %s", r.ID)
 	}
-	res, err := s.swaps.Swap(ctx, platform.Swap{
+	res, err := s.swaps.Swap(ctx, store.Swap{
 		Key:    s.key(r.Service, r.ID),
 		Expect: r.Rev,
 		Value:  value,
@@ -188,7 +188,7 @@
 }
 
 // Decode turns a key of a listing or a watch below Prefix into its record.
-func Decode(kv platform.KeyValue) (Stored, error) {
+func Decode(kv store.KeyValue) (Stored, error) {
 	return decode(kv)
 }
 
--- a/lease/action.go
+++ b/lease/action.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Action is what an Elector asks for next. It is one of the types below; each
@@ -16,20 +16,20 @@
 	// Grant asks for a lease, then Granted.
 	Grant struct{}
 	// Claim creates the holder key under the lease, then Claimed.
-	Claim struct{ Lease platform.LeaseID }
+	Claim struct{ Lease store.LeaseID }
 	// ReadEpoch reads the epoch key, then EpochRead.
 	ReadEpoch struct{}
 	// RaiseEpoch swaps the epoch key, then Raised.
 	RaiseEpoch struct {
-		Expect platform.Revision
+		Expect store.Revision
 		Epoch  uint64
 	}
 	// Verify reads the holder key, then Verified.
-	Verify struct{ Lease platform.LeaseID }
+	Verify struct{ Lease store.LeaseID }
 	// Renew renews the lease, then Renewed.
-	Renew struct{ Lease platform.LeaseID }
+	Renew struct{ Lease store.LeaseID }
 	// Revoke ends the lease, then Revoked, also where that failed.
-	Revoke struct{ Lease platform.LeaseID }
+	Revoke struct{ Lease store.LeaseID }
 	// Sleep waits until an instant, then Woke.
 	Sleep struct{ Until time.Duration }
 	// Pause waits for a time that grows with each Pause in a row, with jitter,
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 const (
@@ -21,12 +21,12 @@
 // One goroutine owns it.
 type Elector struct {
 	ttl       time.Duration
-	lease     platform.LeaseID // zero: none
-	revoking  platform.LeaseID // given up, and Revoked not yet seen
-	until     time.Duration    // the lease lives until then at least
-	pending   time.Duration    // until, once the holder key is verified
-	epoch     uint64           // raised by us; valid while held
-	floor     uint64           // highest epoch known from receivers
+	lease     store.LeaseID // zero: none
+	revoking  store.LeaseID // given up, and Revoked not yet seen
+	until     time.Duration // the lease lives until then at least
+	pending   time.Duration // until, once the holder key is verified
+	epoch     uint64        // raised by us; valid while held
+	floor     uint64        // highest epoch known from receivers
 	held      bool
 	resigning bool
 }
--- a/lease/elector_test.go
+++ b/lease/elector_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/lease"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 var runs = flag.Int("lease.runs", 300, "randomised runs; run n has seed n")
@@ -58,7 +58,7 @@
 // long taken over.
 func TestElectorPausedInRenewal(t *testing.T) {
 	c := qt.New(t)
-	m := &model{leases: make(map[platform.LeaseID]time.Duration)}
+	m := &model{leases: make(map[store.LeaseID]time.Duration)}
 	a := renewing(c, m)
 	reply := m.apply(a.act, a.sent)
 	m.now += ttl + time.Second
@@ -74,7 +74,7 @@
 // on for 5 s after the store has given the duty to another.
 func TestElectorSlowRenewal(t *testing.T) {
 	c := qt.New(t)
-	m := &model{leases: make(map[platform.LeaseID]time.Duration)}
+	m := &model{leases: make(map[store.LeaseID]time.Duration)}
 	a := renewing(c, m)
 	reply := m.apply(a.act, a.sent)
 	lapses := m.now + ttl
--- a/lease/event.go
+++ b/lease/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Event is the end of an Action, or a wish from outside.
@@ -14,7 +14,7 @@
 	Vacant struct{}
 	// Granted: the lease is ours. Sent is the time before the call.
 	Granted struct {
-		Lease platform.LeaseID
+		Lease store.LeaseID
 		Sent  time.Duration
 	}
 	// Claimed: the creation of the holder key ended. Won is true only where it
@@ -23,7 +23,7 @@
 	// EpochRead: the epoch key as it is; both are zero where it does not exist.
 	EpochRead struct {
 		Epoch uint64
-		Mod   platform.Revision
+		Mod   store.Revision
 	}
 	// Raised: the swap of the epoch key ended. Won is true only where it is
 	// known to have taken effect.
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -13,8 +13,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/eelgrasshub/eelgrasshub/lease"
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 const duty = domain + "/planner"
@@ -40,7 +40,7 @@
 
 // run starts a candidate and returns it with the channel of its changes.
 func (b *bench) run(t *testing.T, ttl time.Duration, change ...func(*lease.Options)) (*lease.Holder, <-chan lease.Held) {
-	store := platform.NewClient(platform.Options{
+	store := store.NewClient(store.Options{
 		Endpoints:   []string{b.url},
 		CallTimeout: 200 * time.Millisecond,
 		WatchIdle:   200 * time.Millisecond,
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/lease"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 const ttl = 10 * time.Second
@@ -12,11 +12,11 @@
 // model is a store with the two keys of one duty, on virtual time.
 type model struct {
 	now    time.Duration
-	rev    platform.Revision
-	leases map[platform.LeaseID]time.Duration // when each lapses
-	holder platform.LeaseID                   // whose key exists; zero: none
+	rev    store.Revision
+	leases map[store.LeaseID]time.Duration // when each lapses
+	holder store.LeaseID                   // whose key exists; zero: none
 	epoch  uint64
-	mod    platform.Revision // of the epoch key
+	mod    store.Revision // of the epoch key
 }
 
 func (m *model) lapse() {
@@ -27,7 +27,7 @@
 	}
 }
 
-func (m *model) drop(id platform.LeaseID) {
+func (m *model) drop(id store.LeaseID) {
 	delete(m.leases, id)
 	if m.holder == id {
 		m.holder = 0
@@ -45,7 +45,7 @@
 		}
 		return nil
 	case lease.Grant:
-		id := platform.LeaseID(m.rev)
+		id := store.LeaseID(m.rev)
 		m.leases[id] = m.now + ttl
 		return lease.Granted{Lease: id, Sent: sent}
 	case lease.Claim:
@@ -91,7 +91,7 @@
 	event  lease.Event
 	paused time.Duration // true time
 	// claimed is the lease of the last Claim.
-	claimed platform.LeaseID
+	claimed store.LeaseID
 }
 
 func (c *candidate) clock(now time.Duration) time.Duration {
--- a/lease/options.go
+++ b/lease/options.go
@@ -5,7 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Options of a Holder. Duty, Instance, and either Session or Store and TTL are
@@ -15,7 +15,7 @@
 	// count. One Session has at most one Holder of a duty, whose name begins with
 	// the Session's domain. With nil the Holder has a lease of its own.
 	Session *Session
-	Store   platform.Store
+	Store   store.Store
 	// Duty names what is held; processes with the same name compete.
 	Duty string
 	// Instance is written into the keys, for operators to read.
--- a/lease/perform.go
+++ b/lease/perform.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // perform carries out one action and returns its event.
@@ -55,7 +55,7 @@
 
 func (h *Holder) claimKey(ctx context.Context, act Claim) Event {
 	h.claim = record{Instance: h.opts.Instance, Token: uuid.NewString()}.encode()
-	won, err := h.tenure.swap(ctx, platform.Swap{Key: holderKey(h.opts.Duty), Value: h.claim, Lease: act.Lease})
+	won, err := h.tenure.swap(ctx, store.Swap{Key: holderKey(h.opts.Duty), Value: h.claim, Lease: act.Lease})
 	if err != nil {
 		return failed(err)
 	}
@@ -79,7 +79,7 @@
 
 func (h *Holder) raiseEpoch(ctx context.Context, act RaiseEpoch) Event {
 	r := record{Instance: h.opts.Instance, Token: uuid.NewString(), Epoch: act.Epoch}
-	won, err := h.tenure.swap(ctx, platform.Swap{Key: epochKey(h.opts.Duty), Expect: act.Expect, Value: r.encode()})
+	won, err := h.tenure.swap(ctx, store.Swap{Key: epochKey(h.opts.Duty), Expect: act.Expect, Value: r.encode()})
 	if err != nil {
 		return failed(err)
 	}
--- a/lease/session.go
+++ b/lease/session.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"gopkg.in/tomb.v2"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Session keeps one lease of the store for a whole process: for the Holders of
@@ -21,7 +21,7 @@
 // which the Session asks for by itself.
 type Session struct {
 	opts  SessionOptions
-	swaps *platform.Batcher
+	swaps *store.Batcher
 	tomb  tomb.Tomb
 
 	mu      sync.Mutex
@@ -36,7 +36,7 @@
 	}
 	s := &Session{
 		opts:    opts,
-		swaps:   platform.NewBatcher(opts.Store, 0),
+		swaps:   store.NewBatcher(opts.Store, 0),
 		changed: make(chan struct{}),
 	}
 	s.tomb.Go(s.run)
@@ -59,7 +59,7 @@
 
 // Lease waits until there is a lease and returns it, with a channel that is closed
 // when it is lost. Keys of the embedder that are bound to it end with it.
-func (s *Session) Lease(ctx context.Context) (platform.LeaseID, <-chan struct{}, error) {
+func (s *Session) Lease(ctx context.Context) (store.LeaseID, <-chan struct{}, error) {
 	t, err := s.current(ctx)
 	if err != nil {
 		return 0, nil, err
@@ -90,7 +90,7 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-s.tomb.Dying():
-			return nil, platform.ErrLeaseNotFound
+			return nil, store.ErrLeaseNotFound
 		}
 	}
 }
@@ -150,7 +150,7 @@
 }
 
 // revoke is not cut short by the Session's own end: other candidates wait for it.
-func (s *Session) revoke(id platform.LeaseID) {
+func (s *Session) revoke(id store.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.opts.TTL)
 	defer cancel()
 	_ = s.opts.Store.Revoke(ctx, id) // it lapses by itself otherwise
--- a/lease/session_options.go
+++ b/lease/session_options.go
@@ -5,12 +5,12 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // SessionOptions of a Session. Store, Domain, Instance and TTL are needed.
 type SessionOptions struct {
-	Store platform.Store
+	Store store.Store
 	// Domain is what the names of all duties of the Session begin with, as in
 	// DOMAIN/NAME. The Session watches the duties of its domain, and no others.
 	Domain string
--- a/lease/session_test.go
+++ b/lease/session_test.go
@@ -11,8 +11,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/lease"
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 const domain = "auckland"
@@ -53,7 +53,7 @@
 }
 
 func (b *bench) member(t *testing.T, ttl time.Duration, duties int, took ...func(duty int, epoch uint64)) *member {
-	store := platform.NewClient(platform.Options{Endpoints: []string{b.url}, CallTimeout: 200 * time.Millisecond, WatchIdle: b.watchIdle})
+	store := store.NewClient(store.Options{Endpoints: []string{b.url}, CallTimeout: 200 * time.Millisecond, WatchIdle: b.watchIdle})
 	m := &member{session: b.session(lease.Options{Store: store, TTL: ttl, Instance: t.Name()})}
 	if len(took) > 0 {
 		m.took = took[0]
@@ -148,11 +148,11 @@
 	m := b.member(t, time.Second, 2)
 	<-m.gained[0]
 	<-m.gained[1]
-	operator := platform.NewClient(platform.Options{Endpoints: []string{b.url}})
+	operator := store.NewClient(store.Options{Endpoints: []string{b.url}})
 	key := fmt.Sprintf("duty/%s/service-00/holder", domain)
 	kv, _, err := operator.Get(context.Background(), key)
 	c.Assert(err, qt.IsNil)
-	_, err = operator.Commit(context.Background(), []platform.Swap{{Key: key, Expect: kv.Mod, Delete: true}})
+	_, err = operator.Commit(context.Background(), []store.Swap{{Key: key, Expect: kv.Mod, Delete: true}})
 	c.Assert(err, qt.IsNil)
 	c.Assert((<-m.gained[0]).Epoch, qt.Equals, uint64(2))
 	held, ok := m.holders[1].Current()
@@ -171,7 +171,7 @@
 	}
 	id, lost, err := m.session.Lease(context.Background())
 	c.Assert(err, qt.IsNil)
-	operator := platform.NewClient(platform.Options{Endpoints: []string{b.url}})
+	operator := store.NewClient(store.Options{Endpoints: []string{b.url}})
 	c.Assert(operator.Revoke(context.Background(), id), qt.IsNil)
 	<-lost
 	for _, g := range m.gained {
@@ -190,13 +190,13 @@
 	other := b.member(t, time.Second, 1)
 	id, _, err := other.session.Lease(context.Background())
 	c.Assert(err, qt.IsNil)
-	operator := platform.NewClient(platform.Options{Endpoints: []string{b.url}})
+	operator := store.NewClient(store.Options{Endpoints: []string{b.url}})
 	key := fmt.Sprintf("duty/%s/service-00/holder", domain)
 	c.Assert(m.holders[0].Resign(context.Background()), qt.IsNil)
 	<-other.gained[0]
 	kv, _, err := operator.Get(context.Background(), key)
 	c.Assert(err, qt.IsNil)
-	_, err = operator.Commit(context.Background(), []platform.Swap{{Key: key, Expect: kv.Mod, Value: []byte(`{"token":"late"}`), Lease: id}})
+	_, err = operator.Commit(context.Background(), []store.Swap{{Key: key, Expect: kv.Mod, Value: []byte(`{"token":"late"}`), Lease: id}})
 	c.Assert(err, qt.IsNil)
 	c.Assert((<-other.gained[0]).Epoch, qt.Equals, uint64(3))
 }
--- a/lease/session_world_test.go
+++ b/lease/session_world_test.go
@@ -7,15 +7,15 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/lease"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // session is the lease that a candidate's process shares between its duties, on
 // virtual time. To the model each grant from it is a lease that lapses with it;
 // the name of that lease stands for the token of the claim.
 type session struct {
-	id     platform.LeaseID // zero: none yet
-	claims map[platform.LeaseID]bool
+	id     store.LeaseID // zero: none yet
+	claims map[store.LeaseID]bool
 	sent   time.Duration // of the last renewal, on the candidate's clock
 	taken  time.Duration // of the last renewal that the Elector was told of
 	asked  *time.Duration
@@ -34,7 +34,7 @@
 	w.store.lapse()
 	if _, lives := w.store.leases[s.id]; !lives {
 		w.store.rev++
-		s.id, s.claims = platform.LeaseID(w.store.rev), map[platform.LeaseID]bool{}
+		s.id, s.claims = store.LeaseID(w.store.rev), map[store.LeaseID]bool{}
 	}
 	w.store.leases[s.id] = w.store.now + ttl
 	for claim := range s.claims {
@@ -66,7 +66,7 @@
 			return nil
 		}
 		m.rev++
-		claim := platform.LeaseID(m.rev)
+		claim := store.LeaseID(m.rev)
 		s.claims[claim], m.leases[claim], s.taken = true, end, s.sent
 		return lease.Granted{Lease: claim, Sent: s.sent}
 	case lease.Renew:
--- a/lease/tenure.go
+++ b/lease/tenure.go
@@ -5,7 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // tenure is the store as one Holder uses it: under a lease of its own, or under
@@ -18,22 +18,22 @@
 	// swap makes one swap and says whether it took effect. Of unknown outcome
 	// counts as not: the Elector then gives up its claim, or raises the epoch once
 	// more.
-	swap(ctx context.Context, s platform.Swap) (bool, error)
+	swap(ctx context.Context, s store.Swap) (bool, error)
 	// read returns a key as it was after the Holder's own last swap, or later.
-	read(ctx context.Context, key string) (platform.KeyValue, bool, error)
+	read(ctx context.Context, key string) (store.KeyValue, bool, error)
 	// verify says whether the holder key has the value claim. held: it had when
 	// last verified.
 	verify(ctx context.Context, claim []byte, held bool) Event
 	// renew returns Renewed or Failed.
-	renew(ctx context.Context, lease platform.LeaseID) Event
+	renew(ctx context.Context, lease store.LeaseID) Event
 	// release undoes the claim, whether or not it took effect or is still on its
 	// way. final: the Holder will not compete again.
-	release(lease platform.LeaseID, claim []byte, final bool)
+	release(lease store.LeaseID, claim []byte, final bool)
 	// lost is closed when the lease is known to have gone; nil where only renew
 	// tells.
 	lost() <-chan struct{}
 }
 
 func failed(err error) Event {
-	return Failed{Gone: eris.Is(err, platform.ErrLeaseNotFound)}
+	return Failed{Gone: eris.Is(err, store.ErrLeaseNotFound)}
 }
--- a/lease/tenure_own.go
+++ b/lease/tenure_own.go
@@ -5,12 +5,12 @@
 	"context"
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // ownTenure has a lease for its one duty.
 type ownTenure struct {
-	store platform.Store
+	store store.Store
 	key   string // of the holder
 	ttl   time.Duration
 	clock func() time.Duration
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	vacant := false
-	err = o.store.Watch(ctx, o.key, snap.At+1, func(b platform.WatchBatch) {
+	err = o.store.Watch(ctx, o.key, snap.At+1, func(b store.WatchBatch) {
 		for _, e := range b.Events {
 			vacant = e.Deleted
 		}
@@ -55,15 +55,15 @@
 	return Granted{Lease: id, Sent: sent}
 }
 
-func (o *ownTenure) swap(ctx context.Context, s platform.Swap) (bool, error) {
-	results, err := o.store.Commit(ctx, []platform.Swap{s})
+func (o *ownTenure) swap(ctx context.Context, s store.Swap) (bool, error) {
+	results, err := o.store.Commit(ctx, []store.Swap{s})
 	if err != nil {
 		return false, err
 	}
 	return results[0].Swapped, nil
 }
 
-func (o *ownTenure) read(ctx context.Context, key string) (platform.KeyValue, bool, error) {
+func (o *ownTenure) read(ctx context.Context, key string) (store.KeyValue, bool, error) {
 	return o.store.Get(ctx, key)
 }
 
@@ -75,7 +75,7 @@
 	return Verified{Ours: ok && bytes.Equal(kv.Value, claim)}
 }
 
-func (o *ownTenure) renew(ctx context.Context, lease platform.LeaseID) Event {
+func (o *ownTenure) renew(ctx context.Context, lease store.LeaseID) Event {
 	sent := o.clock()
 	if _, err := o.store.Renew(ctx, lease); err != nil {
 		return failed(err)
@@ -86,7 +86,7 @@
 // release is not cut short by the Holder's own end: the next candidate waits
 // for it. The lease lapses by itself within the TTL where it fails. It also
 // undoes a creation of the holder key that is still on its way.
-func (o *ownTenure) release(lease platform.LeaseID, _ []byte, _ bool) {
+func (o *ownTenure) release(lease store.LeaseID, _ []byte, _ bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), o.ttl)
 	defer cancel()
 	_ = o.store.Revoke(ctx, lease)
--- a/lease/tenure_shared.go
+++ b/lease/tenure_shared.go
@@ -5,7 +5,7 @@
 	"context"
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // sharedTenure holds its duty under the lease of a Session.
@@ -23,11 +23,11 @@
 	taken func()
 
 	term    *term
-	sent    time.Duration     // of the renewal taken last
-	after   platform.Revision // of the last own swap, or what it met
-	claimed platform.Revision // of the holder key that is ours; zero: unknown
-	removed platform.Revision // of the holder key that we deleted last
-	pending bool              // a claim was sent and may take effect
+	sent    time.Duration  // of the renewal taken last
+	after   store.Revision // of the last own swap, or what it met
+	claimed store.Revision // of the holder key that is ours; zero: unknown
+	removed store.Revision // of the holder key that we deleted last
+	pending bool           // a claim was sent and may take effect
 }
 
 // viewWait bounds the wait for the watch to show an own write, before the store
@@ -64,8 +64,8 @@
 
 // remove deletes the holder key if it is still at mod, and says whether it is
 // certain that it is not any more.
-func (o *sharedTenure) remove(ctx context.Context, mod platform.Revision) (bool, error) {
-	res, err := o.s.swaps.Swap(ctx, platform.Swap{Key: o.key, Expect: mod, Delete: true})
+func (o *sharedTenure) remove(ctx context.Context, mod store.Revision) (bool, error) {
+	res, err := o.s.swaps.Swap(ctx, store.Swap{Key: o.key, Expect: mod, Delete: true})
 	if err != nil {
 		return false, err
 	}
@@ -81,7 +81,7 @@
 	return Granted{Lease: o.term.lease, Sent: o.sent}
 }
 
-func (o *sharedTenure) swap(ctx context.Context, s platform.Swap) (bool, error) {
+func (o *sharedTenure) swap(ctx context.Context, s store.Swap) (bool, error) {
 	claim := s.Key == o.key
 	o.pending = o.pending || claim
 	res, err := o.s.swaps.Swap(ctx, s)
@@ -101,7 +101,7 @@
 
 // read takes the key from the view, as of the last own write; that is what a read
 // of the store would have to show at least.
-func (o *sharedTenure) read(ctx context.Context, key string) (platform.KeyValue, bool, error) {
+func (o *sharedTenure) read(ctx context.Context, key string) (store.KeyValue, bool, error) {
 	short, cancel := context.WithTimeout(ctx, viewWait)
 	defer cancel()
 	kv, ok, err := o.term.view.await(short, key, o.after)
@@ -128,7 +128,7 @@
 	return Verified{Ours: ok && bytes.Equal(kv.Value, claim)}
 }
 
-func (o *sharedTenure) renew(ctx context.Context, _ platform.LeaseID) Event {
+func (o *sharedTenure) renew(ctx context.Context, _ store.LeaseID) Event {
 	sent, err := o.term.renewal(ctx, o.sent)
 	if err != nil {
 		return failed(err)
@@ -137,7 +137,7 @@
 	return Renewed{Sent: sent}
 }
 
-func (o *sharedTenure) release(_ platform.LeaseID, _ []byte, final bool) {
+func (o *sharedTenure) release(_ store.LeaseID, _ []byte, final bool) {
 	select {
 	case <-o.term.lost:
 		return // its keys end with it
--- a/lease/term.go
+++ b/lease/term.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 var (
@@ -34,7 +34,7 @@
 // an operator deletes it, is told by the view.
 type term struct {
 	s     *Session
-	lease platform.LeaseID
+	lease store.LeaseID
 	key   string
 	view  *view
 	lost  chan struct{} // closed when the lease is lost
@@ -45,12 +45,12 @@
 	sent    time.Duration // when the last verified renewal was sent
 	want    uint64        // seals asked for
 	sealed  uint64        // of them, made
-	mod     platform.Revision
+	mod     store.Revision
 	values  [][]byte      // of the key: as known, and as it may have been written since
 	changed chan struct{} // closed and replaced when sent or sealed change
 }
 
-func newTerm(s *Session, id platform.LeaseID, sent time.Duration) *term {
+func newTerm(s *Session, id store.LeaseID, sent time.Duration) *term {
 	return &term{
 		s:       s,
 		lease:   id,
@@ -100,7 +100,7 @@
 		}
 		err := t.renew(ctx)
 		switch {
-		case eris.Is(err, platform.ErrLeaseNotFound), eris.Is(err, errReplaced):
+		case eris.Is(err, store.ErrLeaseNotFound), eris.Is(err, errReplaced):
 			return err
 		case t.s.opts.Clock() >= t.until():
 			return errLapsed
@@ -202,7 +202,7 @@
 	case <-changed:
 		return nil
 	case <-t.lost:
-		return platform.ErrLeaseNotFound
+		return store.ErrLeaseNotFound
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -221,7 +221,7 @@
 			if err == nil {
 				break
 			}
-			if eris.Is(err, platform.ErrLeaseNotFound) || eris.Is(err, errReplaced) {
+			if eris.Is(err, store.ErrLeaseNotFound) || eris.Is(err, errReplaced) {
 				return err
 			}
 			rest(ctx, t.s.opts.TTL/retryShare)
@@ -241,7 +241,7 @@
 	t.values = append(t.values, value)
 	t.mu.Unlock()
 	for {
-		res, err := t.s.swaps.Swap(ctx, platform.Swap{Key: t.key, Expect: expect, Value: value, Lease: t.lease})
+		res, err := t.s.swaps.Swap(ctx, store.Swap{Key: t.key, Expect: expect, Value: value, Lease: t.lease})
 		switch {
 		case err != nil:
 			return err
@@ -249,7 +249,7 @@
 			t.update(func() { t.sealed, t.mod, t.values = want, res.Current.Mod, [][]byte{value} })
 			return nil
 		case res.Unknown:
-			return platform.ErrUnavailable
+			return store.ErrUnavailable
 		case res.Current.Mod == expect || !t.wrote(res.Current.Value):
 			return errReplaced
 		}
--- a/lease/view.go
+++ b/lease/view.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // view is what a Session's watch has shown of the duties. It is safe for
@@ -12,19 +12,19 @@
 type view struct {
 	mu      sync.Mutex
 	listed  bool
-	seen    platform.Revision // all changes up to here are in keys
-	keys    map[string]platform.KeyValue
+	seen    store.Revision // all changes up to here are in keys
+	keys    map[string]store.KeyValue
 	changed chan struct{} // closed and replaced on every change
 }
 
 func newView() *view { return &view{changed: make(chan struct{})} }
 
 // list takes a whole listing.
-func (v *view) list(snap platform.Snapshot) {
+func (v *view) list(snap store.Snapshot) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.listed, v.seen = true, snap.At
-	v.keys = make(map[string]platform.KeyValue, len(snap.Keys))
+	v.keys = make(map[string]store.KeyValue, len(snap.Keys))
 	for _, kv := range snap.Keys {
 		v.keys[kv.Key] = kv
 	}
@@ -32,7 +32,7 @@
 }
 
 // deliver takes what the watch brings.
-func (v *view) deliver(b platform.WatchBatch) {
+func (v *view) deliver(b store.WatchBatch) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range b.Events {
@@ -53,7 +53,7 @@
 
 // get returns a key as of a revision not before after; ready is false where
 // that is not known yet. changed is closed at the next change.
-func (v *view) get(key string, after platform.Revision) (kv platform.KeyValue, ok, ready bool, changed <-chan struct{}) {
+func (v *view) get(key string, after store.Revision) (kv store.KeyValue, ok, ready bool, changed <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	kv, ok = v.keys[key]
@@ -61,7 +61,7 @@
 }
 
 // await is get that waits until it is ready.
-func (v *view) await(ctx context.Context, key string, after platform.Revision) (platform.KeyValue, bool, error) {
+func (v *view) await(ctx context.Context, key string, after store.Revision) (store.KeyValue, bool, error) {
 	for {
 		kv, ok, ready, changed := v.get(key, after)
 		if ready {
@@ -70,7 +70,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return platform.KeyValue{}, false, ctx.Err()
+			return store.KeyValue{}, false, ctx.Err()
 		}
 	}
 }
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/lease"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // disturb does one thing: mostly progress, sometimes a fault or a pause.
@@ -59,7 +59,7 @@
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 0)), wild: seed%2 == 1, store: &model{leases: make(map[platform.LeaseID]time.Duration)}}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 0)), wild: seed%2 == 1, store: &model{leases: make(map[store.LeaseID]time.Duration)}}
 	for i, rate := range []time.Duration{99, 100, 101} {
 		if w.wild {
 			rate = 10 + time.Duration(w.rng.IntN(150))
--- a/lease/yield_test.go
+++ b/lease/yield_test.go
@@ -7,7 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/lease"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // A duty is to move to another process, and the holder gives it up. Without a
--- a/planner/config.go
+++ b/planner/config.go
@@ -11,7 +11,7 @@
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Agents carries one message of the gang protocol to an agent and its reply
@@ -23,8 +23,8 @@
 // Retention is the store lease under which ended records are kept. Drop says
 // that the store no longer has it.
 type Retention interface {
-	Current(ctx context.Context) (platform.LeaseID, error)
-	Drop(id platform.LeaseID)
+	Current(ctx context.Context) (store.LeaseID, error)
+	Drop(id store.LeaseID)
 }
 
 // Config is the fixed part of a Planner.
@@ -32,7 +32,7 @@
 	Service string
 	// Epoch is the fencing epoch of this term.
 	Epoch   uint64
-	Store   platform.Store // for listing and watching the job records
+	Store   store.Store // for listing and watching the job records
 	Jobs    *jobs.Store
 	Agents  Agents
 	Metrics *metrics.Set
--- a/planner/end.go
+++ b/planner/end.go
@@ -8,7 +8,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // end writes the final record of a job. Until the store has it the job counts
@@ -59,7 +59,7 @@
 		if err == nil {
 			got, err = p.cfg.Jobs.End(ctx, final, lease)
 		}
-		if eris.Is(err, platform.ErrLeaseNotFound) {
+		if eris.Is(err, store.ErrLeaseNotFound) {
 			p.cfg.Retention.Drop(lease)
 		}
 		p.post(func() { p.endWritten(j, got, err) })
--- a/planner/fake_test.go
+++ b/planner/fake_test.go
@@ -17,9 +17,9 @@
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 var errCut = errors.New("no path to the agent")
@@ -148,7 +148,7 @@
 type bench struct {
 	c      *qt.C
 	server *standin.Server
-	store  platform.Store
+	store  store.Store
 	jobs   *jobs.Store
 	held   *document.Held
 }
@@ -157,11 +157,11 @@
 	c := qt.New(t)
 	server := standin.New(standin.Options{Progress: 50 * time.Millisecond})
 	http := httptest.NewServer(server)
-	store := platform.NewClient(platform.Options{Endpoints: []string{http.URL}, CallTimeout: time.Minute, WatchIdle: time.Second})
-	swaps := platform.NewBatcher(store, 0)
+	kv := store.NewClient(store.Options{Endpoints: []string{http.URL}, CallTimeout: time.Minute, WatchIdle: time.Second})
+	swaps := store.NewBatcher(kv, 0)
 	c.Cleanup(func() {
 		swaps.Close()
-		store.Close()
+		kv.Close()
 		server.Close()
 		http.Close()
 	})
@@ -172,8 +172,8 @@
 	return &bench{
 		c:      c,
 		server: server,
-		store:  store,
-		jobs:   jobs.NewStore("r", store, swaps),
+		store:  kv,
+		jobs:   jobs.NewStore("r", kv, swaps),
 		held:   &document.Held{Document: doc, Version: document.Version{Generation: 1}},
 	}
 }
@@ -244,5 +244,5 @@
 
 type noRetention struct{}
 
-func (noRetention) Current(context.Context) (platform.LeaseID, error) { return 0, nil }
-func (noRetention) Drop(platform.LeaseID)                             {}
+func (noRetention) Current(context.Context) (store.LeaseID, error) { return 0, nil }
+func (noRetention) Drop(store.LeaseID)                             {}
--- a/planner/follow.go
+++ b/planner/follow.go
@@ -6,8 +6,8 @@
 
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
-	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // follow lists the job records and watches them from there, again after each
@@ -29,7 +29,7 @@
 	}
 }
 
-func (p *Planner) deliver(b platform.WatchBatch) {
+func (p *Planner) deliver(b store.WatchBatch) {
 	if len(b.Events) == 0 {
 		return
 	}
@@ -47,7 +47,7 @@
 
 // listed takes in all records at once: at the begin of the term, and after a
 // watch could not be resumed.
-func (p *Planner) listed(snap platform.Snapshot) {
+func (p *Planner) listed(snap store.Snapshot) {
 	var fresh []scheduler.Job
 	for _, kv := range snap.Keys {
 		fresh = p.take(kv, fresh)
@@ -67,7 +67,7 @@
 
 // take brings one record in. New jobs that wait are appended to fresh, so that
 // a burst is one decision.
-func (p *Planner) take(kv platform.KeyValue, fresh []scheduler.Job) []scheduler.Job {
+func (p *Planner) take(kv store.KeyValue, fresh []scheduler.Job) []scheduler.Job {
 	r, err := jobs.Decode(kv)
 	if err != nil {
 		p.cfg.Log.WithError(err).Error("job record can't be read; it is left alone")
--- a/planner/job.go
+++ b/planner/job.go
@@ -5,8 +5,8 @@
 
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
-	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // Phase is where a live job stands, in more detail than its record says.
@@ -26,7 +26,7 @@
 	phase   Phase
 	attempt scheduler.Attempt
 	// decided is the revision of the record that the attempt was decided on.
-	decided platform.Revision
+	decided store.Revision
 	coord   *gang.Coordinator // nil while queued
 	timer   *time.Timer       // of the coordinator
 	// last is how the last attempt ended; it decides between failed and unknown
--- a/planner/outage.go
+++ b/planner/outage.go
@@ -6,8 +6,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrasshub/eelgrasshub/jobs"
-	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 // probeID is the id of no job; reading its record shows that the store answers.
@@ -16,7 +16,7 @@
 // noteStore takes the outcome of a write: one that the store did not answer shows
 // that it is out, or that this planner is cut off from it.
 func (p *Planner) noteStore(err error) {
-	if p.storeOut || !eris.Is(err, platform.ErrUnavailable) && !eris.Is(err, jobs.ErrOutcomeUnknown) {
+	if p.storeOut || !eris.Is(err, store.ErrUnavailable) && !eris.Is(err, jobs.ErrOutcomeUnknown) {
 		return
 	}
 	p.cfg.Log.Warn("store out: only jobs with a permit are started")
--- a/planner/permit.go
+++ b/planner/permit.go
@@ -12,7 +12,7 @@
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
-	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/store"
 )
 
 const (
@@ -130,7 +130,7 @@
 
 // permitWritten takes the outcome of writePermit. Where it is not known, the watch
 // brings the permit if it was written.
-func (p *Planner) permitWritten(j *job, from platform.Revision, got jobs.Stored, err error) {
+func (p *Planner) permitWritten(j *job, from store.Revision, got jobs.Stored, err error) {
 	j.permit.writing = false
 	p.noteStore(err)
 	switch {
@@ -144,7 +144,7 @@
 
 // keep takes over a record that this planner wrote over the revision from. An
 // attempt that was decided meanwhile need not be given up for it.
-func (p *Planner) keep(j *job, got jobs.Stored, from platform.Revision) {
+func (p *Planner) keep(j *job, got jobs.Stored, from store.Revision) {
 	if got.Rev > j.stored.Rev {
 		j.replace(got)
 	}
@@ -198,7 +198,7 @@
 	})
 }
 
-func (p *Planner) placeWritten(j *job, from platform.Revision, got jobs.Stored, err error) {
+func (p *Planner) placeWritten(j *job, from store.Revision, got jobs.Stored, err error) {
 	j.permit.placing = false
 	p.noteStore(err)
 	switch {
--- a/planner/permit_test.go
+++ b/planner/permit_test.go
@@ -12,9 +12,9 @@
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // all is so many of the accelerators of allWorkers that no two such jobs run at
@@ -272,38 +272,38 @@
 
 // cutStore loses all calls while it is cut.
 type cutStore struct {
-	platform.Store
+	store.Store
 	cut *atomic.Bool
 }
 
-func (s cutStore) Get(ctx context.Context, key string) (platform.KeyValue, bool, error) {
+func (s cutStore) Get(ctx context.Context, key string) (store.KeyValue, bool, error) {
 	if s.cut.Load() {
-		return platform.KeyValue{}, false, platform.ErrUnavailable
+		return store.KeyValue{}, false, store.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s cutStore) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+func (s cutStore) List(ctx context.Context, prefix string) (store.Snapshot, error) {
 	if s.cut.Load() {
-		return platform.Snapshot{}, platform.ErrUnavailable
+		return store.Snapshot{}, store.ErrUnavailable
 	}
 	return s.Store.List(ctx, prefix)
 }
 
-func (s cutStore) Commit(ctx context.Context, swaps []platform.Swap) ([]platform.SwapResult, error) {
+func (s cutStore) Commit(ctx context.Context, swaps []store.Swap) ([]store.SwapResult, error) {
 	if s.cut.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	return s.Store.Commit(ctx, swaps)
 }
 
-func (s cutStore) Watch(ctx context.Context, prefix string, from platform.Revision, deliver func(platform.WatchBatch)) error {
+func (s cutStore) Watch(ctx context.Context, prefix string, from store.Revision, deliver func(store.WatchBatch)) error {
 	if s.cut.Load() {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	ctx, lose := context.WithCancel(ctx)
 	defer lose()
-	return s.Store.Watch(ctx, prefix, from, func(b platform.WatchBatch) {
+	return s.Store.Watch(ctx, prefix, from, func(b store.WatchBatch) {
 		if s.cut.Load() {
 			lose()
 			return
@@ -316,11 +316,11 @@
 func (b *bench) cutPlanner(epoch uint64, agents *fakeAgents) (*Planner, *atomic.Bool) {
 	own := *b
 	cut := new(atomic.Bool)
-	store := cutStore{b.store, cut}
-	swaps := platform.NewBatcher(store, 0)
+	kv := cutStore{b.store, cut}
+	swaps := store.NewBatcher(kv, 0)
 	b.c.Cleanup(swaps.Close)
-	own.store = store
-	own.jobs = jobs.NewStore("r", store, swaps)
+	own.store = kv
+	own.jobs = jobs.NewStore("r", kv, swaps)
 	return own.planner(epoch, agents), cut
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -10,7 +10,7 @@
 	"github.com/eelgrasshub/eelgrasshub/clock"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // allWorkers hold the guarantees of the sample document: with fewer, a job that
--- a/planner/report_test.go
+++ b/planner/report_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // An operator asks why three jobs don't run. One is placed, but its worker doesn't
--- a/platform/batcher.go
+++ b/store/batcher.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/platform/batcher_test.go
+++ b/store/batcher_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -11,21 +11,21 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 func TestBatcherResults(t *testing.T) {
 	c := qt.New(t)
-	_, store := start(t, standin.Options{})
-	b := platform.NewBatcher(store, 0)
+	_, kv := start(t, standin.Options{})
+	b := store.NewBatcher(kv, 0)
 	var wg sync.WaitGroup
 	var won atomic.Int64
 	for i := range 400 {
 		wg.Go(func() {
 			// Two callers race for each key.
 			key, value := fmt.Sprint(i/2), fmt.Appendf(nil, "caller %d", i)
-			res, err := b.Swap(context.Background(), platform.Swap{Key: key, Value: value})
+			res, err := b.Swap(context.Background(), store.Swap{Key: key, Value: value})
 			c.Check(err, qt.IsNil)
 			c.Check(res.Unknown, qt.IsFalse)
 			c.Check(string(res.Current.Value) == string(value), qt.Equals, res.Swapped)
@@ -37,27 +37,27 @@
 	wg.Wait()
 	c.Assert(won.Load(), qt.Equals, int64(200))
 	b.Close()
-	_, err := b.Swap(context.Background(), platform.Swap{Key: "k"})
-	c.Assert(eris.Is(err, platform.ErrClosed), qt.IsTrue)
+	_, err := b.Swap(context.Background(), store.Swap{Key: "k"})
+	c.Assert(eris.Is(err, store.ErrClosed), qt.IsTrue)
 }
 
 // A job cannot be recorded because another caller's lease has lapsed: both
 // swaps travel in one call, and the service refuses the whole call.
 func TestBatcherLeaseGone(t *testing.T) {
 	c := qt.New(t)
-	srv, store := start(t, standin.Options{})
+	srv, kv := start(t, standin.Options{})
 	srv.SetFaults(standin.Faults{DelayMillis: 50})
-	b := platform.NewBatcher(store, 0)
+	b := store.NewBatcher(kv, 0)
 	defer b.Close()
 	var wg sync.WaitGroup
 	for i := range 10 {
 		wg.Go(func() {
-			s := platform.Swap{Key: fmt.Sprint(i), Value: []byte("v")}
+			s := store.Swap{Key: fmt.Sprint(i), Value: []byte("v")}
 			if i%5 == 0 {
 				s.Lease = 77
 			}
 			res, err := b.Swap(context.Background(), s)
-			c.Check(eris.Is(err, platform.ErrLeaseNotFound), qt.Equals, s.Lease != 0)
+			c.Check(eris.Is(err, store.ErrLeaseNotFound), qt.Equals, s.Lease != 0)
 			c.Check(res.Swapped, qt.Equals, s.Lease == 0)
 		})
 	}
@@ -69,17 +69,17 @@
 // whose swap is in flight does not.
 func TestBatcherStoreHangs(t *testing.T) {
 	c := qt.New(t)
-	srv, store := start(t, standin.Options{})
+	srv, kv := start(t, standin.Options{})
 	srv.SetFaults(standin.Faults{Down: standin.DownHang})
-	b := platform.NewBatcher(store, 1)
+	b := store.NewBatcher(kv, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	type end struct {
-		Res platform.SwapResult
+		Res store.SwapResult
 		Err error
 	}
 	ends := make(chan end, 3)
 	swap := func() {
-		res, err := b.Swap(ctx, platform.Swap{Key: "k", Value: []byte("v")})
+		res, err := b.Swap(ctx, store.Swap{Key: "k", Value: []byte("v")})
 		ends <- end{res, err}
 	}
 	go swap()
@@ -88,34 +88,34 @@
 	}
 	go swap()
 	go swap()
-	c.Assert(eris.Is((<-ends).Err, platform.ErrBusy), qt.IsTrue)
+	c.Assert(eris.Is((<-ends).Err, store.ErrBusy), qt.IsTrue)
 	cancel()
 	one, two := <-ends, <-ends
 	if one.Err == nil {
 		one, two = two, one
 	}
-	c.Assert(eris.Is(one.Err, platform.ErrCanceled), qt.IsTrue)
-	c.Assert(two, qt.DeepEquals, end{Res: platform.SwapResult{Unknown: true}})
+	c.Assert(eris.Is(one.Err, store.ErrCanceled), qt.IsTrue)
+	c.Assert(two, qt.DeepEquals, end{Res: store.SwapResult{Unknown: true}})
 	srv.SetFaults(standin.Faults{})
 	srv.Close() // releases the hanging call
 	b.Close()
 }
 
 func BenchmarkGet(b *testing.B) {
-	_, store := start(b, standin.Options{})
+	_, kv := start(b, standin.Options{})
 	for b.Loop() {
-		if _, _, err := store.Get(context.Background(), "k"); err != nil {
+		if _, _, err := kv.Get(context.Background(), "k"); err != nil {
 			b.Fatal(err)
 		}
 	}
 }
 
 func BenchmarkCommit(b *testing.B) {
-	_, store := start(b, standin.Options{})
+	_, kv := start(b, standin.Options{})
 	value := make([]byte, 512)
 	for i := 0; b.Loop(); i++ {
-		swaps := []platform.Swap{{Key: fmt.Sprint(i), Value: value}}
-		if _, err := store.Commit(context.Background(), swaps); err != nil {
+		swaps := []store.Swap{{Key: fmt.Sprint(i), Value: value}}
+		if _, err := kv.Commit(context.Background(), swaps); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -124,8 +124,8 @@
 func BenchmarkBatcher(b *testing.B) {
 	for _, callers := range []int{1, 16, 256} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
-			srv, store := start(b, standin.Options{})
-			batcher := platform.NewBatcher(store, 0)
+			srv, kv := start(b, standin.Options{})
+			batcher := store.NewBatcher(kv, 0)
 			defer batcher.Close()
 			var next atomic.Int64
 			var wg sync.WaitGroup
@@ -134,7 +134,7 @@
 			for range callers {
 				wg.Go(func() {
 					for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
-						s := platform.Swap{Key: fmt.Sprint(n), Value: value}
+						s := store.Swap{Key: fmt.Sprint(n), Value: value}
 						if _, err := batcher.Swap(context.Background(), s); err != nil {
 							b.Error(err)
 						}
--- a/platform/chunk.go
+++ b/store/chunk.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 const (
 	// maxSwaps is how many swaps one call carries. The service allows 128
--- /dev/null
+++ b/store/client_test.go
@@ -0,0 +1,125 @@
+package store_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
+)
+
+// patience is above any pause of a busy machine. A call that timed out because of
+// one would be taken for a lost reply, and a test would see a fault that it did not
+// inject.
+const patience = time.Minute
+
+// start returns a stand-in and a client of it. Its calls wait long: whatever a test
+// injects breaks the connection, and a silent store needs a timeout of its own.
+func start(t testing.TB, opts standin.Options, change ...func(*store.Options)) (*standin.Server, *store.Client) {
+	srv := standin.New(opts)
+	web := httptest.NewServer(srv)
+	o := store.Options{Endpoints: []string{web.URL}, CallTimeout: patience}
+	for _, f := range change {
+		f(&o)
+	}
+	client := store.NewClient(o)
+	t.Cleanup(func() {
+		client.Close()
+		srv.Close()
+		web.Close()
+	})
+	return srv, client
+}
+
+func swapOne(c *qt.C, kv store.Store, s store.Swap) store.SwapResult {
+	c.Helper()
+	res, err := kv.Commit(context.Background(), []store.Swap{s})
+	c.Assert(err, qt.IsNil)
+	c.Assert(res, qt.HasLen, 1)
+	return res[0]
+}
+
+func TestCommit(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	_, kv := start(t, standin.Options{})
+
+	first := swapOne(c, kv, store.Swap{Key: "a/1", Value: []byte("x")})
+	c.Assert(first.Swapped, qt.IsTrue)
+	again := swapOne(c, kv, store.Swap{Key: "a/1", Value: []byte("y")})
+	c.Assert(again.Swapped || again.Unknown, qt.IsFalse)
+	c.Assert(again.Current, qt.DeepEquals, first.Current)
+
+	res, err := kv.Commit(ctx, []store.Swap{
+		{Key: "a/1", Expect: first.Current.Mod, Delete: true},
+		{Key: "a/2", Value: []byte("z")},
+		{Key: "b", Expect: 99, Value: []byte("z")},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert([]bool{res[0].Swapped, res[1].Swapped, res[2].Swapped}, qt.DeepEquals, []bool{true, true, false})
+	snap, err := kv.List(ctx, "a/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(snap.Keys, qt.DeepEquals, []store.KeyValue{res[1].Current})
+	_, ok, err := kv.Get(ctx, "a/1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(ok, qt.IsFalse)
+}
+
+// A name once used can never be used again: the stand-in compared a deleted
+// key by the revision of its deletion instead of zero.
+func TestCreateAfterDelete(t *testing.T) {
+	c := qt.New(t)
+	_, kv := start(t, standin.Options{})
+	first := swapOne(c, kv, store.Swap{Key: "k", Value: []byte("1")})
+	swapOne(c, kv, store.Swap{Key: "k", Expect: first.Current.Mod, Delete: true})
+	c.Assert(swapOne(c, kv, store.Swap{Key: "k", Value: []byte("2")}).Swapped, qt.IsTrue)
+}
+
+func TestCommitSplits(t *testing.T) {
+	c := qt.New(t)
+	srv, kv := start(t, standin.Options{})
+	var swaps []store.Swap
+	for i := range 300 {
+		swaps = append(swaps, store.Swap{Key: "k" + string(rune('a'+i)), Value: []byte("v")})
+	}
+	swaps = append(swaps, store.Swap{Key: "big1", Value: make([]byte, 700<<10)})
+	swaps = append(swaps, store.Swap{Key: "big2", Value: make([]byte, 700<<10)})
+	swaps = append(swaps, store.Swap{Key: "big2", Value: []byte("twice in one call is refused")})
+	res, err := kv.Commit(context.Background(), swaps)
+	c.Assert(err, qt.IsNil)
+	for i, r := range res {
+		c.Assert(r.Swapped, qt.Equals, i < len(swaps)-1, qt.Commentf("%d", i))
+	}
+	c.Assert(srv.Counters().Txn, qt.Equals, int64(5))
+	_, err = kv.Commit(context.Background(), []store.Swap{{Key: "k", Value: make([]byte, 2<<20)}})
+	c.Assert(eris.Is(err, store.ErrTooLarge), qt.IsTrue)
+}
+
+func TestLease(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	now := time.Unix(0, 0)
+	srv, kv := start(t, standin.Options{Now: func() time.Time { return now }})
+	id, err := kv.Grant(ctx, 10*time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(swapOne(c, kv, store.Swap{Key: "l", Value: []byte("x"), Lease: id}).Swapped, qt.IsTrue)
+	now = now.Add(9 * time.Second)
+	ttl, err := kv.Renew(ctx, id)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ttl, qt.Equals, 10*time.Second)
+	now = now.Add(10 * time.Second)
+	srv.Expire()
+	_, ok, err := kv.Get(ctx, "l")
+	c.Assert(err, qt.IsNil)
+	c.Assert(ok, qt.IsFalse)
+	_, err = kv.Renew(ctx, id)
+	c.Assert(eris.Is(err, store.ErrLeaseNotFound), qt.IsTrue)
+	c.Assert(eris.Is(kv.Revoke(ctx, id), store.ErrLeaseNotFound), qt.IsTrue)
+	_, err = kv.Commit(ctx, []store.Swap{{Key: "m", Value: []byte("x"), Lease: id}})
+	c.Assert(eris.Is(err, store.ErrLeaseNotFound), qt.IsTrue)
+}
--- a/platform/commit.go
+++ b/store/commit.go
@@ -1,9 +1,9 @@
-package platform
+package store
 
 import (
 	"context"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // Commit implements Store. Swaps that fit into one call (127 swaps, 1 MB, no
--- a/platform/lease.go
+++ b/store/lease.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // Grant implements Store. The ttl is rounded up to whole seconds.
--- a/platform/list.go
+++ b/store/list.go
@@ -1,11 +1,11 @@
-package platform
+package store
 
 import (
 	"context"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 const (
--- a/platform/list_test.go
+++ b/store/list_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 // listedKeys needs three pages.
@@ -23,7 +23,7 @@
 // each answer to a listing.
 type pagedStore struct {
 	*standin.Server
-	client  *platform.Client
+	client  *store.Client
 	between func(page int)
 	pages   int
 }
@@ -31,15 +31,15 @@
 func newPagedStore(c *qt.C) *pagedStore {
 	p := &pagedStore{Server: standin.New(standin.Options{}), between: func(int) {}}
 	web := httptest.NewServer(p)
-	p.client = platform.NewClient(platform.Options{Endpoints: []string{web.URL}, CallTimeout: 5 * time.Second})
+	p.client = store.NewClient(store.Options{Endpoints: []string{web.URL}, CallTimeout: 5 * time.Second})
 	c.Cleanup(func() {
 		p.client.Close()
 		p.Server.Close()
 		web.Close()
 	})
-	var swaps []platform.Swap
+	var swaps []store.Swap
 	for i := range listedKeys {
-		swaps = append(swaps, platform.Swap{Key: pagedKey(i), Value: []byte("first")})
+		swaps = append(swaps, store.Swap{Key: pagedKey(i), Value: []byte("first")})
 	}
 	_, err := p.client.Commit(context.Background(), swaps)
 	c.Assert(err, qt.IsNil)
@@ -62,14 +62,14 @@
 	defer other.Close()
 	kv, _, err := other.Get(context.Background(), pagedKey(i))
 	c.Check(err, qt.IsNil)
-	c.Check(swapOne(c, other, platform.Swap{Key: pagedKey(i), Expect: kv.Mod, Value: []byte(value)}).Swapped, qt.IsTrue)
+	c.Check(swapOne(c, other, store.Swap{Key: pagedKey(i), Expect: kv.Mod, Value: []byte(value)}).Swapped, qt.IsTrue)
 }
 
 // direct is a client whose calls are not counted as pages.
-func (p *pagedStore) direct(c *qt.C) *platform.Client {
+func (p *pagedStore) direct(c *qt.C) *store.Client {
 	web := httptest.NewServer(p.Server)
 	c.Cleanup(web.Close)
-	return platform.NewClient(platform.Options{Endpoints: []string{web.URL}})
+	return store.NewClient(store.Options{Endpoints: []string{web.URL}})
 }
 
 // A planner takes over and lists thousands of job records while others change.
@@ -136,7 +136,7 @@
 		p.Compact()
 	}
 	_, err := p.client.List(context.Background(), "jobs/")
-	c.Assert(eris.Is(err, platform.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(eris.Is(err, store.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
 }
 
 func TestListKeysLeavesValuesOut(t *testing.T) {
--- a/platform/lost_test.go
+++ b/store/lost_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"bytes"
@@ -14,8 +14,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 var errCut = errors.New("connection cut")
@@ -49,8 +49,8 @@
 	resp.Body.Close()
 }
 
-func through(m *meddler) func(*platform.Options) {
-	return func(o *platform.Options) { o.HTTP = &http.Client{Transport: m} }
+func through(m *meddler) func(*store.Options) {
+	return func(o *store.Options) { o.HTTP = &http.Client{Transport: m} }
 }
 
 // An operator's change is reported as a conflict although nobody else changed
@@ -84,26 +84,26 @@
 			c := qt.New(t)
 			var srv *standin.Server
 			m := &meddler{}
-			srv, store := start(t, standin.Options{}, through(m))
-			s := platform.Swap{Key: "k", Value: []byte(ours), Delete: test.delete}
+			srv, kv := start(t, standin.Options{}, through(m))
+			s := store.Swap{Key: "k", Value: []byte(ours), Delete: test.delete}
 			if test.exists {
-				s.Expect = swapOne(c, store, platform.Swap{Key: "k", Value: []byte("old")}).Current.Mod
+				s.Expect = swapOne(c, kv, store.Swap{Key: "k", Value: []byte("old")}).Current.Mod
 			}
 			if test.meddle {
 				m.afterLoss = func() {
-					kv, _, _ := store.Get(context.Background(), "k")
-					swapOne(c, store, platform.Swap{Key: "k", Expect: kv.Mod, Value: []byte(theirs)})
+					held, _, _ := kv.Get(context.Background(), "k")
+					swapOne(c, kv, store.Swap{Key: "k", Expect: held.Mod, Value: []byte(theirs)})
 				}
 			}
 			srv.SetFaults(test.faults)
-			res := swapOne(c, store, s)
+			res := swapOne(c, kv, s)
 			c.Assert(res.Swapped, qt.Equals, test.swapped)
 			c.Assert(res.Unknown, qt.Equals, test.unknown)
-			kv, _, err := store.Get(context.Background(), "k")
+			held, _, err := kv.Get(context.Background(), "k")
 			c.Assert(err, qt.IsNil)
-			c.Assert(string(kv.Value), qt.Equals, test.leftover)
-			c.Assert(res.Current.Mod, qt.Equals, kv.Mod)
-			c.Assert(store.Calls().Lost, qt.Equals, int64(1))
+			c.Assert(string(held.Value), qt.Equals, test.leftover)
+			c.Assert(res.Current.Mod, qt.Equals, held.Mod)
+			c.Assert(kv.Calls().Lost, qt.Equals, int64(1))
 		})
 	}
 }
@@ -114,16 +114,16 @@
 func TestLostSwapArrivesLate(t *testing.T) {
 	c := qt.New(t)
 	m := &meddler{}
-	_, store := start(t, standin.Options{}, through(m))
-	first := swapOne(c, store, platform.Swap{Key: "k", Value: []byte("old")})
+	_, kv := start(t, standin.Options{}, through(m))
+	first := swapOne(c, kv, store.Swap{Key: "k", Value: []byte("old")})
 	m.withhold = true
-	res := swapOne(c, store, platform.Swap{Key: "k", Expect: first.Current.Mod, Value: []byte("new")})
+	res := swapOne(c, kv, store.Swap{Key: "k", Expect: first.Current.Mod, Value: []byte("new")})
 	c.Assert(res.Swapped, qt.IsTrue)
-	next := swapOne(c, store, platform.Swap{Key: "k", Expect: res.Current.Mod, Value: []byte("newer")})
+	next := swapOne(c, kv, store.Swap{Key: "k", Expect: res.Current.Mod, Value: []byte("newer")})
 	m.release(c)
-	kv, _, err := store.Get(context.Background(), "k")
+	held, _, err := kv.Get(context.Background(), "k")
 	c.Assert(err, qt.IsNil)
-	c.Assert(kv.Mod, qt.Equals, next.Current.Mod)
+	c.Assert(held.Mod, qt.Equals, next.Current.Mod)
 }
 
 // A lease is granted or revoked and the reply is lost. The caller must neither
@@ -131,59 +131,59 @@
 func TestLostLeaseReply(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	srv, store := start(t, standin.Options{})
+	srv, kv := start(t, standin.Options{})
 	srv.SetFaults(standin.Faults{LoseReplies: 1})
-	id, err := store.Grant(ctx, time.Minute)
+	id, err := kv.Grant(ctx, time.Minute)
 	c.Assert(err, qt.IsNil)
 	srv.SetFaults(standin.Faults{LoseReplies: 1})
-	_, err = store.Renew(ctx, id)
+	_, err = kv.Renew(ctx, id)
 	c.Assert(err, qt.IsNil)
 	srv.SetFaults(standin.Faults{LoseReplies: 1})
-	c.Assert(store.Revoke(ctx, id), qt.IsNil)
-	c.Assert(eris.Is(store.Revoke(ctx, id), platform.ErrLeaseNotFound), qt.IsTrue)
+	c.Assert(kv.Revoke(ctx, id), qt.IsNil)
+	c.Assert(eris.Is(kv.Revoke(ctx, id), store.ErrLeaseNotFound), qt.IsTrue)
 }
 
 func TestUnavailable(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	srv, store := start(t, standin.Options{})
-	swaps := []platform.Swap{{Key: "k", Value: []byte("v")}}
+	srv, kv := start(t, standin.Options{})
+	swaps := []store.Swap{{Key: "k", Value: []byte("v")}}
 
 	// Refused before it could take effect.
 	srv.SetFaults(standin.Faults{MaxWrites: 0.001})
-	swapOne(c, store, platform.Swap{Key: "uses the one call", Value: []byte("v")})
-	_, err := store.Commit(ctx, swaps)
-	c.Assert(eris.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	swapOne(c, kv, store.Swap{Key: "uses the one call", Value: []byte("v")})
+	_, err := kv.Commit(ctx, swaps)
+	c.Assert(eris.Is(err, store.ErrUnavailable), qt.IsTrue)
 
 	// Nothing listens: no byte was sent.
-	closed := platform.NewClient(platform.Options{Endpoints: []string{"http://127.0.0.1:1"}})
+	closed := store.NewClient(store.Options{Endpoints: []string{"http://127.0.0.1:1"}})
 	_, err = closed.Commit(ctx, swaps)
-	c.Assert(eris.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	c.Assert(eris.Is(err, store.ErrUnavailable), qt.IsTrue)
 	c.Assert(closed.Calls().Lost, qt.Equals, int64(0))
 
 	// A 503 may come from anything between, after the write took effect.
 	srv.SetFaults(standin.Faults{Down: standin.DownRefuse})
-	c.Assert(swapOne(c, store, swaps[0]).Unknown, qt.IsTrue)
-	_, _, err = store.Get(ctx, "k")
-	c.Assert(eris.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	c.Assert(swapOne(c, kv, swaps[0]).Unknown, qt.IsTrue)
+	_, _, err = kv.Get(ctx, "k")
+	c.Assert(eris.Is(err, store.ErrUnavailable), qt.IsTrue)
 }
 
 func TestBudget(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	srv, store := start(t, standin.Options{}, func(o *platform.Options) { o.Budget, o.Burst = 0.001, 2 })
-	id, err := store.Grant(ctx, time.Minute)
+	srv, kv := start(t, standin.Options{}, func(o *store.Options) { o.Budget, o.Burst = 0.001, 2 })
+	id, err := kv.Grant(ctx, time.Minute)
 	c.Assert(err, qt.IsNil)
-	_, _, err = store.Get(ctx, "k")
+	_, _, err = kv.Get(ctx, "k")
 	c.Assert(err, qt.IsNil)
-	_, _, err = store.Get(ctx, "k")
-	c.Assert(eris.Is(err, platform.ErrBudget), qt.IsTrue)
-	_, err = store.Commit(ctx, []platform.Swap{{Key: "k", Value: []byte("v")}})
-	c.Assert(eris.Is(err, platform.ErrBudget), qt.IsTrue)
-	_, err = store.Renew(ctx, id)
+	_, _, err = kv.Get(ctx, "k")
+	c.Assert(eris.Is(err, store.ErrBudget), qt.IsTrue)
+	_, err = kv.Commit(ctx, []store.Swap{{Key: "k", Value: []byte("v")}})
+	c.Assert(eris.Is(err, store.ErrBudget), qt.IsTrue)
+	_, err = kv.Renew(ctx, id)
 	c.Assert(err, qt.IsNil)
-	c.Assert(store.Calls().Refused, qt.Equals, int64(2))
-	c.Assert(srv.Counters().Total(), qt.Equals, store.Calls().Total())
+	c.Assert(kv.Calls().Refused, qt.Equals, int64(2))
+	c.Assert(srv.Counters().Total(), qt.Equals, kv.Calls().Total())
 }
 
 // One endpoint is dead, one is silent, one works. The timeout bounds the wait for
@@ -193,12 +193,12 @@
 	c := qt.New(t)
 	silent := standin.New(standin.Options{})
 	silent.SetFaults(standin.Faults{Down: standin.DownHang})
-	_, store := start(t, standin.Options{}, func(o *platform.Options) {
+	_, kv := start(t, standin.Options{}, func(o *store.Options) {
 		o.CallTimeout = 2 * time.Second
 		o.Endpoints = append([]string{"http://127.0.0.1:1", serve(t, silent)}, o.Endpoints...)
 	})
-	_, _, err := store.Get(context.Background(), "k")
+	_, _, err := kv.Get(context.Background(), "k")
 	c.Assert(err, qt.IsNil)
-	c.Assert(swapOne(c, store, platform.Swap{Key: "k", Value: []byte("v")}).Swapped, qt.IsTrue)
-	c.Assert(store.Calls().Lost, qt.Equals, int64(0))
+	c.Assert(swapOne(c, kv, store.Swap{Key: "k", Value: []byte("v")}).Swapped, qt.IsTrue)
+	c.Assert(kv.Calls().Lost, qt.Equals, int64(0))
 }
--- a/platform/plausible.go
+++ b/store/plausible.go
@@ -1,11 +1,11 @@
-package platform
+package store
 
 import (
 	"strings"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // errImplausible: the answer is JSON with status 200, and the store can't have
--- a/platform/post.go
+++ b/store/post.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 const (
--- a/platform/read.go
+++ b/store/read.go
@@ -1,10 +1,10 @@
-package platform
+package store
 
 import (
 	"context"
 	"sync/atomic"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // Get implements Store.
--- a/platform/settle.go
+++ b/store/settle.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 const (
--- a/platform/standin/call.go
+++ b/store/standin/call.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 const maxBody = 4 << 20
--- a/platform/standin/control_test.go
+++ b/store/standin/control_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 func TestControlOverHTTP(t *testing.T) {
--- a/platform/standin/entry.go
+++ b/store/standin/entry.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // entry is one key with its versions, oldest first. Entries are never changed
--- a/platform/standin/failure.go
+++ b/store/standin/failure.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // failure is a refused call.
--- a/platform/standin/lease.go
+++ b/store/standin/lease.go
@@ -4,7 +4,7 @@
 	"maps"
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // lease is one lease and the keys that end with it.
--- a/platform/standin/routes.go
+++ b/store/standin/routes.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"slices"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 func (s *Server) routes() {
--- a/platform/standin/server.go
+++ b/store/standin/server.go
@@ -8,7 +8,7 @@
 	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // Server is the stand-in: an http.Handler over one in-memory store. It is safe
--- a/platform/standin/state.go
+++ b/store/standin/state.go
@@ -5,7 +5,7 @@
 
 	"github.com/google/btree"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 const btreeDegree = 16
--- a/platform/standin/txn.go
+++ b/store/standin/txn.go
@@ -1,6 +1,6 @@
 package standin
 
-import "github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+import "github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 
 const (
 	maxOps   = 128
--- a/platform/standin/watch.go
+++ b/store/standin/watch.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // watch is one open watch. The Server's lock guards it.
--- a/platform/swapop.go
+++ b/store/swapop.go
@@ -1,6 +1,6 @@
-package platform
+package store
 
-import "github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+import "github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 
 // swapOp returns the swap as a nested transaction that reads the key where the
 // comparison fails.
--- a/platform/watch_test.go
+++ b/store/watch_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rotisserie/eris"
 
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/store/standin"
 )
 
 func serve(t testing.TB, srv *standin.Server) string {
@@ -25,17 +25,17 @@
 	return web.URL
 }
 
-func quickIdle(o *platform.Options) { o.WatchIdle = 100 * time.Millisecond }
+func quickIdle(o *store.Options) { o.WatchIdle = 100 * time.Millisecond }
 
 var quickProgress = standin.Options{Progress: 20 * time.Millisecond}
 
 // collect watches from the first revision on until it has seen a key named
 // end, and returns the events.
-func collect(c *qt.C, store platform.Store, prefix string) []platform.Event {
+func collect(c *qt.C, kv store.Store, prefix string) []store.Event {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	var events []platform.Event
-	err := store.Watch(ctx, prefix, 1, func(b platform.WatchBatch) {
+	var events []store.Event
+	err := kv.Watch(ctx, prefix, 1, func(b store.WatchBatch) {
 		events = append(events, b.Events...)
 		for _, e := range b.Events {
 			if e.Key == prefix+"end" {
@@ -55,11 +55,11 @@
 func TestWatchAndSwapsUnderFaults(t *testing.T) {
 	const seed, writers, writes = 1, 4, 150
 	c := qt.New(t)
-	srv, store := start(t, quickProgress, quickIdle)
+	srv, kv := start(t, quickProgress, quickIdle)
 	var watching, writing sync.WaitGroup
-	var seen []platform.Event
-	watching.Go(func() { seen = collect(c, store, "k/") })
-	results := make(map[string]platform.SwapResult)
+	var seen []store.Event
+	watching.Go(func() { seen = collect(c, kv, "k/") })
+	results := make(map[string]store.SwapResult)
 	var mu sync.Mutex
 	for n := range writers {
 		rng := rand.New(rand.NewPCG(seed, uint64(n)))
@@ -67,7 +67,7 @@
 			for i := range writes {
 				disturb(srv, rng)
 				value := fmt.Sprintf("%d/%d", n, i)
-				res := randomSwap(c, store, rng, value)
+				res := randomSwap(c, kv, rng, value)
 				mu.Lock()
 				results[value] = res
 				mu.Unlock()
@@ -76,10 +76,10 @@
 	}
 	writing.Wait()
 	srv.SetFaults(standin.Faults{CutWatches: true})
-	swapOne(c, store, platform.Swap{Key: "k/end", Value: []byte("end")})
+	swapOne(c, kv, store.Swap{Key: "k/end", Value: []byte("end")})
 	watching.Wait()
 
-	truth := collect(c, store, "k/")
+	truth := collect(c, kv, "k/")
 	c.Assert(seen, qt.DeepEquals, truth)
 	made := make(map[string]int)
 	for _, e := range truth {
@@ -99,8 +99,8 @@
 			c.Check(made[value], qt.Equals, 0, qt.Commentf("%s reported as not made", value))
 		}
 	}
-	t.Logf("seed %d: %d swapped, %d conflicts, %d unknown, calls %+v", seed, swapped, conflicts, unknown, store.Calls())
-	c.Assert(swapped > 0 && conflicts > 0 && store.Calls().Lost > 0, qt.IsTrue)
+	t.Logf("seed %d: %d swapped, %d conflicts, %d unknown, calls %+v", seed, swapped, conflicts, unknown, kv.Calls())
+	c.Assert(swapped > 0 && conflicts > 0 && kv.Calls().Lost > 0, qt.IsTrue)
 }
 
 func disturb(srv *standin.Server, rng *rand.Rand) {
@@ -118,20 +118,20 @@
 
 // randomSwap proposes value for one of three keys at the revision last read,
 // sometimes after deleting the key.
-func randomSwap(c *qt.C, store platform.Store, rng *rand.Rand, value string) platform.SwapResult {
+func randomSwap(c *qt.C, kv store.Store, rng *rand.Rand, value string) store.SwapResult {
 	ctx := context.Background()
 	key := fmt.Sprintf("k/%d", rng.IntN(3))
-	kv, _, err := store.Get(ctx, key)
+	held, _, err := kv.Get(ctx, key)
 	c.Check(err, qt.IsNil)
-	if rng.IntN(6) == 0 && kv.Mod != 0 {
-		_, err = store.Commit(ctx, []platform.Swap{{Key: key, Expect: kv.Mod, Delete: true}})
+	if rng.IntN(6) == 0 && held.Mod != 0 {
+		_, err = kv.Commit(ctx, []store.Swap{{Key: key, Expect: held.Mod, Delete: true}})
 		c.Check(err, qt.IsNil)
-		kv.Mod = 0
+		held.Mod = 0
 	}
-	res, err := store.Commit(ctx, []platform.Swap{{Key: key, Expect: kv.Mod, Value: []byte(value)}})
+	res, err := kv.Commit(ctx, []store.Swap{{Key: key, Expect: held.Mod, Value: []byte(value)}})
 	c.Check(err, qt.IsNil)
 	if err != nil {
-		return platform.SwapResult{Unknown: true}
+		return store.SwapResult{Unknown: true}
 	}
 	return res[0]
 }
@@ -140,18 +140,18 @@
 // has lost track of the connection, which stays open and silent.
 func TestWatchSilent(t *testing.T) {
 	c := qt.New(t)
-	srv, store := start(t, quickProgress, quickIdle)
-	swapOne(c, store, platform.Swap{Key: "1", Value: []byte("v")})
+	srv, kv := start(t, quickProgress, quickIdle)
+	swapOne(c, kv, store.Swap{Key: "1", Value: []byte("v")})
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	var keys []string
-	err := store.Watch(ctx, "", 1, func(b platform.WatchBatch) {
+	err := kv.Watch(ctx, "", 1, func(b store.WatchBatch) {
 		for _, e := range b.Events {
 			keys = append(keys, e.Key)
 		}
 		if len(keys) == 1 && len(b.Events) == 1 {
 			srv.SetFaults(standin.Faults{FreezeWatches: true})
-			swapOne(c, store, platform.Swap{Key: "2", Value: []byte("v")})
+			swapOne(c, kv, store.Swap{Key: "2", Value: []byte("v")})
 		}
 		if len(keys) == 2 {
 			cancel()
@@ -170,13 +170,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			srv, store := start(t, quickProgress, quickIdle)
+			srv, kv := start(t, quickProgress, quickIdle)
 			for i := range 5 {
-				swapOne(c, store, platform.Swap{Key: fmt.Sprint(i), Value: []byte("v")})
+				swapOne(c, kv, store.Swap{Key: fmt.Sprint(i), Value: []byte("v")})
 			}
 			change(srv)
-			err := store.Watch(context.Background(), "", 4, func(platform.WatchBatch) {})
-			c.Assert(eris.Is(err, platform.ErrCompacted), qt.IsTrue)
+			err := kv.Watch(context.Background(), "", 4, func(store.WatchBatch) {})
+			c.Assert(eris.Is(err, store.ErrCompacted), qt.IsTrue)
 		})
 	}
 }
@@ -185,16 +185,16 @@
 // passed the old ones when the watch is back.
 func TestWatchRestoredAndPassed(t *testing.T) {
 	c := qt.New(t)
-	srv, store := start(t, quickProgress, quickIdle)
+	srv, kv := start(t, quickProgress, quickIdle)
 	first := true
-	err := store.Watch(context.Background(), "", 1, func(platform.WatchBatch) {
+	err := kv.Watch(context.Background(), "", 1, func(store.WatchBatch) {
 		if first {
 			first = false
 			srv.Restore()
 			for i := range 20 {
-				swapOne(c, store, platform.Swap{Key: fmt.Sprint(i), Value: []byte("v")})
+				swapOne(c, kv, store.Swap{Key: fmt.Sprint(i), Value: []byte("v")})
 			}
 		}
 	})
-	c.Assert(eris.Is(err, platform.ErrCompacted), qt.IsTrue)
+	c.Assert(eris.Is(err, store.ErrCompacted), qt.IsTrue)
 }
--- a/platform/watcher.go
+++ b/store/watcher.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/platform/internal/v3json"
+	"github.com/eelgrasshub/eelgrasshub/store/internal/v3json"
 )
 
 // watcher is one Watch across its connections. One goroutine owns it.
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -8,9 +8,9 @@
 	"github.com/google/uuid"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
-	"github.com/eelgrasshub/eelgrasshub/platform"
-	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	kvstandin "github.com/eelgrasshub/eelgrasshub/store/standin"
 	"github.com/eelgrasshub/eelgrasshub/target/standin"
 )
 
@@ -29,12 +29,12 @@
 // New; its methods are safe for concurrent use.
 type Cluster struct {
 	Service string
-	Store   *store.Server
+	Store   *kvstandin.Server
 	Entries []*EntryNode
 	Workers []*Worker
 
 	link   *storeLink
-	client *platform.Client
+	client *store.Client
 }
 
 // New starts a cluster, puts its document and waits until every entry is ready
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cluster{Service: doc.Service, Store: store.New(store.Options{})}
+	c := &Cluster{Service: doc.Service, Store: kvstandin.New(kvstandin.Options{})}
 	if err := c.begin(ctx, doc, o); err != nil {
 		c.Close()
 		return nil, err
@@ -58,7 +58,7 @@
 	if c.link, err = newStoreLink(c.Store); err != nil {
 		return err
 	}
-	c.client = platform.NewClient(platform.Options{Endpoints: []string{c.link.url()}})
+	c.client = store.NewClient(store.Options{Endpoints: []string{c.link.url()}})
 	v, err := c.Put(ctx, o.Document, 0)
 	if err != nil {
 		return err
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -7,7 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
+	store "github.com/eelgrasshub/eelgrasshub/store/standin"
 	"github.com/eelgrasshub/eelgrasshub/target/standin"
 )
 
--- a/trial/permits_test.go
+++ b/trial/permits_test.go
@@ -7,7 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/api"
-	store "github.com/eelgrasshub/eelgrasshub/platform/standin"
+	store "github.com/eelgrasshub/eelgrasshub/store/standin"
 	"github.com/eelgrasshub/eelgrasshub/trial"
 )
 
