--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,95 @@
+package catalog
+
+import (
+	"strings"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// Queue is where jobs of one kind are handed in.
+type Queue struct {
+	Name    string
+	Host    string
+	Prefix  string // of the path; the longest that matches decides
+	Service string
+	Timeout time.Duration // bound on one call of a caller
+	Public  bool          // calls need no key
+	Terms   workload.Terms
+}
+
+// Service is a pool of workers.
+type Service struct {
+	Name string
+	// RejectsOverload: workers refuse what does not fit. Otherwise they start
+	// whatever they are told to.
+	RejectsOverload bool
+	Standby         bool
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	// Guaranteed accelerators belong to the account's jobs of priority 0.
+	Guaranteed int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Catalog is one version of the configuration.
+type Catalog struct {
+	Version  int64
+	Queues   []Queue
+	Services map[string]Service
+	Accounts map[string]Account
+	// Keys maps an API key to the name of its account.
+	Keys   map[string]string
+	Limits Limits
+
+	byHost map[string][]*Queue
+}
+
+// Index prepares c for Match. It is called once, before c is shared.
+func (c *Catalog) Index() *Catalog {
+	c.byHost = map[string][]*Queue{}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		host := strings.ToLower(q.Host)
+		c.byHost[host] = append(c.byHost[host], q)
+	}
+	return c
+}
+
+// Match returns the queue with the longest prefix of path at host, and the rest of
+// the path. host may carry a port.
+func (c *Catalog) Match(host, path string) (q *Queue, rest string, ok bool) {
+	host = strings.ToLower(host)
+	queues, known := c.byHost[host]
+	if !known {
+		name, _, _ := strings.Cut(host, ":")
+		queues = c.byHost[name]
+	}
+	for _, candidate := range queues {
+		if strings.HasPrefix(path, candidate.Prefix) && (q == nil || len(candidate.Prefix) > len(q.Prefix)) {
+			q = candidate
+		}
+	}
+	if q == nil {
+		return nil, "", false
+	}
+	return q, path[len(q.Prefix):], true
+}
+
+// Guaranteed returns the accelerators that an account is guaranteed.
+func (c *Catalog) Guaranteed(account string) int {
+	if c == nil {
+		return 0
+	}
+	return c.Accounts[account].Guaranteed
+}
--- /dev/null
+++ b/catalog/inforce.go
@@ -0,0 +1,80 @@
+package catalog
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// View is the catalog in force and how long it has been known to be the newest.
+type View struct {
+	Catalog *Catalog
+	// Raw is the operators' text that Catalog was decoded from, to be passed on.
+	Raw []byte
+	// ConfirmedAt is a time, on a clock that runs during suspension, at which no
+	// newer version had been acknowledged to an operator.
+	ConfirmedAt time.Duration
+}
+
+// InForce holds the newest version. Readers take no lock; writers may come from
+// several sources (the store's watch, peers) in any order, and an older version
+// never replaces a newer one.
+type InForce struct {
+	mu      sync.Mutex
+	view    atomic.Pointer[View]
+	changed chan struct{}
+}
+
+// NewInForce returns an InForce without a version.
+func NewInForce() *InForce { return &InForce{changed: make(chan struct{})} }
+
+// View returns the present view, and false before the first version is known.
+func (f *InForce) View() (View, bool) {
+	v := f.view.Load()
+	if v == nil {
+		return View{}, false
+	}
+	return *v, true
+}
+
+// Offer takes a version that was the newest at time confirmed. It returns whether
+// it is now in force for the first time.
+func (f *InForce) Offer(c *Catalog, raw []byte, confirmed time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.view.Load()
+	if old != nil && c.Version < old.Catalog.Version {
+		return false
+	}
+	next := &View{Catalog: c, Raw: raw, ConfirmedAt: confirmed}
+	fresh := old == nil || c.Version > old.Catalog.Version
+	if !fresh {
+		next.Catalog, next.Raw = old.Catalog, old.Raw
+		next.ConfirmedAt = max(confirmed, old.ConfirmedAt)
+	}
+	f.view.Store(next)
+	if fresh {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	return fresh
+}
+
+// Confirm says that version was still the newest at time confirmed. It has no
+// effect where another version is in force.
+func (f *InForce) Confirm(version int64, confirmed time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.view.Load()
+	if old == nil || old.Catalog.Version != version || old.ConfirmedAt >= confirmed {
+		return
+	}
+	f.view.Store(&View{Catalog: old.Catalog, Raw: old.Raw, ConfirmedAt: confirmed})
+}
+
+// Changed returns a channel that is closed when the next version is in force.
+func (f *InForce) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
--- a/cmd/eelgrasshub/command.go
+++ b/cmd/eelgrasshub/command.go
@@ -30,6 +30,8 @@
 	return []command{
 		entryCommand(),
 		agentCommand(),
+		gatewayCommand(),
+		nodeAgentCommand(),
 		configCommands(),
 		jobCommands(),
 		reportCommand(),
--- /dev/null
+++ b/cmd/eelgrasshub/counter_text.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"unicode"
+)
+
+// counterText serves the counters of a struct of atomic integers as text, one a line:
+// eelgrasshub_NAME VALUE.
+func counterText(counts any) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		v := reflect.ValueOf(counts).Elem()
+		for i := range v.NumField() {
+			n, ok := v.Field(i).Addr().Interface().(*atomic.Int64)
+			if !ok {
+				continue
+			}
+			_, _ = fmt.Fprintf(w, "eelgrasshub_%s %d\n", snake(v.Type().Field(i).Name), n.Load())
+		}
+	})
+}
+
+// snake turns a Go name into one of metrics.
+func snake(name string) string {
+	var out strings.Builder
+	for i, r := range name {
+		if unicode.IsUpper(r) && i > 0 {
+			out.WriteByte('_')
+		}
+		out.WriteRune(unicode.ToLower(r))
+	}
+	return out.String()
+}
+
+// MetricsHandler implements metered.
+func (r *gatewayRole) MetricsHandler() http.Handler { return counterText(r.gateway.Counts()) }
--- /dev/null
+++ b/cmd/eelgrasshub/gateway.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/gateway"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+)
+
+// gatewayCmd runs a gateway on the operators' platform.
+type gatewayCmd struct {
+	roleOptions
+}
+
+func gatewayCommand() command {
+	return command{
+		name:  "gateway",
+		short: "run a gateway on the operators' platform: callers reach it, and one of all plans",
+		long:  "Stops gracefully on SIGTERM: readiness drops, the planner's duty is handed over, and calls in progress end first.",
+		data:  &gatewayCmd{},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *gatewayCmd) Execute([]string) error {
+	quiet()
+	cfg, err := settings.Load[settings.Gateway](c.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := newLog(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	log = log.WithField("node", cfg.ID)
+	g, err := startGateway(cfg, log)
+	if err != nil {
+		return err
+	}
+	stopMetrics, err := serveMetrics(cfg.MetricsListen, g)
+	if err != nil {
+		return err
+	}
+	defer stopMetrics()
+	return g.serveUntilSignal(cfg.StopGrace.Duration)
+}
+
+// gatewayRole is a gateway with its listeners.
+type gatewayRole struct {
+	gateway *gateway.Gateway
+	store   *platform.KVStore
+	callers *http.Server
+	ready   *http.Server
+	log     *logrus.Entry
+}
+
+func startGateway(cfg settings.Gateway, log *logrus.Entry) (*gatewayRole, error) {
+	kv := platform.OpenStore(cfg.Store)
+	g, err := gateway.Start(platform.GatewayConfig(cfg, kv, log))
+	if err != nil {
+		return nil, err
+	}
+	r := &gatewayRole{gateway: g, store: kv, log: log}
+	r.callers, err = listenHTTP(cfg.CallerListen, platform.NewCallers(g, log), log)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.ReadyListen != "" {
+		r.ready, err = listenHTTP(cfg.ReadyListen, platform.ReadyHandler(g.Ready), log)
+	}
+	return r, err
+}
+
+const (
+	// drainTime is how long a stopping gateway still takes new calls: the balancer
+	// probes once a second and needs two misses.
+	drainTime = 2500 * time.Millisecond
+	// stopMargin is kept from the grace for the last steps.
+	stopMargin = 500 * time.Millisecond
+	// Limits of callers' connections until the operators' configuration says more.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	headerBytes   = 16 << 10
+)
+
+// listenHTTP serves a handler on an address until the server is shut down.
+func listenHTTP(addr string, h http.Handler, log logrus.FieldLogger) (*http.Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+	}
+	go func() {
+		if err := srv.Serve(l); err != http.ErrServerClosed {
+			log.WithError(err).WithField("listen", addr).Error("listener ended")
+		}
+	}()
+	return srv, nil
+}
+
+// serveUntilSignal serves until SIGTERM, and logs SIGHUP: what a gateway reads from its
+// settings does not change within its life.
+func (r *gatewayRole) serveUntilSignal(grace time.Duration) error {
+	awaitStop(r.log)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
+	defer cancel()
+	r.gateway.Drain(ctx)
+	time.Sleep(min(drainTime, grace/2))
+	if err := r.callers.Shutdown(ctx); err != nil {
+		r.log.WithError(err).Warn("calls in progress were cut")
+	}
+	if r.ready != nil {
+		_ = r.ready.Close() // probes need no last answer
+	}
+	return r.gateway.Stop(ctx)
+}
+
+// awaitStop returns at SIGTERM or SIGINT.
+func awaitStop(log logrus.FieldLogger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			log.WithField("signal", s.String()).Info("stopping")
+			return
+		}
+		log.Info("settings file changed; what is in use stays until a restart")
+	}
+}
+
+// quiet silences the QUIC library's notice about socket buffers, which goes around the
+// process's own log.
+func quiet() {
+	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true") // can't fail for a valid name
+}
--- /dev/null
+++ b/cmd/eelgrasshub/node_agent.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/eelgrasshub/eelgrasshub/nodeagent"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/settings"
+)
+
+// nodeAgentCmd runs the process beside a worker of the operators' platform.
+type nodeAgentCmd struct {
+	roleOptions
+}
+
+func nodeAgentCommand() command {
+	return command{
+		name:  "node-agent",
+		short: "run the process beside a worker of the operators' platform",
+		long:  "Stops at once on SIGTERM: what runs goes on under its lease until the next agent takes it up.",
+		data:  &nodeAgentCmd{},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *nodeAgentCmd) Execute([]string) error {
+	quiet()
+	cfg, err := settings.Load[settings.NodeAgent](c.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := newLog(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	log = log.WithField("node", cfg.ID)
+	a, err := nodeagent.Start(platform.NodeAgentConfig(cfg, log))
+	if err != nil {
+		return err
+	}
+	registry, err := listenHTTP(cfg.RegistryListen, platform.RegistryHandler(a), log)
+	if err != nil {
+		return err
+	}
+	stopMetrics, err := serveMetrics(cfg.MetricsListen, agentMetrics{a})
+	if err != nil {
+		return err
+	}
+	defer stopMetrics()
+	awaitStop(log)
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.StopGrace.Duration)
+	defer cancel()
+	if err := registry.Shutdown(ctx); err != nil {
+		log.WithError(err).Warn("heartbeats were cut")
+	}
+	return a.Stop(ctx)
+}
+
+type agentMetrics struct{ agent *nodeagent.Agent }
+
+// MetricsHandler implements metered.
+func (m agentMetrics) MetricsHandler() http.Handler { return counterText(m.agent.Counts()) }
--- /dev/null
+++ b/engine/action.go
@@ -0,0 +1,56 @@
+package engine
+
+import "github.com/eelgrasshub/eelgrasshub/workload"
+
+// Action is an output of Engine.Step.
+type Action interface{ isAction() }
+
+// StartOrder starts one run.
+type StartOrder struct {
+	Run        workload.RunID `cbor:"1,keyasint"`
+	Spec       string         `cbor:"2,keyasint,omitempty"`
+	Checkpoint string         `cbor:"3,keyasint,omitempty"`
+}
+
+// StartOutcome is what became of a StartOrder.
+type StartOutcome int
+
+// Outcomes. All but StartUnknown are certain.
+const (
+	StartUnknown StartOutcome = iota
+	StartOK
+	StartNotSent // the order did not reach the worker and never will
+	StartFull    // the worker has no room
+	StartOld     // the worker knows a run as high
+	StartLate    // the order was too old when it arrived
+	StartFenced  // a newer planner gives the orders
+	StartUnhealthy
+	StartInvalid
+	StartDraining
+)
+
+// StartResult is the outcome of one start.
+type StartResult struct {
+	Run     workload.RunID `cbor:"1,keyasint"`
+	Outcome StartOutcome   `cbor:"2,keyasint"`
+}
+
+// Orders go to one worker's agent, all at once.
+type Orders struct {
+	Worker WorkerID
+	Agent  string
+	Starts []StartOrder
+	Stops  []workload.RunID
+}
+
+// Decided is one decision that touches a job, for the log.
+type Decided struct {
+	Job    workload.JobID
+	What   string
+	Detail string
+	Run    workload.RunID
+	Worker WorkerID
+}
+
+func (Orders) isAction()  {}
+func (Decided) isAction() {}
--- /dev/null
+++ b/engine/ends.go
@@ -0,0 +1,165 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// ended handles one listed end. It returns the job that must be stored before the
+// worker may forget the end, nil where nothing depends on it.
+func (e *Engine) ended(now time.Duration, w *worker, row EndRow) *job {
+	delete(w.strays, row.Run)
+	p := w.places[row.Run.Task]
+	if p == nil || p.run != row.Run.Number {
+		return nil
+	}
+	reason := row.Reason
+	if row.Void && (reason == EndDone || reason == EndFailed) {
+		reason = EndLapsed
+	}
+	u := p.unit
+	if row.Checkpoint != "" {
+		u.saved = row.Checkpoint
+	}
+	e.judge(now, p, reason)
+	e.over(now, p)
+	e.change(u.job)
+	return u.job
+}
+
+// judge settles what an end means for the run of its unit.
+func (e *Engine) judge(now time.Duration, p *placement, reason EndReason) {
+	u := p.unit
+	e.decided(p, "ended", string(reason))
+	switch reason {
+	case EndDone:
+		p.worker.health.succeeded()
+		e.learn(now, p)
+		if u.spec().LongRunning {
+			e.retry(u)
+			return
+		}
+		e.unitDone(now, u)
+	case EndFailed:
+		p.worker.health.failed(u, now)
+		e.unitFailed(now, p)
+	default:
+		e.retry(u)
+	}
+}
+
+func (e *Engine) retry(u *unit) {
+	if u.verdict == verdictNone {
+		u.verdict = verdictRetry
+	}
+}
+
+// unitDone counts the work of a unit as done. For a gang the first member to say so
+// speaks for all.
+func (e *Engine) unitDone(now time.Duration, u *unit) {
+	if u.state == unitDone {
+		return
+	}
+	u.verdict = verdictDone
+	u.state = unitDone
+	e.change(u.job)
+	e.advance(now, u.job)
+}
+
+func (e *Engine) unitFailed(now time.Duration, p *placement) {
+	u := p.unit
+	if u.state == unitDone {
+		return
+	}
+	if u.failedOn == nil {
+		u.failedOn = map[WorkerID]bool{}
+	}
+	u.failedOn[p.worker.info.ID] = true
+	if u.spec().LongRunning {
+		e.retry(u)
+		return
+	}
+	u.failures++
+	e.retry(u)
+	limit := u.job.spec.Terms.MaxAttempts
+	if limit > 0 && u.failures >= limit && !u.job.state.Final() {
+		u.state = unitFailed
+		e.finish(now, u.job, workload.Failed, "a task failed as often as its queue allows")
+	}
+}
+
+// over frees what a placement held. When the last of a run is over, the unit waits
+// again or is settled.
+func (e *Engine) over(now time.Duration, p *placement) {
+	w := p.worker
+	if w.places[p.task()] == p {
+		delete(w.places, p.task())
+		w.used = w.used.Sub(p.demand)
+	}
+	u := p.unit
+	u.places = slices.DeleteFunc(u.places, func(o *placement) bool { return o == p })
+	e.replan = true
+	if len(u.places) > 0 {
+		e.stopRest(now, u)
+		return
+	}
+	if u.state == unitActive {
+		u.state = unitWaiting
+		u.since = now
+	}
+	u.verdict = verdictNone
+}
+
+// stopRest stops the members of a gang that one member has left. Those of a run that
+// is done end by themselves.
+func (e *Engine) stopRest(now time.Duration, u *unit) {
+	if u.verdict == verdictRetry {
+		e.stopAll(now, u)
+	}
+}
+
+// stopAll decides that the present run of a unit ends.
+func (e *Engine) stopAll(now time.Duration, u *unit) {
+	if u.state == unitActive && u.verdict == verdictNone {
+		u.verdict = verdictRetry
+	}
+	for _, p := range slices.Clone(u.places) {
+		e.stop(now, p)
+	}
+}
+
+// stop orders one run to end, or drops it where no order has left.
+func (e *Engine) stop(now time.Duration, p *placement) {
+	if p.stopping {
+		return
+	}
+	p.stopping = true
+	if p.state == placeRecording {
+		e.over(now, p)
+		return
+	}
+	e.sendStop(now, p)
+}
+
+func (e *Engine) sendStop(now time.Duration, p *placement) {
+	p.stopSent = now
+	if !p.worker.attached {
+		return
+	}
+	o := e.ordersFor(p.worker)
+	o.Stops = append(o.Stops, p.id())
+	e.decided(p, "stop", "")
+}
+
+// lost ends a placement whose run is certainly over without a listed end.
+func (e *Engine) lost(now time.Duration, p *placement, why string) {
+	e.decided(p, "lost", why)
+	if p.saved != "" {
+		p.unit.saved = p.saved
+	}
+	e.retry(p.unit)
+	e.over(now, p)
+	e.change(p.unit.job)
+}
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,126 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/catalog"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// Engine holds one planner's jobs, workers and decisions.
+type Engine struct {
+	params  Params
+	epoch   uint64
+	catalog *catalog.Catalog
+	began   time.Duration
+
+	jobs     map[workload.JobID]*job
+	workers  map[WorkerID]*worker
+	byAgent  map[string]WorkerID
+	tracker  tracker
+	lastPlan time.Duration
+	// workersChanged is when a worker last came, which may make a job possible.
+	workersChanged time.Duration
+	wall           time.Time
+
+	dirty       map[workload.JobID]bool
+	unrecorded  map[WorkerID]*worker
+	goneWorkers map[WorkerID]bool
+	expired     map[workload.JobID]bool
+	// cancels of jobs that are not known yet.
+	cancels map[workload.JobID]bool
+
+	orders  map[*worker]*Orders
+	actions []Action
+	replan  bool
+}
+
+// New returns an Engine for one term of a planner.
+func New(params Params, epoch uint64, now time.Duration) *Engine {
+	return &Engine{
+		params:         params,
+		epoch:          epoch,
+		began:          now,
+		workersChanged: now,
+		jobs:           map[workload.JobID]*job{},
+		workers:        map[WorkerID]*worker{},
+		byAgent:        map[string]WorkerID{},
+		tracker:        newTracker(),
+		dirty:          map[workload.JobID]bool{},
+		unrecorded:     map[WorkerID]*worker{},
+		goneWorkers:    map[WorkerID]bool{},
+		expired:        map[workload.JobID]bool{},
+		cancels:        map[workload.JobID]bool{},
+		orders:         map[*worker]*Orders{},
+	}
+}
+
+// Step handles one event.
+func (e *Engine) Step(now time.Duration, event Event) {
+	switch ev := event.(type) {
+	case Submitted:
+		e.submit(now, ev)
+	case CancelRequested:
+		e.cancel(now, ev.Job)
+	case Restored:
+		e.restore(now, ev)
+	case WorkerRestored:
+		e.restoreWorker(now, ev.Info)
+	case OrdersEnded:
+		e.ordersEnded(now, ev)
+	case Stored:
+		e.stored(now, ev.Write)
+	case CatalogChanged:
+		e.catalog = ev.Catalog
+		e.replan = true
+	case Tick:
+		e.tick(now, ev)
+	case Reported:
+		e.Report(now, ev.Report)
+	default:
+		panic("engine: unknown event")
+	}
+}
+
+// Decide places waiting work and returns what is to be done since the last call.
+func (e *Engine) Decide(now time.Duration) []Action {
+	if e.replan {
+		e.replan = false
+		e.plan(now)
+	}
+	for w, o := range e.orders {
+		e.actions = append(e.actions, *o)
+		delete(e.orders, w)
+	}
+	actions := e.actions
+	e.actions = nil
+	return actions
+}
+
+func (e *Engine) ordersFor(w *worker) *Orders {
+	o := e.orders[w]
+	if o == nil {
+		o = &Orders{Worker: w.info.ID, Agent: w.info.Agent}
+		e.orders[w] = o
+	}
+	return o
+}
+
+func (e *Engine) decided(p *placement, what, detail string) {
+	e.actions = append(e.actions, Decided{
+		Job:    p.unit.job.spec.ID,
+		What:   what,
+		Detail: detail,
+		Run:    p.id(),
+		Worker: p.worker.info.ID,
+	})
+}
+
+func (e *Engine) decidedJob(j *job, what, detail string) {
+	e.actions = append(e.actions, Decided{Job: j.spec.ID, What: what, Detail: detail})
+}
+
+func (e *Engine) change(j *job) {
+	j.touched()
+	e.dirty[j.spec.ID] = true
+}
--- /dev/null
+++ b/engine/health.go
@@ -0,0 +1,52 @@
+package engine
+
+import "time"
+
+// Health of workers that fail what they start, or refuse it, while their health
+// check is good. Failures count only where different units meet them in a row: a job
+// that fails by its own fault fails on every worker.
+const (
+	// firstRest is how long a worker gets nothing after its second failure in a row;
+	// each further one doubles it, up to maxRest. Disruptions of this kind last about
+	// five seconds, so a worker is tried again two or three times in one.
+	firstRest = 1500 * time.Millisecond
+	maxRest   = 12 * time.Second
+	// restAfter is the number of failures in a row that make a worker rest.
+	restAfter = 2
+)
+
+// health is what a worker's past runs say of it.
+type health struct {
+	failures int
+	last     *unit
+	rests    time.Duration
+	until    time.Duration
+	// pace is the measured time of work in parts of what the others take; 1 at first.
+	pace float64
+}
+
+func (h *health) failed(u *unit, now time.Duration) {
+	if h.last == u {
+		return
+	}
+	h.last = u
+	h.failures++
+	if h.failures < restAfter {
+		return
+	}
+	h.rest(now)
+}
+
+// rest keeps work away from the worker for a while.
+func (h *health) rest(now time.Duration) {
+	h.rests = min(max(2*h.rests, firstRest), maxRest)
+	h.until = max(h.until, now+h.rests)
+}
+
+func (h *health) succeeded() { *h = health{pace: h.pace} }
+
+// resting says whether new tasks should go elsewhere.
+func (h *health) resting(now time.Duration) bool { return now < h.until }
+
+// suspicion orders workers: those without failures first.
+func (h *health) suspicion() int { return min(h.failures, restAfter) }
--- /dev/null
+++ b/engine/job.go
@@ -0,0 +1,103 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// job is an accepted job and what is known of its units.
+type job struct {
+	spec  workload.Job
+	order int64 // revision at which it was accepted
+	// accepted is on the engine's clock.
+	accepted time.Duration
+	units    []*unit
+	// created are the occurrences whose units exist.
+	created  int
+	state    workload.State
+	reason   string
+	begun    bool // a task has started
+	canceled bool
+	endedAt  time.Duration
+	// version counts changes that have to be on record; stored is the last that is.
+	version int
+	stored  int
+	// finalAt is the version that made the state final.
+	finalAt int
+	// chain is the estimate of the longest chain of work.
+	chain time.Duration
+	// removed: the records are being removed.
+	removed bool
+}
+
+// touched marks a change that has to be on record.
+func (j *job) touched() { j.version++ }
+
+// Visible is the state that may be told: a final one only once it is on record.
+func (j *job) visible() workload.State {
+	if j.state.Final() && j.stored < j.finalAt {
+		if j.state == workload.Cancelled {
+			return j.state // the request itself is on record
+		}
+		return workload.Running
+	}
+	if !j.state.Final() && j.begun {
+		return workload.Running
+	}
+	return j.state
+}
+
+// objective returns the time by which the job should be completed.
+func (j *job) objective() time.Duration {
+	stretch := j.spec.Terms.Stretch
+	if stretch <= 0 {
+		stretch = 1
+	}
+	return j.accepted + time.Duration(stretch*float64(j.chain)) + j.spec.Terms.TargetLatency
+}
+
+// stepDone says whether all tasks of a step of an occurrence are done.
+func (j *job) stepDone(occurrence, step int) bool {
+	for _, u := range j.units {
+		if u.occurrence == occurrence && u.step == step && u.state != unitDone {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) ready(u *unit) bool {
+	for _, before := range u.spec().After {
+		if !j.stepDone(u.occurrence, before) {
+			return false
+		}
+	}
+	return true
+}
+
+// create makes the units of the next occurrence.
+func (j *job) create(now time.Duration) {
+	k := j.created
+	j.created++
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		if s.Gang {
+			j.units = append(j.units, &unit{job: j, occurrence: k, step: i, size: s.Count, since: now})
+			continue
+		}
+		for n := range s.Count {
+			j.units = append(j.units, &unit{job: j, occurrence: k, step: i, index: n, size: 1, since: now})
+		}
+	}
+}
+
+// unblock moves the units whose earlier steps are done to the queue.
+func (j *job) unblock(now time.Duration) {
+	for _, u := range j.units {
+		if u.state == unitBlocked && j.ready(u) {
+			u.state = unitWaiting
+			u.since = now
+		}
+	}
+}
--- /dev/null
+++ b/engine/jobs.go
@@ -0,0 +1,123 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// submit takes a job that is on record. A repeated one changes nothing.
+func (e *Engine) submit(now time.Duration, ev Submitted) {
+	if e.jobs[ev.Job.ID] != nil || e.expired[ev.Job.ID] {
+		return
+	}
+	j := e.adopt(now, ev)
+	e.decidedJob(j, "accepted", "")
+	if e.cancels[ev.Job.ID] {
+		delete(e.cancels, ev.Job.ID)
+		e.cancel(now, ev.Job.ID)
+		return
+	}
+	e.occur(now, j)
+	j.unblock(now)
+	e.replan = true
+}
+
+func (e *Engine) adopt(now time.Duration, ev Submitted) *job {
+	j := &job{
+		spec:     ev.Job,
+		order:    ev.Order,
+		accepted: now - ev.Age,
+		state:    workload.Queued,
+		chain:    ev.Job.Chain(),
+	}
+	e.jobs[ev.Job.ID] = j
+	return j
+}
+
+// occur makes the units of the occurrences that are due.
+func (e *Engine) occur(now time.Duration, j *job) {
+	for j.created < j.spec.Occurrences() {
+		due, scheduled := j.spec.Due(j.created)
+		if scheduled && (e.wall.IsZero() || e.wall.Before(due)) {
+			return
+		}
+		j.create(now)
+	}
+}
+
+// cancel ends a job at the caller's request: nothing of it starts any more.
+func (e *Engine) cancel(now time.Duration, id workload.JobID) {
+	j := e.jobs[id]
+	if j == nil {
+		e.cancels[id] = true
+		return
+	}
+	if j.canceled || j.state.Final() {
+		return
+	}
+	j.canceled = true
+	e.finish(now, j, workload.Cancelled, "cancelled by the caller")
+}
+
+// finish makes a job's state final and stops what still runs of it.
+func (e *Engine) finish(now time.Duration, j *job, state workload.State, reason string) {
+	j.state = state
+	j.reason = reason
+	j.endedAt = now
+	e.change(j)
+	j.finalAt = j.version
+	e.decidedJob(j, string(state), reason)
+	for _, u := range j.units {
+		e.dropClaims(u)
+		if state != workload.Completed {
+			e.stopAll(now, u)
+		}
+	}
+	e.replan = true
+}
+
+// advance moves a job on after one of its units was done.
+func (e *Engine) advance(now time.Duration, j *job) {
+	if j.state.Final() {
+		return
+	}
+	j.unblock(now)
+	if j.created < j.spec.Occurrences() {
+		return
+	}
+	for _, u := range j.units {
+		if u.state != unitDone {
+			return
+		}
+	}
+	e.finish(now, j, workload.Completed, "")
+}
+
+// Lookup is what a caller may be told of a job.
+type Lookup struct {
+	State   workload.State
+	Queue   string
+	Account string
+	Reason  string
+}
+
+// Lookup returns the state of a job, and false for one that is not known.
+func (e *Engine) Lookup(id workload.JobID) (Lookup, bool) {
+	j := e.jobs[id]
+	if j == nil {
+		return Lookup{}, false
+	}
+	return Lookup{State: j.visible(), Queue: j.spec.Queue, Account: j.spec.Account, Reason: j.reason}, true
+}
+
+// Pending returns how many jobs of each queue have not begun.
+func (e *Engine) Pending() map[string]int {
+	out := map[string]int{}
+	for _, j := range e.jobs {
+		if !j.begun && !j.state.Final() {
+			out[j.spec.Queue]++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/engine/orders.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// ordersEnded handles the answers to orders. Only a certain refusal frees the room;
+// an order without an answer may still be carried out, so its run is stopped and
+// keeps its room until that is confirmed.
+func (e *Engine) ordersEnded(now time.Duration, ev OrdersEnded) {
+	w := e.workers[ev.Worker]
+	if w == nil {
+		return
+	}
+	for _, r := range ev.Starts {
+		p := w.places[r.Run.Task]
+		if p == nil || p.run != r.Run.Number || p.state != placeOrdered {
+			continue
+		}
+		e.started(now, p, r.Outcome)
+	}
+}
+
+func (e *Engine) started(now time.Duration, p *placement, outcome StartOutcome) {
+	switch outcome {
+	case StartOK:
+		e.running(now, p)
+		return
+	case StartUnknown:
+		e.decided(p, "start unanswered", "")
+		p.worker.health.failed(p.unit, now)
+		e.retry(p.unit)
+		e.stopAll(now, p.unit)
+		return
+	case StartUnhealthy:
+		p.worker.health.rest(now)
+	case StartInvalid:
+		e.decided(p, "start invalid", "")
+	}
+	e.decided(p, "start refused", outcome.String())
+	if outcome == StartFenced || outcome == StartNotSent {
+		p.unit.notBefore = now + refusedPause
+	}
+	e.retry(p.unit)
+	e.over(now, p)
+	e.change(p.unit.job)
+}
+
+// refusedPause keeps a unit from being placed again at once after an order that could
+// not be delivered; the connection is replaced or given up within that time.
+const refusedPause = 100 * time.Millisecond
+
+// running notes that a run is there.
+func (e *Engine) running(now time.Duration, p *placement) {
+	if p.state == placeRunning {
+		return
+	}
+	if p.state == placeAdopted {
+		p.movedAt = now
+		p.savedAt = now
+	}
+	p.state = placeRunning
+	if p.began == 0 {
+		p.began = now
+	}
+	j := p.unit.job
+	if !j.begun {
+		j.begun = true
+		if j.state == workload.Queued {
+			j.state = workload.Running
+		}
+	}
+}
+
+var outcomeNames = [...]string{
+	StartUnknown:   "unknown",
+	StartOK:        "ok",
+	StartNotSent:   "not sent",
+	StartFull:      "no room",
+	StartOld:       "run number too low",
+	StartLate:      "too late",
+	StartFenced:    "newer planner",
+	StartUnhealthy: "unhealthy",
+	StartInvalid:   "invalid",
+	StartDraining:  "draining",
+}
+
+// String returns a name for logs.
+func (o StartOutcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return "unnamed"
+	}
+	return outcomeNames[o]
+}
--- /dev/null
+++ b/engine/params.go
@@ -0,0 +1,45 @@
+package engine
+
+import "time"
+
+// Params are the bounds of a deployment.
+type Params struct {
+	// MaxHold is the longest lease that a worker grants what runs on it.
+	MaxHold time.Duration
+	// StopTime is how long a stopped task may take to end.
+	StopTime time.Duration
+	// RemoteFactor is how many times longer a task takes away from its data, or a
+	// gang when spread over racks.
+	RemoteFactor float64
+	// Restore is what resuming from a checkpoint costs.
+	Restore time.Duration
+	// CheckpointEvery is the work between two checkpoints.
+	CheckpointEvery time.Duration
+	// Reclaim is how long a guaranteed job may wait for its accelerators.
+	Reclaim time.Duration
+	// Retention is how long the state of an ended job is kept.
+	Retention time.Duration
+	// Early is how much before its time an occurrence may start.
+	Early time.Duration
+}
+
+// Limits of the engine's own making.
+const (
+	// clockRate is how much a worker's clock may run slow, with a margin.
+	clockRate = 1.03
+	// lapseSlack covers the time in which an agent handles the answer that grants.
+	lapseSlack = 150 * time.Millisecond
+	// reportTimeout: an agent that was silent for so long gets no new tasks. Agents
+	// report at least every half second.
+	reportTimeout = 1200 * time.Millisecond
+	// stopRetry is when an order to stop is sent again; a worker answers within
+	// milliseconds, and the end is listed within Params.StopTime.
+	stopRetry = 700 * time.Millisecond
+	// retentionSlack is kept beyond Params.Retention.
+	retentionSlack = 30 * time.Second
+)
+
+// lapse returns when a lease granted now has certainly lapsed.
+func (p Params) lapse(now time.Duration) time.Duration {
+	return now + time.Duration(float64(p.MaxHold)*clockRate) + lapseSlack
+}
--- /dev/null
+++ b/engine/placement.go
@@ -0,0 +1,52 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// placeState is how far a placement has come.
+type placeState int
+
+const (
+	// placeRecording: decided, not yet on record; no order has left.
+	placeRecording placeState = iota
+	// placeOrdered: the order may have left; the answer is not known.
+	placeOrdered
+	// placeAdopted: taken from the records of a predecessor; the worker has not
+	// reported yet.
+	placeAdopted
+	// placeRunning: the worker confirmed it.
+	placeRunning
+)
+
+// placement is one run of one task on one worker, until it is certainly over.
+type placement struct {
+	unit    *unit
+	index   int
+	worker  *worker
+	run     int
+	state   placeState
+	demand  workload.Resources
+	percent int
+	// saved is the last checkpoint seen.
+	saved string
+	// began is when the start was confirmed, movedAt when percent last grew.
+	began   time.Duration
+	movedAt time.Duration
+	// savedAt is when saved last changed.
+	savedAt time.Duration
+	// stopping: a stop was decided; stopSent is when it was last sent.
+	stopping bool
+	stopSent time.Duration
+	missing  int // looks in a row that did not show it
+}
+
+func (p *placement) task() workload.TaskID {
+	return workload.TaskID{Job: p.unit.job.spec.ID, Occurrence: p.unit.occurrence, Step: p.unit.step, Index: p.index}
+}
+
+func (p *placement) id() workload.RunID {
+	return workload.RunID{Task: p.task(), Number: p.run}
+}
--- /dev/null
+++ b/engine/plan.go
@@ -0,0 +1,171 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// maxReservations is how many units that can't start now have room kept for them.
+// Each costs a simulation of all releases; the first few keep large gangs from
+// waiting for ever behind small ones.
+const maxReservations = 4
+
+// round is one pass over the queue.
+type round struct {
+	e         *Engine
+	now       time.Duration
+	workers   []*worker // usable, in a fixed order
+	racks     map[string][]*worker
+	protected map[*job]bool
+	// claimed is room being emptied, by worker.
+	claimed map[*worker]workload.Resources
+	// reserved is room kept for a unit from a time on.
+	reserved map[*worker][]reservation
+	kept     int
+	// full are steps one of whose units found no room in this round.
+	full map[stepKey]bool
+}
+
+type reservation struct {
+	room workload.Resources
+	at   time.Duration
+}
+
+type stepKey struct {
+	job        *job
+	occurrence int
+	step       int
+}
+
+// plan places what waits.
+func (e *Engine) plan(now time.Duration) {
+	e.lastPlan = now
+	r := e.newRound(now)
+	e.leave(r)
+	for _, u := range e.queue(now, r.protected) {
+		r.serve(u)
+	}
+}
+
+func (e *Engine) newRound(now time.Duration) *round {
+	r := &round{
+		e:         e,
+		now:       now,
+		racks:     map[string][]*worker{},
+		protected: e.protected(),
+		claimed:   map[*worker]workload.Resources{},
+		reserved:  map[*worker][]reservation{},
+		full:      map[stepKey]bool{},
+	}
+	for _, w := range e.sortedWorkers() {
+		if w.usable(now) {
+			r.workers = append(r.workers, w)
+			r.racks[w.info.Rack] = append(r.racks[w.info.Rack], w)
+		}
+	}
+	for _, j := range e.jobs {
+		for _, u := range j.units {
+			r.renewClaims(u)
+		}
+	}
+	return r
+}
+
+// renewClaims drops claims whose room did not come in time and counts the others.
+func (r *round) renewClaims(u *unit) {
+	if len(u.claims) == 0 {
+		return
+	}
+	if u.state != unitWaiting || r.now-u.claimedAt > r.e.params.StopTime+claimSlack {
+		r.e.dropClaims(u)
+		return
+	}
+	for w, n := range u.claims {
+		r.claimed[w] = r.claimed[w].Add(u.demand().Times(n))
+	}
+}
+
+// serve places one unit, keeps room for it, or empties room for it.
+func (r *round) serve(u *unit) {
+	key := stepKey{u.job, u.occurrence, u.step}
+	if r.full[key] {
+		return
+	}
+	if workers := r.fit(u); workers != nil {
+		r.place(u, workers)
+		return
+	}
+	r.full[key] = true
+	if r.evict(u) {
+		return
+	}
+	if r.kept < maxReservations {
+		r.reserve(u)
+	}
+}
+
+// place decides a run: its room is taken from now on, its orders leave when the
+// placement is on record.
+func (r *round) place(u *unit, workers []*worker) {
+	r.unclaim(u)
+	u.run++
+	u.state = unitActive
+	u.verdict = verdictNone
+	for i, index := range u.indexes() {
+		r.e.put(u, index, workers[i])
+	}
+	r.e.change(u.job)
+	r.e.decided(u.places[0], "place", "")
+}
+
+func (r *round) unclaim(u *unit) {
+	for w, n := range u.claims {
+		r.claimed[w] = r.claimed[w].Sub(u.demand().Times(n))
+	}
+	u.claims = nil
+}
+
+// room returns what u may take of w now: what is free, less what is being emptied for
+// others, less what is kept for others from a time at which u would still run.
+func (r *round) room(u *unit, w *worker) workload.Resources {
+	free := w.free().Sub(r.claimed[w])
+	if n := u.claims[w]; n > 0 {
+		free = free.Add(u.demand().Times(n))
+	}
+	end := r.now + r.e.estimate(u)
+	for _, kept := range r.reserved[w] {
+		if end > kept.at {
+			free = free.Sub(kept.room)
+		}
+	}
+	return free
+}
+
+// slots returns how many members of u fit on w now.
+func (r *round) slots(u *unit, w *worker) int {
+	if !r.e.eligible(u, w) || w.health.resting(r.now) {
+		return 0
+	}
+	return r.e.bounded(u, w, u.demand().Fits(r.room(u, w), u.size))
+}
+
+// eligible says whether u may run on w at all.
+func (e *Engine) eligible(u *unit, w *worker) bool {
+	return w.info.Service == u.job.spec.Service && w.hasLabel(u.spec().Label)
+}
+
+// bounded applies the step's bound of tasks on one worker.
+func (e *Engine) bounded(u *unit, w *worker, n int) int {
+	bound := u.spec().MaxPerWorker
+	if bound == 0 || n <= 0 {
+		return n
+	}
+	for _, p := range w.places {
+		o := p.unit
+		if o.job == u.job && o.step == u.step && o.occurrence == u.occurrence {
+			bound--
+		}
+	}
+	return max(0, min(n, bound))
+}
--- /dev/null
+++ b/engine/progress.go
@@ -0,0 +1,79 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// Progress is the durable form of what became of a job.
+type Progress struct {
+	// Epoch and Version make each write of a record unlike every other.
+	Epoch   uint64         `json:"epoch"`
+	Version int            `json:"v"`
+	State   workload.State `json:"state"`
+	Reason  string         `json:"reason,omitempty"`
+	Begun   bool           `json:"begun,omitempty"`
+	Created int            `json:"created,omitempty"`
+	Units   []UnitProgress `json:"units,omitempty"` // those that are not as at first
+	// EndedAt is wall time; records are removed some time after.
+	EndedAt time.Time `json:"ended,omitzero"`
+}
+
+// UnitProgress is the durable form of a unit.
+type UnitProgress struct {
+	Occurrence int     `json:"k,omitempty"`
+	Step       int     `json:"s,omitempty"`
+	Index      int     `json:"i,omitempty"`
+	Run        int     `json:"r,omitempty"`
+	Failures   int     `json:"f,omitempty"`
+	Done       bool    `json:"d,omitempty"`
+	Saved      string  `json:"c,omitempty"`
+	Places     []Place `json:"p,omitempty"`
+}
+
+// Place says which worker may hold a member's run.
+type Place struct {
+	Index  int      `json:"i,omitempty"`
+	Worker WorkerID `json:"w"`
+}
+
+func (u *unit) progress() UnitProgress {
+	p := UnitProgress{
+		Occurrence: u.occurrence,
+		Step:       u.step,
+		Index:      u.index,
+		Run:        u.run,
+		Failures:   u.failures,
+		Done:       u.state == unitDone,
+		Saved:      u.saved,
+	}
+	if p.Done {
+		p.Saved = ""
+	}
+	for _, place := range u.places {
+		p.Places = append(p.Places, Place{Index: place.index, Worker: place.worker.info.ID})
+	}
+	return p
+}
+
+func (u *unit) untouched() bool {
+	return u.run == 0 && u.state != unitDone
+}
+
+func (j *job) progress(epoch uint64, now time.Duration, wall time.Time) *Progress {
+	p := &Progress{Epoch: epoch, Version: j.version, State: j.state, Reason: j.reason, Begun: j.begun, Created: j.created}
+	if j.state.Final() {
+		p.EndedAt = wall.Add(j.endedAt - now)
+	}
+	for _, u := range j.units {
+		if u.untouched() {
+			continue
+		}
+		if j.state.Final() && len(u.places) == 0 {
+			continue
+		}
+		p.Units = append(p.Units, u.progress())
+	}
+	return p
+}
--- /dev/null
+++ b/engine/report.go
@@ -0,0 +1,71 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// EndReason is how a run ended at its worker.
+type EndReason string
+
+// Reasons.
+const (
+	EndDone    EndReason = "done"
+	EndFailed  EndReason = "failed"  // by its own fault or the worker's
+	EndStopped EndReason = "stopped" // on an order
+	EndLapsed  EndReason = "lapsed"  // the worker's lease ran out
+	EndBroken  EndReason = "broken"  // another member of the gang ended
+	EndAlone   EndReason = "alone"   // the other members did not come
+)
+
+// RunningRow is a run that is there now.
+type RunningRow struct {
+	Run        workload.RunID `cbor:"1,keyasint"`
+	Checkpoint string         `cbor:"2,keyasint,omitempty"`
+	Percent    int            `cbor:"3,keyasint,omitempty"`
+}
+
+// EndRow is a run that has ended. Number counts the ends of one life of a worker.
+type EndRow struct {
+	Number     int64          `cbor:"1,keyasint"`
+	Run        workload.RunID `cbor:"2,keyasint"`
+	Reason     EndReason      `cbor:"3,keyasint"`
+	Checkpoint string         `cbor:"4,keyasint,omitempty"`
+	// Void: the worker's lease ran out between the end and this report, so the end
+	// counts as not having been.
+	Void bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Report is one look of an agent at its worker.
+type Report struct {
+	Worker WorkerInfo `cbor:"1,keyasint"`
+	// Epoch is the planner's epoch that the worker has seen; orders of older ones
+	// are refused there.
+	Epoch     uint64        `cbor:"2,keyasint,omitempty"`
+	Draining  bool          `cbor:"3,keyasint,omitempty"`
+	Remaining time.Duration `cbor:"4,keyasint,omitempty"` // while draining
+	// Silent: the worker has not answered for a while, and nothing extends its lease,
+	// which lapses within LeaseLeft.
+	Silent    bool             `cbor:"5,keyasint,omitempty"`
+	LeaseLeft time.Duration    `cbor:"6,keyasint,omitempty"`
+	Running   []RunningRow     `cbor:"7,keyasint,omitempty"`
+	Ended     []EndRow         `cbor:"8,keyasint,omitempty"`
+	Absent    []workload.RunID `cbor:"9,keyasint,omitempty"` // stopped before, and not there
+	Left      bool             `cbor:"10,keyasint,omitempty"`
+	// Looked: Running is the worker's own answer, not older than this report's
+	// predecessor.
+	Looked bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Verdict is the answer to a report.
+type Verdict struct {
+	// Known is false for a worker that the engine holds to be gone.
+	Known bool
+	// Attached: the report was made under this engine's epoch.
+	Attached bool
+	// Seen: ends up to it may be forgotten.
+	Seen int64
+	// Waiting: ends of this report are not on record yet.
+	Waiting bool
+}
--- /dev/null
+++ b/engine/reports.go
@@ -0,0 +1,234 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// missingLooks is how many looks in a row may fail to show a running task before it is
+// stopped: a look may be overtaken by the start's own answer, but not three of them.
+const missingLooks = 3
+
+// Report handles an agent's report and returns the answer to it, which extends the
+// worker's lease: the caller sends it at once.
+func (e *Engine) Report(now time.Duration, r Report) Verdict {
+	if r.Left {
+		e.gone(now, r.Worker.ID, "left")
+		return Verdict{}
+	}
+	w := e.meet(now, r.Worker)
+	attached := r.Epoch == e.epoch
+	w.lastReport = now
+	e.drain(now, w, r)
+	if !attached {
+		// Nothing is granted: what the worker's lease allows is bounded already.
+		return Verdict{Known: true, Seen: w.seen}
+	}
+	first := !w.attached
+	w.attached = true
+	e.hold(now, w, r)
+	if r.Looked {
+		e.look(now, w, r)
+	}
+	if first {
+		e.settleAdopted(now, w, r)
+		e.replan = true
+	}
+	return Verdict{Known: true, Attached: true, Seen: w.forgettable(), Waiting: len(w.pending) > 0}
+}
+
+// Seen returns up to which end a worker may forget, and whether more ends wait to be
+// recorded.
+func (e *Engine) Seen(id WorkerID) (seen int64, waiting bool) {
+	w := e.workers[id]
+	if w == nil {
+		return 0, false
+	}
+	return w.forgettable(), len(w.pending) > 0
+}
+
+// meet returns the worker that reports, which may be new. A new life of the worker
+// beside the same agent proves that the one before is over.
+func (e *Engine) meet(now time.Duration, info WorkerInfo) *worker {
+	if old, ok := e.byAgent[info.Agent]; ok && old != info.ID {
+		e.gone(now, old, "replaced by a new life")
+	}
+	w := e.workers[info.ID]
+	if w == nil {
+		w = e.addWorker(now, info)
+		e.unrecorded[info.ID] = w
+	}
+	e.byAgent[info.Agent] = info.ID
+	return w
+}
+
+func (e *Engine) addWorker(now time.Duration, info WorkerInfo) *worker {
+	w := &worker{
+		info:       info,
+		places:     map[workload.TaskID]*placement{},
+		strays:     map[workload.RunID]time.Duration{},
+		lastReport: now,
+		lapseAt:    e.params.lapse(now),
+		health:     health{pace: 1},
+	}
+	e.workers[info.ID] = w
+	e.workersChanged = now
+	e.replan = true
+	return w
+}
+
+func (e *Engine) drain(now time.Duration, w *worker, r Report) {
+	if !r.Draining {
+		return
+	}
+	if !w.draining {
+		w.draining = true
+		e.replan = true
+	}
+	w.leavesAt = now + r.Remaining
+}
+
+// hold notes how long the worker's lease may last.
+func (e *Engine) hold(now time.Duration, w *worker, r Report) {
+	wasSilent := w.silent
+	w.silent = r.Silent
+	if r.Silent {
+		w.lapseAt = now + time.Duration(float64(r.LeaseLeft)*clockRate) + lapseSlack
+		return
+	}
+	if wasSilent {
+		e.replan = true
+	}
+	w.lapseAt = e.params.lapse(now)
+	w.lapsed = false
+}
+
+// look compares what the worker says with what is expected of it.
+func (e *Engine) look(now time.Duration, w *worker, r Report) {
+	there := make(map[workload.RunID]bool, len(r.Running))
+	for _, row := range r.Running {
+		there[row.Run] = true
+		e.seen(now, w, row)
+	}
+	for _, row := range r.Ended {
+		there[row.Run] = true
+		if row.Number <= w.listed {
+			continue
+		}
+		w.listed = row.Number
+		owner := e.ended(now, w, row)
+		version := 0
+		if owner != nil {
+			version = owner.version
+		}
+		w.pending = append(w.pending, pendingEnd{number: row.Number, job: owner, version: version})
+	}
+	for _, run := range r.Absent {
+		e.absent(now, w, run)
+	}
+	e.miss(now, w, there)
+}
+
+// seen handles one run that is there.
+func (e *Engine) seen(now time.Duration, w *worker, row RunningRow) {
+	p := w.places[row.Run.Task]
+	if p == nil || p.run != row.Run.Number {
+		e.stray(now, w, row.Run)
+		return
+	}
+	if p.state == placeAdopted || p.state == placeOrdered {
+		e.running(now, p)
+	}
+	p.missing = 0
+	if row.Percent != p.percent {
+		p.percent = row.Percent
+		p.movedAt = now
+	}
+	if row.Checkpoint != p.saved {
+		p.saved = row.Checkpoint
+		p.savedAt = now
+	}
+}
+
+// stray stops a run that nobody here placed or that was given up for lost.
+func (e *Engine) stray(now time.Duration, w *worker, run workload.RunID) {
+	sent, known := w.strays[run]
+	if known && now-sent < stopRetry {
+		return
+	}
+	w.strays[run] = now
+	o := e.ordersFor(w)
+	o.Stops = append(o.Stops, run)
+	e.actions = append(e.actions, Decided{Job: run.Task.Job, What: "stop", Detail: "not placed by this planner", Run: run, Worker: w.info.ID})
+}
+
+// absent: a stop was confirmed and a later look did not show the run.
+func (e *Engine) absent(now time.Duration, w *worker, run workload.RunID) {
+	delete(w.strays, run)
+	p := w.places[run.Task]
+	if p == nil || p.run != run.Number || !p.stopping {
+		return
+	}
+	e.lost(now, p, "stopped before it was there")
+}
+
+// miss counts the looks that do not show a running task, and stops it after some: the
+// worker then says whether it is there.
+func (e *Engine) miss(now time.Duration, w *worker, there map[workload.RunID]bool) {
+	for _, p := range w.places {
+		if p.state != placeRunning || p.stopping || there[p.id()] {
+			continue
+		}
+		p.missing++
+		if p.missing >= missingLooks {
+			e.retry(p.unit)
+			e.stopAll(now, p.unit)
+		}
+	}
+	for run := range w.strays {
+		if !there[run] {
+			delete(w.strays, run)
+		}
+	}
+}
+
+// settleAdopted ends the placements of a predecessor that the worker, asked under the
+// new epoch, does not know: their orders are refused there from now on.
+func (e *Engine) settleAdopted(now time.Duration, w *worker, r Report) {
+	for _, p := range w.places {
+		if p.state == placeAdopted {
+			e.lost(now, p, "not there under the new epoch")
+		}
+	}
+	for _, p := range w.places {
+		if p.stopping {
+			e.sendStop(now, p)
+		}
+	}
+}
+
+// gone ends a worker for good, and with it all that it held.
+func (e *Engine) gone(now time.Duration, id WorkerID, why string) {
+	w := e.workers[id]
+	if w == nil {
+		return
+	}
+	for _, p := range w.places {
+		e.lost(now, p, why)
+	}
+	e.forget(w)
+}
+
+func (e *Engine) forget(w *worker) {
+	delete(e.workers, w.info.ID)
+	delete(e.unrecorded, w.info.ID)
+	if e.byAgent[w.info.Agent] == w.info.ID {
+		delete(e.byAgent, w.info.Agent)
+	}
+	if w.recorded {
+		e.goneWorkers[w.info.ID] = true
+	}
+	e.dropWorkerClaims(w)
+	e.replan = true
+}
--- /dev/null
+++ b/engine/restore.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// restoreWorker takes a worker from a predecessor's records. It may hold what they
+// say until it reports, or until every lease that the predecessor granted has lapsed.
+func (e *Engine) restoreWorker(now time.Duration, info WorkerInfo) {
+	if e.workers[info.ID] != nil {
+		return
+	}
+	w := e.addWorker(now, info)
+	w.recorded = true
+	w.lastReport = now - reportTimeout
+	e.byAgent[info.Agent] = info.ID
+}
+
+// restore takes a job from a predecessor's records. Workers are restored before.
+func (e *Engine) restore(now time.Duration, ev Restored) {
+	if e.jobs[ev.Job.ID] != nil {
+		return
+	}
+	j := e.adopt(now, ev.Submitted)
+	if ev.Progress != nil {
+		e.restoreProgress(now, j, ev.Progress)
+	}
+	if j.state.Final() {
+		for _, u := range j.units {
+			e.stopAll(now, u)
+		}
+		return
+	}
+	if ev.Cancelled || e.cancels[ev.Job.ID] {
+		delete(e.cancels, ev.Job.ID)
+		e.cancel(now, ev.Job.ID)
+		return
+	}
+	e.occur(now, j)
+	j.unblock(now)
+	e.advance(now, j)
+	e.replan = true
+}
+
+func (e *Engine) restoreProgress(now time.Duration, j *job, p *Progress) {
+	j.state = p.State
+	j.reason = p.Reason
+	j.begun = p.Begun
+	j.version = p.Version
+	j.stored = p.Version
+	if j.state.Final() {
+		j.canceled = j.state == workload.Cancelled
+		j.endedAt = now
+	}
+	for j.created < p.Created {
+		j.create(now)
+	}
+	for _, up := range p.Units {
+		if u := j.unit(up.Occurrence, up.Step, up.Index); u != nil {
+			e.restoreUnit(now, u, up)
+		}
+	}
+}
+
+func (e *Engine) restoreUnit(now time.Duration, u *unit, up UnitProgress) {
+	u.run = up.Run
+	u.failures = up.Failures
+	u.saved = up.Saved
+	for _, place := range up.Places {
+		w := e.workers[place.Worker]
+		if w == nil {
+			continue // its record is removed only once nothing runs there
+		}
+		p := e.put(u, place.Index, w)
+		p.state = placeAdopted
+	}
+	switch {
+	case up.Done:
+		u.state = unitDone
+		u.verdict = verdictDone
+	case len(u.places) == u.size:
+		u.state = unitActive
+	case len(u.places) > 0:
+		u.state = unitActive
+		e.stopAll(now, u)
+	}
+}
+
+// put makes a placement, which takes its room from now on.
+func (e *Engine) put(u *unit, index int, w *worker) *placement {
+	p := &placement{unit: u, index: index, worker: w, run: u.run, demand: u.demand()}
+	w.places[p.task()] = p
+	w.used = w.used.Add(p.demand)
+	u.places = append(u.places, p)
+	return p
+}
--- /dev/null
+++ b/engine/tracker.go
@@ -0,0 +1,67 @@
+package engine
+
+import "time"
+
+// tracker learns how declared run times of a queue relate to real ones: callers' own
+// estimates are off by half and more, but in the same way for like jobs.
+type tracker struct {
+	ratios map[string]float64 // by queue: real time in parts of the declared one
+}
+
+const (
+	// learnShare is the weight of the newest run. Queues see tens of runs a minute.
+	learnShare = 0.15
+	// ratios are kept within bounds, so that a few odd runs can't spoil decisions.
+	leastRatio = 0.3
+	mostRatio  = 3.0
+	// leastRemaining keeps a task that should have ended from counting as free.
+	leastRemaining = 150 * time.Millisecond
+)
+
+func newTracker() tracker { return tracker{ratios: map[string]float64{}} }
+
+func (t *tracker) ratio(queue string) float64 {
+	if r, ok := t.ratios[queue]; ok {
+		return r
+	}
+	return 1
+}
+
+func (t *tracker) learn(queue string, ratio float64) {
+	ratio = min(max(ratio, leastRatio), mostRatio)
+	t.ratios[queue] = (1-learnShare)*t.ratio(queue) + learnShare*ratio
+}
+
+// learn takes the length of a run that began at the start and ended well.
+func (e *Engine) learn(now time.Duration, p *placement) {
+	declared := p.unit.spec().Estimate
+	if declared <= 0 || p.unit.saved != "" && p.unit.spec().Checkpoints && p.unit.run > 1 {
+		return
+	}
+	e.tracker.learn(p.unit.job.spec.Queue, float64(now-p.began)/float64(declared))
+}
+
+// estimate returns how long a run of u is expected to take.
+func (e *Engine) estimate(u *unit) time.Duration {
+	return time.Duration(e.tracker.ratio(u.job.spec.Queue) * float64(u.spec().Estimate))
+}
+
+// remaining returns how long a run is expected to go on.
+func (e *Engine) remaining(now time.Duration, p *placement) time.Duration {
+	if p.stopping {
+		return max(e.params.StopTime-(now-p.stopSent), leastRemaining)
+	}
+	whole := e.estimate(p.unit)
+	ran := now - p.began
+	if p.state != placeRunning {
+		ran = 0
+	}
+	if p.percent >= 10 && p.percent <= 100 && ran > 0 && p.unit.run == 1 {
+		whole = time.Duration(float64(ran) * 100 / float64(p.percent))
+	}
+	left := whole - ran
+	if p.percent > 0 {
+		left = time.Duration(float64(whole) * float64(100-p.percent) / 100)
+	}
+	return max(left, leastRemaining)
+}
--- /dev/null
+++ b/engine/worker.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// WorkerID names one life of a worker.
+type WorkerID string
+
+// WorkerInfo is what a worker says of itself once.
+type WorkerInfo struct {
+	ID       WorkerID           `json:"id" cbor:"1,keyasint"`
+	Agent    string             `json:"agent" cbor:"2,keyasint"` // the process beside it
+	Service  string             `json:"service" cbor:"3,keyasint"`
+	Zone     string             `json:"zone" cbor:"4,keyasint"`
+	Labels   []string           `json:"labels,omitempty" cbor:"5,keyasint,omitempty"`
+	Rack     string             `json:"rack,omitempty" cbor:"6,keyasint,omitempty"`
+	Capacity workload.Resources `json:"capacity" cbor:"7,keyasint"`
+}
+
+// worker is the engine's view of one life of a worker.
+type worker struct {
+	info   WorkerInfo
+	places map[workload.TaskID]*placement
+	used   workload.Resources
+	// strays are runs found there that the engine did not place; until they are gone
+	// nothing is started, since what they take is not known.
+	strays map[workload.RunID]time.Duration // when a stop was last sent
+	// attached: it reports under this engine's epoch, so older orders are refused.
+	attached bool
+	// silent: its agent reports, but the worker itself does not answer.
+	silent     bool
+	draining   bool
+	leavesAt   time.Duration
+	lastReport time.Duration
+	lapseAt    time.Duration
+	lapsed     bool // lapseAt has passed without a report
+	// recorded: the worker's record is in the store.
+	recorded bool
+	pending  []pendingEnd
+	seen     int64
+	listed   int64 // the highest end handled
+	health   health
+}
+
+// pendingEnd is an end that the worker may forget once the job's version is stored.
+type pendingEnd struct {
+	number  int64
+	job     *job
+	version int
+}
+
+func (w *worker) hasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range w.info.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// usable says whether new tasks may be placed on w.
+func (w *worker) usable(now time.Duration) bool {
+	return w.attached && w.recorded && !w.silent && !w.draining && !w.lapsed &&
+		len(w.strays) == 0 && now-w.lastReport < reportTimeout
+}
+
+func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used) }
+
+// forgettable advances seen past the ends that are on record.
+func (w *worker) forgettable() int64 {
+	for len(w.pending) > 0 {
+		p := w.pending[0]
+		if p.job != nil && p.job.stored < p.version {
+			break
+		}
+		w.seen = p.number
+		w.pending = w.pending[1:]
+	}
+	return w.seen
+}
--- /dev/null
+++ b/engine/write.go
@@ -0,0 +1,158 @@
+package engine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// Write is a set of changes that go on record together.
+type Write struct {
+	Jobs    []JobWrite
+	Workers []WorkerInfo
+	// Gone are workers whose records are removed, Ended jobs likewise.
+	Gone  []WorkerID
+	Ended []workload.JobID
+}
+
+// JobWrite is one job's record.
+type JobWrite struct {
+	ID       workload.JobID
+	Version  int
+	Progress *Progress
+}
+
+// Empty says whether there is nothing to write.
+func (w *Write) Empty() bool {
+	return len(w.Jobs)+len(w.Workers)+len(w.Gone)+len(w.Ended) == 0
+}
+
+// Changes returns the changes that are not on record yet, at most limit records,
+// those that starts or ends wait for first. The caller writes them and gives Stored;
+// it asks for no further changes before that.
+func (e *Engine) Changes(now time.Duration, wall time.Time, limit int) Write {
+	var w Write
+	for _, id := range slices.Sorted(maps.Keys(e.unrecorded)) {
+		if limit == 0 {
+			return w
+		}
+		w.Workers = append(w.Workers, e.unrecorded[id].info)
+		limit--
+	}
+	for _, j := range e.changedJobs() {
+		if limit == 0 {
+			return w
+		}
+		w.Jobs = append(w.Jobs, JobWrite{ID: j.spec.ID, Version: j.version, Progress: j.progress(e.epoch, now, wall)})
+		limit--
+	}
+	return e.removals(w, limit)
+}
+
+func (e *Engine) changedJobs() []*job {
+	var out []*job
+	for id := range e.dirty {
+		if j := e.jobs[id]; j != nil && j.stored < j.version {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int { return int(a.order - b.order) })
+	return out
+}
+
+func (e *Engine) removals(w Write, limit int) Write {
+	for _, id := range slices.Sorted(maps.Keys(e.goneWorkers)) {
+		if limit <= 0 {
+			return w
+		}
+		w.Gone = append(w.Gone, id)
+		limit--
+	}
+	for _, id := range slices.Sorted(maps.Keys(e.expired)) {
+		if limit <= 0 {
+			return w
+		}
+		w.Ended = append(w.Ended, id)
+		limit--
+	}
+	return w
+}
+
+// stored handles a write that took effect: starts that waited for it may leave.
+func (e *Engine) stored(now time.Duration, w Write) {
+	for _, info := range w.Workers {
+		if known := e.workers[info.ID]; known != nil {
+			known.recorded = true
+		}
+		delete(e.unrecorded, info.ID)
+	}
+	for _, written := range w.Jobs {
+		j := e.jobs[written.ID]
+		if j == nil {
+			continue
+		}
+		j.stored = written.Version
+		if j.stored == j.version {
+			delete(e.dirty, written.ID)
+		}
+		e.release(now, j, written.Progress)
+	}
+	for _, id := range w.Gone {
+		delete(e.goneWorkers, id)
+	}
+	for _, id := range w.Ended {
+		delete(e.expired, id)
+		delete(e.jobs, id)
+	}
+}
+
+// release orders the starts of a job whose placements are on record as written.
+func (e *Engine) release(now time.Duration, j *job, written *Progress) {
+	for i := range written.Units {
+		u := j.unit(written.Units[i].Occurrence, written.Units[i].Step, written.Units[i].Index)
+		if u == nil || u.run != written.Units[i].Run {
+			continue
+		}
+		for _, p := range slices.Clone(u.places) {
+			if p.state == placeRecording && p.run == written.Units[i].Run {
+				e.order(now, p)
+			}
+		}
+	}
+}
+
+// order sends a start, or ends the placement where the worker is no longer fit.
+func (e *Engine) order(now time.Duration, p *placement) {
+	if p.unit.ending() || !p.worker.usable(now) {
+		e.refuse(now, p.unit)
+		return
+	}
+	p.state = placeOrdered
+	p.began = now
+	p.movedAt = now
+	p.savedAt = now
+	o := e.ordersFor(p.worker)
+	o.Starts = append(o.Starts, StartOrder{Run: p.id(), Spec: p.unit.job.spec.Spec, Checkpoint: p.unit.saved})
+	e.decided(p, "start", "")
+}
+
+// refuse gives a run up whose members can't all start.
+func (e *Engine) refuse(now time.Duration, u *unit) {
+	if u.verdict == verdictNone {
+		u.verdict = verdictRetry
+		u.job.touched()
+		e.dirty[u.job.spec.ID] = true
+	}
+	e.stopAll(now, u)
+}
+
+func (j *job) unit(occurrence, step, index int) *unit {
+	for _, u := range j.units {
+		if u.occurrence == occurrence && u.step == step && u.index == index {
+			return u
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/config.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/catalog"
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/store"
+)
+
+// Source follows the operators' configuration.
+type Source interface {
+	// Follow offers every version to f, and confirms the one in force, until ctx ends.
+	Follow(ctx context.Context, f *catalog.InForce)
+	// Decode reads a version as a peer passed it on.
+	Decode(raw []byte) (*catalog.Catalog, error)
+}
+
+// Config of a Gateway.
+type Config struct {
+	ID     string
+	Region string
+	Zone   string
+	Listen string // of the QUIC endpoint, also where others reach it
+	// Seeds are addresses of gateways that may be there, or not any more.
+	Seeds      []string
+	ClusterKey []byte
+	Store      store.Atomic
+	Source     Source
+	Engine     engine.Params
+	// KeyLife is how long a key that was taken away may still be honoured; a view of
+	// the configuration is trusted for less than that.
+	KeyLife time.Duration
+	Log     logrus.FieldLogger
+}
+
+const (
+	dutyName = "planner"
+	// dutyTTL bounds how long nobody plans after the planner's machine died. It is six
+	// times a renewal of a store that answers a hundred times slower than usual.
+	dutyTTL = 2 * time.Second
+	// keyMargin is taken off KeyLife: watches of the store may hear nothing for a
+	// second while changes are made, and clocks differ in rate.
+	keyMargin = 1500 * time.Millisecond
+	// peerEvery is how often a gateway asks the planner's gateway for news.
+	peerEvery   = 500 * time.Millisecond
+	peerTimeout = 400 * time.Millisecond
+	// staleAfter is the age of the configuration's last confirmation from which a
+	// gateway asks its peers for theirs.
+	staleAfter = 1300 * time.Millisecond
+	// memberFor is how long a gateway counts as live after it was last heard.
+	memberFor = 10 * time.Second
+	// storeRest is how long a gateway works through peers after the store failed it.
+	storeRest = 400 * time.Millisecond
+	// relayTimeout bounds a call that a peer makes to the store for this gateway.
+	relayTimeout = 1200 * time.Millisecond
+	// lookupTimeout bounds a question to the planner.
+	lookupTimeout = 400 * time.Millisecond
+	// storeTimeout bounds what a caller's call may wait for the store.
+	storeTimeout = 1800 * time.Millisecond
+)
--- /dev/null
+++ b/gateway/errors.go
@@ -0,0 +1,12 @@
+package gateway
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/records"
+)
+
+// isFinal says whether repeating a write can't change its outcome.
+func isFinal(err error) bool {
+	return eris.Is(err, records.ErrDeposed) || eris.Is(err, records.ErrConflict)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/eelgrasshub/eelgrasshub/catalog"
+	"github.com/eelgrasshub/eelgrasshub/lease"
+	"github.com/eelgrasshub/eelgrasshub/records"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// Gateway is a running gateway. Its methods are safe for concurrent use.
+type Gateway struct {
+	cfg      Config
+	log      logrus.FieldLogger
+	inForce  *catalog.InForce
+	intake   *records.Intake
+	endpoint *wire.Endpoint
+	pool     *wire.Pool
+	duty     *lease.Holder
+	members  *members
+	planners *planners
+	tomb     tomb.Tomb
+	stopping atomic.Bool
+	// storeFailedAt is when the store last failed this gateway, on the boot clock.
+	storeFailedAt atomic.Int64
+	counts        Counts
+
+	mu   sync.Mutex
+	term *term // the present or last term of this gateway as planner
+}
+
+// Start starts a Gateway.
+func Start(cfg Config) (*Gateway, error) {
+	g := &Gateway{
+		cfg:      cfg,
+		log:      cfg.Log,
+		inForce:  catalog.NewInForce(),
+		intake:   records.NewIntake(cfg.Store),
+		members:  newMembers(cfg.Listen, cfg.Seeds),
+		planners: &planners{},
+	}
+	peer := wire.Peer{ID: cfg.ID, Role: wire.RoleEntry, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region, Zone: cfg.Zone, Address: cfg.Listen}
+	id, err := wire.NewIdentity(peer, cfg.ClusterKey)
+	if err != nil {
+		return nil, err
+	}
+	g.endpoint, err = wire.Listen(cfg.Listen, id, wire.HandlerFunc(g.handle))
+	if err != nil {
+		return nil, err
+	}
+	g.pool = wire.NewPool(g.endpoint)
+	g.tomb.Go(g.run)
+	g.duty = lease.Run(lease.Options{
+		Store:    cfg.Store,
+		Duty:     dutyName,
+		Instance: cfg.ID,
+		TTL:      dutyTTL,
+		Changed:  g.dutyChanged,
+		Log:      cfg.Log,
+	})
+	g.log.WithField("listen", cfg.Listen).Info("gateway started")
+	return g, nil
+}
+
+func (g *Gateway) run() error {
+	g.tomb.Go(func() error {
+		g.cfg.Source.Follow(g.tomb.Context(nil), g.inForce)
+		return nil
+	})
+	g.tomb.Go(g.peerLoop)
+	g.tomb.Go(g.versionLoop)
+	g.tomb.Go(g.registerLoop)
+	<-g.tomb.Dying()
+	return nil
+}
+
+// versionLoop logs each version of the configuration and tells the planner's term.
+func (g *Gateway) versionLoop() error {
+	last := int64(0)
+	for {
+		changed := g.inForce.Changed()
+		if view, ok := g.inForce.View(); ok && view.Catalog.Version != last {
+			last = view.Catalog.Version
+			g.log.WithField("version", last).WithField("queues", len(view.Catalog.Queues)).Info("configuration in force")
+			if t := g.currentTerm(); t != nil {
+				t.configure(view.Catalog)
+			}
+		}
+		select {
+		case <-changed:
+		case <-g.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// Ready says whether callers should be sent here: not before a configuration is known,
+// and not while stopping.
+func (g *Gateway) Ready() bool {
+	_, ok := g.inForce.View()
+	return ok && !g.stopping.Load()
+}
+
+// Drain makes the gateway not ready and hands the planner's duty over, while calls are
+// still served.
+func (g *Gateway) Drain(ctx context.Context) {
+	g.stopping.Store(true)
+	g.log.Info("gateway draining")
+	if t := g.currentTerm(); t != nil {
+		t.flush(ctx)
+	}
+	if err := g.duty.Resign(ctx); err != nil {
+		g.log.WithError(err).Warn("planner's duty not handed over; its lease lapses")
+	}
+}
+
+// Stop ends the gateway.
+func (g *Gateway) Stop(ctx context.Context) error {
+	if !g.stopping.Load() {
+		g.Drain(ctx)
+	}
+	g.tomb.Kill(nil)
+	if t := g.currentTerm(); t != nil {
+		t.end()
+	}
+	g.pool.Close()
+	err := g.endpoint.Close()
+	g.log.Info("gateway stopped")
+	return err
+}
+
+// Counts returns the gateway's counters.
+func (g *Gateway) Counts() *Counts { return &g.counts }
+
+// View returns the configuration in force. fresh says whether it is known recently
+// enough for keys to be trusted: a process that was paused or cut off must not honour a
+// key that was taken away meanwhile, so the age counts suspension too.
+func (g *Gateway) View() (view catalog.View, fresh, ok bool) {
+	view, ok = g.inForce.View()
+	if !ok {
+		return view, false, false
+	}
+	fresh = lease.BootTime()-view.ConfirmedAt < g.cfg.KeyLife-keyMargin
+	return view, fresh, true
+}
+
+func (g *Gateway) currentTerm() *term {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.term
+}
+
+// dutyChanged is told of the planner's duty by its Holder's goroutine.
+func (g *Gateway) dutyChanged(held lease.Held, ok bool) {
+	g.mu.Lock()
+	old := g.term
+	if ok {
+		g.term = newTerm(g, held.Epoch)
+	}
+	g.mu.Unlock()
+	if old != nil {
+		old.freeze()
+	}
+	if !ok {
+		g.log.Info("planner's duty lost")
+		return
+	}
+	if old != nil {
+		old.end()
+	}
+	g.planners.learn(held.Epoch, g.cfg.Listen)
+	g.log.WithField("epoch", held.Epoch).Info("planner's duty taken")
+}
+
+// Stopping says whether the gateway is about to end.
+func (g *Gateway) Stopping() bool { return g.stopping.Load() }
--- /dev/null
+++ b/gateway/members.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/lease"
+)
+
+// members are the other gateways that are known: the seeds, and those heard from.
+type members struct {
+	own   string
+	seeds []string
+	mu    sync.Mutex
+	heard map[string]time.Duration
+}
+
+func newMembers(own string, seeds []string) *members {
+	return &members{own: own, seeds: seeds, heard: map[string]time.Duration{}}
+}
+
+// hear notes that a gateway is there.
+func (m *members) hear(address string) {
+	if address == "" || address == m.own {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard[address] = lease.BootTime()
+}
+
+// suggest notes a gateway that another one named, unless it is known better.
+func (m *members) suggest(address string) {
+	if address == m.own {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.heard[address]; !known {
+		m.heard[address] = lease.BootTime() - memberFor/2
+	}
+}
+
+// live returns the gateways heard from lately, this one included.
+func (m *members) live() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []string{m.own}
+	for address, at := range m.heard {
+		if lease.BootTime()-at < memberFor {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// others returns every gateway worth asking: those heard from, and the seeds.
+func (m *members) others() []string {
+	out := slices.DeleteFunc(m.live(), func(a string) bool { return a == m.own })
+	for _, s := range m.seeds {
+		if s != m.own && !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// planners is what is known of who plans.
+type planners struct {
+	mu      sync.Mutex
+	epoch   uint64
+	address string
+}
+
+// learn takes a planner that is not older than the one known.
+func (p *planners) learn(epoch uint64, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if epoch > p.epoch {
+		p.epoch, p.address = epoch, address
+	}
+}
+
+// get returns the newest planner known.
+func (p *planners) get() (epoch uint64, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.epoch, p.address
+}
--- /dev/null
+++ b/gateway/register.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/store"
+)
+
+const (
+	registerPrefix = "gateways/"
+	// registerTTL bounds how long a gateway that died is listed. The register only
+	// serves processes all of whose known gateways are gone.
+	registerTTL   = 12 * time.Second
+	registerEvery = registerTTL / 3
+)
+
+// Registered lists the addresses of gateways that are registered in the store.
+func Registered(ctx context.Context, kv store.Store) ([]string, error) {
+	snap, err := kv.List(ctx, registerPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, k := range snap.Keys {
+		out = append(out, strings.TrimPrefix(k.Key, registerPrefix))
+	}
+	return out, nil
+}
+
+// registerLoop keeps this gateway registered, and learns of the others at its start.
+func (g *Gateway) registerLoop() error {
+	var id store.LeaseID
+	listed := false
+	for {
+		ctx := g.tomb.Context(nil)
+		if !listed {
+			listed = g.learnRegistered(ctx)
+		}
+		id = g.register(ctx, id)
+		wait := registerEvery
+		if id == 0 {
+			wait = time.Second
+		}
+		select {
+		case <-time.After(wait):
+		case <-g.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (g *Gateway) learnRegistered(ctx context.Context) bool {
+	addresses, err := Registered(ctx, g.cfg.Store)
+	if err != nil {
+		return false
+	}
+	for _, a := range addresses {
+		g.members.suggest(a)
+	}
+	return true
+}
+
+// register renews the lease of the gateway's key, or makes both anew. It returns the
+// lease, zero where there is none.
+func (g *Gateway) register(ctx context.Context, id store.LeaseID) store.LeaseID {
+	if id != 0 {
+		_, err := g.cfg.Store.Renew(ctx, id)
+		if err == nil || !eris.Is(err, store.ErrLeaseNotFound) {
+			return id
+		}
+	}
+	id, err := g.cfg.Store.Grant(ctx, registerTTL)
+	if err != nil {
+		return 0
+	}
+	key := registerPrefix + g.cfg.Listen
+	kv, _, err := g.cfg.Store.Get(ctx, key)
+	if err != nil {
+		return 0
+	}
+	results, err := g.cfg.Store.Commit(ctx, []store.Swap{{Key: key, Expect: kv.Mod, Value: []byte(g.cfg.ID), Lease: id}})
+	if err != nil || !results[0].Swapped {
+		return 0
+	}
+	return id
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -7,6 +7,18 @@
 	sessionPrefix = "session/"
 )
 
+// EpochKey returns the key that holds a duty's last epoch. Its revision is the same
+// for as long as nobody else has taken the duty, so a write on the condition of that
+// revision can't come from a holder that was replaced.
+func EpochKey(duty string) string { return epochKey(duty) }
+
+// ParseEpoch returns the epoch that the value of EpochKey holds.
+func ParseEpoch(value []byte) (uint64, error) {
+	var r record
+	err := json.Unmarshal(value, &r)
+	return r.Epoch, err
+}
+
 func holderKey(duty string) string           { return keyPrefix + duty + "/holder" }
 func epochKey(duty string) string            { return keyPrefix + duty + "/epoch" }
 func dutyPrefix(domain string) string        { return keyPrefix + domain + "/" }
--- /dev/null
+++ b/link/peer.go
@@ -0,0 +1,28 @@
+package link
+
+import "time"
+
+// Peer goes from one gateway to another, and from a node agent that looks for the
+// planner.
+type Peer struct {
+	// Address is the sender's, where it is a gateway.
+	Address       string `cbor:"1,keyasint,omitempty"`
+	ConfigVersion int64  `cbor:"2,keyasint,omitempty"`
+	// Epoch and Planner are what the sender knows of the planner.
+	Epoch   uint64 `cbor:"3,keyasint,omitempty"`
+	Planner string `cbor:"4,keyasint,omitempty"`
+	// WantConfig: the sender can't follow the configuration by itself.
+	WantConfig bool `cbor:"5,keyasint,omitempty"`
+}
+
+// PeerReply answers Peer.
+type PeerReply struct {
+	Epoch   uint64   `cbor:"1,keyasint,omitempty"`
+	Planner string   `cbor:"2,keyasint,omitempty"`
+	Members []string `cbor:"3,keyasint,omitempty"`
+	// ConfigVersion was the newest ConfigAge before the reply. Config is its text,
+	// where the sender has an older one.
+	ConfigVersion int64         `cbor:"4,keyasint,omitempty"`
+	ConfigAge     time.Duration `cbor:"5,keyasint,omitempty"`
+	Config        []byte        `cbor:"6,keyasint,omitempty"`
+}
--- /dev/null
+++ b/link/report.go
@@ -0,0 +1,39 @@
+package link
+
+import (
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// Report goes from a node agent to the planner.
+type Report struct {
+	Report engine.Report `cbor:"1,keyasint"`
+}
+
+// ReportReply answers Report. A gateway that does not plan only says who does.
+type ReportReply struct {
+	// Epoch is the planner's; zero where the answering gateway does not plan.
+	Epoch uint64 `cbor:"1,keyasint,omitempty"`
+	// Attached: the worker's lease may be extended, reckoned from the sending of the
+	// report.
+	Attached bool  `cbor:"2,keyasint,omitempty"`
+	Seen     int64 `cbor:"3,keyasint,omitempty"`
+	// Planner is where the planner is believed to be, empty where nobody knows.
+	Planner string   `cbor:"4,keyasint,omitempty"`
+	Members []string `cbor:"5,keyasint,omitempty"` // addresses of gateways
+	// Waiting: ends of the report are not on record yet; the agent asks again soon.
+	Waiting bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Orders goes from the planner to a node agent. All are carried out at once.
+type Orders struct {
+	Epoch  uint64              `cbor:"1,keyasint"`
+	Worker engine.WorkerID     `cbor:"2,keyasint"`
+	Starts []engine.StartOrder `cbor:"3,keyasint,omitempty"`
+	Stops  []workload.RunID    `cbor:"4,keyasint,omitempty"`
+}
+
+// OrdersReply answers Orders.
+type OrdersReply struct {
+	Starts []engine.StartResult `cbor:"1,keyasint,omitempty"`
+}
--- /dev/null
+++ b/nodeagent/agent.go
@@ -0,0 +1,99 @@
+package nodeagent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/lease"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// Agent is a running node agent.
+type Agent struct {
+	cfg      Config
+	log      logrus.FieldLogger
+	endpoint *wire.Endpoint
+	pool     *wire.Pool
+	tomb     tomb.Tomb
+	finder   *finder
+
+	mu      sync.Mutex
+	life    *life
+	changed chan struct{} // closed when life changes
+	// epoch is the highest planner's epoch heard of; granted is how far its last
+	// answer lets the worker's lease reach.
+	epoch   uint64
+	granted time.Duration
+	left    []engine.WorkerInfo // lives that are over and not reported so yet
+	ended   map[engine.WorkerID]bool
+	wake    chan struct{} // has a token when there is something to report
+	counts  Counts
+}
+
+// Counts count what an agent did since its start.
+type Counts struct {
+	Starts, StartsRefused, StartsUnknown, Stops, StopsUnknown atomic.Int64
+	Looks, LooksFailed, Reports, ReportsFailed, Announcements atomic.Int64
+}
+
+// Start starts an Agent.
+func Start(cfg Config) (*Agent, error) {
+	a := &Agent{
+		cfg:     cfg,
+		log:     cfg.Log,
+		changed: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+		ended:   map[engine.WorkerID]bool{},
+	}
+	peer := wire.Peer{ID: cfg.ID, Role: wire.RoleAgent, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region, Zone: cfg.Zone}
+	id, err := wire.NewIdentity(peer, cfg.ClusterKey)
+	if err != nil {
+		return nil, err
+	}
+	a.endpoint, err = wire.Listen(cfg.Listen, id, wire.HandlerFunc(a.handle))
+	if err != nil {
+		return nil, err
+	}
+	a.pool = wire.NewPool(a.endpoint)
+	a.finder = newFinder(cfg, a.pool)
+	a.tomb.Go(a.run)
+	a.log.WithField("listen", a.endpoint.Addr()).Info("node agent started")
+	return a, nil
+}
+
+func (a *Agent) run() error {
+	a.tomb.Go(a.reportLoop)
+	a.tomb.Go(a.lookLoop)
+	<-a.tomb.Dying()
+	return nil
+}
+
+// Stop ends the agent. What runs goes on under its lease.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.tomb.Kill(nil)
+	a.log.Info("node agent stopping")
+	select {
+	case <-a.tomb.Dead():
+	case <-ctx.Done():
+	}
+	a.pool.Close()
+	return a.endpoint.Close()
+}
+
+// Counts returns the agent's counters.
+func (a *Agent) Counts() *Counts { return &a.counts }
+
+func now() time.Duration { return lease.BootTime() }
+
+func (a *Agent) signal() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/nodeagent/config.go
@@ -0,0 +1,52 @@
+package nodeagent
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Config of an Agent.
+type Config struct {
+	ID     string
+	Region string
+	Zone   string
+	Listen string // of the QUIC endpoint
+	// Seeds are QUIC addresses of gateways; further ones are learnt from them.
+	Seeds      []string
+	ClusterKey []byte
+	Worker     Worker
+	// Members lists gateways from where they are registered, for when no known one
+	// answers. It may be nil.
+	Members func() ([]string, error)
+	// MaxHold is the longest lease a worker grants.
+	MaxHold time.Duration
+	Log     logrus.FieldLogger
+}
+
+const (
+	// reportEvery is the heartbeat towards the planner. It is below half of the time
+	// after which the planner gives no new work.
+	reportEvery = 500 * time.Millisecond
+	// reportTimeout bounds one report; the planner answers within milliseconds, or
+	// after its wait for the store.
+	reportTimeout = 900 * time.Millisecond
+	// findPause is the pause between two searches for the planner.
+	findPause = 80 * time.Millisecond
+	// lookWait is how long a look waits for an end. Each look renews the lease and
+	// shows progress.
+	lookWait = time.Second
+	// lookSlack bounds how much longer than its wait a look may take.
+	lookSlack = 600 * time.Millisecond
+	// silentPause is the pause between looks at a worker that does not answer.
+	silentPause = 250 * time.Millisecond
+	// repeatPause keeps a look that returns at once, since ends wait to be recorded,
+	// from being repeated at full speed.
+	repeatPause = 25 * time.Millisecond
+	// orderTimeout bounds one attempt of an order; a worker answers in a few
+	// milliseconds. Starts are idempotent and tried again.
+	orderTimeout  = 250 * time.Millisecond
+	startAttempts = 3
+	// membersAfter is how long no known gateway may answer before the register is read.
+	membersAfter = 1500 * time.Millisecond
+)
--- /dev/null
+++ b/nodeagent/finder.go
@@ -0,0 +1,172 @@
+package nodeagent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/link"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+)
+
+// finder knows gateways and finds out which of them plans.
+type finder struct {
+	cfg  Config
+	pool *wire.Pool
+	log  logrus.FieldLogger
+
+	mu      sync.Mutex
+	found   string   // where the planner is, empty: not known
+	epoch   uint64   // of the planner found
+	members []string // gateways, the latest learnt first
+	lostAt  time.Duration
+	readAt  time.Duration // when the register was last read
+}
+
+const (
+	// askTimeout bounds one question to one gateway; a path takes milliseconds, a
+	// handshake about 25.
+	askTimeout = 300 * time.Millisecond
+	// mostMembers bounds the gateways that are remembered.
+	mostMembers = 16
+)
+
+func newFinder(cfg Config, pool *wire.Pool) *finder {
+	return &finder{cfg: cfg, pool: pool, log: cfg.Log, members: slices.Clone(cfg.Seeds)}
+}
+
+// planner returns the planner's address. It asks the known gateways where it is not
+// known.
+func (f *finder) planner(ctx context.Context) (string, bool) {
+	f.mu.Lock()
+	found, members := f.found, slices.Clone(f.members)
+	f.mu.Unlock()
+	if found != "" {
+		return found, true
+	}
+	f.consultRegister()
+	return f.ask(ctx, members)
+}
+
+// ask asks all gateways at once and takes the newest planner that one names.
+func (f *finder) ask(ctx context.Context, members []string) (string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	replies := make(chan *link.PeerReply, len(members))
+	for _, m := range members {
+		go func() { replies <- f.askOne(ctx, m) }()
+	}
+	for range members {
+		reply := <-replies
+		if reply == nil {
+			continue
+		}
+		f.learn(reply.Members)
+		if f.take(reply) {
+			return reply.Planner, true
+		}
+	}
+	return "", false
+}
+
+func (f *finder) askOne(ctx context.Context, address string) *link.PeerReply {
+	raw, err := f.pool.Call(ctx, address, &link.Peer{})
+	if err != nil {
+		return nil
+	}
+	reply, _ := raw.(*link.PeerReply)
+	return reply
+}
+
+// take takes a planner that is not older than the last one.
+func (f *finder) take(reply *link.PeerReply) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reply.Planner == "" || reply.Epoch < f.epoch {
+		return false
+	}
+	f.found, f.epoch, f.lostAt = reply.Planner, reply.Epoch, 0
+	return true
+}
+
+// failed forgets a planner that did not answer.
+func (f *finder) failed(address string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.found != address {
+		return
+	}
+	f.log.WithField("planner", address).WithField("cause", err).Info("planner not reached")
+	f.found = ""
+	if f.lostAt == 0 {
+		f.lostAt = now()
+	}
+}
+
+// redirect follows a gateway that does not plan to the one it names.
+func (f *finder) redirect(from, to string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.found != from {
+		return
+	}
+	f.found = ""
+	if to != from {
+		f.found = to
+	}
+}
+
+// stale forgets a planner that answered with an epoch that is over.
+func (f *finder) stale(epoch uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.found = ""
+	f.epoch = max(f.epoch, epoch+1)
+}
+
+// learn remembers gateways.
+func (f *finder) learn(members []string) {
+	if len(members) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range members {
+		if !slices.Contains(f.members, m) {
+			f.members = slices.Insert(f.members, 0, m)
+		}
+	}
+	if len(f.members) > mostMembers {
+		f.members = f.members[:mostMembers]
+	}
+}
+
+// consultRegister reads the register of gateways when none of those known has answered
+// for a while: all seeds may have been replaced.
+func (f *finder) consultRegister() {
+	if f.cfg.Members == nil {
+		return
+	}
+	t := now()
+	f.mu.Lock()
+	if f.lostAt == 0 {
+		f.lostAt = t
+	}
+	due := t-f.lostAt > membersAfter && t-f.readAt > membersAfter
+	if due {
+		f.readAt = t
+	}
+	f.mu.Unlock()
+	if !due {
+		return
+	}
+	members, err := f.cfg.Members()
+	if err != nil {
+		f.log.WithError(err).Info("register of gateways not read")
+		return
+	}
+	f.learn(members)
+}
--- /dev/null
+++ b/nodeagent/life.go
@@ -0,0 +1,128 @@
+package nodeagent
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// life is what the agent knows of one life of its worker. The agent's mutex guards it.
+type life struct {
+	info     engine.WorkerInfo
+	sequence int64
+	draining bool
+	leavesAt time.Duration
+
+	// clock was the worker's own at some time up to readAt.
+	clock  time.Duration
+	readAt time.Duration
+	known  bool
+	// leaseEnd is the latest time, on the agent's clock, to which the lease may have
+	// been extended by any order sent, answered or not.
+	leaseEnd time.Duration
+	// fenced is the highest epoch that the worker certainly has seen.
+	fenced uint64
+	seen   int64 // ends that may be forgotten
+
+	failing bool // the last look got no answer
+	running []engine.RunningRow
+	ended   []engine.EndRow
+	void    map[int64]bool // ends that came before a lapse of the lease
+	// stopped are runs whose stop was confirmed, with the time of the confirmation.
+	stopped map[workload.RunID]time.Duration
+	absent  []workload.RunID
+	looks   int // answered looks that were not reported yet
+}
+
+func newLife(info engine.WorkerInfo) *life {
+	return &life{info: info, void: map[int64]bool{}, stopped: map[workload.RunID]time.Duration{}}
+}
+
+// until turns a time on the agent's clock into one on the worker's. The worker's clock
+// was read before readAt, so the result never lies beyond t.
+func (l *life) until(t time.Duration) time.Duration {
+	if !l.known || t <= l.readAt {
+		return 0
+	}
+	return l.clock + t - l.readAt
+}
+
+// extend notes that an order with a lease until t leaves.
+func (l *life) extend(t time.Duration) { l.leaseEnd = max(l.leaseEnd, t) }
+
+// lapseSlack is how much later than reckoned a lease may lapse: the worker's clock may
+// be 2% slow over a lease of some seconds.
+const lapseSlack = 250 * time.Millisecond
+
+// take notes an answered look that was asked for at sent and came at now. before is the
+// lease's end as it was when the look was sent. A look sent after that follows a lapse,
+// so the ends that it shows and that nobody took note of count as not having been.
+func (l *life) take(look Look, sent, now, before time.Duration) {
+	if before != 0 && sent > before+lapseSlack {
+		for _, row := range look.Ended {
+			l.void[row.Number] = true
+		}
+	}
+	l.clock, l.readAt, l.known = look.Clock, now, true
+	l.failing = false
+	l.running = look.Running
+	l.ended = look.Ended
+	for i := range l.ended {
+		l.ended[i].Void = l.void[l.ended[i].Number]
+	}
+	l.looks++
+	l.settleStops(sent)
+}
+
+// settleStops finds the stopped runs that a look, asked for after their stop was
+// confirmed, does not show.
+func (l *life) settleStops(sent time.Duration) {
+	shown := map[workload.RunID]bool{}
+	for _, row := range l.running {
+		shown[row.Run] = true
+	}
+	for _, row := range l.ended {
+		shown[row.Run] = true
+	}
+	for run, at := range l.stopped {
+		if sent < at {
+			continue
+		}
+		if !shown[run] {
+			l.absent = append(l.absent, run)
+		}
+		delete(l.stopped, run)
+	}
+}
+
+// report returns the life as a report, and what of it is new since the last.
+func (l *life) report(now time.Duration, epoch uint64) engine.Report {
+	r := engine.Report{
+		Worker:    l.info,
+		Draining:  l.draining,
+		Silent:    l.failing,
+		LeaseLeft: max(0, l.leaseEnd-now),
+	}
+	if l.draining {
+		r.Remaining = max(0, l.leavesAt-now)
+	}
+	if l.fenced == epoch {
+		r.Epoch = epoch
+	}
+	if l.looks > 0 {
+		r.Looked = true
+		r.Running = l.running
+		r.Ended = l.ended
+		r.Absent = l.absent
+	}
+	return r
+}
+
+// reported forgets what a planner has taken.
+func (l *life) reported(r engine.Report) {
+	if !r.Looked {
+		return
+	}
+	l.absent = l.absent[min(len(r.Absent), len(l.absent)):]
+}
--- /dev/null
+++ b/nodeagent/orders.go
@@ -0,0 +1,111 @@
+package nodeagent
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/link"
+	"github.com/eelgrasshub/eelgrasshub/wire"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// handle serves the planner's orders.
+func (a *Agent) handle(ctx context.Context, _ *wire.Conn, msg any) (any, error) {
+	orders, ok := msg.(*link.Orders)
+	if !ok {
+		return nil, wire.NotRun(eris.Errorf("unexpected message %T", msg))
+	}
+	return a.carryOut(orders), nil
+}
+
+// carryOut carries out all orders at once. It goes on when the planner gives up: an
+// order that is half done is settled by the planner's next ones.
+func (a *Agent) carryOut(orders *link.Orders) *link.OrdersReply {
+	reply := &link.OrdersReply{Starts: make([]engine.StartResult, len(orders.Starts))}
+	o, l, outcome := a.admit(orders)
+	var wg sync.WaitGroup
+	for i, s := range orders.Starts {
+		reply.Starts[i] = engine.StartResult{Run: s.Run, Outcome: outcome}
+		if outcome == engine.StartOK {
+			wg.Go(func() { reply.Starts[i].Outcome = a.start(o, l, s) })
+		}
+	}
+	if l != nil && len(orders.Stops) > 0 {
+		for _, run := range orders.Stops {
+			wg.Go(func() { a.stop(o, l, run) })
+		}
+	}
+	wg.Wait()
+	if l != nil && len(orders.Stops) > 0 {
+		go a.look(l, 0)
+	}
+	return reply
+}
+
+// admit checks whether orders are for the present life and of the newest planner. The
+// outcome is StartOK where starts may go on.
+func (a *Agent) admit(orders *link.Orders) (Order, *life, engine.StartOutcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if orders.Epoch < a.epoch {
+		return Order{}, nil, engine.StartFenced
+	}
+	a.epoch = orders.Epoch
+	l := a.life
+	if l == nil || l.info.ID != orders.Worker {
+		return Order{}, nil, engine.StartNotSent
+	}
+	o := Order{Worker: l.info.ID, Epoch: a.epoch, Until: l.until(a.granted)}
+	switch {
+	case l.draining:
+		return o, l, engine.StartDraining
+	case o.Until == 0 || l.failing:
+		return o, l, engine.StartNotSent
+	}
+	l.extend(a.granted)
+	return o, l, engine.StartOK
+}
+
+// start tries a start until the worker answers. One that never does is unknown.
+func (a *Agent) start(o Order, l *life, s engine.StartOrder) engine.StartOutcome {
+	a.counts.Starts.Add(1)
+	outcome := engine.StartUnknown
+	for range startAttempts {
+		ctx, cancel := context.WithTimeout(a.tomb.Context(nil), orderTimeout)
+		outcome = a.cfg.Worker.Start(ctx, o, s)
+		cancel()
+		if outcome != engine.StartUnknown {
+			break
+		}
+	}
+	switch outcome {
+	case engine.StartOK:
+	case engine.StartUnknown:
+		a.counts.StartsUnknown.Add(1)
+	default:
+		a.counts.StartsRefused.Add(1)
+	}
+	return outcome
+}
+
+// stop stops a run. Where the worker does not confirm it, the planner asks again.
+func (a *Agent) stop(o Order, l *life, run workload.RunID) {
+	a.counts.Stops.Add(1)
+	ctx, cancel := context.WithTimeout(a.tomb.Context(nil), orderTimeout)
+	defer cancel()
+	err := a.cfg.Worker.Stop(ctx, o, run)
+	if errors.Is(err, ErrOtherLife) {
+		return // the next look finds out
+	}
+	if err != nil {
+		a.counts.StopsUnknown.Add(1)
+		return
+	}
+	a.mu.Lock()
+	l.stopped[run] = now()
+	a.mu.Unlock()
+}
--- /dev/null
+++ b/nodeagent/report.go
@@ -0,0 +1,127 @@
+package nodeagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/link"
+)
+
+// reportLoop reports to the planner, whenever there is something new and at least every
+// reportEvery.
+func (a *Agent) reportLoop() error {
+	timer := time.NewTimer(reportEvery)
+	defer timer.Stop()
+	for a.tomb.Alive() {
+		select {
+		case <-a.wake:
+		case <-timer.C:
+		case <-a.tomb.Dying():
+			return nil
+		}
+		a.reportAll()
+		timer.Reset(reportEvery)
+	}
+	return nil
+}
+
+func (a *Agent) reportAll() {
+	for _, r := range a.reports() {
+		reply, sent, ok := a.send(r)
+		if !ok {
+			a.counts.ReportsFailed.Add(1)
+			a.retryReport()
+			return
+		}
+		a.answered(r, reply, sent)
+	}
+}
+
+// retryReport makes the loop try again soon.
+func (a *Agent) retryReport() {
+	select {
+	case <-time.After(findPause):
+	case <-a.tomb.Dying():
+	}
+	a.signal()
+}
+
+// reports returns what is to be said: of lives that are over, and of the present one.
+func (a *Agent) reports() []engine.Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []engine.Report
+	for _, info := range a.left {
+		out = append(out, engine.Report{Worker: info, Left: true})
+	}
+	if a.life != nil {
+		out = append(out, a.life.report(now(), a.epoch))
+	}
+	return out
+}
+
+func (a *Agent) send(r engine.Report) (*link.ReportReply, time.Duration, bool) {
+	a.counts.Reports.Add(1)
+	ctx, cancel := context.WithTimeout(a.tomb.Context(nil), reportTimeout)
+	defer cancel()
+	planner, ok := a.finder.planner(ctx)
+	if !ok {
+		return nil, 0, false
+	}
+	sent := now()
+	raw, err := a.pool.Call(ctx, planner, &link.Report{Report: r})
+	if err != nil {
+		a.finder.failed(planner, err)
+		return nil, 0, false
+	}
+	reply, ok := raw.(*link.ReportReply)
+	if !ok {
+		a.finder.failed(planner, nil)
+		return nil, 0, false
+	}
+	a.finder.learn(reply.Members)
+	if reply.Epoch == 0 {
+		a.finder.redirect(planner, reply.Planner)
+		return nil, 0, false
+	}
+	return reply, sent, true
+}
+
+// answered takes the planner's answer to a report that was sent at time sent.
+func (a *Agent) answered(r engine.Report, reply *link.ReportReply, sent time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if reply.Epoch < a.epoch {
+		a.finder.stale(reply.Epoch)
+		return
+	}
+	if reply.Epoch > a.epoch {
+		a.log.WithField("epoch", reply.Epoch).WithField("before", a.epoch).Info("planner taken up")
+		a.epoch = reply.Epoch
+		a.interrupt()
+	}
+	if r.Left {
+		a.left = a.left[1:]
+		return
+	}
+	l := a.life
+	if l == nil || l.info.ID != r.Worker.ID {
+		return
+	}
+	l.reported(r)
+	if reply.Attached {
+		a.granted = max(a.granted, sent+a.cfg.MaxHold)
+	}
+	if reply.Seen > l.seen {
+		l.seen = reply.Seen
+	}
+}
+
+// interrupt lets the next look raise the worker's fence at once instead of after the
+// present look's wait. The mutex is held.
+func (a *Agent) interrupt() {
+	if l := a.life; l != nil {
+		go a.look(l, 0)
+	}
+}
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,34 @@
+package settings
+
+import "github.com/eelgrasshub/eelgrasshub/document/schema"
+
+// Gateway is the settings of a gateway on the operators' platform.
+type Gateway struct {
+	ID     string `toml:"id" validate:"required,name"`
+	Region string `toml:"region" validate:"required,name"`
+	Zone   string `toml:"zone" validate:"required,name"` // availability zone
+
+	// Listen is where other processes reach this one, over UDP.
+	Listen        string `toml:"listen" validate:"required,addr"`
+	CallerListen  string `toml:"caller_listen" validate:"required,addr"`
+	ReadyListen   string `toml:"ready_listen" validate:"omitempty,addr"`
+	MetricsListen string `toml:"metrics_listen" validate:"omitempty,addr"`
+	// Seeds are hosts, with any port, of processes that may know gateways.
+	Seeds      []string `toml:"seeds"`
+	ClusterKey string   `toml:"cluster_key" validate:"required,min=16" secret:"true"`
+	// Store is the address of the platform's key-value store.
+	Store string `toml:"store" validate:"required,addr"`
+
+	MaxHold         schema.Duration `toml:"max_hold" default:"6s" validate:"min=100ms,max=1h"`
+	StopTime        schema.Duration `toml:"stop_time" default:"900ms" validate:"min=0s,max=10m"`
+	Restore         schema.Duration `toml:"restore" default:"500ms" validate:"min=0s,max=10m"`
+	CheckpointEvery schema.Duration `toml:"checkpoint_every" default:"1s" validate:"min=0s,max=1h"`
+	RemoteFactor    float64         `toml:"remote_factor" default:"3" validate:"min=1,max=1000"`
+	Reclaim         schema.Duration `toml:"reclaim" default:"3s" validate:"min=100ms,max=1h"`
+	Retention       schema.Duration `toml:"retention" default:"120s" validate:"min=1s,max=168h"`
+	Early           schema.Duration `toml:"early" default:"250ms" validate:"min=0s,max=1h"`
+	// KeyLife is how long a key that was taken away may still be honoured.
+	KeyLife schema.Duration `toml:"key_life" default:"5s" validate:"min=2s,max=1h"`
+	// StopGrace bounds a graceful stop.
+	StopGrace schema.Duration `toml:"stop_grace" default:"6s" validate:"min=1s,max=168h"`
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -8,7 +8,7 @@
 
 // Load reads the settings in the file at path into a T, with defaults filled in.
 // The error names every problem with file, line, key and what is accepted.
-func Load[T Entry | Agent](path string) (T, error) {
+func Load[T Entry | Agent | Gateway | NodeAgent](path string) (T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		var none T
@@ -18,7 +18,7 @@
 }
 
 // Parse is Load for text that is at hand; name is used in errors.
-func Parse[T Entry | Agent](name string, data []byte) (T, error) {
+func Parse[T Entry | Agent | Gateway | NodeAgent](name string, data []byte) (T, error) {
 	s, file := schema.Decode[T](name, data)
 	file.Validate(&s)
 	return s, file.Problems.Err()
--- /dev/null
+++ b/settings/node_agent.go
@@ -0,0 +1,26 @@
+package settings
+
+import "github.com/eelgrasshub/eelgrasshub/document/schema"
+
+// NodeAgent is the settings of a node agent on the operators' platform.
+type NodeAgent struct {
+	ID     string `toml:"id" validate:"required,name"`
+	Region string `toml:"region" validate:"required,name"`
+	Zone   string `toml:"zone" validate:"required,name"` // availability zone
+
+	// Listen is where other processes reach this one, over UDP.
+	Listen         string `toml:"listen" validate:"required,addr"`
+	RegistryListen string `toml:"registry_listen" validate:"required,addr"`
+	MetricsListen  string `toml:"metrics_listen" validate:"omitempty,addr"`
+	// GatewayPort is the UDP port at which every gateway listens.
+	GatewayPort int      `toml:"gateway_port" validate:"min=1,max=65535"`
+	Seeds       []string `toml:"seeds"` // hosts, with any port, of gateways
+	ClusterKey  string   `toml:"cluster_key" validate:"required,min=16" secret:"true"`
+	Store       string   `toml:"store" validate:"required,addr"`
+	// Worker is the address of the worker on this instance.
+	Worker string `toml:"worker" validate:"required,addr"`
+
+	MaxHold schema.Duration `toml:"max_hold" default:"6s" validate:"min=100ms,max=1h"`
+	// StopGrace bounds a graceful stop.
+	StopGrace schema.Duration `toml:"stop_grace" default:"2s" validate:"min=1s,max=168h"`
+}
--- a/store/errors.go
+++ b/store/errors.go
@@ -6,6 +6,8 @@
 	// ErrUnavailable: the service could not be reached or refused the call; a
 	// write that met it has certainly not taken effect.
 	ErrUnavailable = eris.New("platform store unavailable")
+	// ErrOutcomeUnknown: the call was sent and its reply was lost.
+	ErrOutcomeUnknown = eris.New("outcome of the store call unknown")
 	// ErrLeaseNotFound: the lease has lapsed or was revoked.
 	ErrLeaseNotFound = eris.New("platform store lease not found")
 	// ErrCompacted: the store no longer holds the revision a watch asked for;
--- /dev/null
+++ b/workload/check.go
@@ -0,0 +1,80 @@
+package workload
+
+import "fmt"
+
+// Limits of a job that Check accepts. They bound what one job costs a planner.
+const (
+	MaxSpecBytes   = 4000
+	MaxSteps       = 256
+	MaxTasks       = 10_000
+	MaxOccurrences = 1_000_000
+)
+
+// FieldError says which field of a job can't be accepted, and why.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+// Check returns a *FieldError for a job that can't be accepted.
+func (j *Job) Check() error {
+	if len(j.Spec) > MaxSpecBytes {
+		return &FieldError{"spec", fmt.Sprintf("has %d bytes, at most %d are accepted", len(j.Spec), MaxSpecBytes)}
+	}
+	if len(j.Steps) == 0 {
+		return &FieldError{"steps", "is empty"}
+	}
+	if len(j.Steps) > MaxSteps {
+		return &FieldError{"steps", fmt.Sprintf("has %d entries, at most %d are accepted", len(j.Steps), MaxSteps)}
+	}
+	if err := j.Schedule.check(); err != nil {
+		return err
+	}
+	return j.checkSteps()
+}
+
+func (j *Job) checkSteps() error {
+	tasks := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].check(i); err != nil {
+			return err
+		}
+		tasks += j.Steps[i].Count
+	}
+	if tasks > MaxTasks {
+		return &FieldError{"steps", fmt.Sprintf("have %d tasks, at most %d are accepted", tasks, MaxTasks)}
+	}
+	return nil
+}
+
+func (s *Step) check(i int) error {
+	field := func(name string) string { return fmt.Sprintf("steps[%d].%s", i, name) }
+	if s.Count < 1 || s.Count > MaxTasks {
+		return &FieldError{field("count"), fmt.Sprintf("is %d, must be 1 to %d", s.Count, MaxTasks)}
+	}
+	if s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
+		return &FieldError{field("need"), "is negative"}
+	}
+	if s.MaxPerWorker < 0 || s.Estimate < 0 || s.MayMiss < 0 {
+		return &FieldError{field("limits"), "are negative"}
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= i {
+			return &FieldError{field("after"), fmt.Sprintf("names step %d, must name earlier steps", before)}
+		}
+	}
+	return nil
+}
+
+func (s *Schedule) check() error {
+	if s.Count < 0 || s.Count > MaxOccurrences {
+		return &FieldError{"schedule.count", fmt.Sprintf("is %d, must be 0 to %d", s.Count, MaxOccurrences)}
+	}
+	if s.Count > 0 && s.Period < 0 {
+		return &FieldError{"schedule.period", "is negative"}
+	}
+	return nil
+}
--- /dev/null
+++ b/workload/job.go
@@ -0,0 +1,64 @@
+package workload
+
+import "time"
+
+// JobID names a job. Callers choose it; a repeated submission carries the same.
+type JobID string
+
+// Job is what a caller handed in, with the terms of its queue as they were then.
+// It never changes after acceptance.
+type Job struct {
+	ID      JobID  `json:"id" cbor:"1,keyasint"`
+	Queue   string `json:"queue" cbor:"2,keyasint"`
+	Account string `json:"account,omitempty" cbor:"3,keyasint,omitempty"`
+	Service string `json:"service" cbor:"4,keyasint"`
+	Spec    string `json:"spec,omitempty" cbor:"5,keyasint,omitempty"`
+	Steps   []Step `json:"steps" cbor:"6,keyasint"`
+	Terms   Terms  `json:"terms" cbor:"7,keyasint"`
+	// Schedule makes the steps run several times; the zero value means once, now.
+	Schedule Schedule `json:"schedule,omitzero" cbor:"8,keyasint,omitzero"`
+	// Submitted is wall time and only orders jobs.
+	Submitted time.Time `json:"submitted" cbor:"9,keyasint"`
+}
+
+// Terms are how a queue treats its jobs.
+type Terms struct {
+	Priority    int     `json:"priority,omitempty" cbor:"1,keyasint,omitempty"` // 0 goes first and may evict the others
+	MaxAttempts int     `json:"max_attempts,omitempty" cbor:"2,keyasint,omitempty"`
+	Stretch     float64 `json:"stretch,omitempty" cbor:"3,keyasint,omitempty"`
+	// TargetLatency is the share of the aim that does not grow with the work.
+	TargetLatency time.Duration `json:"latency,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// Schedule is a job's occurrences in time.
+type Schedule struct {
+	First  time.Time     `json:"first,omitzero" cbor:"1,keyasint,omitzero"` // wall time
+	Period time.Duration `json:"period,omitempty" cbor:"2,keyasint,omitempty"`
+	Count  int           `json:"count,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// Occurrences returns how many times the steps run.
+func (j *Job) Occurrences() int { return max(1, j.Schedule.Count) }
+
+// Due returns when occurrence k is due, and false for a job without a schedule.
+func (j *Job) Due(k int) (time.Time, bool) {
+	if j.Schedule.Count == 0 {
+		return time.Time{}, false
+	}
+	return j.Schedule.First.Add(time.Duration(k) * j.Schedule.Period), true
+}
+
+// Chain returns the longest chain of estimated work through the steps.
+func (j *Job) Chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		begin := time.Duration(0)
+		for _, before := range j.Steps[i].After {
+			begin = max(begin, ends[before])
+		}
+		ends[i] = begin + j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/workload/resources.go
@@ -0,0 +1,56 @@
+package workload
+
+// Resources are what a task takes of a worker, or what a worker has.
+type Resources struct {
+	MilliCPU     int `json:"cpu,omitempty" cbor:"1,keyasint,omitempty"` // thousandths of a core
+	MemoryMB     int `json:"mem,omitempty" cbor:"2,keyasint,omitempty"` // MiB
+	Accelerators int `json:"acc,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns the sum.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns the difference, which may be negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Times returns n times r.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
+// Within says whether r fits into room in every dimension.
+func (r Resources) Within(room Resources) bool {
+	return r.MilliCPU <= room.MilliCPU && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
+}
+
+// Fits returns how many tasks that need r each fit into room; at most limit.
+func (r Resources) Fits(room Resources, limit int) int {
+	n := limit
+	n = min(n, fits(r.MilliCPU, room.MilliCPU, limit))
+	n = min(n, fits(r.MemoryMB, room.MemoryMB, limit))
+	n = min(n, fits(r.Accelerators, room.Accelerators, limit))
+	return n
+}
+
+func fits(need, room, limit int) int {
+	if room < 0 {
+		return 0
+	}
+	if need <= 0 {
+		return limit
+	}
+	return room / need
+}
+
+// acceleratorCores is what one accelerator weighs against a core when work of
+// different shapes is compared.
+const acceleratorCores = 8
+
+// Cores returns r's weight in cores, with an accelerator as eight of them.
+func (r Resources) Cores() float64 {
+	return float64(r.MilliCPU)/1000 + float64(acceleratorCores*r.Accelerators)
+}
