engine: randomised worlds; a gang is ordered on all its workers or none

Cause: the loop went on over placements that were already over. Now the workers are checked first, then all are ordered.

--- a/engine/ends.go
+++ b/engine/ends.go
@@ -73,15 +73,15 @@
 	if u.state == unitDone {
 		return
 	}
-	if u.failedOn == nil {
-		u.failedOn = map[WorkerID]bool{}
-	}
-	u.failedOn[p.worker.info.ID] = true
+	u.avoid(now, p.worker.info.ID)
 	if u.spec().LongRunning {
 		e.retry(u)
 		return
 	}
-	u.failures++
+	if u.failedRun != p.run {
+		u.failedRun = p.run // the members of a gang fail together, which counts once
+		u.failures++
+	}
 	e.retry(u)
 	limit := u.job.spec.Terms.MaxAttempts
 	if limit > 0 && u.failures >= limit && !u.job.state.Final() {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -14,7 +14,10 @@
 	catalog *catalog.Catalog
 	began   time.Duration
 
-	jobs     map[workload.JobID]*job
+	jobs map[workload.JobID]*job
+	// sequence is the jobs in the order in which they became known; decisions iterate
+	// over it and never over a map, so that they are the same for the same events.
+	sequence []*job
 	workers  map[WorkerID]*worker
 	byAgent  map[string]WorkerID
 	tracker  tracker
@@ -30,7 +33,7 @@
 	// cancels of jobs that are not known yet.
 	cancels map[workload.JobID]bool
 
-	orders  map[*worker]*Orders
+	orders  []*Orders
 	actions []Action
 	replan  bool
 }
@@ -51,7 +54,6 @@
 		goneWorkers:    map[WorkerID]bool{},
 		expired:        map[workload.JobID]bool{},
 		cancels:        map[workload.JobID]bool{},
-		orders:         map[*worker]*Orders{},
 	}
 }
 
@@ -88,21 +90,23 @@
 		e.replan = false
 		e.plan(now)
 	}
-	for w, o := range e.orders {
+	for _, o := range e.orders {
 		e.actions = append(e.actions, *o)
-		delete(e.orders, w)
 	}
+	e.orders = nil
 	actions := e.actions
 	e.actions = nil
 	return actions
 }
 
 func (e *Engine) ordersFor(w *worker) *Orders {
-	o := e.orders[w]
-	if o == nil {
-		o = &Orders{Worker: w.info.ID, Agent: w.info.Agent}
-		e.orders[w] = o
+	for _, o := range e.orders {
+		if o.Worker == w.info.ID {
+			return o
+		}
 	}
+	o := &Orders{Worker: w.info.ID, Agent: w.info.Agent}
+	e.orders = append(e.orders, o)
 	return o
 }
 
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -73,7 +73,7 @@
 	room := map[*worker]workload.Resources{}
 	candidates := map[*unit]float64{}
 	for _, w := range set {
-		if !r.e.eligible(u, w) || w.health.resting(r.now) {
+		if !r.eligible(u, w) || w.health.resting(r.now) {
 			continue
 		}
 		room[w] = w.free().Sub(r.claimed[w])
@@ -96,6 +96,9 @@
 			cmp.Compare(b.job.spec.Terms.Priority, a.job.spec.Terms.Priority),
 			cmp.Compare(candidates[a], candidates[b]),
 			cmp.Compare(a.job.order, b.job.order),
+			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+			cmp.Compare(a.occurrence, b.occurrence),
+			cmp.Compare(a.step, b.step),
 			cmp.Compare(a.index, b.index),
 		)
 	})
@@ -173,7 +176,7 @@
 
 // dropWorkerClaims drops the claims on a worker that is gone.
 func (e *Engine) dropWorkerClaims(w *worker) {
-	for _, j := range e.jobs {
+	for _, j := range e.sequence {
 		for _, u := range j.units {
 			if u.claims[w] > 0 {
 				u.claims = nil
@@ -190,7 +193,7 @@
 			continue
 		}
 		left := w.leavesAt - r.now
-		for _, p := range w.places {
+		for _, p := range w.sortedPlaces() {
 			if p.stopping || p.unit.ending() || p.state != placeRunning {
 				continue
 			}
--- a/engine/fit.go
+++ b/engine/fit.go
@@ -61,7 +61,7 @@
 func (r *round) couldHold(u *unit, workers []*worker) bool {
 	room := 0
 	for _, w := range workers {
-		if r.e.eligible(u, w) {
+		if r.eligible(u, w) {
 			room += perWorker(u.spec(), u.demand().Fits(w.info.Capacity, u.size))
 		}
 	}
@@ -109,9 +109,6 @@
 	total := 0
 	for _, w := range set {
 		n := r.slots(u, w)
-		if u.failedOn[w.info.ID] {
-			n = r.onlyIfAlone(u, w, n)
-		}
 		free := r.room(u, w).Accelerators
 		rest += free
 		if n <= 0 {
@@ -139,18 +136,3 @@
 	}
 	return chosen, rest - u.size*u.demand().Accelerators
 }
-
-// onlyIfAlone lets a unit back onto a worker where it failed only where no other
-// worker could take it, even if empty.
-func (r *round) onlyIfAlone(u *unit, w *worker, n int) int {
-	others := make([]*worker, 0, len(r.workers))
-	for _, o := range r.workers {
-		if !u.failedOn[o.info.ID] {
-			others = append(others, o)
-		}
-	}
-	if r.couldHold(u, others) {
-		return 0
-	}
-	return n
-}
--- /dev/null
+++ b/engine/helpers_test.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/catalog"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// desk drives one Engine by hand.
+type desk struct {
+	t      *testing.T
+	e      *Engine
+	now    time.Duration
+	jobs   int
+	starts []StartOrder
+	stops  []workload.RunID
+	on     map[workload.RunID]WorkerID // where each start went
+	ends   map[WorkerID]int64
+}
+
+func newDesk(t *testing.T, workers int) *desk {
+	d := &desk{t: t, now: time.Second, on: map[workload.RunID]WorkerID{}, ends: map[WorkerID]int64{}}
+	d.e = New(Params{
+		MaxHold: 6 * time.Second, StopTime: 900 * time.Millisecond, RemoteFactor: 3,
+		Restore: 500 * time.Millisecond, CheckpointEvery: time.Second, Reclaim: 3 * time.Second, Retention: time.Minute,
+	}, 1, d.now)
+	d.step(CatalogChanged{Catalog: &catalog.Catalog{Accounts: map[string]catalog.Account{"big": {Guaranteed: 16}}}})
+	for i := range workers {
+		d.report(d.worker(i))
+	}
+	d.settle()
+	return d
+}
+
+// worker returns a worker of 32 cores and 8 accelerators, three to a rack.
+func (d *desk) worker(i int) Report {
+	return Report{Epoch: 1, Looked: true, Worker: WorkerInfo{
+		ID: WorkerID(fmt.Sprint("w", i)), Agent: fmt.Sprint("agent", i), Service: "s",
+		Rack: fmt.Sprint("r", i/3), Labels: []string{"a", fmt.Sprint("r", i/3)},
+		Capacity: workload.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8},
+	}}
+}
+
+func (d *desk) report(r Report) Verdict { return d.e.Report(d.now, r) }
+
+func (d *desk) step(ev Event) { d.e.Step(d.now, ev) }
+
+// settle writes all changes, answers all starts with ok and collects orders, until
+// nothing more happens.
+func (d *desk) settle() {
+	for range 20 {
+		if !d.turn(StartOK) {
+			return
+		}
+	}
+	d.t.Fatal("the engine does not come to rest")
+}
+
+// turn makes one round of decisions and one write, and answers starts with outcome.
+func (d *desk) turn(outcome StartOutcome) bool {
+	busy := false
+	for _, a := range d.e.Decide(d.now) {
+		o, ok := a.(Orders)
+		if !ok {
+			continue
+		}
+		busy = true
+		ended := OrdersEnded{Worker: o.Worker}
+		for _, s := range o.Starts {
+			d.starts = append(d.starts, s)
+			d.on[s.Run] = o.Worker
+			ended.Starts = append(ended.Starts, StartResult{Run: s.Run, Outcome: outcome})
+		}
+		d.stops = append(d.stops, o.Stops...)
+		d.step(ended)
+	}
+	if w := d.e.Changes(d.now, time.Unix(1000, 0), 15); !w.Empty() {
+		busy = true
+		d.step(Stored{Write: w})
+	}
+	return busy
+}
+
+// job hands in a job of the given steps.
+func (d *desk) job(priority int, account string, steps ...workload.Step) workload.JobID {
+	d.jobs++
+	id := workload.JobID(fmt.Sprintf("job%d", d.jobs))
+	d.step(Submitted{Order: int64(d.jobs), Job: workload.Job{
+		ID: id, Queue: fmt.Sprint("q", priority), Account: account, Service: "s", Steps: steps,
+		Terms: workload.Terms{Priority: priority, MaxAttempts: 3, Stretch: 3, TargetLatency: time.Second},
+	}})
+	return id
+}
+
+// runs returns the last runs ordered of a job that have not been stopped, by worker.
+func (d *desk) runs(id workload.JobID) map[WorkerID][]workload.RunID {
+	out := map[WorkerID][]workload.RunID{}
+	for _, w := range d.e.sortedWorkers() {
+		for _, p := range w.sortedPlaces() {
+			if p.unit.job.spec.ID == id {
+				out[w.info.ID] = append(out[w.info.ID], p.id())
+			}
+		}
+	}
+	return out
+}
+
+// end lets workers list the end of all runs of a job.
+func (d *desk) end(id workload.JobID, why EndReason) {
+	for worker, runs := range d.runs(id) {
+		w := d.e.workers[worker]
+		r := Report{Epoch: 1, Looked: true, Worker: w.info}
+		for _, run := range runs {
+			d.ends[worker]++
+			r.Ended = append(r.Ended, EndRow{Number: d.ends[worker], Run: run, Reason: why})
+		}
+		d.report(r)
+	}
+}
+
+// pass lets time pass while all workers report what the engine expects of them.
+func (d *desk) pass(by time.Duration) {
+	for end := d.now + by; d.now < end; d.now += 100 * time.Millisecond {
+		for _, w := range d.e.sortedWorkers() {
+			d.beat(w.info.ID)
+		}
+		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
+		d.settle()
+	}
+}
+
+// beat lets one worker report what is expected of it.
+func (d *desk) beat(id WorkerID) {
+	w := d.e.workers[id]
+	r := Report{Epoch: 1, Looked: true, Worker: w.info}
+	for _, p := range w.sortedPlaces() {
+		r.Running = append(r.Running, RunningRow{Run: p.id(), Percent: p.percent + 1})
+	}
+	d.report(r)
+}
+
+func gang(n, accelerators int) workload.Step {
+	return workload.Step{
+		Count: n, Gang: true, SameRack: true, Estimate: 4 * time.Second,
+		Need: workload.Resources{MilliCPU: 4000, MemoryMB: 8000, Accelerators: accelerators},
+	}
+}
+
+func tasks(n, accelerators int) workload.Step {
+	s := gang(n, accelerators)
+	s.Gang, s.SameRack = false, false
+	return s
+}
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -32,6 +32,7 @@
 		chain:    ev.Job.Chain(),
 	}
 	e.jobs[ev.Job.ID] = j
+	e.sequence = append(e.sequence, j)
 	return j
 }
 
--- /dev/null
+++ b/engine/orders_test.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// While a gang's placement goes on record, the agent of one of its workers falls
+// silent. The orders of the members after it left all the same, with room that the
+// engine already counted as free: members ran twice, and a worker was over its memory.
+func TestGangIsOrderedOnAllWorkersOrNone(t *testing.T) {
+	for _, silent := range []WorkerID{"w0", "w1", "w2"} {
+		c := qt.New(t)
+		d := newDesk(t, 3)
+		id := d.job(1, "", gang(3, 8))
+		d.e.Decide(d.now)
+		w := d.e.Changes(d.now, time.Unix(1000, 0), 15)
+		d.now += 1500 * time.Millisecond
+		for _, other := range []WorkerID{"w0", "w1", "w2"} {
+			if other != silent {
+				d.beat(other)
+			}
+		}
+		d.step(Stored{Write: w})
+		d.settle()
+		c.Check(d.starts, qt.HasLen, 0)
+		d.beat(silent)
+		d.settle()
+		c.Check(d.starts, qt.HasLen, 3)
+		for _, s := range d.starts {
+			c.Check(s.Run.Number, qt.Equals, 2)
+		}
+		c.Check(d.runs(id), qt.HasLen, 3)
+	}
+}
+
+// A gang of six fails on one worker of its preferred rack, then on another. Keeping away
+// from both left no room for it there, while the rack itself still looked empty, so it
+// waited for a rack that it was not allowed to use for as long as it was known.
+func TestUnitReturnsToAWorkerWhereItFailed(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 9)
+	s := gang(6, 4)
+	s.PreferredRack = "r1"
+	id := d.job(1, "", s)
+	d.settle()
+	c.Assert(d.runs(id), qt.HasLen, 3)
+	for range 2 {
+		d.end(id, EndFailed)
+		d.settle()
+		d.pass(8 * time.Second)
+		c.Assert(len(d.runs(id)) > 0, qt.IsTrue)
+	}
+}
+
+// An order gets no answer. It may be carried out seconds later, so its room stays taken
+// and nothing of the task starts elsewhere until the worker confirms the stop and a
+// later look does not show the run.
+func TestUnansweredStartKeepsItsRoom(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	id := d.job(1, "", tasks(1, 8))
+	for len(d.starts) == 0 {
+		d.turn(StartUnknown)
+	}
+	first := d.starts[0].Run
+	d.settle()
+	c.Check(d.stops, qt.Contains, first)
+	c.Check(d.starts, qt.HasLen, 1)
+	c.Check(d.e.workers["w0"].free().Accelerators, qt.Equals, 0)
+	r := d.worker(0)
+	r.Absent = append(r.Absent, first)
+	d.report(r)
+	d.now += 5 * time.Second
+	d.report(d.worker(0))
+	d.settle()
+	c.Check(d.starts, qt.HasLen, 2)
+	c.Check(d.starts[1].Run.Number, qt.Equals, 2)
+	c.Check(d.runs(id)["w0"], qt.HasLen, 1)
+}
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -64,7 +64,7 @@
 			r.racks[w.info.Rack] = append(r.racks[w.info.Rack], w)
 		}
 	}
-	for _, j := range e.jobs {
+	for _, j := range e.sequence {
 		for _, u := range j.units {
 			r.renewClaims(u)
 		}
@@ -144,15 +144,19 @@
 
 // slots returns how many members of u fit on w now.
 func (r *round) slots(u *unit, w *worker) int {
-	if !r.e.eligible(u, w) || w.health.resting(r.now) {
+	if !r.eligible(u, w) || w.health.resting(r.now) {
 		return 0
 	}
 	return r.e.bounded(u, w, u.demand().Fits(r.room(u, w), u.size))
 }
 
-// eligible says whether u may run on w at all.
-func (e *Engine) eligible(u *unit, w *worker) bool {
-	return w.info.Service == u.job.spec.Service && w.hasLabel(u.spec().Label)
+// eligible says whether u may run on w. For a while it may not where it failed or stood
+// still, unless the worker has since done well with something else.
+func (r *round) eligible(u *unit, w *worker) bool {
+	if w.info.Service != u.job.spec.Service || !w.hasLabel(u.spec().Label) {
+		return false
+	}
+	return w.health.failures == 0 || r.now >= u.avoids[w.info.ID]
 }
 
 // bounded applies the step's bound of tasks on one worker.
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -15,7 +15,7 @@
 //  5. by acceptance.
 func (e *Engine) queue(now time.Duration, protected map[*job]bool) []*unit {
 	var out []*unit
-	for _, j := range e.jobs {
+	for _, j := range e.sequence {
 		if j.state.Final() {
 			continue
 		}
@@ -44,6 +44,7 @@
 			cmp.Compare(late(a), late(b)),
 			cmp.Compare(a.job.objective(), b.job.objective()),
 			cmp.Compare(a.job.order, b.job.order),
+			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
 			cmp.Compare(a.occurrence, b.occurrence),
 			cmp.Compare(a.step, b.step),
 			cmp.Compare(a.index, b.index),
@@ -56,7 +57,7 @@
 // order of acceptance.
 func (e *Engine) protected() map[*job]bool {
 	byAccount := map[string][]*job{}
-	for _, j := range e.jobs {
+	for _, j := range e.sequence {
 		if j.spec.Terms.Priority == 0 && !j.state.Final() && j.spec.Account != "" {
 			byAccount[j.spec.Account] = append(byAccount[j.spec.Account], j)
 		}
@@ -64,7 +65,7 @@
 	out := map[*job]bool{}
 	for account, jobs := range byAccount {
 		left := e.catalog.Guaranteed(account)
-		slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.order, b.order) })
+		slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(a.order, b.order) })
 		for _, j := range jobs {
 			need := j.accelerators()
 			if need > left {
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -19,6 +19,9 @@
 	}
 	w := e.meet(now, r.Worker)
 	attached := r.Epoch == e.epoch
+	if now-w.lastReport >= reportTimeout {
+		e.replan = true
+	}
 	w.lastReport = now
 	e.drain(now, w, r)
 	if !attached {
@@ -176,7 +179,7 @@
 // miss counts the looks that do not show a running task, and stops it after some: the
 // worker then says whether it is there.
 func (e *Engine) miss(now time.Duration, w *worker, there map[workload.RunID]bool) {
-	for _, p := range w.places {
+	for _, p := range w.sortedPlaces() {
 		if p.state != placeRunning || p.stopping || there[p.id()] {
 			continue
 		}
@@ -196,12 +199,12 @@
 // settleAdopted ends the placements of a predecessor that the worker, asked under the
 // new epoch, does not know: their orders are refused there from now on.
 func (e *Engine) settleAdopted(now time.Duration, w *worker, r Report) {
-	for _, p := range w.places {
+	for _, p := range w.sortedPlaces() {
 		if p.state == placeAdopted {
 			e.lost(now, p, "not there under the new epoch")
 		}
 	}
-	for _, p := range w.places {
+	for _, p := range w.sortedPlaces() {
 		if p.stopping {
 			e.sendStop(now, p)
 		}
@@ -214,7 +217,7 @@
 	if w == nil {
 		return
 	}
-	for _, p := range w.places {
+	for _, p := range w.sortedPlaces() {
 		e.lost(now, p, why)
 	}
 	e.forget(w)
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -27,7 +27,7 @@
 	room := map[*worker]workload.Resources{}
 	var releases []release
 	for _, w := range set {
-		if !r.e.eligible(u, w) {
+		if !r.eligible(u, w) {
 			continue
 		}
 		room[w] = w.free().Sub(r.claimed[w])
@@ -38,7 +38,9 @@
 	if slots := r.slotsIn(u, room); slots != nil {
 		return 0, slots
 	}
-	slices.SortFunc(releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
+	slices.SortFunc(releases, func(a, b release) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.worker.info.ID, b.worker.info.ID))
+	})
 	for _, rel := range releases {
 		room[rel.worker] = room[rel.worker].Add(rel.room)
 		if slots := r.slotsIn(u, room); slots != nil {
--- /dev/null
+++ b/engine/sim_rules_test.go
@@ -0,0 +1,140 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+func (w *simWorld) violated(format string, args ...any) {
+	w.t.Errorf("at %v: %s", w.now, fmt.Sprintf(format, args...))
+}
+
+// check: no worker is ever over its capacity, work that is being stopped included.
+func (w *simWorld) check(sw *simWorker) {
+	if used := sw.used(); !used.Within(sw.info.Capacity) {
+		w.violated("worker %s holds %+v of %+v", sw.info.ID, used, sw.info.Capacity)
+	}
+}
+
+// starts checks a run that begins now.
+func (w *simWorld) starts(sw *simWorker, s StartOrder) {
+	w.counts["starts"]++
+	task := s.Run.Task
+	j := w.jobs[task.Job]
+	if j == nil {
+		w.violated("start of %s, which nobody submitted", task)
+		return
+	}
+	if w.done[task] {
+		w.violated("start of %s after its end was taken note of", task)
+	}
+	for _, other := range w.workers {
+		if r := other.running[task]; r != nil && !other.dead {
+			w.violated("start of %s on %s while it runs on %s", task, sw.info.ID, other.info.ID)
+		}
+	}
+	step := &j.Steps[task.Step]
+	for _, before := range step.After {
+		for i := range j.Steps[before].Count {
+			if !w.ranToEnd[workload.TaskID{Job: task.Job, Step: before, Index: i}] {
+				w.violated("start of %s before step %d was done", task, before)
+			}
+		}
+	}
+	if !sw.hasLabel(step.Label) {
+		w.violated("start of %s on %s without label %s", task, sw.info.ID, step.Label)
+	}
+	if limit := j.Terms.MaxAttempts; limit > 0 && w.attempt[task] >= limit {
+		w.violated("start of %s after %d failed attempts", task, w.attempt[task])
+	}
+	w.perWorker(sw, task, step)
+}
+
+func (w *simWorld) perWorker(sw *simWorker, task workload.TaskID, step *workload.Step) {
+	if step.MaxPerWorker == 0 {
+		return
+	}
+	n := 1
+	for other := range sw.running {
+		if other.Job == task.Job && other.Step == task.Step && other != task {
+			n++
+		}
+	}
+	if n > step.MaxPerWorker {
+		w.violated("%d tasks of step %d of %s on %s", n, task.Step, task.Job, sw.info.ID)
+	}
+}
+
+func (sw *simWorker) hasLabel(label string) bool {
+	return (&worker{info: sw.info}).hasLabel(label)
+}
+
+// endsRun counts ends as workers list them.
+func (w *simWorld) endsRun(_ *simWorker, r *simRun, why EndReason) {
+	w.counts[string(why)]++
+	if why == EndDone {
+		w.ranToEnd[r.id.Task] = true
+	}
+	if why == EndAlone && w.calm && w.now-w.calmSince > 4*time.Second {
+		w.violated("%s of a gang was left alone without a fault", r.id.Task)
+	}
+}
+
+// noted: the planner took note of an end. Where the lease lapsed before, it counts as
+// not having been.
+func (w *simWorld) noted(row EndRow, void bool) {
+	if void {
+		return
+	}
+	switch row.Reason {
+	case EndDone:
+		w.done[row.Run.Task] = true
+	case EndFailed:
+		w.attempt[row.Run.Task]++
+	}
+}
+
+func (w *simWorld) members(r *simRun) (found []*simRun, at []*simWorker) {
+	for _, sw := range w.workers {
+		if sw.dead {
+			continue
+		}
+		for _, o := range sw.sorted() {
+			t := o.id.Task
+			if t.Job == r.id.Task.Job && t.Step == r.id.Task.Step && o.id.Number == r.id.Number {
+				found = append(found, o)
+				at = append(at, sw)
+			}
+		}
+	}
+	return found, at
+}
+
+// whole says whether all members of a gang's run are there.
+func (w *simWorld) whole(r *simRun) bool {
+	found, _ := w.members(r)
+	return len(found) == r.step.Count
+}
+
+// breakGang ends the other members of a gang.
+func (w *simWorld) breakGang(r *simRun) {
+	if !r.step.Gang {
+		return
+	}
+	found, at := w.members(r)
+	for i, o := range found {
+		at[i].end(o, EndBroken)
+	}
+}
+
+// finish ends a task, or all members of a gang, as done.
+func (w *simWorld) finish(r *simRun) {
+	found, at := w.members(r)
+	for i, o := range found {
+		if r.step.Gang || o == r {
+			at[i].end(o, EndDone)
+		}
+	}
+}
--- /dev/null
+++ b/engine/sim_test.go
@@ -0,0 +1,199 @@
+package engine
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+var (
+	simSeeds = flag.Int("sim-seeds", 6, "how many randomised worlds are played")
+	simJob   = flag.String("sim-job", "", "the job whose decisions are shown")
+	simFirst = flag.Uint64("sim-first", 1, "the seed of the first")
+)
+
+// Planners die one after the other, workers crash, drain and are cut off while their
+// tasks run on, orders are carried out seconds late, the store is out. Callers hand in
+// gangs, steps and jobs that can't run, and cancel some. At no time may a worker hold
+// more than it has or a task run twice; when the faults end every job is settled.
+func TestRandomWorlds(t *testing.T) {
+	for i := range *simSeeds {
+		seed := *simFirst + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newSimWorld(t, seed)
+			w.faults(50 * time.Second)
+			w.traffic(50 * time.Second)
+			w.run(50 * time.Second)
+			w.heal()
+			w.run(150 * time.Second)
+			w.settled()
+			t.Log(w.counts)
+		})
+	}
+}
+
+// traffic hands in jobs and cancels some.
+func (w *simWorld) traffic(end time.Duration) {
+	for at := 100 * time.Millisecond; at < end; at += time.Duration(100+w.rng.IntN(900)) * time.Millisecond {
+		j := w.randomJob(len(w.events))
+		cancelAt := time.Duration(0)
+		if w.rng.IntN(8) == 0 {
+			cancelAt = time.Duration(w.rng.IntN(5000)) * time.Millisecond
+		}
+		w.events = append(w.events, simEvent{at, func() { w.submit(j, cancelAt) }})
+	}
+}
+
+func (w *simWorld) submit(j *workload.Job, cancelAt time.Duration) {
+	w.jobs[j.ID] = j
+	w.order = append(w.order, j.ID)
+	order := int64(len(w.order))
+	e := w.engine
+	w.after(w.latency(), func() {
+		if e == w.engine {
+			e.Step(w.now, Submitted{Job: *j, Order: order})
+		}
+	})
+	if cancelAt == 0 {
+		return
+	}
+	w.after(cancelAt, func() {
+		w.cancels[j.ID] = true
+		w.engine.Step(w.now, CancelRequested{Job: j.ID})
+	})
+}
+
+func (w *simWorld) randomJob(n int) *workload.Job {
+	pick := func(values ...int) int { return values[w.rng.IntN(len(values))] }
+	account := []string{"big", "small"}[w.rng.IntN(2)]
+	j := &workload.Job{
+		ID: workload.JobID(fmt.Sprintf("job%04d-%d", n, w.rng.IntN(1000))), Queue: fmt.Sprint("q", w.rng.IntN(3)),
+		Account: account, Service: "s",
+		Terms: workload.Terms{Priority: w.rng.IntN(3), MaxAttempts: 4, Stretch: 3, TargetLatency: time.Second},
+	}
+	for i := range pick(1, 1, 2, 3) {
+		s := workload.Step{
+			Count:       pick(1, 1, 2, 3, 6, 12),
+			Need:        workload.Resources{MilliCPU: pick(1000, 4000, 13000), MemoryMB: pick(2000, 8000, 26000), Accelerators: pick(0, 1, 2, 4, 8)},
+			Estimate:    time.Duration(pick(300, 1000, 4000)) * time.Millisecond,
+			Checkpoints: w.rng.IntN(2) == 0,
+			Gang:        w.rng.IntN(2) == 0,
+			SameRack:    w.rng.IntN(2) == 0,
+		}
+		if s.Gang {
+			s.Count = min(s.Count, 6)
+		}
+		if w.rng.IntN(5) == 0 {
+			s.PreferredRack = "r1"
+		}
+		if w.rng.IntN(6) == 0 {
+			s.MaxPerWorker = 1
+			s.Count = min(s.Count, 3)
+		}
+		if w.rng.IntN(30) == 0 {
+			s.Label = "nowhere"
+		}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+// faults plans what goes wrong until end.
+func (w *simWorld) faults(end time.Duration) {
+	at := func() time.Duration { return time.Duration(w.rng.Int64N(int64(end))) }
+	span := func(most int) time.Duration { return time.Duration(200+w.rng.IntN(most)) * time.Millisecond }
+	for range w.rng.IntN(5) {
+		w.events = append(w.events, simEvent{at(), w.takeOver})
+	}
+	for range w.rng.IntN(8) {
+		i, d := w.rng.IntN(len(w.workers)), span(12000)
+		w.events = append(w.events, simEvent{at(), func() { w.cutOff(i, d) }})
+	}
+	for range w.rng.IntN(4) {
+		i := w.rng.IntN(len(w.workers))
+		w.events = append(w.events, simEvent{at(), func() { w.crash(i) }})
+	}
+	for range w.rng.IntN(3) {
+		i := w.rng.IntN(len(w.workers))
+		w.events = append(w.events, simEvent{at(), func() { w.drain(i) }})
+	}
+	for range w.rng.IntN(3) {
+		d := span(6000)
+		w.events = append(w.events, simEvent{at(), func() {
+			w.down = true
+			w.after(d, func() { w.down = false })
+		}})
+	}
+}
+
+func (w *simWorld) cutOff(i int, d time.Duration) {
+	sw := w.workers[i]
+	sw.cut = true
+	w.after(d, func() { sw.cut = false })
+}
+
+// crash ends a life; the next one reports after a while.
+func (w *simWorld) crash(i int) {
+	w.workers[i].dead = true
+	w.after(time.Second, func() {
+		if w.workers[i].dead {
+			w.addWorker(i)
+		}
+	})
+}
+
+func (w *simWorld) drain(i int) {
+	sw := w.workers[i]
+	if sw.dead || sw.drains != 0 {
+		return
+	}
+	sw.drains = w.now + 2*time.Second
+	w.after(2500*time.Millisecond, func() { w.crash(i) })
+}
+
+func (w *simWorld) heal() {
+	w.calm = true
+	w.calmSince = w.now
+	w.down = false
+	for _, sw := range w.workers {
+		sw.cut = false
+	}
+}
+
+// settled: every job has come to its end, and the engine counts no room as taken.
+func (w *simWorld) settled() {
+	for _, id := range w.order {
+		found, ok := w.engine.Lookup(id)
+		if !ok || !found.State.Final() {
+			w.violated("job %s is %s (%v): %+v", id, found.State, ok, w.jobs[id].Steps)
+			continue
+		}
+		w.counts[string(found.State)]++
+		if found.State == workload.Completed {
+			w.completed(w.jobs[id])
+		}
+	}
+	for _, known := range w.engine.workers {
+		if known.used != (workload.Resources{}) {
+			w.violated("worker %s counts %+v as taken by %d", known.info.ID, known.used, len(known.places))
+		}
+	}
+}
+
+func (w *simWorld) completed(j *workload.Job) {
+	for s := range j.Steps {
+		for i := range j.Steps[s].Count {
+			task := workload.TaskID{Job: j.ID, Step: s, Index: i}
+			if !w.ranToEnd[task] {
+				w.violated("job %s is completed, and %s has not ended so", j.ID, task)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/engine/sim_worker_test.go
@@ -0,0 +1,208 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// simRun is one run at a simulated worker.
+type simRun struct {
+	id      workload.RunID
+	step    *workload.Step
+	began   time.Duration
+	endsAt  time.Duration
+	stopsAt time.Duration // 0: not being stopped
+	fails   bool
+}
+
+// simWorker is a worker with its agent: it keeps fence, lease, runs and ends as real
+// ones do, and starts whatever it is told to.
+type simWorker struct {
+	world    *simWorld
+	info     WorkerInfo
+	fence    uint64
+	leaseEnd time.Duration
+	running  map[workload.TaskID]*simRun
+	highest  map[workload.TaskID]int // of runs stopped or ended
+	ended    []EndRow
+	ends     int64
+	lapses   int64 // ends up to it came before a lapse
+	// The agent's part.
+	epoch   uint64
+	granted time.Duration
+	seen    int64
+	absent  []workload.RunID
+	cut     bool
+	dead    bool
+	drains  time.Duration // when it leaves; 0: not draining
+}
+
+func (w *simWorker) used() workload.Resources {
+	var sum workload.Resources
+	for _, r := range w.running {
+		sum = sum.Add(r.step.Demand())
+	}
+	return sum
+}
+
+// start carries out an order, now or late.
+func (w *simWorker) start(now time.Duration, epoch uint64, s StartOrder, until time.Duration) StartOutcome {
+	switch {
+	case epoch < w.fence:
+		return StartFenced
+	case until <= now:
+		return StartLate
+	case w.drains != 0:
+		return StartDraining
+	}
+	w.fence = epoch
+	if r := w.running[s.Run.Task]; r != nil && r.id == s.Run {
+		return StartOK
+	}
+	if s.Run.Number <= w.highest[s.Run.Task] {
+		return StartOld
+	}
+	w.leaseEnd = max(w.leaseEnd, until)
+	w.world.starts(w, s)
+	j := w.world.jobs[s.Run.Task.Job]
+	step := &j.Steps[s.Run.Task.Step]
+	r := &simRun{id: s.Run, step: step, began: now}
+	r.endsAt = now + time.Duration(float64(step.Estimate)*(0.5+w.world.rng.Float64()))
+	if r.fails = w.world.rng.IntN(40) == 0; r.fails {
+		r.endsAt = now + step.Estimate/4
+	}
+	w.running[s.Run.Task] = r
+	w.world.check(w)
+	return StartOK
+}
+
+func (w *simWorker) stop(now time.Duration, epoch uint64, run workload.RunID) bool {
+	if epoch < w.fence {
+		return false
+	}
+	w.fence = epoch
+	w.highest[run.Task] = max(w.highest[run.Task], run.Number)
+	r := w.running[run.Task]
+	if r == nil || r.id != run {
+		w.absent = append(w.absent, run)
+		return true
+	}
+	if r.stopsAt == 0 {
+		r.stopsAt = now + time.Duration(w.world.rng.IntN(800))*time.Millisecond
+	}
+	return true
+}
+
+func (w *simWorker) end(r *simRun, why EndReason) {
+	delete(w.running, r.id.Task)
+	w.highest[r.id.Task] = max(w.highest[r.id.Task], r.id.Number)
+	w.ends++
+	row := EndRow{Number: w.ends, Run: r.id, Reason: why}
+	if r.step.Checkpoints && why != EndDone {
+		row.Checkpoint = fmt.Sprintf("%s-%d", r.id.Task, r.id.Number)
+	}
+	w.ended = append(w.ended, row)
+	w.world.endsRun(w, r, why)
+}
+
+// pass lets time pass at the worker.
+func (w *simWorker) pass(now time.Duration) {
+	if now >= w.leaseEnd {
+		if len(w.running) > 0 || len(w.ended) > 0 {
+			w.lapses = w.ends
+		}
+		for _, r := range w.sorted() {
+			w.end(r, EndLapsed)
+			w.lapses = w.ends
+		}
+		return
+	}
+	for _, r := range w.sorted() {
+		if w.running[r.id.Task] != r {
+			continue
+		}
+		switch {
+		case r.stopsAt != 0 && now >= r.stopsAt:
+			w.end(r, EndStopped)
+			w.world.breakGang(r)
+		case r.step.Gang && !w.world.whole(r):
+			if now-r.began > 3*time.Second {
+				w.end(r, EndAlone)
+			}
+		case now >= r.endsAt && r.fails:
+			w.end(r, EndFailed)
+			w.world.breakGang(r)
+		case now >= r.endsAt:
+			w.world.finish(r)
+		}
+	}
+}
+
+func (w *simWorker) sorted() []*simRun {
+	out := make([]*simRun, 0, len(w.running))
+	for _, r := range w.running {
+		out = append(out, r)
+	}
+	sortRuns(out)
+	return out
+}
+
+// report is what the agent says now.
+func (w *simWorker) report(now time.Duration) Report {
+	r := Report{Worker: w.info, Looked: w.fence == w.epoch && w.epoch > 0}
+	if w.fence == w.epoch {
+		r.Epoch = w.epoch
+	}
+	if w.drains != 0 {
+		r.Draining = true
+		r.Remaining = w.drains - now
+	}
+	if !r.Looked {
+		return r
+	}
+	for _, run := range w.sorted() {
+		percent := 0
+		if run.endsAt > run.began {
+			percent = int(100 * (now - run.began) / (run.endsAt - run.began))
+		}
+		r.Running = append(r.Running, RunningRow{Run: run.id, Percent: min(percent, 99)})
+	}
+	for _, row := range w.ended {
+		row.Void = row.Number <= w.lapses
+		r.Ended = append(r.Ended, row)
+	}
+	r.Absent = w.absent
+	w.absent = nil
+	return r
+}
+
+// answered takes the planner's answer to a report sent at time sent.
+func (w *simWorker) answered(now, sent time.Duration, epoch uint64, v Verdict) {
+	if epoch < w.epoch || w.dead {
+		return
+	}
+	if epoch > w.epoch {
+		w.epoch = epoch
+		w.fence = max(w.fence, epoch)
+	}
+	if !v.Attached {
+		return
+	}
+	if until := sent + simHold; until > w.granted {
+		w.granted = until
+		if now < until {
+			w.leaseEnd = max(w.leaseEnd, until)
+		}
+	}
+	w.forget(v.Seen)
+}
+
+func (w *simWorker) forget(seen int64) {
+	w.seen = max(w.seen, seen)
+	for len(w.ended) > 0 && w.ended[0].Number <= w.seen {
+		w.world.noted(w.ended[0], w.ended[0].Number <= w.lapses)
+		w.ended = w.ended[1:]
+	}
+}
--- /dev/null
+++ b/engine/sim_world_test.go
@@ -0,0 +1,308 @@
+package engine
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/catalog"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+const (
+	simHold = 6 * time.Second
+	simStep = 5 * time.Millisecond
+)
+
+// simEvent is something that happens at a time.
+type simEvent struct {
+	at time.Duration
+	do func()
+}
+
+// simWorld is callers, workers with their agents, a store and one planner after the
+// other. It checks what must hold from what the workers see.
+type simWorld struct {
+	t         testing.TB
+	rng       *rand.Rand
+	now       time.Duration
+	events    []simEvent
+	calm      bool // no more faults
+	calmSince time.Duration
+	jobs      map[workload.JobID]*workload.Job
+	order     []workload.JobID
+	cancels   map[workload.JobID]bool
+	workers   []*simWorker
+	lives     int
+
+	// The store.
+	records map[workload.JobID][]byte
+	known   map[WorkerID]WorkerInfo
+	epoch   uint64
+
+	engine  *Engine
+	writing bool
+	down    bool // the store takes no writes
+
+	// What the workers have seen.
+	ranToEnd map[workload.TaskID]bool // a run has ended as done, noted or not
+	done     map[workload.TaskID]bool // such an end was taken note of
+	attempt  map[workload.TaskID]int  // ends failed that were taken note of
+	counts   map[string]int
+	log      []string
+}
+
+func newSimWorld(t testing.TB, seed uint64) *simWorld {
+	w := &simWorld{
+		t:        t,
+		rng:      rand.New(rand.NewPCG(seed, 7)),
+		jobs:     map[workload.JobID]*workload.Job{},
+		cancels:  map[workload.JobID]bool{},
+		records:  map[workload.JobID][]byte{},
+		known:    map[WorkerID]WorkerInfo{},
+		ranToEnd: map[workload.TaskID]bool{},
+		done:     map[workload.TaskID]bool{},
+		attempt:  map[workload.TaskID]int{},
+		counts:   map[string]int{},
+	}
+	for i := range 9 {
+		w.addWorker(i)
+	}
+	w.takeOver()
+	return w
+}
+
+func (w *simWorld) addWorker(i int) {
+	w.lives++
+	info := WorkerInfo{
+		ID:       WorkerID(fmt.Sprintf("w%d-%d", i, w.lives)),
+		Agent:    fmt.Sprintf("agent%d", i),
+		Service:  "s",
+		Rack:     fmt.Sprintf("r%d", i/3),
+		Labels:   []string{"a", fmt.Sprintf("r%d", i/3)},
+		Capacity: workload.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8},
+	}
+	sw := &simWorker{world: w, info: info, running: map[workload.TaskID]*simRun{}, highest: map[workload.TaskID]int{}}
+	if i < len(w.workers) {
+		w.workers[i] = sw
+	} else {
+		w.workers = append(w.workers, sw)
+	}
+	w.reportLater(sw)
+}
+
+func (w *simWorld) after(d time.Duration, do func()) {
+	w.events = append(w.events, simEvent{w.now + d, do})
+}
+
+func (w *simWorld) latency() time.Duration {
+	return time.Duration(1+w.rng.IntN(5)) * time.Millisecond
+}
+
+// takeOver starts the next planner from the records.
+func (w *simWorld) takeOver() {
+	w.epoch++
+	w.writing = false
+	e := New(Params{
+		MaxHold: simHold, StopTime: 900 * time.Millisecond, RemoteFactor: 3, Restore: 500 * time.Millisecond,
+		CheckpointEvery: time.Second, Reclaim: 3 * time.Second, Retention: time.Hour,
+	}, w.epoch, w.now)
+	w.engine = e
+	e.Step(w.now, CatalogChanged{Catalog: &catalog.Catalog{Accounts: map[string]catalog.Account{"big": {Guaranteed: 32}}}})
+	e.Step(w.now, Tick{Wall: w.wall()})
+	for _, id := range slices.Sorted(keysOf(w.known)) {
+		e.Step(w.now, WorkerRestored{Info: w.known[id]})
+	}
+	for i, id := range w.order {
+		ev := Restored{Submitted: Submitted{Job: *w.jobs[id], Order: int64(i + 1)}, Cancelled: w.cancels[id]}
+		if text, ok := w.records[id]; ok {
+			ev.Progress = &Progress{}
+			if err := json.Unmarshal(text, ev.Progress); err != nil {
+				w.t.Fatal(err)
+			}
+		}
+		e.Step(w.now, ev)
+	}
+	w.counts["terms"]++
+}
+
+func keysOf(m map[WorkerID]WorkerInfo) func(func(WorkerID) bool) {
+	return func(yield func(WorkerID) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+func (w *simWorld) wall() time.Time { return time.Unix(1_000_000, 0).Add(w.now) }
+
+// run lets the world pass until end.
+func (w *simWorld) run(end time.Duration) {
+	for ; w.now < end && !w.t.Failed(); w.now += simStep {
+		w.due()
+		for _, worker := range w.workers {
+			if !worker.dead {
+				worker.pass(w.now)
+			}
+		}
+		if w.now%(50*time.Millisecond) == 0 {
+			w.engine.Step(w.now, Tick{Wall: w.wall()})
+		}
+		w.act()
+	}
+}
+
+func (w *simWorld) due() {
+	for {
+		i := slices.IndexFunc(w.events, func(e simEvent) bool { return e.at <= w.now })
+		if i < 0 {
+			return
+		}
+		do := w.events[i].do
+		w.events = slices.Delete(w.events, i, i+1)
+		do()
+	}
+}
+
+// act carries out the planner's decisions and writes its changes.
+func (w *simWorld) act() {
+	e := w.engine
+	for _, action := range e.Decide(w.now) {
+		if d, ok := action.(Decided); ok && *simJob != "" && string(d.Job) == *simJob {
+			w.t.Logf("%v epoch %d: %s %s %v %s", w.now, e.epoch, d.What, d.Detail, d.Run, d.Worker)
+		}
+		if o, ok := action.(Orders); ok {
+			w.after(w.latency(), func() { w.deliver(e, w.epochOf(e), o) })
+		}
+	}
+	if w.writing || w.down {
+		return
+	}
+	change := e.Changes(w.now, w.wall(), 1+w.rng.IntN(15))
+	if change.Empty() {
+		return
+	}
+	w.writing = true
+	encoded := make([][]byte, len(change.Jobs))
+	for i, j := range change.Jobs {
+		text, err := json.Marshal(j.Progress)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		encoded[i] = text
+	}
+	w.after(w.latency(), func() { w.write(e, change, encoded) })
+}
+
+func (w *simWorld) epochOf(e *Engine) uint64 { return e.epoch }
+
+// write takes effect only while its planner is the newest.
+func (w *simWorld) write(e *Engine, change Write, encoded [][]byte) {
+	if e != w.engine {
+		return
+	}
+	for i, j := range change.Jobs {
+		w.records[j.ID] = encoded[i]
+	}
+	for _, info := range change.Workers {
+		w.known[info.ID] = info
+	}
+	for _, id := range change.Gone {
+		delete(w.known, id)
+	}
+	w.after(w.latency(), func() {
+		if e == w.engine {
+			w.writing = false
+			e.Step(w.now, Stored{Write: change})
+		}
+	})
+}
+
+// deliver carries orders out at the worker. Some get no answer and are carried out late.
+func (w *simWorld) deliver(e *Engine, epoch uint64, o Orders) {
+	i := slices.IndexFunc(w.workers, func(sw *simWorker) bool { return sw.info.ID == o.Worker && !sw.dead })
+	if i < 0 || w.workers[i].cut || epoch < w.workers[i].epoch {
+		w.answer(e, o, StartNotSent)
+		return
+	}
+	sw := w.workers[i]
+	if !w.calm && w.rng.IntN(25) == 0 {
+		w.counts["late orders"]++
+		until := sw.granted
+		w.after(time.Duration(2+w.rng.IntN(10))*time.Second, func() { w.carryOut(sw, epoch, o, until) })
+		w.answer(e, o, StartUnknown)
+		return
+	}
+	results := w.carryOut(sw, epoch, o, sw.granted)
+	w.after(w.latency(), func() {
+		if e == w.engine {
+			e.Step(w.now, OrdersEnded{Worker: o.Worker, Starts: results})
+		}
+	})
+}
+
+func (w *simWorld) carryOut(sw *simWorker, epoch uint64, o Orders, until time.Duration) []StartResult {
+	if sw.dead {
+		return nil
+	}
+	var results []StartResult
+	for _, s := range o.Starts {
+		results = append(results, StartResult{Run: s.Run, Outcome: sw.start(w.now, epoch, s, until)})
+	}
+	for _, run := range o.Stops {
+		sw.stop(w.now, epoch, run)
+	}
+	return results
+}
+
+func (w *simWorld) answer(e *Engine, o Orders, outcome StartOutcome) {
+	var results []StartResult
+	for _, s := range o.Starts {
+		results = append(results, StartResult{Run: s.Run, Outcome: outcome})
+	}
+	if e == w.engine {
+		e.Step(w.now, OrdersEnded{Worker: o.Worker, Starts: results})
+	}
+}
+
+// reportLater lets an agent report again and again.
+func (w *simWorld) reportLater(sw *simWorker) {
+	w.after(time.Duration(20+w.rng.IntN(80))*time.Millisecond, func() {
+		if sw.dead {
+			return
+		}
+		w.reportLater(sw)
+		if sw.cut {
+			return
+		}
+		e, sent := w.engine, w.now
+		r := sw.report(w.now)
+		w.after(w.latency(), func() {
+			if e != w.engine || sw.cut {
+				return
+			}
+			v := e.Report(w.now, r)
+			w.after(w.latency(), func() {
+				if !sw.cut {
+					sw.answered(w.now, sent, e.epoch, v)
+				}
+			})
+		})
+	})
+}
+
+func sortRuns(runs []*simRun) {
+	slices.SortFunc(runs, func(a, b *simRun) int {
+		return cmp.Or(
+			cmp.Compare(a.id.Task.Job, b.id.Task.Job),
+			cmp.Compare(a.id.Task.Step, b.id.Task.Step),
+			cmp.Compare(a.id.Task.Index, b.id.Task.Index),
+		)
+	})
+}
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -23,10 +24,10 @@
 
 func (e *Engine) tick(now time.Duration, ev Tick) {
 	e.wall = ev.Wall
-	for _, w := range e.workers {
+	for _, w := range e.sortedWorkers() {
 		e.tickWorker(now, w)
 	}
-	for _, j := range e.jobs {
+	for _, j := range slices.Clone(e.sequence) {
 		e.tickJob(now, j)
 	}
 	if now-e.lastPlan >= replanEvery {
@@ -37,7 +38,7 @@
 func (e *Engine) tickWorker(now time.Duration, w *worker) {
 	if !w.lapsed && now >= w.lapseAt {
 		w.lapsed = true
-		for _, p := range w.places {
+		for _, p := range w.sortedPlaces() {
 			e.lost(now, p, "the worker's lease lapsed")
 		}
 		// What it lists later was not placed by anyone any more.
@@ -47,27 +48,19 @@
 		e.forget(w)
 		return
 	}
-	for _, p := range w.places {
+	for _, p := range w.sortedPlaces() {
 		if p.stopping && now-p.stopSent >= stopRetry {
 			e.sendStop(now, p)
 		}
 		if e.stuck(now, p) {
 			e.decided(p, "stuck", fmt.Sprintf("at %d%% for %v", p.percent, now-p.movedAt))
 			p.worker.health.failed(p.unit, now)
-			e.avoid(p)
+			p.unit.avoid(now, w.info.ID)
 			e.stopAll(now, p.unit)
 		}
 	}
 }
 
-func (e *Engine) avoid(p *placement) {
-	u := p.unit
-	if u.failedOn == nil {
-		u.failedOn = map[WorkerID]bool{}
-	}
-	u.failedOn[p.worker.info.ID] = true
-}
-
 // stuck says whether a task has stood still for so long that starting it elsewhere
 // pays. A worker that reports no progress of anything shows so by all its tasks.
 func (e *Engine) stuck(now time.Duration, p *placement) bool {
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -37,13 +37,14 @@
 	verdict    verdict
 	run        int // highest number used
 	failures   int
+	failedRun  int // the last run that counted as a failure
 	saved      string
 	places     []*placement
 	// since is when the unit last began to wait.
 	since     time.Duration
 	notBefore time.Duration
-	// failedOn are workers where a run of it failed.
-	failedOn map[WorkerID]bool
+	// avoids are workers where a run of it failed, and until when.
+	avoids map[WorkerID]time.Duration
 	// claims is room that is being emptied for the unit: tasks by worker.
 	claims    map[*worker]int
 	claimedAt time.Duration
@@ -67,5 +68,16 @@
 	return out
 }
 
+// avoidFor is how long a unit keeps away from a worker where it failed. Workers that
+// fail everything do so for five seconds or so, and show it by then to others too.
+const avoidFor = 6 * time.Second
+
+func (u *unit) avoid(now time.Duration, id WorkerID) {
+	if u.avoids == nil {
+		u.avoids = map[WorkerID]time.Duration{}
+	}
+	u.avoids[id] = now + avoidFor
+}
+
 // ending says whether the present run is on its way out.
 func (u *unit) ending() bool { return u.verdict != verdictNone }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -1,6 +1,9 @@
 package engine
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -72,6 +75,22 @@
 
 func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used) }
 
+// sortedPlaces returns the placements in a fixed order.
+func (w *worker) sortedPlaces() []*placement {
+	out := slices.Collect(maps.Values(w.places))
+	slices.SortFunc(out, func(a, b *placement) int { return compareTasks(a.task(), b.task()) })
+	return out
+}
+
+func compareTasks(a, b workload.TaskID) int {
+	return cmp.Or(
+		cmp.Compare(a.Job, b.Job),
+		cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step),
+		cmp.Compare(a.Index, b.Index),
+	)
+}
+
 // forgettable advances seen past the ends that are on record.
 func (w *worker) forgettable() int64 {
 	for len(w.pending) > 0 {
--- a/engine/write.go
+++ b/engine/write.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -58,7 +59,9 @@
 			out = append(out, j)
 		}
 	}
-	slices.SortFunc(out, func(a, b *job) int { return int(a.order - b.order) })
+	slices.SortFunc(out, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.spec.ID, b.spec.ID))
+	})
 	return out
 }
 
@@ -104,10 +107,16 @@
 	}
 	for _, id := range w.Ended {
 		delete(e.expired, id)
-		delete(e.jobs, id)
+		e.remove(id)
 	}
 }
 
+func (e *Engine) remove(id workload.JobID) {
+	j := e.jobs[id]
+	delete(e.jobs, id)
+	e.sequence = slices.DeleteFunc(e.sequence, func(o *job) bool { return o == j })
+}
+
 // release orders the starts of a job whose placements are on record as written.
 func (e *Engine) release(now time.Duration, j *job, written *Progress) {
 	for i := range written.Units {
@@ -115,20 +124,30 @@
 		if u == nil || u.run != written.Units[i].Run {
 			continue
 		}
-		for _, p := range slices.Clone(u.places) {
-			if p.state == placeRecording && p.run == written.Units[i].Run {
-				e.order(now, p)
-			}
+		e.orderUnit(now, u)
+	}
+}
+
+// orderUnit sends the starts of a run, all or, where one of the workers is no longer
+// fit, none.
+func (e *Engine) orderUnit(now time.Duration, u *unit) {
+	var ready []*placement
+	for _, p := range u.places {
+		if p.state != placeRecording {
+			continue
+		}
+		if u.ending() || !p.worker.usable(now) {
+			e.refuse(now, u)
+			return
 		}
+		ready = append(ready, p)
+	}
+	for _, p := range ready {
+		e.order(now, p)
 	}
 }
 
-// order sends a start, or ends the placement where the worker is no longer fit.
 func (e *Engine) order(now time.Duration, p *placement) {
-	if p.unit.ending() || !p.worker.usable(now) {
-		e.refuse(now, p.unit)
-		return
-	}
 	p.state = placeOrdered
 	p.began = now
 	p.movedAt = now
