engine: an eviction has to be worth more than it throws away

Cause: any job of priority 0 evicted at once, adding victims by their own cost until it fitted anywhere, so nine tasks went for one gang. Now room that frees by itself within the job's slack is waited for, victims are chosen worker by worker where least is lost, and at most as much is thrown away as the job itself is, unless the account's guarantee would be broken.

--- a/engine/evict.go
+++ b/engine/evict.go
@@ -1,11 +1,7 @@
 package engine
 
 import (
-	"cmp"
-	"slices"
 	"time"
-
-	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 // claimSlack is how much longer than a stop may take room is kept for the unit that
@@ -19,8 +15,12 @@
 	slots   map[*worker]int
 }
 
-// evict stops work of lower rank so that u can start, where that is sooner than waiting,
-// and keeps the room for it. It returns whether room is on its way.
+// evict stops work of lower rank so that u can start, and keeps the room for it. It
+// returns whether room is on its way.
+//
+// It evicts only where waiting would cost more: room that frees by itself while u can
+// still meet its objective is waited for, and no more work is thrown away than u itself
+// is, unless its account's guarantee would be broken or u would come far too late.
 func (r *round) evict(u *unit) bool {
 	if u.job.spec.Terms.Priority != 0 {
 		return false
@@ -33,7 +33,7 @@
 	if best == nil && !near.anywhere && r.protected[u.job] {
 		best = r.cheapest(u, domains{sets: [][]*worker{r.workers}, anywhere: true})
 	}
-	if best == nil {
+	if best == nil || !r.pays(u, best, near) {
 		return false
 	}
 	for _, v := range best.victims {
@@ -48,12 +48,41 @@
 	return true
 }
 
+const (
+	// reclaimMargin is kept from the time in which a guaranteed job has to start, for
+	// what follows the stop: the record, the order and a report that comes late.
+	reclaimMargin = 700 * time.Millisecond
+	// lateFactor bounds a late job's use: after that many times its objective its
+	// caller has no use for it.
+	lateFactor = 3
+)
+
+// pays says whether an eviction is better than waiting.
+func (r *round) pays(u *unit, way *eviction, near domains) bool {
+	wait := never
+	for _, set := range near.sets {
+		wait = min(wait, r.earliest(u, set))
+	}
+	stop := r.e.params.StopTime
+	if r.protected[u.job] && r.now+stop+reclaimMargin >= u.since+r.e.params.Reclaim {
+		return true
+	}
+	slack := u.job.objective() - r.now - r.e.estimate(u)
+	if wait <= max(stop, slack) {
+		return false
+	}
+	own := u.total().Cores() * r.e.estimate(u).Seconds()
+	useless := u.job.accepted + lateFactor*(u.job.objective()-u.job.accepted) - r.e.estimate(u)
+	if r.now+wait > useless {
+		own *= lateFactor
+	}
+	return way.cost <= own
+}
+
+// cheapest returns the eviction that throws the least work away.
 func (r *round) cheapest(u *unit, d domains) *eviction {
 	var best *eviction
 	for _, set := range d.sets {
-		if r.earliest(u, set) <= r.e.params.StopTime {
-			return r.wait(u, set)
-		}
 		if way := r.evictions(u, set); way != nil && (best == nil || way.cost < best.cost) {
 			best = way
 		}
@@ -61,89 +90,24 @@
 	return best
 }
 
-// wait claims room that becomes free by itself as soon as an eviction could free any.
-func (r *round) wait(u *unit, set []*worker) *eviction {
-	_, slots := r.forecast(u, set)
-	return &eviction{slots: slots}
-}
-
-// evictions returns the cheapest way found to make u fit on a set: victims are added
-// by cost until it fits, then those that turned out needless are spared, dearest first.
+// evictions makes room for the members of u one by one, each time on the worker where
+// that throws the least work away.
 func (r *round) evictions(u *unit, set []*worker) *eviction {
-	room := map[*worker]workload.Resources{}
-	candidates := map[*unit]float64{}
-	for _, w := range set {
-		if !r.eligible(u, w) || w.health.resting(r.now) {
-			continue
-		}
-		room[w] = w.free().Sub(r.claimed[w])
-		for _, p := range w.places {
-			if p.stopping || p.unit.state != unitActive || p.unit.ending() {
-				room[w] = room[w].Add(p.demand)
-				continue
-			}
-			if r.yields(p.unit, u) {
-				candidates[p.unit] = r.e.waste(r.now, p.unit)
-			}
-		}
-	}
-	order := make([]*unit, 0, len(candidates))
-	for v := range candidates {
-		order = append(order, v)
-	}
-	slices.SortFunc(order, func(a, b *unit) int {
-		return cmp.Or(
-			cmp.Compare(b.job.spec.Terms.Priority, a.job.spec.Terms.Priority),
-			cmp.Compare(candidates[a], candidates[b]),
-			cmp.Compare(a.job.order, b.job.order),
-			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
-			cmp.Compare(a.occurrence, b.occurrence),
-			cmp.Compare(a.step, b.step),
-			cmp.Compare(a.index, b.index),
-		)
-	})
-	chosen := r.until(u, room, order)
-	if chosen == nil {
-		return nil
-	}
-	return r.spare(u, room, chosen, candidates)
-}
-
-// until adds victims in order until u fits. It returns nil where it never does.
-func (r *round) until(u *unit, room map[*worker]workload.Resources, order []*unit) []*unit {
-	for i, v := range order {
-		r.empty(room, v, 1)
-		if r.slotsIn(u, room) != nil {
-			return order[:i+1]
-		}
-	}
-	return nil
-}
-
-func (r *round) spare(u *unit, room map[*worker]workload.Resources, chosen []*unit, cost map[*unit]float64) *eviction {
-	out := &eviction{}
-	for i := len(chosen) - 1; i >= 0; i-- {
-		r.empty(room, chosen[i], -1)
-		if r.slotsIn(u, room) != nil {
-			continue
+	c := r.newClearing(u, set)
+	out := &eviction{slots: map[*worker]int{}}
+	for range u.size {
+		w, victims, cost := c.next()
+		if w == nil {
+			return nil
 		}
-		r.empty(room, chosen[i], 1)
-		out.victims = append(out.victims, chosen[i])
-		out.cost += cost[chosen[i]]
+		c.take(w, victims)
+		out.victims = append(out.victims, victims...)
+		out.cost += cost
+		out.slots[w]++
 	}
-	out.slots = r.slotsIn(u, room)
 	return out
 }
 
-// empty adds what a victim holds to the room, or takes it back.
-func (r *round) empty(room map[*worker]workload.Resources, v *unit, sign int) {
-	for _, p := range v.places {
-		if have, ok := room[p.worker]; ok {
-			room[p.worker] = have.Add(p.demand.Times(sign))
-		}
-	}
-}
-
 // yields says whether v may be evicted for u: work of lower priority always, work of
 // the first priority only beyond its account's guarantee and for work within one.
 func (r *round) yields(v, u *unit) bool {
