records, platform: ask before a write, so that an outage is refused in truth and at once

Cause: a submission sent into an outage had no answer, and its outcome stayed unknown until the caller's deadline: 504, after which callers can't safely ask again. A question first changes nothing, so its failure is a true refusal.

--- a/records/intake.go
+++ b/records/intake.go
@@ -24,6 +24,9 @@
 // NewIntake returns an Intake.
 func NewIntake(kv store.Atomic) *Intake { return &Intake{store: kv} }
 
+// probeTimeout bounds the question that goes before a write.
+const probeTimeout = 600 * time.Millisecond
+
 // Accept makes a job durable and returns the revision at which it is. A repeated call
 // for the same id finds the first. It goes on until ctx ends to learn what became of a
 // write whose reply was lost.
@@ -32,6 +35,13 @@
 	if err != nil {
 		return link.OutcomeNotDone, 0
 	}
+	first, known, err := i.probe(ctx, jobKey(j.ID))
+	if err != nil {
+		return link.OutcomeNotDone, 0
+	}
+	if known {
+		return i.repeated(j, first)
+	}
 	outcome, revision, current := i.create(ctx, store.Swap{Key: jobKey(j.ID), Value: value})
 	if current != nil {
 		return i.repeated(j, *current)
@@ -39,6 +49,16 @@
 	return outcome, revision
 }
 
+// probe reads the key before it is written. Where the store is out, a write that was
+// sent leaves its outcome unknown, and the caller can neither be told that it was
+// accepted nor that it was not; a question that gets no answer has changed nothing, so
+// the caller can be refused in truth, at once.
+func (i *Intake) probe(ctx context.Context, key string) (store.KeyValue, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return i.store.Get(ctx, key)
+}
+
 // repeated judges a submission whose id is on record already.
 func (i *Intake) repeated(j *workload.Job, kv store.KeyValue) (link.Outcome, store.Revision) {
 	var first workload.Job
