--- a/engine/ends.go
+++ b/engine/ends.go
@@ -17,6 +17,7 @@
 	}
 	reason := row.Reason
 	if row.Void && (reason == EndDone || reason == EndFailed) {
+		e.decided(p, "end does not count", "the worker's lease lapsed after it")
 		reason = EndLapsed
 	}
 	u := p.unit
@@ -45,6 +46,11 @@
 	case EndFailed:
 		p.worker.health.failed(u, now)
 		e.unitFailed(now, p)
+	case EndStopped:
+		if p.stopping {
+			e.tracker.stopped(now - p.stopSent)
+		}
+		e.retry(u)
 	default:
 		e.retry(u)
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -48,7 +48,7 @@
 		jobs:           map[workload.JobID]*job{},
 		workers:        map[WorkerID]*worker{},
 		byAgent:        map[string]WorkerID{},
-		tracker:        newTracker(),
+		tracker:        newTracker(params.StopTime / 2),
 		dirty:          map[workload.JobID]bool{},
 		unrecorded:     map[WorkerID]*worker{},
 		goneWorkers:    map[WorkerID]bool{},
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -22,7 +22,7 @@
 // still meet its objective is waited for, and no more work is thrown away than u itself
 // is, unless its account's guarantee would be broken or u would come far too late.
 func (r *round) evict(u *unit) bool {
-	if u.job.spec.Terms.Priority != 0 {
+	if u.job.spec.Terms.Priority != 0 || r.e.gathering(r.now) {
 		return false
 	}
 	if len(u.claims) > 0 {
@@ -49,6 +49,9 @@
 }
 
 const (
+	// waitShare is the share of a job's slack that it may wait for room that is expected
+	// to become free: forecasts rest on declared run times, which are off by half.
+	waitShare = 0.4
 	// reclaimMargin is kept from the time in which a guaranteed job has to start, for
 	// what follows the stop: the record, the order and a report that comes late.
 	reclaimMargin = 700 * time.Millisecond
@@ -68,7 +71,7 @@
 		return true
 	}
 	slack := u.job.objective() - r.now - r.e.estimate(u)
-	if wait <= max(stop, slack) {
+	if wait <= max(r.e.tracker.stop, time.Duration(waitShare*float64(slack))) {
 		return false
 	}
 	own := u.total().Cores() * r.e.estimate(u).Seconds()
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -18,6 +18,24 @@
 	e.byAgent[info.Agent] = info.ID
 }
 
+// gatherTime is how long a new planner waits for the workers on record before it stops
+// work for want of room: most report within a tenth of a second of each other, and room
+// on those still to come is better than an eviction.
+const gatherTime = 400 * time.Millisecond
+
+// gathering says whether workers that a predecessor knew are still expected.
+func (e *Engine) gathering(now time.Duration) bool {
+	if now-e.began > gatherTime {
+		return false
+	}
+	for _, w := range e.workers {
+		if !w.attached {
+			return true
+		}
+	}
+	return false
+}
+
 // restore takes a job from a predecessor's records. Workers are restored before.
 func (e *Engine) restore(now time.Duration, ev Restored) {
 	if e.jobs[ev.Job.ID] != nil {
--- a/engine/tracker.go
+++ b/engine/tracker.go
@@ -6,6 +6,8 @@
 // estimates are off by half and more, but in the same way for like jobs.
 type tracker struct {
 	ratios map[string]float64 // by queue: real time in parts of the declared one
+	// stop is how long stopped tasks lately took to end.
+	stop time.Duration
 }
 
 const (
@@ -18,7 +20,14 @@
 	leastRemaining = 150 * time.Millisecond
 )
 
-func newTracker() tracker { return tracker{ratios: map[string]float64{}} }
+func newTracker(stop time.Duration) tracker {
+	return tracker{ratios: map[string]float64{}, stop: stop}
+}
+
+// stopped takes how long a stopped task took to end.
+func (t *tracker) stopped(took time.Duration) {
+	t.stop = time.Duration((1-learnShare)*float64(t.stop) + learnShare*float64(took))
+}
 
 func (t *tracker) ratio(queue string) float64 {
 	if r, ok := t.ratios[queue]; ok {
--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -47,6 +47,11 @@
 	// milliseconds. Starts are idempotent and tried again.
 	orderTimeout  = 250 * time.Millisecond
 	startAttempts = 3
+	// leastGrant is how far the planner's last answer must reach for a start: an order
+	// can overtake the answer that follows a gap, and the run would lapse at once.
+	leastGrant = time.Second
+	// renewBelow is the rest of a lease from which a look in progress is not waited for.
+	renewBelow = 3 * time.Second
 	// membersAfter is how long no known gateway may answer before the register is read.
 	membersAfter = 1500 * time.Millisecond
 )
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -17,7 +17,9 @@
 	// clock was the worker's own at some time up to readAt.
 	clock  time.Duration
 	readAt time.Duration
-	known  bool
+	// askedAt is when the last look was asked for.
+	askedAt time.Duration
+	known   bool
 	// leaseEnd is the latest time, on the agent's clock, to which the lease may have
 	// been extended by any order sent, answered or not.
 	leaseEnd time.Duration
@@ -32,7 +34,10 @@
 	// stopped are runs whose stop was confirmed, with the time of the confirmation.
 	stopped map[workload.RunID]time.Duration
 	absent  []workload.RunID
-	looks   int // answered looks that were not reported yet
+	looks   int // answered looks that no planner has taken yet
+	// reporting is how many of them the report on its way tells of. A look that was
+	// told once must not count again: it says nothing of runs that began after it.
+	reporting int
 }
 
 func newLife(info engine.WorkerInfo) *life {
@@ -64,8 +69,11 @@
 			l.void[row.Number] = true
 		}
 	}
-	l.clock, l.readAt, l.known = look.Clock, now, true
 	l.failing = false
+	if l.known && (look.Clock < l.clock || look.Clock == l.clock && sent < l.askedAt) {
+		return // overtaken on its way by the answer to a later look
+	}
+	l.clock, l.readAt, l.askedAt, l.known = look.Clock, now, sent, true
 	l.running = look.Running
 	l.ended = look.Ended
 	for i := range l.ended {
@@ -111,6 +119,7 @@
 		r.Epoch = epoch
 	}
 	if l.looks > 0 {
+		l.reporting = l.looks
 		r.Looked = true
 		r.Running = l.running
 		r.Ended = l.ended
@@ -124,5 +133,7 @@
 	if !r.Looked {
 		return
 	}
+	l.looks -= l.reporting
+	l.reporting = 0
 	l.absent = l.absent[min(len(r.Absent), len(l.absent)):]
 }
--- /dev/null
+++ b/nodeagent/life_test.go
@@ -0,0 +1,74 @@
+package nodeagent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+var run1 = workload.RunID{Task: workload.TaskID{Job: "j"}, Number: 1}
+
+// Two looks are on their way at once, and the answer to the earlier one comes last. It
+// was given before a run began, so taking it would show a planner that just took over a
+// worker without that run, and the task would start elsewhere while it runs here.
+func TestOvertakenLookIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	l := newLife(engine.WorkerInfo{ID: "w"})
+	l.take(Look{Clock: 2 * time.Second, Running: []engine.RunningRow{{Run: run1}}}, 1000, 1010, 0)
+	l.take(Look{Clock: 1900 * time.Millisecond}, 900, 1020, 0)
+	c.Check(l.report(1030, 0).Running, qt.HasLen, 1)
+	l.take(Look{Clock: 2 * time.Second}, 990, 1040, 0)
+	c.Check(l.report(1050, 0).Running, qt.HasLen, 1)
+}
+
+// The same look was told to the planner with every report until the next one. A run that
+// began meanwhile was missing three times in a row, and was stopped.
+func TestLookIsToldOnce(t *testing.T) {
+	c := qt.New(t)
+	l := newLife(engine.WorkerInfo{ID: "w"})
+	l.take(Look{Clock: time.Second}, 1000, 1010, 0)
+	first := l.report(1020, 0)
+	c.Check(first.Looked, qt.IsTrue)
+	c.Check(l.report(1020, 0).Looked, qt.IsTrue, qt.Commentf("the first report was lost"))
+	l.reported(first)
+	c.Check(l.report(1030, 0).Looked, qt.IsFalse)
+	l.take(Look{Clock: 2 * time.Second}, 1040, 1050, 0)
+	c.Check(l.report(1060, 0).Looked, qt.IsTrue)
+}
+
+// A task ends as done while its agent is cut off from the planner, and then the worker's
+// lease lapses. By the platform's rules that end counts as not having been: the planner
+// may have started the task elsewhere.
+func TestEndBeforeALapseIsVoid(t *testing.T) {
+	c := qt.New(t)
+	l := newLife(engine.WorkerInfo{ID: "w"})
+	l.extend(6 * time.Second)
+	done := Look{Clock: 5 * time.Second, Ended: []engine.EndRow{{Number: 1, Run: run1, Reason: engine.EndDone}}}
+	l.take(done, 5*time.Second, 5*time.Second, 6*time.Second)
+	c.Check(l.report(0, 0).Ended[0].Void, qt.IsFalse)
+	done.Clock = 7 * time.Second
+	l.take(done, 7*time.Second, 7*time.Second, 6*time.Second)
+	c.Check(l.report(0, 0).Ended[0].Void, qt.IsTrue)
+	l.extend(13 * time.Second)
+	done.Clock = 8 * time.Second
+	l.take(done, 8*time.Second, 8*time.Second, 13*time.Second)
+	c.Check(l.report(0, 0).Ended[0].Void, qt.IsTrue, qt.Commentf("it stays so"))
+}
+
+// A run whose stop was confirmed is absent only by a look that was asked for later.
+func TestStoppedRunIsAbsentByALaterLook(t *testing.T) {
+	c := qt.New(t)
+	l := newLife(engine.WorkerInfo{ID: "w"})
+	l.stopped[run1] = 2 * time.Second
+	l.take(Look{Clock: time.Second}, time.Second, 3*time.Second, 0)
+	c.Check(l.report(0, 0).Absent, qt.HasLen, 0)
+	l.take(Look{Clock: 2 * time.Second, Running: []engine.RunningRow{{Run: run1}}}, 3*time.Second, 4*time.Second, 0)
+	c.Check(l.report(0, 0).Absent, qt.HasLen, 0, qt.Commentf("it is being stopped"))
+	l.stopped[run1] = 4 * time.Second
+	l.take(Look{Clock: 3 * time.Second}, 5*time.Second, 6*time.Second, 0)
+	c.Check(l.report(0, 0).Absent, qt.DeepEquals, []workload.RunID{run1})
+}
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -63,7 +63,7 @@
 	switch {
 	case l.draining:
 		return o, l, engine.StartDraining
-	case o.Until == 0 || l.failing:
+	case o.Until == 0 || l.failing || a.granted-now() < leastGrant:
 		return o, l, engine.StartNotSent
 	}
 	l.extend(a.granted)
@@ -74,10 +74,17 @@
 func (a *Agent) start(o Order, l *life, s engine.StartOrder) engine.StartOutcome {
 	a.counts.Starts.Add(1)
 	outcome := engine.StartUnknown
-	for range startAttempts {
+	for attempt := range startAttempts {
 		ctx, cancel := context.WithTimeout(a.tomb.Context(nil), orderTimeout)
 		outcome = a.cfg.Worker.Start(ctx, o, s)
 		cancel()
+		if outcome == engine.StartOK {
+			break
+		}
+		if attempt > 0 {
+			// A refusal of this attempt does not undo one that got no answer before.
+			outcome = engine.StartUnknown
+		}
 		if outcome != engine.StartUnknown {
 			break
 		}
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -112,14 +112,17 @@
 	l.reported(r)
 	if reply.Attached {
 		a.granted = max(a.granted, sent+a.cfg.MaxHold)
+		if l.leaseEnd != 0 && l.leaseEnd-now() < renewBelow {
+			a.interrupt() // after a gap; a look that waits would come too late
+		}
 	}
 	if reply.Seen > l.seen {
 		l.seen = reply.Seen
 	}
 }
 
-// interrupt lets the next look raise the worker's fence at once instead of after the
-// present look's wait. The mutex is held.
+// interrupt makes a look at once, beside the present one, which may wait for a second
+// more. The mutex is held.
 func (a *Agent) interrupt() {
 	if l := a.life; l != nil {
 		go a.look(l, 0)
