lease: a restarted holder reclaims its duty; a bound on pauses

Cause: after the planner's process was killed, nobody planned until its lease of 2 s lapsed, though the process was back after half a second; and after an outage candidates paused up to 5 s.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -42,6 +42,9 @@
 	// dutyTTL bounds how long nobody plans after the planner's machine died. It is six
 	// times a renewal of a store that answers a hundred times slower than usual.
 	dutyTTL = 2 * time.Second
+	// dutyPause bounds the pause between attempts to take the duty while the store is
+	// out, and so how long nobody plans after its return.
+	dutyPause = 300 * time.Millisecond
 	// keyMargin is taken off KeyLife: watches of the store may hear nothing for a
 	// second while changes are made, and clocks differ in rate.
 	keyMargin = 1500 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,12 +58,14 @@
 	g.pool = wire.NewPool(g.endpoint)
 	g.tomb.Go(g.run)
 	g.duty = lease.Run(lease.Options{
-		Store:    cfg.Store,
-		Duty:     dutyName,
-		Instance: cfg.ID,
-		TTL:      dutyTTL,
-		Changed:  g.dutyChanged,
-		Log:      cfg.Log,
+		Store:     cfg.Store,
+		Duty:      dutyName,
+		Instance:  cfg.ID,
+		TTL:       dutyTTL,
+		Reclaim:   true,
+		MostPause: dutyPause,
+		Changed:   g.dutyChanged,
+		Log:       cfg.Log,
 	})
 	g.log.WithField("listen", cfg.Listen).Info("gateway started")
 	return g, nil
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,9 @@
 	}
 	h.pause.InitialInterval = pauseFirst
 	h.pause.MaxInterval = pauseMax
+	if opts.MostPause > 0 {
+		h.pause.MaxInterval = opts.MostPause
+	}
 	h.pause.Reset()
 	h.tenure = h.newTenure()
 	h.tomb.Go(h.run)
@@ -62,7 +66,17 @@
 	if s := h.opts.Session; s != nil {
 		return &sharedTenure{s: s, key: key, taken: h.foundTaken}
 	}
-	return &ownTenure{store: h.opts.Store, key: key, ttl: h.opts.TTL, clock: h.opts.Clock, taken: h.foundTaken}
+	return &ownTenure{store: h.opts.Store, key: key, ttl: h.opts.TTL, clock: h.opts.Clock, taken: h.foundTaken, left: h.leftBehind}
+}
+
+// leftBehind says whether the value of the holder key was written by an earlier process
+// of this instance.
+func (h *Holder) leftBehind(value []byte) bool {
+	if !h.opts.Reclaim {
+		return false
+	}
+	var r record
+	return json.Unmarshal(value, &r) == nil && r.Instance == h.opts.Instance
 }
 
 func (h *Holder) foundTaken() {
--- a/lease/options.go
+++ b/lease/options.go
@@ -32,6 +32,13 @@
 	// leave it to other candidates. It must not block; nil means not at all. It
 	// costs a Holder with a lease of its own one more call.
 	Hesitate func() time.Duration
+	// Reclaim removes a claim that an earlier process of the same Instance left
+	// behind, instead of waiting for its lease to lapse. At most one process of an
+	// Instance may run at a time.
+	Reclaim bool
+	// MostPause bounds the pause between attempts that fail; zero means 5 s. It is how
+	// long nobody may hold the duty after the store is back.
+	MostPause time.Duration
 	// Clock reads a clock that runs during suspension; nil means BootTime.
 	Clock func() time.Duration
 	// Log gets a line for each change; nil means none.
--- a/lease/tenure_own.go
+++ b/lease/tenure_own.go
@@ -16,6 +16,8 @@
 	clock func() time.Duration
 	// taken is told when another is found to hold the duty.
 	taken func()
+	// left says whether a claim is one that this instance left behind.
+	left func(value []byte) bool
 }
 
 // awaitVacant lists the holder key and, while it exists, watches it. Waiting
@@ -28,6 +30,9 @@
 	if len(snap.Keys) == 0 {
 		return Vacant{}
 	}
+	if o.left(snap.Keys[0].Value) {
+		return o.remove(ctx, snap.Keys[0])
+	}
 	o.taken()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -46,6 +51,19 @@
 	return failed(err)
 }
 
+// remove deletes a claim that an earlier process of this instance left behind: it is
+// gone for certain, so its lease need not be waited for.
+func (o *ownTenure) remove(ctx context.Context, kv store.KeyValue) Event {
+	gone, err := o.swap(ctx, store.Swap{Key: kv.Key, Expect: kv.Mod, Delete: true})
+	if err != nil {
+		return failed(err)
+	}
+	if !gone {
+		return Failed{}
+	}
+	return Vacant{}
+}
+
 func (o *ownTenure) grant(ctx context.Context) Event {
 	sent := o.clock()
 	id, err := o.store.Grant(ctx, o.ttl)
