engine: late jobs gain urgency again

Cause: jobs that could not meet their objective any more stood behind all that could, and starved until their callers had no use for them, though a late answer is worth most of one in time.

--- a/engine/queue.go
+++ b/engine/queue.go
@@ -10,9 +10,9 @@
 //
 //  1. units of jobs within their account's guarantee,
 //  2. by priority of the queue, 0 first,
-//  3. those that can still meet their objective before those that can't,
-//  4. by the time at which the job should be completed,
-//  5. by acceptance.
+//  3. by the time at which the unit has to start at the latest for its job's next
+//     deadline (see deadline),
+//  4. by acceptance.
 func (e *Engine) queue(now time.Duration, protected map[*job]bool) []*unit {
 	var out []*unit
 	for _, j := range e.sequence {
@@ -25,12 +25,6 @@
 			}
 		}
 	}
-	late := func(u *unit) int {
-		if now+e.estimate(u) > u.job.objective() {
-			return 1
-		}
-		return 0
-	}
 	first := func(u *unit) int {
 		if protected[u.job] {
 			return 0
@@ -41,8 +35,7 @@
 		return cmp.Or(
 			cmp.Compare(first(a), first(b)),
 			cmp.Compare(a.job.spec.Terms.Priority, b.job.spec.Terms.Priority),
-			cmp.Compare(late(a), late(b)),
-			cmp.Compare(a.job.objective(), b.job.objective()),
+			cmp.Compare(e.latestStart(now, a), e.latestStart(now, b)),
 			cmp.Compare(a.job.order, b.job.order),
 			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
 			cmp.Compare(a.occurrence, b.occurrence),
@@ -53,6 +46,40 @@
 	return out
 }
 
+// latestStart returns when u has to start for the next deadline that it can still meet.
+func (e *Engine) latestStart(now time.Duration, u *unit) time.Duration {
+	left := e.chainFrom(u)
+	return e.deadline(now+left, u.job) - left
+}
+
+// deadline returns the next deadline of a job that would be completed at end: its
+// objective; where that is missed, the time from which its caller has no use for it, so
+// that a late job gains urgency again instead of waiting behind all others; else never.
+func (e *Engine) deadline(end time.Duration, j *job) time.Duration {
+	objective := j.objective()
+	if end <= objective {
+		return objective
+	}
+	if useless := j.accepted + lateFactor*(objective-j.accepted); end <= useless {
+		return useless
+	}
+	return never
+}
+
+// chainFrom returns how long the longest chain of work from u's step on is expected to
+// take.
+func (e *Engine) chainFrom(u *unit) time.Duration {
+	steps := u.job.spec.Steps
+	longest := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= u.step; i-- {
+		longest[i] += steps[i].Estimate
+		for _, before := range steps[i].After {
+			longest[before] = max(longest[before], longest[i])
+		}
+	}
+	return time.Duration(e.tracker.ratio(u.job.spec.Queue) * float64(longest[u.step]))
+}
+
 // protected returns the jobs of priority 0 that their accounts' guarantees cover, in
 // order of acceptance.
 func (e *Engine) protected() map[*job]bool {
