engine: patient work leaves one rack to urgent jobs

Work whose latest start is over 6 s away now leaves the emptiest rack as free as 60% of the last urgent jobs needed it.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -21,7 +21,10 @@
 	workers  map[WorkerID]*worker
 	byAgent  map[string]WorkerID
 	tracker  tracker
-	lastPlan time.Duration
+	urgent   urgent
+	// spareRack is the rack that patient work leaves alone.
+	spareRack string
+	lastPlan  time.Duration
 	// workersChanged is when a worker last came, which may make a job possible.
 	workersChanged time.Duration
 	wall           time.Time
--- /dev/null
+++ b/engine/headroom.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Headroom answers bursts of urgent jobs that fit on one rack and last for a second or
+// three: stopping other work for each takes as long as a stop does, which is most of what
+// such a job may be late. So work that can wait leaves one rack as empty as urgent jobs
+// lately needed it. What can't wait any longer takes that room too.
+const (
+	// patientSlack is how much time a unit must have left before its latest start to
+	// leave the room alone. It covers the wait for the next release of room.
+	patientSlack = 6 * time.Second
+	// urgentKept is how many urgent units are remembered; more than a burst brings.
+	urgentKept = 24
+	// urgentShare is the share of them that the room should hold.
+	urgentShare = 0.6
+)
+
+// urgent remembers how many accelerators urgent units took.
+type urgent struct {
+	sizes []int
+}
+
+func (u *urgent) note(size int) {
+	u.sizes = append(u.sizes, size)
+	if len(u.sizes) > urgentKept {
+		u.sizes = u.sizes[1:]
+	}
+}
+
+// target returns the accelerators to keep free.
+func (u *urgent) target() int {
+	if len(u.sizes) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(u.sizes))
+	return sorted[int(urgentShare*float64(len(sorted)-1))]
+}
+
+// pickSpare chooses the rack that is kept empty: the emptiest, which it stays unless
+// another is clearly emptier.
+func (r *round) pickSpare() {
+	r.target = r.e.urgent.target()
+	best, most := "", -1
+	for _, rack := range slices.Sorted(maps.Keys(r.racks)) {
+		free := r.rackFree(rack)
+		if rack == r.e.spareRack {
+			free += r.target / 2
+		}
+		if free > most {
+			best, most = rack, free
+		}
+	}
+	r.e.spareRack = best
+}
+
+// rackFree returns the accelerators of a rack that nothing holds or claims.
+func (r *round) rackFree(rack string) int {
+	sum := 0
+	for _, w := range r.racks[rack] {
+		sum += max(0, w.free().Accelerators-r.claimed[w].Accelerators)
+	}
+	return sum
+}
+
+// spared returns how many members of u may go onto w without using up the headroom.
+func (r *round) spared(u *unit, w *worker, n int) int {
+	need := u.demand().Accelerators
+	if n <= 0 || need == 0 || w.info.Rack != r.e.spareRack || !r.patient(u) {
+		return n
+	}
+	return max(0, min(n, (r.rackFree(w.info.Rack)-r.target)/need))
+}
+
+// patient says whether u can wait.
+func (r *round) patient(u *unit) bool {
+	if u.job.spec.Terms.Priority == 0 {
+		return false
+	}
+	return r.e.latestStart(r.now, u)-r.now > patientSlack
+}
--- /dev/null
+++ b/engine/headroom_test.go
@@ -0,0 +1,49 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Small patient jobs fill every worker, and then an urgent gang comes: it had to wait for
+// the stop of eight of them. With the sizes of urgent gangs known, patient work leaves a
+// rack alone, and the gang starts at once.
+func TestPatientWorkLeavesARackToUrgentGangs(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 9)
+	first := d.job(0, "", gang(2, 8))
+	d.settle()
+	d.end(first, EndDone)
+	d.settle()
+	patient := tasks(72, 1)
+	patient.Need.MilliCPU = 1000
+	patient.Need.MemoryMB = 1000
+	patient.Estimate = 8 * time.Second
+	id := d.job(2, "", patient)
+	d.settle()
+	c.Check(len(d.starts)-2, qt.Equals, 72-16, qt.Commentf("all but the gang's room"))
+	urgent := d.job(0, "", gang(2, 8))
+	d.settle()
+	c.Check(d.runs(urgent), qt.HasLen, 2)
+	c.Check(d.stops, qt.HasLen, 0)
+	c.Check(len(d.runs(id)) >= 7, qt.IsTrue)
+}
+
+// The same patient work has waited until it has to start: then the room is its own.
+func TestWorkThatCannotWaitTakesTheHeadroom(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 3)
+	first := d.job(0, "", gang(2, 8))
+	d.settle()
+	d.end(first, EndDone)
+	d.settle()
+	short := tasks(24, 1)
+	short.Need.MilliCPU = 1000
+	short.Need.MemoryMB = 1000
+	short.Estimate = time.Second
+	d.job(2, "", short)
+	d.settle()
+	c.Check(d.starts, qt.HasLen, 2+24, qt.Commentf("three times a second and one more: no slack to speak of"))
+}
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -21,6 +21,9 @@
 	e.occur(now, j)
 	j.unblock(now)
 	e.replan = true
+	if j.spec.Terms.Priority == 0 {
+		e.urgent.note(j.accelerators())
+	}
 }
 
 func (e *Engine) adopt(now time.Duration, ev Submitted) *job {
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -23,6 +23,8 @@
 	// reserved is room kept for a unit from a time on.
 	reserved map[*worker][]reservation
 	kept     int
+	// target is the accelerators to keep free on the spare rack.
+	target int
 	// full are steps one of whose units found no room in this round.
 	full map[stepKey]bool
 }
@@ -42,6 +44,7 @@
 func (e *Engine) plan(now time.Duration) {
 	e.lastPlan = now
 	r := e.newRound(now)
+	r.pickSpare()
 	e.leave(r)
 	for _, u := range e.queue(now, r.protected) {
 		r.serve(u)
@@ -147,7 +150,7 @@
 	if !r.eligible(u, w) || w.health.resting(r.now) {
 		return 0
 	}
-	return r.e.bounded(u, w, u.demand().Fits(r.room(u, w), u.size))
+	return r.spared(u, w, r.e.bounded(u, w, u.demand().Fits(r.room(u, w), u.size)))
 }
 
 // eligible says whether u may run on w. For a while it may not where it failed or stood
