--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -183,3 +183,9 @@
 
 // Stopping says whether the gateway is about to end.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
+
+// Planning says whether this gateway plans now.
+func (g *Gateway) Planning() bool {
+	t := g.currentTerm()
+	return t != nil && t.active()
+}
