--- a/engine/sim_world_test.go
+++ b/engine/sim_world_test.go
@@ -53,7 +53,6 @@
 	done     map[workload.TaskID]bool // such an end was taken note of
 	attempt  map[workload.TaskID]int  // ends failed that were taken note of
 	counts   map[string]int
-	log      []string
 }
 
 func newSimWorld(t testing.TB, seed uint64) *simWorld {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,7 +73,7 @@
 
 func (g *Gateway) run() error {
 	g.tomb.Go(func() error {
-		g.cfg.Source.Follow(g.tomb.Context(nil), g.inForce)
+		g.cfg.Source.Follow(g.tomb.Context(context.Background()), g.inForce)
 		return nil
 	})
 	g.tomb.Go(g.peerLoop)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -21,7 +21,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(g.tomb.Context(nil), lookupTimeout)
+		ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), lookupTimeout)
 		defer cancel()
 		_, _ = g.pool.Call(ctx, planner, n) // the watch makes up for a lost notice
 	}()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -47,7 +47,7 @@
 }
 
 func (g *Gateway) askPeer(address string, msg *link.Peer) {
-	ctx, cancel := context.WithTimeout(g.tomb.Context(nil), peerTimeout)
+	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), peerTimeout)
 	defer cancel()
 	sent := lease.BootTime()
 	raw, err := g.pool.Call(ctx, address, msg)
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -36,7 +36,7 @@
 	var id store.LeaseID
 	listed := false
 	for {
-		ctx := g.tomb.Context(nil)
+		ctx := g.tomb.Context(context.Background())
 		if !listed {
 			listed = g.learnRegistered(ctx)
 		}
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -106,7 +106,7 @@
 
 // load reads the records, until it succeeds or the duty is lost.
 func (t *term) load() (records.State, bool) {
-	ctx := t.tomb.Context(nil)
+	ctx := t.tomb.Context(context.Background())
 	for t.tomb.Alive() && !t.frozen.Load() {
 		state, err := t.tryLoad(ctx)
 		if err == nil {
@@ -147,7 +147,7 @@
 
 // follow watches the intake. After a gap in the history it is listed again.
 func (t *term) follow(at store.Revision) error {
-	ctx := t.tomb.Context(nil)
+	ctx := t.tomb.Context(context.Background())
 	for t.tomb.Alive() {
 		err := t.ledger.Follow(ctx, at, time.Now, t.post)
 		if ctx.Err() != nil {
@@ -292,7 +292,7 @@
 // writeUntilSettled repeats a write until its outcome is certain: what was lost on its
 // way may take effect until then.
 func (t *term) writeUntilSettled(w engine.Write) error {
-	ctx := t.tomb.Context(nil)
+	ctx := t.tomb.Context(context.Background())
 	for {
 		t.g.counts.Writes.Add(1)
 		err := t.ledger.Write(ctx, w)
@@ -424,7 +424,7 @@
 }
 
 func (t *term) call(conn *wire.Conn, o engine.Orders) ([]engine.StartResult, engine.StartOutcome) {
-	ctx, cancel := context.WithTimeout(t.tomb.Context(nil), ordersTimeout)
+	ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), ordersTimeout)
 	defer cancel()
 	raw, err := conn.Call(ctx, &link.Orders{Epoch: t.epoch, Worker: o.Worker, Starts: o.Starts, Stops: o.Stops})
 	if err != nil {
--- a/nodeagent/finder.go
+++ b/nodeagent/finder.go
@@ -21,12 +21,26 @@
 	mu      sync.Mutex
 	found   string   // where the planner is, empty: not known
 	epoch   uint64   // of the planner found
+	// dead is the last planner that did not answer, and deadAt when. Gateways go on
+	// naming it until the next one has the duty.
+	dead   planner
+	deadAt time.Duration
 	members []string // gateways, the latest learnt first
 	lostAt  time.Duration
 	readAt  time.Duration // when the register was last read
 }
 
+// planner is one holding of the planner's duty.
+type planner struct {
+	address string
+	epoch   uint64
+}
+
 const (
+	// deadFor is how long a planner that did not answer is not tried again while others
+	// still name it: a call to an instance that is gone takes until its timeout, and the
+	// next planner would wait for the report meanwhile.
+	deadFor = 1500 * time.Millisecond
 	// askTimeout bounds one question to one gateway; a path takes milliseconds, a
 	// handshake about 25.
 	askTimeout = 300 * time.Millisecond
@@ -38,9 +52,9 @@
 	return &finder{cfg: cfg, pool: pool, log: cfg.Log, members: slices.Clone(cfg.Seeds)}
 }
 
-// planner returns the planner's address. It asks the known gateways where it is not
+// locate returns the planner's address. It asks the known gateways where it is not
 // known.
-func (f *finder) planner(ctx context.Context) (string, bool) {
+func (f *finder) locate(ctx context.Context) (string, bool) {
 	f.mu.Lock()
 	found, members := f.found, slices.Clone(f.members)
 	f.mu.Unlock()
@@ -88,6 +102,9 @@
 	if reply.Planner == "" || reply.Epoch < f.epoch {
 		return false
 	}
+	if f.dead == (planner{reply.Planner, reply.Epoch}) && now()-f.deadAt < deadFor {
+		return false
+	}
 	f.found, f.epoch, f.lostAt = reply.Planner, reply.Epoch, 0
 	return true
 }
@@ -101,6 +118,7 @@
 	}
 	f.log.WithField("planner", address).WithField("cause", err).Info("planner not reached")
 	f.found = ""
+	f.dead, f.deadAt = planner{address, f.epoch}, now()
 	if f.lostAt == 0 {
 		f.lostAt = now()
 	}
--- /dev/null
+++ b/nodeagent/finder_test.go
@@ -0,0 +1,43 @@
+package nodeagent
+
+import (
+	"io"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/link"
+)
+
+func testFinder() *finder {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return newFinder(Config{Seeds: []string{"a", "b"}, Log: log}, nil)
+}
+
+// The planner's instance loses power. Until another has the duty all gateways still name
+// it, and each report that follows them waits for a timeout, past the moment at which the
+// next planner is there.
+func TestDeadPlannerIsNotAskedAgainAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := testFinder()
+	c.Assert(f.take(&link.PeerReply{Planner: "a", Epoch: 1}), qt.IsTrue)
+	f.failed("a", nil)
+	c.Check(f.take(&link.PeerReply{Planner: "a", Epoch: 1}), qt.IsFalse)
+	c.Check(f.take(&link.PeerReply{Planner: "b", Epoch: 2}), qt.IsTrue)
+	f.failed("b", nil)
+	c.Check(f.take(&link.PeerReply{Planner: "a", Epoch: 1}), qt.IsFalse, qt.Commentf("an older planner"))
+	f.deadAt -= deadFor
+	c.Check(f.take(&link.PeerReply{Planner: "b", Epoch: 2}), qt.IsTrue, qt.Commentf("it may be back"))
+}
+
+// A planner answers with an epoch that is over: it is not followed again.
+func TestStalePlannerIsLeft(t *testing.T) {
+	c := qt.New(t)
+	f := testFinder()
+	c.Assert(f.take(&link.PeerReply{Planner: "a", Epoch: 3}), qt.IsTrue)
+	f.stale(3)
+	c.Check(f.take(&link.PeerReply{Planner: "a", Epoch: 3}), qt.IsFalse)
+	c.Check(f.take(&link.PeerReply{Planner: "a", Epoch: 4}), qt.IsTrue)
+}
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -33,7 +33,7 @@
 	a.counts.Looks.Add(1)
 	o, seen, wait, before := a.lookOrder(l, wait)
 	sent := now()
-	ctx, cancel := context.WithTimeout(a.tomb.Context(nil), wait+lookSlack)
+	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), wait+lookSlack)
 	defer cancel()
 	look, err := a.cfg.Worker.Look(ctx, o, seen, wait)
 	a.mu.Lock()
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -75,7 +75,7 @@
 	a.counts.Starts.Add(1)
 	outcome := engine.StartUnknown
 	for attempt := range startAttempts {
-		ctx, cancel := context.WithTimeout(a.tomb.Context(nil), orderTimeout)
+		ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), orderTimeout)
 		outcome = a.cfg.Worker.Start(ctx, o, s)
 		cancel()
 		if outcome == engine.StartOK {
@@ -102,7 +102,7 @@
 // stop stops a run. Where the worker does not confirm it, the planner asks again.
 func (a *Agent) stop(o Order, l *life, run workload.RunID) {
 	a.counts.Stops.Add(1)
-	ctx, cancel := context.WithTimeout(a.tomb.Context(nil), orderTimeout)
+	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), orderTimeout)
 	defer cancel()
 	err := a.cfg.Worker.Stop(ctx, o, run)
 	if errors.Is(err, ErrOtherLife) {
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -63,9 +63,9 @@
 
 func (a *Agent) send(r engine.Report) (*link.ReportReply, time.Duration, bool) {
 	a.counts.Reports.Add(1)
-	ctx, cancel := context.WithTimeout(a.tomb.Context(nil), reportTimeout)
+	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), reportTimeout)
 	defer cancel()
-	planner, ok := a.finder.planner(ctx)
+	planner, ok := a.finder.locate(ctx)
 	if !ok {
 		return nil, 0, false
 	}
