--- a/engine/engine.go
+++ b/engine/engine.go
@@ -34,7 +34,7 @@
 	goneWorkers map[WorkerID]bool
 	expired     map[workload.JobID]bool
 	// cancels of jobs that are not known yet.
-	cancels map[workload.JobID]bool
+	cancels map[workload.JobID]int64
 
 	orders  []*Orders
 	actions []Action
@@ -56,7 +56,7 @@
 		unrecorded:     map[WorkerID]*worker{},
 		goneWorkers:    map[WorkerID]bool{},
 		expired:        map[workload.JobID]bool{},
-		cancels:        map[workload.JobID]bool{},
+		cancels:        map[workload.JobID]int64{},
 	}
 }
 
@@ -66,7 +66,7 @@
 	case Submitted:
 		e.submit(now, ev)
 	case CancelRequested:
-		e.cancel(now, ev.Job)
+		e.cancel(now, ev)
 	case Restored:
 		e.restore(now, ev)
 	case WorkerRestored:
--- a/engine/event.go
+++ b/engine/event.go
@@ -18,14 +18,20 @@
 	Age time.Duration
 }
 
-// CancelRequested: a cancellation is on record.
-type CancelRequested struct{ Job workload.JobID }
+// CancelRequested: a cancellation is on record. Order is its revision, 0 where that is
+// not known.
+type CancelRequested struct {
+	Job   workload.JobID
+	Order int64
+}
 
 // Restored is a job as a predecessor left it.
 type Restored struct {
 	Submitted
 	Progress  *Progress // nil where the job was never touched
 	Cancelled bool
+	// CancelOrder is the revision of the cancellation.
+	CancelOrder int64
 }
 
 // WorkerRestored is a worker that a predecessor knew.
--- a/engine/job.go
+++ b/engine/job.go
@@ -19,6 +19,8 @@
 	reason   string
 	begun    bool // a task has started
 	canceled bool
+	// cancelOrder is the revision of the cancellation, 0 where there is none.
+	cancelOrder int64
 	endedAt  time.Duration
 	// version counts changes that have to be on record; stored is the last that is.
 	version int
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -13,9 +13,9 @@
 	}
 	j := e.adopt(now, ev)
 	e.decidedJob(j, "accepted", "")
-	if e.cancels[ev.Job.ID] {
+	if order, cancelled := e.cancels[ev.Job.ID]; cancelled {
 		delete(e.cancels, ev.Job.ID)
-		e.cancel(now, ev.Job.ID)
+		e.cancel(now, CancelRequested{Job: ev.Job.ID, Order: order})
 		return
 	}
 	e.occur(now, j)
@@ -51,12 +51,13 @@
 }
 
 // cancel ends a job at the caller's request: nothing of it starts any more.
-func (e *Engine) cancel(now time.Duration, id workload.JobID) {
-	j := e.jobs[id]
+func (e *Engine) cancel(now time.Duration, ev CancelRequested) {
+	j := e.jobs[ev.Job]
 	if j == nil {
-		e.cancels[id] = true
+		e.cancels[ev.Job] = max(e.cancels[ev.Job], ev.Order)
 		return
 	}
+	j.cancelOrder = max(j.cancelOrder, ev.Order)
 	if j.canceled || j.state.Final() {
 		return
 	}
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -45,15 +45,17 @@
 	if ev.Progress != nil {
 		e.restoreProgress(now, j, ev.Progress)
 	}
+	j.cancelOrder = ev.CancelOrder
 	if j.state.Final() {
 		for _, u := range j.units {
 			e.stopAll(now, u)
 		}
 		return
 	}
-	if ev.Cancelled || e.cancels[ev.Job.ID] {
+	order, early := e.cancels[ev.Job.ID]
+	if ev.Cancelled || early {
 		delete(e.cancels, ev.Job.ID)
-		e.cancel(now, ev.Job.ID)
+		e.cancel(now, CancelRequested{Job: ev.Job.ID, Order: max(order, ev.CancelOrder)})
 		return
 	}
 	e.occur(now, j)
--- a/engine/write.go
+++ b/engine/write.go
@@ -15,7 +15,15 @@
 	Workers []WorkerInfo
 	// Gone are workers whose records are removed, Ended jobs likewise.
 	Gone  []WorkerID
-	Ended []workload.JobID
+	Ended []EndedJob
+}
+
+// EndedJob is a job whose records are removed, with the revisions at which the caller's
+// own records were created; CancelOrder is 0 where there is no cancellation.
+type EndedJob struct {
+	ID          workload.JobID
+	Order       int64
+	CancelOrder int64
 }
 
 // JobWrite is one job's record.
@@ -77,8 +85,9 @@
 		if limit <= 0 {
 			return w
 		}
-		w.Ended = append(w.Ended, id)
-		limit--
+		j := e.jobs[id]
+		w.Ended = append(w.Ended, EndedJob{ID: id, Order: j.order, CancelOrder: j.cancelOrder})
+		limit -= 3 // records
 	}
 	return w
 }
@@ -105,9 +114,9 @@
 	for _, id := range w.Gone {
 		delete(e.goneWorkers, id)
 	}
-	for _, id := range w.Ended {
-		delete(e.expired, id)
-		e.remove(id)
+	for _, ended := range w.Ended {
+		delete(e.expired, ended.ID)
+		e.remove(ended.ID)
 	}
 }
 
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -163,7 +163,7 @@
 		for _, j := range state.Jobs {
 			t.post(j.Submitted)
 			if j.Cancelled {
-				t.post(engine.CancelRequested{Job: j.Job.ID})
+				t.post(engine.CancelRequested{Job: j.Job.ID, Order: j.CancelOrder})
 			}
 		}
 	}
--- a/records/ledger.go
+++ b/records/ledger.go
@@ -49,11 +49,11 @@
 	}
 	out := State{At: snap.At}
 	progress := map[workload.JobID]*engine.Progress{}
-	cancelled := map[workload.JobID]bool{}
+	cancelled := map[workload.JobID]int64{}
 	for _, kv := range snap.Keys {
 		switch {
 		case strings.HasPrefix(kv.Key, cancelPrefix):
-			cancelled[idOf(kv.Key, cancelPrefix)] = true
+			cancelled[idOf(kv.Key, cancelPrefix)] = int64(kv.Mod)
 		case strings.HasPrefix(kv.Key, runPrefix):
 			l.revisions[kv.Key] = kv.Mod
 			p := &engine.Progress{}
@@ -79,7 +79,8 @@
 			return State{}, err
 		}
 		id := submitted.Job.ID
-		out.Jobs = append(out.Jobs, engine.Restored{Submitted: submitted, Progress: progress[id], Cancelled: cancelled[id]})
+		order, wasCancelled := cancelled[id]
+		out.Jobs = append(out.Jobs, engine.Restored{Submitted: submitted, Progress: progress[id], Cancelled: wasCancelled, CancelOrder: order})
 	}
 	return out, nil
 }
@@ -105,7 +106,7 @@
 				continue
 			}
 			if strings.HasPrefix(e.Key, cancelPrefix) {
-				deliver(engine.CancelRequested{Job: idOf(e.Key, cancelPrefix)})
+				deliver(engine.CancelRequested{Job: idOf(e.Key, cancelPrefix), Order: int64(e.Mod)})
 				continue
 			}
 			if submitted, err := decodeJob(e.KeyValue, wall()); err == nil {
@@ -158,12 +159,24 @@
 	for _, id := range w.Gone {
 		out = append(out, store.Swap{Key: workerKey(id), Expect: l.revisions[workerKey(id)], Delete: true})
 	}
-	for _, id := range w.Ended {
-		out = append(out, store.Swap{Key: runKey(id), Expect: l.revisions[runKey(id)], Delete: true})
+	for _, j := range w.Ended {
+		out = append(out, l.removal(j)...)
 	}
 	return out, nil
 }
 
+// removal removes all records of a job that ended long ago.
+func (l *Ledger) removal(j engine.EndedJob) []store.Swap {
+	out := []store.Swap{
+		{Key: runKey(j.ID), Expect: l.revisions[runKey(j.ID)], Delete: true},
+		{Key: jobKey(j.ID), Expect: store.Revision(j.Order), Delete: true},
+	}
+	if j.CancelOrder != 0 {
+		out = append(out, store.Swap{Key: cancelKey(j.ID), Expect: store.Revision(j.CancelOrder), Delete: true})
+	}
+	return out
+}
+
 func (l *Ledger) note(swaps []store.Swap, at store.Revision) {
 	for _, s := range swaps {
 		if s.Delete {
--- /dev/null
+++ b/records/ledger_test.go
@@ -0,0 +1,162 @@
+package records_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/link"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/records"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+const epochKey = "duty/planner/epoch"
+
+var wall = time.Unix(1_000_000, 0)
+
+func open(t *testing.T) (*qt.C, *standin.Store, *platform.KVStore) {
+	srv := standin.NewStore()
+	t.Cleanup(srv.Close)
+	srv.Put(epochKey, []byte("1"))
+	return qt.New(t), srv, platform.OpenStore(srv.Addr())
+}
+
+func ledger(c *qt.C, kv *platform.KVStore) *records.Ledger {
+	guard, _, err := kv.Get(context.Background(), epochKey)
+	c.Assert(err, qt.IsNil)
+	return records.OpenLedger(kv, store.Condition{Key: epochKey, Revision: guard.Mod})
+}
+
+func aJob(id workload.JobID) *workload.Job {
+	return &workload.Job{
+		ID: id, Queue: "q", Account: "a", Service: "s", Submitted: wall.Add(-10 * time.Second),
+		Steps: []workload.Step{{Count: 1, Need: workload.Resources{Accelerators: 1}}},
+	}
+}
+
+func progress(id workload.JobID, version int, state workload.State) engine.Write {
+	return engine.Write{Jobs: []engine.JobWrite{{ID: id, Version: version, Progress: &engine.Progress{Version: version, State: state}}}}
+}
+
+func TestRecordsAreReadBack(t *testing.T) {
+	c, _, kv := open(t)
+	ctx := context.Background()
+	intake := records.NewIntake(kv)
+	for _, id := range []workload.JobID{"j1", "j2"} {
+		outcome, _ := intake.Accept(ctx, aJob(id))
+		c.Assert(outcome, qt.Equals, link.OutcomeStored)
+	}
+	c.Assert(intake.Cancel(ctx, "q", "j2"), qt.Equals, link.OutcomeStored)
+	c.Assert(intake.Cancel(ctx, "q", "none"), qt.Equals, link.OutcomeAbsent)
+	l := ledger(c, kv)
+	_, err := l.Load(ctx, wall)
+	c.Assert(err, qt.IsNil)
+	w := progress("j1", 3, workload.Running)
+	w.Workers = []engine.WorkerInfo{{ID: "w1", Agent: "a1"}}
+	c.Assert(l.Write(ctx, w), qt.IsNil)
+
+	state, err := ledger(c, kv).Load(ctx, wall)
+	c.Assert(err, qt.IsNil)
+	c.Assert(state.Jobs, qt.HasLen, 2)
+	c.Check(state.Jobs[0].Progress.Version, qt.Equals, 3)
+	c.Check(state.Jobs[0].Age, qt.Equals, 10*time.Second)
+	c.Check(state.Jobs[0].Cancelled, qt.IsFalse)
+	c.Check(state.Jobs[1].Cancelled, qt.IsTrue)
+	c.Check(state.Workers, qt.HasLen, 1)
+	found, ok, err := intake.Lookup(ctx, "j2")
+	c.Assert(err, qt.IsNil)
+	c.Check(ok, qt.IsTrue)
+	c.Check(found.State, qt.Equals, workload.Cancelled)
+}
+
+// A planner is paused, another takes the duty and reads the records, and the first wakes
+// with a write in hand: it must not land, or the successor would not know of a start.
+func TestNothingOfAFormerPlannerLands(t *testing.T) {
+	c, srv, kv := open(t)
+	ctx := context.Background()
+	former := ledger(c, kv)
+	_, err := former.Load(ctx, wall)
+	c.Assert(err, qt.IsNil)
+	srv.Put(epochKey, []byte("2"))
+	c.Check(former.Write(ctx, progress("j1", 1, workload.Running)), qt.ErrorIs, records.ErrDeposed)
+	c.Check(srv.Keys("workloads/"), qt.HasLen, 0)
+}
+
+// The answer to a write is lost. Repeated as it is, it turns out to have taken effect, and
+// the next write goes on from there.
+func TestLostAnswerIsSettledByRepeating(t *testing.T) {
+	c, srv, kv := open(t)
+	ctx := context.Background()
+	l := ledger(c, kv)
+	w := progress("j1", 1, workload.Queued)
+	srv.SetFaults(standin.StoreFaults{LoseWrites: true})
+	c.Assert(l.Write(ctx, w), qt.ErrorIs, store.ErrOutcomeUnknown)
+	srv.SetFaults(standin.StoreFaults{})
+	c.Assert(l.Write(ctx, w), qt.IsNil)
+	c.Assert(l.Write(ctx, progress("j1", 2, workload.Running)), qt.IsNil)
+	c.Check(l.Write(ctx, engine.Write{Workers: []engine.WorkerInfo{{ID: "w"}}}), qt.IsNil)
+}
+
+// Another wrote a planner's record: the term must end instead of writing over it.
+func TestForeignWriteIsAConflict(t *testing.T) {
+	c, srv, kv := open(t)
+	l := ledger(c, kv)
+	c.Assert(l.Write(context.Background(), progress("j1", 1, workload.Queued)), qt.IsNil)
+	srv.Put("workloads/run/j1", []byte("{}"))
+	c.Check(l.Write(context.Background(), progress("j1", 2, workload.Running)), qt.ErrorIs, records.ErrConflict)
+}
+
+func TestEndedJobLeavesNothing(t *testing.T) {
+	c, srv, kv := open(t)
+	ctx := context.Background()
+	intake := records.NewIntake(kv)
+	_, order := intake.Accept(ctx, aJob("j1"))
+	c.Assert(intake.Cancel(ctx, "q", "j1"), qt.Equals, link.OutcomeStored)
+	l := ledger(c, kv)
+	state, err := l.Load(ctx, wall)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Write(ctx, progress("j1", 1, workload.Cancelled)), qt.IsNil)
+	ended := engine.EndedJob{ID: "j1", Order: int64(order), CancelOrder: state.Jobs[0].CancelOrder}
+	c.Assert(l.Write(ctx, engine.Write{Ended: []engine.EndedJob{ended}}), qt.IsNil)
+	c.Check(srv.Keys("workloads/"), qt.HasLen, 0)
+}
+
+// The store is out when a caller hands a job in. The question before the write gets no
+// answer, so nothing was written and the refusal is true.
+func TestOutageIsRefusedInTruth(t *testing.T) {
+	c, srv, kv := open(t)
+	intake := records.NewIntake(kv)
+	for _, faults := range []standin.StoreFaults{{Busy: true}, {Silent: true}} {
+		srv.SetFaults(faults)
+		outcome, _ := intake.Accept(context.Background(), aJob("j1"))
+		c.Check(outcome, qt.Equals, link.OutcomeNotDone)
+	}
+	c.Check(srv.Calls("kv-txn"), qt.Equals, 0)
+}
+
+// The store carries the write out and loses the answer: the job is accepted all the same,
+// once, and a write whose answer never comes is neither refused nor accepted.
+func TestLostAnswerOfASubmission(t *testing.T) {
+	c, srv, kv := open(t)
+	intake := records.NewIntake(kv)
+	srv.SetFaults(standin.StoreFaults{LoseWrites: true})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	outcome, _ := intake.Accept(ctx, aJob("j1"))
+	c.Check(outcome, qt.Equals, link.OutcomeUnknown)
+	srv.SetFaults(standin.StoreFaults{})
+	outcome, at := intake.Accept(context.Background(), aJob("j1"))
+	c.Check(outcome, qt.Equals, link.OutcomeStored)
+	item, _ := srv.Get("workloads/in/job/j1")
+	c.Check(int64(at), qt.Equals, item.Created)
+	other := aJob("j1")
+	other.Account = "another"
+	outcome, _ = intake.Accept(context.Background(), other)
+	c.Check(outcome, qt.Equals, link.OutcomeMismatch)
+}
