gateway: histograms of waits, completions and calls; logs that never block

Lines go to standard output through a bounded queue; what a slow reader makes it drop is counted and said. Waits by account and queue, completions by state, and callers' calls by outcome are served as text beside the counters.

--- a/cmd/eelgrasshub/counter_text.go
+++ b/cmd/eelgrasshub/counter_text.go
@@ -38,4 +38,10 @@
 }
 
 // MetricsHandler implements metered.
-func (r *gatewayRole) MetricsHandler() http.Handler { return counterText(r.gateway.Counts()) }
+func (r *gatewayRole) MetricsHandler() http.Handler {
+	counters := counterText(r.gateway.Counts())
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		counters.ServeHTTP(w, req)
+		r.gateway.WriteMetrics(w)
+	})
+}
--- a/cmd/eelgrasshub/gateway.go
+++ b/cmd/eelgrasshub/gateway.go
@@ -37,7 +37,9 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLog(c.LogLevel)
+	out := newLogWriter(os.Stdout)
+	defer out.Close()
+	log, err := newLogTo(out, c.LogLevel)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/eelgrasshub/log_writer.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// logLines is how many lines wait for a slow reader; more are dropped, since a
+	// process must never wait for whoever reads its log.
+	logLines = 4096
+	// logFlush bounds the wait for the last lines at the end of a process.
+	logFlush = 200 * time.Millisecond
+)
+
+// logWriter passes lines on without blocking, and counts those it had to drop.
+type logWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+func newLogWriter(out io.Writer) *logWriter {
+	w := &logWriter{out: out, lines: make(chan []byte, logLines), stop: make(chan struct{}), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It never fails.
+func (w *logWriter) Write(line []byte) (int, error) {
+	kept := append([]byte(nil), line...)
+	select {
+	case w.lines <- kept:
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (w *logWriter) run() {
+	defer close(w.done)
+	for {
+		select {
+		case line := <-w.lines:
+			w.pass(line)
+			continue
+		default:
+		}
+		select {
+		case line := <-w.lines:
+			w.pass(line)
+		case <-w.stop:
+			return
+		}
+	}
+}
+
+func (w *logWriter) pass(line []byte) {
+	if n := w.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w.out, "{\"level\":\"warning\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n)
+	}
+	_, _ = w.out.Write(line) // nobody is left to tell
+}
+
+// Close passes on what waits, for a bounded time. Later lines are lost.
+func (w *logWriter) Close() {
+	close(w.stop)
+	select {
+	case <-w.done:
+	case <-time.After(logFlush):
+	}
+}
--- /dev/null
+++ b/cmd/eelgrasshub/log_writer_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// slowReader takes nothing until it is let go.
+type slowReader struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (r *slowReader) Write(p []byte) (int, error) {
+	<-r.gate
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(p)
+}
+
+// Whoever reads the log stands still. The process goes on, and says afterwards how many
+// lines are missing.
+func TestLogNeverBlocks(t *testing.T) {
+	c := qt.New(t)
+	r := &slowReader{gate: make(chan struct{})}
+	w := newLogWriter(r)
+	for range logLines + 100 {
+		_, err := w.Write([]byte("line\n"))
+		c.Assert(err, qt.IsNil)
+	}
+	close(r.gate)
+	w.Close()
+	<-w.done
+	c.Check(r.text.String(), qt.Contains, "log lines dropped")
+	c.Check(strings.Count(r.text.String(), "line\n") <= logLines+2, qt.IsTrue)
+}
--- a/cmd/eelgrasshub/node_agent.go
+++ b/cmd/eelgrasshub/node_agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 
 	"github.com/eelgrasshub/eelgrasshub/nodeagent"
 	"github.com/eelgrasshub/eelgrasshub/platform"
@@ -30,7 +31,9 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLog(c.LogLevel)
+	out := newLogWriter(os.Stdout)
+	defer out.Close()
+	log, err := newLogTo(out, c.LogLevel)
 	if err != nil {
 		return err
 	}
--- a/cmd/eelgrasshub/process.go
+++ b/cmd/eelgrasshub/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,12 +14,17 @@
 // newLog returns the process's log on standard error: structured, one line for
 // each change of state.
 func newLog(level string) (*logrus.Entry, error) {
+	return newLogTo(os.Stderr, level)
+}
+
+// newLogTo is newLog with another destination.
+func newLogTo(out io.Writer, level string) (*logrus.Entry, error) {
 	lvl, err := logrus.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
 	log := logrus.New()
-	log.SetOutput(os.Stderr)
+	log.SetOutput(out)
 	log.SetLevel(lvl)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	return logrus.NewEntry(log), nil
--- a/engine/action.go
+++ b/engine/action.go
@@ -1,6 +1,10 @@
 package engine
 
-import "github.com/eelgrasshub/eelgrasshub/workload"
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
 
 // Action is an output of Engine.Step.
 type Action interface{ isAction() }
@@ -52,5 +56,22 @@
 	Worker WorkerID
 }
 
-func (Orders) isAction()  {}
-func (Decided) isAction() {}
+// Began: the first task of a job runs, Waited after it was accepted.
+type Began struct {
+	Account string
+	Queue   string
+	Waited  time.Duration
+}
+
+// Finished: a job has come to its end, Took after it was accepted.
+type Finished struct {
+	Account string
+	Queue   string
+	State   workload.State
+	Took    time.Duration
+}
+
+func (Began) isAction()    {}
+func (Finished) isAction() {}
+func (Orders) isAction()   {}
+func (Decided) isAction()  {}
--- a/engine/job.go
+++ b/engine/job.go
@@ -21,7 +21,7 @@
 	canceled bool
 	// cancelOrder is the revision of the cancellation, 0 where there is none.
 	cancelOrder int64
-	endedAt  time.Duration
+	endedAt     time.Duration
 	// version counts changes that have to be on record; stored is the last that is.
 	version int
 	stored  int
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -73,6 +73,7 @@
 	e.change(j)
 	j.finalAt = j.version
 	e.decidedJob(j, string(state), reason)
+	e.actions = append(e.actions, Finished{Account: j.spec.Account, Queue: j.spec.Queue, State: state, Took: now - j.accepted})
 	for _, u := range j.units {
 		e.dropClaims(u)
 		if state != workload.Completed {
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -68,6 +68,7 @@
 	j := p.unit.job
 	if !j.begun {
 		j.begun = true
+		e.actions = append(e.actions, Began{Account: j.spec.Account, Queue: j.spec.Queue, Waited: now - j.accepted})
 		if j.state == workload.Queued {
 			j.state = workload.Running
 		}
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -7,6 +7,7 @@
 	"github.com/eelgrasshub/eelgrasshub/engine"
 	"github.com/eelgrasshub/eelgrasshub/lease"
 	"github.com/eelgrasshub/eelgrasshub/link"
+	"github.com/eelgrasshub/eelgrasshub/store"
 	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
@@ -15,13 +16,13 @@
 func (g *Gateway) Submit(ctx context.Context, j *workload.Job) link.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	began := time.Now()
 	outcome := link.OutcomeNotDone
 	if g.storeWorth() {
-		var order int64
-		out, at := g.intake.Accept(ctx, j)
-		outcome, order = out, int64(at)
+		var at store.Revision
+		outcome, at = g.intake.Accept(ctx, j)
 		if outcome == link.OutcomeStored {
-			g.notice(&link.Notice{Job: j, Order: order})
+			g.notice(&link.Notice{Job: j, Order: int64(at)})
 		}
 		g.storeSaid(outcome)
 	}
@@ -29,6 +30,7 @@
 		outcome = g.relay(ctx, &link.Accept{Job: *j})
 	}
 	g.countSubmit(outcome)
+	g.calls.Observe("submit/"+outcome.String(), time.Since(began))
 	return outcome
 }
 
@@ -47,6 +49,7 @@
 func (g *Gateway) Cancel(ctx context.Context, queue string, id workload.JobID) link.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	began := time.Now()
 	outcome := link.OutcomeNotDone
 	if g.storeWorth() {
 		outcome = g.intake.Cancel(ctx, queue, id)
@@ -61,6 +64,7 @@
 	if outcome == link.OutcomeStored {
 		g.counts.Cancelled.Add(1)
 	}
+	g.calls.Observe("cancel/"+outcome.String(), time.Since(began))
 	return outcome
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/catalog"
 	"github.com/eelgrasshub/eelgrasshub/lease"
+	"github.com/eelgrasshub/eelgrasshub/metrics"
 	"github.com/eelgrasshub/eelgrasshub/records"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
@@ -31,6 +33,9 @@
 	// storeFailedAt is when the store last failed this gateway, on the boot clock.
 	storeFailedAt atomic.Int64
 	counts        Counts
+	waits         metrics.Latencies // from acceptance to the first start, by account and queue
+	completions   metrics.Latencies // from acceptance to the end, by account, queue and state
+	calls         metrics.Latencies // of callers, by kind and outcome
 
 	mu   sync.Mutex
 	term *term // the present or last term of this gateway as planner
@@ -138,6 +143,13 @@
 	return err
 }
 
+// WriteMetrics writes the gateway's histograms as text.
+func (g *Gateway) WriteMetrics(w io.Writer) {
+	g.waits.WriteText(w, "eelgrasshub_job_wait_us")
+	g.completions.WriteText(w, "eelgrasshub_job_completion_us")
+	g.calls.WriteText(w, "eelgrasshub_call_us")
+}
+
 // Counts returns the gateway's counters.
 func (g *Gateway) Counts() *Counts { return &g.counts }
 
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -257,6 +257,10 @@
 			go t.send(a)
 		case engine.Decided:
 			t.logDecision(a)
+		case engine.Began:
+			t.g.waits.Observe(a.Account+"/"+a.Queue, a.Waited)
+		case engine.Finished:
+			t.g.completions.Observe(a.Account+"/"+a.Queue+"/"+string(a.State), a.Took)
 		}
 	}
 }
--- a/link/records.go
+++ b/link/records.go
@@ -52,6 +52,21 @@
 	OutcomeMismatch                // the name stands for another job
 )
 
+// String returns a name for logs and metrics.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeStored:
+		return "on record"
+	case OutcomeNotDone:
+		return "not done"
+	case OutcomeAbsent:
+		return "no such job"
+	case OutcomeMismatch:
+		return "names another job"
+	}
+	return "unknown"
+}
+
 // RecordReply answers Accept and Cancel.
 type RecordReply struct {
 	Outcome Outcome `cbor:"1,keyasint"`
--- /dev/null
+++ b/metrics/latencies.go
@@ -0,0 +1,79 @@
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// mostLatency is the longest time that is told apart, a day.
+	mostLatency = 24 * time.Hour
+	// latencyDigits keeps values to 1%.
+	latencyDigits = 2
+	// mostLabels bounds the histograms of one Latencies; labels beyond it share Other.
+	mostLabels = 200
+)
+
+// Latencies is histograms of times by label, such as an account and a queue. It is safe
+// for concurrent use; the zero value is empty.
+type Latencies struct {
+	mu     sync.Mutex
+	labels map[string]*hdrhistogram.Histogram
+}
+
+// Observe counts one time under a label.
+func (l *Latencies) Observe(label string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.histogram(label)
+	// RecordValue fails only beyond the histogram's range, which min excludes.
+	_ = h.RecordValue(min(max(d.Microseconds(), 0), mostLatency.Microseconds()))
+}
+
+func (l *Latencies) histogram(label string) *hdrhistogram.Histogram {
+	if l.labels == nil {
+		l.labels = map[string]*hdrhistogram.Histogram{}
+	}
+	if h, ok := l.labels[label]; ok {
+		return h
+	}
+	if len(l.labels) >= mostLabels {
+		label = Other
+	}
+	h, ok := l.labels[label]
+	if !ok {
+		h = hdrhistogram.New(1, mostLatency.Microseconds(), latencyDigits)
+		l.labels[label] = h
+	}
+	return h
+}
+
+// WriteText writes each histogram's count, median, 99th percentile and maximum as lines
+// NAME{label="...",stat="..."} VALUE, in microseconds.
+func (l *Latencies) WriteText(w io.Writer, name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, label := range slices.Sorted(maps.Keys(l.labels)) {
+		h := l.labels[label]
+		quoted := strings.NewReplacer(`\`, `\\`, `"`, `\"`).Replace(label)
+		for _, v := range []struct {
+			stat  string
+			value int64
+		}{
+			{"count", h.TotalCount()},
+			{"p50", h.ValueAtQuantile(50)},
+			{"p99", h.ValueAtQuantile(99)},
+			{"max", h.Max()},
+		} {
+			// A reader that is gone needs no further lines.
+			_, _ = fmt.Fprintf(w, "%s{label=\"%s\",stat=\"%s\"} %d\n", name, quoted, v.stat, v.value)
+		}
+	}
+}
