engine: tasks that last are spread, restarted, and stopped within their budget

A step that lasts is restarted however it ends, spread over workers and racks, evicted only within the number that may be away, and never grows into what accounts are guaranteed, since it can't be evicted for them. Occurrences have tests.

--- a/engine/evict.go
+++ b/engine/evict.go
@@ -114,7 +114,7 @@
 // yields says whether v may be evicted for u: work of lower priority always, work of
 // the first priority only beyond its account's guarantee and for work within one.
 func (r *round) yields(v, u *unit) bool {
-	if v.spec().LongRunning && v.spec().MayMiss == 0 && v.job.spec.Terms.Priority == 0 {
+	if !v.mayStop(0) {
 		return false
 	}
 	if v.job.spec.Terms.Priority > u.job.spec.Terms.Priority {
--- a/engine/fit.go
+++ b/engine/fit.go
@@ -104,6 +104,8 @@
 		w     *worker
 		slots int
 		rest  int
+		// near and around count tasks of the same step there, where they are spread.
+		near, around int
 	}
 	var options []option
 	total := 0
@@ -115,7 +117,11 @@
 			continue
 		}
 		total += n
-		options = append(options, option{w, n, free - min(n, u.size)*u.demand().Accelerators})
+		o := option{w: w, slots: n, rest: free - min(n, u.size)*u.demand().Accelerators}
+		if u.spec().LongRunning {
+			o.near, o.around = r.neighbours(u, w)
+		}
+		options = append(options, o)
 	}
 	if total < u.size {
 		return nil, 0
@@ -123,6 +129,8 @@
 	slices.SortStableFunc(options, func(a, b option) int {
 		return cmp.Or(
 			cmp.Compare(a.w.health.suspicion(), b.w.health.suspicion()),
+			cmp.Compare(a.near, b.near),
+			cmp.Compare(a.around, b.around),
 			cmp.Compare(b.slots, a.slots),
 			cmp.Compare(a.rest, b.rest),
 		)
--- /dev/null
+++ b/engine/lasting.go
@@ -0,0 +1,87 @@
+package engine
+
+import "slices"
+
+// Steps that last (Step.LongRunning) serve users of their own for as long as their job
+// lives. They are restarted however they end, spread so that one worker or rack takes few
+// of them, and stopped by the system only within the number that may be away at once.
+
+// away returns how many tasks of u's step are not at work, for whatever cause.
+func (u *unit) away() int {
+	n := 0
+	for _, o := range u.job.units {
+		if o.step == u.step && o.occurrence == u.occurrence && !o.atWork() {
+			n++
+		}
+	}
+	return n
+}
+
+// atWork says whether all members of the unit run and none is about to be stopped.
+func (u *unit) atWork() bool {
+	if u.state != unitActive || u.ending() || len(u.places) < u.size {
+		return false
+	}
+	return !slices.ContainsFunc(u.places, func(p *placement) bool {
+		return p.stopping || p.state != placeRunning || p.percent < 100
+	})
+}
+
+// mayStop says whether the system may stop a task that lasts, beside alsoStopped others
+// of its step.
+func (u *unit) mayStop(alsoStopped int) bool {
+	if !u.spec().LongRunning || !u.atWork() {
+		return true
+	}
+	return u.away()+alsoStopped < u.spec().MayMiss
+}
+
+// lastingFits says whether one more task that lasts leaves the accounts' guarantees
+// reclaimable: what lasts can't be evicted for them, so it must never hold more than the
+// service's accelerators less all guarantees.
+func (r *round) lastingFits(u *unit) bool {
+	if !u.spec().LongRunning || u.job.spec.Terms.Priority == 0 {
+		return true
+	}
+	total, held := 0, 0
+	for _, w := range r.workers {
+		if w.info.Service != u.job.spec.Service {
+			continue
+		}
+		total += w.info.Capacity.Accelerators
+		for _, p := range w.places {
+			if p.unit.spec().LongRunning && p.unit.job.spec.Terms.Priority > 0 {
+				held += p.demand.Accelerators
+			}
+		}
+	}
+	return held+u.total().Accelerators <= total-r.e.guaranteed()
+}
+
+// guaranteed returns the accelerators that all accounts together are guaranteed.
+func (e *Engine) guaranteed() int {
+	if e.catalog == nil {
+		return 0
+	}
+	sum := 0
+	for _, a := range e.catalog.Accounts {
+		sum += a.Guaranteed
+	}
+	return sum
+}
+
+// neighbours returns how many tasks of u's step are on w, and on its rack.
+func (r *round) neighbours(u *unit, w *worker) (onWorker, onRack int) {
+	for _, o := range r.racks[w.info.Rack] {
+		for _, p := range o.places {
+			if p.unit.job != u.job || p.unit.step != u.step {
+				continue
+			}
+			onRack++
+			if o == w {
+				onWorker++
+			}
+		}
+	}
+	return onWorker, onRack
+}
--- /dev/null
+++ b/engine/lasting_test.go
@@ -0,0 +1,127 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+func lasting(n, accelerators, mayMiss int) workload.Step {
+	s := tasks(n, accelerators)
+	s.LongRunning = true
+	s.MayMiss = mayMiss
+	s.Estimate = 0
+	return s
+}
+
+// work lets all running tasks of a job reach full work.
+func (d *desk) work(id workload.JobID) {
+	for worker := range d.runs(id) {
+		r := Report{Epoch: 1, Looked: true, Worker: d.e.workers[worker].info}
+		for _, p := range d.e.workers[worker].sortedPlaces() {
+			percent := p.percent
+			if p.unit.job.spec.ID == id {
+				percent = 100
+			}
+			r.Running = append(r.Running, RunningRow{Run: p.id(), Percent: percent})
+		}
+
+		d.report(r)
+	}
+}
+
+// Six tasks of a service are placed: one worker or rack must not take most of them.
+func TestLastingTasksAreSpread(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 9)
+	id := d.job(1, "", lasting(6, 1, 1))
+	d.settle()
+	runs := d.runs(id)
+	c.Check(runs, qt.HasLen, 6)
+	racks := map[string]int{}
+	for w := range runs {
+		racks[d.e.workers[w].info.Rack]++
+	}
+	c.Check(racks, qt.DeepEquals, map[string]int{"r0": 2, "r1": 2, "r2": 2})
+}
+
+// Tasks that last fail again and again. They are restarted without a limit of attempts,
+// and the job never fails.
+func TestLastingTasksAreRestartedForEver(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 3)
+	id := d.job(1, "", lasting(1, 1, 0))
+	d.settle()
+	for _, why := range []EndReason{EndFailed, EndFailed, EndFailed, EndFailed, EndDone, EndLapsed} {
+		d.end(id, why)
+		d.settle()
+		d.pass(7 * time.Second)
+		c.Assert(d.runs(id), qt.HasLen, 1, qt.Commentf("after %s", why))
+	}
+	found, _ := d.e.Lookup(id)
+	c.Check(found.State, qt.Equals, workload.Running)
+}
+
+// An urgent guaranteed gang needs the room of a service of which one task may be away at a
+// time: one is stopped and not two, and the rest of the room comes from other work.
+func TestEvictionKeepsTheBudgetOfWhatLasts(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 3)
+	service := d.job(1, "", lasting(2, 4, 1))
+	d.settle()
+	d.work(service)
+	filler := d.job(2, "", tasks(4, 4))
+	d.settle()
+	c.Assert(d.runs(filler), qt.Not(qt.HasLen), 0)
+	d.job(0, "big", gang(2, 8))
+	d.settle()
+	stopped := 0
+	for _, run := range d.stops {
+		if run.Task.Job == service {
+			stopped++
+		}
+	}
+	c.Check(stopped <= 1, qt.IsTrue, qt.Commentf("%d stopped", stopped))
+}
+
+// What lasts can't be evicted, so it must not grow into what accounts are guaranteed.
+func TestWhatLastsLeavesTheGuarantees(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 3)
+	id := d.job(1, "", lasting(24, 1, 0))
+	d.settle()
+	held := 0
+	for _, runs := range d.runs(id) {
+		held += len(runs)
+	}
+	c.Check(held, qt.Equals, 24-16)
+}
+
+// Occurrences start when they are due and not before, also when they overlap; the job is
+// completed with the last.
+func TestOccurrencesAreStartedWhenDue(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 3)
+	wall := func() time.Time { return time.Unix(1000, 0).Add(d.now) }
+	d.step(Tick{Wall: wall()})
+	d.step(Submitted{Order: 1, Job: workload.Job{
+		ID: "timed", Queue: "q", Service: "s", Steps: []workload.Step{tasks(1, 1)},
+		Schedule: workload.Schedule{First: wall().Add(time.Second), Period: 2 * time.Second, Count: 3},
+	}})
+	d.settle()
+	c.Check(d.starts, qt.HasLen, 0)
+	d.pass(900 * time.Millisecond)
+	c.Check(d.starts, qt.HasLen, 0)
+	d.pass(300 * time.Millisecond)
+	c.Check(d.starts, qt.HasLen, 1)
+	d.pass(4 * time.Second)
+	c.Check(d.starts, qt.HasLen, 3)
+	c.Check(d.starts[2].Run.Task.Occurrence, qt.Equals, 2)
+	d.end("timed", EndDone)
+	d.settle()
+	found, _ := d.e.Lookup("timed")
+	c.Check(found.State, qt.Equals, workload.Completed)
+}
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -95,6 +95,9 @@
 	if r.full[key] {
 		return
 	}
+	if !r.lastingFits(u) {
+		return
+	}
 	if workers := r.fit(u); workers != nil {
 		r.place(u, workers)
 		return
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -48,6 +48,9 @@
 
 // latestStart returns when u has to start for the next deadline that it can still meet.
 func (e *Engine) latestStart(now time.Duration, u *unit) time.Duration {
+	if u.spec().LongRunning {
+		return u.since // its users wait from the first moment
+	}
 	left := e.chainFrom(u)
 	return e.deadline(now+left, u.job) - left
 }
