gateway: what runs is held through a general outage of the store

Nobody can take over during such an outage, so the planner whose lease has lapsed goes on granting (and nothing else) while every other gateway says that the store does not serve it either, for 6 s at most. A successor that was not in touch, or not served all the while, counts that much more for workers it can't reach.

Ruled out: starting unrecorded work in an outage (a successor would have to hold all waiting work back until every worker has reported).

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -13,6 +13,8 @@
 	epoch   uint64
 	catalog *catalog.Catalog
 	began   time.Duration
+	// inherited is how much longer than Params.MaxHold a predecessor's grants may last.
+	inherited time.Duration
 
 	jobs map[workload.JobID]*job
 	// sequence is the jobs in the order in which they became known; decisions iterate
@@ -41,9 +43,11 @@
 	replan  bool
 }
 
-// New returns an Engine for one term of a planner.
-func New(params Params, epoch uint64, now time.Duration) *Engine {
+// New returns an Engine for one term of a planner. inherited is how much longer than
+// usual the leases that predecessors granted may last.
+func New(params Params, epoch uint64, now, inherited time.Duration) *Engine {
 	return &Engine{
+		inherited:      inherited,
 		params:         params,
 		epoch:          epoch,
 		began:          now,
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -14,6 +14,7 @@
 	}
 	w := e.addWorker(now, info)
 	w.recorded = true
+	w.lapseAt += e.inherited
 	w.lastReport = now - reportTimeout
 	e.byAgent[info.Agent] = info.ID
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -30,7 +30,9 @@
 	ClusterKey []byte
 	Store      store.Atomic
 	Source     Source
-	Engine     engine.Params
+	// StoreAge returns how long ago the store last answered a call of this process.
+	StoreAge func() time.Duration
+	Engine   engine.Params
 	// KeyLife is how long a key that was taken away may still be honoured; a view of
 	// the configuration is trusted for less than that.
 	KeyLife time.Duration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	duty     *lease.Holder
 	members  *members
 	planners *planners
+	outage   *outage
 	tomb     tomb.Tomb
 	stopping atomic.Bool
 	// storeFailedAt is when the store last failed this gateway, on the boot clock.
@@ -50,6 +51,7 @@
 		intake:   records.NewIntake(cfg.Store),
 		members:  newMembers(cfg.Listen, cfg.Seeds),
 		planners: &planners{},
+		outage:   newOutage(lease.BootTime()),
 	}
 	peer := wire.Peer{ID: cfg.ID, Role: wire.RoleEntry, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region, Zone: cfg.Zone, Address: cfg.Listen}
 	id, err := wire.NewIdentity(peer, cfg.ClusterKey)
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -47,7 +47,7 @@
 	_, planner := g.planners.get()
 	reply := &link.ReportReply{Planner: planner, Members: g.members.live()}
 	t := g.currentTerm()
-	if t == nil || !t.active() || planner != g.cfg.Listen {
+	if t == nil || planner != g.cfg.Listen || !t.active() && !t.extending() {
 		return reply
 	}
 	return t.report(ctx, from, m, reply)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -56,9 +56,14 @@
 	return out
 }
 
+// peers returns the other gateways heard from lately.
+func (m *members) peers() []string {
+	return slices.DeleteFunc(m.live(), func(a string) bool { return a == m.own })
+}
+
 // others returns every gateway worth asking: those heard from, and the seeds.
 func (m *members) others() []string {
-	out := slices.DeleteFunc(m.live(), func(a string) bool { return a == m.own })
+	out := m.peers()
 	for _, s := range m.seeds {
 		if s != m.own && !slices.Contains(out, s) {
 			out = append(out, s)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,6 +12,7 @@
 // not known or this gateway can't follow the configuration by itself.
 func (g *Gateway) peerLoop() error {
 	for {
+		g.outage.sample(lease.BootTime(), g.cfg.StoreAge())
 		g.askPeers()
 		select {
 		case <-time.After(peerEvery):
@@ -60,6 +61,8 @@
 		return
 	}
 	g.members.hear(address)
+	_, planner := g.planners.get()
+	g.outage.heard(lease.BootTime(), address, reply.StoreServes, address == planner)
 	for _, m := range reply.Members {
 		if m != address {
 			g.members.suggest(m)
@@ -105,7 +108,12 @@
 	g.members.hear(msg.Address)
 	g.planners.learn(msg.Epoch, msg.Planner)
 	epoch, planner := g.planners.get()
-	reply := &link.PeerReply{Epoch: epoch, Planner: planner, Members: g.members.live()}
+	reply := &link.PeerReply{
+		Epoch:       epoch,
+		Planner:     planner,
+		Members:     g.members.live(),
+		StoreServes: g.cfg.StoreAge() < servedFresh,
+	}
 	if msg.Address == "" {
 		return reply
 	}
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -46,6 +46,8 @@
 	// is only shown where no newer planner is known.
 	frozen atomic.Bool
 	loaded atomic.Bool
+	// frozenAt is when the duty's lease lapsed, on the boot clock; 0 where it did not.
+	frozenAt atomic.Int64
 
 	engine *engine.Engine
 	ledger *records.Ledger
@@ -63,7 +65,7 @@
 		log:      g.log.WithField("epoch", epoch),
 		epoch:    epoch,
 		inbox:    make(chan func(time.Duration), inboxSize),
-		engine:   engine.New(g.cfg.Engine, epoch, lease.BootTime()),
+		engine:   engine.New(g.cfg.Engine, epoch, lease.BootTime(), g.outage.inherited(lease.BootTime())),
 		conns:    map[string]*wire.Conn{},
 		recorded: make(chan struct{}),
 	}
@@ -82,7 +84,22 @@
 	return ok && held.Epoch == t.epoch
 }
 
-func (t *term) freeze() { t.frozen.Store(true) }
+func (t *term) freeze() {
+	if t.frozen.CompareAndSwap(false, true) {
+		t.frozenAt.Store(int64(lease.BootTime()))
+	}
+}
+
+// extending says whether the term, whose lease has lapsed, still grants what runs its
+// time; see outage.
+func (t *term) extending() bool {
+	at := time.Duration(t.frozenAt.Load())
+	if at == 0 || !t.loaded.Load() || !t.tomb.Alive() || t.g.stopping.Load() {
+		return false
+	}
+	now := lease.BootTime()
+	return now-at < extendMost && t.g.cfg.StoreAge() > servedFresh && t.g.outage.general(now, t.g.members.peers())
+}
 
 // end stops the term for good.
 func (t *term) end() {
@@ -207,10 +224,16 @@
 		case <-ticker.C:
 			t.engine.Step(lease.BootTime(), engine.Tick{Wall: time.Now()})
 		case err := <-written:
-			if err != nil {
+			if err != nil && isFinal(err) {
 				t.deposed(err)
 				return
 			}
+			if err != nil {
+				// The lease has lapsed; what is decided no longer counts. The loop goes on
+				// for reports, and writing stays set so that nothing is written.
+				t.log.WithError(err).Warn("records not written; the duty's lease has lapsed")
+				continue
+			}
 			t.engine.Step(lease.BootTime(), engine.Stored{Write: *writing})
 			t.announceRecorded()
 			writing = nil
@@ -355,7 +378,7 @@
 	if v.Waiting && len(m.Report.Ended) > 0 {
 		v.Seen, v.Waiting = t.awaitRecord(ctx, m.Report.Worker.ID, v, recorded)
 	}
-	if !t.active() {
+	if !t.active() && !t.extending() {
 		return reply
 	}
 	reply.Epoch = t.epoch
--- a/link/peer.go
+++ b/link/peer.go
@@ -25,4 +25,6 @@
 	ConfigVersion int64         `cbor:"4,keyasint,omitempty"`
 	ConfigAge     time.Duration `cbor:"5,keyasint,omitempty"`
 	Config        []byte        `cbor:"6,keyasint,omitempty"`
+	// StoreServes: the store has answered the sender a moment ago.
+	StoreServes bool `cbor:"7,keyasint,omitempty"`
 }
