engine, nodeagent: a worker that does not answer is not taken for standing still

Cause: while a worker reset all calls for 6 s nothing was seen of its tasks, so they counted as standing still and were stopped, and their lease, no longer extended, lapsed just before the worker was back. A run is judged only by looks that are fresh, and looks extend the lease for two seconds more, which such workers carry out.

--- a/engine/reports.go
+++ b/engine/reports.go
@@ -109,6 +109,7 @@
 
 // look compares what the worker says with what is expected of it.
 func (e *Engine) look(now time.Duration, w *worker, r Report) {
+	w.lookedAt = now
 	there := make(map[workload.RunID]bool, len(r.Running))
 	for _, row := range r.Running {
 		there[row.Run] = true
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -13,6 +13,9 @@
 	replanEvery = 250 * time.Millisecond
 	// forgetAfter is how long a worker that does not report is remembered.
 	forgetAfter = 60 * time.Second
+	// lookTimeout is how old the last look at a worker may be to judge what runs there;
+	// agents look at least once a second.
+	lookTimeout = 1500 * time.Millisecond
 	// settleTime is how long workers may take to announce themselves; only after it
 	// is a job that fits none of them called impossible.
 	settleTime = 4 * time.Second
@@ -67,9 +70,12 @@
 	if p.state != placeRunning || p.stopping || p.unit.ending() || p.percent >= 99 {
 		return false
 	}
-	if p.unit.spec().LongRunning || p.unit.spec().Fills || !p.worker.attached || now-p.worker.lastReport > reportTimeout {
+	if p.unit.spec().LongRunning || p.unit.spec().Fills || !p.worker.attached {
 		return false
 	}
+	if p.worker.silent || now-p.worker.lookedAt > lookTimeout {
+		return false // what was seen last says nothing of now
+	}
 	patience := time.Duration(stuckParts * float64(p.unit.spec().Estimate))
 	return now-p.movedAt > max(patience, stuckLeast)
 }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -38,6 +38,7 @@
 	draining   bool
 	leavesAt   time.Duration
 	lastReport time.Duration
+	lookedAt   time.Duration // when the worker itself last answered
 	lapseAt    time.Duration
 	lapsed     bool // lapseAt has passed without a report
 	// recorded: the worker's record is in the store.
--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -40,6 +40,10 @@
 	lookSlack = 600 * time.Millisecond
 	// silentPause is the pause between looks at a worker that does not answer.
 	silentPause = 250 * time.Millisecond
+	// keepExtending is how long looks that get no answer still extend the worker's lease:
+	// some workers carry out what they don't answer, for about six seconds, which is as
+	// long as a lease. Where the worker is gone, its work starts elsewhere that much later.
+	keepExtending = 2 * time.Second
 	// repeatPause keeps a look that returns at once, since ends wait to be recorded,
 	// from being repeated at full speed.
 	repeatPause = 25 * time.Millisecond
--- a/nodeagent/finder.go
+++ b/nodeagent/finder.go
@@ -18,13 +18,13 @@
 	pool *wire.Pool
 	log  logrus.FieldLogger
 
-	mu      sync.Mutex
-	found   string   // where the planner is, empty: not known
-	epoch   uint64   // of the planner found
+	mu    sync.Mutex
+	found string // where the planner is, empty: not known
+	epoch uint64 // of the planner found
 	// dead is the last planner that did not answer, and deadAt when. Gateways go on
 	// naming it until the next one has the duty.
-	dead   planner
-	deadAt time.Duration
+	dead    planner
+	deadAt  time.Duration
 	members []string // gateways, the latest learnt first
 	lostAt  time.Duration
 	readAt  time.Duration // when the register was last read
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -28,9 +28,11 @@
 	seen   int64 // ends that may be forgotten
 
 	failing bool // the last look got no answer
-	running []engine.RunningRow
-	ended   []engine.EndRow
-	void    map[int64]bool // ends that came before a lapse of the lease
+	// failingFrom is when looks began to get none.
+	failingFrom time.Duration
+	running     []engine.RunningRow
+	ended       []engine.EndRow
+	void        map[int64]bool // ends that came before a lapse of the lease
 	// stopped are runs whose stop was confirmed, with the time of the confirmation.
 	stopped map[workload.RunID]time.Duration
 	absent  []workload.RunID
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -54,14 +54,14 @@
 	return 0
 }
 
-// lookOrder returns the order of the next look. While the worker does not answer,
-// nothing extends its lease, so that it is certain when it lapses.
+// lookOrder returns the order of the next look. Once the worker has not answered for
+// keepExtending, nothing extends its lease, so that it is certain when it lapses.
 func (a *Agent) lookOrder(l *life, wait time.Duration) (o Order, seen int64, w, before time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	o = Order{Worker: l.info.ID, Epoch: a.epoch}
 	before = l.leaseEnd
-	if !l.failing {
+	if !l.failing || now()-l.failingFrom < keepExtending {
 		o.Until = l.until(a.granted)
 	}
 	if o.Until > 0 {
@@ -88,6 +88,9 @@
 	if !l.failing {
 		a.log.WithField("worker", l.info.ID).WithError(err).Warn("worker does not answer")
 	}
+	if !l.failing {
+		l.failingFrom = now()
+	}
 	l.failing = true
 	a.signal()
 	return silentPause
