gateway: a gateway that is not served is not worked through

Cause: in an outage for all, a submission went through each peer after the other, 0.6 s each, and the last question was cut short: outcome unknown, 504, though nothing was ever written. Peers that just said that they are not served are left out.

--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/engine"
@@ -98,16 +99,19 @@
 	return link.OutcomeNotDone
 }
 
-// relays returns the peers to work through, the planner first: the store serves it, or
-// it would not plan.
+// relays returns the peers to work through, the planner first. Those that lately said
+// that the store does not serve them either are left out: asking them would only hold up
+// a refusal that is certain, and a question cut short leaves the outcome unknown.
 func (g *Gateway) relays() []string {
 	_, planner := g.planners.get()
-	out := []string{}
+	candidates := g.members.others()
 	if planner != "" && planner != g.cfg.Listen {
-		out = append(out, planner)
+		candidates = append([]string{planner}, candidates...)
 	}
-	for _, m := range g.members.others() {
-		if m != planner {
+	now := lease.BootTime()
+	var out []string
+	for _, m := range candidates {
+		if !slices.Contains(out, m) && !g.outage.unserved(now, m) {
 			out = append(out, m)
 		}
 	}
--- a/gateway/outage.go
+++ b/gateway/outage.go
@@ -84,6 +84,14 @@
 	return true
 }
 
+// unserved says whether a gateway lately said that the store does not serve it.
+func (o *outage) unserved(now time.Duration, address string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a, ok := o.answers[address]
+	return ok && !a.served && now-a.at <= answerFresh
+}
+
 // inherited returns how much longer than usual a predecessor may have granted.
 func (o *outage) inherited(now time.Duration) time.Duration {
 	o.mu.Lock()
--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -56,3 +56,16 @@
 		qt.Check(t, o.inherited(now), qt.Equals, test.inherited, qt.Commentf("%s", test.what))
 	}
 }
+
+// A gateway without the store works through others, but not through one that has just
+// said that it is not served either.
+func TestUnservedGatewaysAreNotAsked(t *testing.T) {
+	c := qt.New(t)
+	o := newOutage(0)
+	c.Check(o.unserved(second, "b"), qt.IsFalse)
+	o.heard(second, "b", false, false)
+	c.Check(o.unserved(second, "b"), qt.IsTrue)
+	c.Check(o.unserved(3*second, "b"), qt.IsFalse, qt.Commentf("it may be served again"))
+	o.heard(4*second, "b", true, false)
+	c.Check(o.unserved(4*second, "b"), qt.IsFalse)
+}
