gateway, engine: one line for an outage of writes; what decisions rested on

Records that can't be written were logged every 60 ms of an outage; now the first failure and the recovery are, with the number of attempts, and the pauses grow. Placements say how long was waited and how old the workers' reports were, evictions what is lost.

--- a/engine/evict.go
+++ b/engine/evict.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -37,7 +38,7 @@
 		return false
 	}
 	for _, v := range best.victims {
-		r.e.decided(v.places[0], "evict", "for "+string(u.job.spec.ID))
+		r.e.decided(v.places[0], "evict", fmt.Sprintf("for %s, %.0f core-seconds lost of all its victims", u.job.spec.ID, best.cost))
 		r.e.stopAll(r.now, v)
 	}
 	u.claims = best.slots
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -122,7 +123,16 @@
 		r.e.put(u, index, workers[i])
 	}
 	r.e.change(u.job)
-	r.e.decided(u.places[0], "place", "")
+	r.e.decided(u.places[0], "place", r.grounds(u, workers))
+}
+
+// grounds says, for the log, what a placement was decided on and how old it was.
+func (r *round) grounds(u *unit, workers []*worker) string {
+	oldest := time.Duration(0)
+	for _, w := range workers {
+		oldest = max(oldest, r.now-w.lastReport)
+	}
+	return fmt.Sprintf("%d tasks, waited %d ms, workers reported up to %d ms ago", len(workers), (r.now - u.since).Milliseconds(), oldest.Milliseconds())
 }
 
 func (r *round) unclaim(u *unit) {
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 	"gopkg.in/tomb.v2"
 
@@ -29,8 +30,10 @@
 	inboxSize = 4096
 	// ordersTimeout bounds one set of orders to an agent: its attempts and a margin.
 	ordersTimeout = 1500 * time.Millisecond
-	// writeRetry is the pause after a write that failed.
-	writeRetry = 60 * time.Millisecond
+	// writeRetry is the pause after a write that failed, which grows to writeRetryMost:
+	// every call is paid for, also one that a store in an outage refuses.
+	writeRetry     = 50 * time.Millisecond
+	writeRetryMost = 250 * time.Millisecond
 	// mostChanges is how many records one write carries; see platform.MaxSwaps.
 	mostChanges = 15
 )
@@ -320,18 +323,23 @@
 // way may take effect until then.
 func (t *term) writeUntilSettled(w engine.Write) error {
 	ctx := t.tomb.Context(context.Background())
-	for {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = writeRetry
+	pause.MaxInterval = writeRetryMost
+	for failures := 0; ; failures++ {
 		t.g.counts.Writes.Add(1)
 		err := t.ledger.Write(ctx, w)
-		if err == nil {
-			return nil
+		if err == nil && failures > 0 {
+			t.log.WithField("failures", failures).Info("records are written again")
 		}
-		if isFinal(err) || !t.tomb.Alive() || t.frozen.Load() {
+		if err == nil || isFinal(err) || !t.tomb.Alive() || t.frozen.Load() {
 			return err
 		}
 		t.g.counts.WriteFailures.Add(1)
-		t.log.WithError(err).Warn("records not written")
-		t.pause(writeRetry)
+		if failures == 0 {
+			t.log.WithError(err).Warn("records not written")
+		}
+		t.pause(pause.NextBackOff())
 	}
 }
 
