--- a/settings/page_test.go
+++ b/settings/page_test.go
@@ -35,6 +35,8 @@
 		{"## The document", schema.Keys[document.Document]()},
 		{"## Settings of an entry", schema.Keys[settings.Entry]()},
 		{"## Settings of an agent", schema.Keys[settings.Agent]()},
+		{"## Settings of a gateway", schema.Keys[settings.Gateway]()},
+		{"## Settings of a node agent", schema.Keys[settings.NodeAgent]()},
 	} {
 		t.Run(test.heading, func(t *testing.T) {
 			c := qt.New(t)
