engine, platform: steps under the operators' advice start with its tickets

Queues may be under a policy that lets only some workers run a step. Tickets are asked for one call at a time, a few workers a call, for the most urgent unit and ahead for steps whose predecessors are about to end; nothing is placed without one.

--- a/engine/action.go
+++ b/engine/action.go
@@ -14,6 +14,7 @@
 	Run        workload.RunID `cbor:"1,keyasint"`
 	Spec       string         `cbor:"2,keyasint,omitempty"`
 	Checkpoint string         `cbor:"3,keyasint,omitempty"`
+	Ticket     string         `cbor:"4,keyasint,omitempty"` // of the advice service
 }
 
 // StartOutcome is what became of a StartOrder.
@@ -31,6 +32,7 @@
 	StartUnhealthy
 	StartInvalid
 	StartDraining
+	StartNoTicket // its ticket is not valid there
 )
 
 // StartResult is the outcome of one start.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -24,6 +24,10 @@
 	byAgent  map[string]WorkerID
 	tracker  tracker
 	urgent   urgent
+	// asking: a question to the advice service is in progress; askAfter is when the next
+	// may follow one that failed.
+	asking   bool
+	askAfter time.Duration
 	// spareRack is the rack that patient work leaves alone.
 	spareRack string
 	lastPlan  time.Duration
@@ -84,6 +88,8 @@
 		e.replan = true
 	case Tick:
 		e.tick(now, ev)
+	case Advised:
+		e.advice(now, ev)
 	case Reported:
 		e.Report(now, ev.Report)
 	default:
--- a/engine/job.go
+++ b/engine/job.go
@@ -28,7 +28,8 @@
 	// finalAt is the version that made the state final.
 	finalAt int
 	// chain is the estimate of the longest chain of work.
-	chain time.Duration
+	chain   time.Duration
+	tickets map[stepAt]*tickets
 	// removed: the records are being removed.
 	removed bool
 }
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -38,6 +38,8 @@
 		p.worker.health.rest(now)
 	case StartInvalid:
 		e.decided(p, "start invalid", "")
+	case StartNoTicket:
+		delete(p.unit.job.ticketsOf(stepAt{p.unit.occurrence, p.unit.step}).held, p.worker.info.ID)
 	}
 	e.decided(p, "start refused", outcome.String())
 	if outcome == StartFenced || outcome == StartNotSent {
@@ -86,6 +88,7 @@
 	StartUnhealthy: "unhealthy",
 	StartInvalid:   "invalid",
 	StartDraining:  "draining",
+	StartNoTicket:  "ticket not valid",
 }
 
 // String returns a name for logs.
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -47,7 +47,9 @@
 	r := e.newRound(now)
 	r.pickSpare()
 	e.leave(r)
-	for _, u := range e.queue(now, r.protected) {
+	queue := e.queue(now, r.protected)
+	e.askAdvice(r, queue)
+	for _, u := range queue {
 		r.serve(u)
 	}
 }
@@ -172,6 +174,9 @@
 	if w.info.Service != u.job.spec.Service || !w.hasLabel(u.spec().Label) {
 		return false
 	}
+	if _, ok := u.ticketOn(r.now+ticketMargin, w.info.ID); !ok {
+		return false
+	}
 	return w.health.failures == 0 || r.now >= u.avoids[w.info.ID]
 }
 
--- a/engine/write.go
+++ b/engine/write.go
@@ -145,7 +145,8 @@
 		if p.state != placeRecording {
 			continue
 		}
-		if u.ending() || !p.worker.usable(now) {
+		_, allowed := u.ticketOn(now, p.worker.info.ID)
+		if u.ending() || !p.worker.usable(now) || !allowed {
 			e.refuse(now, u)
 			return
 		}
@@ -162,7 +163,8 @@
 	p.movedAt = now
 	p.savedAt = now
 	o := e.ordersFor(p.worker)
-	o.Starts = append(o.Starts, StartOrder{Run: p.id(), Spec: p.unit.job.spec.Spec, Checkpoint: p.unit.saved})
+	ticket, _ := p.unit.ticketOn(now, p.worker.info.ID)
+	o.Starts = append(o.Starts, StartOrder{Run: p.id(), Spec: p.unit.job.spec.Spec, Checkpoint: p.unit.saved, Ticket: ticket})
 	e.decided(p, "start", "")
 }
 
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -19,6 +19,13 @@
 	Decode(raw []byte) (*catalog.Catalog, error)
 }
 
+// Advisor is the operators' advice service.
+type Advisor interface {
+	// Advise returns a ticket for each of the workers that may run the step, and how long
+	// they are valid. The call takes as long as the queue's terms say.
+	Advise(ctx context.Context, ask engine.AskAdvice) (tickets map[engine.WorkerID]string, valid time.Duration, err error)
+}
+
 // Config of a Gateway.
 type Config struct {
 	ID     string
@@ -32,7 +39,9 @@
 	Source     Source
 	// StoreAge returns how long ago the store last answered a call of this process.
 	StoreAge func() time.Duration
-	Engine   engine.Params
+	// Advisor says which workers may run a step; nil where there is no such service.
+	Advisor Advisor
+	Engine  engine.Params
 	// KeyLife is how long a key that was taken away may still be honoured; a view of
 	// the configuration is trusted for less than that.
 	KeyLife time.Duration
--- /dev/null
+++ b/gateway/term_advice.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+)
+
+// adviceTimeout bounds one call to the advice service; it has a queue of its own.
+const adviceTimeout = 10 * time.Second
+
+// advise asks the advice service.
+func (t *term) advise(ask engine.AskAdvice) {
+	answer := engine.Advised{Asked: ask, Failed: true}
+	if t.g.cfg.Advisor != nil {
+		ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), adviceTimeout)
+		defer cancel()
+		tickets, valid, err := t.g.cfg.Advisor.Advise(ctx, ask)
+		if err != nil {
+			t.log.WithError(err).WithField("job", ask.Job).Warn("no advice")
+		} else {
+			answer = engine.Advised{Asked: ask, Tickets: tickets, Valid: valid}
+		}
+	}
+	t.post(answer)
+}
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -23,6 +23,8 @@
 		switch a := action.(type) {
 		case engine.Orders:
 			go t.send(a)
+		case engine.AskAdvice:
+			go t.advise(a)
 		case engine.Decided:
 			t.logDecision(a)
 		case engine.Began:
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -19,6 +19,9 @@
 	// Store is the address of the platform's key-value store.
 	Store string `toml:"store" validate:"required,addr"`
 
+	// Advice is the address of the operators' advice service, where there is one.
+	Advice string `toml:"advice" validate:"omitempty,addr"`
+
 	MaxHold         schema.Duration `toml:"max_hold" default:"6s" validate:"min=100ms,max=1h"`
 	StopTime        schema.Duration `toml:"stop_time" default:"900ms" validate:"min=0s,max=10m"`
 	Restore         schema.Duration `toml:"restore" default:"500ms" validate:"min=0s,max=10m"`
--- a/workload/job.go
+++ b/workload/job.go
@@ -28,6 +28,15 @@
 	Stretch     float64 `json:"stretch,omitempty" cbor:"3,keyasint,omitempty"`
 	// TargetLatency is the share of the aim that does not grow with the work.
 	TargetLatency time.Duration `json:"latency,omitempty" cbor:"4,keyasint,omitempty"`
+	// Advice: only workers that the operators' advice service allows may run a step.
+	Advice *Advice `json:"advice,omitempty" cbor:"5,keyasint,omitempty"`
+}
+
+// Advice is what a call to the advice service takes, and how long its tickets are valid.
+type Advice struct {
+	Decision time.Duration `json:"decision" cbor:"1,keyasint"`
+	Interval time.Duration `json:"interval" cbor:"2,keyasint"` // for each worker asked for
+	Valid    time.Duration `json:"valid" cbor:"3,keyasint"`
 }
 
 // Schedule is a job's occurrences in time.
