nodeagent: an end after a lapse counts

Every row of a look sent after a lapse was taken for an end from before it, so the task started again while its end was taken note of.

TestEndAfterALapseCounts fails without it.

--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -23,6 +23,8 @@
 	// leaseEnd is the latest time, on the agent's clock, to which the lease may have
 	// been extended by any order sent, answered or not.
 	leaseEnd time.Duration
+	// surveyed is the leaseEnd after whose lapse a look has shown every end there was.
+	surveyed time.Duration
 	// fenced is the highest epoch that the worker certainly has seen.
 	fenced uint64
 	seen   int64 // ends that may be forgotten
@@ -58,15 +60,26 @@
 // extend notes that an order with a lease until t leaves.
 func (l *life) extend(t time.Duration) { l.leaseEnd = max(l.leaseEnd, t) }
 
-// lapseSlack is how much later than reckoned a lease may lapse: the worker's clock may
-// be 2% slow over a lease of some seconds.
+// lapseSlack is how much later than reckoned a lease may lapse, since the worker's clock
+// may be 2% slow over a lease of some seconds, and how much earlier, in transit.
 const lapseSlack = 250 * time.Millisecond
 
+// lapsing says whether the lease may have lapsed and no look has shown yet what had ended
+// before. Until one has, nothing extends the lease and nothing starts: of an end that was
+// listed only after something ran again, nobody could tell whether it came before the
+// lapse, and counts as not having been, or after it, and counts.
+func (l *life) lapsing(now time.Duration) bool {
+	return l.leaseEnd != 0 && l.surveyed != l.leaseEnd && now > l.leaseEnd-lapseSlack
+}
+
 // take notes an answered look that was asked for at sent and came at now. before is the
 // lease's end as it was when the look was sent. A look sent after that follows a lapse,
-// so the ends that it shows and that nobody took note of count as not having been.
+// so the ends that it shows and that nobody took note of count as not having been. Once
+// the lease is extended again, a look that was sent before may show ends of later runs,
+// which count.
 func (l *life) take(look Look, sent, now, before time.Duration) {
-	if before != 0 && sent > before+lapseSlack {
+	if before != 0 && sent > before+lapseSlack && l.leaseEnd == before {
+		l.surveyed = before
 		for _, row := range look.Ended {
 			l.void[row.Number] = true
 		}
--- a/nodeagent/life_test.go
+++ b/nodeagent/life_test.go
@@ -72,3 +72,25 @@
 	l.take(Look{Clock: 3 * time.Second}, 5*time.Second, 6*time.Second, 0)
 	c.Check(l.report(0, 0).Absent, qt.DeepEquals, []workload.RunID{run1})
 }
+
+// Cut off for longer than the lease, the agent finds the planner again. A look that waits
+// was sent after the lapse; then a task starts, ends as done, and that look shows it. It
+// was taken for an end from before the lapse, the task was started again, and the first
+// end was taken note of all the same: it ran twice.
+func TestEndAfterALapseCounts(t *testing.T) {
+	c := qt.New(t)
+	l := newLife(engine.WorkerInfo{ID: "w"})
+	l.extend(6 * time.Second)
+	c.Check(l.lapsing(5*time.Second), qt.IsFalse)
+	c.Check(l.lapsing(6*time.Second), qt.IsTrue, qt.Commentf("nothing may start before a look"))
+	old := engine.EndRow{Number: 1, Run: run1, Reason: engine.EndDone}
+	l.take(Look{Clock: 7 * time.Second, Ended: []engine.EndRow{old}}, 7*time.Second, 7*time.Second, 6*time.Second)
+	c.Check(l.lapsing(7*time.Second), qt.IsFalse)
+	waitsFrom := 7100 * time.Millisecond // asked with the lapsed lease in mind
+	l.extend(13 * time.Second)
+	next := engine.EndRow{Number: 2, Run: workload.RunID{Task: run1.Task, Number: 2}, Reason: engine.EndDone}
+	l.take(Look{Clock: 8 * time.Second, Ended: []engine.EndRow{old, next}}, waitsFrom, 8*time.Second, 6*time.Second)
+	ended := l.report(0, 0).Ended
+	c.Check(ended[0].Void, qt.IsTrue)
+	c.Check(ended[1].Void, qt.IsFalse)
+}
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -48,7 +48,7 @@
 	l.fenced = max(l.fenced, o.Epoch)
 	l.take(look, sent, now(), before)
 	a.signal()
-	if len(look.Ended) > 0 && waited < repeatPause {
+	if (len(look.Ended) > 0 || l.lapsing(now())) && waited < repeatPause {
 		return repeatPause
 	}
 	return 0
@@ -61,13 +61,14 @@
 	defer a.mu.Unlock()
 	o = Order{Worker: l.info.ID, Epoch: a.epoch}
 	before = l.leaseEnd
-	if !l.failing || now()-l.failingFrom < keepExtending {
+	lapsing := l.lapsing(now())
+	if !lapsing && (!l.failing || now()-l.failingFrom < keepExtending) {
 		o.Until = l.until(a.granted)
 	}
 	if o.Until > 0 {
 		l.extend(a.granted)
 	}
-	if l.failing || !l.known || l.fenced < a.epoch {
+	if l.failing || !l.known || l.fenced < a.epoch || lapsing {
 		wait = 0
 	}
 	return o, l.seen, wait, before
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -63,7 +63,7 @@
 	switch {
 	case l.draining:
 		return o, l, engine.StartDraining
-	case o.Until == 0 || l.failing || a.granted-now() < leastGrant:
+	case o.Until == 0 || l.failing || l.lapsing(now()) || a.granted-now() < leastGrant:
 		return o, l, engine.StartNotSent
 	}
 	l.extend(a.granted)
