lease: a claim at a slow store lasts

Cause: with 320 ms an answer the five calls of a claim used up the lease of 2 s, so it lapsed before its first renewal was verified, the next candidate met the same, and nobody planned until the store was quick again, 4 s later; all runs lapsed meanwhile. A claim that took a quarter of the TTL renews before it is verified, and renewals are due by the lease's own time.

The test fails without it.

--- a/lease/elector.go
+++ b/lease/elector.go
@@ -10,6 +10,8 @@
 	// driftShare: one part in so many of a lease's time is not used, for
 	// clocks of store and process that run at different rates.
 	driftShare = 50
+	// slowShare: a claim that has taken this share of the TTL is followed by a renewal.
+	slowShare = 4
 	// renewShare and retryShare are the parts of the TTL between a renewal and
 	// the next, and between a failed renewal and the next attempt.
 	renewShare = 3
@@ -105,14 +107,23 @@
 		e.epoch = max(ev.Epoch, e.floor) + 1
 		return RaiseEpoch{Expect: ev.Mod, Epoch: e.epoch}
 	case Raised:
+		if ev.Won && now > e.until-e.ttl+e.ttl/slowShare {
+			// The store is slow: the lease would be all but over when the claim is
+			// verified, and lapse before its first renewal.
+			return Renew{Lease: e.lease}
+		}
 		if ev.Won {
 			return Verify{Lease: e.lease}
 		}
 		// Another's raise, or a late one of our own; read and raise again.
 		return ReadEpoch{}
+	case Renewed:
+		e.pending = usable(ev.Sent, e.ttl)
+		return Verify{Lease: e.lease}
 	case Verified:
 		if ev.Ours {
 			e.held = true
+			e.until = max(e.until, e.pending)
 			return e.rest(now)
 		}
 	}
@@ -144,9 +155,10 @@
 	return e.release()
 }
 
-// rest sleeps until the next renewal.
+// rest sleeps until the next renewal, which comes sooner where the last one took long.
 func (e *Elector) rest(now time.Duration) Action {
-	return Sleep{Until: min(now+e.ttl/renewShare, e.until)}
+	due := min(now+e.ttl/renewShare, e.until-e.ttl/2)
+	return Sleep{Until: max(now, due)}
 }
 
 // outdated takes up a higher epoch. A holder that learns of one cannot be
--- /dev/null
+++ b/lease/slow_test.go
@@ -0,0 +1,67 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/lease"
+)
+
+// The holder's instance dies while the store takes 320 ms for each answer. The claim's
+// five calls used up the next candidate's lease of 2 s, which lapsed before its first
+// renewal was verified; then another tried, and nobody held the duty until the store was
+// quick again.
+func TestClaimAtASlowStoreLasts(t *testing.T) {
+	const (
+		ttl    = 2 * time.Second
+		answer = 320 * time.Millisecond
+	)
+	c := qt.New(t)
+	e := lease.NewElector(ttl)
+	now := time.Second
+	act := e.Step(now, lease.Start{})
+	var heldFrom time.Duration
+	for now < 15*time.Second {
+		held, ok := e.Held()
+		if ok && heldFrom == 0 {
+			heldFrom = now
+		}
+		if heldFrom != 0 {
+			c.Assert(ok && now < held.Until, qt.IsTrue, qt.Commentf("lost at %v, held from %v", now, heldFrom))
+		}
+		sent := now
+		if sleep, ok := act.(lease.Sleep); ok {
+			now = max(now, sleep.Until)
+			act = e.Step(now, lease.Woke{})
+			continue
+		}
+		now += answer
+		act = e.Step(now, answerOf(act, sent))
+	}
+	c.Check(heldFrom > 0 && heldFrom < 4*time.Second, qt.IsTrue, qt.Commentf("held from %v", heldFrom))
+}
+
+// answerOf is the good end of an action that was begun at sent.
+func answerOf(act lease.Action, sent time.Duration) lease.Event {
+	switch act.(type) {
+	case lease.AwaitVacant:
+		return lease.Vacant{}
+	case lease.Grant:
+		return lease.Granted{Lease: 1, Sent: sent}
+	case lease.Claim:
+		return lease.Claimed{Won: true}
+	case lease.ReadEpoch:
+		return lease.EpochRead{Epoch: 4, Mod: 9}
+	case lease.RaiseEpoch:
+		return lease.Raised{Won: true}
+	case lease.Verify:
+		return lease.Verified{Ours: true}
+	case lease.Renew:
+		return lease.Renewed{Sent: sent}
+	case lease.Revoke:
+		return lease.Revoked{}
+	}
+	return lease.Woke{}
+}
