--- a/cmd/eelgrasshub/gateway.go
+++ b/cmd/eelgrasshub/gateway.go
@@ -37,13 +37,11 @@
 	if err != nil {
 		return err
 	}
-	out := newLogWriter(os.Stdout)
-	defer out.Close()
-	log, err := newLogTo(out, c.LogLevel)
+	log, endLog, err := startLog(c.LogLevel, cfg.ID)
 	if err != nil {
 		return err
 	}
-	log = log.WithField("node", cfg.ID)
+	defer endLog()
 	g, err := startGateway(cfg, log)
 	if err != nil {
 		return err
--- a/cmd/eelgrasshub/log_writer.go
+++ b/cmd/eelgrasshub/log_writer.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -30,6 +33,16 @@
 	return w
 }
 
+// startLog returns the log of a role, on standard output, and what ends it.
+func startLog(level, node string) (*logrus.Entry, func(), error) {
+	out := newLogWriter(os.Stdout)
+	log, err := newLogTo(out, level)
+	if err != nil {
+		return nil, nil, err
+	}
+	return log.WithField("node", node), out.Close, nil
+}
+
 // Write implements io.Writer. It never fails.
 func (w *logWriter) Write(line []byte) (int, error) {
 	kept := append([]byte(nil), line...)
--- a/cmd/eelgrasshub/node_agent.go
+++ b/cmd/eelgrasshub/node_agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os"
 
 	"github.com/eelgrasshub/eelgrasshub/nodeagent"
 	"github.com/eelgrasshub/eelgrasshub/platform"
@@ -31,13 +30,11 @@
 	if err != nil {
 		return err
 	}
-	out := newLogWriter(os.Stdout)
-	defer out.Close()
-	log, err := newLogTo(out, c.LogLevel)
+	log, endLog, err := startLog(c.LogLevel, cfg.ID)
 	if err != nil {
 		return err
 	}
-	log = log.WithField("node", cfg.ID)
+	defer endLog()
 	a, err := nodeagent.Start(platform.NodeAgentConfig(cfg, log))
 	if err != nil {
 		return err
--- a/engine/health.go
+++ b/engine/health.go
@@ -21,8 +21,6 @@
 	last     *unit
 	rests    time.Duration
 	until    time.Duration
-	// pace is the measured time of work in parts of what the others take; 1 at first.
-	pace float64
 }
 
 func (h *health) failed(u *unit, now time.Duration) {
@@ -43,7 +41,7 @@
 	h.until = max(h.until, now+h.rests)
 }
 
-func (h *health) succeeded() { *h = health{pace: h.pace} }
+func (h *health) succeeded() { *h = health{} }
 
 // resting says whether new tasks should go elsewhere.
 func (h *health) resting(now time.Duration) bool { return now < h.until }
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -25,7 +25,7 @@
 	d := &desk{t: t, now: time.Second, on: map[workload.RunID]WorkerID{}, ends: map[WorkerID]int64{}}
 	d.e = New(Params{
 		MaxHold: 6 * time.Second, StopTime: 900 * time.Millisecond, RemoteFactor: 3,
-		Restore: 500 * time.Millisecond, CheckpointEvery: time.Second, Reclaim: 3 * time.Second, Retention: time.Minute,
+		Restore: 500 * time.Millisecond, Reclaim: 3 * time.Second, Retention: time.Minute,
 	}, 1, d.now, 0)
 	d.step(CatalogChanged{Catalog: &catalog.Catalog{Accounts: map[string]catalog.Account{"big": {Guaranteed: 16}}}})
 	for i := range workers {
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -61,7 +61,6 @@
 	}
 	if p.state == placeAdopted {
 		p.movedAt = now
-		p.savedAt = now
 	}
 	p.state = placeRunning
 	if p.began == 0 {
--- a/engine/params.go
+++ b/engine/params.go
@@ -13,14 +13,10 @@
 	RemoteFactor float64
 	// Restore is what resuming from a checkpoint costs.
 	Restore time.Duration
-	// CheckpointEvery is the work between two checkpoints.
-	CheckpointEvery time.Duration
 	// Reclaim is how long a guaranteed job may wait for its accelerators.
 	Reclaim time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
-	// Early is how much before its time an occurrence may start.
-	Early time.Duration
 }
 
 // Limits of the engine's own making.
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -35,8 +35,6 @@
 	// began is when the start was confirmed, movedAt when percent last grew.
 	began   time.Duration
 	movedAt time.Duration
-	// savedAt is when saved last changed.
-	savedAt time.Duration
 	// stopping: a stop was decided; stopSent is when it was last sent.
 	stopping bool
 	stopSent time.Duration
--- a/engine/report.go
+++ b/engine/report.go
@@ -60,8 +60,6 @@
 
 // Verdict is the answer to a report.
 type Verdict struct {
-	// Known is false for a worker that the engine holds to be gone.
-	Known bool
 	// Attached: the report was made under this engine's epoch.
 	Attached bool
 	// Seen: ends up to it may be forgotten.
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -26,7 +26,7 @@
 	e.drain(now, w, r)
 	if !attached {
 		// Nothing is granted: what the worker's lease allows is bounded already.
-		return Verdict{Known: true, Seen: w.seen}
+		return Verdict{Seen: w.seen}
 	}
 	first := !w.attached
 	w.attached = true
@@ -38,7 +38,7 @@
 		e.settleAdopted(now, w, r)
 		e.replan = true
 	}
-	return Verdict{Known: true, Attached: true, Seen: w.forgettable(), Waiting: len(w.pending) > 0}
+	return Verdict{Attached: true, Seen: w.forgettable(), Waiting: len(w.pending) > 0}
 }
 
 // Seen returns up to which end a worker may forget, and whether more ends wait to be
@@ -73,7 +73,6 @@
 		strays:     map[workload.RunID]time.Duration{},
 		lastReport: now,
 		lapseAt:    e.params.lapse(now),
-		health:     health{pace: 1},
 	}
 	e.workers[info.ID] = w
 	e.workersChanged = now
@@ -149,10 +148,7 @@
 		p.percent = row.Percent
 		p.movedAt = now
 	}
-	if row.Checkpoint != p.saved {
-		p.saved = row.Checkpoint
-		p.savedAt = now
-	}
+	p.saved = row.Checkpoint
 }
 
 // stray stops a run that nobody here placed or that was given up for lost.
--- a/engine/sim_world_test.go
+++ b/engine/sim_world_test.go
@@ -107,8 +107,7 @@
 	w.epoch++
 	w.writing = false
 	e := New(Params{
-		MaxHold: simHold, StopTime: 900 * time.Millisecond, RemoteFactor: 3, Restore: 500 * time.Millisecond,
-		CheckpointEvery: time.Second, Reclaim: 3 * time.Second, Retention: time.Hour,
+		MaxHold: simHold, StopTime: 900 * time.Millisecond, RemoteFactor: 3, Restore: 500 * time.Millisecond, Reclaim: 3 * time.Second, Retention: time.Hour,
 	}, w.epoch, w.now, 0)
 	w.engine = e
 	e.Step(w.now, CatalogChanged{Catalog: &catalog.Catalog{Accounts: map[string]catalog.Account{"big": {Guaranteed: 32}}}})
--- a/engine/write.go
+++ b/engine/write.go
@@ -161,7 +161,6 @@
 	p.state = placeOrdered
 	p.began = now
 	p.movedAt = now
-	p.savedAt = now
 	o := e.ordersFor(p.worker)
 	ticket, _ := p.unit.ticketOn(now, p.worker.info.ID)
 	o.Starts = append(o.Starts, StartOrder{Run: p.id(), Spec: p.unit.job.spec.Spec, Checkpoint: p.unit.saved, Ticket: ticket})
--- a/gateway/term_report.go
+++ b/gateway/term_report.go
@@ -30,7 +30,7 @@
 		return reply
 	}
 	if v.Waiting && len(m.Report.Ended) > 0 {
-		v.Seen, v.Waiting = t.awaitRecord(ctx, m.Report.Worker.ID, v, recorded)
+		v.Seen = t.awaitRecord(ctx, m.Report.Worker.ID, v, recorded)
 	}
 	if !t.active() && !t.extending() {
 		return reply
@@ -38,21 +38,21 @@
 	reply.Epoch = t.epoch
 	reply.Attached = v.Attached
 	reply.Seen = v.Seen
-	reply.Waiting = v.Waiting
 	return reply
 }
 
-// awaitRecord waits until the ends of a worker are on record.
-func (t *term) awaitRecord(ctx context.Context, id engine.WorkerID, v engine.Verdict, recorded <-chan struct{}) (int64, bool) {
+// awaitRecord waits until the ends of a worker are on record, and returns up to which
+// they are.
+func (t *term) awaitRecord(ctx context.Context, id engine.WorkerID, v engine.Verdict, recorded <-chan struct{}) int64 {
 	deadline := time.NewTimer(recordWait)
 	defer deadline.Stop()
 	for {
 		select {
 		case <-recorded:
 		case <-deadline.C:
-			return v.Seen, true
+			return v.Seen
 		case <-ctx.Done():
-			return v.Seen, true
+			return v.Seen
 		}
 		type answer struct {
 			seen    int64
@@ -67,12 +67,12 @@
 			answers <- answer{seen, waiting}
 		})
 		if !ok {
-			return v.Seen, true
+			return v.Seen
 		}
 		a := <-answers
 		v.Seen = a.seen
 		if !a.waiting {
-			return a.seen, false
+			return a.seen
 		}
 	}
 }
--- a/link/report.go
+++ b/link/report.go
@@ -21,8 +21,6 @@
 	// Planner is where the planner is believed to be, empty where nobody knows.
 	Planner string   `cbor:"4,keyasint,omitempty"`
 	Members []string `cbor:"5,keyasint,omitempty"` // addresses of gateways
-	// Waiting: ends of the report are not on record yet; the agent asks again soon.
-	Waiting bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Orders goes from the planner to a node agent. All are carried out at once.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -22,14 +22,12 @@
 	// Advice is the address of the operators' advice service, where there is one.
 	Advice string `toml:"advice" validate:"omitempty,addr"`
 
-	MaxHold         schema.Duration `toml:"max_hold" default:"6s" validate:"min=100ms,max=1h"`
-	StopTime        schema.Duration `toml:"stop_time" default:"900ms" validate:"min=0s,max=10m"`
-	Restore         schema.Duration `toml:"restore" default:"500ms" validate:"min=0s,max=10m"`
-	CheckpointEvery schema.Duration `toml:"checkpoint_every" default:"1s" validate:"min=0s,max=1h"`
-	RemoteFactor    float64         `toml:"remote_factor" default:"3" validate:"min=1,max=1000"`
-	Reclaim         schema.Duration `toml:"reclaim" default:"3s" validate:"min=100ms,max=1h"`
-	Retention       schema.Duration `toml:"retention" default:"120s" validate:"min=1s,max=168h"`
-	Early           schema.Duration `toml:"early" default:"250ms" validate:"min=0s,max=1h"`
+	MaxHold      schema.Duration `toml:"max_hold" default:"6s" validate:"min=100ms,max=1h"`
+	StopTime     schema.Duration `toml:"stop_time" default:"900ms" validate:"min=0s,max=10m"`
+	Restore      schema.Duration `toml:"restore" default:"500ms" validate:"min=0s,max=10m"`
+	RemoteFactor float64         `toml:"remote_factor" default:"3" validate:"min=1,max=1000"`
+	Reclaim      schema.Duration `toml:"reclaim" default:"3s" validate:"min=100ms,max=1h"`
+	Retention    schema.Duration `toml:"retention" default:"120s" validate:"min=1s,max=168h"`
 	// KeyLife is how long a key that was taken away may still be honoured.
 	KeyLife schema.Duration `toml:"key_life" default:"5s" validate:"min=2s,max=1h"`
 	// StopGrace bounds a graceful stop.
