--- a/cmd/eelgrasshub/script_commands_test.go
+++ b/cmd/eelgrasshub/script_commands_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/eelgrasshub/eelgrasshub/internal/testport"
 )
 
 const (
@@ -28,28 +29,8 @@
 // UDP: addr NAME...
 func addrCmd(ts *testscript.TestScript, neg bool, args []string) {
 	usage(ts, neg, len(args) > 0, "addr NAME...")
-	var held []io.Closer
 	for _, name := range args {
-		addr, closers := freeAddr(ts)
-		held = append(held, closers...)
-		ts.Setenv(name, addr)
-	}
-	// All are held until the last is found, so that no two are the same.
-	for _, c := range held {
-		ts.Check(c.Close())
-	}
-}
-
-func freeAddr(ts *testscript.TestScript) (string, []io.Closer) {
-	for {
-		tcp, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		addr := tcp.Addr().String()
-		udp, err := net.ListenPacket("udp", addr)
-		if err == nil {
-			return addr, []io.Closer{tcp, udp}
-		}
-		ts.Check(tcp.Close())
+		ts.Setenv(name, testport.Scripts.Addr())
 	}
 }
 
