engine, gateway: one piece where the change had written two

Read again as a newcomer: - the question to the engine's goroutine stood in three forms, one of which could wait for ever where the term ended meanwhile: ask serves all; - pending jobs were counted at each turn of the loop, and are when asked for; - a step's key stood in two types and four comparisons; claims were counted in three loops; the time from which a job is of no use stood twice; room elsewhere was forecast twice for one answer; - the event Reported was given by nobody.

--- a/engine/advice.go
+++ b/engine/advice.go
@@ -46,12 +46,6 @@
 func (AskAdvice) isAction() {}
 func (Advised) isEvent()    {}
 
-// stepAt is a step of one occurrence of a job.
-type stepAt struct {
-	occurrence int
-	step       int
-}
-
 // tickets is what is known of the workers that may run a step.
 type tickets struct {
 	held   map[WorkerID]ticket
@@ -83,7 +77,7 @@
 	if !u.advised() {
 		return "", true
 	}
-	t, held := u.job.ticketsOf(stepAt{u.occurrence, u.step}).held[id]
+	t, held := u.job.ticketsOf(u.at()).held[id]
 	return t.text, held && now < t.until
 }
 
@@ -111,7 +105,7 @@
 	if !u.advised() {
 		return false
 	}
-	known := u.job.ticketsOf(stepAt{u.occurrence, u.step})
+	known := u.job.ticketsOf(u.at())
 	room := 0
 	var ask []WorkerID
 	for _, w := range r.byRoom(u) {
--- a/engine/clearing.go
+++ b/engine/clearing.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -84,7 +86,7 @@
 		if need.Within(room) {
 			break
 		}
-		if c.chosen[v] || !v.mayStop(c.chosenOf(v)+countOf(victims, v)) {
+		if c.chosen[v] || !v.mayStop(ofStep(maps.Keys(c.chosen), v)+ofStep(slices.Values(victims), v)) {
 			continue
 		}
 		room = room.Add(held(v, w))
@@ -105,31 +107,17 @@
 	return victims, cost, true
 }
 
-// chosenOf returns how many units of v's step are victims already.
-func (c *clearing) chosenOf(v *unit) int {
+// ofStep returns how many of the units are of v's step.
+func ofStep(units iter.Seq[*unit], v *unit) int {
 	n := 0
-	for o := range c.chosen {
-		if sameStep(o, v) {
+	for o := range units {
+		if o.key() == v.key() {
 			n++
 		}
 	}
 	return n
 }
 
-func countOf(units []*unit, v *unit) int {
-	n := 0
-	for _, o := range units {
-		if sameStep(o, v) {
-			n++
-		}
-	}
-	return n
-}
-
-func sameStep(a, b *unit) bool {
-	return a.job == b.job && a.step == b.step && a.occurrence == b.occurrence
-}
-
 // take gives a member its room on w. A victim gang makes room on all its workers.
 func (c *clearing) take(w *worker, victims []*unit) {
 	for _, v := range victims {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// Step handles one event.
+// Step handles one event. What agents say comes by Report, which answers them.
 func (e *Engine) Step(now time.Duration, event Event) {
 	switch ev := event.(type) {
 	case Submitted:
@@ -90,8 +90,6 @@
 		e.tick(now, ev)
 	case Advised:
 		e.advice(now, ev)
-	case Reported:
-		e.Report(now, ev.Report)
 	default:
 		panic("engine: unknown event")
 	}
--- a/engine/event.go
+++ b/engine/event.go
@@ -37,9 +37,6 @@
 // WorkerRestored is a worker that a predecessor knew.
 type WorkerRestored struct{ Info WorkerInfo }
 
-// Reported is what an agent says of its worker.
-type Reported struct{ Report Report }
-
 // OrdersEnded is what became of the orders of one action.
 type OrdersEnded struct {
 	Worker WorkerID
@@ -62,7 +59,6 @@
 func (CancelRequested) isEvent() {}
 func (Restored) isEvent()        {}
 func (WorkerRestored) isEvent()  {}
-func (Reported) isEvent()        {}
 func (OrdersEnded) isEvent()     {}
 func (Stored) isEvent()          {}
 func (CatalogChanged) isEvent()  {}
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -43,9 +43,7 @@
 	}
 	u.claims = best.slots
 	u.claimedAt = r.now
-	for w, n := range best.slots {
-		r.claimed[w] = r.claimed[w].Add(u.demand().Times(n))
-	}
+	r.countClaims(u, 1)
 	return true
 }
 
@@ -56,9 +54,6 @@
 	// reclaimMargin is kept from the time in which a guaranteed job has to start, for
 	// what follows the stop: the record, the order and a report that comes late.
 	reclaimMargin = 700 * time.Millisecond
-	// lateFactor bounds a late job's use: after that many times its objective its
-	// caller has no use for it.
-	lateFactor = 3
 )
 
 // pays says whether an eviction is better than waiting.
@@ -76,8 +71,7 @@
 		return false
 	}
 	own := u.total().Cores() * r.e.estimate(u).Seconds()
-	useless := u.job.accepted + lateFactor*(u.job.objective()-u.job.accepted) - r.e.estimate(u)
-	if r.now+wait > useless {
+	if r.now+wait+r.e.estimate(u) > u.job.useless() {
 		own *= lateFactor
 	}
 	return way.cost <= own
@@ -147,7 +141,7 @@
 	for _, j := range e.sequence {
 		for _, u := range j.units {
 			if u.claims[w] > 0 {
-				u.claims = nil
+				e.dropClaims(u)
 			}
 		}
 	}
@@ -179,6 +173,6 @@
 
 // elsewhere says whether u could start on other workers now.
 func (r *round) elsewhere(u *unit) bool {
-	_, slots := r.forecast(u, r.workers)
-	return slots != nil && r.earliest(u, r.workers) == 0
+	at, slots := r.forecast(u, r.workers)
+	return slots != nil && at == 0
 }
--- a/engine/headroom_test.go
+++ b/engine/headroom_test.go
@@ -13,10 +13,7 @@
 func TestPatientWorkLeavesARackToUrgentGangs(t *testing.T) {
 	c := qt.New(t)
 	d := newDesk(t, 9)
-	first := d.job(0, "", gang(2, 8))
-	d.settle()
-	d.end(first, EndDone)
-	d.settle()
+	d.urgentGangDone()
 	patient := tasks(72, 1)
 	patient.Need.MilliCPU = 1000
 	patient.Need.MemoryMB = 1000
@@ -35,10 +32,7 @@
 func TestWorkThatCannotWaitTakesTheHeadroom(t *testing.T) {
 	c := qt.New(t)
 	d := newDesk(t, 3)
-	first := d.job(0, "", gang(2, 8))
-	d.settle()
-	d.end(first, EndDone)
-	d.settle()
+	d.urgentGangDone()
 	short := tasks(24, 1)
 	short.Need.MilliCPU = 1000
 	short.Need.MemoryMB = 1000
@@ -47,3 +41,11 @@
 	d.settle()
 	c.Check(d.starts, qt.HasLen, 2+24, qt.Commentf("three times a second and one more: no slack to speak of"))
 }
+
+// urgentGangDone lets an urgent gang of two workers come and go, so that its size is known.
+func (d *desk) urgentGangDone() {
+	first := d.job(0, "", gang(2, 8))
+	d.settle()
+	d.end(first, EndDone)
+	d.settle()
+}
--- a/engine/job.go
+++ b/engine/job.go
@@ -60,6 +60,15 @@
 	return j.accepted + time.Duration(stretch*float64(j.chain)) + j.spec.Terms.TargetLatency
 }
 
+// lateFactor bounds a late job's use: after that many times its objective its caller has
+// no use for it.
+const lateFactor = 3
+
+// useless returns the time from which the job's caller has no use for it.
+func (j *job) useless() time.Duration {
+	return j.accepted + lateFactor*(j.objective()-j.accepted)
+}
+
 // stepDone says whether all tasks of a step of an occurrence are done.
 func (j *job) stepDone(occurrence, step int) bool {
 	for _, u := range j.units {
--- a/engine/lasting.go
+++ b/engine/lasting.go
@@ -10,7 +10,7 @@
 func (u *unit) away() int {
 	n := 0
 	for _, o := range u.job.units {
-		if o.step == u.step && o.occurrence == u.occurrence && !o.atWork() {
+		if o.at() == u.at() && !o.atWork() {
 			n++
 		}
 	}
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -39,7 +39,7 @@
 	case StartInvalid:
 		e.decided(p, "start invalid", "")
 	case StartNoTicket:
-		delete(p.unit.job.ticketsOf(stepAt{p.unit.occurrence, p.unit.step}).held, p.worker.info.ID)
+		delete(p.unit.job.ticketsOf(p.unit.at()).held, p.worker.info.ID)
 	}
 	e.decided(p, "start refused", outcome.String())
 	if outcome == StartFenced || outcome == StartNotSent {
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -35,12 +35,6 @@
 	at   time.Duration
 }
 
-type stepKey struct {
-	job        *job
-	occurrence int
-	step       int
-}
-
 // plan places what waits.
 func (e *Engine) plan(now time.Duration) {
 	e.lastPlan = now
@@ -87,14 +81,19 @@
 		r.e.dropClaims(u)
 		return
 	}
+	r.countClaims(u, 1)
+}
+
+// countClaims adds what u claims to the room being emptied, or takes it back.
+func (r *round) countClaims(u *unit, sign int) {
 	for w, n := range u.claims {
-		r.claimed[w] = r.claimed[w].Add(u.demand().Times(n))
+		r.claimed[w] = r.claimed[w].Add(u.demand().Times(sign * n))
 	}
 }
 
 // serve places one unit, keeps room for it, or empties room for it.
 func (r *round) serve(u *unit) {
-	key := stepKey{u.job, u.occurrence, u.step}
+	key := u.key()
 	if r.full[key] {
 		return
 	}
@@ -138,10 +137,8 @@
 }
 
 func (r *round) unclaim(u *unit) {
-	for w, n := range u.claims {
-		r.claimed[w] = r.claimed[w].Sub(u.demand().Times(n))
-	}
-	u.claims = nil
+	r.countClaims(u, -1)
+	r.e.dropClaims(u)
 }
 
 // room returns what u may take of w now: what is free, less what is being emptied for
@@ -187,8 +184,7 @@
 		return n
 	}
 	for _, p := range w.places {
-		o := p.unit
-		if o.job == u.job && o.step == u.step && o.occurrence == u.occurrence {
+		if p.unit.key() == u.key() {
 			bound--
 		}
 	}
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -63,7 +63,7 @@
 	if end <= objective {
 		return objective
 	}
-	if useless := j.accepted + lateFactor*(objective-j.accepted); end <= useless {
+	if useless := j.useless(); end <= useless {
 		return useless
 	}
 	return never
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -35,7 +35,7 @@
 		e.look(now, w, r)
 	}
 	if first {
-		e.settleAdopted(now, w, r)
+		e.settleAdopted(now, w)
 		e.replan = true
 	}
 	return Verdict{Attached: true, Seen: w.forgettable(), Waiting: len(w.pending) > 0}
@@ -195,7 +195,7 @@
 
 // settleAdopted ends the placements of a predecessor that the worker, asked under the
 // new epoch, does not know: their orders are refused there from now on.
-func (e *Engine) settleAdopted(now time.Duration, w *worker, r Report) {
+func (e *Engine) settleAdopted(now time.Duration, w *worker) {
 	for _, p := range w.sortedPlaces() {
 		if p.state == placeAdopted {
 			e.lost(now, p, "not there under the new epoch")
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -50,6 +50,22 @@
 	claimedAt time.Duration
 }
 
+// stepAt is a step of one occurrence of a job.
+type stepAt struct {
+	occurrence int
+	step       int
+}
+
+// stepKey is a step of one occurrence among all jobs.
+type stepKey struct {
+	job *job
+	at  stepAt
+}
+
+func (u *unit) at() stepAt { return stepAt{u.occurrence, u.step} }
+
+func (u *unit) key() stepKey { return stepKey{u.job, u.at()} }
+
 func (u *unit) spec() *workload.Step { return &u.job.spec.Steps[u.step] }
 
 func (u *unit) demand() workload.Resources { return u.spec().Demand() }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -57,15 +57,7 @@
 }
 
 func (w *worker) hasLabel(label string) bool {
-	if label == "" {
-		return true
-	}
-	for _, l := range w.info.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return label == "" || slices.Contains(w.info.Labels, label)
 }
 
 // usable says whether new tasks may be placed on w.
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -245,7 +245,7 @@
 	if t == nil || !t.active() {
 		return nil, false
 	}
-	return t.pending(), true
+	return t.pending()
 }
 
 // Pending returns how many accepted jobs of a queue have not begun, and false where the
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -54,7 +54,6 @@
 	conns    map[string]*wire.Conn // by agent
 	recorded chan struct{}         // closed after each write
 	idle     bool                  // nothing is left to write
-	counts   atomic.Pointer[map[string]int]
 }
 
 func newTerm(g *Gateway, epoch uint64) *term {
--- a/gateway/term_ask.go
+++ b/gateway/term_ask.go
@@ -7,6 +7,22 @@
 	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
+// ask runs f on the engine's goroutine and returns its answer, and false where the term
+// ends first.
+func ask[T any](t *term, f func(now time.Duration) T) (T, bool) {
+	answers := make(chan T, 1)
+	var none T
+	if !t.do(func(now time.Duration) { answers <- f(now) }) {
+		return none, false
+	}
+	select {
+	case a := <-answers:
+		return a, true
+	case <-t.tomb.Dying():
+		return none, false
+	}
+}
+
 // lookup returns the state of a job as this term knows it.
 func (t *term) lookup(id workload.JobID) (engine.Lookup, bool) {
 	if !t.loaded.Load() {
@@ -16,24 +32,15 @@
 		found engine.Lookup
 		ok    bool
 	}
-	answers := make(chan answer, 1)
-	if !t.do(func(time.Duration) {
+	a, asked := ask(t, func(time.Duration) answer {
 		found, ok := t.engine.Lookup(id)
-		answers <- answer{found, ok}
-	}) {
-		return engine.Lookup{}, false
-	}
-	select {
-	case a := <-answers:
-		return a.found, a.ok
-	case <-t.tomb.Dying():
-		return engine.Lookup{}, false
-	}
+		return answer{found, ok}
+	})
+	return a.found, asked && a.ok
 }
 
-func (t *term) pending() map[string]int {
-	if counts := t.counts.Load(); counts != nil {
-		return *counts
-	}
-	return nil
+// pending returns how many jobs of each queue have not begun, and false where the term
+// has ended.
+func (t *term) pending() (map[string]int, bool) {
+	return ask(t, func(time.Duration) map[string]int { return t.engine.Pending() })
 }
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -17,8 +17,6 @@
 	if !t.active() {
 		return
 	}
-	counts := t.engine.Pending()
-	t.counts.Store(&counts)
 	for _, action := range t.engine.Decide(lease.BootTime()) {
 		switch a := action.(type) {
 		case engine.Orders:
--- a/gateway/term_report.go
+++ b/gateway/term_report.go
@@ -11,26 +11,21 @@
 
 // report handles an agent's report and fills in the reply.
 func (t *term) report(ctx context.Context, from *wire.Conn, m *link.Report, reply *link.ReportReply) *link.ReportReply {
-	verdicts := make(chan engine.Verdict, 1)
-	var recorded <-chan struct{}
-	ok := t.do(func(now time.Duration) {
+	type answer struct {
+		verdict  engine.Verdict
+		recorded <-chan struct{}
+	}
+	a, ok := ask(t, func(now time.Duration) answer {
 		t.remember(m.Report.Worker.Agent, from)
-		t.mu.Lock()
-		recorded = t.recorded
-		t.mu.Unlock()
-		verdicts <- t.engine.Report(now, m.Report)
+		recorded := t.nextRecord()
+		return answer{t.engine.Report(now, m.Report), recorded}
 	})
 	if !ok {
 		return reply
 	}
-	var v engine.Verdict
-	select {
-	case v = <-verdicts:
-	case <-ctx.Done():
-		return reply
-	}
+	v := a.verdict
 	if v.Waiting && len(m.Report.Ended) > 0 {
-		v.Seen = t.awaitRecord(ctx, m.Report.Worker.ID, v, recorded)
+		v.Seen = t.awaitRecord(ctx, m.Report.Worker.ID, v, a.recorded)
 	}
 	if !t.active() && !t.extending() {
 		return reply
@@ -55,28 +50,31 @@
 			return v.Seen
 		}
 		type answer struct {
-			seen    int64
-			waiting bool
+			seen     int64
+			waiting  bool
+			recorded <-chan struct{}
 		}
-		answers := make(chan answer, 1)
-		ok := t.do(func(time.Duration) {
+		a, ok := ask(t, func(time.Duration) answer {
 			seen, waiting := t.engine.Seen(id)
-			t.mu.Lock()
-			recorded = t.recorded
-			t.mu.Unlock()
-			answers <- answer{seen, waiting}
+			return answer{seen, waiting, t.nextRecord()}
 		})
 		if !ok {
 			return v.Seen
 		}
-		a := <-answers
-		v.Seen = a.seen
+		v.Seen, recorded = a.seen, a.recorded
 		if !a.waiting {
-			return a.seen
+			return v.Seen
 		}
 	}
 }
 
+// nextRecord returns a channel that is closed after the next write.
+func (t *term) nextRecord() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recorded
+}
+
 func (t *term) remember(agent string, conn *wire.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
