engine, nodeagent, platform: what fills is held back for what serves

Cause: tasks that fill ran at full speed beside tasks with a response time target; nothing read their figures or set a speed.

The planner sets the speed of each filling run from the tail latency that looks bring: additive increase, multiplicative decrease, tolerance learned by pair of images, speeds repeated while an unanswered order may still be carried out. Agents look each 0.4 s while a worker is shared.

Found on the way: a lasting step without accelerators never started where all accelerators are guaranteed (TestWhatLastsWithoutAcceleratorsIsNotHeldBack, before: 0 of 2).

--- a/engine/action.go
+++ b/engine/action.go
@@ -47,6 +47,8 @@
 	Agent  string
 	Starts []StartOrder
 	Stops  []workload.RunID
+	// Paces are carried out after the starts.
+	Paces []PaceOrder
 }
 
 // Decided is one decision that touches a job, for the log.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -23,7 +23,9 @@
 	workers  map[WorkerID]*worker
 	byAgent  map[string]WorkerID
 	tracker  tracker
-	urgent   urgent
+	// interference is what was learned of images that share workers.
+	interference interference
+	urgent       urgent
 	// asking: a question to the advice service is in progress; askAfter is when the next
 	// may follow one that failed.
 	asking   bool
@@ -60,6 +62,7 @@
 		workers:        map[WorkerID]*worker{},
 		byAgent:        map[string]WorkerID{},
 		tracker:        newTracker(params.StopTime / 2),
+		interference:   newInterference(),
 		dirty:          map[workload.JobID]bool{},
 		unrecorded:     map[WorkerID]*worker{},
 		goneWorkers:    map[WorkerID]bool{},
--- a/engine/event.go
+++ b/engine/event.go
@@ -41,6 +41,7 @@
 type OrdersEnded struct {
 	Worker WorkerID
 	Starts []StartResult
+	Paces  []PaceResult
 }
 
 // Stored: a write made by Engine.Changes took effect.
--- a/engine/fit.go
+++ b/engine/fit.go
@@ -106,6 +106,8 @@
 		rest  int
 		// near and around count tasks of the same step there, where they are spread.
 		near, around int
+		// friction is what it costs to share the worker.
+		friction int
 	}
 	var options []option
 	total := 0
@@ -121,6 +123,7 @@
 		if u.spec().LongRunning {
 			o.near, o.around = r.neighbours(u, w)
 		}
+		o.friction = r.e.friction(u, w)
 		options = append(options, o)
 	}
 	if total < u.size {
@@ -131,6 +134,7 @@
 			cmp.Compare(a.w.health.suspicion(), b.w.health.suspicion()),
 			cmp.Compare(a.near, b.near),
 			cmp.Compare(a.around, b.around),
+			cmp.Compare(a.friction, b.friction),
 			cmp.Compare(b.slots, a.slots),
 			cmp.Compare(a.rest, b.rest),
 		)
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -17,15 +17,18 @@
 	jobs   int
 	starts []StartOrder
 	stops  []workload.RunID
-	on     map[workload.RunID]WorkerID // where each start went
-	ends   map[WorkerID]int64
+	paces  []PaceOrder
+	// losePaces: orders of speeds get no answer.
+	losePaces bool
+	on        map[workload.RunID]WorkerID // where each start went
+	ends      map[WorkerID]int64
 }
 
 func newDesk(t *testing.T, workers int) *desk {
 	d := &desk{t: t, now: time.Second, on: map[workload.RunID]WorkerID{}, ends: map[WorkerID]int64{}}
 	d.e = New(Params{
 		MaxHold: 6 * time.Second, StopTime: 900 * time.Millisecond, RemoteFactor: 3,
-		Restore: 500 * time.Millisecond, Reclaim: 3 * time.Second, Retention: time.Minute,
+		Restore: 500 * time.Millisecond, Reclaim: 3 * time.Second, Harm: 4 * time.Second, Retention: time.Minute,
 	}, 1, d.now, 0)
 	d.step(CatalogChanged{Catalog: &catalog.Catalog{Accounts: map[string]catalog.Account{"big": {Guaranteed: 16}}}})
 	for i := range workers {
@@ -75,6 +78,10 @@
 			ended.Starts = append(ended.Starts, StartResult{Run: s.Run, Outcome: outcome})
 		}
 		d.stops = append(d.stops, o.Stops...)
+		for _, p := range o.Paces {
+			d.paces = append(d.paces, p)
+			ended.Paces = append(ended.Paces, PaceResult{PaceOrder: p, Done: !d.losePaces})
+		}
 		d.step(ended)
 	}
 	if w := d.e.Changes(d.now, time.Unix(1000, 0), 15); !w.Empty() {
@@ -154,3 +161,19 @@
 	s.Gang, s.SameRack = false, false
 	return s
 }
+
+// takeOver puts the next planner in the place of the present one, from its records.
+func (d *desk) takeOver() {
+	old := d.e
+	d.e = New(old.params, old.epoch+1, d.now, 0)
+	d.step(CatalogChanged{Catalog: old.catalog})
+	for _, w := range old.sortedWorkers() {
+		d.step(WorkerRestored{Info: w.info})
+	}
+	for _, j := range old.sequence {
+		d.step(Restored{
+			Submitted: Submitted{Job: j.spec, Order: j.order},
+			Progress:  j.progress(old.epoch, d.now, time.Unix(1000, 0)),
+		})
+	}
+}
--- a/engine/lasting.go
+++ b/engine/lasting.go
@@ -40,7 +40,7 @@
 // reclaimable: what lasts can't be evicted for them, so it must never hold more than the
 // service's accelerators less all guarantees.
 func (r *round) lastingFits(u *unit) bool {
-	if !u.spec().LongRunning || u.job.spec.Terms.Priority == 0 {
+	if !u.spec().LongRunning || u.job.spec.Terms.Priority == 0 || u.demand().Accelerators == 0 {
 		return true
 	}
 	total, held := 0, 0
--- a/engine/lasting_test.go
+++ b/engine/lasting_test.go
@@ -100,6 +100,15 @@
 	c.Check(held, qt.Equals, 24-16)
 }
 
+// The accounts' guarantees are sums of accelerators. What lasts and takes none can't stand
+// in their way, also where all accelerators are guaranteed.
+func TestWhatLastsWithoutAcceleratorsIsNotHeldBack(t *testing.T) {
+	d := newDesk(t, 1)
+	id := d.job(1, "", lasting(2, 0, 0))
+	d.settle()
+	qt.Check(t, d.runs(id)["w0"], qt.HasLen, 2)
+}
+
 // Occurrences start when they are due and not before, also when they overlap; the job is
 // completed with the last.
 func TestOccurrencesAreStartedWhenDue(t *testing.T) {
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -21,6 +21,9 @@
 		}
 		e.started(now, p, r.Outcome)
 	}
+	for _, r := range ev.Paces {
+		e.paced(now, w, r)
+	}
 }
 
 func (e *Engine) started(now time.Duration, p *placement, outcome StartOutcome) {
@@ -61,6 +64,8 @@
 	}
 	if p.state == placeAdopted {
 		p.movedAt = now
+		// Its speed is a predecessor's, and not known.
+		p.pace = pace{percent: unknownPace, confirmed: true}
 	}
 	p.state = placeRunning
 	if p.began == 0 {
--- a/engine/params.go
+++ b/engine/params.go
@@ -15,6 +15,9 @@
 	Restore time.Duration
 	// Reclaim is how long a guaranteed job may wait for its accelerators.
 	Reclaim time.Duration
+	// Harm is how long a task that serves users may be over its target through what
+	// fills beside it.
+	Harm time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
 }
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -30,6 +30,8 @@
 	state   placeState
 	demand  workload.Resources
 	percent int
+	load    int  // see RunningRow.Load
+	pace    pace // of what fills
 	// saved is the last checkpoint seen.
 	saved string
 	// began is when the start was confirmed, movedAt when percent last grew.
--- a/engine/report.go
+++ b/engine/report.go
@@ -24,6 +24,9 @@
 	Run        workload.RunID `cbor:"1,keyasint"`
 	Checkpoint string         `cbor:"2,keyasint,omitempty"`
 	Percent    int            `cbor:"3,keyasint,omitempty"`
+	// Load is a rough figure of the last half second: the tail latency in milliseconds
+	// of a task that serves users within a target, the processor time in use of others.
+	Load int `cbor:"4,keyasint,omitempty"`
 }
 
 // EndRow is a run that has ended. Number counts the ends of one life of a worker.
@@ -66,4 +69,7 @@
 	Seen int64
 	// Waiting: ends of this report are not on record yet.
 	Waiting bool
+	// Closely: the agent should look often, since tasks that serve users share the worker
+	// with others that fill.
+	Closely bool
 }
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -33,12 +33,13 @@
 	e.hold(now, w, r)
 	if r.Looked {
 		e.look(now, w, r)
+		e.share(now, w)
 	}
 	if first {
 		e.settleAdopted(now, w)
 		e.replan = true
 	}
-	return Verdict{Attached: true, Seen: w.forgettable(), Waiting: len(w.pending) > 0}
+	return Verdict{Attached: true, Seen: w.forgettable(), Waiting: len(w.pending) > 0, Closely: w.shared()}
 }
 
 // Seen returns up to which end a worker may forget, and whether more ends wait to be
@@ -148,6 +149,7 @@
 		p.percent = row.Percent
 		p.movedAt = now
 	}
+	p.load = row.Load
 	p.saved = row.Checkpoint
 }
 
--- /dev/null
+++ b/engine/sharing_sim_test.go
@@ -0,0 +1,161 @@
+package engine
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// sharedHost is a worker on which tasks disturb each other. Its serving task is at base
+// of its target by itself, which changes within seconds; each image that fills adds its
+// own weight at full speed.
+type sharedHost struct {
+	rng     *rand.Rand
+	phase   float64
+	burst   time.Duration // end of a burst of the serving task's users
+	weights map[string]float64
+	speeds  map[workload.RunID]int
+	window  []float64 // strain of the last half second
+	over    time.Duration
+	// What is measured.
+	worked, overall, overTime, longest time.Duration
+}
+
+func (h *sharedHost) base(now time.Duration) float64 {
+	if h.rng.IntN(1500) == 0 {
+		h.burst = now + time.Duration(1+h.rng.IntN(3))*time.Second
+	}
+	load := 0.4 + 0.15*math.Sin(h.phase+now.Seconds()/5)
+	if now < h.burst {
+		load += 0.25
+	}
+	return load
+}
+
+// pass lets time pass with runs of the given images.
+func (h *sharedHost) pass(now, by time.Duration, images map[workload.RunID]string) {
+	base := h.base(now)
+	strain := base
+	working := 0.0
+	for run, image := range images {
+		speed := float64(h.speeds[run]) / fullPace
+		strain += h.weights[image] * speed
+		working += speed
+	}
+	h.worked += time.Duration(working * float64(by))
+	h.overall += by
+	h.window = append(h.window, strain)
+	if len(h.window) > 10 {
+		h.window = h.window[1:]
+	}
+	if strain <= 1 {
+		h.over = 0
+		return
+	}
+	h.overTime += by
+	if base <= 1 && working > 0 {
+		h.over += by
+		h.longest = max(h.longest, h.over)
+	}
+}
+
+// figure is what the worker reports of the last half second: rough.
+func (h *sharedHost) figure() float64 {
+	sum := 0.0
+	for _, s := range h.window {
+		sum += s
+	}
+	return sum / float64(len(h.window)) * (0.92 + 0.16*h.rng.Float64())
+}
+
+// sharedRun plays two minutes of a worker on which a task serves users and three others
+// fill. fixed sets the speed of these; below 0 the engine does.
+func sharedRun(t *testing.T, seed uint64, fixed int) *sharedHost {
+	h := &sharedHost{rng: rand.New(rand.NewPCG(seed, 11)), speeds: map[workload.RunID]int{}, weights: map[string]float64{}}
+	h.phase = 6 * h.rng.Float64()
+	d := newDesk(t, 1)
+	d.job(1, "", serving(1))
+	d.settle()
+	for i, weight := range []float64{0.1, 0.4, 1.0} {
+		s := fillers(1)
+		s.Image = fmt.Sprint("fills", i)
+		s.Estimate = time.Hour
+		h.weights[s.Image] = weight * (0.7 + 0.6*h.rng.Float64())
+		d.job(2, "", s)
+	}
+	d.settle()
+	const step = 50 * time.Millisecond
+	for end := d.now + 2*time.Minute; d.now < end; d.now += step {
+		w := d.e.workers["w0"]
+		images := map[workload.RunID]string{}
+		for _, p := range w.sortedPlaces() {
+			if p.unit.spec().Fills {
+				images[p.id()] = p.unit.spec().Image
+			}
+		}
+		if d.now%(100*time.Millisecond) == 0 {
+			h.take(d, images, fixed) // orders take a tenth of a second
+		}
+		h.pass(d.now, step, images)
+		if d.now%(450*time.Millisecond) == 0 {
+			d.report(d.lookAt(w, h.figure()))
+		}
+		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
+		d.settle()
+	}
+	return h
+}
+
+func (h *sharedHost) take(d *desk, images map[workload.RunID]string, fixed int) {
+	for run := range images {
+		if _, known := h.speeds[run]; !known {
+			h.speeds[run] = fullPace
+		}
+		if fixed >= 0 {
+			h.speeds[run] = fixed
+		}
+	}
+	if fixed < 0 {
+		for _, p := range d.paces {
+			h.speeds[p.Run] = p.Percent
+		}
+	}
+	d.paces = nil
+}
+
+// Tasks that fill share a worker with one that serves users, whose load changes within
+// seconds. Beside two baselines, never to fill and to fill at full speed: most of the
+// work that could be done must be done, with the target kept nearly all of the time and
+// never missed for as long as counts as harm.
+func TestSharingBesideItsBaselines(t *testing.T) {
+	const seeds = 20
+	type sum struct{ worked, overTime, longest float64 }
+	play := func(fixed int) sum {
+		var s sum
+		for seed := range uint64(seeds) {
+			h := sharedRun(t, seed, fixed)
+			s.worked += h.worked.Seconds() / h.overall.Seconds() / seeds
+			s.overTime += h.overTime.Seconds() / h.overall.Seconds() / seeds
+			s.longest = max(s.longest, h.longest.Seconds())
+		}
+		return s
+	}
+	never, full, candidate := play(0), play(100), play(-1)
+	for _, row := range []struct {
+		name string
+		sum  sum
+	}{{"never", never}, {"full speed", full}, {"held back", candidate}} {
+		t.Logf("%-10s work of %.2f tasks, %.3f of the time over the target, longest %.2f s", row.name, row.sum.worked, row.sum.overTime, row.sum.longest)
+	}
+	c := qt.New(t)
+	c.Check(candidate.longest < 4, qt.IsTrue)
+	c.Check(candidate.overTime < 0.05, qt.IsTrue)
+	c.Check(candidate.worked > 0.5, qt.IsTrue)
+	c.Check(full.overTime > 10*candidate.overTime, qt.IsTrue)
+}
--- /dev/null
+++ b/engine/sharing_test.go
@@ -0,0 +1,194 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+const tailTarget = 100 * time.Millisecond
+
+// serving is tasks that serve users and last.
+func serving(n int) workload.Step {
+	s := lasting(n, 0, 0)
+	s.Image = "serves"
+	s.TailTarget = tailTarget
+	return s
+}
+
+// fillers is tasks that take the processor time that others leave.
+func fillers(n int) workload.Step {
+	s := tasks(n, 0)
+	s.Image = "fills"
+	s.Fills = true
+	s.Checkpoints = true
+	return s
+}
+
+// looks lets every worker report for a while, with the tail latency of what serves as
+// given in parts of its target.
+func (d *desk) looks(by time.Duration, strain func(now time.Duration) float64) {
+	for end := d.now + by; d.now < end; d.now += 100 * time.Millisecond {
+		if d.now%(500*time.Millisecond) == 0 {
+			for _, w := range d.e.sortedWorkers() {
+				d.report(d.lookAt(w, strain(d.now)))
+			}
+		}
+		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
+		d.settle()
+	}
+}
+
+func (d *desk) lookAt(w *worker, strain float64) Report {
+	r := Report{Epoch: d.e.epoch, Looked: true, Worker: w.info}
+	for _, p := range w.sortedPlaces() {
+		row := RunningRow{Run: p.id(), Percent: min(p.percent+1, 98)}
+		if p.unit.spec().TailTarget > 0 {
+			row.Percent = 100
+			row.Load = int(strain * float64(tailTarget/time.Millisecond))
+		}
+		r.Running = append(r.Running, row)
+	}
+	return r
+}
+
+// speeds returns the last speed ordered of each run; 100 where none was.
+func (d *desk) speeds(id workload.JobID) []int {
+	last := map[workload.RunID]int{}
+	for _, p := range d.paces {
+		last[p.Run] = p.Percent
+	}
+	var out []int
+	for _, runs := range d.runs(id) {
+		for _, run := range runs {
+			percent, ordered := last[run]
+			if !ordered {
+				percent = fullPace
+			}
+			out = append(out, percent)
+		}
+	}
+	return out
+}
+
+func constant(strain float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return strain }
+}
+
+// A task that fills starts beside one that serves users and would double its response
+// times at full speed. Nobody knows the two images yet, so it has to begin slowly, in the
+// same orders as its start.
+func TestUnknownImageBeginsSlowly(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	d.job(1, "", serving(1))
+	d.settle()
+	id := d.job(2, "", fillers(1))
+	d.settle()
+	c.Check(d.speeds(id), qt.DeepEquals, []int{firstTolerance})
+}
+
+// A task serves users where another fills at full speed already.
+func TestFillerIsSlowedBeforeItsNeighbourStarts(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	id := d.job(2, "", fillers(1))
+	d.settle()
+	d.looks(time.Second, constant(0))
+	c.Check(d.speeds(id), qt.DeepEquals, []int{100})
+	d.job(1, "", serving(1))
+	d.settle()
+	c.Check(d.speeds(id), qt.DeepEquals, []int{firstTolerance})
+}
+
+// Response times rise over the target through what fills beside. It has to stand still
+// well before that counts as harm, and to go on when they are good again.
+func TestFillerStandsStillBeforeItHarms(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	d.job(1, "", serving(1))
+	d.settle()
+	id := d.job(2, "", fillers(1))
+	d.settle()
+	d.looks(8*time.Second, constant(0.4))
+	c.Assert(d.speeds(id)[0] >= 60, qt.IsTrue, qt.Commentf("%v", d.speeds(id)))
+	d.looks(2*time.Second, constant(1.4))
+	c.Check(d.speeds(id), qt.DeepEquals, []int{0})
+	d.looks(6*time.Second, constant(0.4))
+	c.Check(d.speeds(id)[0] > firstTolerance, qt.IsTrue, qt.Commentf("%v", d.speeds(id)))
+}
+
+// What serves users ends. Nothing is left that the other would disturb.
+func TestFillerAloneRunsAtFullSpeed(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	service := d.job(1, "", serving(1))
+	d.settle()
+	id := d.job(2, "", fillers(1))
+	d.settle()
+	d.step(CancelRequested{Job: service})
+	d.settle()
+	d.end(service, EndStopped)
+	d.looks(time.Second, constant(0))
+	c.Check(d.speeds(id), qt.DeepEquals, []int{100})
+}
+
+// An order for a lower speed gets no answer: it is repeated until the worker confirms it,
+// and for some time after, since the lost one of before may still be carried out.
+func TestUnconfirmedSpeedIsOrderedAgain(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	d.job(1, "", serving(1))
+	d.settle()
+	d.losePaces = true
+	d.job(2, "", fillers(1))
+	d.settle()
+	d.looks(2*time.Second, constant(0.7))
+	c.Check(len(d.paces) >= 4, qt.IsTrue, qt.Commentf("%d", len(d.paces)))
+	d.losePaces = false
+	before := len(d.paces)
+	d.looks(4*time.Second, constant(0.7))
+	c.Check(len(d.paces) >= before+3, qt.IsTrue, qt.Commentf("in doubt, ordered %d times", len(d.paces)-before))
+	d.looks(12*time.Second, constant(0.7))
+	before = len(d.paces)
+	d.looks(4*time.Second, constant(0.7))
+	c.Check(d.paces, qt.HasLen, before)
+}
+
+// A planner takes over from one that held a filling task back. What it does not know, the
+// speed, it sets again as for an unknown image.
+func TestSuccessorSetsSpeedsAgain(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	d.job(1, "", serving(1))
+	d.settle()
+	id := d.job(2, "", fillers(1))
+	d.settle()
+	d.looks(8*time.Second, constant(0.4))
+	d.takeOver()
+	d.paces = nil
+	d.looks(600*time.Millisecond, constant(0.7))
+	c.Check(d.speeds(id), qt.DeepEquals, []int{firstTolerance})
+}
+
+// Of two workers one has a task beside which this image did badly.
+func TestFillersGoWhereTheyDisturbLeast(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 2)
+	d.job(1, "", serving(1))
+	d.settle()
+	var serves WorkerID
+	for run, w := range d.on {
+		if run.Task.Step == 0 {
+			serves = w
+		}
+	}
+	id := d.job(2, "", fillers(1))
+	d.settle()
+	for w := range d.runs(id) {
+		c.Check(w, qt.Not(qt.Equals), serves)
+	}
+}
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -55,6 +55,7 @@
 		if p.stopping && now-p.stopSent >= stopRetry {
 			e.sendStop(now, p)
 		}
+		e.renewPace(now, p)
 		if e.stuck(now, p) {
 			e.decided(p, "stuck", fmt.Sprintf("at %d%% for %v", p.percent, now-p.movedAt))
 			p.worker.health.failed(p.unit, now)
--- a/engine/tracker.go
+++ b/engine/tracker.go
@@ -44,6 +44,9 @@
 // learn takes the length of a run that began at the start and ended well.
 func (e *Engine) learn(now time.Duration, p *placement) {
 	declared := p.unit.spec().Estimate
+	if p.unit.spec().Fills {
+		return // it took what others left
+	}
 	if declared <= 0 || p.unit.saved != "" && p.unit.spec().Checkpoints && p.unit.run > 1 {
 		return
 	}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -47,6 +47,7 @@
 	seen     int64
 	listed   int64 // the highest end handled
 	health   health
+	sharing  sharing
 }
 
 // pendingEnd is an end that the worker may forget once the job's version is stored.
--- a/engine/write.go
+++ b/engine/write.go
@@ -165,6 +165,7 @@
 	ticket, _ := p.unit.ticketOn(now, p.worker.info.ID)
 	o.Starts = append(o.Starts, StartOrder{Run: p.id(), Spec: p.unit.job.spec.Spec, Checkpoint: p.unit.saved, Ticket: ticket})
 	e.decided(p, "start", "")
+	e.join(now, p)
 }
 
 // refuse gives a run up whose members can't all start.
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -54,34 +54,41 @@
 	t.mu.Lock()
 	conn := t.conns[o.Agent]
 	t.mu.Unlock()
-	outcome := engine.StartNotSent
-	var results []engine.StartResult
+	var reply *link.OrdersReply
 	if conn != nil && t.active() {
-		results, outcome = t.call(conn, o)
+		reply = t.call(conn, o)
 	}
-	if results == nil {
-		for _, s := range o.Starts {
-			results = append(results, engine.StartResult{Run: s.Run, Outcome: outcome})
-		}
+	if reply == nil {
+		reply = allAlike(o, engine.StartNotSent)
 	}
-	if len(results) > 0 {
-		t.post(engine.OrdersEnded{Worker: o.Worker, Starts: results})
+	if len(reply.Starts)+len(reply.Paces) > 0 {
+		t.post(engine.OrdersEnded{Worker: o.Worker, Starts: reply.Starts, Paces: reply.Paces})
 	}
 }
 
-func (t *term) call(conn *wire.Conn, o engine.Orders) ([]engine.StartResult, engine.StartOutcome) {
+// call returns the agent's answer, or what is certain without one.
+func (t *term) call(conn *wire.Conn, o engine.Orders) *link.OrdersReply {
 	ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), ordersTimeout)
 	defer cancel()
-	raw, err := conn.Call(ctx, &link.Orders{Epoch: t.epoch, Worker: o.Worker, Starts: o.Starts, Stops: o.Stops})
-	if err != nil {
-		if unsent(err) == link.OutcomeNotDone {
-			return nil, engine.StartNotSent
-		}
-		return nil, engine.StartUnknown
+	raw, err := conn.Call(ctx, &link.Orders{Epoch: t.epoch, Worker: o.Worker, Starts: o.Starts, Stops: o.Stops, Paces: o.Paces})
+	if err != nil && unsent(err) == link.OutcomeNotDone {
+		return allAlike(o, engine.StartNotSent)
 	}
 	reply, ok := raw.(*link.OrdersReply)
-	if !ok {
-		return nil, engine.StartUnknown
+	if err != nil || !ok {
+		return allAlike(o, engine.StartUnknown)
+	}
+	return reply
+}
+
+// allAlike gives all orders of a set the same outcome; no pace among them is confirmed.
+func allAlike(o engine.Orders, outcome engine.StartOutcome) *link.OrdersReply {
+	reply := &link.OrdersReply{}
+	for _, s := range o.Starts {
+		reply.Starts = append(reply.Starts, engine.StartResult{Run: s.Run, Outcome: outcome})
+	}
+	for _, p := range o.Paces {
+		reply.Paces = append(reply.Paces, engine.PaceResult{PaceOrder: p})
 	}
-	return reply.Starts, engine.StartOK
+	return reply
 }
--- a/gateway/term_report.go
+++ b/gateway/term_report.go
@@ -33,6 +33,7 @@
 	reply.Epoch = t.epoch
 	reply.Attached = v.Attached
 	reply.Seen = v.Seen
+	reply.Closely = v.Closely
 	return reply
 }
 
--- a/link/report.go
+++ b/link/report.go
@@ -21,6 +21,8 @@
 	// Planner is where the planner is believed to be, empty where nobody knows.
 	Planner string   `cbor:"4,keyasint,omitempty"`
 	Members []string `cbor:"5,keyasint,omitempty"` // addresses of gateways
+	// Closely: the worker should be looked at often.
+	Closely bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Orders goes from the planner to a node agent. All are carried out at once.
@@ -29,9 +31,12 @@
 	Worker engine.WorkerID     `cbor:"2,keyasint"`
 	Starts []engine.StartOrder `cbor:"3,keyasint,omitempty"`
 	Stops  []workload.RunID    `cbor:"4,keyasint,omitempty"`
+	// Paces are carried out after the starts.
+	Paces []engine.PaceOrder `cbor:"5,keyasint,omitempty"`
 }
 
 // OrdersReply answers Orders.
 type OrdersReply struct {
 	Starts []engine.StartResult `cbor:"1,keyasint,omitempty"`
+	Paces  []engine.PaceResult  `cbor:"2,keyasint,omitempty"`
 }
--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -40,6 +40,7 @@
 type Counts struct {
 	Starts, StartsRefused, StartsUnknown, Stops, StopsUnknown atomic.Int64
 	Looks, LooksFailed, Reports, ReportsFailed, Announcements atomic.Int64
+	Paces, PacesUnknown                                       atomic.Int64
 }
 
 // Start starts an Agent.
--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -36,6 +36,9 @@
 	// lookWait is how long a look waits for an end. Each look renews the lease and
 	// shows progress.
 	lookWait = time.Second
+	// closeWait is the same while the planner wants to see closely how tasks that share
+	// the worker do; workers' figures cover half a second.
+	closeWait = 400 * time.Millisecond
 	// lookSlack bounds how much longer than its wait a look may take.
 	lookSlack = 600 * time.Millisecond
 	// silentPause is the pause between looks at a worker that does not answer.
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -28,6 +28,8 @@
 	// fenced is the highest epoch that the worker certainly has seen.
 	fenced uint64
 	seen   int64 // ends that may be forgotten
+	// closely: the planner wants looks more often.
+	closely bool
 
 	failing bool // the last look got no answer
 	// failingFrom is when looks began to get none.
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -17,7 +17,7 @@
 			}
 			continue
 		}
-		pause := a.look(l, lookWait)
+		pause := a.look(l, a.lookWait(l))
 		if pause > 0 {
 			select {
 			case <-time.After(pause):
@@ -28,6 +28,16 @@
 	return nil
 }
 
+// lookWait returns how long the next look may wait for an end.
+func (a *Agent) lookWait(l *life) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l.closely {
+		return closeWait
+	}
+	return lookWait
+}
+
 // look makes one look and returns how long to wait before the next.
 func (a *Agent) look(l *life, wait time.Duration) time.Duration {
 	a.counts.Looks.Add(1)
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -40,12 +40,38 @@
 		}
 	}
 	wg.Wait()
+	reply.Paces = a.pace(o, l, orders.Paces)
 	if l != nil && len(orders.Stops) > 0 {
 		go a.look(l, 0)
 	}
 	return reply
 }
 
+// pace sets speeds, of runs that may just have been started.
+func (a *Agent) pace(o Order, l *life, orders []engine.PaceOrder) []engine.PaceResult {
+	results := make([]engine.PaceResult, len(orders))
+	var wg sync.WaitGroup
+	for i, p := range orders {
+		results[i].PaceOrder = p
+		if l != nil {
+			wg.Go(func() { results[i].Done = a.paceOne(o, p) })
+		}
+	}
+	wg.Wait()
+	return results
+}
+
+func (a *Agent) paceOne(o Order, p engine.PaceOrder) bool {
+	a.counts.Paces.Add(1)
+	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), orderTimeout)
+	defer cancel()
+	if err := a.cfg.Worker.Pace(ctx, o, p); err != nil {
+		a.counts.PacesUnknown.Add(1)
+		return false
+	}
+	return true
+}
+
 // admit checks whether orders are for the present life and of the newest planner. The
 // outcome is StartOK where starts may go on.
 func (a *Agent) admit(orders *link.Orders) (Order, *life, engine.StartOutcome) {
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -110,6 +110,7 @@
 		return
 	}
 	l.reported(r)
+	l.closely = reply.Closely
 	if reply.Attached {
 		a.granted = max(a.granted, sent+a.cfg.MaxHold)
 		if l.leaseEnd != 0 && l.leaseEnd-now() < renewBelow {
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -42,6 +42,8 @@
 	Start(ctx context.Context, o Order, s engine.StartOrder) engine.StartOutcome
 	// Stop ends a run; one that is not there yet is refused from then on.
 	Stop(ctx context.Context, o Order, run workload.RunID) error
+	// Pace sets the speed of a run.
+	Pace(ctx context.Context, o Order, p engine.PaceOrder) error
 	// Look extends the lease, lets ends up to seen be forgotten, waits up to wait for
 	// an end, and returns what there is.
 	Look(ctx context.Context, o Order, seen int64, wait time.Duration) (Look, error)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -27,6 +27,7 @@
 	Restore      schema.Duration `toml:"restore" default:"500ms" validate:"min=0s,max=10m"`
 	RemoteFactor float64         `toml:"remote_factor" default:"3" validate:"min=1,max=1000"`
 	Reclaim      schema.Duration `toml:"reclaim" default:"3s" validate:"min=100ms,max=1h"`
+	Harm         schema.Duration `toml:"harm" default:"4s" validate:"min=100ms,max=1h"`
 	Retention    schema.Duration `toml:"retention" default:"120s" validate:"min=1s,max=168h"`
 	// KeyLife is how long a key that was taken away may still be honoured.
 	KeyLife schema.Duration `toml:"key_life" default:"5s" validate:"min=2s,max=1h"`
