engine: a job that fits no worker now waits, and is not failed

Cause: a unit for which the workers known had no room four seconds after the last of them came made its job failed. Its reason was not a fact: a machine's next life may be of another kind, workers are added, and those that are away come back; also on the two sites as they are, a gang wider than what is left beside a lost rack would have been failed. Callers are told failed only where tasks were tried and failed.

The reason is logged once for each change.

--- a/engine/job.go
+++ b/engine/job.go
@@ -30,6 +30,9 @@
 	// chain is the estimate of the longest chain of work.
 	chain   time.Duration
 	tickets map[stepAt]*tickets
+	// unfit is why the job fits no workers, as last logged; unfitNext is when to look again.
+	unfit     string
+	unfitNext time.Duration
 	// removed: the records are being removed.
 	removed bool
 }
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 const (
@@ -16,9 +14,6 @@
 	// lookTimeout is how old the last look at a worker may be to judge what runs there;
 	// agents look at least once a second.
 	lookTimeout = 1500 * time.Millisecond
-	// settleTime is how long workers may take to announce themselves; only after it
-	// is a job that fits none of them called impossible.
-	settleTime = 4 * time.Second
 	// stuckAfter is how long a task may show no progress at all before it is tried
 	// elsewhere, in parts of its estimate and at least stuckLeast.
 	stuckLeast = 2500 * time.Millisecond
@@ -93,12 +88,7 @@
 		j.unblock(now)
 		e.replan = true
 	}
-	if now-e.workersChanged < settleTime || now-e.began < settleTime {
-		return
-	}
-	if why := e.impossible(j); why != "" {
-		e.finish(now, j, workload.Failed, why)
-	}
+	e.tellUnfit(now, j)
 }
 
 func (e *Engine) expire(now time.Duration, j *job) {
@@ -113,46 +103,3 @@
 	j.removed = true
 	e.expired[j.spec.ID] = true
 }
-
-// impossible returns why no set of workers known could ever hold a unit of the job
-// that waits, and nothing where one could.
-func (e *Engine) impossible(j *job) string {
-	for _, u := range j.units {
-		if u.state != unitWaiting {
-			continue
-		}
-		if why := e.impossibleUnit(u); why != "" {
-			return why
-		}
-	}
-	return ""
-}
-
-func (e *Engine) impossibleUnit(u *unit) string {
-	s := u.spec()
-	room, known := 0, 0
-	for _, w := range e.workers {
-		if w.info.Service != u.job.spec.Service || w.lapsed {
-			continue
-		}
-		known++
-		if w.hasLabel(s.Label) {
-			room += perWorker(s, s.Demand().Fits(w.info.Capacity, u.size))
-		}
-	}
-	if known == 0 || room >= u.size {
-		return ""
-	}
-	if room == 0 {
-		return fmt.Sprintf("step %d fits no worker of service %s", u.step, u.job.spec.Service)
-	}
-	return fmt.Sprintf("step %d needs room for %d tasks at once, all workers together have it for %d", u.step, u.size, room)
-}
-
-// perWorker bounds a number of tasks by the step's own bound.
-func perWorker(s *workload.Step, n int) int {
-	if s.MaxPerWorker > 0 {
-		return min(n, s.MaxPerWorker)
-	}
-	return n
-}
--- /dev/null
+++ b/engine/unfit.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// A job that fits no set of workers known now waits, and the log says why. It is not
+// failed: workers that are away come back, others are added, and a machine's next life may
+// have another label or size, so that nobody knows that the job can never run; and a
+// caller who is told that it failed takes it that its tasks were tried.
+const (
+	// settleTime is how long workers may take to announce themselves.
+	settleTime = 4 * time.Second
+	// unfitEvery is the pause between two looks at the same job.
+	unfitEvery = time.Second
+)
+
+// tellUnfit logs why a job fits no workers, each time that the reason changes.
+func (e *Engine) tellUnfit(now time.Duration, j *job) {
+	if now-e.workersChanged < settleTime || now-e.began < settleTime || now < j.unfitNext {
+		return
+	}
+	j.unfitNext = now + unfitEvery
+	why := e.unfit(j)
+	if why != "" && why != j.unfit {
+		e.decidedJob(j, "fits no worker", why)
+	}
+	j.unfit = why
+}
+
+// unfit returns why no set of workers known could hold a unit of the job that waits, and
+// nothing where one could.
+func (e *Engine) unfit(j *job) string {
+	for _, u := range j.units {
+		if u.state != unitWaiting {
+			continue
+		}
+		if why := e.unfitUnit(u); why != "" {
+			return why
+		}
+	}
+	return ""
+}
+
+func (e *Engine) unfitUnit(u *unit) string {
+	s := u.spec()
+	room, known := 0, 0
+	for _, w := range e.workers {
+		if w.info.Service != u.job.spec.Service || w.lapsed {
+			continue
+		}
+		known++
+		if w.hasLabel(s.Label) {
+			room += perWorker(s, s.Demand().Fits(w.info.Capacity, u.size))
+		}
+	}
+	switch {
+	case known == 0:
+		return fmt.Sprintf("service %s has no worker", u.job.spec.Service)
+	case room == 0:
+		return fmt.Sprintf("a task of step %d (%+v, label %q) fits none of %d workers of service %s", u.step, s.Need, s.Label, known, u.job.spec.Service)
+	case room < u.size:
+		return fmt.Sprintf("step %d needs room for %d tasks at once, all workers together have it for %d", u.step, u.size, room)
+	}
+	return ""
+}
+
+// perWorker bounds a number of tasks by the step's own bound.
+func perWorker(s *workload.Step, n int) int {
+	if s.MaxPerWorker > 0 {
+		return min(n, s.MaxPerWorker)
+	}
+	return n
+}
