gateway: a planner that the store turns away works through a peer

Its calls (lease, epoch, records, listing of the intake) now go through a peer that says that it is served. Ruled out: handing the duty over, which costs a reading of all records and reports of all workers, and the store may turn the next one away.

--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -69,10 +69,13 @@
 	return outcome
 }
 
-// storeWorth says whether the store is worth a try: not just after it failed.
+// storeWorth says whether the store is worth a try: after it failed not before it has
+// answered another call. The configuration is asked for all the time, so a try here would
+// find nothing out that is not known sooner, and hold its caller up.
 func (g *Gateway) storeWorth() bool {
 	failed := time.Duration(g.storeFailedAt.Load())
-	return failed == 0 || lease.BootTime()-failed > storeRest
+	since := lease.BootTime() - failed
+	return failed == 0 || since > storeRest || g.cfg.StoreAge() < since
 }
 
 func (g *Gateway) storeSaid(outcome link.Outcome) {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -67,8 +67,10 @@
 	staleAfter = 1300 * time.Millisecond
 	// memberFor is how long a gateway counts as live after it was last heard.
 	memberFor = 10 * time.Second
-	// storeRest is how long a gateway works through peers after the store failed it.
-	storeRest = 400 * time.Millisecond
+	// storeRest is how long a gateway works through peers after the store failed it, while
+	// nothing shows that it serves again. The configuration is read again each second or
+	// sooner, so this is only for the case that nobody reads it.
+	storeRest = 2 * time.Second
 	// relayTimeout bounds a call that a peer makes to the store for this gateway.
 	relayTimeout = 1200 * time.Millisecond
 	// lookupTimeout bounds a question to the planner.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,10 +19,12 @@
 
 // Gateway is a running gateway. Its methods are safe for concurrent use.
 type Gateway struct {
-	cfg      Config
-	log      logrus.FieldLogger
-	inForce  *catalog.InForce
-	intake   *records.Intake
+	cfg     Config
+	log     logrus.FieldLogger
+	inForce *catalog.InForce
+	intake  *records.Intake
+	// relayed is the store as the planner uses it.
+	relayed  *storeRelay
 	endpoint *wire.Endpoint
 	pool     *wire.Pool
 	duty     *lease.Holder
@@ -63,9 +65,10 @@
 		return nil, err
 	}
 	g.pool = wire.NewPool(g.endpoint)
+	g.relayed = &storeRelay{Atomic: cfg.Store, g: g}
 	g.tomb.Go(g.run)
 	g.duty = lease.Run(lease.Options{
-		Store:     cfg.Store,
+		Store:     g.relayed,
 		Duty:      dutyName,
 		Instance:  cfg.ID,
 		TTL:       dutyTTL,
--- /dev/null
+++ b/gateway/store_relay.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/link"
+	"github.com/eelgrasshub/eelgrasshub/store"
+)
+
+// ownTime bounds this gateway's own attempt of a call while a peer could make it: a store
+// that is cut off does not answer at all, and the planner's lease of two seconds must be
+// renewed. A store that is slow for all, at a hundred times its usual 4 ms, is waited for.
+const ownTime = 500 * time.Millisecond
+
+// storeRelay is the store as the planner uses it. Calls that the store does not take from
+// this gateway are made by a peer that it serves.
+//
+// The failure it guards against: the store turns the planner's machine away and serves
+// all others. Its lease would lapse, and for up to two seconds nothing could start,
+// although every worker and every record is in reach. What a peer writes for it holds
+// under the same conditions as its own writes do, so a planner that was replaced meanwhile
+// writes nothing this way either.
+type storeRelay struct {
+	store.Atomic
+	g *Gateway
+}
+
+// Get implements store.Store.
+func (s *storeRelay) Get(ctx context.Context, key string) (kv store.KeyValue, found bool, err error) {
+	reply, err := s.do(ctx, &link.StoreCall{Op: link.StoreGet, Key: key}, func(ctx context.Context) (err error) {
+		kv, found, err = s.Atomic.Get(ctx, key)
+		return err
+	})
+	if reply != nil {
+		return reply.KeyValue, reply.Found, err
+	}
+	return kv, found, err
+}
+
+// Renew implements store.Store.
+func (s *storeRelay) Renew(ctx context.Context, id store.LeaseID) (ttl time.Duration, err error) {
+	reply, err := s.do(ctx, &link.StoreCall{Op: link.StoreRenew, Lease: id}, func(ctx context.Context) (err error) {
+		ttl, err = s.Atomic.Renew(ctx, id)
+		return err
+	})
+	if reply != nil {
+		return reply.TTL, err
+	}
+	return ttl, err
+}
+
+// Revoke implements store.Store.
+func (s *storeRelay) Revoke(ctx context.Context, id store.LeaseID) error {
+	_, err := s.do(ctx, &link.StoreCall{Op: link.StoreRevoke, Lease: id}, func(ctx context.Context) error {
+		return s.Atomic.Revoke(ctx, id)
+	})
+	return err
+}
+
+// CommitIf implements store.Atomic. An own attempt whose outcome is unknown is not
+// followed by a peer's: the caller repeats the call, which settles it.
+func (s *storeRelay) CommitIf(ctx context.Context, conditions []store.Condition, swaps []store.Swap) (out store.CommitOutcome, err error) {
+	msg := &link.StoreCall{Op: link.StoreCommit, Conditions: conditions, Swaps: swaps}
+	reply, err := s.do(ctx, msg, func(ctx context.Context) (err error) {
+		out, err = s.Atomic.CommitIf(ctx, conditions, swaps)
+		return err
+	})
+	if reply != nil {
+		return reply.Commit, err
+	}
+	return out, err
+}
+
+// listingRelay also lists through peers. Candidates for a duty list without: one that the
+// store does not serve could not claim it.
+type listingRelay struct{ *storeRelay }
+
+// List implements store.Store.
+func (s listingRelay) List(ctx context.Context, prefix string) (snap store.Snapshot, err error) {
+	reply, err := s.do(ctx, &link.StoreCall{Op: link.StoreList, Key: prefix}, func(ctx context.Context) (err error) {
+		snap, err = s.Atomic.List(ctx, prefix)
+		return err
+	})
+	if reply != nil {
+		return reply.Snapshot, err
+	}
+	return snap, err
+}
+
+// do makes a call by own, unless the store has just failed this gateway, and then through
+// a peer, whose reply it returns. The reply is nil where own has settled the call.
+func (s *storeRelay) do(ctx context.Context, msg *link.StoreCall, own func(context.Context) error) (*link.StoreReply, error) {
+	err := error(store.ErrUnavailable)
+	if s.g.storeWorth() {
+		err = s.attempt(ctx, msg.Op, own)
+		if eris.Is(err, store.ErrUnavailable) || eris.Is(err, store.ErrOutcomeUnknown) && s.g.cfg.StoreAge() > ownTime {
+			s.g.storeSaid(link.OutcomeNotDone)
+		}
+		if !eris.Is(err, store.ErrUnavailable) {
+			return nil, err
+		}
+	}
+	reply := s.g.callThroughPeers(ctx, msg)
+	if reply == nil {
+		return nil, err
+	}
+	return reply, failureError(reply.Failure)
+}
+
+// attempt makes the own call, briefly where a peer could make it instead. Commits have
+// their own patience, and one that is cut short has an unknown outcome.
+func (s *storeRelay) attempt(ctx context.Context, op link.StoreOp, own func(context.Context) error) error {
+	if op != link.StoreCommit && len(s.g.relays()) > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, ownTime)
+		defer cancel()
+	}
+	return own(ctx)
+}
+
+// callThroughPeers lets peers that the store serves make a call, one after the other,
+// until one has. It returns nil where certainly none has.
+func (g *Gateway) callThroughPeers(ctx context.Context, msg *link.StoreCall) *link.StoreReply {
+	for _, address := range g.relays() {
+		if ctx.Err() != nil {
+			return nil
+		}
+		reply := g.storeCallAt(ctx, address, msg)
+		if reply != nil && reply.Failure != link.StoreUnavailable {
+			return reply
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) storeCallAt(ctx context.Context, address string, msg *link.StoreCall) *link.StoreReply {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	dial, stop := context.WithTimeout(ctx, peerTimeout)
+	defer stop()
+	conn, err := g.pool.Conn(dial, address)
+	if err != nil {
+		return nil
+	}
+	g.counts.Relayed.Add(1)
+	raw, err := conn.Call(ctx, msg)
+	reply, ok := raw.(*link.StoreReply)
+	switch {
+	case err == nil && ok:
+		return reply
+	case msg.Op == link.StoreCommit && (err == nil || unsent(err) != link.OutcomeNotDone):
+		return &link.StoreReply{Failure: link.StoreOutcomeUnknown}
+	}
+	return nil // what only reads or renews may be repeated through another peer
+}
+
+// answerStoreCall makes a call for another gateway.
+func (g *Gateway) answerStoreCall(ctx context.Context, m *link.StoreCall) *link.StoreReply {
+	kv, r := g.cfg.Store, &link.StoreReply{}
+	err := error(store.ErrUnavailable)
+	switch m.Op {
+	case link.StoreGet:
+		r.KeyValue, r.Found, err = kv.Get(ctx, m.Key)
+	case link.StoreList:
+		r.Snapshot, err = kv.List(ctx, m.Key)
+	case link.StoreRenew:
+		r.TTL, err = kv.Renew(ctx, m.Lease)
+	case link.StoreRevoke:
+		err = kv.Revoke(ctx, m.Lease)
+	case link.StoreCommit:
+		r.Commit, err = kv.CommitIf(ctx, m.Conditions, m.Swaps)
+	}
+	r.Failure = failureOf(err)
+	return r
+}
+
+func failureOf(err error) link.StoreFailure {
+	switch {
+	case err == nil:
+		return link.StoreOK
+	case eris.Is(err, store.ErrOutcomeUnknown):
+		return link.StoreOutcomeUnknown
+	case eris.Is(err, store.ErrLeaseNotFound):
+		return link.StoreLeaseNotFound
+	}
+	return link.StoreUnavailable
+}
+
+func failureError(f link.StoreFailure) error {
+	switch f {
+	case link.StoreOK:
+		return nil
+	case link.StoreOutcomeUnknown:
+		return store.ErrOutcomeUnknown
+	case link.StoreLeaseNotFound:
+		return store.ErrLeaseNotFound
+	}
+	return store.ErrUnavailable
+}
--- a/gateway/term_load.go
+++ b/gateway/term_load.go
@@ -26,14 +26,14 @@
 
 func (t *term) tryLoad(ctx context.Context) (records.State, error) {
 	key := lease.EpochKey(dutyName)
-	kv, ok, err := t.g.cfg.Store.Get(ctx, key)
+	kv, ok, err := t.g.relayed.Get(ctx, key)
 	if err != nil {
 		return records.State{}, err
 	}
 	if epoch, err := lease.ParseEpoch(kv.Value); !ok || err != nil || epoch != t.epoch {
 		return records.State{}, records.ErrDeposed
 	}
-	t.ledger = records.OpenLedger(t.g.cfg.Store, store.Condition{Key: key, Revision: kv.Mod})
+	t.ledger = records.OpenLedger(t.g.relayed, store.Condition{Key: key, Revision: kv.Mod})
 	return t.ledger.Load(ctx, time.Now())
 }
 
@@ -51,27 +51,40 @@
 	}
 }
 
-// follow watches the intake. After a gap in the history it is listed again.
+// relistPause is the least time between two listings of the intake, while its watch can't
+// be kept: notices tell of nearly all jobs sooner.
+const relistPause = time.Second
+
+// follow watches the intake. After a gap in the history, and again and again while the
+// store does not serve this gateway, it is listed.
 func (t *term) follow(at store.Revision) error {
 	ctx := t.tomb.Context(context.Background())
+	var listed time.Duration
 	for t.tomb.Alive() {
 		err := t.ledger.Follow(ctx, at, time.Now, t.post)
 		if ctx.Err() != nil {
 			return nil
 		}
+		t.pause(relistPause - (lease.BootTime() - listed))
 		t.log.WithError(err).Info("watch of the intake lost; listing again")
-		state, err := records.OpenLedger(t.g.cfg.Store, store.Condition{}).Load(ctx, time.Now())
+		state, err := records.OpenLedger(listingRelay{t.g.relayed}, store.Condition{}).Load(ctx, time.Now())
 		if err != nil {
 			t.pause(writeRetry)
 			continue
 		}
+		listed = lease.BootTime()
 		at = state.At
-		for _, j := range state.Jobs {
-			t.post(j.Submitted)
-			if j.Cancelled {
-				t.post(engine.CancelRequested{Job: j.Job.ID, Order: j.CancelOrder})
-			}
-		}
+		t.postIntake(state)
 	}
 	return nil
 }
+
+// postIntake gives the engine all submissions and cancellations; it knows most of them.
+func (t *term) postIntake(state records.State) {
+	for _, j := range state.Jobs {
+		t.post(j.Submitted)
+		if j.Cancelled {
+			t.post(engine.CancelRequested{Job: j.Job.ID, Order: j.CancelOrder})
+		}
+	}
+}
--- a/link/kinds.go
+++ b/link/kinds.go
@@ -19,6 +19,8 @@
 	kindRecordReply
 	kindNotice
 	kindNoticeReply
+	kindStoreCall
+	kindStoreReply
 )
 
 func init() {
@@ -37,4 +39,6 @@
 	wire.Register(kindRecordReply, RecordReply{})
 	wire.Register(kindNotice, Notice{})
 	wire.Register(kindNoticeReply, NoticeReply{})
+	wire.Register(kindStoreCall, StoreCall{})
+	wire.Register(kindStoreReply, StoreReply{})
 }
--- /dev/null
+++ b/link/store.go
@@ -0,0 +1,59 @@
+package link
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/store"
+)
+
+// StoreOp is a call to the store that a gateway may make for another.
+type StoreOp int
+
+// Operations.
+const (
+	StoreGet    StoreOp = iota + 1 // of StoreCall.Key
+	StoreList                      // of the keys below StoreCall.Key
+	StoreRenew                     // of StoreCall.Lease
+	StoreRevoke                    // of StoreCall.Lease
+	StoreCommit                    // store.Atomic.CommitIf
+)
+
+// String returns a name for logs.
+func (o StoreOp) String() string {
+	names := map[StoreOp]string{StoreGet: "get", StoreList: "list", StoreRenew: "renew", StoreRevoke: "revoke", StoreCommit: "commit"}
+	if name, ok := names[o]; ok {
+		return name
+	}
+	return "unnamed"
+}
+
+// StoreCall asks a gateway that the store serves to make one call for the sender, which
+// it does not serve.
+type StoreCall struct {
+	Op         StoreOp           `cbor:"1,keyasint"`
+	Key        string            `cbor:"2,keyasint,omitempty"`
+	Lease      store.LeaseID     `cbor:"3,keyasint,omitempty"`
+	Conditions []store.Condition `cbor:"4,keyasint,omitempty"`
+	Swaps      []store.Swap      `cbor:"5,keyasint,omitempty"`
+}
+
+// StoreFailure is why a StoreCall has no result.
+type StoreFailure int
+
+// Failures, as the errors of package store.
+const (
+	StoreOK StoreFailure = iota
+	StoreUnavailable
+	StoreOutcomeUnknown
+	StoreLeaseNotFound
+)
+
+// StoreReply answers StoreCall, with what the operation returns.
+type StoreReply struct {
+	Failure  StoreFailure        `cbor:"1,keyasint,omitempty"`
+	Found    bool                `cbor:"2,keyasint,omitempty"`
+	KeyValue store.KeyValue      `cbor:"3,keyasint,omitempty"`
+	Snapshot store.Snapshot      `cbor:"4,keyasint,omitempty"`
+	TTL      time.Duration       `cbor:"5,keyasint,omitempty"`
+	Commit   store.CommitOutcome `cbor:"6,keyasint,omitempty"`
+}
