lease, gateway, nodeagent: a planner that does not answer is deposed

Cause: after the death of the planner's machine nothing started until its lease had lapsed, 1.3 to 2 s, and agents whose reports were on their way to it came up to 0.9 s later.

The other gateways ask the planner every 150 ms; the first that the store serves removes its claim after 450 ms of silence. Safe without the lease, because everything is guarded by the epoch; what a living predecessor may still grant is counted. Agents give a report up for a newer planner. Ruled out: a shorter lease (a store 100 times slower than usual must not cost the duty).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,10 +35,13 @@
 	stopping atomic.Bool
 	// storeFailedAt is when the store last failed this gateway, on the boot clock.
 	storeFailedAt atomic.Int64
-	counts        Counts
-	waits         metrics.Latencies // from acceptance to the first start, by account and queue
-	completions   metrics.Latencies // from acceptance to the end, by account, queue and state
-	calls         metrics.Latencies // of callers, by kind and outcome
+	suspected     suspicion
+	// deposedAt is when this gateway last deposed a planner, on the boot clock.
+	deposedAt   atomic.Int64
+	counts      Counts
+	waits       metrics.Latencies // from acceptance to the first start, by account and queue
+	completions metrics.Latencies // from acceptance to the end, by account, queue and state
+	calls       metrics.Latencies // of callers, by kind and outcome
 
 	mu   sync.Mutex
 	term *term // the present or last term of this gateway as planner
@@ -66,7 +69,6 @@
 	}
 	g.pool = wire.NewPool(g.endpoint)
 	g.relayed = &storeRelay{Atomic: cfg.Store, g: g}
-	g.tomb.Go(g.run)
 	g.duty = lease.Run(lease.Options{
 		Store:     g.relayed,
 		Duty:      dutyName,
@@ -77,6 +79,7 @@
 		Changed:   g.dutyChanged,
 		Log:       cfg.Log,
 	})
+	g.tomb.Go(g.run)
 	g.log.WithField("listen", cfg.Listen).Info("gateway started")
 	return g, nil
 }
@@ -87,6 +90,7 @@
 		return nil
 	})
 	g.tomb.Go(g.peerLoop)
+	g.tomb.Go(g.aliveLoop)
 	g.tomb.Go(g.versionLoop)
 	g.tomb.Go(g.registerLoop)
 	<-g.tomb.Dying()
@@ -196,13 +200,20 @@
 	}
 	g.planners.learn(held.Epoch, g.cfg.Listen)
 	g.log.WithField("epoch", held.Epoch).Info("planner's duty taken")
+	go g.askPeers() // so that all name the new planner at once
 }
 
 // Stopping says whether the gateway is about to end.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
 // Planning says whether this gateway plans now.
-func (g *Gateway) Planning() bool {
+func (g *Gateway) Planning() bool { return g.plansUnder() != 0 }
+
+// plansUnder returns the epoch under which this gateway plans; zero where it does not.
+func (g *Gateway) plansUnder() uint64 {
 	t := g.currentTerm()
-	return t != nil && t.active()
+	if t == nil || !t.active() {
+		return 0
+	}
+	return t.epoch
 }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -33,6 +33,8 @@
 			g.notice(&link.Notice{Cancel: m.Job})
 		}
 		return &link.RecordReply{Outcome: outcome}, nil
+	case *link.Alive:
+		return &link.AliveReply{Epoch: g.plansUnder()}, nil
 	case *link.StoreCall:
 		return g.answerStoreCall(ctx, m), nil
 	case *link.Notice:
--- /dev/null
+++ b/gateway/suspect.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/lease"
+	"github.com/eelgrasshub/eelgrasshub/link"
+)
+
+// The planner's lease bounds for how long nobody plans after its machine has died, and it
+// can't be short: it has to outlast a slow store. So the other gateways ask the planner all
+// the time whether it is alive, and the first that the store serves and that has no answer
+// for suspectAfter deposes it. A planner that lives after all is only replaced: its writes
+// hold under its epoch alone, and workers refuse older epochs than they have seen.
+const (
+	// aliveEvery is the pause between two questions; each is a message of a few bytes.
+	aliveEvery = 150 * time.Millisecond
+	// suspectAfter is how long no answer may come: several questions and the time that a
+	// busy machine may be held up, as a core that is given out in tenths of a second is.
+	suspectAfter = 450 * time.Millisecond
+	// ownGap between two questions shows that this process itself was held up or suspended,
+	// and knows nothing of the time between.
+	ownGap = 3 * aliveEvery
+)
+
+// suspicion is when the planner was last heard. It is safe for concurrent use.
+type suspicion struct {
+	mu      sync.Mutex
+	planner string
+	epoch   uint64
+	heard   time.Duration // on the boot clock; zero: never under this epoch
+	asked   time.Duration // when the first question since then was sent
+	last    time.Duration // when the last one was
+}
+
+// ask notes a question that is about to be sent.
+func (s *suspicion) ask(now time.Duration, planner string, epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.planner != planner || s.epoch != epoch {
+		s.planner, s.epoch, s.heard, s.asked = planner, epoch, 0, 0
+	}
+	if s.asked == 0 || now-s.last > ownGap {
+		s.asked = now
+	}
+	s.last = now
+}
+
+// answer notes an answer of the planner that holds the duty under epoch.
+func (s *suspicion) answer(now time.Duration, planner string, epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.planner == planner && s.epoch == epoch {
+		s.heard, s.asked = now, 0
+	}
+}
+
+// due says whether the planner is to be taken for dead. One that has never answered under
+// its epoch is not: its lease may be all that is known of it, and it lapses.
+func (s *suspicion) due(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard != 0 && s.asked != 0 && now-s.asked > suspectAfter && now-s.heard > suspectAfter
+}
+
+// aliveLoop asks the planner whether it is alive.
+func (g *Gateway) aliveLoop() error {
+	for {
+		select {
+		case <-time.After(aliveEvery):
+		case <-g.tomb.Dying():
+			return nil
+		}
+		epoch, planner := g.planners.get()
+		if planner == "" || planner == g.cfg.Listen || g.stopping.Load() {
+			continue
+		}
+		g.suspected.ask(lease.BootTime(), planner, epoch)
+		go g.askAlive(planner, epoch)
+		if g.suspected.due(lease.BootTime()) && g.cfg.StoreAge() < servedFresh {
+			g.depose(planner, epoch)
+		}
+	}
+}
+
+func (g *Gateway) askAlive(planner string, epoch uint64) {
+	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), peerTimeout)
+	defer cancel()
+	raw, err := g.pool.Call(ctx, planner, &link.Alive{})
+	if err != nil {
+		return // its silence is what counts
+	}
+	if reply, ok := raw.(*link.AliveReply); ok && reply.Epoch == epoch {
+		g.suspected.answer(lease.BootTime(), planner, epoch)
+	}
+}
+
+// depose makes this gateway take the duty of a planner that is believed to be dead.
+func (g *Gateway) depose(planner string, epoch uint64) {
+	if !g.duty.Depose() {
+		return // it waits for the store, or another was faster
+	}
+	g.deposedAt.Store(int64(lease.BootTime()))
+	g.log.WithField("planner", planner).WithField("epoch", epoch).Warn("planner does not answer; its duty is taken")
+}
+
+// inherited returns how much longer than usual a predecessor's grants may last: one that
+// was deposed and lives may grant until its lease has lapsed.
+func (g *Gateway) inherited(now time.Duration) time.Duration {
+	more := time.Duration(0)
+	if at := time.Duration(g.deposedAt.Load()); at != 0 && now-at < 2*dutyTTL {
+		more = dutyTTL
+	}
+	return g.outage.inherited(now) + more
+}
--- /dev/null
+++ b/gateway/suspect_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const ms = time.Millisecond
+
+// askFor asks every aliveEvery until end, and notes answers while the planner lives.
+func askFor(s *suspicion, begin, end, livesUntil time.Duration) {
+	for now := begin; now < end; now += aliveEvery {
+		s.ask(now, "p", 1)
+		if now < livesUntil {
+			s.answer(now+ms, "p", 1)
+		}
+	}
+}
+
+// The planner's machine loses power. It is taken for dead within a second, but not for a
+// single answer that is late.
+func TestSilentPlannerIsTakenForDead(t *testing.T) {
+	c := qt.New(t)
+	s := &suspicion{}
+	askFor(s, second, 3*second, 3*second)
+	c.Check(s.due(3*second), qt.IsFalse)
+	askFor(s, 3*second, 3*second+350*ms, 0)
+	c.Check(s.due(3*second+350*ms), qt.IsFalse, qt.Commentf("it may be held up"))
+	askFor(s, 3*second+350*ms, 3*second+900*ms, 0)
+	c.Check(s.due(3*second+900*ms), qt.IsTrue)
+}
+
+// A gateway is suspended for five seconds. That it has heard nothing of the planner says
+// nothing of the planner.
+func TestSuspendedGatewaySuspectsNobody(t *testing.T) {
+	c := qt.New(t)
+	s := &suspicion{}
+	askFor(s, second, 2*second, 2*second)
+	s.ask(2*second, "p", 1)
+	s.ask(7*second, "p", 1)
+	c.Check(s.due(7*second), qt.IsFalse)
+	askFor(s, 7*second, 7*second+400*ms, 8*second)
+	c.Check(s.due(7*second+400*ms), qt.IsFalse)
+}
+
+// A planner that has not answered under its epoch yet reads its records. To depose it
+// would only begin that again.
+func TestNewPlannerIsGivenItsTime(t *testing.T) {
+	c := qt.New(t)
+	s := &suspicion{}
+	askFor(s, second, 4*second, 0)
+	c.Check(s.due(4*second), qt.IsFalse)
+	s.ask(4*second, "p", 2)
+	s.answer(4*second+ms, "p", 1)
+	askFor(s, 4*second, 6*second, 0)
+	c.Check(s.due(6*second), qt.IsFalse, qt.Commentf("an answer under another epoch is none"))
+}
+
+// A planner that was deposed lives after all, and grants until its lease has lapsed. Its
+// successor must count that, for workers that it can't reach.
+func TestSuccessorCountsWhatADeposedPlannerMayGrant(t *testing.T) {
+	c := qt.New(t)
+	g := &Gateway{outage: newOutage(0)}
+	usual := g.inherited(60 * second)
+	g.deposedAt.Store(int64(59 * second))
+	c.Check(g.inherited(60*second), qt.Equals, usual+dutyTTL)
+	c.Check(g.inherited(90*second), qt.Equals, usual, qt.Commentf("long ago"))
+}
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -62,7 +62,7 @@
 		log:      g.log.WithField("epoch", epoch),
 		epoch:    epoch,
 		inbox:    make(chan func(time.Duration), inboxSize),
-		engine:   engine.New(g.cfg.Engine, epoch, lease.BootTime(), g.outage.inherited(lease.BootTime())),
+		engine:   engine.New(g.cfg.Engine, epoch, lease.BootTime(), g.inherited(lease.BootTime())),
 		conns:    map[string]*wire.Conn{},
 		recorded: make(chan struct{}),
 	}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -26,6 +26,7 @@
 	observe chan struct{}
 	unwant  atomic.Uint64 // epoch last told to Yield
 	yield   chan struct{}
+	depose  chan struct{} // has no buffer: only a wait in progress is told
 
 	// Owned by the tomb's goroutine.
 	elector *Elector
@@ -47,6 +48,7 @@
 		opts:    opts,
 		observe: make(chan struct{}, 1),
 		yield:   make(chan struct{}, 1),
+		depose:  make(chan struct{}),
 		elector: NewElector(opts.TTL),
 		pause:   backoff.NewExponentialBackOff(),
 	}
@@ -66,7 +68,7 @@
 	if s := h.opts.Session; s != nil {
 		return &sharedTenure{s: s, key: key, taken: h.foundTaken}
 	}
-	return &ownTenure{store: h.opts.Store, key: key, ttl: h.opts.TTL, clock: h.opts.Clock, taken: h.foundTaken, left: h.leftBehind}
+	return &ownTenure{store: h.opts.Store, key: key, ttl: h.opts.TTL, clock: h.opts.Clock, taken: h.foundTaken, left: h.leftBehind, depose: h.depose}
 }
 
 // leftBehind says whether the value of the holder key was written by an earlier process
@@ -124,6 +126,23 @@
 	}
 }
 
+// Depose tells a waiting candidate that the present holder is believed to be dead: its
+// claim is removed, instead of waiting for its lease to lapse. It returns whether the
+// candidate was waiting. With a Session it has no effect.
+//
+// A holder that lives after all notices with its next renewal, and may believe in its
+// lease until that would have lapsed. So this is only for duties whose every effect is
+// guarded by the epoch, and whoever takes over reckons with what a living predecessor
+// may still promise for a TTL.
+func (h *Holder) Depose() bool {
+	select {
+	case h.depose <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 // Resign gives the duty up for good: Current is false from then on, and the
 // next candidate takes over at once, without waiting for the lease to lapse.
 // It returns when that is done, or with the context's error; the lease then
--- a/lease/tenure_own.go
+++ b/lease/tenure_own.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/store"
@@ -18,6 +19,8 @@
 	taken func()
 	// left says whether a claim is one that this instance left behind.
 	left func(value []byte) bool
+	// depose has a token when the present holder's claim is to be removed.
+	depose <-chan struct{}
 }
 
 // awaitVacant lists the holder key and, while it exists, watches it. Waiting
@@ -34,10 +37,40 @@
 		return o.remove(ctx, snap.Keys[0])
 	}
 	o.taken()
+	switch gone, err := o.watchHolder(ctx, snap.At+1); {
+	case gone == holderLeft:
+		return Vacant{}
+	case gone == holderDeposed:
+		return o.remove(ctx, snap.Keys[0])
+	default:
+		return failed(err)
+	}
+}
+
+// departure is how a watch of the holder key ended.
+type departure int
+
+const (
+	holderStays   departure = iota
+	holderLeft              // the key was deleted
+	holderDeposed           // the holder is believed to be dead
+)
+
+// watchHolder waits until the holder key is deleted or the holder is to be deposed.
+func (o *ownTenure) watchHolder(ctx context.Context, from store.Revision) (departure, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var deposed atomic.Bool
+	go func() {
+		select {
+		case <-o.depose:
+			deposed.Store(true)
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	vacant := false
-	err = o.store.Watch(ctx, o.key, snap.At+1, func(b store.WatchBatch) {
+	err := o.store.Watch(ctx, o.key, from, func(b store.WatchBatch) {
 		for _, e := range b.Events {
 			vacant = e.Deleted
 		}
@@ -45,14 +78,17 @@
 			cancel()
 		}
 	})
-	if vacant {
-		return Vacant{}
+	switch {
+	case vacant:
+		return holderLeft, nil
+	case deposed.Load():
+		return holderDeposed, nil
 	}
-	return failed(err)
+	return holderStays, err
 }
 
-// remove deletes a claim that an earlier process of this instance left behind: it is
-// gone for certain, so its lease need not be waited for.
+// remove deletes a claim whose holder is gone or believed so, so that its lease need not
+// be waited for. A claim made since is left alone.
 func (o *ownTenure) remove(ctx context.Context, kv store.KeyValue) Event {
 	gone, err := o.swap(ctx, store.Swap{Key: kv.Key, Expect: kv.Mod, Delete: true})
 	if err != nil {
--- a/lease/yield_test.go
+++ b/lease/yield_test.go
@@ -36,3 +36,27 @@
 	}
 	c.Assert(held.Epoch, qt.Equals, uint64(6))
 }
+
+// The holder's machine loses power. A candidate that believes so takes the duty at once,
+// under a higher epoch, instead of waiting ten minutes for the lease. The holder, which
+// lives after all, finds its claim gone with its next renewal and is a candidate again.
+func TestDeposedHolderIsReplacedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t, standin.Options{})
+	first, gained := b.run(t, 3*time.Second)
+	c.Assert((<-gained).Epoch, qt.Equals, uint64(1))
+	second, won := b.run(t, 10*time.Minute)
+	c.Assert(first.Depose(), qt.IsFalse, qt.Commentf("a holder has nobody to depose"))
+	for !second.Depose() {
+		time.Sleep(time.Millisecond) // it does not wait for the duty yet
+	}
+	c.Assert((<-won).Epoch, qt.Equals, uint64(2))
+	for {
+		if _, held := first.Current(); !held {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_, held := second.Current()
+	c.Check(held, qt.IsTrue)
+}
--- a/link/kinds.go
+++ b/link/kinds.go
@@ -21,6 +21,8 @@
 	kindNoticeReply
 	kindStoreCall
 	kindStoreReply
+	kindAlive
+	kindAliveReply
 )
 
 func init() {
@@ -41,4 +43,6 @@
 	wire.Register(kindNoticeReply, NoticeReply{})
 	wire.Register(kindStoreCall, StoreCall{})
 	wire.Register(kindStoreReply, StoreReply{})
+	wire.Register(kindAlive, Alive{})
+	wire.Register(kindAliveReply, AliveReply{})
 }
--- a/nodeagent/finder.go
+++ b/nodeagent/finder.go
@@ -44,6 +44,11 @@
 	// askTimeout bounds one question to one gateway; a path takes milliseconds, a
 	// handshake about 25.
 	askTimeout = 300 * time.Millisecond
+	// slowReport is how long a planner may take to answer a report before others are asked
+	// for a newer one, and slowAgain the pause before they are asked again. An answer waits
+	// for a quarter of a second at most for ends to be recorded.
+	slowReport = 320 * time.Millisecond
+	slowAgain  = 150 * time.Millisecond
 	// mostMembers bounds the gateways that are remembered.
 	mostMembers = 16
 )
@@ -86,6 +91,31 @@
 	return "", false
 }
 
+// awaitNewer asks the gateways for a newer planner, once the present one has been slow to
+// answer. It returns false when ctx ends first.
+func (f *finder) awaitNewer(ctx context.Context) bool {
+	f.mu.Lock()
+	epoch := f.epoch
+	f.mu.Unlock()
+	for wait := slowReport; ; wait = slowAgain {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return false
+		}
+		f.mu.Lock()
+		members := slices.Clone(f.members)
+		f.mu.Unlock()
+		f.ask(ctx, members)
+		f.mu.Lock()
+		newer := f.epoch > epoch
+		f.mu.Unlock()
+		if newer {
+			return true
+		}
+	}
+}
+
 func (f *finder) askOne(ctx context.Context, address string) *link.PeerReply {
 	raw, err := f.pool.Call(ctx, address, &link.Peer{})
 	if err != nil {
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -70,7 +70,7 @@
 		return nil, 0, false
 	}
 	sent := now()
-	raw, err := a.pool.Call(ctx, planner, &link.Report{Report: r})
+	raw, err := a.callPlanner(ctx, planner, &link.Report{Report: r})
 	if err != nil {
 		a.finder.failed(planner, err)
 		return nil, 0, false
@@ -88,6 +88,20 @@
 	return reply, sent, true
 }
 
+// callPlanner makes a call to the planner, and gives it up as soon as a newer planner is
+// known: one whose machine has died would keep the report until its timeout, while its
+// successor can place nothing before it.
+func (a *Agent) callPlanner(ctx context.Context, planner string, msg any) (any, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		if a.finder.awaitNewer(ctx) {
+			cancel()
+		}
+	}()
+	return a.pool.Call(ctx, planner, msg)
+}
+
 // answered takes the planner's answer to a report that was sent at time sent.
 func (a *Agent) answered(r engine.Report, reply *link.ReportReply, sent time.Duration) {
 	a.mu.Lock()
