nodeagent: ends listed before a lapse do not count, also for an agent without a memory

Where anything lapsed with it the worker's own list tells: what is numbered lower ended before the lapse and was not taken note of. TestRestartedAgentSeesTheLapseInTheEnds, before: the end counts.

--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -86,6 +86,7 @@
 			l.void[row.Number] = true
 		}
 	}
+	l.voidBeforeLapse(look.Ended)
 	l.failing = false
 	if l.known && (look.Clock < l.clock || look.Clock == l.clock && sent < l.askedAt) {
 		return // overtaken on its way by the answer to a later look
@@ -100,6 +101,26 @@
 	l.settleStops(sent)
 }
 
+// voidBeforeLapse marks the ends that are listed before a run that lapsed: the lease ran
+// out between them and this look, so they count as not having been.
+//
+// The failure it guards against: an agent that was away for longer than the lease, and was
+// started again, knows nothing of the lease. It would report a task as done that the
+// planner, to which the lease has lapsed, starts elsewhere.
+func (l *life) voidBeforeLapse(ended []engine.EndRow) {
+	lapsed := int64(0)
+	for _, row := range ended {
+		if row.Reason == engine.EndLapsed {
+			lapsed = max(lapsed, row.Number)
+		}
+	}
+	for _, row := range ended {
+		if row.Number < lapsed {
+			l.void[row.Number] = true
+		}
+	}
+}
+
 // settleStops finds the stopped runs that a look, asked for after their stop was
 // confirmed, does not show.
 func (l *life) settleStops(sent time.Duration) {
--- a/nodeagent/life_test.go
+++ b/nodeagent/life_test.go
@@ -94,3 +94,19 @@
 	c.Check(ended[0].Void, qt.IsTrue)
 	c.Check(ended[1].Void, qt.IsFalse)
 }
+
+// An agent is away for longer than its worker's lease and starts again without a memory.
+// One task had ended as done before, another lapsed with the lease, and a third has run
+// and failed since. The first end must not count; the third does.
+func TestRestartedAgentSeesTheLapseInTheEnds(t *testing.T) {
+	c := qt.New(t)
+	l := newLife(engine.WorkerInfo{ID: "w"})
+	l.take(Look{Clock: 20 * time.Second, Ended: []engine.EndRow{
+		{Number: 4, Run: run1, Reason: engine.EndDone},
+		{Number: 5, Run: run1, Reason: engine.EndLapsed},
+		{Number: 6, Run: run1, Reason: engine.EndFailed},
+	}}, time.Second, time.Second, 0)
+	ended := l.report(0, 0).Ended
+	c.Check(ended[0].Void, qt.IsTrue)
+	c.Check(ended[2].Void, qt.IsFalse)
+}
