--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -71,6 +72,25 @@
 	return out
 }
 
+// tellWaitEvery is the pause between two lines of the log about the same unit that waits.
+// With maxReservations it bounds them to a line each second or so.
+const tellWaitEvery = 5 * time.Second
+
+// tellWait logs what a unit at the head of the queue waits for.
+func (r *round) tellWait(u *unit, at time.Duration, slots map[*worker]int) {
+	if r.now-u.since < tellWaitEvery || r.now < u.tellNext {
+		return
+	}
+	u.tellNext = r.now + tellWaitEvery
+	needs := fmt.Sprintf("step %d needs %d times %+v", u.step, u.size, u.demand())
+	waited := (r.now - u.since).Milliseconds()
+	detail := fmt.Sprintf("for %d ms, %s, no room in sight on %d workers", waited, needs, len(r.workers))
+	if slots != nil {
+		detail = fmt.Sprintf("for %d ms, %s, room expected in %d ms on %d workers", waited, needs, at.Milliseconds(), len(slots))
+	}
+	r.e.decidedJob(u.job, "waits", detail)
+}
+
 // reserve keeps the room that will be free first for a unit that waits, against units
 // behind it that would still run then.
 func (r *round) reserve(u *unit) {
@@ -81,6 +101,7 @@
 			at, slots = t, s
 		}
 	}
+	r.tellWait(u, at, slots)
 	if slots == nil {
 		return
 	}
--- a/engine/unfit_test.go
+++ b/engine/unfit_test.go
@@ -43,3 +43,17 @@
 	d.pass(10 * time.Second)
 	c.Check(d.said[id]["fits no worker"], qt.Equals, 1)
 }
+
+// A job waits for room for a long time. Whoever asks why finds it in the log, and the log
+// does not grow with each decision.
+func TestWhatAJobWaitsForIsLogged(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	d.job(1, "", tasks(1, 8))
+	d.settle()
+	id := d.job(1, "", tasks(1, 8))
+	d.pass(4 * time.Second)
+	c.Check(d.said[id]["waits"], qt.Equals, 0)
+	d.pass(8 * time.Second)
+	c.Check(d.said[id]["waits"], qt.Equals, 2)
+}
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -43,6 +43,8 @@
 	// since is when the unit last began to wait.
 	since     time.Duration
 	notBefore time.Duration
+	// tellNext is when the log may say again what the unit waits for.
+	tellNext time.Duration
 	// avoids are workers where a run of it failed, and until when.
 	avoids map[WorkerID]time.Duration
 	// claims is room that is being emptied for the unit: tasks by worker.
