--- a/cmd/eelgrasshub/node_agent.go
+++ b/cmd/eelgrasshub/node_agent.go
@@ -35,11 +35,12 @@
 		return err
 	}
 	defer endLog()
-	a, err := nodeagent.Start(platform.NodeAgentConfig(cfg, log))
+	agentCfg := platform.NodeAgentConfig(cfg, log)
+	a, err := nodeagent.Start(agentCfg)
 	if err != nil {
 		return err
 	}
-	registry, err := listenHTTP(cfg.RegistryListen, platform.RegistryHandler(a), log)
+	registry, err := listenHTTP(cfg.RegistryListen, platform.RegistryHandler(a, agentCfg.Worker), log)
 	if err != nil {
 		return err
 	}
--- a/settings/node_agent.go
+++ b/settings/node_agent.go
@@ -2,6 +2,10 @@
 
 import "github.com/eelgrasshub/eelgrasshub/document/schema"
 
+// OrdersByHeartbeat is the value of NodeAgent.Orders for a worker that takes its orders
+// from the answers to its heartbeats.
+const OrdersByHeartbeat = "heartbeat"
+
 // NodeAgent is the settings of a node agent on the operators' platform.
 type NodeAgent struct {
 	ID     string `toml:"id" validate:"required,name"`
@@ -19,6 +23,9 @@
 	Store       string   `toml:"store" validate:"required,addr"`
 	// Worker is the address of the worker on this instance.
 	Worker string `toml:"worker" validate:"required,addr"`
+	// Orders is how the worker takes its orders: by calls, or by the answers to its
+	// heartbeats.
+	Orders string `toml:"orders" default:"push" validate:"oneof=push heartbeat"`
 
 	MaxHold schema.Duration `toml:"max_hold" default:"6s" validate:"min=100ms,max=1h"`
 	// StopGrace bounds a graceful stop.
