platform, gateway, engine: files of one matter each

beats, worker, calls, store_relay and sharing had grown to two matters each: taking heartbeats and giving orders, calls and rows, records and lookups, asking a peer and answering one, speeds and places. Moved as they were.

--- a/gateway/store_relay.go
+++ b/gateway/store_relay.go
@@ -157,38 +157,6 @@
 	return nil // what only reads or renews may be repeated through another peer
 }
 
-// answerStoreCall makes a call for another gateway.
-func (g *Gateway) answerStoreCall(ctx context.Context, m *link.StoreCall) *link.StoreReply {
-	kv, r := g.cfg.Store, &link.StoreReply{}
-	err := error(store.ErrUnavailable)
-	switch m.Op {
-	case link.StoreGet:
-		r.KeyValue, r.Found, err = kv.Get(ctx, m.Key)
-	case link.StoreList:
-		r.Snapshot, err = kv.List(ctx, m.Key)
-	case link.StoreRenew:
-		r.TTL, err = kv.Renew(ctx, m.Lease)
-	case link.StoreRevoke:
-		err = kv.Revoke(ctx, m.Lease)
-	case link.StoreCommit:
-		r.Commit, err = kv.CommitIf(ctx, m.Conditions, m.Swaps)
-	}
-	r.Failure = failureOf(err)
-	return r
-}
-
-func failureOf(err error) link.StoreFailure {
-	switch {
-	case err == nil:
-		return link.StoreOK
-	case eris.Is(err, store.ErrOutcomeUnknown):
-		return link.StoreOutcomeUnknown
-	case eris.Is(err, store.ErrLeaseNotFound):
-		return link.StoreLeaseNotFound
-	}
-	return link.StoreUnavailable
-}
-
 func failureError(f link.StoreFailure) error {
 	switch f {
 	case link.StoreOK:
