--- a/engine/sharing.go
+++ b/engine/sharing.go
@@ -12,7 +12,8 @@
 //   - a filling task begins at the speed that was tolerated for its image beside theirs;
 //   - over strainCeiling the speed of the likeliest cause is halved, over the target all
 //     speeds are, and again after the figures have had time to show it; over the target for
-//     harmShare of the time that counts as harm, what fills stands still;
+//     harmShare of the time that counts as harm, what fills stands still; what the worker
+//     does not hold back is stopped;
 //   - under strainFloor one filling task is raised a step, of the image that is tolerated
 //     best, so that what follows can be put down to its pair of images.
 //
@@ -27,6 +28,9 @@
 	strainSettle = 700 * time.Millisecond
 	// harmShare is the part of Params.Harm over the target after which nothing fills.
 	harmShare = 0.3
+	// stopShare is the part after which a run whose speed the worker did not confirm is
+	// stopped.
+	stopShare = 0.6
 	// blameFor is how long after a raise a high latency is put down to it: two looks and
 	// strainSettle.
 	blameFor = 2 * time.Second
@@ -101,13 +105,16 @@
 	} else if s.overSince == 0 {
 		s.overSince = now
 	}
-	harmed := s.overSince != 0 && now-s.overSince >= time.Duration(harmShare*float64(e.params.Harm))
+	harmed := s.overFor(now, e.params.Harm, harmShare)
 	if now-s.changedAt < strainSettle && !harmed {
 		return
 	}
 	switch {
 	case harmed:
 		e.holdBack(now, w, serving, filling, strain, 0)
+		if s.overFor(now, e.params.Harm, stopShare) {
+			e.stopUnheld(now, filling)
+		}
 	case strain >= 1:
 		e.holdBack(now, w, serving, filling, strain, 0.5)
 	case strain > strainCeiling:
@@ -117,6 +124,24 @@
 	}
 }
 
+// overFor says whether a serving task has been over its target for a share of what counts
+// as harm.
+func (s *sharing) overFor(now, harm time.Duration, share float64) bool {
+	return s.overSince != 0 && now-s.overSince >= time.Duration(share*float64(harm))
+}
+
+// stopUnheld stops what could not be held back: the worker has not confirmed the order, or
+// takes none.
+func (e *Engine) stopUnheld(now time.Duration, filling []*placement) {
+	for _, p := range filling {
+		if p.pace.confirmed || !p.unit.mayStop(0) {
+			continue
+		}
+		e.decided(p, "move", "the worker does not hold it back")
+		e.stopAll(now, p.unit)
+	}
+}
+
 // suspects returns the run that is held back first: the one raised a moment ago, else the
 // one whose image is tolerated least.
 func (s *sharing) suspects(e *Engine, now time.Duration, serving, filling []*placement) []*placement {
--- a/engine/sharing_test.go
+++ b/engine/sharing_test.go
@@ -192,3 +192,20 @@
 		c.Check(w, qt.Not(qt.Equals), serves)
 	}
 }
+
+// The worker takes no orders for speeds, and the task that serves users is over its target
+// through what fills. That has to leave before it counts as harm.
+func TestWhatCanNotBeHeldBackIsStopped(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	d.job(1, "", serving(1))
+	d.settle()
+	d.losePaces = true
+	id := d.job(2, "", fillers(1))
+	d.settle()
+	d.looks(2*time.Second, constant(1.3))
+	c.Check(d.stops, qt.HasLen, 0)
+	d.looks(1500*time.Millisecond, constant(1.3))
+	c.Assert(d.stops, qt.Not(qt.HasLen), 0)
+	c.Check(d.stops[0].Task.Job, qt.Equals, id)
+}
