gateway: every successor counts what a deposed planner may still grant

The winner saw only that it was vacant, and would have counted no grants of a planner that lives: a worker that neither reaches it nor lapses when it thinks so could run a task that starts elsewhere. TestSuccessorCountsWhatADeposedPlannerMayGrant now asks it of a gateway that has deposed nobody; before: 0 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,12 +36,10 @@
 	// storeFailedAt is when the store last failed this gateway, on the boot clock.
 	storeFailedAt atomic.Int64
 	suspected     suspicion
-	// deposedAt is when this gateway last deposed a planner, on the boot clock.
-	deposedAt   atomic.Int64
-	counts      Counts
-	waits       metrics.Latencies // from acceptance to the first start, by account and queue
-	completions metrics.Latencies // from acceptance to the end, by account, queue and state
-	calls       metrics.Latencies // of callers, by kind and outcome
+	counts        Counts
+	waits         metrics.Latencies // from acceptance to the first start, by account and queue
+	completions   metrics.Latencies // from acceptance to the end, by account, queue and state
+	calls         metrics.Latencies // of callers, by kind and outcome
 
 	mu   sync.Mutex
 	term *term // the present or last term of this gateway as planner
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -102,16 +102,13 @@
 	if !g.duty.Depose() {
 		return // it waits for the store, or another was faster
 	}
-	g.deposedAt.Store(int64(lease.BootTime()))
 	g.log.WithField("planner", planner).WithField("epoch", epoch).Warn("planner does not answer; its duty is taken")
 }
 
-// inherited returns how much longer than usual a predecessor's grants may last: one that
-// was deposed and lives may grant until its lease has lapsed.
+// inherited returns how much longer than usual a predecessor's grants may last. One that
+// was deposed and lives may grant until its lease has lapsed; and whoever takes the duty
+// can't tell, since another gateway may have deposed it. It only concerns workers that do
+// not report to the successor.
 func (g *Gateway) inherited(now time.Duration) time.Duration {
-	more := time.Duration(0)
-	if at := time.Duration(g.deposedAt.Load()); at != 0 && now-at < 2*dutyTTL {
-		more = dutyTTL
-	}
-	return g.outage.inherited(now) + more
+	return g.outage.inherited(now) + dutyTTL
 }
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -58,13 +58,12 @@
 	c.Check(s.due(6*second), qt.IsFalse, qt.Commentf("an answer under another epoch is none"))
 }
 
-// A planner that was deposed lives after all, and grants until its lease has lapsed. Its
-// successor must count that, for workers that it can't reach.
+// A planner is deposed by one gateway, lives, and grants until its lease has lapsed. The
+// duty goes to another gateway, which has only seen that it was vacant, and has to count
+// those grants all the same for workers that it can't reach.
 func TestSuccessorCountsWhatADeposedPlannerMayGrant(t *testing.T) {
-	c := qt.New(t)
 	g := &Gateway{outage: newOutage(0)}
-	usual := g.inherited(60 * second)
-	g.deposedAt.Store(int64(59 * second))
-	c.Check(g.inherited(60*second), qt.Equals, usual+dutyTTL)
-	c.Check(g.inherited(90*second), qt.Equals, usual, qt.Commentf("long ago"))
+	g.outage.heard(59*second, "planner", true, true)
+	qt.Assert(t, g.outage.inherited(60*second), qt.Equals, time.Duration(0))
+	qt.Check(t, g.inherited(60*second), qt.Equals, dutyTTL)
 }
