--- a/engine/sharing.go
+++ b/engine/sharing.go
@@ -46,8 +46,12 @@
 	raised    *placement    // what changedAt raised, if it raised anything
 }
 
-// sharers returns the runs on w that serve users within a target, and those that fill.
+// sharers returns the runs on w that serve users within a target, and those that fill;
+// none where nothing fills, as on most workers.
 func (w *worker) sharers() (serving, filling []*placement) {
+	if !w.fills() {
+		return nil, nil
+	}
 	for _, p := range w.sortedPlaces() {
 		switch {
 		case p.stopping:
@@ -72,19 +76,16 @@
 
 // shared says whether w has to be looked at often.
 func (w *worker) shared() bool {
-	if !w.fills() {
-		return false
-	}
 	serving, filling := w.sharers()
 	return len(serving) > 0 && len(filling) > 0
 }
 
 // share sets the speeds of what fills on w after a look.
 func (e *Engine) share(now time.Duration, w *worker) {
-	if !w.fills() {
+	serving, filling := w.sharers()
+	if len(filling) == 0 {
 		return
 	}
-	serving, filling := w.sharers()
 	for _, p := range filling {
 		if len(serving) == 0 || p.pace.percent == unknownPace {
 			e.setPace(now, p, e.tolerance(p, serving))
@@ -233,7 +234,7 @@
 func (e *Engine) join(now time.Duration, p *placement) {
 	p.pace = pace{percent: fullPace, confirmed: true}
 	s := p.unit.spec()
-	if !s.Fills && s.TailTarget == 0 || !p.worker.fills() {
+	if !s.Fills && s.TailTarget == 0 {
 		return
 	}
 	serving, filling := p.worker.sharers()
--- a/engine/sharing_test.go
+++ b/engine/sharing_test.go
@@ -28,6 +28,17 @@
 	return s
 }
 
+// sharedDesk returns a desk with one worker, on which a task that serves users runs and
+// another fills.
+func sharedDesk(t *testing.T) (d *desk, service, fills workload.JobID) {
+	d = newDesk(t, 1)
+	service = d.job(1, "", serving(1))
+	d.settle()
+	fills = d.job(2, "", fillers(1))
+	d.settle()
+	return d, service, fills
+}
+
 // looks lets every worker report for a while, with the tail latency of what serves as
 // given in parts of its target.
 func (d *desk) looks(by time.Duration, strain func(now time.Duration) float64) {
@@ -83,11 +94,7 @@
 // same orders as its start.
 func TestUnknownImageBeginsSlowly(t *testing.T) {
 	c := qt.New(t)
-	d := newDesk(t, 1)
-	d.job(1, "", serving(1))
-	d.settle()
-	id := d.job(2, "", fillers(1))
-	d.settle()
+	d, _, id := sharedDesk(t)
 	c.Check(d.speeds(id), qt.DeepEquals, []int{firstTolerance})
 }
 
@@ -108,11 +115,7 @@
 // well before that counts as harm, and to go on when they are good again.
 func TestFillerStandsStillBeforeItHarms(t *testing.T) {
 	c := qt.New(t)
-	d := newDesk(t, 1)
-	d.job(1, "", serving(1))
-	d.settle()
-	id := d.job(2, "", fillers(1))
-	d.settle()
+	d, _, id := sharedDesk(t)
 	d.looks(8*time.Second, constant(0.4))
 	c.Assert(d.speeds(id)[0] >= 60, qt.IsTrue, qt.Commentf("%v", d.speeds(id)))
 	d.looks(2*time.Second, constant(1.4))
@@ -124,11 +127,7 @@
 // What serves users ends. Nothing is left that the other would disturb.
 func TestFillerAloneRunsAtFullSpeed(t *testing.T) {
 	c := qt.New(t)
-	d := newDesk(t, 1)
-	service := d.job(1, "", serving(1))
-	d.settle()
-	id := d.job(2, "", fillers(1))
-	d.settle()
+	d, service, id := sharedDesk(t)
 	d.step(CancelRequested{Job: service})
 	d.settle()
 	d.end(service, EndStopped)
@@ -162,11 +161,7 @@
 // speed, it sets again as for an unknown image.
 func TestSuccessorSetsSpeedsAgain(t *testing.T) {
 	c := qt.New(t)
-	d := newDesk(t, 1)
-	d.job(1, "", serving(1))
-	d.settle()
-	id := d.job(2, "", fillers(1))
-	d.settle()
+	d, _, id := sharedDesk(t)
 	d.looks(8*time.Second, constant(0.4))
 	d.takeOver()
 	d.paces = nil
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrasshub/eelgrasshub/lease"
 	"github.com/eelgrasshub/eelgrasshub/link"
 	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/wire"
 	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
@@ -77,10 +78,13 @@
 	return failed == 0 || since > storeRest || g.cfg.StoreAge() < since
 }
 
+// storeFailed notes that the store does not serve this gateway now.
+func (g *Gateway) storeFailed() { g.storeFailedAt.Store(int64(lease.BootTime())) }
+
 func (g *Gateway) storeSaid(outcome link.Outcome) {
 	switch outcome {
 	case link.OutcomeNotDone, link.OutcomeUnknown:
-		g.storeFailedAt.Store(int64(lease.BootTime()))
+		g.storeFailed()
 	default:
 		g.storeFailedAt.Store(0)
 	}
@@ -120,17 +124,23 @@
 	return out
 }
 
-func (g *Gateway) relayTo(ctx context.Context, address string, msg any) link.Outcome {
+// callForUs lets one peer make a call for this gateway. The error is wire.ErrNotSent where
+// the peer has certainly not seen it.
+func (g *Gateway) callForUs(ctx context.Context, address string, msg any) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	dial, stop := context.WithTimeout(ctx, peerTimeout)
 	defer stop()
 	conn, err := g.pool.Conn(dial, address)
 	if err != nil {
-		return link.OutcomeNotDone
+		return nil, wire.ErrNotSent
 	}
 	g.counts.Relayed.Add(1)
-	raw, err := conn.Call(ctx, msg)
+	return conn.Call(ctx, msg)
+}
+
+func (g *Gateway) relayTo(ctx context.Context, address string, msg any) link.Outcome {
+	raw, err := g.callForUs(ctx, address, msg)
 	if err != nil {
 		return unsent(err)
 	}
--- a/gateway/lookups.go
+++ b/gateway/lookups.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/eelgrasshub/eelgrasshub/engine"
-	"github.com/eelgrasshub/eelgrasshub/lease"
 	"github.com/eelgrasshub/eelgrasshub/link"
 	"github.com/eelgrasshub/eelgrasshub/workload"
 )
@@ -36,7 +35,7 @@
 		case err == nil:
 			return engine.Lookup{}, AnswerAbsent
 		}
-		g.storeFailedAt.Store(int64(lease.BootTime()))
+		g.storeFailed()
 	}
 	found, answer := g.lookupByPeers(ctx, id)
 	if answer == AnswerUnavailable {
--- a/gateway/store_relay.go
+++ b/gateway/store_relay.go
@@ -97,7 +97,7 @@
 	if s.g.storeWorth() {
 		err = s.attempt(ctx, msg.Op, own)
 		if eris.Is(err, store.ErrUnavailable) || eris.Is(err, store.ErrOutcomeUnknown) && s.g.cfg.StoreAge() > ownTime {
-			s.g.storeSaid(link.OutcomeNotDone)
+			s.g.storeFailed()
 		}
 		if !eris.Is(err, store.ErrUnavailable) {
 			return nil, err
@@ -137,16 +137,7 @@
 }
 
 func (g *Gateway) storeCallAt(ctx context.Context, address string, msg *link.StoreCall) *link.StoreReply {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	dial, stop := context.WithTimeout(ctx, peerTimeout)
-	defer stop()
-	conn, err := g.pool.Conn(dial, address)
-	if err != nil {
-		return nil
-	}
-	g.counts.Relayed.Add(1)
-	raw, err := conn.Call(ctx, msg)
+	raw, err := g.callForUs(ctx, address, msg)
 	reply, ok := raw.(*link.StoreReply)
 	switch {
 	case err == nil && ok:
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -25,13 +25,13 @@
 	ownGap = 3 * aliveEvery
 )
 
-// suspicion is when the planner was last heard. It is safe for concurrent use.
+// suspicion is for how long the planner has not answered. It is safe for concurrent use.
 type suspicion struct {
 	mu      sync.Mutex
 	planner string
 	epoch   uint64
-	heard   time.Duration // on the boot clock; zero: never under this epoch
-	asked   time.Duration // when the first question since then was sent
+	heard   bool          // it has answered under this epoch
+	asked   time.Duration // when the first question since its last answer was sent; 0: none
 	last    time.Duration // when the last one was
 }
 
@@ -40,7 +40,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.planner != planner || s.epoch != epoch {
-		s.planner, s.epoch, s.heard, s.asked = planner, epoch, 0, 0
+		s.planner, s.epoch, s.heard, s.asked = planner, epoch, false, 0
 	}
 	if s.asked == 0 || now-s.last > ownGap {
 		s.asked = now
@@ -49,11 +49,11 @@
 }
 
 // answer notes an answer of the planner that holds the duty under epoch.
-func (s *suspicion) answer(now time.Duration, planner string, epoch uint64) {
+func (s *suspicion) answer(planner string, epoch uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.planner == planner && s.epoch == epoch {
-		s.heard, s.asked = now, 0
+		s.heard, s.asked = true, 0
 	}
 }
 
@@ -62,7 +62,7 @@
 func (s *suspicion) due(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heard != 0 && s.asked != 0 && now-s.asked > suspectAfter && now-s.heard > suspectAfter
+	return s.heard && s.asked != 0 && now-s.asked > suspectAfter
 }
 
 // aliveLoop asks the planner whether it is alive.
@@ -93,7 +93,7 @@
 		return // its silence is what counts
 	}
 	if reply, ok := raw.(*link.AliveReply); ok && reply.Epoch == epoch {
-		g.suspected.answer(lease.BootTime(), planner, epoch)
+		g.suspected.answer(planner, epoch)
 	}
 }
 
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -14,7 +14,7 @@
 	for now := begin; now < end; now += aliveEvery {
 		s.ask(now, "p", 1)
 		if now < livesUntil {
-			s.answer(now+ms, "p", 1)
+			s.answer("p", 1)
 		}
 	}
 }
@@ -53,7 +53,7 @@
 	askFor(s, second, 4*second, 0)
 	c.Check(s.due(4*second), qt.IsFalse)
 	s.ask(4*second, "p", 2)
-	s.answer(4*second+ms, "p", 1)
+	s.answer("p", 1)
 	askFor(s, 4*second, 6*second, 0)
 	c.Check(s.due(6*second), qt.IsFalse, qt.Commentf("an answer under another epoch is none"))
 }
