engine, nodeagent: a dead worker's lease lapses though its agent reports

Cause: a worker crashes for good and its agent lives. An answered report whose lease was nearly over made the agent look at once; the worker's port refused at once; that was reported at once; the answer called for the next look. The planner's tick never saw it pass.

Ruled out: a row whose deletion was lost with the store's history (the worker's end is known by its agent alone here; the jobs' records were whole).

Change: looks out of turn need an answering worker and 100 ms between them; the rest of a lease is reported as negative once it is over, so it ends at one moment; an agent that was started again says that it does not know the lease, and the last grant bounds it (it used to report 0, by which the planner took the lease for over 6 s too early). A stop that is ordered again logs what it waits for.

--- a/engine/ends.go
+++ b/engine/ends.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -156,7 +157,20 @@
 	}
 	o := e.ordersFor(p.worker)
 	o.Stops = append(o.Stops, p.id())
-	e.decided(p, "stop", "")
+	e.decided(p, "stop", p.awaits(now))
+	p.stops++
+}
+
+// awaits says, for the log, what a stop that is ordered again waits for.
+func (p *placement) awaits(now time.Duration) string {
+	if p.stops == 0 {
+		return ""
+	}
+	waited := fmt.Sprintf("ordered %d times before", p.stops)
+	if p.worker.silent {
+		return fmt.Sprintf("%s; the worker does not answer, its lease is over in %d ms", waited, (p.worker.lapseAt - now).Milliseconds())
+	}
+	return fmt.Sprintf("%s; the worker last answered %d ms ago and lists no end", waited, (now - p.worker.lookedAt).Milliseconds())
 }
 
 // lost ends a placement whose run is certainly over without a listed end.
--- a/engine/params.go
+++ b/engine/params.go
@@ -38,7 +38,16 @@
 	retentionSlack = 30 * time.Second
 )
 
+// slowest returns how long a lease with that much left may last by a worker's clock that
+// runs slow; what is over is over.
+func slowest(left time.Duration) time.Duration {
+	if left <= 0 {
+		return left
+	}
+	return time.Duration(float64(left) * clockRate)
+}
+
 // lapse returns when a lease granted now has certainly lapsed.
 func (p Params) lapse(now time.Duration) time.Duration {
-	return now + time.Duration(float64(p.MaxHold)*clockRate) + lapseSlack
+	return now + slowest(p.MaxHold) + lapseSlack
 }
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -40,6 +40,7 @@
 	// stopping: a stop was decided; stopSent is when it was last sent.
 	stopping bool
 	stopSent time.Duration
+	stops    int // how often it was sent
 	missing  int // looks in a row that did not show it
 }
 
--- a/engine/report.go
+++ b/engine/report.go
@@ -48,8 +48,10 @@
 	Epoch     uint64        `cbor:"2,keyasint,omitempty"`
 	Draining  bool          `cbor:"3,keyasint,omitempty"`
 	Remaining time.Duration `cbor:"4,keyasint,omitempty"` // while draining
-	// Silent: the worker has not answered for a while, and nothing extends its lease,
-	// which lapses within LeaseLeft.
+	// Silent: the worker has not answered the agent's last look. LeaseLeft is then the
+	// time until the end of its lease, reckoned from every order that left, answered or
+	// not; negative once that is past. It says nothing unless LeaseKnown: an agent that
+	// was started again does not know what its predecessor ordered.
 	Silent    bool             `cbor:"5,keyasint,omitempty"`
 	LeaseLeft time.Duration    `cbor:"6,keyasint,omitempty"`
 	Running   []RunningRow     `cbor:"7,keyasint,omitempty"`
@@ -58,7 +60,8 @@
 	Left      bool             `cbor:"10,keyasint,omitempty"`
 	// Looked: Running is the worker's own answer, not older than this report's
 	// predecessor.
-	Looked bool `cbor:"11,keyasint,omitempty"`
+	Looked     bool `cbor:"11,keyasint,omitempty"`
+	LeaseKnown bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Verdict is the answer to a report.
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -93,11 +93,18 @@
 }
 
 // hold notes how long the worker's lease may last.
+//
+// The failure it guards against: a worker crashes, and the agent beside it goes on
+// reporting. Its reports must not put off the end of the lease, or what the worker held
+// would never start elsewhere. A lease that is over ends at the same moment in each report,
+// and where the agent does not know it, the last grant to an answering worker bounds it.
 func (e *Engine) hold(now time.Duration, w *worker, r Report) {
 	wasSilent := w.silent
 	w.silent = r.Silent
 	if r.Silent {
-		w.lapseAt = now + time.Duration(float64(r.LeaseLeft)*clockRate) + lapseSlack
+		if r.LeaseKnown {
+			w.lapseAt = now + slowest(r.LeaseLeft) + lapseSlack
+		}
 		return
 	}
 	if wasSilent {
--- /dev/null
+++ b/engine/silent_test.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// silence lets the worker id stay silent for a while: its agent reports every few
+// milliseconds that the lease it knows ends at end. The other workers report as usual.
+func (d *desk) silence(id WorkerID, by, end time.Duration, known bool) {
+	info := d.e.workers[id].info
+	const between = 20 * time.Millisecond
+	for until := d.now + by; d.now < until; d.now += between {
+		for _, w := range d.e.sortedWorkers() {
+			if w.info.ID != id {
+				d.beat(w.info.ID)
+			}
+		}
+		r := Report{Epoch: 1, Worker: info, Silent: true, LeaseKnown: known}
+		if known {
+			r.LeaseLeft = end - d.now
+		}
+		d.report(r)
+		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
+		d.settle()
+	}
+}
+
+// A worker crashes for good in the middle of a gang. Its agent goes on reporting that the
+// worker does not answer, many times a second. Each report put off the end of the lease,
+// the stop of the member there was ordered again and again, and the gang never started
+// anew, with its room free on other workers.
+func TestGangStartsAgainThoughAnAgentKeepsReportingItsDeadWorker(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 4)
+	id := d.job(1, "", gang(2, 8))
+	d.settle()
+	d.pass(500 * time.Millisecond)
+	dead := d.on[d.starts[0].Run]
+	end := d.now + 6*time.Second
+	d.silence(dead, time.Second, end, true)
+	c.Check(d.runs(id)[dead], qt.HasLen, 1, qt.Commentf("it may still run there"))
+	d.silence(dead, 6*time.Second, end, true)
+	d.end(id, EndStopped) // the other member's, which was ordered
+	d.settle()
+	runs := d.runs(id)
+	c.Check(runs[dead], qt.HasLen, 0)
+	c.Check(runs, qt.HasLen, 2, qt.Commentf("it runs on two of the others"))
+}
+
+// The agent beside a silent worker was started again and does not know the lease. What the
+// planner granted before bounds it: neither sooner, since the worker may go on till then,
+// nor later.
+func TestSilentWorkerWithAnUnknownLeaseLapsesByTheLastGrant(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 4)
+	id := d.job(1, "", tasks(1, 8))
+	d.settle()
+	d.pass(500 * time.Millisecond)
+	silent := d.on[d.starts[0].Run]
+	granted := d.now
+	d.silence(silent, 5*time.Second, 0, false)
+	c.Check(d.runs(id)[silent], qt.HasLen, 1, qt.Commentf("it may still run there"))
+	d.silence(silent, d.e.params.lapse(granted)-d.now+time.Second, 0, false)
+	c.Check(d.runs(id)[silent], qt.HasLen, 0)
+}
--- a/engine/stuck_test.go
+++ b/engine/stuck_test.go
@@ -39,7 +39,7 @@
 	d.beat(on)
 	for range 50 {
 		d.now += 100 * time.Millisecond
-		d.report(Report{Epoch: 1, Worker: d.e.workers[on].info, Silent: true, LeaseLeft: 5 * time.Second})
+		d.report(Report{Epoch: 1, Worker: d.e.workers[on].info, Silent: true, LeaseKnown: true, LeaseLeft: 5 * time.Second})
 		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
 		d.settle()
 	}
--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -59,6 +59,9 @@
 	leastGrant = time.Second
 	// renewBelow is the rest of a lease from which a look in progress is not waited for.
 	renewBelow = 3 * time.Second
+	// hurryPause is the least time between two such looks out of turn: several times what
+	// a look takes.
+	hurryPause = 100 * time.Millisecond
 	// membersAfter is how long no known gateway may answer before the register is read.
 	membersAfter = 1500 * time.Millisecond
 )
--- a/nodeagent/finder_test.go
+++ b/nodeagent/finder_test.go
@@ -1,19 +1,15 @@
 package nodeagent
 
 import (
-	"io"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrasshub/eelgrasshub/link"
 )
 
 func testFinder() *finder {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return newFinder(Config{Seeds: []string{"a", "b"}, Log: log}, nil)
+	return newFinder(Config{Seeds: []string{"a", "b"}, Log: quietLog()}, nil)
 }
 
 // The planner's instance loses power. Until another has the duty all gateways still name
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -31,7 +31,9 @@
 	// closely: the planner wants looks more often.
 	closely bool
 
-	failing bool // the last look got no answer
+	// hurriedAt is when a look was last made out of turn to renew the lease.
+	hurriedAt time.Duration
+	failing   bool // the last look got no answer
 	// failingFrom is when looks began to get none.
 	failingFrom time.Duration
 	running     []engine.RunningRow
@@ -74,6 +76,20 @@
 	return l.leaseEnd != 0 && l.surveyed != l.leaseEnd && now > l.leaseEnd-lapseSlack
 }
 
+// hurry says whether the lease needs a look out of turn now, to renew it, and notes that
+// it is made.
+//
+// The failure it guards against: looks out of turn at a worker that refuses them at once
+// are reported at once, and the answers to the reports call for the next looks: a loop as
+// fast as the network. A worker that does not answer is tried again by the looks in turn.
+func (l *life) hurry(now time.Duration) bool {
+	if l.failing || l.leaseEnd == 0 || l.leaseEnd-now >= renewBelow || now-l.hurriedAt < hurryPause {
+		return false
+	}
+	l.hurriedAt = now
+	return true
+}
+
 // take notes an answered look that was asked for at sent and came at now. before is the
 // lease's end as it was when the look was sent. A look sent after that follows a lapse,
 // so the ends that it shows and that nobody took note of count as not having been. Once
@@ -145,10 +161,13 @@
 // report returns the life as a report, and what of it is new since the last.
 func (l *life) report(now time.Duration, epoch uint64) engine.Report {
 	r := engine.Report{
-		Worker:    l.info,
-		Draining:  l.draining,
-		Silent:    l.failing,
-		LeaseLeft: max(0, l.leaseEnd-now),
+		Worker:     l.info,
+		Draining:   l.draining,
+		Silent:     l.failing,
+		LeaseKnown: l.leaseEnd != 0,
+	}
+	if r.LeaseKnown {
+		r.LeaseLeft = l.leaseEnd - now
 	}
 	if l.draining {
 		r.Remaining = max(0, l.leavesAt-now)
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -127,7 +127,7 @@
 	l.closely = reply.Closely
 	if reply.Attached {
 		a.granted = max(a.granted, sent+a.cfg.MaxHold)
-		if l.leaseEnd != 0 && l.leaseEnd-now() < renewBelow {
+		if l.hurry(now()) {
 			a.interrupt() // after a gap; a look that waits would come too late
 		}
 	}
