platform, records, engine: what another writer left names no worker and stops no planner

A job whose progress can't be read is withheld, since it may have run; a worker whose record can't be read is known by its id, so that what it may hold is waited for, and is used again once it reports itself. One bounded line of the log says which key and why. A worker whose record has just been written is planned with at once and not at the next tick.

--- a/engine/reports.go
+++ b/engine/reports.go
@@ -63,6 +63,12 @@
 		w = e.addWorker(now, info)
 		e.unrecorded[info.ID] = w
 	}
+	if w.info.Agent == "" {
+		// Its record could not be read; what it says itself goes on record.
+		w.info = info
+		w.recorded = false
+		e.unrecorded[info.ID] = w
+	}
 	e.byAgent[info.Agent] = info.ID
 	return w
 }
--- a/engine/write.go
+++ b/engine/write.go
@@ -97,6 +97,7 @@
 	for _, info := range w.Workers {
 		if known := e.workers[info.ID]; known != nil {
 			known.recorded = true
+			e.replan = true
 		}
 		delete(e.unrecorded, info.ID)
 	}
--- a/gateway/term_load.go
+++ b/gateway/term_load.go
@@ -37,8 +37,22 @@
 	return t.ledger.Load(ctx, time.Now())
 }
 
+// mostUnreadable bounds the lines of the log about records that can't be read.
+const mostUnreadable = 10
+
+func (t *term) tellUnreadable(all []records.Unreadable) {
+	for i, u := range all {
+		if i == mostUnreadable {
+			t.log.WithField("more", len(all)-i).Error("further records can't be read")
+			return
+		}
+		t.log.WithField("key", u.Key).WithError(u.Why).Error("record can't be read; it is passed over")
+	}
+}
+
 func (t *term) restore(state records.State) {
 	now := lease.BootTime()
+	t.tellUnreadable(state.Unreadable)
 	if view, ok := t.g.inForce.View(); ok {
 		t.engine.Step(now, engine.CatalogChanged{Catalog: view.Catalog})
 	}
--- a/records/ledger.go
+++ b/records/ledger.go
@@ -34,6 +34,14 @@
 	Workers []engine.WorkerInfo
 	// At is where a watch of the intake goes on.
 	At store.Revision
+	// Unreadable are records that another writer left and that are passed over.
+	Unreadable []Unreadable
+}
+
+// Unreadable is a record that can't be decoded.
+type Unreadable struct {
+	Key string
+	Why error
 }
 
 // OpenLedger returns a Ledger that writes while the key of guard is as it says.
@@ -42,6 +50,11 @@
 }
 
 // Load reads all records. wall is the time of day, by which the age of jobs is told.
+//
+// The failure it guards against: one record that can't be read would keep every planner
+// from planning. The others hold: a job whose own record or progress can't be read stays
+// out, since starting it could run it twice; a worker whose record can't be read is known
+// by its key alone, so that what it may hold is waited for.
 func (l *Ledger) Load(ctx context.Context, wall time.Time) (State, error) {
 	snap, err := l.store.List(ctx, rootPrefix)
 	if err != nil {
@@ -50,6 +63,7 @@
 	out := State{At: snap.At}
 	progress := map[workload.JobID]*engine.Progress{}
 	cancelled := map[workload.JobID]int64{}
+	withheld := map[workload.JobID]bool{}
 	for _, kv := range snap.Keys {
 		switch {
 		case strings.HasPrefix(kv.Key, cancelPrefix):
@@ -58,14 +72,22 @@
 			l.revisions[kv.Key] = kv.Mod
 			p := &engine.Progress{}
 			if err := json.Unmarshal(kv.Value, p); err != nil {
-				return State{}, eris.Wrapf(err, "record %s", kv.Key)
+				out.passOver(kv.Key, err)
+				withheld[idOf(kv.Key, runPrefix)] = true
+				continue
 			}
 			progress[idOf(kv.Key, runPrefix)] = p
 		case strings.HasPrefix(kv.Key, workerPrefix):
 			l.revisions[kv.Key] = kv.Mod
 			var w engine.WorkerInfo
-			if err := json.Unmarshal(kv.Value, &w); err != nil {
-				return State{}, eris.Wrapf(err, "record %s", kv.Key)
+			id := engine.WorkerID(strings.TrimPrefix(kv.Key, workerPrefix))
+			err := json.Unmarshal(kv.Value, &w)
+			if err == nil && w.ID != id {
+				err = eris.Errorf("is of worker %.40q", w.ID)
+			}
+			if err != nil {
+				out.passOver(kv.Key, err)
+				w = engine.WorkerInfo{ID: id}
 			}
 			out.Workers = append(out.Workers, w)
 		}
@@ -76,15 +98,23 @@
 		}
 		submitted, err := decodeJob(kv, wall)
 		if err != nil {
-			return State{}, err
+			out.passOver(kv.Key, err)
+			continue
 		}
 		id := submitted.Job.ID
+		if withheld[id] {
+			continue
+		}
 		order, wasCancelled := cancelled[id]
 		out.Jobs = append(out.Jobs, engine.Restored{Submitted: submitted, Progress: progress[id], Cancelled: wasCancelled, CancelOrder: order})
 	}
 	return out, nil
 }
 
+func (s *State) passOver(key string, why error) {
+	s.Unreadable = append(s.Unreadable, Unreadable{Key: key, Why: why})
+}
+
 // mostAge bounds the age told of a job: the time of day may jump.
 const mostAge = 2 * time.Minute
 
@@ -93,6 +123,9 @@
 	if err := json.Unmarshal(kv.Value, &j); err != nil {
 		return engine.Submitted{}, eris.Wrapf(err, "record %s", kv.Key)
 	}
+	if j.ID != idOf(kv.Key, jobPrefix) || len(j.Steps) == 0 {
+		return engine.Submitted{}, eris.Errorf("record %s: not a job of that id with steps", kv.Key)
+	}
 	age := min(max(wall.Sub(j.Submitted), 0), mostAge)
 	return engine.Submitted{Job: j, Order: int64(kv.Created), Age: age}, nil
 }
--- a/records/ledger_test.go
+++ b/records/ledger_test.go
@@ -160,3 +160,34 @@
 	outcome, _ = intake.Accept(context.Background(), other)
 	c.Check(outcome, qt.Equals, link.OutcomeMismatch)
 }
+
+// Another writer leaves rows below our prefix that can't be read. A planner that took over
+// could not read the records then, and nobody planned any more. The other records hold; a
+// job whose progress can't be read is withheld, since it may have run; a worker whose
+// record can't be read is still waited for, since it may hold what is on record.
+func TestUnreadableRecordsAreOnlyTheirOwnLoss(t *testing.T) {
+	c, srv, kv := open(t)
+	ctx := context.Background()
+	intake := records.NewIntake(kv)
+	for _, id := range []workload.JobID{"good", "half"} {
+		outcome, _ := intake.Accept(ctx, aJob(id))
+		c.Assert(outcome, qt.Equals, link.OutcomeStored)
+	}
+	srv.Put("workloads/in/job/bytes", []byte{0xff, 0x00})
+	srv.Put("workloads/in/job/other", []byte(`{"id":"good"}`))
+	srv.Put("workloads/in/job/type", []byte(`{"id":7}`))
+	srv.Put("workloads/run/half", []byte(`{"state":[]}`))
+	srv.Put("workloads/worker/w1", []byte(`{"id":"w2","agent":"a"}`))
+	srv.Put("workloads/worker/w3", []byte(`"text"`))
+	srv.Put("workloads/unknown/x", []byte(`{}`))
+
+	state, err := ledger(c, kv).Load(ctx, wall)
+	c.Assert(err, qt.IsNil)
+	c.Assert(state.Jobs, qt.HasLen, 1)
+	c.Check(state.Jobs[0].Job.ID, qt.Equals, workload.JobID("good"))
+	c.Check(state.Workers, qt.DeepEquals, []engine.WorkerInfo{{ID: "w1"}, {ID: "w3"}})
+	c.Check(state.Unreadable, qt.HasLen, 6)
+	for _, u := range state.Unreadable {
+		c.Check(u.Why, qt.Not(qt.IsNil), qt.Commentf("%s", u.Key))
+	}
+}
