engine, gateway, metrics: work thrown away by cause, and why a job was late

Each run that ends undone is accounted for once, with its first cause (evicted, cancelled, worker lost, drained, stood still, lease lapsed, a member of the gang ended and so on), the core-seconds lost and those a checkpoint kept; each job completed after its objective names what its time went into. Both as a line of the log and as sums on the metrics page.

Before: the log told that a run had ended, not what it cost; nothing told why a job was late. No decision changes.

--- /dev/null
+++ b/engine/discard.go
@@ -0,0 +1,75 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// Cause is why a run ended without its work being done.
+type Cause string
+
+// Causes.
+const (
+	causeNone       Cause = ""
+	CauseEvicted    Cause = "evicted"              // for a unit of higher rank
+	CauseCancelled  Cause = "cancelled"            // by the caller
+	CauseJobFailed  Cause = "job failed"           // another of its tasks failed for good
+	CauseFailed     Cause = "failed"               // by its own fault or the worker's
+	CauseMember     Cause = "member ended"         // another member of the gang ended
+	CauseAlone      Cause = "members missing"      // the other members did not come in time
+	CauseWorkerLost Cause = "worker lost"          // with all that ran there
+	CauseLapsed     Cause = "lease lapsed"         // nobody extended it
+	CauseDrained    Cause = "worker drained"       // moved before the worker left
+	CauseStuck      Cause = "stood still"          // and was moved
+	CauseUnanswered Cause = "start unanswered"     // it may or may not run
+	CauseNotShown   Cause = "not shown"            // looks did not show it
+	CauseRefused    Cause = "gang incomplete"      // not all members could be ordered
+	CauseDisturbs   Cause = "disturbs what serves" // it filled beside it
+	CauseTakeover   Cause = "takeover"             // a predecessor left it half done
+)
+
+// Discarded is work of one run that was thrown away, in core-seconds; an accelerator
+// counts as several cores, see workload.Resources.Cores.
+type Discarded struct {
+	Run     workload.RunID
+	Account string
+	Queue   string
+	Worker  WorkerID
+	Cause   Cause
+	// Lost has to be done again; Saved is kept by a checkpoint.
+	Lost, Saved float64
+}
+
+func (Discarded) isAction() {}
+
+// blame notes why the present run of u ends. The first cause stands: what follows from it,
+// such as the end of a gang's other members, is not another.
+func (u *unit) blame(c Cause) {
+	if u.cause == causeNone && u.state == unitActive {
+		u.cause = c
+	}
+}
+
+// discard accounts for the work of a run that is over without being done.
+func (e *Engine) discard(now time.Duration, p *placement) {
+	u := p.unit
+	if u.verdict == verdictDone || u.cause == causeNone || p.began == 0 || p.state != placeRunning {
+		return
+	}
+	ran := now - p.began
+	saved := min(max(p.savedAt-p.began, 0), ran)
+	cores := p.demand.Cores()
+	e.actions = append(e.actions, Discarded{
+		Run:     p.id(),
+		Account: u.job.spec.Account,
+		Queue:   u.job.spec.Queue,
+		Worker:  p.worker.info.ID,
+		Cause:   u.cause,
+		Lost:    cores * (ran - saved).Seconds(),
+		Saved:   cores * saved.Seconds(),
+	})
+	if len(u.places) == 1 {
+		u.spent.again += ran // the members of a gang run beside each other
+	}
+}
--- /dev/null
+++ b/engine/discard_test.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// ledger sums what the engine says was thrown away, by cause.
+type ledger struct{ lost, saved map[Cause]float64 }
+
+// account takes the engine's actions so far.
+func (d *desk) account() ledger {
+	out := ledger{lost: map[Cause]float64{}, saved: map[Cause]float64{}}
+	for _, a := range d.discarded {
+		out.lost[a.Cause] += a.Lost
+		out.saved[a.Cause] += a.Saved
+	}
+	return out
+}
+
+// A job is cancelled after two seconds of work on 4 cores and 8 accelerators: all of it is
+// accounted for under that cause, once.
+func TestCancelledWorkIsAccountedFor(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 2)
+	id := d.job(1, "", tasks(1, 8))
+	d.settle()
+	d.pass(2 * time.Second)
+	d.step(CancelRequested{Job: id})
+	d.end(id, EndStopped)
+	d.settle()
+	got := d.account()
+	c.Check(got.lost, qt.HasLen, 1)
+	c.Check(got.lost[CauseCancelled] > 100 && got.lost[CauseCancelled] < 150, qt.IsTrue, qt.Commentf("%v", got.lost))
+}
+
+// One member of a gang fails; the others end broken or are stopped. The failure is the one
+// cause of all that was lost, and a gang that is done loses nothing.
+func TestGangIsLostForOneCause(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 3)
+	id := d.job(1, "", gang(2, 8))
+	d.settle()
+	d.pass(time.Second)
+	d.end(id, EndFailed)
+	d.settle()
+	c.Check(d.account().lost, qt.HasLen, 1)
+	c.Check(d.account().lost[CauseFailed] > 0, qt.IsTrue)
+	d.pass(time.Second)
+	before := len(d.discarded)
+	d.end(id, EndDone)
+	d.settle()
+	c.Check(d.discarded, qt.HasLen, before)
+}
+
+// A run that was shown with a checkpoint and is lost with its worker has lost what it did
+// since then.
+func TestCheckpointKeepsWhatWasDoneBefore(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	step := tasks(1, 8)
+	step.Checkpoints = true
+	id := d.job(1, "", step)
+	d.settle()
+	d.pass(time.Second)
+	w := d.e.workers["w0"]
+	run := d.runs(id)["w0"][0]
+	d.report(Report{Epoch: 1, Looked: true, Worker: w.info, Running: []RunningRow{{Run: run, Checkpoint: "c1", Percent: 40}}})
+	d.now += time.Second
+	d.report(Report{Worker: w.info, Left: true})
+	d.settle()
+	got := d.account()
+	c.Check(got.lost[CauseWorkerLost] > 60 && got.lost[CauseWorkerLost] < 80, qt.IsTrue, qt.Commentf("%v", got.lost))
+	c.Check(got.saved[CauseWorkerLost] > 60, qt.IsTrue, qt.Commentf("%v", got.saved))
+}
+
+// A job waits for room behind another for longer than its objective allows. The log names
+// that, and not its run, as the reason.
+func TestLateJobNamesItsReason(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	first := d.job(1, "", tasks(1, 8))
+	d.settle()
+	second := d.job(1, "", tasks(1, 8))
+	d.pass(15 * time.Second)
+	d.end(first, EndDone)
+	d.settle()
+	d.pass(4 * time.Second)
+	d.end(second, EndDone)
+	d.settle()
+	c.Assert(d.late, qt.HasLen, 2)
+	c.Check(d.late[0].Reason, qt.Equals, "the run took longer than declared")
+	c.Check(d.late[1].Reason, qt.Equals, "waited for room")
+}
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -24,6 +24,7 @@
 	u := p.unit
 	if row.Checkpoint != "" {
 		u.saved = row.Checkpoint
+		p.savedAt = now // all work up to its end
 	}
 	e.judge(now, p, reason)
 	e.over(now, p)
@@ -35,6 +36,9 @@
 func (e *Engine) judge(now time.Duration, p *placement, reason EndReason) {
 	u := p.unit
 	e.decided(p, "ended", string(reason))
+	if cause, undone := causeOfEnd[reason]; undone {
+		u.blame(cause)
+	}
 	switch reason {
 	case EndDone:
 		p.worker.health.succeeded()
@@ -57,6 +61,15 @@
 	}
 }
 
+// causeOfEnd is why a run that ended by itself was in vain. One that was stopped has the
+// cause of its stop.
+var causeOfEnd = map[EndReason]Cause{
+	EndFailed: CauseFailed,
+	EndLapsed: CauseLapsed,
+	EndBroken: CauseMember,
+	EndAlone:  CauseAlone,
+}
+
 func (e *Engine) retry(u *unit) {
 	if u.verdict == verdictNone {
 		u.verdict = verdictRetry
@@ -71,8 +84,14 @@
 	}
 	u.verdict = verdictDone
 	u.state = unitDone
+	if len(u.places) > 0 {
+		u.spent.run = now - u.places[0].began
+	}
 	e.change(u.job)
 	e.advance(now, u.job)
+	if u.job.state == workload.Completed {
+		e.tellLate(now, u.job, u)
+	}
 }
 
 func (e *Engine) unitFailed(now time.Duration, p *placement) {
@@ -106,6 +125,7 @@
 		w.used = w.used.Sub(p.demand)
 	}
 	u := p.unit
+	e.discard(now, p)
 	u.places = slices.DeleteFunc(u.places, func(o *placement) bool { return o == p })
 	e.replan = true
 	if len(u.places) > 0 {
@@ -117,18 +137,20 @@
 		u.since = now
 	}
 	u.verdict = verdictNone
+	u.cause = causeNone
 }
 
 // stopRest stops the members of a gang that one member has left. Those of a run that
 // is done end by themselves.
 func (e *Engine) stopRest(now time.Duration, u *unit) {
 	if u.verdict == verdictRetry {
-		e.stopAll(now, u)
+		e.stopAll(now, u, CauseMember)
 	}
 }
 
-// stopAll decides that the present run of a unit ends.
-func (e *Engine) stopAll(now time.Duration, u *unit) {
+// stopAll decides that the present run of a unit ends, for a cause.
+func (e *Engine) stopAll(now time.Duration, u *unit, cause Cause) {
+	u.blame(cause)
 	if u.state == unitActive && u.verdict == verdictNone {
 		u.verdict = verdictRetry
 	}
@@ -174,8 +196,9 @@
 }
 
 // lost ends a placement whose run is certainly over without a listed end.
-func (e *Engine) lost(now time.Duration, p *placement, why string) {
+func (e *Engine) lost(now time.Duration, p *placement, cause Cause, why string) {
 	e.decided(p, "lost", why)
+	p.unit.blame(cause)
 	if p.saved != "" {
 		p.unit.saved = p.saved
 	}
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -39,7 +39,7 @@
 	}
 	for _, v := range best.victims {
 		r.e.decided(v.places[0], "evict", fmt.Sprintf("for %s, %.0f core-seconds lost of all its victims", u.job.spec.ID, best.cost))
-		r.e.stopAll(r.now, v)
+		r.e.stopAll(r.now, v, CauseEvicted)
 	}
 	u.claims = best.slots
 	u.claimedAt = r.now
@@ -166,7 +166,7 @@
 				continue // it goes on saving here until there is room
 			}
 			e.decided(p, "move", "the worker leaves")
-			e.stopAll(r.now, p.unit)
+			e.stopAll(r.now, p.unit, CauseDrained)
 		}
 	}
 }
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -24,6 +24,9 @@
 	said map[workload.JobID]map[string]int
 	on   map[workload.RunID]WorkerID // where each start went
 	ends map[WorkerID]int64
+	// discarded and late are what the engine accounted for.
+	discarded []Discarded
+	late      []Late
 }
 
 func newDesk(t *testing.T, workers int) *desk {
@@ -74,6 +77,12 @@
 			}
 			d.said[said.Job][said.What]++
 		}
+		switch a := a.(type) {
+		case Discarded:
+			d.discarded = append(d.discarded, a)
+		case Late:
+			d.late = append(d.late, a)
+		}
 		o, ok := a.(Orders)
 		if !ok {
 			continue
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -76,8 +76,11 @@
 	e.actions = append(e.actions, Finished{Account: j.spec.Account, Queue: j.spec.Queue, State: state, Took: now - j.accepted})
 	for _, u := range j.units {
 		e.dropClaims(u)
-		if state != workload.Completed {
-			e.stopAll(now, u)
+		switch state {
+		case workload.Cancelled:
+			e.stopAll(now, u, CauseCancelled)
+		case workload.Failed:
+			e.stopAll(now, u, CauseJobFailed)
 		}
 	}
 	e.replan = true
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -35,7 +35,7 @@
 		e.decided(p, "start unanswered", "")
 		p.worker.health.failed(p.unit, now)
 		e.retry(p.unit)
-		e.stopAll(now, p.unit)
+		e.stopAll(now, p.unit, CauseUnanswered)
 		return
 	case StartUnhealthy:
 		p.worker.health.rest(now)
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -32,8 +32,9 @@
 	percent int
 	load    int  // see RunningRow.Load
 	pace    pace // of what fills
-	// saved is the last checkpoint seen.
-	saved string
+	// saved is the last checkpoint seen, savedAt when it was first seen.
+	saved   string
+	savedAt time.Duration
 	// began is when the start was confirmed, movedAt when percent last grew.
 	began   time.Duration
 	movedAt time.Duration
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -119,6 +119,8 @@
 	r.unclaim(u)
 	u.run++
 	u.state = unitActive
+	u.placedAt = r.now
+	u.spent.room += r.now - u.since
 	u.verdict = verdictNone
 	for i, index := range u.indexes() {
 		r.e.put(u, index, workers[i])
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -163,7 +163,10 @@
 		p.movedAt = now
 	}
 	p.load = row.Load
-	p.saved = row.Checkpoint
+	if row.Checkpoint != p.saved {
+		p.saved = row.Checkpoint
+		p.savedAt = now
+	}
 }
 
 // stray stops a run that nobody here placed or that was given up for lost.
@@ -185,7 +188,7 @@
 	if p == nil || p.run != run.Number || !p.stopping {
 		return
 	}
-	e.lost(now, p, "stopped before it was there")
+	e.lost(now, p, CauseUnanswered, "stopped before it was there")
 }
 
 // miss counts the looks that do not show a running task, and stops it after some: the
@@ -198,7 +201,7 @@
 		p.missing++
 		if p.missing >= missingLooks {
 			e.retry(p.unit)
-			e.stopAll(now, p.unit)
+			e.stopAll(now, p.unit, CauseNotShown)
 		}
 	}
 	for run := range w.strays {
@@ -213,7 +216,7 @@
 func (e *Engine) settleAdopted(now time.Duration, w *worker) {
 	for _, p := range w.sortedPlaces() {
 		if p.state == placeAdopted {
-			e.lost(now, p, "not there under the new epoch")
+			e.lost(now, p, CauseTakeover, "not there under the new epoch")
 		}
 	}
 	for _, p := range w.sortedPlaces() {
@@ -230,7 +233,7 @@
 		return
 	}
 	for _, p := range w.sortedPlaces() {
-		e.lost(now, p, why)
+		e.lost(now, p, CauseWorkerLost, why)
 	}
 	e.forget(w)
 }
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -49,7 +49,7 @@
 	j.cancelOrder = ev.CancelOrder
 	if j.state.Final() {
 		for _, u := range j.units {
-			e.stopAll(now, u)
+			e.stopAll(now, u, CauseTakeover)
 		}
 		return
 	}
@@ -105,7 +105,7 @@
 		u.state = unitActive
 	case len(u.places) > 0:
 		u.state = unitActive
-		e.stopAll(now, u)
+		e.stopAll(now, u, CauseTakeover)
 	}
 }
 
--- a/engine/sharing.go
+++ b/engine/sharing.go
@@ -139,7 +139,7 @@
 			continue
 		}
 		e.decided(p, "move", "the worker does not hold it back")
-		e.stopAll(now, p.unit)
+		e.stopAll(now, p.unit, CauseDisturbs)
 	}
 }
 
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -37,7 +37,7 @@
 	if !w.lapsed && now >= w.lapseAt {
 		w.lapsed = true
 		for _, p := range w.sortedPlaces() {
-			e.lost(now, p, "the worker's lease lapsed")
+			e.lost(now, p, CauseLapsed, "the worker's lease lapsed")
 		}
 		// What it lists later was not placed by anyone any more.
 		w.attached = false
@@ -55,7 +55,7 @@
 			e.decided(p, "stuck", fmt.Sprintf("at %d%% for %v", p.percent, now-p.movedAt))
 			p.worker.health.failed(p.unit, now)
 			p.unit.avoid(now, w.info.ID)
-			e.stopAll(now, p.unit)
+			e.stopAll(now, p.unit, CauseStuck)
 		}
 	}
 }
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -40,8 +40,13 @@
 	failedRun  int // the last run that counted as a failure
 	saved      string
 	places     []*placement
+	// cause is why the present run ends undone; causeNone while it does not.
+	cause Cause
+	spent spent
 	// since is when the unit last began to wait.
-	since     time.Duration
+	since time.Duration
+	// placedAt is when its present run was decided.
+	placedAt  time.Duration
 	notBefore time.Duration
 	// tellNext is when the log may say again what the unit waits for.
 	tellNext time.Duration
--- a/engine/write.go
+++ b/engine/write.go
@@ -161,6 +161,7 @@
 func (e *Engine) order(now time.Duration, p *placement) {
 	p.state = placeOrdered
 	p.began = now
+	p.unit.spent.record = now - p.unit.placedAt
 	p.movedAt = now
 	o := e.ordersFor(p.worker)
 	ticket, _ := p.unit.ticketOn(now, p.worker.info.ID)
@@ -176,7 +177,7 @@
 		u.job.touched()
 		e.dirty[u.job.spec.ID] = true
 	}
-	e.stopAll(now, u)
+	e.stopAll(now, u, CauseRefused)
 }
 
 func (j *job) unit(occurrence, step, index int) *unit {
--- /dev/null
+++ b/gateway/term_ledger.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+)
+
+// logDiscarded accounts for work that was thrown away.
+func (t *term) logDiscarded(d engine.Discarded) {
+	label := d.Queue + "/" + string(d.Cause)
+	t.g.lost.Add(label, d.Lost)
+	t.g.saved.Add(label, d.Saved)
+	t.log.WithFields(logrus.Fields{
+		"job":                d.Run.Task.Job,
+		"task":               d.Run.Task.String(),
+		"run":                d.Run.Number,
+		"queue":              d.Queue,
+		"account":            d.Account,
+		"worker":             d.Worker,
+		"cause":              d.Cause,
+		"lost_core_seconds":  d.Lost,
+		"saved_core_seconds": d.Saved,
+	}).Info("work thrown away")
+}
+
+// logLate accounts for a job that was completed after its objective.
+func (t *term) logLate(l engine.Late) {
+	t.g.late.Add(l.Queue+"/"+l.Reason, 1)
+	t.log.WithFields(logrus.Fields{
+		"job":     l.Job,
+		"queue":   l.Queue,
+		"account": l.Account,
+		"reason":  l.Reason,
+		"detail":  l.Detail,
+	}).Info("objective missed")
+}
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -27,6 +27,10 @@
 			t.logDecision(a)
 		case engine.Began:
 			t.g.waits.Observe(a.Account+"/"+a.Queue, a.Waited)
+		case engine.Discarded:
+			t.logDiscarded(a)
+		case engine.Late:
+			t.logLate(a)
 		case engine.Finished:
 			t.g.completions.Observe(a.Account+"/"+a.Queue+"/"+string(a.State), a.Took)
 		}
