engine: checkpoints of running work go on record

A checkpoint was only known to the planner that saw it, and went on record when its run ended; after a loss of everything each task began anew.

Change: each second the newest checkpoints of at most 15 jobs, those with the most work that is not on record, share one write. The bound keeps the cost from growing with the fleet.

--- /dev/null
+++ b/engine/checkpoints_test.go
@@ -0,0 +1,71 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A site loses power: workers, agents and gateways at once. Its tasks had saved their
+// progress each second or so, but only the planner that died had seen the checkpoints, so
+// all of them began anew. The next planner must find them on record.
+func TestCheckpointsOutliveALossOfEverything(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 2)
+	step := tasks(1, 8)
+	step.Checkpoints = true
+	id := d.job(1, "", step)
+	d.settle()
+	on := d.on[d.starts[0].Run]
+	d.showCheckpoint(on, "saved-1")
+	d.pass(2 * keepEvery)
+	d.showCheckpoint(on, "saved-2")
+	d.pass(2 * keepEvery)
+	d.takeOver()
+	for _, w := range d.e.sortedWorkers() {
+		d.report(Report{Worker: w.info, Left: true})
+	}
+	for i := range 2 {
+		again := d.worker(10 + i)
+		again.Epoch = d.e.epoch
+		d.report(again)
+	}
+	d.starts = nil
+	d.settle()
+	c.Assert(d.starts, qt.HasLen, 1, qt.Commentf("%v", d.runs(id)))
+	c.Check(d.starts[0].Checkpoint, qt.Equals, "saved-2")
+}
+
+// Tens of thousands of tasks save their progress. What is written must not grow with them:
+// a bounded number of jobs each time, those with the most unkept work first.
+func TestCheckpointWritesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	const jobs = 3 * keepMost
+	d := newDesk(t, jobs)
+	step := tasks(1, 8)
+	step.Checkpoints = true
+	for range jobs {
+		d.job(1, "", step)
+	}
+	d.settle()
+	for i, s := range d.starts {
+		d.showCheckpoint(d.on[s.Run], fmt.Sprint("saved-", i))
+	}
+	d.now += keepEvery
+	d.step(Tick{Wall: time.Unix(1000, 0)})
+	w := d.e.Changes(d.now, time.Unix(1000, 0), 10*jobs)
+	c.Check(w.Jobs, qt.HasLen, keepMost)
+}
+
+// showCheckpoint lets a worker show its one run with a new checkpoint.
+func (d *desk) showCheckpoint(id WorkerID, saved string) {
+	w := d.e.workers[id]
+	r := Report{Epoch: d.e.epoch, Looked: true, Worker: w.info}
+	for _, p := range w.sortedPlaces() {
+		r.Running = append(r.Running, RunningRow{Run: p.id(), Checkpoint: saved, Percent: p.percent + 1})
+	}
+	d.now += 100 * time.Millisecond
+	d.report(r)
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -33,6 +33,8 @@
 	// spareRack is the rack that patient work leaves alone.
 	spareRack string
 	lastPlan  time.Duration
+	// keptAt is when checkpoints of running work were last put on record.
+	keptAt time.Duration
 	// workersChanged is when a worker last came, which may make a job possible.
 	workersChanged time.Duration
 	wall           time.Time
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -161,7 +161,7 @@
 	w := d.e.workers[id]
 	r := Report{Epoch: 1, Looked: true, Worker: w.info}
 	for _, p := range w.sortedPlaces() {
-		r.Running = append(r.Running, RunningRow{Run: p.id(), Percent: p.percent + 1})
+		r.Running = append(r.Running, RunningRow{Run: p.id(), Percent: p.percent + 1, Checkpoint: p.saved})
 	}
 	d.report(r)
 }
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -28,6 +28,7 @@
 	for _, j := range slices.Clone(e.sequence) {
 		e.tickJob(now, j)
 	}
+	e.keepCheckpoints(now)
 	if now-e.lastPlan >= replanEvery {
 		e.replan = true
 	}
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -39,7 +39,9 @@
 	failures   int
 	failedRun  int // the last run that counted as a failure
 	saved      string
-	places     []*placement
+	// keptTo is when the checkpoint in saved was first seen, while its run goes on.
+	keptTo time.Duration
+	places []*placement
 	// cause is why the present run ends undone; causeNone while it does not.
 	cause Cause
 	spent spent
