engine, settings: the planner's judgement as one typed Policy

Each mechanism that rests on judgement and not on a promise has a name, a switch or a weight, a unit and a default in engine.Policy; settings can set it below [policy], checked and documented. No decision changes.

--- a/engine/checkpoints.go
+++ b/engine/checkpoints.go
@@ -21,7 +21,7 @@
 
 // keepCheckpoints marks the jobs whose newest checkpoints go on record now.
 func (e *Engine) keepCheckpoints(now time.Duration) {
-	if now-e.keptAt < keepEvery {
+	if !e.params.Policy.KeptCheckpoints || now-e.keptAt < keepEvery {
 		return
 	}
 	e.keptAt = now
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -49,7 +49,7 @@
 		}
 		e.unitDone(now, u)
 	case EndFailed:
-		p.worker.health.failed(u, now)
+		e.distrust(now, p)
 		e.unitFailed(now, p)
 	case EndStopped:
 		if p.stopping {
@@ -99,7 +99,7 @@
 	if u.state == unitDone {
 		return
 	}
-	u.avoid(now, p.worker.info.ID)
+	e.avoid(now, p)
 	if u.spec().LongRunning {
 		e.retry(u)
 		return
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -54,6 +54,9 @@
 // New returns an Engine for one term of a planner. inherited is how much longer than
 // usual the leases that predecessors granted may last.
 func New(params Params, epoch uint64, now, inherited time.Duration) *Engine {
+	if params.Policy == (Policy{}) {
+		params.Policy = DefaultPolicy()
+	}
 	return &Engine{
 		inherited:      inherited,
 		params:         params,
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -47,14 +47,9 @@
 	return true
 }
 
-const (
-	// waitShare is the share of a job's slack that it may wait for room that is expected
-	// to become free: forecasts rest on declared run times, which are off by half.
-	waitShare = 0.4
-	// reclaimMargin is kept from the time in which a guaranteed job has to start, for
-	// what follows the stop: the record, the order and a report that comes late.
-	reclaimMargin = 700 * time.Millisecond
-)
+// reclaimMargin is kept from the time in which a guaranteed job has to start, for what
+// follows the stop: the record, the order and a report that comes late.
+const reclaimMargin = 700 * time.Millisecond
 
 // pays says whether an eviction is better than waiting.
 func (r *round) pays(u *unit, way *eviction, near domains) bool {
@@ -66,15 +61,19 @@
 	if r.protected[u.job] && r.now+stop+reclaimMargin >= u.since+r.e.params.Reclaim {
 		return true
 	}
+	policy := &r.e.params.Policy
+	if !policy.Evictions {
+		return false
+	}
 	slack := u.job.objective() - r.now - r.e.estimate(u)
-	if wait <= max(r.e.tracker.stop, time.Duration(waitShare*float64(slack))) {
+	if wait <= max(r.e.tracker.stop, time.Duration(policy.EvictionWait*float64(slack))) {
 		return false
 	}
 	own := u.total().Cores() * r.e.estimate(u).Seconds()
 	if r.now+wait+r.e.estimate(u) > u.job.useless() {
 		own *= lateFactor
 	}
-	return way.cost <= own
+	return way.cost <= policy.EvictionWorth*own
 }
 
 // cheapest returns the eviction that throws the least work away.
@@ -150,6 +149,9 @@
 // leave moves work off workers that drain: what can't end before the worker leaves is
 // stopped now, so that it saves its checkpoint and starts elsewhere sooner.
 func (e *Engine) leave(r *round) {
+	if !e.params.Policy.DrainMoves {
+		return
+	}
 	for _, w := range e.sortedWorkers() {
 		if !w.draining || !w.attached {
 			continue
--- a/engine/fit.go
+++ b/engine/fit.go
@@ -40,6 +40,9 @@
 // a gang that wants to be close together, else anywhere.
 func (r *round) near(u *unit) domains {
 	s := u.spec()
+	if !r.e.params.Policy.RackPreference {
+		return domains{sets: [][]*worker{r.workers}, anywhere: true}
+	}
 	if s.PreferredRack != "" && r.couldHold(u, r.racks[s.PreferredRack]) {
 		return domains{sets: [][]*worker{r.racks[s.PreferredRack]}}
 	}
--- a/engine/headroom.go
+++ b/engine/headroom.go
@@ -16,8 +16,6 @@
 	patientSlack = 6 * time.Second
 	// urgentKept is how many urgent units are remembered; more than a burst brings.
 	urgentKept = 24
-	// urgentShare is the share of them that the room should hold.
-	urgentShare = 0.6
 )
 
 // urgent remembers how many accelerators urgent units took.
@@ -32,19 +30,22 @@
 	}
 }
 
-// target returns the accelerators to keep free.
-func (u *urgent) target() int {
+// target returns the accelerators to keep free: as many as all but the largest of a share
+// of the latest urgent units took.
+func (u *urgent) target(share float64) int {
 	if len(u.sizes) == 0 {
 		return 0
 	}
 	sorted := slices.Sorted(slices.Values(u.sizes))
-	return sorted[int(urgentShare*float64(len(sorted)-1))]
+	return sorted[int(share*float64(len(sorted)-1))]
 }
 
 // pickSpare chooses the rack that is kept empty: the emptiest, which it stays unless
 // another is clearly emptier.
 func (r *round) pickSpare() {
-	r.target = r.e.urgent.target()
+	if r.e.params.Policy.Headroom {
+		r.target = r.e.urgent.target(r.e.params.Policy.HeadroomShare)
+	}
 	best, most := "", -1
 	for _, rack := range slices.Sorted(maps.Keys(r.racks)) {
 		free := r.rackFree(rack)
--- a/engine/health.go
+++ b/engine/health.go
@@ -35,6 +35,13 @@
 	h.rest(now)
 }
 
+// distrust counts a failure of p against its worker.
+func (e *Engine) distrust(now time.Duration, p *placement) {
+	if e.params.Policy.WorkerHealth {
+		p.worker.health.failed(p.unit, now)
+	}
+}
+
 // rest keeps work away from the worker for a while.
 func (h *health) rest(now time.Duration) {
 	h.rests = min(max(2*h.rests, firstRest), maxRest)
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -33,12 +33,14 @@
 		return
 	case StartUnknown:
 		e.decided(p, "start unanswered", "")
-		p.worker.health.failed(p.unit, now)
+		e.distrust(now, p)
 		e.retry(p.unit)
 		e.stopAll(now, p.unit, CauseUnanswered)
 		return
 	case StartUnhealthy:
-		p.worker.health.rest(now)
+		if e.params.Policy.WorkerHealth {
+			p.worker.health.rest(now)
+		}
 	case StartInvalid:
 		e.decided(p, "start invalid", "")
 	case StartNoTicket:
--- a/engine/params.go
+++ b/engine/params.go
@@ -20,6 +20,7 @@
 	Harm time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
+	Policy    Policy
 }
 
 // Limits of the engine's own making.
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -7,11 +7,6 @@
 	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
-// maxReservations is how many units that can't start now have room kept for them.
-// Each costs a simulation of all releases; the first few keep large gangs from
-// waiting for ever behind small ones.
-const maxReservations = 4
-
 // round is one pass over the queue.
 type round struct {
 	e         *Engine
@@ -108,7 +103,7 @@
 	if r.evict(u) {
 		return
 	}
-	if r.kept < maxReservations {
+	if r.kept < r.e.params.Policy.Reservations {
 		r.reserve(u)
 	}
 }
--- /dev/null
+++ b/engine/policy.go
@@ -0,0 +1,69 @@
+package engine
+
+// Policy names each mechanism of the engine that rests on judgement and not on a promise,
+// with its switch or its weight. What must hold for callers (room, leases, guarantees, at
+// most one run) does not depend on it. The zero value stands for DefaultPolicy.
+//
+// docs/design/decisions.md tells what each is worth and how that was measured.
+type Policy struct {
+	// DeadlineOrder serves the unit that has to start first for its job's objective before
+	// others of its priority; off: in order of acceptance.
+	DeadlineOrder bool
+	// LateUrgency gives a job that has missed its objective a second deadline, after which
+	// its caller has no use for it; off: it goes behind all others.
+	LateUrgency bool
+	// Headroom keeps patient work away from one rack, so that urgent jobs need not wait for
+	// stops. HeadroomShare is the share of the latest urgent jobs whose size is kept free,
+	// 0 to 1.
+	Headroom      bool
+	HeadroomShare float64
+	// Evictions stops work of lower priority for urgent jobs; off: only where an account's
+	// guarantee asks for it.
+	Evictions bool
+	// EvictionWait is the share of an urgent job's slack for which it waits for room that
+	// is expected to become free, 0 to 1. It waits as long as a stop takes in any case.
+	EvictionWait float64
+	// EvictionWorth is how many core-seconds of other work an urgent unit may throw away
+	// for each of its own.
+	EvictionWorth float64
+	// Reservations is how many units that can't start now have room kept for them. Each
+	// costs a simulation of all releases; the first few keep large gangs from waiting for
+	// ever behind small ones.
+	Reservations int
+	// RackPreference runs a unit on the rack of its data, and a gang on one rack, unless
+	// waiting for that takes longer; off: anywhere at once.
+	RackPreference bool
+	// LearnedRunTimes corrects declared run times by what runs of the same queue took.
+	LearnedRunTimes bool
+	// WorkerHealth keeps new work away from workers that fail what they start.
+	WorkerHealth bool
+	// Avoidance keeps a unit away for a while from a worker where it failed.
+	Avoidance bool
+	// StandingStill moves tasks that show no progress.
+	StandingStill bool
+	// DrainMoves stops early what can't end before its worker leaves.
+	DrainMoves bool
+	// KeptCheckpoints puts checkpoints of running work on record.
+	KeptCheckpoints bool
+}
+
+// DefaultPolicy returns the policy that measured best on all deployments.
+func DefaultPolicy() Policy {
+	return Policy{
+		DeadlineOrder:   true,
+		LateUrgency:     true,
+		Headroom:        true,
+		HeadroomShare:   0.6,
+		Evictions:       true,
+		EvictionWait:    0.4,
+		EvictionWorth:   1,
+		Reservations:    4,
+		RackPreference:  true,
+		LearnedRunTimes: true,
+		WorkerHealth:    true,
+		Avoidance:       true,
+		StandingStill:   true,
+		DrainMoves:      true,
+		KeptCheckpoints: true,
+	}
+}
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -51,6 +51,9 @@
 	if u.spec().LongRunning {
 		return u.since // its users wait from the first moment
 	}
+	if !e.params.Policy.DeadlineOrder {
+		return u.job.accepted
+	}
 	left := e.chainFrom(u)
 	return e.deadline(now+left, u.job) - left
 }
@@ -63,7 +66,7 @@
 	if end <= objective {
 		return objective
 	}
-	if useless := j.useless(); end <= useless {
+	if useless := j.useless(); e.params.Policy.LateUrgency && end <= useless {
 		return useless
 	}
 	return never
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -73,7 +73,7 @@
 }
 
 // tellWaitEvery is the pause between two lines of the log about the same unit that waits.
-// With maxReservations it bounds them to a line each second or so.
+// With Policy.Reservations it bounds them to a line each second or so.
 const tellWaitEvery = 5 * time.Second
 
 // tellWait logs what a unit at the head of the queue waits for.
--- a/engine/tracker.go
+++ b/engine/tracker.go
@@ -44,8 +44,8 @@
 // learn takes the length of a run that began at the start and ended well.
 func (e *Engine) learn(now time.Duration, p *placement) {
 	declared := p.unit.spec().Estimate
-	if p.unit.spec().Fills {
-		return // it took what others left
+	if p.unit.spec().Fills || !e.params.Policy.LearnedRunTimes {
+		return // what fills takes what others leave
 	}
 	if declared <= 0 || p.unit.saved != "" && p.unit.spec().Checkpoints && p.unit.run > 1 {
 		return
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -97,11 +97,16 @@
 // fail everything do so for five seconds or so, and show it by then to others too.
 const avoidFor = 6 * time.Second
 
-func (u *unit) avoid(now time.Duration, id WorkerID) {
+// avoid keeps the unit of p away from its worker.
+func (e *Engine) avoid(now time.Duration, p *placement) {
+	if !e.params.Policy.Avoidance {
+		return
+	}
+	u := p.unit
 	if u.avoids == nil {
 		u.avoids = map[WorkerID]time.Duration{}
 	}
-	u.avoids[id] = now + avoidFor
+	u.avoids[p.worker.info.ID] = now + avoidFor
 }
 
 // ending says whether the present run is on its way out.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -33,4 +33,6 @@
 	KeyLife schema.Duration `toml:"key_life" default:"5s" validate:"min=2s,max=1h"`
 	// StopGrace bounds a graceful stop.
 	StopGrace schema.Duration `toml:"stop_grace" default:"6s" validate:"min=1s,max=168h"`
+
+	Policy Policy `toml:"policy"`
 }
