engine: nothing is learned from runs that a predecessor started

Runs adopted from the records have no known start; an end that came before the run was seen counted from 0, so the queue's ratio of real to declared run time took 3.0, the most it may, and one that was seen counted from the takeover.

Change: adopted runs are marked and teach nothing. A test that fails without it.

--- a/engine/ends.go
+++ b/engine/ends.go
@@ -84,7 +84,7 @@
 	}
 	u.verdict = verdictDone
 	u.state = unitDone
-	if len(u.places) > 0 {
+	if len(u.places) > 0 && u.places[0].began != 0 {
 		u.spent.run = now - u.places[0].began
 	}
 	e.change(u.job)
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -35,7 +35,10 @@
 	// saved is the last checkpoint seen, savedAt when it was first seen.
 	saved   string
 	savedAt time.Duration
-	// began is when the start was confirmed, movedAt when percent last grew.
+	// adopted: a predecessor ordered it, so began is not when it really did.
+	adopted bool
+	// began is when the start was ordered, or when an adopted run was first seen; 0 before.
+	// movedAt is when percent last grew.
 	began   time.Duration
 	movedAt time.Duration
 	// stopping: a stop was decided; stopSent is when it was last sent.
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -96,6 +96,7 @@
 		}
 		p := e.put(u, place.Index, w)
 		p.state = placeAdopted
+		p.adopted = true
 	}
 	switch {
 	case up.Done:
--- a/engine/tracker.go
+++ b/engine/tracker.go
@@ -42,7 +42,14 @@
 }
 
 // learn takes the length of a run that began at the start and ended well.
+//
+// The failure it guards against: after a takeover the ends of runs that a predecessor
+// started would be learned with wrong lengths, of hours where the end came before the run
+// was seen, and all forecasts of their queue would be off for dozens of runs.
 func (e *Engine) learn(now time.Duration, p *placement) {
+	if p.adopted {
+		return // how long it ran before this planner is not known
+	}
 	declared := p.unit.spec().Estimate
 	if p.unit.spec().Fills || !e.params.Policy.LearnedRunTimes {
 		return // what fills takes what others leave
--- /dev/null
+++ b/engine/tracker_test.go
@@ -0,0 +1,34 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A planner takes over while tasks run, and their ends come before it has seen them. It
+// knows neither when they began nor how long they ran, and must not learn from them: it
+// took them for runs of hours, and every forecast of the queue was three times too long.
+func TestRunsOfAPredecessorTeachNothing(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 2)
+	d.now = time.Hour
+	id := d.job(1, "", tasks(2, 8))
+	d.settle()
+	d.pass(time.Second)
+	d.takeOver()
+	runs := map[WorkerID][]EndRow{}
+	for worker, there := range d.runs(id) {
+		for i, run := range there {
+			runs[worker] = append(runs[worker], EndRow{Number: int64(i + 1), Run: run, Reason: EndDone})
+		}
+	}
+	c.Assert(runs, qt.HasLen, 2)
+	for worker, ended := range runs {
+		d.report(Report{Epoch: d.e.epoch, Looked: true, Worker: d.e.workers[worker].info, Ended: ended})
+	}
+	d.settle()
+	c.Check(d.e.tracker.ratio("q1"), qt.Equals, 1.0)
+	c.Check(d.late, qt.HasLen, 0)
+}
