gateway, nodeagent: a planner's death at 300 machines: heirs by strength, few names an answer

Change: gateways say what they can carry (cores, link; two settings, rendered from the platform's limits); the planner names three heirs, the strongest that the store serves; the first waits 0.45 s for an answer, each further one 0.15 s longer. An answer names six gateways, others each time; an agent asks four at once, others each time.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -45,7 +45,10 @@
 	// KeyLife is how long a key that was taken away may still be honoured; a view of
 	// the configuration is trusted for less than that.
 	KeyLife time.Duration
-	Log     logrus.FieldLogger
+	// Strength is how much planning this instance can carry, against others: the stronger
+	// ones are first to take the duty of a planner that died. Zero: not known.
+	Strength float64
+	Log      logrus.FieldLogger
 }
 
 const (
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -49,7 +49,7 @@
 func (g *Gateway) report(ctx context.Context, from *wire.Conn, m *link.Report) *link.ReportReply {
 	g.counts.Reports.Add(1)
 	_, planner := g.planners.get()
-	reply := &link.ReportReply{Planner: planner, Members: g.members.live()}
+	reply := &link.ReportReply{Planner: planner, Members: g.members.sample()}
 	t := g.currentTerm()
 	if t == nil || planner != g.cfg.Listen || !t.active() && !t.extending() {
 		return reply
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -14,10 +15,21 @@
 	seeds []string
 	mu    sync.Mutex
 	heard map[string]time.Duration
+	// strength is what each gateway said it can carry, see Config.Strength.
+	strength map[string]float64
+	named    int // how often a sample was drawn
 }
 
+const (
+	// namedMost is how many gateways one answer names. Were it all of them, the traffic of
+	// each agent would grow with the number of gateways: 800 bytes an answer with 39.
+	namedMost = 6
+	// heirsMost is how many gateways the planner names to take its duty when it dies.
+	heirsMost = 3
+)
+
 func newMembers(own string, seeds []string) *members {
-	return &members{own: own, seeds: seeds, heard: map[string]time.Duration{}}
+	return &members{own: own, seeds: seeds, heard: map[string]time.Duration{}, strength: map[string]float64{}}
 }
 
 // hear notes that a gateway is there.
@@ -56,6 +68,40 @@
 	return out
 }
 
+// sample returns some of the live gateways, others each time, so that who asks again and
+// again learns of all.
+func (m *members) sample() []string {
+	live := m.live()
+	if len(live) <= namedMost {
+		return live
+	}
+	m.mu.Lock()
+	from := m.named % len(live)
+	m.named += namedMost
+	m.mu.Unlock()
+	return append(live[from:], live[:from]...)[:namedMost]
+}
+
+// carries notes what a gateway said it can carry.
+func (m *members) carries(address string, strength float64) {
+	if address == "" || strength <= 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.strength[address] = strength
+}
+
+// heirs returns the other gateways that are best able to plan, the strongest first: of
+// those that fit says may.
+func (m *members) heirs(fit func(address string) bool) []string {
+	out := slices.DeleteFunc(m.peers(), func(a string) bool { return !fit(a) })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(m.strength[b], m.strength[a]) })
+	return out[:min(len(out), heirsMost)]
+}
+
 // peers returns the other gateways heard from lately.
 func (m *members) peers() []string {
 	return slices.DeleteFunc(m.live(), func(a string) bool { return a == m.own })
--- /dev/null
+++ b/gateway/members_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// With 39 gateways each answer to each of 260 agents named all of them, which was most of
+// what the planner sent. An answer names a few, others each time, so that an agent that
+// asks again learns of all.
+func TestAnswersNameSomeGatewaysOthersEachTime(t *testing.T) {
+	c := qt.New(t)
+	m := newMembers("own", nil)
+	const gateways = 39
+	for i := range gateways - 1 {
+		m.hear(fmt.Sprint("g", i))
+	}
+	named := map[string]bool{}
+	for range gateways {
+		some := m.sample()
+		c.Assert(some, qt.HasLen, namedMost)
+		for _, g := range some {
+			named[g] = true
+		}
+	}
+	c.Check(named, qt.HasLen, gateways)
+}
+
+// A planner dies at 300 machines. All gateways deposed it at once, and the first had the
+// duty: one with a fifth of a core, which needed longer to read the records than the others
+// waited for it, and was deposed in turn. The strongest that the store serves come first.
+func TestStrongestGatewaysInheritTheDuty(t *testing.T) {
+	c := qt.New(t)
+	m := newMembers("planner", nil)
+	for i, strength := range []float64{0.2, 0.8, 0.4, 0.1, 0.6} {
+		m.hear(fmt.Sprint("g", i))
+		m.carries(fmt.Sprint("g", i), strength)
+	}
+	served := func(g string) bool { return g != "g4" }
+	heirs := m.heirs(served)
+	c.Check(heirs, qt.DeepEquals, []string{"g1", "g2", "g0"})
+
+	s := &suspicion{}
+	s.inherits(heirs)
+	waits := []string{"g1", "g2", "g0", "g3"}
+	c.Check(s.patience("g1"), qt.Equals, suspectAfter)
+	c.Check(slices.IsSortedFunc(waits, func(a, b string) int { return int(s.patience(a) - s.patience(b)) }), qt.IsTrue)
+	c.Check(s.patience("g4"), qt.Equals, s.patience("g3"), qt.Commentf("all others wait alike"))
+}
+
+// No planner has named heirs yet, as after a start: nobody waits longer than needed.
+func TestWithoutHeirsNobodyWaitsLonger(t *testing.T) {
+	qt.Check(t, (&suspicion{}).patience("g"), qt.Equals, suspectAfter)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -31,7 +31,7 @@
 
 func (g *Gateway) question() *link.Peer {
 	epoch, planner := g.planners.get()
-	msg := &link.Peer{Address: g.cfg.Listen, Epoch: epoch, Planner: planner, WantConfig: true}
+	msg := &link.Peer{Address: g.cfg.Listen, Epoch: epoch, Planner: planner, WantConfig: true, Strength: g.cfg.Strength}
 	if view, ok := g.inForce.View(); ok {
 		msg.ConfigVersion = view.Catalog.Version
 		msg.WantConfig = lease.BootTime()-view.ConfirmedAt > staleAfter
@@ -61,6 +61,9 @@
 		return
 	}
 	g.members.hear(address)
+	if reply.Heirs != nil {
+		g.suspected.inherits(reply.Heirs)
+	}
 	_, planner := g.planners.get()
 	g.outage.heard(lease.BootTime(), address, reply.StoreServes, address == planner)
 	for _, m := range reply.Members {
@@ -84,6 +87,11 @@
 	}
 }
 
+// served says whether a gateway has not lately said that the store does not serve it.
+func (g *Gateway) served(address string) bool {
+	return !g.outage.unserved(lease.BootTime(), address)
+}
+
 // takeConfig takes what a peer knows of the configuration. Its age is reckoned from
 // before the question was sent.
 func (g *Gateway) takeConfig(reply *link.PeerReply, sent time.Duration) {
@@ -106,17 +114,21 @@
 // answerPeer answers another gateway, or an agent that looks for the planner.
 func (g *Gateway) answerPeer(msg *link.Peer) *link.PeerReply {
 	g.members.hear(msg.Address)
+	g.members.carries(msg.Address, msg.Strength)
 	g.planners.learn(msg.Epoch, msg.Planner)
 	epoch, planner := g.planners.get()
 	reply := &link.PeerReply{
 		Epoch:       epoch,
 		Planner:     planner,
-		Members:     g.members.live(),
+		Members:     g.members.sample(),
 		StoreServes: g.cfg.StoreAge() < servedFresh,
 	}
 	if msg.Address == "" {
 		return reply
 	}
+	if planner == g.cfg.Listen {
+		reply.Heirs = g.members.heirs(g.served)
+	}
 	if view, ok := g.inForce.View(); ok {
 		reply.ConfigVersion = view.Catalog.Version
 		reply.ConfigAge = lease.BootTime() - view.ConfirmedAt
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,9 +12,10 @@
 
 // The planner's lease bounds for how long nobody plans after its machine has died, and it
 // can't be short: it has to outlast a slow store. So the other gateways ask the planner all
-// the time whether it is alive, and the first that the store serves and that has no answer
-// for suspectAfter deposes it. A planner that lives after all is only replaced: its writes
-// hold under its epoch alone, and workers refuse older epochs than they have seen.
+// the time whether it is alive. The strongest of them, which the planner has named, deposes
+// it when the store serves it and it has had no answer for suspectAfter; the others wait a
+// little longer. A planner that lives after all is only replaced: its writes hold under its
+// epoch alone, and workers refuse older epochs than they have seen.
 const (
 	// aliveEvery is the pause between two questions; each is a message of a few bytes.
 	aliveEvery = 150 * time.Millisecond
@@ -23,6 +25,11 @@
 	// ownGap between two questions shows that this process itself was held up or suspended,
 	// and knows nothing of the time between.
 	ownGap = 3 * aliveEvery
+	// heirStagger is how much longer each gateway waits than the one before it among the
+	// planner's heirs, and all others than the last heir: it takes 50 to 80 ms to
+	// gain the duty and to say so. Were all to depose at once, the first would win, which may be one
+	// that is too weak to read the records in time and is deposed in turn.
+	heirStagger = 150 * time.Millisecond
 )
 
 // suspicion is for how long the planner has not answered. It is safe for concurrent use.
@@ -33,6 +40,24 @@
 	heard   bool          // it has answered under this epoch
 	asked   time.Duration // when the first question since its last answer was sent; 0: none
 	last    time.Duration // when the last one was
+	heirs   []string      // of the planner, in their order
+}
+
+// inherits notes whom the planner names to take its duty.
+func (s *suspicion) inherits(heirs []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heirs = heirs
+}
+
+// patience returns how long the gateway at own waits for an answer before it deposes the
+// planner: the first heir the shortest time.
+func (s *suspicion) patience(own string) time.Duration {
+	rank := slices.Index(s.heirs, own)
+	if rank < 0 {
+		rank = len(s.heirs)
+	}
+	return suspectAfter + time.Duration(rank)*heirStagger
 }
 
 // ask notes a question that is about to be sent.
@@ -57,12 +82,12 @@
 	}
 }
 
-// due says whether the planner is to be taken for dead. One that has never answered under
+// due says whether the gateway at own is to take the planner for dead. One that has never answered under
 // its epoch is not: its lease may be all that is known of it, and it lapses.
-func (s *suspicion) due(now time.Duration) bool {
+func (s *suspicion) due(now time.Duration, own string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heard && s.asked != 0 && now-s.asked > suspectAfter
+	return s.heard && s.asked != 0 && now-s.asked > s.patience(own)
 }
 
 // aliveLoop asks the planner whether it is alive.
@@ -79,7 +104,7 @@
 		}
 		g.suspected.ask(lease.BootTime(), planner, epoch)
 		go g.askAlive(planner, epoch)
-		if g.suspected.due(lease.BootTime()) && g.cfg.StoreAge() < servedFresh {
+		if g.suspected.due(lease.BootTime(), g.cfg.Listen) && g.cfg.StoreAge() < servedFresh {
 			g.depose(planner, epoch)
 		}
 	}
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -25,11 +25,11 @@
 	c := qt.New(t)
 	s := &suspicion{}
 	askFor(s, second, 3*second, 3*second)
-	c.Check(s.due(3*second), qt.IsFalse)
+	c.Check(s.due(3*second, "own"), qt.IsFalse)
 	askFor(s, 3*second, 3*second+350*ms, 0)
-	c.Check(s.due(3*second+350*ms), qt.IsFalse, qt.Commentf("it may be held up"))
+	c.Check(s.due(3*second+350*ms, "own"), qt.IsFalse, qt.Commentf("it may be held up"))
 	askFor(s, 3*second+350*ms, 3*second+900*ms, 0)
-	c.Check(s.due(3*second+900*ms), qt.IsTrue)
+	c.Check(s.due(3*second+900*ms, "own"), qt.IsTrue)
 }
 
 // A gateway is suspended for five seconds. That it has heard nothing of the planner says
@@ -40,9 +40,9 @@
 	askFor(s, second, 2*second, 2*second)
 	s.ask(2*second, "p", 1)
 	s.ask(7*second, "p", 1)
-	c.Check(s.due(7*second), qt.IsFalse)
+	c.Check(s.due(7*second, "own"), qt.IsFalse)
 	askFor(s, 7*second, 7*second+400*ms, 8*second)
-	c.Check(s.due(7*second+400*ms), qt.IsFalse)
+	c.Check(s.due(7*second+400*ms, "own"), qt.IsFalse)
 }
 
 // A planner that has not answered under its epoch yet reads its records. To depose it
@@ -51,11 +51,11 @@
 	c := qt.New(t)
 	s := &suspicion{}
 	askFor(s, second, 4*second, 0)
-	c.Check(s.due(4*second), qt.IsFalse)
+	c.Check(s.due(4*second, "own"), qt.IsFalse)
 	s.ask(4*second, "p", 2)
 	s.answer("p", 1)
 	askFor(s, 4*second, 6*second, 0)
-	c.Check(s.due(6*second), qt.IsFalse, qt.Commentf("an answer under another epoch is none"))
+	c.Check(s.due(6*second, "own"), qt.IsFalse, qt.Commentf("an answer under another epoch is none"))
 }
 
 // A planner is deposed by one gateway, lives, and grants until its lease has lapsed. The
--- a/link/peer.go
+++ b/link/peer.go
@@ -13,12 +13,15 @@
 	Planner string `cbor:"4,keyasint,omitempty"`
 	// WantConfig: the sender can't follow the configuration by itself.
 	WantConfig bool `cbor:"5,keyasint,omitempty"`
+	// Strength is how much planning the sender could carry, see gateway.Config.
+	Strength float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // PeerReply answers Peer.
 type PeerReply struct {
-	Epoch   uint64   `cbor:"1,keyasint,omitempty"`
-	Planner string   `cbor:"2,keyasint,omitempty"`
+	Epoch   uint64 `cbor:"1,keyasint,omitempty"`
+	Planner string `cbor:"2,keyasint,omitempty"`
+	// Members are some of the gateways that are live, others each time.
 	Members []string `cbor:"3,keyasint,omitempty"`
 	// ConfigVersion was the newest ConfigAge before the reply. Config is its text,
 	// where the sender has an older one.
@@ -27,4 +30,7 @@
 	Config        []byte        `cbor:"6,keyasint,omitempty"`
 	// StoreServes: the store has answered the sender a moment ago.
 	StoreServes bool `cbor:"7,keyasint,omitempty"`
+	// Heirs are the gateways that are to take the duty if the sender, which plans, dies;
+	// the first of them at once, the others where it does not.
+	Heirs []string `cbor:"8,keyasint,omitempty"`
 }
--- a/nodeagent/finder.go
+++ b/nodeagent/finder.go
@@ -26,6 +26,7 @@
 	dead    planner
 	deadAt  time.Duration
 	members []string // gateways, the latest learnt first
+	asked   int      // how often some of them were chosen
 	lostAt  time.Duration
 	readAt  time.Duration // when the register was last read
 }
@@ -51,6 +52,10 @@
 	slowAgain  = 150 * time.Millisecond
 	// mostMembers bounds the gateways that are remembered.
 	mostMembers = 16
+	// mostAsked is how many of them are asked at once. With hundreds of agents that all look
+	// for the next planner, questions to all that they know would keep the gateways from
+	// answering: 27,000 a second with 260 agents.
+	mostAsked = 4
 )
 
 func newFinder(cfg Config, pool *wire.Pool) *finder {
@@ -61,16 +66,29 @@
 // known.
 func (f *finder) locate(ctx context.Context) (string, bool) {
 	f.mu.Lock()
-	found, members := f.found, slices.Clone(f.members)
+	found := f.found
 	f.mu.Unlock()
 	if found != "" {
 		return found, true
 	}
 	f.consultRegister()
-	return f.ask(ctx, members)
+	return f.ask(ctx, f.choose())
 }
 
-// ask asks all gateways at once and takes the newest planner that one names.
+// choose returns the gateways to ask now, others each time.
+func (f *finder) choose() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.members) <= mostAsked {
+		return slices.Clone(f.members)
+	}
+	from := f.asked % len(f.members)
+	f.asked += mostAsked
+	out := slices.Concat(f.members[from:], f.members[:from])
+	return out[:mostAsked]
+}
+
+// ask asks some gateways at once and takes the newest planner that one names.
 func (f *finder) ask(ctx context.Context, members []string) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -103,10 +121,7 @@
 		case <-ctx.Done():
 			return false
 		}
-		f.mu.Lock()
-		members := slices.Clone(f.members)
-		f.mu.Unlock()
-		f.ask(ctx, members)
+		f.ask(ctx, f.choose())
 		f.mu.Lock()
 		newer := f.epoch > epoch
 		f.mu.Unlock()
--- a/nodeagent/finder_test.go
+++ b/nodeagent/finder_test.go
@@ -1,6 +1,7 @@
 package nodeagent
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -37,3 +38,22 @@
 	c.Check(f.take(&link.PeerReply{Planner: "a", Epoch: 3}), qt.IsFalse)
 	c.Check(f.take(&link.PeerReply{Planner: "a", Epoch: 4}), qt.IsTrue)
 }
+
+// Hundreds of agents look for the next planner at once. Each asks a few gateways, others
+// each time, so that one of them knows soon and none is kept from answering.
+func TestSearchAsksAFewGatewaysInTurn(t *testing.T) {
+	c := qt.New(t)
+	f := testFinder()
+	for i := range 2 * mostMembers {
+		f.learn([]string{fmt.Sprint("g", i)})
+	}
+	asked := map[string]bool{}
+	for range mostMembers {
+		some := f.choose()
+		c.Assert(some, qt.HasLen, mostAsked)
+		for _, g := range some {
+			asked[g] = true
+		}
+	}
+	c.Check(asked, qt.HasLen, mostMembers)
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -33,6 +33,10 @@
 	KeyLife schema.Duration `toml:"key_life" default:"5s" validate:"min=2s,max=1h"`
 	// StopGrace bounds a graceful stop.
 	StopGrace schema.Duration `toml:"stop_grace" default:"6s" validate:"min=1s,max=168h"`
+	// Cores and LinkMbps are what the instance gives this process, by which gateways choose
+	// the one that plans after another has died.
+	Cores    float64 `toml:"cores" default:"1" validate:"min=0.01,max=1024"`
+	LinkMbps float64 `toml:"link_mbps" default:"1000" validate:"min=0.1,max=1000000"`
 
 	Policy Policy `toml:"policy"`
 }
