engine: what is left of a run follows its own progress

Change: the speed of each run is taken from what looks showed of it, with the age of the last look taken off; a declared time counts only until five percent are seen.

--- a/engine/placement.go
+++ b/engine/placement.go
@@ -30,6 +30,7 @@
 	state   placeState
 	demand  workload.Resources
 	percent int
+	pulse   pulse
 	load    int  // see RunningRow.Load
 	pace    pace // of what fills
 	// saved is the last checkpoint seen, savedAt when it was first seen.
--- /dev/null
+++ b/engine/pulse_test.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A run resumes from a checkpoint at 60% and does 2% in each tenth of a second. Its speed,
+// and not the time since its start, says when it ends; what passed since the last look is
+// taken off.
+func TestRemainingTimeFollowsTheRunsOwnSpeed(t *testing.T) {
+	c := qt.New(t)
+	var p pulse
+	for i := range 6 {
+		p.note(time.Duration(i)*100*time.Millisecond, 60+2*i)
+	}
+	left, ok := p.remaining(500 * time.Millisecond)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(left, qt.Equals, 1500*time.Millisecond)
+	left, _ = p.remaining(900 * time.Millisecond)
+	c.Check(left, qt.Equals, 1100*time.Millisecond)
+}
+
+// Whole percents a moment apart say nothing of the speed, nor does progress that went back,
+// as when the worker began the task anew.
+func TestSpeedNeedsProgress(t *testing.T) {
+	c := qt.New(t)
+	var p pulse
+	p.note(0, 10)
+	p.note(time.Second, 10+leastProgress-1)
+	_, ok := p.remaining(time.Second)
+	c.Check(ok, qt.IsFalse)
+	p.note(2*time.Second, 3)
+	_, ok = p.remaining(2 * time.Second)
+	c.Check(ok, qt.IsFalse)
+}
+
+// Patient work goes on from a checkpoint, far slower than declared. By its declared run time
+// the last percents counted as done in a moment, for ever: an urgent job waited for them and
+// evicted nothing, while its objective passed. Its progress says that it goes on.
+func TestUrgentJobDoesNotWaitForWorkThatOutlivedItsEstimate(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	long := tasks(1, 8)
+	long.Checkpoints = true
+	id := d.job(2, "", long)
+	d.settle()
+	d.end(id, EndStopped)
+	d.settle()
+	w := d.e.workers["w0"]
+	for i := range 100 {
+		d.now += 100 * time.Millisecond
+		r := Report{Epoch: 1, Looked: true, Worker: w.info}
+		for _, run := range d.runs(id)["w0"] {
+			r.Running = append(r.Running, RunningRow{Run: run, Percent: 90 + i/14})
+		}
+		d.report(r)
+		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
+		d.settle()
+	}
+	c.Assert(d.runs(id), qt.HasLen, 1)
+	d.stops = nil
+	d.job(0, "", tasks(1, 8))
+	d.settle()
+	c.Check(d.stops, qt.HasLen, 1)
+}
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -158,6 +158,7 @@
 		e.running(now, p)
 	}
 	p.missing = 0
+	p.pulse.note(now, row.Percent)
 	if row.Percent != p.percent {
 		p.percent = row.Percent
 		p.movedAt = now
--- a/engine/tracker.go
+++ b/engine/tracker.go
@@ -70,17 +70,13 @@
 	if p.stopping {
 		return max(e.params.StopTime-(now-p.stopSent), leastRemaining)
 	}
+	if left, ok := p.pulse.remaining(now); ok {
+		return max(left, leastRemaining)
+	}
 	whole := e.estimate(p.unit)
-	ran := now - p.began
 	if p.state != placeRunning {
-		ran = 0
-	}
-	if p.percent >= 10 && p.percent <= 100 && ran > 0 && p.unit.run == 1 {
-		whole = time.Duration(float64(ran) * 100 / float64(p.percent))
-	}
-	left := whole - ran
-	if p.percent > 0 {
-		left = time.Duration(float64(whole) * float64(100-p.percent) / 100)
+		return whole
 	}
-	return max(left, leastRemaining)
+	undone := float64(100-min(p.percent, 100)) / 100
+	return max(time.Duration(float64(whole)*undone)-(now-p.movedAt), leastRemaining)
 }
