--- a/engine/policy.go
+++ b/engine/policy.go
@@ -9,9 +9,6 @@
 	// DeadlineOrder serves the unit that has to start first for its job's objective before
 	// others of its priority; off: in order of acceptance.
 	DeadlineOrder bool
-	// LateUrgency gives a job that has missed its objective a second deadline, after which
-	// its caller has no use for it; off: it goes behind all others.
-	LateUrgency bool
 	// Headroom keeps patient work away from one rack, so that urgent jobs need not wait for
 	// stops. HeadroomShare is the share of the latest urgent jobs whose size is kept free,
 	// 0 to 1: with 1 the largest of them, which gains 0.005 of the worth of days with bursts
@@ -56,7 +53,6 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		DeadlineOrder:   true,
-		LateUrgency:     true,
 		Headroom:        true,
 		HeadroomShare:   1,
 		Evictions:       true,
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -10,8 +10,8 @@
 //
 //  1. units of jobs within their account's guarantee,
 //  2. by priority of the queue, 0 first,
-//  3. by the time at which the unit has to start at the latest for its job's next
-//     deadline (see deadline),
+//  3. by the time at which the unit has to start at the latest for its job's objective;
+//     those that can't meet it any more come after,
 //  4. by acceptance.
 func (e *Engine) queue(now time.Duration, protected map[*job]bool) []*unit {
 	var out []*unit
@@ -46,7 +46,8 @@
 	return out
 }
 
-// latestStart returns when u has to start for the next deadline that it can still meet.
+// latestStart returns when u has to start for its job's objective; never where that is
+// missed already.
 func (e *Engine) latestStart(now time.Duration, u *unit) time.Duration {
 	if u.spec().LongRunning {
 		return u.since // its users wait from the first moment
@@ -55,20 +56,15 @@
 		return u.job.accepted
 	}
 	left := e.chainFrom(u)
-	return e.deadline(now+left, u.job) - left
+	return deadline(now+left, u.job) - left
 }
 
-// deadline returns the next deadline of a job that would be completed at end: its
-// objective; where that is missed, the time from which its caller has no use for it, so
-// that a late job gains urgency again instead of waiting behind all others; else never.
-func (e *Engine) deadline(end time.Duration, j *job) time.Duration {
-	objective := j.objective()
-	if end <= objective {
+// deadline returns the objective of a job that would be completed at end, and never where
+// that is missed: what can still be served in time goes first.
+func deadline(end time.Duration, j *job) time.Duration {
+	if objective := j.objective(); end <= objective {
 		return objective
 	}
-	if useless := j.useless(); e.params.Policy.LateUrgency && end <= useless {
-		return useless
-	}
 	return never
 }
 
--- /dev/null
+++ b/engine/reserve_test.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// smallTime is how long each small job works.
+const smallTime = 2 * time.Second
+
+// progress lets a tenth of a second pass in which each run does its part of a job of that length.
+func (d *desk) progress(length time.Duration) {
+	for _, w := range d.e.sortedWorkers() {
+		r := Report{Epoch: 1, Looked: true, Worker: w.info}
+		for _, p := range w.sortedPlaces() {
+			r.Running = append(r.Running, RunningRow{Run: p.id(), Percent: int(100 * (d.now - p.began) / length)})
+		}
+		d.report(r)
+	}
+	d.now += 100 * time.Millisecond
+	d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
+	d.settle()
+}
+
+// gangAmongSmallJobs hands in a gang that needs all three workers while small jobs, each a
+// worker for two seconds, come faster than they end, and returns how long the gang waits.
+func gangAmongSmallJobs(t *testing.T, reservations int) time.Duration {
+	d := newDesk(t, 3)
+	d.e.params.Policy.Reservations = reservations
+	began := map[workload.JobID]time.Duration{}
+	small := func() {
+		step := tasks(1, 8)
+		step.Estimate = smallTime
+		began[d.job(2, "", step)] = 0
+	}
+	for range 3 {
+		small()
+	}
+	d.settle()
+	gangID := d.job(1, "", gang(3, 8))
+	from := d.now
+	for d.now-from < time.Minute {
+		small()
+		for range 5 {
+			d.progress(smallTime)
+		}
+		for id, at := range began {
+			if at == 0 && len(d.runs(id)) > 0 {
+				began[id] = d.now
+			}
+			if at != 0 && d.now-at >= smallTime && len(d.runs(id)) > 0 {
+				d.end(id, EndDone)
+				d.settle()
+			}
+		}
+		if len(d.runs(gangID)) == 3 {
+			return d.now - from
+		}
+	}
+	return never
+}
+
+// A gang waits for a whole rack while small jobs behind it in the queue take each worker
+// that becomes free. It would wait for as long as they come: room is kept for it.
+func TestLargeGangIsNotStarvedBySmallJobs(t *testing.T) {
+	c := qt.New(t)
+	c.Check(gangAmongSmallJobs(t, 0), qt.Equals, never, qt.Commentf("the failure itself"))
+	c.Check(gangAmongSmallJobs(t, DefaultPolicy().Reservations) < 10*time.Second, qt.IsTrue)
+}
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -3,7 +3,6 @@
 // Policy switches and weighs the planner's mechanisms; engine.Policy says what each does.
 type Policy struct {
 	DeadlineOrder   bool    `toml:"deadline_order" default:"true"`
-	LateUrgency     bool    `toml:"late_urgency" default:"true"`
 	Headroom        bool    `toml:"headroom" default:"true"`
 	HeadroomShare   float64 `toml:"headroom_share" default:"1" validate:"min=0,max=1"`
 	Evictions       bool    `toml:"evictions" default:"true"`
