--- a/engine/discard_test.go
+++ b/engine/discard_test.go
@@ -91,6 +91,6 @@
 	d.end(second, EndDone)
 	d.settle()
 	c.Assert(d.late, qt.HasLen, 2)
-	c.Check(d.late[0].Reason, qt.Equals, "the run took longer than declared")
-	c.Check(d.late[1].Reason, qt.Equals, "waited for room")
+	c.Check(d.late[0].Reason, qt.Equals, LateByRun)
+	c.Check(d.late[1].Reason, qt.Equals, LateByRoom)
 }
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -90,7 +90,7 @@
 	e.change(u.job)
 	e.advance(now, u.job)
 	if u.job.state == workload.Completed {
-		e.tellLate(now, u.job, u)
+		e.tellLate(now, u)
 	}
 }
 
--- a/engine/policy.go
+++ b/engine/policy.go
@@ -35,11 +35,14 @@
 	// RackPreference runs a unit on the rack of its data, and a gang on one rack, unless
 	// waiting for that takes longer; off: anywhere at once.
 	RackPreference bool
-	// LearnedRunTimes corrects declared run times by what runs of the same queue took.
+	// LearnedRunTimes corrects declared run times by what runs of the same queue took. It is
+	// worth nothing that can be told where they are off by chance; it is for queues whose
+	// callers are off by habit.
 	LearnedRunTimes bool
 	// WorkerHealth keeps new work away from workers that fail what they start.
 	WorkerHealth bool
-	// Avoidance keeps a unit away for a while from a worker where it failed.
+	// Avoidance keeps a unit away for a while from a worker where it failed, so that one
+	// worker that fails everything does not use up all attempts of a job.
 	Avoidance bool
 	// StandingStill moves tasks that show no progress.
 	StandingStill bool
--- a/engine/spent.go
+++ b/engine/spent.go
@@ -12,45 +12,64 @@
 	room   time.Duration // waiting for room
 	record time.Duration // of its last placement, until that was on record
 	again  time.Duration // runs whose work did not count
-	run    time.Duration // the run that did
+	run    time.Duration // the run that did; 0 where its start is not known
 }
 
-// Late: a job was completed after its objective, or not at all. The parts are those of its
-// last unit; Reason names the one that weighed most.
+// LateReason is what most of a late job's time went into.
+type LateReason string
+
+// Reasons.
+const (
+	LateByRun    LateReason = "the run took longer than declared"
+	LateByRoom   LateReason = "waited for room"
+	LateByRecord LateReason = "waited for the store"
+	LateByRerun  LateReason = "ran again"
+)
+
+// Late: a job was completed after its objective. Detail has the parts of its last unit.
 type Late struct {
 	Job     workload.JobID
 	Account string
 	Queue   string
-	Reason  string
+	Reason  LateReason
 	Detail  string
 }
 
 func (Late) isAction() {}
 
-// tellLate reports why a job that has just been completed missed its objective.
-func (e *Engine) tellLate(now time.Duration, j *job, last *unit) {
-	over := now - j.objective()
-	if over <= 0 || last == nil {
-		return
-	}
-	s := last.spent
-	expected := last.spec().Estimate
-	slow := max(0, s.run-expected)
-	reason, most := "the run took longer than declared", slow
+// reason names the part that weighs most, for a unit that was declared to run that long.
+func (s spent) reason(declared time.Duration) LateReason {
+	reason, most := LateByRun, max(0, s.run-declared)
 	for _, part := range []struct {
-		name string
-		took time.Duration
-	}{{"waited for room", s.room}, {"waited for the store", s.record}, {"ran again", s.again}} {
+		reason LateReason
+		took   time.Duration
+	}{{LateByRoom, s.room}, {LateByRecord, s.record}, {LateByRerun, s.again}} {
 		if part.took > most {
-			reason, most = part.name, part.took
+			reason, most = part.reason, part.took
 		}
 	}
+	return reason
+}
+
+func (s spent) detail(over, declared time.Duration) string {
+	return fmt.Sprintf("%d ms late; room %d ms, store %d ms, runs in vain %d ms, run %d ms of %d declared",
+		over.Milliseconds(), s.room.Milliseconds(), s.record.Milliseconds(),
+		s.again.Milliseconds(), s.run.Milliseconds(), declared.Milliseconds())
+}
+
+// tellLate reports why a job that its unit last has just completed missed its objective.
+func (e *Engine) tellLate(now time.Duration, last *unit) {
+	j := last.job
+	over := now - j.objective()
+	if over <= 0 {
+		return
+	}
+	declared := last.spec().Estimate
 	e.actions = append(e.actions, Late{
 		Job:     j.spec.ID,
 		Account: j.spec.Account,
 		Queue:   j.spec.Queue,
-		Reason:  reason,
-		Detail: fmt.Sprintf("%d ms late; room %d ms, store %d ms, runs in vain %d ms, run %d ms of %d declared",
-			over.Milliseconds(), s.room.Milliseconds(), s.record.Milliseconds(), s.again.Milliseconds(), s.run.Milliseconds(), expected.Milliseconds()),
+		Reason:  last.spent.reason(declared),
+		Detail:  last.spent.detail(over, declared),
 	})
 }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -17,7 +17,7 @@
 	heard map[string]time.Duration
 	// strength is what each gateway said it can carry, see Config.Strength.
 	strength map[string]float64
-	named    int // how often a sample was drawn
+	named    int // where the next sample begins
 }
 
 const (
@@ -79,7 +79,7 @@
 	from := m.named % len(live)
 	m.named += namedMost
 	m.mu.Unlock()
-	return append(live[from:], live[:from]...)[:namedMost]
+	return slices.Concat(live[from:], live[:from])[:namedMost]
 }
 
 // carries notes what a gateway said it can carry.
--- a/gateway/term_ledger.go
+++ b/gateway/term_ledger.go
@@ -26,7 +26,7 @@
 
 // logLate accounts for a job that was completed after its objective.
 func (t *term) logLate(l engine.Late) {
-	t.g.late.Add(l.Queue+"/"+l.Reason, 1)
+	t.g.late.Add(l.Queue+"/"+string(l.Reason), 1)
 	t.log.WithFields(logrus.Fields{
 		"job":     l.Job,
 		"queue":   l.Queue,
--- a/nodeagent/finder.go
+++ b/nodeagent/finder.go
@@ -26,7 +26,7 @@
 	dead    planner
 	deadAt  time.Duration
 	members []string // gateways, the latest learnt first
-	asked   int      // how often some of them were chosen
+	asked   int      // where the next choice among them begins
 	lostAt  time.Duration
 	readAt  time.Duration // when the register was last read
 }
