engine, nodeagent: what a silent worker's lease is granted is counted

For silent workers the planner reckoned with what the report said of the lease before, and not with what its own answer granted. An agent that was started again, or is gone before its next report, left a lease that the planner took for over while it was not: the task was started elsewhere, and its end on the first worker was taken note of as well.

Change: a report says whether looks still extend; the planner then grants and counts the whole time, and otherwise grants nothing. Two tests, the engine's fails without the change.

--- a/engine/report.go
+++ b/engine/report.go
@@ -62,11 +62,15 @@
 	// predecessor.
 	Looked     bool `cbor:"11,keyasint,omitempty"`
 	LeaseKnown bool `cbor:"12,keyasint,omitempty"`
+	// Extending: the worker has been silent for so short a time that looks still extend its
+	// lease by what the answer to this report grants.
+	Extending bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Verdict is the answer to a report.
 type Verdict struct {
-	// Attached: the report was made under this engine's epoch.
+	// Attached: the report was made under this engine's epoch, and the answer grants the
+	// worker's lease its whole time.
 	Attached bool
 	// Seen: ends up to it may be forgotten.
 	Seen int64
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -30,7 +30,7 @@
 	}
 	first := !w.attached
 	w.attached = true
-	e.hold(now, w, r)
+	granted := e.hold(now, w, r)
 	if r.Looked {
 		e.look(now, w, r)
 		e.share(now, w)
@@ -39,7 +39,7 @@
 		e.settleAdopted(now, w)
 		e.replan = true
 	}
-	return Verdict{Attached: true, Seen: w.forgettable(), Waiting: len(w.pending) > 0, Closely: w.shared()}
+	return Verdict{Attached: granted, Seen: w.forgettable(), Waiting: len(w.pending) > 0, Closely: w.shared()}
 }
 
 // Seen returns up to which end a worker may forget, and whether more ends wait to be
@@ -98,26 +98,34 @@
 	w.leavesAt = now + r.Remaining
 }
 
-// hold notes how long the worker's lease may last.
+// hold notes how long the worker's lease may last, and says whether the answer to the
+// report extends it. What is granted is always counted: an agent may use a grant, have no
+// answer of its worker, and be gone before its next report, and the planner would take the
+// lease for over while it is not.
 //
 // The failure it guards against: a worker crashes, and the agent beside it goes on
 // reporting. Its reports must not put off the end of the lease, or what the worker held
 // would never start elsewhere. A lease that is over ends at the same moment in each report,
 // and where the agent does not know it, the last grant to an answering worker bounds it.
-func (e *Engine) hold(now time.Duration, w *worker, r Report) {
+func (e *Engine) hold(now time.Duration, w *worker, r Report) bool {
 	wasSilent := w.silent
 	w.silent = r.Silent
+	if r.Silent && r.Extending {
+		w.lapseAt = e.params.lapse(now)
+		return true
+	}
 	if r.Silent {
 		if r.LeaseKnown {
 			w.lapseAt = now + slowest(r.LeaseLeft) + lapseSlack
 		}
-		return
+		return false
 	}
 	if wasSilent {
 		e.replan = true
 	}
 	w.lapseAt = e.params.lapse(now)
 	w.lapsed = false
+	return true
 }
 
 // look compares what the worker says with what is expected of it.
--- a/engine/silent_test.go
+++ b/engine/silent_test.go
@@ -66,3 +66,27 @@
 	d.silence(silent, d.e.params.lapse(granted)-d.now+time.Second, 0, false)
 	c.Check(d.runs(id)[silent], qt.HasLen, 0)
 }
+
+// The agent beside a worker that does not answer was started again. The answer to its first
+// report granted the lease its whole time, but the planner did not count that, since the
+// worker was silent: it took the lease for over while looks without answers had extended it,
+// and a task that was done there ran a second time elsewhere.
+func TestGrantToASilentWorkerIsCounted(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 4)
+	id := d.job(1, "", tasks(1, 8))
+	d.settle()
+	d.pass(500 * time.Millisecond)
+	silent := d.on[d.starts[0].Run]
+	info := d.e.workers[silent].info
+	d.now += 5 * time.Second
+	v := d.report(Report{Epoch: 1, Worker: info, Silent: true, Extending: true})
+	c.Check(v.Attached, qt.IsTrue)
+	granted := d.now
+	d.silence(silent, 5*time.Second, 0, false)
+	c.Check(d.runs(id)[silent], qt.HasLen, 1, qt.Commentf("the lease may last for six seconds from the grant"))
+	v = d.report(Report{Epoch: 1, Worker: info, Silent: true})
+	c.Check(v.Attached, qt.IsFalse, qt.Commentf("nothing is granted that is not counted"))
+	d.silence(silent, d.e.params.lapse(granted)-d.now+time.Second, 0, false)
+	c.Check(d.runs(id)[silent], qt.HasLen, 0)
+}
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -76,6 +76,11 @@
 	return l.leaseEnd != 0 && l.surveyed != l.leaseEnd && now > l.leaseEnd-lapseSlack
 }
 
+// extending says whether looks at a worker that does not answer still extend its lease.
+func (l *life) extending(now time.Duration) bool {
+	return !l.failing || now-l.failingFrom < keepExtending
+}
+
 // hurry says whether the lease needs a look out of turn now, to renew it, and notes that
 // it is made.
 //
@@ -165,6 +170,7 @@
 		Draining:   l.draining,
 		Silent:     l.failing,
 		LeaseKnown: l.leaseEnd != 0,
+		Extending:  l.failing && l.extending(now),
 	}
 	if r.LeaseKnown {
 		r.LeaseLeft = l.leaseEnd - now
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -72,7 +72,7 @@
 	o = Order{Worker: l.info.ID, Epoch: a.epoch}
 	before = l.leaseEnd
 	lapsing := l.lapsing(now())
-	if !lapsing && (!l.failing || now()-l.failingFrom < keepExtending) {
+	if !lapsing && l.extending(now()) {
 		o.Until = l.until(a.granted)
 	}
 	if o.Until > 0 {
--- a/nodeagent/silent_test.go
+++ b/nodeagent/silent_test.go
@@ -102,6 +102,19 @@
 	c.Check(l.report(6*time.Second, 0).LeaseKnown, qt.IsTrue)
 }
 
+// Looks at a worker that does not answer extend its lease for a while, and no longer than
+// the reports say so: the planner counts what it grants by that word.
+func TestReportsSayWhetherLooksExtendTheLease(t *testing.T) {
+	c := qt.New(t)
+	l := newLife(engine.WorkerInfo{ID: "w"})
+	c.Check(l.report(time.Second, 0).Extending, qt.IsFalse, qt.Commentf("the worker answers"))
+	l.failing, l.failingFrom = true, time.Second
+	c.Check(l.report(time.Second+keepExtending-1, 0).Extending, qt.IsTrue)
+	c.Check(l.extending(time.Second+keepExtending-1), qt.IsTrue)
+	c.Check(l.report(time.Second+keepExtending, 0).Extending, qt.IsFalse)
+	c.Check(l.extending(time.Second+keepExtending), qt.IsFalse)
+}
+
 func quietLog() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
