all: one piece where the change had written two, read once more

- internal/rotation: gateways' samples and agents' choice of whom to ask were the same code.
- engine.Policy carries its settings' tags; settings.Policy, the same struct, is gone.
The test that holds the defaults equal stays.
- metrics: one bound on labels and one way to quote them.
A label with a line break, which no account or queue has, is now escaped in histograms as it was in sums.
- engine: everywhere() for four literals; refuse calls change; what a report grants is decided in one place; a placement's percent was kept twice.
- tests: one way to show a worker's runs and to tick, to hand in jobs of all shapes, to put jobs on record.
No assertion changed.
- comments: patience's lock, why patient work stops waiting, long lines.

--- a/engine/cancelled_test.go
+++ b/engine/cancelled_test.go
@@ -25,8 +25,8 @@
 	return run, d.on[run]
 }
 
-// show lets a worker report one run, and returns whether its stop is ordered at once.
-func (d *desk) show(run workload.RunID, on WorkerID) bool {
+// showOne lets a worker report one run, and returns whether its stop is ordered at once.
+func (d *desk) showOne(run workload.RunID, on WorkerID) bool {
 	d.stops = nil
 	d.now += 100 * time.Millisecond
 	d.report(Report{
@@ -47,7 +47,7 @@
 	d.report(Report{Epoch: 1, Looked: true, Worker: d.e.workers[on].info, Absent: []workload.RunID{run}})
 	d.settle()
 	c.Assert(d.runs(run.Task.Job), qt.HasLen, 0)
-	c.Check(d.show(run, on), qt.IsTrue)
+	c.Check(d.showOne(run, on), qt.IsTrue)
 	c.Check(d.e.workers[on].usable(d.now), qt.IsFalse, qt.Commentf("its room is taken until it is gone"))
 }
 
@@ -65,7 +65,7 @@
 		}
 		d.takeOver()
 		d.report(Report{Epoch: d.e.epoch, Worker: info})
-		c.Check(d.show(run, on), qt.IsTrue, qt.Commentf("placement on record: %v", recorded))
+		c.Check(d.showOne(run, on), qt.IsTrue, qt.Commentf("placement on record: %v", recorded))
 		c.Check(d.e.workers[on].usable(d.now), qt.IsFalse)
 	}
 }
--- a/engine/checkpoints_test.go
+++ b/engine/checkpoints_test.go
@@ -61,11 +61,8 @@
 
 // showCheckpoint lets a worker show its one run with a new checkpoint.
 func (d *desk) showCheckpoint(id WorkerID, saved string) {
-	w := d.e.workers[id]
-	r := Report{Epoch: d.e.epoch, Looked: true, Worker: w.info}
-	for _, p := range w.sortedPlaces() {
-		r.Running = append(r.Running, RunningRow{Run: p.id(), Checkpoint: saved, Percent: p.percent + 1})
-	}
 	d.now += 100 * time.Millisecond
-	d.report(r)
+	d.show(id, func(p *placement) RunningRow {
+		return RunningRow{Checkpoint: saved, Percent: p.pulse.percent + 1}
+	})
 }
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -32,7 +32,7 @@
 	near := r.near(u)
 	best := r.cheapest(u, near)
 	if best == nil && !near.anywhere && r.protected[u.job] {
-		best = r.cheapest(u, domains{sets: [][]*worker{r.workers}, anywhere: true})
+		best = r.cheapest(u, r.everywhere())
 	}
 	if best == nil || !r.pays(u, best, near) {
 		return false
--- a/engine/fit.go
+++ b/engine/fit.go
@@ -26,7 +26,7 @@
 	if near.anywhere || !r.worthSpreading(u, near) {
 		return nil
 	}
-	return r.choose(u, domains{sets: [][]*worker{r.workers}, anywhere: true})
+	return r.choose(u, r.everywhere())
 }
 
 // domains are sets of workers within which a unit runs at full speed.
@@ -36,12 +36,17 @@
 	anywhere bool
 }
 
+// everywhere is all workers, where nothing is nearer than anything else.
+func (r *round) everywhere() domains {
+	return domains{sets: [][]*worker{r.workers}, anywhere: true}
+}
+
 // near returns where u runs at full speed: on its preferred rack, on any one rack for
 // a gang that wants to be close together, else anywhere.
 func (r *round) near(u *unit) domains {
 	s := u.spec()
 	if !r.e.params.Policy.RackPreference {
-		return domains{sets: [][]*worker{r.workers}, anywhere: true}
+		return r.everywhere()
 	}
 	if s.PreferredRack != "" && r.couldHold(u, r.racks[s.PreferredRack]) {
 		return domains{sets: [][]*worker{r.racks[s.PreferredRack]}}
@@ -57,7 +62,7 @@
 			return domains{sets: sets}
 		}
 	}
-	return domains{sets: [][]*worker{r.workers}, anywhere: true}
+	return r.everywhere()
 }
 
 // couldHold says whether u would fit on the workers if they were empty.
--- a/engine/headroom.go
+++ b/engine/headroom.go
@@ -82,9 +82,9 @@
 
 // patient says whether u can wait.
 //
-// The failure that the bound guards against: a job that is of no use to its caller any more
-// has no deadline left. It would leave the room alone for ever, and never run where only
-// that rack has its data, with the room free.
+// The failure that the bound guards against: a job that has missed its objective has no
+// deadline left. It would leave the room alone for ever, and never run where only that rack
+// has its data, with the room free.
 func (r *round) patient(u *unit) bool {
 	if u.job.spec.Terms.Priority == 0 || r.now-u.since > patientMost {
 		return false
--- a/engine/headroom_test.go
+++ b/engine/headroom_test.go
@@ -50,8 +50,8 @@
 	d.settle()
 }
 
-// A job has its data on the one rack that is kept for urgent jobs, and is so late that its
-// caller has no use for it any more. It is owed all the same, and runs there after a while.
+// Only the rack that is kept for urgent jobs has room. Work that can wait leaves it alone,
+// but not for ever: it runs there after a while, also once it has no deadline left.
 func TestLateWorkIsNotKeptOutOfTheHeadroomForEver(t *testing.T) {
 	c := qt.New(t)
 	d := newDesk(t, 3)
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -151,21 +151,35 @@
 		for _, w := range d.e.sortedWorkers() {
 			d.beat(w.info.ID)
 		}
-		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
-		d.settle()
+		d.tick()
 	}
 }
 
 // beat lets one worker report what is expected of it.
 func (d *desk) beat(id WorkerID) {
+	d.show(id, func(p *placement) RunningRow {
+		return RunningRow{Percent: p.pulse.percent + 1, Checkpoint: p.saved}
+	})
+}
+
+// show lets one worker report its runs, each as row says.
+func (d *desk) show(id WorkerID, row func(p *placement) RunningRow) {
 	w := d.e.workers[id]
-	r := Report{Epoch: 1, Looked: true, Worker: w.info}
+	r := Report{Epoch: d.e.epoch, Looked: true, Worker: w.info}
 	for _, p := range w.sortedPlaces() {
-		r.Running = append(r.Running, RunningRow{Run: p.id(), Percent: p.percent + 1, Checkpoint: p.saved})
+		shown := row(p)
+		shown.Run = p.id()
+		r.Running = append(r.Running, shown)
 	}
 	d.report(r)
 }
 
+// tick tells the engine the time and lets it settle.
+func (d *desk) tick() {
+	d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
+	d.settle()
+}
+
 func gang(n, accelerators int) workload.Step {
 	return workload.Step{
 		Count: n, Gang: true, SameRack: true, Estimate: 4 * time.Second,
--- a/engine/lasting.go
+++ b/engine/lasting.go
@@ -23,7 +23,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(u.places, func(p *placement) bool {
-		return p.stopping || p.state != placeRunning || p.percent < 100
+		return p.stopping || p.state != placeRunning || p.pulse.percent < 100
 	})
 }
 
--- a/engine/lasting_test.go
+++ b/engine/lasting_test.go
@@ -20,16 +20,12 @@
 // work lets all running tasks of a job reach full work.
 func (d *desk) work(id workload.JobID) {
 	for worker := range d.runs(id) {
-		r := Report{Epoch: 1, Looked: true, Worker: d.e.workers[worker].info}
-		for _, p := range d.e.workers[worker].sortedPlaces() {
-			percent := p.percent
+		d.show(worker, func(p *placement) RunningRow {
 			if p.unit.job.spec.ID == id {
-				percent = 100
+				return RunningRow{Percent: 100}
 			}
-			r.Running = append(r.Running, RunningRow{Run: p.id(), Percent: percent})
-		}
-
-		d.report(r)
+			return RunningRow{Percent: p.pulse.percent}
+		})
 	}
 }
 
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -23,23 +23,22 @@
 
 // placement is one run of one task on one worker, until it is certainly over.
 type placement struct {
-	unit    *unit
-	index   int
-	worker  *worker
-	run     int
-	state   placeState
-	demand  workload.Resources
-	percent int
-	pulse   pulse
-	load    int  // see RunningRow.Load
-	pace    pace // of what fills
+	unit   *unit
+	index  int
+	worker *worker
+	run    int
+	state  placeState
+	demand workload.Resources
+	pulse  pulse
+	load   int  // see RunningRow.Load
+	pace   pace // of what fills
 	// saved is the last checkpoint seen, savedAt when it was first seen.
 	saved   string
 	savedAt time.Duration
 	// adopted: a predecessor ordered it, so began is not when it really did.
 	adopted bool
 	// began is when the start was ordered, or when an adopted run was first seen; 0 before.
-	// movedAt is when percent last grew.
+	// movedAt is when its progress last changed.
 	began   time.Duration
 	movedAt time.Duration
 	// stopping: a stop was decided; stopSent is when it was last sent.
--- a/engine/pulse.go
+++ b/engine/pulse.go
@@ -6,7 +6,8 @@
 // this worker, so it also tells of slow workers, of data far away and of work that goes on
 // from a checkpoint, which a declared run time does not.
 type pulse struct {
-	first, last     int // percent
+	percent         int // as last seen
+	first           int // percent from which the speed counts
 	firstAt, lastAt time.Duration
 	seen            bool
 }
@@ -17,19 +18,19 @@
 
 // note takes what a look showed.
 func (p *pulse) note(now time.Duration, percent int) {
-	if !p.seen || percent < p.last {
+	if !p.seen || percent < p.percent {
 		*p = pulse{first: percent, firstAt: now, seen: true}
 	}
-	p.last, p.lastAt = percent, now
+	p.percent, p.lastAt = percent, now
 }
 
 // remaining returns how long the run is expected to go on, and false while its speed is not
 // known.
 func (p *pulse) remaining(now time.Duration) (time.Duration, bool) {
-	moved := p.last - p.first
+	moved := p.percent - p.first
 	if moved < leastProgress || p.lastAt <= p.firstAt {
 		return 0, false
 	}
 	each := (p.lastAt - p.firstAt) / time.Duration(moved)
-	return time.Duration(100-p.last)*each - (now - p.lastAt), true
+	return time.Duration(100-p.percent)*each - (now - p.lastAt), true
 }
--- a/engine/pulse_test.go
+++ b/engine/pulse_test.go
@@ -49,16 +49,10 @@
 	d.settle()
 	d.end(id, EndStopped)
 	d.settle()
-	w := d.e.workers["w0"]
 	for i := range 100 {
 		d.now += 100 * time.Millisecond
-		r := Report{Epoch: 1, Looked: true, Worker: w.info}
-		for _, run := range d.runs(id)["w0"] {
-			r.Running = append(r.Running, RunningRow{Run: run, Percent: 90 + i/14})
-		}
-		d.report(r)
-		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
-		d.settle()
+		d.show("w0", func(*placement) RunningRow { return RunningRow{Percent: 90 + i/14} })
+		d.tick()
 	}
 	c.Assert(d.runs(id), qt.HasLen, 1)
 	d.stops = nil
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -110,22 +110,21 @@
 func (e *Engine) hold(now time.Duration, w *worker, r Report) bool {
 	wasSilent := w.silent
 	w.silent = r.Silent
-	if r.Silent && r.Extending {
+	granted := !r.Silent || r.Extending
+	switch {
+	case granted:
 		w.lapseAt = e.params.lapse(now)
-		return true
+	case r.LeaseKnown:
+		w.lapseAt = now + slowest(r.LeaseLeft) + lapseSlack
 	}
 	if r.Silent {
-		if r.LeaseKnown {
-			w.lapseAt = now + slowest(r.LeaseLeft) + lapseSlack
-		}
-		return false
+		return granted
 	}
+	w.lapsed = false
 	if wasSilent {
 		e.replan = true
 	}
-	w.lapseAt = e.params.lapse(now)
-	w.lapsed = false
-	return true
+	return granted
 }
 
 // look compares what the worker says with what is expected of it.
@@ -166,11 +165,10 @@
 		e.running(now, p)
 	}
 	p.missing = 0
-	p.pulse.note(now, row.Percent)
-	if row.Percent != p.percent {
-		p.percent = row.Percent
+	if row.Percent != p.pulse.percent {
 		p.movedAt = now
 	}
+	p.pulse.note(now, row.Percent)
 	p.load = row.Load
 	if row.Checkpoint != p.saved {
 		p.saved = row.Checkpoint
--- a/engine/reserve_test.go
+++ b/engine/reserve_test.go
@@ -12,18 +12,15 @@
 // smallTime is how long each small job works.
 const smallTime = 2 * time.Second
 
-// progress lets a tenth of a second pass in which each run does its part of a job of that length.
+// progress lets a tenth of a second pass, in which each run does its part of that length.
 func (d *desk) progress(length time.Duration) {
 	for _, w := range d.e.sortedWorkers() {
-		r := Report{Epoch: 1, Looked: true, Worker: w.info}
-		for _, p := range w.sortedPlaces() {
-			r.Running = append(r.Running, RunningRow{Run: p.id(), Percent: int(100 * (d.now - p.began) / length)})
-		}
-		d.report(r)
+		d.show(w.info.ID, func(p *placement) RunningRow {
+			return RunningRow{Percent: int(100 * (d.now - p.began) / length)}
+		})
 	}
 	d.now += 100 * time.Millisecond
-	d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
-	d.settle()
+	d.tick()
 }
 
 // gangAmongSmallJobs hands in a gang that needs all three workers while small jobs, each a
--- a/engine/sharing_sim_test.go
+++ b/engine/sharing_sim_test.go
@@ -106,8 +106,7 @@
 		if d.now%(450*time.Millisecond) == 0 {
 			d.report(d.lookAt(w, h.figure()))
 		}
-		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
-		d.settle()
+		d.tick()
 	}
 	return h
 }
--- a/engine/sharing_test.go
+++ b/engine/sharing_test.go
@@ -48,15 +48,14 @@
 				d.report(d.lookAt(w, strain(d.now)))
 			}
 		}
-		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
-		d.settle()
+		d.tick()
 	}
 }
 
 func (d *desk) lookAt(w *worker, strain float64) Report {
 	r := Report{Epoch: d.e.epoch, Looked: true, Worker: w.info}
 	for _, p := range w.sortedPlaces() {
-		row := RunningRow{Run: p.id(), Percent: min(p.percent+1, 98)}
+		row := RunningRow{Run: p.id(), Percent: min(p.pulse.percent+1, 98)}
 		if p.unit.spec().TailTarget > 0 {
 			row.Percent = 100
 			row.Load = int(strain * float64(tailTarget/time.Millisecond))
--- a/engine/silent_test.go
+++ b/engine/silent_test.go
@@ -23,8 +23,7 @@
 			r.LeaseLeft = end - d.now
 		}
 		d.report(r)
-		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
-		d.settle()
+		d.tick()
 	}
 }
 
--- a/engine/stuck_test.go
+++ b/engine/stuck_test.go
@@ -15,15 +15,10 @@
 	d.settle()
 	for range 60 {
 		for _, w := range d.e.sortedWorkers() {
-			r := Report{Epoch: 1, Looked: true, Worker: w.info}
-			for _, p := range w.sortedPlaces() {
-				r.Running = append(r.Running, RunningRow{Run: p.id(), Percent: 20})
-			}
-			d.report(r)
+			d.show(w.info.ID, func(*placement) RunningRow { return RunningRow{Percent: 20} })
 		}
 		d.now += 100 * time.Millisecond
-		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
-		d.settle()
+		d.tick()
 	}
 	c.Check(len(d.stops) > 0, qt.IsTrue)
 }
@@ -40,12 +35,10 @@
 	for range 50 {
 		d.now += 100 * time.Millisecond
 		d.report(Report{Epoch: 1, Worker: d.e.workers[on].info, Silent: true, LeaseKnown: true, LeaseLeft: 5 * time.Second})
-		d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
-		d.settle()
+		d.tick()
 	}
 	c.Check(d.stops, qt.HasLen, 0)
 	d.beat(on)
-	d.step(Tick{Wall: time.Unix(1000, 0).Add(d.now)})
-	d.settle()
+	d.tick()
 	c.Check(d.stops, qt.HasLen, 0)
 }
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -53,7 +53,7 @@
 		}
 		e.renewPace(now, p)
 		if e.stuck(now, p) {
-			e.decided(p, "stuck", fmt.Sprintf("at %d%% for %v", p.percent, now-p.movedAt))
+			e.decided(p, "stuck", fmt.Sprintf("at %d%% for %v", p.pulse.percent, now-p.movedAt))
 			e.distrust(now, p)
 			e.avoid(now, p)
 			e.stopAll(now, p.unit, CauseStuck)
@@ -64,7 +64,7 @@
 // stuck says whether a task has stood still for so long that starting it elsewhere
 // pays. A worker that reports no progress of anything shows so by all its tasks.
 func (e *Engine) stuck(now time.Duration, p *placement) bool {
-	if !e.params.Policy.StandingStill || p.state != placeRunning || p.stopping || p.unit.ending() || p.percent >= 99 {
+	if !e.params.Policy.StandingStill || p.state != placeRunning || p.stopping || p.unit.ending() || p.pulse.percent >= 99 {
 		return false
 	}
 	if p.unit.spec().LongRunning || p.unit.spec().Fills || !p.worker.attached {
--- a/engine/tracker.go
+++ b/engine/tracker.go
@@ -77,6 +77,6 @@
 	if p.state != placeRunning {
 		return whole
 	}
-	undone := float64(100-min(p.percent, 100)) / 100
+	undone := float64(100-min(p.pulse.percent, 100)) / 100
 	return max(time.Duration(float64(whole)*undone)-(now-p.movedAt), leastRemaining)
 }
--- a/engine/write.go
+++ b/engine/write.go
@@ -174,8 +174,7 @@
 func (e *Engine) refuse(now time.Duration, u *unit) {
 	if u.verdict == verdictNone {
 		u.verdict = verdictRetry
-		u.job.touched()
-		e.dirty[u.job.spec.ID] = true
+		e.change(u.job)
 	}
 	e.stopAll(now, u, CauseRefused)
 }
--- a/gateway/lookups.go
+++ b/gateway/lookups.go
@@ -53,7 +53,7 @@
 	if reply == nil || !reply.Known {
 		return engine.Lookup{}, false
 	}
-	return engine.Lookup{State: reply.State, Queue: reply.Queue, Account: reply.Account}, true
+	return reply.Lookup(), true
 }
 
 func (g *Gateway) lookupAt(ctx context.Context, address string, msg *link.Lookup) *link.LookupReply {
@@ -77,7 +77,7 @@
 		switch {
 		case reply == nil:
 		case reply.Known:
-			return engine.Lookup{State: reply.State, Queue: reply.Queue, Account: reply.Account}, AnswerKnown
+			return reply.Lookup(), AnswerKnown
 		case reply.Absent:
 			return engine.Lookup{}, AnswerAbsent
 		}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/internal/rotation"
 	"github.com/eelgrasshub/eelgrasshub/lease"
 )
 
@@ -17,7 +18,7 @@
 	heard map[string]time.Duration
 	// strength is what each gateway said it can carry, see Config.Strength.
 	strength map[string]float64
-	named    int // where the next sample begins
+	named    rotation.Turn
 }
 
 const (
@@ -72,14 +73,9 @@
 // again learns of all.
 func (m *members) sample() []string {
 	live := m.live()
-	if len(live) <= namedMost {
-		return live
-	}
 	m.mu.Lock()
-	from := m.named % len(live)
-	m.named += namedMost
-	m.mu.Unlock()
-	return slices.Concat(live[from:], live[:from])[:namedMost]
+	defer m.mu.Unlock()
+	return m.named.Take(live, namedMost)
 }
 
 // carries notes what a gateway said it can carry.
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -26,8 +26,8 @@
 	// and knows nothing of the time between.
 	ownGap = 3 * aliveEvery
 	// heirStagger is how much longer each gateway waits than the one before it among the
-	// planner's heirs, and all others than the last heir: it takes 50 to 80 ms to
-	// gain the duty and to say so. Were all to depose at once, the first would win, which may be one
+	// planner's heirs, and all others than the last heir: it takes 50 to 80 ms to gain the
+	// duty and to say so. Were all to depose at once, the first would win, which may be one
 	// that is too weak to read the records in time and is deposed in turn.
 	heirStagger = 150 * time.Millisecond
 )
@@ -51,7 +51,7 @@
 }
 
 // patience returns how long the gateway at own waits for an answer before it deposes the
-// planner: the first heir the shortest time.
+// planner: the first heir the shortest time. The mutex is held.
 func (s *suspicion) patience(own string) time.Duration {
 	rank := slices.Index(s.heirs, own)
 	if rank < 0 {
@@ -82,8 +82,8 @@
 	}
 }
 
-// due says whether the gateway at own is to take the planner for dead. One that has never answered under
-// its epoch is not: its lease may be all that is known of it, and it lapses.
+// due says whether the gateway at own is to take the planner for dead. One that has never
+// answered under its epoch is not: its lease may be all that is known of it, and it lapses.
 func (s *suspicion) due(now time.Duration, own string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/rotation/rotation_test.go
@@ -0,0 +1,20 @@
+package rotation_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/internal/rotation"
+)
+
+func TestCallsInARowCoverAll(t *testing.T) {
+	c := qt.New(t)
+	var turn rotation.Turn
+	all := []string{"a", "b", "c", "d", "e"}
+	c.Check(turn.Take(all, 2), qt.DeepEquals, []string{"a", "b"})
+	c.Check(turn.Take(all, 2), qt.DeepEquals, []string{"c", "d"})
+	c.Check(turn.Take(all, 2), qt.DeepEquals, []string{"e", "a"})
+	c.Check(turn.Take(all, 5), qt.DeepEquals, all)
+	c.Check(turn.Take(nil, 2), qt.HasLen, 0)
+}
--- a/link/records.go
+++ b/link/records.go
@@ -1,6 +1,9 @@
 package link
 
-import "github.com/eelgrasshub/eelgrasshub/workload"
+import (
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
 
 // Lookup asks a gateway for the state of a job. With Records it reads the store where
 // it does not know, for a gateway that can't.
@@ -20,6 +23,11 @@
 	Account string         `cbor:"5,keyasint,omitempty"`
 }
 
+// Lookup returns the reply's state of the job, where it is Known.
+func (r *LookupReply) Lookup() engine.Lookup {
+	return engine.Lookup{State: r.State, Queue: r.Queue, Account: r.Account}
+}
+
 // Pending asks the planner for the jobs of each queue that have not begun.
 type Pending struct{}
 
--- a/metrics/latencies.go
+++ b/metrics/latencies.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,8 +16,6 @@
 	mostLatency = 24 * time.Hour
 	// latencyDigits keeps values to 1%.
 	latencyDigits = 2
-	// mostLabels bounds the histograms of one Latencies; labels beyond it share Other.
-	mostLabels = 200
 )
 
 // Latencies is histograms of times by label, such as an account and a queue. It is safe
@@ -41,12 +38,7 @@
 	if l.labels == nil {
 		l.labels = map[string]*hdrhistogram.Histogram{}
 	}
-	if h, ok := l.labels[label]; ok {
-		return h
-	}
-	if len(l.labels) >= mostLabels {
-		label = Other
-	}
+	label = bounded(l.labels, label)
 	h, ok := l.labels[label]
 	if !ok {
 		h = hdrhistogram.New(1, mostLatency.Microseconds(), latencyDigits)
@@ -62,7 +54,6 @@
 	defer l.mu.Unlock()
 	for _, label := range slices.Sorted(maps.Keys(l.labels)) {
 		h := l.labels[label]
-		quoted := strings.NewReplacer(`\`, `\\`, `"`, `\"`).Replace(label)
 		for _, v := range []struct {
 			stat  string
 			value int64
@@ -73,7 +64,7 @@
 			{"max", h.Max()},
 		} {
 			// A reader that is gone needs no further lines.
-			_, _ = fmt.Fprintf(w, "%s{label=\"%s\",stat=\"%s\"} %d\n", name, quoted, v.stat, v.value)
+			_, _ = fmt.Fprintf(w, "%s{label=%s,stat=\"%s\"} %d\n", name, quoted(label), v.stat, v.value)
 		}
 	}
 }
--- a/metrics/sums.go
+++ b/metrics/sums.go
@@ -21,10 +21,7 @@
 	if s.labels == nil {
 		s.labels = map[string]float64{}
 	}
-	if _, ok := s.labels[label]; !ok && len(s.labels) >= mostLabels {
-		label = Other
-	}
-	s.labels[label] += amount
+	s.labels[bounded(s.labels, label)] += amount
 }
 
 // WriteText writes one line for each label.
@@ -32,6 +29,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, label := range slices.Sorted(maps.Keys(s.labels)) {
-		fmt.Fprintf(w, "%s{label=%q} %g\n", name, label, s.labels[label])
+		// A reader that is gone needs no further lines.
+		_, _ = fmt.Fprintf(w, "%s{label=%s} %g\n", name, quoted(label), s.labels[label])
 	}
 }
--- a/nodeagent/finder.go
+++ b/nodeagent/finder.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrasshub/eelgrasshub/internal/rotation"
 	"github.com/eelgrasshub/eelgrasshub/link"
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
@@ -26,7 +27,7 @@
 	dead    planner
 	deadAt  time.Duration
 	members []string // gateways, the latest learnt first
-	asked   int      // where the next choice among them begins
+	asked   rotation.Turn
 	lostAt  time.Duration
 	readAt  time.Duration // when the register was last read
 }
@@ -79,13 +80,7 @@
 func (f *finder) choose() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.members) <= mostAsked {
-		return slices.Clone(f.members)
-	}
-	from := f.asked % len(f.members)
-	f.asked += mostAsked
-	out := slices.Concat(f.members[from:], f.members[:from])
-	return out[:mostAsked]
+	return f.asked.Take(f.members, mostAsked)
 }
 
 // ask asks some gateways at once and takes the newest planner that one names.
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -98,8 +98,6 @@
 	}
 	if !l.failing {
 		a.log.WithField("worker", l.info.ID).WithError(err).Warn("worker does not answer")
-	}
-	if !l.failing {
 		l.failingFrom = now()
 	}
 	l.failing = true
--- a/records/ledger_test.go
+++ b/records/ledger_test.go
@@ -40,6 +40,14 @@
 	}
 }
 
+// accept puts jobs on record.
+func accept(c *qt.C, intake *records.Intake, ids ...workload.JobID) {
+	for _, id := range ids {
+		outcome, _ := intake.Accept(context.Background(), aJob(id))
+		c.Assert(outcome, qt.Equals, link.OutcomeStored)
+	}
+}
+
 func progress(id workload.JobID, version int, state workload.State) engine.Write {
 	return engine.Write{Jobs: []engine.JobWrite{{ID: id, Version: version, Progress: &engine.Progress{Version: version, State: state}}}}
 }
@@ -48,10 +56,7 @@
 	c, _, kv := open(t)
 	ctx := context.Background()
 	intake := records.NewIntake(kv)
-	for _, id := range []workload.JobID{"j1", "j2"} {
-		outcome, _ := intake.Accept(ctx, aJob(id))
-		c.Assert(outcome, qt.Equals, link.OutcomeStored)
-	}
+	accept(c, intake, "j1", "j2")
 	c.Assert(intake.Cancel(ctx, "q", "j2"), qt.Equals, link.OutcomeStored)
 	c.Assert(intake.Cancel(ctx, "q", "none"), qt.Equals, link.OutcomeAbsent)
 	l := ledger(c, kv)
@@ -169,10 +174,7 @@
 	c, srv, kv := open(t)
 	ctx := context.Background()
 	intake := records.NewIntake(kv)
-	for _, id := range []workload.JobID{"good", "half"} {
-		outcome, _ := intake.Accept(ctx, aJob(id))
-		c.Assert(outcome, qt.Equals, link.OutcomeStored)
-	}
+	accept(c, intake, "good", "half")
 	srv.Put("workloads/in/job/bytes", []byte{0xff, 0x00})
 	srv.Put("workloads/in/job/other", []byte(`{"id":"good"}`))
 	srv.Put("workloads/in/job/type", []byte(`{"id":7}`))
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,9 @@
 package settings
 
-import "github.com/eelgrasshub/eelgrasshub/document/schema"
+import (
+	"github.com/eelgrasshub/eelgrasshub/document/schema"
+	"github.com/eelgrasshub/eelgrasshub/engine"
+)
 
 // Gateway is the settings of a gateway on the operators' platform.
 type Gateway struct {
@@ -38,5 +41,5 @@
 	Cores    float64 `toml:"cores" default:"1" validate:"min=0.01,max=1024"`
 	LinkMbps float64 `toml:"link_mbps" default:"1000" validate:"min=0.1,max=1000000"`
 
-	Policy Policy `toml:"policy"`
+	Policy engine.Policy `toml:"policy"`
 }
