agent, capacity: tests take their ports from testport, as those of the platform do

Change: both are gone; agent and capacity have ranges of their own below the kernel's. Nothing checked is changed.

--- a/agent/rack_test.go
+++ b/agent/rack_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -24,6 +23,7 @@
 	"github.com/eelgrasshub/eelgrasshub/document"
 	"github.com/eelgrasshub/eelgrasshub/document/schema"
 	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/internal/testport"
 	"github.com/eelgrasshub/eelgrasshub/membership"
 	"github.com/eelgrasshub/eelgrasshub/settings"
 	"github.com/eelgrasshub/eelgrasshub/store"
@@ -104,20 +104,13 @@
 
 func (r *rack) entryConfig(id string) settings.Entry {
 	return settings.Entry{
-		ID: id, Region: "auckland", Zone: zone, HTTPListen: loopback, QUICListen: freeAddr(r.C), ClusterKey: clusterKey,
+		ID: id, Region: "auckland", Zone: zone, HTTPListen: loopback, QUICListen: testport.Racks.Addr(), ClusterKey: clusterKey,
 		Platform: []string{r.store}, PlatformTimeout: schema.Duration{Duration: 2 * time.Second}, PlatformBudget: 500,
 		ReportEvery: schema.Duration{Duration: time.Second}, StopGrace: schema.Duration{Duration: time.Minute},
 		RelayAbove: 1,
 	}
 }
 
-func freeAddr(c *qt.C) string {
-	l, err := net.ListenPacket("udp", loopback)
-	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.LocalAddr().String()
-}
-
 func (r *rack) startEntry(i int) {
 	e, err := entry.Start(r.configs[i], quiet())
 	r.Assert(err, qt.IsNil)
--- a/internal/capacity/agent_test.go
+++ b/internal/capacity/agent_test.go
@@ -13,6 +13,7 @@
 	"github.com/eelgrasshub/eelgrasshub/agent"
 	"github.com/eelgrasshub/eelgrasshub/api"
 	"github.com/eelgrasshub/eelgrasshub/entry"
+	"github.com/eelgrasshub/eelgrasshub/internal/testport"
 )
 
 // relay passes on datagrams and counts them with their headers. Its flows end
@@ -90,7 +91,7 @@
 	names := services(1)
 	s := newSite(c, names...)
 	cfg := s.entry("entry-1", every)
-	cfg.QUICListen = freeAddr(c)
+	cfg.QUICListen = testport.Capacity.Addr()
 	r := newRelay(c, cfg.QUICListen)
 	cfg.Advertise = r.socket.LocalAddr().String()
 	e, err := entry.Start(cfg, quiet())
@@ -125,11 +126,3 @@
 	}
 	watch("8 tasks of one member run")
 }
-
-// freeAddr is an address that was free a moment ago.
-func freeAddr(c *qt.C) string {
-	l, err := net.ListenPacket("udp", loopback)
-	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.LocalAddr().String()
-}
--- a/internal/capacity/relays_test.go
+++ b/internal/capacity/relays_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/agent"
 	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/internal/testport"
 	"github.com/eelgrasshub/eelgrasshub/settings"
 )
 
@@ -73,7 +74,7 @@
 // that counts bytes.
 func (s *site) relayingEntry(every time.Duration) (settings.Entry, *relay) {
 	cfg := s.entry("entry-1", every)
-	cfg.QUICListen = freeAddr(s.C)
+	cfg.QUICListen = testport.Capacity.Addr()
 	cfg.RelayAbove = 1
 	proxy := newRelay(s.C, cfg.QUICListen)
 	cfg.Advertise = proxy.socket.LocalAddr().String()
--- a/internal/testport/testport.go
+++ b/internal/testport/testport.go
@@ -25,6 +25,8 @@
 var (
 	Scripts  = Range{10_000, 20_000}
 	Platform = Range{20_000, 30_000}
+	Racks    = Range{30_000, 31_500}
+	Capacity = Range{31_500, 32_700}
 )
 
 var (
