--- a/gateway/store_relay.go
+++ b/gateway/store_relay.go
@@ -111,9 +111,11 @@
 }
 
 // attempt makes the own call, briefly where a peer could make it instead. Commits have
-// their own patience, and one that is cut short has an unknown outcome.
+// their own patience, and one that is cut short has an unknown outcome. Listings are as long
+// as what is on record; they end by themselves once nothing arrives any more.
 func (s *storeRelay) attempt(ctx context.Context, op link.StoreOp, own func(context.Context) error) error {
-	if op != link.StoreCommit && len(s.g.relays()) > 0 {
+	brief := op != link.StoreCommit && op != link.StoreList
+	if brief && len(s.g.relays()) > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, ownTime)
 		defer cancel()
