--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -74,7 +74,7 @@
 func (t *term) call(conn *wire.Conn, o engine.Orders) *link.OrdersReply {
 	ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), ordersTimeout)
 	defer cancel()
-	raw, err := conn.Call(ctx, &link.Orders{Epoch: t.epoch, Worker: o.Worker, Starts: o.Starts, Stops: o.Stops, Paces: o.Paces})
+	raw, err := conn.Call(ctx, link.NewOrders(t.epoch, o))
 	if err != nil && unsent(err) == link.OutcomeNotDone {
 		return allAlike(o, engine.StartNotSent)
 	}
--- /dev/null
+++ b/link/orders.go
@@ -0,0 +1,64 @@
+package link
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// Orders goes from the planner to a node agent. All are carried out at once.
+type Orders struct {
+	Epoch  uint64           `cbor:"1,keyasint"`
+	Worker engine.WorkerID  `cbor:"2,keyasint"`
+	Stops  []workload.RunID `cbor:"4,keyasint,omitempty"`
+	// Paces are carried out after the starts.
+	Paces  []engine.PaceOrder `cbor:"5,keyasint,omitempty"`
+	Starts []Start            `cbor:"6,keyasint,omitempty"`
+	// Specs are the specifications of the starts, each once: the tasks of a job share one
+	// of up to four kilobytes, and a worker takes eight of them or more at a time.
+	Specs []string `cbor:"7,keyasint,omitempty"`
+}
+
+// Start is one start among Orders.
+type Start struct {
+	Run        workload.RunID `cbor:"1,keyasint"`
+	Spec       int            `cbor:"2,keyasint,omitempty"` // its place in Orders.Specs
+	Checkpoint string         `cbor:"3,keyasint,omitempty"`
+	Ticket     string         `cbor:"4,keyasint,omitempty"` // of the advice service
+}
+
+// NewOrders returns the message of orders given under an epoch.
+func NewOrders(epoch uint64, o engine.Orders) *Orders {
+	m := &Orders{Epoch: epoch, Worker: o.Worker, Stops: o.Stops, Paces: o.Paces}
+	at := map[string]int{}
+	for _, s := range o.Starts {
+		spec, sent := at[s.Spec]
+		if !sent {
+			spec = len(m.Specs)
+			at[s.Spec] = spec
+			m.Specs = append(m.Specs, s.Spec)
+		}
+		m.Starts = append(m.Starts, Start{Run: s.Run, Spec: spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket})
+	}
+	return m
+}
+
+// StartOrders returns the starts with their specifications, or an error where one refers
+// to a specification that the message does not have.
+func (m *Orders) StartOrders() ([]engine.StartOrder, error) {
+	out := make([]engine.StartOrder, 0, len(m.Starts))
+	for _, s := range m.Starts {
+		if s.Spec < 0 || s.Spec >= len(m.Specs) {
+			return nil, eris.Errorf("start of %s refers to specification %d of %d", s.Run.Task, s.Spec, len(m.Specs))
+		}
+		out = append(out, engine.StartOrder{Run: s.Run, Spec: m.Specs[s.Spec], Checkpoint: s.Checkpoint, Ticket: s.Ticket})
+	}
+	return out, nil
+}
+
+// OrdersReply answers Orders.
+type OrdersReply struct {
+	Starts []engine.StartResult `cbor:"1,keyasint,omitempty"`
+	Paces  []engine.PaceResult  `cbor:"2,keyasint,omitempty"`
+}
--- a/link/report.go
+++ b/link/report.go
@@ -1,9 +1,6 @@
 package link
 
-import (
-	"github.com/eelgrasshub/eelgrasshub/engine"
-	"github.com/eelgrasshub/eelgrasshub/workload"
-)
+import "github.com/eelgrasshub/eelgrasshub/engine"
 
 // Report goes from a node agent to the planner.
 type Report struct {
@@ -24,19 +21,3 @@
 	// Closely: the worker should be looked at often.
 	Closely bool `cbor:"6,keyasint,omitempty"`
 }
-
-// Orders goes from the planner to a node agent. All are carried out at once.
-type Orders struct {
-	Epoch  uint64              `cbor:"1,keyasint"`
-	Worker engine.WorkerID     `cbor:"2,keyasint"`
-	Starts []engine.StartOrder `cbor:"3,keyasint,omitempty"`
-	Stops  []workload.RunID    `cbor:"4,keyasint,omitempty"`
-	// Paces are carried out after the starts.
-	Paces []engine.PaceOrder `cbor:"5,keyasint,omitempty"`
-}
-
-// OrdersReply answers Orders.
-type OrdersReply struct {
-	Starts []engine.StartResult `cbor:"1,keyasint,omitempty"`
-	Paces  []engine.PaceResult  `cbor:"2,keyasint,omitempty"`
-}
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -19,16 +19,20 @@
 	if !ok {
 		return nil, wire.NotRun(eris.Errorf("unexpected message %T", msg))
 	}
-	return a.carryOut(orders), nil
+	starts, err := orders.StartOrders()
+	if err != nil {
+		return nil, wire.NotRun(err)
+	}
+	return a.carryOut(orders, starts), nil
 }
 
 // carryOut carries out all orders at once. It goes on when the planner gives up: an
 // order that is half done is settled by the planner's next ones.
-func (a *Agent) carryOut(orders *link.Orders) *link.OrdersReply {
-	reply := &link.OrdersReply{Starts: make([]engine.StartResult, len(orders.Starts))}
+func (a *Agent) carryOut(orders *link.Orders, starts []engine.StartOrder) *link.OrdersReply {
+	reply := &link.OrdersReply{Starts: make([]engine.StartResult, len(starts))}
 	o, l, outcome := a.admit(orders)
 	var wg sync.WaitGroup
-	for i, s := range orders.Starts {
+	for i, s := range starts {
 		reply.Starts[i] = engine.StartResult{Run: s.Run, Outcome: outcome}
 		if outcome == engine.StartOK {
 			wg.Go(func() { reply.Starts[i].Outcome = a.start(o, l, s) })
