engine, records: a job of which nothing runs any more leaves its outcome alone

Cause: a successor read every job of the last two and a half minutes, with its whole body and progress, before it planned; most had ended. 240 jobs took 4 s of a 2 Mbit/s link. Change: the planner replaces the records of an ended job by its outcome (100 bytes, one transaction) and removes that when callers have no claim to it any more. Creating a job holds only while there is no outcome of its name, cancelling only while the job's record is as read, so late and repeated calls find the first. A successor reads workers, progress and submissions, plans, and then reads the outcomes; until then it takes no notices, which may be of jobs that ended under its predecessor. The test that an ended job leaves nothing is replaced by one that its outcome stays and then nothing does; the random worlds replace records too, and check that nothing of them runs.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -21,8 +21,10 @@
 	// over it and never over a map, so that they are the same for the same events.
 	sequence []*job
 	workers  map[WorkerID]*worker
-	byAgent  map[string]WorkerID
-	tracker  tracker
+	// sorted are the workers in the order of their names; nil after one came or went.
+	sorted  []*worker
+	byAgent map[string]WorkerID
+	tracker tracker
 	// interference is what was learned of images that share workers.
 	interference interference
 	urgent       urgent
@@ -42,13 +44,18 @@
 	dirty       map[workload.JobID]bool
 	unrecorded  map[WorkerID]*worker
 	goneWorkers map[WorkerID]bool
-	expired     map[workload.JobID]bool
+	// ending are jobs whose records are being replaced by their outcomes, expired those
+	// whose outcomes are being removed.
+	ending  map[workload.JobID]bool
+	expired map[workload.JobID]bool
 	// cancels of jobs that are not known yet.
 	cancels map[workload.JobID]int64
 
 	orders  []*Orders
 	actions []Action
 	replan  bool
+	// planFrom is the time before which no round is made.
+	planFrom time.Duration
 }
 
 // New returns an Engine for one term of a planner. inherited is how much longer than
@@ -71,6 +78,7 @@
 		dirty:          map[workload.JobID]bool{},
 		unrecorded:     map[WorkerID]*worker{},
 		goneWorkers:    map[WorkerID]bool{},
+		ending:         map[workload.JobID]bool{},
 		expired:        map[workload.JobID]bool{},
 		cancels:        map[workload.JobID]int64{},
 	}
@@ -87,6 +95,8 @@
 		e.restore(now, ev)
 	case WorkerRestored:
 		e.restoreWorker(now, ev.Info)
+	case EndedRestored:
+		e.restoreEnded(now, ev)
 	case OrdersEnded:
 		e.ordersEnded(now, ev)
 	case Stored:
@@ -103,9 +113,16 @@
 	}
 }
 
+// Postpone makes no planning round before a time. What is decided already still leaves with
+// the next Decide.
+func (e *Engine) Postpone(until time.Duration) { e.planFrom = until }
+
+// Postponed returns when Decide would make a round that is due, and false where none is.
+func (e *Engine) Postponed() (until time.Duration, due bool) { return e.planFrom, e.replan }
+
 // Decide places waiting work and returns what is to be done since the last call.
 func (e *Engine) Decide(now time.Duration) []Action {
-	if e.replan {
+	if e.replan && now >= e.planFrom {
 		e.replan = false
 		e.plan(now)
 	}
--- a/engine/job.go
+++ b/engine/job.go
@@ -28,13 +28,18 @@
 	// finalAt is the version that made the state final.
 	finalAt int
 	// chain is the estimate of the longest chain of work.
-	chain   time.Duration
+	chain time.Duration
+	// chains are the same from each step on; nil before they are asked for.
+	chains  []time.Duration
 	tickets map[stepAt]*tickets
 	// unfit is why the job fits no workers, as last logged; unfitNext is when to look again.
 	unfit     string
 	unfitNext time.Duration
-	// removed: the records are being removed.
-	removed bool
+	// closed: its records are replaced by its outcome, whose revision is record where a
+	// predecessor wrote it. cancelClosed is the revision of the cancellation that went too.
+	closed       bool
+	record       int64
+	cancelClosed int64
 }
 
 // touched marks a change that has to be on record.
--- a/engine/sim_rules_test.go
+++ b/engine/sim_rules_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// replaced: the records of a job give way to its outcome, so nothing of it may run.
+func (w *simWorld) replaced(j EndedJob) {
+	w.counts["records replaced"]++
+	if !j.Outcome.State.Final() {
+		w.violated("records of %s are replaced while it is %s", j.ID, j.Outcome.State)
+	}
+	for _, sw := range w.workers {
+		for task := range sw.running {
+			if !sw.dead && task.Job == j.ID {
+				w.violated("records of %s are replaced while %s runs on %s", j.ID, task, sw.info.ID)
+			}
+		}
+	}
+}
+
 // noted: the planner took note of an end. Where the lease lapsed before, it counts as
 // not having been.
 func (w *simWorld) noted(row EndRow, void bool) {
--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -65,6 +65,7 @@
 		w.cancels[j.ID] = true
 		w.engine.Step(w.now, CancelRequested{Job: j.ID})
 	})
+	w.after(cancelAt+time.Second, func() { w.engine.Step(w.now, CancelRequested{Job: j.ID, Order: order}) })
 }
 
 func (w *simWorld) randomJob(n int) *workload.Job {
--- a/engine/sim_world_test.go
+++ b/engine/sim_world_test.go
@@ -41,6 +41,7 @@
 
 	// The store.
 	records map[workload.JobID][]byte
+	ended   map[workload.JobID]Outcome // in the place of the job's other records
 	known   map[WorkerID]WorkerInfo
 	epoch   uint64
 
@@ -62,6 +63,7 @@
 		jobs:     map[workload.JobID]*workload.Job{},
 		cancels:  map[workload.JobID]bool{},
 		records:  map[workload.JobID][]byte{},
+		ended:    map[workload.JobID]Outcome{},
 		known:    map[WorkerID]WorkerInfo{},
 		ranToEnd: map[workload.TaskID]bool{},
 		done:     map[workload.TaskID]bool{},
@@ -116,6 +118,9 @@
 		e.Step(w.now, WorkerRestored{Info: w.known[id]})
 	}
 	for i, id := range w.order {
+		if _, ended := w.ended[id]; ended {
+			continue
+		}
 		ev := Restored{Submitted: Submitted{Job: *w.jobs[id], Order: int64(i + 1)}, Cancelled: w.cancels[id]}
 		if text, ok := w.records[id]; ok {
 			ev.Progress = &Progress{}
@@ -125,9 +130,22 @@
 		}
 		e.Step(w.now, ev)
 	}
+	w.after(time.Duration(w.rng.IntN(3000))*time.Millisecond, func() { w.restoreEnded(e) })
 	w.counts["terms"]++
 }
 
+// restoreEnded gives a planner the outcomes of its predecessors, while it plans.
+func (w *simWorld) restoreEnded(e *Engine) {
+	if e != w.engine {
+		return
+	}
+	for _, id := range w.order {
+		if outcome, ended := w.ended[id]; ended {
+			e.Step(w.now, EndedRestored{ID: id, Outcome: outcome, Record: 1})
+		}
+	}
+}
+
 func keysOf(m map[WorkerID]WorkerInfo) func(func(WorkerID) bool) {
 	return func(yield func(WorkerID) bool) {
 		for k := range m {
@@ -214,6 +232,11 @@
 	for _, id := range change.Gone {
 		delete(w.known, id)
 	}
+	for _, ended := range change.Ended {
+		w.replaced(ended)
+		w.ended[ended.ID] = ended.Outcome
+		delete(w.records, ended.ID)
+	}
 	w.after(w.latency(), func() {
 		if e == w.engine {
 			w.writing = false
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -79,7 +79,7 @@
 
 func (e *Engine) tickJob(now time.Duration, j *job) {
 	if j.state.Final() {
-		e.expire(now, j)
+		e.tickEnded(now, j)
 		return
 	}
 	before := j.created
@@ -91,16 +91,3 @@
 	}
 	e.tellUnfit(now, j)
 }
-
-func (e *Engine) expire(now time.Duration, j *job) {
-	if j.removed || now-j.endedAt < e.params.Retention+retentionSlack || j.stored < j.version {
-		return
-	}
-	for _, u := range j.units {
-		if len(u.places) > 0 {
-			return
-		}
-	}
-	j.removed = true
-	e.expired[j.spec.ID] = true
-}
--- a/engine/write.go
+++ b/engine/write.go
@@ -13,17 +13,12 @@
 type Write struct {
 	Jobs    []JobWrite
 	Workers []WorkerInfo
-	// Gone are workers whose records are removed, Ended jobs likewise.
-	Gone  []WorkerID
-	Ended []EndedJob
-}
-
-// EndedJob is a job whose records are removed, with the revisions at which the caller's
-// own records were created; CancelOrder is 0 where there is no cancellation.
-type EndedJob struct {
-	ID          workload.JobID
-	Order       int64
-	CancelOrder int64
+	// Gone are workers whose records are removed.
+	Gone []WorkerID
+	// Ended are jobs whose records are replaced by their outcomes, Forgotten those of which
+	// nothing is kept any more.
+	Ended     []EndedJob
+	Forgotten []ForgottenJob
 }
 
 // JobWrite is one job's record.
@@ -35,7 +30,7 @@
 
 // Empty says whether there is nothing to write.
 func (w *Write) Empty() bool {
-	return len(w.Jobs)+len(w.Workers)+len(w.Gone)+len(w.Ended) == 0
+	return len(w.Jobs)+len(w.Workers)+len(w.Gone)+len(w.Ended)+len(w.Forgotten) == 0
 }
 
 // Changes returns the changes that are not on record yet, at most limit records,
@@ -57,7 +52,7 @@
 		w.Jobs = append(w.Jobs, JobWrite{ID: j.spec.ID, Version: j.version, Progress: j.progress(e.epoch, now, wall)})
 		limit--
 	}
-	return e.removals(w, limit)
+	return e.removals(w, limit, now, wall)
 }
 
 func (e *Engine) changedJobs() []*job {
@@ -73,7 +68,8 @@
 	return out
 }
 
-func (e *Engine) removals(w Write, limit int) Write {
+// removals adds what is taken off the records.
+func (e *Engine) removals(w Write, limit int, now time.Duration, wall time.Time) Write {
 	for _, id := range slices.Sorted(maps.Keys(e.goneWorkers)) {
 		if limit <= 0 {
 			return w
@@ -81,13 +77,19 @@
 		w.Gone = append(w.Gone, id)
 		limit--
 	}
+	for _, id := range slices.Sorted(maps.Keys(e.ending)) {
+		if limit < endedRecords {
+			return w
+		}
+		w.Ended = append(w.Ended, e.jobs[id].ended(e.epoch, now, wall))
+		limit -= endedRecords
+	}
 	for _, id := range slices.Sorted(maps.Keys(e.expired)) {
-		if limit <= 0 {
+		if limit < forgottenRecords {
 			return w
 		}
-		j := e.jobs[id]
-		w.Ended = append(w.Ended, EndedJob{ID: id, Order: j.order, CancelOrder: j.cancelOrder})
-		limit -= 3 // records
+		w.Forgotten = append(w.Forgotten, e.jobs[id].forgotten())
+		limit -= forgottenRecords
 	}
 	return w
 }
@@ -116,8 +118,12 @@
 		delete(e.goneWorkers, id)
 	}
 	for _, ended := range w.Ended {
-		delete(e.expired, ended.ID)
-		e.remove(ended.ID)
+		delete(e.ending, ended.ID)
+		e.jobs[ended.ID].close(ended.CancelOrder)
+	}
+	for _, forgotten := range w.Forgotten {
+		delete(e.expired, forgotten.ID)
+		e.remove(forgotten.ID)
 	}
 }
 
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -22,9 +22,7 @@
 	if g.storeWorth() {
 		var at store.Revision
 		outcome, at = g.intake.Accept(ctx, j)
-		if outcome == link.OutcomeStored {
-			g.notice(&link.Notice{Job: j, Order: int64(at)})
-		}
+		g.noticeJob(outcome, j, at)
 		g.storeSaid(outcome)
 	}
 	if outcome == link.OutcomeNotDone {
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -23,9 +23,7 @@
 		return &link.PendingReply{Planning: ok, Counts: counts}, nil
 	case *link.Accept:
 		outcome, at := g.intake.Accept(ctx, &m.Job)
-		if outcome == link.OutcomeStored {
-			g.notice(&link.Notice{Job: &m.Job, Order: int64(at)})
-		}
+		g.noticeJob(outcome, &m.Job, at)
 		return &link.RecordReply{Outcome: outcome}, nil
 	case *link.Cancel:
 		outcome := g.intake.Cancel(ctx, m.Queue, m.Job)
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -6,9 +6,19 @@
 
 	"github.com/eelgrasshub/eelgrasshub/engine"
 	"github.com/eelgrasshub/eelgrasshub/link"
+	"github.com/eelgrasshub/eelgrasshub/store"
 	"github.com/eelgrasshub/eelgrasshub/wire"
+	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
+// noticeJob tells the planner of a job that is on record at a revision; of one that has
+// ended, which has none, nobody needs to hear.
+func (g *Gateway) noticeJob(outcome link.Outcome, j *workload.Job, at store.Revision) {
+	if outcome == link.OutcomeStored && at != 0 {
+		g.notice(&link.Notice{Job: j, Order: int64(at)})
+	}
+}
+
 // notice tells the planner of a record at once; its watch of the store, which may hear
 // nothing for a second, tells it in any case.
 func (g *Gateway) notice(n *link.Notice) {
@@ -27,12 +37,18 @@
 	}()
 }
 
+// takeNotice passes a notice on to the term, if there is one.
+//
+// The failure that knowsEnded guards against: a notice is held up on its way for seconds,
+// its job runs and ends meanwhile, and another planner takes over. To the new one the job
+// would look like one that was just handed in, as long as it has not read the outcomes, and
+// run again. Its watch tells it of all that was handed in since it has the duty.
 func (g *Gateway) takeNotice(n *link.Notice) {
 	t := g.currentTerm()
 	if t == nil || !t.active() {
 		return
 	}
-	if n.Job != nil {
+	if n.Job != nil && t.knowsEnded.Load() {
 		t.post(engine.Submitted{Job: *n.Job, Order: n.Order})
 	}
 	if n.Cancel != "" {
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -44,6 +44,8 @@
 	// is only shown where no newer planner is known.
 	frozen atomic.Bool
 	loaded atomic.Bool
+	// knowsEnded: the outcomes of predecessors' jobs are read.
+	knowsEnded atomic.Bool
 	// frozenAt is when the duty's lease lapsed, on the boot clock; 0 where it did not.
 	frozenAt atomic.Int64
 
@@ -113,6 +115,7 @@
 	t.loaded.Store(true)
 	t.log.WithFields(logrus.Fields{"jobs": len(state.Jobs), "workers": len(state.Workers), "revision": state.At}).Info("records read; planning")
 	t.tomb.Go(func() error { return t.follow(state.At) })
+	t.tomb.Go(t.loadEnded)
 	t.loop()
 	t.tomb.Kill(nil) // nobody serves the inbox any more
 	return nil
--- a/gateway/term_load.go
+++ b/gateway/term_load.go
@@ -65,6 +65,31 @@
 	}
 }
 
+// endedRetry is the pause between attempts to read the outcomes of ended jobs. Callers who
+// ask for one meanwhile are answered from the store.
+const endedRetry = time.Second
+
+// loadEnded reads the outcomes of jobs that ended under predecessors, while this term plans.
+func (t *term) loadEnded() error {
+	ctx := t.tomb.Context(context.Background())
+	for t.tomb.Alive() && !t.frozen.Load() {
+		ended, unreadable, err := t.ledger.LoadEnded(ctx, time.Now())
+		if err != nil {
+			t.log.WithError(err).Info("outcomes of ended jobs not read")
+			t.pause(endedRetry)
+			continue
+		}
+		t.tellUnreadable(unreadable)
+		for _, e := range ended {
+			t.post(e)
+		}
+		t.knowsEnded.Store(true)
+		t.log.WithField("jobs", len(ended)).Info("outcomes of ended jobs read")
+		return nil
+	}
+	return nil
+}
+
 // relistPause is the least time between two listings of the intake, while its watch can't
 // be kept: notices tell of nearly all jobs sooner.
 const relistPause = time.Second
@@ -81,21 +106,21 @@
 		}
 		t.pause(relistPause - (lease.BootTime() - listed))
 		t.log.WithError(err).Info("watch of the intake lost; listing again")
-		state, err := records.OpenLedger(listingRelay{t.g.relayed}, store.Condition{}).Load(ctx, time.Now())
+		submitted, err := records.ListSubmissions(ctx, listingRelay{t.g.relayed}, time.Now())
 		if err != nil {
 			t.pause(writeRetry)
 			continue
 		}
 		listed = lease.BootTime()
-		at = state.At
-		t.postIntake(state)
+		at = max(at, submitted.At)
+		t.postIntake(submitted)
 	}
 	return nil
 }
 
 // postIntake gives the engine all submissions and cancellations; it knows most of them.
-func (t *term) postIntake(state records.State) {
-	for _, j := range state.Jobs {
+func (t *term) postIntake(submitted records.Submissions) {
+	for _, j := range submitted.Jobs {
 		t.post(j.Submitted)
 		if j.Cancelled {
 			t.post(engine.CancelRequested{Job: j.Job.ID, Order: j.CancelOrder})
--- /dev/null
+++ b/records/ended_test.go
@@ -0,0 +1,117 @@
+package records_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/link"
+	"github.com/eelgrasshub/eelgrasshub/platform"
+	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+	"github.com/eelgrasshub/eelgrasshub/records"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// closed puts a job on record that was cancelled and closed, and returns its ledger.
+func closed(c *qt.C, kv *platform.KVStore, id workload.JobID) *records.Ledger {
+	ctx := context.Background()
+	intake := records.NewIntake(kv)
+	_, order := intake.Accept(ctx, aJob(id))
+	c.Assert(intake.Cancel(ctx, "q", id), qt.Equals, link.OutcomeStored)
+	l := ledger(c, kv)
+	state, err := l.Load(ctx, wall)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Write(ctx, progress(id, 1, workload.Cancelled)), qt.IsNil)
+	c.Assert(l.Write(ctx, engine.Write{Ended: []engine.EndedJob{{
+		ID: id, Order: int64(order), CancelOrder: state.Jobs[0].CancelOrder,
+		Outcome: engine.Outcome{Epoch: 1, Queue: "q", Account: "a", State: workload.Cancelled, EndedAt: wall.Add(-time.Minute)},
+	}}}), qt.IsNil)
+	return l
+}
+
+func TestEndedJobLeavesItsOutcomeAndThenNothing(t *testing.T) {
+	c, srv, kv := open(t)
+	l := closed(c, kv, "j1")
+	c.Check(srv.Keys("workloads/"), qt.DeepEquals, []string{"workloads/ended/j1"})
+	forgotten := engine.Write{Forgotten: []engine.ForgottenJob{{ID: "j1"}}}
+	c.Assert(l.Write(context.Background(), forgotten), qt.IsNil)
+	c.Check(srv.Keys("workloads/"), qt.HasLen, 0)
+}
+
+// A successor reads the work that is left without the outcomes, then the outcomes, and
+// removes one that it did not write.
+func TestOutcomesAreReadApart(t *testing.T) {
+	c, srv, kv := open(t)
+	ctx := context.Background()
+	closed(c, kv, "j1")
+	accept(c, records.NewIntake(kv), "j2")
+	srv.Put("workloads/ended/bytes", []byte{0xff})
+	l := ledger(c, kv)
+	state, err := l.Load(ctx, wall)
+	c.Assert(err, qt.IsNil)
+	c.Assert(state.Jobs, qt.HasLen, 1)
+	c.Check(state.Jobs[0].Job.ID, qt.Equals, workload.JobID("j2"))
+	ended, unreadable, err := l.LoadEnded(ctx, wall)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ended, qt.HasLen, 1)
+	c.Check(unreadable, qt.HasLen, 1)
+	c.Check(ended[0].Outcome.State, qt.Equals, workload.Cancelled)
+	c.Check(ended[0].Age, qt.Equals, time.Minute)
+	forgotten := engine.Write{Forgotten: []engine.ForgottenJob{{ID: "j1", Record: ended[0].Record}}}
+	c.Assert(l.Write(ctx, forgotten), qt.IsNil)
+	c.Check(srv.Keys("workloads/ended/"), qt.DeepEquals, []string{"workloads/ended/bytes"})
+}
+
+// A caller's submission is repeated on its way and arrives after its job has ended: it finds
+// the first and does not run again. Another's job of that name is told apart.
+func TestRepeatedSubmissionFindsTheOutcome(t *testing.T) {
+	c, srv, kv := open(t)
+	ctx := context.Background()
+	closed(c, kv, "j1")
+	intake := records.NewIntake(kv)
+	outcome, at := intake.Accept(ctx, aJob("j1"))
+	c.Check(outcome, qt.Equals, link.OutcomeStored)
+	c.Check(at, qt.Equals, store.Revision(0))
+	other := aJob("j1")
+	other.Account = "another"
+	outcome, _ = intake.Accept(ctx, other)
+	c.Check(outcome, qt.Equals, link.OutcomeMismatch)
+	c.Check(srv.Keys("workloads/in/"), qt.HasLen, 0)
+}
+
+// The write of a submission is on its way for half a second; its repetition is carried out
+// at once, the job runs, ends and is closed. The first must not bring the job back.
+func TestLateSubmissionDoesNotBringAClosedJobBack(t *testing.T) {
+	c, srv, kv := open(t)
+	const late = 500 * time.Millisecond
+	srv.SetFaults(standin.StoreFaults{LateWrites: late})
+	ctx, cancel := context.WithTimeout(context.Background(), late/2)
+	outcome, _ := records.NewIntake(kv).Accept(ctx, aJob("j1"))
+	cancel()
+	c.Assert(outcome, qt.Equals, link.OutcomeUnknown)
+	srv.SetFaults(standin.StoreFaults{})
+	closed(c, kv, "j1")
+	time.Sleep(2 * late)
+	c.Check(srv.Keys("workloads/"), qt.DeepEquals, []string{"workloads/ended/j1"})
+}
+
+func TestEndedJobIsKnownToCallers(t *testing.T) {
+	c, srv, kv := open(t)
+	ctx := context.Background()
+	closed(c, kv, "j1")
+	intake := records.NewIntake(kv)
+	found, ok, err := intake.Lookup(ctx, "j1")
+	c.Assert(err, qt.IsNil)
+	c.Check(ok, qt.IsTrue)
+	c.Check(found, qt.Equals, engine.Lookup{State: workload.Cancelled, Queue: "q", Account: "a"})
+	_, ok, err = intake.Lookup(ctx, "none")
+	c.Assert(err, qt.IsNil)
+	c.Check(ok, qt.IsFalse)
+	c.Check(intake.Cancel(ctx, "q", "j1"), qt.Equals, link.OutcomeStored)
+	c.Check(intake.Cancel(ctx, "other", "j1"), qt.Equals, link.OutcomeAbsent)
+	c.Check(srv.Keys("workloads/in/"), qt.HasLen, 0)
+}
--- a/records/intake.go
+++ b/records/intake.go
@@ -27,9 +27,9 @@
 // probeTimeout bounds the question that goes before a write.
 const probeTimeout = 600 * time.Millisecond
 
-// Accept makes a job durable and returns the revision at which it is. A repeated call
-// for the same id finds the first. It goes on until ctx ends to learn what became of a
-// write whose reply was lost.
+// Accept makes a job durable and returns the revision at which it is, 0 for one that has
+// ended since. A repeated call for the same id finds the first. It goes on until ctx ends to
+// learn what became of a write whose reply was lost.
 func (i *Intake) Accept(ctx context.Context, j *workload.Job) (link.Outcome, store.Revision) {
 	value, err := json.Marshal(j)
 	if err != nil {
@@ -40,15 +40,29 @@
 		return link.OutcomeNotDone, 0
 	}
 	if known {
-		return i.repeated(j, first)
+		return repeated(j, first), first.Created
 	}
-	outcome, revision, current := i.create(ctx, store.Swap{Key: jobKey(j.ID), Value: value})
-	if current != nil {
-		return i.repeated(j, *current)
+	open := store.Condition{Key: endedKey(j.ID)}
+	outcome, revision, current := i.create(ctx, open, store.Swap{Key: jobKey(j.ID), Value: value})
+	if first, ended := find(current, endedKey(j.ID)); ended {
+		return repeated(j, first), 0
+	}
+	if first, known := find(current, jobKey(j.ID)); known {
+		return repeated(j, first), first.Created
 	}
 	return outcome, revision
 }
 
+// find returns a key that exists among those of a commit that did not hold.
+func find(current []store.KeyValue, key string) (store.KeyValue, bool) {
+	for _, kv := range current {
+		if kv.Key == key && kv.Mod != 0 {
+			return kv, true
+		}
+	}
+	return store.KeyValue{}, false
+}
+
 // probe reads the key before it is written. Where the store is out, a write that was
 // sent leaves its outcome unknown, and the caller can neither be told that it was
 // accepted nor that it was not; a question that gets no answer has changed nothing, so
@@ -59,30 +73,35 @@
 	return i.store.Get(ctx, key)
 }
 
-// repeated judges a submission whose id is on record already.
-func (i *Intake) repeated(j *workload.Job, kv store.KeyValue) (link.Outcome, store.Revision) {
-	var first workload.Job
+// repeated judges a submission whose id is on record already, as a job or as its outcome,
+// which have the fields that matter in common.
+func repeated(j *workload.Job, kv store.KeyValue) link.Outcome {
+	var first struct {
+		Queue   string `json:"queue"`
+		Account string `json:"account"`
+	}
 	if err := json.Unmarshal(kv.Value, &first); err != nil {
-		return link.OutcomeMismatch, 0
+		return link.OutcomeMismatch
 	}
 	if first.Queue != j.Queue || first.Account != j.Account {
-		return link.OutcomeMismatch, 0
+		return link.OutcomeMismatch
 	}
-	return link.OutcomeStored, kv.Created
+	return link.OutcomeStored
 }
 
-// create makes a key that must not exist. current is the key where it does.
-func (i *Intake) create(ctx context.Context, s store.Swap) (outcome link.Outcome, at store.Revision, current *store.KeyValue) {
+// create makes a key that must not exist, while a condition on another holds. current are
+// both where that is not so.
+func (i *Intake) create(ctx context.Context, while store.Condition, s store.Swap) (outcome link.Outcome, at store.Revision, current []store.KeyValue) {
 	lost := false
 	for {
-		out, err := i.store.CommitIf(ctx, nil, []store.Swap{s})
+		out, err := i.store.CommitIf(ctx, []store.Condition{while}, []store.Swap{s})
 		switch {
 		case err == nil && out.Committed:
 			return link.OutcomeStored, out.Revision, nil
-		case err == nil && len(out.Current) > 0 && out.Current[0].Mod != 0:
-			return link.OutcomeStored, out.Current[0].Created, &out.Current[0]
+		case err == nil && refused(out.Current, while, s):
+			return link.OutcomeNotDone, 0, out.Current
 		case err == nil:
-			// Not committed although the key does not exist: it went meanwhile.
+			// Not committed although both keys are as they should be: that changed meanwhile.
 		case eris.Is(err, store.ErrOutcomeUnknown):
 			lost = true
 		case !lost:
@@ -98,25 +117,90 @@
 	}
 }
 
-// Cancel makes a cancellation durable, where the job exists and is of the queue.
+// refused says whether a creation did not hold as the keys are: there is one, or the other
+// is not as it has to be.
+func refused(current []store.KeyValue, while store.Condition, s store.Swap) bool {
+	for _, kv := range current {
+		if kv.Key == s.Key && kv.Mod != 0 || kv.Key == while.Key && kv.Mod != while.Revision {
+			return true
+		}
+	}
+	return false
+}
+
+// Cancel makes a cancellation durable, where the job exists and is of the queue. One of a
+// job that has ended changes nothing.
 func (i *Intake) Cancel(ctx context.Context, queue string, id workload.JobID) link.Outcome {
-	kv, ok, err := i.store.Get(ctx, jobKey(id))
-	if err != nil {
-		return link.OutcomeNotDone
+	for {
+		kv, ok, err := i.store.Get(ctx, jobKey(id))
+		if err != nil {
+			return link.OutcomeNotDone
+		}
+		if !ok {
+			return i.cancelEnded(ctx, queue, id)
+		}
+		var j workload.Job
+		if err := json.Unmarshal(kv.Value, &j); err != nil || j.Queue != queue {
+			return link.OutcomeAbsent
+		}
+		while := store.Condition{Key: jobKey(id), Revision: kv.Mod}
+		outcome, _, current := i.create(ctx, while, store.Swap{Key: cancelKey(id), Value: []byte("1")})
+		if _, before := find(current, cancelKey(id)); before {
+			return link.OutcomeStored
+		}
+		if current == nil {
+			return outcome
+		}
+		// The job's records were replaced by its outcome since they were read.
 	}
-	if !ok {
+}
+
+// cancelEnded answers a cancellation of a job that has no record as a job.
+func (i *Intake) cancelEnded(ctx context.Context, queue string, id workload.JobID) link.Outcome {
+	o, ok, err := i.outcome(ctx, id)
+	switch {
+	case err != nil:
+		return link.OutcomeNotDone
+	case !ok || o.Queue != queue:
 		return link.OutcomeAbsent
 	}
-	var j workload.Job
-	if err := json.Unmarshal(kv.Value, &j); err != nil || j.Queue != queue {
-		return link.OutcomeAbsent
+	return link.OutcomeStored
+}
+
+// outcome reads what a job came to, and false where none is on record.
+func (i *Intake) outcome(ctx context.Context, id workload.JobID) (engine.Outcome, bool, error) {
+	kv, ok, err := i.store.Get(ctx, endedKey(id))
+	if err != nil || !ok {
+		return engine.Outcome{}, false, err
 	}
-	outcome, _, _ := i.create(ctx, store.Swap{Key: cancelKey(id), Value: []byte("1")})
-	return outcome
+	var o engine.Outcome
+	if err := json.Unmarshal(kv.Value, &o); err != nil {
+		return engine.Outcome{}, false, eris.Wrapf(err, "outcome of job %s", id)
+	}
+	return o, true, nil
 }
 
 // Lookup reads the state of a job from its records. The error is the store's.
+//
+// The outcome is read after the others: records that are replaced by it while they are read
+// would else look like those of a job that has not begun.
 func (i *Intake) Lookup(ctx context.Context, id workload.JobID) (engine.Lookup, bool, error) {
+	out, open, err := i.lookupOpen(ctx, id)
+	if err != nil || open && out.State != workload.Queued {
+		return out, open, err
+	}
+	o, ended, err := i.outcome(ctx, id)
+	if err != nil {
+		return engine.Lookup{}, false, err
+	}
+	if ended {
+		return engine.Lookup{State: o.State, Queue: o.Queue, Account: o.Account, Reason: o.Reason}, true, nil
+	}
+	return out, open, nil
+}
+
+// lookupOpen reads the state of a job whose records have not been replaced by its outcome.
+func (i *Intake) lookupOpen(ctx context.Context, id workload.JobID) (engine.Lookup, bool, error) {
 	kv, ok, err := i.store.Get(ctx, jobKey(id))
 	if err != nil || !ok {
 		return engine.Lookup{}, false, err
@@ -137,14 +221,15 @@
 		}
 		out.State, out.Reason = p.State, p.Reason
 	}
-	if !out.State.Final() {
-		_, cancelled, err := i.store.Get(ctx, cancelKey(id))
-		if err != nil {
-			return engine.Lookup{}, false, err
-		}
-		if cancelled {
-			out.State = workload.Cancelled
-		}
+	if out.State.Final() {
+		return out, true, nil
+	}
+	_, cancelled, err := i.store.Get(ctx, cancelKey(id))
+	if err != nil {
+		return engine.Lookup{}, false, err
+	}
+	if cancelled {
+		out.State = workload.Cancelled
 	}
 	return out, true, nil
 }
--- a/records/ledger.go
+++ b/records/ledger.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,20 +29,10 @@
 	revisions map[string]store.Revision
 }
 
-// State is everything on record.
+// State is what a planner has to know before it plans: all work that has not ended.
 type State struct {
-	Jobs    []engine.Restored
+	Submissions
 	Workers []engine.WorkerInfo
-	// At is where a watch of the intake goes on.
-	At store.Revision
-	// Unreadable are records that another writer left and that are passed over.
-	Unreadable []Unreadable
-}
-
-// Unreadable is a record that can't be decoded.
-type Unreadable struct {
-	Key string
-	Why error
 }
 
 // OpenLedger returns a Ledger that writes while the key of guard is as it says.
@@ -49,85 +40,93 @@
 	return &Ledger{store: kv, guard: guard, revisions: map[string]store.Revision{}}
 }
 
-// Load reads all records. wall is the time of day, by which the age of jobs is told.
+// Load reads what a planner has to know before it plans. What it reads first, only holders
+// of the duty write, so nothing of that changes after this term has taken it.
 //
 // The failure it guards against: one record that can't be read would keep every planner
 // from planning. The others hold: a job whose own record or progress can't be read stays
 // out, since starting it could run it twice; a worker whose record can't be read is known
 // by its key alone, so that what it may hold is waited for.
 func (l *Ledger) Load(ctx context.Context, wall time.Time) (State, error) {
-	snap, err := l.store.List(ctx, rootPrefix)
+	workers, err := l.store.List(ctx, workerPrefix)
 	if err != nil {
 		return State{}, err
 	}
-	out := State{At: snap.At}
-	progress := map[workload.JobID]*engine.Progress{}
-	cancelled := map[workload.JobID]int64{}
-	withheld := map[workload.JobID]bool{}
-	for _, kv := range snap.Keys {
-		switch {
-		case strings.HasPrefix(kv.Key, cancelPrefix):
-			cancelled[idOf(kv.Key, cancelPrefix)] = int64(kv.Mod)
-		case strings.HasPrefix(kv.Key, runPrefix):
-			l.revisions[kv.Key] = kv.Mod
-			p := &engine.Progress{}
-			if err := json.Unmarshal(kv.Value, p); err != nil {
-				out.passOver(kv.Key, err)
-				withheld[idOf(kv.Key, runPrefix)] = true
-				continue
-			}
-			progress[idOf(kv.Key, runPrefix)] = p
-		case strings.HasPrefix(kv.Key, workerPrefix):
-			l.revisions[kv.Key] = kv.Mod
-			var w engine.WorkerInfo
-			id := engine.WorkerID(strings.TrimPrefix(kv.Key, workerPrefix))
-			err := json.Unmarshal(kv.Value, &w)
-			if err == nil && w.ID != id {
-				err = eris.Errorf("is of worker %.40q", w.ID)
-			}
-			if err != nil {
-				out.passOver(kv.Key, err)
-				w = engine.WorkerInfo{ID: id}
-			}
-			out.Workers = append(out.Workers, w)
-		}
+	runs, err := l.store.List(ctx, runPrefix)
+	if err != nil {
+		return State{}, err
 	}
-	for _, kv := range snap.Keys {
-		if !strings.HasPrefix(kv.Key, jobPrefix) {
-			continue
+	submitted, err := ListSubmissions(ctx, l.store, wall)
+	if err != nil {
+		return State{}, err
+	}
+	out := State{Submissions: submitted}
+	l.takeWorkers(&out, workers.Keys)
+	l.takeProgress(&out, runs.Keys)
+	// An incomplete page may tell an earlier revision than this term's first; a watch from
+	// there would show submissions of jobs that a predecessor has closed since.
+	out.At = max(out.At, l.guard.Revision)
+	return out, nil
+}
+
+func (l *Ledger) takeWorkers(out *State, keys []store.KeyValue) {
+	for _, kv := range keys {
+		l.revisions[kv.Key] = kv.Mod
+		id := engine.WorkerID(strings.TrimPrefix(kv.Key, workerPrefix))
+		var w engine.WorkerInfo
+		err := json.Unmarshal(kv.Value, &w)
+		if err == nil && w.ID != id {
+			err = eris.Errorf("is of worker %.40q", w.ID)
 		}
-		submitted, err := decodeJob(kv, wall)
 		if err != nil {
 			out.passOver(kv.Key, err)
-			continue
+			w = engine.WorkerInfo{ID: id}
 		}
-		id := submitted.Job.ID
-		if withheld[id] {
-			continue
-		}
-		order, wasCancelled := cancelled[id]
-		out.Jobs = append(out.Jobs, engine.Restored{Submitted: submitted, Progress: progress[id], Cancelled: wasCancelled, CancelOrder: order})
+		out.Workers = append(out.Workers, w)
 	}
-	return out, nil
 }
 
-func (s *State) passOver(key string, why error) {
-	s.Unreadable = append(s.Unreadable, Unreadable{Key: key, Why: why})
+// takeProgress adds to the submissions what became of them.
+func (l *Ledger) takeProgress(out *State, keys []store.KeyValue) {
+	progress := map[workload.JobID]*engine.Progress{}
+	withheld := map[workload.JobID]bool{}
+	for _, kv := range keys {
+		l.revisions[kv.Key] = kv.Mod
+		id := idOf(kv.Key, runPrefix)
+		p := &engine.Progress{}
+		if err := json.Unmarshal(kv.Value, p); err != nil {
+			out.passOver(kv.Key, err)
+			withheld[id] = true
+			continue
+		}
+		progress[id] = p
+	}
+	out.Jobs = slices.DeleteFunc(out.Jobs, func(j engine.Restored) bool { return withheld[j.Job.ID] })
+	for i := range out.Jobs {
+		out.Jobs[i].Progress = progress[out.Jobs[i].Job.ID]
+	}
 }
 
-// mostAge bounds the age told of a job: the time of day may jump.
-const mostAge = 2 * time.Minute
-
-func decodeJob(kv store.KeyValue, wall time.Time) (engine.Submitted, error) {
-	var j workload.Job
-	if err := json.Unmarshal(kv.Value, &j); err != nil {
-		return engine.Submitted{}, eris.Wrapf(err, "record %s", kv.Key)
+// LoadEnded reads the outcomes of jobs that have ended. No planning depends on them. It may
+// run beside Write.
+func (l *Ledger) LoadEnded(ctx context.Context, wall time.Time) ([]engine.EndedRestored, []Unreadable, error) {
+	snap, err := l.store.List(ctx, endedPrefix)
+	if err != nil {
+		return nil, nil, err
 	}
-	if j.ID != idOf(kv.Key, jobPrefix) || len(j.Steps) == 0 {
-		return engine.Submitted{}, eris.Errorf("record %s: not a job of that id with steps", kv.Key)
+	var out []engine.EndedRestored
+	var unreadable []Unreadable
+	for _, kv := range snap.Keys {
+		var o engine.Outcome
+		if err := json.Unmarshal(kv.Value, &o); err != nil {
+			unreadable = append(unreadable, Unreadable{Key: kv.Key, Why: err})
+			continue
+		}
+		out = append(out, engine.EndedRestored{
+			ID: idOf(kv.Key, endedPrefix), Outcome: o, Record: int64(kv.Mod), Age: ageOf(o.EndedAt, wall),
+		})
 	}
-	age := min(max(wall.Sub(j.Submitted), 0), mostAge)
-	return engine.Submitted{Job: j, Order: int64(kv.Created), Age: age}, nil
+	return out, unreadable, nil
 }
 
 // Follow gives every submission and cancellation recorded after revision at to deliver,
@@ -193,21 +192,48 @@
 		out = append(out, store.Swap{Key: workerKey(id), Expect: l.revisions[workerKey(id)], Delete: true})
 	}
 	for _, j := range w.Ended {
+		closing, err := l.closing(j)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, closing...)
+	}
+	for _, j := range w.Forgotten {
 		out = append(out, l.removal(j)...)
 	}
 	return out, nil
 }
 
-// removal removes all records of a job that ended long ago.
-func (l *Ledger) removal(j engine.EndedJob) []store.Swap {
+// closing replaces all records of a job that has ended by its outcome.
+func (l *Ledger) closing(j engine.EndedJob) ([]store.Swap, error) {
+	value, err := json.Marshal(j.Outcome)
+	if err != nil {
+		return nil, eris.Wrapf(err, "encode outcome of job %s", j.ID)
+	}
 	out := []store.Swap{
+		{Key: endedKey(j.ID), Value: value},
 		{Key: runKey(j.ID), Expect: l.revisions[runKey(j.ID)], Delete: true},
 		{Key: jobKey(j.ID), Expect: store.Revision(j.Order), Delete: true},
 	}
-	if j.CancelOrder != 0 {
-		out = append(out, store.Swap{Key: cancelKey(j.ID), Expect: store.Revision(j.CancelOrder), Delete: true})
+	return append(out, cancelRemoval(j.ID, j.CancelOrder)...), nil
+}
+
+// removal removes the outcome of a job.
+func (l *Ledger) removal(j engine.ForgottenJob) []store.Swap {
+	expect := store.Revision(j.Record)
+	if expect == 0 {
+		expect = l.revisions[endedKey(j.ID)]
+	}
+	out := []store.Swap{{Key: endedKey(j.ID), Expect: expect, Delete: true}}
+	return append(out, cancelRemoval(j.ID, j.CancelOrder)...)
+}
+
+// cancelRemoval removes a cancellation that was created at revision order, 0 for none.
+func cancelRemoval(id workload.JobID, order int64) []store.Swap {
+	if order == 0 {
+		return nil
 	}
-	return out
+	return []store.Swap{{Key: cancelKey(id), Expect: store.Revision(order), Delete: true}}
 }
 
 func (l *Ledger) note(swaps []store.Swap, at store.Revision) {
--- /dev/null
+++ b/records/submissions.go
@@ -0,0 +1,82 @@
+package records
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/store"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// Submissions are the jobs that callers have handed in and that have not been closed.
+type Submissions struct {
+	// Jobs are in the order of their names, without Progress.
+	Jobs []engine.Restored
+	// At is where a watch of the intake goes on.
+	At store.Revision
+	// Unreadable are records that another writer left and that are passed over.
+	Unreadable []Unreadable
+}
+
+// Unreadable is a record that can't be decoded.
+type Unreadable struct {
+	Key string
+	Why error
+}
+
+// ListSubmissions reads what callers have handed in. wall is the time of day, by which the
+// age of jobs is told.
+func ListSubmissions(ctx context.Context, kv store.Store, wall time.Time) (Submissions, error) {
+	snap, err := kv.List(ctx, inPrefix)
+	if err != nil {
+		return Submissions{}, err
+	}
+	cancelled := map[workload.JobID]int64{}
+	for _, kv := range snap.Keys {
+		if strings.HasPrefix(kv.Key, cancelPrefix) {
+			cancelled[idOf(kv.Key, cancelPrefix)] = int64(kv.Mod)
+		}
+	}
+	out := Submissions{At: snap.At}
+	for _, kv := range snap.Keys {
+		if !strings.HasPrefix(kv.Key, jobPrefix) {
+			continue
+		}
+		submitted, err := decodeJob(kv, wall)
+		if err != nil {
+			out.passOver(kv.Key, err)
+			continue
+		}
+		order, wasCancelled := cancelled[submitted.Job.ID]
+		out.Jobs = append(out.Jobs, engine.Restored{Submitted: submitted, Cancelled: wasCancelled, CancelOrder: order})
+	}
+	return out, nil
+}
+
+func (s *Submissions) passOver(key string, why error) {
+	s.Unreadable = append(s.Unreadable, Unreadable{Key: key, Why: why})
+}
+
+func decodeJob(kv store.KeyValue, wall time.Time) (engine.Submitted, error) {
+	var j workload.Job
+	if err := json.Unmarshal(kv.Value, &j); err != nil {
+		return engine.Submitted{}, eris.Wrapf(err, "record %s", kv.Key)
+	}
+	if j.ID != idOf(kv.Key, jobPrefix) || len(j.Steps) == 0 {
+		return engine.Submitted{}, eris.Errorf("record %s: not a job of that id with steps", kv.Key)
+	}
+	return engine.Submitted{Job: j, Order: int64(kv.Created), Age: ageOf(j.Submitted, wall)}, nil
+}
+
+// mostAge bounds the age told of a job: the time of day may jump.
+const mostAge = 2 * time.Minute
+
+// ageOf returns how long ago it was then, by the time of day.
+func ageOf(then, wall time.Time) time.Duration {
+	return min(max(wall.Sub(then), 0), mostAge)
+}
