--- a/engine/advice.go
+++ b/engine/advice.go
@@ -130,7 +130,7 @@
 // first.
 func (r *round) byRoom(u *unit) []*worker {
 	var now, later []*worker
-	for _, w := range r.workers {
+	for _, w := range r.all.workers {
 		if w.info.Service != u.job.spec.Service || !w.hasLabel(u.spec().Label) || !u.demand().Within(w.info.Capacity) {
 			continue
 		}
--- /dev/null
+++ b/engine/bench_day_test.go
@@ -0,0 +1,177 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/catalog"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// benchFleet is workers, agents and a store that serve one engine without faults: starts
+// take effect at once, runs last what the random numbers say, and agents report each
+// benchReport. It is the load of a planner and nothing else, so that its time is the
+// engine's.
+type benchFleet struct {
+	rng     *rand.Rand
+	e       *Engine
+	now     time.Duration
+	workers []*benchWorker
+	jobs    int
+}
+
+type benchWorker struct {
+	info    WorkerInfo
+	running map[workload.TaskID]*benchRun
+	ended   []EndRow
+	listed  int64
+	due     time.Duration // of the next report
+}
+
+type benchRun struct {
+	id    workload.RunID
+	began time.Duration
+	end   time.Duration
+}
+
+const (
+	benchReport = 250 * time.Millisecond
+	benchStep   = 10 * time.Millisecond
+)
+
+func newBenchFleet(workers, rackSize int) *benchFleet {
+	f := &benchFleet{rng: rand.New(rand.NewPCG(1, 2)), now: time.Second}
+	f.e = New(Params{
+		MaxHold: 10 * time.Second, StopTime: 900 * time.Millisecond, RemoteFactor: 3,
+		Restore: 250 * time.Millisecond, Reclaim: 3400 * time.Millisecond, Retention: 2 * time.Minute,
+	}, 1, f.now, 0)
+	accounts := map[string]catalog.Account{}
+	for i := range 24 {
+		accounts[fmt.Sprint("account", i)] = catalog.Account{Guaranteed: 16}
+	}
+	f.e.Step(f.now, CatalogChanged{Catalog: &catalog.Catalog{Accounts: accounts}})
+	for i := range workers {
+		rack := fmt.Sprint("r", i/rackSize)
+		f.workers = append(f.workers, &benchWorker{
+			info: WorkerInfo{
+				ID: WorkerID(fmt.Sprintf("w%05d", i)), Agent: fmt.Sprint("agent", i), Service: "s", Rack: rack, Labels: []string{rack},
+				Capacity: workload.Resources{MilliCPU: 32000, MemoryMB: 128000, Accelerators: 8},
+			},
+			running: map[workload.TaskID]*benchRun{},
+			due:     f.now + time.Duration(i)*benchReport/time.Duration(workers),
+		})
+	}
+	return f
+}
+
+// pass lets time pass, with jobs arriving at a rate a second.
+func (f *benchFleet) pass(by time.Duration, rate float64) {
+	for end := f.now + by; f.now < end; f.now += benchStep {
+		if f.rng.Float64() < rate*benchStep.Seconds() {
+			f.submit()
+		}
+		for _, w := range f.workers {
+			if f.now >= w.due {
+				f.report(w)
+			}
+		}
+		if f.now%(50*time.Millisecond) == 0 {
+			f.e.Step(f.now, Tick{Wall: time.Unix(1000, 0).Add(f.now)})
+		}
+		f.act()
+	}
+}
+
+// submit hands in one of three kinds of jobs: urgent gangs of seconds, gangs of ten, and
+// wide overnight steps of one accelerator a task.
+func (f *benchFleet) submit() {
+	f.jobs++
+	pick := func(values ...int) int { return values[f.rng.IntN(len(values))] }
+	j := workload.Job{ID: workload.JobID(fmt.Sprintf("%016x", f.jobs)), Service: "s", Account: fmt.Sprint("account", f.rng.IntN(24)), Spec: "spec"}
+	j.Terms = workload.Terms{Priority: 0, MaxAttempts: 3, Stretch: 1.5, TargetLatency: 300 * time.Millisecond}
+	step := workload.Step{Count: 1 + f.rng.IntN(15), Estimate: 2500 * time.Millisecond, Gang: f.rng.IntN(2) == 0, SameRack: true,
+		Need: workload.Resources{MilliCPU: 3700, MemoryMB: 8000, Accelerators: pick(1, 2, 4, 8)}}
+	switch kind := f.rng.Float64(); {
+	case kind < 0.13:
+		j.Terms.Priority, j.Terms.Stretch = 1, 3
+		step.Count, step.Estimate, step.Need.MilliCPU, step.Checkpoints = 1+f.rng.IntN(50), 8500*time.Millisecond, 4000*step.Need.Accelerators, true
+	case kind < 0.28:
+		j.Terms.Priority, j.Terms.Stretch = 2, 5
+		step.Count, step.Estimate, step.Gang, step.Checkpoints = 20+f.rng.IntN(120), 6100*time.Millisecond, false, true
+		step.Need.MilliCPU, step.Need.Accelerators = 2800, 1
+	}
+	j.Queue = fmt.Sprint("q", j.Terms.Priority)
+	j.Steps = []workload.Step{step}
+	f.e.Step(f.now, Submitted{Job: j, Order: int64(f.jobs)})
+}
+
+func (f *benchFleet) report(w *benchWorker) {
+	w.due = f.now + benchReport
+	r := Report{Epoch: 1, Looked: true, Worker: w.info}
+	for id, run := range w.running {
+		if f.now >= run.end {
+			w.listed++
+			w.ended = append(w.ended, EndRow{Number: w.listed, Run: run.id, Reason: EndDone})
+			delete(w.running, id)
+			continue
+		}
+		percent := int(100 * (f.now - run.began) / (run.end - run.began))
+		r.Running = append(r.Running, RunningRow{Run: run.id, Percent: percent, Checkpoint: fmt.Sprint(percent / 10)})
+	}
+	r.Ended = w.ended
+	verdict := f.e.Report(f.now, r)
+	for len(w.ended) > 0 && w.ended[0].Number <= verdict.Seen {
+		w.ended = w.ended[1:]
+	}
+}
+
+// act carries out orders and writes all changes.
+func (f *benchFleet) act() {
+	for _, action := range f.e.Decide(f.now) {
+		o, ok := action.(Orders)
+		if !ok {
+			continue
+		}
+		w := f.workers[workerIndex(o.Worker)]
+		ended := OrdersEnded{Worker: o.Worker}
+		for _, s := range o.Starts {
+			took := time.Duration((0.3 + 2*f.rng.Float64()) * float64(4*time.Second))
+			w.running[s.Run.Task] = &benchRun{id: s.Run, began: f.now, end: f.now + took}
+			ended.Starts = append(ended.Starts, StartResult{Run: s.Run, Outcome: StartOK})
+		}
+		for _, run := range o.Stops {
+			if r := w.running[run.Task]; r != nil && r.id == run {
+				w.listed++
+				w.ended = append(w.ended, EndRow{Number: w.listed, Run: run, Reason: EndStopped})
+				delete(w.running, run.Task)
+			}
+		}
+		f.e.Step(f.now, ended)
+	}
+	if w := f.e.Changes(f.now, time.Unix(1000, 0).Add(f.now), 15); !w.Empty() {
+		f.e.Step(f.now, Stored{Write: w})
+	}
+}
+
+func workerIndex(id WorkerID) (i int) {
+	_, _ = fmt.Sscanf(string(id), "w%d", &i) // made by newBenchFleet
+	return i
+}
+
+// BenchmarkBusyFleet is a second of a fleet that gets about as much work as it can do: what
+// share of a core the engine takes.
+func BenchmarkBusyFleet(b *testing.B) {
+	for _, size := range []int{30, 75, 240} {
+		b.Run(fmt.Sprintf("workers=%d", size), func(b *testing.B) {
+			f := newBenchFleet(size, 8)
+			rate := 7 * float64(size) / 240
+			f.pass(20*time.Second, rate)
+			for b.Loop() {
+				f.pass(time.Second, rate)
+			}
+			b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N), "ms/fleet-s")
+		})
+	}
+}
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -119,11 +119,7 @@
 // over frees what a placement held. When the last of a run is over, the unit waits
 // again or is settled.
 func (e *Engine) over(now time.Duration, p *placement) {
-	w := p.worker
-	if w.places[p.task()] == p {
-		delete(w.places, p.task())
-		w.used = w.used.Sub(p.demand)
-	}
+	p.worker.drop(p)
 	u := p.unit
 	e.discard(now, p)
 	u.places = slices.DeleteFunc(u.places, func(o *placement) bool { return o == p })
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -9,6 +9,11 @@
 // it was emptied for.
 const claimSlack = 1500 * time.Millisecond
 
+// evictPause is the pause between two searches for victims for the same unit. What a search
+// found too dear stays so, since work only grows, until something else is placed; a search
+// looks at all that runs, and in a burst most of a round's cost was searches in vain.
+const evictPause = 50 * time.Millisecond
+
 // eviction is a way to make room for a unit.
 type eviction struct {
 	victims []*unit
@@ -29,6 +34,10 @@
 	if len(u.claims) > 0 {
 		return true // its room is being emptied already
 	}
+	if r.now < u.evictNext {
+		return false
+	}
+	u.evictNext = r.now + evictPause
 	near := r.near(u)
 	best := r.cheapest(u, near)
 	if best == nil && !near.anywhere && r.protected[u.job] {
@@ -39,7 +48,7 @@
 	}
 	for _, v := range best.victims {
 		r.e.decided(v.places[0], "evict", fmt.Sprintf("for %s, %.0f core-seconds lost of all its victims", u.job.spec.ID, best.cost))
-		r.e.stopAll(r.now, v, CauseEvicted)
+		r.stopAll(v, CauseEvicted)
 	}
 	u.claims = best.slots
 	u.claimedAt = r.now
@@ -53,10 +62,6 @@
 
 // pays says whether an eviction is better than waiting.
 func (r *round) pays(u *unit, way *eviction, near domains) bool {
-	wait := never
-	for _, set := range near.sets {
-		wait = min(wait, r.earliest(u, set))
-	}
 	stop := r.e.params.StopTime
 	if r.protected[u.job] && r.now+stop+reclaimMargin >= u.since+r.e.params.Reclaim {
 		return true
@@ -65,6 +70,11 @@
 	if !policy.Evictions {
 		return false
 	}
+	wait := never
+	for _, set := range near.sets {
+		at, _ := r.forecast(u, set, never)
+		wait = min(wait, at)
+	}
 	slack := u.job.objective() - r.now - r.e.estimate(u)
 	if wait <= max(r.e.tracker.stop, time.Duration(policy.EvictionWait*float64(slack))) {
 		return false
@@ -89,18 +99,19 @@
 
 // evictions makes room for the members of u one by one, each time on the worker where
 // that throws the least work away.
-func (r *round) evictions(u *unit, set []*worker) *eviction {
+func (r *round) evictions(u *unit, set *domain) *eviction {
 	c := r.newClearing(u, set)
+	defer c.close()
 	out := &eviction{slots: map[*worker]int{}}
 	for range u.size {
-		w, victims, cost := c.next()
-		if w == nil {
+		site, way := c.next()
+		if site == nil {
 			return nil
 		}
-		c.take(w, victims)
-		out.victims = append(out.victims, victims...)
-		out.cost += cost
-		out.slots[w]++
+		c.take(site, way)
+		out.victims = append(out.victims, way.victims...)
+		out.cost += way.cost
+		out.slots[site.worker]++
 	}
 	return out
 }
@@ -133,6 +144,14 @@
 	return sum
 }
 
+// stopAll is Engine.stopAll within a round.
+func (r *round) stopAll(u *unit, cause Cause) {
+	for _, p := range u.places {
+		r.changed(p.worker)
+	}
+	r.e.stopAll(r.now, u, cause)
+}
+
 func (e *Engine) dropClaims(u *unit) { u.claims = nil }
 
 // dropWorkerClaims drops the claims on a worker that is gone.
@@ -168,13 +187,13 @@
 				continue // it goes on saving here until there is room
 			}
 			e.decided(p, "move", "the worker leaves")
-			e.stopAll(r.now, p.unit, CauseDrained)
+			r.stopAll(p.unit, CauseDrained)
 		}
 	}
 }
 
 // elsewhere says whether u could start on other workers now.
 func (r *round) elsewhere(u *unit) bool {
-	at, slots := r.forecast(u, r.workers)
+	at, slots := r.forecast(u, r.all, 0)
 	return slots != nil && at == 0
 }
--- a/engine/fit.go
+++ b/engine/fit.go
@@ -10,11 +10,12 @@
 // never is a time that does not come.
 const never = time.Duration(1<<62 - 1)
 
-// sortedWorkers returns all workers in a fixed order.
+// sortedWorkers returns all workers in a fixed order. The caller does not change the slice.
 func (e *Engine) sortedWorkers() []*worker {
-	out := slices.Collect(maps.Values(e.workers))
-	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	return out
+	if e.sorted == nil {
+		e.sorted = slices.SortedFunc(maps.Values(e.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return e.sorted
 }
 
 // fit returns a worker for each member of u, or nil where it has to wait.
@@ -31,29 +32,36 @@
 
 // domains are sets of workers within which a unit runs at full speed.
 type domains struct {
-	sets [][]*worker
+	sets []*domain
 	// anywhere: there is no set where it would run faster than on all workers.
 	anywhere bool
 }
 
 // everywhere is all workers, where nothing is nearer than anything else.
 func (r *round) everywhere() domains {
-	return domains{sets: [][]*worker{r.workers}, anywhere: true}
+	return domains{sets: []*domain{r.all}, anywhere: true}
 }
 
 // near returns where u runs at full speed: on its preferred rack, on any one rack for
 // a gang that wants to be close together, else anywhere.
 func (r *round) near(u *unit) domains {
+	if r.nearOf != u {
+		r.nearOf, r.nearSets = u, r.findNear(u)
+	}
+	return r.nearSets
+}
+
+func (r *round) findNear(u *unit) domains {
 	s := u.spec()
 	if !r.e.params.Policy.RackPreference {
 		return r.everywhere()
 	}
-	if s.PreferredRack != "" && r.couldHold(u, r.racks[s.PreferredRack]) {
-		return domains{sets: [][]*worker{r.racks[s.PreferredRack]}}
+	if rack := r.racks[s.PreferredRack]; s.PreferredRack != "" && rack != nil && r.couldHold(u, rack) {
+		return domains{sets: []*domain{rack}}
 	}
 	if s.Gang && s.SameRack {
-		var sets [][]*worker
-		for _, rack := range slices.Sorted(maps.Keys(r.racks)) {
+		var sets []*domain
+		for _, rack := range r.rackNames {
 			if r.couldHold(u, r.racks[rack]) {
 				sets = append(sets, r.racks[rack])
 			}
@@ -66,9 +74,9 @@
 }
 
 // couldHold says whether u would fit on the workers if they were empty.
-func (r *round) couldHold(u *unit, workers []*worker) bool {
+func (r *round) couldHold(u *unit, set *domain) bool {
 	room := 0
-	for _, w := range workers {
+	for _, w := range set.workers {
 		if r.eligible(u, w) {
 			room += perWorker(u.spec(), u.demand().Fits(w.info.Capacity, u.size))
 		}
@@ -83,12 +91,13 @@
 	if r.protected[u.job] && r.now-u.since > r.e.params.Reclaim/4 {
 		return true
 	}
-	wait := never
+	slower := time.Duration((r.e.params.RemoteFactor - 1) * float64(r.e.estimate(u)))
 	for _, set := range near.sets {
-		wait = min(wait, r.earliest(u, set))
+		if at, _ := r.forecast(u, set, slower); at <= slower {
+			return false
+		}
 	}
-	slower := time.Duration((r.e.params.RemoteFactor - 1) * float64(r.e.estimate(u)))
-	return wait > slower
+	return true
 }
 
 // choose returns workers of one of the sets, the one that is left with the least room
@@ -105,35 +114,48 @@
 	return best
 }
 
+// option is a worker that may take members of a unit.
+type option struct {
+	w     *worker
+	slots int
+	rest  int
+	// near and around count tasks of the same step there, where they are spread.
+	near, around int
+	// friction is what it costs to share the worker.
+	friction int
+}
+
+// tooFull says whether the set certainly has no room for u: what is free there, however it
+// is spread, is less than u takes. It saves looking at each worker of a full fleet.
+func (u *unit) tooFull(set *domain) bool {
+	return len(u.claims) == 0 && set.freeAccelerators() < u.size*u.demand().Accelerators
+}
+
 // pack spreads u over as few workers of a set as possible, the fullest first, those
 // without recent failures before others. rest is the accelerators left free in the set.
-func (r *round) pack(u *unit, set []*worker) (chosen []*worker, rest int) {
-	type option struct {
-		w     *worker
-		slots int
-		rest  int
-		// near and around count tasks of the same step there, where they are spread.
-		near, around int
-		// friction is what it costs to share the worker.
-		friction int
+func (r *round) pack(u *unit, set *domain) (chosen []*worker, rest int) {
+	if u.tooFull(set) {
+		return nil, 0
 	}
-	var options []option
+	need := u.demand().Accelerators
+	options := r.options[:0]
 	total := 0
-	for _, w := range set {
-		n := r.slots(u, w)
-		free := r.room(u, w).Accelerators
-		rest += free
+	for _, w := range set.workers {
+		room := r.room(u, w)
+		rest += room.Accelerators
+		n := r.slots(u, w, room)
 		if n <= 0 {
 			continue
 		}
 		total += n
-		o := option{w: w, slots: n, rest: free - min(n, u.size)*u.demand().Accelerators}
+		o := option{w: w, slots: n, rest: room.Accelerators - min(n, u.size)*need}
 		if u.spec().LongRunning {
 			o.near, o.around = r.neighbours(u, w)
 		}
 		o.friction = r.e.friction(u, w)
 		options = append(options, o)
 	}
+	r.options = options
 	if total < u.size {
 		return nil, 0
 	}
--- a/engine/forecast_test.go
+++ b/engine/forecast_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,20 +12,22 @@
 )
 
 // countedAnew is forecast without its sums: after each release all workers are counted.
-func countedAnew(r *round, u *unit, set []*worker) time.Duration {
+func countedAnew(r *round, u *unit, set *domain) time.Duration {
 	f := newOutlook(r, u, set)
+	defer f.close()
 	count := func() int {
 		n := 0
-		for _, w := range f.workers {
-			n += max(0, perWorker(u.spec(), u.demand().Fits(f.room[w], u.size)))
+		for i := range f.workers {
+			n += max(0, perWorker(u.spec(), u.demand().Fits(f.room[i], u.size)))
 		}
 		return n
 	}
 	if count() >= u.size {
 		return 0
 	}
-	for _, rel := range f.releases() {
-		f.room[rel.worker] = f.room[rel.worker].Add(rel.room)
+	for _, rel := range set.releases(r) {
+		at := slices.Index(f.workers, rel.worker)
+		f.room[at] = f.room[at].Add(rel.room)
 		if count() >= u.size {
 			return rel.at
 		}
@@ -48,14 +51,14 @@
 			d.now += time.Duration(rng.IntN(30)) * time.Millisecond
 		}
 		r := d.e.newRound(d.now)
-		r.claimed[r.workers[0]] = workload.Resources{Accelerators: rng.IntN(12)}
+		r.all.workers[0].round.claimed = workload.Resources{Accelerators: rng.IntN(12)}
 		for _, size := range []int{1, 2, 5, 11} {
 			step := gang(size, 1+rng.IntN(8))
 			step.MaxPerWorker = rng.IntN(3)
 			id := d.job(0, "", step)
 			u := d.e.jobs[id].units[0]
-			at, slots := r.forecast(u, r.workers)
-			c.Assert(at, qt.Equals, countedAnew(r, u, r.workers), qt.Commentf("seed %d size %d", seed, size))
+			at, slots := r.forecast(u, r.all, never)
+			c.Assert(at, qt.Equals, countedAnew(r, u, r.all), qt.Commentf("seed %d size %d", seed, size))
 			placed := 0
 			for _, n := range slots {
 				placed += n
--- a/engine/headroom.go
+++ b/engine/headroom.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -50,7 +49,7 @@
 		r.target = r.e.urgent.target(r.e.params.Policy.HeadroomShare)
 	}
 	best, most := "", -1
-	for _, rack := range slices.Sorted(maps.Keys(r.racks)) {
+	for _, rack := range r.rackNames {
 		free := r.rackFree(rack)
 		if rack == r.e.spareRack {
 			free += r.target / 2
@@ -64,11 +63,7 @@
 
 // rackFree returns the accelerators of a rack that nothing holds or claims.
 func (r *round) rackFree(rack string) int {
-	sum := 0
-	for _, w := range r.racks[rack] {
-		sum += max(0, w.free().Accelerators-r.claimed[w].Accelerators)
-	}
-	return sum
+	return r.racks[rack].freeAccelerators()
 }
 
 // spared returns how many members of u may go onto w without using up the headroom.
--- a/engine/lasting.go
+++ b/engine/lasting.go
@@ -44,7 +44,7 @@
 		return true
 	}
 	total, held := 0, 0
-	for _, w := range r.workers {
+	for _, w := range r.all.workers {
 		if w.info.Service != u.job.spec.Service {
 			continue
 		}
@@ -72,7 +72,7 @@
 
 // neighbours returns how many tasks of u's step are on w, and on its rack.
 func (r *round) neighbours(u *unit, w *worker) (onWorker, onRack int) {
-	for _, o := range r.racks[w.info.Rack] {
+	for _, o := range r.racks[w.info.Rack].workers {
 		for _, p := range o.places {
 			if p.unit.job != u.job || p.unit.step != u.step {
 				continue
--- /dev/null
+++ b/engine/pace_test.go
@@ -0,0 +1,30 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A planner on a weak processor gets reports faster than it can plan. Rounds that it puts
+// off are made up for at their time, and what is decided already is not held back.
+func TestPostponedRoundIsMadeAtItsTime(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	first := d.job(1, "", tasks(1, 1))
+	d.settle()
+	c.Assert(d.runs(first), qt.HasLen, 1)
+
+	d.e.Postpone(d.now + 100*time.Millisecond)
+	second := d.job(1, "", tasks(1, 1))
+	d.step(CancelRequested{Job: first, Order: 9})
+	d.turn(StartOK)
+	c.Check(d.runs(second), qt.HasLen, 0)
+	c.Check(d.stops, qt.HasLen, 1, qt.Commentf("a stop that is decided leaves at once"))
+	until, due := d.e.Postponed()
+	c.Check(due, qt.IsTrue)
+	d.now = until
+	d.settle()
+	c.Check(d.runs(second), qt.HasLen, 1)
+}
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -11,20 +13,33 @@
 type round struct {
 	e         *Engine
 	now       time.Duration
-	workers   []*worker // usable, in a fixed order
-	racks     map[string][]*worker
+	all       *domain // the usable workers
+	racks     map[string]*domain
+	rackNames []string // sorted
 	protected map[*job]bool
-	// claimed is room being emptied, by worker.
-	claimed map[*worker]workload.Resources
-	// reserved is room kept for a unit from a time on.
-	reserved map[*worker][]reservation
-	kept     int
+	kept      int // reservations made
+	// nearSets are the domains of nearOf, which is served now.
+	nearOf   *unit
+	nearSets domains
+	// outlook and options are kept for their memory.
+	outlook outlook
+	options []option
 	// target is the accelerators to keep free on the spare rack.
 	target int
 	// full are steps one of whose units found no room in this round.
 	full map[stepKey]bool
 }
 
+// roundNotes are what a round notes of one worker.
+type roundNotes struct {
+	// claimed is room being emptied there.
+	claimed workload.Resources
+	// reserved is room kept for a unit from a time on.
+	reserved []reservation
+	// at is the place of the worker in the outlook or clearing in progress; -1: not there.
+	at int
+}
+
 type reservation struct {
 	room workload.Resources
 	at   time.Duration
@@ -47,18 +62,25 @@
 	r := &round{
 		e:         e,
 		now:       now,
-		racks:     map[string][]*worker{},
+		all:       &domain{},
+		racks:     map[string]*domain{},
 		protected: e.protected(),
-		claimed:   map[*worker]workload.Resources{},
-		reserved:  map[*worker][]reservation{},
 		full:      map[stepKey]bool{},
 	}
 	for _, w := range e.sortedWorkers() {
-		if w.usable(now) {
-			r.workers = append(r.workers, w)
-			r.racks[w.info.Rack] = append(r.racks[w.info.Rack], w)
+		w.round = roundNotes{at: -1}
+		if !w.usable(now) {
+			continue
+		}
+		r.all.workers = append(r.all.workers, w)
+		rack := r.racks[w.info.Rack]
+		if rack == nil {
+			rack = &domain{}
+			r.racks[w.info.Rack] = rack
 		}
+		rack.workers = append(rack.workers, w)
 	}
+	r.rackNames = slices.Sorted(maps.Keys(r.racks))
 	for _, j := range e.sequence {
 		for _, u := range j.units {
 			r.renewClaims(u)
@@ -82,7 +104,8 @@
 // countClaims adds what u claims to the room being emptied, or takes it back.
 func (r *round) countClaims(u *unit, sign int) {
 	for w, n := range u.claims {
-		r.claimed[w] = r.claimed[w].Add(u.demand().Times(sign * n))
+		w.round.claimed = w.round.claimed.Add(u.demand().Times(sign * n))
+		r.changed(w)
 	}
 }
 
@@ -119,6 +142,7 @@
 	u.verdict = verdictNone
 	for i, index := range u.indexes() {
 		r.e.put(u, index, workers[i])
+		r.changed(workers[i])
 	}
 	r.e.change(u.job)
 	r.e.decided(u.places[0], "place", r.grounds(u, workers))
@@ -141,12 +165,15 @@
 // room returns what u may take of w now: what is free, less what is being emptied for
 // others, less what is kept for others from a time at which u would still run.
 func (r *round) room(u *unit, w *worker) workload.Resources {
-	free := w.free().Sub(r.claimed[w])
+	free := w.free().Sub(w.round.claimed)
 	if n := u.claims[w]; n > 0 {
 		free = free.Add(u.demand().Times(n))
 	}
+	if len(w.round.reserved) == 0 {
+		return free
+	}
 	end := r.now + r.e.estimate(u)
-	for _, kept := range r.reserved[w] {
+	for _, kept := range w.round.reserved {
 		if end > kept.at {
 			free = free.Sub(kept.room)
 		}
@@ -154,12 +181,13 @@
 	return free
 }
 
-// slots returns how many members of u fit on w now.
-func (r *round) slots(u *unit, w *worker) int {
-	if !r.eligible(u, w) || w.health.resting(r.now) {
+// slots returns how many members of u fit on w now, where there is so much room.
+func (r *round) slots(u *unit, w *worker, room workload.Resources) int {
+	n := u.demand().Fits(room, u.size)
+	if n <= 0 || !r.eligible(u, w) || w.health.resting(r.now) {
 		return 0
 	}
-	return r.spared(u, w, r.e.bounded(u, w, u.demand().Fits(r.room(u, w), u.size)))
+	return r.spared(u, w, r.e.bounded(u, w, n))
 }
 
 // eligible says whether u may run on w. For a while it may not where it failed or stood
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -14,36 +14,48 @@
 //     those that can't meet it any more come after,
 //  4. by acceptance.
 func (e *Engine) queue(now time.Duration, protected map[*job]bool) []*unit {
-	var out []*unit
+	var ranked []rankedUnit
 	for _, j := range e.sequence {
 		if j.state.Final() {
 			continue
 		}
 		for _, u := range j.units {
 			if u.state == unitWaiting && now >= u.notBefore {
-				out = append(out, u)
+				ranked = append(ranked, rankedUnit{u, protected[j], e.latestStart(now, u)})
 			}
 		}
 	}
-	first := func(u *unit) int {
-		if protected[u.job] {
-			return 0
+	slices.SortFunc(ranked, rankedUnit.compare)
+	out := make([]*unit, len(ranked))
+	for i := range ranked {
+		out[i] = ranked[i].unit
+	}
+	return out
+}
+
+// rankedUnit is a unit that waits, with what its place in the queue depends on.
+type rankedUnit struct {
+	unit      *unit
+	protected bool // its job is within its account's guarantee
+	latest    time.Duration
+}
+
+func (a rankedUnit) compare(b rankedUnit) int {
+	if a.protected != b.protected {
+		if a.protected {
+			return -1
 		}
 		return 1
 	}
-	slices.SortFunc(out, func(a, b *unit) int {
-		return cmp.Or(
-			cmp.Compare(first(a), first(b)),
-			cmp.Compare(a.job.spec.Terms.Priority, b.job.spec.Terms.Priority),
-			cmp.Compare(e.latestStart(now, a), e.latestStart(now, b)),
-			cmp.Compare(a.job.order, b.job.order),
-			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
-			cmp.Compare(a.occurrence, b.occurrence),
-			cmp.Compare(a.step, b.step),
-			cmp.Compare(a.index, b.index),
-		)
-	})
-	return out
+	return cmp.Or(
+		cmp.Compare(a.unit.job.spec.Terms.Priority, b.unit.job.spec.Terms.Priority),
+		cmp.Compare(a.latest, b.latest),
+		cmp.Compare(a.unit.job.order, b.unit.job.order),
+		cmp.Compare(a.unit.job.spec.ID, b.unit.job.spec.ID),
+		cmp.Compare(a.unit.occurrence, b.unit.occurrence),
+		cmp.Compare(a.unit.step, b.unit.step),
+		cmp.Compare(a.unit.index, b.unit.index),
+	)
 }
 
 // latestStart returns when u has to start for its job's objective; never where that is
@@ -71,15 +83,10 @@
 // chainFrom returns how long the longest chain of work from u's step on is expected to
 // take.
 func (e *Engine) chainFrom(u *unit) time.Duration {
-	steps := u.job.spec.Steps
-	longest := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= u.step; i-- {
-		longest[i] += steps[i].Estimate
-		for _, before := range steps[i].After {
-			longest[before] = max(longest[before], longest[i])
-		}
+	if u.job.chains == nil {
+		u.job.chains = u.job.spec.Chains()
 	}
-	return time.Duration(e.tracker.ratio(u.job.spec.Queue) * float64(longest[u.step]))
+	return time.Duration(e.tracker.ratio(u.job.spec.Queue) * float64(u.job.chains[u.step]))
 }
 
 // protected returns the jobs of priority 0 that their accounts' guarantees cover, in
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -82,6 +82,7 @@
 		lapseAt:    e.params.lapse(now),
 	}
 	e.workers[info.ID] = w
+	e.sorted = nil
 	e.workersChanged = now
 	e.replan = true
 	return w
@@ -247,6 +248,7 @@
 
 func (e *Engine) forget(w *worker) {
 	delete(e.workers, w.info.ID)
+	e.sorted = nil
 	delete(e.unrecorded, w.info.ID)
 	if e.byAgent[w.info.Agent] == w.info.ID {
 		delete(e.byAgent, w.info.Agent)
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -113,8 +113,7 @@
 // put makes a placement, which takes its room from now on.
 func (e *Engine) put(u *unit, index int, w *worker) *placement {
 	p := &placement{unit: u, index: index, worker: w, run: u.run, demand: u.demand()}
-	w.places[p.task()] = p
-	w.used = w.used.Add(p.demand)
+	w.hold(p)
 	u.places = append(u.places, p)
 	return p
 }
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -57,6 +57,8 @@
 	// claims is room that is being emptied for the unit: tasks by worker.
 	claims    map[*worker]int
 	claimedAt time.Duration
+	// evictNext is when victims may be looked for again.
+	evictNext time.Duration
 }
 
 // stepAt is a step of one occurrence of a job.
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -27,6 +27,8 @@
 type worker struct {
 	info   WorkerInfo
 	places map[workload.TaskID]*placement
+	// sorted are the places in their order; nil after one was added or removed.
+	sorted []*placement
 	used   workload.Resources
 	// strays are runs found there that the engine did not place; until they are gone
 	// nothing is started, since what they take is not known.
@@ -48,6 +50,8 @@
 	listed   int64 // the highest end handled
 	health   health
 	sharing  sharing
+	// round is what the planning round in progress notes of the worker.
+	round roundNotes
 }
 
 // pendingEnd is an end that the worker may forget once the job's version is stored.
@@ -69,11 +73,31 @@
 
 func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used) }
 
-// sortedPlaces returns the placements in a fixed order.
+// sortedPlaces returns the placements in a fixed order, as they are now. The caller does not
+// change the slice.
 func (w *worker) sortedPlaces() []*placement {
-	out := slices.Collect(maps.Values(w.places))
-	slices.SortFunc(out, func(a, b *placement) int { return compareTasks(a.task(), b.task()) })
-	return out
+	if w.sorted == nil && len(w.places) > 0 {
+		w.sorted = slices.Collect(maps.Values(w.places))
+		slices.SortFunc(w.sorted, func(a, b *placement) int { return compareTasks(a.task(), b.task()) })
+	}
+	return w.sorted
+}
+
+// hold takes the room of a placement.
+func (w *worker) hold(p *placement) {
+	w.places[p.task()] = p
+	w.sorted = nil
+	w.used = w.used.Add(p.demand)
+}
+
+// drop frees the room of a placement that is over.
+func (w *worker) drop(p *placement) {
+	if w.places[p.task()] != p {
+		return
+	}
+	delete(w.places, p.task())
+	w.sorted = nil
+	w.used = w.used.Sub(p.demand)
 }
 
 func compareTasks(a, b workload.TaskID) int {
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -148,6 +148,8 @@
 func (t *term) loop() {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	replan := time.NewTimer(tickEvery)
+	defer replan.Stop()
 	written := make(chan error, 1)
 	var writing *engine.Write
 	for {
@@ -157,6 +159,7 @@
 			t.drainInbox()
 		case <-ticker.C:
 			t.engine.Step(lease.BootTime(), engine.Tick{Wall: time.Now()})
+		case <-replan.C:
 		case err := <-written:
 			if err != nil && isFinal(err) {
 				t.deposed(err)
@@ -175,6 +178,7 @@
 			return
 		}
 		t.act()
+		t.replanTimer(replan)
 		if writing == nil {
 			writing = t.write(written)
 		}
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -17,7 +18,7 @@
 	if !t.active() {
 		return
 	}
-	for _, action := range t.engine.Decide(lease.BootTime()) {
+	for _, action := range t.decide() {
 		switch a := action.(type) {
 		case engine.Orders:
 			go t.send(a)
@@ -37,6 +38,34 @@
 	}
 }
 
+const (
+	// planRest is how long no planning round follows one, in parts of what that took, so that
+	// rounds take a third of the process's time at most. Every report may call for a round:
+	// hundreds of agents would keep a weak processor at planning alone, and reports, renewals
+	// and answers to callers would wait behind it.
+	planRest = 2
+	// planBrief is what a round may take without such a pause.
+	planBrief = time.Millisecond
+)
+
+// decide lets the engine decide, at the pace that this process can keep up.
+func (t *term) decide() []engine.Action {
+	began := lease.BootTime()
+	actions := t.engine.Decide(began)
+	if took := lease.BootTime() - began; took > planBrief {
+		t.engine.Postpone(began + took + planRest*took)
+	}
+	return actions
+}
+
+// replanTimer makes the timer fire when a round that was postponed is due.
+func (t *term) replanTimer(timer *time.Timer) {
+	until, due := t.engine.Postponed()
+	if left := until - lease.BootTime(); due && left > 0 {
+		timer.Reset(left)
+	}
+}
+
 func (t *term) logDecision(d engine.Decided) {
 	fields := logrus.Fields{"job": d.Job}
 	if d.Detail != "" {
--- a/workload/job.go
+++ b/workload/job.go
@@ -57,6 +57,18 @@
 	return j.Schedule.First.Add(time.Duration(k) * j.Schedule.Period), true
 }
 
+// Chains returns, for each step, the longest chain of estimated work from that step on.
+func (j *Job) Chains() []time.Duration {
+	longest := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		longest[i] += j.Steps[i].Estimate
+		for _, before := range j.Steps[i].After {
+			longest[before] = max(longest[before], longest[i])
+		}
+	}
+	return longest
+}
+
 // Chain returns the longest chain of estimated work through the steps.
 func (j *Job) Chain() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
