--- a/gateway/config.go
+++ b/gateway/config.go
@@ -65,6 +65,9 @@
 	// peerEvery is how often a gateway asks the planner's gateway for news.
 	peerEvery   = 500 * time.Millisecond
 	peerTimeout = 400 * time.Millisecond
+	// textTimeout bounds the transfer of a configuration from a peer: of a megabyte over
+	// 2 Mbit/s.
+	textTimeout = 5 * time.Second
 	// staleAfter is the age of the configuration's last confirmation from which a
 	// gateway asks its peers for theirs.
 	staleAfter = 1300 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	// storeFailedAt is when the store last failed this gateway, on the boot clock.
 	storeFailedAt atomic.Int64
 	suspected     suspicion
+	fetching      atomic.Bool // a peer is being asked for the text of the configuration
 	counts        Counts
 	waits         metrics.Latencies // from acceptance to the first start, by account and queue
 	completions   metrics.Latencies // from acceptance to the end, by account, queue and state
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -47,8 +47,11 @@
 	return []string{planner}
 }
 
-func (g *Gateway) askPeer(address string, msg *link.Peer) {
-	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), peerTimeout)
+func (g *Gateway) askPeer(address string, msg *link.Peer) { g.ask(address, msg, peerTimeout) }
+
+// ask asks another gateway and takes what it answers.
+func (g *Gateway) ask(address string, msg *link.Peer, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), timeout)
 	defer cancel()
 	sent := lease.BootTime()
 	raw, err := g.pool.Call(ctx, address, msg)
@@ -73,6 +76,27 @@
 	}
 	g.planners.learn(reply.Epoch, reply.Planner)
 	g.takeConfig(reply, sent)
+	if !msg.WantText && g.lacksText(reply.ConfigVersion) {
+		g.fetchText(address)
+	}
+}
+
+// lacksText says whether a peer has a newer configuration that the store does not bring now.
+func (g *Gateway) lacksText(version int64) bool {
+	view, ok := g.inForce.View()
+	newer := version != 0 && (!ok || version > view.Catalog.Version)
+	return newer && g.cfg.StoreAge() > staleAfter
+}
+
+// fetchText asks one peer for the text of its configuration, if none is being asked.
+func (g *Gateway) fetchText(address string) {
+	if !g.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.fetching.Store(false)
+	msg := g.question()
+	msg.WantText = true
+	g.ask(address, msg, textTimeout)
 }
 
 // peerFailed turns to all others where the planner does not answer.
@@ -132,7 +156,7 @@
 	if view, ok := g.inForce.View(); ok {
 		reply.ConfigVersion = view.Catalog.Version
 		reply.ConfigAge = lease.BootTime() - view.ConfirmedAt
-		if msg.ConfigVersion < view.Catalog.Version {
+		if msg.WantText && msg.ConfigVersion < view.Catalog.Version {
 			reply.Config = view.Raw
 		}
 	}
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -17,13 +17,26 @@
 // little longer. A planner that lives after all is only replaced: its writes hold under its
 // epoch alone, and workers refuse older epochs than they have seen.
 const (
-	// aliveEvery is the pause between two questions; each is a message of a few bytes.
-	aliveEvery = 150 * time.Millisecond
-	// suspectAfter is how long no answer may come: several questions and the time that a
-	// busy machine may be held up, as a core that is given out in tenths of a second is.
+	// aliveEvery is the pause between two questions of an heir; each is a message of a few
+	// bytes. The others ask less often, since they only matter when the heirs are gone too:
+	// 54 gateways that all ask at this pace are 360 questions a second for the planner.
+	aliveEvery  = 150 * time.Millisecond
+	othersEvery = 4 * aliveEvery
+	// suspectAfter is how long no answer may come at least: several questions and the time
+	// that a busy machine may be held up, as a core that is given out in tenths of a second is.
 	suspectAfter = 450 * time.Millisecond
-	// ownGap between two questions shows that this process itself was held up or suspended,
-	// and knows nothing of the time between.
+	// slowFactor: no answer may come for so many times as long as the slowest lately took. A
+	// planner whose link is full answers late and lives; to depose it costs the runs under
+	// way and puts the same load on the next, which goes the same way.
+	slowFactor = 3
+	// slowDecay is what is left of the slowest answer's time with each answer after it: half
+	// of it after five seconds of answers that are at once.
+	slowDecay = 0.98
+	// answerWait is how long a late answer is waited for, to learn from: by then the
+	// planner's lease has lapsed if it does not live.
+	answerWait = dutyTTL
+	// ownGap between two looks at the silence shows that this process itself was held up or
+	// suspended, and knows nothing of the time between.
 	ownGap = 3 * aliveEvery
 	// heirStagger is how much longer each gateway waits than the one before it among the
 	// planner's heirs, and all others than the last heir: it takes 50 to 80 ms to gain the
@@ -40,6 +53,8 @@
 	heard   bool          // it has answered under this epoch
 	asked   time.Duration // when the first question since its last answer was sent; 0: none
 	last    time.Duration // when the last one was
+	looked  time.Duration // when the silence was last looked at
+	slow    time.Duration // what the slowest answer lately took, of any planner
 	heirs   []string      // of the planner, in their order
 }
 
@@ -57,7 +72,19 @@
 	if rank < 0 {
 		rank = len(s.heirs)
 	}
-	return suspectAfter + time.Duration(rank)*heirStagger
+	usual := min(max(suspectAfter, slowFactor*s.slow), dutyTTL)
+	return usual + time.Duration(rank)*heirStagger
+}
+
+// wants says whether the gateway at own is to ask again now.
+func (s *suspicion) wants(now time.Duration, own string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	every := othersEvery
+	if len(s.heirs) == 0 || slices.Contains(s.heirs, own) {
+		every = aliveEvery
+	}
+	return now-s.last >= every
 }
 
 // ask notes a question that is about to be sent.
@@ -67,12 +94,22 @@
 	if s.planner != planner || s.epoch != epoch {
 		s.planner, s.epoch, s.heard, s.asked = planner, epoch, false, 0
 	}
-	if s.asked == 0 || now-s.last > ownGap {
+	s.look(now)
+	if s.asked == 0 {
 		s.asked = now
 	}
 	s.last = now
 }
 
+// look notes that the silence is looked at, and lets it count from now where this process
+// was held up. The mutex is held.
+func (s *suspicion) look(now time.Duration) {
+	if s.asked != 0 && now-s.looked > ownGap {
+		s.asked = now
+	}
+	s.looked = now
+}
+
 // answer notes an answer of the planner that holds the duty under epoch.
 func (s *suspicion) answer(planner string, epoch uint64) {
 	s.mu.Lock()
@@ -82,11 +119,20 @@
 	}
 }
 
+// took notes how long an answer took, of whichever planner: what slows one down slows the
+// next down too.
+func (s *suspicion) took(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = max(d, time.Duration(slowDecay*float64(s.slow)))
+}
+
 // due says whether the gateway at own is to take the planner for dead. One that has never
 // answered under its epoch is not: its lease may be all that is known of it, and it lapses.
 func (s *suspicion) due(now time.Duration, own string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.look(now)
 	return s.heard && s.asked != 0 && now-s.asked > s.patience(own)
 }
 
@@ -102,8 +148,10 @@
 		if planner == "" || planner == g.cfg.Listen || g.stopping.Load() {
 			continue
 		}
-		g.suspected.ask(lease.BootTime(), planner, epoch)
-		go g.askAlive(planner, epoch)
+		if now := lease.BootTime(); g.suspected.wants(now, g.cfg.Listen) {
+			g.suspected.ask(now, planner, epoch)
+			go g.askAlive(planner, epoch)
+		}
 		if g.suspected.due(lease.BootTime(), g.cfg.Listen) && g.cfg.StoreAge() < servedFresh {
 			g.depose(planner, epoch)
 		}
@@ -111,12 +159,14 @@
 }
 
 func (g *Gateway) askAlive(planner string, epoch uint64) {
-	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), peerTimeout)
+	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), answerWait)
 	defer cancel()
+	sent := lease.BootTime()
 	raw, err := g.pool.Call(ctx, planner, &link.Alive{})
 	if err != nil {
 		return // its silence is what counts
 	}
+	g.suspected.took(lease.BootTime() - sent)
 	if reply, ok := raw.(*link.AliveReply); ok && reply.Epoch == epoch {
 		g.suspected.answer(planner, epoch)
 	}
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -67,3 +67,58 @@
 	qt.Assert(t, g.outage.inherited(60*second), qt.Equals, time.Duration(0))
 	qt.Check(t, g.inherited(60*second), qt.Equals, dutyTTL)
 }
+
+// The planner's link is full and its answers take 400 ms. Five gateways deposed it, and each
+// of its successors, although all lived. Once answers were seen to take that long, silence
+// of a second is no sign of death, and of more than its lease always is.
+func TestSlowPlannerIsNotTakenForDead(t *testing.T) {
+	c := qt.New(t)
+	s := &suspicion{}
+	askFor(s, second, 2*second, 2*second)
+	s.took(400 * ms)
+	askFor(s, 2*second, 3*second, 0)
+	c.Check(s.due(3*second, "own"), qt.IsFalse)
+	s.took(3 * second)
+	askFor(s, 3*second, 5*second, 0)
+	c.Check(s.due(5*second, "own"), qt.IsTrue, qt.Commentf("its lease has lapsed"))
+}
+
+// Slow answers are forgotten while answers come at once, so that a death is found as fast as
+// before.
+func TestSlownessIsForgotten(t *testing.T) {
+	c := qt.New(t)
+	s := &suspicion{}
+	s.took(400 * ms)
+	for range 100 {
+		s.took(3 * ms)
+	}
+	c.Check(s.patience("own"), qt.Equals, suspectAfter)
+}
+
+// 55 gateways ask whether the planner lives. Only its heirs ask often, and a gateway that
+// asks seldom still finds its death, and was not itself held up between two questions.
+func TestOthersAskSeldom(t *testing.T) {
+	c := qt.New(t)
+	s := &suspicion{}
+	s.inherits([]string{"a", "b", "c"})
+	asked := 0
+	live := func(begin, end, until time.Duration) {
+		for now := begin; now < end; now += aliveEvery {
+			if s.wants(now, "own") {
+				asked++
+				s.ask(now, "p", 1)
+				if now < until {
+					s.answer("p", 1)
+				}
+			}
+			if s.due(now, "own") {
+				c.Check(now-until < 2*second, qt.IsTrue)
+				return
+			}
+		}
+		c.Check(until, qt.Equals, end, qt.Commentf("its death was not found"))
+	}
+	live(second, 4*second, 4*second)
+	c.Check(asked <= int(3*second/othersEvery)+1, qt.IsTrue, qt.Commentf("%d questions in 3 s", asked))
+	live(4*second, 9*second, 4*second)
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -15,6 +15,11 @@
 	WantConfig bool `cbor:"5,keyasint,omitempty"`
 	// Strength is how much planning the sender could carry, see gateway.Config.
 	Strength float64 `cbor:"6,keyasint,omitempty"`
+	// WantText: the reply is to carry the text of the configuration, where the sender's is
+	// older. Gateways ask for it alone and of one other at a time: it may be of hundreds of
+	// kilobytes, and answers of them from all others at once keep a thin link from carrying
+	// any.
+	WantText bool `cbor:"7,keyasint,omitempty"`
 }
 
 // PeerReply answers Peer.
@@ -23,8 +28,8 @@
 	Planner string `cbor:"2,keyasint,omitempty"`
 	// Members are some of the gateways that are live, others each time.
 	Members []string `cbor:"3,keyasint,omitempty"`
-	// ConfigVersion was the newest ConfigAge before the reply. Config is its text,
-	// where the sender has an older one.
+	// ConfigVersion was the newest ConfigAge before the reply. Config is its text, where
+	// that was wanted and is newer.
 	ConfigVersion int64         `cbor:"4,keyasint,omitempty"`
 	ConfigAge     time.Duration `cbor:"5,keyasint,omitempty"`
 	Config        []byte        `cbor:"6,keyasint,omitempty"`
