engine: headroom for all urgent jobs that come together, on as many racks as they take

Change: what is kept free is at least what came together within the time of a stop, over the last 15 s, on the emptiest racks, a quarter of all at most.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -32,9 +32,9 @@
 	// may follow one that failed.
 	asking   bool
 	askAfter time.Duration
-	// spareRack is the rack that patient work leaves alone.
-	spareRack string
-	lastPlan  time.Duration
+	// spareRacks are the racks that patient work leaves alone.
+	spareRacks map[string]bool
+	lastPlan   time.Duration
 	// keptAt is when checkpoints of running work were last put on record.
 	keptAt time.Duration
 	// workersChanged is when a worker last came, which may make a job possible.
--- a/engine/headroom.go
+++ b/engine/headroom.go
@@ -1,14 +1,15 @@
 package engine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 // Headroom answers bursts of urgent jobs that fit on one rack and last for a second or
 // three: stopping other work for each takes as long as a stop does, which is most of what
-// such a job may be late. So work that can wait leaves one rack as empty as urgent jobs
-// lately needed it. What can't wait any longer takes that room too.
+// such a job may be late. So work that can wait leaves some racks as empty as urgent jobs
+// lately needed them. What can't wait any longer takes that room too.
 const (
 	// patientSlack is how much time a unit must have left before its latest start to
 	// leave the room alone. It covers the wait for the next release of room.
@@ -16,63 +17,110 @@
 	// patientMost bounds how long a unit leaves the room alone after it could have started:
 	// several times what an urgent job lasts.
 	patientMost = 12 * time.Second
-	// urgentKept is how many urgent units are remembered; more than a burst brings.
+	// urgentKept is how many urgent jobs are remembered at least, and urgentFor how long:
+	// more than a burst brings.
 	urgentKept = 24
+	urgentFor  = 15 * time.Second
+	// spareMost is the largest part of the racks that is kept for urgent jobs: a fleet that
+	// stands ready for more has no room for the work that pays for it.
+	spareMost = 0.25
 )
 
-// urgent remembers how many accelerators urgent units took.
+// urgent remembers when urgent jobs came and how many accelerators they took.
 type urgent struct {
-	sizes []int
+	arrivals []urgentArrival
 }
 
-func (u *urgent) note(size int) {
-	u.sizes = append(u.sizes, size)
-	if len(u.sizes) > urgentKept {
-		u.sizes = u.sizes[1:]
+type urgentArrival struct {
+	at   time.Duration
+	size int
+}
+
+func (u *urgent) note(now time.Duration, size int) {
+	u.arrivals = append(u.arrivals, urgentArrival{now, size})
+	for len(u.arrivals) > urgentKept && now-u.arrivals[0].at > urgentFor {
+		u.arrivals = u.arrivals[1:]
 	}
 }
 
 // target returns the accelerators to keep free: as many as all but the largest of a share
-// of the latest urgent units took.
-func (u *urgent) target(share float64) int {
-	if len(u.sizes) == 0 {
+// of the latest urgent jobs took, and at least what came together within the time that it
+// takes to make room for more. On a small fleet that is one job; where several come each
+// second, room for one would be gone with the first.
+func (u *urgent) target(share float64, stop time.Duration) int {
+	if len(u.arrivals) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(u.sizes))
-	return sorted[int(share*float64(len(sorted)-1))]
+	sizes := make([]int, len(u.arrivals))
+	for i, a := range u.arrivals {
+		sizes[i] = a.size
+	}
+	slices.Sort(sizes)
+	return max(sizes[int(share*float64(len(sizes)-1))], u.together(stop))
+}
+
+// together returns the most accelerators that urgent jobs took which came within a span.
+func (u *urgent) together(span time.Duration) int {
+	most, sum, first := 0, 0, 0
+	for _, a := range u.arrivals {
+		sum += a.size
+		for a.at-u.arrivals[first].at > span {
+			sum -= u.arrivals[first].size
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
 }
 
-// pickSpare chooses the rack that is kept empty: the emptiest, which it stays unless
-// another is clearly emptier.
+// pickSpare chooses the racks that are kept empty: the emptiest, as many as hold the target.
+// They stay so unless others are clearly emptier.
 func (r *round) pickSpare() {
 	if r.e.params.Policy.Headroom {
-		r.target = r.e.urgent.target(r.e.params.Policy.HeadroomShare)
+		r.target = r.e.urgent.target(r.e.params.Policy.HeadroomShare, r.e.params.StopTime)
+	}
+	type candidate struct {
+		rack string
+		free int
 	}
-	best, most := "", -1
+	var racks []candidate
 	for _, rack := range r.rackNames {
-		free := r.rackFree(rack)
-		if rack == r.e.spareRack {
-			free += r.target / 2
+		free := r.racks[rack].freeAccelerators()
+		if r.e.spareRacks[rack] {
+			free += min(r.target, r.racks[rack].accelerators()) / 2
 		}
-		if free > most {
-			best, most = rack, free
+		racks = append(racks, candidate{rack, free})
+	}
+	slices.SortStableFunc(racks, func(a, b candidate) int { return cmp.Compare(b.free, a.free) })
+	most := max(1, int(spareMost*float64(len(racks))))
+	kept, room := map[string]bool{}, 0
+	for _, c := range racks {
+		if len(kept) > 0 && (room >= r.target || len(kept) == most) {
+			break
 		}
+		kept[c.rack] = true
+		room += r.racks[c.rack].accelerators()
 	}
-	r.e.spareRack = best
+	r.e.spareRacks = kept
+	r.target = min(r.target, room)
 }
 
-// rackFree returns the accelerators of a rack that nothing holds or claims.
-func (r *round) rackFree(rack string) int {
-	return r.racks[rack].freeAccelerators()
+// spareFree returns the accelerators of the spare racks that nothing holds or claims.
+func (r *round) spareFree() int {
+	sum := 0
+	for rack := range r.e.spareRacks {
+		sum += r.racks[rack].freeAccelerators()
+	}
+	return sum
 }
 
 // spared returns how many members of u may go onto w without using up the headroom.
 func (r *round) spared(u *unit, w *worker, n int) int {
 	need := u.demand().Accelerators
-	if n <= 0 || need == 0 || w.info.Rack != r.e.spareRack || !r.patient(u) {
+	if n <= 0 || need == 0 || !r.e.spareRacks[w.info.Rack] || !r.patient(u) {
 		return n
 	}
-	return max(0, min(n, (r.rackFree(w.info.Rack)-r.target)/need))
+	return max(0, min(n, (r.spareFree()-r.target)/need))
 }
 
 // patient says whether u can wait.
--- a/engine/headroom_test.go
+++ b/engine/headroom_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 // Small patient jobs fill every worker, and then an urgent gang comes: it had to wait for
@@ -74,3 +76,55 @@
 	d.job(2, "", short)
 	d.settle()
 }
+
+// On a fleet of hundreds of workers several urgent jobs come each second. Room for one was
+// gone with the first, and the others waited for stops, which take longer than such a job
+// may be late. What came together before is what is kept free.
+func TestSeveralUrgentJobsAtOnceStartAtOnce(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 36)
+	together := func() (ids []workload.JobID) {
+		for range 3 {
+			ids = append(ids, d.job(0, "", gang(3, 8)))
+			d.now += 200 * time.Millisecond
+		}
+		d.settle()
+		return ids
+	}
+	for _, id := range together() {
+		d.end(id, EndDone)
+	}
+	d.settle()
+	patient := tasks(36*8, 1)
+	patient.Need.MilliCPU, patient.Need.MemoryMB = 1000, 1000
+	patient.Estimate = 8 * time.Second
+	d.job(2, "", patient)
+	d.settle()
+	for _, id := range together() {
+		c.Check(d.runs(id), qt.HasLen, 3)
+	}
+	c.Check(d.stops, qt.HasLen, 0)
+}
+
+// Urgent jobs that together take most of the fleet don't keep the rest of the work out: a
+// quarter of the racks is kept for them at most.
+func TestHeadroomIsBounded(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 36)
+	for range 10 {
+		id := d.job(0, "", gang(3, 8))
+		d.settle()
+		d.end(id, EndDone)
+		d.settle()
+	}
+	patient := tasks(36*8, 1)
+	patient.Need.MilliCPU, patient.Need.MemoryMB = 1000, 1000
+	patient.Estimate = 8 * time.Second
+	id := d.job(2, "", patient)
+	d.settle()
+	placed := 0
+	for _, runs := range d.runs(id) {
+		placed += len(runs)
+	}
+	c.Check(placed, qt.Equals, 36*8*3/4)
+}
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -22,7 +22,7 @@
 	j.unblock(now)
 	e.replan = true
 	if j.spec.Terms.Priority == 0 {
-		e.urgent.note(j.accelerators())
+		e.urgent.note(now, j.accelerators())
 	}
 }
 
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -24,7 +24,7 @@
 	// outlook and options are kept for their memory.
 	outlook outlook
 	options []option
-	// target is the accelerators to keep free on the spare rack.
+	// target is the accelerators to keep free on the spare racks.
 	target int
 	// full are steps one of whose units found no room in this round.
 	full map[stepKey]bool
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -44,6 +44,15 @@
 	return d.free
 }
 
+// accelerators returns how many the workers of the set have.
+func (d *domain) accelerators() int {
+	sum := 0
+	for _, w := range d.workers {
+		sum += w.info.Capacity.Accelerators
+	}
+	return sum
+}
+
 // releases returns what becomes free on the workers, the earliest first. They are the same
 // for every unit that waits, and sorting them anew for each is a good part of a round's
 // cost with hundreds of workers.
