--- /dev/null
+++ b/engine/shortcut_test.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// crowded returns a desk whose workers are nearly full of all kinds of work, and a unit that
+// waits.
+func crowded(t *testing.T, rng *rand.Rand) (*desk, *unit) {
+	d := newDesk(t, 9)
+	for range 25 {
+		step := tasks(1+rng.IntN(4), 1+rng.IntN(4))
+		step.Gang = rng.IntN(3) == 0
+		step.Checkpoints = rng.IntN(2) == 0
+		step.Estimate = time.Duration(1+rng.IntN(9000)) * time.Millisecond
+		d.job(1+rng.IntN(2), "", step)
+		d.settle()
+		d.now += time.Duration(rng.IntN(300)) * time.Millisecond
+		for _, w := range d.e.sortedWorkers() {
+			d.beat(w.info.ID)
+		}
+	}
+	step := gang(1+rng.IntN(6), 1+rng.IntN(8))
+	step.MaxPerWorker = rng.IntN(3)
+	id := d.job(0, "", step)
+	return d, d.e.jobs[id].units[0]
+}
+
+// surveyedAnew is evictions without what next keeps: after each member all workers are
+// looked at again.
+func surveyedAnew(r *round, u *unit, set *domain) (victims []*unit, cost float64, ok bool) {
+	c := r.newClearing(u, set)
+	defer c.close()
+	for range u.size {
+		c.forget()
+		site, way := c.next()
+		if site == nil {
+			return nil, 0, false
+		}
+		c.take(site, way)
+		victims = append(victims, way.victims...)
+		cost += way.cost
+	}
+	return victims, cost, true
+}
+
+// What a search for victims keeps between two members, and the quick look at a full set,
+// save time and change no decision.
+func TestShortcutsOfARoundChangeNoDecision(t *testing.T) {
+	c := qt.New(t)
+	evicting, full := 0, 0
+	for seed := range uint64(300) {
+		d, u := crowded(t, rand.New(rand.NewPCG(seed, 3)))
+		r := d.e.newRound(d.now)
+		r.pickSpare()
+		victims, cost, ok := surveyedAnew(r, u, r.all)
+		got := r.evictions(u, r.all)
+		c.Assert(got != nil, qt.Equals, ok, qt.Commentf("seed %d", seed))
+		if ok {
+			evicting++
+			c.Assert(got.cost, qt.Equals, cost, qt.Commentf("seed %d", seed))
+			c.Assert(len(got.victims), qt.Equals, len(victims), qt.Commentf("seed %d", seed))
+		}
+		for _, set := range append([]*domain{r.all}, r.racks["r0"], r.racks["r1"], r.racks["r2"]) {
+			if !u.tooFull(set) {
+				continue
+			}
+			full++
+			slots := 0
+			for _, w := range set.workers {
+				slots += r.slots(u, w, r.room(u, w))
+			}
+			c.Assert(slots < u.size, qt.IsTrue, qt.Commentf("seed %d", seed))
+		}
+	}
+	c.Check(evicting > 50 && full > 50, qt.IsTrue, qt.Commentf("%d evictions, %d full sets", evicting, full))
+}
