engine: a unit does not wait for room nearby while most of the fleet stands idle

Change: after 2 s with more than half of its service's room free it starts elsewhere. A pause after a round is bounded too, for a process suspended in one.

--- a/engine/fit.go
+++ b/engine/fit.go
@@ -24,12 +24,51 @@
 	if workers := r.choose(u, near); workers != nil {
 		return workers
 	}
-	if near.anywhere || !r.worthSpreading(u, near) {
+	if near.anywhere || !r.worthSpreading(u, near) && !r.idleElsewhere(u) {
 		return nil
 	}
 	return r.choose(u, r.everywhere())
 }
 
+// idleWait is how long a unit waits for room nearby while most of the fleet stands idle.
+const idleWait = 2 * time.Second
+
+// idleElsewhere says whether u has waited long enough for room nearby while more than half
+// of its service's room stood idle.
+//
+// The failure it guards against: what runs nearby is always about to end, by forecasts that
+// rest on declared run times, and what ends there makes room for others that go first. A
+// gang waited for its rack for forty seconds, at the end with the rest of the fleet idle.
+func (r *round) idleElsewhere(u *unit) bool {
+	if !r.mostlyIdle(u) {
+		u.idleSince = 0
+		return false
+	}
+	if u.idleSince == 0 {
+		u.idleSince = r.now
+	}
+	return r.now-u.idleSince >= idleWait
+}
+
+// mostlyIdle says whether more than half of the room of u's service is free, by accelerators
+// where it needs them and by processors where it does not.
+func (r *round) mostlyIdle(u *unit) bool {
+	free, all := 0, 0
+	for _, w := range r.all.workers {
+		if w.info.Service != u.job.spec.Service {
+			continue
+		}
+		if u.demand().Accelerators > 0 {
+			free += w.free().Accelerators
+			all += w.info.Capacity.Accelerators
+			continue
+		}
+		free += w.free().MilliCPU
+		all += w.info.Capacity.MilliCPU
+	}
+	return 2*free > all
+}
+
 // domains are sets of workers within which a unit runs at full speed.
 type domains struct {
 	sets []*domain
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -138,6 +138,7 @@
 	u.run++
 	u.state = unitActive
 	u.placedAt = r.now
+	u.idleSince = 0
 	u.spent.room += r.now - u.since
 	u.verdict = verdictNone
 	for i, index := range u.indexes() {
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -57,6 +57,9 @@
 	// claims is room that is being emptied for the unit: tasks by worker.
 	claims    map[*worker]int
 	claimedAt time.Duration
+	// idleSince is since when it has waited for room nearby with most of the fleet idle; 0
+	// where it has not.
+	idleSince time.Duration
 	// evictNext is when victims may be looked for again.
 	evictNext time.Duration
 }
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -44,6 +44,9 @@
 	// hundreds of agents would keep a weak processor at planning alone, and reports, renewals
 	// and answers to callers would wait behind it.
 	planRest = 2
+	// planRestMost bounds the pause: a process that was suspended in a round has not planned
+	// all that time.
+	planRestMost = 250 * time.Millisecond
 	// planBrief is what a round may take without such a pause.
 	planBrief = time.Millisecond
 )
@@ -53,7 +56,7 @@
 	began := lease.BootTime()
 	actions := t.engine.Decide(began)
 	if took := lease.BootTime() - began; took > planBrief {
-		t.engine.Postpone(began + took + planRest*took)
+		t.engine.Postpone(began + took + min(planRest*took, planRestMost))
 	}
 	return actions
 }
