gateway: a new planner is not deposed for the silence of the one before it

Cause: found by reading. A gateway that is no heir asks each 0.6 s and looks at the silence each 0.15 s; between the change of the planner and its next question it judged the new one by the old one's silence, and deposed it. With three gateways all are heirs; with 13 or 55 it could follow each death of a planner. Change: another planner than was asked last is asked at once. The test fails without.

--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -76,10 +76,15 @@
 	return usual + time.Duration(rank)*heirStagger
 }
 
-// wants says whether the gateway at own is to ask again now.
-func (s *suspicion) wants(now time.Duration, own string) bool {
+// wants says whether the gateway at own is to ask the planner now: at once where another
+// has the duty than was asked last, or the new one would be deposed for the silence of the
+// one before it.
+func (s *suspicion) wants(now time.Duration, own, planner string, epoch uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.planner != planner || s.epoch != epoch {
+		return true
+	}
 	every := othersEvery
 	if len(s.heirs) == 0 || slices.Contains(s.heirs, own) {
 		every = aliveEvery
@@ -148,7 +153,7 @@
 		if planner == "" || planner == g.cfg.Listen || g.stopping.Load() {
 			continue
 		}
-		if now := lease.BootTime(); g.suspected.wants(now, g.cfg.Listen) {
+		if now := lease.BootTime(); g.suspected.wants(now, g.cfg.Listen, planner, epoch) {
 			g.suspected.ask(now, planner, epoch)
 			go g.askAlive(planner, epoch)
 		}
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -104,7 +104,7 @@
 	asked := 0
 	live := func(begin, end, until time.Duration) {
 		for now := begin; now < end; now += aliveEvery {
-			if s.wants(now, "own") {
+			if s.wants(now, "own", "p", 1) {
 				asked++
 				s.ask(now, "p", 1)
 				if now < until {
@@ -122,3 +122,25 @@
 	c.Check(asked <= int(3*second/othersEvery)+1, qt.IsTrue, qt.Commentf("%d questions in 3 s", asked))
 	live(4*second, 9*second, 4*second)
 }
+
+// The planner dies and an heir takes the duty. A gateway that asks seldom has last asked the
+// dead one, long ago; it must not depose the new one for that.
+func TestNewPlannerIsNotBlamedForTheSilenceOfTheOldOne(t *testing.T) {
+	c := qt.New(t)
+	s := &suspicion{}
+	s.inherits([]string{"a", "b", "c"})
+	s.ask(second, "old", 1)
+	s.answer("old", 1)
+	now := second
+	for ; now < 2*second; now += aliveEvery {
+		if s.wants(now, "own", "old", 1) {
+			s.ask(now, "old", 1)
+		}
+		s.due(now, "own")
+	}
+	now += aliveEvery
+	c.Assert(s.wants(now, "own", "new", 2), qt.IsTrue)
+	s.ask(now, "new", 2)
+	c.Check(s.due(now, "own"), qt.IsFalse)
+	c.Check(s.due(now+second, "own"), qt.IsFalse)
+}
