--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -138,7 +138,6 @@
 		}
 		s.due(now, "own")
 	}
-	now += aliveEvery
 	c.Assert(s.wants(now, "own", "new", 2), qt.IsTrue)
 	s.ask(now, "new", 2)
 	c.Check(s.due(now, "own"), qt.IsFalse)
