all: one piece where the change had written two, read once more

Job.Chain is the longest of Job.Chains; what a gateway has noted of a planner is compared in one place; jobs whose records are being replaced are named closing, since a unit that is ending is another thing; the two tests of a gang and its rack share what they set up. Behaviour and assertions as they were.

--- a/engine/ended.go
+++ b/engine/ended.go
@@ -104,8 +104,8 @@
 // is removed when callers have no claim to it any more.
 func (e *Engine) tickEnded(now time.Duration, j *job) {
 	switch {
-	case !j.closed && !e.ending[j.spec.ID] && j.settled():
-		e.ending[j.spec.ID] = true
+	case !j.closed && !e.closing[j.spec.ID] && j.settled():
+		e.closing[j.spec.ID] = true
 	case j.closed && now-j.endedAt >= e.params.Retention+retentionSlack:
 		e.expired[j.spec.ID] = true
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -44,9 +44,9 @@
 	dirty       map[workload.JobID]bool
 	unrecorded  map[WorkerID]*worker
 	goneWorkers map[WorkerID]bool
-	// ending are jobs whose records are being replaced by their outcomes, expired those
+	// closing are jobs whose records are being replaced by their outcomes, expired those
 	// whose outcomes are being removed.
-	ending  map[workload.JobID]bool
+	closing map[workload.JobID]bool
 	expired map[workload.JobID]bool
 	// cancels of jobs that are not known yet.
 	cancels map[workload.JobID]int64
@@ -78,7 +78,7 @@
 		dirty:          map[workload.JobID]bool{},
 		unrecorded:     map[WorkerID]*worker{},
 		goneWorkers:    map[WorkerID]bool{},
-		ending:         map[workload.JobID]bool{},
+		closing:        map[workload.JobID]bool{},
 		expired:        map[workload.JobID]bool{},
 		cancels:        map[workload.JobID]int64{},
 	}
--- a/engine/idle_test.go
+++ b/engine/idle_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 // A gang is to run on the rack of its data, where work goes on that has long been about to
@@ -13,16 +15,10 @@
 func TestGangDoesNotWaitForItsRackInAnIdleFleet(t *testing.T) {
 	c := qt.New(t)
 	d := newDesk(t, 9)
-	busy := tasks(3, 8)
-	busy.PreferredRack = "r0"
-	busy.Estimate = time.Second
-	d.job(1, "", busy)
+	d.busyRack()
 	d.settle()
 	d.pass(12 * time.Second)
-	near := gang(2, 8)
-	near.PreferredRack = "r0"
-	id := d.job(1, "", near)
-	d.settle()
+	id := d.gangOfRack()
 	c.Check(d.runs(id), qt.HasLen, 0, qt.Commentf("room nearby is expected in a moment"))
 	d.pass(idleWait + 500*time.Millisecond)
 	c.Check(d.runs(id), qt.HasLen, 2)
@@ -33,19 +29,30 @@
 func TestGangWaitsForItsRackInABusyFleet(t *testing.T) {
 	c := qt.New(t)
 	d := newDesk(t, 9)
-	busy := tasks(3, 8)
-	busy.PreferredRack = "r0"
-	busy.Estimate = time.Second
-	d.job(1, "", busy)
+	d.busyRack()
 	others := tasks(3, 8)
 	others.PreferredRack = "r1"
 	d.job(1, "", others)
 	d.settle()
 	d.pass(12 * time.Second)
+	id := d.gangOfRack()
+	d.pass(idleWait + 500*time.Millisecond)
+	c.Check(d.runs(id), qt.HasLen, 0)
+}
+
+// busyRack fills rack r0 with work that its callers declared to take a second.
+func (d *desk) busyRack() {
+	busy := tasks(3, 8)
+	busy.PreferredRack = "r0"
+	busy.Estimate = time.Second
+	d.job(1, "", busy)
+}
+
+// gangOfRack hands in a gang of two workers with its data on rack r0.
+func (d *desk) gangOfRack() workload.JobID {
 	near := gang(2, 8)
 	near.PreferredRack = "r0"
 	id := d.job(1, "", near)
 	d.settle()
-	d.pass(idleWait + 500*time.Millisecond)
-	c.Check(d.runs(id), qt.HasLen, 0)
+	return id
 }
--- a/engine/write.go
+++ b/engine/write.go
@@ -77,7 +77,7 @@
 		w.Gone = append(w.Gone, id)
 		limit--
 	}
-	for _, id := range slices.Sorted(maps.Keys(e.ending)) {
+	for _, id := range slices.Sorted(maps.Keys(e.closing)) {
 		if limit < endedRecords {
 			return w
 		}
@@ -118,7 +118,7 @@
 		delete(e.goneWorkers, id)
 	}
 	for _, ended := range w.Ended {
-		delete(e.ending, ended.ID)
+		delete(e.closing, ended.ID)
 		e.jobs[ended.ID].close(ended.CancelOrder)
 	}
 	for _, forgotten := range w.Forgotten {
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -76,13 +76,19 @@
 	return usual + time.Duration(rank)*heirStagger
 }
 
+// isOf says whether what is noted is of the planner that holds the duty under epoch. The
+// mutex is held.
+func (s *suspicion) isOf(planner string, epoch uint64) bool {
+	return s.planner == planner && s.epoch == epoch
+}
+
 // wants says whether the gateway at own is to ask the planner now: at once where another
 // has the duty than was asked last, or the new one would be deposed for the silence of the
 // one before it.
 func (s *suspicion) wants(now time.Duration, own, planner string, epoch uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.planner != planner || s.epoch != epoch {
+	if !s.isOf(planner, epoch) {
 		return true
 	}
 	every := othersEvery
@@ -96,7 +102,7 @@
 func (s *suspicion) ask(now time.Duration, planner string, epoch uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.planner != planner || s.epoch != epoch {
+	if !s.isOf(planner, epoch) {
 		s.planner, s.epoch, s.heard, s.asked = planner, epoch, false, 0
 	}
 	s.look(now)
@@ -119,7 +125,7 @@
 func (s *suspicion) answer(planner string, epoch uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.planner == planner && s.epoch == epoch {
+	if s.isOf(planner, epoch) {
 		s.heard, s.asked = true, 0
 	}
 }
--- a/workload/job.go
+++ b/workload/job.go
@@ -71,15 +71,9 @@
 
 // Chain returns the longest chain of estimated work through the steps.
 func (j *Job) Chain() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
 	longest := time.Duration(0)
-	for i := range j.Steps {
-		begin := time.Duration(0)
-		for _, before := range j.Steps[i].After {
-			begin = max(begin, ends[before])
-		}
-		ends[i] = begin + j.Steps[i].Estimate
-		longest = max(longest, ends[i])
+	for _, chain := range j.Chains() {
+		longest = max(longest, chain)
 	}
 	return longest
 }
