nodeagent, engine: a worker's crash is told from its goodbye

Change: the report says whether the life ended without notice; the planner logs 'worker gone' with how and with how many runs, counts it by service, and says of each lost run how long it had been shown at work. A worker that was draining has not crashed: one whose goodbye gets no answer ends all the same. No decision depends on it yet.

--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -20,6 +20,8 @@
 	paces  []PaceOrder
 	// losePaces: orders of speeds get no answer.
 	losePaces bool
+	// answer is what becomes of a start; nil: as the turn says.
+	answer func(StartOrder) StartOutcome
 	// said counts what was decided of each job.
 	said map[workload.JobID]map[string]int
 	on   map[workload.RunID]WorkerID // where each start went
@@ -92,7 +94,11 @@
 		for _, s := range o.Starts {
 			d.starts = append(d.starts, s)
 			d.on[s.Run] = o.Worker
-			ended.Starts = append(ended.Starts, StartResult{Run: s.Run, Outcome: outcome})
+			became := outcome
+			if d.answer != nil {
+				became = d.answer(s)
+			}
+			ended.Starts = append(ended.Starts, StartResult{Run: s.Run, Outcome: became})
 		}
 		d.stops = append(d.stops, o.Stops...)
 		for _, p := range o.Paces {
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -41,6 +41,8 @@
 	// movedAt is when its progress last changed.
 	began   time.Duration
 	movedAt time.Duration
+	// shownAt is when a look last showed it; 0 before.
+	shownAt time.Duration
 	// stopping: a stop was decided; stopSent is when it was last sent.
 	stopping bool
 	stopSent time.Duration
--- a/engine/report.go
+++ b/engine/report.go
@@ -56,8 +56,8 @@
 	LeaseLeft time.Duration    `cbor:"6,keyasint,omitempty"`
 	Running   []RunningRow     `cbor:"7,keyasint,omitempty"`
 	Ended     []EndRow         `cbor:"8,keyasint,omitempty"`
-	Absent    []workload.RunID `cbor:"9,keyasint,omitempty"` // stopped before, and not there
-	Left      bool             `cbor:"10,keyasint,omitempty"`
+	Absent    []workload.RunID `cbor:"9,keyasint,omitempty"`  // stopped before, and not there
+	Left      bool             `cbor:"10,keyasint,omitempty"` // this life is over
 	// Looked: Running is the worker's own answer, not older than this report's
 	// predecessor.
 	Looked     bool `cbor:"11,keyasint,omitempty"`
@@ -65,6 +65,8 @@
 	// Extending: the worker has been silent for so short a time that looks still extend its
 	// lease by what the answer to this report grants.
 	Extending bool `cbor:"13,keyasint,omitempty"`
+	// Crashed: this life is over, and ended without notice.
+	Crashed bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Verdict is the answer to a report.
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -14,7 +15,7 @@
 // worker's lease: the caller sends it at once.
 func (e *Engine) Report(now time.Duration, r Report) Verdict {
 	if r.Left {
-		e.gone(now, r.Worker.ID, "left")
+		e.gone(now, r.Worker.ID, r.departure())
 		return Verdict{}
 	}
 	w := e.meet(now, r.Worker)
@@ -56,7 +57,7 @@
 // beside the same agent proves that the one before is over.
 func (e *Engine) meet(now time.Duration, info WorkerInfo) *worker {
 	if old, ok := e.byAgent[info.Agent]; ok && old != info.ID {
-		e.gone(now, old, "replaced by a new life")
+		e.gone(now, old, e.replaced(old))
 	}
 	w := e.workers[info.ID]
 	if w == nil {
@@ -166,6 +167,7 @@
 		e.running(now, p)
 	}
 	p.missing = 0
+	p.shownAt = now
 	if row.Percent != p.pulse.percent {
 		p.movedAt = now
 	}
@@ -235,13 +237,15 @@
 }
 
 // gone ends a worker for good, and with it all that it held.
-func (e *Engine) gone(now time.Duration, id WorkerID, why string) {
+func (e *Engine) gone(now time.Duration, id WorkerID, how Departure) {
 	w := e.workers[id]
 	if w == nil {
 		return
 	}
-	for _, p := range w.sortedPlaces() {
-		e.lost(now, p, CauseWorkerLost, why)
+	places := w.sortedPlaces()
+	e.actions = append(e.actions, WorkerGone{Worker: w.info, How: how, Runs: len(places)})
+	for _, p := range places {
+		e.lost(now, p, CauseWorkerLost, fmt.Sprintf("its worker %s; %s", how, p.history()))
 	}
 	e.forget(w)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	waits         metrics.Latencies // from acceptance to the first start, by account and queue
 	completions   metrics.Latencies // from acceptance to the end, by account, queue and state
 	calls         metrics.Latencies // of callers, by kind and outcome
+	workersGone   metrics.Sums      // lives of workers that are over, by service and departure
 	lost          metrics.Sums      // core-seconds of work thrown away, by queue and cause
 	saved         metrics.Sums      // core-seconds that checkpoints kept, likewise
 	late          metrics.Sums      // jobs that missed their objective, by queue and reason
@@ -159,6 +160,7 @@
 	g.waits.WriteText(w, "eelgrasshub_job_wait_us")
 	g.completions.WriteText(w, "eelgrasshub_job_completion_us")
 	g.calls.WriteText(w, "eelgrasshub_call_us")
+	g.workersGone.WriteText(w, "eelgrasshub_workers_gone")
 	g.lost.WriteText(w, "eelgrasshub_work_lost_core_seconds")
 	g.saved.WriteText(w, "eelgrasshub_work_saved_core_seconds")
 	g.late.WriteText(w, "eelgrasshub_jobs_late")
--- a/gateway/term_ledger.go
+++ b/gateway/term_ledger.go
@@ -24,6 +24,18 @@
 	}).Info("work thrown away")
 }
 
+// logWorkerGone accounts for a life of a worker that is over.
+func (t *term) logWorkerGone(w engine.WorkerGone) {
+	t.g.workersGone.Add(w.Worker.Service+"/"+string(w.How), 1)
+	t.log.WithFields(logrus.Fields{
+		"worker":  w.Worker.ID,
+		"agent":   w.Worker.Agent,
+		"service": w.Worker.Service,
+		"how":     w.How,
+		"runs":    w.Runs,
+	}).Info("worker gone")
+}
+
 // logLate accounts for a job that was completed after its objective.
 func (t *term) logLate(l engine.Late) {
 	t.g.late.Add(l.Queue+"/"+string(l.Reason), 1)
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -30,6 +30,8 @@
 			t.g.waits.Observe(a.Account+"/"+a.Queue, a.Waited)
 		case engine.Discarded:
 			t.logDiscarded(a)
+		case engine.WorkerGone:
+			t.logWorkerGone(a)
 		case engine.Late:
 			t.logLate(a)
 		case engine.Finished:
--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -30,7 +30,7 @@
 	// answer lets the worker's lease reach.
 	epoch   uint64
 	granted time.Duration
-	left    []engine.WorkerInfo // lives that are over and not reported so yet
+	left    []departure // lives that are over and not reported so yet
 	ended   map[engine.WorkerID]bool
 	wake    chan struct{} // has a token when there is something to report
 	counts  Counts
--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -60,7 +60,7 @@
 	if a.ended[n.Info.ID] || a.life != nil && a.life.info.ID == n.Info.ID {
 		return
 	}
-	a.endLife()
+	a.endLifeUnannounced()
 	a.life = newLife(n.Info)
 	a.life.sequence = n.Sequence
 	a.life.draining = n.Draining
@@ -77,21 +77,35 @@
 		a.ended[id] = true
 		return
 	}
-	a.log.WithField("worker", id).Info("worker left")
-	a.endLife()
+	a.endLife(false)
 	a.notify()
 }
 
+// departure is a life that is over. crashed: it ended without notice.
+type departure struct {
+	info    engine.WorkerInfo
+	crashed bool
+}
+
 // endLife notes that the present life is over. The mutex is held.
-func (a *Agent) endLife() {
+func (a *Agent) endLife(crashed bool) {
 	if a.life == nil {
 		return
 	}
-	a.ended[a.life.info.ID] = true
-	a.left = append(a.left, a.life.info)
+	id := a.life.info.ID
+	a.log.WithField("worker", id).WithField("crashed", crashed).Info("worker gone")
+	a.ended[id] = true
+	a.left = append(a.left, departure{a.life.info, crashed})
 	a.life = nil
 }
 
+// endLifeUnannounced ends the present life, of which another one was found in its place. It
+// has crashed, unless it was draining: a worker whose goodbye is not answered ends all the
+// same. The mutex is held.
+func (a *Agent) endLifeUnannounced() {
+	a.endLife(a.life != nil && !a.life.draining)
+}
+
 func (a *Agent) notify() {
 	close(a.changed)
 	a.changed = make(chan struct{})
--- /dev/null
+++ b/nodeagent/departure_test.go
@@ -0,0 +1,62 @@
+package nodeagent
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+)
+
+// namedWorker answers as the life that its name says.
+type namedWorker struct {
+	Worker
+	name engine.WorkerID
+}
+
+func (w *namedWorker) Identify(context.Context) (engine.WorkerID, error) { return w.name, nil }
+
+// A worker that crashed and one that said goodbye left the same line and the same report,
+// so that nobody could tell from outside, nor the planner, whether what ran there was lost.
+func TestCrashIsToldFromAGoodbye(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		ends    func(a *Agent)
+		crashed bool
+	}{
+		{"goodbye", func(a *Agent) { a.Leave("w1") }, false},
+		{"another life in its place", func(*Agent) {}, true},
+		{"another life in its place after it drained", func(a *Agent) {
+			a.refresh(Announcement{Info: engine.WorkerInfo{ID: "w1"}, Sequence: 2, Draining: true, Remaining: time.Second})
+		}, false},
+		{"goodbye, and a late heartbeat", func(a *Agent) {
+			a.Leave("w1")
+			a.refresh(Announcement{Info: engine.WorkerInfo{ID: "w1"}, Sequence: 2})
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			w := &namedWorker{name: "w1"}
+			a := &Agent{
+				cfg: Config{ID: "agent", Worker: w}, log: log,
+				changed: make(chan struct{}), wake: make(chan struct{}, 1), ended: map[engine.WorkerID]bool{},
+			}
+			c.Assert(a.Announce(context.Background(), Announcement{Info: engine.WorkerInfo{ID: "w1"}, Sequence: 1}), qt.IsNil)
+			tc.ends(a)
+			w.name = "w2"
+			c.Assert(a.Announce(context.Background(), Announcement{Info: engine.WorkerInfo{ID: "w2"}, Sequence: 1}), qt.IsNil)
+			told := a.reports()
+			c.Assert(told, qt.HasLen, 2)
+			c.Check(told[0].Worker.ID, qt.Equals, engine.WorkerID("w1"))
+			c.Check(told[0].Left, qt.IsTrue)
+			c.Check(told[0].Crashed, qt.Equals, tc.crashed)
+			c.Check(told[1].Worker.ID, qt.Equals, engine.WorkerID("w2"))
+		})
+	}
+}
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -88,7 +88,7 @@
 	a.counts.LooksFailed.Add(1)
 	if errors.Is(err, ErrOtherLife) {
 		a.log.WithField("worker", l.info.ID).Info("the worker answers as another life")
-		a.endLife()
+		a.endLifeUnannounced()
 		a.notify()
 		return 0
 	}
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -52,8 +52,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var out []engine.Report
-	for _, info := range a.left {
-		out = append(out, engine.Report{Worker: info, Left: true})
+	for _, d := range a.left {
+		out = append(out, engine.Report{Worker: d.info, Left: true, Crashed: d.crashed})
 	}
 	if a.life != nil {
 		out = append(out, a.life.report(now(), a.epoch))
