--- /dev/null
+++ b/engine/room_test.go
@@ -0,0 +1,60 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// resized returns what a worker of the desk says after its room has changed.
+func (d *desk) resized(i, accelerators int) Report {
+	r := d.worker(i)
+	part := r.Worker.Capacity
+	r.Worker.Capacity = workload.Resources{
+		MilliCPU: part.MilliCPU * accelerators / 8, MemoryMB: part.MemoryMB * accelerators / 8, Accelerators: accelerators,
+	}
+	return r
+}
+
+// A worker with eight accelerators loses four while it runs, and says so. The planner held
+// on to what the worker had said first, and a job was started beside what ran there: more
+// than the worker had.
+func TestShrunkWorkerTakesNoMoreThanItHas(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	first := d.job(1, "other", tasks(1, 3))
+	d.settle()
+	c.Assert(d.runs(first), qt.HasLen, 1)
+
+	d.report(d.resized(0, 4))
+	second := d.job(1, "other", tasks(1, 3))
+	d.settle()
+	c.Check(d.runs(second), qt.HasLen, 0, qt.Commentf("three of four accelerators are taken"))
+	third := d.job(1, "other", tasks(1, 1))
+	d.settle()
+	c.Check(d.runs(third), qt.HasLen, 1)
+
+	d.report(d.resized(0, 8))
+	d.settle()
+	c.Check(d.runs(second), qt.HasLen, 1, qt.Commentf("its room has grown again"))
+}
+
+// The room of a worker shrinks between a decision and its record. The order must not leave.
+func TestStartIsWithheldWhereRoomShrankMeanwhile(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	id := d.job(1, "other", tasks(1, 6))
+	d.e.Decide(d.now)
+	w := d.e.Changes(d.now, time.Unix(1000, 0), 15)
+	d.report(d.resized(0, 4))
+	d.step(Stored{Write: w})
+	d.settle()
+	c.Check(d.starts, qt.HasLen, 0)
+	d.report(d.resized(0, 8))
+	d.settle()
+	c.Check(d.starts, qt.HasLen, 1)
+	c.Check(d.runs(id), qt.HasLen, 1)
+}
--- /dev/null
+++ b/nodeagent/room_test.go
@@ -0,0 +1,31 @@
+package nodeagent
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// A worker's room shrinks while it runs, and its heartbeats say so. The agent kept what the
+// first heartbeat had said, so that no planner ever heard of it. A heartbeat that was held up
+// on its way changes nothing.
+func TestHeartbeatsTellOfChangedRoom(t *testing.T) {
+	c := qt.New(t)
+	a := &Agent{log: logrus.New(), wake: make(chan struct{}, 1), ended: map[engine.WorkerID]bool{}}
+	said := func(sequence int64, accelerators int) Announcement {
+		return Announcement{Sequence: sequence, Info: engine.WorkerInfo{ID: "w", Capacity: workload.Resources{Accelerators: accelerators}}}
+	}
+	a.life = newLife(said(1, 8).Info)
+	a.life.sequence = 1
+	for _, step := range []struct {
+		sequence           int64
+		accelerators, told int
+	}{{3, 4, 4}, {2, 8, 4}, {4, 8, 8}} {
+		c.Assert(a.refresh(said(step.sequence, step.accelerators)), qt.IsTrue)
+		c.Check(a.reports()[0].Worker.Capacity.Accelerators, qt.Equals, step.told)
+	}
+}
