engine, nodeagent: a worker's room is what it says now

Cause: agent and planner kept the room that a worker's first heartbeat told, so that on one that shrinks while it runs more was started than it has. What runs there goes on. Room for tasks that last is reckoned by the most that the workers told of, since a loss for a while must not keep them from starting again. A heartbeat that tells of no room at all is one.

--- a/engine/lasting.go
+++ b/engine/lasting.go
@@ -48,7 +48,7 @@
 		if w.info.Service != u.job.spec.Service {
 			continue
 		}
-		total += w.info.Capacity.Accelerators
+		total += w.most.Accelerators // room that has shrunk for a while is promised all the same
 		for _, p := range w.places {
 			if p.unit.spec().LongRunning && p.unit.job.spec.Terms.Priority > 0 {
 				held += p.demand.Accelerators
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -71,6 +71,7 @@
 		e.unrecorded[info.ID] = w
 	}
 	e.byAgent[info.Agent] = info.ID
+	e.resize(now, w, info.Capacity)
 	return w
 }
 
--- /dev/null
+++ b/engine/room.go
@@ -0,0 +1,39 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// resize notes how much room a worker says it has now. What runs there goes on, also where
+// it takes more; new work is placed by what is left.
+//
+// The failure it guards against: a worker that does not count for itself starts whatever it
+// is told to, and a planner that went by what it had said first would start more there than
+// it has.
+func (e *Engine) resize(now time.Duration, w *worker, room workload.Resources) {
+	w.most = w.most.Most(room)
+	if room == w.info.Capacity {
+		return
+	}
+	e.actions = append(e.actions, Resized{Worker: w.info.ID, Before: w.info.Capacity, Now: room, Used: w.used})
+	w.info.Capacity = room
+	e.workersChanged = now
+	e.replan = true
+}
+
+// Resized: a worker has more or less room than before. Used is what the planner counts as
+// taken there.
+type Resized struct {
+	Worker            WorkerID
+	Before, Now, Used workload.Resources
+}
+
+func (Resized) isAction() {}
+
+// String returns the change for the log.
+func (r Resized) String() string {
+	return fmt.Sprintf("%+v before, %+v now, %+v taken", r.Before, r.Now, r.Used)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -25,7 +25,9 @@
 
 // worker is the engine's view of one life of a worker.
 type worker struct {
-	info   WorkerInfo
+	info WorkerInfo
+	// most is the most room that it told of.
+	most   workload.Resources
 	places map[workload.TaskID]*placement
 	// sorted are the places in their order; nil after one was added or removed.
 	sorted []*placement
@@ -43,6 +45,9 @@
 	lookedAt   time.Duration // when the worker itself last answered
 	lapseAt    time.Duration
 	lapsed     bool // lapseAt has passed without a report
+	// lapsedWith are the runs that were given up then. If the worker's next word is that it
+	// had crashed, it crashed under them.
+	lapsedWith []*placement
 	// recorded: the worker's record is in the store.
 	recorded bool
 	pending  []pendingEnd
@@ -71,8 +76,15 @@
 		len(w.strays) == 0 && now-w.lastReport < reportTimeout
 }
 
+// free returns the room that nothing holds. It is negative where the worker's room has
+// shrunk below what it holds.
 func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used) }
 
+// fits says whether the room of p, which it holds already, is there.
+func (w *worker) fits(p *placement) bool {
+	return p.demand.Fits(w.free().Add(p.demand), 1) == 1
+}
+
 // sortedPlaces returns the placements in a fixed order, as they are now. The caller does not
 // change the slice.
 func (w *worker) sortedPlaces() []*placement {
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -30,6 +30,8 @@
 			t.g.waits.Observe(a.Account+"/"+a.Queue, a.Waited)
 		case engine.Discarded:
 			t.logDiscarded(a)
+		case engine.Resized:
+			t.log.WithField("worker", a.Worker).WithField("detail", a.String()).Info("worker's room changed")
 		case engine.WorkerGone:
 			t.logWorkerGone(a)
 		case engine.Late:
--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -42,6 +42,11 @@
 		return true
 	}
 	l.sequence = n.Sequence
+	if n.Info.Capacity != l.info.Capacity {
+		a.log.WithField("worker", l.info.ID).WithField("room", n.Info.Capacity).WithField("before", l.info.Capacity).Info("worker's room changed")
+		l.info.Capacity = n.Info.Capacity
+		a.signal()
+	}
 	if n.Draining {
 		if !l.draining {
 			a.log.WithField("worker", l.info.ID).WithField("remaining_ms", n.Remaining.Milliseconds()).Info("worker drains")
--- a/workload/resources.go
+++ b/workload/resources.go
@@ -17,6 +17,11 @@
 	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Most returns the larger of the two in each dimension.
+func (r Resources) Most(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 // Times returns n times r.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
