engine: a task under which workers crash is given up after two or three of them

Cause: a run that is lost with its worker has no listed end. Only listed ends counted as attempts, so a task that crashes the workers that start it went back to the queue as new, without any budget. Its class: a repeat that no budget bounds, since the outcome that calls for it leaves no record. Ruled out: a crash taken for a goodbye (it was, but the test fails with the crash reported as one too); a count lost at a takeover (there was none, nor a takeover). Change: each task counts the workers that crashed under it, in its job's record. Two early crashes with nothing else just started on the worker, or three of any kind, give its job up. What tells innocent tasks apart: a run shown at work for a second is cleared; the agent tells what it saw of a worker that crashed; a task that may have crashed one is tried again by itself (Policy.Probation), and not beside those that the next crash would give up. Found on the way by the randomised worlds: starts that don't crash count too, as those of a gang whose other members could not be started, so the third crash is the last; a crash after the end of a gang failed the job that had gone on; a run whose agent was cut off, or whose lease had lapsed, may have been over before the crash. The harness of the test tells in the agent's words what it saw of the worker; check and bound are as they were.

--- a/engine/clearing.go
+++ b/engine/clearing.go
@@ -41,7 +41,7 @@
 func (r *round) newClearing(u *unit, set *domain) *clearing {
 	c := &clearing{r: r, u: u, cost: map[*unit]float64{}, chosen: map[*unit]bool{}}
 	for _, w := range set.workers {
-		if r.eligible(u, w) && !w.health.resting(r.now) {
+		if r.eligible(u, w) && !w.health.resting(r.now) && r.admits(u, w) {
 			w.round.at = len(c.sites)
 			c.sites = append(c.sites, c.survey(w))
 		}
--- /dev/null
+++ b/engine/crash.go
@@ -0,0 +1,206 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// A task may crash the worker that starts it. The worker lists no end of it, since it has
+// forgotten everything in its next life, so the run is lost with the worker and counts as
+// no attempt: tried again like other lost work, such a task takes one worker after the
+// other down, with all that others run there.
+//
+// So each task keeps count of the workers that crashed under it, in its job's record, and
+// its job is given up after a few. Most tasks under which a worker crashes did nothing
+// wrong: they shared it with the one that did, or the machine failed by itself. Four
+// things tell them apart:
+//
+//   - A run that has been seen at work for ProvenAfter did not crash its worker by its
+//     start. Only a crash before that is an early one, and a run that is seen that long
+//     clears its task of earlier ones.
+//   - A run whose start got no answer may not have been there; one whose agent was cut off
+//     or lost with its worker may have been over.
+//     One crash more is borne where fewer than thereLeast were under runs that were.
+//   - Of those that had just started, the crash is early for those under which most workers
+//     crashed early before.
+//   - A task with an early crash is tried again on a worker where nothing else has just
+//     started, and nothing else is started beside it meanwhile (see probation.go).
+const (
+	// ProvenAfter is how long a run is seen at work before it is taken not to crash its
+	// worker by its start; images are loaded and accelerators set up by then.
+	ProvenAfter = time.Second
+	// earlyMost is how many early crashes a task is given up after, where nothing else had
+	// just started on the last worker.
+	earlyMost = 2
+	// crashesMost is how many crashes of any kind a task is given up after. It bounds tasks
+	// that crash their workers later in their run, and those whose planner was lost with
+	// their workers, so that nobody knows how long they ran. An innocent task would have to
+	// be on as many workers that fail by themselves. It is not tried once more: a gang may
+	// be started several times before all its members are there, and each start counts.
+	crashesMost = 3
+	// thereLeast is under how many of these crashes the run must certainly have been there;
+	// with fewer, the task is given up after one crash more.
+	thereLeast = 2
+	// forgivenAfter is how long a run has to last for its task's crashes to be forgotten.
+	// Tasks that run for weeks see many machines fail.
+	forgivenAfter = 10 * time.Minute
+)
+
+// crashes counts the workers that crashed under one task.
+type crashes struct {
+	total int
+	early int // those before the run was proven, of which others were not suspected more
+	there int // those of which the run was certainly there
+}
+
+// proven says whether looks have shown the run at work for long enough to clear it.
+func (p *placement) proven() bool {
+	return p.began != 0 && p.shownAt-p.began >= ProvenAfter
+}
+
+// witness is what an agent knows of the runs of a worker that has crashed.
+type witness struct {
+	// known: the agent had looked at the worker. proven are then the runs that it had seen
+	// at work for ProvenAfter, ended those that were over before.
+	known  bool
+	proven map[workload.RunID]bool
+	ended  map[workload.RunID]bool
+}
+
+func (r *Report) witness() witness {
+	out := witness{known: r.Left && r.Looked, proven: map[workload.RunID]bool{}, ended: map[workload.RunID]bool{}}
+	for _, row := range r.Running {
+		out.proven[row.Run] = true
+	}
+	for _, row := range r.Ended {
+		out.ended[row.Run] = true
+	}
+	return out
+}
+
+// under says whether the crash may have come under a run. One that was given up when the
+// lease lapsed may have been over for long; only the agent can tell.
+func (t witness) under(p *placement) bool {
+	if p.state == placeRecording || p.unit.state == unitDone || t.ended[p.id()] {
+		return false // no order has left, or it was over
+	}
+	return t.known || !p.worker.lapsed
+}
+
+// certain says whether the run was there when its worker crashed. An agent that was cut off,
+// or was lost with its worker, has not told of the ends of the last seconds.
+func (t witness) certain(p *placement) bool {
+	return p.state == placeRunning && (t.known || p.worker.silent)
+}
+
+// fresh says whether a run is known to have been at work for less than ProvenAfter. Of what
+// a predecessor ordered and this planner never saw, only the agent can tell.
+func (t witness) fresh(p *placement) bool {
+	switch {
+	case !t.under(p) || p.proven():
+		return false
+	case t.known:
+		return !t.proven[p.id()]
+	}
+	return p.began != 0 && p.worker.silent
+}
+
+// crashesOf returns the count of the task with that index.
+func (u *unit) crashesOf(index int) crashes { return u.crashes[index] }
+
+// suspect says whether a worker has crashed early under one of the unit's tasks.
+func (u *unit) suspect() bool {
+	for _, c := range u.crashes {
+		if c.early > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// clear takes note of how long a run has been at work.
+func (p *placement) clear() {
+	c, counted := p.unit.crashes[p.index]
+	switch {
+	case !counted:
+	case p.shownAt-p.began >= forgivenAfter:
+		delete(p.unit.crashes, p.index)
+	case p.proven():
+		c.early = 0
+		p.unit.crashes[p.index] = c
+	}
+}
+
+// charge counts a crash of w against the tasks that it had, in the order of places, and
+// gives up the jobs of those that have had enough.
+func (e *Engine) charge(now time.Duration, w *worker, places []*placement, t witness) {
+	blamed, alone := t.suspects(places)
+	for _, p := range places {
+		if !t.under(p) {
+			continue
+		}
+		u := p.unit
+		c := u.crashesOf(p.index)
+		c.total++
+		if blamed[p] {
+			c.early++
+		}
+		if t.certain(p) {
+			c.there++
+		}
+		u.noteCrashes(p.index, c)
+		u.shun(now, w.info.Agent)
+		e.decided(p, "worker crashed under it", c.String())
+		e.change(u.job)
+		if c.hopeless(alone) && !u.job.state.Final() {
+			e.finish(now, u.job, workload.Failed, fmt.Sprintf("%d workers crashed under task %s", c.total, p.task()))
+		}
+	}
+}
+
+// String tells the count for the log.
+func (c crashes) String() string {
+	return fmt.Sprintf("%d times; %d early, %d with the run certainly there", c.total, c.early, c.there)
+}
+
+// hopeless says whether the task is given up. alone: nothing of another job had just started
+// on the last worker.
+func (c crashes) hopeless(alone bool) bool {
+	if c.there < thereLeast {
+		return c.total > crashesMost
+	}
+	return c.total >= crashesMost || alone && c.early >= earlyMost
+}
+
+// lastChance says whether the next crash gives the task up in any case.
+func (c crashes) lastChance() bool { return c.total == crashesMost-1 }
+
+// suspects returns the runs that a crash of their worker is blamed on: the fresh ones, and
+// of these the ones suspected most before. alone says that all that were fresh are of one
+// job.
+func (t witness) suspects(places []*placement) (blamed map[*placement]bool, alone bool) {
+	blamed, alone = map[*placement]bool{}, true
+	most := 0
+	var job *job
+	for _, p := range places {
+		if !t.fresh(p) {
+			continue
+		}
+		most = max(most, p.unit.crashesOf(p.index).early)
+		alone = alone && (job == nil || job == p.unit.job)
+		job = p.unit.job
+	}
+	for _, p := range places {
+		blamed[p] = t.fresh(p) && p.unit.crashesOf(p.index).early == most
+	}
+	return blamed, alone
+}
+
+func (u *unit) noteCrashes(index int, c crashes) {
+	if u.crashes == nil {
+		u.crashes = map[int]crashes{}
+	}
+	u.crashes[index] = c
+}
--- a/engine/fit.go
+++ b/engine/fit.go
@@ -162,6 +162,8 @@
 	near, around int
 	// friction is what it costs to share the worker.
 	friction int
+	// risk is what a crash of the worker under the unit would cost.
+	risk float64
 }
 
 // tooFull says whether the set certainly has no room for u: what is free there, however it
@@ -192,6 +194,7 @@
 			o.near, o.around = r.neighbours(u, w)
 		}
 		o.friction = r.e.friction(u, w)
+		o.risk = r.risk(u, w)
 		options = append(options, o)
 	}
 	r.options = options
@@ -201,6 +204,7 @@
 	slices.SortStableFunc(options, func(a, b option) int {
 		return cmp.Or(
 			cmp.Compare(a.w.health.suspicion(), b.w.health.suspicion()),
+			cmp.Compare(a.risk, b.risk),
 			cmp.Compare(a.near, b.near),
 			cmp.Compare(a.around, b.around),
 			cmp.Compare(a.friction, b.friction),
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -139,6 +139,7 @@
 	u.state = unitActive
 	u.placedAt = r.now
 	u.idleSince = 0
+	u.heldFrom = 0
 	u.spent.room += r.now - u.since
 	u.verdict = verdictNone
 	for i, index := range u.indexes() {
@@ -185,7 +186,7 @@
 // slots returns how many members of u fit on w now, where there is so much room.
 func (r *round) slots(u *unit, w *worker, room workload.Resources) int {
 	n := u.demand().Fits(room, u.size)
-	if n <= 0 || !r.eligible(u, w) || w.health.resting(r.now) {
+	if n <= 0 || !r.eligible(u, w) || w.health.resting(r.now) || !r.admits(u, w) {
 		return 0
 	}
 	return r.spared(u, w, r.e.bounded(u, w, n))
--- a/engine/policy.go
+++ b/engine/policy.go
@@ -49,6 +49,10 @@
 	StandingStill bool `toml:"standing_still" default:"true"`
 	// DrainMoves stops early what can't end before its worker leaves.
 	DrainMoves bool `toml:"drain_moves" default:"true"`
+	// Probation tries a task that may have crashed its worker where nothing else has just
+	// started, and starts nothing beside it until it is proven; off: tasks that shared a
+	// worker with one that crashes them are given up with it once they meet it again.
+	Probation bool `toml:"probation" default:"true"`
 	// KeptCheckpoints puts checkpoints of running work on record.
 	KeptCheckpoints bool `toml:"kept_checkpoints" default:"true"`
 }
@@ -69,6 +73,7 @@
 		Avoidance:       true,
 		StandingStill:   true,
 		DrainMoves:      true,
+		Probation:       true,
 		KeptCheckpoints: true,
 	}
 }
--- /dev/null
+++ b/engine/probation.go
@@ -0,0 +1,77 @@
+package engine
+
+import "time"
+
+// A task with an early crash is tried again on probation: where nothing else has just
+// started, so that a second crash can't be another's, and where nothing else is started
+// until it is proven, so that others can't be blamed for it. It costs the worker the new
+// work of a second. Without it, tasks that were started beside one that crashes its workers
+// look like it, and are given up with it after they have met it a second time.
+const (
+	// probationWait is how long such a task lets go of room beside others that have just
+	// started before it goes anywhere: on a fleet of short tasks something always has.
+	probationWait = 1500 * time.Millisecond
+	// sparingWait is the same for room beside tasks that the next crash would give up. They
+	// are few, and a fleet with room to spare has a worker without them.
+	sparingWait = 5 * time.Second
+	// shunFor is how long a task keeps away from a machine where a worker crashed under it,
+	// where there is room elsewhere: a machine that is about to fail for good is emptied by
+	// each of its crashes and looks the best to all that it has just lost.
+	shunFor = 30 * time.Second
+)
+
+// admits says whether new members of u may start on w beside what has just started there.
+func (r *round) admits(u *unit, w *worker) bool {
+	if !r.e.params.Policy.Probation {
+		return true
+	}
+	suspect := u.suspect()
+	for _, p := range w.places {
+		if p.unit == u || p.state == placeAdopted {
+			continue
+		}
+		c, fresh := p.unit.crashesOf(p.index), !p.proven()
+		switch {
+		case fresh && c.early > 0:
+			return false
+		case suspect && fresh && r.holdsBack(u, probationWait):
+			return false
+		case suspect && c.lastChance() && r.holdsBack(u, sparingWait):
+			return false
+		}
+	}
+	return true
+}
+
+// holdsBack says whether u, which can't have a worker to itself now, goes on waiting for
+// one, and notes since when it does.
+func (r *round) holdsBack(u *unit, most time.Duration) bool {
+	if u.heldFrom == 0 {
+		u.heldFrom = r.now
+	}
+	return r.now-u.heldFrom < most
+}
+
+// shun notes that a worker crashed under the unit beside that agent.
+func (u *unit) shun(now time.Duration, agent string) {
+	if u.shuns == nil {
+		u.shuns = map[string]time.Duration{}
+	}
+	u.shuns[agent] = now + shunFor
+}
+
+// risk orders workers for u: where one crashed under it last, then, while a task of u is
+// suspected to crash workers, by what a crash would throw away, in cores.
+func (r *round) risk(u *unit, w *worker) float64 {
+	if len(u.crashes) == 0 {
+		return 0
+	}
+	risk := 0.0
+	if r.now < u.shuns[w.info.Agent] {
+		risk += w.info.Capacity.Cores()
+	}
+	if u.suspect() {
+		risk += w.used.Cores()
+	}
+	return risk
+}
--- a/engine/progress.go
+++ b/engine/progress.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -30,6 +32,16 @@
 	Done       bool    `json:"d,omitempty"`
 	Saved      string  `json:"c,omitempty"`
 	Places     []Place `json:"p,omitempty"`
+	// Crashes are counts of the workers that crashed under tasks of the unit.
+	Crashes []TaskCrashes `json:"x,omitempty"`
+}
+
+// TaskCrashes is how many workers crashed under one task, see crash.go.
+type TaskCrashes struct {
+	Index int `json:"i,omitempty"`
+	Total int `json:"t"`
+	Early int `json:"e,omitempty"`
+	There int `json:"h,omitempty"`
 }
 
 // Place says which worker may hold a member's run.
@@ -54,6 +66,10 @@
 	for _, place := range u.places {
 		p.Places = append(p.Places, Place{Index: place.index, Worker: place.worker.info.ID})
 	}
+	for _, index := range slices.Sorted(maps.Keys(u.crashes)) {
+		c := u.crashes[index]
+		p.Crashes = append(p.Crashes, TaskCrashes{Index: index, Total: c.total, Early: c.early, There: c.there})
+	}
 	return p
 }
 
--- a/engine/report.go
+++ b/engine/report.go
@@ -65,7 +65,9 @@
 	// Extending: the worker has been silent for so short a time that looks still extend its
 	// lease by what the answer to this report grants.
 	Extending bool `cbor:"13,keyasint,omitempty"`
-	// Crashed: this life is over, and ended without notice.
+	// Crashed: this life is over, and ended without notice. With Looked, Running are then
+	// the runs that had been at work for ProvenAfter, and Ended those that were over, as far
+	// as the agent saw.
 	Crashed bool `cbor:"14,keyasint,omitempty"`
 }
 
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -15,7 +16,7 @@
 // worker's lease: the caller sends it at once.
 func (e *Engine) Report(now time.Duration, r Report) Verdict {
 	if r.Left {
-		e.gone(now, r.Worker.ID, r.departure())
+		e.gone(now, r.Worker.ID, r.departure(), r.witness())
 		return Verdict{}
 	}
 	w := e.meet(now, r.Worker)
@@ -57,7 +58,7 @@
 // beside the same agent proves that the one before is over.
 func (e *Engine) meet(now time.Duration, info WorkerInfo) *worker {
 	if old, ok := e.byAgent[info.Agent]; ok && old != info.ID {
-		e.gone(now, old, e.replaced(old))
+		e.gone(now, old, e.replaced(old), witness{})
 	}
 	w := e.workers[info.ID]
 	if w == nil {
@@ -70,8 +71,8 @@
 		w.recorded = false
 		e.unrecorded[info.ID] = w
 	}
-	e.byAgent[info.Agent] = info.ID
 	e.resize(now, w, info.Capacity)
+	e.byAgent[info.Agent] = info.ID
 	return w
 }
 
@@ -124,6 +125,7 @@
 		return granted
 	}
 	w.lapsed = false
+	w.lapsedWith = nil
 	if wasSilent {
 		e.replan = true
 	}
@@ -169,6 +171,7 @@
 	}
 	p.missing = 0
 	p.shownAt = now
+	p.clear()
 	if row.Percent != p.pulse.percent {
 		p.movedAt = now
 	}
@@ -238,13 +241,16 @@
 }
 
 // gone ends a worker for good, and with it all that it held.
-func (e *Engine) gone(now time.Duration, id WorkerID, how Departure) {
+func (e *Engine) gone(now time.Duration, id WorkerID, how Departure, t witness) {
 	w := e.workers[id]
 	if w == nil {
 		return
 	}
 	places := w.sortedPlaces()
 	e.actions = append(e.actions, WorkerGone{Worker: w.info, How: how, Runs: len(places)})
+	if how == DepartureCrashed {
+		defer e.charge(now, w, slices.Concat(w.lapsedWith, places), t)
+	}
 	for _, p := range places {
 		e.lost(now, p, CauseWorkerLost, fmt.Sprintf("its worker %s; %s", how, p.history()))
 	}
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -89,6 +89,9 @@
 	u.run = up.Run
 	u.failures = up.Failures
 	u.saved = up.Saved
+	for _, c := range up.Crashes {
+		u.noteCrashes(c.Index, crashes{total: c.Total, early: c.Early, there: c.There})
+	}
 	for _, place := range up.Places {
 		w := e.workers[place.Worker]
 		if w == nil {
--- /dev/null
+++ b/engine/sim_crash_test.go
@@ -0,0 +1,231 @@
+package engine
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+var simCrashSeeds = flag.Int("sim-crash-seeds", 6, "how many randomised worlds with crashing tasks are played")
+
+// Some tasks crash each worker that starts them, 10 ms after or, fewer, in the middle of
+// their run; workers lose room and get it back. All that with the faults of
+// TestRandomWorlds: planners die, orders are lost or late, the store is out. No task that
+// crashes its workers may be started three times more after three of them, no start may
+// bring a worker over what it has, and no job may be shown as failed unless a task of it
+// has failed as often as it may, or two workers have crashed under it.
+func TestRandomWorldsWithCrashingTasks(t *testing.T) {
+	for i := range *simCrashSeeds {
+		seed := *simFirst + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newSimWorld(t, seed)
+			w.crashes.share = 12
+			w.faults(50 * time.Second)
+			w.shrinkSome(50 * time.Second)
+			w.traffic(50 * time.Second)
+			w.run(50 * time.Second)
+			w.heal()
+			w.run(150 * time.Second)
+			w.settled()
+			w.failedForCause()
+			t.Log(w.counts)
+		})
+	}
+}
+
+// simCrashes are the workers that crash under tasks.
+type simCrashes struct {
+	share  int                     // one of so many tasks does that; 0: none
+	under  map[workload.TaskID]int // workers that crashed under each task, whoever was to blame
+	after  map[workload.TaskID]int // starts of crashing tasks after the third crash
+	failed map[workload.TaskID]int // ends failed, whether the planner has taken note of them or not
+}
+
+// roomGrace is for how long room that has shrunk counts as there: what a planner in touch
+// may take to hear of it.
+const roomGrace = 4500 * time.Millisecond
+
+// simShrink is a loss of room.
+type simShrink struct {
+	before workload.Resources
+	at     time.Duration
+}
+
+// tellCrash lets the agent of a worker that has crashed say so, unless it was lost with it
+// or is cut off.
+func (w *simWorld) tellCrash(sw *simWorker) {
+	if w.crashes.share == 0 || sw.cut || sw.drains != 0 || len(sw.info.ID)%3 == 0 && !w.calm {
+		return
+	}
+	r := Report{Worker: sw.info, Left: true, Crashed: true, Looked: sw.lookedAt != 0, Ended: sw.lastEnded}
+	for run, from := range sw.shownFrom {
+		if sw.lookedAt-from >= ProvenAfter {
+			r.Running = append(r.Running, RunningRow{Run: run})
+		}
+	}
+	w.engine.Report(w.now, r)
+}
+
+// looks notes what the agent sees.
+func (w *simWorker) looks(now time.Duration, r Report) {
+	from := map[workload.RunID]time.Duration{}
+	for _, row := range r.Running {
+		from[row.Run] = now
+		if before, shown := w.shownFrom[row.Run]; shown {
+			from[row.Run] = before
+		}
+	}
+	w.shownFrom, w.lookedAt, w.lastEnded = from, now, r.Ended
+}
+
+// crashing says whether a task crashes its workers, and how long after its start. It hangs
+// on the task alone, so that it is the same on each worker.
+func (w *simWorld) crashing(task workload.TaskID) (time.Duration, bool) {
+	if w.crashes.share == 0 {
+		return 0, false
+	}
+	sum := 0
+	for _, b := range []byte(task.Job) {
+		sum = 31*sum + int(b)
+	}
+	sum = (sum + 7*task.Step) % 7919
+	if sum%w.crashes.share != 0 || task.Index != 0 {
+		return 0, false
+	}
+	if sum%5 == 0 {
+		return 1300 * time.Millisecond, true
+	}
+	return 10 * time.Millisecond, true
+}
+
+// note counts a crash of a worker for all that ran there.
+func (c *simCrashes) note(sw *simWorker) {
+	for task := range sw.running {
+		c.under[task]++
+	}
+}
+
+// crashUnder lets a worker crash that has just started a crashing task.
+func (w *simWorld) crashUnder(sw *simWorker, task workload.TaskID) {
+	after, ok := w.crashing(task)
+	if !ok {
+		return
+	}
+	r := sw.running[task]
+	w.after(after, func() {
+		if sw.dead || sw.running[task] != r {
+			return
+		}
+		w.counts["crashes"]++
+		broken := sw.sorted()
+		w.crash(slices.Index(w.workers, sw))
+		for _, r := range broken {
+			w.breakGang(r) // its members elsewhere see it end
+		}
+	})
+}
+
+// countCrashingStart checks a start of a task that crashes its workers.
+func (w *simWorld) countCrashingStart(task workload.TaskID) {
+	if _, ok := w.crashing(task); !ok || w.crashes.under[task] < 3 {
+		return
+	}
+	w.crashes.after[task]++
+	if w.crashes.after[task] >= 3 {
+		w.violated("%s is started three times more after %d workers have crashed under it", task, w.crashes.under[task])
+	}
+}
+
+// shrinkSome plans losses of room.
+func (w *simWorld) shrinkSome(end time.Duration) {
+	for range w.rng.IntN(12) {
+		i := w.rng.IntN(len(w.workers))
+		at := time.Duration(w.rng.Int64N(int64(end)))
+		lasts := time.Duration(1000+w.rng.IntN(15000)) * time.Millisecond
+		parts := w.rng.IntN(8)
+		w.events = append(w.events, simEvent{at, func() { w.shrink(w.workers[i], parts, lasts) }})
+	}
+}
+
+func (w *simWorld) shrink(sw *simWorker, parts int, lasts time.Duration) {
+	if _, already := w.shrinks[sw]; already || sw.dead {
+		return
+	}
+	whole := sw.info.Capacity
+	w.counts["shrinks"]++
+	w.shrinks[sw] = simShrink{before: whole, at: w.now}
+	sw.info.Capacity = workload.Resources{
+		MilliCPU: whole.MilliCPU * parts / 8, MemoryMB: whole.MemoryMB * parts / 8, Accelerators: parts,
+	}
+	w.after(lasts, func() {
+		delete(w.shrinks, sw)
+		sw.info.Capacity = whole
+	})
+}
+
+// roomOf is the room that a start may count on at a worker. An order that is carried out
+// late was given by what the worker had then.
+func (w *simWorld) roomOf(sw *simWorker) workload.Resources {
+	s, shrunk := w.shrinks[sw]
+	if shrunk && (w.late || w.now-s.at < roomGrace) {
+		return s.before
+	}
+	return sw.info.Capacity
+}
+
+// failedForCause: no job is shown as failed but for ends or crashes that its tasks had.
+func (w *simWorld) failedForCause() {
+	for _, id := range w.order {
+		found, _ := w.engine.Lookup(id)
+		_, crashing := w.crashingJob(w.jobs[id])
+		switch {
+		case found.State == workload.Failed && !w.cause(w.jobs[id]):
+			w.violated("job %s is failed without cause: %s", id, found.Reason)
+		case found.State == workload.Failed && !crashing && strings.Contains(found.Reason, "crashed"):
+			w.counts["given up, not crashing"]++
+		}
+	}
+}
+
+func (w *simWorld) crashingJob(j *workload.Job) (step int, ok bool) {
+	for s := range j.Steps {
+		if _, crashes := w.crashing(workload.TaskID{Job: j.ID, Step: s}); crashes {
+			return s, true
+		}
+	}
+	return 0, false
+}
+
+// cause says whether a job may be shown as failed.
+func (w *simWorld) cause(j *workload.Job) bool {
+	for s := range j.Steps {
+		ofGang := 0
+		for i := range j.Steps[s].Count {
+			task := workload.TaskID{Job: j.ID, Step: s, Index: i}
+			if w.crashes.failed[task] >= j.Terms.MaxAttempts || w.crashes.under[task] >= 2 {
+				return true
+			}
+			ofGang += w.crashes.failed[task]
+		}
+		if j.Steps[s].Gang && ofGang >= j.Terms.MaxAttempts {
+			return true // each member may have failed once
+		}
+	}
+	return false
+}
+
+// look is a look of an agent that is cut off from the planner.
+func (w *simWorker) look(now time.Duration) {
+	if w.world.crashes.share == 0 {
+		return
+	}
+	absent := w.absent
+	w.report(now)
+	w.absent = absent
+}
--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -145,9 +145,13 @@
 
 // crash ends a life; the next one reports after a while.
 func (w *simWorld) crash(i int) {
+	if sw := w.workers[i]; !sw.dead && sw.drains == 0 {
+		w.crashes.note(sw)
+	}
 	w.workers[i].dead = true
 	w.after(time.Second, func() {
 		if w.workers[i].dead {
+			w.tellCrash(w.workers[i])
 			w.addWorker(i)
 		}
 	})
--- a/engine/sim_worker_test.go
+++ b/engine/sim_worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -37,6 +38,10 @@
 	cut     bool
 	dead    bool
 	drains  time.Duration // when it leaves; 0: not draining
+	// What the agent saw last.
+	shownFrom map[workload.RunID]time.Duration
+	lookedAt  time.Duration
+	lastEnded []EndRow
 }
 
 func (w *simWorker) used() workload.Resources {
@@ -75,6 +80,7 @@
 	}
 	w.running[s.Run.Task] = r
 	w.world.check(w)
+	w.world.crashUnder(w, s.Run.Task)
 	return StartOK
 }
 
@@ -104,6 +110,9 @@
 		row.Checkpoint = fmt.Sprintf("%s-%d", r.id.Task, r.id.Number)
 	}
 	w.ended = append(w.ended, row)
+	if w.world.crashes.share > 0 {
+		w.lastEnded = slices.Clone(w.ended) // the agent's looks wait for ends
+	}
 	w.world.endsRun(w, r, why)
 }
 
@@ -173,6 +182,7 @@
 		row.Void = row.Number <= w.lapses
 		r.Ended = append(r.Ended, row)
 	}
+	w.looks(now, r)
 	r.Absent = w.absent
 	w.absent = nil
 	return r
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -37,6 +37,7 @@
 func (e *Engine) tickWorker(now time.Duration, w *worker) {
 	if !w.lapsed && now >= w.lapseAt {
 		w.lapsed = true
+		w.lapsedWith = w.sortedPlaces()
 		for _, p := range w.sortedPlaces() {
 			e.lost(now, p, CauseLapsed, "the worker's lease lapsed")
 		}
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -54,6 +54,13 @@
 	tellNext time.Duration
 	// avoids are workers where a run of it failed, and until when.
 	avoids map[WorkerID]time.Duration
+	// crashes counts the workers that crashed under its tasks, by index; tasks under which
+	// none did are not there. shuns are the agents beside which they did, and until when.
+	crashes map[int]crashes
+	shuns   map[string]time.Duration
+	// heldFrom is since when it lets go of room for the sake of its probation; 0 where it
+	// does not.
+	heldFrom time.Duration
 	// claims is room that is being emptied for the unit: tasks by worker.
 	claims    map[*worker]int
 	claimedAt time.Duration
--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -90,6 +90,11 @@
 type departure struct {
 	info    engine.WorkerInfo
 	crashed bool
+	// looked: proven are the runs that looks had shown for engine.ProvenAfter, over those
+	// that had ended.
+	looked bool
+	proven []engine.RunningRow
+	over   []engine.EndRow
 }
 
 // endLife notes that the present life is over. The mutex is held.
@@ -100,7 +105,7 @@
 	id := a.life.info.ID
 	a.log.WithField("worker", id).WithField("crashed", crashed).Info("worker gone")
 	a.ended[id] = true
-	a.left = append(a.left, departure{a.life.info, crashed})
+	a.left = append(a.left, departure{a.life.info, crashed, a.life.known, a.life.proven(), a.life.ended})
 	a.life = nil
 }
 
--- a/nodeagent/departure_test.go
+++ b/nodeagent/departure_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 // namedWorker answers as the life that its name says.
@@ -60,3 +61,25 @@
 		})
 	}
 }
+
+// What ran for a while on a worker did not crash it by its start; what had just started may
+// have. Only the agent can tell a planner that has just taken over.
+func TestCrashTellsWhatHadBeenAtWork(t *testing.T) {
+	c := qt.New(t)
+	a := &Agent{log: logrus.New(), wake: make(chan struct{}, 1), ended: map[engine.WorkerID]bool{}}
+	l := newLife(engine.WorkerInfo{ID: "w"})
+	a.life = l
+	run := func(n int) engine.RunningRow {
+		return engine.RunningRow{Run: workload.RunID{Task: workload.TaskID{Job: "j", Index: n}, Number: 1}}
+	}
+	over := engine.EndRow{Number: 1, Run: run(3).Run, Reason: engine.EndDone}
+	at := time.Second
+	l.take(Look{Clock: at, Running: []engine.RunningRow{run(1), run(3)}}, at, at, 0)
+	at += engine.ProvenAfter
+	l.take(Look{Clock: at, Running: []engine.RunningRow{run(1), run(2)}, Ended: []engine.EndRow{over}}, at, at, 0)
+	a.endLife(true)
+	told := a.reports()[0]
+	c.Check(told.Looked, qt.IsTrue)
+	c.Check(told.Running, qt.DeepEquals, []engine.RunningRow{run(1)})
+	c.Check(told.Ended, qt.DeepEquals, []engine.EndRow{over})
+}
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -37,8 +37,10 @@
 	// failingFrom is when looks began to get none.
 	failingFrom time.Duration
 	running     []engine.RunningRow
-	ended       []engine.EndRow
-	void        map[int64]bool // ends that came before a lapse of the lease
+	// shownFrom is when a look first showed each of them.
+	shownFrom map[workload.RunID]time.Duration
+	ended     []engine.EndRow
+	void      map[int64]bool // ends that came before a lapse of the lease
 	// stopped are runs whose stop was confirmed, with the time of the confirmation.
 	stopped map[workload.RunID]time.Duration
 	absent  []workload.RunID
@@ -114,6 +116,7 @@
 	}
 	l.clock, l.readAt, l.askedAt, l.known = look.Clock, now, sent, true
 	l.running = look.Running
+	l.noteShown()
 	l.ended = look.Ended
 	for i := range l.ended {
 		l.ended[i].Void = l.void[l.ended[i].Number]
@@ -122,6 +125,30 @@
 	l.settleStops(sent)
 }
 
+// noteShown notes since when looks have shown what runs.
+func (l *life) noteShown() {
+	from := make(map[workload.RunID]time.Duration, len(l.running))
+	for _, row := range l.running {
+		from[row.Run] = l.readAt
+		if before, shown := l.shownFrom[row.Run]; shown {
+			from[row.Run] = before
+		}
+	}
+	l.shownFrom = from
+}
+
+// proven returns the runs that looks had shown for long enough to tell that they did not
+// crash the worker by their start.
+func (l *life) proven() []engine.RunningRow {
+	var out []engine.RunningRow
+	for _, row := range l.running {
+		if l.readAt-l.shownFrom[row.Run] >= engine.ProvenAfter {
+			out = append(out, engine.RunningRow{Run: row.Run})
+		}
+	}
+	return out
+}
+
 // voidBeforeLapse marks the ends that are listed before a run that lapsed: the lease ran
 // out between them and this look, so they count as not having been.
 //
