scheduler: a job that takes its workers down soon after each start is given up

An attempt that is lost with a worker counted as nothing and was started again at once, with no budget and no pause. Change: attempts lost in a row within ten minutes of their start count towards MaxAttempts, with the growing pause of failures. A longer one clears them: a large gang that runs for weeks loses workers all the time. Before: TestJobThatTakesItsWorkersDownIsRejected starts without end. After: rejected as faulty; TestJobThatRunsForWeeksOutlivesItsWorkers holds. Open: like failures, the count is the planner's own and begins anew at a takeover.

--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // gangRefused takes back an attempt that did not start. The job goes back to its
 // place in the queue after a short delay, so that a stale plan is not repeated
@@ -46,6 +49,8 @@
 		s.endJob(j, RejectNotRepeatable, "the attempt ended early and the job must not run twice")
 	case e.Outcome == Failed:
 		s.failed(r, e.Worker)
+	case e.Outcome == Lost:
+		s.lost(r)
 	default:
 		s.requeue(r)
 	}
@@ -66,12 +71,37 @@
 	s.requeue(r)
 }
 
+// earlyLoss is how soon after its start an attempt has to be lost for that to speak
+// against its job. Jobs that run for weeks see many workers go.
+const earlyLoss = 10 * time.Minute
+
+// lost tries an attempt again that went with a worker, unless that has happened too
+// often.
+//
+// The failure it guards against: a job that takes down the workers that start it
+// never fails, since nothing of it is left to say so, and would go on to the next
+// worker for ever.
+func (s *Scheduler) lost(r *run) {
+	j := r.job
+	if r.state != runStarting && s.now.Sub(r.started) >= earlyLoss {
+		j.losses = 0
+		s.requeue(r)
+		return
+	}
+	j.losses++
+	if j.losses >= s.policy.MaxAttempts {
+		s.endJob(j, RejectFaulty, fmt.Sprintf("lost with its workers %d times in a row", j.losses))
+		return
+	}
+	s.requeue(r)
+}
+
 // requeue lets the job of an ended attempt wait again, at its old place.
 func (s *Scheduler) requeue(r *run) {
 	j := r.job
 	s.emit(RequeuedJob{Job: j.ID, Attempt: r.attempt})
-	if j.failures > 0 {
-		s.delay(j, s.now.Add(backoff(s.policy.RetryAfter, j.failures)))
+	if n := j.failures + j.losses; n > 0 {
+		s.delay(j, s.now.Add(backoff(s.policy.RetryAfter, n)))
 		return
 	}
 	s.enqueue(j)
--- a/scheduler/job_state.go
+++ b/scheduler/job_state.go
@@ -12,6 +12,7 @@
 	last           Attempt
 	failed         []nodeID // different workers it failed on
 	failures       int
+	losses         int // attempts in a row that went with a worker soon after their start
 	evictions      int
 	borrowingEnded bool // borrows no more, since it lost work to a claim
 	notBefore      time.Time
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -62,7 +62,8 @@
 	// JobStrikes is on how many different healthy workers a job must fail
 	// before it is rejected.
 	JobStrikes int
-	// MaxAttempts bounds the starts that end in failure.
+	// MaxAttempts bounds the starts that end in failure, and those that are lost in a
+	// row soon after.
 	MaxAttempts int
 	// RetryAfter is the first delay after a failure; it doubles up to 64 times.
 	RetryAfter time.Duration
--- a/scheduler/scenario_test.go
+++ b/scheduler/scenario_test.go
@@ -237,3 +237,40 @@
 		b.Assert(of[StartGang](b.end("busy", Done, ""))[0].Job, qt.Equals, first)
 	}
 }
+
+func TestJobThatTakesItsWorkersDownIsRejected(t *testing.T) {
+	// One job takes down each worker that starts it, with all that others run there.
+	// Its attempts are lost and not failed, so that they counted as nothing and it
+	// was started again without end.
+	b := newBench(t, Policy{Accounts: []AccountPolicy{{ID: "a"}}}, eight(12)...)
+	b.submit(Job{ID: "bad", Account: "a", Accelerators: 8, Repeatable: true})
+	var out []Action
+	for i := 0; b.s.jobs["bad"] != nil; i++ {
+		b.Assert(i < 10, qt.IsTrue, qt.Commentf("started once more after %d workers", i))
+		r := b.s.jobs["bad"].run
+		at := b.s.nodes[r.pieces[0].node].Worker
+		b.step(GangStarted{"bad", r.attempt})
+		b.step(WorkerDown{at.ID})
+		out = append(out, b.end("bad", Lost, "")...)
+		b.now = b.now.Add(2 * time.Minute)
+		b.step(WorkerUp{at})
+	}
+	b.Assert(of[RejectJob](out)[0].Reason, qt.Equals, RejectFaulty)
+}
+
+func TestJobThatRunsForWeeksOutlivesItsWorkers(t *testing.T) {
+	// A large gang loses a worker every few days. None of that speaks against it.
+	b := newBench(t, Policy{Accounts: []AccountPolicy{{ID: "a"}}}, eight(12)...)
+	b.submit(Job{ID: "long", Account: "a", Accelerators: 8, Repeatable: true})
+	for range 30 {
+		r := b.s.jobs["long"].run
+		at := b.s.nodes[r.pieces[0].node].Worker
+		b.step(GangStarted{"long", r.attempt})
+		b.now = b.now.Add(50 * time.Hour)
+		b.step(WorkerDown{at.ID})
+		b.end("long", Lost, "")
+		b.now = b.now.Add(2 * time.Minute)
+		b.step(WorkerUp{at})
+		b.Assert(b.s.jobs["long"], qt.Not(qt.IsNil))
+	}
+}
