engine: an order that a worker refuses is not repeated as fast as the store takes it

A start that a worker can't read, or has no room for, was placed and ordered again at once. Before: the test does not come to rest. After: at most 20 orders in 10 s, and the job is completed once the refusals end.

--- a/engine/health.go
+++ b/engine/health.go
@@ -48,6 +48,13 @@
 	h.until = max(h.until, now+h.rests)
 }
 
+// fullRest is how long a worker that has no room for what it was to start gets nothing. It
+// has less than it last told, and tells how much it has in each heartbeat.
+const fullRest = 750 * time.Millisecond
+
+// pause keeps work away from a worker that had no room. It says nothing of its health.
+func (h *health) pause(now time.Duration) { h.until = max(h.until, now+fullRest) }
+
 func (h *health) succeeded() { *h = health{} }
 
 // resting says whether new tasks should go elsewhere.
--- /dev/null
+++ b/engine/refused_test.go
@@ -0,0 +1,33 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// A worker refuses a start: it says that it can't read the order, or that it has no room,
+// as it has lost some and its planner has not heard of it yet. The order was repeated as
+// fast as the store took the placements, tens of times a second, until something changed.
+func TestRefusedStartsAreRepeatedAtAPace(t *testing.T) {
+	for _, refusal := range []StartOutcome{StartInvalid, StartFull} {
+		t.Run(refusal.String(), func(t *testing.T) {
+			c := qt.New(t)
+			d := newCrashDay(c, 1)
+			d.answer = func(StartOrder) StartOutcome { return refusal }
+			id := d.job(0, "other", tasks(1, 1))
+			const span = 10 * time.Second
+			for end := d.now + span; d.now < end; d.now += 20 * time.Millisecond {
+				d.work(d.e.workers["w0"])
+				d.tick()
+			}
+			c.Check(len(d.starts) <= 20, qt.IsTrue, qt.Commentf("%d starts", len(d.starts)))
+			d.answer = nil
+			d.run(8 * time.Second)
+			c.Check(d.state(id), qt.Equals, workload.Completed, qt.Commentf("it is tried again once that is over"))
+		})
+	}
+}
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -48,7 +48,9 @@
 	// since is when the unit last began to wait.
 	since time.Duration
 	// placedAt is when its present run was decided.
-	placedAt  time.Duration
+	placedAt time.Duration
+	// invalid counts the orders in a row that a worker could not read.
+	invalid   int
 	notBefore time.Duration
 	// tellNext is when the log may say again what the unit waits for.
 	tellNext time.Duration
