engine: a task that lasts and ends at once is restarted at a pace

What lasts is restarted however it ends, and was at once: one that can't start took a placement, a write, an order and an end every few milliseconds for as long as its job lived. Change: an end within ten seconds of the start is made up for after 100 ms, then twice as long each time, up to two seconds; a longer run begins anew. The pause of unreadable orders uses the same type.

--- a/engine/ends.go
+++ b/engine/ends.go
@@ -44,7 +44,7 @@
 		p.worker.health.succeeded()
 		e.learn(now, p)
 		if u.spec().LongRunning {
-			e.retry(u)
+			e.restart(now, p)
 			return
 		}
 		e.unitDone(now, u)
@@ -101,7 +101,7 @@
 	}
 	e.avoid(now, p)
 	if u.spec().LongRunning {
-		e.retry(u)
+		e.restart(now, p)
 		return
 	}
 	if u.failedRun != p.run {
--- a/engine/lasting.go
+++ b/engine/lasting.go
@@ -1,11 +1,36 @@
 package engine
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Steps that last (Step.LongRunning) serve users of their own for as long as their job
 // lives. They are restarted however they end, spread so that one worker or rack takes few
 // of them, and stopped by the system only within the number that may be away at once.
 
+const (
+	// steadyAfter is how long a task that lasts has to run for its end to be made up for at
+	// once.
+	steadyAfter = 10 * time.Second
+	// restartFirst and restartMost bound the pause before it starts again otherwise. Its
+	// users wait, so that it stays short, but what can't run must not take a write to the
+	// store, an order and an end each few milliseconds for as long as its job lives.
+	restartFirst = 100 * time.Millisecond
+	restartMost  = 2 * time.Second
+)
+
+// restart lets a task that lasts start again after its run p has ended by itself.
+func (e *Engine) restart(now time.Duration, p *placement) {
+	u := p.unit
+	e.retry(u)
+	if now-p.began >= steadyAfter {
+		u.restarts.reset()
+		return
+	}
+	u.notBefore = now + u.restarts.next(restartFirst, restartMost)
+}
+
 // away returns how many tasks of u's step are not at work, for whatever cause.
 func (u *unit) away() int {
 	n := 0
--- a/engine/lasting_test.go
+++ b/engine/lasting_test.go
@@ -130,3 +130,33 @@
 	found, _ := d.e.Lookup("timed")
 	c.Check(found.State, qt.Equals, workload.Completed)
 }
+
+// A service can't start: its task ends a moment after each start, failed or done. It was
+// restarted as fast as the store took the placement, for as long as its owner did not look.
+// It is restarted for ever, but at a pace; once it runs for a while, an end is made up for at
+// once again.
+func TestLastingTaskThatEndsAtOnceIsRestartedAtAPace(t *testing.T) {
+	for _, why := range []EndReason{EndFailed, EndDone} {
+		t.Run(string(why), func(t *testing.T) {
+			c := qt.New(t)
+			d := newDesk(t, 60)
+			id := d.job(1, "", lasting(1, 1, 0))
+			const span = 30 * time.Second
+			for end := d.now + span; d.now < end; d.now += 50 * time.Millisecond {
+				for _, w := range d.e.sortedWorkers() {
+					d.beat(w.info.ID)
+				}
+				d.tick()
+				d.end(id, why)
+			}
+			c.Check(len(d.starts) >= 15, qt.IsTrue, qt.Commentf("%d starts", len(d.starts)))
+			c.Check(len(d.starts) <= 30, qt.IsTrue, qt.Commentf("%d starts", len(d.starts)))
+			d.pass(15 * time.Second)
+			before := len(d.starts)
+			d.end(id, why)
+			d.settle()
+			c.Check(len(d.starts), qt.Equals, before+1)
+			c.Check(d.runs(id), qt.HasLen, 1)
+		})
+	}
+}
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -45,7 +45,7 @@
 		p.worker.health.pause(now)
 	case StartInvalid:
 		e.decided(p, "start invalid", "")
-		p.unit.notBefore = now + p.unit.invalidPause()
+		p.unit.notBefore = now + p.unit.invalid.next(invalidFirst, invalidMost)
 	case StartNoTicket:
 		delete(p.unit.job.ticketsOf(p.unit.at()).held, p.worker.info.ID)
 	}
@@ -62,16 +62,12 @@
 // not be delivered; the connection is replaced or given up within that time.
 const refusedPause = 100 * time.Millisecond
 
-// invalidMost bounds the pause of a unit whose order a worker can't read: the worker may be
-// replaced by one that can.
-const invalidMost = 2 * time.Second
-
-// invalidPause returns how long u waits after another order that a worker could not read.
-// It doubles each time, since the next order is the same.
-func (u *unit) invalidPause() time.Duration {
-	u.invalid++
-	return min(refusedPause<<min(u.invalid, 10), invalidMost)
-}
+// invalidFirst and invalidMost bound the pause of a unit whose order a worker can't read: the
+// next order is the same, but the worker may be replaced by one that can.
+const (
+	invalidFirst = 200 * time.Millisecond
+	invalidMost  = 2 * time.Second
+)
 
 // running notes that a run is there.
 func (e *Engine) running(now time.Duration, p *placement) {
@@ -84,7 +80,7 @@
 		p.pace = pace{percent: unknownPace, confirmed: true}
 	}
 	p.state = placeRunning
-	p.unit.invalid = 0
+	p.unit.invalid.reset()
 	if p.began == 0 {
 		p.began = now
 	}
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -49,9 +49,10 @@
 	since time.Duration
 	// placedAt is when its present run was decided.
 	placedAt time.Duration
-	// invalid counts the orders in a row that a worker could not read.
-	invalid   int
-	notBefore time.Duration
+	// invalid paces orders that workers could not read, restarts those of a task that lasts
+	// and ends soon after each start.
+	invalid, restarts backoff
+	notBefore         time.Duration
 	// tellNext is when the log may say again what the unit waits for.
 	tellNext time.Duration
 	// avoids are workers where a run of it failed, and until when.
