engine: a task that stands still wherever it runs is moved less and less often

A move has no record of earlier ones: a task that hangs everywhere was moved each time its patience ended, and threw away each time what it had held. Change: from the third move on the patience doubles, up to 16 times.

--- a/engine/tick.go
+++ b/engine/tick.go
@@ -18,6 +18,11 @@
 	// elsewhere, in parts of its estimate and at least stuckLeast.
 	stuckLeast = 2500 * time.Millisecond
 	stuckParts = 0.6
+	// stuckMoves is how many moves find a worker that is sound, where there is one. With each
+	// further one the patience doubles, up to 2^stuckDoubles times: what stands still
+	// wherever it runs throws away at each move what it held meanwhile.
+	stuckMoves   = 2
+	stuckDoubles = 4
 )
 
 func (e *Engine) tick(now time.Duration, ev Tick) {
@@ -57,6 +62,7 @@
 			e.decided(p, "stuck", fmt.Sprintf("at %d%% for %v", p.pulse.percent, now-p.movedAt))
 			e.distrust(now, p)
 			e.avoid(now, p)
+			p.unit.moves++
 			e.stopAll(now, p.unit, CauseStuck)
 		}
 	}
@@ -75,7 +81,8 @@
 		return false // what was seen last says nothing of now
 	}
 	patience := time.Duration(stuckParts * float64(p.unit.spec().Estimate))
-	return now-p.movedAt > max(patience, stuckLeast)
+	doubles := min(max(0, p.unit.moves-stuckMoves), stuckDoubles)
+	return now-p.movedAt > max(patience, stuckLeast)<<doubles
 }
 
 func (e *Engine) tickJob(now time.Duration, j *job) {
