engine: tasks that stand still are moved as before

Tried: from the third move on, twice the patience each time. It bounds what a task that hangs everywhere throws away, and costs more where workers hang by turns.

--- a/engine/tick.go
+++ b/engine/tick.go
@@ -18,11 +18,6 @@
 	// elsewhere, in parts of its estimate and at least stuckLeast.
 	stuckLeast = 2500 * time.Millisecond
 	stuckParts = 0.6
-	// stuckMoves is how many moves find a worker that is sound, where there is one. With each
-	// further one the patience doubles, up to 2^stuckDoubles times: what stands still
-	// wherever it runs throws away at each move what it held meanwhile.
-	stuckMoves   = 2
-	stuckDoubles = 4
 )
 
 func (e *Engine) tick(now time.Duration, ev Tick) {
@@ -62,7 +57,6 @@
 			e.decided(p, "stuck", fmt.Sprintf("at %d%% for %v", p.pulse.percent, now-p.movedAt))
 			e.distrust(now, p)
 			e.avoid(now, p)
-			p.unit.moves++
 			e.stopAll(now, p.unit, CauseStuck)
 		}
 	}
@@ -81,8 +75,7 @@
 		return false // what was seen last says nothing of now
 	}
 	patience := time.Duration(stuckParts * float64(p.unit.spec().Estimate))
-	doubles := min(max(0, p.unit.moves-stuckMoves), stuckDoubles)
-	return now-p.movedAt > max(patience, stuckLeast)<<doubles
+	return now-p.movedAt > max(patience, stuckLeast)
 }
 
 func (e *Engine) tickJob(now time.Duration, j *job) {
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -49,8 +49,6 @@
 	since time.Duration
 	// placedAt is when its present run was decided.
 	placedAt time.Duration
-	// moves counts the runs that were stopped because they stood still.
-	moves int
 	// invalid paces orders that workers could not read, restarts those of a task that lasts
 	// and ends soon after each start.
 	invalid, restarts backoff
