engine: what an agent tells of a crash in a file of its own; the wait of a probation is one

Read once more as a newcomer: the witness of a crash apart from the count, a name that shadowed a builtin, and the wait for a worker decided after all its runs are looked at, since the order of a map must not decide whether it begins.

--- a/engine/crash.go
+++ b/engine/crash.go
@@ -21,8 +21,8 @@
 //     start. Only a crash before that is an early one, and a run that is seen that long
 //     clears its task of earlier ones.
 //   - A run whose start got no answer may not have been there; one whose agent was cut off
-//     or lost with its worker may have been over.
-//     One crash more is borne where fewer than thereLeast were under runs that were.
+//     or lost with its worker may have been over. So one crash more is borne where fewer than
+//     certainLeast are certain.
 //   - Of those that had just started, the crash is early for those under which most workers
 //     crashed early before.
 //   - A task with an early crash is tried again on a worker where nothing else has just
@@ -40,9 +40,9 @@
 	// be on as many workers that fail by themselves. It is not tried once more: a gang may
 	// be started several times before all its members are there, and each start counts.
 	crashesMost = 3
-	// thereLeast is under how many of these crashes the run must certainly have been there;
-	// with fewer, the task is given up after one crash more.
-	thereLeast = 2
+	// certainLeast is how many of these crashes must be certain; with fewer, the task is given
+	// up after one crash more.
+	certainLeast = 2
 	// forgivenAfter is how long a run has to last for its task's crashes to be forgotten.
 	// Tasks that run for weeks see many machines fail.
 	forgivenAfter = 10 * time.Minute
@@ -51,8 +51,10 @@
 // crashes counts the workers that crashed under one task.
 type crashes struct {
 	total int
-	early int // those before the run was proven, of which others were not suspected more
-	there int // those of which the run was certainly there
+	// early are those before the run was proven, in which no other was suspected more.
+	early int
+	// certain are those under which the run certainly was.
+	certain int
 }
 
 // proven says whether looks have shown the run at work for long enough to clear it.
@@ -60,53 +62,6 @@
 	return p.began != 0 && p.shownAt-p.began >= ProvenAfter
 }
 
-// witness is what an agent knows of the runs of a worker that has crashed.
-type witness struct {
-	// known: the agent had looked at the worker. proven are then the runs that it had seen
-	// at work for ProvenAfter, ended those that were over before.
-	known  bool
-	proven map[workload.RunID]bool
-	ended  map[workload.RunID]bool
-}
-
-func (r *Report) witness() witness {
-	out := witness{known: r.Left && r.Looked, proven: map[workload.RunID]bool{}, ended: map[workload.RunID]bool{}}
-	for _, row := range r.Running {
-		out.proven[row.Run] = true
-	}
-	for _, row := range r.Ended {
-		out.ended[row.Run] = true
-	}
-	return out
-}
-
-// under says whether the crash may have come under a run. One that was given up when the
-// lease lapsed may have been over for long; only the agent can tell.
-func (t witness) under(p *placement) bool {
-	if p.state == placeRecording || p.unit.state == unitDone || t.ended[p.id()] {
-		return false // no order has left, or it was over
-	}
-	return t.known || !p.worker.lapsed
-}
-
-// certain says whether the run was there when its worker crashed. An agent that was cut off,
-// or was lost with its worker, has not told of the ends of the last seconds.
-func (t witness) certain(p *placement) bool {
-	return p.state == placeRunning && (t.known || p.worker.silent)
-}
-
-// fresh says whether a run is known to have been at work for less than ProvenAfter. Of what
-// a predecessor ordered and this planner never saw, only the agent can tell.
-func (t witness) fresh(p *placement) bool {
-	switch {
-	case !t.under(p) || p.proven():
-		return false
-	case t.known:
-		return !t.proven[p.id()]
-	}
-	return p.began != 0 && p.worker.silent
-}
-
 // crashesOf returns the count of the task with that index.
 func (u *unit) crashesOf(index int) crashes { return u.crashes[index] }
 
@@ -120,8 +75,8 @@
 	return false
 }
 
-// clear takes note of how long a run has been at work.
-func (p *placement) clear() {
+// survive clears the task of p, which a look has just shown, as far as the run has lasted.
+func (p *placement) survive() {
 	c, counted := p.unit.crashes[p.index]
 	switch {
 	case !counted:
@@ -148,7 +103,7 @@
 			c.early++
 		}
 		if t.certain(p) {
-			c.there++
+			c.certain++
 		}
 		u.noteCrashes(p.index, c)
 		u.shun(now, w.info.Agent)
@@ -162,13 +117,13 @@
 
 // String tells the count for the log.
 func (c crashes) String() string {
-	return fmt.Sprintf("%d times; %d early, %d with the run certainly there", c.total, c.early, c.there)
+	return fmt.Sprintf("%d times; %d early, %d certain", c.total, c.early, c.certain)
 }
 
 // hopeless says whether the task is given up. alone: nothing of another job had just started
 // on the last worker.
 func (c crashes) hopeless(alone bool) bool {
-	if c.there < thereLeast {
+	if c.certain < certainLeast {
 		return c.total > crashesMost
 	}
 	return c.total >= crashesMost || alone && c.early >= earlyMost
@@ -177,27 +132,6 @@
 // lastChance says whether the next crash gives the task up in any case.
 func (c crashes) lastChance() bool { return c.total == crashesMost-1 }
 
-// suspects returns the runs that a crash of their worker is blamed on: the fresh ones, and
-// of these the ones suspected most before. alone says that all that were fresh are of one
-// job.
-func (t witness) suspects(places []*placement) (blamed map[*placement]bool, alone bool) {
-	blamed, alone = map[*placement]bool{}, true
-	most := 0
-	var job *job
-	for _, p := range places {
-		if !t.fresh(p) {
-			continue
-		}
-		most = max(most, p.unit.crashesOf(p.index).early)
-		alone = alone && (job == nil || job == p.unit.job)
-		job = p.unit.job
-	}
-	for _, p := range places {
-		blamed[p] = t.fresh(p) && p.unit.crashesOf(p.index).early == most
-	}
-	return blamed, alone
-}
-
 func (u *unit) noteCrashes(index int, c crashes) {
 	if u.crashes == nil {
 		u.crashes = map[int]crashes{}
--- a/engine/crash_test.go
+++ b/engine/crash_test.go
@@ -267,8 +267,8 @@
 	id := d.job(1, "other", gang(2, 8), next)
 	d.settle()
 	for _, u := range d.e.jobs[id].units {
-		u.noteCrashes(0, crashes{total: 2, early: 1, there: 2})
-		u.noteCrashes(1, crashes{total: 2, early: 1, there: 2})
+		u.noteCrashes(0, crashes{total: 2, early: 1, certain: 2})
+		u.noteCrashes(1, crashes{total: 2, early: 1, certain: 2})
 	}
 	d.show("w0", func(p *placement) RunningRow { return RunningRow{} })
 	w := d.e.workers["w0"]
--- a/engine/doc.go
+++ b/engine/doc.go
@@ -10,6 +10,7 @@
 //   - A task has at most one run at a time, for the same reasons.
 //   - A placement is on record before its first order leaves, so that a successor knows
 //     which worker may hold what. An end is on record before the worker may forget it.
+//   - A task under which workers crash again and again is given up, see crash.go.
 //   - A gang is ordered on all its workers at once; when one member is lost the rest
 //     are stopped before it starts again.
 //
--- a/engine/probation.go
+++ b/engine/probation.go
@@ -25,22 +25,23 @@
 	if !r.e.params.Policy.Probation {
 		return true
 	}
-	suspect := u.suspect()
+	wait := time.Duration(0) // how long a suspect lets go of the room there
 	for _, p := range w.places {
 		if p.unit == u || p.state == placeAdopted {
 			continue
 		}
 		c, fresh := p.unit.crashesOf(p.index), !p.proven()
-		switch {
-		case fresh && c.early > 0:
-			return false
-		case suspect && fresh && r.holdsBack(u, probationWait):
-			return false
-		case suspect && c.lastChance() && r.holdsBack(u, sparingWait):
-			return false
+		if fresh && c.early > 0 {
+			return false // it is on probation
+		}
+		if fresh {
+			wait = max(wait, probationWait)
+		}
+		if c.lastChance() {
+			wait = max(wait, sparingWait)
 		}
 	}
-	return true
+	return wait == 0 || !u.suspect() || !r.holdsBack(u, wait)
 }
 
 // holdsBack says whether u, which can't have a worker to itself now, goes on waiting for
--- a/engine/progress.go
+++ b/engine/progress.go
@@ -38,10 +38,10 @@
 
 // TaskCrashes is how many workers crashed under one task, see crash.go.
 type TaskCrashes struct {
-	Index int `json:"i,omitempty"`
-	Total int `json:"t"`
-	Early int `json:"e,omitempty"`
-	There int `json:"h,omitempty"`
+	Index   int `json:"i,omitempty"`
+	Total   int `json:"t"`
+	Early   int `json:"e,omitempty"`
+	Certain int `json:"c,omitempty"`
 }
 
 // Place says which worker may hold a member's run.
@@ -68,7 +68,7 @@
 	}
 	for _, index := range slices.Sorted(maps.Keys(u.crashes)) {
 		c := u.crashes[index]
-		p.Crashes = append(p.Crashes, TaskCrashes{Index: index, Total: c.total, Early: c.early, There: c.there})
+		p.Crashes = append(p.Crashes, TaskCrashes{Index: index, Total: c.total, Early: c.early, Certain: c.certain})
 	}
 	return p
 }
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -171,7 +171,7 @@
 	}
 	p.missing = 0
 	p.shownAt = now
-	p.clear()
+	p.survive()
 	if row.Percent != p.pulse.percent {
 		p.movedAt = now
 	}
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -90,7 +90,7 @@
 	u.failures = up.Failures
 	u.saved = up.Saved
 	for _, c := range up.Crashes {
-		u.noteCrashes(c.Index, crashes{total: c.Total, early: c.Early, there: c.There})
+		u.noteCrashes(c.Index, crashes{total: c.Total, early: c.Early, certain: c.Certain})
 	}
 	for _, place := range up.Places {
 		w := e.workers[place.Worker]
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -80,8 +80,8 @@
 // shrunk below what it holds.
 func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used) }
 
-// fits says whether the room of p, which it holds already, is there.
-func (w *worker) fits(p *placement) bool {
+// stillFits says whether the room that p holds is still there.
+func (w *worker) stillFits(p *placement) bool {
 	return p.demand.Fits(w.free().Add(p.demand), 1) == 1
 }
 
--- a/engine/write.go
+++ b/engine/write.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		_, allowed := u.ticketOn(now, p.worker.info.ID)
-		if u.ending() || !p.worker.usable(now) || !p.worker.fits(p) || !allowed {
+		if u.ending() || !p.worker.usable(now) || !p.worker.stillFits(p) || !allowed {
 			e.refuse(now, u)
 			return
 		}
--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -105,7 +105,10 @@
 	id := a.life.info.ID
 	a.log.WithField("worker", id).WithField("crashed", crashed).Info("worker gone")
 	a.ended[id] = true
-	a.left = append(a.left, departure{a.life.info, crashed, a.life.known, a.life.proven(), a.life.ended})
+	a.left = append(a.left, departure{
+		info: a.life.info, crashed: crashed,
+		looked: a.life.known, proven: a.life.proven(), over: a.life.ended,
+	})
 	a.life = nil
 }
 
