--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -27,15 +27,20 @@
 			w := newSimWorld(t, seed)
 			w.faults(50 * time.Second)
 			w.traffic(50 * time.Second)
-			w.run(50 * time.Second)
-			w.heal()
-			w.run(150 * time.Second)
-			w.settled()
+			w.playOut()
 			t.Log(w.counts)
 		})
 	}
 }
 
+// playOut lets what is planned happen, ends the faults, and checks that all jobs end.
+func (w *simWorld) playOut() {
+	w.run(50 * time.Second)
+	w.heal()
+	w.run(150 * time.Second)
+	w.settled()
+}
+
 // traffic hands in jobs and cancels some.
 func (w *simWorld) traffic(end time.Duration) {
 	for at := 100 * time.Millisecond; at < end; at += time.Duration(100+w.rng.IntN(900)) * time.Millisecond {
--- a/engine/witness.go
+++ b/engine/witness.go
@@ -53,19 +53,20 @@
 // of these the ones suspected most before. alone says that all that were fresh are of one
 // job.
 func (t witness) suspects(places []*placement) (blamed map[*placement]bool, alone bool) {
-	blamed, alone = map[*placement]bool{}, true
+	var fresh []*placement
 	most := 0
-	var job *job
+	alone = true
 	for _, p := range places {
 		if !t.fresh(p) {
 			continue
 		}
+		fresh = append(fresh, p)
 		most = max(most, p.unit.crashesOf(p.index).early)
-		alone = alone && (job == nil || job == p.unit.job)
-		job = p.unit.job
+		alone = alone && p.unit.job == fresh[0].unit.job
 	}
-	for _, p := range places {
-		blamed[p] = t.fresh(p) && p.unit.crashesOf(p.index).early == most
+	blamed = map[*placement]bool{}
+	for _, p := range fresh {
+		blamed[p] = p.unit.crashesOf(p.index).early == most
 	}
 	return blamed, alone
 }
