--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -38,9 +38,9 @@
 
 // Counts count what an agent did since its start.
 type Counts struct {
-	Starts, StartsRefused, StartsUnknown, Stops, StopsUnknown atomic.Int64
-	Looks, LooksFailed, Reports, ReportsFailed, Announcements atomic.Int64
-	Paces, PacesUnknown                                       atomic.Int64
+	Starts, StartsRefused, StartsUnknown, Stops, StopsUnknown                  atomic.Int64
+	Looks, LooksFailed, LooksPassedOver, Reports, ReportsFailed, Announcements atomic.Int64
+	Paces, PacesUnknown                                                        atomic.Int64
 }
 
 // Start starts an Agent.
--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -38,6 +38,7 @@
 	if l == nil || l.info.ID != n.Info.ID {
 		return false
 	}
+	a.noteBorn(l, n.Born)
 	if n.Sequence <= l.sequence {
 		return true
 	}
@@ -68,6 +69,7 @@
 	a.endLifeUnannounced()
 	a.life = newLife(n.Info)
 	a.life.sequence = n.Sequence
+	a.life.born = n.Born
 	a.life.draining = n.Draining
 	a.life.leavesAt = now() + n.Remaining
 	a.log.WithField("worker", n.Info.ID).WithField("service", n.Info.Service).Info("worker announced")
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -10,6 +10,7 @@
 // life is what the agent knows of one life of its worker. The agent's mutex guards it.
 type life struct {
 	info     engine.WorkerInfo
+	born     int64 // of the last answer or heartbeat that told it, in Unix milliseconds
 	sequence int64
 	draining bool
 	leavesAt time.Duration
@@ -45,6 +46,8 @@
 	stopped map[workload.RunID]time.Duration
 	absent  []workload.RunID
 	looks   int // answered looks that no planner has taken yet
+	// passedOver: the last answer was taken for an older one than the last but one.
+	passedOver bool
 	// reporting is how many of them the report on its way tells of. A look that was
 	// told once must not count again: it says nothing of runs that began after it.
 	reporting int
@@ -101,8 +104,8 @@
 // lease's end as it was when the look was sent. A look sent after that follows a lapse,
 // so the ends that it shows and that nobody took note of count as not having been. Once
 // the lease is extended again, a look that was sent before may show ends of later runs,
-// which count.
-func (l *life) take(look Look, sent, now, before time.Duration) {
+// which count. It returns false for an answer that tells nothing new.
+func (l *life) take(look Look, sent, now, before time.Duration) bool {
 	if before != 0 && sent > before+lapseSlack && l.leaseEnd == before {
 		l.surveyed = before
 		for _, row := range look.Ended {
@@ -112,7 +115,7 @@
 	l.voidBeforeLapse(look.Ended)
 	l.failing = false
 	if l.known && (look.Clock < l.clock || look.Clock == l.clock && sent < l.askedAt) {
-		return // overtaken on its way by the answer to a later look
+		return false // overtaken on its way by the answer to a later look
 	}
 	l.clock, l.readAt, l.askedAt, l.known = look.Clock, now, sent, true
 	l.running = look.Running
@@ -123,6 +126,7 @@
 	}
 	l.looks++
 	l.settleStops(sent)
+	return true
 }
 
 // noteShown notes since when looks have shown what runs.
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // lookLoop looks at the worker again and again, which renews its lease.
@@ -56,7 +58,8 @@
 	}
 	waited := now() - sent
 	l.fenced = max(l.fenced, o.Epoch)
-	l.take(look, sent, now(), before)
+	clock := l.clock
+	a.notePassedOver(l, look, clock, l.take(look, sent, now(), before))
 	a.signal()
 	if (len(look.Ended) > 0 || l.lapsing(now())) && waited < repeatPause {
 		return repeatPause
@@ -97,10 +100,38 @@
 		return silentPause
 	}
 	if !l.failing {
-		a.log.WithField("worker", l.info.ID).WithError(err).Warn("worker does not answer")
+		a.log.WithField("worker", l.info.ID).WithField("acknowledged", l.seen).WithError(err).Warn("worker does not answer")
 		l.failingFrom = now()
 	}
 	l.failing = true
 	a.signal()
 	return silentPause
 }
+
+// notePassedOver counts answers that were passed over since the worker's clock was further in
+// an earlier one, and tells of the first in a row. The mutex is held.
+func (a *Agent) notePassedOver(l *life, look Look, clock time.Duration, taken bool) {
+	a.noteBorn(l, look.Born)
+	if !taken {
+		a.counts.LooksPassedOver.Add(1)
+	}
+	if !taken && !l.passedOver {
+		a.log.WithFields(logrus.Fields{
+			"worker": l.info.ID, "clock_ms": look.Clock.Milliseconds(), "before_ms": clock.Milliseconds(),
+			"ends": len(look.Ended), "acknowledged": l.seen,
+		}).Info("worker's answer passed over")
+	}
+	l.passedOver = !taken
+}
+
+// noteBorn tells when the worker says that it began at another time than before. The mutex
+// is held.
+func (a *Agent) noteBorn(l *life, born int64) {
+	if born == 0 || born == l.born {
+		return
+	}
+	if l.born != 0 {
+		a.log.WithFields(logrus.Fields{"worker": l.info.ID, "born": born, "before": l.born}).Info("worker began anew")
+	}
+	l.born = born
+}
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -31,6 +31,8 @@
 	Ended   []engine.EndRow
 	// Clock is the worker's own clock at some time during the call.
 	Clock time.Duration
+	// Born is when the life that answered began, in Unix milliseconds; 0: it does not say.
+	Born int64
 }
 
 // Worker is the worker beside the agent. Calls may be carried out although they
@@ -52,6 +54,7 @@
 // Announcement is a worker's heartbeat.
 type Announcement struct {
 	Info     engine.WorkerInfo
+	Born     int64 // when this life began, in Unix milliseconds; 0: it does not say
 	Sequence int64
 	Draining bool
 	// Remaining is how long a draining worker stays at least.
