nodeagent, engine, platform: a life of a worker is known by its ID and its start

What callers saw: tasks that were done ran once more; jobs whose tasks went with a worker waited for ever beside idle workers. Notices that such a worker drains were passed over.

Cause: a worker may come back within a moment under the ID that it had. Agent and planner knew a life by that ID alone, and went on with what they knew of the one before: the number up to which ends may be forgotten (the new life counts from 1 and forgot its ends before anybody had seen them), its clock (each answer was taken for one that a later one had overtaken), its count of heartbeats, its runs. Class: state of one incarnation kept under a name that outlives it.

Mend: the adapter names a life by ID and start, so all that is kept by life begins anew with it, in the agent, the planner and the records; calls carry the ID alone. Where an answer's start is another, it is another life's. While a worker does not answer no end of it is acknowledged, since the next to answer may be another life. The present life is told from an earlier one by a look, never by which heartbeat came last; a goodbye counts only of a life that drains.

The same cause in orders: they carry the ID too, so one that was meant for the last life and got no answer may be carried out by the next. Fences have a turn beside the planner's epoch, which rises with each life of a name; what the last life held is settled when the next has answered under its own turn: runs it shows go on there, all others can never start.

Tests of the adapter and the agent were changed where the types of their calls changed (fence for epoch, name for ID); what they check is as strict as before.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -24,7 +24,11 @@
 	// sorted are the workers in the order of their names; nil after one came or went.
 	sorted  []*worker
 	byAgent map[string]WorkerID
-	tracker tracker
+	// superseded are the lives that are followed by another one of their name, by agent, and
+	// turns the highest turn given.
+	superseded map[string][]*worker
+	turns      uint64
+	tracker    tracker
 	// interference is what was learned of images that share workers.
 	interference interference
 	urgent       urgent
@@ -73,6 +77,7 @@
 		jobs:           map[workload.JobID]*job{},
 		workers:        map[WorkerID]*worker{},
 		byAgent:        map[string]WorkerID{},
+		superseded:     map[string][]*worker{},
 		tracker:        newTracker(params.StopTime / 2),
 		interference:   newInterference(),
 		dirty:          map[workload.JobID]bool{},
--- a/engine/report.go
+++ b/engine/report.go
@@ -69,6 +69,10 @@
 	// the runs that had been at work for ProvenAfter, and Ended those that were over, as far
 	// as the agent saw.
 	Crashed bool `cbor:"14,keyasint,omitempty"`
+	// Turn is what the worker has seen of the planner's turn; see Fence.
+	Turn uint64 `cbor:"15,keyasint,omitempty"`
+	// Succeeded: this life is over, and another one answers under its name.
+	Succeeded bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Verdict is the answer to a report.
@@ -76,6 +80,8 @@
 	// Attached: the report was made under this engine's epoch, and the answer grants the
 	// worker's lease its whole time.
 	Attached bool
+	// Turn is the least that orders to this life carry; see Fence.
+	Turn uint64
 	// Seen: ends up to it may be forgotten.
 	Seen int64
 	// Waiting: ends of this report are not on record yet.
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -16,11 +16,11 @@
 // worker's lease: the caller sends it at once.
 func (e *Engine) Report(now time.Duration, r Report) Verdict {
 	if r.Left {
-		e.gone(now, r.Worker.ID, r.departure(), r.witness())
+		e.departed(now, r)
 		return Verdict{}
 	}
 	w := e.meet(now, r.Worker)
-	attached := r.Epoch == e.epoch
+	attached := r.Epoch == e.epoch && r.Turn >= w.turn
 	if now-w.lastReport >= reportTimeout {
 		e.replan = true
 	}
@@ -28,12 +28,13 @@
 	e.drain(now, w, r)
 	if !attached {
 		// Nothing is granted: what the worker's lease allows is bounded already.
-		return Verdict{Seen: w.seen}
+		return Verdict{Turn: w.turn, Seen: w.seen}
 	}
 	first := !w.attached
 	w.attached = true
 	granted := e.hold(now, w, r)
 	if r.Looked {
+		e.succeed(now, w, r)
 		e.look(now, w, r)
 		e.share(now, w)
 	}
@@ -41,7 +42,7 @@
 		e.settleAdopted(now, w)
 		e.replan = true
 	}
-	return Verdict{Attached: granted, Seen: w.forgettable(), Waiting: len(w.pending) > 0, Closely: w.shared()}
+	return Verdict{Attached: granted, Turn: w.turn, Seen: w.forgettable(), Waiting: len(w.pending) > 0, Closely: w.shared()}
 }
 
 // Seen returns up to which end a worker may forget, and whether more ends wait to be
@@ -57,8 +58,9 @@
 // meet returns the worker that reports, which may be new. A new life of the worker
 // beside the same agent proves that the one before is over.
 func (e *Engine) meet(now time.Duration, info WorkerInfo) *worker {
-	if old, ok := e.byAgent[info.Agent]; ok && old != info.ID {
-		e.gone(now, old, e.replaced(old), witness{})
+	before, known := e.byAgent[info.Agent]
+	if known && before != info.ID {
+		e.replace(now, before, info)
 	}
 	w := e.workers[info.ID]
 	if w == nil {
@@ -71,6 +73,9 @@
 		w.recorded = false
 		e.unrecorded[info.ID] = w
 	}
+	if before != info.ID {
+		e.takeTurn(w)
+	}
 	e.resize(now, w, info.Capacity)
 	e.byAgent[info.Agent] = info.ID
 	return w
@@ -261,6 +266,7 @@
 	delete(e.workers, w.info.ID)
 	e.sorted = nil
 	delete(e.unrecorded, w.info.ID)
+	e.dropSuperseded(w)
 	if e.byAgent[w.info.Agent] == w.info.ID {
 		delete(e.byAgent, w.info.Agent)
 	}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -21,6 +21,22 @@
 	Labels   []string           `json:"labels,omitempty" cbor:"5,keyasint,omitempty"`
 	Rack     string             `json:"rack,omitempty" cbor:"6,keyasint,omitempty"`
 	Capacity workload.Resources `json:"capacity" cbor:"7,keyasint"`
+	// Name is what calls to it carry where further lives may have it too; empty where each
+	// life goes by an ID of its own.
+	Name string `json:"name,omitempty" cbor:"8,keyasint,omitempty"`
+}
+
+// CallName is the name under which the worker answers.
+func (i *WorkerInfo) CallName() string {
+	if i.Name != "" {
+		return i.Name
+	}
+	return string(i.ID)
+}
+
+// sharesName says whether both are lives of one worker that keeps its name.
+func (i *WorkerInfo) sharesName(o WorkerInfo) bool {
+	return i.Name != "" && i.Name == o.Name && i.Agent == o.Agent
 }
 
 // worker is the engine's view of one life of a worker.
@@ -35,8 +51,12 @@
 	// strays are runs found there that the engine did not place; until they are gone
 	// nothing is started, since what they take is not known.
 	strays map[workload.RunID]time.Duration // when a stop was last sent
-	// attached: it reports under this engine's epoch, so older orders are refused.
+	// attached: it reports under this engine's epoch and its own turn, so older orders are
+	// refused.
 	attached bool
+	turn     uint64 // see Fence
+	// succession: another life of its name follows it; nil: none.
+	succession *succession
 	// silent: its agent reports, but the worker itself does not answer.
 	silent     bool
 	draining   bool
--- a/gateway/term_report.go
+++ b/gateway/term_report.go
@@ -34,6 +34,7 @@
 	reply.Attached = v.Attached
 	reply.Seen = v.Seen
 	reply.Closely = v.Closely
+	reply.Turn = v.Turn
 	return reply
 }
 
--- a/link/report.go
+++ b/link/report.go
@@ -20,4 +20,6 @@
 	Members []string `cbor:"5,keyasint,omitempty"` // addresses of gateways
 	// Closely: the worker should be looked at often.
 	Closely bool `cbor:"6,keyasint,omitempty"`
+	// Turn is the least that orders to the worker's present life carry; see engine.Fence.
+	Turn uint64 `cbor:"7,keyasint,omitempty"`
 }
--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -30,10 +30,13 @@
 	// answer lets the worker's lease reach.
 	epoch   uint64
 	granted time.Duration
-	left    []departure // lives that are over and not reported so yet
-	ended   map[engine.WorkerID]bool
-	wake    chan struct{} // has a token when there is something to report
-	counts  Counts
+	// nextFence is the least that orders to the next life carry, if it has the name of the
+	// last: higher than those that were meant for that one and may still be on their way.
+	nextFence engine.Fence
+	left      []departure // lives that are over and not reported so yet
+	ended     map[engine.WorkerID]bool
+	wake      chan struct{} // has a token when there is something to report
+	counts    Counts
 }
 
 // Counts count what an agent did since its start.
--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/eelgrasshub/eelgrasshub/engine"
 )
@@ -15,16 +16,33 @@
 	if a.refresh(n) {
 		return nil
 	}
-	id, err := a.cfg.Worker.Identify(ctx)
+	name, err := a.cfg.Worker.Identify(ctx)
 	if err != nil {
 		return err
 	}
-	if id != n.Info.ID {
-		a.log.WithField("announced", n.Info.ID).WithField("answers", id).Info("heartbeat of another life passed over")
+	if name != n.Info.CallName() {
+		a.log.WithField("announced", n.Info.ID).WithField("answers", name).Info("heartbeat of another life passed over")
 		return nil
 	}
-	a.meet(n)
-	return nil
+	l, _ := a.current()
+	if l != nil && l.shares(n.Info) {
+		return a.tellApart(l, n)
+	}
+	return a.meet(l, n)
+}
+
+// tellApart takes a heartbeat of another life than the present one, l, which has the same
+// name. Only a look tells them apart: where l answers, the heartbeat is of an earlier life.
+func (a *Agent) tellApart(l *life, n Announcement) error {
+	_, err := a.tryLook(l, 0)
+	switch {
+	case err == nil:
+		a.log.WithField("announced", n.Info.ID).Info("heartbeat of an earlier life passed over")
+		return nil
+	case errors.Is(err, ErrSucceeded), errors.Is(err, ErrOtherLife):
+		return a.meet(nil, n)
+	}
+	return err
 }
 
 // refresh updates the present life, and returns false for another one.
@@ -38,7 +56,6 @@
 	if l == nil || l.info.ID != n.Info.ID {
 		return false
 	}
-	a.noteBorn(l, n.Born)
 	if n.Sequence <= l.sequence {
 		return true
 	}
@@ -59,39 +76,52 @@
 	return true
 }
 
-// meet begins a new life.
-func (a *Agent) meet(n Announcement) {
+// meet begins a new life in the place of l. It fails where another one is present by now.
+func (a *Agent) meet(l *life, n Announcement) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended[n.Info.ID] || a.life != nil && a.life.info.ID == n.Info.ID {
-		return
+		return nil
+	}
+	if a.life != l {
+		return errLifeOver
 	}
-	a.endLifeUnannounced()
+	a.endLifeUnannounced(false)
 	a.life = newLife(n.Info)
+	a.life.fence = a.nextFence.Max(engine.Fence{Epoch: a.epoch})
 	a.life.sequence = n.Sequence
-	a.life.born = n.Born
 	a.life.draining = n.Draining
 	a.life.leavesAt = now() + n.Remaining
 	a.log.WithField("worker", n.Info.ID).WithField("service", n.Info.Service).Info("worker announced")
 	a.notify()
+	return nil
 }
 
-// Leave takes a worker's goodbye.
-func (a *Agent) Leave(id engine.WorkerID) {
+// Leave takes the goodbye of a worker that answers under a name.
+//
+// The failure it guards against: a goodbye that was held up comes when another life has the
+// name. Its runs would be taken for over and start elsewhere while they go on. A worker that
+// leaves has said before that it drains.
+func (a *Agent) Leave(name string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.life == nil || a.life.info.ID != id {
-		a.ended[id] = true
+	if a.life == nil || a.life.info.CallName() != name {
+		a.ended[engine.WorkerID(name)] = true
+		return
+	}
+	if a.life.info.Name != "" && !a.life.draining {
+		a.log.WithField("worker", a.life.info.ID).Info("goodbye of an earlier life passed over")
 		return
 	}
-	a.endLife(false)
+	a.endLife(departure{})
 	a.notify()
 }
 
-// departure is a life that is over. crashed: it ended without notice.
+// departure is a life that is over.
 type departure struct {
-	info    engine.WorkerInfo
-	crashed bool
+	info      engine.WorkerInfo
+	crashed   bool // it ended without notice
+	succeeded bool // another life answers under its name
 	// looked: proven are the runs that looks had shown for engine.ProvenAfter, over those
 	// that had ended.
 	looked bool
@@ -99,26 +129,27 @@
 	over   []engine.EndRow
 }
 
-// endLife notes that the present life is over. The mutex is held.
-func (a *Agent) endLife(crashed bool) {
+// endLife notes how the present life has ended. The mutex is held.
+func (a *Agent) endLife(how departure) {
 	if a.life == nil {
 		return
 	}
 	id := a.life.info.ID
-	a.log.WithField("worker", id).WithField("crashed", crashed).Info("worker gone")
+	a.log.WithField("worker", id).WithField("crashed", how.crashed).WithField("succeeded", how.succeeded).Info("worker gone")
 	a.ended[id] = true
-	a.left = append(a.left, departure{
-		info: a.life.info, crashed: crashed,
-		looked: a.life.known, proven: a.life.proven(), over: a.life.ended,
-	})
+	how.info = a.life.info
+	how.looked, how.proven, how.over = a.life.known, a.life.proven(), a.life.ended
+	a.left = append(a.left, how)
+	a.nextFence = a.life.fence
+	a.nextFence.Turn++
 	a.life = nil
 }
 
 // endLifeUnannounced ends the present life, of which another one was found in its place. It
 // has crashed, unless it was draining: a worker whose goodbye is not answered ends all the
-// same. The mutex is held.
-func (a *Agent) endLifeUnannounced() {
-	a.endLife(a.life != nil && !a.life.draining)
+// same. succeeded: the other one has its name. The mutex is held.
+func (a *Agent) endLifeUnannounced(succeeded bool) {
+	a.endLife(departure{crashed: a.life != nil && !a.life.draining, succeeded: succeeded})
 }
 
 func (a *Agent) notify() {
--- a/nodeagent/departure_test.go
+++ b/nodeagent/departure_test.go
@@ -16,10 +16,10 @@
 // namedWorker answers as the life that its name says.
 type namedWorker struct {
 	Worker
-	name engine.WorkerID
+	name string
 }
 
-func (w *namedWorker) Identify(context.Context) (engine.WorkerID, error) { return w.name, nil }
+func (w *namedWorker) Identify(context.Context) (string, error) { return w.name, nil }
 
 // A worker that crashed and one that said goodbye left the same line and the same report,
 // so that nobody could tell from outside, nor the planner, whether what ran there was lost.
@@ -77,7 +77,7 @@
 	l.take(Look{Clock: at, Running: []engine.RunningRow{run(1), run(3)}}, at, at, 0)
 	at += engine.ProvenAfter
 	l.take(Look{Clock: at, Running: []engine.RunningRow{run(1), run(2)}, Ended: []engine.EndRow{over}}, at, at, 0)
-	a.endLife(true)
+	a.endLife(departure{crashed: true})
 	told := a.reports()[0]
 	c.Check(told.Looked, qt.IsTrue)
 	c.Check(told.Running, qt.DeepEquals, []engine.RunningRow{run(1)})
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -10,7 +10,6 @@
 // life is what the agent knows of one life of its worker. The agent's mutex guards it.
 type life struct {
 	info     engine.WorkerInfo
-	born     int64 // of the last answer or heartbeat that told it, in Unix milliseconds
 	sequence int64
 	draining bool
 	leavesAt time.Duration
@@ -26,8 +25,9 @@
 	leaseEnd time.Duration
 	// surveyed is the leaseEnd after whose lapse a look has shown every end there was.
 	surveyed time.Duration
-	// fenced is the highest epoch that the worker certainly has seen.
-	fenced uint64
+	// fence is what orders carry, fenced the highest that the worker certainly has seen.
+	fence  engine.Fence
+	fenced engine.Fence
 	seen   int64 // ends that may be forgotten
 	// closely: the planner wants looks more often.
 	closely bool
@@ -57,6 +57,32 @@
 	return &life{info: info, void: map[int64]bool{}, stopped: map[workload.RunID]time.Duration{}}
 }
 
+// shares says whether a worker is another life of the same name.
+func (l *life) shares(info engine.WorkerInfo) bool {
+	return l.info.Name != "" && l.info.Name == info.Name
+}
+
+// raise makes later orders carry a fence, and returns false where they carry one as high.
+func (l *life) raise(f engine.Fence) bool {
+	if f.Compare(l.fence) <= 0 {
+		return false
+	}
+	l.fence = f
+	return true
+}
+
+// acknowledge returns up to which end the worker may forget.
+//
+// The failure it guards against: a worker that stopped answering comes back as another life
+// under its name, whose ends count from 1. It would forget those that nobody has seen, and
+// tasks that are done would run again.
+func (l *life) acknowledge() int64 {
+	if l.failing {
+		return 0
+	}
+	return l.seen
+}
+
 // until turns a time on the agent's clock into one on the worker's. The worker's clock
 // was read before readAt, so the result never lies beyond t.
 func (l *life) until(t time.Duration) time.Duration {
@@ -209,8 +235,9 @@
 	if l.draining {
 		r.Remaining = max(0, l.leavesAt-now)
 	}
-	if l.fenced == epoch {
+	if l.fenced.Epoch == epoch {
 		r.Epoch = epoch
+		r.Turn = l.fenced.Turn
 	}
 	if l.looks > 0 {
 		l.reporting = l.looks
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
@@ -42,6 +43,15 @@
 
 // look makes one look and returns how long to wait before the next.
 func (a *Agent) look(l *life, wait time.Duration) time.Duration {
+	pause, _ := a.tryLook(l, wait) // what failed is noted of the life
+	return pause
+}
+
+// errLifeOver: the life that was looked at is not the present one any more.
+var errLifeOver = eris.New("the life is over")
+
+// tryLook makes one look. The error says why it tells nothing of l.
+func (a *Agent) tryLook(l *life, wait time.Duration) (pause time.Duration, err error) {
 	a.counts.Looks.Add(1)
 	o, seen, wait, before := a.lookOrder(l, wait)
 	sent := now()
@@ -51,20 +61,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.life != l {
-		return 0
+		return 0, errLifeOver
 	}
 	if err != nil {
-		return a.lookFailed(l, err)
+		return a.lookFailed(l, err), err
 	}
 	waited := now() - sent
-	l.fenced = max(l.fenced, o.Epoch)
+	l.fenced = l.fenced.Max(o.Fence)
 	clock := l.clock
 	a.notePassedOver(l, look, clock, l.take(look, sent, now(), before))
 	a.signal()
 	if (len(look.Ended) > 0 || l.lapsing(now())) && waited < repeatPause {
-		return repeatPause
+		return repeatPause, nil
 	}
-	return 0
+	return 0, nil
 }
 
 // lookOrder returns the order of the next look. Once the worker has not answered for
@@ -72,7 +82,7 @@
 func (a *Agent) lookOrder(l *life, wait time.Duration) (o Order, seen int64, w, before time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	o = Order{Worker: l.info.ID, Epoch: a.epoch}
+	o = Order{Worker: l.info.ID, Fence: l.fence}
 	before = l.leaseEnd
 	lapsing := l.lapsing(now())
 	if !lapsing && l.extending(now()) {
@@ -81,17 +91,17 @@
 	if o.Until > 0 {
 		l.extend(a.granted)
 	}
-	if l.failing || !l.known || l.fenced < a.epoch || lapsing {
+	if l.failing || !l.known || l.fenced.Compare(l.fence) < 0 || lapsing {
 		wait = 0
 	}
-	return o, l.seen, wait, before
+	return o, l.acknowledge(), wait, before
 }
 
 func (a *Agent) lookFailed(l *life, err error) time.Duration {
 	a.counts.LooksFailed.Add(1)
-	if errors.Is(err, ErrOtherLife) {
-		a.log.WithField("worker", l.info.ID).Info("the worker answers as another life")
-		a.endLifeUnannounced()
+	if errors.Is(err, ErrOtherLife) || errors.Is(err, ErrSucceeded) {
+		a.log.WithField("worker", l.info.ID).WithError(err).Info("the worker answers as another life")
+		a.endLifeUnannounced(errors.Is(err, ErrSucceeded))
 		a.notify()
 		return 0
 	}
@@ -111,7 +121,6 @@
 // notePassedOver counts answers that were passed over since the worker's clock was further in
 // an earlier one, and tells of the first in a row. The mutex is held.
 func (a *Agent) notePassedOver(l *life, look Look, clock time.Duration, taken bool) {
-	a.noteBorn(l, look.Born)
 	if !taken {
 		a.counts.LooksPassedOver.Add(1)
 	}
@@ -123,15 +132,3 @@
 	}
 	l.passedOver = !taken
 }
-
-// noteBorn tells when the worker says that it began at another time than before. The mutex
-// is held.
-func (a *Agent) noteBorn(l *life, born int64) {
-	if born == 0 || born == l.born {
-		return
-	}
-	if l.born != 0 {
-		a.log.WithFields(logrus.Fields{"worker": l.info.ID, "born": born, "before": l.born}).Info("worker began anew")
-	}
-	l.born = born
-}
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -84,12 +84,12 @@
 	if orders.Epoch < a.epoch {
 		return Order{}, nil, engine.StartFenced
 	}
-	a.epoch = orders.Epoch
+	a.raiseEpoch(orders.Epoch)
 	l := a.life
 	if l == nil || l.info.ID != orders.Worker {
 		return Order{}, nil, engine.StartNotSent
 	}
-	o := Order{Worker: l.info.ID, Epoch: a.epoch, Until: l.until(a.granted)}
+	o := Order{Worker: l.info.ID, Fence: l.fence, Until: l.until(a.granted)}
 	switch {
 	case l.draining:
 		return o, l, engine.StartDraining
@@ -135,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), orderTimeout)
 	defer cancel()
 	err := a.cfg.Worker.Stop(ctx, o, run)
-	if errors.Is(err, ErrOtherLife) {
+	if errors.Is(err, ErrOtherLife) || errors.Is(err, ErrSucceeded) {
 		return // the next look finds out
 	}
 	if err != nil {
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -53,7 +53,7 @@
 	defer a.mu.Unlock()
 	var out []engine.Report
 	for _, d := range a.left {
-		out = append(out, engine.Report{Worker: d.info, Left: true, Crashed: d.crashed, Looked: d.looked, Running: d.proven, Ended: d.over})
+		out = append(out, engine.Report{Worker: d.info, Left: true, Crashed: d.crashed, Succeeded: d.succeeded, Looked: d.looked, Running: d.proven, Ended: d.over})
 	}
 	if a.life != nil {
 		out = append(out, a.life.report(now(), a.epoch))
@@ -112,7 +112,7 @@
 	}
 	if reply.Epoch > a.epoch {
 		a.log.WithField("epoch", reply.Epoch).WithField("before", a.epoch).Info("planner taken up")
-		a.epoch = reply.Epoch
+		a.raiseEpoch(reply.Epoch)
 		a.interrupt()
 	}
 	if r.Left {
@@ -124,6 +124,9 @@
 		return
 	}
 	l.reported(r)
+	if l.raise(engine.Fence{Epoch: reply.Epoch, Turn: reply.Turn}) {
+		a.interrupt() // only a look under that fence counts
+	}
 	l.closely = reply.Closely
 	if reply.Attached {
 		a.granted = max(a.granted, sent+a.cfg.MaxHold)
@@ -143,3 +146,11 @@
 		go a.look(l, 0)
 	}
 }
+
+// raiseEpoch notes a planner's epoch. The mutex is held.
+func (a *Agent) raiseEpoch(epoch uint64) {
+	a.epoch = max(a.epoch, epoch)
+	if a.life != nil {
+		a.life.raise(engine.Fence{Epoch: a.epoch})
+	}
+}
--- a/nodeagent/silent_test.go
+++ b/nodeagent/silent_test.go
@@ -36,7 +36,7 @@
 	return Look{Clock: now()}, nil
 }
 
-func (w *deadWorker) Identify(context.Context) (engine.WorkerID, error) { return "w", nil }
+func (w *deadWorker) Identify(context.Context) (string, error) { return "w", nil }
 
 // A worker crashes for good; its machine and the agent beside it live. The planner granted
 // more time with each report, the agent looked at once since the lease was nearly over,
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -11,8 +11,12 @@
 )
 
 var (
-	// ErrOtherLife: the worker that answered is a later life of the one meant.
+	// ErrOtherLife: the worker that answered is a later life of the one meant, with a name
+	// of its own.
 	ErrOtherLife = eris.New("another life of the worker answered")
+	// ErrSucceeded: a later life answered that has the name of the one meant. Whatever was
+	// ordered of that may still reach this one.
+	ErrSucceeded = eris.New("a later life answered under the worker's name")
 	// ErrFenced: the worker has seen a newer planner's epoch.
 	ErrFenced = eris.New("the worker follows a newer planner")
 )
@@ -20,7 +24,7 @@
 // Order is what every order to a worker carries.
 type Order struct {
 	Worker engine.WorkerID // the life that is meant
-	Epoch  uint64          // the worker refuses epochs lower than one it has seen
+	Fence  engine.Fence    // the worker refuses lower ones than it has seen
 	// Until is the end of the worker's lease on its own clock; zero extends nothing.
 	Until time.Duration
 }
@@ -31,15 +35,14 @@
 	Ended   []engine.EndRow
 	// Clock is the worker's own clock at some time during the call.
 	Clock time.Duration
-	// Born is when the life that answered began, in Unix milliseconds; 0: it does not say.
-	Born int64
 }
 
 // Worker is the worker beside the agent. Calls may be carried out although they
 // failed, even later, unless the error says otherwise.
 type Worker interface {
-	// Identify returns which life of the worker answers.
-	Identify(ctx context.Context) (engine.WorkerID, error)
+	// Identify returns the name under which the worker answers; see
+	// engine.WorkerInfo.CallName.
+	Identify(ctx context.Context) (string, error)
 	// Start starts a run. It is idempotent for one run.
 	Start(ctx context.Context, o Order, s engine.StartOrder) engine.StartOutcome
 	// Stop ends a run; one that is not there yet is refused from then on.
@@ -47,14 +50,14 @@
 	// Pace sets the speed of a run.
 	Pace(ctx context.Context, o Order, p engine.PaceOrder) error
 	// Look extends the lease, lets ends up to seen be forgotten, waits up to wait for
-	// an end, and returns what there is.
+	// an end, and returns what there is. ErrOtherLife and ErrSucceeded: it is another life
+	// that answers.
 	Look(ctx context.Context, o Order, seen int64, wait time.Duration) (Look, error)
 }
 
 // Announcement is a worker's heartbeat.
 type Announcement struct {
 	Info     engine.WorkerInfo
-	Born     int64 // when this life began, in Unix milliseconds; 0: it does not say
 	Sequence int64
 	Draining bool
 	// Remaining is how long a draining worker stays at least.
