nodeagent: the next life of a worker is fenced by the first look that it answers

What callers could have seen: a task runs twice. A start gets no answer, its stop is confirmed and the task starts elsewhere; the worker crashes and is back under its ID, and the start, still on its way, comes before anybody has sent the new life a fence. Found by the randomised worlds with workers that keep their names (job stopped before it was there, run again, started once more by the old order).

Why it holds: as soon as a worker does not answer, looks carry a higher fence than all that was ordered until then and come every 25 ms for three seconds, so that whichever life answers first is fenced against all of it; before, the first look after a pause of 250 ms carried the old fence. What is left is a start that comes within that pause of the worker's own start: it carries nothing that could be refused.

Reports of a worker that does not answer keep their pace.

--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -43,6 +43,10 @@
 	lookSlack = 600 * time.Millisecond
 	// silentPause is the pause between looks at a worker that does not answer.
 	silentPause = 250 * time.Millisecond
+	// awaitedPause is the same for awaitedFor, where the worker may be back at any moment under
+	// its name: orders that are on their way must not find its next life before a look does.
+	awaitedPause = 25 * time.Millisecond
+	awaitedFor   = 3 * time.Second
 	// keepExtending is how long looks that get no answer still extend the worker's lease:
 	// some workers carry out what they don't answer, for about six seconds, which is as
 	// long as a lease. Where the worker is gone, its work starts elsewhere that much later.
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -35,8 +35,10 @@
 	// hurriedAt is when a look was last made out of turn to renew the lease.
 	hurriedAt time.Duration
 	failing   bool // the last look got no answer
-	// failingFrom is when looks began to get none.
+	// failingFrom is when looks began to get none, failureTold when a report was last called
+	// for since that was so.
 	failingFrom time.Duration
+	failureTold time.Duration
 	running     []engine.RunningRow
 	// shownFrom is when a look first showed each of them.
 	shownFrom map[workload.RunID]time.Duration
@@ -71,6 +73,29 @@
 	return true
 }
 
+// fail notes that the worker does not answer.
+//
+// From here on another life may have its name, and what was ordered of this one may still
+// reach that, which has seen no fence. So looks carry a higher one than any order until now:
+// the first that is answered fences whoever answers.
+func (l *life) fail(now time.Duration) {
+	l.failing = true
+	l.failingFrom = now
+	l.failureTold = now - silentPause
+	if l.info.Name != "" {
+		l.fence.Turn++
+	}
+}
+
+// silentPause returns the pause between looks at a worker that does not answer. Where another
+// life may have its name, that has to be fenced as soon as it is there.
+func (l *life) silentPause(now time.Duration) time.Duration {
+	if l.info.Name != "" && now-l.failingFrom < awaitedFor {
+		return awaitedPause
+	}
+	return silentPause
+}
+
 // acknowledge returns up to which end the worker may forget.
 //
 // The failure it guards against: a worker that stopped answering comes back as another life
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -109,13 +109,16 @@
 		a.log.WithField("worker", l.info.ID).WithField("epoch", a.epoch).Warn("the worker follows a newer planner")
 		return silentPause
 	}
+	at := now()
 	if !l.failing {
 		a.log.WithField("worker", l.info.ID).WithField("acknowledged", l.seen).WithError(err).Warn("worker does not answer")
-		l.failingFrom = now()
+		l.fail(at)
 	}
-	l.failing = true
-	a.signal()
-	return silentPause
+	if at-l.failureTold >= silentPause {
+		l.failureTold = at
+		a.signal()
+	}
+	return l.silentPause(at)
 }
 
 // notePassedOver counts answers that were passed over since the worker's clock was further in
