--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -45,7 +45,7 @@
 	silentPause = 250 * time.Millisecond
 	// awaitedPause is the same for awaitedFor, where the worker may be back at any moment under
 	// its name: orders that are on their way must not find its next life before a look does.
-	awaitedPause = 25 * time.Millisecond
+	awaitedPause = 10 * time.Millisecond
 	awaitedFor   = 3 * time.Second
 	// keepExtending is how long looks that get no answer still extend the worker's lease:
 	// some workers carry out what they don't answer, for about six seconds, which is as
