agent: a task that a restarted target does not know is over at once

What callers saw: a gang of the product's own interface stood still beside idle accelerators for fifteen seconds after a target had crashed under one of its members, and the other members might end as done meanwhile, in vain.

The mend: the agent has had the target's word that the task runs, so a target that knows no such task has forgotten it, and nothing of it runs.

--- a/agent/task.go
+++ b/agent/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -64,6 +65,11 @@
 			return nil
 		case err == nil:
 			lost = time.Now().Add(taskLease)
+		case errors.Is(err, target.ErrUnknownTask):
+			// The target had the task and has crashed since: another life of it answers at
+			// its address, which runs nothing of the last.
+			g.ended(id, gang.TaskLost, false, err.Error())
+			return nil
 		case time.Now().After(lost):
 			// The lease that the target last heard of has lapsed: it has stopped
 			// the task, or it is gone itself.
--- a/target/standin/server.go
+++ b/target/standin/server.go
@@ -169,3 +169,18 @@
 		return false
 	}
 }
+
+// Restart ends all tasks and forgets all that is known, as a process does that crashes and is
+// back at the same address. Runs in the audit stay.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.tasks {
+		t.forgotten = true
+		s.finish(t, target.TaskStopped, "worker restarted")
+	}
+	s.tasks = map[target.TaskID]*task{}
+	s.epochs = map[string]uint64{}
+	s.ended = nil
+	s.agent = 0
+}
--- a/target/standin/task.go
+++ b/target/standin/task.go
@@ -33,6 +33,7 @@
 	endTimer   *time.Timer
 	leaseTimer *time.Timer
 	done       chan struct{} // closed in a final state
+	forgotten  bool          // the worker was restarted since
 }
 
 // start runs the task or returns the same one started before. The error says
--- a/target/standin/tasks_http.go
+++ b/target/standin/tasks_http.go
@@ -87,6 +87,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if t.forgotten {
+		panic(http.ErrAbortHandler) // its process has crashed under the call
+	}
 	writeJSON(w, t.status(time.Now()))
 }
 
