nodeagent, engine, platform: an agent that is started again overtakes the fence of the one before

What callers would have seen: nothing runs any more on a worker whose agent was started again after the worker had not answered for a moment.

Cause: agents fence a worker by themselves when it does not answer, above the planner's turn, and only in their own memory. The next agent got the planner's turn, which the worker refused; one that takes its orders by heartbeats does not even say so.

--- a/engine/fence.go
+++ b/engine/fence.go
@@ -11,8 +11,9 @@
 	Turn  uint64
 }
 
-// TurnStep is by how much a planner raises the turn for each life. Agents count in between, so
-// that they can fence a life before a planner has heard of it.
+// TurnStep is by how much the turn is raised for another life. Agents count in between, each
+// time that their worker does not answer, so that whichever life answers next is fenced before
+// a planner has heard of it.
 const TurnStep = 1 << 8
 
 // Compare returns -1, 0 or 1 as f is lower than o, the same or higher.
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -32,6 +32,7 @@
 	}
 	first := !w.attached
 	w.attached = true
+	e.noteTurn(w, r.Turn)
 	granted := e.hold(now, w, r)
 	if r.Looked {
 		e.succeed(now, w, r)
--- a/engine/sim_names_test.go
+++ b/engine/sim_names_test.go
@@ -12,8 +12,8 @@
 
 // Workers crash again and again and are back within a moment under their names, so that
 // orders to a life that is over, which were on their way or got no answer, are carried out by
-// the next one. Some agents are lost with their worker and know nothing of its last life. All
-// that with the faults of TestRandomWorlds: planners die, agents are cut off, the store is out.
+// the next one. Some agents are lost with their worker and know nothing of its last life; others
+// are started again beside a worker that they had fenced by themselves. All that with the faults of TestRandomWorlds: planners die, agents are cut off, the store is out.
 // No task may run twice at a time, nor start after its end was taken note of, and when the
 // faults end every job is settled.
 func TestRandomWorldsWithWorkersThatKeepTheirNames(t *testing.T) {
@@ -28,6 +28,7 @@
 			}
 			w.faults(50 * time.Second)
 			w.crashMany(50 * time.Second)
+			w.restartAgents(50 * time.Second)
 			w.traffic(50 * time.Second)
 			w.playOut()
 			t.Log(w.counts)
@@ -48,6 +49,35 @@
 	}
 }
 
+// restartAgents plans agents that have no answer of their worker for a moment, and some of
+// them are started again later.
+func (w *simWorld) restartAgents(end time.Duration) {
+	for range 5 + w.rng.IntN(15) {
+		at := time.Duration(w.rng.Int64N(int64(end)))
+		i, restart := w.rng.IntN(len(w.workers)), w.rng.IntN(2) == 0
+		w.events = append(w.events, simEvent{at, func() { w.workers[i].unanswered(restart) }})
+	}
+}
+
+// unanswered lets the agent fence its worker by itself, and start again where that is asked for.
+func (w *simWorker) unanswered(restart bool) {
+	if w.dead || w.orders.Epoch == 0 {
+		return
+	}
+	w.raise(Fence{Epoch: w.orders.Epoch, Turn: w.orders.Turn + 1})
+	if restart {
+		w.orders, w.granted, w.seen = Fence{}, 0, 0
+	}
+}
+
+// overtake raises the fence of an agent whose worker has seen a higher one of the same epoch.
+func (w *simWorker) overtake() {
+	if w.info.Name != "" && w.orders.Epoch > 0 && w.orders.Compare(w.fence) < 0 {
+		w.orders.Turn += TurnStep
+		w.raise(w.orders)
+	}
+}
+
 // away is how long a worker is away after a crash.
 func (w *simWorld) away() time.Duration {
 	if w.keepNames {
@@ -99,7 +129,7 @@
 		return
 	}
 	w.orders = before.orders
-	w.orders.Turn++
+	w.orders.Turn += TurnStep
 	w.world.after(time.Duration(w.world.rng.Int64N(int64(fencedWithin))), func() { w.raise(w.orders) })
 }
 
--- a/engine/sim_worker_test.go
+++ b/engine/sim_worker_test.go
@@ -164,6 +164,7 @@
 
 // report is what the agent says now.
 func (w *simWorker) report(now time.Duration) Report {
+	w.overtake()
 	r := Report{Worker: w.info, Looked: w.fence == w.orders && w.orders.Epoch > 0}
 	if w.fence == w.orders {
 		r.Epoch, r.Turn = w.orders.Epoch, w.orders.Turn
--- a/engine/succession.go
+++ b/engine/succession.go
@@ -62,6 +62,13 @@
 	e.dropSuperseded(w)
 }
 
+// noteTurn notes a turn that the agent has raised by itself, for an agent that is started again
+// beside the worker, and for the lives to come.
+func (e *Engine) noteTurn(w *worker, turn uint64) {
+	w.turn = max(w.turn, turn)
+	e.turns = max(e.turns, turn)
+}
+
 // succeed settles the lives that w follows, with its first look under its own fence. Runs that
 // this look lists were started by orders to one of them; they go on as runs on w.
 func (e *Engine) succeed(now time.Duration, w *worker, r Report) {
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// overtake raises the fence of a worker that has refused it.
+//
+// The failure it guards against: this process was started again, and the one before had fenced
+// the worker by itself when it did not answer. The planner's turn is lower than that, so nothing
+// would ever run there again. A worker that follows a newer planner goes on refusing.
+func (l *life) overtake() {
+	if l.info.Name != "" {
+		l.fence.Turn += engine.TurnStep
+	}
+}
+
 // silentPause returns the pause between looks at a worker that does not answer. Where another
 // life may have its name, that has to be fenced as soon as it is there.
 func (l *life) silentPause(now time.Duration) time.Duration {
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -106,7 +106,8 @@
 		return 0
 	}
 	if errors.Is(err, ErrFenced) {
-		a.log.WithField("worker", l.info.ID).WithField("epoch", a.epoch).Warn("the worker follows a newer planner")
+		a.log.WithField("worker", l.info.ID).WithField("fence", l.fence).Warn("the worker has seen a higher fence")
+		l.overtake()
 		return silentPause
 	}
 	at := now()
