--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -39,7 +39,7 @@
 	case err == nil:
 		a.log.WithField("announced", n.Info.ID).Info("heartbeat of an earlier life passed over")
 		return nil
-	case errors.Is(err, ErrSucceeded), errors.Is(err, ErrOtherLife):
+	case errors.Is(err, ErrSucceeded), errors.Is(err, ErrOtherLife), errors.Is(err, errLifeOver):
 		return a.meet(nil, n)
 	}
 	return err
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -11,11 +11,10 @@
 )
 
 var (
-	// ErrOtherLife: the worker that answered is a later life of the one meant, with a name
-	// of its own.
+	// ErrOtherLife: another life of the worker answered, with a name of its own.
 	ErrOtherLife = eris.New("another life of the worker answered")
-	// ErrSucceeded: a later life answered that has the name of the one meant. Whatever was
-	// ordered of that may still reach this one.
+	// ErrSucceeded: another life answered that has the name of the one meant. Whatever was
+	// ordered of that one may still reach it.
 	ErrSucceeded = eris.New("a later life answered under the worker's name")
 	// ErrFenced: the worker has seen a newer planner's epoch.
 	ErrFenced = eris.New("the worker follows a newer planner")
