--- a/engine/report.go
+++ b/engine/report.go
@@ -71,8 +71,8 @@
 	Crashed bool `cbor:"14,keyasint,omitempty"`
 	// Turn is what the worker has seen of the planner's turn; see Fence.
 	Turn uint64 `cbor:"15,keyasint,omitempty"`
-	// Succeeded: this life is over, and another one answers under its name.
-	Succeeded bool `cbor:"16,keyasint,omitempty"`
+	// Superseded: this life is over, and another one answers under its name.
+	Superseded bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Verdict is the answer to a report.
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -35,7 +35,7 @@
 	e.noteTurn(w, r.Turn)
 	granted := e.hold(now, w, r)
 	if r.Looked {
-		e.succeed(now, w, r)
+		e.settleSuperseded(now, w, r)
 		e.look(now, w, r)
 		e.share(now, w)
 	}
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -16,7 +16,7 @@
 	w.recorded = true
 	w.lapseAt += e.inherited
 	w.lastReport = now - reportTimeout
-	if before := e.workers[e.byAgent[info.Agent]]; before != nil && before.info.sharesName(info) {
+	if before := e.workers[e.byAgent[info.Agent]]; before != nil && before.info.SharesName(info) {
 		// Which of them is the present one the agent will say.
 		e.supersede(before, DepartureCrashed, witness{})
 	}
--- a/engine/succession.go
+++ b/engine/succession.go
@@ -21,7 +21,7 @@
 
 // departed handles an agent's word that a life is over.
 func (e *Engine) departed(now time.Duration, r Report) {
-	if w := e.workers[r.Worker.ID]; w != nil && r.Succeeded {
+	if w := e.workers[r.Worker.ID]; w != nil && r.Superseded {
 		e.supersede(w, r.departure(), r.witness())
 		return
 	}
@@ -31,7 +31,7 @@
 // replace ends the life that an agent reported before, as it now reports another one.
 func (e *Engine) replace(now time.Duration, before WorkerID, info WorkerInfo) {
 	w := e.workers[before]
-	if w != nil && w.info.sharesName(info) {
+	if w != nil && w.info.SharesName(info) {
 		e.supersede(w, e.replaced(before), witness{})
 		return
 	}
@@ -69,9 +69,9 @@
 	e.turns = max(e.turns, turn)
 }
 
-// succeed settles the lives that w follows, with its first look under its own fence. Runs that
-// this look lists were started by orders to one of them; they go on as runs on w.
-func (e *Engine) succeed(now time.Duration, w *worker, r Report) {
+// settleSuperseded settles the lives that w follows, with its first look under its own fence.
+// Runs that this look lists were started by orders to one of them; they go on as runs on w.
+func (e *Engine) settleSuperseded(now time.Duration, w *worker, r Report) {
 	earlier := e.superseded[w.info.Agent]
 	if len(earlier) == 0 {
 		return
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -34,8 +34,8 @@
 	return string(i.ID)
 }
 
-// sharesName says whether both are lives of one worker that keeps its name.
-func (i *WorkerInfo) sharesName(o WorkerInfo) bool {
+// SharesName says whether both are lives of one worker that keeps its name.
+func (i *WorkerInfo) SharesName(o WorkerInfo) bool {
 	return i.Name != "" && i.Name == o.Name && i.Agent == o.Agent
 }
 
--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -25,7 +25,7 @@
 		return nil
 	}
 	l, _ := a.current()
-	if l != nil && l.shares(n.Info) {
+	if l != nil && l.info.SharesName(n.Info) {
 		return a.tellApart(l, n)
 	}
 	return a.meet(l, n)
@@ -39,7 +39,7 @@
 	case err == nil:
 		a.log.WithField("announced", n.Info.ID).Info("heartbeat of an earlier life passed over")
 		return nil
-	case errors.Is(err, ErrSucceeded), errors.Is(err, ErrOtherLife), errors.Is(err, errLifeOver):
+	case errors.Is(err, ErrSuperseded), errors.Is(err, ErrOtherLife), errors.Is(err, errLifeOver):
 		return a.meet(nil, n)
 	}
 	return err
@@ -117,41 +117,6 @@
 	a.notify()
 }
 
-// departure is a life that is over.
-type departure struct {
-	info      engine.WorkerInfo
-	crashed   bool // it ended without notice
-	succeeded bool // another life answers under its name
-	// looked: proven are the runs that looks had shown for engine.ProvenAfter, over those
-	// that had ended.
-	looked bool
-	proven []engine.RunningRow
-	over   []engine.EndRow
-}
-
-// endLife notes how the present life has ended. The mutex is held.
-func (a *Agent) endLife(how departure) {
-	if a.life == nil {
-		return
-	}
-	id := a.life.info.ID
-	a.log.WithField("worker", id).WithField("crashed", how.crashed).WithField("succeeded", how.succeeded).Info("worker gone")
-	a.ended[id] = true
-	how.info = a.life.info
-	how.looked, how.proven, how.over = a.life.known, a.life.proven(), a.life.ended
-	a.left = append(a.left, how)
-	a.nextFence = a.life.fence
-	a.nextFence.Turn += engine.TurnStep // also above what an agent before this one counted
-	a.life = nil
-}
-
-// endLifeUnannounced ends the present life, of which another one was found in its place. It
-// has crashed, unless it was draining: a worker whose goodbye is not answered ends all the
-// same. succeeded: the other one has its name. The mutex is held.
-func (a *Agent) endLifeUnannounced(succeeded bool) {
-	a.endLife(departure{crashed: a.life != nil && !a.life.draining, succeeded: succeeded})
-}
-
 func (a *Agent) notify() {
 	close(a.changed)
 	a.changed = make(chan struct{})
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -59,11 +59,6 @@
 	return &life{info: info, void: map[int64]bool{}, stopped: map[workload.RunID]time.Duration{}}
 }
 
-// shares says whether a worker is another life of the same name.
-func (l *life) shares(info engine.WorkerInfo) bool {
-	return l.info.Name != "" && l.info.Name == info.Name
-}
-
 // raise makes later orders carry a fence, and returns false where they carry one as high.
 func (l *life) raise(f engine.Fence) bool {
 	if f.Compare(l.fence) <= 0 {
@@ -73,52 +68,6 @@
 	return true
 }
 
-// fail notes that the worker does not answer.
-//
-// From here on another life may have its name, and what was ordered of this one may still
-// reach that, which has seen no fence. So looks carry a higher one than any order until now:
-// the first that is answered fences whoever answers.
-func (l *life) fail(now time.Duration) {
-	l.failing = true
-	l.failingFrom = now
-	l.failureTold = now - silentPause
-	if l.info.Name != "" {
-		l.fence.Turn++
-	}
-}
-
-// overtake raises the fence of a worker that has refused it.
-//
-// The failure it guards against: this process was started again, and the one before had fenced
-// the worker by itself when it did not answer. The planner's turn is lower than that, so nothing
-// would ever run there again. A worker that follows a newer planner goes on refusing.
-func (l *life) overtake() {
-	if l.info.Name != "" {
-		l.fence.Turn += engine.TurnStep
-	}
-}
-
-// silentPause returns the pause between looks at a worker that does not answer. Where another
-// life may have its name, that has to be fenced as soon as it is there.
-func (l *life) silentPause(now time.Duration) time.Duration {
-	if l.info.Name != "" && now-l.failingFrom < awaitedFor {
-		return awaitedPause
-	}
-	return silentPause
-}
-
-// acknowledge returns up to which end the worker may forget.
-//
-// The failure it guards against: a worker that stopped answering comes back as another life
-// under its name, whose ends count from 1. It would forget those that nobody has seen, and
-// tasks that are done would run again.
-func (l *life) acknowledge() int64 {
-	if l.failing {
-		return 0
-	}
-	return l.seen
-}
-
 // until turns a time on the agent's clock into one on the worker's. The worker's clock
 // was read before readAt, so the result never lies beyond t.
 func (l *life) until(t time.Duration) time.Duration {
@@ -143,25 +92,6 @@
 	return l.leaseEnd != 0 && l.surveyed != l.leaseEnd && now > l.leaseEnd-lapseSlack
 }
 
-// extending says whether looks at a worker that does not answer still extend its lease.
-func (l *life) extending(now time.Duration) bool {
-	return !l.failing || now-l.failingFrom < keepExtending
-}
-
-// hurry says whether the lease needs a look out of turn now, to renew it, and notes that
-// it is made.
-//
-// The failure it guards against: looks out of turn at a worker that refuses them at once
-// are reported at once, and the answers to the reports call for the next looks: a loop as
-// fast as the network. A worker that does not answer is tried again by the looks in turn.
-func (l *life) hurry(now time.Duration) bool {
-	if l.failing || l.leaseEnd == 0 || l.leaseEnd-now >= renewBelow || now-l.hurriedAt < hurryPause {
-		return false
-	}
-	l.hurriedAt = now
-	return true
-}
-
 // take notes an answered look that was asked for at sent and came at now. before is the
 // lease's end as it was when the look was sent. A look sent after that follows a lapse,
 // so the ends that it shows and that nobody took note of count as not having been. Once
--- /dev/null
+++ b/nodeagent/silent.go
@@ -0,0 +1,72 @@
+package nodeagent
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+)
+
+// extending says whether looks at a worker that does not answer still extend its lease.
+func (l *life) extending(now time.Duration) bool {
+	return !l.failing || now-l.failingFrom < keepExtending
+}
+
+// hurry says whether the lease needs a look out of turn now, to renew it, and notes that
+// it is made.
+//
+// The failure it guards against: looks out of turn at a worker that refuses them at once
+// are reported at once, and the answers to the reports call for the next looks: a loop as
+// fast as the network. A worker that does not answer is tried again by the looks in turn.
+func (l *life) hurry(now time.Duration) bool {
+	if l.failing || l.leaseEnd == 0 || l.leaseEnd-now >= renewBelow || now-l.hurriedAt < hurryPause {
+		return false
+	}
+	l.hurriedAt = now
+	return true
+}
+
+// fail notes that the worker does not answer.
+//
+// From here on another life may have its name, and what was ordered of this one may still
+// reach that, which has seen no fence. So looks carry a higher one than any order until now:
+// the first that is answered fences whoever answers.
+func (l *life) fail(now time.Duration) {
+	l.failing = true
+	l.failingFrom = now
+	l.failureTold = now - silentPause
+	if l.info.Name != "" {
+		l.fence.Turn++
+	}
+}
+
+// overtake raises the fence of orders to a worker that has refused it.
+//
+// The failure it guards against: this process was started again, and the one before had fenced
+// the worker by itself when it did not answer. The planner's turn is lower than that, so nothing
+// would ever run there again. A worker that follows a newer planner goes on refusing.
+func (l *life) overtake() {
+	if l.info.Name != "" {
+		l.fence.Turn += engine.TurnStep
+	}
+}
+
+// silentPause returns the pause between looks at a worker that does not answer. Where another
+// life may have its name, that has to be fenced as soon as it is there.
+func (l *life) silentPause(now time.Duration) time.Duration {
+	if l.info.Name != "" && now-l.failingFrom < awaitedFor {
+		return awaitedPause
+	}
+	return silentPause
+}
+
+// acknowledge returns up to which end the worker may forget.
+//
+// The failure it guards against: a worker that stopped answering comes back as another life
+// under its name, whose ends count from 1. It would forget those that nobody has seen, and
+// tasks that are done would run again.
+func (l *life) acknowledge() int64 {
+	if l.failing {
+		return 0
+	}
+	return l.seen
+}
--- a/nodeagent/succession_test.go
+++ b/nodeagent/succession_test.go
@@ -52,7 +52,7 @@
 	case o.Worker:
 		return Look{Clock: now(), Ended: w.ended}, nil
 	}
-	return Look{}, ErrSucceeded
+	return Look{}, ErrSuperseded
 }
 
 func (w *keptNameWorker) last() lookedAt {
@@ -119,7 +119,7 @@
 	c.Check(w.last().seen, qt.Equals, int64(0))
 	told := a.reports()
 	c.Assert(told, qt.HasLen, 2)
-	c.Check(told[0].Succeeded, qt.IsTrue)
+	c.Check(told[0].Superseded, qt.IsTrue)
 	c.Check(told[0].Crashed, qt.IsTrue)
 	c.Check(told[1].Worker.ID, qt.Equals, engine.WorkerID("w-2"))
 }
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -13,9 +13,9 @@
 var (
 	// ErrOtherLife: another life of the worker answered, with a name of its own.
 	ErrOtherLife = eris.New("another life of the worker answered")
-	// ErrSucceeded: another life answered that has the name of the one meant. Whatever was
+	// ErrSuperseded: another life answered that has the name of the one meant. Whatever was
 	// ordered of that one may still reach it.
-	ErrSucceeded = eris.New("a later life answered under the worker's name")
+	ErrSuperseded = eris.New("a later life answered under the worker's name")
 	// ErrFenced: the worker has seen a newer planner's epoch.
 	ErrFenced = eris.New("the worker follows a newer planner")
 )
@@ -49,7 +49,7 @@
 	// Pace sets the speed of a run.
 	Pace(ctx context.Context, o Order, p engine.PaceOrder) error
 	// Look extends the lease, lets ends up to seen be forgotten, waits up to wait for
-	// an end, and returns what there is. ErrOtherLife and ErrSucceeded: it is another life
+	// an end, and returns what there is. ErrOtherLife and ErrSuperseded: it is another life
 	// that answers.
 	Look(ctx context.Context, o Order, seen int64, wait time.Duration) (Look, error)
 }
