--- a/engine/sim_names_test.go
+++ b/engine/sim_names_test.go
@@ -13,9 +13,11 @@
 // Workers crash again and again and are back within a moment under their names, so that
 // orders to a life that is over, which were on their way or got no answer, are carried out by
 // the next one. Some agents are lost with their worker and know nothing of its last life; others
-// are started again beside a worker that they had fenced by themselves. All that with the faults of TestRandomWorlds: planners die, agents are cut off, the store is out.
-// No task may run twice at a time, nor start after its end was taken note of, and when the
-// faults end every job is settled.
+// are started again beside a worker that they had fenced by themselves. In every second world
+// some tasks crash their workers, and workers lose room. All that with the faults of
+// TestRandomWorlds: planners die, agents are cut off, the store is out. No task may run twice at
+// a time, nor start after its end was taken note of, and when the faults end every job is
+// settled; where tasks crash their workers, what TestRandomWorldsWithCrashingTasks asks.
 func TestRandomWorldsWithWorkersThatKeepTheirNames(t *testing.T) {
 	for i := range *simNameSeeds {
 		seed := *simFirst + uint64(i)
@@ -29,8 +31,15 @@
 			w.faults(50 * time.Second)
 			w.crashMany(50 * time.Second)
 			w.restartAgents(50 * time.Second)
+			if seed%2 == 0 {
+				w.crashes.share = 12
+				w.shrinkSome(50 * time.Second)
+			}
 			w.traffic(50 * time.Second)
 			w.playOut()
+			if w.crashes.share > 0 {
+				w.failedForCause()
+			}
 			t.Log(w.counts)
 		})
 	}
