nodeagent: an acknowledgement is sent until it is answered, and never to a life that is in doubt

What callers would have seen: tasks that are done run once more.

Cause: every look carried up to which end the worker may forget, and the agent held that back only once a look had failed. A worker fell silent, crashed and came back while the last look still hung; the agent heard of the next life by its heartbeat, and the look that was to tell the lives apart carried the acknowledgements of the last one. The next life, which counts its ends from 1, forgot its own unseen.

Why the mend holds: an acknowledgement is carried until a look with it is answered, which is a moment after the worker listed those ends, and by none after that; a life that another one's heartbeat puts in doubt counts as silent before it is looked at, so that look acknowledges nothing and carries a higher fence.

--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -34,6 +34,7 @@
 // tellApart takes a heartbeat of another life than the present one, l, which has the same
 // name. Only a look tells them apart: where l answers, the heartbeat is of an earlier life.
 func (a *Agent) tellApart(l *life, n Announcement) error {
+	a.doubt(l)
 	_, err := a.tryLook(l, 0)
 	switch {
 	case err == nil:
@@ -45,6 +46,16 @@
 	return err
 }
 
+// doubt takes l for silent until it answers: the connection to it may hang without an error,
+// and the next look be the first that another life answers.
+func (a *Agent) doubt(l *life) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.life == l && !l.failing {
+		l.fail(now())
+	}
+}
+
 // refresh updates the present life, and returns false for another one.
 func (a *Agent) refresh(n Announcement) bool {
 	a.mu.Lock()
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -29,6 +29,8 @@
 	fence  engine.Fence
 	fenced engine.Fence
 	seen   int64 // ends that may be forgotten
+	// acknowledged are those of which the worker has certainly heard so.
+	acknowledged int64
 	// closely: the planner wants looks more often.
 	closely bool
 
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -68,6 +68,7 @@
 	}
 	waited := now() - sent
 	l.fenced = l.fenced.Max(o.Fence)
+	l.acknowledged = max(l.acknowledged, seen)
 	clock := l.clock
 	a.notePassedOver(l, look, clock, l.take(look, sent, now(), before))
 	a.signal()
@@ -112,7 +113,7 @@
 	}
 	at := now()
 	if !l.failing {
-		a.log.WithField("worker", l.info.ID).WithField("acknowledged", l.seen).WithError(err).Warn("worker does not answer")
+		a.log.WithField("worker", l.info.ID).WithField("acknowledged", l.acknowledged).WithError(err).Warn("worker does not answer")
 		l.fail(at)
 	}
 	if at-l.failureTold >= silentPause {
@@ -131,7 +132,7 @@
 	if !taken && !l.passedOver {
 		a.log.WithFields(logrus.Fields{
 			"worker": l.info.ID, "clock_ms": look.Clock.Milliseconds(), "before_ms": clock.Milliseconds(),
-			"ends": len(look.Ended), "acknowledged": l.seen,
+			"ends": len(look.Ended), "acknowledged": l.acknowledged,
 		}).Info("worker's answer passed over")
 	}
 	l.passedOver = !taken
--- a/nodeagent/silent.go
+++ b/nodeagent/silent.go
@@ -59,13 +59,15 @@
 	return silentPause
 }
 
-// acknowledge returns up to which end the worker may forget.
+// acknowledge returns up to which end the worker may forget with the next look, 0 where it has
+// been told so.
 //
-// The failure it guards against: a worker that stopped answering comes back as another life
-// under its name, whose ends count from 1. It would forget those that nobody has seen, and
-// tasks that are done would run again.
+// The failure it guards against: the worker is back as another life under its name, whose ends
+// count from 1, before anybody has noticed. It would forget those that nobody has seen, and
+// tasks that are done would run again. So an acknowledgement is sent until a look that carried
+// it is answered, a moment after its ends were listed, and not while the worker is silent.
 func (l *life) acknowledge() int64 {
-	if l.failing {
+	if l.failing || l.seen <= l.acknowledged {
 		return 0
 	}
 	return l.seen
--- a/nodeagent/succession_test.go
+++ b/nodeagent/succession_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -36,8 +37,8 @@
 
 // lookedAt is what a look carried.
 type lookedAt struct {
-	fence engine.Fence
-	seen  int64
+	Fence engine.Fence
+	Seen  int64
 }
 
 func (w *keptNameWorker) Identify(context.Context) (string, error) { return "w", nil }
@@ -61,6 +62,19 @@
 	return w.looks[len(w.looks)-1]
 }
 
+// carried returns the looks that acknowledged ends; two at once may carry the same.
+func (w *keptNameWorker) carried() []lookedAt {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []lookedAt
+	for _, l := range w.looks {
+		if l.Seen > 0 {
+			out = append(out, l)
+		}
+	}
+	return slices.Compact(out)
+}
+
 // turned waits until the worker has answered a look under a turn, which the agent makes by
 // itself when it hears of that.
 func turned(c *qt.C, a *Agent, turn uint64) {
@@ -105,18 +119,18 @@
 	a.look(l, 0)
 	ordered, _, _ := a.admit(&link.Orders{Epoch: 3, Worker: "w-1"})
 	c.Check(ordered.Fence, qt.Equals, engine.Fence{Epoch: 3, Turn: engine.TurnStep})
-	c.Check(w.last(), qt.Equals, lookedAt{ordered.Fence, 57})
+	c.Check(w.carried(), qt.DeepEquals, []lookedAt{{ordered.Fence, 57}})
 	w.become("")
 	a.look(l, 0)
 	w.become("w-2")
 	a.look(l, 0)
-	c.Check(w.last().fence.Compare(ordered.Fence), qt.Equals, 1)
-	c.Check(w.last().seen, qt.Equals, int64(0))
+	c.Check(w.last().Fence.Compare(ordered.Fence), qt.Equals, 1)
+	c.Check(w.last().Seen, qt.Equals, int64(0))
 	c.Assert(a.Announce(context.Background(), heartbeatOf("w-2", 1)), qt.IsNil)
 	l, _ = a.current()
 	a.look(l, 0)
-	c.Check(w.last().fence.Compare(ordered.Fence), qt.Equals, 1)
-	c.Check(w.last().seen, qt.Equals, int64(0))
+	c.Check(w.last().Fence.Compare(ordered.Fence), qt.Equals, 1)
+	c.Check(w.last().Seen, qt.Equals, int64(0))
 	told := a.reports()
 	c.Assert(told, qt.HasLen, 2)
 	c.Check(told[0].Superseded, qt.IsTrue)
@@ -177,8 +191,26 @@
 	told := a.reports()[1]
 	c.Check(told.Ended, qt.DeepEquals, ended)
 	a.answered(a.reports()[0], &link.ReportReply{Epoch: 3}, now())
-	a.answered(told, &link.ReportReply{Epoch: 3, Attached: true, Turn: 2 * engine.TurnStep, Seen: 1}, now())
-	turned(c, a, 2*engine.TurnStep)
+	a.answered(told, &link.ReportReply{Epoch: 3, Attached: true, Turn: 3 * engine.TurnStep, Seen: 1}, now())
+	turned(c, a, 3*engine.TurnStep)
 	a.look(l, 0)
-	c.Check(w.last(), qt.Equals, lookedAt{engine.Fence{Epoch: 3, Turn: 2 * engine.TurnStep}, 1})
+	c.Check(w.carried(), qt.DeepEquals, []lookedAt{
+		{engine.Fence{Epoch: 3, Turn: engine.TurnStep}, 57}, {engine.Fence{Epoch: 3, Turn: 3 * engine.TurnStep}, 1},
+	})
+}
+
+// The connection to a worker hangs without an error; meanwhile it crashes and is back under its
+// name. Its heartbeat is the first that the agent hears. The look that tells the lives apart is
+// the first call that the new one answers: it must fence it, and acknowledge none of its ends.
+func TestNextLifeThatNobodyMissedIsFencedByTheLookThatMeetsIt(t *testing.T) {
+	c := qt.New(t)
+	a, w := keptName(c)
+	before := w.carried()
+	w.become("w-2")
+	a.mu.Lock()
+	a.life.seen = 58 // recorded, and not acknowledged yet
+	a.mu.Unlock()
+	c.Assert(a.Announce(context.Background(), heartbeatOf("w-2", 1)), qt.IsNil)
+	c.Check(w.last().Fence.Compare(engine.Fence{Epoch: 3, Turn: engine.TurnStep}), qt.Equals, 1)
+	c.Check(w.carried(), qt.DeepEquals, before)
 }
