--- a/agent/task.go
+++ b/agent/task.go
@@ -65,14 +65,10 @@
 			return nil
 		case err == nil:
 			lost = time.Now().Add(taskLease)
-		case errors.Is(err, target.ErrUnknownTask):
+		case errors.Is(err, target.ErrUnknownTask), time.Now().After(lost):
 			// The target had the task and has crashed since: another life of it answers at
-			// its address, which runs nothing of the last.
-			g.ended(id, gang.TaskLost, false, err.Error())
-			return nil
-		case time.Now().After(lost):
-			// The lease that the target last heard of has lapsed: it has stopped
-			// the task, or it is gone itself.
+			// its address, which runs nothing of the last. Or the lease that it last heard of
+			// has lapsed: it has stopped the task, or it is gone itself.
 			g.ended(id, gang.TaskLost, false, err.Error())
 			return nil
 		default:
--- a/engine/report.go
+++ b/engine/report.go
@@ -90,3 +90,15 @@
 	// with others that fill.
 	Closely bool
 }
+
+// Listed returns the runs that a worker shows, running or ended.
+func Listed(running []RunningRow, ended []EndRow) map[workload.RunID]bool {
+	out := make(map[workload.RunID]bool, len(running)+len(ended))
+	for _, row := range running {
+		out[row.Run] = true
+	}
+	for _, row := range ended {
+		out[row.Run] = true
+	}
+	return out
+}
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -141,13 +141,10 @@
 // look compares what the worker says with what is expected of it.
 func (e *Engine) look(now time.Duration, w *worker, r Report) {
 	w.lookedAt = now
-	there := make(map[workload.RunID]bool, len(r.Running))
 	for _, row := range r.Running {
-		there[row.Run] = true
 		e.seen(now, w, row)
 	}
 	for _, row := range r.Ended {
-		there[row.Run] = true
 		if row.Number <= w.listed {
 			continue
 		}
@@ -162,7 +159,7 @@
 	for _, run := range r.Absent {
 		e.absent(now, w, run)
 	}
-	e.miss(now, w, there)
+	e.miss(now, w, Listed(r.Running, r.Ended))
 }
 
 // seen handles one run that is there.
--- a/engine/succession.go
+++ b/engine/succession.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 // succession is how a life ended in whose place another one answers under the same name.
@@ -76,7 +74,7 @@
 	if len(earlier) == 0 {
 		return
 	}
-	listed := r.listed()
+	listed := Listed(r.Running, r.Ended)
 	for _, old := range slices.Clone(earlier) {
 		for _, p := range slices.Clone(old.sortedPlaces()) {
 			if listed[p.id()] && w.places[p.task()] == nil {
@@ -108,15 +106,3 @@
 		delete(e.superseded, agent)
 	}
 }
-
-// listed returns the runs that a report shows, running or ended.
-func (r *Report) listed() map[workload.RunID]bool {
-	out := make(map[workload.RunID]bool, len(r.Running)+len(r.Ended))
-	for _, row := range r.Running {
-		out[row.Run] = true
-	}
-	for _, row := range r.Ended {
-		out[row.Run] = true
-	}
-	return out
-}
--- a/nodeagent/announce.go
+++ b/nodeagent/announce.go
@@ -40,7 +40,7 @@
 	case err == nil:
 		a.log.WithField("announced", n.Info.ID).Info("heartbeat of an earlier life passed over")
 		return nil
-	case errors.Is(err, ErrSuperseded), errors.Is(err, ErrOtherLife), errors.Is(err, errLifeOver):
+	case errors.Is(err, ErrOtherLife), errors.Is(err, errLifeOver):
 		return a.meet(nil, n)
 	}
 	return err
--- a/nodeagent/life.go
+++ b/nodeagent/life.go
@@ -170,13 +170,7 @@
 // settleStops finds the stopped runs that a look, asked for after their stop was
 // confirmed, does not show.
 func (l *life) settleStops(sent time.Duration) {
-	shown := map[workload.RunID]bool{}
-	for _, row := range l.running {
-		shown[row.Run] = true
-	}
-	for _, row := range l.ended {
-		shown[row.Run] = true
-	}
+	shown := engine.Listed(l.running, l.ended)
 	for run, at := range l.stopped {
 		if sent < at {
 			continue
--- a/nodeagent/look.go
+++ b/nodeagent/look.go
@@ -100,7 +100,7 @@
 
 func (a *Agent) lookFailed(l *life, err error) time.Duration {
 	a.counts.LooksFailed.Add(1)
-	if errors.Is(err, ErrOtherLife) || errors.Is(err, ErrSuperseded) {
+	if errors.Is(err, ErrOtherLife) {
 		a.log.WithField("worker", l.info.ID).WithError(err).Info("the worker answers as another life")
 		a.endLifeUnannounced(errors.Is(err, ErrSuperseded))
 		a.notify()
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -135,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), orderTimeout)
 	defer cancel()
 	err := a.cfg.Worker.Stop(ctx, o, run)
-	if errors.Is(err, ErrOtherLife) || errors.Is(err, ErrSuperseded) {
+	if errors.Is(err, ErrOtherLife) {
 		return // the next look finds out
 	}
 	if err != nil {
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,11 +12,11 @@
 )
 
 var (
-	// ErrOtherLife: another life of the worker answered, with a name of its own.
+	// ErrOtherLife: another life of the worker answered than the one meant.
 	ErrOtherLife = eris.New("another life of the worker answered")
-	// ErrSuperseded: another life answered that has the name of the one meant. Whatever was
-	// ordered of that one may still reach it.
-	ErrSuperseded = eris.New("a later life answered under the worker's name")
+	// ErrSuperseded is the ErrOtherLife of a life that has the name of the one meant. Whatever
+	// was ordered of that one may still reach it.
+	ErrSuperseded = fmt.Errorf("%w under its name", ErrOtherLife)
 	// ErrFenced: the worker has seen a newer planner's epoch.
 	ErrFenced = eris.New("the worker follows a newer planner")
 )
@@ -49,8 +50,7 @@
 	// Pace sets the speed of a run.
 	Pace(ctx context.Context, o Order, p engine.PaceOrder) error
 	// Look extends the lease, lets ends up to seen be forgotten, waits up to wait for
-	// an end, and returns what there is. ErrOtherLife and ErrSuperseded: it is another life
-	// that answers.
+	// an end, and returns what there is. ErrOtherLife: it is another life that answers.
 	Look(ctx context.Context, o Order, seen int64, wait time.Duration) (Look, error)
 }
 
