--- a/engine/sim_crash_test.go
+++ b/engine/sim_crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -20,20 +19,16 @@
 // bring a worker over what it has, and no job may be shown as failed unless a task of it
 // has failed as often as it may, or two workers have crashed under it.
 func TestRandomWorldsWithCrashingTasks(t *testing.T) {
-	for i := range *simCrashSeeds {
-		seed := *simFirst + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			w := newSimWorld(t, seed)
-			w.crashes.share = 12
-			w.faults(50 * time.Second)
-			w.shrinkSome(50 * time.Second)
-			w.traffic(50 * time.Second)
-			w.playOut()
-			w.failedForCause()
-			t.Log(w.counts)
-		})
-	}
+	playWorlds(t, *simCrashSeeds, func(w *simWorld, _ uint64) {
+		w.faults(faultTime)
+		w.crashSome()
+	})
+}
+
+// crashSome lets some tasks crash their workers, and workers lose room.
+func (w *simWorld) crashSome() {
+	w.crashes.share = 12
+	w.shrinkSome(faultTime)
 }
 
 // simCrashes are the workers that crash under tasks.
--- a/engine/sim_names_test.go
+++ b/engine/sim_names_test.go
@@ -19,30 +19,18 @@
 // a time, nor start after its end was taken note of, and when the faults end every job is
 // settled; where tasks crash their workers, what TestRandomWorldsWithCrashingTasks asks.
 func TestRandomWorldsWithWorkersThatKeepTheirNames(t *testing.T) {
-	for i := range *simNameSeeds {
-		seed := *simFirst + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			w := newSimWorld(t, seed)
-			w.keepNames = true
-			for i, sw := range w.workers {
-				sw.info.Name = nameOf(i)
-			}
-			w.faults(50 * time.Second)
-			w.crashMany(50 * time.Second)
-			w.restartAgents(50 * time.Second)
-			if seed%2 == 0 {
-				w.crashes.share = 12
-				w.shrinkSome(50 * time.Second)
-			}
-			w.traffic(50 * time.Second)
-			w.playOut()
-			if w.crashes.share > 0 {
-				w.failedForCause()
-			}
-			t.Log(w.counts)
-		})
-	}
+	playWorlds(t, *simNameSeeds, func(w *simWorld, seed uint64) {
+		w.keepNames = true
+		for i, sw := range w.workers {
+			sw.info.Name = nameOf(i)
+		}
+		w.faults(faultTime)
+		w.crashMany(faultTime)
+		w.restartAgents(faultTime)
+		if seed%2 == 0 {
+			w.crashSome()
+		}
+	})
 }
 
 func nameOf(worker int) string { return fmt.Sprint("w", worker) }
--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -20,14 +20,25 @@
 // gangs, steps and jobs that can't run, and cancel some. At no time may a worker hold
 // more than it has or a task run twice; when the faults end every job is settled.
 func TestRandomWorlds(t *testing.T) {
-	for i := range *simSeeds {
+	playWorlds(t, *simSeeds, func(w *simWorld, _ uint64) { w.faults(faultTime) })
+}
+
+// faultTime is for how long worlds have faults and callers that hand in jobs.
+const faultTime = 50 * time.Second
+
+// playWorlds plays as many worlds, each with what plan makes of it.
+func playWorlds(t *testing.T, seeds int, plan func(w *simWorld, seed uint64)) {
+	for i := range seeds {
 		seed := *simFirst + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			w := newSimWorld(t, seed)
-			w.faults(50 * time.Second)
-			w.traffic(50 * time.Second)
+			plan(w, seed)
+			w.traffic(faultTime)
 			w.playOut()
+			if w.crashes.share > 0 {
+				w.failedForCause()
+			}
 			t.Log(w.counts)
 		})
 	}
@@ -35,7 +46,7 @@
 
 // playOut lets what is planned happen, ends the faults, and checks that all jobs end.
 func (w *simWorld) playOut() {
-	w.run(50 * time.Second)
+	w.run(faultTime)
 	w.heal()
 	w.run(150 * time.Second)
 	w.settled()
