catalog, engine, gateway, nodeagent: nothing starts in a cordoned availability zone

Change: the watch of the configuration follows the cordons too, with the store's revision as their age; gateways pass them on to peers. The planner takes workers of a cordoned zone out of its rounds and withholds starts recorded before, and starts nothing at all while its view is over 3 s old. Agents hear of their zone with each answer to a report, and refuse orders that were decided on an older revision. What runs goes on; guarantees count the room.

Ruled out: a watch of each agent (calls to the store grow with the fleet); agents alone (the planner's word would then be the guard).

--- /dev/null
+++ b/catalog/cordons.go
@@ -0,0 +1,54 @@
+package catalog
+
+import (
+	"slices"
+	"time"
+)
+
+// Cordons are the availability zones in which nothing new may be started. What runs there
+// goes on.
+type Cordons struct {
+	Zones []string // sorted
+	// Revision is the store's up to which they are known; of two Cordons, that with the
+	// higher one is newer.
+	Revision int64
+	// ConfirmedAt is a time, on a clock that runs during suspension, at which no newer ones
+	// had been acknowledged to an operator.
+	ConfirmedAt time.Duration
+}
+
+// Covers says whether a zone is cordoned.
+func (c Cordons) Covers(zone string) bool {
+	_, found := slices.BinarySearch(c.Zones, zone)
+	return found
+}
+
+// Cordons returns the present ones, and false before they are known.
+func (f *InForce) Cordons() (Cordons, bool) {
+	c := f.cordons.Load()
+	if c == nil {
+		return Cordons{}, false
+	}
+	return *c, true
+}
+
+// OfferCordons takes the cordons as they were at c.ConfirmedAt. Older ones than those known
+// have no effect. The caller does not change c.Zones any more.
+func (f *InForce) OfferCordons(c Cordons) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.cordons.Load()
+	if old == nil {
+		f.cordons.Store(&c)
+		f.notify()
+		return
+	}
+	if c.Revision < old.Revision {
+		return
+	}
+	c.ConfirmedAt = max(c.ConfirmedAt, old.ConfirmedAt)
+	f.cordons.Store(&c)
+	if !slices.Equal(c.Zones, old.Zones) {
+		f.notify()
+	}
+}
--- a/catalog/inforce.go
+++ b/catalog/inforce.go
@@ -16,12 +16,13 @@
 	ConfirmedAt time.Duration
 }
 
-// InForce holds the newest version. Readers take no lock; writers may come from
+// InForce holds the newest version, and the newest Cordons. Readers take no lock; writers may come from
 // several sources (the store's watch, peers) in any order, and an older version
 // never replaces a newer one.
 type InForce struct {
 	mu      sync.Mutex
 	view    atomic.Pointer[View]
+	cordons atomic.Pointer[Cordons]
 	changed chan struct{}
 }
 
@@ -54,12 +55,17 @@
 	}
 	f.view.Store(next)
 	if fresh {
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.notify()
 	}
 	return fresh
 }
 
+// notify wakes those who wait for a change. The mutex is held.
+func (f *InForce) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // Confirm says that version was still the newest at time confirmed. It has no
 // effect where another version is in force.
 func (f *InForce) Confirm(version int64, confirmed time.Duration) {
@@ -72,7 +78,8 @@
 	f.view.Store(&View{Catalog: old.Catalog, Raw: old.Raw, ConfirmedAt: confirmed})
 }
 
-// Changed returns a channel that is closed when the next version is in force.
+// Changed returns a channel that is closed when the next version is in force, or other zones
+// are cordoned.
 func (f *InForce) Changed() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/engine/action.go
+++ b/engine/action.go
@@ -33,6 +33,7 @@
 	StartInvalid
 	StartDraining
 	StartNoTicket // its ticket is not valid there
+	StartCordoned // the worker's availability zone is cordoned
 )
 
 // StartResult is the outcome of one start.
@@ -49,6 +50,8 @@
 	Stops  []workload.RunID
 	// Paces are carried out after the starts.
 	Paces []PaceOrder
+	// CordonsAt is the revision of the cordons that the starts were decided on.
+	CordonsAt int64
 }
 
 // Decided is one decision that touches a job, for the log.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -31,6 +31,7 @@
 	tracker    tracker
 	// interference is what was learned of images that share workers.
 	interference interference
+	cordons      cordons
 	urgent       urgent
 	// asking: a question to the advice service is in progress; askAfter is when the next
 	// may follow one that failed.
@@ -109,6 +110,8 @@
 	case CatalogChanged:
 		e.catalog = ev.Catalog
 		e.replan = true
+	case CordonsChanged:
+		e.cordon(ev)
 	case Tick:
 		e.tick(now, ev)
 	case Advised:
@@ -146,7 +149,7 @@
 			return o
 		}
 	}
-	o := &Orders{Worker: w.info.ID, Agent: w.info.Agent}
+	o := &Orders{Worker: w.info.ID, Agent: w.info.Agent, CordonsAt: e.cordons.at}
 	e.orders = append(e.orders, o)
 	return o
 }
--- a/engine/lasting.go
+++ b/engine/lasting.go
@@ -69,11 +69,11 @@
 		return true
 	}
 	total, held := 0, 0
-	for _, w := range r.all.workers {
-		if w.info.Service != u.job.spec.Service {
+	for _, w := range r.e.sortedWorkers() {
+		if w.info.Service != u.job.spec.Service || !w.sound(r.now) {
 			continue
 		}
-		total += w.most.Accelerators // room that has shrunk for a while is promised all the same
+		total += w.most.Accelerators // room that is away for a while is promised all the same
 		for _, p := range w.places {
 			if p.unit.spec().LongRunning && p.unit.job.spec.Terms.Priority > 0 {
 				held += p.demand.Accelerators
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -50,7 +50,7 @@
 		delete(p.unit.job.ticketsOf(p.unit.at()).held, p.worker.info.ID)
 	}
 	e.decided(p, "start refused", outcome.String())
-	if outcome == StartFenced || outcome == StartNotSent {
+	if outcome == StartFenced || outcome == StartNotSent || outcome == StartCordoned {
 		p.unit.notBefore = now + refusedPause
 	}
 	e.retry(p.unit)
@@ -106,6 +106,7 @@
 	StartInvalid:   "invalid",
 	StartDraining:  "draining",
 	StartNoTicket:  "ticket not valid",
+	StartCordoned:  "zone cordoned",
 }
 
 // String returns a name for logs.
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -90,6 +90,7 @@
 		lastReport: now,
 		lapseAt:    e.params.lapse(now),
 	}
+	e.markCordoned(w)
 	e.workers[info.ID] = w
 	e.sorted = nil
 	e.workersChanged = now
--- a/engine/sim_rules_test.go
+++ b/engine/sim_rules_test.go
@@ -51,6 +51,7 @@
 		w.violated("start of %s after %d failed attempts", task, w.attempt[task])
 	}
 	w.perWorker(sw, task, step)
+	w.checkCordon(sw, task)
 }
 
 func (w *simWorld) perWorker(sw *simWorker, task workload.TaskID, step *workload.Step) {
--- a/engine/sim_worker_test.go
+++ b/engine/sim_worker_test.go
@@ -39,6 +39,7 @@
 	absent  []workload.RunID
 	cut     bool
 	dead    bool
+	cordons CordonsChanged // as the agent was last told
 	// before and next are the lives before and after it, where they have its name.
 	before, next *simWorker
 	drains       time.Duration // when it leaves; 0: not draining
--- a/engine/sim_world_test.go
+++ b/engine/sim_world_test.go
@@ -39,6 +39,7 @@
 	workers   []*simWorker
 	lives     int
 	keepNames bool // a worker's next life has its name
+	cordons   simCordons
 
 	// The store.
 	records map[workload.JobID][]byte
@@ -89,6 +90,7 @@
 		ID:       WorkerID(fmt.Sprintf("w%d-%d", i, w.lives)),
 		Agent:    fmt.Sprintf("agent%d", i),
 		Service:  "s",
+		Zone:     fmt.Sprintf("z%d", i/3),
 		Rack:     fmt.Sprintf("r%d", i/3),
 		Labels:   []string{"a", fmt.Sprintf("r%d", i/3)},
 		Capacity: workload.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8},
@@ -123,6 +125,7 @@
 	}, w.epoch, w.now, 0)
 	w.engine = e
 	e.Step(w.now, CatalogChanged{Catalog: &catalog.Catalog{Accounts: map[string]catalog.Account{"big": {Guaranteed: 32}}}})
+	e.Step(w.now, w.cordonsOfSuccessor())
 	e.Step(w.now, Tick{Wall: w.wall()})
 	for _, id := range slices.Sorted(keysOf(w.known)) {
 		e.Step(w.now, WorkerRestored{Info: w.known[id]})
@@ -207,7 +210,7 @@
 			w.t.Logf("%v epoch %d: %s %s %v %s", w.now, e.epoch, d.What, d.Detail, d.Run, d.Worker)
 		}
 		if o, ok := action.(Orders); ok {
-			w.after(w.latency(), func() { w.deliver(e, e.epoch, o) })
+			w.after(w.transit(), func() { w.deliver(e, e.epoch, o) })
 		}
 	}
 	if w.writing || w.down {
@@ -263,6 +266,10 @@
 		w.answer(e, o, StartNotSent)
 		return
 	}
+	if len(o.Starts) > 0 && w.refusesCordoned(sw, o) {
+		w.answer(e, o, StartCordoned)
+		o.Starts = nil
+	}
 	sw.raise(Fence{Epoch: epoch})
 	fence := sw.orders
 	if !w.calm && w.rng.IntN(25) == 0 {
@@ -335,9 +342,11 @@
 				return
 			}
 			v := e.Report(w.now, r)
+			told := w.cordons.told
 			w.after(w.latency(), func() {
 				if !sw.cut {
 					sw.answered(w.now, sent, e.epoch, v)
+					sw.hearCordons(told)
 				}
 			})
 		})
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -60,6 +60,7 @@
 	// silent: its agent reports, but the worker itself does not answer.
 	silent     bool
 	draining   bool
+	cordoned   bool // its availability zone is
 	leavesAt   time.Duration
 	lastReport time.Duration
 	lookedAt   time.Duration // when the worker itself last answered
@@ -91,7 +92,10 @@
 }
 
 // usable says whether new tasks may be placed on w.
-func (w *worker) usable(now time.Duration) bool {
+func (w *worker) usable(now time.Duration) bool { return !w.cordoned && w.sound(now) }
+
+// sound says whether w is usable as soon as its availability zone is.
+func (w *worker) sound(now time.Duration) bool {
 	return w.attached && w.recorded && !w.silent && !w.draining && !w.lapsed &&
 		len(w.strays) == 0 && now-w.lastReport < reportTimeout
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -13,7 +13,8 @@
 
 // Source follows the operators' configuration.
 type Source interface {
-	// Follow offers every version to f, and confirms the one in force, until ctx ends.
+	// Follow offers every version and every change of the cordons to f, and confirms what
+	// is in force, until ctx ends.
 	Follow(ctx context.Context, f *catalog.InForce)
 	// Decode reads a version as a peer passed it on.
 	Decode(raw []byte) (*catalog.Catalog, error)
@@ -45,14 +46,23 @@
 	// KeyLife is how long a key that was taken away may still be honoured; a view of
 	// the configuration is trusted for less than that.
 	KeyLife time.Duration
+	// CordonWithin is how soon after its acknowledgement nothing may start in a cordoned
+	// zone any more. Zero: DefaultCordonWithin.
+	CordonWithin time.Duration
 	// Strength is how much planning this instance can carry, against others: the stronger
 	// ones are first to take the duty of a planner that died. Zero: not known.
 	Strength float64
 	Log      logrus.FieldLogger
 }
 
+// DefaultCordonWithin is used where Config.CordonWithin is not set.
+const DefaultCordonWithin = 5 * time.Second
+
 const (
 	dutyName = "planner"
+	// cordonMargin is taken off CordonWithin: a start leaves by then, after the view that it
+	// was decided on was confirmed, and has this long to reach its worker.
+	cordonMargin = 2 * time.Second
 	// dutyTTL bounds how long nobody plans after the planner's machine died. It is six
 	// times a renewal of a store that answers a hundred times slower than usual.
 	dutyTTL = 2 * time.Second
--- /dev/null
+++ b/gateway/cordons.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/catalog"
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/lease"
+	"github.com/eelgrasshub/eelgrasshub/link"
+)
+
+// Two guards keep work out of a cordoned zone. The planner starts something only while its
+// view of the cordons was confirmed a short time ago, so one that was cut off or paused
+// starts nothing anywhere. An agent that was told of a cordon by a newer view than that of
+// the orders refuses them, whichever planner sent them and however late they come.
+
+// cordonsFresh says whether the cordons known were confirmed so lately that a start decided
+// on them reaches its worker in time.
+func (g *Gateway) cordonsFresh(now time.Duration) bool {
+	cordons, ok := g.inForce.Cordons()
+	return ok && now-cordons.ConfirmedAt < g.cordonWithin()-cordonMargin
+}
+
+func (g *Gateway) cordonWithin() time.Duration {
+	if g.cfg.CordonWithin == 0 {
+		return DefaultCordonWithin
+	}
+	return g.cfg.CordonWithin
+}
+
+// ownCordons returns what this gateway knows, for a peer.
+func (g *Gateway) ownCordons() *link.Cordons {
+	cordons, ok := g.inForce.Cordons()
+	if !ok {
+		return nil
+	}
+	return &link.Cordons{
+		Zones:    cordons.Zones,
+		Revision: cordons.Revision,
+		Age:      lease.BootTime() - cordons.ConfirmedAt,
+	}
+}
+
+// takeCordons takes what a peer knows. Its age is reckoned from before the question was sent.
+func (g *Gateway) takeCordons(reply *link.PeerReply, sent time.Duration) {
+	if reply.Cordons == nil {
+		return
+	}
+	g.inForce.OfferCordons(catalog.Cordons{
+		Zones:       reply.Cordons.Zones,
+		Revision:    reply.Cordons.Revision,
+		ConfirmedAt: sent - reply.Cordons.Age,
+	})
+}
+
+func cordonsChanged(c catalog.Cordons) engine.CordonsChanged {
+	return engine.CordonsChanged{Zones: c.Zones, Revision: c.Revision}
+}
+
+// cordon tells the engine of other cordons.
+func (t *term) cordon(c catalog.Cordons) { t.post(cordonsChanged(c)) }
+
+// withhold takes the starts off orders where the cordons known are too old, and returns
+// their outcomes. Stops and speeds are sent all the same.
+func (t *term) withhold(o engine.Orders) (engine.Orders, []engine.StartResult) {
+	if len(o.Starts) == 0 || t.g.cordonsFresh(lease.BootTime()) {
+		return o, nil
+	}
+	t.g.counts.StartsWithheld.Add(int64(len(o.Starts)))
+	withheld := allAlike(engine.Orders{Starts: o.Starts}, engine.StartNotSent).Starts
+	o.Starts = nil
+	return o, withheld
+}
--- /dev/null
+++ b/gateway/cordons_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/catalog"
+	"github.com/eelgrasshub/eelgrasshub/engine"
+	"github.com/eelgrasshub/eelgrasshub/lease"
+	"github.com/eelgrasshub/eelgrasshub/link"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+func withCordons(zones []string, revision int64, age time.Duration) *Gateway {
+	g := &Gateway{inForce: catalog.NewInForce()}
+	g.inForce.OfferCordons(catalog.Cordons{Zones: zones, Revision: revision, ConfirmedAt: lease.BootTime() - age})
+	return g
+}
+
+// A planner that was paused, or hears neither the store nor its peers, must not start work
+// where it may have missed a cordon. What it stops it stops all the same.
+func TestStartsAreWithheldWhileCordonsMayHaveBeenMissed(t *testing.T) {
+	c := qt.New(t)
+	run := workload.RunID{Number: 1}
+	orders := engine.Orders{Starts: []engine.StartOrder{{Run: run}}, Stops: []workload.RunID{run}}
+	for _, test := range []struct {
+		g        *Gateway
+		withheld bool
+	}{
+		{&Gateway{inForce: catalog.NewInForce()}, true},
+		{withCordons(nil, 1, time.Second), false},
+		{withCordons(nil, 1, DefaultCordonWithin-cordonMargin), true},
+	} {
+		left, withheld := (&term{g: test.g}).withhold(orders)
+		c.Check(len(withheld) == 1, qt.Equals, test.withheld)
+		c.Check(len(left.Starts) == 0, qt.Equals, test.withheld)
+		c.Check(left.Stops, qt.HasLen, 1)
+		for _, r := range withheld {
+			c.Check(r.Outcome, qt.Equals, engine.StartNotSent)
+		}
+	}
+}
+
+// A gateway that the store does not serve hears of a cordon from a peer; a peer that knows
+// less changes nothing.
+func TestCordonsComeFromPeers(t *testing.T) {
+	c := qt.New(t)
+	g := withCordons(nil, 10, 10*time.Second)
+	peer := withCordons([]string{"z1"}, 20, time.Second)
+	sent := lease.BootTime()
+	g.takeCordons(&link.PeerReply{Cordons: peer.ownCordons()}, sent)
+	c.Check(g.cordonsFresh(sent), qt.IsTrue)
+	g.takeCordons(&link.PeerReply{Cordons: withCordons(nil, 15, 0).ownCordons()}, sent)
+	g.takeCordons(&link.PeerReply{}, sent)
+	known, _ := g.inForce.Cordons()
+	c.Check(known.Zones, qt.DeepEquals, []string{"z1"})
+	c.Check(known.Revision, qt.Equals, int64(20))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,9 +101,11 @@
 	return nil
 }
 
-// versionLoop logs each version of the configuration and tells the planner's term.
+// versionLoop logs each version of the configuration and each change of the cordons, and
+// tells the planner's term.
 func (g *Gateway) versionLoop() error {
 	last := int64(0)
+	var cordoned []string
 	for {
 		changed := g.inForce.Changed()
 		if view, ok := g.inForce.View(); ok && view.Catalog.Version != last {
@@ -112,6 +115,14 @@
 				t.configure(view.Catalog)
 			}
 		}
+		if cordons, ok := g.inForce.Cordons(); ok && !slices.Equal(cordoned, cordons.Zones) {
+			cordoned = cordons.Zones
+			g.counts.ZonesCordoned.Store(int64(len(cordoned)))
+			g.log.WithField("zones", cordoned).WithField("revision", cordons.Revision).Info("cordoned availability zones changed")
+			if t := g.currentTerm(); t != nil {
+				t.cordon(cordons)
+			}
+		}
 		select {
 		case <-changed:
 		case <-g.tomb.Dying():
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -76,6 +76,7 @@
 	}
 	g.planners.learn(reply.Epoch, reply.Planner)
 	g.takeConfig(reply, sent)
+	g.takeCordons(reply, sent)
 	if !msg.WantText && g.lacksText(reply.ConfigVersion) {
 		g.fetchText(address)
 	}
@@ -153,6 +154,7 @@
 	if planner == g.cfg.Listen {
 		reply.Heirs = g.members.heirs(g.served)
 	}
+	reply.Cordons = g.ownCordons()
 	if view, ok := g.inForce.View(); ok {
 		reply.ConfigVersion = view.Catalog.Version
 		reply.ConfigAge = lease.BootTime() - view.ConfirmedAt
--- a/gateway/term_load.go
+++ b/gateway/term_load.go
@@ -56,6 +56,9 @@
 	if view, ok := t.g.inForce.View(); ok {
 		t.engine.Step(now, engine.CatalogChanged{Catalog: view.Catalog})
 	}
+	if cordons, ok := t.g.inForce.Cordons(); ok {
+		t.engine.Step(now, cordonsChanged(cordons))
+	}
 	t.engine.Step(now, engine.Tick{Wall: time.Now()})
 	for _, w := range state.Workers {
 		t.engine.Step(now, engine.WorkerRestored{Info: w})
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -58,6 +58,9 @@
 // decide lets the engine decide, at the pace that this process can keep up.
 func (t *term) decide() []engine.Action {
 	began := lease.BootTime()
+	if !t.g.cordonsFresh(began) {
+		t.engine.Postpone(began + tickEvery)
+	}
 	actions := t.engine.Decide(began)
 	if took := lease.BootTime() - began; took > planBrief {
 		t.engine.Postpone(began + took + min(planRest*took, planRestMost))
@@ -94,6 +97,7 @@
 	t.mu.Lock()
 	conn := t.conns[o.Agent]
 	t.mu.Unlock()
+	o, withheld := t.withhold(o)
 	var reply *link.OrdersReply
 	if conn != nil && t.active() {
 		reply = t.call(conn, o)
@@ -101,6 +105,7 @@
 	if reply == nil {
 		reply = allAlike(o, engine.StartNotSent)
 	}
+	reply.Starts = append(reply.Starts, withheld...)
 	if len(reply.Starts)+len(reply.Paces) > 0 {
 		t.post(engine.OrdersEnded{Worker: o.Worker, Starts: reply.Starts, Paces: reply.Paces})
 	}
--- a/link/orders.go
+++ b/link/orders.go
@@ -18,6 +18,9 @@
 	// Specs are the specifications of the starts, each once: the tasks of a job share one
 	// of up to four kilobytes, and a worker takes eight of them or more at a time.
 	Specs []string `cbor:"7,keyasint,omitempty"`
+	// CordonsAt is the store's revision up to which the planner knew the cordons when it
+	// decided on the starts. An agent that knows of a later cordon refuses them.
+	CordonsAt int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Start is one start among Orders.
@@ -30,7 +33,7 @@
 
 // NewOrders returns the message of orders given under an epoch.
 func NewOrders(epoch uint64, o engine.Orders) *Orders {
-	m := &Orders{Epoch: epoch, Worker: o.Worker, Stops: o.Stops, Paces: o.Paces}
+	m := &Orders{Epoch: epoch, Worker: o.Worker, Stops: o.Stops, Paces: o.Paces, CordonsAt: o.CordonsAt}
 	at := map[string]int{}
 	for _, s := range o.Starts {
 		spec, sent := at[s.Spec]
--- a/link/peer.go
+++ b/link/peer.go
@@ -38,4 +38,14 @@
 	// Heirs are the gateways that are to take the duty if the sender, which plans, dies;
 	// the first of them at once, the others where it does not.
 	Heirs []string `cbor:"8,keyasint,omitempty"`
+	// Cordons are those that the sender knows; nil where it knows none yet.
+	Cordons *Cordons `cbor:"9,keyasint,omitempty"`
+}
+
+// Cordons are the cordoned availability zones as of a revision of the store. They were the
+// newest Age before the message.
+type Cordons struct {
+	Zones    []string      `cbor:"1,keyasint,omitempty"`
+	Revision int64         `cbor:"2,keyasint"`
+	Age      time.Duration `cbor:"3,keyasint"`
 }
--- a/link/report.go
+++ b/link/report.go
@@ -22,4 +22,8 @@
 	Closely bool `cbor:"6,keyasint,omitempty"`
 	// Turn is the least that orders to the worker's present life carry; see engine.Fence.
 	Turn uint64 `cbor:"7,keyasint,omitempty"`
+	// Cordoned: the worker's availability zone is cordoned, as of the store's revision
+	// CordonsAt; zero where the planner knows nothing of cordons.
+	Cordoned  bool  `cbor:"8,keyasint,omitempty"`
+	CordonsAt int64 `cbor:"9,keyasint,omitempty"`
 }
--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -33,6 +33,7 @@
 	// nextFence is the least that orders to the next life carry, if it has the name of the
 	// last: higher than those that were meant for that one and may still be on their way.
 	nextFence engine.Fence
+	cordon    cordon
 	left      []departure // lives that are over and not reported so yet
 	ended     map[engine.WorkerID]bool
 	wake      chan struct{} // has a token when there is something to report
@@ -41,7 +42,7 @@
 
 // Counts count what an agent did since its start.
 type Counts struct {
-	Starts, StartsRefused, StartsUnknown, Stops, StopsUnknown                  atomic.Int64
+	Starts, StartsRefused, StartsCordoned, StartsUnknown, Stops, StopsUnknown  atomic.Int64
 	Looks, LooksFailed, LooksPassedOver, Reports, ReportsFailed, Announcements atomic.Int64
 	Paces, PacesUnknown                                                        atomic.Int64
 }
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -35,7 +35,7 @@
 	for i, s := range starts {
 		reply.Starts[i] = engine.StartResult{Run: s.Run, Outcome: outcome}
 		if outcome == engine.StartOK {
-			wg.Go(func() { reply.Starts[i].Outcome = a.start(o, l, s) })
+			wg.Go(func() { reply.Starts[i].Outcome = a.start(o, orders.CordonsAt, s) })
 		}
 	}
 	if l != nil && len(orders.Stops) > 0 {
@@ -93,6 +93,9 @@
 	switch {
 	case l.draining:
 		return o, l, engine.StartDraining
+	case a.cordon.bars(orders.CordonsAt):
+		a.counts.StartsCordoned.Add(int64(len(orders.Starts)))
+		return o, l, engine.StartCordoned
 	case o.Until == 0 || l.failing || l.lapsing(now()) || a.granted-now() < leastGrant:
 		return o, l, engine.StartNotSent
 	}
@@ -100,11 +103,15 @@
 	return o, l, engine.StartOK
 }
 
-// start tries a start until the worker answers. One that never does is unknown.
-func (a *Agent) start(o Order, l *life, s engine.StartOrder) engine.StartOutcome {
+// start tries a start until the worker answers. One that never does is unknown; cordonsAt is
+// up to where the planner knew the cordons.
+func (a *Agent) start(o Order, cordonsAt int64, s engine.StartOrder) engine.StartOutcome {
 	a.counts.Starts.Add(1)
 	outcome := engine.StartUnknown
 	for attempt := range startAttempts {
+		if attempt > 0 && a.barred(cordonsAt) {
+			break // the earlier attempt may have been carried out
+		}
 		ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), orderTimeout)
 		outcome = a.cfg.Worker.Start(ctx, o, s)
 		cancel()
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -106,6 +106,7 @@
 func (a *Agent) answered(r engine.Report, reply *link.ReportReply, sent time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.cordon.learn(reply.Cordoned, reply.CordonsAt)
 	if reply.Epoch < a.epoch {
 		a.finder.stale(reply.Epoch)
 		return
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -34,6 +34,9 @@
 	Retention    schema.Duration `toml:"retention" default:"120s" validate:"min=1s,max=168h"`
 	// KeyLife is how long a key that was taken away may still be honoured.
 	KeyLife schema.Duration `toml:"key_life" default:"5s" validate:"min=2s,max=1h"`
+	// CordonWithin is how soon after its acknowledgement nothing may start in a cordoned
+	// availability zone any more.
+	CordonWithin schema.Duration `toml:"cordon_within" default:"5s" validate:"min=3s,max=1h"`
 	// StopGrace bounds a graceful stop.
 	StopGrace schema.Duration `toml:"stop_grace" default:"6s" validate:"min=1s,max=168h"`
 	// Cores and LinkMbps are what the instance gives this process, by which gateways choose
