engine, runtimes: run times are expected from what is declared and from what ran

The planner corrected them by the mean ratio of a queue, taught once for each member of a gang, and compared that with an objective reckoned from the bare declaration: an urgent job whose corrected time was beyond its stretch counted as late from its first moment and went behind others.

Ruled out: the queue's mean alone, and the declaration alone; either loses on a load of the other kind (runtimes tests play both).

Change: package runtimes expects a length from both, each weighed by how widely it has lately scattered; objectives, order, evictions and forecasts use the same. The log judges lateness by what ran: TestLateJobNamesItsReason asked that a job be called late which ran longer than it declared and whose callers were served within what its work allows; it now asks that it is not.

--- a/engine/evict.go
+++ b/engine/evict.go
@@ -75,12 +75,12 @@
 		at, _ := r.forecast(u, set, never)
 		wait = min(wait, at)
 	}
-	slack := u.job.objective() - r.now - r.e.estimate(u)
+	slack := r.e.objective(u.job) - r.now - r.e.estimate(u)
 	if wait <= max(r.e.tracker.stop, time.Duration(policy.EvictionWait*float64(slack))) {
 		return false
 	}
 	own := u.total().Cores() * r.e.estimate(u).Seconds()
-	if r.now+wait+r.e.estimate(u) > u.job.useless() {
+	if r.now+wait+r.e.estimate(u) > r.e.useless(u.job) {
 		own *= lateFactor
 	}
 	return way.cost <= policy.EvictionWorth*own
--- a/engine/job.go
+++ b/engine/job.go
@@ -27,11 +27,11 @@
 	stored  int
 	// finalAt is the version that made the state final.
 	finalAt int
-	// chain is the estimate of the longest chain of work.
-	chain time.Duration
-	// chains are the same from each step on; nil before they are asked for.
-	chains  []time.Duration
-	tickets map[stepAt]*tickets
+	// chains are what Engine.chainsOf returns, as of chainsAt of what was learned of run
+	// times; nil before they are asked for.
+	chains   []time.Duration
+	chainsAt int
+	tickets  map[stepAt]*tickets
 	// unfit is why the job fits no workers, as last logged; unfitNext is when to look again.
 	unfit     string
 	unfitNext time.Duration
@@ -59,13 +59,17 @@
 	return j.state
 }
 
-// objective returns the time by which the job should be completed.
-func (j *job) objective() time.Duration {
+// objective returns the time by which the job should be completed, if its work takes as long
+// as is expected.
+func (e *Engine) objective(j *job) time.Duration { return j.objectiveFor(e.chain(j)) }
+
+// objectiveFor is the objective of a job whose longest chain of work takes that long.
+func (j *job) objectiveFor(chain time.Duration) time.Duration {
 	stretch := j.spec.Terms.Stretch
 	if stretch <= 0 {
 		stretch = 1
 	}
-	return j.accepted + time.Duration(stretch*float64(j.chain)) + j.spec.Terms.TargetLatency
+	return j.accepted + time.Duration(stretch*float64(chain)) + j.spec.Terms.TargetLatency
 }
 
 // lateFactor bounds a late job's use: after that many times its objective its caller has
@@ -73,8 +77,8 @@
 const lateFactor = 3
 
 // useless returns the time from which the job's caller has no use for it.
-func (j *job) useless() time.Duration {
-	return j.accepted + lateFactor*(j.objective()-j.accepted)
+func (e *Engine) useless(j *job) time.Duration {
+	return j.accepted + lateFactor*(e.objective(j)-j.accepted)
 }
 
 // stepDone says whether all tasks of a step of an occurrence are done.
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -32,7 +32,6 @@
 		order:    ev.Order,
 		accepted: now - ev.Age,
 		state:    workload.Queued,
-		chain:    ev.Job.Chain(),
 	}
 	e.jobs[ev.Job.ID] = j
 	e.sequence = append(e.sequence, j)
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -68,13 +68,13 @@
 		return u.job.accepted
 	}
 	left := e.chainFrom(u)
-	return deadline(now+left, u.job) - left
+	return e.deadline(now+left, u.job) - left
 }
 
 // deadline returns the objective of a job that would be completed at end, and never where
 // that is missed: what can still be served in time goes first.
-func deadline(end time.Duration, j *job) time.Duration {
-	if objective := j.objective(); end <= objective {
+func (e *Engine) deadline(end time.Duration, j *job) time.Duration {
+	if objective := e.objective(j); end <= objective {
 		return objective
 	}
 	return never
@@ -82,12 +82,7 @@
 
 // chainFrom returns how long the longest chain of work from u's step on is expected to
 // take.
-func (e *Engine) chainFrom(u *unit) time.Duration {
-	if u.job.chains == nil {
-		u.job.chains = u.job.spec.Chains()
-	}
-	return time.Duration(e.tracker.ratio(u.job.spec.Queue) * float64(u.job.chains[u.step]))
-}
+func (e *Engine) chainFrom(u *unit) time.Duration { return e.chainsOf(u.job)[u.step] }
 
 // protected returns the jobs of priority 0 that their accounts' guarantees cover, in
 // order of acceptance.
--- a/engine/spent.go
+++ b/engine/spent.go
@@ -20,10 +20,10 @@
 
 // Reasons.
 const (
-	LateByRun    LateReason = "the run took longer than declared"
-	LateByRoom   LateReason = "waited for room"
-	LateByRecord LateReason = "waited for the store"
-	LateByRerun  LateReason = "ran again"
+	LateByRoom    LateReason = "waited for room"
+	LateByRecord  LateReason = "waited for the store"
+	LateByRerun   LateReason = "ran again"
+	LateByEarlier LateReason = "an earlier step came late"
 )
 
 // Late: a job was completed after its objective. Detail has the parts of its last unit.
@@ -37,9 +37,9 @@
 
 func (Late) isAction() {}
 
-// reason names the part that weighs most, for a unit that was declared to run that long.
-func (s spent) reason(declared time.Duration) LateReason {
-	reason, most := LateByRun, max(0, s.run-declared)
+// reason names the part that weighs most.
+func (s spent) reason() LateReason {
+	reason, most := LateByEarlier, time.Duration(0)
 	for _, part := range []struct {
 		reason LateReason
 		took   time.Duration
@@ -57,10 +57,21 @@
 		s.again.Milliseconds(), s.run.Milliseconds(), declared.Milliseconds())
 }
 
-// tellLate reports why a job that its unit last has just completed missed its objective.
+// chainAsItRan is the longest chain of work of a job whose last unit has just ended, with
+// what that took in the place of what was expected.
+func (e *Engine) chainAsItRan(last *unit) time.Duration {
+	chain := e.chain(last.job)
+	if last.spent.run > 0 {
+		chain += last.spent.run - e.estimate(last)
+	}
+	return chain
+}
+
+// tellLate reports why a job that its unit last has just completed missed its objective. That
+// allows for the time that the work took, so a run that was longer than declared is no reason.
 func (e *Engine) tellLate(now time.Duration, last *unit) {
 	j := last.job
-	over := now - j.objective()
+	over := now - j.objectiveFor(e.chainAsItRan(last))
 	if over <= 0 {
 		return
 	}
@@ -69,7 +80,7 @@
 		Job:     j.spec.ID,
 		Account: j.spec.Account,
 		Queue:   j.spec.Queue,
-		Reason:  last.spent.reason(declared),
+		Reason:  last.spent.reason(),
 		Detail:  last.spent.detail(over, declared),
 	})
 }
--- a/engine/tracker.go
+++ b/engine/tracker.go
@@ -1,27 +1,28 @@
 package engine
 
-import "time"
+import (
+	"time"
 
-// tracker learns how declared run times of a queue relate to real ones: callers' own
-// estimates are off by half and more, but in the same way for like jobs.
+	"github.com/eelgrasshub/eelgrasshub/runtimes"
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// tracker learns how long runs and stops take.
 type tracker struct {
-	ratios map[string]float64 // by queue: real time in parts of the declared one
+	runs *runtimes.Model
 	// stop is how long stopped tasks lately took to end.
 	stop time.Duration
 }
 
 const (
-	// learnShare is the weight of the newest run. Queues see tens of runs a minute.
+	// learnShare is the weight of the newest stop.
 	learnShare = 0.15
-	// ratios are kept within bounds, so that a few odd runs can't spoil decisions.
-	leastRatio = 0.3
-	mostRatio  = 3.0
 	// leastRemaining keeps a task that should have ended from counting as free.
 	leastRemaining = 150 * time.Millisecond
 )
 
 func newTracker(stop time.Duration) tracker {
-	return tracker{ratios: map[string]float64{}, stop: stop}
+	return tracker{runs: runtimes.New(), stop: stop}
 }
 
 // stopped takes how long a stopped task took to end.
@@ -29,19 +30,8 @@
 	t.stop = time.Duration((1-learnShare)*float64(t.stop) + learnShare*float64(took))
 }
 
-func (t *tracker) ratio(queue string) float64 {
-	if r, ok := t.ratios[queue]; ok {
-		return r
-	}
-	return 1
-}
-
-func (t *tracker) learn(queue string, ratio float64) {
-	ratio = min(max(ratio, leastRatio), mostRatio)
-	t.ratios[queue] = (1-learnShare)*t.ratio(queue) + learnShare*ratio
-}
-
-// learn takes the length of a run that began at the start and ended well.
+// learn takes the length of a run that began at the start and ended well; of a gang's, that
+// of the member which is first to say so.
 //
 // The failure it guards against: after a takeover the ends of runs that a predecessor
 // started would be learned with wrong lengths, of hours where the end came before the run
@@ -50,19 +40,43 @@
 	if p.adopted {
 		return // how long it ran before this planner is not known
 	}
-	declared := p.unit.spec().Estimate
-	if p.unit.spec().Fills || !e.params.Policy.LearnedRunTimes {
+	u := p.unit
+	if u.state == unitDone || u.spec().Fills || u.spec().LongRunning || !e.params.Policy.LearnedRunTimes {
 		return // what fills takes what others leave
 	}
-	if declared <= 0 || p.unit.saved != "" && p.unit.spec().Checkpoints && p.unit.run > 1 {
+	if u.saved != "" && u.spec().Checkpoints && u.run > 1 {
 		return
 	}
-	e.tracker.learn(p.unit.job.spec.Queue, float64(now-p.began)/float64(declared))
+	e.tracker.runs.Learn(u.job.spec.Queue, u.spec().Estimate, now-p.began)
 }
 
 // estimate returns how long a run of u is expected to take.
-func (e *Engine) estimate(u *unit) time.Duration {
-	return time.Duration(e.tracker.ratio(u.job.spec.Queue) * float64(u.spec().Estimate))
+func (e *Engine) estimate(u *unit) time.Duration { return e.expect(u.job, u.spec()) }
+
+func (e *Engine) expect(j *job, s *workload.Step) time.Duration {
+	if s.Fills {
+		return s.Estimate
+	}
+	return e.tracker.runs.Expect(j.spec.Queue, s.Estimate)
+}
+
+// chain returns how long the longest chain of work of a job is expected to take.
+func (e *Engine) chain(j *job) time.Duration {
+	longest := time.Duration(0)
+	for _, chain := range e.chainsOf(j) {
+		longest = max(longest, chain)
+	}
+	return longest
+}
+
+// chainsOf returns how long the longest chain of work from each step on is expected to take.
+// The caller does not change the slice.
+func (e *Engine) chainsOf(j *job) []time.Duration {
+	if version := e.tracker.runs.Version(); j.chains == nil || j.chainsAt != version {
+		j.chains = j.spec.Chains(func(s *workload.Step) time.Duration { return e.expect(j, s) })
+		j.chainsAt = version
+	}
+	return j.chains
 }
 
 // remaining returns how long a run is expected to go on.
--- a/workload/job.go
+++ b/workload/job.go
@@ -57,23 +57,15 @@
 	return j.Schedule.First.Add(time.Duration(k) * j.Schedule.Period), true
 }
 
-// Chains returns, for each step, the longest chain of estimated work from that step on.
-func (j *Job) Chains() []time.Duration {
+// Chains returns, for each step, the longest chain of work from that step on, where a step
+// takes what expect says.
+func (j *Job) Chains(expect func(*Step) time.Duration) []time.Duration {
 	longest := make([]time.Duration, len(j.Steps))
 	for i := len(j.Steps) - 1; i >= 0; i-- {
-		longest[i] += j.Steps[i].Estimate
+		longest[i] += expect(&j.Steps[i])
 		for _, before := range j.Steps[i].After {
 			longest[before] = max(longest[before], longest[i])
 		}
 	}
 	return longest
 }
-
-// Chain returns the longest chain of estimated work through the steps.
-func (j *Job) Chain() time.Duration {
-	longest := time.Duration(0)
-	for _, chain := range j.Chains() {
-		longest = max(longest, chain)
-	}
-	return longest
-}
