--- a/engine/evict.go
+++ b/engine/evict.go
@@ -62,8 +62,7 @@
 
 // pays says whether an eviction is better than waiting.
 func (r *round) pays(u *unit, way *eviction, near domains) bool {
-	stop := r.e.params.StopTime
-	if r.protected[u.job] && r.now+stop+reclaimMargin >= u.since+r.e.params.Reclaim {
+	if r.reclaims(u) {
 		return true
 	}
 	policy := &r.e.params.Policy
@@ -117,7 +116,8 @@
 }
 
 // yields says whether v may be evicted for u: work of lower priority always, work of
-// the first priority only beyond its account's guarantee and for work within one.
+// the first priority only beyond its account's guarantee, for work within one that would
+// otherwise start too late for it.
 func (r *round) yields(v, u *unit) bool {
 	if !v.mayStop(0) {
 		return false
@@ -125,7 +125,12 @@
 	if v.job.spec.Terms.Priority > u.job.spec.Terms.Priority {
 		return true
 	}
-	return r.protected[u.job] && !r.protected[v.job]
+	return r.protected[u.job] && !r.protected[v.job] && r.reclaims(u)
+}
+
+// reclaims says whether u, within its account's guarantee, has to have its room emptied now.
+func (r *round) reclaims(u *unit) bool {
+	return r.protected[u.job] && r.now+r.e.params.StopTime+reclaimMargin >= u.since+r.e.params.Reclaim
 }
 
 // waste returns the work lost by stopping u now, in core-seconds.
