engine: a task that stands still is moved by what it was expected to do meanwhile

Change: 0.2 of the expected time and 2 s at least. A task that is eight times as slow as expected still moves by a percent within that.

--- a/engine/tick.go
+++ b/engine/tick.go
@@ -16,8 +16,8 @@
 	lookTimeout = 1500 * time.Millisecond
 	// stuckAfter is how long a task may show no progress at all before it is tried
 	// elsewhere, in parts of its estimate and at least stuckLeast.
-	stuckLeast = 2500 * time.Millisecond
-	stuckParts = 0.6
+	stuckLeast = 2 * time.Second
+	stuckParts = 0.2
 )
 
 func (e *Engine) tick(now time.Duration, ev Tick) {
@@ -74,7 +74,7 @@
 	if p.worker.silent || now-p.worker.lookedAt > lookTimeout {
 		return false // what was seen last says nothing of now
 	}
-	patience := time.Duration(stuckParts * float64(p.unit.spec().Estimate))
+	patience := time.Duration(stuckParts * float64(e.estimate(p.unit)))
 	return now-p.movedAt > max(patience, stuckLeast)
 }
 
