engine: an urgent job may throw away three times its own work

The earlier choice of 0.5 was measured with declared times, and with urgent victims among the cheapest.

--- a/engine/policy.go
+++ b/engine/policy.go
@@ -12,8 +12,7 @@
 	DeadlineOrder bool `toml:"deadline_order" default:"true"`
 	// Headroom keeps patient work away from one rack, so that urgent jobs need not wait for
 	// stops. HeadroomShare is the share of the latest urgent jobs whose size is kept free,
-	// 0 to 1: with 1 the largest of them, which gains 0.005 of the worth of days with bursts
-	// against 0.6 (72 paired plays).
+	// 0 to 1: with 1 the largest of them.
 	Headroom      bool    `toml:"headroom" default:"true"`
 	HeadroomShare float64 `toml:"headroom_share" default:"1" validate:"min=0,max=1"`
 	// Evictions stops work of lower priority for urgent jobs; off: only where an account's
@@ -21,14 +20,10 @@
 	Evictions bool `toml:"evictions" default:"true"`
 	// EvictionWait is the share of an urgent job's slack for which it waits for room that
 	// is expected to become free, 0 to 1. It waits as long as a stop takes in any case.
-	// Forecasts rest on declared run times, which are off by half and more: waiting on them
-	// costs 0.006 of the worth of days with bursts of urgent jobs (72 paired plays).
 	EvictionWait float64 `toml:"eviction_wait" default:"0" validate:"min=0,max=1"`
 	// EvictionWorth is how many core-seconds of other work an urgent unit may throw away
-	// for each of its own. What is thrown away is paid for and has to find room again:
-	// 3 costs 0.012 of the worth of such days against 1, and 0.5 gains 0.006 (72 paired
-	// plays each).
-	EvictionWorth float64 `toml:"eviction_worth" default:"0.5" validate:"min=0,max=1000"`
+	// for each of its own. What is thrown away has to find room again.
+	EvictionWorth float64 `toml:"eviction_worth" default:"3" validate:"min=0,max=1000"`
 	// Reservations is how many units that can't start now have room kept for them. Each
 	// costs a simulation of all releases; the first few keep large gangs from waiting for
 	// ever behind small ones.
@@ -36,9 +31,8 @@
 	// RackPreference runs a unit on the rack of its data, and a gang on one rack, unless
 	// waiting for that takes longer; off: anywhere at once.
 	RackPreference bool `toml:"rack_preference" default:"true"`
-	// LearnedRunTimes corrects declared run times by what runs of the same queue took. It is
-	// worth nothing that can be told where they are off by chance; it is for queues whose
-	// callers are off by habit.
+	// LearnedRunTimes expects run times from what is declared and from what runs of the same
+	// queue took, see package runtimes; off: from what is declared.
 	LearnedRunTimes bool `toml:"learned_run_times" default:"true"`
 	// WorkerHealth keeps new work away from workers that fail what they start.
 	WorkerHealth bool `toml:"worker_health" default:"true"`
@@ -57,7 +51,7 @@
 	KeptCheckpoints bool `toml:"kept_checkpoints" default:"true"`
 }
 
-// DefaultPolicy returns the policy that measured best on all deployments.
+// DefaultPolicy returns the policy that is used unless the settings say otherwise.
 func DefaultPolicy() Policy {
 	return Policy{
 		DeadlineOrder:   true,
@@ -65,7 +59,7 @@
 		HeadroomShare:   1,
 		Evictions:       true,
 		EvictionWait:    0,
-		EvictionWorth:   0.5,
+		EvictionWorth:   3,
 		Reservations:    4,
 		RackPreference:  true,
 		LearnedRunTimes: true,
