--- a/engine/stuck_test.go
+++ b/engine/stuck_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 // A task stands still on a worker that answers well: it is tried elsewhere.
@@ -23,6 +25,41 @@
 	c.Check(len(d.stops) > 0, qt.IsTrue)
 }
 
+// The workers of a queue show no progress of what they run. A task that takes longer than one
+// that moves may stand still must end all the same, and not be moved again and again.
+func TestTaskThatShowsNoProgressIsLeftToItself(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 2)
+	id := d.job(1, "", tasks(1, 8))
+	d.settle()
+	began, longest := d.now, time.Duration(0)
+	runs := len(d.starts)
+	for range 600 {
+		for _, w := range d.e.sortedWorkers() {
+			d.show(w.info.ID, func(*placement) RunningRow { return RunningRow{} })
+		}
+		for _, run := range d.stops {
+			d.listStopped(run)
+		}
+		d.stops = nil
+		d.now += 100 * time.Millisecond
+		d.tick()
+		if len(d.starts) > runs {
+			runs, began = len(d.starts), d.now
+		}
+		longest = max(longest, d.now-began)
+	}
+	c.Check(d.e.jobs[id].state.Final(), qt.IsFalse)
+	c.Check(longest > 20*time.Second, qt.IsTrue, qt.Commentf("%v, %d runs", longest, runs))
+}
+
+// listStopped lets the worker of a run list its end on an order.
+func (d *desk) listStopped(run workload.RunID) {
+	on := d.on[run]
+	d.ends[on]++
+	d.report(Report{Epoch: 1, Looked: true, Worker: d.e.workers[on].info, Ended: []EndRow{{Number: d.ends[on], Run: run, Reason: EndStopped}}})
+}
+
 // A worker does not answer its agent for some seconds, and then shows that its task went
 // on all the while. Without a look nothing can be said of it, so it must not be stopped.
 func TestSilentWorkerIsNotTakenForStandingStill(t *testing.T) {
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -14,10 +14,12 @@
 	// lookTimeout is how old the last look at a worker may be to judge what runs there;
 	// agents look at least once a second.
 	lookTimeout = 1500 * time.Millisecond
-	// stuckAfter is how long a task may show no progress at all before it is tried
-	// elsewhere, in parts of its estimate and at least stuckLeast.
-	stuckLeast = 2 * time.Second
+	// stuckParts is how long a task may show no progress at all before it is tried elsewhere,
+	// in parts of its estimate and at least stuckLeast. Each further time takes twice as long:
+	// some work shows no progress, and must end all the same.
+	stuckLeast = 2500 * time.Millisecond
 	stuckParts = 0.2
+	mostStalls = 16 // bounds the doubling
 )
 
 func (e *Engine) tick(now time.Duration, ev Tick) {
@@ -57,6 +59,7 @@
 			e.decided(p, "stuck", fmt.Sprintf("at %d%% for %v", p.pulse.percent, now-p.movedAt))
 			e.distrust(now, p)
 			e.avoid(now, p)
+			p.unit.stalls = min(p.unit.stalls+1, mostStalls)
 			e.stopAll(now, p.unit, CauseStuck)
 		}
 	}
@@ -74,8 +77,8 @@
 	if p.worker.silent || now-p.worker.lookedAt > lookTimeout {
 		return false // what was seen last says nothing of now
 	}
-	patience := time.Duration(stuckParts * float64(e.estimate(p.unit)))
-	return now-p.movedAt > max(patience, stuckLeast)
+	patience := max(time.Duration(stuckParts*float64(e.estimate(p.unit))), stuckLeast)
+	return now-p.movedAt > patience<<p.unit.stalls
 }
 
 func (e *Engine) tickJob(now time.Duration, j *job) {
