engine: a successor shows a job that runs as running

Change: a job with a placement on record that no worker has told of yet counts as begun, in its state and in the count of those that wait.

--- a/engine/job.go
+++ b/engine/job.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -53,12 +54,21 @@
 		}
 		return workload.Running
 	}
-	if !j.state.Final() && j.begun {
+	if !j.state.Final() && j.hasBegun() {
 		return workload.Running
 	}
 	return j.state
 }
 
+// hasBegun says whether a task of the job has started, as far as is known.
+//
+// The failure it guards against: that a task began is not on record by itself, but its
+// placement is. A planner that has just taken over called jobs queued that ran, until the
+// agents had reported.
+func (j *job) hasBegun() bool {
+	return j.begun || slices.ContainsFunc(j.units, (*unit).adopted)
+}
+
 // objective returns the time by which the job should be completed, if its work takes as long
 // as is expected.
 func (e *Engine) objective(j *job) time.Duration { return j.objectiveFor(e.chain(j)) }
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -123,7 +123,7 @@
 func (e *Engine) Pending() map[string]int {
 	out := map[string]int{}
 	for _, j := range e.jobs {
-		if !j.begun && !j.state.Final() {
+		if !j.hasBegun() && !j.state.Final() {
 			out[j.spec.Queue]++
 		}
 	}
--- /dev/null
+++ b/engine/restore_test.go
@@ -0,0 +1,26 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// A planner takes over while a job runs whose record was last written before its start. Callers
+// who ask before the agents have reported must not hear that it is queued.
+func TestSuccessorShowsAJobThatRunsAsRunning(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 1)
+	id := d.job(1, "", tasks(1, 8))
+	d.settle()
+	d.pass(time.Second)
+	d.e.jobs[id].begun, d.e.jobs[id].state = false, workload.Queued // as the record has it
+	d.takeOver()
+	found, ok := d.e.Lookup(id)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(found.State, qt.Equals, workload.Running)
+	c.Check(d.e.Pending(), qt.DeepEquals, map[string]int{})
+}
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -125,5 +126,10 @@
 	u.avoids[p.worker.info.ID] = now + avoidFor
 }
 
+// adopted says whether a predecessor placed its present run and no worker has told of it yet.
+func (u *unit) adopted() bool {
+	return slices.ContainsFunc(u.places, func(p *placement) bool { return p.state == placeAdopted })
+}
+
 // ending says whether the present run is on its way out.
 func (u *unit) ending() bool { return u.verdict != verdictNone }
