--- a/engine/reports.go
+++ b/engine/reports.go
@@ -178,6 +178,9 @@
 	p.survive()
 	if row.Percent != p.pulse.percent {
 		p.movedAt = now
+		if p.pulse.seen {
+			e.tracker.moves[p.unit.job.spec.Queue] = true
+		}
 	}
 	p.pulse.note(now, row.Percent)
 	p.load = row.Load
--- a/engine/stuck_test.go
+++ b/engine/stuck_test.go
@@ -25,6 +25,34 @@
 	c.Check(len(d.stops) > 0, qt.IsTrue)
 }
 
+// Tasks of a queue show progress at every look, and one stands still from its start: an urgent
+// gang has no time to wait until that is beyond all doubt.
+func TestTaskThatStandsStillWhereOthersMoveIsMovedSoon(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(t, 2)
+	d.job(1, "", tasks(1, 8))
+	d.settle()
+	d.pass(time.Second)
+	still := d.job(1, "", tasks(1, 8))
+	d.settle()
+	from := d.now
+	for len(d.stops) == 0 && d.now-from < stuckUnproven {
+		for _, w := range d.e.sortedWorkers() {
+			d.show(w.info.ID, func(p *placement) RunningRow {
+				if p.unit.job.spec.ID == still {
+					return RunningRow{}
+				}
+				return RunningRow{Percent: p.pulse.percent + 1}
+			})
+		}
+		d.now += 100 * time.Millisecond
+		d.tick()
+	}
+	c.Assert(d.stops, qt.HasLen, 1)
+	c.Check(d.stops[0].Task.Job, qt.Equals, still)
+	c.Check(d.now-from < 2*time.Second, qt.IsTrue, qt.Commentf("%v", d.now-from))
+}
+
 // The workers of a queue show no progress of what they run. A task that takes longer than one
 // that moves may stand still must end all the same, and not be moved again and again.
 func TestTaskThatShowsNoProgressIsLeftToItself(t *testing.T) {
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -15,11 +15,13 @@
 	// agents look at least once a second.
 	lookTimeout = 1500 * time.Millisecond
 	// stuckParts is how long a task may show no progress at all before it is tried elsewhere,
-	// in parts of its estimate and at least stuckLeast. Each further time takes twice as long:
-	// some work shows no progress, and must end all the same.
-	stuckLeast = 2500 * time.Millisecond
-	stuckParts = 0.2
-	mostStalls = 16 // bounds the doubling
+	// in parts of its estimate and at least stuckLeast, or stuckUnproven while no run of its
+	// queue has shown any. Each further time takes twice as long: some work shows no progress,
+	// and must end all the same.
+	stuckParts    = 0.2
+	stuckLeast    = 1600 * time.Millisecond
+	stuckUnproven = 2500 * time.Millisecond
+	mostStalls    = 16 // bounds the doubling
 )
 
 func (e *Engine) tick(now time.Duration, ev Tick) {
@@ -77,7 +79,11 @@
 	if p.worker.silent || now-p.worker.lookedAt > lookTimeout {
 		return false // what was seen last says nothing of now
 	}
-	patience := max(time.Duration(stuckParts*float64(e.estimate(p.unit))), stuckLeast)
+	least := stuckUnproven
+	if e.tracker.moves[p.unit.job.spec.Queue] {
+		least = stuckLeast
+	}
+	patience := max(time.Duration(stuckParts*float64(e.estimate(p.unit))), least)
 	return now-p.movedAt > patience<<p.unit.stalls
 }
 
--- a/engine/tracker.go
+++ b/engine/tracker.go
@@ -12,6 +12,8 @@
 	runs *runtimes.Model
 	// stop is how long stopped tasks lately took to end.
 	stop time.Duration
+	// moves are the queues of which a run has shown progress.
+	moves map[string]bool
 }
 
 const (
@@ -22,7 +24,7 @@
 )
 
 func newTracker(stop time.Duration) tracker {
-	return tracker{runs: runtimes.New(), stop: stop}
+	return tracker{runs: runtimes.New(), stop: stop, moves: map[string]bool{}}
 }
 
 // stopped takes how long a stopped task took to end.
