--- a/engine/spent.go
+++ b/engine/spent.go
@@ -23,7 +23,7 @@
 	LateByRoom    LateReason = "waited for room"
 	LateByRecord  LateReason = "waited for the store"
 	LateByRerun   LateReason = "ran again"
-	LateByEarlier LateReason = "an earlier step came late"
+	LateByEarlier LateReason = "time in earlier steps or under earlier planners"
 )
 
 // Late: a job was completed after its objective. Detail has the parts of its last unit.
