--- a/catalog/cordons.go
+++ b/catalog/cordons.go
@@ -38,17 +38,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.cordons.Load()
-	if old == nil {
-		f.cordons.Store(&c)
-		f.notify()
-		return
-	}
-	if c.Revision < old.Revision {
-		return
+	if old != nil {
+		if c.Revision < old.Revision {
+			return
+		}
+		c.ConfirmedAt = max(c.ConfirmedAt, old.ConfirmedAt)
 	}
-	c.ConfirmedAt = max(c.ConfirmedAt, old.ConfirmedAt)
 	f.cordons.Store(&c)
-	if !slices.Equal(c.Zones, old.Zones) {
+	if old == nil || !slices.Equal(c.Zones, old.Zones) {
 		f.notify()
 	}
 }
--- a/catalog/inforce.go
+++ b/catalog/inforce.go
@@ -16,9 +16,9 @@
 	ConfirmedAt time.Duration
 }
 
-// InForce holds the newest version, and the newest Cordons. Readers take no lock; writers may come from
-// several sources (the store's watch, peers) in any order, and an older version
-// never replaces a newer one.
+// InForce holds the newest version, and the newest Cordons. Readers take no lock;
+// writers may come from several sources (the store's watch, peers) in any order, and an
+// older version never replaces a newer one.
 type InForce struct {
 	mu      sync.Mutex
 	view    atomic.Pointer[View]
--- a/engine/cordon.go
+++ b/engine/cordon.go
@@ -1,31 +1,19 @@
 package engine
 
-import "slices"
+import "github.com/eelgrasshub/eelgrasshub/catalog"
 
-// CordonsChanged: nothing new may start in these availability zones, and in no others, as of
-// a revision of the store.
-type CordonsChanged struct {
-	Zones    []string
-	Revision int64
-}
+// CordonsChanged: nothing new may start in other availability zones than before. What runs
+// there goes on, and the room there still counts for what is promised: it comes back.
+type CordonsChanged struct{ Cordons catalog.Cordons }
 
 func (CordonsChanged) isEvent() {}
 
-// cordons are the availability zones where nothing new may start. What runs there goes on,
-// and the room there still counts for what is promised: it comes back.
-type cordons struct {
-	zones []string
-	at    int64 // the store's revision, which orders carry
-}
-
 func (e *Engine) cordon(ev CordonsChanged) {
-	e.cordons = cordons{zones: ev.Zones, at: ev.Revision}
+	e.cordons = ev.Cordons
 	for _, w := range e.workers {
 		e.markCordoned(w)
 	}
 	e.replan = true
 }
 
-func (e *Engine) markCordoned(w *worker) {
-	w.cordoned = slices.Contains(e.cordons.zones, w.info.Zone)
-}
+func (e *Engine) markCordoned(w *worker) { w.cordoned = e.cordons.Covers(w.info.Zone) }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -31,7 +31,7 @@
 	tracker    tracker
 	// interference is what was learned of images that share workers.
 	interference interference
-	cordons      cordons
+	cordons      catalog.Cordons
 	urgent       urgent
 	// asking: a question to the advice service is in progress; askAfter is when the next
 	// may follow one that failed.
@@ -149,7 +149,7 @@
 			return o
 		}
 	}
-	o := &Orders{Worker: w.info.ID, Agent: w.info.Agent, CordonsAt: e.cordons.at}
+	o := &Orders{Worker: w.info.ID, Agent: w.info.Agent, CordonsAt: e.cordons.Revision}
 	e.orders = append(e.orders, o)
 	return o
 }
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -125,7 +125,7 @@
 	if v.job.spec.Terms.Priority > u.job.spec.Terms.Priority {
 		return true
 	}
-	return r.protected[u.job] && !r.protected[v.job] && r.reclaims(u)
+	return r.reclaims(u) && !r.protected[v.job]
 }
 
 // reclaims says whether u, within its account's guarantee, has to have its room emptied now.
--- a/engine/sim_cordon_test.go
+++ b/engine/sim_cordon_test.go
@@ -3,10 +3,12 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/catalog"
 	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
@@ -23,10 +25,7 @@
 		w.cordonZones(faultTime)
 		w.cordons.holdUp = true
 		if seed%2 == 0 {
-			w.keepNames = true
-			for i, sw := range w.workers {
-				sw.info.Name = nameOf(i)
-			}
+			w.nameWorkers()
 			w.crashMany(faultTime)
 		}
 	})
@@ -46,14 +45,14 @@
 type simCordons struct {
 	since    map[string]time.Duration // by zone
 	revision int64
-	told     CordonsChanged // to the present planner
-	before   CordonsChanged // what it knew before that
-	holdUp   bool           // orders are held up now and then
+	told     catalog.Cordons // to the present planner
+	before   catalog.Cordons // what it knew before that
+	holdUp   bool            // orders are held up now and then
 }
 
 // cordonsOfSuccessor returns what a planner knows that has just taken over: sometimes less
 // than the last one, for as long as news take.
-func (w *simWorld) cordonsOfSuccessor() CordonsChanged {
+func (w *simWorld) cordonsOfSuccessor() catalog.Cordons {
 	c := &w.cordons
 	if newest := c.told; c.holdUp && w.rng.IntN(2) == 0 {
 		c.told = c.before
@@ -63,10 +62,10 @@
 }
 
 // hear lets the planner hear of cordons.
-func (w *simWorld) hear(news CordonsChanged) {
+func (w *simWorld) hear(news catalog.Cordons) {
 	if news.Revision > w.cordons.told.Revision {
 		w.cordons.before, w.cordons.told = w.cordons.told, news
-		w.engine.Step(w.now, news)
+		w.engine.Step(w.now, CordonsChanged{news})
 	}
 }
 
@@ -93,11 +92,7 @@
 	} else if !before {
 		w.cordons.since[zone] = w.now
 	}
-	news := CordonsChanged{Revision: w.cordons.revision}
-	for z := range w.cordons.since {
-		news.Zones = append(news.Zones, z)
-	}
-	slices.Sort(news.Zones)
+	news := catalog.Cordons{Zones: slices.Sorted(maps.Keys(w.cordons.since)), Revision: w.cordons.revision}
 	w.after(time.Duration(w.rng.Int64N(int64(simNews))), func() { w.hear(news) })
 }
 
@@ -110,7 +105,7 @@
 }
 
 // hearCordons takes what the planner knew when it answered a report.
-func (w *simWorker) hearCordons(told CordonsChanged) {
+func (w *simWorker) hearCordons(told catalog.Cordons) {
 	if told.Revision > w.cordons.Revision {
 		w.cordons = told
 	}
@@ -118,7 +113,7 @@
 
 // refusesCordoned says whether the agent knows better than the orders.
 func (w *simWorld) refusesCordoned(sw *simWorker, o Orders) bool {
-	refused := o.CordonsAt <= sw.cordons.Revision && slices.Contains(sw.cordons.Zones, sw.info.Zone)
+	refused := o.CordonsAt <= sw.cordons.Revision && sw.cordons.Covers(sw.info.Zone)
 	if refused {
 		w.counts["refused for a cordon"]++
 	}
--- a/engine/sim_names_test.go
+++ b/engine/sim_names_test.go
@@ -20,10 +20,7 @@
 // settled; where tasks crash their workers, what TestRandomWorldsWithCrashingTasks asks.
 func TestRandomWorldsWithWorkersThatKeepTheirNames(t *testing.T) {
 	playWorlds(t, *simNameSeeds, func(w *simWorld, seed uint64) {
-		w.keepNames = true
-		for i, sw := range w.workers {
-			sw.info.Name = nameOf(i)
-		}
+		w.nameWorkers()
 		w.faults(faultTime)
 		w.crashMany(faultTime)
 		w.restartAgents(faultTime)
@@ -33,6 +30,14 @@
 	})
 }
 
+// nameWorkers lets the workers keep their names in their further lives.
+func (w *simWorld) nameWorkers() {
+	w.keepNames = true
+	for i, sw := range w.workers {
+		sw.info.Name = nameOf(i)
+	}
+}
+
 func nameOf(worker int) string { return fmt.Sprint("w", worker) }
 
 // crashMany plans crashes of workers, some of them several at once.
--- a/engine/sim_worker_test.go
+++ b/engine/sim_worker_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/eelgrasshub/eelgrasshub/catalog"
 	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
@@ -39,7 +40,7 @@
 	absent  []workload.RunID
 	cut     bool
 	dead    bool
-	cordons CordonsChanged // as the agent was last told
+	cordons catalog.Cordons // as the agent was last told
 	// before and next are the lives before and after it, where they have its name.
 	before, next *simWorker
 	drains       time.Duration // when it leaves; 0: not draining
--- a/engine/sim_world_test.go
+++ b/engine/sim_world_test.go
@@ -125,7 +125,7 @@
 	}, w.epoch, w.now, 0)
 	w.engine = e
 	e.Step(w.now, CatalogChanged{Catalog: &catalog.Catalog{Accounts: map[string]catalog.Account{"big": {Guaranteed: 32}}}})
-	e.Step(w.now, w.cordonsOfSuccessor())
+	e.Step(w.now, CordonsChanged{w.cordonsOfSuccessor()})
 	e.Step(w.now, Tick{Wall: w.wall()})
 	for _, id := range slices.Sorted(keysOf(w.known)) {
 		e.Step(w.now, WorkerRestored{Info: w.known[id]})
--- a/engine/stuck_test.go
+++ b/engine/stuck_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 // A task stands still on a worker that answers well: it is tried elsewhere.
@@ -66,10 +64,10 @@
 		for _, w := range d.e.sortedWorkers() {
 			d.show(w.info.ID, func(*placement) RunningRow { return RunningRow{} })
 		}
-		for _, run := range d.stops {
-			d.listStopped(run)
+		if len(d.stops) > 0 {
+			d.end(id, EndStopped)
+			d.stops = nil
 		}
-		d.stops = nil
 		d.now += 100 * time.Millisecond
 		d.tick()
 		if len(d.starts) > runs {
@@ -81,13 +79,6 @@
 	c.Check(longest > 20*time.Second, qt.IsTrue, qt.Commentf("%v, %d runs", longest, runs))
 }
 
-// listStopped lets the worker of a run list its end on an order.
-func (d *desk) listStopped(run workload.RunID) {
-	on := d.on[run]
-	d.ends[on]++
-	d.report(Report{Epoch: 1, Looked: true, Worker: d.e.workers[on].info, Ended: []EndRow{{Number: d.ends[on], Run: run, Reason: EndStopped}}})
-}
-
 // A worker does not answer its agent for some seconds, and then shows that its task went
 // on all the while. Without a look nothing can be said of it, so it must not be stopped.
 func TestSilentWorkerIsNotTakenForStandingStill(t *testing.T) {
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -56,7 +56,7 @@
 	notBefore         time.Duration
 	// tellNext is when the log may say again what the unit waits for.
 	tellNext time.Duration
-	stalls   int // how often it was stopped since it stood still
+	stalls   int // how often it was stopped because it stood still
 	// avoids are workers where a run of it failed, and until when.
 	avoids map[WorkerID]time.Duration
 	// crashes counts the workers that crashed under its tasks, by index; tasks under which
--- a/gateway/cordons.go
+++ b/gateway/cordons.go
@@ -53,12 +53,8 @@
 	})
 }
 
-func cordonsChanged(c catalog.Cordons) engine.CordonsChanged {
-	return engine.CordonsChanged{Zones: c.Zones, Revision: c.Revision}
-}
-
 // cordon tells the engine of other cordons.
-func (t *term) cordon(c catalog.Cordons) { t.post(cordonsChanged(c)) }
+func (t *term) cordon(c catalog.Cordons) { t.post(engine.CordonsChanged{Cordons: c}) }
 
 // withhold takes the starts off orders where the cordons known are too old, and returns
 // their outcomes. Stops and speeds are sent all the same.
--- a/gateway/term_load.go
+++ b/gateway/term_load.go
@@ -57,7 +57,7 @@
 		t.engine.Step(now, engine.CatalogChanged{Catalog: view.Catalog})
 	}
 	if cordons, ok := t.g.inForce.Cordons(); ok {
-		t.engine.Step(now, cordonsChanged(cordons))
+		t.engine.Step(now, engine.CordonsChanged{Cordons: cordons})
 	}
 	t.engine.Step(now, engine.Tick{Wall: time.Now()})
 	for _, w := range state.Workers {
