gateway: peers are queried by need and a fixed number at a time

Cause: a watch of the configuration confirms what was current when it began, so a confirmation is 1 to 2 s old in normal operation.

Ruled out: a longer period of the queries (still n squared); a list of all members spread by the planner (nobody but the planner needs all of them).

Change: peering.go decides whom to query, without a network. A gateway queries the planner; the query now tells whether the store serves its sender, so the planner hears from all and queries nobody. Four sticky contacts are queried for what the planner can't tell. A new planner is announced from gateway to gateway, four each. Gateways that are not successors take a reply to their query as the planner's sign of life. Replies name only gateways that their sender heard from, so names of those gone do not circulate; the sample costs a fixed number of steps instead of a sort of all members, and successors are ranked twice a second instead of in every reply. Stale means no reply of the store for 1.3 s, or no confirmation for 2.5 s.

A rule found on the way: a successor that had been in contact with any planner in the last 11 s, and was served by the store, took it that its predecessor had not extended its grants. A planner that took over a moment ago may not know that gateway. Only contact with the very predecessor counts now, and for less than the 10 s after which a planner forgets a gateway.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -78,15 +78,22 @@
 	// configTransferTimeout bounds the transfer of a configuration of one megabyte from a peer
 	// over a slow link (2 Mbit/s).
 	configTransferTimeout = 5 * time.Second
-	// configStaleAfter is the time since the last confirmation of the configuration after which
-	// a gateway asks its peers for theirs.
+	// configStaleAfter is the time without a reply of the store after which a gateway asks its
+	// peers for the configuration. The watch of the configuration returns once a second.
 	configStaleAfter = 1300 * time.Millisecond
+	// maxConfirmationAge is the age of the last confirmation above which a gateway asks its
+	// peers even though the store replies. A watch confirms what was current when it began, so
+	// a confirmation is up to two seconds old when the next one arrives.
+	maxConfirmationAge = 2500 * time.Millisecond
 	// memberTTL is how long a gateway counts as live after it was last heard from.
 	memberTTL = 10 * time.Second
 	// storeRetryAfter is how long a gateway works through peers after a store failure if no
 	// other call shows that the store is back. The configuration is normally read every second
 	// or more often, so this applies only if nothing reads it.
 	storeRetryAfter = 2 * time.Second
+	// maxRelayCandidates bounds the number of peers that a call is relayed through, one after
+	// the other; the timeout of a call leaves time for two that do not answer.
+	maxRelayCandidates = 8
 	// relayTimeout bounds a store call that a peer makes for this gateway.
 	relayTimeout = 1200 * time.Millisecond
 	// lookupTimeout bounds a request to the planner.
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -7,6 +7,8 @@
 type Counters struct {
 	Accepted, AcceptUnknown, Refused, Cancelled, Lookups, LookupsFailed atomic.Int64
 	Relayed, Reports, Orders, Writes, WriteFailures, Terms              atomic.Int64
+	// PeerQueries and LivenessQueries count queries sent to other gateways.
+	PeerQueries, LivenessQueries atomic.Int64
 	// StartsWithheld counts starts that were not sent because the cordons were too old.
 	StartsWithheld atomic.Int64
 	// ZonesCordoned is the current number of cordoned zones.
--- a/gateway/failure_detector.go
+++ b/gateway/failure_detector.go
@@ -52,6 +52,7 @@
 	answered        bool          // the planner has answered under this epoch
 	unansweredSince time.Duration // when the first query since the last answer was sent; 0 if none
 	lastQueryAt     time.Duration
+	lastReplyAt     time.Duration // when the active planner last replied to a peer query
 	lastCheckAt     time.Duration
 	peakLatency     time.Duration // decaying maximum of answer times, across planners
 	successors      []string      // as named by the planner, in order of preference
@@ -81,19 +82,31 @@
 	return d.planner == planner && d.epoch == epoch
 }
 
+// firstSuccessor returns the most preferred successor other than this gateway, if any is named.
+func (d *failureDetector) firstSuccessor(self string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.successors {
+		if s != self {
+			return []string{s}
+		}
+	}
+	return nil
+}
+
 // shouldQuery reports whether this gateway should query the planner now. A new planner is
-// queried at once, so that it is not deposed because its predecessor did not answer.
+// queried at once, so that it is not deposed because its predecessor did not answer. Gateways
+// other than its successors query only if it does not reply to their peer queries.
 func (d *failureDetector) shouldQuery(now time.Duration, self, planner string, epoch uint64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.tracks(planner, epoch) {
 		return true
 	}
-	interval := slowLivenessInterval
 	if len(d.successors) == 0 || slices.Contains(d.successors, self) {
-		interval = livenessInterval
+		return now-d.lastQueryAt >= livenessInterval
 	}
-	return now-d.lastQueryAt >= interval
+	return now-max(d.lastQueryAt, d.lastReplyAt) >= slowLivenessInterval
 }
 
 // recordQuery records a query that is about to be sent.
@@ -128,6 +141,16 @@
 	}
 }
 
+// recordPeerReply records a reply of the planner to a peer query, which shows under which epoch
+// it is active; zero means that it is not.
+func (d *failureDetector) recordPeerReply(now time.Duration, planner string, epoch uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if epoch != 0 && d.tracks(planner, epoch) {
+		d.answered, d.unansweredSince, d.lastReplyAt = true, 0, now
+	}
+}
+
 // recordLatency updates the peak latency with the time that an answer took. It is kept across
 // planners, since what slows down one slows down the next.
 func (d *failureDetector) recordLatency(latency time.Duration) {
@@ -170,6 +193,7 @@
 func (g *Gateway) queryLiveness(planner string, epoch uint64) {
 	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), livenessTimeout)
 	defer cancel()
+	g.counters.LivenessQueries.Add(1)
 	sent := lease.BootTime()
 	raw, err := g.pool.Call(ctx, planner, &link.LivenessQuery{})
 	if err != nil {
@@ -190,10 +214,10 @@
 	g.log.WithField("planner", planner).WithField("epoch", epoch).Warn("planner is unresponsive; acquiring the planner lease")
 }
 
-// predecessorExtension returns how much longer than normal the grants of a predecessor may
-// last. A deposed planner that is still alive may grant until its lease expires, and its
+// predecessorExtension returns how much longer than normal the grants of the predecessor of the
+// term with the given epoch may last. A deposed planner that is still alive may grant until its lease expires, and its
 // successor cannot tell whether another gateway deposed it. This matters only for workers that
 // do not report to the successor.
-func (g *Gateway) predecessorExtension(now time.Duration) time.Duration {
-	return g.storeStatus.predecessorExtension(now) + plannerLeaseTTL
+func (g *Gateway) predecessorExtension(now time.Duration, epoch uint64) time.Duration {
+	return g.storeStatus.predecessorExtension(now, epoch-1) + plannerLeaseTTL
 }
--- a/gateway/failure_detector_test.go
+++ b/gateway/failure_detector_test.go
@@ -60,10 +60,10 @@
 // A deposed planner that is alive grants until its lease expires. A successor that did not
 // depose it itself must allow for that too.
 func TestPredecessorExtensionCoversDeposedPlanner(t *testing.T) {
-	g := &Gateway{storeStatus: newStoreStatus(0)}
-	g.storeStatus.observePeer(59*second, "planner", true, true)
-	qt.Assert(t, g.storeStatus.predecessorExtension(60*second), qt.Equals, time.Duration(0))
-	qt.Check(t, g.predecessorExtension(60*second), qt.Equals, plannerLeaseTTL)
+	g := &Gateway{peering: &peering{storeStatus: newStoreStatus(0)}}
+	g.storeStatus.observePlanner(59*second, 6)
+	qt.Assert(t, g.storeStatus.predecessorExtension(60*second, 6), qt.Equals, time.Duration(0))
+	qt.Check(t, g.predecessorExtension(60*second, 7), qt.Equals, plannerLeaseTTL)
 }
 
 // On a saturated link the answers of a live planner are slow. Deposing it would move the load
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 // Gateway is a running gateway. Its methods are safe for concurrent use.
 type Gateway struct {
+	*peering
 	cfg           Config
 	log           logrus.FieldLogger
 	currentConfig *catalog.Current
@@ -29,15 +30,11 @@
 	endpoint     *wire.Endpoint
 	pool         *wire.Pool
 	plannerLease *lease.Candidate
-	members      *members
-	planner      *plannerTracker
-	storeStatus  *storeStatus
 	tomb         tomb.Tomb
 	stopping     atomic.Bool
 	// storeFailedAt is when the store last failed a call of this gateway, on the boot clock;
 	// zero if none has failed since the last write that it answered.
 	storeFailedAt    atomic.Int64
-	failureDetector  failureDetector
 	fetchingConfig   atomic.Bool // a configuration is being fetched from a peer
 	counters         Counters
 	jobWaits         metrics.LabeledLatencies // from acceptance to first start, by account and queue
@@ -59,10 +56,8 @@
 		log:           cfg.Log,
 		currentConfig: catalog.NewCurrent(),
 		jobStore:      records.NewJobStore(cfg.Store),
-		members:       newMembers(cfg.Listen, cfg.Seeds),
-		planner:       &plannerTracker{},
-		storeStatus:   newStoreStatus(lease.BootTime()),
 	}
+	g.peering = newPeering(cfg.Listen, cfg.Seeds, lease.BootTime, g.activeEpoch)
 	peer := wire.Peer{ID: cfg.ID, Role: wire.RoleEntry, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region, Zone: cfg.Zone, Address: cfg.Listen}
 	id, err := wire.NewIdentity(peer, cfg.ClusterKey)
 	if err != nil {
@@ -218,20 +213,20 @@
 	if old != nil {
 		old.end()
 	}
-	g.planner.update(held.Epoch, g.cfg.Listen)
+	announceTo := g.learnPlanner(held.Epoch, g.cfg.Listen)
 	g.log.WithField("epoch", held.Epoch).Info("planner lease acquired")
-	go g.queryPeers() // announce the new planner to all peers at once
+	g.queryPeers(announceTo)
 }
 
 // Stopping reports whether the gateway is draining or stopped.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
 // Planning reports whether this gateway is the active planner.
-func (g *Gateway) Planning() bool { return g.planningEpoch() != 0 }
+func (g *Gateway) Planning() bool { return g.activeEpoch() != 0 }
 
-// planningEpoch returns the epoch under which this gateway is the active planner, or zero if it
+// activeEpoch returns the epoch under which this gateway is the active planner, or zero if it
 // is not.
-func (g *Gateway) planningEpoch() uint64 {
+func (g *Gateway) activeEpoch() uint64 {
 	t := g.currentTerm()
 	if t == nil || !t.active() {
 		return 0
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/lease"
@@ -104,25 +103,6 @@
 	return link.OutcomeNotStored
 }
 
-// relayCandidates returns the peers to relay calls through, the planner first. It omits peers
-// that recently reported that the store does not serve them: such a call would only be refused
-// later, or time out and leave the outcome unknown.
-func (g *Gateway) relayCandidates() []string {
-	_, planner := g.planner.get()
-	candidates := g.members.knownPeers()
-	if planner != "" && planner != g.cfg.Listen {
-		candidates = append([]string{planner}, candidates...)
-	}
-	now := lease.BootTime()
-	var out []string
-	for _, address := range candidates {
-		if !slices.Contains(out, address) && !g.storeStatus.peerUnserved(now, address) {
-			out = append(out, address)
-		}
-	}
-	return out
-}
-
 // callPeer sends msg to a peer, which carries out the call for this gateway. The error is
 // wire.ErrNotHandled if the peer has certainly not handled the message.
 func (g *Gateway) callPeer(ctx context.Context, address string, msg any) (any, error) {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -2,24 +2,39 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/eelgrasshub/eelgrasshub/internal/rotation"
-	"github.com/eelgrasshub/eelgrasshub/lease"
 )
 
-// members tracks the other gateways: the seeds, and those heard from or named by others. It is
-// safe for concurrent use.
+// members tracks the other gateways: the seeds, and those heard from or named by others. Every
+// gateway queries the planner, so the planner hears from all of them; the others know a part that
+// does not depend on the size of the fleet. It is safe for concurrent use.
 type members struct {
-	self      string
-	seeds     []string
-	mu        sync.Mutex
-	lastHeard map[string]time.Duration
-	// capacity is the reported Config.PlanningCapacity of each gateway.
-	capacity map[string]float64
-	rotation rotation.Selector
+	self    string
+	clock   func() time.Duration
+	shuffle func(n int, swap func(i, j int))
+
+	mu    sync.Mutex
+	known map[string]*member
+	// ring has the known gateways and this one in the order in which sample names them.
+	ring      []*member
+	nextNamed int
+	// contacts are the peers that are queried if the planner does not help. Seeds are not among
+	// them: they are the same for all gateways, which would all query them at once.
+	contacts []string
+}
+
+// member is what is known of one gateway. Times are on the boot clock, and zero if the event has
+// not happened.
+type member struct {
+	address  string
+	seed     bool          // it is never forgotten
+	heardAt  time.Duration // a message of the gateway arrived
+	namedAt  time.Duration // another gateway, or the registry, named it
+	failedAt time.Duration // it last did not answer; zero if it was heard from since
+	capacity float64       // its Config.PlanningCapacity
 }
 
 const (
@@ -28,10 +43,39 @@
 	maxSampleSize = 6
 	// maxSuccessors is how many preferred successors the planner names.
 	maxSuccessors = 3
+	// forgetAfter is how long a gateway that is not heard from or named any more remains a
+	// candidate for queries. If many instances fail at once, the others still know each other.
+	forgetAfter = time.Minute
 )
 
-func newMembers(self string, seeds []string) *members {
-	return &members{self: self, seeds: seeds, lastHeard: map[string]time.Duration{}, capacity: map[string]float64{}}
+func newMembers(self string, seeds []string, clock func() time.Duration) *members {
+	m := &members{self: self, clock: clock, shuffle: rand.Shuffle, known: map[string]*member{}}
+	m.ring = []*member{{address: self}}
+	for _, s := range seeds {
+		if s != self {
+			m.get(s).seed = true
+		}
+	}
+	return m
+}
+
+// lastSign returns when the gateway was last heard from or named.
+func (p *member) lastSign() time.Duration { return max(p.heardAt, p.namedAt) }
+
+// heard reports whether the gateway was heard from within memberTTL.
+func (p *member) heard(now time.Duration) bool {
+	return p.heardAt != 0 && now-p.heardAt < memberTTL
+}
+
+// get returns the entry of a gateway, and adds it if it is new. The mutex is held.
+func (m *members) get(address string) *member {
+	p := m.known[address]
+	if p == nil {
+		p = &member{address: address}
+		m.known[address] = p
+		m.ring = append(m.ring, p)
+	}
+	return p
 }
 
 // markHeard records that a message from a gateway has arrived.
@@ -41,52 +85,95 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastHeard[address] = lease.BootTime()
+	p := m.get(address)
+	p.heardAt, p.failedAt = m.clock(), 0
 }
 
-// addHint adds a gateway that another one named. It expires sooner than one that was heard
-// from, and never replaces an existing entry.
+// addHint adds a gateway that another one named. It is queried, but neither named to others nor
+// counted as live until it is heard from, so that names of gateways that are gone do not
+// circulate.
 func (m *members) addHint(address string) {
-	if address == m.self {
+	if address == "" || address == m.self {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, known := m.lastHeard[address]; !known {
-		m.lastHeard[address] = lease.BootTime() - memberTTL/2
+	m.get(address).namedAt = m.clock()
+}
+
+// markFailed records that a gateway did not answer. It is replaced as a contact, and still counts
+// as live until it has not been heard from for memberTTL.
+func (m *members) markFailed(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.known[address]; p != nil {
+		p.failedAt = m.clock()
 	}
+	m.contacts = slices.DeleteFunc(m.contacts, func(a string) bool { return a == address })
 }
 
-// live returns the live gateways, including this one, sorted by address.
-func (m *members) live() []string {
+// forgetSilent removes the gateways that were neither heard from nor named for forgetAfter, and
+// returns them.
+func (m *members) forgetSilent() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := []string{m.self}
-	for address, at := range m.lastHeard {
-		if lease.BootTime()-at < memberTTL {
-			out = append(out, address)
+	now := m.clock()
+	var out []string
+	m.ring = slices.DeleteFunc(m.ring, func(p *member) bool {
+		if p.address == m.self || p.seed || now-p.lastSign() < forgetAfter {
+			return false
 		}
-	}
-	slices.Sort(out)
+		out = append(out, p.address)
+		delete(m.known, p.address)
+		return true
+	})
+	m.contacts = slices.DeleteFunc(m.contacts, func(a string) bool { return slices.Contains(out, a) })
 	return out
 }
 
-// sample returns a subset of the live gateways. Successive calls rotate through all of them.
+// sample returns this gateway and others that it has heard from, maxSampleSize at most.
+// Successive calls rotate through all of them.
 func (m *members) sample() []string {
-	live := m.live()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.rotation.Next(live, maxSampleSize)
+	now := m.clock()
+	out := make([]string, 0, maxSampleSize)
+	for range m.ring {
+		p := m.ring[m.nextNamed%len(m.ring)]
+		m.nextNamed++
+		if p.address == m.self || p.heard(now) {
+			out = append(out, p.address)
+		}
+		if len(out) == maxSampleSize {
+			break
+		}
+	}
+	return out
 }
 
 // setCapacity records the planning capacity that a gateway reported.
 func (m *members) setCapacity(address string, capacity float64) {
-	if address == "" || capacity <= 0 {
+	if address == "" || address == m.self || capacity <= 0 {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.capacity[address] = capacity
+	m.get(address).capacity = capacity
+}
+
+// livePeers returns the other gateways that were heard from within memberTTL, sorted by address.
+func (m *members) livePeers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock()
+	var out []string
+	for address, p := range m.known {
+		if p.heard(now) {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // successors returns the preferred successors of the planner: the eligible live peers with the
@@ -95,45 +182,64 @@
 	out := slices.DeleteFunc(m.livePeers(), func(a string) bool { return !eligible(a) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(m.capacity[b], m.capacity[a]) })
+	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(m.capacityOf(b), m.capacityOf(a)) })
 	return out[:min(len(out), maxSuccessors)]
 }
 
-// livePeers returns the live gateways other than this one.
-func (m *members) livePeers() []string {
-	return slices.DeleteFunc(m.live(), func(a string) bool { return a == m.self })
+// capacityOf returns the capacity that a gateway reported, zero if none. The mutex is held.
+func (m *members) capacityOf(address string) float64 {
+	if p := m.known[address]; p != nil {
+		return p.capacity
+	}
+	return 0
 }
 
-// knownPeers returns the live peers and the seeds.
-func (m *members) knownPeers() []string {
-	out := m.livePeers()
-	for _, s := range m.seeds {
-		if s != m.self && !slices.Contains(out, s) {
-			out = append(out, s)
-		}
+// chooseContacts returns up to n peers to query. It returns the same ones as long as they answer,
+// so that a gateway has connections to few others.
+func (m *members) chooseContacts(n int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.contacts) >= n {
+		return slices.Clone(m.contacts[:n])
 	}
+	out := m.fill(slices.Clone(m.contacts), n, func(string) bool { return true })
+	m.contacts = slices.DeleteFunc(slices.Clone(out), func(a string) bool { return m.known[a].seed })
 	return out
 }
 
-// plannerTracker holds the newest known planner. It is safe for concurrent use.
-type plannerTracker struct {
-	mu      sync.Mutex
-	epoch   uint64
-	address string
+// choose returns up to n eligible peers, contacts first.
+func (m *members) choose(n int, eligible func(address string) bool) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := slices.DeleteFunc(slices.Clone(m.contacts), func(a string) bool { return !eligible(a) })
+	return m.fill(out, n, eligible)
 }
 
-// update records a planner if its epoch is newer than the known one.
-func (p *plannerTracker) update(epoch uint64, address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if epoch > p.epoch {
-		p.epoch, p.address = epoch, address
+// fill appends random eligible peers to chosen until there are n. Seeds come after the others,
+// and peers that failed to answer last. The mutex is held.
+func (m *members) fill(chosen []string, n int, eligible func(address string) bool) []string {
+	var candidates []*member
+	for _, p := range m.ring {
+		if p.address != m.self && !slices.Contains(chosen, p.address) && eligible(p.address) {
+			candidates = append(candidates, p)
+		}
 	}
+	m.shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	slices.SortStableFunc(candidates, compareContacts)
+	for _, p := range candidates[:min(len(candidates), max(0, n-len(chosen)))] {
+		chosen = append(chosen, p.address)
+	}
+	return chosen
 }
 
-// get returns the newest known planner; the address is empty if none is known.
-func (p *plannerTracker) get() (epoch uint64, address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.epoch, p.address
+func compareContacts(a, b *member) int {
+	switch {
+	case a.failedAt != b.failedAt:
+		return cmp.Compare(a.failedAt, b.failedAt)
+	case a.seed == b.seed:
+		return 0
+	case a.seed:
+		return 1
+	}
+	return -1
 }
--- /dev/null
+++ b/gateway/peering.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/link"
+)
+
+// peering is what a gateway knows of the other gateways and of the planner, and decides which of
+// them it queries. It sends nothing itself. It is safe for concurrent use.
+//
+// Each gateway queries the planner, whose reply has all that it needs. Others are queried only for
+// what the planner lacks, and then a fixed number of them, so a gateway's traffic does not depend
+// on the size of the fleet. A new planner is announced from gateway to gateway.
+type peering struct {
+	self  string
+	clock func() time.Duration
+	// planningEpoch returns the epoch under which this gateway is the active planner, or zero.
+	planningEpoch   func() uint64
+	members         *members
+	planner         *plannerTracker
+	storeStatus     *storeStatus
+	failureDetector failureDetector
+	successors      atomic.Pointer[[]string] // preferred successors while this gateway is the planner
+}
+
+const (
+	// searchFanout is how many peers are queried at once for what the planner can't tell. All
+	// gateways may search at the same time, so it does not grow with their number.
+	searchFanout = 4
+	// announceFanout is how many peers a gateway tells of a new planner. Each passes it on once,
+	// so it reaches nearly all in a few steps; the others find it by their own search.
+	announceFanout = 4
+)
+
+func newPeering(self string, seeds []string, clock func() time.Duration, planningEpoch func() uint64) *peering {
+	return &peering{
+		self:          self,
+		clock:         clock,
+		planningEpoch: planningEpoch,
+		members:       newMembers(self, seeds, clock),
+		planner:       &plannerTracker{},
+		storeStatus:   newStoreStatus(clock()),
+	}
+}
+
+// peersToQuery returns the gateways to query in a round: the planner, and a few others if the
+// planner is unknown or no longer active, or if configStale is set.
+func (p *peering) peersToQuery(configStale bool) []string {
+	_, planner := p.planner.get()
+	plannerAnswers := planner != "" && planner != p.self
+	var out []string
+	if plannerAnswers {
+		out = append(out, planner)
+	}
+	if configStale || !plannerAnswers && p.planningEpoch() == 0 {
+		out = appendMissing(out, p.members.chooseContacts(searchFanout))
+	}
+	return out
+}
+
+// handleFailure records that a gateway did not answer. It returns the peers to query in its place
+// if it is the planner: its first successor and some contacts.
+func (p *peering) handleFailure(address string) []string {
+	p.members.markFailed(address)
+	if _, planner := p.planner.get(); planner != address {
+		return nil
+	}
+	out := appendMissing(p.failureDetector.firstSuccessor(p.self), p.members.chooseContacts(searchFanout))
+	return slices.DeleteFunc(out, func(a string) bool { return a == address })
+}
+
+// rankSuccessors updates the successors that the planner names in its replies.
+func (p *peering) rankSuccessors() {
+	if p.planningEpoch() == 0 {
+		return
+	}
+	ranking := p.members.successors(p.peerServed)
+	p.successors.Store(&ranking)
+}
+
+// learnPlanner takes over a planner that is newer than the known one. It returns the peers to
+// which to announce it.
+func (p *peering) learnPlanner(epoch uint64, planner string) (announceTo []string) {
+	if !p.planner.update(epoch, planner) {
+		return nil
+	}
+	return slices.DeleteFunc(p.members.chooseContacts(announceFanout), func(a string) bool { return a == planner })
+}
+
+// mergeQuery merges what a query of another gateway tells of it. It returns the peers to which to
+// announce a planner that was not known.
+func (p *peering) mergeQuery(msg *link.PeerQuery) (announceTo []string) {
+	if msg.Address != "" {
+		p.members.markHeard(msg.Address)
+		p.members.setCapacity(msg.Address, msg.PlanningCapacity)
+		p.storeStatus.observePeer(p.clock(), msg.Address, !msg.StoreUnreachable)
+	}
+	return p.learnPlanner(msg.Epoch, msg.Planner)
+}
+
+// mergeReply merges the reply of another gateway. It returns the peers to which to announce a
+// planner that was not known.
+func (p *peering) mergeReply(address string, reply *link.PeerReply) (announceTo []string) {
+	now := p.clock()
+	p.members.markHeard(address)
+	if reply.Successors != nil {
+		p.failureDetector.setSuccessors(reply.Successors)
+	}
+	p.storeStatus.observePeer(now, address, reply.StoreReachable)
+	if reply.Planner == address {
+		p.storeStatus.observePlanner(now, reply.Epoch)
+		p.failureDetector.recordPeerReply(now, address, reply.PlanningEpoch)
+	}
+	for _, m := range reply.Members {
+		if m != address {
+			p.members.addHint(m)
+		}
+	}
+	return p.learnPlanner(reply.Epoch, reply.Planner)
+}
+
+// reply returns a reply with what is known of the planner and of some gateways.
+func (p *peering) reply(storeReachable bool) *link.PeerReply {
+	epoch, planner := p.planner.get()
+	reply := &link.PeerReply{
+		Epoch:          epoch,
+		Planner:        planner,
+		PlanningEpoch:  p.planningEpoch(),
+		Members:        p.members.sample(),
+		StoreReachable: storeReachable,
+	}
+	if ranking := p.successors.Load(); ranking != nil && planner == p.self {
+		reply.Successors = *ranking
+	}
+	return reply
+}
+
+// peerServed reports whether a gateway has not recently reported that the store does not serve
+// it.
+func (p *peering) peerServed(address string) bool {
+	return !p.storeStatus.peerUnserved(p.clock(), address)
+}
+
+// relayCandidates returns the peers to relay calls through, the planner first. It omits peers
+// that recently reported that the store does not serve them: such a call would only be refused
+// later, or time out and leave the outcome unknown.
+func (p *peering) relayCandidates() []string {
+	var out []string
+	_, planner := p.planner.get()
+	if planner != "" && planner != p.self && p.peerServed(planner) {
+		out = append(out, planner)
+	}
+	return appendMissing(out, p.members.choose(maxRelayCandidates, p.peerServed))
+}
+
+// forgetSilent forgets the gateways that have not been heard of for long, and returns them.
+func (p *peering) forgetSilent() []string {
+	gone := p.members.forgetSilent()
+	p.storeStatus.forget(gone)
+	return gone
+}
+
+func appendMissing(list, more []string) []string {
+	for _, address := range more {
+		if !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,16 +4,18 @@
 	"context"
 	"time"
 
-	"github.com/eelgrasshub/eelgrasshub/lease"
 	"github.com/eelgrasshub/eelgrasshub/link"
 )
 
-// peerLoop exchanges state with the planner's gateway, or with all peers if the planner is
-// unknown, is this gateway, or the configuration is stale.
+// peerLoop exchanges state with the planner and, if necessary, with other gateways.
 func (g *Gateway) peerLoop() error {
 	for {
-		g.storeStatus.observeSelf(lease.BootTime(), g.cfg.SinceStoreReply())
-		g.queryPeers()
+		g.storeStatus.observeSelf(g.clock(), g.cfg.SinceStoreReply())
+		g.rankSuccessors()
+		g.queryPeers(g.peersToQuery(g.configStale()))
+		for _, address := range g.forgetSilent() {
+			go g.pool.Remove(address)
+		}
 		select {
 		case <-time.After(peerInterval):
 		case <-g.tomb.Dying():
@@ -22,61 +24,61 @@
 	}
 }
 
-func (g *Gateway) queryPeers() {
+// configStale reports whether peers should be asked for the configuration: none is known, or the
+// store does not confirm it any more.
+func (g *Gateway) configStale() bool {
+	view, ok := g.currentConfig.Snapshot()
+	if !ok {
+		return true
+	}
+	age := g.clock() - view.ConfirmedAt
+	return age > maxConfirmationAge || age > configStaleAfter && g.cfg.SinceStoreReply() > configStaleAfter
+}
+
+func (g *Gateway) queryPeers(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
 	msg := g.peerQuery()
-	for _, address := range g.peersToQuery(msg.WantConfig) {
-		go g.queryPeer(address, msg)
+	for _, address := range addresses {
+		go g.queryPeer(address, msg, peerTimeout)
 	}
 }
 
 func (g *Gateway) peerQuery() *link.PeerQuery {
 	epoch, planner := g.planner.get()
-	msg := &link.PeerQuery{Address: g.cfg.Listen, Epoch: epoch, Planner: planner, WantConfig: true, PlanningCapacity: g.cfg.PlanningCapacity}
+	msg := &link.PeerQuery{
+		Address:          g.cfg.Listen,
+		Epoch:            epoch,
+		Planner:          planner,
+		PlanningCapacity: g.cfg.PlanningCapacity,
+		StoreUnreachable: !g.storeReachable(),
+	}
 	if view, ok := g.currentConfig.Snapshot(); ok {
 		msg.ConfigVersion = view.Catalog.Version
-		msg.WantConfig = lease.BootTime()-view.ConfirmedAt > configStaleAfter
 	}
 	return msg
 }
 
-func (g *Gateway) peersToQuery(wantConfig bool) []string {
-	_, planner := g.planner.get()
-	if wantConfig || planner == "" || planner == g.cfg.Listen {
-		return g.members.knownPeers()
-	}
-	return []string{planner}
-}
+// storeReachable reports whether the store has recently replied to this gateway.
+func (g *Gateway) storeReachable() bool { return g.cfg.SinceStoreReply() < storeReplyTTL }
 
-func (g *Gateway) queryPeer(address string, msg *link.PeerQuery) {
-	g.queryPeerWithin(address, msg, peerTimeout)
-}
-
-// queryPeerWithin queries another gateway and merges its reply.
-func (g *Gateway) queryPeerWithin(address string, msg *link.PeerQuery, timeout time.Duration) {
+// queryPeer queries another gateway and merges its reply.
+func (g *Gateway) queryPeer(address string, msg *link.PeerQuery, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), timeout)
 	defer cancel()
-	sent := lease.BootTime()
+	g.counters.PeerQueries.Add(1)
+	sent := g.clock()
 	raw, err := g.pool.Call(ctx, address, msg)
 	if err != nil {
-		g.handlePeerFailure(address)
+		g.queryPeers(g.handleFailure(address))
 		return
 	}
 	reply, ok := raw.(*link.PeerReply)
 	if !ok {
 		return
 	}
-	g.members.markHeard(address)
-	if reply.Successors != nil {
-		g.failureDetector.setSuccessors(reply.Successors)
-	}
-	_, planner := g.planner.get()
-	g.storeStatus.observePeer(lease.BootTime(), address, reply.StoreReachable, address == planner)
-	for _, m := range reply.Members {
-		if m != address {
-			g.members.addHint(m)
-		}
-	}
-	g.planner.update(reply.Epoch, reply.Planner)
+	g.queryPeers(g.mergeReply(address, reply))
 	g.mergePeerConfig(reply, sent)
 	g.mergePeerCordons(reply, sent)
 	if !msg.WantConfigText && g.needsConfigOf(reply.ConfigVersion) {
@@ -100,25 +102,7 @@
 	defer g.fetchingConfig.Store(false)
 	msg := g.peerQuery()
 	msg.WantConfigText = true
-	g.queryPeerWithin(address, msg, configTransferTimeout)
-}
-
-// handlePeerFailure queries all other gateways if the planner did not answer.
-func (g *Gateway) handlePeerFailure(address string) {
-	if _, planner := g.planner.get(); planner != address {
-		return
-	}
-	for _, other := range g.members.knownPeers() {
-		if other != address {
-			go g.queryPeer(other, g.peerQuery())
-		}
-	}
-}
-
-// peerServed reports whether a gateway has not recently reported that the store does not serve
-// it.
-func (g *Gateway) peerServed(address string) bool {
-	return !g.storeStatus.peerUnserved(lease.BootTime(), address)
+	g.queryPeer(address, msg, configTransferTimeout)
 }
 
 // mergePeerConfig updates the configuration from a peer's reply. The age in the reply is
@@ -144,26 +128,15 @@
 // handlePeer answers another gateway, or an agent that is looking for the planner, which sends
 // no address.
 func (g *Gateway) handlePeer(msg *link.PeerQuery) *link.PeerReply {
-	g.members.markHeard(msg.Address)
-	g.members.setCapacity(msg.Address, msg.PlanningCapacity)
-	g.planner.update(msg.Epoch, msg.Planner)
-	epoch, planner := g.planner.get()
-	reply := &link.PeerReply{
-		Epoch:          epoch,
-		Planner:        planner,
-		Members:        g.members.sample(),
-		StoreReachable: g.cfg.SinceStoreReply() < storeReplyTTL,
-	}
+	g.queryPeers(g.mergeQuery(msg))
+	reply := g.reply(g.storeReachable())
 	if msg.Address == "" {
 		return reply
 	}
-	if planner == g.cfg.Listen {
-		reply.Successors = g.members.successors(g.peerServed)
-	}
 	reply.Cordons = g.cordonsForPeer()
 	if view, ok := g.currentConfig.Snapshot(); ok {
 		reply.ConfigVersion = view.Catalog.Version
-		reply.ConfigAge = lease.BootTime() - view.ConfirmedAt
+		reply.ConfigAge = g.clock() - view.ConfirmedAt
 		if msg.WantConfigText && msg.ConfigVersion < view.Catalog.Version {
 			reply.Config = view.Raw
 		}
--- a/gateway/store_status.go
+++ b/gateway/store_status.go
@@ -19,9 +19,10 @@
 	// storeReplyTTL is how recently the store must have answered to count as available; its
 	// watches return once a second.
 	storeReplyTTL = 1600 * time.Millisecond
-	// plannerContactTTL is how recently a gateway must have reached the planner to count as one
-	// that the planner queries.
-	plannerContactTTL = 5 * time.Second
+	// plannerContactTTL is how recently the planner must have answered a gateway for it to know
+	// that the planner counts it as live: memberTTL, less the time that the answer may have taken
+	// and a margin.
+	plannerContactTTL = memberTTL - peerTimeout - time.Second
 )
 
 // storeStatus tracks whether the store serves this gateway and its peers. It is safe for
@@ -32,7 +33,8 @@
 	mu                sync.Mutex
 	peers             map[string]peerStoreStatus
 	lastUnservedAt    time.Duration // when the store last did not serve this gateway
-	plannerAnsweredAt time.Duration // when the planner last answered this gateway
+	plannerAnsweredAt time.Duration // when a planner last answered this gateway
+	plannerEpoch      uint64        // of that planner
 }
 
 // peerStoreStatus is a peer's report on whether the store serves it.
@@ -54,13 +56,29 @@
 	}
 }
 
-// observePeer records a peer's report. fromPlanner marks an answer of the planner.
-func (s *storeStatus) observePeer(now time.Duration, address string, served, fromPlanner bool) {
+// observePeer records a peer's report.
+func (s *storeStatus) observePeer(now time.Duration, address string, served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peers[address] = peerStoreStatus{at: now, served: served}
-	if fromPlanner {
-		s.plannerAnsweredAt = now
+}
+
+// observePlanner records an answer of the planner with the given epoch, which knows from now on
+// that this gateway is live.
+func (s *storeStatus) observePlanner(now time.Duration, epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if epoch >= s.plannerEpoch {
+		s.plannerAnsweredAt, s.plannerEpoch = now, epoch
+	}
+}
+
+// forget removes the reports of gateways that are gone.
+func (s *storeStatus) forget(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range addresses {
+		delete(s.peers, address)
 	}
 }
 
@@ -86,13 +104,15 @@
 	return ok && !a.served && now-a.at <= peerStatusTTL
 }
 
-// predecessorExtension returns how long a predecessor may have granted worker leases after its
-// own lease expired. That is zero if this gateway was in contact with it and the store served this
-// gateway all the time: the planner would have learned this and ended the extension.
-func (s *storeStatus) predecessorExtension(now time.Duration) time.Duration {
+// predecessorExtension returns how long the predecessor with the given epoch may have granted
+// worker leases after its own lease expired. That is zero if this gateway was in contact with that
+// very planner and the store served this gateway all the time: the planner would have learned this
+// and ended the extension. Contact with an earlier planner proves nothing: the last one may not
+// know of this gateway yet.
+func (s *storeStatus) predecessorExtension(now time.Duration, predecessor uint64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	inContact := s.plannerAnsweredAt != 0 && now-s.plannerAnsweredAt < plannerContactTTL+maxGrantExtension
+	inContact := s.plannerEpoch == predecessor && s.plannerAnsweredAt != 0 && now-s.plannerAnsweredAt < plannerContactTTL
 	alwaysServed := now-s.lastUnservedAt > maxGrantExtension+2*plannerLeaseTTL
 	if inContact && alwaysServed && now-s.startedAt > memberTTL {
 		return 0
--- a/gateway/store_status_test.go
+++ b/gateway/store_status_test.go
@@ -16,13 +16,13 @@
 	s := newStoreStatus(0)
 	others := []string{"b", "c"}
 	c.Check(s.allUnserved(second, others), qt.IsFalse, qt.Commentf("no peer has reported"))
-	s.observePeer(second, "b", false, false)
+	s.observePeer(second, "b", false)
 	c.Check(s.allUnserved(second, others), qt.IsFalse, qt.Commentf("one peer has not reported"))
-	s.observePeer(second, "c", false, false)
+	s.observePeer(second, "c", false)
 	c.Check(s.allUnserved(second, others), qt.IsTrue)
-	s.observePeer(2*second, "b", true, false)
+	s.observePeer(2*second, "b", true)
 	c.Check(s.allUnserved(2*second, others), qt.IsFalse, qt.Commentf("the store serves one peer again"))
-	s.observePeer(3*second, "b", false, false)
+	s.observePeer(3*second, "b", false)
 	c.Check(s.allUnserved(3*second, others), qt.IsFalse, qt.Commentf("the other peer's report is stale"))
 	c.Check(s.allUnserved(3*second, nil), qt.IsTrue, qt.Commentf("there are no peers"))
 }
@@ -50,9 +50,9 @@
 			s.observeSelf(test.unservedAt, 2*second)
 		}
 		if test.answeredAt != 0 {
-			s.observePeer(test.answeredAt, "p", true, true)
+			s.observePlanner(test.answeredAt, 4)
 		}
-		qt.Check(t, s.predecessorExtension(now), qt.Equals, test.extension, qt.Commentf("%s", test.what))
+		qt.Check(t, s.predecessorExtension(now, 4), qt.Equals, test.extension, qt.Commentf("%s", test.what))
 	}
 }
 
@@ -62,9 +62,28 @@
 	c := qt.New(t)
 	s := newStoreStatus(0)
 	c.Check(s.peerUnserved(second, "b"), qt.IsFalse)
-	s.observePeer(second, "b", false, false)
+	s.observePeer(second, "b", false)
 	c.Check(s.peerUnserved(second, "b"), qt.IsTrue)
 	c.Check(s.peerUnserved(3*second, "b"), qt.IsFalse, qt.Commentf("the report is stale"))
-	s.observePeer(4*second, "b", true, false)
+	s.observePeer(4*second, "b", true)
 	c.Check(s.peerUnserved(4*second, "b"), qt.IsFalse)
 }
+
+// A planner that took over a moment ago may not know of this gateway yet. Contact with its
+// predecessor does not show that it has not extended its grants.
+func TestContactWithEarlierPlannerProvesNothing(t *testing.T) {
+	const now = 60 * second
+	s := newStoreStatus(0)
+	s.observePlanner(now-second, 4)
+	qt.Assert(t, s.predecessorExtension(now, 4), qt.Equals, time.Duration(0))
+	qt.Check(t, s.predecessorExtension(now, 5), qt.Equals, maxGrantExtension)
+}
+
+// The planner counts a gateway as live for memberTTL. A successor whose last contact is older may
+// have been forgotten when the planner extended its grants.
+func TestContactEndsBeforePlannerForgets(t *testing.T) {
+	const now = 60 * second
+	s := newStoreStatus(0)
+	s.observePlanner(now-memberTTL+second, 4)
+	qt.Check(t, s.predecessorExtension(now, 4), qt.Equals, maxGrantExtension)
+}
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -66,7 +66,7 @@
 		log:       g.log.WithField("epoch", epoch),
 		epoch:     epoch,
 		inbox:     make(chan func(time.Duration), inboxSize),
-		engine:    engine.New(g.cfg.Engine, epoch, lease.BootTime(), g.predecessorExtension(lease.BootTime())),
+		engine:    engine.New(g.cfg.Engine, epoch, lease.BootTime(), g.predecessorExtension(lease.BootTime(), epoch)),
 		conns:     map[string]*wire.Conn{},
 		writeDone: make(chan struct{}),
 	}
--- a/link/peer.go
+++ b/link/peer.go
@@ -11,21 +11,21 @@
 	// Epoch and Planner are those of the newest planner that the sender knows of.
 	Epoch   uint64 `cbor:"3,keyasint,omitempty"`
 	Planner string `cbor:"4,keyasint,omitempty"`
-	// WantConfig is set if the sender could not confirm its configuration recently.
-	WantConfig bool `cbor:"5,keyasint,omitempty"`
 	// PlanningCapacity is the sender's gateway.Config.PlanningCapacity.
 	PlanningCapacity float64 `cbor:"6,keyasint,omitempty"`
 	// WantConfigText requests the configuration document if it is newer than the sender's.
 	// Gateways request it separately and from one peer at a time, since several
 	// documents of hundreds of kilobytes at once could overload a slow link.
 	WantConfigText bool `cbor:"7,keyasint,omitempty"`
+	// StoreUnreachable reports that the store has not recently replied to the sender.
+	StoreUnreachable bool `cbor:"8,keyasint,omitempty"`
 }
 
 // PeerReply answers PeerQuery.
 type PeerReply struct {
 	Epoch   uint64 `cbor:"1,keyasint,omitempty"`
 	Planner string `cbor:"2,keyasint,omitempty"`
-	// Members are some of the live gateways, different ones in each reply.
+	// Members are some of the gateways that the sender has heard from, different ones in each reply.
 	Members []string `cbor:"3,keyasint,omitempty"`
 	// ConfigVersion was confirmed as the newest ConfigAge before the reply. Config is its
 	// document if that was requested and is newer than the sender's.
@@ -37,6 +37,8 @@
 	// Successors are the gateways that should replace the sender, in order of preference, if it is
 	// the active planner and fails.
 	Successors []string `cbor:"8,keyasint,omitempty"`
+	// PlanningEpoch is the epoch under which the sender plans, zero if it is not the active planner.
+	PlanningEpoch uint64 `cbor:"10,keyasint,omitempty"`
 	// Cordons are the cordons known to the sender, nil if it has not read them.
 	Cordons *Cordons `cbor:"9,keyasint,omitempty"`
 }
