planner: a predecessor's start is taken over also after a refusal

Cause: a record that names another planner's attempt was taken over only if no own attempt was in progress or that one ended because its write met the record. Where a worker refused the reservation first, nobody took it over; the scheduler started the job again, over the very record that it had to resolve. Besides, a task was stopped as left over if the record as last delivered did not name it, though gang.OrphanStop asks for the record after the report.

Ruled out: two planners that write at once (the records' revisions decide); an end lost to the successor (none was recorded when it started again).

Change: whatever ends an attempt that did not start, a record that names an unresolved attempt of another planner is taken over, and nothing starts before. Tasks of other planners are stopped only after the job's record was read from the store.

--- a/planner/attempt_end.go
+++ b/planner/attempt_end.go
@@ -33,8 +33,11 @@
 		p.cfg.Metrics.Add(metrics.GangsAborted, 1)
 		atFault := p.workerAtFault(e)
 		p.markMayHold(members)
+		if p.mustBeTakenOver(j) {
+			p.withhold(j) // the scheduler could start it again at once
+		}
 		p.stepScheduler(scheduler.GangRefused{Job: id, Attempt: attempt, Worker: atFault})
-		p.handleNotStarted(j, e)
+		p.handleNotStarted(j)
 		return
 	}
 	j.mayHaveStarted = true
@@ -94,12 +97,14 @@
 
 // handleNotStarted follows up on an attempt that did not start. The job may
 // have ended meanwhile, for instance by a cancellation, and is dropped then.
-// If the record names another planner's attempt, that one is taken over.
-func (p *Planner) handleNotStarted(j *job, e gang.Ended) {
+// If the record names another planner's attempt, that one is taken over,
+// whatever ended this one: a refusal may come before this planner's write
+// fails because of that record.
+func (p *Planner) handleNotStarted(j *job) {
 	switch {
 	case j.stored.State.Ended():
 		p.forgetJob(j, j.stored)
-	case e.Cause == gang.CauseConflict && p.startedByOther(j):
+	case p.mustBeTakenOver(j):
 		p.takeOver(j)
 	}
 }
--- a/planner/helpers_test.go
+++ b/planner/helpers_test.go
@@ -120,6 +120,20 @@
 	return true
 }
 
+// drain makes an agent refuse new reservations.
+func (f *fakeAgents) drain(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.step(name, gang.Drain{})
+}
+
+// reach makes the agents receive the messages of a planner from now on.
+func (f *fakeAgents) reach(epoch uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.unreachableFrom, epoch)
+}
+
 func (f *fakeAgents) startsOf(job string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -25,6 +25,7 @@
 	doc               *document.ActiveVersion
 	jobs              map[string]*job
 	workers           map[string]*worker
+	verifying         map[agentTask]bool // the record of their job is being read
 	recentlyEnded     *lru.Cache[string, jobs.Stored]
 	lastAttemptNumber uint64 // under this epoch
 	recordsLoaded     bool   // all records have been read at least once
@@ -55,6 +56,7 @@
 		doc:            cfg.Document,
 		jobs:           make(map[string]*job),
 		workers:        make(map[string]*worker),
+		verifying:      make(map[agentTask]bool),
 		recentlyEnded:  recent,
 		schedulerTimer: time.NewTimer(time.Hour),
 	}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -79,6 +79,46 @@
 	}
 }
 
+// A predecessor records a start while the successor reserves accelerators for the same job, and the
+// workers that run it refuse the successor. It must resolve that start and not write over it.
+func TestStartRecordedDuringRefusedReservationIsTakenOver(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		b := newBench(t)
+		agents := newFakeAgents(allWorkers...)
+		agents.unreachableFrom[2] = true // delays the successor's reservations
+		next := b.planner(2, agents)
+		b.accept("j", 16, repeatable)
+		b.eventually("the successor reserves", func() { agents.report(next) }, func() bool {
+			s, ok := next.Status(context.Background(), "j")
+			return ok && s.Phase == Starting
+		})
+		reserved, _ := callOnLoop(context.Background(), next, func() string {
+			return next.jobs["j"].coord.Plan().Members[0].Agent
+		})
+		old := b.planner(1, agents)
+		report := func() {
+			agents.report(old)
+			agents.report(next)
+		}
+		b.eventually("the predecessor starts the gang", report, func() bool { return agents.startsOf("j") == 2 })
+		b.eventually("the successor has seen its record", report, func() bool {
+			epoch, ok := callOnLoop(context.Background(), next, func() uint64 { return next.jobs["j"].stored.Epoch })
+			return ok && epoch == 1
+		})
+		agents.drain(reserved)
+		agents.reach(2)
+		b.eventually("the reservation is refused", report, func() bool {
+			return next.cfg.Metrics.Snapshot().Counters["reservations_refused"] > 0
+		})
+		b.eventually("the job ended", func() {
+			agents.finish()
+			report()
+		}, func() bool { return b.state("j").Ended() })
+		b.c.Check(b.state("j"), qt.Equals, jobs.Done)
+		b.c.Check(agents.startsOf("j"), qt.Equals, 2)
+	}
+}
+
 // A successor must take over a running gang from its record and the agents'
 // reports, neither starting it again nor losing its end.
 func TestSuccessorAdoptsRunningGang(t *testing.T) {
--- a/planner/record_watch.go
+++ b/planner/record_watch.go
@@ -131,6 +131,18 @@
 	return p.recordStartedByOther(j.stored)
 }
 
+// mustBeTakenOver reports whether the record names an attempt of another
+// planner, or a permit of one, that has not been resolved.
+func (p *Planner) mustBeTakenOver(j *job) bool {
+	if !p.startedByOther(j) {
+		return false
+	}
+	if j.stored.IsPermit() {
+		return !j.notFound
+	}
+	return j.endedAttempt != recordedPlan(j.stored.Record).ID
+}
+
 func (p *Planner) recordStartedByOther(r jobs.Stored) bool {
 	return r.State == jobs.Starting && r.Epoch != p.cfg.Epoch
 }
--- a/planner/scheduler_step.go
+++ b/planner/scheduler_step.go
@@ -90,9 +90,9 @@
 
 // planAttempt converts a placement into a plan for the agents. It returns
 // false if a worker is unknown, the job is ending or has an attempt already,
-// or its start can't be recorded now.
+// also one of another planner, or its start can't be recorded now.
 func (p *Planner) planAttempt(j *job, a scheduler.StartGang) (gang.Plan, bool) {
-	if j == nil || j.coord != nil || j.finalRecord != nil || p.storeUnavailable && !p.permitUsable(j) {
+	if j == nil || j.coord != nil || j.finalRecord != nil || p.mustBeTakenOver(j) || p.storeUnavailable && !p.permitUsable(j) {
 		return gang.Plan{}, false
 	}
 	p.lastAttemptNumber++
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -96,41 +96,6 @@
 	}
 }
 
-// stopOrphans stops tasks that belong to no coordinator and no record, left
-// over from attempts that ended while the agent was unreachable.
-func (p *Planner) stopOrphans(id string, w *worker) {
-	if !p.recordsLoaded {
-		return
-	}
-	for _, t := range w.lastReport.Tasks {
-		p.markUnresolvedAgain(t)
-		p.markOccupied(w, t)
-		if p.isExpectedTask(id, t) {
-			continue
-		}
-		if msg, ok := gang.OrphanStop(t, w.lastReport.Incarnation, p.cfg.Epoch); ok {
-			p.send(nil, id, msg)
-		}
-	}
-}
-
-// isExpectedTask reports whether the task belongs to an attempt that the
-// planner coordinates, that a record names or that a search may still need.
-func (p *Planner) isExpectedTask(agent string, t gang.Task) bool {
-	j := p.jobs[t.ID.Job]
-	if j == nil {
-		return false
-	}
-	if j.coord != nil {
-		return j.coord.Plan().ID == t.ID
-	}
-	if j.stored.IsPermit() {
-		return keepsTaskForPermit(j, t.ID)
-	}
-	r := j.stored.Record
-	return r.Epoch == t.ID.Epoch && r.Number == t.ID.Number && j.endedAttempt != t.ID
-}
-
 // handleAgentLost handles an agent that has not reported for the loss timeout
 // or has left.
 func (p *Planner) handleAgentLost(id string, w *worker) {
