--- a/planner/permit_test.go
+++ b/planner/permit_test.go
@@ -227,6 +227,7 @@
 	}
 	agents.finish()
 	b.eventually("the second runs", report, func() bool { return agents.largeJobRuns("waits") })
+	b.eventually("the end of the first is on record", report, func() bool { return !p.isLive("runs") })
 	b.server.SetFaults(standin.Faults{Down: standin.DownRefuse})
 	p.post(func() { p.jobs["waits"].stored.Started = time.Now().Add(-placementDelay) })
 	b.eventually("its placement is being written", report, func() bool { return p.isPermitVoid("waits") })
@@ -241,6 +242,12 @@
 	b.eventually("the second runs again", report, func() bool { return agents.largeJobRuns("waits") })
 }
 
+// isLive reports whether the planner has a job whose end is not on record.
+func (p *Planner) isLive(id string) bool {
+	live, _ := callOnLoop(context.Background(), p, func() bool { return p.jobs[id] != nil })
+	return live
+}
+
 func (p *Planner) isPermitVoid(id string) bool {
 	void := make(chan bool, 1)
 	p.post(func() { void <- p.jobs[id].permit.void })
