nodeagent: the registry is read only if known gateways do not help

Cause: an agent that had known no planner for 1.5 s listed the registry of all gateways, though gateways answered it, and again every 1.5 s. Without a planner every agent does so: the cost grows with workers times gateways.

Ruled out: a longer delay for all; after a replacement of all seeds the registry is the only way back.

Change: it is read after 1.5 s if no gateway has answered for as long, and after 6 s if gateways answer but know no planner.

The test counts reads in virtual time; the old code had no such condition.

--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -65,7 +65,10 @@
 	renewalThreshold = 3 * time.Second
 	// minExtraPollInterval is the minimum time between two extra polls.
 	minExtraPollInterval = 100 * time.Millisecond
-	// registryReadDelay is how long the planner must have been unknown before the registry is
-	// read, and the minimum time between two reads.
+	// registryReadDelay is how long the planner must have been unknown and no gateway have
+	// answered before the registry is read, and the minimum time between two reads.
 	registryReadDelay = 1500 * time.Millisecond
+	// registryFallbackDelay replaces it while gateways answer. It exceeds the time without a
+	// planner after one has failed.
+	registryFallbackDelay = 6 * time.Second
 )
--- a/nodeagent/planner_finder.go
+++ b/nodeagent/planner_finder.go
@@ -29,7 +29,8 @@
 	lastFailedAt   time.Duration
 	gateways       []string // most recently learned first
 	rotation       rotation.Selector
-	lostSince      time.Duration
+	lostSince      time.Duration // since when no planner is known; 0 if one is
+	answeredAt     time.Duration // when a gateway last answered a query
 	registryReadAt time.Duration
 }
 
@@ -130,6 +131,9 @@
 	if err != nil {
 		return nil
 	}
+	f.mu.Lock()
+	f.answeredAt = now()
+	f.mu.Unlock()
 	reply, _ := raw.(*link.PeerReply)
 	return reply
 }
@@ -203,23 +207,9 @@
 	}
 }
 
-// readRegistry reads the gateway registry if no planner has been found for a while: all seeds
-// may have been replaced.
+// readRegistry reads the gateway registry if necessary.
 func (f *plannerFinder) readRegistry() {
-	if f.cfg.ListGateways == nil {
-		return
-	}
-	checkedAt := now()
-	f.mu.Lock()
-	if f.lostSince == 0 {
-		f.lostSince = checkedAt
-	}
-	due := checkedAt-f.lostSince > registryReadDelay && checkedAt-f.registryReadAt > registryReadDelay
-	if due {
-		f.registryReadAt = checkedAt
-	}
-	f.mu.Unlock()
-	if !due {
+	if f.cfg.ListGateways == nil || !f.claimRegistryRead(now()) {
 		return
 	}
 	gateways, err := f.cfg.ListGateways()
@@ -229,3 +219,24 @@
 	}
 	f.addGateways(gateways)
 }
+
+// claimRegistryRead reports whether the registry is to be read now, and records that it is. That
+// is if no known gateway has answered for a while, since all of them may have been replaced. While
+// gateways answer but know no planner, the registry would not help, and all agents would read it
+// at once; it is then read only after registryFallbackDelay, in case these gateways are cut off.
+func (f *plannerFinder) claimRegistryRead(at time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostSince == 0 {
+		f.lostSince = at
+	}
+	delay := registryReadDelay
+	if at-f.answeredAt < registryReadDelay {
+		delay = registryFallbackDelay
+	}
+	if at-f.lostSince <= delay || at-f.registryReadAt <= delay {
+		return false
+	}
+	f.registryReadAt = at
+	return true
+}
--- a/nodeagent/planner_finder_test.go
+++ b/nodeagent/planner_finder_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -56,3 +57,25 @@
 	}
 	c.Check(asked, qt.HasLen, maxGateways)
 }
+
+// While there is no planner, all agents would read the registry, which lists all gateways. It is
+// read only if no known gateway answers, or if those that answer find no planner for long.
+func TestRegistryIsReadOnlyIfGatewaysDoNotHelp(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFinder()
+	start := time.Hour
+	c.Check(f.claimRegistryRead(start), qt.IsFalse)
+	c.Check(f.claimRegistryRead(start+registryReadDelay+time.Millisecond), qt.IsTrue, qt.Commentf("no gateway answers"))
+	c.Check(f.claimRegistryRead(start+registryReadDelay+2*time.Millisecond), qt.IsFalse, qt.Commentf("it was just read"))
+
+	f = newTestFinder()
+	c.Check(f.claimRegistryRead(start), qt.IsFalse)
+	reads := 0
+	for at := start; at < start+2*registryFallbackDelay; at += 100 * time.Millisecond {
+		f.answeredAt = at
+		if f.claimRegistryRead(at) {
+			reads++
+		}
+	}
+	c.Check(reads, qt.Equals, 1, qt.Commentf("gateways answer, but know no planner"))
+}
