gateway: a vacant planner lease is claimed in order

Cause: every gateway waits for the planner lease and claims it when it becomes vacant, also if a preferred successor has just deposed the planner.

Ruled out: a hand-over by a weak planner (a second takeover); capacities in the registry (not known where it matters, after a loss of all).

One that deposed the planner has waited already and claims at once. A claim without delay takes no second look at the lease.

--- a/gateway/failure_detector.go
+++ b/gateway/failure_detector.go
@@ -208,6 +208,7 @@
 // deposePlanner makes the waiting lease candidate of this gateway replace a planner that is
 // believed to have failed.
 func (g *Gateway) deposePlanner(planner string, epoch uint64) {
+	g.deposedAt.Store(int64(g.clock()))
 	if !g.plannerLease.ForceTakeover() {
 		return // the candidate waits for the store, or another gateway was faster
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,8 @@
 	// storeFailedAt is when the store last failed a call of this gateway, on the boot clock;
 	// zero if none has failed since the last write that it answered.
 	storeFailedAt    atomic.Int64
-	fetchingConfig   atomic.Bool // a configuration is being fetched from a peer
+	deposedAt        atomic.Int64 // when this gateway last deposed a planner, on the boot clock
+	fetchingConfig   atomic.Bool  // a configuration is being fetched from a peer
 	counters         Counters
 	jobWaits         metrics.LabeledLatencies // from acceptance to first start, by account and queue
 	jobCompletions   metrics.LabeledLatencies // from acceptance to end, by account, queue and state
@@ -75,6 +76,7 @@
 		Instance:         cfg.ID,
 		TTL:              plannerLeaseTTL,
 		RemoveStaleClaim: true,
+		ClaimDelay:       g.claimDelay,
 		MaxRetryDelay:    plannerLeaseMaxPause,
 		OnChange:         g.plannerLeaseChanged,
 		Log:              cfg.Log,
--- a/lease/candidate_actions.go
+++ b/lease/candidate_actions.go
@@ -51,7 +51,11 @@
 		if !vacant || c.opts.ClaimDelay == nil || delayed && !c.occupied {
 			return ev
 		}
-		sleepContext(ctx, c.opts.ClaimDelay())
+		delay := c.opts.ClaimDelay()
+		if delay == 0 {
+			return ev
+		}
+		sleepContext(ctx, delay)
 	}
 }
 
--- a/lease/candidate_options.go
+++ b/lease/candidate_options.go
@@ -30,8 +30,8 @@
 	// end of the leadership is reported at ValidUntil. It may be nil.
 	OnChange func(held Leadership, ok bool)
 	// ClaimDelay returns how long to leave a vacant election to other candidates before
-	// claiming it. It must not block; nil means no delay. It takes one more call to the
-	// store for a Candidate with a lease of its own.
+	// claiming it. It must not block; nil means no delay. A delay takes one more call to
+	// the store for a Candidate with a lease of its own.
 	ClaimDelay func() time.Duration
 	// RemoveStaleClaim deletes a holder key that an earlier process of the same
 	// Instance left behind, instead of waiting for its lease to expire. At most one
