--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -9,6 +9,8 @@
 	Relayed, Reports, Orders, Writes, WriteFailures, Terms              atomic.Int64
 	// PeerQueries and LivenessQueries count queries sent to other gateways.
 	PeerQueries, LivenessQueries atomic.Int64
+	// GatewaysLive is the current number of other gateways that this one has heard from lately.
+	GatewaysLive atomic.Int64
 	// StartsWithheld counts starts that were not sent because the cordons were too old.
 	StartsWithheld atomic.Int64
 	// ZonesCordoned is the current number of cordoned zones.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,6 +12,7 @@
 	for {
 		g.storeStatus.observeSelf(g.clock(), g.cfg.SinceStoreReply())
 		g.rankSuccessors()
+		g.counters.GatewaysLive.Store(int64(len(g.members.livePeers())))
 		g.queryPeers(g.peersToQuery(g.configStale()))
 		for _, address := range g.forgetSilent() {
 			go g.pool.Remove(address)
--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -45,7 +45,7 @@
 type Counters struct {
 	Starts, StartsRefused, StartsCordoned, StartsUnknown, Stops, StopsUnknown  atomic.Int64
 	Looks, LooksFailed, LooksPassedOver, Reports, ReportsFailed, Announcements atomic.Int64
-	Paces, PacesUnknown                                                        atomic.Int64
+	Paces, PacesUnknown, RegistryReads                                         atomic.Int64
 }
 
 // Start starts an Agent. The caller must call Stop.
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	a.pool = wire.NewPool(a.endpoint)
-	a.finder = newPlannerFinder(cfg, a.pool)
+	a.finder = newPlannerFinder(cfg, a.pool, &a.counters)
 	a.tomb.Go(a.run)
 	a.log.WithField("listen", a.endpoint.Addr()).Info("node agent started")
 	return a, nil
--- a/nodeagent/planner_finder.go
+++ b/nodeagent/planner_finder.go
@@ -16,9 +16,10 @@
 // plannerFinder keeps a list of gateways and determines which one is the planner. It is safe
 // for concurrent use.
 type plannerFinder struct {
-	cfg  Config
-	pool *wire.Pool
-	log  logrus.FieldLogger
+	cfg      Config
+	pool     *wire.Pool
+	counters *Counters
+	log      logrus.FieldLogger
 
 	mu      sync.Mutex
 	address string // of the planner; empty if not known
@@ -59,8 +60,8 @@
 	maxQueried = 4
 )
 
-func newPlannerFinder(cfg Config, pool *wire.Pool) *plannerFinder {
-	return &plannerFinder{cfg: cfg, pool: pool, log: cfg.Log, gateways: slices.Clone(cfg.Seeds)}
+func newPlannerFinder(cfg Config, pool *wire.Pool, counters *Counters) *plannerFinder {
+	return &plannerFinder{cfg: cfg, pool: pool, counters: counters, log: cfg.Log, gateways: slices.Clone(cfg.Seeds)}
 }
 
 // locate returns the planner's address. If it is not known, locate queries some of the known
@@ -212,6 +213,7 @@
 	if f.cfg.ListGateways == nil || !f.claimRegistryRead(now()) {
 		return
 	}
+	f.counters.RegistryReads.Add(1)
 	gateways, err := f.cfg.ListGateways()
 	if err != nil {
 		f.log.WithError(err).Info("failed to read gateway registry")
--- a/nodeagent/planner_finder_test.go
+++ b/nodeagent/planner_finder_test.go
@@ -11,7 +11,7 @@
 )
 
 func newTestFinder() *plannerFinder {
-	return newPlannerFinder(Config{Seeds: []string{"a", "b"}, Log: discardLogger()}, nil)
+	return newPlannerFinder(Config{Seeds: []string{"a", "b"}, Log: discardLogger()}, nil, &Counters{})
 }
 
 // Gateways name a failed planner until a new one has taken over. Retrying it at once would
