--- a/gateway/claim_delay.go
+++ b/gateway/claim_delay.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -41,14 +40,3 @@
 func (g *Gateway) weak() bool {
 	return g.cfg.PlanningCapacity > 0 && g.cfg.PlanningCapacity < minPromptCapacity
 }
-
-// successorRank returns the place of a gateway among the planner's preferred successors. Those
-// that are not named share the place after the last one.
-func (d *failureDetector) successorRank(address string) (rank int, named bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if rank := slices.Index(d.successors, address); rank >= 0 {
-		return rank, true
-	}
-	return len(d.successors), false
-}
--- a/gateway/failure_detector.go
+++ b/gateway/failure_detector.go
@@ -65,13 +65,26 @@
 	d.successors = successors
 }
 
+// successorRank returns the place of a gateway among the planner's preferred successors. Those
+// that are not named share the place after the last one.
+func (d *failureDetector) successorRank(address string) (rank int, named bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rank(address)
+}
+
+// rank is successorRank with the mutex held.
+func (d *failureDetector) rank(address string) (rank int, named bool) {
+	if rank := slices.Index(d.successors, address); rank >= 0 {
+		return rank, true
+	}
+	return len(d.successors), false
+}
+
 // timeout returns how long this gateway waits for an answer before it deposes the planner. The
 // first successor waits the shortest time. The mutex is held.
 func (d *failureDetector) timeout(self string) time.Duration {
-	rank := slices.Index(d.successors, self)
-	if rank < 0 {
-		rank = len(d.successors)
-	}
+	rank, _ := d.rank(self)
 	base := min(max(minDetectionTimeout, detectionLatencyFactor*d.peakLatency), plannerLeaseTTL)
 	return base + time.Duration(rank)*successorStagger
 }
@@ -103,7 +116,7 @@
 	if !d.tracks(planner, epoch) {
 		return true
 	}
-	if len(d.successors) == 0 || slices.Contains(d.successors, self) {
+	if _, named := d.rank(self); named || len(d.successors) == 0 {
 		return now-d.lastQueryAt >= livenessInterval
 	}
 	return now-max(d.lastQueryAt, d.lastReplyAt) >= slowLivenessInterval
