--- a/gateway/failure_detector_test.go
+++ b/gateway/failure_detector_test.go
@@ -139,3 +139,44 @@
 	c.Check(d.suspects(now, "own"), qt.IsFalse)
 	c.Check(d.suspects(now+second, "own"), qt.IsFalse)
 }
+
+// The planner's replies to peer queries show that it is active, so most gateways need not query
+// its liveness as well. When the replies end, its failure is still detected.
+func TestPeerRepliesReplaceLivenessQueries(t *testing.T) {
+	c := qt.New(t)
+	d := &failureDetector{}
+	d.setSuccessors([]string{"a", "b", "c"})
+	d.recordQuery(second, "p", 1) // a new planner is queried once
+	queries := 0
+	simulate := func(begin, end time.Duration, answers bool) (suspected bool) {
+		for now := begin; now < end; now += livenessInterval {
+			if d.suspects(now, "own") {
+				return true
+			}
+			if answers && now%peerInterval < livenessInterval {
+				d.recordPeerReply(now, "p", 1)
+			}
+			if d.shouldQuery(now, "own", "p", 1) {
+				queries++
+				d.recordQuery(now, "p", 1)
+			}
+		}
+		return false
+	}
+	c.Check(simulate(second, 5*second, true), qt.IsFalse)
+	c.Check(queries, qt.Equals, 0)
+	c.Check(simulate(5*second, 7*second, false), qt.IsTrue)
+	c.Check(queries > 0, qt.IsTrue)
+}
+
+// A gateway that replies but does not plan is no sign that the planner is active.
+func TestReplyOfInactivePlannerIsNoSignOfLife(t *testing.T) {
+	c := qt.New(t)
+	d := &failureDetector{}
+	simulateQueries(d, second, 2*second, 2*second)
+	for now := 2 * second; now < 3*second; now += livenessInterval {
+		d.recordQuery(now, "p", 1)
+		d.recordPeerReply(now, "p", 0)
+	}
+	c.Check(d.suspects(3*second, "own"), qt.IsTrue)
+}
