nodeagent: failed reports back off

Cause: an agent without a planner searched again 80 ms after each failure, by queries to four gateways: about fifty a second. While a whole fleet has no planner for seconds that is 55,000 queries a second at 184 gateways (worked out); and agents that know a planner which is still reading the records send it twelve reports a second each.

Ruled out: fewer gateways a search (half of them may be gone); a fixed longer pause (a takeover takes less than a second).

Change: the pause grows from 80 to 400 ms, spread by half.

--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -30,8 +30,11 @@
 	reportInterval = 500 * time.Millisecond
 	// reportTimeout bounds one report, including the planner's wait for the store.
 	reportTimeout = 900 * time.Millisecond
-	// plannerRetryDelay is the pause before a failed report is sent again.
-	plannerRetryDelay = 80 * time.Millisecond
+	// minReportRetry and maxReportRetry bound the exponential backoff of failed reports. Each
+	// attempt without a known planner queries several gateways, and all agents of a fleet may be
+	// without one at the same time.
+	minReportRetry = 80 * time.Millisecond
+	maxReportRetry = 400 * time.Millisecond
 	// pollWait is how long a poll waits for a run to end. Each poll renews the lease and
 	// returns the progress of the runs.
 	pollWait = time.Second
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/eelgrasshub/eelgrasshub/engine"
 	"github.com/eelgrasshub/eelgrasshub/link"
 )
@@ -13,6 +15,7 @@
 func (a *Agent) reportLoop() error {
 	timer := time.NewTimer(reportInterval)
 	defer timer.Stop()
+	retry := newReportBackoff()
 	for a.tomb.Alive() {
 		select {
 		case <-a.reportPending:
@@ -20,28 +23,40 @@
 		case <-a.tomb.Dying():
 			return nil
 		}
-		a.sendReports()
+		if a.sendReports() {
+			retry.Reset()
+		} else {
+			a.retryReport(retry.NextBackOff())
+		}
 		timer.Reset(reportInterval)
 	}
 	return nil
 }
 
-func (a *Agent) sendReports() {
+// sendReports sends all pending reports. It returns false after the first one that failed.
+func (a *Agent) sendReports() bool {
 	for _, r := range a.pendingReports() {
 		reply, sentAt, ok := a.sendReport(r)
 		if !ok {
 			a.counters.ReportsFailed.Add(1)
-			a.retryReport()
-			return
+			return false
 		}
 		a.handleReply(r, reply, sentAt)
 	}
+	return true
+}
+
+func newReportBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = minReportRetry
+	b.MaxInterval = maxReportRetry
+	return b
 }
 
-// retryReport triggers another report after plannerRetryDelay.
-func (a *Agent) retryReport() {
+// retryReport triggers another report after a delay.
+func (a *Agent) retryReport(delay time.Duration) {
 	select {
-	case <-time.After(plannerRetryDelay):
+	case <-time.After(delay):
 	case <-a.tomb.Dying():
 	}
 	a.requestReport()
