gateway: only replies show that the store serves nobody

Cause: since the planner hears from all gateways by their queries, what those tell counted as fresh when they were handled. A planner that was suspended finds queries of an outage that is over waiting for it: for 1.2 s it could take it that no gateway is served, and extend grants that its successor counts as ended.

Queries of others serve to rank successors and to choose relays, and veto an extension. Contact with the predecessor is dated by the query too.

Cost: 2n queries a second, by the planner alone, while the store does not serve it. The simulation has an outage for all with 3 to 2,000 gateways.

--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -13,7 +13,8 @@
 //
 // Each gateway queries the planner, whose reply has all that it needs. Others are queried only for
 // what the planner lacks, and then a fixed number of them, so a gateway's traffic does not depend
-// on the size of the fleet. A new planner is announced from gateway to gateway.
+// on the size of the fleet. Only a planner that the store does not serve queries all gateways. A
+// new planner is announced from gateway to gateway.
 type peering struct {
 	self  string
 	clock func() time.Duration
@@ -47,9 +48,13 @@
 }
 
 // peersToQuery returns the gateways to query in a round: the planner, and a few others if the
-// planner is unknown or no longer active, or if configStale is set.
-func (p *peering) peersToQuery(configStale bool) []string {
+// planner is unknown or no longer active, or if configStale is set. A planner that the store does
+// not serve queries all gateways, since it may extend grants only while none of them is served.
+func (p *peering) peersToQuery(configStale, storeReachable bool) []string {
 	_, planner := p.planner.get()
+	if planner == p.self && !storeReachable {
+		return appendMissing(p.members.livePeers(), p.members.chooseContacts(searchFanout))
+	}
 	plannerAnswers := planner != "" && planner != p.self
 	var out []string
 	if plannerAnswers {
@@ -96,23 +101,23 @@
 	if msg.Address != "" {
 		p.members.markHeard(msg.Address)
 		p.members.setCapacity(msg.Address, msg.PlanningCapacity)
-		p.storeStatus.observePeer(p.clock(), msg.Address, !msg.StoreUnreachable)
+		p.storeStatus.observeQuery(p.clock(), msg.Address, !msg.StoreUnreachable)
 	}
 	return p.learnPlanner(msg.Epoch, msg.Planner)
 }
 
-// mergeReply merges the reply of another gateway. It returns the peers to which to announce a
-// planner that was not known.
-func (p *peering) mergeReply(address string, reply *link.PeerReply) (announceTo []string) {
-	now := p.clock()
+// mergeReply merges the reply of another gateway to a query sent at the given time. What the reply
+// shows is dated back to then, since this process may have been suspended meanwhile. It returns the
+// peers to which to announce a planner that was not known.
+func (p *peering) mergeReply(address string, reply *link.PeerReply, sent time.Duration) (announceTo []string) {
 	p.members.markHeard(address)
 	if reply.Successors != nil {
 		p.failureDetector.setSuccessors(reply.Successors)
 	}
-	p.storeStatus.observePeer(now, address, reply.StoreReachable)
+	p.storeStatus.observePeer(sent, address, reply.StoreReachable)
 	if reply.Planner == address {
-		p.storeStatus.observePlanner(now, reply.Epoch)
-		p.failureDetector.recordPeerReply(now, address, reply.PlanningEpoch)
+		p.storeStatus.observePlanner(sent, reply.Epoch)
+		p.failureDetector.recordPeerReply(p.clock(), address, reply.PlanningEpoch)
 	}
 	for _, m := range reply.Members {
 		if m != address {
--- a/gateway/peering_sim_test.go
+++ b/gateway/peering_sim_test.go
@@ -31,7 +31,8 @@
 	up          bool
 	epoch       uint64 // under which it plans, zero if it does not
 	configStale bool
-	sent        int // queries
+	unserved    bool // the store does not serve it
+	sent        int  // queries
 }
 
 // linkDelay is the time that a message takes.
@@ -92,7 +93,7 @@
 func (f *fleet) round(node *fleetNode) {
 	if node.up {
 		node.rankSuccessors()
-		f.query(node, node.peersToQuery(node.configStale))
+		f.query(node, node.peersToQuery(node.configStale, !node.unserved))
 		node.forgetSilent()
 	}
 	f.after(peerInterval, func() { f.round(node) })
@@ -102,12 +103,13 @@
 	for _, address := range addresses {
 		from.sent++
 		epoch, planner := from.planner.get()
-		msg := &link.PeerQuery{Address: from.self, Epoch: epoch, Planner: planner, PlanningCapacity: 1}
-		f.after(linkDelay, func() { f.deliver(from, address, msg) })
+		msg := &link.PeerQuery{Address: from.self, Epoch: epoch, Planner: planner, PlanningCapacity: 1, StoreUnreachable: from.unserved}
+		sent := f.now
+		f.after(linkDelay, func() { f.deliver(from, address, msg, sent) })
 	}
 }
 
-func (f *fleet) deliver(from *fleetNode, address string, msg *link.PeerQuery) {
+func (f *fleet) deliver(from *fleetNode, address string, msg *link.PeerQuery, sent time.Duration) {
 	to := f.byName[address]
 	if to == nil || !to.up {
 		f.after(peerTimeout, func() {
@@ -118,10 +120,10 @@
 		return
 	}
 	f.query(to, to.mergeQuery(msg))
-	reply := to.reply(true)
+	reply := to.reply(!to.unserved)
 	f.after(linkDelay, func() {
 		if from.up {
-			f.query(from, from.mergeReply(address, reply))
+			f.query(from, from.mergeReply(address, reply, sent))
 		}
 	})
 }
@@ -267,6 +269,30 @@
 	})
 }
 
+// In an outage of the store for all, the planner learns from every gateway that it is not served,
+// and soon that one of them is served again. The others send no more than in any search.
+func TestPlannerLearnsWhomTheStoreServes(t *testing.T) {
+	forEachSize(t, func(c *qt.C, n int) {
+		f := startFleet(c, n)
+		planner := f.nodes[n/2]
+		allUnserved := func() bool { return planner.storeStatus.allUnserved(f.now, planner.members.livePeers()) }
+		c.Check(allUnserved(), qt.IsFalse)
+		for _, node := range f.nodes {
+			node.unserved, node.configStale = true, true
+		}
+		f.run(time.Second)
+		c.Check(allUnserved(), qt.IsTrue)
+		other := f.nodes[0]
+		sent := other.sent
+		f.run(time.Second)
+		c.Check(other.sent-sent <= maxQueriesInSearch, qt.IsTrue, qt.Commentf("%d queries in a second", other.sent-sent))
+		c.Check(allUnserved(), qt.IsTrue)
+		other.unserved = false
+		f.run(peerInterval + 10*ms)
+		c.Check(allUnserved(), qt.IsFalse)
+	})
+}
+
 // containsLive reports whether a gateway counts all the given ones as live.
 func containsLive(node *fleetNode, live []*fleetNode) bool {
 	known := map[string]bool{node.self: true}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,7 +13,7 @@
 		g.storeStatus.observeSelf(g.clock(), g.cfg.SinceStoreReply())
 		g.rankSuccessors()
 		g.counters.GatewaysLive.Store(int64(len(g.members.livePeers())))
-		g.queryPeers(g.peersToQuery(g.configStale()))
+		g.queryPeers(g.peersToQuery(g.configStale(), g.storeReachable()))
 		for _, address := range g.forgetSilent() {
 			go g.pool.Remove(address)
 		}
@@ -79,7 +79,7 @@
 	if !ok {
 		return
 	}
-	g.queryPeers(g.mergeReply(address, reply))
+	g.queryPeers(g.mergeReply(address, reply, sent))
 	g.mergePeerConfig(reply, sent)
 	g.mergePeerCordons(reply, sent)
 	if !msg.WantConfigText && g.needsConfigOf(reply.ConfigVersion) {
--- a/gateway/store_status.go
+++ b/gateway/store_status.go
@@ -19,10 +19,9 @@
 	// storeReplyTTL is how recently the store must have answered to count as available; its
 	// watches return once a second.
 	storeReplyTTL = 1600 * time.Millisecond
-	// plannerContactTTL is how recently the planner must have answered a gateway for it to know
-	// that the planner counts it as live: memberTTL, less the time that the answer may have taken
-	// and a margin.
-	plannerContactTTL = memberTTL - peerTimeout - time.Second
+	// plannerContactTTL is how long after a query that the planner answered a gateway knows that
+	// the planner counts it as live: memberTTL, less a margin.
+	plannerContactTTL = memberTTL - time.Second
 )
 
 // storeStatus tracks whether the store serves this gateway and its peers. It is safe for
@@ -30,10 +29,14 @@
 type storeStatus struct {
 	startedAt time.Duration
 
-	mu                sync.Mutex
-	peers             map[string]peerStoreStatus
+	mu sync.Mutex
+	// replies are the peers' replies to queries of this gateway, and queries what peers told in
+	// theirs. A query may have waited for long while this process was suspended, so only a reply
+	// shows that a peer is not served.
+	replies           map[string]peerStoreStatus
+	queries           map[string]peerStoreStatus
 	lastUnservedAt    time.Duration // when the store last did not serve this gateway
-	plannerAnsweredAt time.Duration // when a planner last answered this gateway
+	plannerAnsweredAt time.Duration // when the last query that a planner answered was sent
 	plannerEpoch      uint64        // of that planner
 }
 
@@ -44,7 +47,7 @@
 }
 
 func newStoreStatus(now time.Duration) *storeStatus {
-	return &storeStatus{startedAt: now, lastUnservedAt: now, peers: map[string]peerStoreStatus{}}
+	return &storeStatus{startedAt: now, lastUnservedAt: now, replies: map[string]peerStoreStatus{}, queries: map[string]peerStoreStatus{}}
 }
 
 // observeSelf records the time since the store last answered this gateway.
@@ -56,20 +59,27 @@
 	}
 }
 
-// observePeer records a peer's report.
-func (s *storeStatus) observePeer(now time.Duration, address string, served bool) {
+// observePeer records a peer's reply to a query sent at the given time.
+func (s *storeStatus) observePeer(sent time.Duration, address string, served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers[address] = peerStoreStatus{at: now, served: served}
+	s.replies[address] = peerStoreStatus{at: sent, served: served}
 }
 
-// observePlanner records an answer of the planner with the given epoch, which knows from now on
-// that this gateway is live.
-func (s *storeStatus) observePlanner(now time.Duration, epoch uint64) {
+// observeQuery records what a peer told in a query.
+func (s *storeStatus) observeQuery(now time.Duration, address string, served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queries[address] = peerStoreStatus{at: now, served: served}
+}
+
+// observePlanner records that the planner with the given epoch answered a query sent at the given
+// time, and so knew then or later that this gateway is live.
+func (s *storeStatus) observePlanner(sent time.Duration, epoch uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if epoch >= s.plannerEpoch {
-		s.plannerAnsweredAt, s.plannerEpoch = now, epoch
+		s.plannerAnsweredAt, s.plannerEpoch = sent, epoch
 	}
 }
 
@@ -78,30 +88,34 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, address := range addresses {
-		delete(s.peers, address)
+		delete(s.replies, address)
+		delete(s.queries, address)
 	}
 }
 
-// allUnserved reports whether each of the given peers has recently reported that the store does
-// not serve it.
+// allUnserved reports whether each of the given peers has recently replied that the store does not
+// serve it, and has not told otherwise since.
 func (s *storeStatus) allUnserved(now time.Duration, peers []string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, address := range peers {
-		a, ok := s.peers[address]
-		if !ok || a.served || now-a.at > peerStatusTTL {
+		reply, query := s.replies[address], s.queries[address]
+		if reply.at == 0 || reply.served || now-reply.at > peerStatusTTL || query.served && query.at >= reply.at {
 			return false
 		}
 	}
 	return true
 }
 
-// peerUnserved reports whether a peer has recently reported that the store does not serve it.
+// peerUnserved reports whether a peer has recently told that the store does not serve it.
 func (s *storeStatus) peerUnserved(now time.Duration, address string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a, ok := s.peers[address]
-	return ok && !a.served && now-a.at <= peerStatusTTL
+	last := s.replies[address]
+	if query := s.queries[address]; query.at > last.at {
+		last = query
+	}
+	return last.at != 0 && !last.served && now-last.at <= peerStatusTTL
 }
 
 // predecessorExtension returns how long the predecessor with the given epoch may have granted
--- a/gateway/store_status_test.go
+++ b/gateway/store_status_test.go
@@ -87,3 +87,17 @@
 	s.observePlanner(now-memberTTL+second, 4)
 	qt.Check(t, s.predecessorExtension(now, 4), qt.Equals, maxGrantExtension)
 }
+
+// A planner that was suspended handles the queries that arrived meanwhile. They tell what was so
+// before, not that the store serves nobody now.
+func TestQueriesDoNotProveThatPeersAreUnserved(t *testing.T) {
+	c := qt.New(t)
+	s := newStoreStatus(0)
+	s.observeQuery(second, "b", false)
+	c.Check(s.allUnserved(second, []string{"b"}), qt.IsFalse)
+	c.Check(s.peerUnserved(second, "b"), qt.IsTrue, qt.Commentf("calls are relayed elsewhere"))
+	s.observePeer(2*second, "b", false)
+	c.Check(s.allUnserved(2*second, []string{"b"}), qt.IsTrue)
+	s.observeQuery(2*second, "b", true)
+	c.Check(s.allUnserved(2*second, []string{"b"}), qt.IsFalse, qt.Commentf("the store serves it again"))
+}
