--- a/gateway/claim_delay.go
+++ b/gateway/claim_delay.go
@@ -9,8 +9,8 @@
 // it when it becomes vacant, and most of a large fleet may be too weak to plan for it.
 const (
 	// minPromptCapacity is the planning capacity below which a gateway lets stronger ones claim
-	// the lease first, if the planner has not named it as a successor. A planner takes about
-	// half a core with 800 workers.
+	// the lease first, if the planner has not named it as a successor. A planner of several
+	// hundred workers needs more than that.
 	minPromptCapacity = 0.25
 	// weakClaimDelay is how long it does so. It exceeds the time to claim a lease.
 	weakClaimDelay = 2 * successorStagger
--- a/link/peer.go
+++ b/link/peer.go
@@ -3,7 +3,7 @@
 import "time"
 
 // PeerQuery is sent by a gateway to another to exchange state, and by a node agent that is
-// looking for the planner.
+// looking for the planner. Key 5 is reserved.
 type PeerQuery struct {
 	// Address is the sender's if it is a gateway, else empty.
 	Address       string `cbor:"1,keyasint,omitempty"`
