lease, gateway: a late suspicion does not depose the new planner

Cause: ForceTakeover deleted whichever holder key it found. A successor that had not heard yet of the planner that replaced the suspected one deposed that one, which was reading the records.

Ruled out: a longer wait before the deposition; an announcement to all.

Change: ForceTakeover names the epoch of the dead leader, and the candidate reads the epoch key before it deletes the claim. A new planner announces itself to the successors that its predecessor named as well. A gateway logs each new planner that it learns of.

Test: three requests to depose epoch 1 while epoch 2 leads; without the guard the first one deposes it.

--- a/gateway/failure_detector.go
+++ b/gateway/failure_detector.go
@@ -65,6 +65,13 @@
 	d.successors = successors
 }
 
+// namedSuccessors returns the preferred successors that a planner named last.
+func (d *failureDetector) namedSuccessors() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.successors)
+}
+
 // successorRank returns the place of a gateway among the planner's preferred successors. Those
 // that are not named share the place after the last one.
 func (d *failureDetector) successorRank(address string) (rank int, named bool) {
@@ -222,7 +229,7 @@
 // believed to have failed.
 func (g *Gateway) deposePlanner(planner string, epoch uint64) {
 	g.deposedAt.Store(int64(g.clock()))
-	if !g.plannerLease.ForceTakeover() {
+	if !g.plannerLease.ForceTakeover(epoch) {
 		return // the candidate waits for the store, or another gateway was faster
 	}
 	g.log.WithField("planner", planner).WithField("epoch", epoch).Warn("planner is unresponsive; acquiring the planner lease")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 		jobStore:      records.NewJobStore(cfg.Store),
 	}
 	g.peering = newPeering(cfg.Listen, cfg.Seeds, lease.BootTime, g.activeEpoch)
+	g.onNewPlanner = g.logNewPlanner
 	peer := wire.Peer{ID: cfg.ID, Role: wire.RoleEntry, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region, Zone: cfg.Zone, Address: cfg.Listen}
 	id, err := wire.NewIdentity(peer, cfg.ClusterKey)
 	if err != nil {
@@ -220,6 +221,10 @@
 	g.queryPeers(announceTo)
 }
 
+func (g *Gateway) logNewPlanner(epoch uint64, planner string) {
+	g.log.WithField("planner", planner).WithField("epoch", epoch).Info("new planner")
+}
+
 // Stopping reports whether the gateway is draining or stopped.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -25,6 +25,8 @@
 	storeStatus     *storeStatus
 	failureDetector failureDetector
 	successors      atomic.Pointer[[]string] // preferred successors while this gateway is the planner
+	// onNewPlanner is called for each planner that was not known; it may be nil.
+	onNewPlanner func(epoch uint64, planner string)
 }
 
 const (
@@ -87,12 +89,20 @@
 }
 
 // learnPlanner takes over a planner that is newer than the known one. It returns the peers to
-// which to announce it.
+// which to announce it: contacts, and the successors that its predecessor named, which would
+// depose the predecessor otherwise.
 func (p *peering) learnPlanner(epoch uint64, planner string) (announceTo []string) {
 	if !p.planner.update(epoch, planner) {
 		return nil
 	}
-	return slices.DeleteFunc(p.members.chooseContacts(announceFanout), func(a string) bool { return a == planner })
+	if p.onNewPlanner != nil {
+		p.onNewPlanner(epoch, planner)
+	}
+	announceTo = p.members.chooseContacts(announceFanout)
+	if planner == p.self {
+		announceTo = appendMissing(announceTo, p.failureDetector.namedSuccessors())
+	}
+	return slices.DeleteFunc(announceTo, func(a string) bool { return a == planner })
 }
 
 // mergeQuery merges what a query of another gateway tells of it. It returns the peers to which to
--- a/lease/candidate.go
+++ b/lease/candidate.go
@@ -27,7 +27,7 @@
 	epochObserved     chan struct{}
 	yieldEpoch        atomic.Uint64 // epoch last passed to Yield
 	yieldRequested    chan struct{}
-	takeoverRequested chan struct{} // unbuffered: only a wait in progress receives it
+	takeoverRequested chan uint64 // epoch of the dead leader; unbuffered: only a wait in progress receives it
 
 	// The fields below are owned by the goroutine of run.
 	elector    *Elector
@@ -49,7 +49,7 @@
 		opts:              opts,
 		epochObserved:     make(chan struct{}, 1),
 		yieldRequested:    make(chan struct{}, 1),
-		takeoverRequested: make(chan struct{}),
+		takeoverRequested: make(chan uint64),
 		elector:           NewElector(opts.TTL),
 		backOff:           backoff.NewExponentialBackOff(),
 	}
@@ -69,7 +69,7 @@
 	if s := c.opts.Session; s != nil {
 		return &sharedLeaseStore{session: s, holderKey: key, onOccupied: c.noteOccupied}
 	}
-	return &ownLeaseStore{store: c.opts.Store, holderKey: key, ttl: c.opts.TTL, clock: c.opts.Clock, onOccupied: c.noteOccupied, isStaleClaim: c.isStaleClaim, takeoverRequested: c.takeoverRequested}
+	return &ownLeaseStore{store: c.opts.Store, holderKey: key, epochKey: epochKey(c.opts.Election), ttl: c.opts.TTL, clock: c.opts.Clock, onOccupied: c.noteOccupied, isStaleClaim: c.isStaleClaim, takeoverRequested: c.takeoverRequested}
 }
 
 // isStaleClaim reports whether the value of the holder key was written by an earlier
@@ -127,17 +127,17 @@
 	}
 }
 
-// ForceTakeover tells a waiting candidate that the current leader is believed to be
-// dead: the candidate deletes the leader's holder key instead of waiting for its lease
-// to expire. It reports whether the candidate was waiting. It has no effect with a
-// Session.
+// ForceTakeover tells a waiting candidate that the leader with the given epoch is believed to be
+// dead: the candidate deletes the leader's holder key instead of waiting for its lease to expire,
+// unless a leader with a higher epoch has taken over. It reports whether the candidate was waiting.
+// It has no effect with a Session.
 //
 // A leader that is alive may act as leader until its next renewal, for at most one TTL.
 // Use this only for elections whose every effect is guarded by the epoch, and allow for
 // what a live predecessor may still grant in that time.
-func (c *Candidate) ForceTakeover() bool {
+func (c *Candidate) ForceTakeover(epoch uint64) bool {
 	select {
-	case c.takeoverRequested <- struct{}{}:
+	case c.takeoverRequested <- epoch:
 		return true
 	default:
 		return false
--- a/lease/handover_test.go
+++ b/lease/handover_test.go
@@ -45,8 +45,8 @@
 	first, gained := env.startCandidate(t, 3*time.Second)
 	c.Assert((<-gained).Epoch, qt.Equals, uint64(1))
 	second, gainedBySecond := env.startCandidate(t, 10*time.Minute)
-	c.Assert(first.ForceTakeover(), qt.IsFalse, qt.Commentf("the leader itself waits for no vacancy"))
-	for !second.ForceTakeover() {
+	c.Assert(first.ForceTakeover(1), qt.IsFalse, qt.Commentf("the leader itself waits for no vacancy"))
+	for !second.ForceTakeover(1) {
 		time.Sleep(time.Millisecond) // it does not wait for a vacancy yet
 	}
 	c.Assert((<-gainedBySecond).Epoch, qt.Equals, uint64(2))
@@ -59,3 +59,35 @@
 	_, held := second.Current()
 	c.Check(held, qt.IsTrue)
 }
+
+// Several candidates may believe that the same leader is dead. One that has not heard yet that
+// another took over must not depose that one.
+func TestForceTakeoverSparesLaterLeader(t *testing.T) {
+	c := qt.New(t)
+	env := newTestEnv(t, standin.Options{})
+	first, gained := env.startCandidate(t, 3*time.Second)
+	c.Assert((<-gained).Epoch, qt.Equals, uint64(1))
+	second, gainedBySecond := env.startCandidate(t, 10*time.Minute)
+	for !second.ForceTakeover(1) {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert((<-gainedBySecond).Epoch, qt.Equals, uint64(2))
+	requests := 0
+	for deadline := time.Now().Add(5 * time.Second); requests < 3 && time.Now().Before(deadline); {
+		if first.ForceTakeover(1) {
+			requests++
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(requests, qt.Equals, 3)
+	held, ok := second.Current()
+	c.Check(ok, qt.IsTrue)
+	c.Check(held.Epoch, qt.Equals, uint64(2))
+	select {
+	case ev := <-gainedBySecond:
+		c.Fatalf("the later leader was deposed: %+v", ev)
+	case ev := <-gained:
+		c.Fatalf("the first leader took over again: %+v", ev)
+	default:
+	}
+}
--- a/lease/own_lease_store.go
+++ b/lease/own_lease_store.go
@@ -13,6 +13,7 @@
 type ownLeaseStore struct {
 	store     store.Store
 	holderKey string
+	epochKey  string
 	ttl       time.Duration
 	clock     func() time.Duration
 	// onOccupied is called when another process is found to be the leader.
@@ -20,9 +21,8 @@
 	// isStaleClaim reports whether the value of the holder key was left behind by an
 	// earlier process of this instance.
 	isStaleClaim func(value []byte) bool
-	// takeoverRequested receives a value when the current leader's holder key is to be
-	// deleted.
-	takeoverRequested <-chan struct{}
+	// takeoverRequested receives the epoch of a leader whose holder key is to be deleted.
+	takeoverRequested <-chan uint64
 }
 
 // awaitVacant lists the holder key and watches it while it exists. A waiting candidate
@@ -39,11 +39,11 @@
 		return o.removeClaim(ctx, snap.Keys[0])
 	}
 	o.onOccupied()
-	switch result, err := o.watchHolderKey(ctx, snap.At+1); {
+	switch result, deadEpoch, err := o.watchHolderKey(ctx, snap.At+1); {
 	case result == holderKeyDeleted:
 		return Vacant{}
 	case result == takeoverForced:
-		return o.removeClaim(ctx, snap.Keys[0])
+		return o.removeDeadClaim(ctx, snap.Keys[0], deadEpoch)
 	default:
 		return failedEvent(err)
 	}
@@ -58,21 +58,22 @@
 	takeoverForced // the leader is believed to be dead
 )
 
-// watchHolderKey waits until the holder key is deleted or a takeover is requested.
-func (o *ownLeaseStore) watchHolderKey(ctx context.Context, from store.Revision) (watchResult, error) {
+// watchHolderKey waits until the holder key is deleted or a takeover is requested. In the latter
+// case it returns the epoch of the leader that is believed to be dead.
+func (o *ownLeaseStore) watchHolderKey(ctx context.Context, from store.Revision) (result watchResult, deadEpoch uint64, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var takeover atomic.Bool
+	var takeover atomic.Pointer[uint64]
 	go func() {
 		select {
-		case <-o.takeoverRequested:
-			takeover.Store(true)
+		case epoch := <-o.takeoverRequested:
+			takeover.Store(&epoch)
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
 	deleted := false
-	err := o.store.Watch(ctx, o.holderKey, from, func(b store.WatchBatch) {
+	err = o.store.Watch(ctx, o.holderKey, from, func(b store.WatchBatch) {
 		for _, e := range b.Events {
 			deleted = e.Deleted
 		}
@@ -80,13 +81,33 @@
 			cancel()
 		}
 	})
+	epoch := takeover.Load()
 	switch {
 	case deleted:
-		return holderKeyDeleted, nil
-	case takeover.Load():
-		return takeoverForced, nil
+		return holderKeyDeleted, 0, nil
+	case epoch != nil:
+		return takeoverForced, *epoch, nil
+	}
+	return watchFailed, 0, err
+}
+
+// removeDeadClaim deletes the holder key of a leader that is believed to be dead, unless a leader
+// with a higher epoch holds it: whoever asked may not know of that one yet.
+func (o *ownLeaseStore) removeDeadClaim(ctx context.Context, kv store.KeyValue, deadEpoch uint64) Event {
+	last, ok, err := o.store.Get(ctx, o.epochKey)
+	if err != nil {
+		return failedEvent(err)
+	}
+	if ok {
+		epoch, err := ParseEpoch(last.Value)
+		if err != nil {
+			return failedEvent(err)
+		}
+		if epoch > deadEpoch {
+			return Failed{}
+		}
 	}
-	return watchFailed, err
+	return o.removeClaim(ctx, kv)
 }
 
 // removeClaim deletes the holder key of a leader that is dead or believed to be, so
