gateway: seeds and restarted gateways are contacts like others

Cause: seeds were excluded from the contacts that a gateway keeps, since all gateways have the same; so no announcement of a new planner reached a seed. A gateway that did not answer once, as while it starts, came after all others for good, and so was nobody's contact either.

Ruled out: announcements to all; more contacts alone (six each, and the seed still had none).

Change: contacts are kept only once 64 peers are known, and drawn from all of them; seeds that nobody was heard of come last. A new planner is announced to six.

Tests: seeds are the contacts of one to thirty of 200 gateways; a peer that failed is chosen again.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -21,8 +21,7 @@
 	// ring has the known gateways and this one in the order in which sample names them.
 	ring      []*member
 	nextNamed int
-	// contacts are the peers that are queried if the planner does not help. Seeds are not among
-	// them: they are the same for all gateways, which would all query them at once.
+	// contacts are the peers that are queried if the planner does not help.
 	contacts []string
 }
 
@@ -33,7 +32,7 @@
 	seed     bool          // it is never forgotten
 	heardAt  time.Duration // a message of the gateway arrived
 	namedAt  time.Duration // another gateway, or the registry, named it
-	failedAt time.Duration // it last did not answer; zero if it was heard from since
+	failedAt time.Duration // it did not answer; zero if it was heard from since
 	capacity float64       // its Config.PlanningCapacity
 }
 
@@ -43,6 +42,9 @@
 	maxSampleSize = 6
 	// maxSuccessors is how many preferred successors the planner names.
 	maxSuccessors = 3
+	// minChoiceFactor is how many times as many peers must be known as contacts are needed for
+	// contacts to be kept. With a small choice, too many gateways would keep the seeds.
+	minChoiceFactor = 16
 	// forgetAfter is how long a gateway that is not heard from or named any more remains a
 	// candidate for queries. If many instances fail at once, the others still know each other.
 	forgetAfter = time.Minute
@@ -195,7 +197,8 @@
 }
 
 // chooseContacts returns up to n peers to query. It returns the same ones as long as they answer,
-// so that a gateway has connections to few others.
+// so that a gateway has connections to few others. They are not kept while few peers are known: a
+// gateway that has just started knows only the seeds, which are the same for all gateways.
 func (m *members) chooseContacts(n int) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -203,10 +206,23 @@
 		return slices.Clone(m.contacts[:n])
 	}
 	out := m.fill(slices.Clone(m.contacts), n, func(string) bool { return true })
-	m.contacts = slices.DeleteFunc(slices.Clone(out), func(a string) bool { return m.known[a].seed })
+	if m.countSeen() >= minChoiceFactor*n {
+		m.contacts = slices.Clone(out)
+	}
 	return out
 }
 
+// countSeen returns how many peers were heard from or named. The mutex is held.
+func (m *members) countSeen() int {
+	n := 0
+	for _, p := range m.known {
+		if p.lastSign() != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // choose returns up to n eligible peers, contacts first.
 func (m *members) choose(n int, eligible func(address string) bool) []string {
 	m.mu.Lock()
@@ -215,8 +231,8 @@
 	return m.fill(out, n, eligible)
 }
 
-// fill appends random eligible peers to chosen until there are n. Seeds come after the others,
-// and peers that failed to answer last. The mutex is held.
+// fill appends random eligible peers to chosen until there are n. Seeds that have not been heard of
+// come after the others, and peers that failed to answer within memberTTL last. The mutex is held.
 func (m *members) fill(chosen []string, n int, eligible func(address string) bool) []string {
 	var candidates []*member
 	for _, p := range m.ring {
@@ -225,21 +241,21 @@
 		}
 	}
 	m.shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	slices.SortStableFunc(candidates, compareContacts)
+	now := m.clock()
+	slices.SortStableFunc(candidates, func(a, b *member) int { return cmp.Compare(a.suitability(now), b.suitability(now)) })
 	for _, p := range candidates[:min(len(candidates), max(0, n-len(chosen)))] {
 		chosen = append(chosen, p.address)
 	}
 	return chosen
 }
 
-func compareContacts(a, b *member) int {
+// suitability orders peers as contacts; lower is better.
+func (p *member) suitability(now time.Duration) time.Duration {
 	switch {
-	case a.failedAt != b.failedAt:
-		return cmp.Compare(a.failedAt, b.failedAt)
-	case a.seed == b.seed:
-		return 0
-	case a.seed:
+	case p.failedAt != 0 && now-p.failedAt < memberTTL:
+		return p.failedAt // those that failed longest ago come first
+	case p.lastSign() == 0:
 		return 1
 	}
-	return -1
+	return 0
 }
--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -98,3 +98,21 @@
 	c.Check(m.forgetSilent(), qt.DeepEquals, []string{"gone"})
 	c.Check(m.chooseContacts(3), qt.ContentEquals, []string{"live", "seed"})
 }
+
+// A gateway that did not answer while it restarted must be chosen again later, although nobody
+// queries it and so nobody hears from it.
+func TestFailedPeerIsChosenAgain(t *testing.T) {
+	c := qt.New(t)
+	now := second
+	m := newMembers("own", nil, func() time.Duration { return now })
+	m.addHint("restarting")
+	m.addHint("other")
+	m.markFailed("restarting")
+	c.Check(m.choose(1, func(string) bool { return true }), qt.DeepEquals, []string{"other"})
+	now += memberTTL
+	chosen := map[string]bool{}
+	for range 100 {
+		chosen[m.choose(1, func(string) bool { return true })[0]] = true
+	}
+	c.Check(chosen, qt.HasLen, 2)
+}
--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -35,7 +35,7 @@
 	searchFanout = 4
 	// announceFanout is how many peers a gateway tells of a new planner. Each passes it on once,
 	// so it reaches nearly all in a few steps; the others find it by their own search.
-	announceFanout = 4
+	announceFanout = 6
 )
 
 func newPeering(self string, seeds []string, clock func() time.Duration, planningEpoch func() uint64) *peering {
--- a/gateway/peering_sim_test.go
+++ b/gateway/peering_sim_test.go
@@ -253,6 +253,24 @@
 	}
 }
 
+// Seeds are the same for all gateways. They must be told of a new planner like any other gateway,
+// and must not be the contacts of all.
+func TestSeedsAreContactsLikeOthers(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(c, 200)
+	f.run(memberTTL) // seeds that did not answer before they had started are chosen again
+	chosenBy := map[string]int{}
+	for _, node := range f.nodes {
+		for _, contact := range node.members.chooseContacts(announceFanout) {
+			chosenBy[contact]++
+		}
+	}
+	for _, seed := range f.seeds[1:] {
+		c.Check(chosenBy[seed] >= 1 && chosenBy[seed] <= 5*announceFanout, qt.IsTrue, qt.Commentf("%s is a contact of %d gateways", seed, chosenBy[seed]))
+	}
+	c.Check(chosenBy["gone"], qt.Equals, 0)
+}
+
 // A planner that was replaced while it was cut off does not know its successor. Nobody queries it
 // any more, so it has to search itself.
 func TestReplacedPlannerFindsSuccessor(t *testing.T) {
