gateway: successors depose in their order after a store outage too

Cause: each gateway waits longer than the successors before it deposes a silent planner, counted from the planner's last answer.

Change: the waits count from the store's return as well.

Test: the order and its bound of a second after an outage; on the code before all depose at once.

--- a/gateway/failure_detector.go
+++ b/gateway/failure_detector.go
@@ -54,6 +54,7 @@
 	lastQueryAt     time.Duration
 	lastReplyAt     time.Duration // when the active planner last replied to a peer query
 	lastCheckAt     time.Duration
+	unservedAt      time.Duration // when the store last did not serve this gateway; 0 if never
 	peakLatency     time.Duration // decaying maximum of answer times, across planners
 	successors      []string      // as named by the planner, in order of preference
 }
@@ -179,12 +180,24 @@
 	d.peakLatency = max(latency, time.Duration(peakLatencyDecay*float64(d.peakLatency)))
 }
 
+// recordUnserved records that the store does not serve this gateway.
+func (d *failureDetector) recordUnserved(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unservedAt = now
+}
+
 // suspects reports whether this gateway should depose the planner. A planner that has not
-// answered under its epoch yet is not suspected; it may still be loading the records.
+// answered under its epoch yet is not suspected; it may still be loading the records. After an
+// outage of the store, in which no planner is active, the successors go first as well.
 func (d *failureDetector) suspects(now time.Duration, self string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordCheck(now)
+	rank, _ := d.rank(self)
+	if d.unservedAt != 0 && now-d.unservedAt <= time.Duration(rank)*successorStagger {
+		return false
+	}
 	return d.answered && d.unansweredSince != 0 && now-d.unansweredSince > d.timeout(self)
 }
 
@@ -204,7 +217,11 @@
 			g.failureDetector.recordQuery(now, planner, epoch)
 			go g.queryLiveness(planner, epoch)
 		}
-		if g.failureDetector.suspects(lease.BootTime(), g.cfg.Listen) && g.cfg.SinceStoreReply() < storeReplyTTL {
+		suspected := g.failureDetector.suspects(lease.BootTime(), g.cfg.Listen)
+		switch {
+		case !g.storeReachable():
+			g.failureDetector.recordUnserved(lease.BootTime())
+		case suspected:
 			g.deposePlanner(planner, epoch)
 		}
 	}
--- a/gateway/failure_detector_test.go
+++ b/gateway/failure_detector_test.go
@@ -180,3 +180,26 @@
 	}
 	c.Check(d.suspects(3*second, "own"), qt.IsTrue)
 }
+
+// During an outage of the store every gateway suspects the planner. When the store is back, the
+// preferred successors must go first.
+func TestSuccessorsGoFirstAfterStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	deposes := func(self string) time.Duration {
+		d := &failureDetector{}
+		d.setSuccessors([]string{"s0", "s1", "s2"})
+		simulateQueries(d, second, 2*second, 2*second)
+		simulateQueries(d, 2*second, 6*second, 0)
+		const back = 6 * second
+		d.recordUnserved(back)
+		for now := back; ; now += 10 * ms {
+			if d.suspects(now, self) {
+				return now - back
+			}
+		}
+	}
+	c.Check(deposes("s0") < livenessInterval, qt.IsTrue)
+	c.Check(deposes("s0") < deposes("s1"), qt.IsTrue)
+	c.Check(deposes("s2") < deposes("other"), qt.IsTrue)
+	c.Check(deposes("other") <= time.Second, qt.IsTrue)
+}
