--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -57,12 +57,12 @@
 	if planner == p.self && !storeReachable {
 		return appendMissing(p.members.livePeers(), p.members.chooseContacts(searchFanout))
 	}
-	plannerAnswers := planner != "" && planner != p.self
+	otherPlans := planner != "" && planner != p.self
 	var out []string
-	if plannerAnswers {
+	if otherPlans {
 		out = append(out, planner)
 	}
-	if configStale || !plannerAnswers && p.planningEpoch() == 0 {
+	if configStale || !otherPlans && p.planningEpoch() == 0 {
 		out = appendMissing(out, p.members.chooseContacts(searchFanout))
 	}
 	return out
@@ -88,9 +88,9 @@
 	p.successors.Store(&ranking)
 }
 
-// learnPlanner takes over a planner that is newer than the known one. It returns the peers to
-// which to announce it: contacts, and the successors that its predecessor named, which would
-// depose the predecessor otherwise.
+// learnPlanner records a planner that is newer than the known one. It returns the peers to which
+// to announce it: contacts and, if it is this gateway, the successors that its predecessor named,
+// which are the first to depose a planner.
 func (p *peering) learnPlanner(epoch uint64, planner string) (announceTo []string) {
 	if !p.planner.update(epoch, planner) {
 		return nil
--- a/lease/handover_test.go
+++ b/lease/handover_test.go
@@ -37,19 +37,26 @@
 	c.Assert(held.Epoch, qt.Equals, uint64(6))
 }
 
-// A forced takeover must not wait for the leader's lease to expire, and the replaced
-// leader, which is alive, must detect it at its next renewal.
-func TestForceTakeoverReplacesLeaderAtOnce(t *testing.T) {
+// forceTakeover starts two candidates and makes the second replace the first, which leads with
+// epoch 1 and competes again.
+func forceTakeover(t *testing.T) (first, second *lease.Candidate, gained, gainedBySecond <-chan lease.Leadership) {
 	c := qt.New(t)
 	env := newTestEnv(t, standin.Options{})
-	first, gained := env.startCandidate(t, 3*time.Second)
+	first, gained = env.startCandidate(t, 3*time.Second)
 	c.Assert((<-gained).Epoch, qt.Equals, uint64(1))
-	second, gainedBySecond := env.startCandidate(t, 10*time.Minute)
+	second, gainedBySecond = env.startCandidate(t, 10*time.Minute)
 	c.Assert(first.ForceTakeover(1), qt.IsFalse, qt.Commentf("the leader itself waits for no vacancy"))
 	for !second.ForceTakeover(1) {
 		time.Sleep(time.Millisecond) // it does not wait for a vacancy yet
 	}
 	c.Assert((<-gainedBySecond).Epoch, qt.Equals, uint64(2))
+	return first, second, gained, gainedBySecond
+}
+
+// A forced takeover must not wait for the leader's lease to expire, and the replaced
+// leader, which is alive, must detect it at its next renewal.
+func TestForceTakeoverReplacesLeaderAtOnce(t *testing.T) {
+	first, second, _, _ := forceTakeover(t)
 	for {
 		if _, held := first.Current(); !held {
 			break
@@ -57,21 +64,14 @@
 		time.Sleep(time.Millisecond)
 	}
 	_, held := second.Current()
-	c.Check(held, qt.IsTrue)
+	qt.Check(t, held, qt.IsTrue)
 }
 
 // Several candidates may believe that the same leader is dead. One that has not heard yet that
 // another took over must not depose that one.
 func TestForceTakeoverSparesLaterLeader(t *testing.T) {
 	c := qt.New(t)
-	env := newTestEnv(t, standin.Options{})
-	first, gained := env.startCandidate(t, 3*time.Second)
-	c.Assert((<-gained).Epoch, qt.Equals, uint64(1))
-	second, gainedBySecond := env.startCandidate(t, 10*time.Minute)
-	for !second.ForceTakeover(1) {
-		time.Sleep(time.Millisecond)
-	}
-	c.Assert((<-gainedBySecond).Epoch, qt.Equals, uint64(2))
+	first, second, gained, gainedBySecond := forceTakeover(t)
 	requests := 0
 	for deadline := time.Now().Add(5 * time.Second); requests < 3 && time.Now().Before(deadline); {
 		if first.ForceTakeover(1) {
