nodeagent: a search stays with the gateways that answer

Cause: each round of an agent's search queried the next four of its 16 gateways. Agents that the planner does not admit yet, 200 handshakes a second, search meanwhile and so opened connections to all 16, most of them weak.

Ruled out: fewer known gateways (they are the way back after replacements).

Change: the same four are queried again while one of them answers, for 2 s at most; they may be cut off from the planner.

The test fails on the code before, which rotates at each call.

--- a/nodeagent/planner_finder.go
+++ b/nodeagent/planner_finder.go
@@ -30,6 +30,8 @@
 	lastFailedAt   time.Duration
 	gateways       []string // most recently learned first
 	rotation       rotation.Selector
+	chosen         []string // queried last, and again as long as one of them answers
+	chosenAt       time.Duration
 	lostSince      time.Duration // since when no planner is known; 0 if one is
 	answeredAt     time.Duration // when a gateway last answered a query
 	registryReadAt time.Duration
@@ -55,6 +57,9 @@
 	newerPlannerInterval = 150 * time.Millisecond
 	// maxGateways bounds the number of remembered gateways.
 	maxGateways = 16
+	// maxChoiceAge is how long the same gateways are queried, in case they are cut off from the
+	// planner.
+	maxChoiceAge = 2 * time.Second
 	// maxQueried is how many gateways are queried at once. If many agents search for the
 	// planner at the same time, queries to all gateways would overload them.
 	maxQueried = 4
@@ -74,14 +79,19 @@
 		return address, true
 	}
 	f.readRegistry()
-	return f.queryGateways(ctx, f.chooseGateways())
+	return f.queryGateways(ctx, f.chooseGateways(now()))
 }
 
-// chooseGateways returns the gateways to query next. Successive calls rotate through the list.
-func (f *plannerFinder) chooseGateways() []string {
+// chooseGateways returns the gateways to query next. They stay the same while one of them answers,
+// so that a search does not open connections to all known gateways, and for maxChoiceAge at most.
+// Otherwise successive calls rotate through the list.
+func (f *plannerFinder) chooseGateways(at time.Duration) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.rotation.Next(f.gateways, maxQueried)
+	if len(f.chosen) == 0 || f.answeredAt < f.chosenAt || at-f.chosenAt > maxChoiceAge {
+		f.chosen, f.chosenAt = f.rotation.Next(f.gateways, maxQueried), at
+	}
+	return f.chosen
 }
 
 // queryGateways queries gateways concurrently and returns the first planner that is accepted.
@@ -117,7 +127,7 @@
 		case <-ctx.Done():
 			return false
 		}
-		f.queryGateways(ctx, f.chooseGateways())
+		f.queryGateways(ctx, f.chooseGateways(now()))
 		f.mu.Lock()
 		newer := f.epoch > epoch
 		f.mu.Unlock()
--- a/nodeagent/planner_finder_test.go
+++ b/nodeagent/planner_finder_test.go
@@ -49,7 +49,7 @@
 	}
 	asked := map[string]bool{}
 	for range maxGateways {
-		chosen := f.chooseGateways()
+		chosen := f.chooseGateways(time.Hour) // none of them answers
 		c.Assert(chosen, qt.HasLen, maxQueried)
 		for _, g := range chosen {
 			asked[g] = true
@@ -79,3 +79,18 @@
 	}
 	c.Check(reads, qt.Equals, 1, qt.Commentf("gateways answer, but know no planner"))
 }
+
+// Agents that the planner does not admit yet search for it again and again. Each must not open a
+// connection to every gateway that it knows.
+func TestSearchKeepsGatewaysThatAnswer(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFinder()
+	for i := range 2 * maxGateways {
+		f.addGateways([]string{fmt.Sprint("g", i)})
+	}
+	start := time.Hour
+	first := f.chooseGateways(start)
+	f.answeredAt = start + time.Millisecond
+	c.Check(f.chooseGateways(start+maxChoiceAge), qt.DeepEquals, first)
+	c.Check(f.chooseGateways(start+maxChoiceAge+time.Millisecond), qt.Not(qt.DeepEquals), first)
+}
