gateway: live peers are collected once and sorted by what they are

The ranking of successors listed the live peers by address, sorted them, took the lock again and looked each one up for its capacity. It now sorts the entries themselves, by capacity and then address as before; capacityOf and the sort of livePeers, whose order nobody uses, are gone. No behaviour changed.

--- a/gateway/contacts.go
+++ b/gateway/contacts.go
@@ -57,10 +57,8 @@
 	m.shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	now := m.clock()
 	slices.SortStableFunc(candidates, func(a, b *member) int { return cmp.Compare(a.suitability(now), b.suitability(now)) })
-	for _, p := range candidates[:min(len(candidates), max(0, n-len(chosen)))] {
-		chosen = append(chosen, p.address)
-	}
-	return chosen
+	missing := min(len(candidates), max(0, n-len(chosen)))
+	return append(chosen, addressesOf(candidates[:missing])...)
 }
 
 // suitability orders peers as contacts; lower is better.
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -160,35 +160,41 @@
 	m.get(address).capacity = capacity
 }
 
-// livePeers returns the other gateways that were heard from within memberTTL, sorted by address.
+// livePeers returns the other gateways that were heard from within memberTTL.
 func (m *members) livePeers() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return addressesOf(m.live())
+}
+
+// live returns the entries of livePeers. The mutex is held.
+func (m *members) live() []*member {
 	now := m.clock()
-	var out []string
-	for address, p := range m.known {
+	var out []*member
+	for _, p := range m.ring {
 		if p.heard(now) {
-			out = append(out, address)
+			out = append(out, p)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
 // successors returns the preferred successors of the planner: the eligible live peers with the
 // highest planning capacity, in descending order.
 func (m *members) successors(eligible func(address string) bool) []string {
-	out := slices.DeleteFunc(m.livePeers(), func(a string) bool { return !eligible(a) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(m.capacityOf(b), m.capacityOf(a)) })
-	return out[:min(len(out), maxSuccessors)]
+	out := slices.DeleteFunc(m.live(), func(p *member) bool { return !eligible(p.address) })
+	slices.SortFunc(out, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(a.address, b.address))
+	})
+	return addressesOf(out[:min(len(out), maxSuccessors)])
 }
 
-// capacityOf returns the capacity that a gateway reported, zero if none. The mutex is held.
-func (m *members) capacityOf(address string) float64 {
-	if p := m.known[address]; p != nil {
-		return p.capacity
+func addressesOf(members []*member) []string {
+	var out []string
+	for _, p := range members {
+		out = append(out, p.address)
 	}
-	return 0
+	return out
 }
