planner: a record read for an unexpected task goes the way of the watch

The check before a stop decided by itself whether a record is later than what is known, may name the attempt and has to be taken over. handleRecord does all of that; its part after decoding is now called, and then the one question whether the task is expected is asked again. isNews, mayName and mergeRecord are gone.

The stop is sent in the same cases but one: a permit of another planner read while an own attempt is in progress no longer puts it off to the next report.

--- a/planner/orphan.go
+++ b/planner/orphan.go
@@ -74,44 +74,18 @@
 	})
 }
 
-// handleVerified handles the record that was read for stopUnlessRecorded. If
-// it could not be read, the task is checked again after the next report.
+// handleVerified handles the record that was read for stopUnlessRecorded, which
+// the watch may not have delivered yet. If it could not be read, the task is
+// checked again after the next report.
 func (p *Planner) handleVerified(agent string, t gang.Task, stop gang.Message, r jobs.Stored, err error) {
 	switch {
-	case p.isExpectedTask(t): // the watch has delivered the record
-	case eris.Is(err, jobs.ErrNotFound):
-		p.send(nil, agent, stop)
-	case err != nil:
+	case err == nil:
+		p.submitJobs(p.handleStored(r, nil))
+	case !eris.Is(err, jobs.ErrNotFound):
 		p.cfg.Log.WithError(err).WithField("job", t.ID.Job).Info("failed to read the job record of an unexpected task")
-	case p.isNews(r) && mayName(r.Record, t.ID):
-		p.mergeRecord(r)
-	default:
-		p.send(nil, agent, stop)
-	}
-}
-
-// isNews reports whether the record is later than what this planner knows of
-// the job.
-func (p *Planner) isNews(r jobs.Stored) bool {
-	if j := p.jobs[r.ID]; j != nil {
-		return r.Rev > j.stored.Rev
-	}
-	last, ok := p.recentlyEnded.Peek(r.ID)
-	return !ok || r.Rev > last.Rev
-}
-
-// mayName reports whether the record names the attempt, or is a permit on
-// which it may have been started.
-func mayName(r jobs.Record, id gang.ID) bool {
-	return recordNamesAttempt(r, id) || r.IsPermit() && r.Epoch == id.Epoch
-}
-
-// mergeRecord handles a record that names a started attempt before the watch
-// delivers it.
-func (p *Planner) mergeRecord(r jobs.Stored) {
-	if p.jobs[r.ID] != nil {
-		p.handleRecordChange(r)
 		return
 	}
-	p.takeOverRecord(r)
+	if !p.isExpectedTask(t) {
+		p.send(nil, agent, stop)
+	}
 }
--- a/planner/record_watch.go
+++ b/planner/record_watch.go
@@ -73,6 +73,11 @@
 		p.cfg.Log.WithError(err).Error("failed to decode job record: ignoring it")
 		return newJobs
 	}
+	return p.handleStored(r, newJobs)
+}
+
+// handleStored is handleRecord for a decoded record.
+func (p *Planner) handleStored(r jobs.Stored, newJobs []scheduler.Job) []scheduler.Job {
 	if p.jobs[r.ID] != nil {
 		p.handleRecordChange(r)
 		return newJobs
