engine, nodeagent: a crash confirms a run only if it cannot have been done

What callers saw: a job was told "failed" (2 workers crashed under a task) although its first run had been done and its second was the first under which a worker crashed. Cause: a run ended 1 ms before its worker crashed, and the crash cut off the answer that listed the end. The planner took a run that the last poll had shown as running for one that was present at the crash. Runs shorter than a second are also within their startup, so two such crashes failed the job. Ruled out: an end that the agent or the planner knew. Found beside it: an agent discarded the ends of an answer that it processed after it had found the next incarnation. Change: a crash is confirmed only if the run cannot have been done by then, by its measured progress, or else by less than half of its expected run time. The agent reports how long the worker had been down, known from the loss of its connection; otherwise the time of the report counts. Ends of late answers go into the report of the crash. Before: TestCrashAfterPossibleEndDoesNotFailJob fails in two of three cases, TestCrashReportListsEndsOfLateAnswer fails. The simulated agents report the time of the crash as the real one does; no check was changed.

--- a/engine/crash.go
+++ b/engine/crash.go
@@ -24,8 +24,8 @@
 	// the planner was lost too.
 	maxCrashes = 3
 	// minConfirmedCrashes is how many of the crashes must be confirmed; with fewer, one more
-	// crash is tolerated, since a run whose start was not answered or whose agent was
-	// disconnected may not have been present.
+	// crash is tolerated, since a run whose start was not answered, whose agent was
+	// disconnected or whose end was lost may not have been present.
 	minConfirmedCrashes = 2
 	// crashResetAfter is how long a run must last to clear its task's count, since tasks that
 	// run for weeks outlive many machines.
@@ -87,7 +87,7 @@
 		if blamed[p] {
 			c.startup++
 		}
-		if evidence.certainlyRan(p) {
+		if e.certainlyRan(p, evidence) {
 			c.confirmed++
 		}
 		u.setCrashCount(p.index, c)
--- a/engine/crash_evidence.go
+++ b/engine/crash_evidence.go
@@ -1,9 +1,15 @@
 package engine
 
-import "github.com/eelgrasshub/eelgrasshub/workload"
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
 
 // crashEvidence is what an agent knows about the runs of a crashed worker.
 type crashEvidence struct {
+	// crashedBy is the latest possible time of the crash.
+	crashedBy time.Duration
 	// known is set if the agent had polled the worker. pastStartup then holds the runs that it
 	// had observed for StartupCrashWindow, and ended those that were over before the crash.
 	known       bool
@@ -11,8 +17,8 @@
 	ended       map[workload.RunID]bool
 }
 
-func (r *Report) crashEvidence() crashEvidence {
-	evidence := crashEvidence{known: r.Terminated && r.Polled, pastStartup: map[workload.RunID]bool{}, ended: map[workload.RunID]bool{}}
+func (r *Report) crashEvidence(now time.Duration) crashEvidence {
+	evidence := crashEvidence{crashedBy: now - r.DownFor, known: r.Terminated && r.Polled, pastStartup: map[workload.RunID]bool{}, ended: map[workload.RunID]bool{}}
 	for _, run := range r.Running {
 		evidence.pastStartup[run.Run] = true
 	}
@@ -31,12 +37,36 @@
 	return ev.known || !p.worker.leaseExpired
 }
 
-// certainlyRan reports whether a run was present when its worker crashed. An agent that was cut
-// off or was lost with its worker did not report the ends of the last seconds.
-func (ev crashEvidence) certainlyRan(p *placement) bool {
+// wasRunning reports whether a run had started before its worker crashed, and its end would have
+// been reported unless it came shortly before the crash. An agent that was cut off or was lost with
+// its worker did not report the ends of the last seconds.
+func (ev crashEvidence) wasRunning(p *placement) bool {
 	return p.state == placementRunning && (ev.known || p.worker.unresponsive)
 }
 
+// certainShare is the share of an expected run time after which a run may be done. Expected run
+// times are often too long by half.
+const certainShare = 0.5
+
+// certainlyRan reports whether a run was present when its worker crashed. The worker may have
+// crashed before the agent learned that the run had ended, so a run that may have been done by
+// then does not qualify.
+func (e *Engine) certainlyRan(p *placement, ev crashEvidence) bool {
+	if !ev.wasRunning(p) {
+		return false
+	}
+	if p.unit.spec().LongRunning {
+		return true // it is never done
+	}
+	from, expected := p.startedAt, e.estimate(p.unit)
+	if left, measured := p.rate.remaining(p.rate.lastAt); measured {
+		from, expected = p.rate.lastAt, left
+	} else if p.adopted || p.resumed {
+		return false // the work left at its start is unknown
+	}
+	return float64(ev.crashedBy-from) < certainShare*float64(expected)
+}
+
 // justStarted reports whether a run is known to have been present for less than StartupCrashWindow.
 // For adopted runs that this planner never saw, only the agent can tell.
 func (ev crashEvidence) justStarted(p *placement) bool {
--- a/engine/crash_test.go
+++ b/engine/crash_test.go
@@ -77,7 +77,7 @@
 		d.report(Report{Epoch: crash.epoch, Worker: w.info, Unresponsive: true})
 	default:
 		delete(d.down, agent)
-		d.report(Report{Worker: w.info, Terminated: true, Crashed: true, Polled: true, Running: crash.pastStartup})
+		d.report(Report{Worker: w.info, Terminated: true, Crashed: true, Polled: true, Running: crash.pastStartup, DownFor: d.now - crash.until + workerRestartTime})
 		d.incarnations++
 		next := w.info
 		next.ID = WorkerID(fmt.Sprintf("%s-incarnation%d", agent, d.incarnations))
@@ -328,3 +328,62 @@
 	c.Check(d.jobState(id), qt.Equals, workload.Running)
 	c.Check(d.e.jobs[id].units[0].crashCountOf(0).total, qt.Equals, 1)
 }
+
+// A worker may crash before the agent polls the end of a run, which is then lost. Such a crash must
+// not count towards those that fail a job, or a job whose run was done could fail by the next crash.
+func TestCrashAfterPossibleEndDoesNotFailJob(t *testing.T) {
+	const estimate = 300 * time.Millisecond
+	for _, tc := range []struct {
+		name string
+		// crashAfter is the time from the start of the first run to the crash of its worker.
+		crashAfter time.Duration
+		downFor    time.Duration // as known to the agent
+		state      workload.State
+	}{
+		{"first run may have ended", estimate, 400 * time.Millisecond, workload.Running},
+		{"time of the crash is unknown", 10 * time.Millisecond, 0, workload.Running},
+		{"first run had just started", 10 * time.Millisecond, 400 * time.Millisecond, workload.Failed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newCrashScenario(c, 3)
+			step := taskStep(1, 8)
+			step.Estimate = estimate
+			id := d.submit(1, "other", step)
+			d.settle()
+			d.crashUnder(id, tc.crashAfter, tc.downFor)
+			d.crashUnder(id, 10*time.Millisecond, 400*time.Millisecond)
+			c.Check(d.jobState(id), qt.Equals, tc.state)
+		})
+	}
+}
+
+// crashUnder lets the only run of a job continue for a time, and then crashes its worker. The agent
+// notices the next incarnation 400 ms later.
+func (d *crashScenario) crashUnder(id workload.JobID, after, downFor time.Duration) {
+	for worker := range d.runs(id) {
+		w := d.e.workers[worker]
+		d.reportRuns(worker, func(*placement) RunStatus { return RunStatus{} })
+		d.now += after + 400*time.Millisecond
+		d.report(Report{Worker: w.info, Terminated: true, Crashed: true, Polled: true, DownFor: downFor})
+		d.settle()
+	}
+}
+
+// Measured progress tells that a run was not done, whatever its declared run time and even if it was
+// resumed from a checkpoint. Otherwise tasks that crash workers would start more often than allowed.
+func TestCrashDuringMeasuredProgressIsConfirmed(t *testing.T) {
+	c := qt.New(t)
+	d := newCrashScenario(c, 1)
+	step := taskStep(1, 8)
+	step.Estimate = 300 * time.Millisecond
+	id := d.submit(1, "other", step)
+	d.e.jobs[id].units[0].checkpoint = "saved"
+	d.settle()
+	for percent := range 10 {
+		d.reportRuns("w0", func(*placement) RunStatus { return RunStatus{Percent: percent} })
+		d.now += 100 * time.Millisecond
+	}
+	d.report(Report{Worker: d.e.workers["w0"].info, Terminated: true, Crashed: true, Polled: true, DownFor: 0})
+	c.Check(d.e.jobs[id].units[0].crashCountOf(0).confirmed, qt.Equals, 1)
+}
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -39,6 +39,8 @@
 	// adopted is set when a previous planner ordered the run, so that startedAt is not the
 	// actual start time.
 	adopted bool
+	// resumed is set if the run was ordered to start from a checkpoint.
+	resumed bool
 	// startedAt is when the start was ordered, or when an adopted run was first reported; 0
 	// before that. progressedAt is when the reported progress last changed.
 	startedAt    time.Duration
--- a/engine/report.go
+++ b/engine/report.go
@@ -72,6 +72,9 @@
 	Generation uint64 `cbor:"15,keyasint,omitempty"`
 	// Superseded means that this incarnation is over and another one answers under its name.
 	Superseded bool `cbor:"16,keyasint,omitempty"`
+	// DownFor is, with Crashed, the time since the worker's connections broke, after which it did
+	// not answer again. It is 0 if the agent noticed the crash only by the next incarnation.
+	DownFor time.Duration `cbor:"17,keyasint,omitempty"`
 }
 
 // ReportAnswer is the answer to a Report.
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -18,7 +18,7 @@
 	w.lastReport = now - reportTimeout
 	if previous := e.workers[e.workerByAgent[info.Agent]]; previous != nil && previous.info.SharesName(info) {
 		// The agent's next report shows which of the two is current.
-		e.supersede(previous, DepartureCrashed, crashEvidence{})
+		e.supersede(previous, DepartureCrashed, crashEvidence{crashedBy: now})
 	}
 	e.workerByAgent[info.Agent] = info.ID
 }
--- a/engine/sim_crash_test.go
+++ b/engine/sim_crash_test.go
@@ -45,11 +45,11 @@
 }
 
 // reportCrash reports a crashed worker, unless its agent was lost with it or is disconnected.
-func (w *simCluster) reportCrash(sw *simWorker) {
+func (w *simCluster) reportCrash(sw *simWorker, downFor time.Duration) {
 	if w.crashes.crashingOneIn == 0 && !w.reusesNames || sw.disconnected || sw.leavesAt != 0 || len(sw.info.ID)%3 == 0 && !w.faultsEnded {
 		return
 	}
-	r := Report{Worker: sw.info, Terminated: true, Crashed: true, Superseded: sw.info.Name != "", Polled: sw.lastPolledAt != 0, Ended: sw.lastEnded}
+	r := Report{Worker: sw.info, Terminated: true, Crashed: true, Superseded: sw.info.Name != "", Polled: sw.lastPolledAt != 0, Ended: sw.lastEnded, DownFor: downFor}
 	for run, from := range sw.seenSince {
 		if sw.lastPolledAt-from >= StartupCrashWindow {
 			r.Running = append(r.Running, RunStatus{Run: run})
--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -164,9 +164,10 @@
 		w.crashes.record(sw)
 	}
 	w.workers[i].dead = true
+	crashedAt := w.now
 	w.after(w.downtime(), func() {
 		if w.workers[i].dead {
-			w.reportCrash(w.workers[i])
+			w.reportCrash(w.workers[i], w.now-crashedAt)
 			w.addWorker(i)
 		}
 	})
--- a/engine/superseded.go
+++ b/engine/superseded.go
@@ -18,20 +18,20 @@
 // handleTerminated processes an agent's report that an incarnation is over.
 func (e *Engine) handleTerminated(now time.Duration, r Report) {
 	if w := e.workers[r.Worker.ID]; w != nil && r.Superseded {
-		e.supersede(w, r.departure(), r.crashEvidence())
+		e.supersede(w, r.departure(), r.crashEvidence(now))
 		return
 	}
-	e.endIncarnation(now, r.Worker.ID, r.departure(), r.crashEvidence())
+	e.endIncarnation(now, r.Worker.ID, r.departure(), r.crashEvidence(now))
 }
 
 // supersedeReplaced ends the previous incarnation when its agent reports another one.
 func (e *Engine) supersedeReplaced(now time.Duration, previous WorkerID, info WorkerInfo) {
 	w := e.workers[previous]
 	if w != nil && w.info.SharesName(info) {
-		e.supersede(w, e.departureOfReplaced(previous), crashEvidence{})
+		e.supersede(w, e.departureOfReplaced(previous), crashEvidence{crashedBy: now})
 		return
 	}
-	e.endIncarnation(now, previous, e.departureOfReplaced(previous), crashEvidence{})
+	e.endIncarnation(now, previous, e.departureOfReplaced(previous), crashEvidence{crashedBy: now})
 }
 
 // supersede records that another incarnation follows w under the same name. Later evidence of
--- a/engine/write.go
+++ b/engine/write.go
@@ -169,6 +169,7 @@
 func (e *Engine) orderStart(now time.Duration, p *placement) {
 	p.state = placementOrdered
 	p.startedAt = now
+	p.resumed = p.unit.checkpoint != ""
 	p.unit.times.storeWait = now - p.unit.placedAt
 	p.progressedAt = now
 	o := e.ordersFor(p.worker)
--- a/nodeagent/departure.go
+++ b/nodeagent/departure.go
@@ -1,6 +1,11 @@
 package nodeagent
 
-import "github.com/eelgrasshub/eelgrasshub/engine"
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+)
 
 // departure describes an ended incarnation.
 type departure struct {
@@ -12,6 +17,20 @@
 	polled      bool
 	pastStartup []engine.RunStatus
 	ended       []engine.RunEnd
+	// connectionLostAt is when the connection to the worker was lost for good; 0 if not known.
+	connectionLostAt time.Duration
+}
+
+// report returns the report of the departure.
+func (d *departure) report(now time.Duration) engine.Report {
+	r := engine.Report{
+		Worker: d.info, Terminated: true, Crashed: d.crashed, Superseded: d.superseded,
+		Polled: d.polled, Running: d.pastStartup, Ended: d.ended,
+	}
+	if d.connectionLostAt != 0 {
+		r.DownFor = now - d.connectionLostAt
+	}
+	return r
 }
 
 // endIncarnation records the end of the current incarnation. The mutex is held.
@@ -24,6 +43,7 @@
 	a.endedIDs[id] = true
 	dep.info = a.incarnation.info
 	dep.polled, dep.pastStartup, dep.ended = a.incarnation.polled, a.incarnation.pastStartup(), a.incarnation.ended
+	dep.connectionLostAt = a.incarnation.connectionLostAt
 	a.departures = append(a.departures, dep)
 	a.nextFence = a.incarnation.fence
 	a.nextFence.Generation += engine.GenerationStep // also exceeds what a previous agent process counted
@@ -36,3 +56,15 @@
 func (a *Agent) endUnannounced(superseded bool) {
 	a.endIncarnation(departure{crashed: a.incarnation != nil && !a.incarnation.draining, superseded: superseded})
 }
+
+// addLateEnds adds ends to an unreported departure that are listed by a poll answered only after
+// the incarnation was found to have ended. Without them the crash would count against their runs.
+// The mutex is held.
+func (a *Agent) addLateEnds(inc *incarnation, ended []engine.RunEnd) {
+	for i := range a.departures {
+		if d := &a.departures[i]; d.info.ID == inc.info.ID && len(ended) > 0 {
+			d.polled = true
+			d.ended = append(slices.Clone(d.ended), ended...)
+		}
+	}
+}
--- a/nodeagent/departure_test.go
+++ b/nodeagent/departure_test.go
@@ -82,3 +82,90 @@
 	c.Check(report.Running, qt.DeepEquals, []engine.RunStatus{run(1)})
 	c.Check(report.Ended, qt.DeepEquals, []engine.RunEnd{ended})
 }
+
+// failingWorker fails all polls with an error.
+type failingWorker struct {
+	Worker
+	err error
+}
+
+func (w *failingWorker) Poll(context.Context, OrderHeader, int64, time.Duration) (WorkerStatus, error) {
+	return WorkerStatus{}, w.err
+}
+
+// The planner must know how long a crashed worker has been down, or it would take runs that may have
+// ended before the crash for running ones. Only a lost connection tells when a worker crashed.
+func TestCrashReportTellsHowLongWorkerWasDown(t *testing.T) {
+	const wait = 20 * time.Millisecond
+	for _, tc := range []struct {
+		name  string
+		err   error
+		known bool
+	}{
+		{"polls time out", context.DeadlineExceeded, false},
+		{"connection lost", ErrConnectionLost, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := &failingWorker{err: tc.err}
+			a := &Agent{cfg: Config{Worker: w}, log: discardLogger(), reportPending: make(chan struct{}, 1), endedIDs: map[engine.WorkerID]bool{}}
+			a.incarnation = newIncarnation(engine.WorkerInfo{ID: "w"})
+			a.poll(a.incarnation, 0)
+			time.Sleep(wait)
+			w.err = context.DeadlineExceeded
+			a.poll(a.incarnation, 0)
+			a.endIncarnation(departure{crashed: true})
+			c.Check(a.pendingReports()[0].DownFor >= wait, qt.Equals, tc.known)
+		})
+	}
+}
+
+// A connection that is lost while the worker goes on must not date a later crash.
+func TestAnsweredPollClearsLostConnection(t *testing.T) {
+	c := qt.New(t)
+	a := &Agent{cfg: Config{Worker: &failingWorker{err: ErrConnectionLost}}, log: discardLogger(), reportPending: make(chan struct{}, 1), endedIDs: map[engine.WorkerID]bool{}}
+	a.incarnation = newIncarnation(engine.WorkerInfo{ID: "w"})
+	a.poll(a.incarnation, 0)
+	a.incarnation.applyStatus(WorkerStatus{Clock: time.Second}, now(), now(), 0)
+	a.endIncarnation(departure{crashed: true})
+	c.Check(a.pendingReports()[0].DownFor, qt.Equals, time.Duration(0))
+}
+
+// slowWorker answers polls only when released.
+type slowWorker struct {
+	Worker
+	release chan struct{}
+	status  WorkerStatus
+}
+
+func (w *slowWorker) Poll(context.Context, OrderHeader, int64, time.Duration) (WorkerStatus, error) {
+	<-w.release
+	return w.status, nil
+}
+
+// An answer that is processed after the worker's next incarnation was found still tells which runs
+// had ended before the crash.
+func TestCrashReportListsEndsOfLateAnswer(t *testing.T) {
+	c := qt.New(t)
+	ended := []engine.RunEnd{{Sequence: 1, Run: workload.RunID{Task: workload.TaskID{Job: "j"}, Number: 1}, Reason: engine.EndDone}}
+	w := &slowWorker{release: make(chan struct{}), status: WorkerStatus{Clock: time.Second, Ended: ended}}
+	a := &Agent{cfg: Config{Worker: w}, log: discardLogger(), reportPending: make(chan struct{}, 1), endedIDs: map[engine.WorkerID]bool{}}
+	inc := newIncarnation(engine.WorkerInfo{ID: "w"})
+	a.incarnation = inc
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.poll(inc, 0)
+	}()
+	for a.counters.Looks.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	a.mu.Lock()
+	a.endIncarnation(departure{crashed: true})
+	a.mu.Unlock()
+	close(w.release)
+	<-done
+	report := a.pendingReports()[0]
+	c.Check(report.Polled, qt.IsTrue)
+	c.Check(report.Ended, qt.DeepEquals, ended)
+}
--- a/nodeagent/incarnation.go
+++ b/nodeagent/incarnation.go
@@ -45,7 +45,10 @@
 	// that was last requested.
 	unresponsiveSince time.Duration
 	failureReportedAt time.Duration
-	running           []engine.RunStatus
+	// connectionLostAt is when the connection to the unresponsive worker was first lost; 0 if it
+	// was not.
+	connectionLostAt time.Duration
+	running          []engine.RunStatus
 	// firstSeen is when a poll first returned each running run.
 	firstSeen map[workload.RunID]time.Duration
 	ended     []engine.RunEnd
@@ -111,6 +114,7 @@
 	}
 	inc.voidEndsBeforeExpiry(status.Ended)
 	inc.unresponsive = false
+	inc.connectionLostAt = 0
 	if inc.polled && (status.Clock < inc.workerClock || status.Clock == inc.workerClock && sentAt < inc.polledAt) {
 		return false // reordered: a later poll was answered first
 	}
--- a/nodeagent/poll.go
+++ b/nodeagent/poll.go
@@ -61,6 +61,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.incarnation != inc {
+		if err == nil {
+			a.addLateEnds(inc, status.Ended)
+		}
 		return 0, errIncarnationEnded
 	}
 	if err != nil {
@@ -113,6 +116,9 @@
 		return unresponsivePollInterval
 	}
 	at := now()
+	if errors.Is(err, ErrConnectionLost) && inc.connectionLostAt == 0 {
+		inc.connectionLostAt = at
+	}
 	if !inc.unresponsive {
 		a.log.WithField("worker", inc.info.ID).WithField("acknowledged", inc.ackedEnds).WithError(err).Warn("worker is unresponsive")
 		inc.markUnresponsive(at)
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -68,7 +68,7 @@
 	defer a.mu.Unlock()
 	var out []engine.Report
 	for _, d := range a.departures {
-		out = append(out, engine.Report{Worker: d.info, Terminated: true, Crashed: d.crashed, Superseded: d.superseded, Polled: d.polled, Running: d.pastStartup, Ended: d.ended})
+		out = append(out, d.report(now()))
 	}
 	if a.incarnation != nil {
 		out = append(out, a.incarnation.report(now(), a.epoch))
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -17,6 +17,9 @@
 	// ErrSuperseded is an ErrOtherIncarnation whose sender has the same name as the addressed
 	// incarnation. Delayed orders to the latter may still reach it.
 	ErrSuperseded = fmt.Errorf("%w under the same name", ErrOtherIncarnation)
+	// ErrConnectionLost means that the connection to the worker broke or was refused, as it does
+	// when the worker's process has ended.
+	ErrConnectionLost = eris.New("the connection to the worker was lost")
 	// ErrFenced means that the worker has seen a higher fence.
 	ErrFenced = eris.New("the worker follows a newer planner")
 )
@@ -50,7 +53,8 @@
 	Pace(ctx context.Context, header OrderHeader, p engine.PaceOrder) error
 	// Poll extends the lease, acknowledges ends up to number ackedEnds, waits up to wait for a
 	// run to end, and returns the worker's status. It fails with ErrOtherIncarnation if another
-	// incarnation answers.
+	// incarnation answers, and with ErrConnectionLost if the connection fails other than by a
+	// timeout.
 	Poll(ctx context.Context, header OrderHeader, ackedEnds int64, wait time.Duration) (WorkerStatus, error)
 }
 
