--- a/cmd/eelgrasshub/script_test.go
+++ b/cmd/eelgrasshub/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -12,7 +13,7 @@
 }
 
 // TestScript runs the scenarios with separate processes. Each script starts, polls and
-// stops its own processes.
+// stops its own processes, which share a key that no other script has.
 func TestScript(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/script",
@@ -20,6 +21,7 @@
 		RequireUniqueNames:  true,
 		Setup: func(env *testscript.Env) error {
 			env.Values[requestsKey{}] = make(map[string]*pendingRequest)
+			env.Setenv("CLUSTER_KEY", "a key for tests only: "+uuid.NewString())
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
