planner: an attempt taken over on a lost agent ends

Cause: coordinators hear of a lost agent only at the moment of the loss. One that is attached afterwards, when a predecessor's record or a search names a lost agent, waited for that member for good: the phases that resolve, commit and stop an attempt have no other end for a silent member. Ruled out as its cause: the wait for fences; the test's other members answer at once. Change: such coordinators hear of the loss once the loss timeout has passed since they were attached, as for an agent that the planner has not met. An attempt that ends without success is logged with its cause, since logs could not tell a refusal from a loss.

--- a/planner/attempt_end.go
+++ b/planner/attempt_end.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/eelgrasshub/eelgrasshub/clock"
 	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
@@ -17,6 +19,7 @@
 		p.endSuperseded("an agent refused this planner's epoch", 0)
 		return
 	}
+	p.logUnsuccessful(j, e)
 	id, attempt := scheduler.JobID(j.stored.ID), j.attempt
 	members := j.coord.Plan().Members
 	if e.MayBeRecorded {
@@ -58,6 +61,18 @@
 	p.stepScheduler(ended)
 }
 
+// logUnsuccessful logs why an attempt did not start or did not run to its end.
+func (p *Planner) logUnsuccessful(j *job, e gang.Ended) {
+	if e.Outcome == gang.Done || e.Cause == gang.CauseAborted {
+		return
+	}
+	log := p.cfg.Log.WithFields(logrus.Fields{"job": j.stored.ID, "attempt": j.attempt, "outcome": e.Outcome.String(), "cause": e.Cause.String()})
+	if e.CauseAgent != "" {
+		log = log.WithField("agent", e.CauseAgent)
+	}
+	log.Info("attempt ended")
+}
+
 // markMayHold records that workers may still hold accelerators for an aborted
 // attempt: the message that ends the hold may be under way or lost.
 func (p *Planner) markMayHold(members []gang.PlannedMember) {
--- a/planner/coordinator.go
+++ b/planner/coordinator.go
@@ -12,7 +12,7 @@
 // attachCoordinator assigns a coordinator to a job and registers the job with
 // its workers.
 func (p *Planner) attachCoordinator(j *job, c *gang.Coordinator) {
-	j.coord = c
+	j.coord, j.attachedAt = c, clock.Now()
 	for _, m := range c.Plan().Members {
 		w := p.workers[m.Agent]
 		if w == nil {
--- a/planner/helpers_test.go
+++ b/planner/helpers_test.go
@@ -141,10 +141,16 @@
 }
 
 // report passes the current reports of all agents to a planner.
-func (f *fakeAgents) report(p *Planner) {
+func (f *fakeAgents) report(p *Planner) { f.reportExcept(p, "") }
+
+// reportExcept passes the current reports of all agents but one to a planner.
+func (f *fakeAgents) reportExcept(p *Planner, silent string) {
 	f.mu.Lock()
 	var all []AgentReport
 	for name, m := range f.members {
+		if name == silent {
+			continue
+		}
 		all = append(all, AgentReport{
 			Worker:      scheduler.Worker{ID: scheduler.WorkerID(name), Zone: "z", Rack: "r", Accelerators: 8, Cores: 32, MemoryMB: 65536},
 			Incarnation: 1,
--- a/planner/job.go
+++ b/planner/job.go
@@ -29,6 +29,7 @@
 	// on.
 	baseRevision store.Revision
 	coord        *gang.Coordinator // nil if no attempt is being made
+	attachedAt   time.Time         // when coord was attached, by clock.Now
 	wakeTimer    *time.Timer       // for the coordinator's next Wake
 	// lastEnded is how the last attempt ended. It distinguishes failed from
 	// unknown when the scheduler gives the job up.
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -116,12 +116,26 @@
 		if w.up && now.Sub(w.lastReport.ReceivedAt) > timeout {
 			p.handleAgentLost(id, w)
 		}
+		if !w.up {
+			p.endAttemptsOnLost(id, w, now.Add(-timeout))
+		}
 		if !w.up && len(w.jobs) == 0 && now.Sub(w.lastReport.ReceivedAt) > forgetWorkerAfter {
 			delete(p.workers, id)
 		}
 	}
 }
 
+// endAttemptsOnLost reports the loss of an agent to coordinators that were
+// attached before a given time. handleAgentLost has not reached those that were
+// attached after it, and they would wait for the agent without end.
+func (p *Planner) endAttemptsOnLost(id string, w *worker, attachedBefore time.Time) {
+	for _, j := range w.jobs {
+		if j.attachedAt.Before(attachedBefore) {
+			p.stepCoordinator(j, gang.MemberLost{Agent: id})
+		}
+	}
+}
+
 // forgetWorkerAfter is how long a lost worker is remembered.
 const forgetWorkerAfter = 10 * time.Minute
 
--- a/planner/worker_test.go
+++ b/planner/worker_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -21,3 +22,34 @@
 	c.Assert(alive.forAgent("b", now), qt.HasLen, 0)
 	c.Assert(alive.forAgent("a", now.Add(maxAliveAge+time.Millisecond)), qt.HasLen, 0)
 }
+
+// A successor that has already lost an agent takes over an attempt with a member there. It must not
+// wait for that member without end.
+func TestAttemptOnLostAgentEnds(t *testing.T) {
+	b := newBench(t)
+	b.document.Document.Gang.LossTimeout.Duration = 2 * time.Second
+	agents := newFakeAgents("a", "b", "c")
+	next := b.planner(2, agents)
+	agents.report(next)
+	const lost = "a"
+	isUp := func() bool {
+		up, ok := callOnLoop(context.Background(), next, func() bool { return next.workers[lost].up })
+		return ok && up
+	}
+	b.eventually("the successor loses an agent", func() { agents.reportExcept(next, lost) }, func() bool { return !isUp() })
+
+	old := b.planner(1, agents)
+	b.accept("j", 24, true)
+	b.eventually("the predecessor starts the gang", func() {
+		agents.report(old)
+		agents.reportExcept(next, lost)
+	}, func() bool { return agents.startsOf("j") == 3 })
+	agents.disconnect(lost)
+	b.eventually("the successor queues the job again", func() { agents.report(next) }, func() bool {
+		queued, ok := callOnLoop(context.Background(), next, func() bool {
+			j := next.jobs["j"]
+			return j != nil && j.stored.Epoch == 1 && j.coord == nil && j.phase == Queued
+		})
+		return ok && queued
+	})
+}
