planner, entry: a silent agent gets no work from a new planner or by an old report

What callers would see: after a change of planners, jobs are tried on a dead worker for a loss timeout anew, with each new planner; an old report that was relayed does the same to a lost worker. Cause: a new planner was given the last report of every known agent as received now, and a report made its agent available whatever its age; it also took the place of a later contact. Evidence: TestSuccessorPlacesNothingOnSilentAgent (one attempt, none wanted), TestOldReportDoesNotReviveLostAgent, TestOlderReportKeepsLastContact: each fails before, passes after. Change: reports are replayed with the time of the last contact. One older than the loss timeout is kept but makes no agent available, and a contact never goes back. The loss of an agent that was available still counts from the beginning of the term: a predecessor may have renewed the tasks there until then, and members whose planner is gone run on for their isolation timeout. Ruled out: counting the loss from the last contact alone. A successor that an agent does not reach would start a gang elsewhere while the members run that its predecessor has renewed. Left: terms that are shorter than the loss timeout put the end of an attempt on a dead agent off.

--- a/entry/members_planner.go
+++ b/entry/members_planner.go
@@ -51,10 +51,23 @@
 	}
 }
 
-// replayReports passes the last reports of all known agents to a new planner. They carry
-// no evidence that a gang's members are alive; only new reports do.
+// replayReports passes the last reports of all known agents to a new planner, with the times
+// of the last contacts. They carry no evidence that a gang's members are alive; only new
+// reports do.
 func (m *members) replayReports(service string, p *planner.Planner) {
 	for _, member := range m.table.Snapshot().Service(service).Members {
-		p.HandleReport(plannerReport(member, wire.InvalidPlannerTimestamp, clock.Now()))
+		silence, ok := m.silenceOf(member.Report.ID)
+		if !ok {
+			continue // lost or left meanwhile
+		}
+		p.HandleReport(plannerReport(member, wire.InvalidPlannerTimestamp, clock.Now().Add(-silence)))
 	}
 }
+
+// silenceOf returns the time since the last contact with a member.
+func (m *members) silenceOf(id string) (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at, ok := m.table.LastContact(id)
+	return time.Since(at), ok
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -67,6 +67,15 @@
 // Refusals returns the number of reports refused so far.
 func (t *Table) Refusals() uint64 { return t.refused }
 
+// LastContact returns when a member was last in contact, and false if there is no such member.
+func (t *Table) LastContact(id string) (time.Time, bool) {
+	r := t.records[id]
+	if r == nil || r.member == nil {
+		return time.Time{}, false
+	}
+	return r.lastContact, true
+}
+
 // Len returns the number of records, including those of lost members.
 func (t *Table) Len() int { return len(t.records) }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -20,6 +20,8 @@
 	cfg  Config
 	tomb tomb.Tomb
 	work chan func()
+	// startedAt is when the term began, by clock.Now.
+	startedAt time.Time
 
 	sched             *scheduler.Scheduler
 	doc               *document.ActiveVersion
@@ -52,6 +54,7 @@
 	p := &Planner{
 		cfg:            cfg,
 		work:           make(chan func(), workQueueSize),
+		startedAt:      clock.Now(),
 		sched:          scheduler.New(scheduler.Options{Start: time.Now(), SettlingPeriod: settlingPeriod}),
 		doc:            cfg.Document,
 		jobs:           make(map[string]*job),
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -18,7 +18,8 @@
 	Fence     uint64
 	Timestamp gang.PlannerTimestamp
 	Tasks     []gang.Task
-	// ReceivedAt is when the report was received, by clock.Now.
+	// ReceivedAt is when the agent was last in contact, by clock.Now. It may lie
+	// in the past if the report was relayed or is replayed to a new planner.
 	ReceivedAt time.Time
 }
 
@@ -58,15 +59,27 @@
 		return
 	}
 	w := p.workers[id]
-	if w == nil {
+	known := w != nil
+	if !known {
 		w = &worker{jobs: make(map[string]*job)}
 		p.workers[id] = w
 	}
 	if r.Incarnation < w.lastReport.Incarnation {
 		return
 	}
+	outdated := clock.Now().Sub(r.ReceivedAt) > p.lossTimeout()
 	previous, wasUp := w.lastReport, w.up
-	w.lastReport, w.up = r, true
+	if r.Incarnation == previous.Incarnation && r.ReceivedAt.Before(previous.ReceivedAt) {
+		r.ReceivedAt = previous.ReceivedAt
+	}
+	w.lastReport = r
+	if outdated {
+		if !known {
+			p.cfg.Log.WithField("agent", id).Warn("agent was silent before this term")
+		}
+		return
+	}
+	w.up = true
 	w.updateFence(previous, p.cfg.Epoch)
 	p.updateScheduler(previous, wasUp, r)
 	p.updateCoordinators(id, w)
@@ -110,10 +123,15 @@
 	p.stepScheduler(scheduler.WorkerDown{ID: scheduler.WorkerID(id)})
 }
 
+func (p *Planner) lossTimeout() time.Duration { return p.doc.Document.Gang.LossTimeout.Duration }
+
+// detectLostAgents finds agents without contact for the loss timeout. The time
+// before this term does not count: a predecessor may have renewed the agent's
+// tasks until then.
 func (p *Planner) detectLostAgents(now time.Time) {
-	timeout := p.doc.Document.Gang.LossTimeout.Duration
+	timeout := p.lossTimeout()
 	for id, w := range p.workers {
-		if w.up && now.Sub(w.lastReport.ReceivedAt) > timeout {
+		if w.up && min(now.Sub(w.lastReport.ReceivedAt), now.Sub(p.startedAt)) > timeout {
 			p.handleAgentLost(id, w)
 		}
 		if !w.up {
--- a/planner/worker_test.go
+++ b/planner/worker_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/eelgrasshub/eelgrasshub/clock"
 	"github.com/eelgrasshub/eelgrasshub/gang"
+	"github.com/eelgrasshub/eelgrasshub/scheduler"
 )
 
 // A planner process that was frozen must not renew members from what it knew
@@ -29,6 +30,7 @@
 	b := newBench(t)
 	b.document.Document.Gang.LossTimeout.Duration = 2 * time.Second
 	agents := newFakeAgents("a", "b", "c")
+	agents.unreachableFrom[2] = true // until the predecessor has started the gang
 	next := b.planner(2, agents)
 	agents.report(next)
 	const lost = "a"
@@ -45,6 +47,7 @@
 		agents.reportExcept(next, lost)
 	}, func() bool { return agents.startsOf("j") == 3 })
 	agents.disconnect(lost)
+	agents.reach(2)
 	b.eventually("the successor queues the job again", func() { agents.report(next) }, func() bool {
 		queued, ok := callOnLoop(context.Background(), next, func() bool {
 			j := next.jobs["j"]
@@ -53,3 +56,63 @@
 		return ok && queued
 	})
 }
+
+// A report may be relayed or replayed long after the contact with its agent. It must not make a lost
+// agent available again, or jobs would be placed on a dead worker.
+func TestOldReportDoesNotReviveLostAgent(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents("a", "b")
+	p := b.planner(1, agents)
+	lossTimeout := b.document.Document.Gang.LossTimeout.Duration
+	agents.report(p)
+	report, ok := callOnLoop(context.Background(), p, func() AgentReport { return p.workers["a"].lastReport })
+	b.c.Assert(ok, qt.IsTrue)
+	p.HandleAgentLeft("a")
+	report.ReceivedAt = clock.Now().Add(-lossTimeout - time.Second)
+	p.HandleReport(report)
+	up, ok := callOnLoop(context.Background(), p, func() bool { return p.workers["a"].up })
+	b.c.Assert(ok, qt.IsTrue)
+	b.c.Check(up, qt.IsFalse)
+	report.ReceivedAt = clock.Now()
+	p.HandleReport(report)
+	up, ok = callOnLoop(context.Background(), p, func() bool { return p.workers["a"].up })
+	b.c.Assert(ok, qt.IsTrue)
+	b.c.Check(up, qt.IsTrue)
+}
+
+// Reports can overtake each other. An older contact must not bring the loss of an agent forward.
+func TestOlderReportKeepsLastContact(t *testing.T) {
+	b := newBench(t)
+	p := b.planner(1, newFakeAgents())
+	now := clock.Now()
+	r := AgentReport{Worker: scheduler.Worker{ID: "a", Zone: "z", Rack: "r", Accelerators: 8}, Incarnation: 1, ReceivedAt: now}
+	p.HandleReport(r)
+	r.ReceivedAt = now.Add(-time.Second)
+	p.HandleReport(r)
+	last, ok := callOnLoop(context.Background(), p, func() time.Time { return p.workers["a"].lastReport.ReceivedAt })
+	b.c.Assert(ok, qt.IsTrue)
+	b.c.Check(last, qt.Equals, now)
+}
+
+// A planner that takes over while an agent is dead must not place work there: each new planner would
+// spend its jobs' attempts on the dead worker for a loss timeout.
+func TestSuccessorPlacesNothingOnSilentAgent(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents("a", "b")
+	p := b.planner(2, agents)
+	silent := AgentReport{
+		Worker: scheduler.Worker{ID: "dead", Zone: "z", Rack: "r", Accelerators: 8, Cores: 32, MemoryMB: 65536}, Incarnation: 1,
+		ReceivedAt: clock.Now().Add(-b.document.Document.Gang.LossTimeout.Duration - time.Second),
+	}
+	p.HandleReport(silent)
+	agents.report(p)
+	b.accept("j", 24, true)
+	b.eventually("the job is known", func() {}, func() bool {
+		_, ok := p.Status(context.Background(), "j")
+		return ok
+	})
+	time.Sleep(time.Second)
+	attempts, ok := callOnLoop(context.Background(), p, func() uint64 { return p.lastAttemptNumber })
+	b.c.Assert(ok, qt.IsTrue)
+	b.c.Check(attempts, qt.Equals, uint64(0))
+}
