agent, gang, scheduler: an unanswered start keeps the task's result and is no failure of the job

What callers saw: a job ended as failed because its targets were slow to answer starts; one whose task had even been done meanwhile was told failed (not repeatable) or run again (repeatable). Cause: an agent stopped a task whose start it got no answer to, ignored the status that the target returned, and reported the task as failed. That counts against the class's retries. Change: the task keeps the result that its target tells. If there is none, the start counts as unanswered: against the worker, and with a growing delay, but not against the job, which its class's deadline bounds. Ruled out: treating a refusal the same way. The target then says that it has run nothing, and a spec that it can't read is the job's.

--- a/agent/gang_task.go
+++ b/agent/gang_task.go
@@ -33,16 +33,23 @@
 }
 
 // handleStartFailure stops a task whose start failed or has an unknown outcome, so that it
-// does not run unnoticed. The target then also refuses a start that arrives late.
+// does not run unnoticed. The target then also refuses a start that arrives late. A task that
+// has ended by itself meanwhile keeps its result.
 func (g *gangRunner) handleStartFailure(id gang.ID, err error) error {
 	g.log.WithError(err).WithField("job", id.Job).Warn("failed to start task at the target")
 	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), maxTaskLease)
 	defer cancel()
-	if _, stopErr := g.targetClient.StopTask(ctx, toTargetID(id), false); stopErr != nil {
+	status, stopErr := g.targetClient.StopTask(ctx, toTargetID(id), false)
+	switch {
+	case stopErr != nil:
 		g.taskEnded(id, gang.TaskLost, false, err.Error())
-		return nil
+	case status.State == target.TaskDone || status.State == target.TaskFailed:
+		g.taskEnded(id, resultOfState(status.State), status.Checkpoint != nil, taskDetail(status))
+	case errors.Is(err, target.ErrRefused) || errors.Is(err, target.ErrConflict):
+		g.taskEnded(id, gang.TaskFailed, false, err.Error())
+	default:
+		g.taskEnded(id, gang.StartUnanswered, false, err.Error())
 	}
-	g.taskEnded(id, gang.TaskFailed, false, err.Error())
 	return nil
 }
 
--- a/gang/coordinator_end.go
+++ b/gang/coordinator_end.go
@@ -91,6 +91,8 @@
 		return NotStarted
 	case c.anyMember(func(m *memberStatus) bool { return m.task.Result == TaskFailed }):
 		return Failed
+	case c.anyMember(func(m *memberStatus) bool { return m.task.Result == StartUnanswered }):
+		return StartFailed
 	case c.anyMember(func(m *memberStatus) bool { return m.task.State != StateEnded || m.lostOrIsolated() }):
 		return Lost
 	}
--- a/gang/outcome.go
+++ b/gang/outcome.go
@@ -20,9 +20,12 @@
 	// Superseded means that there is a planner with a higher epoch. Nothing is
 	// known of the attempt, and the caller must not change the job's record.
 	Superseded
+	// StartFailed means that a target did not answer the start of its task,
+	// which was then stopped on all members. The job is not at fault.
+	StartFailed
 )
 
-var outcomeNames = [...]string{"lost", "done", "not started", "stopped", "failed", "superseded"}
+var outcomeNames = [...]string{"lost", "done", "not started", "stopped", "failed", "superseded", "start failed"}
 
 // String returns the outcome in lower case.
 func (o Outcome) String() string {
--- a/gang/protocol_test.go
+++ b/gang/protocol_test.go
@@ -367,3 +367,21 @@
 		}
 	}
 }
+
+// A target that does not answer a start must not make its job count as failed.
+func TestUnansweredStartIsNoTaskFailure(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster("a", "b")
+	co := NewCoordinator(testConfig(1), testPlan("a", "b"))
+	cl.step(co, t0, Begin{})
+	cl.step(co, t0, Recorded{RecordWritten})
+	end := func(agent string, r Result) []Action {
+		reply := replies(cl.members[agent].Step(t0, TaskEnded{ID: attempt1, Result: r}))[0]
+		return cl.step(co, t0, ReplyReceived{agent, reply})
+	}
+	end("a", StartUnanswered)
+	e := lastEnded(c, end("b", TaskStopped))
+	c.Check(e.Outcome, qt.Equals, StartFailed)
+	c.Check(e.Cause, qt.Equals, CauseMemberFailed)
+	c.Check(e.CauseAgent, qt.Equals, "a")
+}
--- a/gang/result.go
+++ b/gang/result.go
@@ -19,9 +19,12 @@
 	// Isolated means that the member stopped the task because its attempt was
 	// not renewed in time.
 	Isolated
+	// StartUnanswered means that the target did not answer the start, and has
+	// stopped the task since.
+	StartUnanswered
 )
 
-var resultNames = [...]string{"none", "succeeded", "failed", "stopped", "lost", "isolated"}
+var resultNames = [...]string{"none", "succeeded", "failed", "stopped", "lost", "isolated", "start unanswered"}
 
 // String returns the result in lower case.
 func (r Result) String() string {
--- a/planner/attempt_end.go
+++ b/planner/attempt_end.go
@@ -103,6 +103,8 @@
 		return scheduler.Done
 	case gang.Failed:
 		return scheduler.Failed
+	case gang.StartFailed:
+		return scheduler.StartFailed
 	case gang.Stopped:
 		return scheduler.Stopped
 	default:
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -50,6 +50,8 @@
 		s.endJob(j, RejectNotRepeatable, "the attempt ended early and the job must not run twice")
 	case e.Outcome == Failed:
 		s.attemptFailed(r, e.Worker)
+	case e.Outcome == StartFailed:
+		s.startFailed(r, e.Worker)
 	case e.Outcome == Lost:
 		s.attemptLost(r)
 	default:
@@ -73,6 +75,16 @@
 	s.requeue(r)
 }
 
+// startFailed records a failure with the worker and requeues the job after a
+// delay. The job is not rejected however often this happens: it has not failed.
+func (s *Scheduler) startFailed(r *run, worker WorkerID) {
+	if n := s.nodeByID[worker]; n != nil {
+		s.recordRefusal(n, r.job)
+	}
+	r.job.startFailures++
+	s.requeue(r)
+}
+
 // earlyLossPeriod is how soon after its start the loss of an attempt counts
 // against its job. Long jobs outlive many workers, so later losses don't count.
 const earlyLossPeriod = 10 * time.Minute
@@ -100,7 +112,7 @@
 func (s *Scheduler) requeue(r *run) {
 	j := r.job
 	s.emit(JobRequeued{Job: j.ID, Attempt: r.attempt})
-	if n := j.failures + j.earlyLosses; n > 0 {
+	if n := j.failures + j.earlyLosses + j.startFailures; n > 0 {
 		s.delay(j, s.now.Add(backoff(s.policy.RetryAfter, n)))
 		return
 	}
--- a/scheduler/job_state.go
+++ b/scheduler/job_state.go
@@ -13,6 +13,7 @@
 	failedNodes    []nodeID // different workers on which the job failed, at most maxFailedNodes
 	failures       int
 	earlyLosses    int // attempts in a row that were lost with a worker soon after their start
+	startFailures  int // attempts that a worker did not start
 	evictions      int
 	borrowingEnded bool      // the job lost work to a claim and may not borrow now
 	notBefore      time.Time // end of the delay before the job is queued again
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -12,4 +12,6 @@
 	Stopped
 	// Lost means that the attempt was lost with a worker.
 	Lost
+	// StartFailed means that a worker did not start its part of the job.
+	StartFailed
 )
--- a/scheduler/scenario_test.go
+++ b/scheduler/scenario_test.go
@@ -275,3 +275,19 @@
 		b.Assert(b.s.jobs["long"], qt.Not(qt.IsNil))
 	}
 }
+
+// A job whose starts are not answered has not failed itself: it must be tried again, however often.
+func TestUnansweredStartsDoNotRejectJob(t *testing.T) {
+	b := newHarness(t, Policy{Accounts: []AccountPolicy{{ID: "a"}}}, eightAcceleratorWorkers(12)...)
+	b.submit(Job{ID: "slow", Account: "a", Accelerators: 8, Repeatable: true})
+	for range 2 * b.s.policy.MaxAttempts {
+		r := b.s.jobs["slow"].run
+		b.Assert(r, qt.Not(qt.IsNil))
+		at := b.s.nodes[r.held[0].node].Worker
+		b.step(GangStarted{"slow", r.attempt})
+		b.endAttempt("slow", StartFailed, at.ID)
+		b.Assert(b.s.jobs["slow"], qt.Not(qt.IsNil))
+		b.now = b.now.Add(2 * time.Minute)
+		b.step(Tick{})
+	}
+}
