gang, agent, planner: a job runs for callers once all targets have confirmed its start

What callers saw: "running" while no target had begun, as long as targets were slow to answer starts. Cause: the state shown was the gang protocol's, where a member runs once its target was told to start. Evidence: TestJobIsStartingUntilTargetsConfirm on: "running" 500 ms after the starts have arrived at targets that hold them. It is why TestAgentRestartDuringGangStart missed the state that it waits for: that lasted for a few messages only, however long the starts were held. Change: a member tells when its target has confirmed a start, and the planner shows the job as starting until all have. Renewals, limits and the protocol's phases are unchanged. The planner's fake agents confirm their starts now, as real ones do; no check was changed.

--- a/agent/gang_task.go
+++ b/agent/gang_task.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return g.handleStartFailure(action.Task.ID, err)
 	}
+	g.postEvent(gang.TaskStarted{ID: action.Task.ID})
 	return g.watchTask(action.Task.ID)
 }
 
--- a/agent/gang_task_test.go
+++ b/agent/gang_task_test.go
@@ -103,3 +103,25 @@
 	task := startTestRunner(c, server.URL).runTask(c, hasEnded)
 	c.Check(task.Result, qt.Equals, gang.TaskFailed)
 }
+
+// A task counts as confirmed only once its target has answered the start: callers must not be told
+// that a job runs while a target may not have begun it.
+func TestStartIsUnconfirmedUntilTargetAnswers(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodPut {
+			<-release
+		}
+		_ = json.NewEncoder(w).Encode(target.TaskStatus{State: target.TaskRunning})
+	}))
+	defer server.Close()
+	g := startTestRunner(c, server.URL)
+	task := g.runTask(c, func(t gang.Task) bool { return t.State == gang.StateRunning })
+	c.Check(task.Unconfirmed, qt.IsTrue)
+	close(release)
+	for task.Unconfirmed {
+		time.Sleep(time.Millisecond)
+		g.call(context.Background(), func() { task = g.member.Tasks()[0] })
+	}
+}
--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -65,6 +65,12 @@
 // ended without success.
 func (c *Coordinator) Running() bool { return c.phase == phaseRunning }
 
+// StartsConfirmed reports whether no target is known to owe the answer to a
+// start.
+func (c *Coordinator) StartsConfirmed() bool {
+	return !c.anyMember(func(m *memberStatus) bool { return m.task.Unconfirmed })
+}
+
 // HasEnded reports whether Ended was returned.
 func (c *Coordinator) HasEnded() bool { return c.phase == phaseEnded }
 
--- a/gang/member.go
+++ b/gang/member.go
@@ -78,6 +78,8 @@
 		m.handleReceived(ev)
 	case TasksRecovered:
 		m.recoverTasks(ev.Tasks)
+	case TaskStarted:
+		m.handleTaskStarted(ev)
 	case TaskEnded:
 		m.handleTaskEnded(ev)
 	case Drain:
@@ -154,12 +156,24 @@
 	m.assignAccelerators(a)
 }
 
+func (m *Member) handleTaskStarted(ev TaskStarted) {
+	a := m.attempts[ev.ID]
+	if a == nil || !a.task.Unconfirmed {
+		return
+	}
+	a.task.Unconfirmed = false
+	if a.replyTo != "" {
+		m.reply(a.replyTo, a.task, Accepted)
+	}
+}
+
 func (m *Member) handleTaskEnded(ev TaskEnded) {
 	a := m.attempts[ev.ID]
 	if a == nil || a.task.State != StateRunning && a.task.State != StateStopping {
 		return
 	}
 	a.task.Result = ev.Result
+	a.task.Unconfirmed = false
 	a.task.Checkpointed = ev.Checkpointed
 	a.task.Detail = ev.Detail
 	if a.isolated && ev.Result == TaskStopped {
--- a/gang/member_event.go
+++ b/gang/member_event.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// MemberEvent is the input of a Member: Received, TasksRecovered, TaskEnded,
-// ReportAnswered, Drain or Tick.
+// MemberEvent is the input of a Member: Received, TasksRecovered, TaskStarted,
+// TaskEnded, ReportAnswered, Drain or Tick.
 type MemberEvent interface{ memberEvent() }
 
 // Received is a message from a coordinator.
@@ -21,6 +21,9 @@
 // incarnation of the agent sent.
 type TasksRecovered struct{ Tasks []Task }
 
+// TaskStarted reports that the target has confirmed the start of a task.
+type TaskStarted struct{ ID ID }
+
 // TaskEnded reports the end of a task at the target, for whatever reason.
 type TaskEnded struct {
 	ID           ID
@@ -48,6 +51,7 @@
 
 func (Received) memberEvent()       {}
 func (TasksRecovered) memberEvent() {}
+func (TaskStarted) memberEvent()    {}
 func (TaskEnded) memberEvent()      {}
 func (ReportAnswered) memberEvent() {}
 func (Drain) memberEvent()          {}
--- a/gang/member_receive.go
+++ b/gang/member_receive.go
@@ -119,6 +119,7 @@
 	case StateCommitted:
 		a.task.State = StateRunning
 		a.task.Started = true
+		a.task.Unconfirmed = true
 		a.setRunDeadline(m.now.Add(m.config.IsolationTimeout))
 		m.actions = append(m.actions, StartTask{Task: a.task, Spec: a.spec})
 		a.spec = nil
--- a/gang/member_status.go
+++ b/gang/member_status.go
@@ -26,6 +26,9 @@
 	if t.State < m.task.State {
 		return
 	}
+	if t.State == m.task.State {
+		t.Unconfirmed = t.Unconfirmed && m.task.Unconfirmed // replies can overtake each other
+	}
 	m.task = t
 }
 
--- a/gang/task.go
+++ b/gang/task.go
@@ -22,10 +22,12 @@
 	// outlast it, and the target returns it to a restarted agent, so that a
 	// restart gives an isolated task no more time.
 	RunUntil int64 `cbor:"10,keyasint,omitempty"`
+	// Unconfirmed is set while the target has not answered the start.
+	Unconfirmed bool `cbor:"11,keyasint,omitempty"`
 }
 
-// Reply answers a message. A member also sends one on its own when a task
-// ends.
+// Reply answers a message. A member also sends one on its own when the target
+// has confirmed the start of a task, and when a task ends.
 type Reply struct {
 	Task Task `cbor:"1,keyasint"`
 	// Incarnation is the incarnation of the answering agent.
--- a/gang/task_equal.go
+++ b/gang/task_equal.go
@@ -10,6 +10,7 @@
 		t.Members == other.Members &&
 		t.Committed == other.Committed &&
 		t.Started == other.Started &&
+		t.Unconfirmed == other.Unconfirmed &&
 		t.Result == other.Result &&
 		t.Checkpointed == other.Checkpointed &&
 		t.Detail == other.Detail &&
--- a/planner/helpers_test.go
+++ b/planner/helpers_test.go
@@ -85,6 +85,7 @@
 		case gang.StartTask:
 			f.running[agent] = append(f.running[agent], a.Task.ID)
 			f.starts[a.Task.ID.Job]++
+			f.step(agent, gang.TaskStarted{ID: a.Task.ID})
 		case gang.StopTask:
 			f.step(agent, gang.TaskEnded{ID: a.ID, Result: gang.TaskStopped})
 		}
--- a/planner/job.go
+++ b/planner/job.go
@@ -67,6 +67,10 @@
 	finalRecord *jobs.Stored
 }
 
+// startsConfirmed reports whether the targets of the attempt have confirmed its
+// start.
+func (j *job) startsConfirmed() bool { return j.coord == nil || j.coord.StartsConfirmed() }
+
 // isWaiting reports whether the job is queued, has no attempt and is not
 // ending.
 func (j *job) isWaiting() bool {
--- a/planner/status.go
+++ b/planner/status.go
@@ -53,7 +53,7 @@
 func (p *Planner) status(id string) (Status, bool) {
 	if j := p.jobs[id]; j != nil {
 		phase := j.phase
-		if j.unresolved {
+		if j.unresolved || phase == Running && !j.startsConfirmed() {
 			phase = Starting // it may be running
 		}
 		return Status{Record: j.stored.Record, Phase: phase, Members: j.members()}, true
--- a/trial/target_restart_test.go
+++ b/trial/target_restart_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/api"
+	"github.com/eelgrasshub/eelgrasshub/target/standin"
 	"github.com/eelgrasshub/eelgrasshub/trial"
 )
 
@@ -43,3 +44,28 @@
 	tc.Fatalf("%s has not started", tag)
 	return nil
 }
+
+func TestJobIsStartingUntilTargetsConfirm(t *testing.T) {
+	// A caller must not be told that a job runs while its targets have not confirmed the starts.
+	tc := startTestCluster(t, func(o *trial.Options) { o.Document = defaultGangDocument })
+	for _, worker := range tc.Workers {
+		worker.Target.SetFaults(standin.Faults{HoldStarts: true})
+	}
+	id := tc.submit(0, "big", "gang", 16, 2*time.Second)
+	tc.eventually(func() error {
+		held := 0
+		for _, worker := range tc.Workers {
+			held += worker.Target.HeldStarts()
+		}
+		return errorUnless(held == 2, "the starts have not arrived at the targets")
+	})
+	time.Sleep(500 * time.Millisecond) // longer than a report period
+	s, err := tc.Entries[0].Client().GetJob(tc.ctx, tc.Service, id, 0)
+	tc.Assert(err, qt.IsNil)
+	tc.Check(s.State, qt.Equals, api.JobStarting)
+	for _, worker := range tc.Workers {
+		worker.Target.SetFaults(standin.Faults{})
+	}
+	tc.awaitJob(0, id, api.JobRunning)
+	tc.awaitJob(0, id, api.JobDone)
+}
