--- a/engine/crash.go
+++ b/engine/crash.go
@@ -21,7 +21,8 @@
 	maxStartupCrashes = 2
 	// maxCrashes is the number of crashes of any kind after which a task is given up. It also
 	// covers tasks that crash their workers later, and crashes whose run time is unknown since
-	// the planner was lost too.
+	// the planner was lost too. There is no further try, since a gang may be started several
+	// times before all of its members are present, and each of these starts can crash a worker.
 	maxCrashes = 3
 	// minConfirmedCrashes is how many of the crashes must be confirmed; with fewer, one more
 	// crash is tolerated, since a run whose start was not answered, whose agent was
--- a/engine/durations.go
+++ b/engine/durations.go
@@ -37,7 +37,7 @@
 // end. It skips runs whose length does not represent their queue.
 func (e *Engine) learnRunTime(now time.Duration, p *placement) {
 	if p.adopted {
-		return // its actual start time is unknown
+		return // its start time is unknown, and a wrong length would distort many estimates of its queue
 	}
 	u := p.unit
 	if u.state == unitDone || u.spec().BestEffortCPU || u.spec().LongRunning || !e.params.Policy.LearnedRunTimes {
--- a/engine/headroom.go
+++ b/engine/headroom.go
@@ -6,14 +6,15 @@
 	"time"
 )
 
-// Waiting for evictions uses up most of the slack of a short urgent job. So deferrable work leaves
+// Waiting for evictions uses up most of the slack of an urgent job that lasts a few seconds. So deferrable work leaves
 // as much capacity free on some racks, the headroom, as recent urgent jobs needed. Work that can't
 // be deferred any longer uses the headroom too.
 const (
 	// deferrableSlack is the minimum time to a unit's latest start at which it is deferrable. It
 	// covers the wait for the next release of capacity.
 	deferrableSlack = 6 * time.Second
-	// maxDeferral limits how long a unit that could have started is kept out of the headroom.
+	// maxDeferral limits how long a unit that could have started is kept out of the headroom. It
+	// is several times the run time of an urgent job.
 	maxDeferral = 12 * time.Second
 	// minUrgentHistory is the number of urgent jobs that are always remembered. Further ones are
 	// remembered for urgentHistoryAge, to cover a whole burst.
--- a/engine/interference.go
+++ b/engine/interference.go
@@ -8,7 +8,8 @@
 
 const (
 	// initialTolerance is the speed in percent at which a best-effort task of an unknown pair of
-	// images starts: low enough to be harmless and high enough for an effect to be measurable.
+	// images starts: low enough to be harmless even if it would double its neighbour's response
+	// times at full speed, and high enough for an effect to be measurable.
 	initialTolerance = 25
 	// decreaseWeight and increaseWeight are the weights of the newest observation. Violations
 	// count more, since load changes within seconds.
--- a/engine/pace_control.go
+++ b/engine/pace_control.go
@@ -14,14 +14,16 @@
 	// latencyRatioCeiling and latencyRatioFloor are ratios of tail latency to its target.
 	latencyRatioCeiling = 0.85
 	latencyRatioFloor   = 0.7
-	// paceSettleTime is how long reported latencies may still reflect the previous limit.
+	// paceSettleTime is how long reported latencies may still reflect the previous limit: they
+	// cover half a second, and an order takes about a tenth.
 	paceSettleTime = 700 * time.Millisecond
 	// pauseAfterShare is the share of Params.MaxLatencyViolation after which best-effort tasks
 	// are paused.
 	pauseAfterShare = 0.3
 	// stopAfterShare is the share after which runs with an unconfirmed limit are stopped.
 	stopAfterShare = 0.6
-	// raiseBlameWindow is how long after a raise a high latency is attributed to it.
+	// raiseBlameWindow is how long after a raise a high latency is attributed to it: two polls
+	// and paceSettleTime.
 	raiseBlameWindow = 2 * time.Second
 	// minRaiseStep is the smallest step of a raise in percent. A run returns to the limit known
 	// to be tolerated in one step.
--- a/gateway/store_relay.go
+++ b/gateway/store_relay.go
@@ -12,7 +12,7 @@
 
 // directCallTimeout bounds a direct store call if a peer could make it instead: a store that is
 // cut off does not answer at all, and the planner lease must be renewed in time. It is long
-// enough for a store that is slow for all gateways.
+// enough for a store that is slow for all gateways, at a hundred times its usual 4 ms.
 const directCallTimeout = 500 * time.Millisecond
 
 // storeRelay is the store as used by the planner. A peer makes the calls that the store does not
