planner: an attempt that starts on a late permit retains its end

What callers saw: a job that was done during a store outage ran again, since its planner ended before the end was recorded and the successor found no trace of it. Cause: whether ended tasks stay unacknowledged was decided when the attempt began. A permit that is confirmed later lets the attempt start without a record; its ends were then acknowledged at once. Change: startOnPermit makes the coordinator retain succeeded tasks. Before: TestAttemptOnLatePermitRetainsItsEnd fails each time.

--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -65,6 +65,10 @@
 // ended without success.
 func (c *Coordinator) Running() bool { return c.phase == phaseRunning }
 
+// RetainSucceeded sets Config.RetainSucceeded, for an attempt of which it turns
+// out only after its beginning that no record will name it.
+func (c *Coordinator) RetainSucceeded() { c.config.RetainSucceeded = true }
+
 // StartsConfirmed reports whether no target is known to owe the answer to a
 // start.
 func (c *Coordinator) StartsConfirmed() bool {
--- a/planner/permit.go
+++ b/planner/permit.go
@@ -162,6 +162,7 @@
 	}
 	j.permit.mayHaveBeenUsed = true
 	j.permitPlan = plan
+	j.coord.RetainSucceeded() // the permit may have been confirmed after the attempt began
 	j.stored.Started = time.Now()
 	j.stored.Attempt = uint64(j.attempt)
 	p.postFromLoop(func() { p.notifyRecorded(j, plan.ID, gang.RecordWritten) })
--- a/planner/permit_test.go
+++ b/planner/permit_test.go
@@ -416,3 +416,37 @@
 	})
 	<-done
 }
+
+// A permit may be confirmed after an attempt has begun, which then starts on it. No record names the
+// attempt, so its ended tasks must stay at the agents until the end is recorded: a successor would
+// find nothing and run a job again that was done.
+func TestAttemptOnLatePermitRetainsItsEnd(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents(allWorkers...)
+	agents.unreachableFrom[1] = true // until the permit is confirmed
+	p := b.planner(1, agents)
+	b.accept("j", 16, true)
+	report := func() { agents.report(p) }
+	b.eventually("an attempt has begun", report, func() bool {
+		begun, _ := callOnLoop(context.Background(), p, func() bool { j := p.jobs["j"]; return j != nil && j.coord != nil })
+		return begun
+	})
+	_, ok := callOnLoop(context.Background(), p, func() bool {
+		j := p.jobs["j"]
+		got, err := b.jobs.Update(context.Background(), j.stored.WithPermit(1))
+		b.c.Assert(err, qt.IsNil)
+		p.handlePermitWritten(j, j.stored.Rev, got, nil)
+		return true
+	})
+	b.c.Assert(ok, qt.IsTrue)
+	agents.reach(1)
+	b.eventually("the gang runs", report, func() bool { return agents.allMembersRun("j", 2) })
+	b.server.SetFaults(standin.Faults{Down: standin.DownRefuse})
+	agents.finish()
+	b.eventually("the planner knows that it is done", report, func() bool {
+		done, _ := callOnLoop(context.Background(), p, func() bool { j := p.jobs["j"]; return j != nil && j.finalRecord != nil })
+		return done
+	})
+	time.Sleep(100 * time.Millisecond) // an acknowledgement would be on its way
+	b.c.Check(agents.epochsOf("j"), qt.DeepEquals, map[uint64]bool{1: true})
+}
