--- a/engine/headroom.go
+++ b/engine/headroom.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Waiting for evictions uses up most of the slack of an urgent job that lasts a few seconds. So deferrable work leaves
-// as much capacity free on some racks, the headroom, as recent urgent jobs needed. Work that can't
-// be deferred any longer uses the headroom too.
+// Waiting for evictions uses up most of the slack of an urgent job that lasts a few seconds. So
+// deferrable work leaves as much capacity free on some racks, the headroom, as recent urgent jobs
+// needed. Work that can't be deferred any longer uses the headroom too.
 const (
 	// deferrableSlack is the minimum time to a unit's latest start at which it is deferrable. It
 	// covers the wait for the next release of capacity.
--- a/gateway/failure_detector.go
+++ b/gateway/failure_detector.go
@@ -38,8 +38,8 @@
 	selfStallThreshold = 3 * livenessInterval
 	// successorStagger is the additional wait of each successor over the one before it, and of
 	// all other gateways over the last successor. It exceeds the 50 to 80 ms that it takes to
-	// acquire the lease and announce it. Without it, a gateway too weak to load the records in time could win, and be
-	// deposed in turn.
+	// acquire the lease and announce it. Without it, a gateway too weak to load the records in
+	// time could win, and be deposed in turn.
 	successorStagger = 150 * time.Millisecond
 )
 
--- a/planner/attempt_end.go
+++ b/planner/attempt_end.go
@@ -62,8 +62,9 @@
 }
 
 // logUnsuccessful logs why an attempt did not start or did not run to its end.
+// Refused reservations are only counted, since there may be many.
 func (p *Planner) logUnsuccessful(j *job, e gang.Ended) {
-	if e.Outcome == gang.Done || e.Cause == gang.CauseAborted {
+	if e.Outcome == gang.Done || e.Cause == gang.CauseAborted || e.Cause == gang.CauseRefused {
 		return
 	}
 	log := p.cfg.Log.WithFields(logrus.Fields{"job": j.stored.ID, "attempt": j.attempt, "outcome": e.Outcome.String(), "cause": e.Cause.String()})
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -67,17 +67,13 @@
 	if r.Incarnation < w.lastReport.Incarnation {
 		return
 	}
-	outdated := clock.Now().Sub(r.ReceivedAt) > p.lossTimeout()
 	previous, wasUp := w.lastReport, w.up
-	if r.Incarnation == previous.Incarnation && r.ReceivedAt.Before(previous.ReceivedAt) {
-		r.ReceivedAt = previous.ReceivedAt
-	}
-	w.lastReport = r
-	if outdated {
+	w.storeReport(r)
+	if clock.Now().Sub(r.ReceivedAt) > p.lossTimeout() {
 		if !known {
 			p.cfg.Log.WithField("agent", id).Warn("agent was silent before this term")
 		}
-		return
+		return // no evidence that the agent is available
 	}
 	w.up = true
 	w.updateFence(previous, p.cfg.Epoch)
@@ -86,6 +82,14 @@
 	p.stopOrphans(id, w)
 }
 
+// storeReport stores a report. The last contact never goes back.
+func (w *worker) storeReport(r AgentReport) {
+	if r.Incarnation == w.lastReport.Incarnation && r.ReceivedAt.Before(w.lastReport.ReceivedAt) {
+		r.ReceivedAt = w.lastReport.ReceivedAt
+	}
+	w.lastReport = r
+}
+
 func (p *Planner) updateScheduler(previous AgentReport, wasUp bool, r AgentReport) {
 	switch {
 	case r.Draining && (!wasUp || !previous.Draining):
