--- a/agent/gang_task_test.go
+++ b/agent/gang_task_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,8 +41,26 @@
 	return g
 }
 
-// runTask makes the member start a task, and returns its state once done returns true.
-func (g *gangRunner) runTask(c *qt.C, done func(gang.Task) bool) gang.Task {
+// startFakeTarget returns the URL of a target that answers a start as start does, and all other
+// requests with a task in the given state. It ends with the test.
+func startFakeTarget(c *qt.C, state target.TaskState, start http.HandlerFunc) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodPut {
+			start(w, req)
+			return
+		}
+		writeTaskStatus(w, state)
+	}))
+	c.Cleanup(server.Close)
+	return server.URL
+}
+
+func writeTaskStatus(w http.ResponseWriter, state target.TaskState) {
+	_ = json.NewEncoder(w).Encode(target.TaskStatus{State: state})
+}
+
+// sendStart makes the member start a task.
+func (g *gangRunner) sendStart(c *qt.C) {
 	spec, err := cbor.Marshal(target.TaskSpec{})
 	c.Assert(err, qt.IsNil)
 	h := gang.Header{ID: gang.ID{Job: "j", Epoch: 1, Number: 1}, Sender: 1, Incarnation: 1}
@@ -49,6 +68,10 @@
 	for _, m := range []gang.Message{reserve, gang.Commit{Header: h}, gang.Start{Header: h}} {
 		g.postEvent(gang.Received{From: "planner", Message: m})
 	}
+}
+
+// awaitTask returns the member's only task once done returns true for it.
+func (g *gangRunner) awaitTask(c *qt.C, done func(gang.Task) bool) gang.Task {
 	for range 1000 {
 		var tasks []gang.Task
 		g.call(context.Background(), func() { tasks = g.member.Tasks() })
@@ -76,15 +99,10 @@
 	} {
 		t.Run(string(tc.state), func(t *testing.T) {
 			c := qt.New(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-				if req.Method == http.MethodPut {
-					panic(http.ErrAbortHandler)
-				}
-				_ = json.NewEncoder(w).Encode(target.TaskStatus{State: tc.state})
-			}))
-			defer server.Close()
-			task := startTestRunner(c, server.URL).runTask(c, hasEnded)
-			c.Check(task.Result, qt.Equals, tc.result)
+			url := startFakeTarget(c, tc.state, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+			g := startTestRunner(c, url)
+			g.sendStart(c)
+			c.Check(g.awaitTask(c, hasEnded).Result, qt.Equals, tc.result)
 		})
 	}
 }
@@ -92,36 +110,29 @@
 // A target that refuses a start has run nothing; the refusal still counts as a failure.
 func TestRefusedStartIsFailure(t *testing.T) {
 	c := qt.New(t)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if req.Method == http.MethodPut {
-			http.Error(w, "refused", http.StatusServiceUnavailable)
-			return
-		}
-		_ = json.NewEncoder(w).Encode(target.TaskStatus{State: target.TaskStopped})
-	}))
-	defer server.Close()
-	task := startTestRunner(c, server.URL).runTask(c, hasEnded)
-	c.Check(task.Result, qt.Equals, gang.TaskFailed)
+	url := startFakeTarget(c, target.TaskStopped, func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+	})
+	g := startTestRunner(c, url)
+	g.sendStart(c)
+	c.Check(g.awaitTask(c, hasEnded).Result, qt.Equals, gang.TaskFailed)
 }
 
 // A task counts as confirmed only once its target has answered the start: callers must not be told
 // that a job runs while a target may not have begun it.
 func TestStartIsUnconfirmedUntilTargetAnswers(t *testing.T) {
 	c := qt.New(t)
-	release := make(chan struct{})
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if req.Method == http.MethodPut {
-			<-release
-		}
-		_ = json.NewEncoder(w).Encode(target.TaskStatus{State: target.TaskRunning})
-	}))
-	defer server.Close()
-	g := startTestRunner(c, server.URL)
-	task := g.runTask(c, func(t gang.Task) bool { return t.State == gang.StateRunning })
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	url := startFakeTarget(c, target.TaskRunning, func(w http.ResponseWriter, _ *http.Request) {
+		<-released
+		writeTaskStatus(w, target.TaskRunning)
+	})
+	c.Cleanup(release) // the target's end waits for the answer
+	g := startTestRunner(c, url)
+	g.sendStart(c)
+	task := g.awaitTask(c, func(t gang.Task) bool { return t.State == gang.StateRunning })
 	c.Check(task.Unconfirmed, qt.IsTrue)
-	close(release)
-	for task.Unconfirmed {
-		time.Sleep(time.Millisecond)
-		g.call(context.Background(), func() { task = g.member.Tasks()[0] })
-	}
+	release()
+	g.awaitTask(c, func(t gang.Task) bool { return !t.Unconfirmed })
 }
--- a/nodeagent/departure_test.go
+++ b/nodeagent/departure_test.go
@@ -83,6 +83,14 @@
 	c.Check(report.Ended, qt.DeepEquals, []engine.RunEnd{ended})
 }
 
+// newPollingAgent returns an agent that polls a worker and sends no reports.
+func newPollingAgent(w Worker) *Agent {
+	return &Agent{
+		cfg: Config{Worker: w}, log: discardLogger(), reportPending: make(chan struct{}, 1), endedIDs: map[engine.WorkerID]bool{},
+		incarnation: newIncarnation(engine.WorkerInfo{ID: "w"}),
+	}
+}
+
 // failingWorker fails all polls with an error.
 type failingWorker struct {
 	Worker
@@ -108,8 +116,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			c := qt.New(t)
 			w := &failingWorker{err: tc.err}
-			a := &Agent{cfg: Config{Worker: w}, log: discardLogger(), reportPending: make(chan struct{}, 1), endedIDs: map[engine.WorkerID]bool{}}
-			a.incarnation = newIncarnation(engine.WorkerInfo{ID: "w"})
+			a := newPollingAgent(w)
 			a.poll(a.incarnation, 0)
 			time.Sleep(wait)
 			w.err = context.DeadlineExceeded
@@ -123,8 +130,7 @@
 // A connection that is lost while the worker goes on must not date a later crash.
 func TestAnsweredPollClearsLostConnection(t *testing.T) {
 	c := qt.New(t)
-	a := &Agent{cfg: Config{Worker: &failingWorker{err: ErrConnectionLost}}, log: discardLogger(), reportPending: make(chan struct{}, 1), endedIDs: map[engine.WorkerID]bool{}}
-	a.incarnation = newIncarnation(engine.WorkerInfo{ID: "w"})
+	a := newPollingAgent(&failingWorker{err: ErrConnectionLost})
 	a.poll(a.incarnation, 0)
 	a.incarnation.applyStatus(WorkerStatus{Clock: time.Second}, now(), now(), 0)
 	a.endIncarnation(departure{crashed: true})
@@ -149,9 +155,8 @@
 	c := qt.New(t)
 	ended := []engine.RunEnd{{Sequence: 1, Run: workload.RunID{Task: workload.TaskID{Job: "j"}, Number: 1}, Reason: engine.EndDone}}
 	w := &slowWorker{release: make(chan struct{}), status: WorkerStatus{Clock: time.Second, Ended: ended}}
-	a := &Agent{cfg: Config{Worker: w}, log: discardLogger(), reportPending: make(chan struct{}, 1), endedIDs: map[engine.WorkerID]bool{}}
-	inc := newIncarnation(engine.WorkerInfo{ID: "w"})
-	a.incarnation = inc
+	a := newPollingAgent(w)
+	inc := a.incarnation
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/planner/worker_test.go
+++ b/planner/worker_test.go
@@ -24,6 +24,14 @@
 	c.Assert(alive.forAgent("a", now.Add(maxAliveAge+time.Millisecond)), qt.HasLen, 0)
 }
 
+// isUp reports whether a planner takes an agent that it knows for available.
+func (b *bench) isUp(p *Planner, agent string) bool {
+	b.c.Helper()
+	up, ok := callOnLoop(context.Background(), p, func() bool { return p.workers[agent].up })
+	b.c.Assert(ok, qt.IsTrue)
+	return up
+}
+
 // A successor that has already lost an agent takes over an attempt with a member there. It must not
 // wait for that member without end.
 func TestAttemptOnLostAgentEnds(t *testing.T) {
@@ -34,11 +42,7 @@
 	next := b.planner(2, agents)
 	agents.report(next)
 	const lost = "a"
-	isUp := func() bool {
-		up, ok := callOnLoop(context.Background(), next, func() bool { return next.workers[lost].up })
-		return ok && up
-	}
-	b.eventually("the successor loses an agent", func() { agents.reportExcept(next, lost) }, func() bool { return !isUp() })
+	b.eventually("the successor loses an agent", func() { agents.reportExcept(next, lost) }, func() bool { return !b.isUp(next, lost) })
 
 	old := b.planner(1, agents)
 	b.accept("j", 24, true)
@@ -70,14 +74,10 @@
 	p.HandleAgentLeft("a")
 	report.ReceivedAt = clock.Now().Add(-lossTimeout - time.Second)
 	p.HandleReport(report)
-	up, ok := callOnLoop(context.Background(), p, func() bool { return p.workers["a"].up })
-	b.c.Assert(ok, qt.IsTrue)
-	b.c.Check(up, qt.IsFalse)
+	b.c.Check(b.isUp(p, "a"), qt.IsFalse)
 	report.ReceivedAt = clock.Now()
 	p.HandleReport(report)
-	up, ok = callOnLoop(context.Background(), p, func() bool { return p.workers["a"].up })
-	b.c.Assert(ok, qt.IsTrue)
-	b.c.Check(up, qt.IsTrue)
+	b.c.Check(b.isUp(p, "a"), qt.IsTrue)
 }
 
 // Reports can overtake each other. An older contact must not bring the loss of an agent forward.
