engine, gateway, nodeagent: reports are numbered, and a lost run names the report that showed it

The reason of a lost run was logged without the report behind it, and a report had neither a number nor a time, so a report that was handled late, or after a newer one, could not be told in any log. Each process of a node agent now numbers its reports. 'lost' and 'worker gone' name the agent's process, the report's number and how much longer it took than the agent's fastest; a report that is handled after a later one is counted and logged; the delay in the planner's queue is a histogram. No decision changes.

--- a/engine/action.go
+++ b/engine/action.go
@@ -62,6 +62,8 @@
 	Detail string
 	Run    workload.RunID
 	Worker WorkerID
+	// Report is the report that showed a run as lost.
+	Report ReportRef
 }
 
 // JobStarted reports that the first task of a job runs. Waited is the time since acceptance.
--- a/engine/departure.go
+++ b/engine/departure.go
@@ -20,6 +20,8 @@
 	Worker    WorkerInfo
 	Departure Departure
 	Runs      int
+	// Report is the report that showed the end.
+	Report ReportRef
 }
 
 func (WorkerGone) isAction() {}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -29,7 +29,10 @@
 	// name. lastGeneration is the highest Fence.Generation assigned.
 	superseded     map[string][]*worker
 	lastGeneration uint64
-	tracker        durationTracker
+	// reportOrders holds the order of reports by agent. handling is the report in progress.
+	reportOrders map[string]*reportOrder
+	handling     ReportRef
+	tracker      durationTracker
 	// interference holds what is known about images that share workers.
 	interference  interferenceModel
 	cordons       catalog.Cordons
@@ -81,6 +84,7 @@
 		workers:             map[WorkerID]*worker{},
 		workerByAgent:       map[string]WorkerID{},
 		superseded:          map[string][]*worker{},
+		reportOrders:        map[string]*reportOrder{},
 		tracker:             newDurationTracker(params.StopTime / 2),
 		interference:        newInterferenceModel(),
 		dirtyJobs:           map[workload.JobID]bool{},
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -15,6 +15,11 @@
 // Report processes an agent's report and returns the answer, which may extend the worker's
 // lease. The caller must send it without delay.
 func (e *Engine) Report(now time.Duration, r Report) ReportAnswer {
+	order := e.beginReport(now, &r)
+	defer e.endReport()
+	if order.Overtaken {
+		e.actions = append(e.actions, ReportOvertaken{Agent: r.Worker.Agent, Worker: r.Worker.ID, Report: order})
+	}
 	if r.Terminated {
 		e.handleTerminated(now, r)
 		return ReportAnswer{}
@@ -251,7 +256,7 @@
 		return
 	}
 	placements := w.sortedPlacements()
-	e.actions = append(e.actions, WorkerGone{Worker: w.info, Departure: departure, Runs: len(placements)})
+	e.actions = append(e.actions, WorkerGone{Worker: w.info, Departure: departure, Runs: len(placements), Report: e.handling})
 	if departure == DepartureCrashed {
 		defer e.countCrash(now, w, slices.Concat(w.placementsAtExpiry, placements), evidence)
 	}
--- a/engine/report.go
+++ b/engine/report.go
@@ -75,6 +75,18 @@
 	// DownFor is, with Crashed, the time since the worker's connections broke, after which it did
 	// not answer again. It is 0 if the agent noticed the crash only by the next incarnation.
 	DownFor time.Duration `cbor:"17,keyasint,omitempty"`
+	Origin  ReportOrigin  `cbor:"18,keyasint,omitempty"`
+}
+
+// ReportOrigin says which of an agent's reports this is. It is zero in reports of agents that do
+// not number them.
+type ReportOrigin struct {
+	// Process identifies one process of the agent.
+	Process uint64 `cbor:"1,keyasint,omitempty"`
+	// Sequence rises with each report that the process makes.
+	Sequence uint64 `cbor:"2,keyasint,omitempty"`
+	// MadeAt is when the report was made, on the agent's clock.
+	MadeAt time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // ReportAnswer is the answer to a Report.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,7 @@
 	fetchingConfig   atomic.Bool  // a configuration is being fetched from a peer
 	counters         Counters
 	jobWaits         metrics.LabeledLatencies // from acceptance to first start, by account and queue
+	queueDelays      metrics.LabeledLatencies // of events in the planner's queue
 	jobCompletions   metrics.LabeledLatencies // from acceptance to end, by account, queue and state
 	callLatencies    metrics.LabeledLatencies // client calls, by kind and outcome
 	workerDepartures metrics.LabeledSums      // ended worker incarnations, by service and kind of departure
@@ -168,6 +169,7 @@
 // WriteMetrics writes the gateway's histograms and sums in text format.
 func (g *Gateway) WriteMetrics(w io.Writer) {
 	g.jobWaits.WriteText(w, "eelgrasshub_job_wait_us")
+	g.queueDelays.WriteText(w, "eelgrasshub_queue_delay_us")
 	g.jobCompletions.WriteText(w, "eelgrasshub_job_completion_us")
 	g.callLatencies.WriteText(w, "eelgrasshub_call_us")
 	g.workerDepartures.WriteText(w, "eelgrasshub_workers_gone")
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -132,8 +132,13 @@
 
 // enqueue queues f for the engine's goroutine. It returns false if the term has ended.
 func (t *term) enqueue(f func(now time.Duration)) bool {
+	queuedAt := lease.BootTime()
+	measured := func(now time.Duration) {
+		t.g.queueDelays.Observe("engine", now-queuedAt)
+		f(now)
+	}
 	select {
-	case t.inbox <- f:
+	case t.inbox <- measured:
 		return true
 	case <-t.tomb.Dying():
 		return false
--- a/gateway/term_metrics.go
+++ b/gateway/term_metrics.go
@@ -27,13 +27,33 @@
 // logWorkerGone counts and logs an ended worker incarnation.
 func (t *term) logWorkerGone(w engine.WorkerGone) {
 	t.g.workerDepartures.Add(w.Worker.Service+"/"+string(w.Departure), 1)
-	t.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"worker":  w.Worker.ID,
 		"agent":   w.Worker.Agent,
 		"service": w.Worker.Service,
 		"how":     w.Departure,
 		"runs":    w.Runs,
-	}).Info("worker gone")
+	}
+	addReport(fields, w.Report)
+	t.log.WithFields(fields).Info("worker gone")
+}
+
+// logReportOvertaken counts and logs a report that was handled after a later one.
+func (t *term) logReportOvertaken(o engine.ReportOvertaken) {
+	t.g.counters.ReportsOvertaken.Add(1)
+	fields := logrus.Fields{"agent": o.Agent, "worker": o.Worker}
+	addReport(fields, o.Report)
+	t.log.WithFields(fields).Warn("report handled after a later one")
+}
+
+// addReport adds to a log line the report that led to it.
+func addReport(fields logrus.Fields, r engine.ReportRef) {
+	if r.Origin.Process == 0 {
+		return
+	}
+	fields["agent_process"] = r.Origin.Process
+	fields["report"] = r.Origin.Sequence
+	fields["report_delay_ms"] = r.Delay.Milliseconds()
 }
 
 // logLate counts and logs a job that completed after its objective.
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -33,6 +33,8 @@
 			t.log.WithField("worker", a.Worker).WithField("detail", a.String()).Info("worker capacity changed")
 		case engine.WorkerGone:
 			t.logWorkerGone(a)
+		case engine.ReportOvertaken:
+			t.logReportOvertaken(a)
 		case engine.JobLate:
 			t.logLate(a)
 		case engine.JobFinished:
@@ -87,6 +89,7 @@
 	if d.Worker != "" {
 		fields["worker"] = d.Worker
 	}
+	addReport(fields, d.Report)
 	t.log.WithFields(fields).Info(d.Kind)
 }
 
--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +39,10 @@
 	departures    []departure // ended incarnations that are not reported yet
 	endedIDs      map[engine.WorkerID]bool
 	reportPending chan struct{} // signals the report loop; capacity 1
-	counters      Counters
+	// process identifies this process in reports, and lastReport is the number of its last one.
+	process    uint64
+	lastReport uint64
+	counters   Counters
 }
 
 // Counters count events since the start of the agent. The metrics endpoint derives metric names
@@ -56,6 +61,7 @@
 		changed:       make(chan struct{}),
 		reportPending: make(chan struct{}, 1),
 		endedIDs:      map[engine.WorkerID]bool{},
+		process:       1 + rand.Uint64N(math.MaxUint64), // zero means unnumbered
 	}
 	peer := wire.Peer{ID: cfg.ID, Role: wire.RoleAgent, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region, Zone: cfg.Zone}
 	id, err := wire.NewIdentity(peer, cfg.ClusterKey)
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -68,14 +68,21 @@
 	defer a.mu.Unlock()
 	var out []engine.Report
 	for _, d := range a.departures {
-		out = append(out, d.report(now()))
+		out = append(out, a.numbered(d.report(now())))
 	}
 	if a.incarnation != nil {
-		out = append(out, a.incarnation.report(now(), a.epoch))
+		out = append(out, a.numbered(a.incarnation.report(now(), a.epoch)))
 	}
 	return out
 }
 
+// numbered gives a report the next number of this process. The mutex is held.
+func (a *Agent) numbered(r engine.Report) engine.Report {
+	a.lastReport++
+	r.Origin = engine.ReportOrigin{Process: a.process, Sequence: a.lastReport, MadeAt: now()}
+	return r
+}
+
 func (a *Agent) sendReport(r engine.Report) (*link.ReportReply, time.Duration, bool) {
 	a.counters.Reports.Add(1)
 	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), reportTimeout)
