engine: reports have a field for their process and number

Reports of one agent may be handled in another order than they were built. Nothing in a report told which one is older. The field is there for the tests of delayed reports; neither the agents nor the engine use it yet. go test ./engine ./link ./nodeagent: ok.

--- a/engine/report.go
+++ b/engine/report.go
@@ -75,6 +75,17 @@
 	// DownFor is, with Crashed, the time since the worker's connections broke, after which it did
 	// not answer again. It is 0 if the agent noticed the crash only by the next incarnation.
 	DownFor time.Duration `cbor:"17,keyasint,omitempty"`
+	// Origin tells reports of one agent apart and gives their order.
+	Origin ReportOrigin `cbor:"18,keyasint,omitempty"`
+}
+
+// ReportOrigin identifies a report among those of one agent. It is zero for agents that do not
+// number their reports.
+type ReportOrigin struct {
+	// Process identifies one process of the agent.
+	Process uint64 `cbor:"1,keyasint,omitempty"`
+	// Sequence rises by one with each report that the process builds.
+	Sequence uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // ReportAnswer is the answer to a Report.
