engine: tests of reports that are handled after newer ones

Two reports of one agent, the older handled last: the live worker is ended by a report of the previous incarnation, and a lease is shortened by a remaining time that a newer report has replaced. Each starts a task a second time beside its first run. The driver numbers its reports, per agent, when they are built.

--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -26,13 +26,14 @@
 	decisionCounts map[workload.JobID]map[string]int
 	startedOn      map[workload.RunID]WorkerID // the worker of each start
 	endCounts      map[WorkerID]int64
+	origins        map[string]*ReportOrigin // of the last report built by each agent
 	// discarded and late are the corresponding actions so far.
 	discarded []WorkDiscarded
 	late      []JobLate
 }
 
 func newDriver(t *testing.T, workers int) *driver {
-	d := &driver{t: t, now: time.Second, decisionCounts: map[workload.JobID]map[string]int{}, startedOn: map[workload.RunID]WorkerID{}, endCounts: map[WorkerID]int64{}}
+	d := &driver{t: t, now: time.Second, decisionCounts: map[workload.JobID]map[string]int{}, startedOn: map[workload.RunID]WorkerID{}, endCounts: map[WorkerID]int64{}, origins: map[string]*ReportOrigin{}}
 	d.e = New(Params{
 		MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, RemoteSlowdown: 3,
 		RestoreTime: 500 * time.Millisecond, MaxReclaimWait: 3 * time.Second, MaxLatencyViolation: 4 * time.Second, Retention: time.Minute,
@@ -55,7 +56,24 @@
 	}}
 }
 
-func (d *driver) report(r Report) ReportAnswer { return d.e.Report(d.now, r) }
+// report delivers a report, which is numbered now unless it was before.
+func (d *driver) report(r Report) ReportAnswer {
+	if r.Origin == (ReportOrigin{}) {
+		r = d.number(r)
+	}
+	return d.e.Report(d.now, r)
+}
+
+// number returns r with the next number of its agent, whose process never restarts.
+func (d *driver) number(r Report) Report {
+	agent := r.Worker.Agent
+	if d.origins[agent] == nil {
+		d.origins[agent] = &ReportOrigin{Process: uint64(len(d.origins) + 1)}
+	}
+	d.origins[agent].Sequence++
+	r.Origin = *d.origins[agent]
+	return r
+}
 
 func (d *driver) handle(ev Event) { d.e.Step(d.now, ev) }
 
