--- a/engine/report_order.go
+++ b/engine/report_order.go
@@ -41,7 +41,7 @@
 	if r.Origin.Process == 0 {
 		return ReportRef{}
 	}
-	offset := now - r.Origin.MadeAt
+	offset := now - r.Origin.BuiltAt
 	order := e.reportOrders[r.Worker.Agent]
 	if order == nil || order.last.Process != r.Origin.Process {
 		e.reportOrders[r.Worker.Agent] = &reportOrder{last: r.Origin, minClockOffset: offset}
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -79,7 +79,7 @@
 // numbered gives a report the next number of this process. The mutex is held.
 func (a *Agent) numbered(r engine.Report) engine.Report {
 	a.lastReport++
-	r.Origin = engine.ReportOrigin{Process: a.process, Sequence: a.lastReport, MadeAt: now()}
+	r.Origin = engine.ReportOrigin{Process: a.process, Sequence: a.lastReport, BuiltAt: now()}
 	return r
 }
 
