engine, nodeagent: the planner ignores reports that are older than what it has handled

What callers saw: tasks of one worker ran a second time while their first runs went on. Cause of the two failing tests: reports were judged by the time at which they were handled. A report of the agent's previous incarnation that was handled last ended the live worker, an older remaining time of the lease shortened it, and its runs were started elsewhere at once. Nothing in a report told which is older.

Each process of an agent numbers its reports now. The engine keeps the newest per agent and ignores older ones and those of a process that has been replaced. Processes have no order of their own, since clocks are set back: a process is the newest once it has an answer of this planner, which only a running one can have. Until then its reports get an answer and change nothing; otherwise a late report of an earlier process made a new planner end a worker whose placements it had restored. Departure reports are repeated until a planner has taken them into account, and each report is built when the one before has been answered.

Ruled out: an order of processes by start time (the time of day jumps); deciding by the age of a report (clocks of instances can't be compared).

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -13,12 +13,16 @@
 const maxMissedPolls = 3
 
 // Report processes an agent's report and returns the answer, which may extend the worker's
-// lease. The caller must send it without delay.
+// lease. The caller must send it without delay. See ReportStanding for reports that change nothing.
 func (e *Engine) Report(now time.Duration, r Report) ReportAnswer {
-	order := e.beginReport(now, &r)
+	ref := e.beginReport(now, &r)
 	defer e.endReport()
-	if order.Overtaken {
-		e.actions = append(e.actions, ReportOvertaken{Agent: r.Worker.Agent, Worker: r.Worker.ID, Report: order})
+	switch ref.Standing {
+	case ReportOutdated:
+		e.actions = append(e.actions, OutdatedReport{Agent: r.Worker.Agent, Worker: r.Worker.ID, Report: ref})
+		return ReportAnswer{Standing: ReportOutdated}
+	case ReportUnconfirmed:
+		return e.answerUnconfirmed(now, &r)
 	}
 	if r.Terminated {
 		e.handleTerminated(now, r)
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -27,6 +27,7 @@
 	startedOn      map[workload.RunID]WorkerID // the worker of each start
 	endCounts      map[WorkerID]int64
 	origins        map[string]*ReportOrigin // of the last report built by each agent
+	processes      uint64                   // of agents so far
 	// discarded and late are the corresponding actions so far.
 	discarded []WorkDiscarded
 	late      []JobLate
@@ -64,17 +65,24 @@
 	return d.e.Report(d.now, r)
 }
 
-// number returns r with the next number of its agent, whose process never restarts.
+// number returns r with the next number of its agent's process.
 func (d *driver) number(r Report) Report {
 	agent := r.Worker.Agent
 	if d.origins[agent] == nil {
-		d.origins[agent] = &ReportOrigin{Process: uint64(len(d.origins) + 1)}
+		d.restartAgent(agent)
 	}
 	d.origins[agent].Sequence++
+	d.origins[agent].Epoch = d.e.epoch // the agent has had an answer
 	r.Origin = *d.origins[agent]
 	return r
 }
 
+// restartAgent makes the next reports of an agent those of a new process.
+func (d *driver) restartAgent(agent string) {
+	d.processes++
+	d.origins[agent] = &ReportOrigin{Process: d.processes}
+}
+
 func (d *driver) handle(ev Event) { d.e.Step(d.now, ev) }
 
 // settle applies all writes and orders, answering starts with StartOK, until there are no more. It
--- a/engine/report.go
+++ b/engine/report.go
@@ -88,10 +88,16 @@
 	Sequence uint64 `cbor:"2,keyasint,omitempty"`
 	// BuiltAt is when the report was built, on the agent's clock.
 	BuiltAt time.Duration `cbor:"3,keyasint,omitempty"`
+	// Epoch is the highest epoch of a planner that has answered the process; 0 if none has. Unlike
+	// Report.Epoch it does not depend on the worker.
+	Epoch uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // ReportAnswer is the answer to a Report.
 type ReportAnswer struct {
+	// Standing is whether the report was taken into account. The other fields are zero if it was
+	// outdated.
+	Standing ReportStanding
 	// Attached means that the report was made under this engine's epoch and that the answer
 	// grants the worker a full lease.
 	Attached bool
--- a/engine/report_order.go
+++ b/engine/report_order.go
@@ -1,35 +1,61 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// reportOrder is the order of the reports of one agent.
-type reportOrder struct {
-	// last is the origin of the newest report.
-	last ReportOrigin
-	// minClockOffset is the smallest difference between the engine's clock and the agent's at the
-	// arrival of a report.
-	minClockOffset time.Duration
-}
+// Reports of one agent may be handled in another order than they were built: each travels on a
+// stream of its own, and the processes on the way may be paused. An older report must not undo what
+// a newer one has shown. A process of an agent numbers its reports, and a process counts as newer
+// than all earlier ones once it has an answer of this planner: only the process that runs now can
+// report that.
+
+// ReportStanding is whether a report is taken into account.
+type ReportStanding int
+
+// Values of ReportStanding.
+const (
+	// ReportCurrent is the newest report of the agent's newest process, or not numbered.
+	ReportCurrent ReportStanding = iota
+	// ReportOutdated is older than a report that was handled before.
+	ReportOutdated
+	// ReportUnconfirmed is of a process that has no answer of this planner yet. It may be a
+	// delayed report of a process that is over.
+	ReportUnconfirmed
+)
 
 // ReportRef identifies the report that led to a decision. It is zero if no report did.
 type ReportRef struct {
-	Origin ReportOrigin
-	// Delay is how much longer the report took than the agent's fastest one.
+	Origin   ReportOrigin
+	Standing ReportStanding
+	// Delay is how much longer the report took than the fastest one of its process.
 	Delay time.Duration
-	// Overtaken means that a later report of the same process was handled before.
-	Overtaken bool
 }
 
-// ReportOvertaken reports that an agent's report was handled after a later one.
-type ReportOvertaken struct {
+// OutdatedReport reports that a report was ignored because it was outdated.
+type OutdatedReport struct {
 	Agent  string
 	Worker WorkerID
 	Report ReportRef
 }
 
-func (ReportOvertaken) isAction() {}
+func (OutdatedReport) isAction() {}
+
+// maxReplacedProcesses bounds the remembered processes of an agent.
+const maxReplacedProcesses = 8
 
-// beginReport records that r is handled until endReport, and returns its order.
+// reportOrder is the order of the reports of one agent.
+type reportOrder struct {
+	newest ReportOrigin
+	// replaced are earlier processes, the latest last.
+	replaced []uint64
+	// minClockOffset is the smallest difference between the engine's clock and the agent's at the
+	// arrival of a report.
+	minClockOffset time.Duration
+}
+
+// beginReport determines the standing of r, which is in progress until endReport.
 func (e *Engine) beginReport(now time.Duration, r *Report) ReportRef {
 	e.handling = e.orderReport(now, r)
 	return e.handling
@@ -38,19 +64,58 @@
 func (e *Engine) endReport() { e.handling = ReportRef{} }
 
 func (e *Engine) orderReport(now time.Duration, r *Report) ReportRef {
+	ref := ReportRef{Origin: r.Origin}
 	if r.Origin.Process == 0 {
-		return ReportRef{}
+		return ref
 	}
-	offset := now - r.Origin.BuiltAt
 	order := e.reportOrders[r.Worker.Agent]
-	if order == nil || order.last.Process != r.Origin.Process {
-		e.reportOrders[r.Worker.Agent] = &reportOrder{last: r.Origin, minClockOffset: offset}
-		return ReportRef{Origin: r.Origin}
+	if order == nil {
+		order = &reportOrder{}
+		e.reportOrders[r.Worker.Agent] = order
 	}
-	order.minClockOffset = min(order.minClockOffset, offset)
-	ref := ReportRef{Origin: r.Origin, Delay: offset - order.minClockOffset, Overtaken: r.Origin.Sequence <= order.last.Sequence}
-	if !ref.Overtaken {
-		order.last = r.Origin
+	ref.Standing = order.standing(r.Origin, e.epoch)
+	if ref.Standing == ReportCurrent {
+		order.advance(now, r.Origin)
+	}
+	if r.Origin.Process == order.newest.Process {
+		ref.Delay = now - r.Origin.BuiltAt - order.minClockOffset
 	}
 	return ref
 }
+
+func (o *reportOrder) standing(origin ReportOrigin, epoch uint64) ReportStanding {
+	switch {
+	case origin.Process == o.newest.Process && origin.Sequence <= o.newest.Sequence, slices.Contains(o.replaced, origin.Process):
+		return ReportOutdated
+	case origin.Process != o.newest.Process && origin.Epoch != epoch:
+		return ReportUnconfirmed
+	}
+	return ReportCurrent
+}
+
+// advance makes origin the newest report.
+func (o *reportOrder) advance(now time.Duration, origin ReportOrigin) {
+	offset := now - origin.BuiltAt
+	if origin.Process != o.newest.Process {
+		if o.newest.Process != 0 {
+			o.replaced = append(o.replaced, o.newest.Process)
+		}
+		o.replaced = o.replaced[max(0, len(o.replaced)-maxReplacedProcesses):]
+		o.minClockOffset = offset
+	}
+	o.minClockOffset = min(o.minClockOffset, offset)
+	o.newest = origin
+}
+
+// answerUnconfirmed answers a report that may be of a process that is over. The worker is added if
+// the agent has none, so that its record is stored early; nothing that is known changes.
+func (e *Engine) answerUnconfirmed(now time.Duration, r *Report) ReportAnswer {
+	answer := ReportAnswer{Standing: ReportUnconfirmed}
+	if _, known := e.workerByAgent[r.Worker.Agent]; !known && !r.Terminated {
+		e.registerWorker(now, r.Worker)
+	}
+	if w := e.workers[r.Worker.ID]; w != nil {
+		answer.Generation, answer.AckedEnds = w.generation, w.ackedEnds
+	}
+	return answer
+}
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -7,8 +7,9 @@
 type Counters struct {
 	Accepted, AcceptUnknown, Refused, Cancelled, Lookups, LookupsFailed atomic.Int64
 	Relayed, Reports, Orders, Writes, WriteFailures, Terms              atomic.Int64
-	// ReportsOvertaken counts reports that were handled after a later one of the same agent.
-	ReportsOvertaken atomic.Int64
+	// ReportsOutdated counts reports that were ignored because a newer one of the same agent had
+	// been handled before.
+	ReportsOutdated atomic.Int64
 	// PeerQueries and LivenessQueries count queries sent to other gateways.
 	PeerQueries, LivenessQueries atomic.Int64
 	// GatewaysLive is the current number of other gateways that this one has heard from lately.
--- a/gateway/term_metrics.go
+++ b/gateway/term_metrics.go
@@ -38,12 +38,12 @@
 	t.log.WithFields(fields).Info("worker gone")
 }
 
-// logReportOvertaken counts and logs a report that was handled after a later one.
-func (t *term) logReportOvertaken(o engine.ReportOvertaken) {
-	t.g.counters.ReportsOvertaken.Add(1)
+// logOutdatedReport counts and logs a report that was ignored.
+func (t *term) logOutdatedReport(o engine.OutdatedReport) {
+	t.g.counters.ReportsOutdated.Add(1)
 	fields := logrus.Fields{"agent": o.Agent, "worker": o.Worker}
 	addReport(fields, o.Report)
-	t.log.WithFields(fields).Warn("report handled after a later one")
+	t.log.WithFields(fields).Warn("outdated report ignored")
 }
 
 // addReport adds to a log line the report that led to it.
--- a/gateway/term_report.go
+++ b/gateway/term_report.go
@@ -16,11 +16,14 @@
 		written <-chan struct{}
 	}
 	a, ok := queryEngine(t, func(now time.Duration) answer {
-		t.setConn(m.Report.Worker.Agent, conn)
 		written := t.nextWrite()
-		return answer{t.engine.Report(now, m.Report), written}
+		result := t.engine.Report(now, m.Report)
+		if result.Standing == engine.ReportCurrent {
+			t.setConn(m.Report.Worker.Agent, conn)
+		}
+		return answer{result, written}
 	})
-	if !ok {
+	if !ok || a.result.Standing == engine.ReportOutdated {
 		return reply
 	}
 	result := a.result
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -33,17 +33,24 @@
 	return nil
 }
 
-// sendReports sends all pending reports. It returns false after the first one that failed.
+// sendReports sends all pending reports. Each is built when the one before has been answered. It
+// returns false after the first one that failed.
 func (a *Agent) sendReports() bool {
-	for _, r := range a.pendingReports() {
+	for {
+		pending := a.pendingReports()
+		if len(pending) == 0 {
+			return true
+		}
+		r := a.numbered(pending[0])
 		reply, sentAt, ok := a.sendReport(r)
-		if !ok {
+		if !ok || !a.handleReply(r, reply, sentAt) {
 			a.counters.ReportsFailed.Add(1)
 			return false
 		}
-		a.handleReply(r, reply, sentAt)
+		if !r.Terminated {
+			return true
+		}
 	}
-	return true
 }
 
 func newReportBackoff() *backoff.ExponentialBackOff {
@@ -68,18 +75,20 @@
 	defer a.mu.Unlock()
 	var out []engine.Report
 	for _, d := range a.departures {
-		out = append(out, a.numbered(d.report(now())))
+		out = append(out, d.report(now()))
 	}
 	if a.incarnation != nil {
-		out = append(out, a.numbered(a.incarnation.report(now(), a.epoch)))
+		out = append(out, a.incarnation.report(now(), a.epoch))
 	}
 	return out
 }
 
-// numbered gives a report the next number of this process. The mutex is held.
+// numbered gives a report the next number of this process.
 func (a *Agent) numbered(r engine.Report) engine.Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.lastReport++
-	r.Origin = engine.ReportOrigin{Process: a.process, Sequence: a.lastReport, BuiltAt: now()}
+	r.Origin = engine.ReportOrigin{Process: a.process, Sequence: a.lastReport, BuiltAt: now(), Epoch: a.epoch}
 	return r
 }
 
@@ -124,14 +133,15 @@
 	return a.pool.Call(ctx, planner, msg)
 }
 
-// handleReply processes the planner's reply to a report that was sent at sentAt.
-func (a *Agent) handleReply(r engine.Report, reply *link.ReportReply, sentAt time.Duration) {
+// handleReply processes the planner's reply to a report that was sent at sentAt. It returns false
+// if the reply is of an outdated planner.
+func (a *Agent) handleReply(r engine.Report, reply *link.ReportReply, sentAt time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cordon.update(reply.Cordoned, reply.CordonsRevision)
 	if reply.Epoch < a.epoch {
 		a.finder.rejectEpoch(reply.Epoch)
-		return
+		return false
 	}
 	if reply.Epoch > a.epoch {
 		a.log.WithField("epoch", reply.Epoch).WithField("before", a.epoch).Info("following new planner")
@@ -139,12 +149,14 @@
 		a.pollNow()
 	}
 	if r.Terminated {
-		a.departures = a.departures[1:]
-		return
+		if r.Origin.Epoch == reply.Epoch { // else the planner has ignored it
+			a.departures = a.departures[1:]
+		}
+		return true
 	}
 	inc := a.incarnation
 	if inc == nil || inc.info.ID != r.Worker.ID {
-		return
+		return true
 	}
 	inc.clearReported(r)
 	if inc.raiseFence(engine.Fence{Epoch: reply.Epoch, Generation: reply.Generation}) {
@@ -160,6 +172,7 @@
 	if reply.AckedEnds > inc.recordedEnds {
 		inc.recordedEnds = reply.AckedEnds
 	}
+	return true
 }
 
 // pollNow starts a poll that returns at once, in addition to the one in progress, which may
