engine: random worlds in which messages are delayed and overtake each other

In the worlds so far the messages of an agent keep their order, no worker is reported as unresponsive and no agent reports the end of a plain incarnation. In the new ones each agent is a process of its own that works as package nodeagent: it polls, sends one report at a time and gives it up after 900 ms, and numbers its reports.

--- /dev/null
+++ b/engine/sim_agent_poll_test.go
@@ -0,0 +1,172 @@
+package engine
+
+import (
+	"errors"
+	"slices"
+	"time"
+)
+
+// simStatus is a worker's answer to a poll.
+type simStatus struct {
+	running []RunStatus
+	ended   []RunEnd
+	clock   time.Duration
+}
+
+// The failures of calls to a worker.
+var (
+	errSimTimeout          = errors.New("no answer")
+	errSimConnectionLost   = errors.New("connection lost")
+	errSimFenced           = errors.New("fenced")
+	errSimOtherIncarnation = errors.New("another incarnation answered")
+)
+
+// The constants of package nodeagent.
+const (
+	simPollWait                 = time.Second
+	simPollTimeoutMargin        = 600 * time.Millisecond
+	simUnresponsivePollInterval = 250 * time.Millisecond
+	simMinPollInterval          = 25 * time.Millisecond
+)
+
+// pollLoop polls the worker continuously, which renews its lease.
+func (a *simAgent) pollLoop() {
+	if a.inc == nil {
+		a.after(20*time.Millisecond, a.pollLoop)
+		return
+	}
+	a.poll(a.inc, simPollWait, func(pause time.Duration) { a.after(max(pause, simStep), a.pollLoop) })
+}
+
+// pollNow starts a poll that returns at once, in addition to the one in progress.
+func (a *simAgent) pollNow() {
+	if a.inc != nil {
+		a.poll(a.inc, 0, func(time.Duration) {})
+	}
+}
+
+// poll polls the worker once and passes on the pause before the next poll.
+func (a *simAgent) poll(inc *simIncarnation, wait time.Duration, then func(pause time.Duration)) {
+	now := a.cluster.now
+	p := simPoll{fence: inc.fence, ack: inc.nextAck(), wait: wait}
+	sentAt, leaseEnd := now, inc.leaseEnd
+	mayHaveExpired := inc.leaseMayHaveExpired(now)
+	if !mayHaveExpired && inc.mayExtendLease(now) {
+		p.until = inc.workerTime(a.grantedUntil)
+	}
+	if p.until > 0 {
+		inc.extendLease(a.grantedUntil)
+	}
+	if inc.unresponsive || !inc.polled || inc.confirmedFence.Compare(inc.fence) < 0 || mayHaveExpired {
+		p.wait = 0
+	}
+	call := a.newCall(p.wait+simPollTimeoutMargin, func(result any, err error) {
+		status, _ := result.(simStatus)
+		then(a.handlePollResult(inc, p, status, err, sentAt, leaseEnd))
+	})
+	call.send(inc, func(sw *simWorker) { sw.handlePoll(p, call) })
+}
+
+func (a *simAgent) handlePollResult(inc *simIncarnation, p simPoll, status simStatus, err error, sentAt, leaseEnd time.Duration) time.Duration {
+	now := a.cluster.now
+	if a.inc != inc {
+		if err == nil {
+			a.addLateEnds(inc, status.ended)
+		}
+		return 0
+	}
+	if err != nil {
+		return a.handlePollError(inc, err)
+	}
+	inc.confirmedFence = inc.confirmedFence.Max(p.fence)
+	inc.ackedEnds = max(inc.ackedEnds, p.ack)
+	inc.applyStatus(status, sentAt, now, leaseEnd)
+	a.requestReport()
+	if (len(status.ended) > 0 || inc.leaseMayHaveExpired(now)) && now-sentAt < simMinPollInterval {
+		return simMinPollInterval
+	}
+	return 0
+}
+
+func (a *simAgent) handlePollError(inc *simIncarnation, err error) time.Duration {
+	now := a.cluster.now
+	switch err {
+	case errSimOtherIncarnation:
+		a.endUnannounced(false)
+		return 0
+	case errSimFenced:
+		return simUnresponsivePollInterval
+	case errSimConnectionLost:
+		if inc.connectionLostAt == 0 {
+			inc.connectionLostAt = now
+		}
+	}
+	if !inc.unresponsive {
+		a.cluster.counts["unresponsive workers"]++
+		inc.unresponsive, inc.unresponsiveSince = true, now
+		inc.failureReportedAt = now - simUnresponsivePollInterval
+	}
+	if now-inc.failureReportedAt >= simUnresponsivePollInterval {
+		inc.failureReportedAt = now
+		a.requestReport()
+	}
+	return simUnresponsivePollInterval
+}
+
+// simPoll is what a poll carries; until is on the worker's clock, 0 does not extend the lease.
+type simPoll struct {
+	fence Fence
+	until time.Duration
+	ack   int64
+	wait  time.Duration
+}
+
+// handlePoll carries out a poll on the worker, which answers when a run has ended or the wait is over.
+func (w *simWorker) handlePoll(p simPoll, call *simCall) {
+	now := w.cluster.now
+	if p.fence.Compare(w.fence) < 0 {
+		call.reply(nil, errSimFenced)
+		return
+	}
+	w.fence = p.fence
+	if p.until > now {
+		w.leaseEnd = max(w.leaseEnd, p.until)
+	}
+	w.forgetEnds(p.ack)
+	w.answerPoll(now+p.wait, call)
+}
+
+func (w *simWorker) answerPoll(at time.Duration, call *simCall) {
+	now := w.cluster.now
+	switch {
+	case w.dead:
+		call.reply(nil, errSimConnectionLost)
+	case now < at && len(w.ended) == 0 || now < w.silentUntil:
+		w.cluster.after(2*simStep, func() { w.answerPoll(at, call) })
+	default:
+		call.reply(simStatus{running: w.statuses(now), ended: slices.Clone(w.ended), clock: now}, nil)
+	}
+}
+
+func (w *simWorker) statuses(now time.Duration) []RunStatus {
+	var out []RunStatus
+	for _, run := range w.sorted() {
+		percent := 0
+		if run.endsAt > run.startedAt {
+			percent = int(100 * (now - run.startedAt) / (run.endsAt - run.startedAt))
+		}
+		out = append(out, RunStatus{Run: run.id, Percent: min(percent, 99)})
+	}
+	return out
+}
+
+// noteVoid records that the agent takes an end for void, so that it may be acknowledged and its task
+// started again.
+func (w *simWorker) noteVoid(end RunEnd) {
+	if w.reportedVoid == nil {
+		w.reportedVoid = map[int64]bool{}
+	}
+	if end.Void {
+		w.reportedVoid[end.Sequence] = true
+	}
+}
--- /dev/null
+++ b/engine/sim_agent_test.go
@@ -0,0 +1,313 @@
+package engine
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// simAgent simulates one process of an agent as package nodeagent works: it polls the worker beside
+// it, passes orders on, and sends one report at a time.
+type simAgent struct {
+	cluster      *simCluster
+	slot         int // of its worker
+	origin       ReportOrigin
+	over         bool // the process has ended
+	pausedUntil  time.Duration
+	epoch        uint64
+	grantedUntil time.Duration
+	nextFence    Fence
+	inc          *simIncarnation
+	departures   []simDeparture
+	endedIDs     map[WorkerID]bool
+	reporting    bool
+	// reportPending asks for another report after the one in progress. reportRound numbers the
+	// rounds of reports, so that only the timer of the last one counts.
+	reportPending bool
+	reportRound   int
+}
+
+// simDeparture is the end of an incarnation that the agent has to report.
+type simDeparture struct {
+	report Report
+	lostAt time.Duration // when the connection was lost for good; 0 if not known
+}
+
+// The constants of package nodeagent that have the same names there.
+const (
+	simAgentReportInterval = 500 * time.Millisecond
+	simAgentReportTimeout  = 900 * time.Millisecond
+	simMinReportRetry      = 80 * time.Millisecond
+	simMaxReportRetry      = 400 * time.Millisecond
+)
+
+// startAgent starts a new process of the agent beside a worker. It learns of the worker from the next
+// heartbeat.
+func (w *simCluster) startAgent(slot int) {
+	w.delays.processes++
+	a := &simAgent{cluster: w, slot: slot, origin: ReportOrigin{Process: w.delays.processes}, endedIDs: map[WorkerID]bool{}}
+	w.agents[slot] = a
+	a.pollLoop()
+	a.startReports()
+}
+
+// after schedules an action of the agent.
+func (a *simAgent) after(d time.Duration, do func()) {
+	a.cluster.after(d, func() { a.do(do) })
+}
+
+// do makes the agent act as soon as its process runs.
+func (a *simAgent) do(action func()) {
+	switch {
+	case a.over:
+	case a.cluster.now < a.pausedUntil:
+		a.after(a.pausedUntil-a.cluster.now, action)
+	default:
+		action()
+	}
+}
+
+// cut reports whether the agent is disconnected from the planner.
+func (a *simAgent) cut() bool { return a.cluster.workers[a.slot].disconnected }
+
+func (a *simAgent) requestReport() {
+	if a.reporting {
+		a.reportPending = true
+		return
+	}
+	a.startReports()
+}
+
+// startReports sends all pending reports, one after the other.
+func (a *simAgent) startReports() {
+	a.reporting, a.reportPending = true, false
+	a.reportRound++
+	a.sendReports(a.pendingReports())
+}
+
+// pendingReports builds a report for each ended incarnation, and one for the current one.
+func (a *simAgent) pendingReports() []Report {
+	var out []Report
+	for _, d := range a.departures {
+		r := d.report
+		if d.lostAt != 0 {
+			r.DownFor = a.cluster.now - d.lostAt
+		}
+		out = append(out, a.number(r))
+	}
+	if a.inc != nil {
+		out = append(out, a.number(a.inc.report(a.cluster.now, a.epoch)))
+	}
+	return out
+}
+
+func (a *simAgent) number(r Report) Report {
+	a.origin.Sequence++
+	r.Origin = a.origin
+	return r
+}
+
+// sendReports sends the next report and continues when it is answered. It gives it up after
+// simAgentReportTimeout; a later reply to it is ignored.
+func (a *simAgent) sendReports(reports []Report) {
+	if len(reports) == 0 {
+		a.finishReports()
+		return
+	}
+	sentAt, done := a.cluster.now, false
+	a.after(simAgentReportTimeout, func() {
+		if !done {
+			done = true
+			a.after(a.cluster.delays.between(agentPause, simMinReportRetry, simMaxReportRetry), a.startReports)
+		}
+	})
+	a.cluster.sendReport(a, reports[0], func(epoch uint64, answer ReportAnswer) {
+		if done {
+			return
+		}
+		done = true
+		a.handleReply(reports[0], epoch, answer, sentAt)
+		a.sendReports(reports[1:])
+	})
+}
+
+func (a *simAgent) finishReports() {
+	a.reporting = false
+	if a.reportPending {
+		a.startReports()
+		return
+	}
+	round := a.reportRound
+	a.after(simAgentReportInterval, func() {
+		if !a.reporting && a.reportRound == round {
+			a.startReports()
+		}
+	})
+}
+
+// sendReport delivers a report to the planner. If another planner has taken over by then, the report
+// reaches it in half of the cases, as if it ran in the same process.
+func (w *simCluster) sendReport(a *simAgent, r Report, reply func(epoch uint64, answer ReportAnswer)) {
+	kind := reportMessage
+	if r.Terminated {
+		kind = departureMessage
+	}
+	sentTo, sentAt := w.engine, w.now
+	d := w.delays.latency(w, kind)
+	reachesSuccessor := w.delays.rng[kind].IntN(2) == 0
+	if a.cut() {
+		return
+	}
+	w.after(d, func() {
+		w.atPlanner(func() {
+			e := w.engine
+			if a.cut() || e != sentTo && !reachesSuccessor {
+				return
+			}
+			w.delays.connections[agentConnection{e, r.Worker.Agent}] = a
+			answer := w.handleReport(e, r, sentAt)
+			w.after(w.delays.latency(w, replyMessage), func() {
+				if !a.cut() {
+					a.do(func() { reply(e.epoch, answer) })
+				}
+			})
+		})
+	})
+}
+
+// handleReport passes a report to the planner and notes which runs it ends there.
+func (w *simCluster) handleReport(e *Engine, r Report, sentAt time.Duration) ReportAnswer {
+	before := len(e.actions)
+	answer := e.Report(w.now, r)
+	if last := w.delays.newest[r.Worker.Agent]; r.Origin.Process < last.Process || r.Origin.Process == last.Process && r.Origin.Sequence < last.Sequence {
+		w.counts["reports handled after newer ones"]++
+	} else {
+		w.delays.newest[r.Worker.Agent] = r.Origin
+	}
+	by := fmt.Sprintf(", by a report of %s sent %v before, %+v, newest %+v", r.Worker.ID, w.now-sentAt, r.Origin, w.delays.newest[r.Worker.Agent])
+	w.noteEndedRuns(e.actions[before:], by)
+	return answer
+}
+
+// handleReply processes the planner's reply to a report that was sent at sentAt.
+func (a *simAgent) handleReply(r Report, epoch uint64, answer ReportAnswer, sentAt time.Duration) {
+	if epoch < a.epoch {
+		return
+	}
+	if epoch > a.epoch {
+		a.raiseEpoch(epoch)
+		a.pollNow()
+	}
+	if r.Terminated {
+		a.departures = a.departures[1:]
+		return
+	}
+	inc := a.inc
+	if inc == nil || inc.info.ID != r.Worker.ID {
+		return
+	}
+	inc.clearReported(r)
+	if inc.raiseFence(Fence{Epoch: epoch, Generation: answer.Generation}) {
+		a.pollNow()
+	}
+	if answer.Attached {
+		a.grantedUntil = max(a.grantedUntil, sentAt+simMaxLease)
+		if inc.claimExtraPoll(a.cluster.now) {
+			a.pollNow()
+		}
+	}
+	inc.recordedEnds = max(inc.recordedEnds, answer.AckedEnds)
+}
+
+func (a *simAgent) raiseEpoch(epoch uint64) {
+	a.epoch = max(a.epoch, epoch)
+	if a.inc != nil {
+		a.inc.raiseFence(Fence{Epoch: a.epoch})
+	}
+}
+
+// handleHeartbeat handles a heartbeat of the present incarnation of the worker.
+func (a *simAgent) handleHeartbeat(sw *simWorker) {
+	if a.endedIDs[sw.info.ID] || sw.dead {
+		return
+	}
+	if a.inc == nil || a.inc.info.ID != sw.info.ID {
+		a.adopt(sw)
+	}
+	inc := a.inc
+	if inc.info.Capacity != sw.info.Capacity || !inc.draining && sw.leavesAt != 0 {
+		inc.info.Capacity = sw.info.Capacity
+		inc.draining, inc.departsAt = sw.leavesAt != 0, sw.leavesAt
+		a.requestReport()
+	}
+}
+
+// adopt replaces the current incarnation.
+func (a *simAgent) adopt(sw *simWorker) {
+	a.endUnannounced(false)
+	a.inc = newSimIncarnation(sw)
+	a.inc.fence = a.nextFence.Max(Fence{Epoch: a.epoch})
+	a.requestReport()
+}
+
+// endUnannounced ends the current incarnation after another one was found in its place.
+func (a *simAgent) endUnannounced(superseded bool) {
+	if a.inc != nil {
+		a.endIncarnation(!a.inc.draining, superseded)
+	}
+}
+
+// handleDeparture handles a departure notice.
+func (a *simAgent) handleDeparture(id WorkerID) {
+	if a.inc == nil || a.inc.info.ID != id {
+		a.endedIDs[id] = true
+		return
+	}
+	a.endIncarnation(false, false)
+}
+
+func (a *simAgent) endIncarnation(crashed, superseded bool) {
+	inc := a.inc
+	a.endedIDs[inc.info.ID] = true
+	a.departures = append(a.departures, simDeparture{lostAt: inc.connectionLostAt, report: Report{
+		Worker: inc.info, Terminated: true, Crashed: crashed, Superseded: superseded,
+		Polled: inc.polled, Running: inc.pastStartup(), Ended: slices.Clone(inc.ended),
+	}})
+	a.nextFence = inc.fence
+	a.nextFence.Generation += GenerationStep
+	a.inc = nil
+	a.requestReport()
+}
+
+// addLateEnds adds ends of a poll that was answered after the incarnation was found to have ended.
+func (a *simAgent) addLateEnds(inc *simIncarnation, ended []RunEnd) {
+	for i := range a.departures {
+		if d := &a.departures[i].report; d.Worker.ID == inc.info.ID && len(ended) > 0 {
+			d.Polled = true
+			d.Ended = append(slices.Clone(d.Ended), ended...)
+		}
+	}
+}
+
+// noteEndedRuns records why the planner takes runs for ended.
+func (w *simCluster) noteEndedRuns(actions []Action, by string) {
+	for _, action := range actions {
+		d, ok := action.(Decision)
+		if !ok || !slices.Contains([]string{"lost", "ended", "start refused"}, d.Kind) {
+			continue
+		}
+		if _, noted := w.endedRuns[d.Run]; !noted {
+			w.endedRuns[d.Run] = d.Kind + ": " + d.Detail + by
+		}
+	}
+}
+
+// whyEnded describes why the planner took a run for ended.
+func (w *simCluster) whyEnded(run workload.RunID) string {
+	if why := w.endedRuns[run]; why != "" {
+		return why
+	}
+	return "not known as ended"
+}
--- a/engine/sim_checks_test.go
+++ b/engine/sim_checks_test.go
@@ -34,7 +34,7 @@
 	}
 	for _, other := range w.workers {
 		if r := other.running[task]; r != nil && !other.dead {
-			w.reportViolation("start of %s on worker %s while it runs on worker %s", task, sw.info.ID, other.info.ID)
+			w.reportViolation("start of %s, run %d, on worker %s while run %d is on worker %s (%s)", task, s.Run.Number, sw.info.ID, r.id.Number, other.info.ID, w.whyEnded(r.id))
 		}
 	}
 	step := &j.Steps[task.Step]
--- a/engine/sim_cluster_test.go
+++ b/engine/sim_cluster_test.go
@@ -40,6 +40,8 @@
 	incarnations  int
 	reusesNames   bool // later incarnations of a worker keep its name
 	cordons       simCordons
+	agents        []*simAgent // by worker, in worlds with delayed messages
+	delays        *simDelays  // nil in other worlds
 
 	// State of the store.
 	records       map[workload.JobID][]byte
@@ -59,6 +61,7 @@
 	executingLateOrder bool                     // set while an order is carried out late
 	shrinks            map[*simWorker]simShrink // workers with reduced capacity
 	counts             map[string]int
+	endedRuns          map[workload.RunID]string // why the planner took runs for ended
 }
 
 func newSimCluster(t testing.TB, seed uint64) *simCluster {
@@ -76,6 +79,7 @@
 		crashes:       simCrashes{workersCrashed: map[workload.TaskID]int{}, startsAfterThird: map[workload.TaskID]int{}, failedEnds: map[workload.TaskID]int{}},
 		shrinks:       map[*simWorker]simShrink{},
 		counts:        map[string]int{},
+		endedRuns:     map[workload.RunID]string{},
 	}
 	for i := range 9 {
 		w.addWorker(i)
@@ -106,6 +110,9 @@
 		w.workers = append(w.workers, sw)
 	}
 	w.reportLater(sw)
+	if w.delays != nil {
+		w.announceLater(sw, i)
+	}
 }
 
 func (w *simCluster) after(d time.Duration, do func()) {
@@ -180,6 +187,9 @@
 				worker.advance(w.now)
 			}
 		}
+		if w.plannerPaused() {
+			continue
+		}
 		if w.now%(50*time.Millisecond) == 0 {
 			w.engine.Step(w.now, Tick{WallTime: w.wall()})
 		}
@@ -202,7 +212,9 @@
 // executeDecisions delivers the planner's orders and writes its changes.
 func (w *simCluster) executeDecisions() {
 	e := w.engine
-	for _, action := range e.Decide(w.now) {
+	actions := e.Decide(w.now)
+	w.noteEndedRuns(actions, "")
+	for _, action := range actions {
 		if d, ok := action.(Decision); ok && d.Kind == "carried over" {
 			w.counts[d.Kind]++
 		}
@@ -261,6 +273,10 @@
 
 // deliver delivers orders to a worker. Some are not answered and are carried out late.
 func (w *simCluster) deliver(e *Engine, epoch uint64, o Orders) {
+	if w.delays != nil {
+		w.deliverByAgent(e, o)
+		return
+	}
 	sw := w.recipient(o.Worker)
 	if sw == nil || sw.disconnected || epoch < sw.orderFence.Epoch {
 		w.answerOrders(e, o, StartNotDelivered)
@@ -326,7 +342,7 @@
 // reportLater schedules the agent's periodic reports.
 func (w *simCluster) reportLater(sw *simWorker) {
 	w.after(time.Duration(20+w.rng.IntN(80))*time.Millisecond, func() {
-		if sw.dead {
+		if sw.dead || w.delays != nil {
 			return
 		}
 		w.reportLater(sw)
--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -164,10 +164,15 @@
 		w.crashes.record(sw)
 	}
 	w.workers[i].dead = true
+	if w.delays != nil {
+		w.agentNoticesEnd(i)
+	}
 	crashedAt := w.now
 	w.after(w.downtime(), func() {
 		if w.workers[i].dead {
-			w.reportCrash(w.workers[i], w.now-crashedAt)
+			if w.delays == nil {
+				w.reportCrash(w.workers[i], w.now-crashedAt)
+			}
 			w.addWorker(i)
 		}
 	})
--- a/engine/sim_worker_test.go
+++ b/engine/sim_worker_test.go
@@ -48,6 +48,11 @@
 	seenSince    map[workload.RunID]time.Duration
 	lastPolledAt time.Duration
 	lastEnded    []RunEnd
+	// In worlds with delayed messages: until when the worker does not answer, and whether it
+	// carries out calls meanwhile; ends that the agent has taken for void.
+	silentUntil        time.Duration
+	carriesOutSilently bool
+	reportedVoid       map[int64]bool
 }
 
 func (w *simWorker) used() workload.Resources {
@@ -216,7 +221,8 @@
 func (w *simWorker) forgetEnds(acked int64) {
 	w.ackedEnds = max(w.ackedEnds, acked)
 	for len(w.ended) > 0 && w.ended[0].Sequence <= w.ackedEnds {
-		w.cluster.recordAckedEnd(w.ended[0], w.ended[0].Sequence <= w.voidEnds)
+		seq := w.ended[0].Sequence
+		w.cluster.recordAckedEnd(w.ended[0], seq <= w.voidEnds || w.reportedVoid[seq])
 		w.ended = w.ended[1:]
 	}
 }
