--- a/engine/sim_agent_test.go
+++ b/engine/sim_agent_test.go
@@ -179,7 +179,7 @@
 
 // handleReport passes a report to the planner and notes which runs it ends there.
 func (w *simCluster) handleReport(e *Engine, r Report, sentAt time.Duration) ReportAnswer {
-	before := len(e.actions)
+	before, leaseBefore := len(e.actions), e.leaseExpiry(r.Worker.ID)
 	answer := e.Report(w.now, r)
 	if last := w.delays.newest[r.Worker.Agent]; r.Origin.Process < last.Process || r.Origin.Process == last.Process && r.Origin.Sequence < last.Sequence {
 		w.counts["reports handled after newer ones"]++
@@ -188,9 +188,19 @@
 	}
 	by := fmt.Sprintf(", by a report of %s sent %v before, %+v, newest %+v", r.Worker.ID, w.now-sentAt, r.Origin, w.delays.newest[r.Worker.Agent])
 	w.noteEndedRuns(e.actions[before:], by)
+	if after := e.leaseExpiry(r.Worker.ID); after < leaseBefore {
+		w.delays.shortened[r.Worker.ID] = fmt.Sprintf("at %v from %v to %v%s", w.now, leaseBefore, after, by)
+	}
 	return answer
 }
 
+func (e *Engine) leaseExpiry(id WorkerID) time.Duration {
+	if w := e.workers[id]; w != nil {
+		return w.leaseExpiresAt
+	}
+	return 0
+}
+
 // handleReply processes the planner's reply to a report that was sent at sentAt.
 func (a *simAgent) handleReply(r Report, epoch uint64, answer ReportAnswer, sentAt time.Duration) {
 	if epoch < a.epoch {
@@ -298,8 +308,12 @@
 		if !ok || !slices.Contains([]string{"lost", "ended", "start refused"}, d.Kind) {
 			continue
 		}
-		if _, noted := w.endedRuns[d.Run]; !noted {
-			w.endedRuns[d.Run] = d.Kind + ": " + d.Detail + by
+		if _, noted := w.endedRuns[d.Run]; noted {
+			continue
+		}
+		w.endedRuns[d.Run] = fmt.Sprintf("%s at %v: %s%s", d.Kind, w.now, d.Detail, by)
+		if w.delays != nil && w.delays.shortened[d.Worker] != "" {
+			w.endedRuns[d.Run] += "; its lease was shortened " + w.delays.shortened[d.Worker]
 		}
 	}
 }
--- a/engine/sim_checks_test.go
+++ b/engine/sim_checks_test.go
@@ -16,6 +16,9 @@
 func (w *simCluster) checkCapacity(sw *simWorker) {
 	if used := sw.used(); !used.FitsIn(w.capacityOf(sw)) {
 		w.reportViolation("worker %s uses %+v of %+v", sw.info.ID, used, sw.info.Capacity)
+		for _, r := range sw.sorted() {
+			w.t.Logf("%v since %v, stops at %v (%s)", r.id, r.startedAt, r.stopsAt, w.whyEnded(r.id))
+		}
 	}
 }
 
@@ -30,11 +33,15 @@
 		return
 	}
 	if w.ackedDone[task] {
-		w.reportViolation("start of %s after its end was acknowledged", task)
+		w.reportViolation("start of %s, run %d, after its end was acknowledged", task, s.Run.Number)
+		for n := 1; n < s.Run.Number; n++ {
+			run := workload.RunID{Task: task, Number: n}
+			w.t.Logf("%v (%s)", run, w.whyEnded(run))
+		}
 	}
 	for _, other := range w.workers {
 		if r := other.running[task]; r != nil && !other.dead {
-			w.reportViolation("start of %s, run %d, on worker %s while run %d is on worker %s (%s)", task, s.Run.Number, sw.info.ID, r.id.Number, other.info.ID, w.whyEnded(r.id))
+			w.reportViolation("start of %s, run %d, on worker %s (%s) while run %d is on worker %s (%s)", task, s.Run.Number, sw.info.ID, w.whyEnded(s.Run), r.id.Number, other.info.ID, w.whyEnded(r.id))
 		}
 	}
 	step := &j.Steps[task.Step]
--- a/engine/sim_delays_test.go
+++ b/engine/sim_delays_test.go
@@ -70,6 +70,7 @@
 	processes    uint64 // of agents, so far
 	connections  map[agentConnection]*simAgent
 	newest       map[string]ReportOrigin // handled so far, by agent
+	shortened    map[WorkerID]string     // how a report last shortened the worker's lease
 	pausedEngine *Engine
 	pausedUntil  time.Duration // of pausedEngine
 }
@@ -84,7 +85,7 @@
 func (w *simCluster) useAgents(seed uint64) {
 	w.delays = &simDelays{
 		rng: map[messageKind]*rand.Rand{}, without: map[messageKind]bool{},
-		connections: map[agentConnection]*simAgent{}, newest: map[string]ReportOrigin{},
+		connections: map[agentConnection]*simAgent{}, newest: map[string]ReportOrigin{}, shortened: map[WorkerID]string{},
 	}
 	for _, kind := range []messageKind{
 		reportMessage, departureMessage, replyMessage, orderMessage, orderReplyMessage, callMessage, callReplyMessage,
