engine: the record of a worker that is back is not removed

What callers could see: after a change of planner all tasks of one worker start a second time. Cause: a worker that was taken for gone and reports again before its record was removed is to be stored and to be removed in the same write. The record is gone then though the planner takes it for stored, and the next planner drops the placements of a worker that it has no record of. TestRecordOfReturnedWorkerIsKept failed before (its record is in RemovedWorkers). go test ./engine: ok.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -102,6 +102,7 @@
 	e.markCordoned(w)
 	e.workers[info.ID] = w
 	e.workersByID = nil
+	delete(e.goneWorkers, info.ID) // it is back before its record was removed
 	e.workerAddedAt = now
 	e.planNeeded = true
 	return w
--- /dev/null
+++ b/engine/worker_record_test.go
@@ -0,0 +1,23 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against removing the record of a worker that reports again after it was taken for gone. The
+// next planner would not restore its placements, and start their tasks a second time.
+func TestRecordOfReturnedWorkerIsKept(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 1)
+	d.now += workerRetention + 10*time.Second
+	d.handle(Tick{WallTime: time.Unix(1000, 0)})
+	c.Assert(d.e.workers, qt.HasLen, 0)
+
+	d.report(d.workerReport(0))
+	change := d.e.PendingChanges(d.now, time.Unix(1000, 0), 15)
+	c.Check(change.Workers, qt.HasLen, 1)
+	c.Check(change.RemovedWorkers, qt.HasLen, 0)
+}
