engine: the record of a worker that was gone before it was stored is removed

The record stayed in the store until the next planner had restored the worker, waited for its lease and kept it for another minute. TestRecordOfGoneWorkerIsRemoved failed before. go test ./engine: ok.

--- a/engine/worker_record_test.go
+++ b/engine/worker_record_test.go
@@ -21,3 +21,17 @@
 	c.Check(change.Workers, qt.HasLen, 1)
 	c.Check(change.RemovedWorkers, qt.HasLen, 0)
 }
+
+// Guards against a record that stays after its worker: it was gone before the record was stored.
+func TestRecordOfGoneWorkerIsRemoved(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 0)
+	r := d.workerReport(0)
+	d.report(r)
+	change := d.e.PendingChanges(d.now, time.Unix(1000, 0), 15)
+	c.Assert(change.Workers, qt.HasLen, 1)
+	r.Terminated = true
+	d.report(r)
+	d.handle(WriteApplied{Write: change})
+	c.Check(d.e.PendingChanges(d.now, time.Unix(1000, 0), 15).RemovedWorkers, qt.DeepEquals, []WorkerID{"w0"})
+}
--- a/engine/write.go
+++ b/engine/write.go
@@ -101,6 +101,8 @@
 		if known := e.workers[info.ID]; known != nil {
 			known.recorded = true
 			e.planNeeded = true
+		} else {
+			e.goneWorkers[info.ID] = true // gone while its record was being written
 		}
 		delete(e.unrecordedWorkers, info.ID)
 	}
