--- a/engine/sim_agent_poll_test.go
+++ b/engine/sim_agent_poll_test.go
@@ -60,6 +60,7 @@
 	if inc.unresponsive || !inc.polled || inc.confirmedFence.Compare(inc.fence) < 0 || mayHaveExpired {
 		p.wait = 0
 	}
+	a.cluster.trace(inc.info.ID, "process %d polls %+v, lease end %v, before %v, unresponsive %v", a.origin.Process, p, inc.leaseEnd, leaseEnd, inc.unresponsive)
 	call := a.newCall(p.wait+simPollTimeoutMargin, func(result any, err error) {
 		status, _ := result.(simStatus)
 		then(a.handlePollResult(inc, p, status, err, sentAt, leaseEnd))
@@ -132,6 +133,7 @@
 	if p.until > now {
 		w.leaseEnd = max(w.leaseEnd, p.until)
 	}
+	w.cluster.trace(w.info.ID, "poll %+v: lease until %v", p, w.leaseEnd)
 	w.forgetEnds(p.ack)
 	w.answerPoll(now+p.wait, call)
 }
--- a/engine/sim_agent_test.go
+++ b/engine/sim_agent_test.go
@@ -188,7 +188,10 @@
 	}
 	by := fmt.Sprintf(", by a report of %s sent %v before, %+v, newest %+v", r.Worker.ID, w.now-sentAt, r.Origin, w.delays.newest[r.Worker.Agent])
 	w.noteEndedRuns(e.actions[before:], by)
-	if after := e.leaseExpiry(r.Worker.ID); after < leaseBefore {
+	after := e.leaseExpiry(r.Worker.ID)
+	w.trace(r.Worker.ID, "epoch %d handles report %+v sent at %v: epoch %d, unresponsive %v, extending %v, lease known %v remaining %v, polled %v, terminated %v; attached %v, lease expires at %v, before %v",
+		e.epoch, r.Origin, sentAt, r.Epoch, r.Unresponsive, r.ExtendingLease, r.LeaseKnown, r.LeaseRemaining, r.Polled, r.Terminated, answer.Attached, after, leaseBefore)
+	if after < leaseBefore {
 		w.delays.shortened[r.Worker.ID] = fmt.Sprintf("at %v from %v to %v%s", w.now, leaseBefore, after, by)
 	}
 	return answer
@@ -229,6 +232,7 @@
 		}
 	}
 	inc.recordedEnds = max(inc.recordedEnds, answer.AckedEnds)
+	a.cluster.trace(inc.info.ID, "reply to report %+v of %v, attached %v: granted until %v", r.Origin, sentAt, answer.Attached, a.grantedUntil)
 }
 
 func (a *simAgent) raiseEpoch(epoch uint64) {
--- a/engine/sim_delays_test.go
+++ b/engine/sim_delays_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"strings"
@@ -11,6 +12,7 @@
 
 var (
 	simDelaySeeds   = flag.Int("sim-delay-seeds", 6, "number of random worlds with delayed messages")
+	simTracedWorker = flag.String("sim-worker", "", "worker whose messages are logged, in worlds with delayed messages")
 	simDelayWithout = flag.String("sim-delay-without", "", "comma-separated message kinds that are not delayed, and process faults that do not occur")
 )
 
@@ -126,6 +128,13 @@
 	return delay
 }
 
+// trace logs an event of a worker if it is the traced one.
+func (w *simCluster) trace(id WorkerID, format string, args ...any) {
+	if *simTracedWorker == string(id) {
+		w.t.Logf("%v %s: %s", w.now, id, fmt.Sprintf(format, args...))
+	}
+}
+
 // announceLater schedules the heartbeats of a worker.
 func (w *simCluster) announceLater(sw *simWorker, slot int) {
 	w.after(w.delays.between(workerSilence, 20*time.Millisecond, 400*time.Millisecond), func() {
