engine: the first report to a new planner counts with a poll only

What callers could see: after a change of planner all tasks of one worker start a second time. Cause: the first report under the new epoch ended the restored runs that it did not list, also if it carried no poll. Agents send such reports: the answer of a poll under the new fence arrives after a later one under the old, is ignored as outdated, and all the same shows that the worker has seen the fence. A worker counts as attached now once a report under the epoch carries a poll.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -35,11 +35,12 @@
 	}
 	w.lastReport = now
 	e.updateDrain(now, w, r)
-	if !attached {
-		// No lease is granted; the expiry of the current one is already accounted for.
+	first := !w.attached
+	if !attached || first && !r.Polled {
+		// No lease is granted; the expiry of the current one is already accounted for. Without a
+		// poll the report does not show which runs are present.
 		return ReportAnswer{Generation: w.generation, AckedEnds: w.ackedEnds}
 	}
-	first := !w.attached
 	w.attached = true
 	e.recordGeneration(w, r.Generation)
 	granted := e.updateLease(now, w, r)
