engine, link, nodeagent: a start takes effect only under the lease by which it was decided

What callers could see: a task runs twice. Cause: orders that were on their way while the worker's lease expired were carried out under its next lease. The planner had taken the starts for lost at the expiry and had started their tasks elsewhere; the agent checked the age of its grant, not that of the orders. Orders name the report by whose answer the planner counts the worker's lease: the agent's process and the time at which the report was built, on the agent's clock. The agent refuses starts after that lease, and gives its end to the worker as the limit of the start. Orders decided on reports of an earlier process of the agent are refused.

--- a/engine/action.go
+++ b/engine/action.go
@@ -53,6 +53,8 @@
 	Paces []PaceOrder
 	// CordonsRevision is the revision of the cordons on which the starts were decided.
 	CordonsRevision int64
+	// Grant is the report that was last answered with a lease, by which the starts were decided.
+	Grant ReportOrigin
 }
 
 // Decision is a log entry about a decision on a job.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -158,7 +158,7 @@
 			return o
 		}
 	}
-	o := &Orders{Worker: w.info.ID, Agent: w.info.Agent, CordonsRevision: e.cordons.Revision}
+	o := &Orders{Worker: w.info.ID, Agent: w.info.Agent, CordonsRevision: e.cordons.Revision, Grant: w.grant}
 	e.orders = append(e.orders, o)
 	return o
 }
--- a/engine/expired_lease_test.go
+++ b/engine/expired_lease_test.go
@@ -25,3 +25,20 @@
 	d.tick()
 	c.Check(d.starts, qt.HasLen, 1)
 }
+
+// Guards against orders that an agent can't tell from those decided under a later lease: they name the
+// report that the lease was granted on.
+func TestOrdersNameTheirGrant(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 1)
+	d.report(d.workerReport(0))
+	granted := *d.origins["agent0"]
+	withoutGrant := d.workerReport(0)
+	withoutGrant.Epoch, withoutGrant.Polled = 0, false
+	d.report(withoutGrant)
+	d.submit(1, "", taskStep(1, 8))
+	for len(d.starts) == 0 {
+		d.decideAndStore(StartOK)
+	}
+	c.Check(d.grants[d.starts[0].Run], qt.Equals, granted)
+}
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -132,6 +132,7 @@
 	switch {
 	case granted:
 		w.leaseExpiresAt = e.params.leaseExpiry(now)
+		w.grant = r.Origin
 	case r.LeaseKnown:
 		w.leaseExpiresAt = now + withClockDrift(r.LeaseRemaining) + leaseExpirySlack
 	}
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -24,7 +24,8 @@
 	startOutcome func(StartOrder) StartOutcome
 	// decisionCounts counts the decisions on each job by kind.
 	decisionCounts map[workload.JobID]map[string]int
-	startedOn      map[workload.RunID]WorkerID // the worker of each start
+	startedOn      map[workload.RunID]WorkerID     // the worker of each start
+	grants         map[workload.RunID]ReportOrigin // of the orders of each start
 	endCounts      map[WorkerID]int64
 	origins        map[string]*ReportOrigin // of the last report built by each agent
 	processes      uint64                   // of agents so far
@@ -34,7 +35,7 @@
 }
 
 func newDriver(t *testing.T, workers int) *driver {
-	d := &driver{t: t, now: time.Second, decisionCounts: map[workload.JobID]map[string]int{}, startedOn: map[workload.RunID]WorkerID{}, endCounts: map[WorkerID]int64{}, origins: map[string]*ReportOrigin{}}
+	d := &driver{t: t, now: time.Second, decisionCounts: map[workload.JobID]map[string]int{}, startedOn: map[workload.RunID]WorkerID{}, grants: map[workload.RunID]ReportOrigin{}, endCounts: map[WorkerID]int64{}, origins: map[string]*ReportOrigin{}}
 	d.e = New(Params{
 		MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, RemoteSlowdown: 3,
 		RestoreTime: 500 * time.Millisecond, MaxReclaimWait: 3 * time.Second, MaxLatencyViolation: 4 * time.Second, Retention: time.Minute,
@@ -121,7 +122,7 @@
 		completed := OrdersCompleted{Worker: o.Worker}
 		for _, s := range o.Starts {
 			d.starts = append(d.starts, s)
-			d.startedOn[s.Run] = o.Worker
+			d.startedOn[s.Run], d.grants[s.Run] = o.Worker, o.Grant
 			result := outcome
 			if d.startOutcome != nil {
 				result = d.startOutcome(s)
--- a/engine/sim_agent_orders_test.go
+++ b/engine/sim_agent_orders_test.go
@@ -168,14 +168,18 @@
 	if inc == nil || inc.info.ID != o.Worker {
 		return simPoll{}, StartNotDelivered, nil
 	}
-	header := simPoll{fence: inc.fence, until: inc.workerTime(a.grantedUntil)}
+	until := time.Duration(0)
+	if o.Grant.Process == a.origin.Process {
+		until = min(a.grantedUntil, o.Grant.BuiltAt+simMaxLease)
+	}
+	header := simPoll{fence: inc.fence, until: inc.workerTime(until)}
 	switch {
 	case inc.draining:
 		return header, StartDraining, inc
-	case header.until == 0 || inc.unresponsive || inc.leaseMayHaveExpired(now) || a.grantedUntil-now < simMinGrantForStart:
+	case header.until == 0 || inc.unresponsive || inc.leaseMayHaveExpired(now) || until-now < simMinGrantForStart:
 		return header, StartNotDelivered, inc
 	}
-	inc.extendLease(a.grantedUntil)
+	inc.extendLease(until)
 	return header, StartOK, inc
 }
 
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -65,7 +65,8 @@
 	lastReport     time.Duration
 	lastPolledAt   time.Duration // when the worker itself last answered
 	leaseExpiresAt time.Duration
-	leaseExpired   bool // leaseExpiresAt has passed without a report
+	leaseExpired   bool         // leaseExpiresAt has passed without a report
+	grant          ReportOrigin // of the report that was last answered with a lease
 	// placementsAtExpiry are the placements that were ended when the lease expired. If the worker
 	// turns out to have crashed, it crashed under them.
 	placementsAtExpiry []*placement
--- a/link/orders.go
+++ b/link/orders.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"time"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/eelgrasshub/eelgrasshub/engine"
@@ -21,6 +23,12 @@
 	// CordonsRevision is the store revision up to which the planner knew the cordons when it
 	// decided on the starts. An agent that knows of a later cordon refuses the starts.
 	CordonsRevision int64 `cbor:"8,keyasint,omitempty"`
+	// AgentProcess and GrantedAt identify the report that was last answered with a lease when the
+	// planner decided on the starts: the process that built it, and when, on the agent's clock. The
+	// planner takes the starts for lost once that lease has expired, so an agent refuses them then.
+	// AgentProcess is 0 if the report was not numbered.
+	AgentProcess uint64        `cbor:"9,keyasint,omitempty"`
+	GrantedAt    time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Start is the order to start a run.
@@ -33,7 +41,10 @@
 
 // NewOrders returns the message for orders given under an epoch.
 func NewOrders(epoch uint64, o engine.Orders) *Orders {
-	m := &Orders{Epoch: epoch, Worker: o.Worker, Stops: o.Stops, Paces: o.Paces, CordonsRevision: o.CordonsRevision}
+	m := &Orders{
+		Epoch: epoch, Worker: o.Worker, Stops: o.Stops, Paces: o.Paces, CordonsRevision: o.CordonsRevision,
+		AgentProcess: o.Grant.Process, GrantedAt: o.Grant.BuiltAt,
+	}
 	specIndexes := map[string]int{}
 	for _, s := range o.Starts {
 		index, sent := specIndexes[s.Spec]
--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -51,6 +51,8 @@
 	Starts, StartsRefused, StartsCordoned, StartsUnknown, Stops, StopsUnknown  atomic.Int64
 	Looks, LooksFailed, LooksPassedOver, Reports, ReportsFailed, Announcements atomic.Int64
 	Paces, PacesUnknown, RegistryReads                                         atomic.Int64
+	// StartsOutdated counts starts that arrived after the lease by which they were decided.
+	StartsOutdated atomic.Int64
 }
 
 // Start starts an Agent. The caller must call Stop.
--- /dev/null
+++ b/nodeagent/late_orders_test.go
@@ -0,0 +1,64 @@
+package nodeagent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+)
+
+// Guards against a start that arrives after the lease by which it was decided, under a newer lease of
+// the worker. The planner has taken it for lost, and the task would run twice.
+func TestStartAfterItsLeaseIsRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		process   uint64
+		grantedAt time.Duration // before the start
+		want      engine.StartOutcome
+	}{
+		{"under the present lease", 7, time.Second, engine.StartOK},
+		{"shortly before the end of the lease", 7, 5*time.Second + 100*time.Millisecond, engine.StartNotDelivered},
+		{"after the lease", 7, 6 * time.Second, engine.StartNotDelivered},
+		{"by a report of an earlier process", 6, time.Second, engine.StartNotDelivered},
+		{"by a report without a number", 0, 0, engine.StartOK},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := &startCountingWorker{}
+			a := newTestAgent(w)
+			a.process = 7
+			orders := startAndStopOrders(0)
+			orders.AgentProcess, orders.GrantedAt = tc.process, now()-tc.grantedAt
+			c.Check(executeStart(c, a, orders), qt.Equals, tc.want)
+		})
+	}
+}
+
+// leaseEndRecorder records the lease end of starts, after which the worker refuses them.
+type leaseEndRecorder struct {
+	Worker
+	leaseEnd time.Duration
+}
+
+func (w *leaseEndRecorder) Start(_ context.Context, header OrderHeader, _ engine.StartOrder) engine.StartOutcome {
+	w.leaseEnd = header.LeaseEnd
+	return engine.StartOK
+}
+
+// Guards against a start that is held up on its way to the worker and takes effect under a later lease
+// than that by which it was decided.
+func TestStartEndsWithTheLeaseByWhichItWasDecided(t *testing.T) {
+	c := qt.New(t)
+	w := &leaseEndRecorder{}
+	a := newTestAgent(w)
+	a.process = 7
+	orders := startAndStopOrders(0)
+	orders.Stops = nil
+	orders.AgentProcess, orders.GrantedAt = 7, now()-3*time.Second
+	decidedUntil := a.incarnation.workerTime(orders.GrantedAt + a.cfg.MaxLease)
+	c.Assert(executeStart(c, a, orders), qt.Equals, engine.StartOK)
+	c.Check(w.leaseEnd, qt.Equals, decidedUntil)
+}
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -89,20 +90,37 @@
 	if inc == nil || inc.info.ID != orders.Worker {
 		return OrderHeader{}, nil, engine.StartNotDelivered
 	}
-	header := OrderHeader{Worker: inc.info.ID, Fence: inc.fence, LeaseEnd: inc.workerTime(a.grantedUntil)}
+	until := a.startLimit(orders)
+	header := OrderHeader{Worker: inc.info.ID, Fence: inc.fence, LeaseEnd: inc.workerTime(until)}
 	switch {
 	case inc.draining:
 		return header, inc, engine.StartDraining
 	case a.cordon.refuses(orders.CordonsRevision):
 		a.counters.StartsCordoned.Add(int64(len(orders.Starts)))
 		return header, inc, engine.StartCordoned
-	case header.LeaseEnd == 0 || inc.unresponsive || inc.leaseMayHaveExpired(now()) || a.grantedUntil-now() < minGrantForStart:
+	case until-now() < minGrantForStart && a.grantedUntil-now() >= minGrantForStart:
+		a.counters.StartsOutdated.Add(int64(len(orders.Starts)))
+		return header, inc, engine.StartNotDelivered
+	case header.LeaseEnd == 0 || inc.unresponsive || inc.leaseMayHaveExpired(now()) || until-now() < minGrantForStart:
 		return header, inc, engine.StartNotDelivered
 	}
-	inc.extendLease(a.grantedUntil)
+	inc.extendLease(until)
 	return header, inc, engine.StartOK
 }
 
+// startLimit returns the time after which no start of orders may take effect: the end of the lease by
+// which the planner decided on them, since it takes them for lost then, whatever lease the worker has
+// by now. The mutex is held.
+func (a *Agent) startLimit(orders *link.Orders) time.Duration {
+	switch orders.AgentProcess {
+	case 0: // not numbered
+		return a.grantedUntil
+	case a.process:
+		return min(a.grantedUntil, orders.GrantedAt+a.cfg.MaxLease)
+	}
+	return 0 // decided on reports of an earlier process
+}
+
 // start retries a start until the worker answers. The outcome is unknown if it never does.
 // cordonsRevision is the store revision of the cordons that the planner knew.
 func (a *Agent) start(header OrderHeader, cordonsRevision int64, s engine.StartOrder) engine.StartOutcome {
