nodeagent: a late answer to Identify ends no newer incarnation

The handler of a heartbeat asked the worker for its name and read the current incarnation afterwards. A handler that was held up between the worker's answer and that step, on an agent that had not seen the sender before (restarted), replaced the incarnation that had been adopted meanwhile by the older one. The live incarnation was reported as terminated, so the planner restarted all its runs at once, and it was put among the ended ones, so its heartbeats were ignored for ever.

The current incarnation is now read before the worker is asked; adopt already fails if it has changed since. The heartbeat is then refused and sent again.

TestLateIdentityDoesNotEndNextIncarnation failed before: two reports, the first with Terminated and Crashed for the live incarnation w2.

--- a/nodeagent/heartbeat.go
+++ b/nodeagent/heartbeat.go
@@ -16,6 +16,8 @@
 	if a.updateCurrent(hb) {
 		return nil
 	}
+	// Read before the worker is asked: one that was adopted meanwhile is newer than the answer.
+	inc, _ := a.current()
 	currentName, err := a.cfg.Worker.Identify(ctx)
 	if err != nil {
 		return err
@@ -24,7 +26,6 @@
 		a.log.WithField("announced", hb.Info.ID).WithField("answers", currentName).Info("ignored heartbeat: the worker answers under another name")
 		return nil
 	}
-	inc, _ := a.current()
 	if inc != nil && inc.info.SharesName(hb.Info) {
 		return a.resolveSharedName(inc, hb)
 	}
