nodeagent: a grant beyond the reported end of a lease is not used

The report about a worker that doesn't answer says when its lease ends, and the planner lets it expire then. The agent's grant may reach further, by the replies to the reports after the last poll that extended. If the worker answered again, the next poll, or a start, extended its lease by that grant before the planner heard of it; with that report delayed, the planner restarted all its runs while they went on.

Grants beyond the reported end are given up when the report is built, whether it arrives or not, until the planner answers a later one.

--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -71,7 +71,9 @@
 		out = append(out, d.report(now()))
 	}
 	if a.incarnation != nil {
-		out = append(out, a.incarnation.report(now(), a.epoch))
+		r := a.incarnation.report(now(), a.epoch)
+		a.limitGrant(r)
+		out = append(out, r)
 	}
 	return out
 }
--- a/nodeagent/unresponsive.go
+++ b/nodeagent/unresponsive.go
@@ -12,6 +12,15 @@
 	return !inc.unresponsive || now-inc.unresponsiveSince < leaseExtensionPeriod
 }
 
+// limitGrant gives up grants beyond the end of the lease that a report states, until the planner
+// answers a later report: it lets the lease expire at that end, even if the worker answers again.
+// The mutex is held.
+func (a *Agent) limitGrant(r engine.Report) {
+	if r.Unresponsive && !r.ExtendingLease && r.LeaseKnown {
+		a.grantedUntil = min(a.grantedUntil, a.incarnation.leaseEnd)
+	}
+}
+
 // claimExtraPoll reports whether an extra poll is needed now to renew the lease, and records
 // that it is sent.
 //
--- a/nodeagent/unresponsive_test.go
+++ b/nodeagent/unresponsive_test.go
@@ -112,6 +112,27 @@
 	c.Check(inc.mayExtendLease(time.Second+leaseExtensionPeriod), qt.IsFalse)
 }
 
+// The planner lets the lease of an unresponsive worker expire when the agent has said that it will. If
+// the worker answers again, a grant from before that report must not extend the lease any further:
+// its runs would go on while they are restarted elsewhere.
+func TestGrantBeforeReportedLeaseEndIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	a := newTestAgent(&startCountingWorker{})
+	inc := a.incarnation
+	inc.extendLease(now() + 3*time.Second)
+	reported := inc.leaseEnd
+	inc.unresponsive, inc.unresponsiveSince = true, now()-leaseExtensionPeriod
+	report := a.pendingReports()[0]
+	c.Assert(report.LeaseKnown && !report.ExtendingLease, qt.IsTrue)
+	inc.applyStatus(WorkerStatus{Clock: time.Minute + time.Second}, now(), now(), reported)
+	a.preparePoll(inc, 0)
+	a.admit(&link.Orders{Epoch: 1, Worker: "w"})
+	c.Check(inc.leaseEnd, qt.Equals, reported)
+	a.handleReply(a.pendingReports()[0], &link.ReportReply{Epoch: 1, Attached: true}, now())
+	a.preparePoll(inc, 0)
+	c.Check(inc.leaseEnd > reported, qt.IsTrue, qt.Commentf("granted again by the answer to a later report"))
+}
+
 func discardLogger() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
