planner: a departure concerns one incarnation, and is final for it

A departure notice reached the planner without the incarnation that it ends, and an entry handles reports in goroutines of their own. Handled after the first report of the restarted agent, it took the live agent for lost and its jobs were started again. A report that was handled after it made the departed agent available again, for the loss timeout.

TestLateDepartureDoesNotEndNextIncarnation and TestReportAfterDepartureDoesNotReviveAgent failed before, with the incarnation passed on but not compared. Two tests used a departure to lose an agent that returns under the same incarnation, which an agent never does; they now lose it as the loss timeout does.

--- a/entry/members.go
+++ b/entry/members.go
@@ -175,7 +175,7 @@
 	case membership.Left:
 		m.entry.agents.remove(id)
 		if p := m.entry.elections.planner(member.Report.Service); p != nil {
-			p.HandleAgentLeft(id)
+			p.HandleAgentLeft(id, member.Report.Incarnation)
 		}
 	case membership.Joined, membership.Changed:
 		m.entry.agents.setAddr(id, member.Report.Address)
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -27,7 +27,9 @@
 type worker struct {
 	lastReport AgentReport
 	up         bool
-	jobs       map[string]*job // whose attempt has a member here
+	// leftIncarnation is the latest incarnation that is known to have left.
+	leftIncarnation uint64
+	jobs            map[string]*job // whose attempt has a member here
 	// mayHoldUntil is the time until which the worker may hold accelerators
 	// that the scheduler considers free, such as those of an aborted attempt.
 	mayHoldUntil time.Time
@@ -42,14 +44,25 @@
 	p.post(func() { p.applyReport(r) })
 }
 
-// HandleAgentLeft handles the orderly end of an agent. It is safe for
-// concurrent use.
-func (p *Planner) HandleAgentLeft(agent string) {
-	p.post(func() {
-		if w := p.workers[agent]; w != nil {
-			p.handleAgentLost(agent, w)
-		}
-	})
+// HandleAgentLeft handles the orderly end of an agent's incarnation. It is safe
+// for concurrent use.
+func (p *Planner) HandleAgentLeft(agent string, incarnation uint64) {
+	p.post(func() { p.applyDeparture(agent, incarnation) })
+}
+
+// applyDeparture records that an incarnation has ended, before or after its last
+// report arrives. It does not concern a later incarnation.
+func (p *Planner) applyDeparture(agent string, incarnation uint64) {
+	w := p.workers[agent]
+	if w == nil {
+		w = &worker{jobs: make(map[string]*job)}
+		w.lastReport.ReceivedAt = clock.Now()
+		p.workers[agent] = w
+	}
+	w.leftIncarnation = max(w.leftIncarnation, incarnation)
+	if w.lastReport.Incarnation <= incarnation {
+		p.handleAgentLost(agent, w)
+	}
 }
 
 func (p *Planner) applyReport(r AgentReport) {
@@ -64,7 +77,7 @@
 		w = &worker{jobs: make(map[string]*job)}
 		p.workers[id] = w
 	}
-	if r.Incarnation < w.lastReport.Incarnation {
+	if w.hasReplaced(r.Incarnation) {
 		return
 	}
 	previous, wasUp := w.lastReport, w.up
@@ -82,6 +95,12 @@
 	p.stopOrphans(id, w)
 }
 
+// hasReplaced reports whether an incarnation has left, or a later one has
+// reported.
+func (w *worker) hasReplaced(incarnation uint64) bool {
+	return incarnation < w.lastReport.Incarnation || incarnation <= w.leftIncarnation
+}
+
 // storeReport stores a report. The last contact never goes back.
 func (w *worker) storeReport(r AgentReport) {
 	if r.Incarnation == w.lastReport.Incarnation && r.ReceivedAt.Before(w.lastReport.ReceivedAt) {
