planner: a report that a newer one overtook changes nothing but the last contact

The planner compared the time of contact only: draining, the fence, the tasks and the capacity of an older report replaced those of a newer one. An entry handles each report in a goroutine and replays the members to a new planner beside them. Reports now carry the agent's sequence to the planner.

TestOvertakenReportDoesNotUndoNewerState failed before: a draining agent was schedulable again, a job started on it, and a fenced agent counted as unfenced. TestOvertakenReportCountsAsContact guards the other side and passed before.

--- a/entry/members_planner.go
+++ b/entry/members_planner.go
@@ -43,6 +43,7 @@
 			MemoryMB:     r.MemoryMB,
 		},
 		Incarnation: r.Incarnation,
+		Sequence:    r.Sequence,
 		Draining:    r.Draining,
 		Fence:       r.FencingEpoch,
 		Timestamp:   timestamp,
--- a/planner/overtaken_report_test.go
+++ b/planner/overtaken_report_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -56,3 +57,43 @@
 	p.HandleReport(reportOf("unknown", 1))
 	b.c.Check(b.isPresent(p, "unknown"), qt.IsFalse)
 }
+
+// An entry handles reports concurrently, so an older state of an agent may reach the planner after a
+// newer one. It must not make a draining agent schedulable again, nor make a fenced one count as unfenced.
+func TestOvertakenReportDoesNotUndoNewerState(t *testing.T) {
+	b := newBench(t)
+	agents := newFakeAgents("a")
+	p := b.planner(1, agents)
+	older, newer := reportOf("a", 1), reportOf("a", 1)
+	older.Sequence = 4
+	newer.Sequence, newer.Draining, newer.Fence = 5, true, 1
+	p.HandleReport(newer)
+	p.HandleReport(older)
+	last, ok := callOnLoop(context.Background(), p, func() worker { return *p.workers["a"] })
+	b.c.Assert(ok, qt.IsTrue)
+	b.c.Check(last.lastReport.Draining, qt.IsTrue)
+	b.c.Check(last.fencedAt.IsZero(), qt.IsFalse)
+
+	b.accept("j", 8, true)
+	b.eventually("the job is known", func() {}, func() bool {
+		_, ok := p.Status(context.Background(), "j")
+		return ok
+	})
+	time.Sleep(time.Second)
+	b.c.Check(agents.startsOf("j"), qt.Equals, 0)
+}
+
+// The state of an overtaken report is old, but its contact with the agent may be the latest. Ignoring
+// that would bring the loss of a live agent forward.
+func TestOvertakenReportCountsAsContact(t *testing.T) {
+	b := newBench(t)
+	p := b.planner(1, newFakeAgents())
+	newer, older := reportOf("a", 1), reportOf("a", 1)
+	newer.Sequence, older.Sequence = 5, 4
+	older.ReceivedAt = newer.ReceivedAt.Add(time.Second)
+	p.HandleReport(newer)
+	p.HandleReport(older)
+	last, ok := callOnLoop(context.Background(), p, func() time.Time { return p.workers["a"].lastReport.ReceivedAt })
+	b.c.Assert(ok, qt.IsTrue)
+	b.c.Check(last, qt.Equals, older.ReceivedAt)
+}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -12,7 +12,9 @@
 type AgentReport struct {
 	Worker      scheduler.Worker
 	Incarnation uint64
-	Draining    bool
+	// Sequence grows with each change of what an incarnation reports.
+	Sequence uint64
+	Draining bool
 	// Fence, Timestamp and Tasks come from the agent's gang.Member; see
 	// gang.Reported.
 	Fence     uint64
@@ -80,6 +82,10 @@
 	if w.hasReplaced(r.Incarnation) {
 		return
 	}
+	if w.hasNewerState(r) {
+		w.lastReport.ReceivedAt = later(w.lastReport.ReceivedAt, r.ReceivedAt)
+		return
+	}
 	previous, wasUp := w.lastReport, w.up
 	w.storeReport(r)
 	if clock.Now().Sub(r.ReceivedAt) > p.lossTimeout() {
@@ -101,14 +107,27 @@
 	return incarnation < w.lastReport.Incarnation || incarnation <= w.leftIncarnation
 }
 
+// hasNewerState reports whether a newer state of the same incarnation has been
+// reported.
+func (w *worker) hasNewerState(r AgentReport) bool {
+	return r.Incarnation == w.lastReport.Incarnation && r.Sequence < w.lastReport.Sequence
+}
+
 // storeReport stores a report. The last contact never goes back.
 func (w *worker) storeReport(r AgentReport) {
-	if r.Incarnation == w.lastReport.Incarnation && r.ReceivedAt.Before(w.lastReport.ReceivedAt) {
-		r.ReceivedAt = w.lastReport.ReceivedAt
+	if r.Incarnation == w.lastReport.Incarnation {
+		r.ReceivedAt = later(r.ReceivedAt, w.lastReport.ReceivedAt)
 	}
 	w.lastReport = r
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (p *Planner) updateScheduler(previous AgentReport, wasUp bool, r AgentReport) {
 	switch {
 	case r.Draining && (!wasUp || !previous.Draining):
