entry, membership: a report's timestamp dates only the tasks of that report

The planner's timestamp of a report was passed on with the member's tasks, which come from the newest report that the table could apply. A report from before the task, handled late, counted as evidence of the moment that a gang's member ran; so did a delta that could not be applied because it came after a gap. The planner then renews the rest of the gang. Such a report now brings no evidence, only contact. A member's sequence no longer lags behind its last report.

--- a/entry/members_planner.go
+++ b/entry/members_planner.go
@@ -22,7 +22,7 @@
 	if p == nil {
 		return
 	}
-	p.HandleReport(plannerReport(member, r.PlannerTimestamp, receivedAt.Add(-r.Age)))
+	p.HandleReport(plannerReport(member, timestampFor(member, &r), receivedAt.Add(-r.Age)))
 	if relayed {
 		return
 	}
@@ -31,6 +31,16 @@
 	ack.PlannerTimestamp = timestamp
 }
 
+// timestampFor returns the planner's timestamp of a member's tasks. The timestamp of a
+// report that is older than the member's state, or that could not be applied, says nothing
+// of them.
+func timestampFor(member *membership.Member, r *wire.AgentReport) gang.PlannerTimestamp {
+	if r.Sequence != member.Report.Sequence {
+		return wire.InvalidPlannerTimestamp
+	}
+	return r.PlannerTimestamp
+}
+
 func plannerReport(member *membership.Member, timestamp gang.PlannerTimestamp, receivedAt time.Time) planner.AgentReport {
 	r := &member.Report
 	return planner.AgentReport{
--- a/membership/ingest.go
+++ b/membership/ingest.go
@@ -98,8 +98,7 @@
 		return
 	}
 	if groups == 0 {
-		// Only the sequence changed, which readers don't act on. The member's may lag,
-		// because reports are ordered by the record's sequence.
+		t.setMember(r, m) // only the sequence changed
 		return
 	}
 	if m.Report.Service != r.member.Report.Service {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -156,3 +156,13 @@
 	batch, _ = a.RelayBatch(now, cursor)
 	c.Assert(actionNames(b.Step(startTime.Add(45*time.Second), Reports{Batch: batch, Relayed: true})), qt.DeepEquals, []string{"Left"})
 }
+
+// The planner takes a report as evidence of a member's tasks only at the member's sequence. A sequence
+// that lags behind the last report would end the renewals of a live gang.
+func TestMemberHasSequenceOfLastReport(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Config{})
+	table.Step(startTime, directReports(fullReport("a", 1, 1)))
+	table.Step(startTime, directReports(wire.AgentReport{ID: "a", Incarnation: 1, Sequence: 2, BaseSequence: 1}))
+	c.Assert(table.Snapshot().Service("dispatch").Find("a").Report.Sequence, qt.Equals, uint64(2))
+}
