gateway: an older reply of a peer does not replace a newer one

Replies to peer queries are handled in goroutines of their own, and one with a configuration may take seconds. The status of the store and the planner's contact were those of the reply handled last, although each knows when its query was sent: a planner could go on extending grants after a peer had replied that the store serves it, and a successor wait for an extension that it could rule out.

TestOlderReplyDoesNotReplaceNewerStatus and TestOlderReplyDoesNotShortenContact failed before.

--- a/gateway/store_status.go
+++ b/gateway/store_status.go
@@ -59,11 +59,14 @@
 	}
 }
 
-// observePeer records a peer's reply to a query sent at the given time.
+// observePeer records a peer's reply to a query sent at the given time, unless a later query has
+// been answered.
 func (s *storeStatus) observePeer(sent time.Duration, address string, served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.replies[address] = peerStoreStatus{at: sent, served: served}
+	if sent >= s.replies[address].at {
+		s.replies[address] = peerStoreStatus{at: sent, served: served}
+	}
 }
 
 // observeQuery records what a peer told in a query.
@@ -78,8 +81,11 @@
 func (s *storeStatus) observePlanner(sent time.Duration, epoch uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if epoch >= s.plannerEpoch {
+	switch {
+	case epoch > s.plannerEpoch:
 		s.plannerAnsweredAt, s.plannerEpoch = sent, epoch
+	case epoch == s.plannerEpoch:
+		s.plannerAnsweredAt = max(s.plannerAnsweredAt, sent)
 	}
 }
 
--- a/gateway/store_status_test.go
+++ b/gateway/store_status_test.go
@@ -101,3 +101,24 @@
 	s.observeQuery(2*second, "b", true)
 	c.Check(s.allUnserved(2*second, []string{"b"}), qt.IsFalse, qt.Commentf("the store serves it again"))
 }
+
+// Replies of one peer can overtake each other. An older one must not make a planner extend its grants
+// although the peer has replied since that the store serves it.
+func TestOlderReplyDoesNotReplaceNewerStatus(t *testing.T) {
+	c := qt.New(t)
+	s := newStoreStatus(0)
+	s.observePeer(2*second, "b", true)
+	s.observePeer(2*second-second/2, "b", false)
+	c.Check(s.allUnserved(2*second, []string{"b"}), qt.IsFalse)
+	c.Check(s.peerUnserved(2*second, "b"), qt.IsFalse)
+}
+
+// An older reply of the planner must not shorten the time of contact: its successor would wait for an
+// extension of grants that it can rule out.
+func TestOlderReplyDoesNotShortenContact(t *testing.T) {
+	const now = 60 * second
+	s := newStoreStatus(0)
+	s.observePlanner(now-second, 4)
+	s.observePlanner(now-memberTTL, 4)
+	qt.Check(t, s.predecessorExtension(now, 4), qt.Equals, time.Duration(0))
+}
