gang: only a reply to the present round of Seals shows how far a member is

A successor seals the members again when the first replies may be too old. A reply to a Seal of an earlier round, or one that an agent sent on its own, counted in the new round nevertheless, as evidence of its beginning. The member could have stopped by isolation since, and the others were started to run without it. The planner passes on when it sent the message that a reply answers.

--- a/gang/coordinator.go
+++ b/gang/coordinator.go
@@ -98,7 +98,7 @@
 	case Begin:
 		c.begin()
 	case ReplyReceived:
-		c.handleReply(ev.From, ev.Reply)
+		c.handleReply(ev)
 	case Reported:
 		c.handleReport(ev)
 	case Recorded:
@@ -144,8 +144,8 @@
 	return nil
 }
 
-func (c *Coordinator) handleReply(from string, r Reply) {
-	m := c.member(from)
+func (c *Coordinator) handleReply(ev ReplyReceived) {
+	m, r := c.member(ev.From), ev.Reply
 	if m == nil || r.Task.ID != c.plan.ID || r.Incarnation < m.incarnation {
 		return
 	}
@@ -165,7 +165,9 @@
 		m.taskGone = m.task.State != StateEnded
 	}
 	m.updateTask(r.Task, r.Incarnation)
-	if c.successor {
+	// A reply to an earlier round may be so old that the task has stopped by
+	// isolation since. How old one is that answers nothing is not known.
+	if c.successor && !ev.SentAt.Before(c.beganAt) {
 		m.answered = true
 		m.markAlive(c.beganAt)
 	}
--- a/gang/coordinator_event.go
+++ b/gang/coordinator_event.go
@@ -1,5 +1,7 @@
 package gang
 
+import "time"
+
 // Event is the input of a Coordinator: Begin, ReplyReceived, Reported,
 // Recorded, MemberLost, Abort or Wake.
 type Event interface{ event() }
@@ -12,6 +14,9 @@
 type ReplyReceived struct {
 	From  string
 	Reply Reply
+	// SentAt is when the message that the reply answers was sent, by the clock
+	// of Step. It is zero for a reply that an agent sent on its own.
+	SentAt time.Time
 }
 
 // Reported is a periodic report of an agent with all of its Member.Tasks. It
--- a/gang/protocol_test.go
+++ b/gang/protocol_test.go
@@ -67,7 +67,7 @@
 				continue
 			}
 			for _, r := range replies(cl.members[act.To].Step(now, Received{"p", act.Message})) {
-				others = append(others, cl.step(co, now, ReplyReceived{act.To, r})...)
+				others = append(others, cl.step(co, now, ReplyReceived{act.To, r, now})...)
 			}
 		case WakeAt:
 		default:
@@ -257,7 +257,7 @@
 	co := ResumeCoordinator(testConfig(2), testPlan("a"))
 	co.Step(t0, Begin{})
 	co.Step(t0, Reported{From: "a", Incarnation: 2, Tasks: m.Tasks()})
-	e := lastEnded(c, co.Step(t0, ReplyReceived{"a", exchange(m, t0, Seal{testHeader(2, 1)})}))
+	e := lastEnded(c, co.Step(t0, ReplyReceived{"a", exchange(m, t0, Seal{testHeader(2, 1)}), t0}))
 	c.Assert(e.Outcome, qt.Equals, Done)
 	exchange(m, t0, Stop{Header: testHeader(2, 1)})
 	c.Assert(m.Tasks(), qt.HasLen, 0)
@@ -325,7 +325,7 @@
 	cl.members["b"].Step(t0, Received{"p", Commit{testHeader(1, 1)}})
 	co.Step(t0, Recorded{RecordWritten})
 	for _, a := range []string{"a", "b"} {
-		co.Step(t0, ReplyReceived{a, exchange(cl.members[a], t0, Commit{testHeader(1, 1)})})
+		co.Step(t0, ReplyReceived{a, exchange(cl.members[a], t0, Commit{testHeader(1, 1)}), t0})
 	}
 	exchange(cl.members["a"], t0, Start{testHeader(1, 1)})
 	cl.step(co, t0.Add(6*time.Second), Wake{})
@@ -377,7 +377,7 @@
 	cl.step(co, t0, Recorded{RecordWritten})
 	end := func(agent string, r Result) []Action {
 		reply := replies(cl.members[agent].Step(t0, TaskEnded{ID: attempt1, Result: r}))[0]
-		return cl.step(co, t0, ReplyReceived{agent, reply})
+		return cl.step(co, t0, ReplyReceived{From: agent, Reply: reply})
 	}
 	end("a", StartUnanswered)
 	e := lastEnded(c, end("b", TaskStopped))
--- a/gang/sim_agent_test.go
+++ b/gang/sim_agent_test.go
@@ -16,6 +16,7 @@
 	endedWhileDown []Task // tasks that ended while the process was down
 	stateChangedAt time.Time
 	reportedAt     time.Time
+	answering      time.Time // when the message being handled was sent; zero if none is
 }
 
 func (a *simAgent) restart() {
@@ -123,9 +124,10 @@
 }
 
 func (a *simAgent) reply(s SendReply) {
+	sent := a.answering
 	for _, p := range a.sim.planners {
 		if p.name() == s.To {
-			a.sim.send(p, a, func() { p.handleReply(a, s.Reply) })
+			a.sim.send(p, a, func() { p.handleReply(a, s.Reply, sent) })
 		}
 	}
 }
--- a/gang/sim_planner_test.go
+++ b/gang/sim_planner_test.go
@@ -229,7 +229,12 @@
 }
 
 func (p *simPlanner) sendTo(a *simAgent, m Message) {
-	p.sim.send(p, a, func() { a.step(Received{From: p.name(), Message: m}) })
+	sent := p.sim.now
+	p.sim.send(p, a, func() {
+		a.answering = sent
+		a.step(Received{From: p.name(), Message: m})
+		a.answering = time.Time{}
+	})
 }
 
 func (p *simPlanner) recordStart(r *simRun, plan Plan) {
@@ -316,10 +321,10 @@
 	p.runs = slices.DeleteFunc(p.runs, func(o *simRun) bool { return o == r })
 }
 
-func (p *simPlanner) handleReply(a *simAgent, r Reply) {
+func (p *simPlanner) handleReply(a *simAgent, r Reply, sent time.Time) {
 	p.whenNotPaused(func() {
 		for _, run := range slices.Clone(p.runs) {
-			p.step(run, ReplyReceived{a.name, r})
+			p.step(run, ReplyReceived{a.name, r, sent})
 		}
 	})
 }
--- a/planner/coordinator.go
+++ b/planner/coordinator.go
@@ -77,6 +77,7 @@
 // send sends a message to an agent and passes the reply to the job's
 // coordinator, unless j is nil. The coordinator sends lost messages again.
 func (p *Planner) send(j *job, to string, m gang.Message) {
+	sentAt := clock.Now()
 	p.tomb.Go(func() error {
 		ctx, cancel := p.context(requestTimeout)
 		defer cancel()
@@ -84,7 +85,7 @@
 		if err != nil || j == nil {
 			return nil
 		}
-		p.post(func() { p.stepCoordinator(j, gang.ReplyReceived{From: to, Reply: reply}) })
+		p.post(func() { p.stepCoordinator(j, gang.ReplyReceived{From: to, Reply: reply, SentAt: sentAt}) })
 		return nil
 	})
 }
