gang, planner: the timestamp of a predecessor does not replace its successor's

A member returned the timestamp of the answer that it handled last. While a planner that has been replaced still answers, every other report to its successor came without one that the successor knows: it could not tell how old the report is, and a whole gang stopped by isolation. A member now keeps the latest by epoch and time. A planner that is shown a higher epoch in a timestamp ends its term, as with a fence: after a restore of the store it would have no evidence of any gang otherwise.

TestAnswerOfPredecessorDoesNotReplaceTimestamp failed before, TestTimestampOfLaterPlannerEndsTerm failed without the second part.

--- a/gang/late_reply_test.go
+++ b/gang/late_reply_test.go
@@ -73,3 +73,19 @@
 	r.Check(startsB(r.reply("a", r.now, confirmed, time.Time{})), qt.IsFalse)
 	r.Check(startsB(r.reply("a", r.now, exchange(r.a, r.now, Seal{testHeader(2, 1)}), r.now)), qt.IsTrue)
 }
+
+// A predecessor that was paused still answers reports. Its timestamp must not replace the successor's:
+// the successor would not know how old the next report is, and would let a whole gang stop.
+func TestAnswerOfPredecessorDoesNotReplaceTimestamp(t *testing.T) {
+	c := qt.New(t)
+	m := testMember(1)
+	newer := NewPlannerTimestamp(2, t0.Add(time.Second))
+	m.Step(t0, ReportAnswered{SentAt: t0, Timestamp: newer})
+	m.Step(t0, ReportAnswered{SentAt: t0, Timestamp: NewPlannerTimestamp(1, t0.Add(time.Minute))})
+	c.Check(m.Timestamp(), qt.Equals, newer)
+	m.Step(t0, ReportAnswered{SentAt: t0, Timestamp: NewPlannerTimestamp(2, t0)})
+	c.Check(m.Timestamp(), qt.Equals, newer)
+	next := NewPlannerTimestamp(3, t0)
+	m.Step(t0, ReportAnswered{SentAt: t0, Timestamp: next})
+	c.Check(m.Timestamp(), qt.Equals, next)
+}
--- a/gang/member.go
+++ b/gang/member.go
@@ -186,7 +186,9 @@
 }
 
 func (m *Member) handleReportAnswered(ev ReportAnswered) {
-	m.timestamp = ev.Timestamp
+	if m.timestamp.before(ev.Timestamp) {
+		m.timestamp = ev.Timestamp
+	}
 	for _, id := range ev.Renewed {
 		a := m.attempts[id]
 		if a == nil || a.task.State != StateRunning {
--- a/gang/planner_timestamp.go
+++ b/gang/planner_timestamp.go
@@ -14,11 +14,23 @@
 	At int64 `cbor:"2,keyasint"`
 }
 
+// InvalidTimestamp belongs to no planner's epoch.
+var InvalidTimestamp = PlannerTimestamp{Epoch: ^uint64(0)}
+
 // NewPlannerTimestamp returns the timestamp for an answer given now.
 func NewPlannerTimestamp(epoch uint64, now time.Time) PlannerTimestamp {
 	return PlannerTimestamp{Epoch: epoch, At: now.UnixNano()}
 }
 
+// before reports whether another timestamp was given later, by a later planner or
+// by the same one.
+func (s PlannerTimestamp) before(other PlannerTimestamp) bool {
+	if s.Epoch != other.Epoch {
+		return s.Epoch < other.Epoch
+	}
+	return s.At < other.At
+}
+
 // reportTime returns the time as of which a report with this timestamp is
 // valid for the planner with the given epoch, or zero if that is unknown. A
 // report without a timestamp, from an agent that was never answered, is valid
--- a/planner/overtaken_report_test.go
+++ b/planner/overtaken_report_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/eelgrasshub/eelgrasshub/clock"
+	"github.com/eelgrasshub/eelgrasshub/gang"
 	"github.com/eelgrasshub/eelgrasshub/scheduler"
 )
 
@@ -83,6 +84,21 @@
 	b.c.Check(agents.startsOf("j"), qt.Equals, 0)
 }
 
+// Agents keep the timestamp of the latest planner. One with a lower epoch, as after the store was
+// restored, must learn of it: it would get no evidence of any gang and let all of them stop.
+func TestTimestampOfLaterPlannerEndsTerm(t *testing.T) {
+	b := newBench(t)
+	p := b.planner(1, newFakeAgents())
+	r := reportOf("a", 1)
+	r.Timestamp = gang.InvalidTimestamp
+	p.HandleReport(r)
+	b.c.Check(b.isPresent(p, "a"), qt.IsTrue)
+	r.Timestamp = gang.NewPlannerTimestamp(2, clock.Now())
+	p.HandleReport(r)
+	b.eventually("the term ends", func() {}, func() bool { return p.SupersedingEpoch() == 2 })
+	<-p.Done()
+}
+
 // The state of an overtaken report is old, but its contact with the agent may be the latest. Ignoring
 // that would bring the loss of a live agent forward.
 func TestOvertakenReportCountsAsContact(t *testing.T) {
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -25,6 +25,15 @@
 	ReceivedAt time.Time
 }
 
+// highestEpoch returns the highest epoch of a planner that has sent messages to
+// the agent or answered its reports.
+func (r *AgentReport) highestEpoch() uint64 {
+	if r.Timestamp == gang.InvalidTimestamp {
+		return r.Fence
+	}
+	return max(r.Fence, r.Timestamp.Epoch)
+}
+
 // worker is the planner's view of one agent. The planner's goroutine owns it.
 type worker struct {
 	lastReport AgentReport
@@ -69,8 +78,8 @@
 
 func (p *Planner) applyReport(r AgentReport) {
 	id := string(r.Worker.ID)
-	if r.Fence > p.cfg.Epoch {
-		p.endSuperseded("an agent reported a higher epoch", r.Fence)
+	if epoch := r.highestEpoch(); epoch > p.cfg.Epoch {
+		p.endSuperseded("an agent reported a higher epoch", epoch)
 		return
 	}
 	w := p.workers[id]
--- a/wire/messages_report.go
+++ b/wire/messages_report.go
@@ -81,7 +81,7 @@
 // InvalidPlannerTimestamp is the timestamp of a report that must never count as
 // evidence of a running gang, however late it arrives: it belongs to no planner's
 // epoch.
-var InvalidPlannerTimestamp = gang.PlannerTimestamp{Epoch: ^uint64(0)}
+var InvalidPlannerTimestamp = gang.InvalidTimestamp
 
 // Load is the state of a target's queue. CongestionMarks counts the answers with a
 // congestion mark.
