entry: the connection and address of an agent are those of its latest process

The connection that was accepted last was used, whichever process of the id had opened it, and the goroutines that handle reports applied changes of addresses in any order. Orders for the present process went to an earlier one that dialed again, which refuses them, so that no job started there; a late departure or address of the earlier process cut the present one off until its next restart. An agent that is lost is dropped as well, so that one whose clock went back can return.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -24,6 +24,7 @@
 	pool *wire.Pool
 
 	mu            sync.RWMutex
+	incarnations  map[string]uint64 // the latest one of each agent, whose connection and address are kept
 	conns         map[string]*wire.Conn
 	addrs         map[string]string
 	lastDialedUse map[string]time.Time // last use of a connection opened here, by address
@@ -31,35 +32,62 @@
 
 func newAgentConns() *agentConns {
 	return &agentConns{
+		incarnations:  make(map[string]uint64),
 		conns:         make(map[string]*wire.Conn),
 		addrs:         make(map[string]string),
 		lastDialedUse: make(map[string]time.Time),
 	}
 }
 
+// advance reports whether an incarnation is the latest known one of an agent. What is kept
+// of an earlier one is dropped. Without that, the orders for a process could go to another
+// one with its id that dialed last, which refuses them. The caller holds a.mu.
+func (a *agentConns) advance(id string, incarnation uint64) bool {
+	known := a.incarnations[id]
+	if incarnation < known {
+		return false
+	}
+	if incarnation > known {
+		a.incarnations[id] = incarnation
+		delete(a.addrs, id)
+		delete(a.conns, id)
+	}
+	return true
+}
+
 // onAccepted records a connection opened by an agent. It replaces an older one: an agent
 // dials again when its connection has stopped responding, which this side may not have
 // detected yet.
 func (a *agentConns) onAccepted(c *wire.Conn) {
-	if c.Peer().Role != wire.RoleAgent {
+	peer := c.Peer()
+	if peer.Role != wire.RoleAgent {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.conns[c.Peer().ID] = c
+	if a.advance(peer.ID, peer.Incarnation) {
+		a.conns[peer.ID] = c
+	}
 }
 
 // setAddr records where an agent listens.
-func (a *agentConns) setAddr(id, addr string) {
+func (a *agentConns) setAddr(id string, incarnation uint64, addr string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.addrs[id] = addr
+	if a.advance(id, incarnation) {
+		a.addrs[id] = addr
+	}
 }
 
-// remove drops an agent that has left.
-func (a *agentConns) remove(id string) {
+// remove drops an agent whose given incarnation has left or is lost.
+func (a *agentConns) remove(id string, incarnation uint64) {
 	a.mu.Lock()
+	if incarnation < a.incarnations[id] {
+		a.mu.Unlock()
+		return
+	}
 	addr := a.addrs[id]
+	delete(a.incarnations, id)
 	delete(a.addrs, id)
 	delete(a.conns, id)
 	delete(a.lastDialedUse, addr)
--- a/entry/agents_test.go
+++ b/entry/agents_test.go
@@ -36,7 +36,7 @@
 	a := newAgentConns()
 	a.pool = wire.NewPool(newEndpoint(c))
 	defer a.pool.Close()
-	a.setAddr("dead", deadAgent.LocalAddr().String())
+	a.setAddr("dead", 1, deadAgent.LocalAddr().String())
 	result := make(chan error, 1)
 	go func() {
 		_, err := a.call(context.Background(), "dead", &wire.Ping{}, anyConn)
--- a/entry/members.go
+++ b/entry/members.go
@@ -173,12 +173,14 @@
 	m.recordGeneration(a, id)
 	switch a.(type) {
 	case membership.Left:
-		m.entry.agents.remove(id)
+		m.entry.agents.remove(id, member.Report.Incarnation)
 		if p := m.entry.elections.planner(member.Report.Service); p != nil {
 			p.HandleAgentLeft(id, member.Report.Incarnation)
 		}
+	case membership.Lost:
+		m.entry.agents.remove(id, member.Report.Incarnation)
 	case membership.Joined, membership.Changed:
-		m.entry.agents.setAddr(id, member.Report.Address)
+		m.entry.agents.setAddr(id, member.Report.Incarnation, member.Report.Address)
 	case membership.Suspected:
 		m.entry.dispatcher(member.Report.Service).router.ProbeFailed(time.Now(), routing.TargetID(id))
 	case membership.Recovered:
