entry: the router's targets never go back to an older list of members

Two goroutines that handle reports could pass their lists of members to the router in the wrong order. An agent that had left was a target again until the next change of its service's members.

TestOlderMembersDoNotReplaceTargets failed before.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -76,12 +76,19 @@
 	// weights holds the relative weight of each account in the active document.
 	weights atomic.Pointer[map[string]float64]
 
-	mu sync.Mutex // serializes SetTargets, as the router requires
+	mu       sync.Mutex // serializes SetTargets, as the router requires
+	snapshot uint64     // of the members that the router has
 }
 
-func (d *dispatcher) setTargets(targets []routing.Target) {
+// setTargets replaces the targets by those of a snapshot of the members, unless the router
+// has those of a later one.
+func (d *dispatcher) setTargets(snapshot uint64, targets []routing.Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if snapshot < d.snapshot {
+		return
+	}
+	d.snapshot = snapshot
 	d.router.SetTargets(d.now(), targets)
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -219,7 +219,8 @@
 // updateRouter passes the targets of a service to its router. The table publishes its
 // snapshot at once for any change that stops new work.
 func (m *members) updateRouter(service string) {
-	view := m.table.Snapshot().Service(service)
+	snapshot := m.table.Snapshot()
+	view := snapshot.Service(service)
 	targets := make([]routing.Target, 0, len(view.Members))
 	maxInFlight := m.entry.maxInFlight(service)
 	for _, member := range view.Members {
@@ -233,7 +234,7 @@
 			Incarnation: r.Incarnation,
 		})
 	}
-	m.entry.dispatcher(service).setTargets(targets)
+	m.entry.dispatcher(service).setTargets(snapshot.Version, targets)
 }
 
 func (m *members) find(id string) *membership.Member {
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -9,6 +9,8 @@
 
 // Snapshot is an immutable view of the members.
 type Snapshot struct {
+	// Version grows from one snapshot to the next.
+	Version  uint64
 	services map[string]*ServiceView
 }
 
@@ -70,7 +72,7 @@
 	clear(t.dirty)
 	t.publishNow = false
 	t.lastPublish = now
-	t.snapshot.Store(&Snapshot{services: services})
+	t.snapshot.Store(&Snapshot{Version: t.version, services: services})
 }
 
 // rebuild merges the changed members, sorted, into the old sorted view.
