--- a/entry/members.go
+++ b/entry/members.go
@@ -173,12 +173,14 @@
 	m.recordGeneration(a, id)
 	switch a.(type) {
 	case membership.Left:
-		m.entry.agents.remove(id)
+		m.entry.agents.remove(id, member.Report.Incarnation)
 		if p := m.entry.elections.planner(member.Report.Service); p != nil {
-			p.HandleAgentLeft(id)
+			p.HandleAgentLeft(id, member.Report.Incarnation)
 		}
+	case membership.Lost:
+		m.entry.agents.remove(id, member.Report.Incarnation)
 	case membership.Joined, membership.Changed:
-		m.entry.agents.setAddr(id, member.Report.Address)
+		m.entry.agents.setAddr(id, member.Report.Incarnation, member.Report.Address)
 	case membership.Suspected:
 		m.entry.dispatcher(member.Report.Service).router.ProbeFailed(time.Now(), routing.TargetID(id))
 	case membership.Recovered:
@@ -217,7 +219,8 @@
 // updateRouter passes the targets of a service to its router. The table publishes its
 // snapshot at once for any change that stops new work.
 func (m *members) updateRouter(service string) {
-	view := m.table.Snapshot().Service(service)
+	snapshot := m.table.Snapshot()
+	view := snapshot.Service(service)
 	targets := make([]routing.Target, 0, len(view.Members))
 	maxInFlight := m.entry.maxInFlight(service)
 	for _, member := range view.Members {
@@ -231,7 +234,7 @@
 			Incarnation: r.Incarnation,
 		})
 	}
-	m.entry.dispatcher(service).setTargets(targets)
+	m.entry.dispatcher(service).setTargets(snapshot.Version, targets)
 }
 
 func (m *members) find(id string) *membership.Member {
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -12,7 +12,9 @@
 type AgentReport struct {
 	Worker      scheduler.Worker
 	Incarnation uint64
-	Draining    bool
+	// Sequence grows with each change of what an incarnation reports.
+	Sequence uint64
+	Draining bool
 	// Fence, Timestamp and Tasks come from the agent's gang.Member; see
 	// gang.Reported.
 	Fence     uint64
@@ -23,11 +25,22 @@
 	ReceivedAt time.Time
 }
 
+// highestEpoch returns the highest epoch of a planner that has sent messages to
+// the agent or answered its reports.
+func (r *AgentReport) highestEpoch() uint64 {
+	if r.Timestamp == gang.InvalidTimestamp {
+		return r.Fence
+	}
+	return max(r.Fence, r.Timestamp.Epoch)
+}
+
 // worker is the planner's view of one agent. The planner's goroutine owns it.
 type worker struct {
 	lastReport AgentReport
 	up         bool
-	jobs       map[string]*job // whose attempt has a member here
+	// leftIncarnation is the latest incarnation that is known to have left.
+	leftIncarnation uint64
+	jobs            map[string]*job // whose attempt has a member here
 	// mayHoldUntil is the time until which the worker may hold accelerators
 	// that the scheduler considers free, such as those of an aborted attempt.
 	mayHoldUntil time.Time
@@ -42,20 +55,31 @@
 	p.post(func() { p.applyReport(r) })
 }
 
-// HandleAgentLeft handles the orderly end of an agent. It is safe for
-// concurrent use.
-func (p *Planner) HandleAgentLeft(agent string) {
-	p.post(func() {
-		if w := p.workers[agent]; w != nil {
-			p.handleAgentLost(agent, w)
-		}
-	})
+// HandleAgentLeft handles the orderly end of an agent's incarnation. It is safe
+// for concurrent use.
+func (p *Planner) HandleAgentLeft(agent string, incarnation uint64) {
+	p.post(func() { p.applyDeparture(agent, incarnation) })
+}
+
+// applyDeparture records that an incarnation has ended, before or after its last
+// report arrives. It does not concern a later incarnation.
+func (p *Planner) applyDeparture(agent string, incarnation uint64) {
+	w := p.workers[agent]
+	if w == nil {
+		w = &worker{jobs: make(map[string]*job)}
+		w.lastReport.ReceivedAt = clock.Now()
+		p.workers[agent] = w
+	}
+	w.leftIncarnation = max(w.leftIncarnation, incarnation)
+	if w.lastReport.Incarnation <= incarnation {
+		p.handleAgentLost(agent, w)
+	}
 }
 
 func (p *Planner) applyReport(r AgentReport) {
 	id := string(r.Worker.ID)
-	if r.Fence > p.cfg.Epoch {
-		p.endSuperseded("an agent reported a higher epoch", r.Fence)
+	if epoch := r.highestEpoch(); epoch > p.cfg.Epoch {
+		p.endSuperseded("an agent reported a higher epoch", epoch)
 		return
 	}
 	w := p.workers[id]
@@ -64,7 +88,11 @@
 		w = &worker{jobs: make(map[string]*job)}
 		p.workers[id] = w
 	}
-	if r.Incarnation < w.lastReport.Incarnation {
+	if w.hasReplaced(r.Incarnation) {
+		return
+	}
+	if w.hasNewerState(r) {
+		w.lastReport.ReceivedAt = later(w.lastReport.ReceivedAt, r.ReceivedAt)
 		return
 	}
 	previous, wasUp := w.lastReport, w.up
@@ -82,14 +110,33 @@
 	p.stopOrphans(id, w)
 }
 
+// hasReplaced reports whether an incarnation has left, or a later one has
+// reported.
+func (w *worker) hasReplaced(incarnation uint64) bool {
+	return incarnation < w.lastReport.Incarnation || incarnation <= w.leftIncarnation
+}
+
+// hasNewerState reports whether a newer state of the same incarnation has been
+// reported.
+func (w *worker) hasNewerState(r AgentReport) bool {
+	return r.Incarnation == w.lastReport.Incarnation && r.Sequence < w.lastReport.Sequence
+}
+
 // storeReport stores a report. The last contact never goes back.
 func (w *worker) storeReport(r AgentReport) {
-	if r.Incarnation == w.lastReport.Incarnation && r.ReceivedAt.Before(w.lastReport.ReceivedAt) {
-		r.ReceivedAt = w.lastReport.ReceivedAt
+	if r.Incarnation == w.lastReport.Incarnation {
+		r.ReceivedAt = later(r.ReceivedAt, w.lastReport.ReceivedAt)
 	}
 	w.lastReport = r
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (p *Planner) updateScheduler(previous AgentReport, wasUp bool, r AgentReport) {
 	switch {
 	case r.Draining && (!wasUp || !previous.Draining):
