nodeagent: an outdated answer to a poll confirms no fence

A poll's answer raised the confirmed fence even if it was discarded since a later answer had overtaken it. The next report then claimed the new planner's epoch without a poll, or with a listing from before. The planner takes the restored runs that such a report does not list for lost, and starts their tasks elsewhere at once.

Looked for and not found: harm by the age of reports that are built together and sent one after the other (0.9 s each at most). What the second says only postpones: the end of a lease is stated too late, an end or a fence that was seen stays true, and a run that is missing from one listing is only stopped after three.

TestOutdatedAnswerDoesNotConfirmFence failed before: the report said epoch 2 with no poll.

--- a/nodeagent/incarnation_test.go
+++ b/nodeagent/incarnation_test.go
@@ -24,6 +24,28 @@
 	c.Check(inc.report(1050, 0).Running, qt.HasLen, 1)
 }
 
+// The answer to the first poll under a new planner's fence is outdated, since a later answer overtook
+// it. A report must not claim the fence with the older listing: the new planner would take all
+// restored runs that are not listed for lost, and start their tasks elsewhere.
+func TestOutdatedAnswerDoesNotConfirmFence(t *testing.T) {
+	c := qt.New(t)
+	w := &slowWorker{release: make(chan struct{}), status: WorkerStatus{Clock: time.Second}}
+	close(w.release)
+	a := newPollingAgent(w)
+	inc := a.incarnation
+	inc.applyStatus(WorkerStatus{Clock: 2 * time.Second}, now(), now(), 0)
+	inc.clearReported(a.pendingReports()[0])
+	a.raiseEpoch(2)
+	a.poll(inc, 0)
+	c.Check(a.counters.LooksPassedOver.Load(), qt.Equals, int64(1))
+	c.Check(a.pendingReports()[0].Epoch, qt.Equals, uint64(0))
+	w.status.Clock = 3 * time.Second
+	a.poll(inc, 0)
+	report := a.pendingReports()[0]
+	c.Check(report.Epoch, qt.Equals, uint64(2))
+	c.Check(report.Polled, qt.IsTrue)
+}
+
 // A poll that is reported again must not count as evidence that a run that started meanwhile is
 // missing.
 func TestPollReportedOnce(t *testing.T) {
--- a/nodeagent/poll.go
+++ b/nodeagent/poll.go
@@ -70,10 +70,14 @@
 		return a.handlePollError(inc, err), err
 	}
 	waited := now() - sentAt
-	inc.confirmedFence = inc.confirmedFence.Max(header.Fence)
 	inc.ackedEnds = max(inc.ackedEnds, ackedEnds)
 	clockBefore := inc.workerClock
-	a.noteStaleAnswer(inc, status, clockBefore, inc.applyStatus(status, sentAt, now(), leaseEnd))
+	accepted := inc.applyStatus(status, sentAt, now(), leaseEnd)
+	if accepted {
+		// A planner takes the runs that are not listed under its fence for lost.
+		inc.confirmedFence = inc.confirmedFence.Max(header.Fence)
+	}
+	a.noteStaleAnswer(inc, status, clockBefore, accepted)
 	a.requestReport()
 	if (len(status.Ended) > 0 || inc.leaseMayHaveExpired(now())) && waited < minPollInterval {
 		return minPollInterval, nil
