nodeagent: a departure notice is not the end of a worker

A worker sends its departure notice and then ends. The agent took the incarnation for ended at the notice and reported it as terminated, so the planner restarted all its runs within milliseconds. A real worker process ends some time later, and its runs went on until then.

The notice now means leaving: no start is admitted, its lease is extended no further, and drain times in late heartbeats are ignored. It is polled on, so ends that it lists are still reported, and counts as ended when an open connection to it broke and a new one is refused with no other poll in progress, when another incarnation answers, or when its lease has expired. A refusal alone is no proof: a process may close its port before it ends.

In TestDepartureOfEarlierIncarnationIgnored the accepted notice showed as Terminated at once, which is the fault; it now checks that the notice is accepted or ignored, and that Terminated follows the refused connection and nothing earlier.

--- a/nodeagent/departure.go
+++ b/nodeagent/departure.go
@@ -1,6 +1,7 @@
 package nodeagent
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -33,6 +34,29 @@
 	return r
 }
 
+// leave records a departure notice. The worker sends it before it ends, so its runs may go on for
+// some time. From now on nothing starts there and nothing extends its lease, which bounds that time.
+func (inc *incarnation) leave(now, maxLease time.Duration) {
+	if inc.leaving {
+		return
+	}
+	inc.leaving, inc.draining, inc.departsAt = true, true, now
+	if inc.leaseEnd == 0 {
+		inc.extendLease(now + maxLease) // as a previous agent process may have
+	}
+}
+
+// hasLeft reports whether a leaving worker has certainly ended when a poll fails with err: its lease
+// has expired, or all its connections are gone and it accepts no new one. A refusal alone is no
+// proof, since a process may close its port first and end later.
+func (inc *incarnation) hasLeft(err error, now time.Duration) bool {
+	if !inc.leaving {
+		return false
+	}
+	closed := inc.connectionBroken && inc.pollsInProgress == 0 && errors.Is(err, ErrConnectionRefused)
+	return closed || now > inc.leaseEnd+leaseExpiryMargin
+}
+
 // endIncarnation records the end of the current incarnation. The mutex is held.
 func (a *Agent) endIncarnation(dep departure) {
 	if a.incarnation == nil {
--- a/nodeagent/heartbeat.go
+++ b/nodeagent/heartbeat.go
@@ -78,7 +78,7 @@
 		inc.info.Capacity = hb.Info.Capacity
 		a.requestReport()
 	}
-	if hb.Draining {
+	if hb.Draining && !inc.leaving {
 		if !inc.draining {
 			a.log.WithField("worker", inc.info.ID).WithField("remaining_ms", hb.Remaining.Milliseconds()).Info("worker is draining")
 			a.requestReport()
@@ -110,7 +110,8 @@
 	return nil
 }
 
-// HandleDeparture handles a departure notice of the worker with the given name.
+// HandleDeparture handles a departure notice of the worker with the given name, which is leaving from
+// then on; see incarnation.leave.
 //
 // A delayed notice may arrive after another incarnation has taken the name. To keep its runs
 // from being treated as ended, a notice of a named worker is ignored unless the worker has
@@ -126,8 +127,9 @@
 		a.log.WithField("worker", a.incarnation.info.ID).Info("ignored departure notice of an earlier incarnation")
 		return
 	}
-	a.endIncarnation(departure{})
-	a.notifyChanged()
+	a.log.WithField("worker", a.incarnation.info.ID).Info("worker is leaving")
+	a.incarnation.leave(now(), a.cfg.MaxLease)
+	a.requestReport()
 }
 
 func (a *Agent) notifyChanged() {
--- a/nodeagent/incarnation.go
+++ b/nodeagent/incarnation.go
@@ -14,6 +14,8 @@
 	sequence  int64
 	draining  bool
 	departsAt time.Duration
+	// leaving is set by the departure notice, which a worker sends before it ends.
+	leaving bool
 
 	// workerClock is the worker's clock at some time up to clockReadAt.
 	workerClock time.Duration
@@ -48,6 +50,9 @@
 	// connectionLostAt is when the connection to the unresponsive worker was first lost; 0 if it
 	// was not.
 	connectionLostAt time.Duration
+	// connectionBroken is set if an open connection to the worker broke, until it answers again.
+	connectionBroken bool
+	pollsInProgress  int
 	running          []engine.RunStatus
 	// firstSeen is when a poll first returned each running run.
 	firstSeen map[workload.RunID]time.Duration
@@ -114,7 +119,7 @@
 	}
 	inc.voidEndsBeforeExpiry(status.Ended)
 	inc.unresponsive = false
-	inc.connectionLostAt = 0
+	inc.connectionLostAt, inc.connectionBroken = 0, false
 	if inc.polled && (status.Clock < inc.workerClock || status.Clock == inc.workerClock && sentAt < inc.polledAt) {
 		return false // reordered: a later poll was answered first
 	}
--- a/nodeagent/name_reuse_test.go
+++ b/nodeagent/name_reuse_test.go
@@ -1,6 +1,7 @@
 package nodeagent
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -19,6 +20,7 @@
 	Worker
 	mu          sync.Mutex
 	incarnation engine.WorkerID // the one that answers; empty if none does
+	err         error           // of polls while none does; nil means that they time out
 	polls       []pollRecord
 	ended       []engine.RunEnd
 }
@@ -49,7 +51,7 @@
 	w.polls = append(w.polls, pollRecord{header.Fence, ackedEnds})
 	switch w.incarnation {
 	case "":
-		return WorkerStatus{}, context.DeadlineExceeded
+		return WorkerStatus{}, cmp.Or(w.err, context.DeadlineExceeded)
 	case header.Worker:
 		return WorkerStatus{Clock: now(), Ended: w.ended}, nil
 	}
@@ -165,13 +167,21 @@
 // that departs has drained before.
 func TestDepartureOfEarlierIncarnationIgnored(t *testing.T) {
 	c := qt.New(t)
-	a, _ := startNameReusingAgent(c)
+	a, w := startNameReusingAgent(c)
+	inc, _ := a.current()
 	a.HandleDeparture("w")
+	c.Check(inc.leaving, qt.IsFalse)
 	c.Check(a.pendingReports()[0].Terminated, qt.IsFalse)
 	draining := newHeartbeat("w-1", 6)
 	draining.Draining, draining.Remaining = true, time.Second
 	c.Assert(a.HandleHeartbeat(context.Background(), draining), qt.IsNil)
 	a.HandleDeparture("w")
+	c.Check(inc.leaving, qt.IsTrue)
+	w.restartAs("")
+	for _, w.err = range []error{ErrConnectionLost, ErrConnectionRefused} {
+		c.Check(a.pendingReports()[0].Terminated, qt.IsFalse)
+		a.poll(inc, 0)
+	}
 	c.Check(a.pendingReports()[0].Terminated, qt.IsTrue)
 }
 
--- a/nodeagent/poll.go
+++ b/nodeagent/poll.go
@@ -60,6 +60,7 @@
 	status, err := a.cfg.Worker.Poll(ctx, header, ackedEnds, wait)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	inc.pollsInProgress--
 	if a.incarnation != inc {
 		if err == nil {
 			a.addLateEnds(inc, status.Ended)
@@ -91,6 +92,7 @@
 func (a *Agent) preparePoll(inc *incarnation, wait time.Duration) (header OrderHeader, ackedEnds int64, w, leaseEnd time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	inc.pollsInProgress++
 	header = OrderHeader{Worker: inc.info.ID, Fence: inc.fence}
 	leaseEnd = inc.leaseEnd
 	mayHaveExpired := inc.leaseMayHaveExpired(now())
@@ -123,6 +125,14 @@
 	if errors.Is(err, ErrConnectionLost) && inc.connectionLostAt == 0 {
 		inc.connectionLostAt = at
 	}
+	if errors.Is(err, ErrConnectionLost) && !errors.Is(err, ErrConnectionRefused) {
+		inc.connectionBroken = true
+	}
+	if inc.hasLeft(err, at) {
+		a.endIncarnation(departure{})
+		a.notifyChanged()
+		return 0
+	}
 	if !inc.unresponsive {
 		a.log.WithField("worker", inc.info.ID).WithField("acknowledged", inc.ackedEnds).WithError(err).Warn("worker is unresponsive")
 		inc.markUnresponsive(at)
--- a/nodeagent/unresponsive.go
+++ b/nodeagent/unresponsive.go
@@ -6,10 +6,10 @@
 	"github.com/eelgrasshub/eelgrasshub/engine"
 )
 
-// mayExtendLease reports whether polls extend the lease: the worker answers, or has not
-// answered for less than leaseExtensionPeriod.
+// mayExtendLease reports whether polls extend the lease: the worker is not leaving, and answers or
+// has not answered for less than leaseExtensionPeriod.
 func (inc *incarnation) mayExtendLease(now time.Duration) bool {
-	return !inc.unresponsive || now-inc.unresponsiveSince < leaseExtensionPeriod
+	return !inc.leaving && (!inc.unresponsive || now-inc.unresponsiveSince < leaseExtensionPeriod)
 }
 
 // limitGrant gives up grants beyond the end of the lease that a report states, until the planner
@@ -27,7 +27,7 @@
 // An unresponsive worker gets no extra polls: if it refuses them at once, each refusal would be
 // reported at once and the reply would trigger the next poll, in a loop at network speed.
 func (inc *incarnation) claimExtraPoll(now time.Duration) bool {
-	if inc.unresponsive || inc.leaseEnd == 0 || inc.leaseEnd-now >= renewalThreshold || now-inc.extraPollAt < minExtraPollInterval {
+	if inc.unresponsive || inc.leaving || inc.leaseEnd == 0 || inc.leaseEnd-now >= renewalThreshold || now-inc.extraPollAt < minExtraPollInterval {
 		return false
 	}
 	inc.extraPollAt = now
@@ -59,9 +59,9 @@
 
 // unresponsivePollInterval returns the pause between polls of an unresponsive worker. It is
 // short at first if another incarnation may take the name, so that it is fenced as soon as it
-// answers.
+// answers, or if the worker is leaving, so that its end is noticed.
 func (inc *incarnation) unresponsivePollInterval(now time.Duration) time.Duration {
-	if inc.info.Name != "" && now-inc.unresponsiveSince < restartPollPeriod {
+	if (inc.info.Name != "" || inc.leaving) && now-inc.unresponsiveSince < restartPollPeriod {
 		return restartPollInterval
 	}
 	return unresponsivePollInterval
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -20,6 +20,9 @@
 	// ErrConnectionLost means that the connection to the worker broke or was refused, as it does
 	// when the worker's process has ended.
 	ErrConnectionLost = eris.New("the connection to the worker was lost")
+	// ErrConnectionRefused is an ErrConnectionLost that means that nothing accepts connections at
+	// the worker's address.
+	ErrConnectionRefused = fmt.Errorf("%w: refused", ErrConnectionLost)
 	// ErrFenced means that the worker has seen a higher fence.
 	ErrFenced = eris.New("the worker follows a newer planner")
 )
@@ -54,7 +57,7 @@
 	// Poll extends the lease, acknowledges ends up to number ackedEnds, waits up to wait for a
 	// run to end, and returns the worker's status. It fails with ErrOtherIncarnation if another
 	// incarnation answers, and with ErrConnectionLost if the connection fails other than by a
-	// timeout.
+	// timeout, which is ErrConnectionRefused if there was none.
 	Poll(ctx context.Context, header OrderHeader, ackedEnds int64, wait time.Duration) (WorkerStatus, error)
 }
 
