--- a/internal/testport/testport.go
+++ b/internal/testport/testport.go
@@ -23,10 +23,11 @@
 // Ranges of the packages that need ports. They are disjoint, since packages are tested in
 // parallel.
 var (
-	Scripts  = Range{10_000, 20_000}
-	Platform = Range{20_000, 30_000}
-	Racks    = Range{30_000, 31_500}
-	Capacity = Range{31_500, 32_700}
+	Scripts   = Range{10_000, 20_000}
+	Platform  = Range{20_000, 29_000}
+	Processes = Range{29_000, 30_000}
+	Racks     = Range{30_000, 31_500}
+	Capacity  = Range{31_500, 32_700}
 )
 
 var (
