--- a/internal/processes/departure_test.go
+++ b/internal/processes/departure_test.go
@@ -31,7 +31,7 @@
 		return running == 6
 	})
 	time.Sleep(time.Second)
-	c.Assert(leaving.worker.Leave(leaving.addr, time.Second), qt.IsTrue)
+	c.Assert(leaving.worker.LeaveAndRestart(leaving.addr, time.Second), qt.IsTrue)
 	f.eventually("the tasks run again", func() bool { return f.runCount() > 6 })
 	f.checkRuns()
 }
--- a/internal/processes/node_test.go
+++ b/internal/processes/node_test.go
@@ -112,7 +112,7 @@
 	n.mu.Lock()
 	n.notices = append(n.notices, departureNotice{fmt.Sprint("incarnation ", incarnations), time.Now(), endAfter})
 	n.mu.Unlock()
-	n.worker.Leave(n.addr, endAfter)
+	n.worker.LeaveAndRestart(n.addr, endAfter)
 }
 
 func (n *node) close() {
