engine: a crash is not counted for a job that has ended; a unit keeps its step

What callers saw: nothing yet; found in simulations. The gateway that plans panics ("index out of range [0] with length 0" in (*unit).spec, from certainlyRan and countCrash), and every job waits for the takeover. Cause: a worker's placements at the expiry of its lease outlast their job, which gives its steps up once it is archived. countCrash treated them like those of an open job: since it reads their step, and long before it marked the archived job as changed, so that the planner wrote a record of it that nothing removes. Change: countCrash counts nothing for a job that has ended, whose outcome is decided. Its runs still take part in finding the run to blame, or a neighbour would be blamed for a crash of theirs. A unit holds its step itself, so that no reader of spec() depends on the job. No check was weakened. Ruled out by reading: other readers of steps hold live placements or units of open jobs; a job with a live placement is not archived. What remains: records that were written before stay in the store.

--- a/engine/crash.go
+++ b/engine/crash.go
@@ -75,14 +75,15 @@
 }
 
 // countCrash counts a crash of w for the tasks that ran there, in the order of placements, and
-// fails the jobs of tasks that exceed the limit.
+// fails the jobs of tasks that exceed the limit. It counts nothing for jobs that have ended: their
+// outcomes are decided, and a change would write a record of a job that may be archived already.
 func (e *Engine) countCrash(now time.Duration, w *worker, placements []*placement, evidence crashEvidence) {
 	blamed, onlySuspect := evidence.blamedRuns(placements)
 	for _, p := range placements {
-		if !evidence.mayHaveRun(p) {
+		u := p.unit
+		if u.job.state.Final() || !evidence.mayHaveRun(p) {
 			continue
 		}
-		u := p.unit
 		c := u.crashCountOf(p.index)
 		c.total++
 		if blamed[p] {
@@ -95,7 +96,7 @@
 		u.avoidAgent(now, w.info.Agent)
 		e.logDecision(p, "worker crashed during run", c.String())
 		e.markChanged(u.job)
-		if c.exceedsLimit(onlySuspect) && !u.job.state.Final() {
+		if c.exceedsLimit(onlySuspect) {
 			e.finish(now, u.job, workload.Failed, fmt.Sprintf("%d workers crashed under task %s", c.total, p.taskID()))
 		}
 	}
--- a/engine/job.go
+++ b/engine/job.go
@@ -120,11 +120,11 @@
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
 		if s.Gang {
-			j.units = append(j.units, &unit{job: j, occurrence: k, step: i, size: s.Count, waitingSince: now})
+			j.units = append(j.units, &unit{job: j, stepSpec: s, occurrence: k, step: i, size: s.Count, waitingSince: now})
 			continue
 		}
 		for n := range s.Count {
-			j.units = append(j.units, &unit{job: j, occurrence: k, step: i, index: n, size: 1, waitingSince: now})
+			j.units = append(j.units, &unit{job: j, stepSpec: s, occurrence: k, step: i, index: n, size: 1, waitingSince: now})
 		}
 	}
 }
--- a/engine/sim_checks_test.go
+++ b/engine/sim_checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -105,6 +106,17 @@
 	}
 }
 
+// checkWrittenJobs checks that no record is written for a job whose records are replaced by its
+// outcome, or are being replaced in the same write.
+func (w *simCluster) checkWrittenJobs(change Write) {
+	for _, j := range change.Jobs {
+		_, archived := w.outcomes[j.ID]
+		if archived || slices.ContainsFunc(change.EndedJobs, func(ended EndedJob) bool { return ended.ID == j.ID }) {
+			w.reportViolation("a record of job %s is written after it was archived", j.ID)
+		}
+	}
+}
+
 // recordAckedEnd records an end that the planner has acknowledged, unless the lease expired
 // before that.
 func (w *simCluster) recordAckedEnd(end RunEnd, void bool) {
--- a/engine/sim_cluster_test.go
+++ b/engine/sim_cluster_test.go
@@ -237,6 +237,7 @@
 	if e != w.engine {
 		return
 	}
+	w.checkWrittenJobs(change)
 	for i, j := range change.Jobs {
 		w.records[j.ID] = encoded[i]
 	}
--- a/engine/sim_cordon_test.go
+++ b/engine/sim_cordon_test.go
@@ -17,15 +17,17 @@
 // Guards against starts in a zone that has been cordoned for longer than simCordonDeadline, while
 // planners change, orders are delayed and the faults of planFaults occur.
 func TestSimulationWithCordons(t *testing.T) {
-	runSimulations(t, *simCordonSeeds, func(w *simCluster, seed uint64) {
-		w.planFaults(faultTime)
-		w.planCordons(faultTime)
-		w.cordons.delayOrders = true
-		if seed%2 == 0 {
-			w.reuseNames()
-			w.planCrashes(faultTime)
-		}
-	})
+	runSimulations(t, *simCordonSeeds, planCordonFaults)
+}
+
+func planCordonFaults(w *simCluster, seed uint64) {
+	w.planFaults(faultTime)
+	w.planCordons(faultTime)
+	w.cordons.delayOrders = true
+	if seed%2 == 0 {
+		w.reuseNames()
+		w.planCrashes(faultTime)
+	}
 }
 
 const (
--- a/engine/sim_reused_names_test.go
+++ b/engine/sim_reused_names_test.go
@@ -13,15 +13,17 @@
 // Guards against tasks that run twice when crashed workers return under the same name and receive
 // orders meant for their previous incarnation.
 func TestSimulationWithReusedWorkerNames(t *testing.T) {
-	runSimulations(t, *simNameSeeds, func(w *simCluster, seed uint64) {
-		w.reuseNames()
-		w.planFaults(faultTime)
-		w.planCrashes(faultTime)
-		w.planAgentRestarts(faultTime)
-		if seed%2 == 0 {
-			w.addCrashingTasks()
-		}
-	})
+	runSimulations(t, *simNameSeeds, planReusedNames)
+}
+
+func planReusedNames(w *simCluster, seed uint64) {
+	w.reuseNames()
+	w.planFaults(faultTime)
+	w.planCrashes(faultTime)
+	w.planAgentRestarts(faultTime)
+	if seed%2 == 0 {
+		w.addCrashingTasks()
+	}
 }
 
 // reuseNames makes the workers keep their names in later incarnations.
--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -30,18 +30,22 @@
 		seed := *simFirstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := newSimCluster(t, seed)
-			plan(w, seed)
-			w.planSubmissions(faultTime)
-			w.runToEnd()
-			if w.crashes.crashingOneIn > 0 {
-				w.checkFailedJobs()
-			}
-			t.Log(w.counts)
+			runSimulation(t, seed, plan)
 		})
 	}
 }
 
+func runSimulation(t *testing.T, seed uint64, plan func(w *simCluster, seed uint64)) {
+	w := newSimCluster(t, seed)
+	plan(w, seed)
+	w.planSubmissions(faultTime)
+	w.runToEnd()
+	if w.crashes.crashingOneIn > 0 {
+		w.checkFailedJobs()
+	}
+	t.Log(w.counts)
+}
+
 // runToEnd runs the planned events, ends the faults, and checks that all jobs end.
 func (w *simCluster) runToEnd() {
 	w.run(faultTime)
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -29,7 +29,10 @@
 
 // unit is a set of tasks that start together: a gang or a single task.
 type unit struct {
-	job        *job
+	job *job
+	// stepSpec is kept here since the job gives its steps up when it is archived, while a worker
+	// may still have placements of the unit at the expiry of its lease.
+	stepSpec   *workload.Step
 	occurrence int
 	step       int
 	index      int // index of the task; 0 for a gang
@@ -93,7 +96,7 @@
 
 func (u *unit) key() stepKey { return stepKey{u.job, u.occurrenceStep()} }
 
-func (u *unit) spec() *workload.Step { return &u.job.spec.Steps[u.step] }
+func (u *unit) spec() *workload.Step { return u.stepSpec }
 
 func (u *unit) demand() workload.Resources { return u.spec().Demand() }
 
