nodeagent: no run is absent while a worker's ends are cut off

A worker lists 500 ends at a time. A stopped run that a later poll does not list was reported as absent, also if its end was beyond the 500th: the planner would have restarted a task that may be done, and taken note of its end later.

Stops are not resolved by a list of 500 ends.

TestStoppedRunIsNotAbsentWhileEndsAreCutOff failed without the check. No deployment is known to have had so many ends outstanding at one worker.

--- a/nodeagent/incarnation.go
+++ b/nodeagent/incarnation.go
@@ -178,9 +178,15 @@
 	}
 }
 
+// maxListedEnds is the largest number of ends that a worker lists at a time.
+const maxListedEnds = 500
+
 // resolveStops finds stopped runs that are not listed by a poll sent after their stop was
-// confirmed.
+// confirmed. A run that is not listed may have ended if not all ends are.
 func (inc *incarnation) resolveStops(polledAt time.Duration) {
+	if len(inc.ended) >= maxListedEnds {
+		return
+	}
 	listed := engine.ListedRuns(inc.running, inc.ended)
 	for run, confirmedAt := range inc.confirmedStops {
 		if polledAt < confirmedAt {
--- a/nodeagent/incarnation_test.go
+++ b/nodeagent/incarnation_test.go
@@ -94,6 +94,20 @@
 	c.Check(inc.report(0, 0).ConfirmedAbsent, qt.DeepEquals, []workload.RunID{run1})
 }
 
+// A worker lists a limited number of ends. A stopped run whose end is beyond them must not be taken for
+// absent: it may be done, and its task would be started again.
+func TestStoppedRunIsNotAbsentWhileEndsAreCutOff(t *testing.T) {
+	c := qt.New(t)
+	inc := newIncarnation(engine.WorkerInfo{ID: "w"})
+	inc.confirmedStops[run1] = time.Second
+	ended := make([]engine.RunEnd, maxListedEnds)
+	inc.applyStatus(WorkerStatus{Clock: 2 * time.Second, Ended: ended}, 2*time.Second, 2*time.Second, 0)
+	c.Check(inc.report(0, 0).ConfirmedAbsent, qt.HasLen, 0)
+	done := []engine.RunEnd{{Sequence: maxListedEnds + 1, Run: run1, Reason: engine.EndDone}}
+	inc.applyStatus(WorkerStatus{Clock: 3 * time.Second, Ended: done}, 3*time.Second, 3*time.Second, 0)
+	c.Check(inc.report(0, 0).ConfirmedAbsent, qt.HasLen, 0)
+}
+
 // A poll that was sent after an expiry may return an end of a run that started after the lease
 // was extended. Voiding that end would run the task twice.
 func TestEndAfterLeaseExpiryCounts(t *testing.T) {
