engine: an older speed limit that was applied is corrected

Sets of orders travel separately, so an older limit may reach the worker after a newer one that it has confirmed. The planner ignored the result of the older order and kept the newer one as confirmed, while the run went on at the older limit: a best-effort run could disturb its neighbours at a speed that no report shows.

Such a result makes the present limit unconfirmed, so that it is ordered again.

TestPaceIsResentAfterOlderOneWasApplied failed before.

--- a/engine/pace.go
+++ b/engine/pace.go
@@ -91,7 +91,6 @@
 		p.pace.uncertainUntil = now + lateOrderWindow
 		return
 	}
-	if p.pace.percent == r.Percent {
-		p.pace.confirmed = true
-	}
+	// An older limit may have been applied after the newer one, even if that was confirmed.
+	p.pace.confirmed = p.pace.percent == r.Percent
 }
--- a/engine/pace_control_test.go
+++ b/engine/pace_control_test.go
@@ -158,6 +158,20 @@
 	c.Check(d.paces, qt.HasLen, before)
 }
 
+// Guards against an older limit that the worker applies after the newer one, which was confirmed: the run
+// would disturb its neighbour at a speed that no report shows.
+func TestPaceIsResentAfterOlderOneWasApplied(t *testing.T) {
+	c := qt.New(t)
+	d, _, id := colocatedDriver(t)
+	before := len(d.paces)
+	latest := d.paces[before-1]
+	older := PaceOrder{Run: latest.Run, Percent: latest.Percent + 1}
+	d.handle(OrdersCompleted{Worker: d.startedOn[latest.Run], Paces: []PaceResult{{PaceOrder: older, Applied: true}}})
+	d.reportLatencyFor(2*time.Second, constant(0.7))
+	c.Check(d.paces[before:], qt.DeepEquals, []PaceOrder{latest})
+	c.Check(d.orderedPaces(id), qt.DeepEquals, []int{latest.Percent})
+}
+
 // Guards against a successor that leaves a best-effort run at the unknown limit of its
 // predecessor.
 func TestSuccessorResetsPaces(t *testing.T) {
