--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -13,8 +13,17 @@
 const maxMissedPolls = 3
 
 // Report processes an agent's report and returns the answer, which may extend the worker's
-// lease. The caller must send it without delay.
+// lease. The caller must send it without delay. See ReportStanding for reports that change nothing.
 func (e *Engine) Report(now time.Duration, r Report) ReportAnswer {
+	ref := e.beginReport(now, &r)
+	defer e.endReport()
+	switch ref.Standing {
+	case ReportOutdated:
+		e.actions = append(e.actions, OutdatedReport{Agent: r.Worker.Agent, Worker: r.Worker.ID, Report: ref})
+		return ReportAnswer{Standing: ReportOutdated}
+	case ReportUnconfirmed:
+		return e.answerUnconfirmed(now, &r)
+	}
 	if r.Terminated {
 		e.handleTerminated(now, r)
 		return ReportAnswer{}
@@ -93,6 +102,7 @@
 	e.markCordoned(w)
 	e.workers[info.ID] = w
 	e.workersByID = nil
+	delete(e.goneWorkers, info.ID) // it is back before its record was removed
 	e.workerAddedAt = now
 	e.planNeeded = true
 	return w
@@ -251,7 +261,7 @@
 		return
 	}
 	placements := w.sortedPlacements()
-	e.actions = append(e.actions, WorkerGone{Worker: w.info, Departure: departure, Runs: len(placements)})
+	e.actions = append(e.actions, WorkerGone{Worker: w.info, Departure: departure, Runs: len(placements), Report: e.handling})
 	if departure == DepartureCrashed {
 		defer e.countCrash(now, w, slices.Concat(w.placementsAtExpiry, placements), evidence)
 	}
--- a/engine/report.go
+++ b/engine/report.go
@@ -75,7 +75,7 @@
 	// DownFor is, with Crashed, the time since the worker's connections broke, after which it did
 	// not answer again. It is 0 if the agent noticed the crash only by the next incarnation.
 	DownFor time.Duration `cbor:"17,keyasint,omitempty"`
-	// Origin tells reports of one agent apart and gives their order.
+	// Origin tells the reports of one agent apart and gives their order.
 	Origin ReportOrigin `cbor:"18,keyasint,omitempty"`
 }
 
@@ -86,10 +86,18 @@
 	Process uint64 `cbor:"1,keyasint,omitempty"`
 	// Sequence rises by one with each report that the process builds.
 	Sequence uint64 `cbor:"2,keyasint,omitempty"`
+	// BuiltAt is when the report was built, on the agent's clock.
+	BuiltAt time.Duration `cbor:"3,keyasint,omitempty"`
+	// Epoch is the highest epoch of a planner that has answered the process; 0 if none has. Unlike
+	// Report.Epoch it does not depend on the worker.
+	Epoch uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // ReportAnswer is the answer to a Report.
 type ReportAnswer struct {
+	// Standing is whether the report was taken into account. The other fields are zero if it was
+	// outdated.
+	Standing ReportStanding
 	// Attached means that the report was made under this engine's epoch and that the answer
 	// grants the worker a full lease.
 	Attached bool
--- a/engine/sim_agent_test.go
+++ b/engine/sim_agent_test.go
@@ -84,7 +84,7 @@
 func (a *simAgent) startReports() {
 	a.reporting, a.reportPending = true, false
 	a.reportRound++
-	a.sendReports(a.pendingReports())
+	a.sendReports()
 }
 
 // pendingReports builds a report for each ended incarnation, and one for the current one.
@@ -95,27 +95,30 @@
 		if d.lostAt != 0 {
 			r.DownFor = a.cluster.now - d.lostAt
 		}
-		out = append(out, a.number(r))
+		out = append(out, r)
 	}
 	if a.inc != nil {
-		out = append(out, a.number(a.inc.report(a.cluster.now, a.epoch)))
+		out = append(out, a.inc.report(a.cluster.now, a.epoch))
 	}
 	return out
 }
 
 func (a *simAgent) number(r Report) Report {
 	a.origin.Sequence++
+	a.origin.BuiltAt, a.origin.Epoch = a.cluster.now, a.epoch
 	r.Origin = a.origin
 	return r
 }
 
 // sendReports sends the next report and continues when it is answered. It gives it up after
 // simAgentReportTimeout; a later reply to it is ignored.
-func (a *simAgent) sendReports(reports []Report) {
-	if len(reports) == 0 {
+func (a *simAgent) sendReports() {
+	pending := a.pendingReports()
+	if len(pending) == 0 {
 		a.finishReports()
 		return
 	}
+	r := a.number(pending[0])
 	sentAt, done := a.cluster.now, false
 	a.after(simAgentReportTimeout, func() {
 		if !done {
@@ -123,13 +126,17 @@
 			a.after(a.cluster.delays.between(agentPause, simMinReportRetry, simMaxReportRetry), a.startReports)
 		}
 	})
-	a.cluster.sendReport(a, reports[0], func(epoch uint64, answer ReportAnswer) {
-		if done {
+	a.cluster.sendReport(a, r, func(epoch uint64, answer ReportAnswer) {
+		if done || answer.Standing == ReportOutdated || epoch < a.epoch {
 			return
 		}
 		done = true
-		a.handleReply(reports[0], epoch, answer, sentAt)
-		a.sendReports(reports[1:])
+		a.handleReply(r, epoch, answer, sentAt)
+		if r.Terminated {
+			a.sendReports()
+			return
+		}
+		a.finishReports()
 	})
 }
 
@@ -166,8 +173,10 @@
 			if a.cut() || e != sentTo && !reachesSuccessor {
 				return
 			}
-			w.delays.connections[agentConnection{e, r.Worker.Agent}] = a
 			answer := w.handleReport(e, r, sentAt)
+			if answer.Standing == ReportCurrent {
+				w.delays.connections[agentConnection{e, r.Worker.Agent}] = a
+			}
 			w.after(w.delays.latency(w, replyMessage), func() {
 				if !a.cut() {
 					a.do(func() { reply(e.epoch, answer) })
@@ -206,15 +215,14 @@
 
 // handleReply processes the planner's reply to a report that was sent at sentAt.
 func (a *simAgent) handleReply(r Report, epoch uint64, answer ReportAnswer, sentAt time.Duration) {
-	if epoch < a.epoch {
-		return
-	}
 	if epoch > a.epoch {
 		a.raiseEpoch(epoch)
 		a.pollNow()
 	}
 	if r.Terminated {
-		a.departures = a.departures[1:]
+		if r.Origin.Epoch == epoch {
+			a.departures = a.departures[1:]
+		}
 		return
 	}
 	inc := a.inc
