engine: worlds with delayed messages in which workers keep their names

Calls to a crashed worker that keeps its name reach its next incarnation. The new worlds run this together with delayed messages, paused and restarted agents. Not simulated, as no worker can tell: starts that reach an incarnation before any poll that was sent in its time, if the planner has given the run up or the run has ended before; acknowledgements of ends that were meant for an earlier incarnation.

--- a/engine/sim_incarnation_test.go
+++ b/engine/sim_incarnation_test.go
@@ -75,6 +75,23 @@
 	return !inc.unresponsive || now-inc.unresponsiveSince < simLeaseExtensionPeriod
 }
 
+// markUnresponsive records that the worker does not answer.
+func (inc *simIncarnation) markUnresponsive(now time.Duration) {
+	inc.unresponsive, inc.unresponsiveSince = true, now
+	inc.failureReportedAt = now - simUnresponsivePollInterval
+	if inc.info.Name != "" {
+		inc.fence.Generation++
+	}
+}
+
+// pollIntervalUnresponsive returns the pause between polls of an unresponsive worker.
+func (inc *simIncarnation) pollIntervalUnresponsive(now time.Duration) time.Duration {
+	if inc.info.Name != "" && now-inc.unresponsiveSince < simRestartPollPeriod {
+		return simRestartPollInterval
+	}
+	return simUnresponsivePollInterval
+}
+
 func (inc *simIncarnation) claimExtraPoll(now time.Duration) bool {
 	if inc.unresponsive || inc.leaseEnd == 0 || inc.leaseEnd-now >= simRenewalThreshold || now-inc.extraPollAt < simMinExtraPollInterval {
 		return false
--- a/engine/sim_reused_names_test.go
+++ b/engine/sim_reused_names_test.go
@@ -121,6 +121,9 @@
 	}
 	w.previous, previous.next = previous, w
 	w.disconnected = previous.disconnected
+	if w.cluster.delays != nil {
+		return // fenced by its agent's polls
+	}
 	if w.cluster.rng.IntN(3) == 0 {
 		return
 	}
--- a/engine/sim_worker_test.go
+++ b/engine/sim_worker_test.go
@@ -48,6 +48,7 @@
 	seenSince    map[workload.RunID]time.Duration
 	lastPolledAt time.Duration
 	lastEnded    []RunEnd
+	bornAt       time.Duration
 	// In worlds with delayed messages: until when the worker does not answer, and whether it
 	// carries out calls meanwhile; ends that the agent has taken for void.
 	silentUntil        time.Duration
@@ -90,6 +91,7 @@
 		r.endsAt = now + step.Estimate/4
 	}
 	w.running[s.Run.Task] = r
+	w.cluster.trace(w.info.ID, "start of %v", s.Run)
 	w.cluster.checkCapacity(w)
 	w.cluster.scheduleCrash(w, s.Run.Task)
 	return StartOK
@@ -121,6 +123,7 @@
 		end.Checkpoint = fmt.Sprintf("%s-%d", r.id.Task, r.id.Number)
 	}
 	w.ended = append(w.ended, end)
+	w.cluster.trace(w.info.ID, "end %d of %v: %s", end.Sequence, r.id, reason)
 	if w.cluster.crashes.crashingOneIn > 0 {
 		w.lastEnded = slices.Clone(w.ended) // the agent's last poll includes all ends
 	}
@@ -222,6 +225,7 @@
 	w.ackedEnds = max(w.ackedEnds, acked)
 	for len(w.ended) > 0 && w.ended[0].Sequence <= w.ackedEnds {
 		seq := w.ended[0].Sequence
+		w.cluster.trace(w.info.ID, "end %d of %v is acknowledged", seq, w.ended[0].Run)
 		w.cluster.recordAckedEnd(w.ended[0], seq <= w.voidEnds || w.reportedVoid[seq])
 		w.ended = w.ended[1:]
 	}
