--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -35,11 +35,12 @@
 	}
 	w.lastReport = now
 	e.updateDrain(now, w, r)
-	if !attached {
-		// No lease is granted; the expiry of the current one is already accounted for.
+	first := !w.attached
+	if !attached || first && !r.Polled {
+		// No lease is granted; the expiry of the current one is already accounted for. Without a
+		// poll the report does not show which runs are present.
 		return ReportAnswer{Generation: w.generation, AckedEnds: w.ackedEnds}
 	}
-	first := !w.attached
 	w.attached = true
 	e.recordGeneration(w, r.Generation)
 	granted := e.updateLease(now, w, r)
@@ -131,6 +132,7 @@
 	switch {
 	case granted:
 		w.leaseExpiresAt = e.params.leaseExpiry(now)
+		w.grant = r.Origin
 	case r.LeaseKnown:
 		w.leaseExpiresAt = now + withClockDrift(r.LeaseRemaining) + leaseExpirySlack
 	}
