--- a/engine/sim_agent_test.go
+++ b/engine/sim_agent_test.go
@@ -98,11 +98,20 @@
 		out = append(out, r)
 	}
 	if a.inc != nil {
-		out = append(out, a.inc.report(a.cluster.now, a.epoch))
+		r := a.inc.report(a.cluster.now, a.epoch)
+		a.limitGrant(r)
+		out = append(out, r)
 	}
 	return out
 }
 
+// limitGrant gives up grants beyond the end of the lease that a report states.
+func (a *simAgent) limitGrant(r Report) {
+	if r.Unresponsive && !r.ExtendingLease && r.LeaseKnown {
+		a.grantedUntil = min(a.grantedUntil, a.inc.leaseEnd)
+	}
+}
+
 func (a *simAgent) number(r Report) Report {
 	a.origin.Sequence++
 	a.origin.BuiltAt, a.origin.Epoch = a.cluster.now, a.epoch
