engine: simulated incarnations count as fenced above all earlier fences

A poll sent in the time of an incarnation doesn't fence it against earlier orders if its fence is no higher than what earlier incarnations have seen, as from a restarted agent that doesn't know the generation yet.

--- a/engine/sim_agent_poll_test.go
+++ b/engine/sim_agent_poll_test.go
@@ -136,7 +136,7 @@
 		return
 	}
 	w.fence = p.fence
-	w.fenced = w.fenced || p.fence.Epoch > 0 && call.sentAt >= w.bornAt
+	w.fenced = w.fenced || call.sentAt >= w.bornAt && p.fence.Compare(w.earlierFence()) > 0
 	if p.until > now {
 		w.leaseEnd = max(w.leaseEnd, p.until)
 	}
@@ -150,6 +150,15 @@
 	w.answerPoll(now+p.wait, call)
 }
 
+// earlierFence returns the highest fence that an earlier incarnation has seen.
+func (w *simWorker) earlierFence() Fence {
+	f := Fence{}
+	for before := w.previous; before != nil; before = before.previous {
+		f = f.Max(before.fence)
+	}
+	return f
+}
+
 func (w *simWorker) answerPoll(at time.Duration, call *simCall) {
 	now := w.cluster.now
 	switch {
