engine: simulated agents treat a departure notice and outdated answers as package nodeagent does

Draining workers send their notice up to a second before they end, and the agent takes them for leaving; an outdated answer confirms no fence.

--- a/engine/sim_agent_orders_test.go
+++ b/engine/sim_agent_orders_test.go
@@ -63,7 +63,7 @@
 	}
 	switch {
 	case sw.dead && w.workers[c.agent.slot].dead:
-		c.reply(nil, errSimConnectionLost)
+		c.reply(nil, errSimConnectionRefused)
 	case sw.dead:
 		c.reply(nil, errSimOtherIncarnation)
 	case w.now < sw.silentUntil && sw.carriesOutSilently:
--- a/engine/sim_agent_poll_test.go
+++ b/engine/sim_agent_poll_test.go
@@ -15,11 +15,12 @@
 
 // The failures of calls to a worker.
 var (
-	errSimTimeout          = errors.New("no answer")
-	errSimConnectionLost   = errors.New("connection lost")
-	errSimFenced           = errors.New("fenced")
-	errSimOtherIncarnation = errors.New("another incarnation answered")
-	errSimSuperseded       = errors.New("another incarnation answered under the same name")
+	errSimTimeout           = errors.New("no answer")
+	errSimConnectionLost    = errors.New("connection lost")
+	errSimConnectionRefused = errors.New("connection refused")
+	errSimFenced            = errors.New("fenced")
+	errSimOtherIncarnation  = errors.New("another incarnation answered")
+	errSimSuperseded        = errors.New("another incarnation answered under the same name")
 )
 
 // The constants of package nodeagent.
@@ -51,6 +52,7 @@
 // poll polls the worker once and passes on the pause before the next poll.
 func (a *simAgent) poll(inc *simIncarnation, wait time.Duration, then func(pause time.Duration)) {
 	now := a.cluster.now
+	inc.pollsInProgress++
 	p := simPoll{fence: inc.fence, ack: inc.nextAck(), wait: wait}
 	sentAt, leaseEnd := now, inc.leaseEnd
 	mayHaveExpired := inc.leaseMayHaveExpired(now)
@@ -73,6 +75,7 @@
 
 func (a *simAgent) handlePollResult(inc *simIncarnation, p simPoll, status simStatus, err error, sentAt, leaseEnd time.Duration) time.Duration {
 	now := a.cluster.now
+	inc.pollsInProgress--
 	if a.inc != inc {
 		if err == nil {
 			a.addLateEnds(inc, status.ended)
@@ -82,9 +85,10 @@
 	if err != nil {
 		return a.handlePollError(inc, err)
 	}
-	inc.confirmedFence = inc.confirmedFence.Max(p.fence)
 	inc.ackedEnds = max(inc.ackedEnds, p.ack)
-	inc.applyStatus(status, sentAt, now, leaseEnd)
+	if inc.applyStatus(status, sentAt, now, leaseEnd) {
+		inc.confirmedFence = inc.confirmedFence.Max(p.fence)
+	}
 	a.requestReport()
 	if (len(status.ended) > 0 || inc.leaseMayHaveExpired(now)) && now-sentAt < simMinPollInterval {
 		return simMinPollInterval
@@ -103,10 +107,15 @@
 			inc.fence.Generation += GenerationStep
 		}
 		return simUnresponsivePollInterval
-	case errSimConnectionLost:
+	case errSimConnectionLost, errSimConnectionRefused:
 		if inc.connectionLostAt == 0 {
 			inc.connectionLostAt = now
 		}
+		inc.connectionBroken = inc.connectionBroken || err == errSimConnectionLost
+	}
+	if inc.hasLeft(err, now) {
+		a.endIncarnation(false, false)
+		return 0
 	}
 	if !inc.unresponsive {
 		a.cluster.counts["unresponsive workers"]++
--- a/engine/sim_agent_test.go
+++ b/engine/sim_agent_test.go
@@ -276,7 +276,9 @@
 	}
 	if inc.info.Capacity != sw.info.Capacity || !inc.draining && sw.leavesAt != 0 {
 		inc.info.Capacity = sw.info.Capacity
-		inc.draining, inc.departsAt = sw.leavesAt != 0, sw.leavesAt
+		if !inc.leaving {
+			inc.draining, inc.departsAt = sw.leavesAt != 0, sw.leavesAt
+		}
 		a.requestReport()
 	}
 }
@@ -317,7 +319,8 @@
 	if a.inc.info.Name != "" && !a.inc.draining {
 		return // it may be a notice of an earlier incarnation
 	}
-	a.endIncarnation(false, false)
+	a.inc.leave(a.cluster.now)
+	a.requestReport()
 }
 
 func (a *simAgent) endIncarnation(crashed, superseded bool) {
--- a/engine/sim_delays_test.go
+++ b/engine/sim_delays_test.go
@@ -214,15 +214,24 @@
 	w.after(w.delays.pausedUntil-w.now+w.delays.between(plannerPause, 0, 30*time.Millisecond), func() { w.atPlanner(do) })
 }
 
-// agentNoticesEnd tells the agent of a worker that announced its end, in half of the cases. The
-// agent notices any other end by its polls.
-func (w *simCluster) agentNoticesEnd(slot int) {
-	sw, rng := w.workers[slot], w.delays.rng[departureMessage]
-	notified, agentLost := rng.IntN(2) == 0, rng.IntN(4) == 0
-	if a := w.agents[slot]; sw.leavesAt != 0 && notified {
-		a.do(func() { a.handleDeparture(sw.info.ID) })
+// sendDepartureNotice schedules the notice that most draining workers send up to a second before
+// their end.
+func (w *simCluster) sendDepartureNotice(slot int, endsIn time.Duration) {
+	sw := w.workers[slot]
+	before := w.delays.between(departureMessage, 0, time.Second)
+	if w.delays.rng[departureMessage].IntN(4) == 0 {
+		return
 	}
-	if agentLost && !w.delays.without[agentRestart] && !w.faultsEnded {
+	w.after(endsIn-before, func() {
+		w.counts["departure notices"]++
+		a := w.agents[slot]
+		a.do(func() { a.handleDeparture(sw.info.ID) })
+	})
+}
+
+// loseAgent restarts the agent of a crashed worker in some of the cases.
+func (w *simCluster) loseAgent(slot int) {
+	if w.delays.rng[departureMessage].IntN(4) == 0 && !w.delays.without[agentRestart] && !w.faultsEnded {
 		w.restartAgent(slot, w.delays.between(departureMessage, 50*time.Millisecond, 2*time.Second))
 	}
 }
--- a/engine/sim_incarnation_test.go
+++ b/engine/sim_incarnation_test.go
@@ -21,6 +21,9 @@
 	fence, confirmedFence          Fence
 	recordedEnds, ackedEnds        int64
 	extraPollAt                    time.Duration
+	leaving                        bool // it has sent its departure notice
+	connectionBroken               bool // an open connection broke
+	pollsInProgress                int
 	unresponsive                   bool
 	unresponsiveSince              time.Duration
 	failureReportedAt              time.Duration
@@ -72,7 +75,7 @@
 }
 
 func (inc *simIncarnation) mayExtendLease(now time.Duration) bool {
-	return !inc.unresponsive || now-inc.unresponsiveSince < simLeaseExtensionPeriod
+	return !inc.leaving && (!inc.unresponsive || now-inc.unresponsiveSince < simLeaseExtensionPeriod)
 }
 
 // markUnresponsive records that the worker does not answer.
@@ -86,14 +89,14 @@
 
 // pollIntervalUnresponsive returns the pause between polls of an unresponsive worker.
 func (inc *simIncarnation) pollIntervalUnresponsive(now time.Duration) time.Duration {
-	if inc.info.Name != "" && now-inc.unresponsiveSince < simRestartPollPeriod {
+	if (inc.info.Name != "" || inc.leaving) && now-inc.unresponsiveSince < simRestartPollPeriod {
 		return simRestartPollInterval
 	}
 	return simUnresponsivePollInterval
 }
 
 func (inc *simIncarnation) claimExtraPoll(now time.Duration) bool {
-	if inc.unresponsive || inc.leaseEnd == 0 || inc.leaseEnd-now >= simRenewalThreshold || now-inc.extraPollAt < simMinExtraPollInterval {
+	if inc.unresponsive || inc.leaving || inc.leaseEnd == 0 || inc.leaseEnd-now >= simRenewalThreshold || now-inc.extraPollAt < simMinExtraPollInterval {
 		return false
 	}
 	inc.extraPollAt = now
@@ -108,8 +111,8 @@
 }
 
 // applyStatus applies the answer to a poll that was sent at sentAt, when the lease end was
-// leaseEndAtSend.
-func (inc *simIncarnation) applyStatus(status simStatus, sentAt, receivedAt, leaseEndAtSend time.Duration) {
+// leaseEndAtSend. It returns false for an outdated answer.
+func (inc *simIncarnation) applyStatus(status simStatus, sentAt, receivedAt, leaseEndAtSend time.Duration) bool {
 	if leaseEndAtSend != 0 && sentAt > leaseEndAtSend+simLeaseExpiryMargin && inc.leaseEnd == leaseEndAtSend {
 		inc.surveyedLeaseEnd = leaseEndAtSend
 		for _, end := range status.ended {
@@ -118,9 +121,9 @@
 	}
 	inc.voidEndsBeforeExpiry(status.ended)
 	inc.unresponsive = false
-	inc.connectionLostAt = 0
+	inc.connectionLostAt, inc.connectionBroken = 0, false
 	if inc.polled && (status.clock < inc.workerClock || status.clock == inc.workerClock && sentAt < inc.polledAt) {
-		return
+		return false
 	}
 	inc.workerClock, inc.clockReadAt, inc.polledAt, inc.polled = status.clock, receivedAt, sentAt, true
 	inc.running = status.running
@@ -132,6 +135,27 @@
 	}
 	inc.unreportedPolls++
 	inc.resolveStops(sentAt)
+	return true
+}
+
+// leave records a departure notice. The worker ends some time later.
+func (inc *simIncarnation) leave(now time.Duration) {
+	if inc.leaving {
+		return
+	}
+	inc.leaving, inc.draining, inc.departsAt = true, true, now
+	if inc.leaseEnd == 0 {
+		inc.extendLease(now + simMaxLease)
+	}
+}
+
+// hasLeft reports whether a leaving worker has ended when a poll fails with err.
+func (inc *simIncarnation) hasLeft(err error, now time.Duration) bool {
+	if !inc.leaving {
+		return false
+	}
+	closed := inc.connectionBroken && inc.pollsInProgress == 0 && err == errSimConnectionRefused
+	return closed || now > inc.leaseEnd+simLeaseExpiryMargin
 }
 
 func (inc *simIncarnation) updateFirstSeen() {
--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -165,7 +165,7 @@
 	}
 	w.workers[i].dead = true
 	if w.delays != nil {
-		w.agentNoticesEnd(i)
+		w.loseAgent(i)
 	}
 	crashedAt := w.now
 	w.after(w.downtime(), func() {
@@ -184,7 +184,11 @@
 		return
 	}
 	sw.leavesAt = w.now + 2*time.Second
-	w.after(2500*time.Millisecond, func() { w.crash(i) })
+	const untilEnd = 2500 * time.Millisecond
+	w.after(untilEnd, func() { w.crash(i) })
+	if w.delays != nil {
+		w.sendDepartureNotice(i, untilEnd)
+	}
 }
 
 func (w *simCluster) endFaults() {
