--- a/engine/sim_agent_poll_test.go
+++ b/engine/sim_agent_poll_test.go
@@ -15,10 +15,12 @@
 
 // The failures of calls to a worker.
 var (
-	errSimTimeout          = errors.New("no answer")
-	errSimConnectionLost   = errors.New("connection lost")
-	errSimFenced           = errors.New("fenced")
-	errSimOtherIncarnation = errors.New("another incarnation answered")
+	errSimTimeout           = errors.New("no answer")
+	errSimConnectionLost    = errors.New("connection lost")
+	errSimConnectionRefused = errors.New("connection refused")
+	errSimFenced            = errors.New("fenced")
+	errSimOtherIncarnation  = errors.New("another incarnation answered")
+	errSimSuperseded        = errors.New("another incarnation answered under the same name")
 )
 
 // The constants of package nodeagent.
@@ -27,6 +29,8 @@
 	simPollTimeoutMargin        = 600 * time.Millisecond
 	simUnresponsivePollInterval = 250 * time.Millisecond
 	simMinPollInterval          = 25 * time.Millisecond
+	simRestartPollInterval      = 10 * time.Millisecond
+	simRestartPollPeriod        = 3 * time.Second
 )
 
 // pollLoop polls the worker continuously, which renews its lease.
@@ -48,6 +52,7 @@
 // poll polls the worker once and passes on the pause before the next poll.
 func (a *simAgent) poll(inc *simIncarnation, wait time.Duration, then func(pause time.Duration)) {
 	now := a.cluster.now
+	inc.pollsInProgress++
 	p := simPoll{fence: inc.fence, ack: inc.nextAck(), wait: wait}
 	sentAt, leaseEnd := now, inc.leaseEnd
 	mayHaveExpired := inc.leaseMayHaveExpired(now)
@@ -65,11 +70,12 @@
 		status, _ := result.(simStatus)
 		then(a.handlePollResult(inc, p, status, err, sentAt, leaseEnd))
 	})
-	call.send(inc, func(sw *simWorker) { sw.handlePoll(p, call) })
+	call.send(inc, func(sw *simWorker) { sw.handlePoll(p, inc.info.ID, call) })
 }
 
 func (a *simAgent) handlePollResult(inc *simIncarnation, p simPoll, status simStatus, err error, sentAt, leaseEnd time.Duration) time.Duration {
 	now := a.cluster.now
+	inc.pollsInProgress--
 	if a.inc != inc {
 		if err == nil {
 			a.addLateEnds(inc, status.ended)
@@ -79,9 +85,10 @@
 	if err != nil {
 		return a.handlePollError(inc, err)
 	}
-	inc.confirmedFence = inc.confirmedFence.Max(p.fence)
 	inc.ackedEnds = max(inc.ackedEnds, p.ack)
-	inc.applyStatus(status, sentAt, now, leaseEnd)
+	if inc.applyStatus(status, sentAt, now, leaseEnd) {
+		inc.confirmedFence = inc.confirmedFence.Max(p.fence)
+	}
 	a.requestReport()
 	if (len(status.ended) > 0 || inc.leaseMayHaveExpired(now)) && now-sentAt < simMinPollInterval {
 		return simMinPollInterval
@@ -92,26 +99,33 @@
 func (a *simAgent) handlePollError(inc *simIncarnation, err error) time.Duration {
 	now := a.cluster.now
 	switch err {
-	case errSimOtherIncarnation:
-		a.endUnannounced(false)
+	case errSimOtherIncarnation, errSimSuperseded:
+		a.endUnannounced(err == errSimSuperseded)
 		return 0
 	case errSimFenced:
+		if inc.info.Name != "" {
+			inc.fence.Generation += GenerationStep
+		}
 		return simUnresponsivePollInterval
-	case errSimConnectionLost:
+	case errSimConnectionLost, errSimConnectionRefused:
 		if inc.connectionLostAt == 0 {
 			inc.connectionLostAt = now
 		}
+		inc.connectionBroken = inc.connectionBroken || err == errSimConnectionLost
+	}
+	if inc.hasLeft(err, now) {
+		a.endIncarnation(false, false)
+		return 0
 	}
 	if !inc.unresponsive {
 		a.cluster.counts["unresponsive workers"]++
-		inc.unresponsive, inc.unresponsiveSince = true, now
-		inc.failureReportedAt = now - simUnresponsivePollInterval
+		inc.markUnresponsive(now)
 	}
 	if now-inc.failureReportedAt >= simUnresponsivePollInterval {
 		inc.failureReportedAt = now
 		a.requestReport()
 	}
-	return simUnresponsivePollInterval
+	return inc.pollIntervalUnresponsive(now)
 }
 
 // simPoll is what a poll carries; until is on the worker's clock, 0 does not extend the lease.
@@ -122,22 +136,38 @@
 	wait  time.Duration
 }
 
-// handlePoll carries out a poll on the worker, which answers when a run has ended or the wait is over.
-func (w *simWorker) handlePoll(p simPoll, call *simCall) {
+// handlePoll carries out a poll of an incarnation, this one or an earlier one of the same name. It is
+// answered when a run has ended or the wait is over.
+func (w *simWorker) handlePoll(p simPoll, polled WorkerID, call *simCall) {
 	now := w.cluster.now
 	if p.fence.Compare(w.fence) < 0 {
 		call.reply(nil, errSimFenced)
 		return
 	}
 	w.fence = p.fence
+	w.fenced = w.fenced || call.sentAt >= w.bornAt && p.fence.Compare(w.earlierFence()) > 0
 	if p.until > now {
 		w.leaseEnd = max(w.leaseEnd, p.until)
 	}
 	w.cluster.trace(w.info.ID, "poll %+v: lease until %v", p, w.leaseEnd)
+	if polled != w.info.ID {
+		// An acknowledgement meant for an earlier incarnation is not simulated.
+		call.reply(nil, errSimSuperseded)
+		return
+	}
 	w.forgetEnds(p.ack)
 	w.answerPoll(now+p.wait, call)
 }
 
+// earlierFence returns the highest fence that an earlier incarnation has seen.
+func (w *simWorker) earlierFence() Fence {
+	f := Fence{}
+	for before := w.previous; before != nil; before = before.previous {
+		f = f.Max(before.fence)
+	}
+	return f
+}
+
 func (w *simWorker) answerPoll(at time.Duration, call *simCall) {
 	now := w.cluster.now
 	switch {
--- a/engine/sim_delays_test.go
+++ b/engine/sim_delays_test.go
@@ -12,6 +12,7 @@
 
 var (
 	simDelaySeeds   = flag.Int("sim-delay-seeds", 6, "number of random worlds with delayed messages")
+	simDelayRate    = flag.Int("sim-delay-rate", 1, "how many times as often as usual messages are delayed")
 	simTracedWorker = flag.String("sim-worker", "", "worker whose messages are logged, in worlds with delayed messages")
 	simDelayWithout = flag.String("sim-delay-without", "", "comma-separated message kinds that are not delayed, and process faults that do not occur")
 )
@@ -26,6 +27,18 @@
 	})
 }
 
+// Guards against the same while crashed workers return under their names, so that calls to an earlier
+// incarnation reach the next one.
+func TestSimulationWithDelaysAndReusedNames(t *testing.T) {
+	runSimulations(t, *simDelaySeeds, func(w *simCluster, seed uint64) {
+		w.reuseNames()
+		w.useAgents(seed)
+		w.planFaults(faultTime)
+		w.planCrashes(faultTime)
+		w.planProcessFaults(faultTime)
+	})
+}
+
 // messageKind is a kind of message with delays of its own, or a fault of a process.
 type messageKind string
 
@@ -119,7 +132,7 @@
 func (d *simDelays) latency(w *simCluster, kind messageKind) time.Duration {
 	rule := simDelaysOf[kind]
 	usual := d.between(kind, time.Millisecond, 6*time.Millisecond)
-	delayed := d.rng[kind].IntN(rule.oneIn) == 0
+	delayed := d.rng[kind].IntN(max(2, rule.oneIn / *simDelayRate)) == 0
 	delay := d.between(kind, rule.low, rule.high)
 	if !delayed || d.without[kind] || w.faultsEnded {
 		return usual
@@ -201,15 +214,24 @@
 	w.after(w.delays.pausedUntil-w.now+w.delays.between(plannerPause, 0, 30*time.Millisecond), func() { w.atPlanner(do) })
 }
 
-// agentNoticesEnd tells the agent of a worker that announced its end, in half of the cases. The
-// agent notices any other end by its polls.
-func (w *simCluster) agentNoticesEnd(slot int) {
-	sw, rng := w.workers[slot], w.delays.rng[departureMessage]
-	notified, agentLost := rng.IntN(2) == 0, rng.IntN(4) == 0
-	if a := w.agents[slot]; sw.leavesAt != 0 && notified {
-		a.do(func() { a.handleDeparture(sw.info.ID) })
+// sendDepartureNotice schedules the notice that most draining workers send up to a second before
+// their end.
+func (w *simCluster) sendDepartureNotice(slot int, endsIn time.Duration) {
+	sw := w.workers[slot]
+	before := w.delays.between(departureMessage, 0, time.Second)
+	if w.delays.rng[departureMessage].IntN(4) == 0 {
+		return
 	}
-	if agentLost && !w.delays.without[agentRestart] && !w.faultsEnded {
+	w.after(endsIn-before, func() {
+		w.counts["departure notices"]++
+		a := w.agents[slot]
+		a.do(func() { a.handleDeparture(sw.info.ID) })
+	})
+}
+
+// loseAgent restarts the agent of a crashed worker in some of the cases.
+func (w *simCluster) loseAgent(slot int) {
+	if w.delays.rng[departureMessage].IntN(4) == 0 && !w.delays.without[agentRestart] && !w.faultsEnded {
 		w.restartAgent(slot, w.delays.between(departureMessage, 50*time.Millisecond, 2*time.Second))
 	}
 }
