entry, agent: two live processes under one agent id are logged and told from a restart

An entry stayed with the process started last, but logged nothing; the other one was told of it in each answer and ignored that, so it looked healthy and got no work. An entry now warns, with both addresses, when a process reports after a later one of its id has been known for 5 s; reports left over from before a restart come sooner. The process logs it too.

--- a/agent/report_to_entry.go
+++ b/agent/report_to_entry.go
@@ -66,6 +66,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.noteNewer(ack)
 	newEntries := r.router.HandleAck(clock.Now(), entry.address, ack)
 	for _, addr := range newEntries {
 		r.startEntryLoop(addr, false)
--- a/agent/report_to_relay.go
+++ b/agent/report_to_relay.go
@@ -54,6 +54,7 @@
 		r.updateRelay()
 		return
 	}
+	r.noteNewer(ack)
 	for _, addr := range r.router.HandleRelayAck(clock.Now(), relay, ack) {
 		r.startEntryLoop(addr, false)
 	}
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -35,6 +35,7 @@
 	entries          map[string]*entryLoop // by address
 	relayLoop        *relayLoop
 	sendingDocuments map[string]bool // IDs of members to which a document is being sent
+	newerIncarnation uint64          // of a later process under this agent's ID, if one is known
 }
 
 // entryLoop is the state of the loop that reports to one entry.
@@ -141,6 +142,17 @@
 	r.updateState(func(s *wire.AgentReport) { s.Draining = true })
 }
 
+// noteNewer logs that a later process runs under this agent's ID. Entries ignore this one
+// then. The caller holds the lock.
+func (r *reporter) noteNewer(ack *wire.ReportAck) {
+	for _, newer := range ack.NewerIncarnations {
+		if newer.ID == r.ownReport.ID && newer.Incarnation > max(r.newerIncarnation, r.ownReport.Incarnation) {
+			r.newerIncarnation = newer.Incarnation
+			r.agent.log.WithField("incarnation", newer.Incarnation).Error("a later process reports under this agent's id: this one gets no work")
+		}
+	}
+}
+
 // currentLoad returns the load for the next report.
 func (r *reporter) currentLoad() wire.Load {
 	running, queued := r.agent.quickExecutor.gate.depth()
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -24,7 +24,7 @@
 	}
 	switch m := msg.(type) {
 	case *wire.Report:
-		return e.members.handleReport(from.Peer().ID, m), nil
+		return e.members.handleReport(from.Peer().ID, from.RemoteAddr(), m), nil
 	case *wire.GangMessage:
 		return e.handleTaskEnd(from, m)
 	case *wire.FetchDocuments:
--- a/entry/members.go
+++ b/entry/members.go
@@ -28,7 +28,8 @@
 	generationSeenAt map[string]time.Time // when an agent's current generation was first reported
 	lastRelay        map[string]string    // relay that sent an agent's last report, by agent id
 
-	relays *relays
+	relays     *relays
+	duplicates *duplicates
 }
 
 func newMembers(e *Entry) *members {
@@ -40,16 +41,18 @@
 		generationSeenAt: make(map[string]time.Time),
 		lastRelay:        make(map[string]string),
 		relays:           newRelays(e.cfg.RelayThreshold),
+		duplicates:       newDuplicates(e.log),
 	}
 }
 
 // handleReport handles a batch of reports sent by one agent: its own, and those that it
 // relays.
-func (m *members) handleReport(sender string, r *wire.Report) *wire.ReportAck {
+func (m *members) handleReport(sender, senderAddr string, r *wire.Report) *wire.ReportAck {
 	receivedAt := clock.Now()
 	actions := m.step(time.Now(), membership.Reports{Batch: r.Reports})
 	m.applyActions(actions)
 	m.recordRelays(sender, r.Reports)
+	m.duplicates.warn(senderAddr, actions, m.find)
 
 	ack := m.entry.newReportAck(r.KnownDigest, m.relayInfoFor(sender))
 	membership.FillAck(ack, actions)
--- a/membership/action.go
+++ b/membership/action.go
@@ -36,12 +36,19 @@
 // NeedFull: the agent's delta can't be applied; the agent must send a full report.
 type NeedFull struct{ ID string }
 
-// Newer: a later incarnation of the reporting agent is known.
+// Newer: a later incarnation of the reporting agent is known. The reporting one is a process
+// that still runs under the same ID if the later one has been known for longer than
+// MaxReportDelay; otherwise the report may be left over from before a restart.
 type Newer struct {
 	ID          string
 	Incarnation uint64
+	KnownFor    time.Duration
 }
 
+// MaxReportDelay is how late a report may be handled in practice. An agent waits a second
+// for its answer; the rest is for paused processes.
+const MaxReportDelay = 5 * time.Second
+
 // Refused: the agent's report was dropped because of a limit on new members.
 type Refused struct{ ID string }
 
--- a/membership/admit.go
+++ b/membership/admit.go
@@ -28,7 +28,7 @@
 		t.refuse(report.ID, t.cfg.ReportPeriod)
 		return nil
 	}
-	r := &record{id: report.ID, incarnation: report.Incarnation, goneSince: now}
+	r := &record{id: report.ID, incarnation: report.Incarnation, knownSince: now, goneSince: now}
 	t.records[report.ID] = r
 	return r
 }
--- a/membership/ingest.go
+++ b/membership/ingest.go
@@ -21,7 +21,7 @@
 	}
 	if report.Incarnation < r.incarnation {
 		if !relayed {
-			t.emit(Newer{ID: r.id, Incarnation: r.incarnation})
+			t.emit(Newer{ID: r.id, Incarnation: r.incarnation, KnownFor: now.Sub(r.knownSince)})
 		}
 		return
 	}
--- a/membership/record.go
+++ b/membership/record.go
@@ -13,6 +13,7 @@
 type record struct {
 	id          string
 	incarnation uint64
+	knownSince  time.Time // when the incarnation was first reported
 	sequence    uint64
 	draining    bool
 	left        bool
@@ -42,5 +43,5 @@
 // reset makes the record that of a later incarnation of which only its existence is
 // known.
 func (r *record) reset(incarnation uint64, now time.Time) {
-	*r = record{id: r.id, incarnation: incarnation, goneSince: now}
+	*r = record{id: r.id, incarnation: incarnation, knownSince: now, goneSince: now}
 }
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -157,6 +157,24 @@
 	c.Assert(actionNames(b.Step(startTime.Add(45*time.Second), Reports{Batch: batch, Relayed: true})), qt.DeepEquals, []string{"Left"})
 }
 
+// A report of an earlier process just after a restart is left over; one that comes later is from a
+// process that still runs under the same id. Neither may replace the later process.
+func TestEarlierProcessIsToldFromRestart(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Config{})
+	table.Step(startTime, directReports(fullReport("a", 1, 1)))
+	restarted := startTime.Add(time.Minute / 2)
+	table.Step(restarted, directReports(fullReport("a", 2, 1)))
+	for i := range 20 {
+		now := restarted.Add(time.Duration(i) * time.Second)
+		actions := table.Step(now, directReports(fullReport("a", 1, uint64(i+2))))
+		c.Assert(actionNames(actions), qt.DeepEquals, []string{"Newer"})
+		c.Assert(actions[0].(Newer).KnownFor, qt.Equals, now.Sub(restarted))
+		table.Step(now, directReports(fullReport("a", 2, uint64(i+2))))
+		c.Assert(table.Snapshot().Service("dispatch").Find("a").Report.Incarnation, qt.Equals, uint64(2))
+	}
+}
+
 // The planner takes a report as evidence of a member's tasks only at the member's sequence. A sequence
 // that lags behind the last report would end the renewals of a live gang.
 func TestMemberHasSequenceOfLastReport(t *testing.T) {
