gang: the random simulations deliver messages late and overtaken

Delays were at most 1.5 s with 2 s between reports: no report ever overtook another, and no reply or order came after several later ones. A twentieth of all messages is now late by up to 12 s more.

--- a/gang/sim_test.go
+++ b/gang/sim_test.go
@@ -25,7 +25,7 @@
 	t.Logf("%d simulations from seed %d: %+v", *simRuns, *simSeed, sum)
 	if sum.starts == 0 || sum.done == 0 || sum.notStarted == 0 || sum.lost == 0 ||
 		sum.superseded == 0 || sum.recovered == 0 || sum.isolated == 0 ||
-		sum.onPermit == 0 || sum.adoptable == 0 || sum.notFound == 0 || sum.permitsReturned == 0 || sum.reportedNotRun == 0 {
+		sum.onPermit == 0 || sum.adoptable == 0 || sum.notFound == 0 || sum.permitsReturned == 0 || sum.reportedNotRun == 0 || sum.late == 0 {
 		t.Fatalf("the simulations did not cover all outcomes: %+v", sum)
 	}
 }
@@ -44,4 +44,5 @@
 	s.permitsReturned += o.permitsReturned
 	s.reportedNotRun += o.reportedNotRun
 	s.overlaps += o.overlaps
+	s.late += o.late
 }
--- a/gang/simulation_test.go
+++ b/gang/simulation_test.go
@@ -16,6 +16,7 @@
 	simIsolationTimeout = 15 * time.Second
 	simStartTimeout     = 10 * time.Second
 	simMaxDelay         = 1500 * time.Millisecond // of a message, a start or a stop
+	simMaxLateness      = 12 * time.Second        // of a message, beyond simMaxDelay
 	simFenceWait        = simLivenessWindow + simIsolationTimeout + 3*simMaxDelay
 	simLossTimeout      = simFenceWait + 10*time.Second
 	// simMaxPartial is how long part of a gang may run without the rest.
@@ -76,7 +77,7 @@
 	stats         simStats
 }
 
-type simStats struct{ starts, done, notStarted, lost, superseded, recovered, isolated, onPermit, adoptable, notFound, permitsReturned, reportedNotRun, overlaps int }
+type simStats struct{ starts, done, notStarted, lost, superseded, recovered, isolated, onPermit, adoptable, notFound, permitsReturned, reportedNotRun, overlaps, late int }
 
 func newSimulation(t testing.TB, seed uint64) *simulation {
 	s := &simulation{
@@ -143,14 +144,20 @@
 }
 
 // send delivers a message between a planner and an agent: delayed, reordered,
-// duplicated or not at all.
+// duplicated or not at all. A few are handled after several later ones, as by a
+// goroutine that waits, a process that is paused or a queue that is behind.
 func (s *simulation) send(p *simPlanner, a *simAgent, deliver func()) {
 	copies := 1
 	if s.faultsEnabled && s.chance(0.1) {
 		copies = s.rng.IntN(3)
 	}
+	late := time.Duration(0)
+	if s.faultsEnabled && s.chance(0.05) {
+		late = time.Duration(s.rng.Int64N(int64(simMaxLateness)))
+		s.stats.late++
+	}
 	for range copies {
-		s.after(s.delay(), func() {
+		s.after(late+s.delay(), func() {
 			if !p.disconnected[a.name] {
 				deliver()
 			}
