engine: a process of an agent counts by when the planner first answered it

A late report of a process that had been answered, but not yet been heard again when its successor was, made it the agent's newest process once more: the worker that the present one had reported was ended, and its tasks started a second time. Only processes that had been the newest counted as replaced. Processes now count in the order of their first answer, which is that of their starts. TestLateReportOfProcessNeverCurrent failed before.

--- a/engine/report_order.go
+++ b/engine/report_order.go
@@ -7,9 +7,8 @@
 
 // Reports of one agent may be handled in another order than they were built: each travels on a
 // stream of its own, and the processes on the way may be paused. An older report must not undo what
-// a newer one has shown. A process of an agent numbers its reports, and a process counts as newer
-// than all earlier ones once it has an answer of this planner: only the process that runs now can
-// report that.
+// a newer one has shown. A process of an agent numbers its reports. Processes count in the order in
+// which this planner has first answered them, since an answer reaches only the one that runs.
 
 // ReportStanding is whether a report is taken into account.
 type ReportStanding int
@@ -42,14 +41,14 @@
 
 func (OutdatedReport) isAction() {}
 
-// maxReplacedProcesses bounds the remembered processes of an agent.
-const maxReplacedProcesses = 8
+// maxKnownProcesses bounds the remembered processes of an agent.
+const maxKnownProcesses = 8
 
 // reportOrder is the order of the reports of one agent.
 type reportOrder struct {
 	newest ReportOrigin
-	// replaced are earlier processes, the latest last.
-	replaced []uint64
+	// processes are those that were answered, in order. All before that of newest are over.
+	processes []uint64
 	// minClockOffset is the smallest difference between the engine's clock and the agent's at the
 	// arrival of a report.
 	minClockOffset time.Duration
@@ -83,11 +82,20 @@
 	return ref
 }
 
+// standing returns the standing of a report, whose process is answered from now on.
 func (o *reportOrder) standing(origin ReportOrigin, epoch uint64) ReportStanding {
+	if !slices.Contains(o.processes, origin.Process) {
+		o.processes = append(o.processes, origin.Process)
+		o.processes = o.processes[max(0, len(o.processes)-maxKnownProcesses):]
+	}
 	switch {
-	case origin.Process == o.newest.Process && origin.Sequence <= o.newest.Sequence, slices.Contains(o.replaced, origin.Process):
+	case origin.Process == o.newest.Process && origin.Sequence <= o.newest.Sequence:
+		return ReportOutdated
+	case origin.Process == o.newest.Process:
+		return ReportCurrent
+	case slices.Index(o.processes, origin.Process) < slices.Index(o.processes, o.newest.Process):
 		return ReportOutdated
-	case origin.Process != o.newest.Process && origin.Epoch != epoch:
+	case origin.Epoch != epoch:
 		return ReportUnconfirmed
 	}
 	return ReportCurrent
@@ -97,10 +105,6 @@
 func (o *reportOrder) advance(now time.Duration, origin ReportOrigin) {
 	offset := now - origin.BuiltAt
 	if origin.Process != o.newest.Process {
-		if o.newest.Process != 0 {
-			o.replaced = append(o.replaced, o.newest.Process)
-		}
-		o.replaced = o.replaced[max(0, len(o.replaced)-maxReplacedProcesses):]
 		o.minClockOffset = offset
 	}
 	o.minClockOffset = min(o.minClockOffset, offset)
--- a/engine/report_order_test.go
+++ b/engine/report_order_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Guards against a late report of a process that has an answer of the planner, but was replaced before
+// a report with that answer was handled.
+func TestLateReportOfProcessNeverCurrent(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 1)
+	d.takeOver()
+	first := d.number(d.workerReport(0))
+	first.Origin.Epoch = 1
+	c.Assert(d.report(first).Standing, qt.Equals, ReportUnconfirmed)
+	late := d.number(d.workerReport(0))
+	d.restartAgent("agent0")
+	current := d.workerReport(0)
+	current.Worker.ID, current.Epoch = "w0-next", d.e.epoch
+	c.Assert(d.report(current).Standing, qt.Equals, ReportCurrent)
+	c.Check(d.report(late).Standing, qt.Equals, ReportOutdated)
+	c.Check(d.e.workers["w0-next"], qt.IsNotNil)
+}
+
 // Guards against ignoring an agent that was restarted: its first reports have no answer of the
 // planner yet.
 func TestRestartedAgentIsHeard(t *testing.T) {
