--- a/internal/processes/faults_test.go
+++ b/internal/processes/faults_test.go
@@ -36,6 +36,8 @@
 	{"worker-crash", 4, injectWorkerCrash},
 	{"worker-silent", 3, injectWorkerSilent},
 	{"worker-late-starts", 2, injectWorkerLateStarts},
+	{"worker-late-orders", 2, injectWorkerLateOrders},
+	{"late-heartbeat", 2, injectLateHeartbeat},
 	{"worker-busy", 1, injectWorkerBusy},
 	{"worker-leave", 2, injectWorkerLeave},
 	{"worker-leave-at-once", 1, injectWorkerLeaveAtOnce},
@@ -45,8 +47,10 @@
 	{"store-lost", 1, injectStoreLost},
 	{"store-late", 1, injectStoreLate},
 	{"planner-store", 1, injectPlannerStore},
+	{"agent-silence", 2, injectAgentSilence},
 	{"agent-cut", 2, injectAgentCut},
 	{"agent-delay", 2, injectAgentDelay},
+	{"agent-hold", 1, injectAgentHold},
 	{"agent-jitter", 2, injectAgentJitter},
 	{"agent-loss", 1, injectAgentLoss},
 	{"planner-cut", 1, injectPlannerCut},
@@ -199,6 +203,23 @@
 	return workerFault(f.randomNode(rng), standin.WorkerFaults{DelayStarts: millis(rng, 300, 4000)}, millis(rng, 500, 4000))
 }
 
+// injectWorkerLateOrders makes workers carry out a share of their orders late, without a reply.
+func injectWorkerLateOrders(f *fleet, rng *rand.Rand) func() {
+	faults := standin.WorkerFaults{DelayOrders: millis(rng, 1000, 8000), DelayedShare: 0.05 + 0.5*rng.Float64()}
+	return workerFault(f.randomNode(rng), faults, millis(rng, 1000, 6000))
+}
+
+// injectLateHeartbeat delays a heartbeat beyond the crash of its worker.
+func injectLateHeartbeat(f *fleet, rng *rand.Rand) func() {
+	n, d, crashes := f.randomNode(rng), millis(rng, 500, 6000), rng.IntN(2) == 0
+	return func() {
+		if crashes {
+			time.AfterFunc(d/4, n.worker.Crash)
+		}
+		_, _ = n.worker.SendDelayedHeartbeat(n.addr, "ready", 0, d) // its reply does not matter
+	}
+}
+
 func injectWorkerBusy(f *fleet, rng *rand.Rand) func() {
 	return workerFault(f.randomNode(rng), standin.WorkerFaults{Busy: true}, millis(rng, 500, 4000))
 }
--- a/internal/processes/link_faults_test.go
+++ b/internal/processes/link_faults_test.go
@@ -56,6 +56,14 @@
 	return linkFault(agentsOf(f.randomNodes(rng, 0.2)), randomDelay(rng), millis(rng, 100, 2500))
 }
 
+// injectAgentHold holds up all datagrams that agents send in a time until after that time, when
+// new connections have been opened. What was sent over the earlier ones arrives last.
+func injectAgentHold(f *fleet, rng *rand.Rand) func() {
+	d := millis(rng, 1200, 8000)
+	ms := int(d.Milliseconds()) + 200 + rng.IntN(2500)
+	return linkFault(agentsOf(f.randomNodes(rng, 0.2)), linkFaults{DelayShare: 1, DelayMinMs: ms, DelayMaxMs: ms + 1}, d)
+}
+
 func injectAgentJitter(f *fleet, rng *rand.Rand) func() {
 	return linkFault(agentsOf(f.randomNodes(rng, 0.3)), randomJitter(rng), millis(rng, 1000, 8000))
 }
@@ -80,3 +88,11 @@
 func injectPlannerJitter(f *fleet, rng *rand.Rand) func() {
 	return plannerLinkFault(f, randomJitter(rng), millis(rng, 1000, 6000))
 }
+
+// injectAgentSilence makes the connections that agents have opened go silent for good, in one
+// direction or both. New ones work.
+func injectAgentSilence(f *fleet, rng *rand.Rand) func() {
+	nodes, cut, number := f.randomNodes(rng, 0.3), randomCut(rng), rng.Int64()
+	faults := linkFaults{Silence: number, SilenceOut: cut.DropOut, SilenceIn: cut.DropIn}
+	return linkFault(agentsOf(nodes), faults, 200*time.Millisecond)
+}
