--- a/engine/sim_delays_test.go
+++ b/engine/sim_delays_test.go
@@ -39,6 +39,20 @@
 	})
 }
 
+// Guards against tasks that crash workers again and again, and jobs that fail without cause, while
+// messages are delayed.
+func TestSimulationWithDelaysAndCrashingTasks(t *testing.T) {
+	runSimulations(t, *simDelaySeeds, func(w *simCluster, seed uint64) {
+		if seed%2 == 0 {
+			w.reuseNames()
+		}
+		w.useAgents(seed)
+		w.planFaults(faultTime)
+		w.planProcessFaults(faultTime)
+		w.addCrashingTasks()
+	})
+}
+
 // messageKind is a kind of message with delays of its own, or a fault of a process.
 type messageKind string
 
