membership: a relay introduces to entries only members that rely on it

An entry that has just started asked a relay for full reports, and the relay gave what it last knew of a member that had not reported to it for up to 10 s. The member reported directly by then and had said there that it drains: the entry took it for schedulable until its next report. A relay now gives full reports of members that it answered within relayAckValidity.

TestRelayDoesNotIntroduceSilentMember failed before.

--- a/membership/relayer.go
+++ b/membership/relayer.go
@@ -97,7 +97,10 @@
 	batch, cursor := r.table.RelayBatch(now, state.cursor)
 	var due []string
 	for id, at := range state.fullReportsDue {
-		if !now.Before(at) {
+		switch {
+		case !r.reportsHere(now, id):
+			delete(state.fullReportsDue, id)
+		case !now.Before(at):
 			due = append(due, id)
 		}
 	}
@@ -134,10 +137,10 @@
 		}
 	}
 	for _, id := range ack.NeedFull {
-		r.scheduleFullReport(state, id, now)
+		r.scheduleFullReport(now, state, id, now)
 	}
 	for _, id := range ack.Refused {
-		r.scheduleFullReport(state, id, now.Add(ack.NextReportIn))
+		r.scheduleFullReport(now, state, id, now.Add(ack.NextReportIn))
 	}
 	for _, seen := range ack.NewerIncarnations {
 		if r.table.records[seen.ID] != nil {
@@ -148,12 +151,20 @@
 
 // scheduleFullReport records that the entry needs a full report of the agent, which the
 // relay can send without asking the agent.
-func (r *Relayer) scheduleFullReport(state *entryState, id string, at time.Time) {
-	if record := r.table.records[id]; record != nil && record.member != nil {
+func (r *Relayer) scheduleFullReport(now time.Time, state *entryState, id string, at time.Time) {
+	if r.reportsHere(now, id) {
 		state.fullReportsDue[id] = at
 	}
 }
 
+// reportsHere reports whether a member relies on this relay. One that was not answered
+// for relayAckValidity reports directly, and may have said there that it is draining: an
+// entry that has just started must not learn its earlier state from the relay.
+func (r *Relayer) reportsHere(now time.Time, id string) bool {
+	record := r.table.records[id]
+	return record != nil && record.member != nil && now.Sub(record.lastContact) <= relayAckValidity
+}
+
 // FullReportDue returns when the next full report for the entry is due, and false if
 // none is.
 func (r *Relayer) FullReportDue(entry string) (time.Time, bool) {
