entry: the registration never goes back to an older list of leaderships

Planners of several services start and end at the same time. Each read the list and registered it in two steps, so an older list could be registered last: other entries did not find the planner of a service until the next change.

--- a/entry/elections.go
+++ b/entry/elections.go
@@ -31,6 +31,8 @@
 	mu        sync.Mutex
 	byService map[string]*election
 	stopped   bool
+
+	registering sync.Mutex // held while the leaderships are read and registered
 }
 
 // election is the candidacy for one service, and the planner while this entry leads.
@@ -161,8 +163,11 @@
 	es.updateRegistration()
 }
 
-// updateRegistration publishes the services that this entry leads.
+// updateRegistration publishes the services that this entry leads. Concurrent calls must
+// not publish an older list last.
 func (es *elections) updateRegistration() {
+	es.registering.Lock()
+	defer es.registering.Unlock()
 	es.mu.Lock()
 	var held []leadership
 	for _, el := range es.byService {
