gateway: the successors are those that the latest planner names

A reply of a planner that has been replaced, handled after one of its successor, replaced the successors named there: a gateway that the present planner did not choose would have deposed it first.

TestSuccessorsAreThoseOfLatestPlanner failed before.

--- a/gateway/failure_detector_test.go
+++ b/gateway/failure_detector_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/link"
 )
 
 const ms = time.Millisecond
@@ -203,3 +205,15 @@
 	c.Check(deposes("s2") < deposes("other"), qt.IsTrue)
 	c.Check(deposes("other") <= time.Second, qt.IsTrue)
 }
+
+// A planner that was deposed goes on naming successors for a while, and its reply may be handled late.
+// Following it would let a gateway that the present planner did not choose depose that planner first.
+func TestSuccessorsAreThoseOfLatestPlanner(t *testing.T) {
+	c := qt.New(t)
+	p := newPeering("self", nil, func() time.Duration { return second }, func() uint64 { return 0 })
+	p.mergeReply("new", &link.PeerReply{Epoch: 5, Planner: "new", PlanningEpoch: 5, Successors: []string{"b"}}, second)
+	p.mergeReply("old", &link.PeerReply{Epoch: 4, Planner: "old", PlanningEpoch: 4, Successors: []string{"c"}}, second)
+	c.Check(p.failureDetector.namedSuccessors(), qt.DeepEquals, []string{"b"})
+	p.mergeReply("new", &link.PeerReply{Epoch: 5, Planner: "new", PlanningEpoch: 5, Successors: []string{"d"}}, second)
+	c.Check(p.failureDetector.namedSuccessors(), qt.DeepEquals, []string{"d"})
+}
--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -121,7 +121,7 @@
 // peers to which to announce a planner that was not known.
 func (p *peering) mergeReply(address string, reply *link.PeerReply, sent time.Duration) (announceTo []string) {
 	p.members.markHeard(address)
-	if reply.Successors != nil {
+	if epoch, _ := p.planner.get(); reply.Successors != nil && reply.Epoch >= epoch {
 		p.failureDetector.setSuccessors(reply.Successors)
 	}
 	p.storeStatus.observePeer(sent, address, reply.StoreReachable)
