nodeagent: the reported end of a lease covers a slow clock of the worker

What callers could see: tasks of a worker that has stopped answering run a second time before its lease has ended. Cause: the agent reported the end of the lease as if the worker's clock had been read at the report. A worker's clock may be 2% slow, and it was last read up to 3.6 s before the last extension. The agent keeps the latest end that each extension may have, and reports, and judges expiries, by that.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -134,7 +134,7 @@
 		w.leaseExpiresAt = e.params.leaseExpiry(now)
 		w.grant = r.Origin
 	case r.LeaseKnown:
-		w.leaseExpiresAt = now + withClockDrift(r.LeaseRemaining) + leaseExpirySlack
+		w.leaseExpiresAt = now + WithClockDrift(r.LeaseRemaining) + leaseExpirySlack
 	}
 	if r.Unresponsive {
 		return granted
--- a/engine/params.go
+++ b/engine/params.go
@@ -38,9 +38,9 @@
 	retentionSlack = 30 * time.Second
 )
 
-// withClockDrift returns the longest real time that a lease with the given remaining time may
+// WithClockDrift returns the longest real time that a lease with the given remaining time may
 // last on a worker whose clock runs slow. An expired lease is returned as it is.
-func withClockDrift(remaining time.Duration) time.Duration {
+func WithClockDrift(remaining time.Duration) time.Duration {
 	if remaining <= 0 {
 		return remaining
 	}
@@ -49,5 +49,5 @@
 
 // leaseExpiry returns the time by which a lease granted now has certainly expired.
 func (p Params) leaseExpiry(now time.Duration) time.Duration {
-	return now + withClockDrift(p.MaxLease) + leaseExpirySlack
+	return now + WithClockDrift(p.MaxLease) + leaseExpirySlack
 }
--- a/nodeagent/departure.go
+++ b/nodeagent/departure.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	closed := inc.connectionBroken && inc.pollsInProgress == 0 && errors.Is(err, ErrConnectionRefused)
-	return closed || now > inc.leaseEnd+leaseExpiryMargin
+	return closed || now > inc.latestLeaseEnd()+leaseExpiryMargin
 }
 
 // endIncarnation records the end of the current incarnation. The mutex is held.
--- a/nodeagent/incarnation.go
+++ b/nodeagent/incarnation.go
@@ -27,6 +27,9 @@
 	// leaseEnd is the latest time, on the agent's clock, to which any order that was sent may
 	// have extended the lease, whether answered or not.
 	leaseEnd time.Duration
+	// leaseDrift is how much later the lease may end if the worker's clock is slow: it may have been
+	// read long before the lease was extended.
+	leaseDrift time.Duration
 	// surveyedLeaseEnd is the last leaseEnd for which a poll after its expiry has returned all
 	// earlier ends.
 	surveyedLeaseEnd time.Duration
@@ -92,10 +95,21 @@
 }
 
 // extendLease records that an order with a lease until t is about to be sent.
-func (inc *incarnation) extendLease(t time.Duration) { inc.leaseEnd = max(inc.leaseEnd, t) }
+func (inc *incarnation) extendLease(t time.Duration) {
+	drift := time.Duration(0)
+	if inc.polled {
+		drift = engine.WithClockDrift(t-inc.clockReadAt) - (t - inc.clockReadAt)
+	}
+	latest := max(inc.latestLeaseEnd(), t+drift)
+	inc.leaseEnd = max(inc.leaseEnd, t)
+	inc.leaseDrift = latest - inc.leaseEnd
+}
+
+// latestLeaseEnd returns the latest time at which the lease may end.
+func (inc *incarnation) latestLeaseEnd() time.Duration { return inc.leaseEnd + inc.leaseDrift }
 
-// leaseExpiryMargin is the uncertainty of the expiry time: a lease may expire later if the
-// worker's clock is slow, and earlier because of network delay.
+// leaseExpiryMargin is the uncertainty of the expiry time besides the drift of the worker's clock:
+// the lease may expire earlier because of network delay.
 const leaseExpiryMargin = 250 * time.Millisecond
 
 // leaseMayHaveExpired reports whether the lease may have expired without a poll since then that
@@ -111,7 +125,7 @@
 // unless the lease was extended meanwhile: the answer may then include ends of later runs. It
 // returns false for an outdated answer.
 func (inc *incarnation) applyStatus(status WorkerStatus, sentAt, receivedAt, leaseEndAtSend time.Duration) bool {
-	if leaseEndAtSend != 0 && sentAt > leaseEndAtSend+leaseExpiryMargin && inc.leaseEnd == leaseEndAtSend {
+	if leaseEndAtSend != 0 && inc.leaseEnd == leaseEndAtSend && sentAt > inc.latestLeaseEnd()+leaseExpiryMargin {
 		inc.surveyedLeaseEnd = leaseEndAtSend
 		for _, end := range status.Ended {
 			inc.voidEnds[end.Sequence] = true
@@ -209,7 +223,7 @@
 		ExtendingLease: inc.unresponsive && inc.mayExtendLease(now),
 	}
 	if r.LeaseKnown {
-		r.LeaseRemaining = inc.leaseEnd - now
+		r.LeaseRemaining = inc.latestLeaseEnd() - now
 	}
 	if inc.draining {
 		r.DrainRemaining = max(0, inc.departsAt-now)
--- a/nodeagent/leaving_test.go
+++ b/nodeagent/leaving_test.go
@@ -85,7 +85,7 @@
 			inc := a.incarnation
 			inc.pollsInProgress = tc.pollsInProgress
 			if tc.leaseExpired {
-				inc.leaseEnd = now() - leaseExpiryMargin - time.Millisecond
+				inc.leaseEnd = now() - inc.leaseDrift - leaseExpiryMargin - time.Millisecond
 			}
 			for _, w.err = range tc.polls {
 				a.poll(inc, 0)
