nodeagent: a stop or a pace does not extend the worker's lease

The header of all orders carried the end of the present grant, also if no start was admitted, while the agent counts only what polls and starts extend. Workers that take their orders by heartbeats extend their lease by any order: it could last longer than the agent reported, and its runs were started elsewhere before. TestStopDoesNotExtendLease failed before. Found in review.

--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -91,7 +91,8 @@
 		return OrderHeader{}, nil, engine.StartNotDelivered
 	}
 	until := a.startLimit(orders)
-	header := OrderHeader{Worker: inc.info.ID, Fence: inc.fence, LeaseEnd: inc.workerTime(until)}
+	header := OrderHeader{Worker: inc.info.ID, Fence: inc.fence}
+	leaseEnd := inc.workerTime(until)
 	switch {
 	case inc.draining:
 		return header, inc, engine.StartDraining
@@ -101,9 +102,10 @@
 	case until-now() < minGrantForStart && a.grantedUntil-now() >= minGrantForStart:
 		a.counters.StartsOutdated.Add(int64(len(orders.Starts)))
 		return header, inc, engine.StartNotDelivered
-	case header.LeaseEnd == 0 || inc.unresponsive || inc.leaseMayHaveExpired(now()) || until-now() < minGrantForStart:
+	case leaseEnd == 0 || inc.unresponsive || inc.leaseMayHaveExpired(now()) || until-now() < minGrantForStart:
 		return header, inc, engine.StartNotDelivered
 	}
+	header.LeaseEnd = leaseEnd // only starts extend it, which are counted here
 	inc.extendLease(until)
 	return header, inc, engine.StartOK
 }
