nodeagent: a poll's late failure does not outweigh the answer to a later one

A long poll that failed after a poll sent later had been answered made the worker unresponsive: starts were refused, and a named worker got a new generation. Only an answer that was accepted counts; another incarnation or a higher fence is noticed as before. TestLateFailureOfEarlierPollIsIgnored failed before. Found in review.

--- a/nodeagent/poll.go
+++ b/nodeagent/poll.go
@@ -67,6 +67,9 @@
 		}
 		return 0, errIncarnationEnded
 	}
+	if err != nil && sentAt < inc.polledAt && !errors.Is(err, ErrOtherIncarnation) && !errors.Is(err, ErrFenced) {
+		return 0, err // a poll that was sent later has been answered
+	}
 	if err != nil {
 		return a.handlePollError(inc, err), err
 	}
