nodeagent: only a timeout of an earlier poll is ignored

A connection that breaks is evidence of the time at which it breaks, whenever the poll was sent: without it the end of a leaving worker would be noticed at the end of its lease only. go test ./nodeagent: ok.

--- a/nodeagent/poll.go
+++ b/nodeagent/poll.go
@@ -67,7 +67,7 @@
 		}
 		return 0, errIncarnationEnded
 	}
-	if err != nil && sentAt < inc.polledAt && !errors.Is(err, ErrOtherIncarnation) && !errors.Is(err, ErrFenced) {
+	if errors.Is(err, context.DeadlineExceeded) && sentAt < inc.polledAt {
 		return 0, err // a poll that was sent later has been answered
 	}
 	if err != nil {
