engine: an acknowledged end counts as void by the worker's lease only

The worlds with delayed messages excused an end that the simulated agent took for void, which would have hidden an agent that is wrong about it. Found in review.

--- a/engine/sim_agent_poll_test.go
+++ b/engine/sim_agent_poll_test.go
@@ -191,14 +191,3 @@
 	}
 	return out
 }
-
-// noteVoid records that the agent takes an end for void, so that it may be acknowledged and its task
-// started again.
-func (w *simWorker) noteVoid(end RunEnd) {
-	if w.reportedVoid == nil {
-		w.reportedVoid = map[int64]bool{}
-	}
-	if end.Void {
-		w.reportedVoid[end.Sequence] = true
-	}
-}
--- a/engine/sim_incarnation_test.go
+++ b/engine/sim_incarnation_test.go
@@ -131,7 +131,6 @@
 	inc.ended = slices.Clone(status.ended)
 	for i := range inc.ended {
 		inc.ended[i].Void = inc.voidEnds[inc.ended[i].Sequence]
-		inc.worker.noteVoid(inc.ended[i])
 	}
 	inc.unreportedPolls++
 	inc.resolveStops(sentAt)
--- a/engine/sim_worker_test.go
+++ b/engine/sim_worker_test.go
@@ -50,10 +50,9 @@
 	lastEnded    []RunEnd
 	bornAt       time.Duration
 	// In worlds with delayed messages: until when the worker does not answer, and whether it
-	// carries out calls meanwhile; ends that the agent has taken for void.
+	// carries out calls meanwhile.
 	silentUntil        time.Duration
 	carriesOutSilently bool
-	reportedVoid       map[int64]bool
 }
 
 func (w *simWorker) used() workload.Resources {
@@ -226,7 +225,7 @@
 	for len(w.ended) > 0 && w.ended[0].Sequence <= w.ackedEnds {
 		seq := w.ended[0].Sequence
 		w.cluster.trace(w.info.ID, "end %d of %v is acknowledged", seq, w.ended[0].Run)
-		w.cluster.recordAckedEnd(w.ended[0], seq <= w.voidEnds || w.reportedVoid[seq])
+		w.cluster.recordAckedEnd(w.ended[0], seq <= w.voidEnds)
 		w.ended = w.ended[1:]
 	}
 }
