nodeagent: an agent raises its fence above the one that its worker refuses

What callers could see: jobs that never end beside a worker that is taken for well. Cause: an agent that has ended an incarnation polls the next one under a higher generation. If such a poll is held up and the agent is restarted, the worker learns of it after all: it refuses every poll of the new process, for good if the planner does not know that generation. The agent reported neither silence nor polls, and the planner went on granting leases that did not reach the worker. Raising the fence was left to workers that keep their names.

--- a/engine/sim_agent_poll_test.go
+++ b/engine/sim_agent_poll_test.go
@@ -103,9 +103,7 @@
 		a.endUnannounced(err == errSimSuperseded)
 		return 0
 	case errSimFenced:
-		if inc.info.Name != "" {
-			inc.fence.Generation += GenerationStep
-		}
+		inc.fence.Generation += GenerationStep
 		return simUnresponsivePollInterval
 	case errSimConnectionLost, errSimConnectionRefused:
 		if inc.connectionLostAt == 0 {
--- a/nodeagent/unresponsive.go
+++ b/nodeagent/unresponsive.go
@@ -52,9 +52,7 @@
 // worker would then refuse all further orders. A worker that follows a newer planner continues
 // to refuse.
 func (inc *incarnation) raiseRefusedFence() {
-	if inc.info.Name != "" {
-		inc.fence.Generation += engine.GenerationStep
-	}
+	inc.fence.Generation += engine.GenerationStep
 }
 
 // unresponsivePollInterval returns the pause between polls of an unresponsive worker. It is
