nodeagent: a start decided before the agent reported the lease's end is limited to it

An agent that reports an unresponsive worker states when its lease ends, and the planner takes the runs there for lost then. A start that was on its way meanwhile was limited by the grant on which it was decided, which may be later: if the worker answered again and the next report was granted, the start took effect after the planner had started the task elsewhere.

--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -32,6 +32,8 @@
 	// planner's replies allow the worker's lease to be extended.
 	epoch        uint64
 	grantedUntil time.Duration
+	// limitedAt is when a report last stated the end of the lease, limitedTo; see limitGrant.
+	limitedAt, limitedTo time.Duration
 	// nextFence is the lowest fence for orders to the next incarnation. It is higher than those
 	// of delayed orders to the previous incarnation, which may have had the same name.
 	nextFence     engine.Fence
--- a/nodeagent/late_orders_test.go
+++ b/nodeagent/late_orders_test.go
@@ -62,3 +62,28 @@
 	c.Assert(executeStart(c, a, orders), qt.Equals, engine.StartOK)
 	c.Check(w.leaseEnd, qt.Equals, decidedUntil)
 }
+
+// Guards against a start that was decided before the agent reported the end of the lease, and takes
+// effect under a grant that followed.
+func TestStartIsLimitedToReportedLeaseEnd(t *testing.T) {
+	c := qt.New(t)
+	w := &leaseEndRecorder{}
+	a := newTestAgent(w)
+	a.process = 7
+	orders := startAndStopOrders(0)
+	orders.Stops = nil
+	orders.AgentProcess, orders.GrantedAt = 7, now()-time.Millisecond
+	inc := a.incarnation
+	inc.extendLease(now() + 2*time.Second)
+	reported := inc.leaseEnd
+	inc.unresponsive, inc.unresponsiveSince = true, now()-leaseExtensionPeriod
+	a.pendingReports()
+	inc.unresponsive = false // it answers again, and the next report is answered
+	a.grantedUntil = now() + a.cfg.MaxLease
+	c.Assert(executeStart(c, a, orders), qt.Equals, engine.StartOK)
+	c.Check(w.leaseEnd, qt.Equals, inc.workerTime(reported))
+
+	orders.GrantedAt = now()
+	c.Assert(executeStart(c, a, orders), qt.Equals, engine.StartOK)
+	c.Check(w.leaseEnd > inc.workerTime(reported), qt.IsTrue, qt.Commentf("decided by the new grant"))
+}
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -118,7 +118,11 @@
 	case 0: // not numbered
 		return a.grantedUntil
 	case a.process:
-		return min(a.grantedUntil, orders.GrantedAt+a.cfg.MaxLease)
+		until := min(a.grantedUntil, orders.GrantedAt+a.cfg.MaxLease)
+		if orders.GrantedAt <= a.limitedAt {
+			until = min(until, a.limitedTo)
+		}
+		return until
 	}
 	return 0 // decided on reports of an earlier process
 }
--- a/nodeagent/unresponsive.go
+++ b/nodeagent/unresponsive.go
@@ -14,10 +14,11 @@
 
 // limitGrant gives up grants beyond the end of the lease that a report states, until the planner
 // answers a later report: it lets the lease expire at that end, even if the worker answers again.
-// The mutex is held.
+// Starts that it has decided on before are limited likewise. The mutex is held.
 func (a *Agent) limitGrant(r engine.Report) {
 	if r.Unresponsive && !r.ExtendingLease && r.LeaseKnown {
 		a.grantedUntil = min(a.grantedUntil, a.incarnation.leaseEnd)
+		a.limitedAt, a.limitedTo = now(), a.incarnation.leaseEnd
 	}
 }
 
