--- a/engine/report_order_test.go
+++ b/engine/report_order_test.go
@@ -89,3 +89,23 @@
 	c.Check(answer.Standing, qt.Equals, ReportCurrent)
 	c.Check(answer.Attached, qt.IsTrue)
 }
+
+// Guards against a first report of a process that is over which makes the live process outdated.
+func TestUnconfirmedReportReplacesNoProcess(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 1)
+	unconfirmed := d.workerReport(0)
+	unconfirmed.Origin = ReportOrigin{Process: 99, Sequence: 1}
+	c.Assert(d.report(unconfirmed).Standing, qt.Equals, ReportUnconfirmed)
+	c.Check(d.report(d.workerReport(0)).Standing, qt.Equals, ReportCurrent)
+}
+
+// Guards against a departure report of a process that is over which adds its worker again.
+func TestUnconfirmedDepartureAddsNoWorker(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 0)
+	r := d.workerReport(0)
+	r.Terminated, r.Origin = true, ReportOrigin{Process: 99, Sequence: 1}
+	c.Assert(d.report(r).Standing, qt.Equals, ReportUnconfirmed)
+	c.Check(d.e.workers, qt.HasLen, 0)
+}
