--- a/engine/report_order.go
+++ b/engine/report_order.go
@@ -17,7 +17,8 @@
 const (
 	// ReportCurrent is the newest report of the agent's newest process, or not numbered.
 	ReportCurrent ReportStanding = iota
-	// ReportOutdated is older than a report that was handled before.
+	// ReportOutdated is older than a report that was handled before, or of a process that has
+	// been replaced.
 	ReportOutdated
 	// ReportUnconfirmed is of a process that has no answer of this planner yet. It may be a
 	// delayed report of a process that is over.
--- a/gateway/term_metrics.go
+++ b/gateway/term_metrics.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strconv"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrasshub/eelgrasshub/engine"
@@ -51,9 +53,11 @@
 	if r.Origin.Process == 0 {
 		return
 	}
-	fields["agent_process"] = r.Origin.Process
+	fields["agent_process"] = strconv.FormatUint(r.Origin.Process, 16)
 	fields["report"] = r.Origin.Sequence
-	fields["report_delay_ms"] = r.Delay.Milliseconds()
+	if r.Delay > 0 {
+		fields["report_delay_ms"] = r.Delay.Milliseconds()
+	}
 }
 
 // logLate counts and logs a job that completed after its objective.
--- a/nodeagent/poll.go
+++ b/nodeagent/poll.go
@@ -48,7 +48,7 @@
 }
 
 // errIncarnationEnded means that the polled incarnation is no longer the current one.
-var errIncarnationEnded = eris.New("the life is over")
+var errIncarnationEnded = eris.New("the incarnation has ended")
 
 // tryPoll polls the worker once. On error, the poll gave no information on inc.
 func (a *Agent) tryPoll(inc *incarnation, wait time.Duration) (pause time.Duration, err error) {
