nodeagent: outdated answers are not repeated at network speed

A poll that is repeated since its answer confirmed no fence does not wait for an end. If all answers were outdated, as from a worker whose clock was set back, polls would follow each other without a pause. The pause for ends that wait applies then too.

--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -54,7 +54,7 @@
 	// elsewhere that much later.
 	leaseExtensionPeriod = 2 * time.Second
 	// minPollInterval limits the rate of polls that return at once because ends are waiting to
-	// be recorded.
+	// be recorded, or whose answers are outdated.
 	minPollInterval = 25 * time.Millisecond
 	// orderTimeout bounds one attempt of an order. Starts are idempotent and are retried.
 	orderTimeout  = 250 * time.Millisecond
--- a/nodeagent/incarnation_test.go
+++ b/nodeagent/incarnation_test.go
@@ -36,7 +36,7 @@
 	inc.applyStatus(WorkerStatus{Clock: 2 * time.Second}, now(), now(), 0)
 	inc.clearReported(a.pendingReports()[0])
 	a.raiseEpoch(2)
-	a.poll(inc, 0)
+	c.Check(a.poll(inc, 0), qt.Equals, minPollInterval, qt.Commentf("repeated, but not at network speed"))
 	c.Check(a.counters.LooksPassedOver.Load(), qt.Equals, int64(1))
 	c.Check(a.pendingReports()[0].Epoch, qt.Equals, uint64(0))
 	w.status.Clock = 3 * time.Second
--- a/nodeagent/poll.go
+++ b/nodeagent/poll.go
@@ -80,7 +80,7 @@
 	}
 	a.noteStaleAnswer(inc, status, clockBefore, accepted)
 	a.requestReport()
-	if (len(status.Ended) > 0 || inc.leaseMayHaveExpired(now())) && waited < minPollInterval {
+	if (len(status.Ended) > 0 || !accepted || inc.leaseMayHaveExpired(now())) && waited < minPollInterval {
 		return minPollInterval, nil
 	}
 	return 0, nil
