entry: a new planner gets the document that became active while it started

A planner was started with the document read before, and was passed new generations only once it was installed. A generation that became active in between was missed until the next one: the planner went on with the older policy.

TestNewPlannerHasLatestDocument failed before.

--- a/entry/elections.go
+++ b/entry/elections.go
@@ -129,19 +129,30 @@
 		Document:  active,
 		Retention: es.entry.retention,
 	})
-	es.mu.Lock()
-	if es.stopped || el.epoch != epoch {
-		es.mu.Unlock()
+	if !es.installPlanner(el, epoch, p) {
 		p.Stop()
 		return
 	}
-	el.planner = p
-	es.mu.Unlock()
 	es.entry.members.replayReports(el.service, p)
 	es.updateRegistration()
 	go es.awaitPlannerEnd(el, p)
 }
 
+// installPlanner makes p the planner of a term, with the document that is active now; that
+// may have changed since p was started. It returns false if the term has ended.
+func (es *elections) installPlanner(el *election, epoch uint64, p *planner.Planner) bool {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	if es.stopped || el.epoch != epoch {
+		return false
+	}
+	el.planner = p
+	if active, ok := es.entry.documents.Current(el.service); ok {
+		p.SetDocument(active)
+	}
+	return true
+}
+
 // awaitPlannerEnd drops a planner that ended because it was superseded.
 func (es *elections) awaitPlannerEnd(el *election, p *planner.Planner) {
 	<-p.Done()
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -88,6 +88,9 @@
 // SetDocument activates a new generation of the document.
 func (p *Planner) SetDocument(doc *document.ActiveVersion) {
 	p.post(func() {
+		if doc == p.doc {
+			return
+		}
 		p.doc = doc
 		p.stepScheduler(scheduler.PolicyChanged{Policy: schedulerPolicy(doc)})
 	})
