wire: a suspicion that has ended does not cancel later calls

A connection is suspected when a ping is not answered in time, and is usable again when the peer answers later, as a busy one does. The channel that tells callers of the suspicion stayed closed: each call of an entry on that connection was cancelled within a millisecond, for as long as it was open, while the agent's reports went on. Orders of gangs did not get through: a gang stayed in starting or queued and no agent was lost.

TestSuspicionEndsWithAnswer and TestCallsOnRecoveredConnectionAreNotCancelled failed before. Traced in TestScript/silent_death and /freeze_agent, 14 processes at once on three processors: Commit and Stop cancelled after 0.2 ms, every 0.4 s for 20 s and more.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -17,15 +17,15 @@
 	calls         inflight
 	streamCredits creditBatcher
 
-	opened        time.Time
-	lastReceived  atomic.Int64 // nanoseconds since opened
-	probing       atomic.Bool
-	suspect       atomic.Bool
-	suspected     chan struct{}
-	suspectedAt   atomic.Int64 // nanoseconds since opened
-	suspectedOnce sync.Once
-	draining      chan struct{}
-	drainingOnce  sync.Once
+	opened       time.Time
+	lastReceived atomic.Int64 // nanoseconds since opened
+	probing      atomic.Bool
+	suspect      atomic.Bool  // changed with suspicionMu held
+	suspectedAt  atomic.Int64 // nanoseconds since opened
+	suspicionMu  sync.Mutex
+	suspected    chan struct{} // closed while suspect is set, and replaced when it ends
+	draining     chan struct{}
+	drainingOnce sync.Once
 }
 
 func newConn(ep *Endpoint, quicConn *quic.Conn) *Conn {
@@ -53,10 +53,15 @@
 // Done returns a channel that is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.quicConn.Context().Done() }
 
-// Suspected returns a channel that is closed when a Ping is not answered for the first
-// time: the path may have become unresponsive. Calls that can be made elsewhere need
-// not wait any longer.
-func (c *Conn) Suspected() <-chan struct{} { return c.suspected }
+// Suspected returns a channel that is closed when the connection is suspected, now or
+// next, since a Ping is not answered: the path may have become unresponsive. Calls that
+// can be made elsewhere need not wait any longer. A suspicion that has ended, because the
+// peer was only busy, does not concern later calls.
+func (c *Conn) Suspected() <-chan struct{} {
+	c.suspicionMu.Lock()
+	defer c.suspicionMu.Unlock()
+	return c.suspected
+}
 
 // Draining returns a channel that is closed when either end starts to drain the
 // connection, which then accepts no new calls.
@@ -108,8 +113,28 @@
 
 func (c *Conn) markReceived() {
 	c.lastReceived.Store(int64(c.ep.now().Sub(c.opened)))
+	if c.suspect.Load() {
+		c.endSuspicion()
+	}
+}
+
+func (c *Conn) beginSuspicion() {
+	c.suspicionMu.Lock()
+	defer c.suspicionMu.Unlock()
+	if c.suspect.Load() {
+		return
+	}
+	c.suspectedAt.Store(int64(c.ep.now().Sub(c.opened)))
+	c.suspect.Store(true)
+	close(c.suspected)
+}
+
+func (c *Conn) endSuspicion() {
+	c.suspicionMu.Lock()
+	defer c.suspicionMu.Unlock()
 	if c.suspect.Load() {
 		c.suspect.Store(false)
+		c.suspected = make(chan struct{})
 	}
 }
 
--- a/wire/liveness.go
+++ b/wire/liveness.go
@@ -62,10 +62,7 @@
 	if err := c.Ping(ctx); err == nil || c.lastReceived.Load() != lastReceived {
 		return
 	}
-	if c.suspect.CompareAndSwap(false, true) {
-		c.suspectedAt.Store(int64(c.ep.now().Sub(c.opened)))
-	}
-	c.suspectedOnce.Do(func() { close(c.suspected) })
+	c.beginSuspicion()
 }
 
 // Ping sends a Ping to the peer's process and waits for the Pong.
