membership: an agent that begins to drain reports every 2 s at first

An entry that has just started knows nothing of the agent's draining. A relay that the agent has left, or whose last report of it was late, told the entry the earlier state, and the agent was schedulable there until its next report, up to 12 s later. It now reports at least every 2 s for as long as a relay may remember it.

--- a/membership/report_router.go
+++ b/membership/report_router.go
@@ -22,6 +22,7 @@
 	cfg               ReportRouterConfig
 	self              wire.RelayInfo
 	draining          bool
+	drainingSince     time.Time
 	inGang            bool
 	timestamp         gang.PlannerTimestamp
 	plannerAnsweredAt time.Time // when an entry with planner leadership last answered
@@ -81,7 +82,9 @@
 
 // SetState sets the agent's whole state.
 func (r *ReportRouter) SetState(now time.Time, state wire.AgentReport) {
-	r.draining = r.draining || state.Draining
+	if state.Draining && !r.draining {
+		r.draining, r.drainingSince = true, now
+	}
 	r.inGang = slices.ContainsFunc(state.Tasks, func(t gang.Task) bool {
 		return t.Members > 1 && t.State == gang.StateRunning
 	})
@@ -107,6 +110,9 @@
 	if r.inGang {
 		due = earlierOf(due, l.sentAt.Add(r.cfg.GangReportPeriod))
 	}
+	if r.draining && now.Sub(r.drainingSince) < relayMemberTimeout+MaxReportDelay {
+		due = earlierOf(due, l.sentAt.Add(drainingReportPeriod))
+	}
 	if r.hasMembers() {
 		due = earlierOf(due, l.sentAt.Add(RelayPeriod))
 		due = earlierOf(due, r.batchReportDue(addr, l, due))
@@ -156,6 +162,11 @@
 	return due
 }
 
+// drainingReportPeriod is the longest period of the reports of an agent that has just begun
+// to drain. A relay that it has left may tell its earlier state to an entry that has just
+// started, until it drops the agent.
+const drainingReportPeriod = 2 * time.Second
+
 func earlierOf(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
