processes: the soak has departures of workers again

What: workers leave in every soak, now that a departure notice is not taken for the end of a worker. The package's page says how to start a long run.

--- a/internal/processes/doc.go
+++ b/internal/processes/doc.go
@@ -4,4 +4,9 @@
 //
 // It covers what an in-process deployment can't: a process that is suspended as a whole, lost
 // datagrams after its receive buffer is full, and state that ends with the process.
+//
+// A long run, with its seed; the flags are in soak_test.go:
+//
+//	go test -run TestProcessSoak -timeout 1h ./internal/processes -args -processes-first 1 \
+//		-processes-gateways 11 -processes-agents 62 -processes-clients 40 -processes-for 2m
 package processes
--- a/internal/processes/faults_test.go
+++ b/internal/processes/faults_test.go
@@ -17,9 +17,6 @@
 	inject func(f *fleet, rng *rand.Rand) func()
 }
 
-// departures are the kinds of faults in which workers leave, which only runs that name them have.
-var departures = []string{"worker-leave", "worker-leave-at-once", "spot"}
-
 var faults = []fault{
 	{"planner-pause", 4, injectPlannerPause},
 	{"planner-stutter", 2, injectPlannerStutter},
--- a/internal/processes/node_test.go
+++ b/internal/processes/node_test.go
@@ -30,15 +30,6 @@
 
 	busy     atomic.Bool  // a departure is in progress
 	leavesAt atomic.Int64 // Unix milliseconds; 0 if it does not drain
-	mu       sync.Mutex
-	notices  []departureNotice
-}
-
-// departureNotice is a notice that a worker sent before its end.
-type departureNotice struct {
-	worker   string
-	sentAt   time.Time
-	endAfter time.Duration
 }
 
 func newNode(i int, addr string) *node {
@@ -109,9 +100,6 @@
 	if n.worker.EndedIncarnations() != incarnations {
 		return // it has crashed meanwhile
 	}
-	n.mu.Lock()
-	n.notices = append(n.notices, departureNotice{fmt.Sprint("incarnation ", incarnations), time.Now(), endAfter})
-	n.mu.Unlock()
 	n.worker.LeaveAndRestart(n.addr, endAfter)
 }
 
--- a/internal/processes/soak_test.go
+++ b/internal/processes/soak_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os/exec"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -21,7 +20,7 @@
 	soakClients  = flag.Int("processes-clients", 0, "number of clients; 0 for half of the agents")
 	soakBusy     = flag.Int("processes-busy", 0, "number of processes that only use up processors")
 	soakGap      = flag.Duration("processes-gap", 600*time.Millisecond, "mean time between faults")
-	soakFaults   = flag.String("processes-faults", "", "names of the kinds of faults, separated by commas; all for all, empty for all but departures of workers")
+	soakFaults   = flag.String("processes-faults", "", "names of the kinds of faults, separated by commas; empty for all")
 	soakKeep     = flag.String("processes-keep", "", "directory that the processes' logs are copied to")
 	soakThrottle = flag.Bool("processes-throttle", false, "let each process run for a share of each 100 ms only")
 	soakBinary   = flag.String("processes-binary", "", "binary of cmd/eelgrasshub; empty to build it, with link faults")
@@ -99,9 +98,6 @@
 // selectedFaults returns the kinds of faults that the flag names.
 func selectedFaults(t *testing.T) []fault {
 	if *soakFaults == "" {
-		return slices.DeleteFunc(slices.Clone(faults), func(k fault) bool { return slices.Contains(departures, k.name) })
-	}
-	if *soakFaults == "all" {
 		return faults
 	}
 	var out []fault
