--- a/nodeagent/unresponsive_test.go
+++ b/nodeagent/unresponsive_test.go
@@ -130,6 +130,8 @@
 	c.Check(inc.leaseEnd, qt.Equals, reported)
 	a.handleReply(a.pendingReports()[0], &link.ReportReply{Epoch: 1, Attached: true}, now())
 	a.preparePoll(inc, 0)
+	a.mu.Lock() // the reply has started a poll
+	defer a.mu.Unlock()
 	c.Check(inc.leaseEnd > reported, qt.IsTrue, qt.Commentf("granted again by the answer to a later report"))
 }
 
