--- a/nodeagent/incarnation.go
+++ b/nodeagent/incarnation.go
@@ -145,7 +145,9 @@
 		inc.ended[i].Void = inc.voidEnds[inc.ended[i].Sequence]
 	}
 	inc.unreportedPolls++
-	inc.resolveStops(sentAt)
+	if !status.EndsOmitted { // else a run that is not listed may have ended
+		inc.resolveStops(sentAt)
+	}
 	return true
 }
 
@@ -192,15 +194,9 @@
 	}
 }
 
-// maxListedEnds is the largest number of ends that a worker lists at a time.
-const maxListedEnds = 500
-
 // resolveStops finds stopped runs that are not listed by a poll sent after their stop was
-// confirmed. A run that is not listed may have ended if not all ends are.
+// confirmed.
 func (inc *incarnation) resolveStops(polledAt time.Duration) {
-	if len(inc.ended) >= maxListedEnds {
-		return
-	}
 	listed := engine.ListedRuns(inc.running, inc.ended)
 	for run, confirmedAt := range inc.confirmedStops {
 		if polledAt < confirmedAt {
--- a/nodeagent/incarnation_test.go
+++ b/nodeagent/incarnation_test.go
@@ -100,10 +100,10 @@
 	c := qt.New(t)
 	inc := newIncarnation(engine.WorkerInfo{ID: "w"})
 	inc.confirmedStops[run1] = time.Second
-	ended := make([]engine.RunEnd, maxListedEnds)
-	inc.applyStatus(WorkerStatus{Clock: 2 * time.Second, Ended: ended}, 2*time.Second, 2*time.Second, 0)
+	others := []engine.RunEnd{{Sequence: 1, Run: workload.RunID{Task: run1.Task, Number: 9}, Reason: engine.EndDone}}
+	inc.applyStatus(WorkerStatus{Clock: 2 * time.Second, Ended: others, EndsOmitted: true}, 2*time.Second, 2*time.Second, 0)
 	c.Check(inc.report(0, 0).ConfirmedAbsent, qt.HasLen, 0)
-	done := []engine.RunEnd{{Sequence: maxListedEnds + 1, Run: run1, Reason: engine.EndDone}}
+	done := []engine.RunEnd{{Sequence: 2, Run: run1, Reason: engine.EndDone}}
 	inc.applyStatus(WorkerStatus{Clock: 3 * time.Second, Ended: done}, 3*time.Second, 3*time.Second, 0)
 	c.Check(inc.report(0, 0).ConfirmedAbsent, qt.HasLen, 0)
 }
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -39,6 +39,8 @@
 type WorkerStatus struct {
 	Running []engine.RunStatus
 	Ended   []engine.RunEnd
+	// EndsOmitted means that there may be more ends than Ended lists.
+	EndsOmitted bool
 	// Clock is the worker's clock at some time during the call.
 	Clock time.Duration
 }
