--- a/engine/report_order.go
+++ b/engine/report_order.go
@@ -73,6 +73,7 @@
 		order = &reportOrder{}
 		e.reportOrders[r.Worker.Agent] = order
 	}
+	order.addProcess(r.Origin.Process)
 	ref.Standing = order.standing(r.Origin, e.epoch)
 	if ref.Standing == ReportCurrent {
 		order.advance(now, r.Origin)
@@ -83,12 +84,17 @@
 	return ref
 }
 
-// standing returns the standing of a report, whose process is answered from now on.
-func (o *reportOrder) standing(origin ReportOrigin, epoch uint64) ReportStanding {
-	if !slices.Contains(o.processes, origin.Process) {
-		o.processes = append(o.processes, origin.Process)
-		o.processes = o.processes[max(0, len(o.processes)-maxKnownProcesses):]
+// addProcess adds a process, which is answered now, if it is not known.
+func (o *reportOrder) addProcess(process uint64) {
+	if slices.Contains(o.processes, process) {
+		return
 	}
+	o.processes = append(o.processes, process)
+	o.processes = o.processes[max(0, len(o.processes)-maxKnownProcesses):]
+}
+
+// standing returns the standing of a report to the planner with the given epoch.
+func (o *reportOrder) standing(origin ReportOrigin, epoch uint64) ReportStanding {
 	switch {
 	case origin.Process == o.newest.Process && origin.Sequence <= o.newest.Sequence:
 		return ReportOutdated
