--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -53,7 +53,8 @@
 	Starts, StartsRefused, StartsCordoned, StartsUnknown, Stops, StopsUnknown  atomic.Int64
 	Looks, LooksFailed, LooksPassedOver, Reports, ReportsFailed, Announcements atomic.Int64
 	Paces, PacesUnknown, RegistryReads                                         atomic.Int64
-	// StartsOutdated counts starts that arrived after the lease by which they were decided.
+	// StartsOutdated counts starts that were refused because the lease by which they were decided was
+	// over, or was granted to an earlier process.
 	StartsOutdated atomic.Int64
 }
 
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -69,7 +69,8 @@
 	a.requestReport()
 }
 
-// pendingReports returns a report for each ended incarnation, and one for the current one.
+// pendingReports returns a report for each ended incarnation, and one for the current one, and limits
+// grants to what that states.
 func (a *Agent) pendingReports() []engine.Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
