--- a/wire/conn.go
+++ b/wire/conn.go
@@ -23,19 +23,20 @@
 	suspect      atomic.Bool  // changed with suspicionMu held
 	suspectedAt  atomic.Int64 // nanoseconds since opened
 	suspicionMu  sync.Mutex
-	suspected    chan struct{} // closed while suspect is set, and replaced when it ends
+	suspected    atomic.Pointer[chan struct{}] // closed while suspect is set, and replaced when it ends
 	draining     chan struct{}
 	drainingOnce sync.Once
 }
 
 func newConn(ep *Endpoint, quicConn *quic.Conn) *Conn {
-	return &Conn{
-		ep:        ep,
-		quicConn:  quicConn,
-		opened:    ep.now(),
-		suspected: make(chan struct{}),
-		draining:  make(chan struct{}),
+	c := &Conn{
+		ep:       ep,
+		quicConn: quicConn,
+		opened:   ep.now(),
+		draining: make(chan struct{}),
 	}
+	c.renewSuspected()
+	return c
 }
 
 // Peer returns the identity that the other end sent in Hello, or the zero value before
@@ -57,11 +58,7 @@
 // next, since a Ping is not answered: the path may have become unresponsive. Calls that
 // can be made elsewhere need not wait any longer. A suspicion that has ended, because the
 // peer was only busy, does not concern later calls.
-func (c *Conn) Suspected() <-chan struct{} {
-	c.suspicionMu.Lock()
-	defer c.suspicionMu.Unlock()
-	return c.suspected
-}
+func (c *Conn) Suspected() <-chan struct{} { return *c.suspected.Load() }
 
 // Draining returns a channel that is closed when either end starts to drain the
 // connection, which then accepts no new calls.
@@ -126,7 +123,7 @@
 	}
 	c.suspectedAt.Store(int64(c.ep.now().Sub(c.opened)))
 	c.suspect.Store(true)
-	close(c.suspected)
+	close(*c.suspected.Load())
 }
 
 func (c *Conn) endSuspicion() {
@@ -134,10 +131,15 @@
 	defer c.suspicionMu.Unlock()
 	if c.suspect.Load() {
 		c.suspect.Store(false)
-		c.suspected = make(chan struct{})
+		c.renewSuspected()
 	}
 }
 
+func (c *Conn) renewSuspected() {
+	suspected := make(chan struct{})
+	c.suspected.Store(&suspected)
+}
+
 // beginDrain rejects new calls and returns a channel that is closed when no call is
 // outstanding.
 func (c *Conn) beginDrain() <-chan struct{} {
