--- a/planner/coordinator.go
+++ b/planner/coordinator.go
@@ -14,13 +14,11 @@
 func (p *Planner) attachCoordinator(j *job, c *gang.Coordinator) {
 	j.coord, j.attachedAt = c, clock.Now()
 	for _, m := range c.Plan().Members {
-		w := p.workers[m.Agent]
-		if w == nil {
-			w = &worker{jobs: make(map[string]*job)}
+		w, known := p.workerOf(m.Agent)
+		if !known {
 			w.lastReport.Worker.ID = scheduler.WorkerID(m.Agent)
 			w.lastReport.ReceivedAt = clock.Now()
 			w.up = true
-			p.workers[m.Agent] = w
 		}
 		w.jobs[j.stored.ID] = j
 	}
--- a/planner/worker.go
+++ b/planner/worker.go
@@ -50,6 +50,16 @@
 	fencedAt, fenceFirstSentAt, fenceLastSentAt time.Time
 }
 
+// workerOf returns the worker of an agent, which it adds if it is not known.
+func (p *Planner) workerOf(agent string) (w *worker, known bool) {
+	w, known = p.workers[agent]
+	if !known {
+		w = &worker{jobs: make(map[string]*job)}
+		p.workers[agent] = w
+	}
+	return w, known
+}
+
 // HandleReport handles a report of an agent. It is safe for concurrent use.
 func (p *Planner) HandleReport(r AgentReport) {
 	p.post(func() { p.applyReport(r) })
@@ -64,11 +74,9 @@
 // applyDeparture records that an incarnation has ended, before or after its last
 // report arrives. It does not concern a later incarnation.
 func (p *Planner) applyDeparture(agent string, incarnation uint64) {
-	w := p.workers[agent]
-	if w == nil {
-		w = &worker{jobs: make(map[string]*job)}
+	w, known := p.workerOf(agent)
+	if !known {
 		w.lastReport.ReceivedAt = clock.Now()
-		p.workers[agent] = w
 	}
 	w.leftIncarnation = max(w.leftIncarnation, incarnation)
 	if w.lastReport.Incarnation <= incarnation {
@@ -82,12 +90,7 @@
 		p.endSuperseded("an agent reported a higher epoch", epoch)
 		return
 	}
-	w := p.workers[id]
-	known := w != nil
-	if !known {
-		w = &worker{jobs: make(map[string]*job)}
-		p.workers[id] = w
-	}
+	w, known := p.workerOf(id)
 	if w.hasReplaced(r.Incarnation) {
 		return
 	}
