--- a/engine/ending.go
+++ b/engine/ending.go
@@ -197,9 +197,9 @@
 
 // handleLostRun ends a placement whose run is certainly over though no end was reported.
 func (e *Engine) handleLostRun(now time.Duration, p *placement, cause Cause, detail string) {
-	e.actions = append(e.actions, Decision{
-		Job: p.unit.job.spec.ID, Kind: "lost", Detail: detail, Run: p.runID(), Worker: p.worker.info.ID, Report: e.handling,
-	})
+	lost := p.decision("lost", detail)
+	lost.Report = e.handling
+	e.actions = append(e.actions, lost)
 	p.unit.setCauseOnce(cause)
 	if p.checkpoint != "" {
 		p.unit.checkpoint = p.checkpoint
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -165,13 +165,17 @@
 
 // logDecision adds a log entry about a placement.
 func (e *Engine) logDecision(p *placement, kind, detail string) {
-	e.actions = append(e.actions, Decision{
+	e.actions = append(e.actions, p.decision(kind, detail))
+}
+
+func (p *placement) decision(kind, detail string) Decision {
+	return Decision{
 		Job:    p.unit.job.spec.ID,
 		Kind:   kind,
 		Detail: detail,
 		Run:    p.runID(),
 		Worker: p.worker.info.ID,
-	})
+	}
 }
 
 // logJobDecision adds a log entry about a job.
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -15,11 +15,11 @@
 // Report processes an agent's report and returns the answer, which may extend the worker's
 // lease. The caller must send it without delay. See ReportStanding for reports that change nothing.
 func (e *Engine) Report(now time.Duration, r Report) ReportAnswer {
-	ref := e.beginReport(now, &r)
-	defer e.endReport()
-	switch ref.Standing {
+	e.handling = e.orderReport(now, &r)
+	defer func() { e.handling = ReportRef{} }()
+	switch e.handling.Standing {
 	case ReportOutdated:
-		e.actions = append(e.actions, OutdatedReport{Agent: r.Worker.Agent, Worker: r.Worker.ID, Report: ref})
+		e.actions = append(e.actions, OutdatedReport{Agent: r.Worker.Agent, Worker: r.Worker.ID, Report: e.handling})
 		return ReportAnswer{Standing: ReportOutdated}
 	case ReportUnconfirmed:
 		return e.answerUnconfirmed(now, &r)
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -84,6 +84,15 @@
 	d.origins[agent] = &ReportOrigin{Process: d.processes}
 }
 
+// lateReportOfPrevious reports an incarnation that precedes that of workerReport(0), and returns its
+// next report without delivering it.
+func (d *driver) lateReportOfPrevious() Report {
+	previous := d.workerReport(0)
+	previous.Worker.ID = "w0-previous"
+	d.report(previous)
+	return d.number(previous)
+}
+
 func (d *driver) handle(ev Event) { d.e.Step(d.now, ev) }
 
 // settle applies all writes and orders, answering starts with StartOK, until there are no more. It
--- a/engine/report_order.go
+++ b/engine/report_order.go
@@ -55,14 +55,7 @@
 	minClockOffset time.Duration
 }
 
-// beginReport determines the standing of r, which is in progress until endReport.
-func (e *Engine) beginReport(now time.Duration, r *Report) ReportRef {
-	e.handling = e.orderReport(now, r)
-	return e.handling
-}
-
-func (e *Engine) endReport() { e.handling = ReportRef{} }
-
+// orderReport determines the standing of r among the reports of its agent.
 func (e *Engine) orderReport(now time.Duration, r *Report) ReportRef {
 	ref := ReportRef{Origin: r.Origin}
 	if r.Origin.Process == 0 {
--- a/engine/report_order_test.go
+++ b/engine/report_order_test.go
@@ -12,11 +12,8 @@
 func TestLateReportOfReplacedProcess(t *testing.T) {
 	c := qt.New(t)
 	d := newDriver(t, 0)
+	late := d.lateReportOfPrevious()
 	current := d.workerReport(0)
-	previous := current
-	previous.Worker.ID = "w0-previous"
-	d.report(previous)
-	late := d.number(previous)
 	d.restartAgent(current.Worker.Agent)
 	d.report(current)
 	d.settle()
