--- a/engine/durations.go
+++ b/engine/durations.go
@@ -4,12 +4,15 @@
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/runtimes"
+	"github.com/eelgrasshub/eelgrasshub/workerspeed"
 	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 // durationTracker learns how long runs and stops take.
 type durationTracker struct {
 	runTimes *runtimes.Model
+	// speeds holds how fast workers are; run times are those on an average worker.
+	speeds *workerspeed.Model
 	// stopTime is a moving average of the time that stopped tasks took to end.
 	stopTime time.Duration
 	// progressQueues holds the queues of which a run has reported progress.
@@ -25,7 +28,7 @@
 )
 
 func newDurationTracker(stop time.Duration) durationTracker {
-	return durationTracker{runTimes: runtimes.New(), stopTime: stop, progressQueues: map[string]bool{}}
+	return durationTracker{runTimes: runtimes.New(), speeds: workerspeed.New(), stopTime: stop, progressQueues: map[string]bool{}}
 }
 
 // observeStop records how long a stopped task took to end.
@@ -46,7 +49,7 @@
 	if u.checkpoint != "" && u.spec().Checkpoints && u.runNumber > 1 {
 		return
 	}
-	e.tracker.runTimes.Observe(u.job.spec.Queue, u.spec().Estimate, now-p.startedAt)
+	e.tracker.runTimes.Observe(u.job.spec.Queue, u.spec().Estimate, scale(now-p.startedAt, 1/e.slowdown(now, u)))
 }
 
 // estimate returns how long a run of u is expected to take.
@@ -87,7 +90,7 @@
 	if remaining, ok := p.rate.remaining(now); ok {
 		return max(remaining, minRemaining)
 	}
-	estimate := e.estimate(p.unit)
+	estimate := e.estimateAsPlaced(now, p.unit)
 	if p.state != placementRunning {
 		return estimate
 	}
--- a/engine/ending.go
+++ b/engine/ending.go
@@ -42,6 +42,7 @@
 	switch reason {
 	case EndDone:
 		p.worker.health.reset()
+		e.measureRun(now, p)
 		e.learnRunTime(now, p)
 		if u.spec().LongRunning {
 			e.scheduleRestart(now, p)
--- a/engine/fit.go
+++ b/engine/fit.go
@@ -157,6 +157,8 @@
 	worker   *worker
 	slots    int
 	leftover int
+	// speedRank orders workers by their speed; see round.speedRank.
+	speedRank int
 	// sameStepOnWorker and sameStepOnRack count tasks of the same step, for long-running steps.
 	sameStepOnWorker, sameStepOnRack int
 	// interference is the score of sharing the worker; see Engine.interferenceScore.
@@ -193,6 +195,7 @@
 		if u.spec().LongRunning {
 			o.sameStepOnWorker, o.sameStepOnRack = r.sameStepCounts(u, w)
 		}
+		o.speedRank = r.speedRank(u, w)
 		o.interference = r.e.interferenceScore(u, w)
 		o.crashRisk = r.crashRisk(u, w)
 		candidates = append(candidates, o)
@@ -208,6 +211,7 @@
 			cmp.Compare(a.sameStepOnWorker, b.sameStepOnWorker),
 			cmp.Compare(a.sameStepOnRack, b.sameStepOnRack),
 			cmp.Compare(a.interference, b.interference),
+			cmp.Compare(a.speedRank, b.speedRank),
 			cmp.Compare(b.slots, a.slots),
 			cmp.Compare(a.leftover, b.leftover),
 		)
--- a/engine/forecast.go
+++ b/engine/forecast.go
@@ -28,26 +28,45 @@
 	// set if it matches the current placements and claims.
 	freeCount      int
 	freeCountValid bool
+	// freeFastCount is freeCount without slow workers.
+	freeFastCount int
 }
 
 // freeAccelerators returns the number of accelerators that are neither held nor claimed.
 func (d *domain) freeAccelerators() int {
+	d.countFree()
+	return d.freeCount
+}
+
+// freeFastAccelerators is freeAccelerators without slow workers.
+func (d *domain) freeFastAccelerators() int {
+	d.countFree()
+	return d.freeFastCount
+}
+
+func (d *domain) countFree() {
 	if d.freeCountValid {
-		return d.freeCount
+		return
 	}
-	d.freeCount = 0
+	d.freeCount, d.freeFastCount = 0, 0
 	for _, w := range d.workers {
-		d.freeCount += max(0, w.free().Accelerators-w.round.claimed.Accelerators)
+		free := max(0, w.free().Accelerators-w.round.claimed.Accelerators)
+		d.freeCount += free
+		if !w.round.slow {
+			d.freeFastCount += free
+		}
 	}
 	d.freeCountValid = true
-	return d.freeCount
 }
 
-// totalAccelerators returns the number of accelerators of all workers in the domain.
-func (d *domain) totalAccelerators() int {
+// totalFastAccelerators returns the number of accelerators of all workers in the domain that are
+// not slow.
+func (d *domain) totalFastAccelerators() int {
 	sum := 0
 	for _, w := range d.workers {
-		sum += w.info.Capacity.Accelerators
+		if !w.round.slow {
+			sum += w.info.Capacity.Accelerators
+		}
 	}
 	return sum
 }
@@ -119,6 +138,7 @@
 
 // newFitForecast starts a forecast with the current free capacity.
 func newFitForecast(r *round, u *unit, set *domain) *fitForecast {
+	r.speedChoice(u) // may need a forecast of its own
 	f := &r.forecast
 	*f = fitForecast{unit: u, demand: u.demand(), workers: f.workers[:0], freeCapacity: f.freeCapacity[:0], fitting: f.fitting[:0]}
 	for _, w := range set.workers {
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -151,7 +151,7 @@
 func (e *Engine) reconcile(now time.Duration, w *worker, r Report) {
 	w.lastPolledAt = now
 	for _, run := range r.Running {
-		e.observeRun(now, w, run)
+		e.observeRun(now, w, run, r.Origin)
 	}
 	for _, end := range r.Ended {
 		if end.Sequence <= w.lastEnd {
@@ -172,7 +172,7 @@
 }
 
 // observeRun processes a run that the worker lists as running.
-func (e *Engine) observeRun(now time.Duration, w *worker, status RunStatus) {
+func (e *Engine) observeRun(now time.Duration, w *worker, status RunStatus, origin ReportOrigin) {
 	p := w.placements[status.Run.Task]
 	if p == nil || p.runNumber != status.Run.Number {
 		e.stopOrphan(now, w, status.Run)
@@ -191,6 +191,7 @@
 		}
 	}
 	p.rate.observe(now, status.Percent)
+	e.measureSpeed(now, p, status.Percent, origin)
 	p.load = status.Load
 	if status.Checkpoint != p.checkpoint {
 		p.checkpoint = status.Checkpoint
@@ -275,6 +276,7 @@
 
 func (e *Engine) removeWorker(w *worker) {
 	delete(e.workers, w.info.ID)
+	e.tracker.speeds.Forget(string(w.info.ID))
 	e.workersByID = nil
 	delete(e.unrecordedWorkers, w.info.ID)
 	e.dropSuperseded(w)
--- a/engine/headroom.go
+++ b/engine/headroom.go
@@ -85,9 +85,9 @@
 	}
 	var racks []rackCandidate
 	for _, rack := range r.rackNames {
-		free := r.racks[rack].freeAccelerators()
+		free := r.racks[rack].freeFastAccelerators()
 		if r.e.headroomRacks[rack] {
-			free += min(r.headroomTarget, r.racks[rack].totalAccelerators()) / 2
+			free += min(r.headroomTarget, r.racks[rack].totalFastAccelerators()) / 2
 		}
 		racks = append(racks, rackCandidate{rack, free})
 	}
@@ -99,17 +99,18 @@
 			break
 		}
 		picked[c.rack] = true
-		capacity += r.racks[c.rack].totalAccelerators()
+		capacity += r.racks[c.rack].totalFastAccelerators()
 	}
 	r.e.headroomRacks = picked
 	r.headroomTarget = min(r.headroomTarget, capacity)
 }
 
-// freeHeadroom returns the number of free and unclaimed accelerators of the headroom racks.
+// freeHeadroom returns the number of free and unclaimed accelerators of the headroom racks, apart
+// from slow workers, on which urgent jobs would be late.
 func (r *round) freeHeadroom() int {
 	sum := 0
 	for rack := range r.e.headroomRacks {
-		sum += r.racks[rack].freeAccelerators()
+		sum += r.racks[rack].freeFastAccelerators()
 	}
 	return sum
 }
@@ -118,7 +119,7 @@
 // that must stay free.
 func (r *round) limitToHeadroom(u *unit, w *worker, n int) int {
 	need := u.demand().Accelerators
-	if n <= 0 || need == 0 || !r.e.headroomRacks[w.info.Rack] || !r.deferrable(u) {
+	if n <= 0 || need == 0 || !r.e.headroomRacks[w.info.Rack] || w.round.slow || !r.deferrable(u) {
 		return n
 	}
 	return max(0, min(n, (r.freeHeadroom()-r.headroomTarget)/need))
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -77,6 +77,7 @@
 	e.actions = append(e.actions, JobFinished{Account: j.spec.Account, Queue: j.spec.Queue, State: state, Took: now - j.acceptedAt})
 	for _, u := range j.units {
 		e.dropClaims(u)
+		e.tracker.speeds.EndGroup(u.speedGroup())
 		switch state {
 		case workload.Cancelled:
 			e.stopUnit(now, u, CauseCancelled)
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -31,6 +31,7 @@
 	state     placementState
 	demand    workload.Resources
 	rate      progressRate
+	meter     speedMeter
 	load      int  // see RunStatus.Load
 	pace      pace // used for best-effort tasks
 	// checkpoint is the last checkpoint reported, checkpointAt when it was first reported.
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -26,6 +26,11 @@
 	candidates []candidate
 	// headroomTarget is the number of accelerators to keep free on the headroom racks.
 	headroomTarget int
+	// speeds holds the services whose workers differ in speed; nil if there are none.
+	speeds map[string]poolSpeeds
+	// choice is the speed choice of choiceUnit.
+	choiceUnit *unit
+	choice     speedChoice
 	// blockedSteps holds the steps that had a unit which did not fit in this round.
 	blockedSteps map[stepKey]bool
 }
@@ -36,6 +41,10 @@
 	claimed workload.Resources
 	// reserved is the capacity kept free for waiting units.
 	reserved []reservation
+	// factor is the run time on the worker relative to an average one.
+	factor float64
+	// slow is set if the worker is slow compared with the fastest one of its service.
+	slow bool
 	// index is the worker's position in the open fitForecast or victimSearch; -1 if it is in none.
 	index int
 }
@@ -69,7 +78,7 @@
 		blockedSteps: map[stepKey]bool{},
 	}
 	for _, w := range e.sortedWorkers() {
-		w.round = workerRoundState{index: -1}
+		w.round = workerRoundState{index: -1, factor: 1}
 		if !w.usable(now) {
 			continue
 		}
@@ -82,6 +91,7 @@
 		rack.workers = append(rack.workers, w)
 	}
 	r.rackNames = slices.Sorted(maps.Keys(r.racks))
+	r.loadSpeeds()
 	for _, j := range e.orderedJobs {
 		for _, u := range j.units {
 			r.refreshClaims(u)
@@ -159,7 +169,11 @@
 	for _, w := range workers {
 		oldestReport = max(oldestReport, r.now-w.lastReport)
 	}
-	return fmt.Sprintf("%d tasks, waited %d ms, oldest worker report %d ms ago", len(workers), (r.now - u.waitingSince).Milliseconds(), oldestReport.Milliseconds())
+	detail := fmt.Sprintf("%d tasks, waited %d ms, oldest worker report %d ms ago", len(workers), (r.now - u.waitingSince).Milliseconds(), oldestReport.Milliseconds())
+	if _, differ := r.speeds[u.job.spec.Service]; differ {
+		detail += ", " + r.speedDetail(u, workers)
+	}
+	return detail
 }
 
 func (r *round) releaseClaims(u *unit) {
@@ -177,7 +191,7 @@
 	if len(w.round.reserved) == 0 {
 		return free
 	}
-	end := r.now + r.e.estimate(u)
+	end := r.now + scale(r.e.estimate(u), w.round.factor)
 	for _, reservation := range w.round.reserved {
 		if end > reservation.from {
 			free = free.Sub(reservation.resources)
@@ -204,6 +218,9 @@
 	if _, ok := u.ticketFor(r.now+minTicketValidity, w.info.ID); !ok {
 		return false
 	}
+	if !r.fastEnough(u, w) {
+		return false
+	}
 	return w.health.failures == 0 || r.now >= u.avoidedWorkers[w.info.ID]
 }
 
--- a/engine/policy.go
+++ b/engine/policy.go
@@ -34,6 +34,9 @@
 	// LearnedRunTimes estimates run times from the declared ones and from past runs of the same
 	// queue (see package runtimes); without it, the declared run times are used.
 	LearnedRunTimes bool `toml:"learned_run_times" default:"true"`
+	// WorkerSpeeds learns which workers are slow (see package workerspeed) and chooses workers by
+	// that; without it, all workers count as equally fast.
+	WorkerSpeeds bool `toml:"worker_speeds" default:"true"`
 	// WorkerHealth keeps new work away from workers on which starts keep failing.
 	WorkerHealth bool `toml:"worker_health" default:"true"`
 	// AvoidFailedWorkers keeps a unit away for a while from a worker where it failed, so that one bad
@@ -63,6 +66,7 @@
 		Reservations:       4,
 		RackPreference:     true,
 		LearnedRunTimes:    true,
+		WorkerSpeeds:       true,
 		WorkerHealth:       true,
 		AvoidFailedWorkers: true,
 		MoveStuckTasks:     true,
--- /dev/null
+++ b/engine/speed_choice.go
@@ -0,0 +1,164 @@
+package engine
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// slowRatio is how many times longer than on the fastest worker a run has to take for a worker to
+// count as slow. Smaller differences are within the error of expected run times.
+const slowRatio = 1.5
+
+// speedClassWidth is the width of a speed class as a logarithm. Workers of one class are chosen by
+// the criteria that apply to equal workers.
+const speedClassWidth = 0.25
+
+// poolSpeeds is the range of the factors of a service's usable workers in a round.
+type poolSpeeds struct {
+	fastest, slowest float64
+}
+
+// speedChoice restricts the workers of a unit by their speed.
+type speedChoice struct {
+	// limit is the largest factor that is allowed; +Inf if the unit may run on any worker.
+	limit float64
+	// order is 1 if faster workers are preferred, -1 if slower ones are, 0 if speed does not matter.
+	order int
+}
+
+// anySpeed is the choice of a unit whose service has equal workers.
+var anySpeed = speedChoice{limit: math.Inf(1)}
+
+// loadSpeeds determines the factors of the usable workers of services whose workers differ.
+func (r *round) loadSpeeds() {
+	for _, w := range r.usable.workers {
+		w.round.factor = r.e.workerFactor(r.now, w)
+		service := w.info.Service
+		if !r.e.params.Policy.WorkerSpeeds || !r.e.tracker.speeds.Differ(service) {
+			continue
+		}
+		if r.speeds == nil {
+			r.speeds = map[string]poolSpeeds{}
+		}
+		s, known := r.speeds[service]
+		if !known {
+			s = poolSpeeds{w.round.factor, w.round.factor}
+		}
+		r.speeds[service] = poolSpeeds{min(s.fastest, w.round.factor), max(s.slowest, w.round.factor)}
+	}
+	for _, w := range r.usable.workers {
+		s, differ := r.speeds[w.info.Service]
+		w.round.slow = differ && w.round.factor >= slowRatio*s.fastest
+	}
+}
+
+// fastEnough reports whether w is within the limit of u's speed choice.
+func (r *round) fastEnough(u *unit, w *worker) bool {
+	return w.round.factor <= r.speedChoice(u).limit
+}
+
+// speedChoice returns the speed choice of u in this round.
+func (r *round) speedChoice(u *unit) speedChoice {
+	if len(r.speeds) == 0 {
+		return anySpeed
+	}
+	if r.choiceUnit != u {
+		r.choiceUnit, r.choice = u, anySpeed // in effect while the choice is made
+		r.choice = r.findSpeedChoice(u)
+	}
+	return r.choice
+}
+
+// findSpeedChoice restricts u to workers on which its job can meet its objective, as long as there
+// are any. If the objective will be missed, u is restricted to workers that are not slow if waiting
+// for them takes less time than running on a slow one. Work that is in time on every worker takes
+// slow workers first, so that fast ones stay free for work that needs them.
+func (r *round) findSpeedChoice(u *unit) speedChoice {
+	speeds, differ := r.speeds[u.job.spec.Service]
+	if !differ || u.spec().LongRunning || u.spec().BestEffortCPU || speeds.slowest < slowRatio*speeds.fastest {
+		return anySpeed
+	}
+	limit := r.slowestInTime(u)
+	switch {
+	case limit >= speeds.slowest && u.job.spec.QueuePolicy.Priority > 0:
+		return speedChoice{limit: math.Inf(1), order: -1}
+	case limit >= speeds.slowest:
+		return speedChoice{limit: math.Inf(1), order: 1}
+	case limit < speeds.fastest:
+		return r.choiceIfLate(u, speeds)
+	}
+	return r.limitIfItFits(u, limit)
+}
+
+// slowestInTime returns the factor of the slowest workers on which u's job would meet its objective
+// if u started now and its later steps ran on average workers.
+func (r *round) slowestInTime(u *unit) float64 {
+	own := r.e.estimate(u)
+	if own <= 0 {
+		return math.Inf(1)
+	}
+	later := r.e.criticalPathFrom(u) - own
+	return float64(r.e.objective(u.job)-r.now-later) / float64(own)
+}
+
+// choiceIfLate returns the choice for a unit that is late on any worker: whichever ends first, the
+// wait for workers that are not slow or a run on slow ones.
+func (r *round) choiceIfLate(u *unit, speeds poolSpeeds) speedChoice {
+	choice := r.limitIfItFits(u, slowRatio*speeds.fastest)
+	if math.IsInf(choice.limit, 1) {
+		return choice
+	}
+	saved := scale(r.e.estimate(u), speeds.slowest-speeds.fastest)
+	r.choice = choice
+	if r.fitsWithin(u, saved) {
+		return choice
+	}
+	return speedChoice{limit: math.Inf(1), order: 1}
+}
+
+// fitsWithin reports whether u is expected to fit on its preferred workers within a delay.
+func (r *round) fitsWithin(u *unit, delay time.Duration) bool {
+	for _, set := range r.findPreferredDomains(u).domains {
+		if at, _ := r.forecastFit(u, set, delay); at <= delay {
+			return true
+		}
+	}
+	return false
+}
+
+// limitIfItFits restricts u to a factor, unless its preferred workers then could not hold it even
+// with nothing else running there.
+func (r *round) limitIfItFits(u *unit, limit float64) speedChoice {
+	r.choice = anySpeed
+	preferred := r.findPreferredDomains(u)
+	r.choice = speedChoice{limit: limit, order: 1}
+	for _, set := range preferred.domains {
+		if r.fitsWhenEmpty(u, set) {
+			return r.choice
+		}
+	}
+	return speedChoice{limit: math.Inf(1), order: 1}
+}
+
+// speedRank orders candidate workers for u by speed class, those to be preferred first.
+func (r *round) speedRank(u *unit, w *worker) int {
+	order := r.speedChoice(u).order
+	if order == 0 {
+		return 0
+	}
+	return order * int(math.Round(math.Log(w.round.factor)/speedClassWidth))
+}
+
+// speedDetail describes for the log the speed of the chosen workers and the limit that applied.
+func (r *round) speedDetail(u *unit, workers []*worker) string {
+	fastest, slowest := math.Inf(1), 0.0
+	for _, w := range workers {
+		fastest, slowest = min(fastest, w.round.factor), max(slowest, w.round.factor)
+	}
+	limit := "any speed"
+	if choice := r.speedChoice(u); !math.IsInf(choice.limit, 1) {
+		limit = fmt.Sprintf("in time up to factor %.2f", choice.limit)
+	}
+	return fmt.Sprintf("run time factors %.2f to %.2f, %s", fastest, slowest, limit)
+}
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -82,7 +82,7 @@
 	if e.tracker.progressQueues[p.unit.job.spec.Queue] {
 		minTime = minStuckTime
 	}
-	limit := max(time.Duration(stuckEstimateShare*float64(e.estimate(p.unit))), minTime)
+	limit := max(time.Duration(stuckEstimateShare*float64(e.estimateAsPlaced(now, p.unit))), minTime)
 	return now-p.progressedAt > limit<<p.unit.stallCount
 }
 
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -40,9 +40,11 @@
 	state      unitState
 	outcome    runOutcome
 	runNumber  int // the highest number used
-	failures   int
-	failedRun  int // the last run that was counted in failures
-	checkpoint string
+	// measuredRun is the last run whose length was used to learn the speed of its workers.
+	measuredRun int
+	failures    int
+	failedRun   int // the last run that was counted in failures
+	checkpoint  string
 	// checkpointAt is when checkpoint was first reported, for a run that still continues.
 	checkpointAt time.Duration
 	placements   []*placement
--- a/engine/victims.go
+++ b/engine/victims.go
@@ -40,6 +40,7 @@
 
 // newVictimSearch starts a search on the workers of set where u may run.
 func (r *round) newVictimSearch(u *unit, set *domain) *victimSearch {
+	r.speedChoice(u) // may need a forecast, which uses worker.round.index too
 	search := &victimSearch{round: r, unit: u, costs: map[*unit]float64{}, chosen: map[*unit]bool{}}
 	for _, w := range set.workers {
 		if r.eligible(u, w) && !w.health.paused(r.now) && r.admits(u, w) {
