--- a/engine/fit.go
+++ b/engine/fit.go
@@ -138,15 +138,20 @@
 	return true
 }
 
-// chooseWorkers returns workers in one of the domains: the one with the fewest accelerators left
-// over, to keep space for large gangs elsewhere. It returns nil if u fits in none.
+// chooseWorkers returns workers in one of the domains: the one where u runs fastest if it prefers
+// fast workers, else the one with the fewest accelerators left over, to keep space for large gangs
+// elsewhere. It returns nil if u fits in none.
 func (r *round) chooseWorkers(u *unit, d domainSet) []*worker {
 	var best []*worker
-	leastLeftover := 0
+	leastLeftover, lowestRank := 0, 0
 	for _, set := range d.domains {
 		workers, leftover := r.pack(u, set)
-		if workers != nil && (best == nil || leftover < leastLeftover) {
-			best, leastLeftover = workers, leftover
+		if workers == nil {
+			continue
+		}
+		rank := r.gangRank(u, workers)
+		if best == nil || cmp.Or(cmp.Compare(rank, lowestRank), cmp.Compare(leftover, leastLeftover)) < 0 {
+			best, leastLeftover, lowestRank = workers, leftover, rank
 		}
 	}
 	return best
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -34,6 +34,7 @@
 		e.planNeeded = true
 	}
 	w.lastReport = now
+	e.restoreSpeed(now, w, r.Speed)
 	e.updateDrain(now, w, r)
 	first := !w.attached
 	if !attached || first && !r.Polled {
@@ -53,7 +54,7 @@
 		e.dropUnconfirmedAdopted(now, w)
 		e.planNeeded = true
 	}
-	return ReportAnswer{Attached: granted, Generation: w.generation, AckedEnds: w.advanceAckedEnds(), EndsPending: len(w.pendingEnds) > 0, PollOften: w.needsFrequentPolls()}
+	return ReportAnswer{Attached: granted, Generation: w.generation, AckedEnds: w.advanceAckedEnds(), EndsPending: len(w.pendingEnds) > 0, PollOften: w.needsFrequentPolls(), Speed: e.speedRecord(now, w)}
 }
 
 // AckedEnds returns the highest sequence number of ends that the worker may forget, and whether
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -41,8 +41,9 @@
 	claimed workload.Resources
 	// reserved is the capacity kept free for waiting units.
 	reserved []reservation
-	// factor is the run time on the worker relative to an average one.
-	factor float64
+	// factor is the run time on the worker relative to an average one, factorError the standard
+	// deviation of its logarithm.
+	factor, factorError float64
 	// slow is set if the worker is slow compared with the fastest one of its service.
 	slow bool
 	// index is the worker's position in the open fitForecast or victimSearch; -1 if it is in none.
--- a/engine/speed_choice.go
+++ b/engine/speed_choice.go
@@ -14,7 +14,11 @@
 // the criteria that apply to equal workers.
 const speedClassWidth = 0.25
 
-// poolSpeeds is the range of the factors of a service's usable workers in a round.
+// upperFactor returns the factor by which a run on the worker is longer if the estimate is too low
+// by one standard deviation.
+func (w *workerRoundState) upperFactor() float64 { return w.factor * math.Exp(w.factorError) }
+
+// poolSpeeds is the range of the upper factors of a service's usable workers in a round.
 type poolSpeeds struct {
 	fastest, slowest float64
 }
@@ -33,7 +37,7 @@
 // loadSpeeds determines the factors of the usable workers of services whose workers differ.
 func (r *round) loadSpeeds() {
 	for _, w := range r.usable.workers {
-		w.round.factor = r.e.workerFactor(r.now, w)
+		w.round.factor, w.round.factorError = r.e.workerSpeed(r.now, w)
 		service := w.info.Service
 		if !r.e.params.Policy.WorkerSpeeds || !r.e.tracker.speeds.Differ(service) {
 			continue
@@ -43,19 +47,20 @@
 		}
 		s, known := r.speeds[service]
 		if !known {
-			s = poolSpeeds{w.round.factor, w.round.factor}
+			s = poolSpeeds{w.round.upperFactor(), w.round.upperFactor()}
 		}
-		r.speeds[service] = poolSpeeds{min(s.fastest, w.round.factor), max(s.slowest, w.round.factor)}
+		r.speeds[service] = poolSpeeds{min(s.fastest, w.round.upperFactor()), max(s.slowest, w.round.upperFactor())}
 	}
 	for _, w := range r.usable.workers {
 		s, differ := r.speeds[w.info.Service]
-		w.round.slow = differ && w.round.factor >= slowRatio*s.fastest
+		w.round.slow = differ && w.round.upperFactor() >= slowRatio*s.fastest
 	}
 }
 
-// fastEnough reports whether w is within the limit of u's speed choice.
+// fastEnough reports whether w is within the limit of u's speed choice, also if its factor is
+// underestimated by its error.
 func (r *round) fastEnough(u *unit, w *worker) bool {
-	return w.round.factor <= r.speedChoice(u).limit
+	return w.round.upperFactor() <= r.speedChoice(u).limit
 }
 
 // speedChoice returns the speed choice of u in this round.
@@ -147,7 +152,24 @@
 	if order == 0 {
 		return 0
 	}
-	return order * int(math.Round(math.Log(w.round.factor)/speedClassWidth))
+	if order > 0 {
+		// A worker known to be fast goes before an unknown one.
+		return int(math.Round(math.Log(w.round.upperFactor()) / speedClassWidth))
+	}
+	return -int(math.Round(math.Log(w.round.factor) / speedClassWidth))
+}
+
+// gangRank returns the speed rank of the slowest of the workers, which determines the run time, if
+// u prefers fast workers; else 0.
+func (r *round) gangRank(u *unit, workers []*worker) int {
+	if r.speedChoice(u).order <= 0 {
+		return 0
+	}
+	rank := math.MinInt
+	for _, w := range workers {
+		rank = max(rank, r.speedRank(u, w))
+	}
+	return rank
 }
 
 // speedDetail describes for the log the speed of the chosen workers and the limit that applied.
--- a/engine/speed_meter.go
+++ b/engine/speed_meter.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workerspeed"
@@ -12,6 +13,11 @@
 	// process is the process of the agent whose clock is used.
 	process uint64
 	started bool
+	// skipsRestore is set for a run that may be restored from a checkpoint first.
+	skipsRestore bool
+	// moved is set once the percentage has changed. A run that resumes from a checkpoint reports
+	// the same one until it is restored.
+	moved   bool
 	percent int           // at the start of the window
 	at      time.Duration // start of the window
 	// perPercent is the time for one percent in the previous window; 0 before the first.
@@ -32,9 +38,16 @@
 // the first window.
 func (m *speedMeter) observe(at time.Duration, process uint64, percent int) (perPercent time.Duration, ratio float64) {
 	if !m.started || process != m.process || percent < m.percent || at < m.at {
-		*m = speedMeter{process: process, started: true, percent: percent, at: at}
+		*m = speedMeter{skipsRestore: m.skipsRestore, process: process, started: true, percent: percent, at: at}
 		return 0, 0
 	}
+	if !m.moved {
+		m.moved = percent > m.percent
+		if m.skipsRestore {
+			m.percent, m.at = percent, at
+			return 0, 0
+		}
+	}
 	gained, elapsed := percent-m.percent, at-m.at
 	if percent >= 100 || elapsed <= 0 {
 		return 0, 0
@@ -72,6 +85,7 @@
 	if origin.Process != 0 {
 		at = origin.BuiltAt
 	}
+	p.meter.skipsRestore = p.resumed || p.adopted
 	perPercent, ratio := p.meter.observe(at, origin.Process, percent)
 	if ratio > 0 && p.unit.onOneWorker() {
 		e.tracker.speeds.Changed(now, p.worker.info.Service, string(p.worker.info.ID), ratio)
@@ -84,7 +98,7 @@
 // measureRun learns from the length of a completed run how fast its worker is, unless its progress
 // has shown that already.
 func (e *Engine) measureRun(now time.Duration, p *placement) {
-	if e.params.Policy.WorkerSpeeds && p.unit.showsSpeed() && p.unit.state != unitDone {
+	if e.params.Policy.WorkerSpeeds && p.unit.showsSpeed() && p.unit.ranFromTheBeginning() && p.unit.state != unitDone {
 		e.observeSpeed(now, p.unit, now-p.startedAt)
 	}
 }
@@ -116,9 +130,14 @@
 	return workerspeed.GroupID{Job: string(u.job.spec.ID), Occurrence: u.occurrence, Step: u.step}
 }
 
-// showsSpeed reports whether the length of the unit's current run depends on nothing but its work
-// and its workers: all members run, near their data and on one rack if they need that, from the
-// beginning, and were started by this planner.
+// ranFromTheBeginning reports whether the unit's current run was started by this planner and not
+// from a checkpoint, so that its length is known and is that of all of its work.
+func (u *unit) ranFromTheBeginning() bool {
+	return !slices.ContainsFunc(u.placements, func(p *placement) bool { return p.adopted || p.resumed })
+}
+
+// showsSpeed reports whether the progress of the unit's current run depends on nothing but its work
+// and its workers: all members run, near their data and on one rack if they need that.
 func (u *unit) showsSpeed() bool {
 	s := u.spec()
 	if s.LongRunning || s.BestEffortCPU || len(u.placements) != u.size {
@@ -126,7 +145,7 @@
 	}
 	rack := u.placements[0].worker.info.Rack
 	for _, p := range u.placements {
-		if p.adopted || p.resumed || p.state != placementRunning {
+		if p.state != placementRunning {
 			return false
 		}
 		if s.PreferredRack != "" && p.worker.info.Rack != s.PreferredRack || s.Gang && s.SameRack && p.worker.info.Rack != rack {
@@ -146,12 +165,17 @@
 	return true
 }
 
-// workerFactor returns the run time on w relative to an average worker.
-func (e *Engine) workerFactor(now time.Duration, w *worker) float64 {
+// workerSpeed returns the run time on w relative to an average worker, and the standard deviation
+// of its logarithm.
+func (e *Engine) workerSpeed(now time.Duration, w *worker) (factor, logError float64) {
 	if !e.params.Policy.WorkerSpeeds || !e.tracker.speeds.Differ(w.info.Service) {
-		return 1
+		return 1, 0
+	}
+	estimate := e.tracker.speeds.Estimate(now, string(w.info.ID))
+	if estimate.Error == 0 {
+		return 1, e.tracker.speeds.Spread(w.info.Service)
 	}
-	return e.tracker.speeds.Estimate(now, string(w.info.ID)).Factor
+	return estimate.Factor, estimate.Error
 }
 
 // slowdown returns the run time of u where it is placed, relative to average workers. The slowest
@@ -159,7 +183,8 @@
 func (e *Engine) slowdown(now time.Duration, u *unit) float64 {
 	slowest := 0.0
 	for _, p := range u.placements {
-		slowest = max(slowest, e.workerFactor(now, p.worker))
+		factor, _ := e.workerSpeed(now, p.worker)
+		slowest = max(slowest, factor)
 	}
 	if slowest == 0 {
 		return 1
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -77,6 +77,8 @@
 	lastEnd     int64 // the highest sequence number processed
 	health      workerHealth
 	paceControl paceControl
+	// sentSpeed is the last SpeedRecord sent to the agent.
+	sentSpeed SpeedRecord
 	// round is the state of the current planning round for this worker.
 	round workerRoundState
 }
--- a/workerspeed/group.go
+++ b/workerspeed/group.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// on returns the mean of the logarithms of the group's run times on w, and their number.
+func (g *group) on(w *worker) (mean, runs float64) {
+	for i := range g.workers {
+		if g.workers[i].worker == w {
+			return g.workers[i].sum / g.workers[i].runs, g.workers[i].runs
+		}
+	}
+	return 0, 0
+}
+
 func (g *group) addGang(base float64) {
 	g.gangs++
 	g.gangSum += base
--- a/workerspeed/model.go
+++ b/workerspeed/model.go
@@ -30,8 +30,9 @@
 
 // Estimate is what is known of a worker.
 type Estimate struct {
-	// Factor is the run time on this worker relative to an average worker of its pool. It is 1
-	// unless the worker is certainly slower or faster.
+	// Factor is the expected run time on this worker relative to an average worker of its pool,
+	// shrunk towards 1 while there is little evidence. It is 1 if the difference is small or the
+	// workers of the pool don't differ.
 	Factor float64
 	// Error is the standard deviation of the logarithm of the estimated factor, 0 without
 	// evidence.
@@ -51,15 +52,17 @@
 	// outlierSigmas bounds the influence of a run that takes several times as long as others by
 	// its own nature.
 	outlierSigmas = 2.0
-	// distinctSigmas is how many standard deviations a worker has to be off the average before its
-	// factor is used.
-	distinctSigmas = 2.0
 	// minDistinctLog is the smallest difference from the average that is used, as a logarithm. The
 	// measurement of short runs is not better than that.
 	minDistinctLog = 0.12
 	// changeLog is the change of a run's own progress rate, as a logarithm, from which its worker
 	// has changed speed: half as fast or twice as fast.
 	changeLog = math.Ln2
+	// minShare is the smallest share in a gang's slowest effect by which its run counts for a
+	// worker.
+	minShare = 0.02
+	// maxPrecision bounds plausible evidence.
+	maxPrecision = 1e5
 	// maxEffect bounds the logarithm of a factor.
 	maxEffect = 3.0
 )
@@ -73,6 +76,7 @@
 	noise   noiseStats
 	version int
 	ignored int
+	members []member // scratch of observeGang
 }
 
 // New returns a Model without observations.
@@ -117,11 +121,15 @@
 func (m *Model) observeTask(now time.Duration, p *pool, g *group, q *queueStats, o *Observation, took float64) {
 	w := m.worker(p, o.Workers[0])
 	w.decay(now)
+	if mean, runs := g.on(w); runs > 0 {
+		m.noise.addReplicate(took-mean, runs)
+	}
 	base, variance, known := m.base(g, q, o.Declared, w)
 	if known {
 		effect, spread := w.effect(p.variance), m.noise.variance()+variance
-		residual := clip(took-base, effect, outlierSigmas*math.Sqrt(spread+w.variance(p.variance)))
-		m.noise.add(residual-effect, variance+w.variance(p.variance))
+		uncertainty := w.variance(p.variance)
+		residual := clip(took-base, effect, outlierSigmas*math.Sqrt(spread+uncertainty))
+		m.noise.addResidual(residual-effect, variance+uncertainty)
 		w.add(residual, 1/spread, 1)
 	}
 	w.runs++
@@ -129,44 +137,37 @@
 	g.add(w, took)
 }
 
-// observeGang records a run whose time is determined by its slowest worker. A worker whose
-// estimate is slower than the run is certainly at least as fast as the run; among the others the
-// run counts by the probability that each was the slowest.
+// observeGang records a run whose time is determined by its slowest worker. The effect of the
+// slowest is approximated by a smooth maximum, and the run counts for each worker by its share in
+// that, as in an extended Kalman filter.
 func (m *Model) observeGang(now time.Duration, p *pool, g *group, q *queueStats, o *Observation, took float64) {
 	base, variance, known := m.base(g, q, o.Declared, nil)
-	spread := m.noise.variance() + variance
-	slowest, total := math.Inf(-1), 0.0
+	members := m.members[:0]
 	for _, id := range o.Workers {
 		w := m.worker(p, id)
 		w.decay(now)
 		w.runs++
-		effect := w.effect(p.variance)
-		slowest = max(slowest, effect)
-		w.likelihood = 0
-		if known && effect <= took-base {
-			distance, v := took-base-effect, spread+w.variance(p.variance)
-			w.likelihood = math.Exp(-distance * distance / (2 * v))
-			total += w.likelihood
-		}
+		members = append(members, member{worker: w, effect: w.effect(p.variance), variance: w.variance(p.variance)})
 	}
+	m.members = members
+	slowest := smoothMaximum(members)
 	q.observe(g, o.Declared, took-slowest)
 	g.addGang(took - slowest)
 	if !known {
 		return
 	}
-	share := 1 / float64(len(o.Workers))
-	for _, id := range o.Workers {
-		w := m.workers[id]
-		effect := w.effect(p.variance)
-		residual := clip(took-base, effect, outlierSigmas*math.Sqrt(spread+w.variance(p.variance)))
-		weight := 1.0
-		if residual >= effect {
-			weight = share
-			if total > 0 {
-				weight = w.likelihood / total
-			}
+	noise := m.noise.variance() + variance
+	total := noise
+	for _, s := range members {
+		total += s.share * s.share * s.variance
+	}
+	innovation := clip(took-base-slowest, 0, outlierSigmas*math.Sqrt(total))
+	for _, s := range members {
+		if s.share < minShare {
+			continue
 		}
-		w.add(residual, weight/spread, share)
+		others := total - s.share*s.share*s.variance
+		s.worker.add(s.effect+innovation/s.share, s.share*s.share/others, 1/float64(len(members)))
 	}
 }
 
@@ -189,6 +190,39 @@
 	p.observed(now, m)
 }
 
+// Evidence is what a Model knows of a worker, in a form that can be kept elsewhere and restored.
+type Evidence struct {
+	// Effect is the logarithm of the worker's factor, Precision the inverse of its variance.
+	Effect, Precision float64
+}
+
+// Evidence returns what has been observed of a worker. It returns false if that is nothing.
+func (m *Model) Evidence(now time.Duration, name string) (Evidence, bool) {
+	w := m.workers[name]
+	if w == nil || w.precision <= 0 {
+		return Evidence{}, false
+	}
+	w.decay(now)
+	return Evidence{Effect: w.raw(), Precision: w.precision}, true
+}
+
+// Restore records evidence from an earlier Model. It has no effect if the worker has been observed
+// already or the evidence is invalid.
+func (m *Model) Restore(now time.Duration, poolName, name string, e Evidence) {
+	if !(math.Abs(e.Effect) <= maxEffect) || !(e.Precision > 0 && e.Precision <= maxPrecision) {
+		m.ignored++
+		return
+	}
+	p := m.pool(poolName)
+	w := m.worker(p, name)
+	if w.precision > 0 {
+		return
+	}
+	w.decay(now)
+	w.add(e.Effect, e.Precision, 1)
+	p.observed(now, m)
+}
+
 // Forget drops a worker whose incarnation is over.
 func (m *Model) Forget(name string) {
 	w := m.workers[name]
@@ -209,6 +243,16 @@
 	return p != nil && p.differ
 }
 
+// Spread returns the standard deviation of the logarithm of the factors of a pool. It is the error
+// of the factor of a worker without evidence.
+func (m *Model) Spread(poolName string) float64 {
+	p := m.pools[poolName]
+	if p == nil || !p.differ {
+		return 0
+	}
+	return math.Sqrt(p.variance)
+}
+
 // Estimate returns what is known of a worker.
 func (m *Model) Estimate(now time.Duration, name string) Estimate {
 	w := m.workers[name]
@@ -225,7 +269,7 @@
 		return e
 	}
 	offset := w.effect(w.pool.variance) - w.pool.mean
-	if math.Abs(offset) >= max(minDistinctLog, distinctSigmas*math.Sqrt(variance)) {
+	if math.Abs(offset) >= minDistinctLog {
 		e.Factor = math.Exp(min(max(offset, -maxEffect), maxEffect))
 	}
 	return e
--- a/workerspeed/pool.go
+++ b/workerspeed/pool.go
@@ -8,7 +8,7 @@
 
 const (
 	// initialBetween is the variance between workers that is assumed until it can be estimated.
-	initialBetween = 0.16
+	initialBetween = 0.04
 	// minBetween keeps effects defined where workers are equal.
 	minBetween = 0.0025
 	// differSigmas and sameSigmas are the standard deviations by which Cochran's Q must exceed its
--- a/workerspeed/stats.go
+++ b/workerspeed/stats.go
@@ -57,19 +57,42 @@
 }
 
 // noiseStats is the variance of runs of one group on one worker.
+//
+// It is estimated from runs of the same group on the same worker, which differ by nothing else.
+// Residuals are used only while there are few of those, since they contain what is not yet known
+// of the workers.
 type noiseStats struct {
 	count, mean float64
+	replicates  float64
 }
 
+// minReplicates is the number of replicates from which residuals are no longer used.
+const minReplicates = 8
+
 func newNoiseStats() noiseStats {
 	return noiseStats{count: noisePriorCount, mean: noisePriorVariance}
 }
 
-// add records the deviation of a run from its expectation. explained is the part of its variance
-// that comes from the uncertainty of the expectation.
-func (n *noiseStats) add(deviation, explained float64) {
+// addReplicate records the deviation of a run from the mean of earlier runs of the same group on
+// the same worker.
+func (n *noiseStats) addReplicate(deviation, earlier float64) {
+	n.replicates++
+	n.add(deviation * deviation * earlier / (earlier + 1))
+}
+
+// addResidual records the deviation of a run from its expectation. explained is the part of its
+// variance that comes from the uncertainty of the expectation.
+func (n *noiseStats) addResidual(deviation, explained float64) {
+	if n.replicates < minReplicates {
+		n.add(max(0, deviation*deviation-explained))
+	}
+}
+
+// add records a sample of the variance, bounded against outliers.
+func (n *noiseStats) add(sample float64) {
 	n.count++
-	n.mean += max(minStatsWeight, 1/n.count) * (max(0, deviation*deviation-explained) - n.mean)
+	sample = min(sample, outlierSigmas*outlierSigmas*n.variance())
+	n.mean += max(minStatsWeight, 1/n.count) * (sample - n.mean)
 }
 
 func (n *noiseStats) variance() float64 { return max(n.mean, minNoiseVariance) }
--- a/workerspeed/worker.go
+++ b/workerspeed/worker.go
@@ -18,7 +18,6 @@
 	runs        int
 	turned      bool
 	updatedAt   time.Duration
-	likelihood  float64 // scratch of observeGang
 }
 
 // decay reduces the weight of the evidence by the time since the last call.
