--- a/workerspeed/group.go
+++ b/workerspeed/group.go
@@ -61,9 +61,8 @@
 		if o.worker == w {
 			continue
 		}
-		between := o.worker.pool.variance
-		p := 1 / (noise/o.runs + o.worker.variance(between))
-		sum += p * (o.sum/o.runs - o.worker.effect(between))
+		p := 1 / (noise/o.runs + o.worker.variance())
+		sum += p * (o.sum/o.runs - o.worker.effect())
 		precision += p
 	}
 	if g.gangs > 0 {
--- a/workerspeed/model.go
+++ b/workerspeed/model.go
@@ -126,14 +126,14 @@
 	}
 	base, variance, known := m.base(g, q, o.Declared, w)
 	if known {
-		effect, spread := w.effect(p.variance), m.noise.variance()+variance
-		uncertainty := w.variance(p.variance)
+		effect, spread := w.effect(), m.noise.variance()+variance
+		uncertainty := w.variance()
 		residual := clip(took-base, effect, outlierSigmas*math.Sqrt(spread+uncertainty))
 		m.noise.addResidual(residual-effect, variance+uncertainty)
 		w.add(residual, 1/spread, 1)
 	}
 	w.runs++
-	q.observe(g, o.Declared, took-w.effect(p.variance))
+	q.observe(g, o.Declared, took-w.effect())
 	g.add(w, took)
 }
 
@@ -147,7 +147,7 @@
 		w := m.worker(p, id)
 		w.decay(now)
 		w.runs++
-		members = append(members, member{worker: w, effect: w.effect(p.variance), variance: w.variance(p.variance)})
+		members = append(members, member{worker: w, effect: w.effect(), variance: w.variance()})
 	}
 	m.members = members
 	slowest := smoothMaximum(members)
@@ -186,7 +186,11 @@
 	p := m.pool(poolName)
 	w := m.worker(p, workerName)
 	w.decay(now)
-	w.replace(w.effect(max(p.variance, changeLog*changeLog))+change, 1/m.noise.variance())
+	before := w.effect()
+	if w.precision > 0 {
+		before = w.raw() // not shrunk, as the change shows that the worker is unusual
+	}
+	w.replace(before+change, 1/m.noise.variance())
 	p.observed(now, m)
 }
 
@@ -261,14 +265,14 @@
 	}
 	w.decay(now)
 	e := Estimate{Factor: 1, Runs: w.runs, Turned: w.turned}
-	variance := w.variance(w.pool.variance)
+	variance := w.variance()
 	if w.evidence > 0 {
 		e.Error = math.Sqrt(variance)
 	}
 	if !w.pool.differ {
 		return e
 	}
-	offset := w.effect(w.pool.variance) - w.pool.mean
+	offset := w.effect() - w.pool.mean
 	if math.Abs(offset) >= minDistinctLog {
 		e.Factor = math.Exp(min(max(offset, -maxEffect), maxEffect))
 	}
--- a/workerspeed/pool.go
+++ b/workerspeed/pool.go
@@ -29,7 +29,8 @@
 // pool holds workers that are compared with each other.
 type pool struct {
 	workers []*worker
-	// variance is the variance between workers, mean the mean of their effects.
+	// variance is the variance between workers, mean the mean of their effects. An effect is shrunk
+	// towards the mean.
 	variance    float64
 	mean        float64
 	differ      bool
@@ -88,16 +89,19 @@
 	p.updateMean()
 }
 
-// updateMean computes the mean effect of the workers with evidence.
+// updateMean computes the mean effect of the workers with evidence, weighted by its precision.
 func (p *pool) updateMean() {
-	n, sum := 0, 0.0
+	sum, weights := 0.0, 0.0
 	for _, w := range p.workers {
 		if w.precision > 0 {
-			n++
-			sum += w.effect(p.variance)
+			weight := 1 / (1/w.precision + p.variance)
+			sum += weight * w.raw()
+			weights += weight
 		}
 	}
-	p.mean = sum / float64(max(n, 1))
+	if weights > 0 {
+		p.mean = sum / weights
+	}
 }
 
 func (p *pool) remove(w *worker) {
--- a/workerspeed/worker.go
+++ b/workerspeed/worker.go
@@ -50,9 +50,11 @@
 // raw returns the mean residual without shrinkage.
 func (w *worker) raw() float64 { return w.weighted / w.precision }
 
-// effect returns the estimated logarithm of the worker's slowdown, given the variance between
-// workers.
-func (w *worker) effect(between float64) float64 { return w.weighted * w.variance(between) }
+// effect returns the estimated logarithm of the worker's slowdown, shrunk towards the mean of its
+// pool.
+func (w *worker) effect() float64 {
+	return (w.weighted + w.pool.mean/w.pool.variance) * w.variance()
+}
 
 // variance returns the variance of effect.
-func (w *worker) variance(between float64) float64 { return 1 / (w.precision + 1/between) }
+func (w *worker) variance() float64 { return 1 / (w.precision + 1/w.pool.variance) }
