--- a/engine/engine.go
+++ b/engine/engine.go
@@ -44,6 +44,7 @@
 	// headroomRacks are kept free of deferrable work.
 	headroomRacks map[string]bool
 	lastPlanAt    time.Duration
+	lastTickAt    time.Duration
 	// checkpointsWrittenAt is when checkpoints of running tasks were last stored.
 	checkpointsWrittenAt time.Duration
 	// workerAddedAt is when a worker was last added or a worker's capacity last changed. A job
@@ -53,7 +54,11 @@
 
 	dirtyJobs         map[workload.JobID]bool
 	unrecordedWorkers map[WorkerID]*worker
-	goneWorkers       map[WorkerID]bool
+	// changedSpeeds holds recorded workers whose speed is to be recorded. earlierSpeeds holds, by
+	// agent, the speeds of workers that are gone.
+	changedSpeeds map[WorkerID]*worker
+	earlierSpeeds map[string]SpeedRecord
+	goneWorkers   map[WorkerID]bool
 	// archiving holds jobs whose records are being replaced by their outcomes, expired those
 	// whose outcomes are being removed.
 	archiving map[workload.JobID]bool
@@ -89,6 +94,8 @@
 		interference:        newInterferenceModel(),
 		dirtyJobs:           map[workload.JobID]bool{},
 		unrecordedWorkers:   map[WorkerID]*worker{},
+		changedSpeeds:       map[WorkerID]*worker{},
+		earlierSpeeds:       map[string]SpeedRecord{},
 		goneWorkers:         map[WorkerID]bool{},
 		archiving:           map[workload.JobID]bool{},
 		expired:             map[workload.JobID]bool{},
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -34,7 +34,6 @@
 		e.planNeeded = true
 	}
 	w.lastReport = now
-	e.restoreSpeed(now, w, r.Speed)
 	e.updateDrain(now, w, r)
 	first := !w.attached
 	if !attached || first && !r.Polled {
@@ -54,7 +53,7 @@
 		e.dropUnconfirmedAdopted(now, w)
 		e.planNeeded = true
 	}
-	return ReportAnswer{Attached: granted, Generation: w.generation, AckedEnds: w.advanceAckedEnds(), EndsPending: len(w.pendingEnds) > 0, PollOften: w.needsFrequentPolls(), Speed: e.speedRecord(now, w)}
+	return ReportAnswer{Attached: granted, Generation: w.generation, AckedEnds: w.advanceAckedEnds(), EndsPending: len(w.pendingEnds) > 0, PollOften: w.needsFrequentPolls()}
 }
 
 // AckedEnds returns the highest sequence number of ends that the worker may forget, and whether
@@ -102,6 +101,7 @@
 		leaseExpiresAt: e.params.leaseExpiry(now),
 	}
 	e.markCordoned(w)
+	e.inheritSpeed(now, w)
 	e.workers[info.ID] = w
 	e.workersByID = nil
 	delete(e.goneWorkers, info.ID) // it is back before its record was removed
@@ -277,7 +277,7 @@
 
 func (e *Engine) removeWorker(w *worker) {
 	delete(e.workers, w.info.ID)
-	e.tracker.speeds.Forget(string(w.info.ID))
+	e.forgetSpeed(w)
 	e.workersByID = nil
 	delete(e.unrecordedWorkers, w.info.ID)
 	e.dropSuperseded(w)
--- a/engine/report.go
+++ b/engine/report.go
@@ -77,21 +77,6 @@
 	DownFor time.Duration `cbor:"17,keyasint,omitempty"`
 	// Origin tells the reports of one agent apart and gives their order.
 	Origin ReportOrigin `cbor:"18,keyasint,omitempty"`
-	// Speed is the last SpeedRecord that a planner sent, nil if there is none or if this planner
-	// has had it.
-	Speed *SpeedRecord `cbor:"19,keyasint,omitempty"`
-}
-
-// SpeedRecord is what a planner has learned of a worker's speed. The agent keeps it for the
-// planner's successor and for the worker's next incarnation. It is a hint: its loss costs
-// some time of learning.
-type SpeedRecord struct {
-	// Worker is the incarnation that was observed.
-	Worker WorkerID `cbor:"1,keyasint"`
-	// Effect is the logarithm of the worker's run time relative to an average worker, Precision
-	// the inverse of its variance.
-	Effect    float64 `cbor:"2,keyasint"`
-	Precision float64 `cbor:"3,keyasint"`
 }
 
 // ReportOrigin identifies a report among those of one agent. It is zero for agents that do not
@@ -125,8 +110,6 @@
 	// PollOften asks the agent to poll frequently, because the worker runs latency-sensitive
 	// tasks next to best-effort ones.
 	PollOften bool
-	// Speed is for the agent to keep, nil if it has not changed.
-	Speed *SpeedRecord
 }
 
 // ListedRuns returns the set of runs that a worker lists as running or ended.
--- a/engine/speed_record.go
+++ b/engine/speed_record.go
@@ -1,50 +1,104 @@
 package engine
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workerspeed"
 )
 
+// SpeedRecord is what a planner has learned of a worker's speed. It is kept with the worker's record
+// for the planner's successors. Its loss costs some seconds of learning.
+type SpeedRecord struct {
+	// Effect is the logarithm of the worker's run time relative to an average worker, Precision
+	// the inverse of its variance.
+	Effect    float64 `json:"effect"`
+	Precision float64 `json:"precision"`
+}
+
 const (
-	// maxInheritedPrecision bounds the evidence that an incarnation inherits from the one before.
-	// A new incarnation usually has the same hardware, but may have another; the first runs then
-	// outweigh what was inherited.
-	maxInheritedPrecision = 8
-	// minEffectChange and minPrecisionGrowth are the changes from which a SpeedRecord is sent
-	// again: a twentieth of the run time, or half as much evidence again.
-	minEffectChange    = 0.05
-	minPrecisionGrowth = 1.5
+	// maxInheritedPrecision bounds the evidence that an incarnation inherits from the one before: a
+	// standard deviation of 20%. A new incarnation usually runs on the same hardware but may run on
+	// another, and its first runs must be able to show that.
+	maxInheritedPrecision = 25
+	// minRecordedPrecision is the precision from which a speed is recorded.
+	minRecordedPrecision = 10
+	// minEffectChange and minPrecisionGrowth are the changes from which a speed is recorded again.
+	minEffectChange    = 0.15
+	minPrecisionGrowth = 4
+	// speedRecordInterval is the minimum time between two records of a worker's speed.
+	speedRecordInterval = 5 * time.Second
 )
 
-// restoreSpeed takes over what an earlier planner, or this one of an earlier incarnation, has
-// learned of the worker's speed.
-func (e *Engine) restoreSpeed(now time.Duration, w *worker, record *SpeedRecord) {
-	if record == nil || !e.params.Policy.WorkerSpeeds {
+// inheritSpeed takes over what is known of a new worker's speed: from its record, or from the
+// incarnation before it.
+func (e *Engine) inheritSpeed(now time.Duration, w *worker) {
+	record := w.info.Speed
+	w.info.Speed = nil
+	if !e.params.Policy.WorkerSpeeds {
 		return
 	}
-	evidence := workerspeed.Evidence{Effect: record.Effect, Precision: record.Precision}
-	if record.Worker != w.info.ID {
-		evidence.Precision = min(evidence.Precision, maxInheritedPrecision)
+	if record != nil {
+		w.speed, w.speedRecordedAt = record, now
+	} else if earlier, known := e.earlierSpeeds[w.info.Agent]; known {
+		earlier.Precision = min(earlier.Precision, maxInheritedPrecision)
+		record = &earlier
+	}
+	delete(e.earlierSpeeds, w.info.Agent)
+	if record != nil {
+		e.tracker.speeds.Restore(now, w.info.Service, string(w.info.ID), workerspeed.Evidence(*record))
 	}
-	e.tracker.speeds.Restore(now, w.info.Service, string(w.info.ID), evidence)
 }
 
-// speedRecord returns what is known of the worker's speed if it has changed since it was last sent.
-func (e *Engine) speedRecord(now time.Duration, w *worker) *SpeedRecord {
-	if !e.params.Policy.WorkerSpeeds {
-		return nil
+// forgetSpeed ends the observation of a worker, and keeps what is known for its next incarnation.
+func (e *Engine) forgetSpeed(w *worker) {
+	id := string(w.info.ID)
+	if evidence, known := e.tracker.speeds.Evidence(e.lastTickAt, id); known && w.info.Agent != "" {
+		e.earlierSpeeds[w.info.Agent] = SpeedRecord(evidence)
+	}
+	e.tracker.speeds.Forget(id)
+}
+
+// noteSpeed marks a worker's record to be written if its speed is known much better than is
+// recorded, or is another one.
+func (e *Engine) noteSpeed(now time.Duration, w *worker) {
+	if !w.recorded || w.speed != nil && now-w.speedRecordedAt < speedRecordInterval || !e.tracker.speeds.Differ(w.info.Service) {
+		return
 	}
 	evidence, known := e.tracker.speeds.Evidence(now, string(w.info.ID))
-	if !known {
-		return nil
+	if !known || evidence.Precision < minRecordedPrecision {
+		return
+	}
+	if w.speed != nil && math.Abs(evidence.Effect-w.speed.Effect) < minEffectChange && evidence.Precision < minPrecisionGrowth*w.speed.Precision {
+		return
 	}
-	sent := &w.sentSpeed
-	if math.Abs(evidence.Effect-sent.Effect) < minEffectChange && evidence.Precision < minPrecisionGrowth*sent.Precision {
-		return nil
+	record := SpeedRecord(evidence)
+	w.speed, w.speedRecordedAt = &record, now
+	e.changedSpeeds[w.info.ID] = w
+}
+
+// record returns the worker's record for the store.
+func (w *worker) record() WorkerInfo {
+	info := w.info
+	info.Speed = w.speed
+	return info
+}
+
+// addSpeeds adds the records of workers whose speed has changed to a write.
+func (e *Engine) addSpeeds(w *Write, limit int) int {
+	for _, id := range slices.SortedFunc(maps.Keys(e.changedSpeeds), cmp.Compare[WorkerID]) {
+		if limit <= 0 {
+			break
+		}
+		changed := e.changedSpeeds[id]
+		delete(e.changedSpeeds, id)
+		if e.workers[id] == changed && changed.recorded {
+			w.Workers = append(w.Workers, changed.record())
+			limit--
+		}
 	}
-	*sent = SpeedRecord{Worker: w.info.ID, Effect: evidence.Effect, Precision: evidence.Precision}
-	record := *sent
-	return &record
+	return limit
 }
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -26,8 +26,10 @@
 
 func (e *Engine) tick(now time.Duration, ev Tick) {
 	e.wallTime = ev.WallTime
+	e.lastTickAt = now
 	for _, w := range e.sortedWorkers() {
 		e.tickWorker(now, w)
+		e.noteSpeed(now, w)
 	}
 	for _, j := range slices.Clone(e.orderedJobs) {
 		e.tickJob(now, j)
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -24,6 +24,9 @@
 	// Name is the name under which the worker is called if later incarnations may reuse it;
 	// empty if every incarnation is called by its ID.
 	Name string `json:"name,omitempty" cbor:"8,keyasint,omitempty"`
+	// Speed is what a planner has learned of the worker's speed. It is set in the worker's record
+	// only.
+	Speed *SpeedRecord `json:"speed,omitempty" cbor:"-"`
 }
 
 // CallName returns the name under which the worker is called.
@@ -77,8 +80,10 @@
 	lastEnd     int64 // the highest sequence number processed
 	health      workerHealth
 	paceControl paceControl
-	// sentSpeed is the last SpeedRecord sent to the agent.
-	sentSpeed SpeedRecord
+	// speed is what is recorded of the worker's speed, nil if nothing is. speedRecordedAt is when
+	// it was last set.
+	speed           *SpeedRecord
+	speedRecordedAt time.Duration
 	// round is the state of the current planning round for this worker.
 	round workerRoundState
 }
--- a/engine/write.go
+++ b/engine/write.go
@@ -42,7 +42,7 @@
 		if limit == 0 {
 			return w
 		}
-		w.Workers = append(w.Workers, e.unrecordedWorkers[id].info)
+		w.Workers = append(w.Workers, e.unrecordedWorkers[id].record())
 		limit--
 	}
 	for _, j := range e.changedJobs() {
@@ -52,6 +52,7 @@
 		w.Jobs = append(w.Jobs, JobWrite{ID: j.spec.ID, Version: j.version, Progress: j.progress(e.epoch, now, wall)})
 		limit--
 	}
+	limit = e.addSpeeds(&w, limit)
 	return e.addRemovals(w, limit, now, wall)
 }
 
--- a/gateway/term_report.go
+++ b/gateway/term_report.go
@@ -38,7 +38,6 @@
 	reply.AckedEnds = result.AckedEnds
 	reply.PollOften = result.PollOften
 	reply.Generation = result.Generation
-	reply.Speed = result.Speed
 	if cordons, ok := t.g.currentConfig.Cordons(); ok {
 		reply.Cordoned = cordons.Contains(m.Report.Worker.Zone)
 		reply.CordonsRevision = cordons.Revision
--- a/link/report.go
+++ b/link/report.go
@@ -29,6 +29,4 @@
 	// revision CordonsRevision, which is zero if the planner has not read the cordons.
 	Cordoned        bool  `cbor:"8,keyasint,omitempty"`
 	CordonsRevision int64 `cbor:"9,keyasint,omitempty"`
-	// Speed is for the agent to keep and to send to the next planner, nil if it has not changed.
-	Speed *engine.SpeedRecord `cbor:"10,keyasint,omitempty"`
 }
--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -38,7 +38,6 @@
 	// of delayed orders to the previous incarnation, which may have had the same name.
 	nextFence     engine.Fence
 	cordon        cordonState
-	speed         speedMemory
 	departures    []departure // ended incarnations that are not reported yet
 	endedIDs      map[engine.WorkerID]bool
 	reportPending chan struct{} // signals the report loop; capacity 1
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -81,7 +81,6 @@
 	if a.incarnation != nil {
 		r := a.incarnation.report(now(), a.epoch)
 		a.limitGrant(r)
-		r.Speed = a.speed.forReport(a.epoch, r.Worker.ID)
 		out = append(out, r)
 	}
 	return out
@@ -167,7 +166,6 @@
 		a.pollNow() // only a poll under the new fence counts
 	}
 	inc.pollOften = reply.PollOften
-	a.speed.handleReply(r, reply)
 	if reply.Attached {
 		a.grantedUntil = max(a.grantedUntil, sentAt+a.cfg.MaxLease)
 		if inc.claimExtraPoll(now()) {
--- /dev/null
+++ b/workerspeed/evidence.go
@@ -0,0 +1,41 @@
+package workerspeed
+
+import (
+	"math"
+	"time"
+)
+
+// maxPrecision bounds plausible evidence.
+const maxPrecision = 1e5
+
+// Evidence is what a Model knows of a worker, in a form that can be kept elsewhere and restored.
+type Evidence struct {
+	// Effect is the logarithm of the worker's factor, Precision the inverse of its variance.
+	Effect, Precision float64
+}
+
+// Evidence returns what has been observed of a worker. It returns false if that is nothing.
+func (m *Model) Evidence(now time.Duration, name string) (Evidence, bool) {
+	w := m.workers[name]
+	if w == nil || w.precision <= 0 {
+		return Evidence{}, false
+	}
+	w.decay(m.advance(now))
+	return Evidence{Effect: clip(w.weighted/w.precision, maxEffect), Precision: w.precision}, true
+}
+
+// Restore records evidence from an earlier Model. It has no effect if the worker has been observed
+// already; invalid evidence is counted and otherwise ignored.
+func (m *Model) Restore(now time.Duration, poolName, name string, e Evidence) {
+	if !(math.Abs(e.Effect) <= maxEffect) || !(e.Precision > 0 && e.Precision <= maxPrecision) || !m.findMembers(now, poolName, []string{name}) {
+		m.ignored++
+		return
+	}
+	w := m.members[0].worker
+	if w.precision > 0 {
+		return
+	}
+	w.precision, w.weighted = e.Precision, e.Precision*e.Effect
+	w.pool.compareRestored(e)
+	w.pool.observed(m)
+}
--- a/workerspeed/group.go
+++ b/workerspeed/group.go
@@ -1,5 +1,11 @@
 package workerspeed
 
+import (
+	"container/list"
+	"math"
+	"time"
+)
+
 // maxGroups bounds the groups that are remembered; the oldest are dropped first. A job that never
 // ends would keep its groups forever.
 const maxGroups = 8192
@@ -10,12 +16,12 @@
 
 // group holds the runs of one group.
 type group struct {
-	observed bool
+	id       GroupID
+	declared bool // its declaration has been counted
 	workers  []groupWorker
-	// gangs and gangSum are the number of gang runs and the sum of their logarithms, less the
-	// effect of the slowest worker.
-	gangs   float64
-	gangSum float64
+	// gangs is the number of gang runs, gangSum the sum of their logarithms and gangEffects that of
+	// the effects of their slowest workers.
+	gangs, gangSum, gangEffects float64
 }
 
 // groupWorker is the runs of a group on one worker.
@@ -25,7 +31,14 @@
 	sum    float64 // of the logarithms of the run times
 }
 
-func (g *group) add(w *worker, took float64) {
+// add records a run on a single worker, or of a gang if that is nil.
+func (g *group) add(w *worker, took, slowest float64) {
+	if w == nil {
+		g.gangs++
+		g.gangSum += took
+		g.gangEffects += slowest
+		return
+	}
 	for i := range g.workers {
 		if g.workers[i].worker == w {
 			g.workers[i].runs++
@@ -38,6 +51,17 @@
 	}
 }
 
+// all returns the mean of the logarithms of the group's run times on single workers, and their
+// number.
+func (g *group) all() (mean, runs float64) {
+	sum := 0.0
+	for i := range g.workers {
+		sum += g.workers[i].sum
+		runs += g.workers[i].runs
+	}
+	return sum / max(runs, 1), runs
+}
+
 // on returns the mean of the logarithms of the group's run times on w, and their number.
 func (g *group) on(w *worker) (mean, runs float64) {
 	for i := range g.workers {
@@ -48,55 +72,72 @@
 	return 0, 0
 }
 
-func (g *group) addGang(base float64) {
-	g.gangs++
-	g.gangSum += base
+// base is the estimated logarithm of a group's run time on an average worker.
+type base struct {
+	normal
+	known bool
 }
 
-// others estimates the base from runs on workers other than w. It returns the weighted sum and
-// the total weight.
-func (g *group) others(w *worker, noise float64) (sum, precision float64) {
+// base estimates the base from the declaration and from runs on workers other than excluded. With
+// effects, the workers may differ; without, they are equal.
+func (g *group) base(q *declarationStats, declared time.Duration, excluded *worker, noise float64, effects bool) base {
+	sum, precision := 0.0, 0.0
+	if declared > 0 && q.count >= minDeclarations {
+		precision = 1 / max(q.variance()-noise, minDeclarationVariance)
+		sum = precision * (math.Log(declared.Seconds()) + q.mean)
+	}
 	for i := range g.workers {
 		o := &g.workers[i]
-		if o.worker == w {
+		if o.worker == excluded {
 			continue
 		}
-		p := 1 / (noise/o.runs + o.worker.variance())
-		sum += p * (o.sum/o.runs - o.worker.effect())
-		precision += p
+		mean, variance := o.sum/o.runs, noise/o.runs
+		if effects {
+			mean -= o.worker.effect()
+			variance += o.worker.variance()
+		}
+		sum += mean / variance
+		precision += 1 / variance
 	}
 	if g.gangs > 0 {
-		p := g.gangs / noise
-		sum += p * g.gangSum / g.gangs
-		precision += p
+		mean := g.gangSum
+		if effects {
+			mean -= g.gangEffects
+		}
+		sum += mean / noise
+		precision += g.gangs / noise
+	}
+	if precision <= 0 {
+		return base{}
 	}
-	return sum, precision
+	return base{normal{sum / precision, 1 / precision}, true}
 }
 
-// groupTable holds a bounded number of groups in the order of their first run.
+// groupTable holds a bounded number of groups.
 type groupTable struct {
-	groups map[GroupID]*group
-	order  []GroupID
-	next   int // index in order of the next one to replace
+	groups map[GroupID]*list.Element // of order
+	order  *list.List                // of *group, the oldest first
 }
 
-func newGroupTable() groupTable { return groupTable{groups: map[GroupID]*group{}} }
+func newGroupTable() groupTable {
+	return groupTable{groups: map[GroupID]*list.Element{}, order: list.New()}
+}
 
 func (t *groupTable) get(id GroupID) *group {
-	g := t.groups[id]
-	if g != nil {
-		return g
+	if element := t.groups[id]; element != nil {
+		return element.Value.(*group)
 	}
-	g = &group{}
-	t.groups[id] = g
-	if len(t.order) < maxGroups {
-		t.order = append(t.order, id)
-		return g
+	g := &group{id: id}
+	t.groups[id] = t.order.PushBack(g)
+	if len(t.groups) > maxGroups {
+		t.remove(t.order.Front().Value.(*group).id)
 	}
-	delete(t.groups, t.order[t.next])
-	t.order[t.next] = id
-	t.next = (t.next + 1) % maxGroups
 	return g
 }
 
-func (t *groupTable) remove(id GroupID) { delete(t.groups, id) }
+func (t *groupTable) remove(id GroupID) {
+	if element := t.groups[id]; element != nil {
+		t.order.Remove(element)
+		delete(t.groups, id)
+	}
+}
--- a/workerspeed/pool.go
+++ b/workerspeed/pool.go
@@ -2,108 +2,121 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
 const (
-	// initialBetween is the variance between workers that is assumed until it can be estimated.
-	initialBetween = 0.04
-	// minBetween keeps effects defined where workers are equal.
-	minBetween = 0.0025
-	// differSigmas and sameSigmas are the standard deviations by which Cochran's Q must exceed its
-	// expectation for workers to count as different, and below which they count as equal again.
-	// Their distance keeps the result from changing with every run.
-	differSigmas = 4.0
-	sameSigmas   = 1.0
-	// minBetweenToDiffer is the smallest variance between workers that matters to a decision: a
-	// standard deviation of 12%.
-	minBetweenToDiffer = 0.0144
-	// minWorkersToDiffer is the number of observed workers from which they are compared.
-	minWorkersToDiffer = 3
-	// refreshInterval is how often the statistics of a pool are computed again. They pass over all
-	// its workers.
-	refreshInterval = 250 * time.Millisecond
+	// poolVariance is the variance between workers that is assumed: a standard deviation of 30%. It
+	// is not estimated, since a low estimate from a few similar workers keeps the effects of all
+	// later ones near 0.
+	poolVariance = 0.09
+	// differEvidence is how much larger the probability of the observations has to become under
+	// different workers than under equal ones, as a logarithm, for the workers to count as different,
+	// and sameEvidence the value below which they count as equal again. Among equal workers the ratio
+	// exceeds x with a probability of at most 1/x (Ville's inequality); 16 is one in 9 million.
+	differEvidence = 16.0
+	sameEvidence   = 2.0
+	// minEvidence and maxEvidence bound the evidence, so that it follows a change of the workers.
+	minEvidence = -4.0
+	maxEvidence = 60.0
+	// maxStepEvidence bounds the influence of one run.
+	maxStepEvidence = 3.0
+	// refreshInterval is how often the variance between workers is estimated. That passes over all
+	// workers, so a large pool waits for 1/refreshShare observations per worker, but not longer than
+	// maxRefreshInterval.
+	refreshInterval    = 250 * time.Millisecond
+	maxRefreshInterval = 5 * time.Second
+	refreshAlways      = 32 // workers
+	refreshShare       = 4
+	// idleLimit is the time after which a worker without observations is dropped. Its evidence has
+	// decayed to nothing.
+	idleLimit = time.Hour
 )
 
 // pool holds workers that are compared with each other.
 type pool struct {
+	name    string
 	workers []*worker
-	// variance is the variance between workers, mean the mean of their effects. An effect is shrunk
-	// towards the mean.
-	variance    float64
-	mean        float64
+	// evidence is the logarithm of the ratio of the probabilities of the observations under
+	// different and under equal workers.
+	evidence    float64
 	differ      bool
+	apart       int // number of workers that are apart
 	refreshedAt time.Duration
 	// sinceRefresh counts observations since the last refresh.
 	sinceRefresh int
 }
 
-func newPool() *pool { return &pool{variance: initialBetween, refreshedAt: -refreshInterval} }
+func newPool(name string) *pool {
+	return &pool{name: name, refreshedAt: -refreshInterval}
+}
+
+// compareRestored records the evidence on a worker that was observed by an earlier Model.
+func (p *pool) compareRestored(e Evidence) {
+	error := 1 / e.Precision
+	p.addEvidence(clip(math.Log(density(e.Effect, poolVariance+error)/density(e.Effect, error)), maxStepEvidence))
+}
+
+// addEvidence adds the logarithm of the ratio of the densities of a run time under different and
+// under equal workers.
+func (p *pool) addEvidence(logRatio float64) {
+	p.evidence = min(max(p.evidence+logRatio, minEvidence), maxEvidence)
+	switch {
+	case p.evidence >= differEvidence:
+		p.differ = true
+	case p.evidence <= sameEvidence:
+		p.differ = false
+	}
+}
 
-// observed refreshes the statistics if they are due. The cost is spread over many observations
-// of a large pool.
-func (p *pool) observed(now time.Duration, m *Model) {
+// observed refreshes the variance if that is due.
+func (p *pool) observed(m *Model) {
 	m.version++
 	p.sinceRefresh++
-	if now-p.refreshedAt < refreshInterval || p.sinceRefresh < len(p.workers)/16 {
+	elapsed := m.now - p.refreshedAt
+	if elapsed < refreshInterval && len(p.workers) > refreshAlways || p.sinceRefresh < len(p.workers)/refreshShare && elapsed < maxRefreshInterval {
 		return
 	}
-	p.refresh(now)
+	p.refreshedAt, p.sinceRefresh = m.now, 0
+	p.refresh(m.now)
+	for i := len(p.workers) - 1; i >= 0; i-- {
+		if w := p.workers[i]; m.now-w.seenAt > idleLimit {
+			m.Forget(w.name)
+		}
+	}
 }
 
-// refresh estimates the variance between workers, and tests whether they differ.
+// refresh makes the mean effect of the workers 0, so that effects and bases don't drift together in
+// opposite directions.
 func (p *pool) refresh(now time.Duration) {
-	p.refreshedAt, p.sinceRefresh = now, 0
-	n, sum, sumSquares, weighted := 0, 0.0, 0.0, 0.0
+	weights, sum := 0.0, 0.0
 	for _, w := range p.workers {
 		w.decay(now)
-		if w.independent <= 0 {
-			continue
+		if w.precision > 0 {
+			weight := 1 - w.variance()/poolVariance // the share of the prior that the evidence replaces
+			weights += weight
+			sum += weight * w.effect()
 		}
-		n++
-		sum += w.independent
-		sumSquares += w.independent * w.independent
-		weighted += w.independent * w.raw()
 	}
-	if n < minWorkersToDiffer {
+	if weights <= 0 {
 		return
 	}
-	centre, q := weighted/sum, 0.0
+	mean := sum / weights
 	for _, w := range p.workers {
-		if w.independent > 0 {
-			d := w.raw() - centre
-			q += w.independent * d * d
-		}
-	}
-	freedom := float64(n - 1)
-	between := max(0, (q-freedom)/(sum-sumSquares/sum))
-	excess := (q - freedom) / math.Sqrt(2*freedom)
-	switch {
-	case excess > differSigmas && between >= minBetweenToDiffer:
-		p.differ = true
-	case excess < sameSigmas:
-		p.differ = false
+		w.weighted -= mean * w.precision
 	}
-	p.variance = max(between, minBetween)
-	p.updateMean()
 }
 
-// updateMean computes the mean effect of the workers with evidence, weighted by its precision.
-func (p *pool) updateMean() {
-	sum, weights := 0.0, 0.0
-	for _, w := range p.workers {
-		if w.precision > 0 {
-			weight := 1 / (1/w.precision + p.variance)
-			sum += weight * w.raw()
-			weights += weight
-		}
-	}
-	if weights > 0 {
-		p.mean = sum / weights
-	}
+func (p *pool) addWorker(name string) *worker {
+	w := &worker{pool: p, name: name, index: len(p.workers)}
+	p.workers = append(p.workers, w)
+	return w
 }
 
 func (p *pool) remove(w *worker) {
-	p.workers = slices.DeleteFunc(p.workers, func(o *worker) bool { return o == w })
+	last := len(p.workers) - 1
+	p.workers[w.index] = p.workers[last]
+	p.workers[w.index].index = w.index
+	p.workers[last] = nil
+	p.workers = p.workers[:last]
 }
--- a/workerspeed/stats.go
+++ b/workerspeed/stats.go
@@ -13,47 +13,91 @@
 	// declarations.
 	declarationPriorCount    = 2.0
 	declarationPriorVariance = 0.25
+	// minDeclarations is the number of declarations of a queue from which they are used. Before
+	// that, a bias that all of them share would pass for the effect of the first workers.
+	minDeclarations = 3
 	// noisePriorCount and noisePriorVariance are the prior on the noise of a run: a standard
-	// deviation of 25%.
-	noisePriorCount    = 8.0
-	noisePriorVariance = 0.0625
+	// deviation of 17%.
+	noisePriorCount    = 16.0
+	noisePriorVariance = 0.03
 	minNoiseVariance   = 0.0025
 	// minStatsWeight is the weight of the newest sample once many have been seen.
 	minStatsWeight = 0.02
+	// outlierSigmas bounds the influence of an outlier on a statistic.
+	outlierSigmas = 2.5
+	// minReplicates is the number of replicates from which residuals are no longer used to estimate
+	// the noise.
+	minReplicates = 8
+	// maxQueues bounds the queues that are remembered. Further ones share their statistics.
+	maxQueues = 1024
 )
 
-// queueStats describes the error of a queue's declarations: the mean and variance of the logarithm
-// of actual over declared run time, corrected for the worker.
+// queueTable holds the statistics of a bounded number of queues.
+type queueTable struct {
+	queues map[string]*queueStats
+	others *queueStats // of the queues beyond maxQueues
+}
+
+func newQueueTable() queueTable {
+	return queueTable{queues: map[string]*queueStats{}, others: newQueueStats()}
+}
+
+func (t *queueTable) get(name string) *queueStats {
+	q := t.queues[name]
+	if q != nil {
+		return q
+	}
+	if len(t.queues) >= maxQueues {
+		return t.others
+	}
+	q = newQueueStats()
+	t.queues[name] = q
+	return q
+}
+
+// queueStats describes the runs of a queue: the declarations and the noise, if workers differ and if
+// they are equal.
 type queueStats struct {
-	count, mean, spread float64
+	unequal, equal    declarationStats
+	noise, equalNoise noiseStats
 }
 
-func newQueueStats() *queueStats { return &queueStats{} }
+func newQueueStats() *queueStats {
+	return &queueStats{noise: newNoiseStats(), equalNoise: newNoiseStats()}
+}
 
-// observe records a run time, corrected for its worker, against the declaration. Only the first run
-// of a group counts, since the others share its declaration.
-func (q *queueStats) observe(g *group, declared time.Duration, corrected float64) {
-	if declared <= 0 || g.observed {
+// observe records a run time against the declaration: corrected for its workers, and as it was. Only
+// the first run of a group counts, since the others share its declaration.
+func (q *queueStats) observe(g *group, declared time.Duration, corrected, took float64) {
+	if declared <= 0 || g.declared {
 		return
 	}
-	g.observed = true
-	limit := outlierSigmas * math.Sqrt(q.variance())
-	delta := corrected - math.Log(declared.Seconds()) - q.mean
-	if q.count > 0 {
-		delta = clip(delta, 0, limit)
-	}
-	q.count++
-	weight := max(minStatsWeight, 1/q.count)
-	q.mean += weight * delta
-	q.spread = (1 - weight) * (q.spread + weight*delta*delta)
+	g.declared = true
+	log := math.Log(declared.Seconds())
+	q.unequal.add(corrected - log)
+	q.equal.add(took - log)
+}
+
+// declarationStats holds the mean and the variance of the logarithm of actual over declared run
+// time.
+type declarationStats struct {
+	count, mean, spread float64
 }
 
-// bias returns the mean error, shrunk towards zero while there are few samples.
-func (q *queueStats) bias() float64 { return q.mean * q.count / (q.count + declarationPriorCount) }
+func (s *declarationStats) add(ratio float64) {
+	delta := ratio - s.mean
+	if s.count > 0 {
+		delta = clip(delta, outlierSigmas*math.Sqrt(s.variance()))
+	}
+	s.count++
+	weight := max(minStatsWeight, 1/s.count)
+	s.mean += weight * delta
+	s.spread = (1 - weight) * (s.spread + weight*delta*delta)
+}
 
 // variance returns the variance of the error, combined with the prior.
-func (q *queueStats) variance() float64 {
-	return (q.spread*q.count + declarationPriorVariance*declarationPriorCount) / (q.count + declarationPriorCount)
+func (s *declarationStats) variance() float64 {
+	return (s.spread*s.count + declarationPriorVariance*declarationPriorCount) / (s.count + declarationPriorCount)
 }
 
 // noiseStats is the variance of runs of one group on one worker.
@@ -66,9 +110,6 @@
 	replicates  float64
 }
 
-// minReplicates is the number of replicates from which residuals are no longer used.
-const minReplicates = 8
-
 func newNoiseStats() noiseStats {
 	return noiseStats{count: noisePriorCount, mean: noisePriorVariance}
 }
@@ -84,7 +125,9 @@
 // variance that comes from the uncertainty of the expectation.
 func (n *noiseStats) addResidual(deviation, explained float64) {
 	if n.replicates < minReplicates {
-		n.add(max(0, deviation*deviation-explained))
+		total := n.variance() + explained
+		// The share of the noise in the expected square of the deviation.
+		n.add(deviation * deviation * n.variance() / total)
 	}
 }
 
