engine: an unanswered start outlasts the lease of a worker that keeps its name

What callers would see: a task of a job that is not repeatable runs twice at once, on two workers. The caller gets one answer.

Cause: the planner took the expiry of a worker's lease as proof that nothing it ordered there runs. A start that got no answer may be carried out late, by a later incarnation of the worker: the call carries only the worker's name, and the end of the lease in it is on the clock of the incarnation that was meant. The later incarnation then runs the task under a lease that the planner does not know.

Ruled out: that only the simulation can do this. platform.WorkerClient sends the name without the start time, a worker's clock starts anew with each incarnation, and an agent process that has just started has no epoch to fence the worker with before a planner answers it. That the order was late between planner and agent: it was sent at 1.705 s and with the agent at 2.66 s, within the lease; the call arrived at w8-21 at 8.66 s, before the lease of w8-9 expired at 9.55 s. Giving the start time of the incarnation in the call is not possible, as the workers' interface has no such field.

Fix: a placement whose start was not confirmed, at a worker that keeps its name, is kept until a late call can have no effect any more: the lease by which the start was decided, 12 s for the call, and a worker's longest lease, 24.7 s from the order with a lease of 6 s. A report of the worker, or of its next incarnation under its own fence, settles it earlier, as before. The price is a later restart of such tasks and their gangs if the worker's machine is lost for good.

The simulation, its checks and bounds are unchanged.

Left: a successor does not know which starts of its predecessor were unanswered, and goes by the lease; the calls of a start that an agent repeated until it was confirmed count as answered.

--- /dev/null
+++ b/engine/expiry_test.go
@@ -0,0 +1,157 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// lostWorkerScenario has a worker from which nothing is heard after a start was ordered there.
+type lostWorkerScenario struct {
+	*driver
+	c         *qt.C
+	job       workload.JobID
+	run       workload.RunID
+	worker    *worker
+	orderedAt time.Duration
+}
+
+// newLostWorkerScenario gives the workers a name that their next incarnations keep if keepsName is set.
+func newLostWorkerScenario(t *testing.T, keepsName bool, outcome StartOutcome) *lostWorkerScenario {
+	d := &lostWorkerScenario{driver: newDriver(t, 2), c: qt.New(t)}
+	if keepsName {
+		for _, w := range d.e.sortedWorkers() {
+			w.info.Name = "name-" + string(w.info.ID)
+		}
+	}
+	d.job = d.submit(1, "", taskStep(1, 8))
+	for len(d.starts) == 0 {
+		d.decideAndStore(outcome)
+	}
+	d.run = d.starts[0].Run
+	d.worker = d.e.workers[d.startedOn[d.run]]
+	d.orderedAt = d.now
+	d.settle()
+	return d
+}
+
+// pass passes time until end, while only the other worker reports.
+func (d *lostWorkerScenario) pass(end time.Duration) {
+	for ; d.now < end; d.now += 100 * time.Millisecond {
+		for _, w := range d.e.sortedWorkers() {
+			if w != d.worker {
+				d.reportProgress(w.info.ID)
+			}
+		}
+		d.tick()
+	}
+}
+
+// passLease passes time until the worker's lease has expired.
+func (d *lostWorkerScenario) passLease() {
+	d.pass(d.worker.leaseExpiresAt + 200*time.Millisecond)
+	d.c.Assert(d.worker.leaseExpired, qt.IsTrue)
+}
+
+// next returns a report of the worker's next incarnation under its own fence.
+func (d *lostWorkerScenario) next() Report {
+	r := Report{Epoch: 1, Polled: true, Worker: d.worker.info}
+	r.Worker.ID += "-next"
+	r.Generation = d.report(r).Generation
+	return r
+}
+
+// Guards against a task that runs twice because the start that got no answer takes effect on the next
+// incarnation of its worker, which no agent has fenced, after the lease of the one that was meant.
+func TestUnansweredStartOutlastsItsLease(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		keepsName bool
+		outcome   StartOutcome
+		kept      bool
+	}{
+		{"unanswered, the worker keeps its name", true, StartUnknown, true},
+		{"unanswered, the next incarnation has another name", false, StartUnknown, false},
+		{"answered, the worker keeps its name", true, StartOK, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newLostWorkerScenario(t, tc.keepsName, tc.outcome)
+			d.passLease()
+			if tc.kept {
+				latest := d.orderedAt + maxCallDelay + d.e.params.MaxLease // end of a run whose call arrives last
+				d.pass(latest + time.Second)
+				d.c.Check(d.starts, qt.HasLen, 1)
+				d.c.Check(d.runs(d.job)[d.worker.info.ID], qt.HasLen, 1)
+				d.pass(latest + 9*time.Second)
+			}
+			d.c.Assert(d.starts, qt.HasLen, 2)
+			d.c.Check(d.starts[1].Run.Number, qt.Equals, 2)
+			d.c.Check(d.startedOn[d.starts[1].Run], qt.Not(qt.Equals), d.worker.info.ID)
+			d.c.Check(d.worker.used, qt.Equals, workload.Resources{})
+		})
+	}
+}
+
+// Guards against a task that waits although the next incarnation has shown that it does not run, or is
+// started again although it runs there.
+func TestNextIncarnationSettlesUnansweredStart(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		d := newLostWorkerScenario(t, true, StartUnknown)
+		d.passLease()
+		r := d.next()
+		if started {
+			r.Running = []RunStatus{{Run: d.run, Percent: 1}}
+		}
+		d.report(r)
+		d.settle()
+		d.c.Check(d.e.workers[d.worker.info.ID], qt.IsNil)
+		if started {
+			d.c.Check(d.starts, qt.HasLen, 1)
+			d.c.Check(d.runs(d.job)[r.Worker.ID], qt.HasLen, 1)
+		} else {
+			d.c.Check(d.starts, qt.HasLen, 2)
+		}
+	}
+}
+
+// Guards against a start that is forgotten instead of stopped when its worker reports again after its
+// lease has expired.
+func TestUnansweredStartIsStoppedWhenWorkerReturns(t *testing.T) {
+	d := newLostWorkerScenario(t, true, StartUnknown)
+	d.passLease()
+	d.stops = nil
+	r := Report{Epoch: 1, Polled: true, Worker: d.worker.info}
+	d.report(r)
+	d.settle()
+	d.c.Check(d.stops, qt.Contains, d.run)
+	d.c.Check(d.starts, qt.HasLen, 1)
+	r.ConfirmedAbsent = []workload.RunID{d.run}
+	d.report(r)
+	d.pass(d.now + time.Second)
+	d.c.Check(d.starts, qt.HasLen, 2)
+}
+
+// Guards against a crash that is counted twice for a run that was kept beyond the lease, or not at all
+// for one that ended with it.
+func TestCrashAfterLeaseIsCountedOnce(t *testing.T) {
+	for _, outcome := range []StartOutcome{StartUnknown, StartOK} {
+		d := newLostWorkerScenario(t, true, outcome)
+		u := d.e.jobs[d.job].units[0]
+		d.passLease()
+		d.report(Report{Worker: d.worker.info, Terminated: true, Crashed: true, Polled: true})
+		d.c.Check(u.crashCountOf(0).total, qt.Equals, 1, qt.Commentf("start %v", outcome))
+	}
+}
+
+// Guards against a worker that is forgotten together with a start that may still take effect.
+func TestWorkerIsKeptWithItsUnansweredStart(t *testing.T) {
+	d := newLostWorkerScenario(t, true, StartUnknown)
+	d.passLease()
+	d.worker.lastReport = d.now - workerRetention - time.Second
+	d.tick()
+	d.c.Check(d.e.workers[d.worker.info.ID], qt.Equals, d.worker)
+	d.c.Check(d.starts, qt.HasLen, 1)
+}
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -16,10 +16,15 @@
 	}
 	for _, r := range ev.Starts {
 		p := w.placements[r.Run.Task]
-		if p == nil || p.runNumber != r.Run.Number || p.state != placementOrdered {
+		if p == nil || p.runNumber != r.Run.Number {
 			continue
 		}
-		e.handleStartOutcome(now, p, r.Outcome)
+		if r.Outcome == StartOK {
+			p.startUnanswered = false
+		}
+		if p.state == placementOrdered {
+			e.handleStartOutcome(now, p, r.Outcome)
+		}
 	}
 	for _, r := range ev.Paces {
 		e.handlePaceResult(now, w, r)
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -47,6 +47,8 @@
 	progressedAt time.Duration
 	// lastSeenAt is when a poll last listed the run; 0 before the first.
 	lastSeenAt time.Duration
+	// startUnanswered is set from the order of the start until a confirmation by the worker.
+	startUnanswered bool
 	// stopping is set once a stop was decided; stopSentAt is when it was last sent.
 	stopping    bool
 	stopSentAt  time.Duration
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -39,16 +39,8 @@
 }
 
 func (e *Engine) tickWorker(now time.Duration, w *worker) {
-	if !w.leaseExpired && now >= w.leaseExpiresAt {
-		w.leaseExpired = true
-		w.placementsAtExpiry = w.sortedPlacements()
-		for _, p := range w.sortedPlacements() {
-			e.handleLostRun(now, p, CauseLeaseExpired, "the worker's lease expired")
-		}
-		// Runs that it lists later have no placement any more.
-		w.attached = false
-	}
-	if w.leaseExpired && now-w.lastReport > workerRetention {
+	e.expireLease(now, w)
+	if w.leaseExpired && now-w.lastReport > workerRetention && len(w.placements) == 0 {
 		e.removeWorker(w)
 		return
 	}
--- a/engine/write.go
+++ b/engine/write.go
@@ -170,6 +170,7 @@
 
 func (e *Engine) orderStart(now time.Duration, p *placement) {
 	p.state = placementOrdered
+	p.startUnanswered = true
 	p.startedAt = now
 	p.resumed = p.unit.checkpoint != ""
 	p.unit.times.storeWait = now - p.unit.placedAt
