nodeagent, engine: nothing starts after a silence before the worker's next heartbeat

What callers would see: a task starts on a worker that no longer has the capacity for it, and fails or disturbs its neighbours, when the worker lost capacity while it did not answer.

Cause: only heartbeats carry a worker's capacity; the reply to a poll has none. After a silence the agent took the first answered poll for the end of it and reported the capacity of the last heartbeat from before. The planner placed by that figure until the next heartbeat.

Ruled out, by the trace of TestSimulationWithDelaysAndCrashingTasks: a late report (those of 27.885 and 27.91 s were handled within 10 ms and stated the old capacity), a late order (it was decided after the silence), and the grace of the check (4.5 s; the loss was 4.9 s old). By reading, a real agent does the same: Agent.admit looked at the poll and the lease, never at the heartbeat.

Fix: from a poll without an answer to the next heartbeat an agent reports the capacity as unconfirmed, in a new optional field of its reports, and refuses starts. The planner places nothing there meanwhile, so that no gang is started in part. Leases, polls and runs are not affected.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -35,6 +35,10 @@
 	}
 	w.lastReport = now
 	e.updateDrain(now, w, r)
+	if w.capacityUnconfirmed && !r.CapacityUnconfirmed {
+		e.planNeeded = true
+	}
+	w.capacityUnconfirmed = r.CapacityUnconfirmed
 	first := !w.attached
 	if !attached || first && !r.Polled {
 		// No lease is granted; the expiry of the current one is already accounted for. Without a
--- a/engine/report.go
+++ b/engine/report.go
@@ -77,6 +77,9 @@
 	DownFor time.Duration `cbor:"17,keyasint,omitempty"`
 	// Origin tells the reports of one agent apart and gives their order.
 	Origin ReportOrigin `cbor:"18,keyasint,omitempty"`
+	// CapacityUnconfirmed means that Worker.Capacity may be outdated: the worker has failed to answer a
+	// poll since its last heartbeat. Nothing may be started there.
+	CapacityUnconfirmed bool `cbor:"19,keyasint,omitempty"`
 }
 
 // ReportOrigin identifies a report among those of one agent. It is zero for agents that do not
--- a/engine/resize_test.go
+++ b/engine/resize_test.go
@@ -59,3 +59,19 @@
 	c.Check(d.starts, qt.HasLen, 1)
 	c.Check(d.runs(id), qt.HasLen, 1)
 }
+
+// Guards against a placement by the capacity that a worker had before it fell silent, and against a unit
+// that waits longer than until the worker has confirmed its capacity.
+func TestNothingStartsBeforeCapacityIsConfirmed(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 1)
+	id := d.submit(1, "", taskStep(1, 4))
+	r := d.resizedReport(0, 8)
+	r.CapacityUnconfirmed = true
+	d.report(r)
+	d.settle()
+	c.Check(d.runs(id), qt.HasLen, 0)
+	d.report(d.resizedReport(0, 4))
+	d.settle()
+	c.Check(d.runs(id), qt.HasLen, 1)
+}
--- a/engine/sim_agent_orders_test.go
+++ b/engine/sim_agent_orders_test.go
@@ -190,7 +190,7 @@
 	switch {
 	case inc.draining:
 		return header, StartDraining, inc
-	case header.until == 0 || inc.unresponsive || inc.leaseMayHaveExpired(now) || until-now < simMinGrantForStart:
+	case header.until == 0 || inc.unresponsive || inc.capacityUnconfirmed || inc.leaseMayHaveExpired(now) || until-now < simMinGrantForStart:
 		return header, StartNotDelivered, inc
 	}
 	inc.extendLease(until)
--- a/engine/sim_agent_poll_test.go
+++ b/engine/sim_agent_poll_test.go
@@ -115,6 +115,7 @@
 		a.endIncarnation(false, false)
 		return 0
 	}
+	inc.capacityUnconfirmed = true
 	if !inc.unresponsive {
 		a.cluster.counts["unresponsive workers"]++
 		inc.markUnresponsive(now)
--- a/engine/sim_agent_test.go
+++ b/engine/sim_agent_test.go
@@ -274,7 +274,8 @@
 		a.adopt(sw)
 		inc = a.inc
 	}
-	if inc.info.Capacity != sw.info.Capacity || !inc.draining && sw.leavesAt != 0 {
+	if inc.info.Capacity != sw.info.Capacity || !inc.draining && sw.leavesAt != 0 || inc.capacityUnconfirmed {
+		inc.capacityUnconfirmed = false
 		inc.info.Capacity = sw.info.Capacity
 		if !inc.leaving {
 			inc.draining, inc.departsAt = sw.leavesAt != 0, sw.leavesAt
--- a/engine/sim_incarnation_test.go
+++ b/engine/sim_incarnation_test.go
@@ -24,6 +24,7 @@
 	leaving                        bool // it has sent its departure notice
 	connectionBroken               bool // an open connection broke
 	pollsInProgress                int
+	capacityUnconfirmed            bool
 	unresponsive                   bool
 	unresponsiveSince              time.Duration
 	failureReportedAt              time.Duration
@@ -216,6 +217,8 @@
 		Worker: inc.info, Draining: inc.draining, Unresponsive: inc.unresponsive,
 		LeaseKnown:     inc.leaseEnd != 0,
 		ExtendingLease: inc.unresponsive && inc.mayExtendLease(now),
+
+		CapacityUnconfirmed: inc.capacityUnconfirmed,
 	}
 	if r.LeaseKnown {
 		r.LeaseRemaining = inc.leaseEnd - now
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -58,15 +58,17 @@
 	// supersession is set if another incarnation follows under the same name.
 	supersession *supersession
 	// unresponsive means that its agent reports but the worker itself does not answer.
-	unresponsive   bool
-	draining       bool
-	cordoned       bool // its availability zone is cordoned
-	leavesAt       time.Duration
-	lastReport     time.Duration
-	lastPolledAt   time.Duration // when the worker itself last answered
-	leaseExpiresAt time.Duration
-	leaseExpired   bool         // leaseExpiresAt has passed without a report
-	grant          ReportOrigin // of the report that was last answered with a lease
+	unresponsive bool
+	// capacityUnconfirmed means that the capacity in info may be outdated; see Report.
+	capacityUnconfirmed bool
+	draining            bool
+	cordoned            bool // its availability zone is cordoned
+	leavesAt            time.Duration
+	lastReport          time.Duration
+	lastPolledAt        time.Duration // when the worker itself last answered
+	leaseExpiresAt      time.Duration
+	leaseExpired        bool         // leaseExpiresAt has passed without a report
+	grant               ReportOrigin // of the report that was last answered with a lease
 	// placementsAtExpiry are the placements that were ended when the lease expired. If the worker
 	// turns out to have crashed, it crashed under them.
 	placementsAtExpiry []*placement
@@ -98,7 +100,7 @@
 // usableIfUncordoned reports whether w is usable apart from a cordon of its availability zone.
 func (w *worker) usableIfUncordoned(now time.Duration) bool {
 	// After a pause of the planner the lease may be over before a tick has noticed it.
-	return w.attached && w.recorded && !w.unresponsive && !w.draining && !w.leaseExpired && now < w.leaseExpiresAt &&
+	return w.attached && w.recorded && !w.unresponsive && !w.capacityUnconfirmed && !w.draining && !w.leaseExpired && now < w.leaseExpiresAt &&
 		len(w.orphans) == 0 && now-w.lastReport < reportTimeout
 }
 
--- a/nodeagent/heartbeat.go
+++ b/nodeagent/heartbeat.go
@@ -73,6 +73,10 @@
 		return true
 	}
 	inc.sequence = hb.Sequence
+	if inc.capacityUnconfirmed {
+		inc.capacityUnconfirmed = false
+		a.requestReport()
+	}
 	if hb.Info.Capacity != inc.info.Capacity {
 		a.log.WithField("worker", inc.info.ID).WithField("room", hb.Info.Capacity).WithField("before", inc.info.Capacity).Info("worker capacity changed")
 		inc.info.Capacity = hb.Info.Capacity
--- a/nodeagent/incarnation.go
+++ b/nodeagent/incarnation.go
@@ -44,8 +44,11 @@
 	pollOften bool
 
 	// extraPollAt is when the last extra poll was sent to renew the lease.
-	extraPollAt  time.Duration
-	unresponsive bool // the last poll got no answer
+	extraPollAt time.Duration
+	// capacityUnconfirmed is set while no heartbeat has arrived since the last poll without an answer. The
+	// worker may have lost capacity while it was silent.
+	capacityUnconfirmed bool
+	unresponsive        bool // the last poll got no answer
 	// unresponsiveSince is when polls began to fail, and failureReportedAt when a report on
 	// that was last requested.
 	unresponsiveSince time.Duration
@@ -217,6 +220,8 @@
 		Unresponsive:   inc.unresponsive,
 		LeaseKnown:     inc.leaseEnd != 0,
 		ExtendingLease: inc.unresponsive && inc.mayExtendLease(now),
+
+		CapacityUnconfirmed: inc.capacityUnconfirmed,
 	}
 	if r.LeaseKnown {
 		r.LeaseRemaining = inc.latestLeaseEnd() - now
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -102,7 +102,7 @@
 	case until-now() < minGrantForStart && a.grantedUntil-now() >= minGrantForStart:
 		a.counters.StartsOutdated.Add(int64(len(orders.Starts)))
 		return header, inc, engine.StartNotDelivered
-	case leaseEnd == 0 || inc.unresponsive || inc.leaseMayHaveExpired(now()) || until-now() < minGrantForStart:
+	case leaseEnd == 0 || inc.unresponsive || inc.capacityUnconfirmed || inc.leaseMayHaveExpired(now()) || until-now() < minGrantForStart:
 		return header, inc, engine.StartNotDelivered
 	}
 	header.LeaseEnd = leaseEnd // only starts extend it, which are counted here
--- a/nodeagent/poll.go
+++ b/nodeagent/poll.go
@@ -136,6 +136,7 @@
 		a.notifyChanged()
 		return 0
 	}
+	inc.capacityUnconfirmed = true
 	if !inc.unresponsive {
 		a.log.WithField("worker", inc.info.ID).WithField("acknowledged", inc.ackedEnds).WithError(err).Warn("worker is unresponsive")
 		inc.markUnresponsive(at)
