--- a/engine/fit.go
+++ b/engine/fit.go
@@ -138,15 +138,20 @@
 	return true
 }
 
-// chooseWorkers returns workers in one of the domains: the one with the fewest accelerators left
-// over, to keep space for large gangs elsewhere. It returns nil if u fits in none.
+// chooseWorkers returns workers in one of the domains: the one where u runs fastest if it prefers
+// fast workers, else the one with the fewest accelerators left over, to keep space for large gangs
+// elsewhere. It returns nil if u fits in none.
 func (r *round) chooseWorkers(u *unit, d domainSet) []*worker {
 	var best []*worker
-	leastLeftover := 0
+	leastLeftover, lowestRank := 0, 0
 	for _, set := range d.domains {
 		workers, leftover := r.pack(u, set)
-		if workers != nil && (best == nil || leftover < leastLeftover) {
-			best, leastLeftover = workers, leftover
+		if workers == nil {
+			continue
+		}
+		rank := r.gangRank(u, workers)
+		if best == nil || cmp.Or(cmp.Compare(rank, lowestRank), cmp.Compare(leftover, leastLeftover)) < 0 {
+			best, leastLeftover, lowestRank = workers, leftover, rank
 		}
 	}
 	return best
@@ -157,6 +162,8 @@
 	worker   *worker
 	slots    int
 	leftover int
+	// speedRank orders workers by their speed; see round.speedRank.
+	speedRank int
 	// sameStepOnWorker and sameStepOnRack count tasks of the same step, for long-running steps.
 	sameStepOnWorker, sameStepOnRack int
 	// interference is the score of sharing the worker; see Engine.interferenceScore.
@@ -193,6 +200,7 @@
 		if u.spec().LongRunning {
 			o.sameStepOnWorker, o.sameStepOnRack = r.sameStepCounts(u, w)
 		}
+		o.speedRank = r.speedRank(u, w)
 		o.interference = r.e.interferenceScore(u, w)
 		o.crashRisk = r.crashRisk(u, w)
 		candidates = append(candidates, o)
@@ -208,6 +216,7 @@
 			cmp.Compare(a.sameStepOnWorker, b.sameStepOnWorker),
 			cmp.Compare(a.sameStepOnRack, b.sameStepOnRack),
 			cmp.Compare(a.interference, b.interference),
+			cmp.Compare(a.speedRank, b.speedRank),
 			cmp.Compare(b.slots, a.slots),
 			cmp.Compare(a.leftover, b.leftover),
 		)
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -105,6 +105,7 @@
 		leaseExpiresAt: e.params.leaseExpiry(now),
 	}
 	e.markCordoned(w)
+	e.inheritSpeed(now, w)
 	e.workers[info.ID] = w
 	e.workersByID = nil
 	delete(e.goneWorkers, info.ID) // it is back before its record was removed
@@ -155,7 +156,7 @@
 func (e *Engine) reconcile(now time.Duration, w *worker, r Report) {
 	w.lastPolledAt = now
 	for _, run := range r.Running {
-		e.observeRun(now, w, run)
+		e.observeRun(now, w, run, r.Origin)
 	}
 	for _, end := range r.Ended {
 		if end.Sequence <= w.lastEnd {
@@ -176,7 +177,7 @@
 }
 
 // observeRun processes a run that the worker lists as running.
-func (e *Engine) observeRun(now time.Duration, w *worker, status RunStatus) {
+func (e *Engine) observeRun(now time.Duration, w *worker, status RunStatus, origin ReportOrigin) {
 	p := w.placements[status.Run.Task]
 	if p == nil || p.runNumber != status.Run.Number {
 		e.stopOrphan(now, w, status.Run)
@@ -195,6 +196,7 @@
 		}
 	}
 	p.rate.observe(now, status.Percent)
+	e.measureSpeed(now, p, status.Percent, origin)
 	p.load = status.Load
 	if status.Checkpoint != p.checkpoint {
 		p.checkpoint = status.Checkpoint
@@ -279,6 +281,7 @@
 
 func (e *Engine) removeWorker(w *worker) {
 	delete(e.workers, w.info.ID)
+	e.forgetSpeed(w)
 	e.workersByID = nil
 	delete(e.unrecordedWorkers, w.info.ID)
 	e.dropSuperseded(w)
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -26,8 +26,10 @@
 
 func (e *Engine) tick(now time.Duration, ev Tick) {
 	e.wallTime = ev.WallTime
+	e.lastTickAt = now
 	for _, w := range e.sortedWorkers() {
 		e.tickWorker(now, w)
+		e.noteSpeed(now, w)
 	}
 	for _, j := range slices.Clone(e.orderedJobs) {
 		e.tickJob(now, j)
@@ -74,7 +76,7 @@
 	if e.tracker.progressQueues[p.unit.job.spec.Queue] {
 		minTime = minStuckTime
 	}
-	limit := max(time.Duration(stuckEstimateShare*float64(e.estimate(p.unit))), minTime)
+	limit := max(time.Duration(stuckEstimateShare*float64(e.estimateAsPlaced(now, p.unit))), minTime)
 	return now-p.progressedAt > limit<<p.unit.stallCount
 }
 
--- a/workerspeed/stats.go
+++ b/workerspeed/stats.go
@@ -13,63 +13,162 @@
 	// declarations.
 	declarationPriorCount    = 2.0
 	declarationPriorVariance = 0.25
+	// minDeclarations is the number of declarations of a queue from which they are used. Before
+	// that, a bias that all of them share would pass for the effect of the first workers.
+	minDeclarations = 3
 	// noisePriorCount and noisePriorVariance are the prior on the noise of a run: a standard
-	// deviation of 25%.
-	noisePriorCount    = 8.0
-	noisePriorVariance = 0.0625
+	// deviation of 17%.
+	noisePriorCount    = 4.0
+	noisePriorVariance = 0.03
 	minNoiseVariance   = 0.0025
+	minNoiseSamples    = 40
 	// minStatsWeight is the weight of the newest sample once many have been seen.
 	minStatsWeight = 0.02
+	// outlierSigmas bounds the influence of an outlier on a statistic.
+	outlierSigmas = 2.5
+	// minReplicates is the number of replicates from which residuals are no longer used to estimate
+	// the noise.
+	minReplicates = 8
+	// maxQueues bounds the queues that are remembered. Further ones share their statistics.
+	maxQueues = 1024
 )
 
-// queueStats describes the error of a queue's declarations: the mean and variance of the logarithm
-// of actual over declared run time, corrected for the worker.
+// queueTable holds the statistics of a bounded number of queues.
+type queueTable struct {
+	queues map[string]*queueStats
+	others *queueStats // of the queues beyond maxQueues
+}
+
+func newQueueTable() queueTable {
+	return queueTable{queues: map[string]*queueStats{}, others: newQueueStats()}
+}
+
+func (t *queueTable) get(name string) *queueStats {
+	q := t.queues[name]
+	if q != nil {
+		return q
+	}
+	if len(t.queues) >= maxQueues {
+		return t.others
+	}
+	q = newQueueStats()
+	t.queues[name] = q
+	return q
+}
+
+// queueStats describes the runs of a queue: the declarations and the noise, if workers differ and if
+// they are equal.
 type queueStats struct {
-	count, mean, spread float64
+	unequal, equal              declarationStats
+	noise, equalNoise           noiseStats
+	dispersion, equalDispersion dispersionStats
 }
 
-func newQueueStats() *queueStats { return &queueStats{} }
+func newQueueStats() *queueStats {
+	return &queueStats{
+		noise: newNoiseStats(), equalNoise: newNoiseStats(),
+		dispersion: newDispersionStats(), equalDispersion: newDispersionStats(),
+	}
+}
 
-// observe records a run time, corrected for its worker, against the declaration. Only the first run
-// of a group counts, since the others share its declaration.
-func (q *queueStats) observe(g *group, declared time.Duration, corrected float64) {
-	if declared <= 0 || g.observed {
+// observe records a run time against the declaration: corrected for its workers, and as it was. Only
+// the first run of a group counts, since the others share its declaration.
+func (q *queueStats) observe(g *group, declared time.Duration, corrected, took float64) {
+	if declared <= 0 || g.declared {
 		return
 	}
-	g.observed = true
-	limit := outlierSigmas * math.Sqrt(q.variance())
-	delta := corrected - math.Log(declared.Seconds()) - q.mean
-	if q.count > 0 {
-		delta = clip(delta, 0, limit)
-	}
-	q.count++
-	weight := max(minStatsWeight, 1/q.count)
-	q.mean += weight * delta
-	q.spread = (1 - weight) * (q.spread + weight*delta*delta)
+	g.declared = true
+	log := math.Log(declared.Seconds())
+	q.unequal.add(corrected - log)
+	q.equal.add(took - log)
 }
 
-// bias returns the mean error, shrunk towards zero while there are few samples.
-func (q *queueStats) bias() float64 { return q.mean * q.count / (q.count + declarationPriorCount) }
+// declarationStats holds the mean and the variance of the logarithm of actual over declared run
+// time.
+type declarationStats struct {
+	count, mean, spread float64
+}
+
+func (s *declarationStats) add(ratio float64) {
+	delta := ratio - s.mean
+	if s.count > 0 {
+		delta = clip(delta, outlierSigmas*math.Sqrt(s.variance()))
+	}
+	s.count++
+	weight := max(minStatsWeight, 1/s.count)
+	s.mean += weight * delta
+	s.spread = (1 - weight) * (s.spread + weight*delta*delta)
+}
 
 // variance returns the variance of the error, combined with the prior.
-func (q *queueStats) variance() float64 {
-	return (q.spread*q.count + declarationPriorVariance*declarationPriorCount) / (q.count + declarationPriorCount)
+func (s *declarationStats) variance() float64 {
+	return (s.spread*s.count + declarationPriorVariance*declarationPriorCount) / (s.count + declarationPriorCount)
 }
 
 // noiseStats is the variance of runs of one group on one worker.
+//
+// It is estimated from runs of the same group on the same worker, which differ by nothing else.
+// Residuals are used only while there are few of those, since they contain what is not yet known
+// of the workers.
 type noiseStats struct {
 	count, mean float64
+	replicates  float64
 }
 
 func newNoiseStats() noiseStats {
 	return noiseStats{count: noisePriorCount, mean: noisePriorVariance}
 }
 
-// add records the deviation of a run from its expectation. explained is the part of its variance
-// that comes from the uncertainty of the expectation.
-func (n *noiseStats) add(deviation, explained float64) {
+// addReplicate records the deviation of a run from the mean of earlier runs of the same group on
+// the same worker.
+func (n *noiseStats) addReplicate(deviation, earlier float64) {
+	n.replicates++
+	n.add(deviation * deviation * earlier / (earlier + 1))
+}
+
+// addResidual records the deviation of a run from its expectation. explained is the part of its
+// variance that comes from the uncertainty of the expectation.
+func (n *noiseStats) addResidual(deviation, explained float64) {
+	if n.replicates < minReplicates {
+		total := n.variance() + explained
+		// The share of the noise in the expected square of the deviation.
+		n.add(deviation * deviation * n.variance() / total)
+	}
+}
+
+// add records a sample of the variance, bounded against outliers.
+func (n *noiseStats) add(sample float64) {
 	n.count++
-	n.mean += max(minStatsWeight, 1/n.count) * (max(0, deviation*deviation-explained) - n.mean)
+	sample = min(sample, outlierSigmas*outlierSigmas*n.variance())
+	n.mean += max(minStatsWeight, 1/n.count) * (sample - n.mean)
 }
 
+// calibrated reports whether enough samples have been seen to compare models by their densities. Too
+// low a noise favours the model with the larger variance.
+func (n *noiseStats) calibrated() bool { return n.count >= noisePriorCount+minNoiseSamples }
+
 func (n *noiseStats) variance() float64 { return max(n.mean, minNoiseVariance) }
+
+// dispersionStats is the ratio of the actual to the assumed variance of a model's predictions. The
+// runs of a group end in the order of their length, so predictions from the first ones are off by
+// more than their assumed error. Without this correction, that favours the model that assumes the
+// larger error.
+type dispersionStats struct {
+	count, mean float64
+}
+
+const dispersionPriorCount = 8.0
+
+func newDispersionStats() dispersionStats {
+	return dispersionStats{count: dispersionPriorCount, mean: 1}
+}
+
+// logDensity returns the logarithm of the density of a deviation from a prediction with an assumed
+// variance, and records the deviation.
+func (s *dispersionStats) logDensity(deviation, variance float64) float64 {
+	density := logDensity(deviation, variance*s.mean)
+	s.count++
+	sample := min(deviation*deviation/variance, outlierSigmas*outlierSigmas*s.mean)
+	s.mean += max(minStatsWeight, 1/s.count) * (sample - s.mean)
+	return density
+}
