engine, gateway: a worker's learned speed is shown, and the lateness that slow workers cause

A log line and eelgrasshub_worker_slowdown tell the factor, its error and the number of runs; eelgrasshub_jobs_late has the reason "ran on slow workers".

--- a/engine/ending.go
+++ b/engine/ending.go
@@ -88,6 +88,7 @@
 	u.state = unitDone
 	if len(u.placements) > 0 && u.placements[0].startedAt != 0 {
 		u.times.finalRun = now - u.placements[0].startedAt
+		u.times.slowWorkers = max(0, u.times.finalRun-scale(u.times.finalRun, 1/e.slowdown(now, u)))
 	}
 	e.markChanged(u.job)
 	e.advanceJob(now, u.job)
--- a/engine/lateness.go
+++ b/engine/lateness.go
@@ -13,6 +13,7 @@
 	storeWait     time.Duration // waiting for the last placement to be stored
 	discardedRuns time.Duration // runs whose work was discarded
 	finalRun      time.Duration // the run that completed; 0 if its start is not known
+	slowWorkers   time.Duration // part of finalRun that average workers would have saved
 }
 
 // LateReason names the largest part of a late job's time.
@@ -23,6 +24,7 @@
 	LateByCapacity    LateReason = "waited for room"
 	LateByStore       LateReason = "waited for the store"
 	LateByRerun       LateReason = "ran again"
+	LateBySlowWorkers LateReason = "ran on slow workers"
 	LateByEarlierWork LateReason = "time in earlier steps or under earlier planners"
 )
 
@@ -44,7 +46,7 @@
 	for _, part := range []struct {
 		reason LateReason
 		took   time.Duration
-	}{{LateByCapacity, s.capacityWait}, {LateByStore, s.storeWait}, {LateByRerun, s.discardedRuns}} {
+	}{{LateByCapacity, s.capacityWait}, {LateByStore, s.storeWait}, {LateByRerun, s.discardedRuns}, {LateBySlowWorkers, s.slowWorkers}} {
 		if part.took > longest {
 			reason, longest = part.reason, part.took
 		}
@@ -54,17 +56,17 @@
 
 // detail describes the parts for the log.
 func (s timeBreakdown) detail(lateBy, declared time.Duration) string {
-	return fmt.Sprintf("%d ms late; waited %d ms for capacity and %d ms for the store, discarded runs took %d ms, the final run %d ms of %d ms declared",
+	return fmt.Sprintf("%d ms late; waited %d ms for capacity and %d ms for the store, discarded runs took %d ms, the final run %d ms of %d ms declared, %d ms of it by slow workers",
 		lateBy.Milliseconds(), s.capacityWait.Milliseconds(), s.storeWait.Milliseconds(),
-		s.discardedRuns.Milliseconds(), s.finalRun.Milliseconds(), declared.Milliseconds())
+		s.discardedRuns.Milliseconds(), s.finalRun.Milliseconds(), declared.Milliseconds(), s.slowWorkers.Milliseconds())
 }
 
 // actualCriticalPath returns the length of the job's critical path with the actual run time of
-// its last unit instead of the estimated one.
+// its last unit on average workers instead of the estimated one.
 func (e *Engine) actualCriticalPath(last *unit) time.Duration {
 	path := e.criticalPath(last.job)
 	if last.times.finalRun > 0 {
-		path += last.times.finalRun - e.estimate(last)
+		path += last.times.finalRun - last.times.slowWorkers - e.estimate(last)
 	}
 	return path
 }
--- a/engine/speed_choice_test.go
+++ b/engine/speed_choice_test.go
@@ -83,6 +83,21 @@
 	qt.Check(t, fast, qt.Equals, 2)
 }
 
+// Guards against operators who look for missing capacity where a job was late because it ran on slow
+// workers.
+func TestJobLateBySlowWorkersSaysSo(t *testing.T) {
+	d := newTwoSpeedDriver(t)
+	id := d.submitUrgent(gangStep(3, 8)) // a rack has only two fast workers
+	d.settle()
+	d.now += 10 * time.Second
+	for _, w := range d.e.sortedWorkers() {
+		d.endRunsOn(w.info.ID, EndDone, func(p *placement) bool { return p.unit.job.spec.ID == id })
+	}
+	d.settle()
+	qt.Assert(t, d.late, qt.HasLen, 1)
+	qt.Check(t, d.late[0].Reason, qt.Equals, LateBySlowWorkers)
+}
+
 // Load: two speeds, work that is in time anywhere. Guards against fast workers that are taken by work
 // that does not need them.
 func TestPatientWorkTakesSlowWorkersFirst(t *testing.T) {
--- a/engine/speed_record.go
+++ b/engine/speed_record.go
@@ -19,6 +19,18 @@
 	Precision float64 `json:"precision"`
 }
 
+// WorkerSpeed reports that a worker's speed is known better, or has changed. Error is the standard
+// deviation of the logarithm of Factor; see workerspeed.Estimate.
+type WorkerSpeed struct {
+	Worker        WorkerID
+	Service       string
+	Factor, Error float64
+	Runs          int
+	Turned        bool
+}
+
+func (WorkerSpeed) isAction() {}
+
 const (
 	// maxInheritedPrecision bounds the evidence that an incarnation inherits from the one before: a
 	// standard deviation of 20%. A new incarnation usually runs on the same hardware but may run on
@@ -78,6 +90,11 @@
 	record := SpeedRecord(evidence)
 	w.speed, w.speedRecordedAt = &record, now
 	e.changedSpeeds[w.info.ID] = w
+	estimate := e.tracker.speeds.Estimate(now, string(w.info.ID))
+	e.actions = append(e.actions, WorkerSpeed{
+		Worker: w.info.ID, Service: w.info.Service,
+		Factor: estimate.Factor, Error: estimate.Error, Runs: estimate.Runs, Turned: estimate.Turned,
+	})
 }
 
 // record returns the worker's record for the store.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	jobCompletions   metrics.LabeledLatencies // from acceptance to end, by account, queue and state
 	callLatencies    metrics.LabeledLatencies // client calls, by kind and outcome
 	workerDepartures metrics.LabeledSums      // ended worker incarnations, by service and kind of departure
+	workerSlowdowns  metrics.LabeledGauges    // run time relative to an average worker, by service and worker
 	lostWork         metrics.LabeledSums      // core-seconds of discarded work, by queue and cause
 	savedWork        metrics.LabeledSums      // core-seconds of discarded runs kept by checkpoints, by queue and cause
 	lateJobs         metrics.LabeledSums      // jobs that missed their objective, by queue and reason
@@ -173,6 +174,7 @@
 	g.jobCompletions.WriteText(w, "eelgrasshub_job_completion_us")
 	g.callLatencies.WriteText(w, "eelgrasshub_call_us")
 	g.workerDepartures.WriteText(w, "eelgrasshub_workers_gone")
+	g.workerSlowdowns.WriteText(w, "eelgrasshub_worker_slowdown")
 	g.lostWork.WriteText(w, "eelgrasshub_work_lost_core_seconds")
 	g.savedWork.WriteText(w, "eelgrasshub_work_saved_core_seconds")
 	g.lateJobs.WriteText(w, "eelgrasshub_jobs_late")
@@ -211,6 +213,7 @@
 	if old != nil {
 		old.freeze()
 	}
+	g.workerSlowdowns.Clear() // those of a planner are the current ones
 	if !ok {
 		g.log.Info("planner lease lost")
 		return
--- a/gateway/term_metrics.go
+++ b/gateway/term_metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
@@ -29,6 +30,7 @@
 // logWorkerGone counts and logs an ended worker incarnation.
 func (t *term) logWorkerGone(w engine.WorkerGone) {
 	t.g.workerDepartures.Add(w.Worker.Service+"/"+string(w.Departure), 1)
+	t.g.workerSlowdowns.Remove(w.Worker.Service + "/" + string(w.Worker.ID))
 	fields := logrus.Fields{
 		"worker":  w.Worker.ID,
 		"agent":   w.Worker.Agent,
@@ -40,6 +42,19 @@
 	t.log.WithFields(fields).Info("worker gone")
 }
 
+// logWorkerSpeed logs what has been learned of a worker's speed and exposes it.
+func (t *term) logWorkerSpeed(s engine.WorkerSpeed) {
+	t.g.workerSlowdowns.Set(s.Service+"/"+string(s.Worker), s.Factor)
+	t.log.WithFields(logrus.Fields{
+		"worker":  s.Worker,
+		"service": s.Service,
+		"factor":  math.Round(100*s.Factor) / 100,
+		"error":   math.Round(100*s.Error) / 100,
+		"runs":    s.Runs,
+		"turned":  s.Turned,
+	}).Info("worker speed learned")
+}
+
 // logOutdatedReport counts and logs a report that was ignored.
 func (t *term) logOutdatedReport(o engine.OutdatedReport) {
 	t.g.counters.ReportsOutdated.Add(1)
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -33,6 +33,8 @@
 			t.log.WithField("worker", a.Worker).WithField("detail", a.String()).Info("worker capacity changed")
 		case engine.WorkerGone:
 			t.logWorkerGone(a)
+		case engine.WorkerSpeed:
+			t.logWorkerSpeed(a)
 		case engine.OutdatedReport:
 			t.logOutdatedReport(a)
 		case engine.JobLate:
