engine: speed limits break no guarantee, leave no late unit waiting, and waste no eviction

Where the workers of a service differ in speed: - a job within its account's guarantee did not start in time if protected work held the workers on which it would meet its objective. Slow workers, free or held by other work, were not reclaimed. - a late unit could wait for as long as others took each fast worker that became free, beside idle slow workers. Each round expected a fast worker within the time that it saves, and started to count anew. - a deferrable unit waited for fast workers that were not expected to be free in time, until it was late. - work was evicted for a unit that then could not use the freed worker: the limit had fallen below the worker's factor while the victims stopped.

Now a reclaim that finds nothing within the limit ignores it; a late unit's wait counts from when it became late; a deferrable unit is limited only if it is expected to fit in time; and a worker where capacity is being freed for a unit remains open to it.

--- a/engine/evict.go
+++ b/engine/evict.go
@@ -20,8 +20,9 @@
 	slots   map[*worker]int
 }
 
-// evict stops victims so that u can start, and claims their capacity for u. It reports whether
-// capacity is being freed for u. Unless an account's guarantee is about to be broken, it evicts
+// evict stops victims so that u can start, and claims their capacity for u, or places u on workers
+// beyond its speed limit if its guarantee requires that. It reports whether u is placed or
+// capacity is being freed for it. Unless an account's guarantee is about to be broken, it evicts
 // only if capacity is not expected to become free soon (see Policy.EvictionWaitShare) and if the
 // victims lose at most Policy.EvictionCostFactor times u's own work, which counts more if the
 // job would end far too late.
@@ -36,10 +37,14 @@
 		return false
 	}
 	u.nextEvictionSearch = r.now + evictRetryInterval
-	preferred := r.preferredDomains(u)
-	best := r.cheapestEviction(u, preferred)
-	if best == nil && !preferred.anywhere && r.protected[u.job] {
-		best = r.cheapestEviction(u, r.allDomains())
+	best, preferred := r.findEviction(u)
+	if best == nil && r.mustReclaim(u) && r.allowAnySpeed(u) {
+		// The guarantee goes before the objective.
+		if workers := r.findWorkers(u); workers != nil {
+			r.place(u, workers)
+			return true
+		}
+		best, preferred = r.findEviction(u)
 	}
 	if best == nil || !r.worthEvicting(u, best, preferred) {
 		return false
@@ -54,6 +59,16 @@
 	return true
 }
 
+// findEviction returns the cheapest eviction for u, or nil if there is none, and the preferred domains.
+func (r *round) findEviction(u *unit) (*eviction, domainSet) {
+	preferred := r.preferredDomains(u)
+	best := r.cheapestEviction(u, preferred)
+	if best == nil && !preferred.anywhere && r.protected[u.job] {
+		best = r.cheapestEviction(u, r.allDomains())
+	}
+	return best, preferred
+}
+
 // reclaimMargin is subtracted from the time by which a guaranteed job must start, since after
 // the victims have stopped the placement is stored and ordered, and a report may come late.
 const reclaimMargin = 700 * time.Millisecond
--- a/engine/speed_choice.go
+++ b/engine/speed_choice.go
@@ -55,9 +55,20 @@
 }
 
 // fastEnough reports whether w is within the limit of u's speed choice, also if its factor is
-// underestimated by its error.
+// underestimated by its error. Capacity that is being freed for u is: the limit falls while the victims
+// stop, and they would be evicted for nothing.
 func (r *round) fastEnough(u *unit, w *worker) bool {
-	return len(r.speeds) == 0 || w.round.upperFactor <= r.speedChoice(u).limit
+	return len(r.speeds) == 0 || w.round.upperFactor <= r.speedChoice(u).limit || u.claims[w] > 0
+}
+
+// allowAnySpeed lifts the speed limit of u for the rest of the round. It reports whether there was one.
+func (r *round) allowAnySpeed(u *unit) bool {
+	if math.IsInf(r.speedChoice(u).limit, 1) {
+		return false
+	}
+	r.choice = speedChoice{limit: math.Inf(1), order: 1}
+	r.preferredUnit = nil
+	return true
 }
 
 // speedChoice returns the speed choice of u in this round.
@@ -90,7 +101,15 @@
 	case limit < speeds.fastest:
 		return r.choiceIfLate(u, speeds)
 	}
-	return r.limitIfItFits(u, limit)
+	choice := r.limitIfItFits(u, limit)
+	if u.job.spec.QueuePolicy.Priority == 0 || math.IsInf(choice.limit, 1) {
+		return choice // urgent work may evict
+	}
+	r.choice = choice
+	if r.fitsWithin(u, r.latestStartOn(u, speeds.fastest)-r.now) {
+		return choice
+	}
+	return r.choiceIfLate(u, speeds)
 }
 
 // slowestInTime returns the factor of the slowest workers on which u's job would meet its objective
@@ -104,16 +123,25 @@
 	return float64(r.e.objective(u.job)-r.now-later) / float64(own)
 }
 
-// choiceIfLate returns the choice for a unit that is late on any worker: whichever ends first, the
-// wait for workers that are not slow or a run on slow ones.
+// latestStartOn returns when u has to start on workers of a factor for its job to meet its objective.
+func (r *round) latestStartOn(u *unit, factor float64) time.Duration {
+	own := r.e.estimate(u)
+	later := r.e.criticalPathFrom(u) - own
+	return r.e.objective(u.job) - later - scale(own, factor)
+}
+
+// choiceIfLate returns the choice for a unit that can't be in time: whichever ends first, the wait for
+// workers that are not slow or a run on slow ones. The time that it has been late counts, since other
+// units may take the workers that it is expected to fit on.
 func (r *round) choiceIfLate(u *unit, speeds poolSpeeds) speedChoice {
 	choice := r.limitIfItFits(u, slowRatio*speeds.fastest)
 	if math.IsInf(choice.limit, 1) {
 		return choice
 	}
 	saved := scale(r.e.estimate(u), speeds.slowest-speeds.fastest)
+	lateSince := max(u.waitingSince, r.latestStartOn(u, speeds.fastest))
 	r.choice = choice
-	if r.fitsWithin(u, saved) {
+	if r.fitsWithin(u, saved-max(0, r.now-lateSince)) {
 		return choice
 	}
 	return speedChoice{limit: math.Inf(1), order: 1}
