engine: speeds of workers whose agents do not return are dropped after ten minutes

The planner's memory grew by an entry for each replaced agent, as the speed kept for the next incarnation was removed only when the same agent came back. An entry is now dropped after ten minutes. TestSpeedsOfGoneAgentsAreForgotten had all 12 entries left after an hour without the change.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -57,7 +57,7 @@
 	// changedSpeeds holds recorded workers whose speed is to be recorded. earlierSpeeds holds, by
 	// agent, the speeds of workers that are gone.
 	changedSpeeds map[WorkerID]*worker
-	earlierSpeeds map[string]SpeedRecord
+	earlierSpeeds map[string]earlierSpeed
 	goneWorkers   map[WorkerID]bool
 	// archiving holds jobs whose records are being replaced by their outcomes, expired those
 	// whose outcomes are being removed.
@@ -95,7 +95,7 @@
 		dirtyJobs:           map[workload.JobID]bool{},
 		unrecordedWorkers:   map[WorkerID]*worker{},
 		changedSpeeds:       map[WorkerID]*worker{},
-		earlierSpeeds:       map[string]SpeedRecord{},
+		earlierSpeeds:       map[string]earlierSpeed{},
 		goneWorkers:         map[WorkerID]bool{},
 		archiving:           map[workload.JobID]bool{},
 		expired:             map[workload.JobID]bool{},
--- a/engine/speed_record.go
+++ b/engine/speed_record.go
@@ -31,8 +31,17 @@
 	minPrecisionGrowth = 4
 	// speedRecordInterval is the minimum time between two records of a worker's speed.
 	speedRecordInterval = 5 * time.Second
+	// earlierSpeedRetention is how long the speed of a worker that is gone is kept for the next
+	// incarnation. An agent that was replaced for good does not return.
+	earlierSpeedRetention = 10 * time.Minute
 )
 
+// earlierSpeed is what is known of a worker that is gone.
+type earlierSpeed struct {
+	SpeedRecord
+	goneAt time.Duration
+}
+
 // inheritSpeed takes over what is known of a new worker's speed: from its record, or from the
 // incarnation before it.
 func (e *Engine) inheritSpeed(now time.Duration, w *worker) {
@@ -44,8 +53,9 @@
 	if record != nil {
 		w.speed, w.speedRecordedAt = record, now
 	} else if earlier, known := e.earlierSpeeds[w.info.Agent]; known {
-		earlier.Precision = min(earlier.Precision, maxInheritedPrecision)
-		record = &earlier
+		inherited := earlier.SpeedRecord
+		inherited.Precision = min(inherited.Precision, maxInheritedPrecision)
+		record = &inherited
 	}
 	delete(e.earlierSpeeds, w.info.Agent)
 	if record != nil {
@@ -57,11 +67,16 @@
 func (e *Engine) forgetSpeed(w *worker) {
 	id := string(w.info.ID)
 	if evidence, known := e.tracker.speeds.Evidence(e.lastTickAt, id); known && w.info.Agent != "" {
-		e.earlierSpeeds[w.info.Agent] = SpeedRecord(evidence)
+		e.earlierSpeeds[w.info.Agent] = earlierSpeed{SpeedRecord(evidence), e.lastTickAt}
 	}
 	e.tracker.speeds.Forget(id)
 }
 
+// forgetGoneAgents drops the speeds of workers whose agents have not returned in time.
+func (e *Engine) forgetGoneAgents(now time.Duration) {
+	maps.DeleteFunc(e.earlierSpeeds, func(_ string, s earlierSpeed) bool { return now-s.goneAt > earlierSpeedRetention })
+}
+
 // noteSpeed marks a worker's record to be written if its speed is known much better than is
 // recorded, or is another one.
 func (e *Engine) noteSpeed(now time.Duration, w *worker) {
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -34,6 +34,7 @@
 	for _, j := range slices.Clone(e.orderedJobs) {
 		e.tickJob(now, j)
 	}
+	e.forgetGoneAgents(now)
 	e.writeCheckpoints(now)
 	if now-e.lastPlanAt >= replanInterval {
 		e.planNeeded = true
