workerspeed: a gang's run that shows nothing leaves the error of its members' effects

Where many short gangs run, the precision of the workers' effects grew without bound, each run adding 1.2%: the variance on the bounded grid is that much below the true one, also for a run that tells nothing. After an hour of gangs of two, eight at a time on each worker, it was 9e163; a worker that then became slow kept its factor of 0.76, and a recorded speed of more than 1e5 is not restored.

The posterior variance is now taken relative to that of the prior on the same grid.

--- a/workerspeed/filter.go
+++ b/workerspeed/filter.go
@@ -101,6 +101,19 @@
 	gridWidth  = 3.0
 )
 
+// gridVariance is the variance of a standard normal distribution on the grid. It is below 1, as the grid
+// is bounded. Without a correction, each run would reduce the variance, also one that shows nothing.
+var gridVariance = func() float64 {
+	sum, second := 0.0, 0.0
+	for i := range gridPoints {
+		z := gridWidth * (2*float64(i)/(gridPoints-1) - 1)
+		w := math.Exp(-z * z / 2)
+		sum += w
+		second += w * z * z
+	}
+	return second / sum
+}()
+
 // posteriorInGang returns the distribution of a member's effect after a residual that shows, with an
 // error, the larger of it and of the others' largest effect.
 func posteriorInGang(prior, others normal, residual, variance float64) normal {
@@ -121,5 +134,5 @@
 		second += w * z * z
 	}
 	mean := first / sum
-	return normal{prior.mean + mean*deviation, prior.variance * max(second/sum-mean*mean, 0.01)}
+	return normal{prior.mean + mean*deviation, prior.variance * max((second/sum-mean*mean)/gridVariance, 0.01)}
 }
