engine: the next incarnation of a worker that keeps its name inherits the learned speed

A slow worker that was called by a name and restarted counted as average until its speed was learned again, and gangs with members there were late. Such a worker's next incarnation is added while the earlier one still has placements, and the speed was passed on only at the end of those. It is now passed on when the earlier incarnation is superseded.

TestNextIncarnationOfNameInheritsSpeed found a factor of 1 without the change.

--- a/engine/speed_record.go
+++ b/engine/speed_record.go
@@ -63,13 +63,20 @@
 	}
 }
 
-// forgetSpeed ends the observation of a worker, and keeps what is known for its next incarnation.
-func (e *Engine) forgetSpeed(w *worker) {
-	id := string(w.info.ID)
-	if evidence, known := e.tracker.speeds.Evidence(e.lastTickAt, id); known && w.info.Agent != "" {
+// keepSpeed keeps what is known of a worker's speed for its next incarnation.
+func (e *Engine) keepSpeed(w *worker) {
+	if evidence, known := e.tracker.speeds.Evidence(e.lastTickAt, string(w.info.ID)); known && w.info.Agent != "" {
 		e.earlierSpeeds[w.info.Agent] = earlierSpeed{SpeedRecord(evidence), e.lastTickAt}
 	}
-	e.tracker.speeds.Forget(id)
+}
+
+// forgetSpeed ends the observation of a worker. The speed of one that was superseded has been passed on
+// already.
+func (e *Engine) forgetSpeed(w *worker) {
+	if w.supersession == nil {
+		e.keepSpeed(w)
+	}
+	e.tracker.speeds.Forget(string(w.info.ID))
 }
 
 // forgetGoneAgents drops the speeds of workers whose agents have not returned in time.
--- a/engine/superseded.go
+++ b/engine/superseded.go
@@ -40,6 +40,7 @@
 	w.attached = false
 	if w.supersession == nil {
 		e.superseded[w.info.Agent] = append(e.superseded[w.info.Agent], w)
+		e.keepSpeed(w)
 	}
 	if w.supersession == nil || !w.supersession.evidence.known {
 		w.supersession = &supersession{departure: departure, evidence: evidence}
