engine, workerspeed: restarts of a worker are no evidence that the workers differ

A worker that restarted again and again made all workers of its service count as different, and jobs were placed by factors that were due to chance: the speed that each incarnation inherits was counted as new evidence. It is now taken over with Model.Inherit, which counts nothing; Restore remains for the records of an earlier planner, whose model has counted nothing yet.

In TestRestartsOfWorkerAreNoEvidence, 30 restarts of a worker with an inherited factor of 1.57 and no run in between made the workers differ without the change.

--- a/engine/speed_record.go
+++ b/engine/speed_record.go
@@ -50,17 +50,16 @@
 	if !e.params.Policy.WorkerSpeeds {
 		return
 	}
+	service, id := w.info.Service, string(w.info.ID)
 	if record != nil {
 		w.speed, w.speedRecordedAt = record, now
+		e.tracker.speeds.Restore(now, service, id, workerspeed.Evidence(*record))
 	} else if earlier, known := e.earlierSpeeds[w.info.Agent]; known {
-		inherited := earlier.SpeedRecord
+		inherited := workerspeed.Evidence(earlier.SpeedRecord)
 		inherited.Precision = min(inherited.Precision, maxInheritedPrecision)
-		record = &inherited
+		e.tracker.speeds.Inherit(now, service, id, inherited)
 	}
 	delete(e.earlierSpeeds, w.info.Agent)
-	if record != nil {
-		e.tracker.speeds.Restore(now, w.info.Service, string(w.info.ID), workerspeed.Evidence(*record))
-	}
 }
 
 // keepSpeed keeps what is known of a worker's speed for its next incarnation.
--- a/engine/speed_record_test.go
+++ b/engine/speed_record_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -36,3 +37,21 @@
 	factor := d.e.tracker.speeds.Estimate(d.now, "n-2").Factor
 	qt.Check(t, factor > 1.3, qt.IsTrue, qt.Commentf("factor %v", factor))
 }
+
+// Load: a worker that seems slow by chance restarts 30 times without completing a run. Guards against
+// workers that count as different because the same evidence was counted at each restart.
+func TestRestartsOfWorkerAreNoEvidence(t *testing.T) {
+	d := newDriver(t, 12)
+	speeds := d.e.tracker.speeds
+	speeds.Restore(d.now, "s", "w0", workerspeed.Evidence{Effect: 0.45, Precision: 25})
+	speeds.Restore(d.now, "s", "w1", workerspeed.Evidence{Effect: 0, Precision: 25})
+	qt.Assert(t, speeds.Differ("s"), qt.IsFalse)
+	for i := range 30 {
+		next := d.workerReport(0)
+		next.Worker.ID = WorkerID(fmt.Sprint("w0-", i))
+		d.report(next)
+		estimate := speeds.Estimate(d.now, string(next.Worker.ID))
+		qt.Check(t, estimate.Error > 0, qt.IsTrue, qt.Commentf("nothing was inherited"))
+	}
+	qt.Check(t, speeds.Differ("s"), qt.IsFalse)
+}
