workerspeed, engine: comments say what a refresh does and what lastTickAt is for

The comments on refreshInterval and pool.observed described an estimate of the variance between workers, which is a constant. compareRestored had a variable named error that hides the type.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -44,7 +44,8 @@
 	// headroomRacks are kept free of deferrable work.
 	headroomRacks map[string]bool
 	lastPlanAt    time.Duration
-	lastTickAt    time.Duration
+	// lastTickAt is the time of the last Tick. It dates the speeds of workers that are removed.
+	lastTickAt time.Duration
 	// checkpointsWrittenAt is when checkpoints of running tasks were last stored.
 	checkpointsWrittenAt time.Duration
 	// workerAddedAt is when a worker was last added or a worker's capacity last changed. A job
--- a/workerspeed/evidence.go
+++ b/workerspeed/evidence.go
@@ -50,6 +50,6 @@
 		return nil
 	}
 	w.precision, w.weighted = e.Precision, e.Precision*e.Effect
-	m.version++ // the pool is not recentred before all of its workers are restored
+	m.version++ // the pool is not centred before all of its workers are restored
 	return w
 }
--- a/workerspeed/pool.go
+++ b/workerspeed/pool.go
@@ -13,7 +13,8 @@
 	// differEvidence is how much larger the probability of the observations has to become under
 	// different workers than under equal ones, as a logarithm, for the workers to count as different,
 	// and sameEvidence the value below which they count as equal again. Among equal workers the ratio
-	// exceeds x with a probability of at most 1/x (Ville's inequality); the margin covers errors of the assumed noise.
+	// exceeds x with a probability of at most 1/x (Ville's inequality); the margin covers errors of the
+	// assumed noise.
 	differEvidence = 24.0
 	sameEvidence   = 2.0
 	// minEvidence and maxEvidence bound the evidence, so that it follows a change of the workers.
@@ -21,12 +22,12 @@
 	maxEvidence = 60.0
 	// maxStepEvidence bounds the influence of one run.
 	maxStepEvidence = 3.0
-	// refreshInterval is how often the variance between workers is estimated. That passes over all
+	// refreshInterval is how often the effects are centred and idle workers dropped. That passes over all
 	// workers, so a large pool waits for 1/refreshShare observations per worker, but not longer than
 	// maxRefreshInterval.
 	refreshInterval    = 250 * time.Millisecond
 	maxRefreshInterval = 5 * time.Second
-	refreshAlways      = 32 // workers
+	refreshAlways      = 32 // workers up to which a pool does not wait for refreshInterval
 	refreshShare       = 4
 	// idleLimit is the time after which a worker without observations is dropped. Its evidence has
 	// decayed to nothing.
@@ -51,10 +52,11 @@
 	return &pool{name: name, refreshedAt: -refreshInterval}
 }
 
-// compareRestored records the evidence on a worker that was observed by an earlier Model.
+// compareRestored adds evidence on a worker from an earlier Model to the pool's evidence that its workers
+// differ.
 func (p *pool) compareRestored(e Evidence) {
-	error := 1 / e.Precision
-	p.addEvidence(clip(math.Log(density(e.Effect, poolVariance+error)/density(e.Effect, error)), maxStepEvidence))
+	variance := 1 / e.Precision
+	p.addEvidence(clip(math.Log(density(e.Effect, poolVariance+variance)/density(e.Effect, variance)), maxStepEvidence))
 }
 
 // addEvidence adds the logarithm of the ratio of the densities of a run time under different and
@@ -69,7 +71,7 @@
 	}
 }
 
-// observed refreshes the variance if that is due.
+// observed counts an observation, and centres the effects and drops idle workers if that is due.
 func (p *pool) observed(m *Model) {
 	m.version++
 	p.sinceRefresh++
