workerspeed: evidence is returned in bounds that Restore accepts

After a change of planner, the speeds of the busiest workers were learned again: with twenty equal tasks a second the recorded precision was 690,373, and Restore ignores one above 100,000. Evidence now bounds the precision it returns. TestPreciseEvidenceCanBeRestored had its evidence ignored without the change.

--- a/workerspeed/evidence.go
+++ b/workerspeed/evidence.go
@@ -14,14 +14,15 @@
 	Effect, Precision float64
 }
 
-// Evidence returns what has been observed of a worker. It returns false if that is nothing.
+// Evidence returns what has been observed of a worker, in bounds that Restore accepts. It returns false if
+// that is nothing.
 func (m *Model) Evidence(now time.Duration, name string) (Evidence, bool) {
 	w := m.workers[name]
 	if w == nil || w.precision <= 0 {
 		return Evidence{}, false
 	}
 	w.decay(m.advance(now))
-	return Evidence{Effect: clip(w.weighted/w.precision, maxEffect), Precision: w.precision}, true
+	return Evidence{Effect: clip(w.weighted/w.precision, maxEffect), Precision: min(w.precision, maxPrecision)}, true
 }
 
 // Restore records evidence from an earlier Model. It has no effect if the worker has been observed
