engine: recorded speeds follow workers that no longer differ

After slow workers had been repaired and a planner had learned it, its successor placed jobs by the old speeds again: records were not updated while the workers of a service did not differ. An existing record is now updated then too. In TestRepairedWorkersAreRecorded the successor took a repaired worker for 1.8 times as slow without the change.

--- a/engine/speed_record.go
+++ b/engine/speed_record.go
@@ -84,9 +84,9 @@
 }
 
 // noteSpeed marks a worker's record to be written if its speed is known much better than is
-// recorded, or is another one.
+// recorded, or is another one. A record that exists is updated also while the workers do not differ.
 func (e *Engine) noteSpeed(now time.Duration, w *worker) {
-	if !w.recorded || w.speed != nil && now-w.speedRecordedAt < speedRecordInterval || !e.tracker.speeds.Differ(w.info.Service) {
+	if !w.recorded || w.speed != nil && now-w.speedRecordedAt < speedRecordInterval || w.speed == nil && !e.tracker.speeds.Differ(w.info.Service) {
 		return
 	}
 	evidence, known := e.tracker.speeds.Evidence(now, string(w.info.ID))
--- a/engine/speed_record_test.go
+++ b/engine/speed_record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -55,3 +56,28 @@
 	}
 	qt.Check(t, speeds.Differ("s"), qt.IsFalse)
 }
+
+// Load: the slow workers have been repaired, and all run equally fast for ten minutes before the planner
+// changes. Guards against a planner that restores speeds from before.
+func TestRepairedWorkersAreRecorded(t *testing.T) {
+	d := newTwoSpeedDriver(t)
+	d.tick()
+	for i := range 600 {
+		d.now += time.Second
+		for w := range 12 {
+			d.reportProgress(WorkerID(fmt.Sprint("w", w)))
+			d.e.tracker.speeds.Observe(d.now, workerspeed.Observation{
+				Pool: "s", Group: workerspeed.GroupID{Job: fmt.Sprint(i)}, Queue: "q", Declared: 4 * time.Second,
+				Took: time.Duration(3900+(i*12+w)*37%200) * time.Millisecond, Workers: []string{fmt.Sprint("w", w)},
+			})
+		}
+		d.tick()
+	}
+	qt.Assert(t, d.e.tracker.speeds.Differ("s"), qt.IsFalse)
+	d.takeOver()
+	qt.Check(t, d.e.tracker.speeds.Differ("s"), qt.IsFalse)
+	for w := range 12 {
+		effect := d.e.workers[WorkerID(fmt.Sprint("w", w))].speed.Effect
+		qt.Check(t, math.Abs(effect) < minEffectChange, qt.IsTrue, qt.Commentf("w%d: effect %v", w, effect))
+	}
+}
