--- a/engine/speed_choice.go
+++ b/engine/speed_choice.go
@@ -14,10 +14,6 @@
 // the criteria that apply to equal workers.
 const speedClassWidth = 0.25
 
-// upperFactor returns the factor by which a run on the worker is longer if the estimate is too low
-// by one standard deviation.
-func (w *workerRoundState) upperFactor() float64 { return w.factor * math.Exp(w.factorError) }
-
 // poolSpeeds is the range of the upper factors of a service's usable workers in a round.
 type poolSpeeds struct {
 	fastest, slowest float64
@@ -37,7 +33,8 @@
 // loadSpeeds determines the factors of the usable workers of services whose workers differ.
 func (r *round) loadSpeeds() {
 	for _, w := range r.usable.workers {
-		w.round.factor, w.round.factorError = r.e.workerSpeed(r.now, w)
+		factor, logError := r.e.workerSpeed(r.now, w)
+		w.round.factor, w.round.upperFactor = factor, factor*math.Exp(logError)
 		service := w.info.Service
 		if !r.e.params.Policy.WorkerSpeeds || !r.e.tracker.speeds.Differ(service) {
 			continue
@@ -47,20 +44,31 @@
 		}
 		s, known := r.speeds[service]
 		if !known {
-			s = poolSpeeds{w.round.upperFactor(), w.round.upperFactor()}
+			s = poolSpeeds{w.round.upperFactor, w.round.upperFactor}
 		}
-		r.speeds[service] = poolSpeeds{min(s.fastest, w.round.upperFactor()), max(s.slowest, w.round.upperFactor())}
+		r.speeds[service] = poolSpeeds{min(s.fastest, w.round.upperFactor), max(s.slowest, w.round.upperFactor)}
 	}
 	for _, w := range r.usable.workers {
 		s, differ := r.speeds[w.info.Service]
-		w.round.slow = differ && w.round.upperFactor() >= slowRatio*s.fastest
+		w.round.slow = differ && w.round.upperFactor >= slowRatio*s.fastest
 	}
 }
 
 // fastEnough reports whether w is within the limit of u's speed choice, also if its factor is
-// underestimated by its error.
+// underestimated by its error. Capacity that is being freed for u is: the limit falls while the victims
+// stop, and they would be evicted for nothing.
 func (r *round) fastEnough(u *unit, w *worker) bool {
-	return w.round.upperFactor() <= r.speedChoice(u).limit
+	return len(r.speeds) == 0 || w.round.upperFactor <= r.speedChoice(u).limit || u.claims[w] > 0
+}
+
+// allowAnySpeed lifts the speed limit of u for the rest of the round. It reports whether there was one.
+func (r *round) allowAnySpeed(u *unit) bool {
+	if math.IsInf(r.speedChoice(u).limit, 1) {
+		return false
+	}
+	r.choice = speedChoice{limit: math.Inf(1), order: 1}
+	r.preferredUnit = nil
+	return true
 }
 
 // speedChoice returns the speed choice of u in this round.
@@ -93,7 +101,15 @@
 	case limit < speeds.fastest:
 		return r.choiceIfLate(u, speeds)
 	}
-	return r.limitIfItFits(u, limit)
+	choice := r.limitIfItFits(u, limit)
+	if u.job.spec.QueuePolicy.Priority == 0 || math.IsInf(choice.limit, 1) {
+		return choice // urgent work may evict
+	}
+	r.choice = choice
+	if r.fitsWithin(u, r.latestStartOn(u, speeds.fastest)-r.now) {
+		return choice
+	}
+	return r.choiceIfLate(u, speeds)
 }
 
 // slowestInTime returns the factor of the slowest workers on which u's job would meet its objective
@@ -107,16 +123,25 @@
 	return float64(r.e.objective(u.job)-r.now-later) / float64(own)
 }
 
-// choiceIfLate returns the choice for a unit that is late on any worker: whichever ends first, the
-// wait for workers that are not slow or a run on slow ones.
+// latestStartOn returns when u has to start on workers of a factor for its job to meet its objective.
+func (r *round) latestStartOn(u *unit, factor float64) time.Duration {
+	own := r.e.estimate(u)
+	later := r.e.criticalPathFrom(u) - own
+	return r.e.objective(u.job) - later - scale(own, factor)
+}
+
+// choiceIfLate returns the choice for a unit that can't be in time: whichever ends first, the wait for
+// workers that are not slow or a run on slow ones. The time that it has been late counts, since other
+// units may take the workers that it is expected to fit on.
 func (r *round) choiceIfLate(u *unit, speeds poolSpeeds) speedChoice {
 	choice := r.limitIfItFits(u, slowRatio*speeds.fastest)
 	if math.IsInf(choice.limit, 1) {
 		return choice
 	}
 	saved := scale(r.e.estimate(u), speeds.slowest-speeds.fastest)
+	lateSince := max(u.waitingSince, r.latestStartOn(u, speeds.fastest))
 	r.choice = choice
-	if r.fitsWithin(u, saved) {
+	if r.fitsWithin(u, saved-max(0, r.now-lateSince)) {
 		return choice
 	}
 	return speedChoice{limit: math.Inf(1), order: 1}
@@ -154,7 +179,7 @@
 	}
 	if order > 0 {
 		// A worker known to be fast goes before an unknown one.
-		return int(math.Round(math.Log(w.round.upperFactor()) / speedClassWidth))
+		return int(math.Round(math.Log(w.round.upperFactor) / speedClassWidth))
 	}
 	return -int(math.Round(math.Log(w.round.factor) / speedClassWidth))
 }
--- a/engine/speed_record.go
+++ b/engine/speed_record.go
@@ -43,8 +43,17 @@
 	minPrecisionGrowth = 4
 	// speedRecordInterval is the minimum time between two records of a worker's speed.
 	speedRecordInterval = 5 * time.Second
+	// earlierSpeedRetention is how long the speed of a worker that is gone is kept for the next
+	// incarnation. An agent that was replaced for good does not return.
+	earlierSpeedRetention = 10 * time.Minute
 )
 
+// earlierSpeed is what is known of a worker that is gone.
+type earlierSpeed struct {
+	SpeedRecord
+	goneAt time.Duration
+}
+
 // inheritSpeed takes over what is known of a new worker's speed: from its record, or from the
 // incarnation before it.
 func (e *Engine) inheritSpeed(now time.Duration, w *worker) {
@@ -53,31 +62,43 @@
 	if !e.params.Policy.WorkerSpeeds {
 		return
 	}
+	service, id := w.info.Service, string(w.info.ID)
 	if record != nil {
 		w.speed, w.speedRecordedAt = record, now
+		e.tracker.speeds.Restore(now, service, id, workerspeed.Evidence(*record))
 	} else if earlier, known := e.earlierSpeeds[w.info.Agent]; known {
-		earlier.Precision = min(earlier.Precision, maxInheritedPrecision)
-		record = &earlier
+		inherited := workerspeed.Evidence(earlier.SpeedRecord)
+		inherited.Precision = min(inherited.Precision, maxInheritedPrecision)
+		e.tracker.speeds.Inherit(now, service, id, inherited)
 	}
 	delete(e.earlierSpeeds, w.info.Agent)
-	if record != nil {
-		e.tracker.speeds.Restore(now, w.info.Service, string(w.info.ID), workerspeed.Evidence(*record))
+}
+
+// keepSpeed keeps what is known of a worker's speed for its next incarnation.
+func (e *Engine) keepSpeed(w *worker) {
+	if evidence, known := e.tracker.speeds.Evidence(e.lastTickAt, string(w.info.ID)); known && w.info.Agent != "" {
+		e.earlierSpeeds[w.info.Agent] = earlierSpeed{SpeedRecord(evidence), e.lastTickAt}
 	}
 }
 
-// forgetSpeed ends the observation of a worker, and keeps what is known for its next incarnation.
+// forgetSpeed ends the observation of a worker. The speed of one that was superseded has been passed on
+// already.
 func (e *Engine) forgetSpeed(w *worker) {
-	id := string(w.info.ID)
-	if evidence, known := e.tracker.speeds.Evidence(e.lastTickAt, id); known && w.info.Agent != "" {
-		e.earlierSpeeds[w.info.Agent] = SpeedRecord(evidence)
+	if w.supersession == nil {
+		e.keepSpeed(w)
 	}
-	e.tracker.speeds.Forget(id)
+	e.tracker.speeds.Forget(string(w.info.ID))
+}
+
+// forgetGoneAgents drops the speeds of workers whose agents have not returned in time.
+func (e *Engine) forgetGoneAgents(now time.Duration) {
+	maps.DeleteFunc(e.earlierSpeeds, func(_ string, s earlierSpeed) bool { return now-s.goneAt > earlierSpeedRetention })
 }
 
 // noteSpeed marks a worker's record to be written if its speed is known much better than is
-// recorded, or is another one.
+// recorded, or is another one. A record that exists is updated also while the workers do not differ.
 func (e *Engine) noteSpeed(now time.Duration, w *worker) {
-	if !w.recorded || w.speed != nil && now-w.speedRecordedAt < speedRecordInterval || !e.tracker.speeds.Differ(w.info.Service) {
+	if !w.recorded || w.speed != nil && now-w.speedRecordedAt < speedRecordInterval || w.speed == nil && !e.tracker.speeds.Differ(w.info.Service) {
 		return
 	}
 	evidence, known := e.tracker.speeds.Evidence(now, string(w.info.ID))
