engine: an order for jobs of which not all can be in time

Cause: units that miss their objective were ordered by acceptance behind all units in time. Nothing prevented starvation among them, useless urgent units kept lower priorities from running, and one account's flood made the jobs of others late.

Change (Policy.LateOrder, setting late_order, default on): late units that can still be of use are ordered by their latest useful start; shortly before it one of them goes first; units of jobs that can't be of use any more come last and evict nothing, unless a guarantee covers them; among accounts with about equal latest starts the one that uses less goes first. Guarantees and priorities precede lateness. Without late units the order is as before. The log line of a waiting unit has the reason, and UnitsWait reports the units by account and reason.

Open: within the limit a unit in time may still start while a late one passes its last useful start; see the log of TestNoUnitIsOvertakenPastItsLastUsefulStart.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -34,7 +34,10 @@
 	handling     ReportRef
 	tracker      durationTracker
 	// interference holds what is known about images that share workers.
-	interference  interferenceModel
+	interference interferenceModel
+	lateOrder    lateOrder
+	// rankBuffer is reused to avoid allocations.
+	rankBuffer    []rankedUnit
 	cordons       catalog.Cordons
 	urgentHistory urgentHistory
 	// adviceInFlight: a request to the advice service is unanswered. adviceRetryAt is the
@@ -87,6 +90,7 @@
 		reportOrders:        map[string]*reportOrder{},
 		tracker:             newDurationTracker(params.StopTime / 2),
 		interference:        newInterferenceModel(),
+		lateOrder:           newLateOrder(),
 		dirtyJobs:           map[workload.JobID]bool{},
 		unrecordedWorkers:   map[WorkerID]*worker{},
 		goneWorkers:         map[WorkerID]bool{},
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -24,7 +24,7 @@
 // capacity is being freed for u. Unless an account's guarantee is about to be broken, it evicts
 // only if capacity is not expected to become free soon (see Policy.EvictionWaitShare) and if the
 // victims lose at most Policy.EvictionCostFactor times u's own work, which counts more if the
-// job would end far too late.
+// job would end far too late. A unit whose job can't be of use any more evicts only for a guarantee.
 func (r *round) evict(u *unit) bool {
 	if u.job.spec.QueuePolicy.Priority != 0 || r.e.awaitingRecordedWorkers(r.now) {
 		return false
@@ -32,6 +32,9 @@
 	if len(u.claims) > 0 {
 		return true // victims are being stopped already
 	}
+	if u.queueClass == classUseless && !r.mustReclaim(u) {
+		return false
+	}
 	if r.now < u.nextEvictionSearch {
 		return false
 	}
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -57,6 +57,8 @@
 	for _, u := range queue {
 		r.schedule(u)
 	}
+	r.recordStarts(queue)
+	r.countWaits(queue)
 }
 
 func (e *Engine) newRound(now time.Duration) *round {
@@ -118,6 +120,7 @@
 		return
 	}
 	if !r.fitsBesideGuarantees(u) {
+		u.waitReason = WaitBehindGuarantee
 		return
 	}
 	if workers := r.findWorkers(u); workers != nil {
--- a/engine/policy.go
+++ b/engine/policy.go
@@ -9,6 +9,11 @@
 	// DeadlineOrder orders units of the same priority by the latest start that meets their
 	// job's objective; without it they are ordered by acceptance.
 	DeadlineOrder bool `toml:"deadline_order" default:"true"`
+	// LateOrder orders units that miss their objective by the latest start that is of use, lets a
+	// few of them go first shortly before it, lets the account that uses less go first among units
+	// that rank equally, and puts units of jobs that can't be of use any more last. Without it, or
+	// without DeadlineOrder, units that miss their objective are ordered by acceptance.
+	LateOrder bool `toml:"late_order" default:"true"`
 	// Headroom keeps capacity on some racks free of work that can wait, so that urgent jobs
 	// need not wait for evictions. HeadroomShare, from 0 to 1, is the quantile of recent urgent
 	// job sizes that is kept free; 1 stands for the largest.
@@ -55,6 +60,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		DeadlineOrder:      true,
+		LateOrder:          true,
 		Headroom:           true,
 		HeadroomShare:      1,
 		Evictions:          true,
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -7,73 +7,149 @@
 )
 
 // queue returns the waiting units in scheduling order: first units of jobs within their account's
-// guarantee, then by queue priority (0 first), then by the latest start that meets the job's
-// objective (units that can't meet it last), then by acceptance.
+// guarantee, then by queue priority (0 first), then units that can meet their job's objective, by
+// their latest start, then units that can't (see queueClass and rankLate), then by acceptance. Units
+// whose jobs can't be of use any more come after all priorities, unless a guarantee covers them.
 func (e *Engine) queue(now time.Duration, protected map[*job]bool) []*unit {
-	var ranked []rankedUnit
+	ranked := e.rank(now, protected)
+	keys := make([]queueKey, len(ranked))
+	for i := range ranked {
+		keys[i] = ranked[i].key()
+	}
+	slices.SortFunc(keys, queueKey.compare)
+	setWaitReasons(keys)
+	units := make([]*unit, len(ranked))
+	for i, k := range keys {
+		units[i] = k.ranked.unit
+		units[i].queueClass = k.ranked.class
+	}
+	clear(ranked) // the buffer must not keep ended units alive
+	e.rankBuffer = ranked[:0]
+	return units
+}
+
+// rank returns the waiting units with their ranks, in order of acceptance. The result is valid until
+// the next call.
+func (e *Engine) rank(now time.Duration, protected map[*job]bool) []rankedUnit {
+	ranked := e.rankBuffer
+	anyLate := false
 	for _, j := range e.orderedJobs {
 		if j.state.Final() {
 			continue
 		}
+		jobProtected := protected[j]
 		for _, u := range j.units {
-			if u.state == unitWaiting && now >= u.notBefore {
-				ranked = append(ranked, rankedUnit{u, protected[j], e.latestStart(now, u)})
+			if u.state != unitWaiting || now < u.notBefore {
+				continue
 			}
+			class, latestStart := e.classify(now, u)
+			anyLate = anyLate || class == classLate
+			ranked = append(ranked, rankedUnit{unit: u, protected: jobProtected, class: class, latestStart: latestStart, rankStart: latestStart})
 		}
 	}
-	slices.SortFunc(ranked, rankedUnit.compare)
-	units := make([]*unit, len(ranked))
-	for i := range ranked {
-		units[i] = ranked[i].unit
+	if anyLate {
+		e.rankLate(now, ranked)
 	}
-	return units
+	return ranked
 }
 
-// rankedUnit is a waiting unit with its sort keys.
+// rankedUnit is a waiting unit with its rank.
 type rankedUnit struct {
-	unit        *unit
-	protected   bool // its job is within its account's guarantee
-	latestStart time.Duration
+	unit      *unit
+	protected bool // its job is within its account's guarantee
+	class     queueClass
+	// latestStart is when the unit has to start to be in time or, if it is late, of use. rankStart
+	// is the same, truncated in groups with late units.
+	latestStart, rankStart time.Duration
+	// usage is what the account holds; 0 in groups without late units.
+	usage float64
+	// groupIndex is the unit's position in the result of lateGroups.
+	groupIndex int
 }
 
-func (a rankedUnit) compare(b rankedUnit) int {
-	if a.protected != b.protected {
-		if a.protected {
-			return -1
-		}
-		return 1
+func (a *rankedUnit) group() queueGroup {
+	return queueGroup{a.unit.job.spec.Service, a.protected, a.unit.job.spec.QueuePolicy.Priority}
+}
+
+// key returns the sort key of the unit.
+func (a *rankedUnit) key() queueKey {
+	k := queueKey{
+		priority:  int32(a.unit.job.spec.QueuePolicy.Priority),
+		class:     a.class.order(),
+		rankStart: a.rankStart,
+		revision:  a.unit.job.revision,
+		ranked:    a,
 	}
-	return cmp.Or(
-		cmp.Compare(a.unit.job.spec.QueuePolicy.Priority, b.unit.job.spec.QueuePolicy.Priority),
-		cmp.Compare(a.latestStart, b.latestStart),
-		cmp.Compare(a.unit.job.revision, b.unit.job.revision),
-		cmp.Compare(a.unit.job.spec.ID, b.unit.job.spec.ID),
-		cmp.Compare(a.unit.occurrence, b.unit.occurrence),
-		cmp.Compare(a.unit.step, b.unit.step),
-		cmp.Compare(a.unit.index, b.unit.index),
-	)
+	switch {
+	case a.protected:
+	case a.class == classUseless:
+		k.tier, k.priority = tierUseless, 0
+	default:
+		k.tier = tierOther
+	}
+	return k
+}
+
+// queueTier decides the order before the priority does.
+type queueTier uint8
+
+const (
+	tierProtected queueTier = iota // the job is within its account's guarantee
+	tierOther
+	// tierUseless: other jobs that can't be of use any more. Ahead of lower priorities they would take
+	// the capacity of jobs that still can, see TestFloodOfUrgentGangs.
+	tierUseless
+)
+
+// queueKey is the sort key of a waiting unit. It holds what decides most comparisons, so that these
+// need no other memory.
+type queueKey struct {
+	priority  int32
+	tier      queueTier
+	class     queueClass
+	rankStart time.Duration
+	revision  int64
+	ranked    *rankedUnit
 }
 
-// latestStart returns when u has to start for its job to meet its objective, or never if that
-// is no longer possible.
-func (e *Engine) latestStart(now time.Duration, u *unit) time.Duration {
-	if u.spec().LongRunning {
-		return u.waitingSince // users wait for it from the start
+func (a queueKey) compare(b queueKey) int {
+	if a.tier != b.tier {
+		return cmp.Compare(a.tier, b.tier)
+	}
+	if a.priority != b.priority {
+		return cmp.Compare(a.priority, b.priority)
 	}
-	if !e.params.Policy.DeadlineOrder {
-		return u.job.acceptedAt
+	if a.class != b.class {
+		return cmp.Compare(a.class, b.class)
 	}
-	work := e.criticalPathFrom(u)
-	return e.deadlineIfReachable(now+work, u.job) - work
+	if a.rankStart != b.rankStart {
+		return cmp.Compare(a.rankStart, b.rankStart)
+	}
+	if c := a.ranked.compareEqualStart(b.ranked); c != 0 {
+		return c
+	}
+	if a.revision != b.revision {
+		return cmp.Compare(a.revision, b.revision)
+	}
+	return a.ranked.unit.compareInRevision(b.ranked.unit)
 }
 
-// deadlineIfReachable returns the objective of a job that would complete at end, or never if it
-// would be missed, so that units that can still be on time go first.
-func (e *Engine) deadlineIfReachable(end time.Duration, j *job) time.Duration {
-	if objective := e.objective(j); end <= objective {
-		return objective
+// compareEqualStart compares units of the same rankStart.
+func (a *rankedUnit) compareEqualStart(b *rankedUnit) int {
+	if a.usage != b.usage {
+		return cmp.Compare(a.usage, b.usage)
 	}
-	return never
+	return cmp.Compare(a.latestStart, b.latestStart)
+}
+
+// compareInRevision compares units of jobs of the same revision.
+func (u *unit) compareInRevision(v *unit) int {
+	return cmp.Or(
+		cmp.Compare(u.job.spec.ID, v.job.spec.ID),
+		cmp.Compare(u.occurrence, v.occurrence),
+		cmp.Compare(u.step, v.step),
+		cmp.Compare(u.index, v.index),
+	)
 }
 
 // criticalPathFrom returns the expected length of the critical path from u's step on.
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -8,7 +8,7 @@
 // waitLogInterval is the minimum interval between log lines about the same waiting unit.
 const waitLogInterval = 5 * time.Second
 
-// logWait logs what a waiting unit needs and when it is expected to fit.
+// logWait logs why a unit waits, what it needs and when it is expected to fit.
 func (r *round) logWait(u *unit, at time.Duration, slots map[*worker]int) {
 	if r.now-u.waitingSince < waitLogInterval || r.now < u.nextWaitLog {
 		return
@@ -16,9 +16,9 @@
 	u.nextWaitLog = r.now + waitLogInterval
 	needs := fmt.Sprintf("step %d needs %d x %+v", u.step, u.size, u.demand())
 	waited := (r.now - u.waitingSince).Milliseconds()
-	detail := fmt.Sprintf("for %d ms; %s; not expected to fit on the %d usable workers", waited, needs, len(r.usable.workers))
+	detail := fmt.Sprintf("for %d ms, %s; %s; not expected to fit on the %d usable workers", waited, u.waitReason, needs, len(r.usable.workers))
 	if slots != nil {
-		detail = fmt.Sprintf("for %d ms; %s; expected to fit in %d ms on %d workers", waited, needs, at.Milliseconds(), len(slots))
+		detail = fmt.Sprintf("for %d ms, %s; %s; expected to fit in %d ms on %d workers", waited, u.waitReason, needs, at.Milliseconds(), len(slots))
 	}
 	r.e.logJobDecision(u.job, "waits", detail)
 }
--- a/engine/unit.go
+++ b/engine/unit.go
@@ -59,7 +59,12 @@
 	notBefore                      time.Duration
 	// nextWaitLog is the earliest time of the next log entry about what the unit waits for.
 	nextWaitLog time.Duration
-	stallCount  int // how often it was stopped as stuck
+	// queueClass and waitReason are those of the last planning round. reportedWaits has a bit for each
+	// WaitReason that was reported since the unit last started.
+	queueClass    queueClass
+	waitReason    WaitReason
+	reportedWaits uint8
+	stallCount    int // how often it was stopped as stuck
 	// avoidedWorkers are workers where a run failed or got stuck, with the end of the
 	// avoidance.
 	avoidedWorkers map[WorkerID]time.Duration
