gateway: count waiting units by account and reason

An operator could not tell whether an account waits for capacity, behind a guarantee or a priority, or since its jobs are late.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	lostWork         metrics.LabeledSums      // core-seconds of discarded work, by queue and cause
 	savedWork        metrics.LabeledSums      // core-seconds of discarded runs kept by checkpoints, by queue and cause
 	lateJobs         metrics.LabeledSums      // jobs that missed their objective, by queue and reason
+	unitWaits        metrics.LabeledSums      // units that could not start at once, by account and reason
 
 	mu   sync.Mutex
 	term *term // current or last term of this gateway as planner
@@ -176,6 +177,7 @@
 	g.lostWork.WriteText(w, "eelgrasshub_work_lost_core_seconds")
 	g.savedWork.WriteText(w, "eelgrasshub_work_saved_core_seconds")
 	g.lateJobs.WriteText(w, "eelgrasshub_jobs_late")
+	g.unitWaits.WriteText(w, "eelgrasshub_units_waited")
 }
 
 // Counters returns the gateway's counters.
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -37,6 +37,8 @@
 			t.logOutdatedReport(a)
 		case engine.JobLate:
 			t.logLate(a)
+		case engine.UnitsWait:
+			t.g.unitWaits.Add(a.Account+"/"+a.Reason.String(), float64(a.Units))
 		case engine.JobFinished:
 			t.g.jobCompletions.Observe(a.Account+"/"+a.Queue+"/"+string(a.State), a.Took)
 		}
