engine: tests of useless and scheduled units in the late order

Without its check in evict, a useless urgent unit stops other work, and the first test fails. The second covers the start from which the usefulness of a scheduled job is counted.

--- a/engine/queue_test.go
+++ b/engine/queue_test.go
@@ -152,3 +152,42 @@
 		"behind guarantee",
 	})
 }
+
+// Guards against work that is stopped for an urgent job that can't be of use any more, and against a
+// guarantee that is not kept for such a job. Load: a worker full of patient work, and one urgent
+// gang accepted a minute ago.
+func TestUselessUnitEvictsOnlyForGuarantee(t *testing.T) {
+	for _, test := range []struct {
+		account string
+		evicts  bool
+	}{{"", false}, {"big", true}} {
+		t.Run("account="+test.account, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDriver(t, 1)
+			d.submit(2, "", gangStep(1, 8))
+			d.settle()
+			d.jobs++
+			d.handle(JobSubmitted{Age: time.Minute, Revision: int64(d.jobs), Job: workload.Job{
+				ID: "useless", Queue: "q0", Account: test.account, Service: "s", Steps: []workload.Step{gangStep(1, 8)},
+				QueuePolicy: workload.QueuePolicy{MaxAttempts: 3, Stretch: 1.5, TargetLatency: time.Second},
+			}})
+			d.advance(3 * time.Second)
+			c.Check(len(d.stops) > 0, qt.Equals, test.evicts)
+		})
+	}
+}
+
+// Guards against later occurrences of a scheduled job that count as useless, as they are due long
+// after the job's acceptance.
+func TestScheduledOccurrenceIsNotUselessWhenDue(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 0)
+	d.handle(JobSubmitted{Age: time.Hour, Revision: 1, Job: workload.Job{
+		ID: "scheduled", Queue: "q1", Service: "s", Steps: []workload.Step{gangStep(1, 1)},
+		Schedule:    workload.Schedule{First: time.Unix(1000, 0), Period: time.Hour, Count: 2},
+		QueuePolicy: workload.QueuePolicy{Priority: 1, Stretch: 3, TargetLatency: time.Second},
+	}})
+	d.tick()
+	class, _ := d.e.classify(d.now, d.e.jobs["scheduled"].units[0])
+	c.Check(class, qt.Equals, classLate)
+}
