--- a/engine/plan.go
+++ b/engine/plan.go
@@ -67,6 +67,8 @@
 	for _, u := range queue {
 		r.schedule(u)
 	}
+	r.recordStarts(queue)
+	r.countWaits(queue)
 }
 
 func (e *Engine) newRound(now time.Duration) *round {
@@ -129,6 +131,7 @@
 		return
 	}
 	if !r.fitsBesideGuarantees(u) {
+		u.waitReason = WaitBehindGuarantee
 		return
 	}
 	if workers := r.findWorkers(u); workers != nil {
