--- a/engine/speed_choice.go
+++ b/engine/speed_choice.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math"
 	"time"
 )
@@ -18,14 +17,8 @@
 // poolSpeeds is the range of the upper factors of a service's usable workers in a round.
 type poolSpeeds struct {
 	fastest, slowest float64
-	// slowestLower is the largest factor less its error.
-	slowestLower float64
 }
 
-// unlike reports whether some workers are slow beyond the error of the factors. Otherwise speed does
-// not decide: a choice by differences that are mostly error costs more than it gains.
-func (s poolSpeeds) unlike() bool { return s.slowestLower >= slowRatio*s.fastest }
-
 // speedChoice restricts the workers of a unit by their speed.
 type speedChoice struct {
 	// limit is the largest factor that is allowed; +Inf if the unit may run on any worker.
@@ -51,15 +44,10 @@
 		}
 		s, known := r.speeds[service]
 		if !known {
-			s.fastest = w.round.upperFactor
-		}
-		r.speeds[service] = poolSpeeds{
-			fastest:      min(s.fastest, w.round.upperFactor),
-			slowest:      max(s.slowest, w.round.upperFactor),
-			slowestLower: max(s.slowestLower, factor*math.Exp(-logError)),
+			s = poolSpeeds{w.round.upperFactor, w.round.upperFactor}
 		}
+		r.speeds[service] = poolSpeeds{min(s.fastest, w.round.upperFactor), max(s.slowest, w.round.upperFactor)}
 	}
-	maps.DeleteFunc(r.speeds, func(_ string, s poolSpeeds) bool { return !s.unlike() })
 	for _, w := range r.usable.workers {
 		s, differ := r.speeds[w.info.Service]
 		w.round.slow = differ && w.round.upperFactor >= slowRatio*s.fastest
@@ -101,7 +89,7 @@
 // slow workers first, so that fast ones stay free for work that needs them.
 func (r *round) findSpeedChoice(u *unit) speedChoice {
 	speeds, differ := r.speeds[u.job.spec.Service]
-	if !differ || u.spec().LongRunning || u.spec().BestEffortCPU {
+	if !differ || u.spec().LongRunning || u.spec().BestEffortCPU || speeds.slowest < slowRatio*speeds.fastest {
 		return anySpeed
 	}
 	limit := r.slowestInTime(u)
