workerspeed: the effect of the slowest member is computed once for an observation

updateEffects computed the smooth maximum a second time, and its temperature by a copy of the same sum. Whether a worker is named twice was found in two ways, of which the sorted names find all cases. Setting an effect and adding bounded evidence each had two copies.

--- a/workerspeed/filter.go
+++ b/workerspeed/filter.go
@@ -18,12 +18,18 @@
 // minTemperature avoids overflow where all effects are well known.
 const minTemperature = 0.02
 
-// slowestEffect returns the approximate distribution of the largest effect of the members, and sets
-// their shares.
-func slowestEffect(members []member) normal {
+// slowest is the approximate distribution of the largest effect of a unit's members: a smooth maximum
+// with a temperature.
+type slowest struct {
+	normal
+	temperature float64
+}
+
+// slowestEffect returns the distribution of the largest effect of the members, and sets their shares.
+func slowestEffect(members []member) slowest {
 	if len(members) == 1 {
 		members[0].share = 1
-		return members[0].normal
+		return slowest{normal: members[0].normal}
 	}
 	largest, variance := math.Inf(-1), 0.0
 	for i := range members {
@@ -36,46 +42,36 @@
 		members[i].share = math.Exp((members[i].mean - largest) / temperature)
 		sum += members[i].share
 	}
-	slowest := normal{mean: largest + temperature*math.Log(sum)}
+	s := slowest{normal{mean: largest + temperature*math.Log(sum)}, temperature}
 	for i := range members {
 		members[i].share /= sum
-		slowest.variance += members[i].share * members[i].share * members[i].variance
+		s.variance += members[i].share * members[i].share * members[i].variance
 	}
-	return slowest
+	return s
 }
 
-// updateEffects updates the effects of the members by the residual of a run, whose error has a
-// variance.
-func updateEffects(members []member, residual, variance float64) {
+// updateEffects updates the effects of the members, of which unit is the result of slowestEffect, by the
+// residual of a run, whose error has a variance.
+func updateEffects(members []member, unit slowest, residual, variance float64) {
 	if len(members) == 1 {
-		members[0].worker.set(members[0].normal, posterior(members[0].normal, residual, variance))
+		members[0].worker.update(members[0].normal, posterior(members[0].normal, residual, variance))
 		return
 	}
-	slowest := slowestEffect(members)
-	largest, temperature := slowest.mean, max(minTemperature, temperatureFactor*math.Sqrt(meanVariance(members)))
 	for i := range members {
 		s := &members[i]
 		rest := max(1-s.share, 1e-6)
 		others := normal{
-			mean:     largest + temperature*math.Log(rest),
-			variance: max(slowest.variance-s.share*s.share*s.variance, 0) / (rest * rest),
+			mean:     unit.mean + unit.temperature*math.Log(rest),
+			variance: max(unit.variance-s.share*s.share*s.variance, 0) / (rest * rest),
 		}
 		others.variance = max(others.variance, minVariance)
-		s.worker.set(s.normal, posteriorInGang(s.normal, others, residual, variance))
+		s.worker.update(s.normal, posteriorInGang(s.normal, others, residual, variance))
 	}
 }
 
 // minVariance keeps distributions proper.
 const minVariance = 1e-4
 
-func meanVariance(members []member) float64 {
-	sum := 0.0
-	for i := range members {
-		sum += members[i].variance
-	}
-	return sum / float64(len(members))
-}
-
 // posterior returns the distribution of an effect after a residual that shows it with an error, or
 // nothing if the run is an outlier.
 func posterior(prior normal, residual, variance float64) normal {
--- a/workerspeed/model.go
+++ b/workerspeed/model.go
@@ -69,7 +69,6 @@
 	version     int
 	ignored     int
 	members     []member // of the observation in progress
-	finds       uint64   // number of observations so far
 }
 
 // New returns a Model without observations.
@@ -115,13 +114,13 @@
 			q.equalNoise.addReplicate(took-mean, runs)
 		}
 	}
-	slowest := slowestEffect(m.members)
+	unit := slowestEffect(m.members)
 	base := g.base(&q.unequal, declared, only, q.noise.variance(), true)
 	equalBase := g.base(&q.equal, declared, only, q.equalNoise.variance(), false)
 	if base.known && equalBase.known {
 		variance, equalVariance := q.noise.variance()+base.variance, q.equalNoise.variance()+equalBase.variance
-		deviation, equalDeviation := took-base.mean-slowest.mean, took-equalBase.mean
-		logRatio := clip(q.dispersion.logDensity(deviation, variance+slowest.variance)-q.equalDispersion.logDensity(equalDeviation, equalVariance), maxStepEvidence)
+		deviation, equalDeviation := took-base.mean-unit.mean, took-equalBase.mean
+		logRatio := clip(q.dispersion.logDensity(deviation, variance+unit.variance)-q.equalDispersion.logDensity(equalDeviation, equalVariance), maxStepEvidence)
 		// The runs of a group share the error of its declaration, so only one of them is evidence.
 		if q.equalNoise.calibrated() && !(equalBase.declared && g.compared) {
 			g.compared = equalBase.declared
@@ -130,17 +129,17 @@
 				only.addEvidence(logRatio)
 			}
 		}
-		q.noise.addResidual(deviation, base.variance+slowest.variance)
+		q.noise.addResidual(deviation, base.variance+unit.variance)
 		q.equalNoise.addResidual(equalDeviation, equalBase.variance)
-		if only == nil || !only.noteOutlier(took-base.mean, deviation, variance+slowest.variance) {
-			updateEffects(m.members, took-base.mean, variance)
+		if only == nil || !only.noteOutlier(took-base.mean, deviation, variance+unit.variance) {
+			updateEffects(m.members, unit, took-base.mean, variance)
 		}
 	}
 	for i := range m.members {
 		m.members[i].worker.runs++
 	}
-	q.observe(g, declared, took-slowest.mean, took)
-	g.add(only, took, slowest.mean)
+	q.observe(g, declared, took-unit.mean, took)
+	g.add(only, took, unit.mean)
 }
 
 // Changed records that a run on one worker progresses at another rate than before: ratio is how
@@ -225,15 +224,10 @@
 // findMembers sets m.members to the workers of an observation, adding those that are not known yet.
 // It returns false, and adds none, unless each is named once and none is known from another pool.
 func (m *Model) findMembers(now time.Duration, poolName string, names []string) bool {
-	m.finds++
 	for _, name := range names {
-		w := m.workers[name]
-		if name == "" || w != nil && (w.pool.name != poolName || w.foundBy == m.finds) {
+		if w := m.workers[name]; name == "" || w != nil && w.pool.name != poolName {
 			return false
 		}
-		if w != nil {
-			w.foundBy = m.finds
-		}
 	}
 	if len(names) == 0 || len(names) > 1 && repeated(names) {
 		return false
--- a/workerspeed/pool.go
+++ b/workerspeed/pool.go
@@ -62,7 +62,7 @@
 // addEvidence adds the logarithm of the ratio of the densities of a run time under different and
 // under equal workers.
 func (p *pool) addEvidence(logRatio float64) {
-	p.evidence = min(max(p.evidence+logRatio, minEvidence), maxEvidence)
+	p.evidence = addBounded(p.evidence, logRatio)
 	switch {
 	case p.evidence >= differEvidence:
 		p.differ = true
@@ -71,6 +71,11 @@
 	}
 }
 
+// addBounded adds to evidence within its bounds.
+func addBounded(evidence, logRatio float64) float64 {
+	return min(max(evidence+logRatio, minEvidence), maxEvidence)
+}
+
 // observed counts an observation, and centres the effects and drops idle workers if that is due.
 func (p *pool) observed(m *Model) {
 	m.version++
--- a/workerspeed/worker.go
+++ b/workerspeed/worker.go
@@ -48,7 +48,6 @@
 	changedFrom   float64
 	lastChange    float64
 	changeReports int
-	foundBy       uint64 // the last call of Model.findMembers that named it
 }
 
 // decay reduces the weight of the evidence by the time since the last call.
@@ -71,17 +70,20 @@
 // variance returns the variance of effect.
 func (w *worker) variance() float64 { return 1 / (w.precision + 1/poolVariance) }
 
-// set replaces the distribution of the effect, which was before.
-func (w *worker) set(before, after normal) {
-	precision := max(0, w.precision+1/after.variance-1/before.variance)
-	w.weighted = clip(after.mean, maxEffect) * (precision + 1/poolVariance)
-	w.precision = precision
+// update replaces the distribution of the effect, which was before, by that after a run.
+func (w *worker) update(before, after normal) {
+	w.set(after.mean, max(0, w.precision+1/after.variance-1/before.variance))
 }
 
-// replace sets the effect, with evidence of a precision.
-func (w *worker) replace(effect, precision float64) {
+// set sets the effect, and the precision of its evidence.
+func (w *worker) set(effect, precision float64) {
 	w.precision = precision
 	w.weighted = clip(effect, maxEffect) * (precision + 1/poolVariance)
+}
+
+// replace drops the evidence on the speed before a change, and sets that on the speed after it.
+func (w *worker) replace(effect, precision float64) {
+	w.set(effect, precision)
 	w.streak = 0
 }
 
@@ -105,7 +107,7 @@
 
 // addEvidence adds the evidence of a single task on whether the worker differs from the others.
 func (w *worker) addEvidence(logRatio float64) {
-	w.evidence = min(max(w.evidence+logRatio, minEvidence), maxEvidence)
+	w.evidence = addBounded(w.evidence, logRatio)
 	switch {
 	case w.evidence >= differEvidence+math.Log(float64(len(w.pool.workers))) && math.Abs(w.effect()) >= minFactorLog:
 		w.setApart(true)
