engine: speeds are read only for services whose workers differ

A round asked twice for each worker whether its service differs, and computed an exponential for equal workers. Polls of a gang on several workers went over all its members after its run was measured, though nothing more can be learned from it. The choices without a limit have names, and a choice that is in effect already is not set again.

--- a/engine/speed_choice.go
+++ b/engine/speed_choice.go
@@ -27,18 +27,26 @@
 	order int
 }
 
-// anySpeed is the choice of a unit whose service has equal workers.
-var anySpeed = speedChoice{limit: math.Inf(1)}
+var (
+	// anySpeed is the choice of a unit whose service has equal workers.
+	anySpeed = speedChoice{limit: math.Inf(1)}
+	// slowestFirst and fastestFirst are the choices of units that may run on any worker.
+	slowestFirst = speedChoice{limit: math.Inf(1), order: -1}
+	fastestFirst = speedChoice{limit: math.Inf(1), order: 1}
+)
+
+// limited reports whether some workers may be too slow.
+func (c speedChoice) limited() bool { return !math.IsInf(c.limit, 1) }
 
 // loadSpeeds determines the factors of the usable workers of services whose workers differ.
 func (r *round) loadSpeeds() {
 	for _, w := range r.usable.workers {
-		factor, logError := r.e.workerSpeed(r.now, w)
-		w.round.factor, w.round.upperFactor = factor, factor*math.Exp(logError)
 		service := w.info.Service
-		if !r.e.params.Policy.WorkerSpeeds || !r.e.tracker.speeds.Differ(service) {
+		if !r.e.speedsDiffer(service) {
 			continue
 		}
+		factor, logError := r.e.learnedSpeed(r.now, w)
+		w.round.factor, w.round.upperFactor = factor, factor*math.Exp(logError)
 		if r.speeds == nil {
 			r.speeds = map[string]poolSpeeds{}
 		}
@@ -63,10 +71,10 @@
 
 // allowAnySpeed lifts the speed limit of u for the rest of the round. It reports whether there was one.
 func (r *round) allowAnySpeed(u *unit) bool {
-	if math.IsInf(r.speedChoice(u).limit, 1) {
+	if !r.speedChoice(u).limited() {
 		return false
 	}
-	r.choice = speedChoice{limit: math.Inf(1), order: 1}
+	r.choice = fastestFirst
 	r.preferredUnit = nil
 	return true
 }
@@ -95,17 +103,16 @@
 	limit := r.slowestInTime(u)
 	switch {
 	case limit >= speeds.slowest && u.job.spec.QueuePolicy.Priority > 0:
-		return speedChoice{limit: math.Inf(1), order: -1}
+		return slowestFirst
 	case limit >= speeds.slowest:
-		return speedChoice{limit: math.Inf(1), order: 1}
+		return fastestFirst
 	case limit < speeds.fastest:
 		return r.choiceIfLate(u, speeds)
 	}
 	choice := r.limitIfItFits(u, limit)
-	if u.job.spec.QueuePolicy.Priority == 0 || math.IsInf(choice.limit, 1) {
+	if u.job.spec.QueuePolicy.Priority == 0 || !choice.limited() {
 		return choice // urgent work may evict
 	}
-	r.choice = choice
 	if r.fitsWithin(u, r.latestStartOn(u, speeds.fastest)-r.now) {
 		return choice
 	}
@@ -135,16 +142,15 @@
 // units may take the workers that it is expected to fit on.
 func (r *round) choiceIfLate(u *unit, speeds poolSpeeds) speedChoice {
 	choice := r.limitIfItFits(u, slowRatio*speeds.fastest)
-	if math.IsInf(choice.limit, 1) {
+	if !choice.limited() {
 		return choice
 	}
 	saved := scale(r.e.estimate(u), speeds.slowest-speeds.fastest)
 	lateSince := max(u.waitingSince, r.latestStartOn(u, speeds.fastest))
-	r.choice = choice
 	if r.fitsWithin(u, saved-max(0, r.now-lateSince)) {
 		return choice
 	}
-	return speedChoice{limit: math.Inf(1), order: 1}
+	return fastestFirst
 }
 
 // fitsWithin reports whether u is expected to fit on its preferred workers within a delay.
@@ -158,7 +164,7 @@
 }
 
 // limitIfItFits restricts u to a factor, unless its preferred workers then could not hold it even
-// with nothing else running there.
+// with nothing else running there. A limit that it returns is in effect.
 func (r *round) limitIfItFits(u *unit, limit float64) speedChoice {
 	r.choice = anySpeed
 	preferred := r.findPreferredDomains(u)
@@ -168,7 +174,7 @@
 			return r.choice
 		}
 	}
-	return speedChoice{limit: math.Inf(1), order: 1}
+	return fastestFirst
 }
 
 // speedRank orders candidate workers for u by speed class, those to be preferred first.
@@ -204,7 +210,7 @@
 		fastest, slowest = min(fastest, w.round.factor), max(slowest, w.round.factor)
 	}
 	limit := "any speed"
-	if choice := r.speedChoice(u); !math.IsInf(choice.limit, 1) {
+	if choice := r.speedChoice(u); choice.limited() {
 		limit = fmt.Sprintf("in time up to factor %.2f", choice.limit)
 	}
 	return fmt.Sprintf("run time factors %.2f to %.2f, %s", fastest, slowest, limit)
--- a/engine/speed_meter.go
+++ b/engine/speed_meter.go
@@ -13,11 +13,10 @@
 	// process is the process of the agent whose clock is used.
 	process uint64
 	started bool
-	// skipsRestore is set for a run that may be restored from a checkpoint first.
-	skipsRestore bool
-	// moved is set once the percentage has changed. A run that resumes from a checkpoint reports
-	// the same one until it is restored.
-	moved   bool
+	// skipsRestore is set for a run that may be restored from a checkpoint first. It reports the same
+	// percentage until it is restored; moved is set once that has changed.
+	skipsRestore, moved bool
+
 	percent int           // at the start of the window
 	at      time.Duration // start of the window
 	// perPercent is the time for one percent in the previous window; 0 before the first.
@@ -41,12 +40,10 @@
 		*m = speedMeter{skipsRestore: m.skipsRestore, process: process, started: true, percent: percent, at: at}
 		return 0, 0
 	}
-	if !m.moved {
+	if m.skipsRestore && !m.moved {
 		m.moved = percent > m.percent
-		if m.skipsRestore {
-			m.percent, m.at = percent, at
-			return 0, 0
-		}
+		m.percent, m.at = percent, at
+		return 0, 0
 	}
 	gained, elapsed := percent-m.percent, at-m.at
 	if percent >= 100 || elapsed <= 0 {
@@ -78,8 +75,8 @@
 
 // measureSpeed learns from the reported progress of a run how fast its worker is.
 func (e *Engine) measureSpeed(now time.Duration, p *placement, percent int, origin ReportOrigin) {
-	if !e.params.Policy.WorkerSpeeds || p.stopping || !p.unit.showsSpeed() {
-		return
+	if !e.params.Policy.WorkerSpeeds || p.stopping || p.unit.measured() && !p.unit.onOneWorker() || !p.unit.showsSpeed() {
+		return // a later change of the rate of a gang does not tell which of its workers has changed
 	}
 	at := now
 	if origin.Process != 0 {
@@ -105,7 +102,7 @@
 
 // observeSpeed passes the run time of a unit's current run to the model, once for each run.
 func (e *Engine) observeSpeed(now time.Duration, u *unit, took time.Duration) {
-	if u.measuredRun == u.runNumber {
+	if u.measured() {
 		return
 	}
 	u.measuredRun = u.runNumber
@@ -125,6 +122,9 @@
 	})
 }
 
+// measured reports whether the time of the unit's current run was passed to the model.
+func (u *unit) measured() bool { return u.measuredRun == u.runNumber }
+
 // speedGroup identifies the runs whose length is compared with that of u.
 func (u *unit) speedGroup() workerspeed.GroupID {
 	return workerspeed.GroupID{Job: string(u.job.spec.ID), Occurrence: u.occurrence, Step: u.step}
@@ -165,12 +165,14 @@
 	return true
 }
 
-// workerSpeed returns the run time on w relative to an average worker, and the standard deviation
-// of its logarithm.
-func (e *Engine) workerSpeed(now time.Duration, w *worker) (factor, logError float64) {
-	if !e.params.Policy.WorkerSpeeds || !e.tracker.speeds.Differ(w.info.Service) {
-		return 1, 0
-	}
+// speedsDiffer reports whether the workers of a service count as differing in speed.
+func (e *Engine) speedsDiffer(service string) bool {
+	return e.params.Policy.WorkerSpeeds && e.tracker.speeds.Differ(service)
+}
+
+// learnedSpeed returns the run time on w relative to an average worker, and the standard deviation
+// of its logarithm. The workers of its service differ.
+func (e *Engine) learnedSpeed(now time.Duration, w *worker) (factor, logError float64) {
 	estimate := e.tracker.speeds.Estimate(now, string(w.info.ID))
 	if estimate.Error == 0 {
 		return 1, e.tracker.speeds.Spread(w.info.Service)
@@ -181,14 +183,14 @@
 // slowdown returns the run time of u where it is placed, relative to average workers. The slowest
 // member determines it.
 func (e *Engine) slowdown(now time.Duration, u *unit) float64 {
+	if len(u.placements) == 0 || !e.speedsDiffer(u.job.spec.Service) {
+		return 1
+	}
 	slowest := 0.0
 	for _, p := range u.placements {
-		factor, _ := e.workerSpeed(now, p.worker)
+		factor, _ := e.learnedSpeed(now, p.worker)
 		slowest = max(slowest, factor)
 	}
-	if slowest == 0 {
-		return 1
-	}
 	return slowest
 }
 
