engine: one constant for late calls, one place for queue groups and for the time of use

The 12 s within which a worker may carry out an unanswered call stood in two files, a queue group was built in two, and the multiple of the objective up to which a job is of use was applied in two.

--- a/engine/expiry.go
+++ b/engine/expiry.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// maxCallDelay is how long after it was sent a call to a worker that got no answer may still be
-// carried out.
+// maxCallDelay is the longest time after which a worker carries out a call that it has not answered.
 const maxCallDelay = 12 * time.Second
 
 // expireLease ends the runs of a worker whose lease has expired, apart from starts that may still take
--- a/engine/job.go
+++ b/engine/job.go
@@ -88,9 +88,14 @@
 // to the caller.
 const uselessAfterFactor = 3
 
+// usefulTime returns for how long a completion of the job is of use, given its objective.
+func (j *job) usefulTime(objective time.Duration) time.Duration {
+	return uselessAfterFactor * (objective - j.acceptedAt)
+}
+
 // uselessFrom returns the time from which the job's completion is of no use to the caller.
 func (e *Engine) uselessFrom(j *job) time.Duration {
-	return j.acceptedAt + uselessAfterFactor*(e.objective(j)-j.acceptedAt)
+	return j.acceptedAt + j.usefulTime(e.objective(j))
 }
 
 // stepDone reports whether all tasks of a step of an occurrence are done.
--- a/engine/late_order.go
+++ b/engine/late_order.go
@@ -41,6 +41,10 @@
 	priority  int
 }
 
+func (u *unit) queueGroup(protected bool) queueGroup {
+	return queueGroup{u.job.spec.Service, protected, u.job.spec.QueuePolicy.Priority}
+}
+
 // started records the start of work of a group, either of a late unit that went first or of a unit
 // in time.
 func (l *lateOrder) started(g queueGroup, lateFirst bool, work float64) {
@@ -115,7 +119,7 @@
 		if a.class > classLate {
 			continue
 		}
-		key := a.group()
+		key := a.unit.queueGroup(a.protected)
 		a.groupIndex = slices.IndexFunc(groups, func(g lateGroup) bool { return g.key == key })
 		if a.groupIndex < 0 {
 			a.groupIndex = len(groups)
@@ -163,9 +167,8 @@
 		}
 		switch u.queueClass {
 		case classInTime, classLateFirst:
-			group := queueGroup{u.job.spec.Service, r.protected[u.job], u.job.spec.QueuePolicy.Priority}
 			work := u.totalDemand().CoreEquivalent() * r.e.estimate(u).Seconds()
-			r.e.lateOrder.started(group, u.queueClass == classLateFirst, work)
+			r.e.lateOrder.started(u.queueGroup(r.protected[u.job]), u.queueClass == classLateFirst, work)
 		}
 	}
 }
--- a/engine/pace.go
+++ b/engine/pace.go
@@ -14,8 +14,8 @@
 	// paceRetryInterval is the time after which an unconfirmed limit is ordered again.
 	paceRetryInterval = 500 * time.Millisecond
 	// lateOrderWindow is how long an unanswered order may still take effect, possibly after
-	// newer ones. Workers may take up to 12 s.
-	lateOrderWindow = 13 * time.Second
+	// newer ones, with a margin.
+	lateOrderWindow = maxCallDelay + time.Second
 	// paceRepeatInterval is the interval at which a limit is ordered again within
 	// lateOrderWindow.
 	paceRepeatInterval = time.Second
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -67,10 +67,6 @@
 	groupIndex int
 }
 
-func (a *rankedUnit) group() queueGroup {
-	return queueGroup{a.unit.job.spec.Service, a.protected, a.unit.job.spec.QueuePolicy.Priority}
-}
-
 // key returns the sort key of the unit.
 func (a *rankedUnit) key() queueKey {
 	k := queueKey{
--- a/engine/queue_class.go
+++ b/engine/queue_class.go
@@ -51,7 +51,7 @@
 	if !policy.LateOrder || j.spec.QueuePolicy.Stretch <= 0 {
 		return classUnbounded, never
 	}
-	useless := u.usefulnessFrom() + uselessAfterFactor*(objective-j.acceptedAt)
+	useless := u.usefulnessFrom() + j.usefulTime(objective)
 	if latestStart := useless - path - time.Duration(uselessMargin*float64(path)); now <= latestStart {
 		return classLate, latestStart
 	}
