--- a/engine/speed_choice_test.go
+++ b/engine/speed_choice_test.go
@@ -43,6 +43,14 @@
 	return id
 }
 
+// checkWorkers checks how many slow and fast workers a job runs on.
+func (d *driver) checkWorkers(id workload.JobID, wantSlow, wantFast int) {
+	d.t.Helper()
+	slow, fast := d.slowAndFast(id)
+	qt.Check(d.t, slow, qt.Equals, wantSlow)
+	qt.Check(d.t, fast, qt.Equals, wantFast)
+}
+
 // slowAndFast returns how many workers of each kind a job runs on.
 func (d *driver) slowAndFast(id workload.JobID) (slow, fast int) {
 	for worker := range d.runs(id) {
@@ -67,9 +75,7 @@
 	step.SameRack = false
 	id := d.submitUrgent(step)
 	d.settle()
-	slow, fast := d.slowAndFast(id)
-	qt.Check(t, slow, qt.Equals, 0)
-	qt.Check(t, fast, qt.Equals, 4)
+	d.checkWorkers(id, 0, 4)
 }
 
 // Load: two speeds, urgent gangs that need one rack each, in which only two workers are fast. Guards
@@ -78,9 +84,7 @@
 	d := newTwoSpeedDriver(t)
 	id := d.submitUrgent(gangStep(3, 8))
 	d.settle()
-	slow, fast := d.slowAndFast(id)
-	qt.Check(t, slow, qt.Equals, 1)
-	qt.Check(t, fast, qt.Equals, 2)
+	d.checkWorkers(id, 1, 2)
 }
 
 // Guards against operators who look for missing capacity where a job was late because it ran on slow
@@ -104,9 +108,7 @@
 	d := newTwoSpeedDriver(t)
 	id := d.submit(1, "", taskStep(4, 8))
 	d.settle()
-	slow, fast := d.slowAndFast(id)
-	qt.Check(t, slow, qt.Equals, 4)
-	qt.Check(t, fast, qt.Equals, 0)
+	d.checkWorkers(id, 4, 0)
 }
 
 // Load: patient work on all fast workers, slow ones free. Guards against an urgent gang that takes free
@@ -122,9 +124,7 @@
 	d.settle()
 	d.endStopped()
 	d.settle()
-	slow, fast := d.slowAndFast(id)
-	qt.Check(t, slow, qt.Equals, 0)
-	qt.Check(t, fast, qt.Equals, 2)
+	d.checkWorkers(id, 0, 2)
 }
 
 // endSlowRuns ends all runs on slow workers as done.
--- a/workerspeed/model_test.go
+++ b/workerspeed/model_test.go
@@ -261,23 +261,7 @@
 func TestDeclarationsOffByConstantFactor(t *testing.T) {
 	c := qt.New(t)
 	for _, factor := range []float64{0.1, 0.5, 3, 20} {
-		differed, accurate := 0, 0.0
-		for seed := range uint64(50) {
-			l := newLoad(seed, 65)
-			l.declaredFactor = factor
-			for l.fewestRuns() < 15 {
-				l.mixed()
-				if l.model.Differ("s") {
-					differed++
-				}
-			}
-			l = newLoad(seed, 65).twoSpeeds()
-			l.declaredFactor = factor
-			for range 6 {
-				l.tasks(65, 8.1)
-			}
-			accurate += l.accuracy() / 50
-		}
+		differed, accurate := equalAndUnlike(func(l *load) { l.declaredFactor = factor })
 		t.Logf("declarations %v times the run time: equal workers differed %d times; of two speeds %.4f of workers right", factor, differed, accurate)
 		c.Check(differed, qt.Equals, 0)
 		c.Check(accurate >= 0.95, qt.IsTrue)
@@ -287,10 +271,18 @@
 // Load: no declarations. Guards against a model that depends on them: runs of one step suffice.
 func TestUndeclared(t *testing.T) {
 	c := qt.New(t)
-	differed, accurate := 0, 0.0
+	differed, accurate := equalAndUnlike(func(l *load) { l.undeclared = true })
+	t.Logf("equal workers differed %d times; of two speeds %.4f of workers right", differed, accurate)
+	c.Check(differed, qt.Equals, 0)
+	c.Check(accurate >= 0.95, qt.IsTrue)
+}
+
+// equalAndUnlike returns how many times 65 equal workers differed under 50 loads, and how accurate the
+// estimates of workers of two speeds were.
+func equalAndUnlike(configure func(*load)) (differed int, accurate float64) {
 	for seed := range uint64(50) {
 		l := newLoad(seed, 65)
-		l.undeclared = true
+		configure(l)
 		for l.fewestRuns() < 15 {
 			l.mixed()
 			if l.model.Differ("s") {
@@ -298,15 +290,13 @@
 			}
 		}
 		l = newLoad(seed, 65).twoSpeeds()
-		l.undeclared = true
+		configure(l)
 		for range 6 {
 			l.tasks(65, 8.1)
 		}
 		accurate += l.accuracy() / 50
 	}
-	t.Logf("equal workers differed %d times; of two speeds %.4f of workers right", differed, accurate)
-	c.Check(differed, qt.Equals, 0)
-	c.Check(accurate >= 0.95, qt.IsTrue)
+	return differed, accurate
 }
 
 // Load: a queue whose tasks vary much beside one whose tasks vary little, equal workers, each
