runtimes, workerspeed: one moving mean and variance; the two assumptions of a queue have one type

workerspeed repeated the exponentially weighted mean and variance of runtimes, and its combination with a prior; both are in internal/movingstats now. The statistics of a queue under unlike and under equal workers were pairs of fields with pairs of arguments.

--- /dev/null
+++ b/internal/movingstats/doc.go
@@ -0,0 +1,2 @@
+// Package movingstats holds an exponentially weighted mean and variance.
+package movingstats
--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/internal/movingstats"
 )
 
 const (
@@ -29,8 +31,8 @@
 // queueStats holds statistics of the logarithm of the durations of a queue's runs, and of the
 // logarithm of the ratio of actual to declared duration.
 type queueStats struct {
-	durations movingStats
-	ratios    movingStats
+	durations movingstats.Stats
+	ratios    movingstats.Stats
 }
 
 // New returns a Model without samples; its estimates are the declared durations.
@@ -50,10 +52,11 @@
 		q = &queueStats{}
 		m.queues[queueName] = q
 	}
-	q.durations.add(math.Log(took.Seconds()))
+	q.durations.Add(math.Log(took.Seconds())-q.durations.Mean, minSampleWeight)
 	if declared > 0 {
 		maxLog := math.Log(maxRatio)
-		q.ratios.add(min(max(math.Log(took.Seconds()/declared.Seconds()), -maxLog), maxLog))
+		ratio := min(max(math.Log(took.Seconds()/declared.Seconds()), -maxLog), maxLog)
+		q.ratios.Add(ratio-q.ratios.Mean, minSampleWeight)
 	}
 	m.version++
 }
@@ -66,45 +69,30 @@
 		return declared
 	}
 	if declared <= 0 {
-		return seconds(math.Exp(q.durations.mean))
+		return seconds(math.Exp(q.durations.Mean))
 	}
 	correctedLog := math.Log(declared.Seconds()) + q.declarationBias()
-	declaredPrecision, historyPrecision := 1/q.declarationVariance(), q.durations.precision()
-	return seconds(math.Exp((declaredPrecision*correctedLog + historyPrecision*q.durations.mean) / (declaredPrecision + historyPrecision)))
+	declaredPrecision, historyPrecision := 1/q.declarationVariance(), precision(&q.durations)
+	return seconds(math.Exp((declaredPrecision*correctedLog + historyPrecision*q.durations.Mean) / (declaredPrecision + historyPrecision)))
 }
 
 // declarationBias returns the mean log ratio, shrunk towards zero while there are few samples.
 func (q *queueStats) declarationBias() float64 {
-	return q.ratios.mean * q.ratios.count / (q.ratios.count + priorCount)
+	return q.ratios.Mean * q.ratios.Count / (q.ratios.Count + priorCount)
 }
 
 // declarationVariance returns the variance of the log ratio, combined with the prior.
 func (q *queueStats) declarationVariance() float64 {
-	priorVariance := priorStdDev * priorStdDev
-	return (q.ratios.variance*q.ratios.count + priorVariance*priorCount) / (q.ratios.count + priorCount)
-}
-
-// movingStats is an exponentially weighted mean and variance.
-type movingStats struct {
-	count          float64
-	mean, variance float64
-}
-
-func (s *movingStats) add(x float64) {
-	s.count++
-	weight := max(minSampleWeight, 1/s.count)
-	delta := x - s.mean
-	s.mean += weight * delta
-	s.variance = (1 - weight) * (s.variance + weight*delta*delta)
+	return q.ratios.VarianceWithPrior(priorStdDev*priorStdDev, priorCount)
 }
 
 // precision returns the inverse variance as the weight of the mean; 0 with fewer than two
 // samples.
-func (s *movingStats) precision() float64 {
-	if s.count < 2 {
+func precision(s *movingstats.Stats) float64 {
+	if s.Count < 2 {
 		return 0
 	}
-	return (s.count - 1) / s.count / max(s.variance, minStdDev*minStdDev)
+	return (s.Count - 1) / s.Count / max(s.Variance, minStdDev*minStdDev)
 }
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/workerspeed/group.go
+++ b/workerspeed/group.go
@@ -94,12 +94,13 @@
 
 // base estimates the base from the declaration and from runs on workers other than excluded. With
 // effects, the workers may differ; without, they are equal.
-func (g *group) base(q *declarationStats, declared time.Duration, excluded *worker, noise float64, effects bool) base {
+func (g *group) base(runs *runStats, declared time.Duration, excluded *worker, effects bool) base {
 	sum, precision, declaredPrecision := 0.0, 0.0, 0.0
-	if declared > 0 && q.count >= minDeclarations {
-		precision = 1 / max(q.variance()-noise, minDeclarationVariance)
+	noise, declarations := runs.noise.variance(), &runs.declarations
+	if declared > 0 && declarations.Count >= minDeclarations {
+		precision = 1 / max(declarations.variance()-noise, minDeclarationVariance)
 		declaredPrecision = precision
-		sum = precision * (math.Log(declared.Seconds()) + q.mean)
+		sum = precision * (math.Log(declared.Seconds()) + declarations.Mean)
 	}
 	for i := range g.workers {
 		o := &g.workers[i]
--- a/workerspeed/model.go
+++ b/workerspeed/model.go
@@ -104,33 +104,34 @@
 
 // observe records the logarithm of a run time on m.members.
 func (m *Model) observe(p *pool, g *group, q *queueStats, declared time.Duration, took float64) {
+	unequal, equal := &q.unequal, &q.equal
 	var only *worker
 	if len(m.members) == 1 {
 		only = m.members[0].worker
 		if mean, runs := g.on(only); runs > 0 {
-			q.noise.addReplicate(took-mean, runs)
+			unequal.noise.addReplicate(took-mean, runs)
 		}
 		if mean, runs := g.all(); runs > 0 {
-			q.equalNoise.addReplicate(took-mean, runs)
+			equal.noise.addReplicate(took-mean, runs)
 		}
 	}
 	unit := slowestEffect(m.members)
-	base := g.base(&q.unequal, declared, only, q.noise.variance(), true)
-	equalBase := g.base(&q.equal, declared, only, q.equalNoise.variance(), false)
+	base := g.base(unequal, declared, only, true)
+	equalBase := g.base(equal, declared, only, false)
 	if base.known && equalBase.known {
-		variance, equalVariance := q.noise.variance()+base.variance, q.equalNoise.variance()+equalBase.variance
+		variance, equalVariance := unequal.noise.variance()+base.variance, equal.noise.variance()+equalBase.variance
 		deviation, equalDeviation := took-base.mean-unit.mean, took-equalBase.mean
-		logRatio := clip(q.dispersion.logDensity(deviation, variance+unit.variance)-q.equalDispersion.logDensity(equalDeviation, equalVariance), maxStepEvidence)
+		logRatio := clip(unequal.dispersion.logDensity(deviation, variance+unit.variance)-equal.dispersion.logDensity(equalDeviation, equalVariance), maxStepEvidence)
 		// The runs of a group share the error of its declaration, so only one of them is evidence.
-		if q.equalNoise.calibrated() && !(equalBase.declared && g.compared) {
+		if equal.noise.calibrated() && !(equalBase.declared && g.compared) {
 			g.compared = equalBase.declared
 			p.addEvidence(logRatio)
 			if only != nil {
 				only.addEvidence(logRatio)
 			}
 		}
-		q.noise.addResidual(deviation, base.variance+unit.variance)
-		q.equalNoise.addResidual(equalDeviation, equalBase.variance)
+		unequal.noise.addResidual(deviation, base.variance+unit.variance)
+		equal.noise.addResidual(equalDeviation, equalBase.variance)
 		if only == nil || !only.noteOutlier(took-base.mean, deviation, variance+unit.variance) {
 			updateEffects(m.members, unit, took-base.mean, variance)
 		}
--- a/workerspeed/stats.go
+++ b/workerspeed/stats.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/internal/movingstats"
 )
 
 const (
@@ -56,19 +58,20 @@
 	return q
 }
 
-// queueStats describes the runs of a queue: the declarations and the noise, if workers differ and if
-// they are equal.
-type queueStats struct {
-	unequal, equal              declarationStats
-	noise, equalNoise           noiseStats
-	dispersion, equalDispersion dispersionStats
+// queueStats describes the runs of a queue, if workers differ and if they are equal.
+type queueStats struct{ unequal, equal runStats }
+
+func newQueueStats() *queueStats { return &queueStats{newRunStats(), newRunStats()} }
+
+// runStats describes the runs of a queue under one of the two assumptions.
+type runStats struct {
+	declarations declarationStats
+	noise        noiseStats
+	dispersion   dispersionStats
 }
 
-func newQueueStats() *queueStats {
-	return &queueStats{
-		noise: newNoiseStats(), equalNoise: newNoiseStats(),
-		dispersion: newDispersionStats(), equalDispersion: newDispersionStats(),
-	}
+func newRunStats() runStats {
+	return runStats{noise: newNoiseStats(), dispersion: newDispersionStats()}
 }
 
 // observe records a run time against the declaration: corrected for its workers, and as it was. Only
@@ -79,30 +82,25 @@
 	}
 	g.declared = true
 	log := math.Log(declared.Seconds())
-	q.unequal.add(corrected - log)
-	q.equal.add(took - log)
+	q.unequal.declarations.add(corrected - log)
+	q.equal.declarations.add(took - log)
 }
 
 // declarationStats holds the mean and the variance of the logarithm of actual over declared run
 // time.
-type declarationStats struct {
-	count, mean, spread float64
-}
+type declarationStats struct{ movingstats.Stats }
 
 func (s *declarationStats) add(ratio float64) {
-	delta := ratio - s.mean
-	if s.count > 0 {
-		delta = clip(delta, outlierSigmas*math.Sqrt(s.variance()))
+	deviation := ratio - s.Mean
+	if s.Count > 0 {
+		deviation = clip(deviation, outlierSigmas*math.Sqrt(s.variance()))
 	}
-	s.count++
-	weight := max(minStatsWeight, 1/s.count)
-	s.mean += weight * delta
-	s.spread = (1 - weight) * (s.spread + weight*delta*delta)
+	s.Add(deviation, minStatsWeight)
 }
 
 // variance returns the variance of the error, combined with the prior.
 func (s *declarationStats) variance() float64 {
-	return (s.spread*s.count + declarationPriorVariance*declarationPriorCount) / (s.count + declarationPriorCount)
+	return s.VarianceWithPrior(declarationPriorVariance, declarationPriorCount)
 }
 
 // noiseStats is the variance of runs of one group on one worker.
@@ -111,19 +109,19 @@
 // Residuals are used only while there are few of those, since they contain what is not yet known
 // of the workers.
 type noiseStats struct {
-	count, mean float64
-	replicates  float64
+	boundedMean
+	replicates float64
 }
 
 func newNoiseStats() noiseStats {
-	return noiseStats{count: noisePriorCount, mean: noisePriorVariance}
+	return noiseStats{boundedMean: boundedMean{count: noisePriorCount, mean: noisePriorVariance}}
 }
 
 // addReplicate records the deviation of a run from the mean of earlier runs of the same group on
 // the same worker.
 func (n *noiseStats) addReplicate(deviation, earlier float64) {
 	n.replicates++
-	n.add(deviation * deviation * earlier / (earlier + 1))
+	n.add(deviation*deviation*earlier/(earlier+1), n.variance())
 }
 
 // addResidual records the deviation of a run from its expectation. explained is the part of its
@@ -132,17 +130,10 @@
 	if n.replicates < minReplicates {
 		total := n.variance() + explained
 		// The share of the noise in the expected square of the deviation.
-		n.add(deviation * deviation * n.variance() / total)
+		n.add(deviation*deviation*n.variance()/total, n.variance())
 	}
 }
 
-// add records a sample of the variance, bounded against outliers.
-func (n *noiseStats) add(sample float64) {
-	n.count++
-	sample = min(sample, outlierSigmas*outlierSigmas*n.variance())
-	n.mean += max(minStatsWeight, 1/n.count) * (sample - n.mean)
-}
-
 // calibrated reports whether enough samples have been seen to compare models by their densities. Too
 // low a noise favours the model with the larger variance.
 func (n *noiseStats) calibrated() bool { return n.count >= noisePriorCount+minNoiseSamples }
@@ -153,22 +144,29 @@
 // runs of a group end in the order of their length, so predictions from the first ones are off by
 // more than their assumed error. Without this correction, that favours the model that assumes the
 // larger error.
-type dispersionStats struct {
-	count, mean float64
-}
+type dispersionStats struct{ boundedMean }
 
 const dispersionPriorCount = 8.0
 
 func newDispersionStats() dispersionStats {
-	return dispersionStats{count: dispersionPriorCount, mean: 1}
+	return dispersionStats{boundedMean{count: dispersionPriorCount, mean: 1}}
 }
 
 // logDensity returns the logarithm of the density of a deviation from a prediction with an assumed
 // variance, and records the deviation.
 func (s *dispersionStats) logDensity(deviation, variance float64) float64 {
 	density := logDensity(deviation, variance*s.mean)
-	s.count++
-	sample := min(deviation*deviation/variance, outlierSigmas*outlierSigmas*s.mean)
-	s.mean += max(minStatsWeight, 1/s.count) * (sample - s.mean)
+	s.add(deviation*deviation/variance, s.mean)
 	return density
 }
+
+// boundedMean is a mean of squares in which older samples lose weight.
+type boundedMean struct{ count, mean float64 }
+
+// add adds the square of a deviation, of which expected is the expectation. It is bounded against
+// outliers.
+func (m *boundedMean) add(square, expected float64) {
+	m.count++
+	square = min(square, outlierSigmas*outlierSigmas*expected)
+	m.mean += max(minStatsWeight, 1/m.count) * (square - m.mean)
+}
