engine: a successor waits for late starts of its predecessor

What callers would see: a task of a job that is not repeatable runs twice, on two workers, after a change of planner. The caller gets one answer.

Cause: a successor restored every placement as if its start had been answered and took the expiry of the worker's lease as proof that nothing runs. The call of an unanswered start may still be carried out by the next incarnation of a worker that keeps its name.

The cases of workers with other names and of answered starts restart after the lease as before.

Fix: a placement holds the time by which its last call was sent. A successor uses the end of the last lease by which its predecessor decided, unless the record says that the start is settled. Workers with new names have the same records as before.

Why it works: until the stored answer, nothing that the successor has can tell a call on its way from one that was answered, and agents refuse starts after the lease by which they were decided, so the bound holds for every call of a predecessor.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -51,6 +51,8 @@
 	lastTickAt time.Duration
 	// checkpointsWrittenAt is when checkpoints of running tasks were last stored.
 	checkpointsWrittenAt time.Duration
+	// settledStartsWrittenAt is when settled starts were last stored.
+	settledStartsWrittenAt time.Duration
 	// workerAddedAt is when a worker was last added or a worker's capacity last changed. A job
 	// that no worker could run may be schedulable since then.
 	workerAddedAt time.Duration
--- a/engine/expiry.go
+++ b/engine/expiry.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// maxCallDelay is the longest time after which a worker carries out a call that it has not answered.
-const maxCallDelay = 12 * time.Second
-
 // expireLease ends the runs of a worker whose lease has expired, apart from starts that may still take
 // effect on its next incarnation.
 func (e *Engine) expireLease(now time.Duration, w *worker) {
@@ -38,9 +35,8 @@
 // the longest lease that a worker grants does. settleSuperseded ends p earlier if the next incarnation
 // reports.
 func (e *Engine) mayStartLate(now time.Duration, p *placement) bool {
-	if p.worker.info.Name == "" || !p.startUnanswered {
+	if p.worker.info.Name == "" || p.startSettled() {
 		return false
 	}
-	lastSent := e.params.leaseExpiry(p.startedAt) // agents refuse starts after the lease by which they were decided
-	return now < e.params.leaseExpiry(lastSent+maxCallDelay)
+	return now < e.params.leaseExpiry(p.lastCallBy+maxCallDelay)
 }
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -51,6 +51,7 @@
 	if r.Polled {
 		e.settleSuperseded(now, w, r)
 		e.reconcile(now, w, r)
+		e.settleStarts(now, w)
 		e.adjustPaces(now, w)
 	}
 	if first {
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		if r.Outcome == StartOK {
-			p.startUnanswered = false
+			p.settleStart()
 		}
 		if p.state == placementOrdered {
 			e.handleStartOutcome(now, p, r.Outcome)
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -48,8 +48,10 @@
 	progressedAt time.Duration
 	// lastSeenAt is when a poll last listed the run; 0 before the first.
 	lastSeenAt time.Duration
-	// startUnanswered is set from the order of the start until a confirmation by the worker.
-	startUnanswered bool
+	// lastCallBy is the time by which the last call to start the run is sent; 0 if the start is settled.
+	lastCallBy time.Duration
+	// settledAtVersion is the version of the job in which the start was settled.
+	settledAtVersion int
 	// stopping is set once a stop was decided; stopSentAt is when it was last sent.
 	stopping    bool
 	stopSentAt  time.Duration
--- a/engine/progress.go
+++ b/engine/progress.go
@@ -48,6 +48,9 @@
 type MemberPlacement struct {
 	Index  int      `json:"i,omitempty"`
 	Worker WorkerID `json:"w"`
+	// StartSettled means that no call to start the run can be carried out any more. It is set only
+	// for workers that keep their names.
+	StartSettled bool `json:"s,omitempty"`
 }
 
 func (u *unit) progress() UnitProgress {
@@ -64,7 +67,10 @@
 		p.Checkpoint = ""
 	}
 	for _, place := range u.placements {
-		p.Placements = append(p.Placements, MemberPlacement{Index: place.index, Worker: place.worker.info.ID})
+		p.Placements = append(p.Placements, MemberPlacement{
+			Index: place.index, Worker: place.worker.info.ID,
+			StartSettled: place.worker.info.Name != "" && place.state != placementUnrecorded && place.startSettled(),
+		})
 	}
 	for _, index := range slices.Sorted(maps.Keys(u.crashes)) {
 		c := u.crashes[index]
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -104,6 +104,9 @@
 		p := e.addPlacement(u, place.Index, w)
 		p.state = placementAdopted
 		p.adopted = true
+		if !place.StartSettled {
+			p.lastCallBy = w.leaseExpiresAt // of the last lease by which the predecessor decided
+		}
 	}
 	switch {
 	case up.Done:
--- a/engine/superseded.go
+++ b/engine/superseded.go
@@ -89,6 +89,7 @@
 	p.worker.removePlacement(p)
 	p.worker = w
 	w.addPlacement(p)
+	p.settleStart() // w refuses earlier calls from now on
 	p.missedPolls = 0
 	p.progressedAt = now
 	e.logDecision(p, "carried over", "ordered from an earlier incarnation of this worker")
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -36,6 +36,7 @@
 	}
 	e.forgetGoneAgents(now)
 	e.writeCheckpoints(now)
+	e.writeSettledStarts(now)
 	if now-e.lastPlanAt >= replanInterval {
 		e.planNeeded = true
 	}
--- a/engine/write.go
+++ b/engine/write.go
@@ -171,8 +171,8 @@
 
 func (e *Engine) orderStart(now time.Duration, p *placement) {
 	p.state = placementOrdered
-	p.startUnanswered = true
 	p.startedAt = now
+	p.lastCallBy = e.params.leaseExpiry(now) // agents refuse starts after the lease by which they were decided
 	p.resumed = p.unit.checkpoint != ""
 	p.unit.times.storeWait = now - p.unit.placedAt
 	p.progressedAt = now
