engine: the first answer to a restarted agent fences the next incarnation of its worker

What callers would see: a task runs again after its end was acknowledged, or beside its second run. Its first start got no answer, was stopped and confirmed as absent, and its call reached the worker's next incarnation.

Cause: a report of a process that has had no answer yet is ReportUnconfirmed. Of an incarnation that the planner does not know, the answer carried its epoch and generation 0. The agent polls under that fence, which does not exceed the orders to the incarnation before, so the worker accepts their late calls until the second report is answered.

Ruled out: that the worlds alone do this, whose process numbers begin anew with each incarnation. A real agent that restarts with its worker does the same (read: adopt and handleReply in nodeagent, handleReport in gateway).

Fix: where the incarnation follows one of the same name, the answer carries a generation above all that were assigned. Nothing that the planner knows changes, as the report may be of a process that is over.

Evidence: TestFirstAnswerToRestartedAgentFencesNextIncarnation fails before.

--- a/engine/report_order.go
+++ b/engine/report_order.go
@@ -120,6 +120,10 @@
 	}
 	if w := e.workers[r.Worker.ID]; w != nil {
 		answer.Generation, answer.AckedEnds = w.generation, w.ackedEnds
+	} else if previous := e.workers[e.workerByAgent[r.Worker.Agent]]; previous != nil && previous.info.SharesName(r.Worker) {
+		// The agent must fence the next incarnation with its first answer. Any call meant for the
+		// previous one could start a run there until the next report.
+		answer.Generation = e.lastGeneration + GenerationStep
 	}
 	return answer
 }
