engine, nodeagent: a start that a later call has confirmed is not settled

What callers would see: a task of a job that is not repeatable runs twice, on two workers. The caller gets one answer.

Cause: an agent repeats a start that gets no answer. The result of a later call took the whole start for answered, while the first call may still be carried out, by the next incarnation of a worker that keeps its name.

The simulated agent tells the same as a real one.

Fix: the result of a start tells whether a call got no answer. Results of agents of earlier versions lack the field and count as before.

--- a/engine/action.go
+++ b/engine/action.go
@@ -41,6 +41,9 @@
 type StartResult struct {
 	Run     workload.RunID `cbor:"1,keyasint"`
 	Outcome StartOutcome   `cbor:"2,keyasint"`
+	// CallUnanswered means that at least one call to start the run got no answer, whatever Outcome
+	// is, and that no further one will be sent. The worker may still carry it out.
+	CallUnanswered bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Orders are sent to one worker's agent in a single message.
--- a/engine/expiry_test.go
+++ b/engine/expiry_test.go
@@ -21,6 +21,11 @@
 
 // newLostWorkerScenario gives the workers a name that their next incarnations keep if keepsName is set.
 func newLostWorkerScenario(t *testing.T, keepsName bool, outcome StartOutcome) *lostWorkerScenario {
+	return newLostWorkerScenarioWith(t, keepsName, StartResult{Outcome: outcome})
+}
+
+// newLostWorkerScenarioWith is newLostWorkerScenario with the given result of the start, whatever its run.
+func newLostWorkerScenarioWith(t *testing.T, keepsName bool, result StartResult) *lostWorkerScenario {
 	d := &lostWorkerScenario{driver: newDriver(t, 2), c: qt.New(t)}
 	if keepsName {
 		for _, w := range d.e.sortedWorkers() {
@@ -29,8 +34,10 @@
 	}
 	d.job = d.submit(1, "", taskStep(1, 8))
 	for len(d.starts) == 0 {
-		d.decideAndStore(outcome)
+		d.callUnanswered = result.CallUnanswered
+		d.decideAndStore(result.Outcome)
 	}
+	d.callUnanswered = false
 	d.run = d.starts[0].Run
 	d.worker = d.e.workers[d.startedOn[d.run]]
 	d.orderedAt = d.now
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -22,6 +22,8 @@
 	dropPaceReplies bool
 	// startOutcome overrides the outcome of starts if it is set.
 	startOutcome func(StartOrder) StartOutcome
+	// callUnanswered makes all results of starts tell of a call without an answer.
+	callUnanswered bool
 	// decisionCounts counts the decisions on each job by kind.
 	decisionCounts map[workload.JobID]map[string]int
 	startedOn      map[workload.RunID]WorkerID     // the worker of each start
@@ -136,7 +138,7 @@
 			if d.startOutcome != nil {
 				result = d.startOutcome(s)
 			}
-			completed.Starts = append(completed.Starts, StartResult{Run: s.Run, Outcome: result})
+			completed.Starts = append(completed.Starts, StartResult{Run: s.Run, Outcome: result, CallUnanswered: d.callUnanswered})
 		}
 		d.stops = append(d.stops, o.Stops...)
 		for _, p := range o.Paces {
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -19,7 +19,10 @@
 		if p == nil || p.runNumber != r.Run.Number {
 			continue
 		}
-		if r.Outcome == StartOK {
+		switch {
+		case r.CallUnanswered:
+			p.lastCallBy = min(p.lastCallBy, now)
+		case r.Outcome == StartOK:
 			p.settleStart()
 		}
 		if p.state == placementOrdered {
--- a/engine/sim_agent_orders_test.go
+++ b/engine/sim_agent_orders_test.go
@@ -145,8 +145,8 @@
 	if outcome == StartOK {
 		for i, s := range o.Starts {
 			pending++
-			a.start(inc, header, s, 0, func(outcome StartOutcome) {
-				results[i].Outcome = outcome
+			a.start(inc, header, s, 0, func(result StartResult) {
+				results[i] = result
 				finish()
 			})
 		}
@@ -198,7 +198,7 @@
 }
 
 // start retries a start until the worker answers.
-func (a *simAgent) start(inc *simIncarnation, header simPoll, s StartOrder, attempt int, then func(StartOutcome)) {
+func (a *simAgent) start(inc *simIncarnation, header simPoll, s StartOrder, attempt int, then func(StartResult)) {
 	call := a.newCall(simOrderTimeout, func(result any, err error) {
 		outcome, _ := result.(StartOutcome)
 		if err == errSimOtherIncarnation {
@@ -206,6 +206,7 @@
 		} else if err != nil {
 			outcome = StartUnknown
 		}
+		unanswered := attempt > 0 || outcome == StartUnknown
 		if outcome != StartOK && attempt > 0 {
 			outcome = StartUnknown // an earlier attempt may have succeeded
 		}
@@ -213,7 +214,7 @@
 			a.start(inc, header, s, attempt+1, then)
 			return
 		}
-		then(outcome)
+		then(StartResult{Run: s.Run, Outcome: outcome, CallUnanswered: unanswered})
 	})
 	call.send(inc, func(sw *simWorker) {
 		if sw != inc.worker && a.cluster.unfenceableStart(sw, s) {
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -36,7 +36,7 @@
 	for i, s := range starts {
 		reply.Starts[i] = engine.StartResult{Run: s.Run, Outcome: outcome}
 		if outcome == engine.StartOK {
-			wg.Go(func() { reply.Starts[i].Outcome = a.start(header, orders.CordonsRevision, s) })
+			wg.Go(func() { reply.Starts[i] = a.start(header, orders.CordonsRevision, s) })
 		}
 	}
 	if inc != nil && len(orders.Stops) > 0 {
@@ -129,9 +129,9 @@
 
 // start retries a start until the worker answers. The outcome is unknown if it never does.
 // cordonsRevision is the store revision of the cordons that the planner knew.
-func (a *Agent) start(header OrderHeader, cordonsRevision int64, s engine.StartOrder) engine.StartOutcome {
+func (a *Agent) start(header OrderHeader, cordonsRevision int64, s engine.StartOrder) engine.StartResult {
 	a.counters.Starts.Add(1)
-	outcome := engine.StartUnknown
+	outcome, unanswered := engine.StartUnknown, false
 	for attempt := range startAttempts {
 		if attempt > 0 && a.startsRefused(cordonsRevision) {
 			break // the earlier attempt may have succeeded
@@ -139,6 +139,7 @@
 		ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), orderTimeout)
 		outcome = a.cfg.Worker.Start(ctx, header, s)
 		cancel()
+		unanswered = unanswered || outcome == engine.StartUnknown
 		if outcome == engine.StartOK {
 			break
 		}
@@ -158,7 +159,7 @@
 	default:
 		a.counters.StartsRefused.Add(1)
 	}
-	return outcome
+	return engine.StartResult{Run: s.Run, Outcome: outcome, CallUnanswered: unanswered}
 }
 
 // stop stops a run. If the worker does not confirm it, the planner asks again.
