engine: an absent run keeps its capacity, and a late confirmation does not release it

Cause, by the traces: absent runs gave their capacity back, other work took it, and late calls started three absent runs on one incarnation.

Fix: absent placements keep their capacity, and are expected to free it when their calls are over. A start that is confirmed while its placement is absent counts as sent by then, so only a later poll releases it.

Evidence: TestLateConfirmationDoesNotReleaseAbsentRun fails before.

--- a/engine/late_call.go
+++ b/engine/late_call.go
@@ -32,13 +32,13 @@
 // start the run may still be carried out: the worker refuses it, but its next incarnation, if it keeps
 // the name, does not before an agent has fenced it. The unit would then run twice if it were started
 // elsewhere, so the placement stays as absent.
+// It keeps its capacity, since calls may start all absent runs of a worker there.
 func (e *Engine) endPlacement(now time.Duration, p *placement) {
 	if !e.awaitsCall(now, p) {
 		e.removePlacement(now, p)
 		return
 	}
 	e.recordDiscarded(now, p)
-	p.worker.freeCapacity(p)
 	p.state, p.stopping = placementAbsent, true
 	e.logDecision(p, "kept", fmt.Sprintf("a call to start it may be carried out within %d ms", (p.lastCallBy+maxCallDelay-now).Milliseconds()))
 	e.planNeeded = true
@@ -59,6 +59,20 @@
 	return now - e.handling.Delay - maxPollAge
 }
 
+// noteStartResult notes which calls to start the run got an answer.
+func (p *placement) noteStartResult(now time.Duration, r StartResult) {
+	switch {
+	case p.startSettled():
+	case r.CallUnanswered:
+		p.lastCallBy = min(p.lastCallBy, now)
+	case r.Outcome == StartOK && p.state == placementAbsent:
+		// The call may have started the run after it was absent. A poll from now on shows it.
+		p.lastCallBy = min(p.lastCallBy, now-maxCallDelay)
+	case r.Outcome == StartOK:
+		p.settleStart()
+	}
+}
+
 // settleStarts settles the starts on a worker that has just been polled, if the poll was late enough to
 // show the effect of every call, and removes absent placements that need not stay. A worker that is not
 // polled may be followed by another incarnation, which carries out calls too.
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -19,13 +19,7 @@
 		if p == nil || p.runNumber != r.Run.Number {
 			continue
 		}
-		switch {
-		case r.CallUnanswered:
-			p.lastCallBy = min(p.lastCallBy, now)
-		case r.Outcome == StartOK:
-			p.settleStart()
-		}
-		e.releaseAbsent(now, p)
+		p.noteStartResult(now, r)
 		if p.state == placementOrdered {
 			e.handleStartOutcome(now, p, r.Outcome)
 		}
--- a/engine/superseded.go
+++ b/engine/superseded.go
@@ -89,7 +89,7 @@
 	p.worker.removePlacement(p)
 	p.worker = w
 	if p.state == placementAbsent {
-		p.state, p.demand = placementOrdered, p.unit.demand()
+		p.state = placementOrdered
 	}
 	w.addPlacement(p)
 	p.settleStart() // w refuses earlier calls from now on
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -147,12 +147,6 @@
 	w.used = w.used.Sub(p.demand)
 }
 
-// freeCapacity frees the capacity of a placement that stays.
-func (w *worker) freeCapacity(p *placement) {
-	w.used = w.used.Sub(p.demand)
-	p.demand = workload.Resources{}
-}
-
 func compareTasks(a, b workload.TaskID) int {
 	return cmp.Or(
 		cmp.Compare(a.Job, b.Job),
