engine: the end of an incarnation does not settle unanswered starts

What callers would see: a task of a job that is not repeatable runs twice, or again after its end was acknowledged, when its worker restarts twice within 12 s or leaves and is followed by another incarnation of its name.

Cause: the planner took the end of an incarnation, and the fence of the next one, as the end of all calls that were meant for it. A fence holds for one incarnation. A call carries only the name and may reach a further one.

Ruled out: that agents fence each incarnation in time. In the traces the call reached one that nothing had fenced, 1.9 to 5.7 s after the end that had settled the start.

Fix: placements whose calls may still be carried out stay as absent, first with the ended worker, then with the next incarnation, and so on. Only answers and time settle a start.

Evidence: TestAbsentRunOutlastsFurtherIncarnations, TestUnansweredStartOutlastsDeparture and TestNextIncarnationTakesOverUnansweredStart fail before and pass now.

Checks: the excuse of the worlds (unfenceable) is removed.

Test changed: TestNextIncarnationSettlesUnansweredStart expected run 2 as soon as the next incarnation did not list the run, which relied on this fault. As TestNextIncarnationTakesOverUnansweredStart it expects none until the calls are over, and one after that.

--- a/engine/absent_run_test.go
+++ b/engine/absent_run_test.go
@@ -138,6 +138,74 @@
 	d.c.Check(d.e.jobs[d.job].units[0].crashes, qt.HasLen, 0)
 }
 
+// Guards against a task that runs twice because a call has not started it on the next incarnation, and
+// does so on the one after that.
+func TestAbsentRunOutlastsFurtherIncarnations(t *testing.T) {
+	d := newAbsentRunScenario(t, true)
+	for range 3 {
+		d.now += time.Second
+		r := d.next()
+		d.report(r)
+		d.settle()
+		d.worker = d.e.workers[r.Worker.ID]
+		d.c.Assert(d.runs(d.job)[r.Worker.ID], qt.DeepEquals, []workload.RunID{d.run})
+	}
+	d.passReporting(d.orderedAt + maxCallDelay)
+	d.c.Check(d.starts, qt.HasLen, 1)
+	r := d.next()
+	r.Running = []RunStatus{{Run: d.run, Percent: 1}}
+	d.stops = nil
+	d.report(r)
+	d.now += stopRetryInterval
+	d.report(r)
+	d.tick()
+	d.c.Check(d.starts, qt.HasLen, 1)
+	d.c.Check(d.stops, qt.Contains, d.run)
+}
+
+// Guards against a task that runs twice because its worker has left, and a call starts it on an
+// incarnation that comes later. The calls of its start, or some of them, got no answer.
+func TestUnansweredStartOutlastsDeparture(t *testing.T) {
+	for _, outcome := range []StartOutcome{StartUnknown, StartOK} {
+		for _, followed := range []bool{false, true} {
+			d := newLostWorkerScenarioWith(t, true, StartResult{Outcome: outcome, CallUnanswered: true})
+			ended := d.worker
+			latest := d.orderedAt + maxCallDelay
+			d.report(Report{Worker: ended.info, Terminated: true})
+			d.settle()
+			d.c.Check(ended.usable(d.now), qt.IsFalse)
+			if followed {
+				r := d.next()
+				d.report(r)
+				d.worker = d.e.workers[r.Worker.ID]
+				d.c.Check(d.e.workers[ended.info.ID], qt.IsNil)
+				d.passReporting(latest)
+				d.c.Check(d.starts, qt.HasLen, 1)
+				d.passReporting(latest + maxPollAge + time.Second)
+			} else {
+				d.pass(latest + d.e.params.MaxLease)
+				d.c.Check(d.starts, qt.HasLen, 1)
+				d.pass(latest + d.e.params.MaxLease + time.Second)
+				d.c.Check(d.e.workers[ended.info.ID], qt.IsNil)
+			}
+			d.c.Check(d.starts, qt.HasLen, 2, qt.Commentf("%v, followed %v", outcome, followed))
+		}
+	}
+}
+
+// Guards against a crash that is counted twice because the worker is kept for a start that got no answer.
+func TestCrashBeforeUnansweredStartIsCountedOnce(t *testing.T) {
+	d := newLostWorkerScenarioWith(t, true, StartResult{Outcome: StartOK, CallUnanswered: true})
+	crash := Report{Worker: d.worker.info, Terminated: true, Crashed: true, Polled: true}
+	for range 2 {
+		d.report(crash)
+		d.settle()
+	}
+	d.report(d.next())
+	d.settle()
+	d.c.Check(d.e.jobs[d.job].units[0].crashCountOf(0).total, qt.Equals, 1)
+}
+
 // Guards against a run that counts as over because its start is confirmed after it was absent: the start
 // was held up on its way to the agent, and reached the next incarnation.
 func TestLateConfirmationDoesNotReleaseAbsentRun(t *testing.T) {
--- a/engine/expiry_test.go
+++ b/engine/expiry_test.go
@@ -102,9 +102,10 @@
 	}
 }
 
-// Guards against a task that waits although the next incarnation has shown that it does not run, or is
-// started again although it runs there.
-func TestNextIncarnationSettlesUnansweredStart(t *testing.T) {
+// Guards against a task that runs twice because the next incarnation has shown that it does not run there,
+// while the call may still start it on a further one, and against a task that is started again although it
+// runs there.
+func TestNextIncarnationTakesOverUnansweredStart(t *testing.T) {
 	for _, started := range []bool{false, true} {
 		d := newLostWorkerScenario(t, true, StartUnknown)
 		d.passLease()
@@ -115,12 +116,16 @@
 		d.report(r)
 		d.settle()
 		d.c.Check(d.e.workers[d.worker.info.ID], qt.IsNil)
+		d.c.Check(d.runs(d.job)[r.Worker.ID], qt.DeepEquals, []workload.RunID{d.run})
+		d.c.Check(d.starts, qt.HasLen, 1)
 		if started {
-			d.c.Check(d.starts, qt.HasLen, 1)
-			d.c.Check(d.runs(d.job)[r.Worker.ID], qt.HasLen, 1)
-		} else {
-			d.c.Check(d.starts, qt.HasLen, 2)
+			continue
 		}
+		d.worker = d.e.workers[r.Worker.ID]
+		d.passReporting(d.orderedAt + d.e.params.MaxLease + maxCallDelay) // of a call sent last
+		d.c.Check(d.starts, qt.HasLen, 1)
+		d.passReporting(d.now + maxPollAge + time.Second)
+		d.c.Check(d.starts, qt.HasLen, 2)
 	}
 }
 
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -89,7 +89,8 @@
 		w.recorded = false
 		e.unrecordedWorkers[info.ID] = w
 	}
-	if previous != info.ID {
+	if previous != info.ID || w.ended {
+		w.ended = false
 		e.assignGeneration(w)
 	}
 	e.resize(now, w, info.Capacity)
@@ -265,21 +266,34 @@
 	}
 }
 
-// endIncarnation removes a worker whose incarnation is over and ends all its placements.
+// endIncarnation ends a worker whose incarnation is over, with its placements. It is removed unless a
+// call to start one of their runs may still be carried out by the next incarnation.
 func (e *Engine) endIncarnation(now time.Duration, id WorkerID, departure Departure, evidence crashEvidence) {
 	w := e.workers[id]
-	if w == nil {
+	if w == nil || w.ended {
 		return
 	}
 	placements := w.sortedPlacements()
-	e.actions = append(e.actions, WorkerGone{Worker: w.info, Departure: departure, Runs: len(placements), Report: e.handling})
+	present := slices.DeleteFunc(slices.Clone(placements), func(p *placement) bool { return p.state == placementAbsent })
+	e.actions = append(e.actions, WorkerGone{Worker: w.info, Departure: departure, Runs: len(present), Report: e.handling})
+	detail := func(p *placement) string {
+		return fmt.Sprintf("the worker is gone (%s); %s", departure, p.observedRunTime())
+	}
+	var mayStart []*placement
+	for _, p := range present {
+		if e.awaitsCall(now, p) {
+			mayStart = append(mayStart, p)
+		} else {
+			e.handleLostRun(now, p, CauseWorkerLost, detail(p))
+		}
+	}
 	if departure == DepartureCrashed {
-		defer e.countCrash(now, w, slices.Concat(w.placementsAtExpiry, placements), evidence)
+		e.countCrash(now, w, slices.Concat(w.placementsAtExpiry, placements), evidence)
 	}
-	for _, p := range placements {
-		e.handleLostRun(now, p, CauseWorkerLost, fmt.Sprintf("the worker is gone (%s); %s", departure, p.observedRunTime()))
+	for _, p := range mayStart {
+		e.handleAbsentRun(now, p, CauseWorkerLost, detail(p))
 	}
-	e.removeWorker(w)
+	e.keepEnded(now, w)
 }
 
 func (e *Engine) removeWorker(w *worker) {
--- a/engine/sim_agent_orders_test.go
+++ b/engine/sim_agent_orders_test.go
@@ -1,9 +1,6 @@
 package engine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // The constants of packages nodeagent and gateway.
 const (
@@ -224,20 +221,10 @@
 	})
 }
 
-// unfenceableStart reports whether a start for an earlier incarnation of sw concerns a run that the
-// planner has given up or that has ended there, before anything has fenced sw. The worker can't tell
-// such a start from a current one, so the simulation drops it.
+// unfenceableStart reports whether a start for an earlier incarnation of sw repeats a run that is done,
+// before anything has fenced sw. Another call has started that run. The worker can't tell such a start
+// from a current one, and nothing that the planner may still decide depends on it, so the simulation
+// drops it.
 func (w *simCluster) unfenceableStart(sw *simWorker, s StartOrder) bool {
-	if sw.fenced {
-		return false
-	}
-	for before := sw.previous; before != nil; before = before.previous {
-		if before.highestRun[s.Run.Task] >= s.Run.Number {
-			return true
-		}
-	}
-	return !slices.ContainsFunc(w.engine.sortedWorkers(), func(known *worker) bool {
-		p := known.placements[s.Run.Task]
-		return p != nil && p.runID() == s.Run
-	})
+	return !sw.fenced && w.doneRuns[s.Run]
 }
--- a/engine/sim_checks_test.go
+++ b/engine/sim_checks_test.go
@@ -91,6 +91,7 @@
 	}
 	if reason == EndDone {
 		w.ranToEnd[r.id.Task] = true
+		w.doneRuns[r.id] = true
 	}
 	if reason == EndGangIncomplete && w.faultsEnded && w.now-w.faultsEndedAt > 4*time.Second {
 		w.reportViolation("gang member %s ended for missing members without a fault", r.id.Task)
--- a/engine/sim_cluster_test.go
+++ b/engine/sim_cluster_test.go
@@ -55,6 +55,7 @@
 
 	// Events observed on the workers.
 	ranToEnd           map[workload.TaskID]bool // a run has ended as done, acknowledged or not
+	doneRuns           map[workload.RunID]bool  // runs that have ended as done
 	ackedDone          map[workload.TaskID]bool // such an end was acknowledged
 	ackedFailures      map[workload.TaskID]int  // acknowledged ends as failed
 	crashes            simCrashes
@@ -74,6 +75,7 @@
 		outcomes:      map[workload.JobID]JobOutcome{},
 		workerRecords: map[WorkerID]WorkerInfo{},
 		ranToEnd:      map[workload.TaskID]bool{},
+		doneRuns:      map[workload.RunID]bool{},
 		ackedDone:     map[workload.TaskID]bool{},
 		ackedFailures: map[workload.TaskID]int{},
 		crashes:       simCrashes{workersCrashed: map[workload.TaskID]int{}, startsAfterThird: map[workload.TaskID]int{}, failedEnds: map[workload.TaskID]int{}},
@@ -311,10 +313,6 @@
 func (w *simCluster) executeOrders(sw *simWorker, fence Fence, o Orders, until time.Duration) []StartResult {
 	if sw.dead && sw.next != nil {
 		sw, until = sw.latest(), w.now+simMaxLease // by the clock of the incarnation that was meant
-		if w.unfenceable(sw, o) {
-			w.counts["unfenceable orders dropped"]++
-			return nil
-		}
 		w.counts["orders to the next incarnation"]++
 	}
 	if sw.dead {
--- a/engine/sim_reused_names_test.go
+++ b/engine/sim_reused_names_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 )
@@ -98,21 +97,6 @@
 	return nil
 }
 
-// unfenceable reports whether late orders for an earlier incarnation start runs that the
-// planner has given up, before anything has fenced the new one. The worker can't tell such
-// orders from current ones, so the simulation drops them.
-func (w *simCluster) unfenceable(sw *simWorker, o Orders) bool {
-	if !w.executingLateOrder || sw.fenced {
-		return false
-	}
-	return slices.ContainsFunc(o.Starts, func(s StartOrder) bool {
-		return !slices.ContainsFunc(w.engine.sortedWorkers(), func(known *worker) bool {
-			p := known.placements[s.Run.Task]
-			return p != nil && p.runID() == s.Run
-		})
-	})
-}
-
 // fenceDelay is the longest time until an agent fences the next incarnation of its worker.
 const fenceDelay = 30 * time.Millisecond
 
--- a/engine/superseded.go
+++ b/engine/superseded.go
@@ -81,6 +81,39 @@
 			}
 		}
 		e.endIncarnation(now, old.info.ID, old.supersession.departure, old.supersession.evidence)
+		if old.ended {
+			e.moveAbsent(old, w)
+			e.removeWorker(old)
+		}
+	}
+}
+
+// keepEnded keeps a worker whose incarnation is over for its absent placements, which the next one takes
+// over, and removes it if there are none.
+func (e *Engine) keepEnded(now time.Duration, w *worker) {
+	for _, p := range slices.Clone(w.sortedPlacements()) {
+		e.releaseAbsent(now, p)
+	}
+	if len(w.placements) == 0 {
+		e.removeWorker(w)
+		return
+	}
+	w.ended, w.attached = true, false
+	if w.supersession == nil {
+		e.supersede(w, DepartureLeft, crashEvidence{})
+	}
+	e.dropWorkerClaims(w)
+	e.planNeeded = true
+}
+
+// moveAbsent moves the absent placements of an ended incarnation to the next one, which refuses their
+// calls once it is fenced. If it is followed by another one before they are over, that one does not.
+func (e *Engine) moveAbsent(ended, next *worker) {
+	for _, p := range slices.Clone(ended.sortedPlacements()) {
+		ended.removePlacement(p)
+		p.worker = next
+		next.addPlacement(p)
+		e.markChanged(p.unit.job)
 	}
 }
 
@@ -92,7 +125,6 @@
 		p.state = placementOrdered
 	}
 	w.addPlacement(p)
-	p.settleStart() // w refuses earlier calls from now on
 	p.missedPolls = 0
 	p.progressedAt = now
 	e.logDecision(p, "carried over", "ordered from an earlier incarnation of this worker")
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -58,7 +58,10 @@
 	// it refuses older orders.
 	attached   bool
 	generation uint64 // see Fence
-	// supersession is set if another incarnation follows under the same name.
+	// ended means that the incarnation is over, and its placements are absent.
+	ended bool
+	// supersession is set if another incarnation follows under the same name, or may follow an
+	// ended one.
 	supersession *supersession
 	// unresponsive means that its agent reports but the worker itself does not answer.
 	unresponsive bool
