engine: a worker's other name settles its starts, and settled starts are stored sooner

A worker of another name refuses calls that carry the former one. And a start was stored as settled up to a second after its answer, so that a successor took it for unanswered.

Fix: starts are settled when the agent reports a worker of another name, and settled starts are stored four times a second at most.

TestOtherNameSettlesUnansweredStart fails before.

--- a/engine/absent_run_test.go
+++ b/engine/absent_run_test.go
@@ -224,3 +224,23 @@
 	d.c.Check(d.starts, qt.HasLen, 1)
 	d.c.Check(d.runs(d.job)[next.Worker.ID], qt.DeepEquals, []workload.RunID{d.run})
 }
+
+// Guards against a task that waits after a crash although its worker has another name since, under which it
+// refuses earlier calls.
+func TestOtherNameSettlesUnansweredStart(t *testing.T) {
+	for _, left := range []bool{false, true} {
+		d := newLostWorkerScenario(t, true, StartUnknown)
+		ended := d.worker.info
+		if left {
+			d.report(Report{Worker: ended, Terminated: true})
+			d.settle()
+			d.c.Assert(d.starts, qt.HasLen, 1)
+		}
+		other := ended
+		other.ID, other.Name = "other", "other-name"
+		d.report(Report{Epoch: 1, Polled: true, Worker: other})
+		d.settle()
+		d.c.Check(d.starts, qt.HasLen, 2)
+		d.c.Check(d.e.workers[ended.ID], qt.IsNil)
+	}
+}
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -270,7 +270,11 @@
 // call to start one of their runs may still be carried out by the next incarnation.
 func (e *Engine) endIncarnation(now time.Duration, id WorkerID, departure Departure, evidence crashEvidence) {
 	w := e.workers[id]
-	if w == nil || w.ended {
+	if w == nil {
+		return
+	}
+	if w.ended {
+		e.keepEnded(now, w)
 		return
 	}
 	placements := w.sortedPlacements()
--- a/engine/late_call.go
+++ b/engine/late_call.go
@@ -10,7 +10,7 @@
 	// maxCallDelay is the longest time after which a worker carries out a call that it has not answered.
 	maxCallDelay = 12 * time.Second
 	// settledStartsWriteInterval is the minimum time between two writes of settled starts.
-	settledStartsWriteInterval = time.Second
+	settledStartsWriteInterval = 250 * time.Millisecond
 	// maxSettledStartJobs limits the jobs in one such write; see maxCheckpointJobs.
 	maxSettledStartJobs = 15
 )
@@ -73,6 +73,13 @@
 	}
 }
 
+// settleStarts settles all starts on w.
+func (w *worker) settleStarts() {
+	for _, p := range w.placements {
+		p.settleStart()
+	}
+}
+
 // settleStarts settles the starts on a worker that has just been polled, if the poll was late enough to
 // show the effect of every call, and removes absent placements that need not stay. A worker that is not
 // polled may be followed by another incarnation, which carries out calls too.
--- a/engine/superseded.go
+++ b/engine/superseded.go
@@ -31,6 +31,9 @@
 		e.supersede(w, e.departureOfReplaced(previous), crashEvidence{crashedBy: now})
 		return
 	}
+	if w != nil {
+		w.settleStarts() // calls carry the previous name, which the worker now refuses
+	}
 	e.endIncarnation(now, previous, e.departureOfReplaced(previous), crashEvidence{crashedBy: now})
 }
 
@@ -81,7 +84,7 @@
 			}
 		}
 		e.endIncarnation(now, old.info.ID, old.supersession.departure, old.supersession.evidence)
-		if old.ended {
+		if len(old.placements) > 0 {
 			e.moveAbsent(old, w)
 			e.removeWorker(old)
 		}
