engine, nodeagent: agents report which starts have no answer

Cause: only the agent knows which calls it has sent and which were answered. It told the planner that ordered them alone.

Fix: a report of a worker that keeps its name lists the runs with a start call that is in progress or got no answer within 12 s, and for how long the agent's process has been running. A planner that is new, or that hears of a new incarnation, waits for the listed ones from the report on, and for others from the start of the process, before which only an earlier process can have sent a call. A start counts as unanswered from its admission, under the mutex under which the epoch is checked, so no report under a later epoch lacks it. Agents of earlier versions list nothing and state no age, so all their starts count as sent by the time of the report.

--- a/engine/absent_run_test.go
+++ b/engine/absent_run_test.go
@@ -46,9 +46,9 @@
 			d.c.Check(d.worker.used, qt.Equals, d.e.jobs[d.job].units[0].demand())
 		}
 		if keepsName {
-			d.passReporting(d.orderedAt + maxCallDelay)
+			d.passReporting(d.orderedAt + MaxCallDelay)
 			d.c.Check(d.starts, qt.HasLen, 1)
-			d.passReporting(d.orderedAt + maxCallDelay + maxPollAge + 500*time.Millisecond)
+			d.passReporting(d.orderedAt + MaxCallDelay + maxPollAge + 500*time.Millisecond)
 		}
 		d.c.Assert(d.starts, qt.HasLen, 2)
 		d.c.Check(d.starts[1].Run.Number, qt.Equals, 2)
@@ -58,7 +58,7 @@
 // Guards against an absent run that is given up with the lease of its worker, which is lost.
 func TestAbsentRunOutlastsLeaseOfLostWorker(t *testing.T) {
 	d := newAbsentRunScenario(t, true)
-	latest := d.orderedAt + maxCallDelay + d.e.params.MaxLease // end of a run whose call arrives last
+	latest := d.orderedAt + MaxCallDelay + d.e.params.MaxLease // end of a run whose call arrives last
 	d.pass(latest)
 	d.c.Check(d.worker.leaseExpired, qt.IsTrue)
 	d.c.Check(d.starts, qt.HasLen, 1)
@@ -111,7 +111,7 @@
 		}
 		if tc.kept {
 			d.c.Check(d.starts, qt.HasLen, 1, comment)
-			d.passReporting(d.orderedAt + maxCallDelay + maxPollAge + 500*time.Millisecond)
+			d.passReporting(d.orderedAt + MaxCallDelay + maxPollAge + 500*time.Millisecond)
 		}
 		d.c.Check(d.starts, qt.HasLen, 2, comment)
 		d.c.Check(d.e.jobs[d.job].units[0].crashes, qt.HasLen, 0, comment)
@@ -150,7 +150,7 @@
 		d.worker = d.e.workers[r.Worker.ID]
 		d.c.Assert(d.runs(d.job)[r.Worker.ID], qt.DeepEquals, []workload.RunID{d.run})
 	}
-	d.passReporting(d.orderedAt + maxCallDelay)
+	d.passReporting(d.orderedAt + MaxCallDelay)
 	d.c.Check(d.starts, qt.HasLen, 1)
 	r := d.next()
 	r.Running = []RunStatus{{Run: d.run, Percent: 1}}
@@ -170,7 +170,7 @@
 		for _, followed := range []bool{false, true} {
 			d := newLostWorkerScenarioWith(t, true, StartResult{Outcome: outcome, CallUnanswered: true})
 			ended := d.worker
-			latest := d.orderedAt + maxCallDelay
+			latest := d.orderedAt + MaxCallDelay
 			d.report(Report{Worker: ended.info, Terminated: true})
 			d.settle()
 			d.c.Check(ended.usable(d.now), qt.IsFalse)
@@ -225,6 +225,22 @@
 	d.c.Check(d.runs(d.job)[next.Worker.ID], qt.DeepEquals, []workload.RunID{d.run})
 }
 
+// Guards against a task that waits after each crash of a worker although its agent knows that no call to
+// start the run is on its way.
+func TestNextIncarnationSettlesStartThatWasNotCalled(t *testing.T) {
+	for _, unanswered := range []bool{false, true} {
+		d := newLostWorkerScenario(t, true, StartUnknown)
+		r := d.next()
+		r.ProcessAge = time.Minute
+		if unanswered {
+			r.UnansweredStarts = []workload.RunID{d.run}
+		}
+		d.report(r)
+		d.settle()
+		d.c.Check(len(d.starts) == 2, qt.Equals, !unanswered)
+	}
+}
+
 // Guards against a task that waits after a crash although its worker has another name since, under which it
 // refuses earlier calls.
 func TestOtherNameSettlesUnansweredStart(t *testing.T) {
--- a/engine/durations.go
+++ b/engine/durations.go
@@ -85,7 +85,7 @@
 // remaining returns how long a run is expected to continue.
 func (e *Engine) remaining(now time.Duration, p *placement) time.Duration {
 	if p.state == placementAbsent {
-		return max(p.lastCallBy+maxCallDelay+maxPollAge-now, minRemaining)
+		return max(p.lastCallBy+MaxCallDelay+maxPollAge-now, minRemaining)
 	}
 	if p.stopping {
 		return max(e.params.StopTime-(now-p.stopSentAt), minRemaining)
--- a/engine/expiry.go
+++ b/engine/expiry.go
@@ -38,5 +38,5 @@
 	if p.worker.info.Name == "" || p.startSettled() {
 		return false
 	}
-	return now < e.params.leaseExpiry(p.lastCallBy+maxCallDelay)
+	return now < e.params.leaseExpiry(p.lastCallBy+MaxCallDelay)
 }
--- a/engine/expiry_takeover_test.go
+++ b/engine/expiry_takeover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
 )
 
 // takeOver replaces the planner. The worker does not report to the new one.
@@ -39,11 +41,11 @@
 			d.takeOver()
 			takenOverAt := d.now
 			if tc.kept {
-				latest := d.orderedAt + maxCallDelay + d.e.params.MaxLease // end of a run whose call arrives last
+				latest := d.orderedAt + MaxCallDelay + d.e.params.MaxLease // end of a run whose call arrives last
 				d.pass(latest + time.Second)
 				d.c.Check(d.starts, qt.HasLen, 1)
 				// The predecessor may have ordered the start shortly before its end.
-				d.pass(takenOverAt + 2*d.e.params.MaxLease + maxCallDelay + 2*time.Second)
+				d.pass(takenOverAt + 2*d.e.params.MaxLease + MaxCallDelay + 2*time.Second)
 			} else {
 				d.pass(takenOverAt + d.e.params.MaxLease + time.Second)
 			}
@@ -76,7 +78,7 @@
 	d := newLostWorkerScenario(t, true, StartOK)
 	p := d.worker.placements[d.run.Task]
 	p.lastCallBy = d.now // as after a takeover
-	over := d.now + maxCallDelay + maxPollAge
+	over := d.now + MaxCallDelay + maxPollAge
 	for ; d.now < over; d.now += 100 * time.Millisecond {
 		d.reportRun()
 		d.tick()
@@ -85,3 +87,38 @@
 	d.reportRun()
 	d.c.Check(p.startSettled(), qt.IsTrue)
 }
+
+// Guards against a task that waits after each takeover although its agent knows that no call to start the
+// run is on its way, and against one that runs twice because such a call is.
+func TestSuccessorAsksAgentForUnansweredStarts(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		processAge time.Duration
+		unanswered bool
+		wait       time.Duration // after the report
+	}{
+		{"never called", time.Minute, false, 0},
+		{"called without an answer", time.Minute, true, MaxCallDelay},
+		{"perhaps called by an earlier process", 3 * time.Second, false, MaxCallDelay - 3*time.Second},
+		{"an agent of an earlier version", 0, false, MaxCallDelay},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newLostWorkerScenario(t, true, StartUnknown)
+			d.takeOver()
+			r := d.workerReport()
+			r.ProcessAge = tc.processAge
+			if tc.unanswered {
+				r.UnansweredStarts = []workload.RunID{d.run}
+			}
+			d.report(r)
+			d.settle()
+			reportedAt := d.now
+			if tc.wait > 0 {
+				d.passReporting(reportedAt + tc.wait)
+				d.c.Check(d.starts, qt.HasLen, 1)
+				d.passReporting(reportedAt + tc.wait + maxPollAge + 500*time.Millisecond)
+			}
+			d.c.Check(d.starts, qt.HasLen, 2)
+		})
+	}
+}
--- a/engine/expiry_test.go
+++ b/engine/expiry_test.go
@@ -88,7 +88,7 @@
 			d := newLostWorkerScenario(t, tc.keepsName, tc.outcome)
 			d.passLease()
 			if tc.kept {
-				latest := d.orderedAt + maxCallDelay + d.e.params.MaxLease // end of a run whose call arrives last
+				latest := d.orderedAt + MaxCallDelay + d.e.params.MaxLease // end of a run whose call arrives last
 				d.pass(latest + time.Second)
 				d.c.Check(d.starts, qt.HasLen, 1)
 				d.c.Check(d.runs(d.job)[d.worker.info.ID], qt.HasLen, 1)
@@ -122,7 +122,7 @@
 			continue
 		}
 		d.worker = d.e.workers[r.Worker.ID]
-		d.passReporting(d.orderedAt + d.e.params.MaxLease + maxCallDelay) // of a call sent last
+		d.passReporting(d.orderedAt + d.e.params.MaxLease + MaxCallDelay) // of a call sent last
 		d.c.Check(d.starts, qt.HasLen, 1)
 		d.passReporting(d.now + maxPollAge + time.Second)
 		d.c.Check(d.starts, qt.HasLen, 2)
@@ -142,7 +142,7 @@
 	d.c.Check(d.starts, qt.HasLen, 1)
 	r.ConfirmedAbsent = []workload.RunID{d.run}
 	d.report(r)
-	d.passReporting(d.orderedAt + d.e.params.MaxLease + maxCallDelay) // of a call sent last
+	d.passReporting(d.orderedAt + d.e.params.MaxLease + MaxCallDelay) // of a call sent last
 	d.c.Check(d.starts, qt.HasLen, 1)
 	d.passReporting(d.now + maxPollAge + time.Second)
 	d.c.Check(d.starts, qt.HasLen, 2)
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -49,6 +49,9 @@
 	e.recordGeneration(w, r.Generation)
 	granted := e.updateLease(now, w, r)
 	if r.Polled {
+		if first {
+			limitAdoptedCalls(now, w, r)
+		}
 		e.settleSuperseded(now, w, r)
 		e.reconcile(now, w, r)
 		e.settleStarts(now, w)
@@ -250,12 +253,10 @@
 }
 
 // dropUnconfirmedAdopted ends adopted placements that the worker does not list when polled
-// under the new epoch, as it refuses their orders from then on, and its agent sends no more of them.
-// Pending stops are sent again.
+// under the new epoch, as it refuses their orders from then on. Pending stops are sent again.
 func (e *Engine) dropUnconfirmedAdopted(now time.Duration, w *worker) {
 	for _, p := range slices.Clone(w.sortedPlacements()) {
 		if p.state == placementAdopted {
-			p.lastCallBy = min(p.lastCallBy, now)
 			e.handleAbsentRun(now, p, CauseTakeover, "not listed by the worker under the new epoch")
 		}
 	}
--- a/engine/late_call.go
+++ b/engine/late_call.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxCallDelay is the longest time after which a worker carries out a call that it has not answered.
-	maxCallDelay = 12 * time.Second
+	// MaxCallDelay is the longest time after which a worker carries out a call that it has not answered.
+	MaxCallDelay = 12 * time.Second
 	// settledStartsWriteInterval is the minimum time between two writes of settled starts.
 	settledStartsWriteInterval = 250 * time.Millisecond
 	// maxSettledStartJobs limits the jobs in one such write; see maxCheckpointJobs.
@@ -40,7 +40,7 @@
 	}
 	e.recordDiscarded(now, p)
 	p.state, p.stopping = placementAbsent, true
-	e.logDecision(p, "kept", fmt.Sprintf("a call to start it may be carried out within %d ms", (p.lastCallBy+maxCallDelay-now).Milliseconds()))
+	e.logDecision(p, "kept", fmt.Sprintf("a call to start it may be carried out within %d ms", (p.lastCallBy+MaxCallDelay-now).Milliseconds()))
 	e.planNeeded = true
 	e.stopRemainingMembers(now, p.unit)
 }
@@ -50,7 +50,7 @@
 	if p.worker.info.Name == "" || p.startSettled() || p.unit.state == unitDone || p.unit.job.state.Final() {
 		return false
 	}
-	return e.lastPollAt(now) < p.lastCallBy+maxCallDelay
+	return e.lastPollAt(now) < p.lastCallBy+MaxCallDelay
 }
 
 // lastPollAt returns the earliest time at which a worker can have answered the poll in the report that
@@ -59,6 +59,28 @@
 	return now - e.handling.Delay - maxPollAge
 }
 
+// limitCalls limits when the last call to start the run of p was sent by what its agent reports. The
+// agent sends none from then on, since the order is of a predecessor or for an earlier incarnation.
+func (r *Report) limitCalls(now time.Duration, p *placement) {
+	if p.startSettled() {
+		return
+	}
+	sentBy := now
+	if !slices.Contains(r.UnansweredStarts, p.runID()) {
+		sentBy -= r.ProcessAge // only an earlier process can have sent one
+	}
+	p.lastCallBy = min(p.lastCallBy, sentBy)
+}
+
+// limitAdoptedCalls limits the calls that a predecessor has ordered, at the first report under this epoch.
+func limitAdoptedCalls(now time.Duration, w *worker, r Report) {
+	for _, p := range w.placements {
+		if p.adopted {
+			r.limitCalls(now, p)
+		}
+	}
+}
+
 // noteStartResult notes which calls to start the run got an answer.
 func (p *placement) noteStartResult(now time.Duration, r StartResult) {
 	switch {
@@ -67,7 +89,7 @@
 		p.lastCallBy = min(p.lastCallBy, now)
 	case r.Outcome == StartOK && p.state == placementAbsent:
 		// The call may have started the run after it was absent. A poll from now on shows it.
-		p.lastCallBy = min(p.lastCallBy, now-maxCallDelay)
+		p.lastCallBy = min(p.lastCallBy, now-MaxCallDelay)
 	case r.Outcome == StartOK:
 		p.settleStart()
 	}
@@ -85,7 +107,7 @@
 // polled may be followed by another incarnation, which carries out calls too.
 func (e *Engine) settleStarts(now time.Duration, w *worker) {
 	for _, p := range slices.Clone(w.sortedPlacements()) {
-		if e.lastPollAt(now) >= p.lastCallBy+maxCallDelay {
+		if e.lastPollAt(now) >= p.lastCallBy+MaxCallDelay {
 			p.settleStart()
 		}
 		e.releaseAbsent(now, p)
--- a/engine/pace.go
+++ b/engine/pace.go
@@ -15,7 +15,7 @@
 	paceRetryInterval = 500 * time.Millisecond
 	// lateOrderWindow is how long an unanswered order may still take effect, possibly after
 	// newer ones, with a margin.
-	lateOrderWindow = maxCallDelay + time.Second
+	lateOrderWindow = MaxCallDelay + time.Second
 	// paceRepeatInterval is the interval at which a limit is ordered again within
 	// lateOrderWindow.
 	paceRepeatInterval = time.Second
--- a/engine/repeated_call_test.go
+++ b/engine/repeated_call_test.go
@@ -14,7 +14,7 @@
 		d := newLostWorkerScenarioWith(t, keepsName, StartResult{Outcome: StartOK, CallUnanswered: true})
 		d.passLease()
 		if keepsName {
-			latest := d.orderedAt + maxCallDelay + d.e.params.MaxLease // end of a run whose call arrives last
+			latest := d.orderedAt + MaxCallDelay + d.e.params.MaxLease // end of a run whose call arrives last
 			d.pass(latest)
 			d.c.Check(d.starts, qt.HasLen, 1)
 			d.c.Check(d.runs(d.job)[d.worker.info.ID], qt.HasLen, 1)
--- a/engine/report.go
+++ b/engine/report.go
@@ -80,6 +80,11 @@
 	// CapacityUnconfirmed means that Worker.Capacity may be outdated: the worker has failed to answer a
 	// poll since its last heartbeat. Nothing may be started there.
 	CapacityUnconfirmed bool `cbor:"19,keyasint,omitempty"`
+	// UnansweredStarts are the runs that the agent's process has called a worker under this name to
+	// start, with a call that is in progress or got no answer within MaxCallDelay. ProcessAge is for how
+	// long the process has been running. Both are zero for workers that change their names.
+	UnansweredStarts []workload.RunID `cbor:"20,keyasint,omitempty"`
+	ProcessAge       time.Duration    `cbor:"21,keyasint,omitempty"`
 }
 
 // ReportOrigin identifies a report among those of one agent. It is zero for agents that do not
--- a/engine/sim_agent_orders_test.go
+++ b/engine/sim_agent_orders_test.go
@@ -142,6 +142,7 @@
 	if outcome == StartOK {
 		for i, s := range o.Starts {
 			pending++
+			a.unansweredStarts[s.Run] = a.cluster.now
 			a.start(inc, header, s, 0, func(result StartResult) {
 				results[i] = result
 				finish()
@@ -211,6 +212,10 @@
 			a.start(inc, header, s, attempt+1, then)
 			return
 		}
+		a.unansweredStarts[s.Run] = a.cluster.now
+		if !unanswered {
+			delete(a.unansweredStarts, s.Run)
+		}
 		then(StartResult{Run: s.Run, Outcome: outcome, CallUnanswered: unanswered})
 	})
 	call.send(inc, func(sw *simWorker) {
--- a/engine/sim_agent_test.go
+++ b/engine/sim_agent_test.go
@@ -21,8 +21,12 @@
 	nextFence    Fence
 	inc          *simIncarnation
 	departures   []simDeparture
-	endedIDs     map[WorkerID]bool
-	reporting    bool
+	// unansweredStarts has the time of the last call for each run with a start call that is in progress
+	// or got no answer.
+	unansweredStarts map[workload.RunID]time.Duration
+	startedAt        time.Duration
+	endedIDs         map[WorkerID]bool
+	reporting        bool
 	// reportPending asks for another report after the one in progress. reportRound numbers the
 	// rounds of reports, so that only the timer of the last one counts.
 	reportPending bool
@@ -47,7 +51,7 @@
 // heartbeat.
 func (w *simCluster) startAgent(slot int) {
 	w.delays.processes++
-	a := &simAgent{cluster: w, slot: slot, origin: ReportOrigin{Process: w.delays.processes}, endedIDs: map[WorkerID]bool{}}
+	a := &simAgent{cluster: w, slot: slot, origin: ReportOrigin{Process: w.delays.processes}, endedIDs: map[WorkerID]bool{}, unansweredStarts: map[workload.RunID]time.Duration{}, startedAt: w.now}
 	w.agents[slot] = a
 	a.pollLoop()
 	a.startReports()
@@ -100,11 +104,22 @@
 	if a.inc != nil {
 		r := a.inc.report(a.cluster.now, a.epoch)
 		a.limitGrant(r)
+		a.reportStarts(&r)
 		out = append(out, r)
 	}
 	return out
 }
 
+// reportStarts states which starts are unanswered.
+func (a *simAgent) reportStarts(r *Report) {
+	for run, calledAt := range a.unansweredStarts {
+		if a.cluster.now-calledAt <= MaxCallDelay {
+			r.UnansweredStarts = append(r.UnansweredStarts, run)
+		}
+	}
+	r.ProcessAge = a.cluster.now - a.startedAt
+}
+
 // limitGrant gives up grants beyond the end of the lease that a report states.
 func (a *simAgent) limitGrant(r Report) {
 	if r.Unresponsive && !r.ExtendingLease && r.LeaseKnown {
--- a/nodeagent/agent.go
+++ b/nodeagent/agent.go
@@ -36,11 +36,13 @@
 	limitedAt, limitedTo time.Duration
 	// nextFence is the lowest fence for orders to the next incarnation. It is higher than those
 	// of delayed orders to the previous incarnation, which may have had the same name.
-	nextFence     engine.Fence
-	cordon        cordonState
-	departures    []departure // ended incarnations that are not reported yet
-	endedIDs      map[engine.WorkerID]bool
-	reportPending chan struct{} // signals the report loop; capacity 1
+	nextFence        engine.Fence
+	cordon           cordonState
+	departures       []departure // ended incarnations that are not reported yet
+	endedIDs         map[engine.WorkerID]bool
+	unansweredStarts unansweredStarts
+	startedAt        time.Duration
+	reportPending    chan struct{} // signals the report loop; capacity 1
 	// process identifies this process in reports, and lastReport is the number of its last one.
 	process    uint64
 	lastReport uint64
@@ -61,12 +63,14 @@
 // Start starts an Agent. The caller must call Stop.
 func Start(cfg Config) (*Agent, error) {
 	a := &Agent{
-		cfg:           cfg,
-		log:           cfg.Log,
-		changed:       make(chan struct{}),
-		reportPending: make(chan struct{}, 1),
-		endedIDs:      map[engine.WorkerID]bool{},
-		process:       1 + rand.Uint64N(math.MaxUint64), // zero means unnumbered
+		cfg:              cfg,
+		log:              cfg.Log,
+		changed:          make(chan struct{}),
+		reportPending:    make(chan struct{}, 1),
+		endedIDs:         map[engine.WorkerID]bool{},
+		startedAt:        now(),
+		unansweredStarts: unansweredStarts{},
+		process:          1 + rand.Uint64N(math.MaxUint64), // zero means unnumbered
 	}
 	peer := wire.Peer{ID: cfg.ID, Role: wire.RoleAgent, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region, Zone: cfg.Zone}
 	id, err := wire.NewIdentity(peer, cfg.ClusterKey)
--- a/nodeagent/cordon_test.go
+++ b/nodeagent/cordon_test.go
@@ -38,7 +38,7 @@
 
 // newTestAgent returns an agent whose worker accepts orders.
 func newTestAgent(w Worker) *Agent {
-	a := &Agent{cfg: Config{Worker: w, MaxLease: 6 * time.Second}, log: discardLogger(), finder: newTestFinder(), reportPending: make(chan struct{}, 1)}
+	a := &Agent{cfg: Config{Worker: w, MaxLease: 6 * time.Second}, log: discardLogger(), finder: newTestFinder(), reportPending: make(chan struct{}, 1), unansweredStarts: unansweredStarts{}}
 	a.incarnation = newIncarnation(engine.WorkerInfo{ID: "w", Zone: "z"})
 	a.incarnation.polled, a.incarnation.workerClock, a.incarnation.clockReadAt = true, time.Minute, now()
 	a.grantedUntil = now() + 5*time.Second
--- a/nodeagent/leaving_test.go
+++ b/nodeagent/leaving_test.go
@@ -48,7 +48,7 @@
 	c.Check(report.DrainRemaining, qt.Equals, time.Duration(0))
 	c.Check(report.Running, qt.DeepEquals, w.status.Running)
 	c.Check(w.headers[0].LeaseEnd, qt.Equals, time.Duration(0), qt.Commentf("the lease is extended no further"))
-	_, _, outcome := a.admit(&link.Orders{Epoch: 1, Worker: "w"})
+	_, _, outcome := a.admit(&link.Orders{Epoch: 1, Worker: "w"}, nil)
 	c.Check(outcome, qt.Equals, engine.StartDraining)
 	c.Check(inc.leaseEnd, qt.Equals, leaseEnd)
 	a.updateCurrent(Heartbeat{Info: engine.WorkerInfo{ID: "w"}, Sequence: 9, Draining: true, Remaining: time.Minute})
--- a/nodeagent/name_reuse_test.go
+++ b/nodeagent/name_reuse_test.go
@@ -118,7 +118,7 @@
 	a, w := startNameReusingAgent(c)
 	inc, _ := a.current()
 	a.poll(inc, 0)
-	order, _, _ := a.admit(&link.Orders{Epoch: 3, Worker: "w-1"})
+	order, _, _ := a.admit(&link.Orders{Epoch: 3, Worker: "w-1"}, nil)
 	c.Check(order.Fence, qt.Equals, engine.Fence{Epoch: 3, Generation: engine.GenerationStep})
 	c.Check(w.ackingPolls(), qt.DeepEquals, []pollRecord{{order.Fence, 57}})
 	w.restartAs("")
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -31,7 +31,7 @@
 // the planner cancels the call: the planner's next orders resolve partially executed ones.
 func (a *Agent) execute(orders *link.Orders, starts []engine.StartOrder) *link.OrdersReply {
 	reply := &link.OrdersReply{Starts: make([]engine.StartResult, len(starts))}
-	header, inc, outcome := a.admit(orders)
+	header, inc, outcome := a.admit(orders, starts)
 	var wg sync.WaitGroup
 	for i, s := range starts {
 		reply.Starts[i] = engine.StartResult{Run: s.Run, Outcome: outcome}
@@ -78,8 +78,9 @@
 }
 
 // admit checks whether orders are for the current incarnation and from the newest planner. The
-// outcome is StartOK if starts may proceed.
-func (a *Agent) admit(orders *link.Orders) (OrderHeader, *incarnation, engine.StartOutcome) {
+// outcome is StartOK if starts may proceed. They then count as unanswered, so that no report that is
+// built under a later epoch lacks them.
+func (a *Agent) admit(orders *link.Orders, starts []engine.StartOrder) (OrderHeader, *incarnation, engine.StartOutcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if orders.Epoch < a.epoch {
@@ -107,6 +108,9 @@
 	}
 	header.LeaseEnd = leaseEnd // only starts extend it, which are counted here
 	inc.extendLease(until)
+	for _, s := range starts {
+		a.unansweredStarts.add(s.Run, now())
+	}
 	return header, inc, engine.StartOK
 }
 
@@ -159,6 +163,7 @@
 	default:
 		a.counters.StartsRefused.Add(1)
 	}
+	a.endStart(s.Run, unanswered)
 	return engine.StartResult{Run: s.Run, Outcome: outcome, CallUnanswered: unanswered}
 }
 
--- a/nodeagent/report.go
+++ b/nodeagent/report.go
@@ -81,6 +81,7 @@
 	if a.incarnation != nil {
 		r := a.incarnation.report(now(), a.epoch)
 		a.limitGrant(r)
+		a.reportStarts(&r)
 		out = append(out, r)
 	}
 	return out
--- a/nodeagent/unresponsive_test.go
+++ b/nodeagent/unresponsive_test.go
@@ -126,7 +126,7 @@
 	c.Assert(report.LeaseKnown && !report.ExtendingLease, qt.IsTrue)
 	inc.applyStatus(WorkerStatus{Clock: time.Minute + time.Second}, now(), now(), reported)
 	a.preparePoll(inc, 0)
-	a.admit(&link.Orders{Epoch: 1, Worker: "w"})
+	a.admit(&link.Orders{Epoch: 1, Worker: "w"}, nil)
 	c.Check(inc.leaseEnd, qt.Equals, reported)
 	a.handleReply(a.pendingReports()[0], &link.ReportReply{Epoch: 1, Attached: true}, now())
 	a.preparePoll(inc, 0)
