engine, docs: two comments and a name of the starts that are settled

Comments that had been true before absent placements moved on to the next incarnation; a second settleStarts is named settleAllStarts. Behaviour is as before.

--- a/engine/expiry.go
+++ b/engine/expiry.go
@@ -32,8 +32,8 @@
 // mayStartLate reports whether the start of p may still have effect on a later incarnation of a worker
 // that keeps its name. Until an agent has fenced that incarnation, it accepts the delayed call, and the
 // lease in the call does not limit the run: it is on the clock of the incarnation that was meant. Only
-// the longest lease that a worker grants does. settleSuperseded ends p earlier if the next incarnation
-// reports.
+// the longest lease that a worker grants does. settleSuperseded moves p if the next incarnation reports
+// before.
 func (e *Engine) mayStartLate(now time.Duration, p *placement) bool {
 	if p.worker.info.Name == "" || p.startSettled() {
 		return false
--- a/engine/superseded.go
+++ b/engine/superseded.go
@@ -9,7 +9,8 @@
 // name. Calls carry only the name, so an unanswered start meant for the previous incarnation may
 // still take effect on the next one, and its task could run twice if it were restarted elsewhere.
 // The placements are therefore kept until the next incarnation has answered under a fence that no
-// earlier order carries, as it refuses those orders from then on.
+// earlier order carries, as it refuses those orders from then on. Those whose calls may reach a further
+// one move to it.
 type supersession struct {
 	departure Departure
 	evidence  crashEvidence
@@ -32,7 +33,7 @@
 		return
 	}
 	if w != nil {
-		w.settleStarts() // calls carry the previous name, which the worker now refuses
+		w.settleAllStarts() // calls carry the previous name, which the worker now refuses
 	}
 	e.endIncarnation(now, previous, e.departureOfReplaced(previous), crashEvidence{crashedBy: now})
 }
