--- a/engine/expiry_takeover_test.go
+++ b/engine/expiry_takeover_test.go
@@ -25,16 +25,7 @@
 // Guards against a task that runs twice because a successor takes a start that its predecessor got no
 // answer to for lost with the worker's lease, while it may still take effect on the next incarnation.
 func TestUnansweredStartOutlastsItsPlanner(t *testing.T) {
-	for _, tc := range []struct {
-		name      string
-		keepsName bool
-		outcome   StartOutcome
-		kept      bool
-	}{
-		{"unanswered, the worker keeps its name", true, StartUnknown, true},
-		{"unanswered, the next incarnation has another name", false, StartUnknown, false},
-		{"answered, the worker keeps its name", true, StartOK, false},
-	} {
+	for _, tc := range lateStartCases {
 		t.Run(tc.name, func(t *testing.T) {
 			d := newLostWorkerScenario(t, tc.keepsName, tc.outcome)
 			d.pass(d.now + time.Second)
--- a/engine/expiry_test.go
+++ b/engine/expiry_test.go
@@ -86,19 +86,23 @@
 	}
 }
 
+// lateStartCases are starts on a worker from which nothing is heard any more. A placement is kept beyond
+// the lease if the call may still start its run.
+var lateStartCases = []struct {
+	name      string
+	keepsName bool
+	outcome   StartOutcome
+	kept      bool
+}{
+	{"unanswered, the worker keeps its name", true, StartUnknown, true},
+	{"unanswered, the next incarnation has another name", false, StartUnknown, false},
+	{"answered, the worker keeps its name", true, StartOK, false},
+}
+
 // Guards against a task that runs twice because the start that got no answer takes effect on the next
 // incarnation of its worker, which no agent has fenced, after the lease of the one that was meant.
 func TestUnansweredStartOutlastsItsLease(t *testing.T) {
-	for _, tc := range []struct {
-		name      string
-		keepsName bool
-		outcome   StartOutcome
-		kept      bool
-	}{
-		{"unanswered, the worker keeps its name", true, StartUnknown, true},
-		{"unanswered, the next incarnation has another name", false, StartUnknown, false},
-		{"answered, the worker keeps its name", true, StartOK, false},
-	} {
+	for _, tc := range lateStartCases {
 		t.Run(tc.name, func(t *testing.T) {
 			d := newLostWorkerScenario(t, tc.keepsName, tc.outcome)
 			d.passLease()
--- a/engine/report.go
+++ b/engine/report.go
@@ -80,9 +80,10 @@
 	// CapacityUnconfirmed means that Worker.Capacity may be outdated: the worker has failed to answer a
 	// poll since its last heartbeat. Nothing may be started there.
 	CapacityUnconfirmed bool `cbor:"19,keyasint,omitempty"`
-	// UnansweredStarts are the runs that the agent's process has called a worker under this name to
-	// start, with a call that is in progress or got no answer within MaxCallDelay. ProcessAge is for how
-	// long the process has been running. Both are zero for workers that change their names.
+	// UnansweredStarts are the runs that the agent's process has called its worker to start, in this
+	// incarnation or an earlier one, with a call that is in progress or got no answer and was sent less
+	// than MaxCallDelay ago. ProcessAge is for how long the process has been running. Both are zero for
+	// workers that change their names.
 	UnansweredStarts []workload.RunID `cbor:"20,keyasint,omitempty"`
 	ProcessAge       time.Duration    `cbor:"21,keyasint,omitempty"`
 }
