--- a/engine/absent_run_test.go
+++ b/engine/absent_run_test.go
@@ -243,3 +243,14 @@
 		d.c.Check(d.e.workers[ended.ID], qt.IsNil)
 	}
 }
+
+// Guards against a task that waits for calls which broke off with their connections, as those do that
+// crash their worker.
+func TestInterruptedStartIsNotAwaited(t *testing.T) {
+	d := newLostWorkerScenario(t, true, StartUnknown)
+	d.handle(OrdersCompleted{Worker: d.worker.info.ID, Starts: []StartResult{{Run: d.run, Outcome: StartUnknown, CallsOver: true}}})
+	d.report(Report{Worker: d.worker.info, Terminated: true, Crashed: true, Polled: true, Superseded: true})
+	d.report(d.next())
+	d.settle()
+	d.c.Check(d.starts, qt.HasLen, 2)
+}
--- a/engine/action.go
+++ b/engine/action.go
@@ -44,6 +44,9 @@
 	// CallUnanswered means that at least one call to start the run got no answer, whatever Outcome
 	// is, and that no further one will be sent. The worker may still carry it out.
 	CallUnanswered bool `cbor:"3,keyasint,omitempty"`
+	// CallsOver means, whatever Outcome is, that no later incarnation of the worker can carry out a call
+	// to start the run: each was answered, or ended with its connection.
+	CallsOver bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Orders are sent to one worker's agent in a single message.
--- a/engine/late_call.go
+++ b/engine/late_call.go
@@ -86,10 +86,10 @@
 	case p.startSettled():
 	case r.CallUnanswered:
 		p.lastCallBy = min(p.lastCallBy, now)
-	case r.Outcome == StartOK && p.state == placementAbsent:
+	case (r.Outcome == StartOK || r.CallsOver) && p.state == placementAbsent:
 		// The call may have started the run after it was absent. A poll from now on shows it.
 		p.lastCallBy = min(p.lastCallBy, now-MaxCallDelay)
-	case r.Outcome == StartOK:
+	case r.Outcome == StartOK || r.CallsOver:
 		p.settleStart()
 	}
 }
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -147,9 +147,9 @@
 		if outcome == engine.StartOK {
 			break
 		}
-		if attempt > 0 {
-			// A refusal of this attempt does not rule out that an earlier, unanswered one
-			// succeeded.
+		if attempt > 0 || outcome == StartInterrupted {
+			// A refusal of this attempt does not rule out that an earlier, unanswered or
+			// interrupted one succeeded.
 			outcome = engine.StartUnknown
 		}
 		if outcome != engine.StartUnknown {
@@ -164,7 +164,7 @@
 		a.counters.StartsRefused.Add(1)
 	}
 	a.endStart(s.Run, unanswered)
-	return engine.StartResult{Run: s.Run, Outcome: outcome, CallUnanswered: unanswered}
+	return engine.StartResult{Run: s.Run, Outcome: outcome, CallUnanswered: unanswered, CallsOver: !unanswered}
 }
 
 // stop stops a run. If the worker does not confirm it, the planner asks again.
--- a/nodeagent/repeated_call_test.go
+++ b/nodeagent/repeated_call_test.go
@@ -23,7 +23,7 @@
 
 // Guards against a planner that takes a start for settled while one of its calls is still on its way.
 func TestStartResultTellsOfUnansweredCalls(t *testing.T) {
-	const none = engine.StartUnknown
+	const none, broken = engine.StartUnknown, StartInterrupted
 	for _, tc := range []struct {
 		name       string
 		outcomes   []engine.StartOutcome
@@ -34,6 +34,10 @@
 		{"first call refused", []engine.StartOutcome{engine.StartNoCapacity}, engine.StartNoCapacity, false},
 		{"second call answered", []engine.StartOutcome{none, engine.StartOK}, engine.StartOK, true},
 		{"second call refused", []engine.StartOutcome{none, engine.StartNoCapacity, none}, engine.StartUnknown, true},
+		{"connection of the first call broke", []engine.StartOutcome{broken, engine.StartOK}, engine.StartOK, false},
+		{"connection of each call broke", []engine.StartOutcome{broken, broken, broken}, engine.StartUnknown, false},
+		{"second call refused after the connection broke", []engine.StartOutcome{broken, engine.StartNoCapacity, broken}, engine.StartUnknown, false},
+		{"one call without an answer", []engine.StartOutcome{broken, none, broken}, engine.StartUnknown, true},
 		{"no call answered", []engine.StartOutcome{none, none, none}, engine.StartUnknown, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -43,7 +47,7 @@
 			orders.Stops = nil
 			starts, err := orders.DecodeStarts()
 			c.Assert(err, qt.IsNil)
-			c.Check(a.execute(orders, starts).Starts, qt.DeepEquals, []engine.StartResult{{Run: starts[0].Run, Outcome: tc.outcome, CallUnanswered: tc.unanswered}})
+			c.Check(a.execute(orders, starts).Starts, qt.DeepEquals, []engine.StartResult{{Run: starts[0].Run, Outcome: tc.outcome, CallUnanswered: tc.unanswered, CallsOver: !tc.unanswered}})
 		})
 	}
 }
--- a/nodeagent/worker.go
+++ b/nodeagent/worker.go
@@ -27,6 +27,11 @@
 	ErrFenced = eris.New("the worker follows a newer planner")
 )
 
+// StartInterrupted is the outcome of a call to start a run whose connection broke. Like StartUnknown it
+// leaves open whether the run was started, but no other incarnation of the worker can carry the call out.
+// It is not sent to planners.
+const StartInterrupted engine.StartOutcome = -1
+
 // OrderHeader is carried by every order to a worker.
 type OrderHeader struct {
 	Worker engine.WorkerID // the addressed incarnation
@@ -50,7 +55,7 @@
 type Worker interface {
 	// Identify returns the name under which the worker answers; see engine.WorkerInfo.CallName.
 	Identify(ctx context.Context) (string, error)
-	// Start starts a run. It is idempotent for the same run.
+	// Start starts a run. It is idempotent for the same run. Its outcome may be StartInterrupted.
 	Start(ctx context.Context, header OrderHeader, s engine.StartOrder) engine.StartOutcome
 	// Stop ends a run. A run that does not exist yet is refused from then on.
 	Stop(ctx context.Context, header OrderHeader, run workload.RunID) error
