--- a/review/_driver/fleet.go
+++ b/review/_driver/fleet.go
@@ -33,6 +33,13 @@
 	startLimit = 20 * time.Second
 )
 
+// Bounds of deployments, as the gateways' settings hold them.
+const (
+	peachlineBounds = "stop_time = \"400ms\"\nrestore = \"250ms\"\nreclaim = \"2900ms\"\nharm = \"4000ms\"\n"
+	utecnBounds     = "stop_time = \"200ms\"\nrestore = \"100ms\"\nreclaim = \"2700ms\"\nharm = \"4500ms\"\n"
+	commonBounds    = "remote_factor = 3\nretention = \"120s\"\nkey_life = \"5000ms\"\nstop_grace = \"6s\"\ncores = 0.4\nlink_mbps = 1000.0\n"
+)
+
 var zones = []string{"macon-hall", "augusta-hall", "valdosta-hall"}
 
 // recorder writes record.txt: what was sent, answered and run.
@@ -149,8 +156,8 @@
 }
 
 // newFleet starts a fleet and waits until its workers are registered.
-// gatewaySettings are further settings of the gateways.
-func newFleet(rec *recorder, binary string, store storeStandin, gateways, agents int, gatewaySettings ...string) (*fleet, error) {
+// bounds are those of the gateways' settings.
+func newFleet(rec *recorder, binary string, store storeStandin, gateways, agents int, bounds string) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -168,7 +175,7 @@
 		addr := net.JoinHostPort(gatewayHost(i), f.port)
 		p, err := f.newProcess(binary, "gateway", fmt.Sprint("front-", i), common+fmt.Sprintf(
 			"id = \"front-%d\"\nzone = %q\nlisten = %q\ncaller_listen = %q\n", i, zones[i%len(zones)], addr, addr)+
-			"stop_time = \"400ms\"\nrestore = \"250ms\"\nremote_factor = 3\nreclaim = \"2900ms\"\nharm = \"4000ms\"\nretention = \"120s\"\nkey_life = \"5000ms\"\nstop_grace = \"6s\"\ncores = 0.4\nlink_mbps = 1000.0\n"+strings.Join(gatewaySettings, ""))
+			commonBounds+bounds)
 		if err != nil {
 			return f, err
 		}
--- a/review/_driver/worker.go
+++ b/review/_driver/worker.go
@@ -38,8 +38,13 @@
 	valid(ticket, task, worker string) bool
 }
 
-// percent returns how much of the run's work is done.
-func (r *run) percent() int { return int(min(99, 100*time.Since(r.startedAt)/max(r.length, 1))) }
+// percent returns how much of the run's work is done, and 100 for a task that lasts.
+func (r *run) percent() int {
+	if r.length >= time.Hour {
+		return 100
+	}
+	return int(min(99, 100*time.Since(r.startedAt)/max(r.length, 1)))
+}
 
 // worker is a stand-in of one worker of the platform, over all its incarnations. It follows the
 // page on running tasks: leases on its own clock, the highest fencing token, ends numbered from 1
@@ -300,7 +305,10 @@
 		answer.Reason = "ticket"
 		return http.StatusConflict, answer
 	}
-	ms, _ := strconv.Atoi(strings.TrimPrefix(o.Spec, "ms=")) // written by this program
+	ms, err := strconv.Atoi(strings.TrimPrefix(o.Spec, "ms="))
+	if err != nil {
+		ms = int(time.Hour.Milliseconds()) // it lasts
+	}
 	started := &run{task: o.Task, number: o.Run, worker: w.id, startedAt: time.Now(), length: time.Duration(ms) * time.Millisecond}
 	life := w.lives
 	started.timer = time.AfterFunc(time.Duration(ms)*time.Millisecond, func() {
