review: a gateway stays with an old configuration after a cut

A watch of the configuration that goes on after a cut gets all versions since in one answer. Above 8 MB the answer is cut short, can't be decoded, and is asked for again until the store drops its history. Contact with the store keeps the gateway from taking newer versions from its peers.

--- a/review/_driver/fleet.go
+++ b/review/_driver/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -155,9 +156,15 @@
 	return true
 }
 
-// newFleet starts a fleet and waits until its workers are registered.
-// bounds are those of the gateways' settings.
+// newFleet starts a fleet whose gateways use the store's own address.
 func newFleet(rec *recorder, binary string, store storeStandin, gateways, agents int, bounds string) (*fleet, error) {
+	return newFleetAt(rec, binary, store, slices.Repeat([]string{store.Addr()}, gateways), agents, bounds)
+}
+
+// newFleetAt starts a fleet and waits until its workers are registered. storeAddresses are the
+// gateways' addresses of the store, and bounds those of their settings.
+func newFleetAt(rec *recorder, binary string, store storeStandin, storeAddresses []string, agents int, bounds string) (*fleet, error) {
+	gateways := len(storeAddresses)
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -170,11 +177,11 @@
 	for i := range gateways {
 		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(gatewayHost(i), f.port)))
 	}
-	common := "region = \"georgia-central\"\nseeds = [" + strings.Join(seeds, ",") + "]\ncluster_key = \"eelgrasshub-deployment-key\"\nstore = \"" + store.Addr() + "\"\nmax_hold = \"6000ms\"\n"
+	common := "region = \"georgia-central\"\nseeds = [" + strings.Join(seeds, ",") + "]\ncluster_key = \"eelgrasshub-deployment-key\"\nmax_hold = \"6000ms\"\n"
 	for i := range gateways {
 		addr := net.JoinHostPort(gatewayHost(i), f.port)
 		p, err := f.newProcess(binary, "gateway", fmt.Sprint("front-", i), common+fmt.Sprintf(
-			"id = \"front-%d\"\nzone = %q\nlisten = %q\ncaller_listen = %q\n", i, zones[i%len(zones)], addr, addr)+
+			"id = \"front-%d\"\nzone = %q\nstore = %q\nlisten = %q\ncaller_listen = %q\n", i, zones[i%len(zones)], storeAddresses[i], addr, addr)+
 			commonBounds+bounds)
 		if err != nil {
 			return f, err
@@ -189,8 +196,8 @@
 		}
 		f.workers = append(f.workers, w)
 		p, err := f.newProcess(binary, "node-agent", fmt.Sprint("side-", i), common+fmt.Sprintf(
-			"id = \"side-%d\"\nzone = %q\nlisten = %q\nregistry_listen = %q\ngateway_port = %s\nworker = %q\norders = \"push\"\nstop_grace = \"2s\"\n",
-			i, zones[i%len(zones)], addr, addr, f.port, w.address))
+			"id = \"side-%d\"\nzone = %q\nstore = %q\nlisten = %q\nregistry_listen = %q\ngateway_port = %s\nworker = %q\norders = \"push\"\nstop_grace = \"2s\"\n",
+			i, zones[i%len(zones)], store.Addr(), addr, addr, f.port, w.address))
 		if err != nil {
 			return f, err
 		}
