review: one heartbeat without its start doubles a worker's tasks

An agent takes a heartbeat under its worker's ID that lacks the start for another incarnation, since its ID differs and it has no name. The live incarnation ends as crashed, and the planner starts its runs elsewhere.

The case sends one such heartbeat while a worker is at work.

--- a/review/_driver/fleet.go
+++ b/review/_driver/fleet.go
@@ -38,6 +38,7 @@
 const (
 	peachlineBounds = "stop_time = \"400ms\"\nrestore = \"250ms\"\nreclaim = \"2900ms\"\nharm = \"4000ms\"\n"
 	utecnBounds     = "stop_time = \"200ms\"\nrestore = \"100ms\"\nreclaim = \"2700ms\"\nharm = \"4500ms\"\n"
+	brannockBounds  = "stop_time = \"200ms\"\nrestore = \"250ms\"\nreclaim = \"2700ms\"\nharm = \"4500ms\"\n"
 	commonBounds    = "remote_factor = 3\nretention = \"120s\"\nkey_life = \"5000ms\"\nstop_grace = \"6s\"\ncores = 0.4\nlink_mbps = 1000.0\n"
 )
 
@@ -158,12 +159,17 @@
 
 // newFleet starts a fleet whose gateways use the store's own address.
 func newFleet(rec *recorder, binary string, store storeStandin, gateways, agents int, bounds string) (*fleet, error) {
-	return newFleetAt(rec, binary, store, slices.Repeat([]string{store.Addr()}, gateways), agents, bounds)
+	return newFleetOf(rec, binary, store, gateways, agents, bounds, false)
+}
+
+// newFleetOf is newFleet, for workers that report their start if withBorn is set.
+func newFleetOf(rec *recorder, binary string, store storeStandin, gateways, agents int, bounds string, withBorn bool) (*fleet, error) {
+	return newFleetAt(rec, binary, store, slices.Repeat([]string{store.Addr()}, gateways), agents, bounds, withBorn)
 }
 
 // newFleetAt starts a fleet and waits until its workers are registered. storeAddresses are the
 // gateways' addresses of the store, and bounds those of their settings.
-func newFleetAt(rec *recorder, binary string, store storeStandin, storeAddresses []string, agents int, bounds string) (*fleet, error) {
+func newFleetAt(rec *recorder, binary string, store storeStandin, storeAddresses []string, agents int, bounds string, withBorn bool) (*fleet, error) {
 	gateways := len(storeAddresses)
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
@@ -190,7 +196,7 @@
 	}
 	for i := range agents {
 		addr := net.JoinHostPort(agentHost(i), f.port)
-		w, err := newWorker(rec, i, addr)
+		w, err := newWorker(rec, i, addr, withBorn)
 		if err != nil {
 			return f, err
 		}
--- a/review/_driver/worker.go
+++ b/review/_driver/worker.go
@@ -62,6 +62,7 @@
 	listener net.Listener
 	server   *http.Server
 	address  string
+	withBorn bool // it reports its start
 
 	mu       sync.Mutex
 	advice   ticketCheck // nil if starts need no ticket
@@ -83,9 +84,11 @@
 	runs     []*run
 }
 
-func newWorker(rec *recorder, index int, agent string) (*worker, error) {
+// newWorker starts a worker. withBorn makes it report its start.
+func newWorker(rec *recorder, index int, agent string, withBorn bool) (*worker, error) {
 	w := &worker{
-		rec: rec, name: fmt.Sprint("w", index), rack: fmt.Sprint("r", index/3), zone: zones[index%len(zones)],
+		withBorn: withBorn,
+		rec:      rec, name: fmt.Sprint("w", index), rack: fmt.Sprint("r", index/3), zone: zones[index%len(zones)],
 		cpu: 128_000, memMB: 262_144, gpu: 8, agent: agent, maxHold: maxHold, changed: make(chan struct{}),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -195,6 +198,15 @@
 // clock returns the worker's steady clock, which begins at one minute.
 func (w *worker) clock() time.Duration { return time.Since(w.born) + time.Minute }
 
+// bornMs returns the start of the incarnation in Unix milliseconds, nil if it isn't reported.
+func (w *worker) bornMs() *int64 {
+	if !w.withBorn {
+		return nil
+	}
+	ms := w.born.UnixMilli()
+	return &ms
+}
+
 type order struct {
 	Task     string `json:"task"`
 	Run      int    `json:"run"`
@@ -208,6 +220,7 @@
 
 type reply struct {
 	ClockMs int64   `json:"clock_ms"`
+	Born    *int64  `json:"born,omitempty"`
 	Reason  string  `json:"reason,omitempty"`
 	Running [][]any `json:"running,omitempty"`
 	Ended   [][]any `json:"ended,omitempty"`
@@ -357,7 +370,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	answer := reply{ClockMs: w.clock().Milliseconds(), Running: [][]any{}, Ended: [][]any{}}
+	answer := reply{ClockMs: w.clock().Milliseconds(), Born: w.bornMs(), Running: [][]any{}, Ended: [][]any{}}
 	for _, r := range w.running {
 		answer.Running = append(answer.Running, []any{r.task, r.number, "", r.percent(), 0})
 	}
@@ -385,6 +398,9 @@
 			"cold_left_ms": 0, "capacity": map[string]int{"cpu": w.cpu, "mem_mb": w.memMB, "gpu": w.gpu},
 			"labels": []string{"a", w.rack}, "clock_ms": w.clock().Milliseconds(), "seq": w.seq,
 		}
+		if born := w.bornMs(); born != nil {
+			report["born"] = *born
+		}
 		draining := w.draining
 		if draining {
 			report["state"], report["remaining_ms"] = "draining", max(0, time.Until(w.leavesAt).Milliseconds())
