--- a/review/_driver/worker.go
+++ b/review/_driver/worker.go
@@ -33,11 +33,6 @@
 	timer  *time.Timer
 }
 
-// ticketCheck tells whether a ticket holds for a task on a worker.
-type ticketCheck interface {
-	valid(ticket, task, worker string) bool
-}
-
 // percent returns how much of the run's work is done, and 100 for a task that lasts.
 func (r *run) percent() int {
 	if r.length >= time.Hour {
@@ -65,7 +60,6 @@
 	withBorn bool // it reports its start
 
 	mu       sync.Mutex
-	advice   ticketCheck // nil if starts need no ticket
 	draining bool
 	leavesAt time.Time     // while draining
 	changed  chan struct{} // closed and replaced at each end
@@ -159,12 +153,6 @@
 	}()
 }
 
-func (w *worker) setAdvice(a ticketCheck) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.advice = a
-}
-
 // leave announces for a time that the worker is draining, and then ends it for good after its last
 // notice, as a planned end does.
 func (w *worker) leave(drainFor time.Duration) {
@@ -314,9 +302,6 @@
 	case time.Duration(o.UntilMs)*time.Millisecond <= w.clock():
 		answer.Reason = "late"
 		return http.StatusConflict, answer
-	case w.advice != nil && !w.advice.valid(o.Ticket, o.Task, w.id):
-		answer.Reason = "ticket"
-		return http.StatusConflict, answer
 	}
 	ms, err := strconv.Atoi(strings.TrimPrefix(o.Spec, "ms="))
 	if err != nil {
