--- a/review/_driver/config_storm.go
+++ b/review/_driver/config_storm.go
@@ -41,7 +41,7 @@
 		endpoints = append(endpoints, store.AddEndpoint())
 		addresses = append(addresses, endpoints[i].Addr())
 	}
-	f, err := newFleetAt(rec, binary, store, addresses, 3, peachlineBounds, false)
+	f, err := newFleetAt(rec, binary, store, addresses, 3, peachline)
 	if f != nil {
 		defer f.close()
 	}
--- a/review/_driver/crashed_workers.go
+++ b/review/_driver/crashed_workers.go
@@ -28,7 +28,7 @@
 	if err := store.Configure(1, service, queues, apiKey); err != nil {
 		return nil, err
 	}
-	f, err := newFleet(rec, binary, store, 3, 5, utecnBounds)
+	f, err := newFleet(rec, binary, store, 3, 5, utecn)
 	if f != nil {
 		defer f.close()
 	}
--- a/review/_driver/fleet.go
+++ b/review/_driver/fleet.go
@@ -24,7 +24,6 @@
 	service           = "slotbook"
 	queueHost         = "desk.example"
 	apiKey            = "key-1"
-	maxHold           = 6 * time.Second
 	heartbeatInterval = 1500 * time.Millisecond
 	// finish is finish_s: how long after the last submission jobs are asked for.
 	finish = 14 * time.Second
@@ -34,14 +33,25 @@
 	startLimit = 20 * time.Second
 )
 
-// Bounds of deployments, as the gateways' settings hold them.
-const (
-	peachlineBounds = "stop_time = \"400ms\"\nrestore = \"250ms\"\nreclaim = \"2900ms\"\nharm = \"4000ms\"\n"
-	utecnBounds     = "stop_time = \"200ms\"\nrestore = \"100ms\"\nreclaim = \"2700ms\"\nharm = \"4500ms\"\n"
-	brannockBounds  = "stop_time = \"200ms\"\nrestore = \"250ms\"\nreclaim = \"2700ms\"\nharm = \"4500ms\"\n"
-	commonBounds    = "remote_factor = 3\nretention = \"120s\"\nkey_life = \"5000ms\"\nstop_grace = \"6s\"\ncores = 0.4\nlink_mbps = 1000.0\n"
+// site is what the settings and the workers of a deployment have of its sheet.
+type site struct {
+	maxHold time.Duration
+	bounds  string // further bounds in the gateways' settings
+	born    bool   // workers report their start
+}
+
+var (
+	peachline = site{maxHold: 6 * time.Second, bounds: boundSettings("400ms", "250ms", "2900ms", "4000ms")}
+	utecn     = site{maxHold: 6 * time.Second, bounds: boundSettings("200ms", "100ms", "2700ms", "4500ms")}
+	brannock  = site{maxHold: 6 * time.Second, bounds: boundSettings("200ms", "250ms", "2700ms", "4500ms"), born: true}
+	lochspeir = site{maxHold: 10 * time.Second, bounds: boundSettings("900ms", "250ms", "3400ms", "4500ms"), born: true}
 )
 
+func boundSettings(stop, restore, reclaim, harm string) string {
+	return fmt.Sprintf("stop_time = %q\nrestore = %q\nreclaim = %q\nharm = %q\n", stop, restore, reclaim, harm) +
+		"remote_factor = 3\nretention = \"120s\"\nkey_life = \"5000ms\"\nstop_grace = \"6s\"\ncores = 0.4\nlink_mbps = 1000.0\n"
+}
+
 var zones = []string{"macon-hall", "augusta-hall", "valdosta-hall"}
 
 // recorder writes record.txt: what was sent, answered and run.
@@ -158,18 +168,13 @@
 }
 
 // newFleet starts a fleet whose gateways use the store's own address.
-func newFleet(rec *recorder, binary string, store storeStandin, gateways, agents int, bounds string) (*fleet, error) {
-	return newFleetOf(rec, binary, store, gateways, agents, bounds, false)
-}
-
-// newFleetOf is newFleet, for workers that report their start if withBorn is set.
-func newFleetOf(rec *recorder, binary string, store storeStandin, gateways, agents int, bounds string, withBorn bool) (*fleet, error) {
-	return newFleetAt(rec, binary, store, slices.Repeat([]string{store.Addr()}, gateways), agents, bounds, withBorn)
+func newFleet(rec *recorder, binary string, store storeStandin, gateways, agents int, s site) (*fleet, error) {
+	return newFleetAt(rec, binary, store, slices.Repeat([]string{store.Addr()}, gateways), agents, s)
 }
 
 // newFleetAt starts a fleet and waits until its workers are registered. storeAddresses are the
-// gateways' addresses of the store, and bounds those of their settings.
-func newFleetAt(rec *recorder, binary string, store storeStandin, storeAddresses []string, agents int, bounds string, withBorn bool) (*fleet, error) {
+// gateways' addresses of the store.
+func newFleetAt(rec *recorder, binary string, store storeStandin, storeAddresses []string, agents int, s site) (*fleet, error) {
 	gateways := len(storeAddresses)
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
@@ -183,12 +188,12 @@
 	for i := range gateways {
 		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(gatewayHost(i), f.port)))
 	}
-	common := "region = \"georgia-central\"\nseeds = [" + strings.Join(seeds, ",") + "]\ncluster_key = \"eelgrasshub-deployment-key\"\nmax_hold = \"6000ms\"\n"
+	common := fmt.Sprintf("region = \"georgia-central\"\nseeds = [%s]\ncluster_key = \"eelgrasshub-deployment-key\"\nmax_hold = \"%dms\"\n", strings.Join(seeds, ","), s.maxHold.Milliseconds())
 	for i := range gateways {
 		addr := net.JoinHostPort(gatewayHost(i), f.port)
 		p, err := f.newProcess(binary, "gateway", fmt.Sprint("front-", i), common+fmt.Sprintf(
 			"id = \"front-%d\"\nzone = %q\nstore = %q\nlisten = %q\ncaller_listen = %q\n", i, zones[i%len(zones)], storeAddresses[i], addr, addr)+
-			commonBounds+bounds)
+			s.bounds)
 		if err != nil {
 			return f, err
 		}
@@ -196,7 +201,7 @@
 	}
 	for i := range agents {
 		addr := net.JoinHostPort(agentHost(i), f.port)
-		w, err := newWorker(rec, i, addr, withBorn)
+		w, err := newWorker(rec, i, addr, s)
 		if err != nil {
 			return f, err
 		}
--- a/review/_driver/guaranteed.go
+++ b/review/_driver/guaranteed.go
@@ -28,7 +28,7 @@
 	if err := configureGuaranteed(store); err != nil {
 		return nil, err
 	}
-	f, err := newFleet(rec, binary, store, 3, guaranteedWorkers, peachlineBounds)
+	f, err := newFleet(rec, binary, store, 3, guaranteedWorkers, peachline)
 	if f != nil {
 		defer f.close()
 	}
--- a/review/_driver/omitted_ends.go
+++ b/review/_driver/omitted_ends.go
@@ -29,7 +29,7 @@
 	if err := store.Configure(1, service, queues, apiKey); err != nil {
 		return nil, err
 	}
-	f, err := newFleet(rec, binary, store, 3, 3, peachlineBounds)
+	f, err := newFleet(rec, binary, store, 3, 3, peachline)
 	if f != nil {
 		defer f.close()
 	}
--- a/review/_driver/stray_heartbeat.go
+++ b/review/_driver/stray_heartbeat.go
@@ -25,7 +25,7 @@
 	if err := store.Configure(1, service, queues, apiKey); err != nil {
 		return nil, err
 	}
-	f, err := newFleetOf(rec, binary, store, 3, 3, brannockBounds, true)
+	f, err := newFleet(rec, binary, store, 3, 3, brannock)
 	if f != nil {
 		defer f.close()
 	}
--- a/review/_driver/worker.go
+++ b/review/_driver/worker.go
@@ -78,12 +78,12 @@
 	runs     []*run
 }
 
-// newWorker starts a worker. withBorn makes it report its start.
-func newWorker(rec *recorder, index int, agent string, withBorn bool) (*worker, error) {
+// newWorker starts a worker.
+func newWorker(rec *recorder, index int, agent string, s site) (*worker, error) {
 	w := &worker{
-		withBorn: withBorn,
+		withBorn: s.born,
 		rec:      rec, name: fmt.Sprint("w", index), rack: fmt.Sprint("r", index/3), zone: zones[index%len(zones)],
-		cpu: 128_000, memMB: 262_144, gpu: 8, agent: agent, maxHold: maxHold, changed: make(chan struct{}),
+		cpu: 128_000, memMB: 262_144, gpu: 8, agent: agent, maxHold: s.maxHold, changed: make(chan struct{}),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
