engine, nodeagent: a successor waits for the ends that a worker omits

Cause: a worker returns at most 500 ends at a time. A planner that takes over ended every adopted placement that the first poll under its epoch did not list, and started its task again. The end that was listed next met no placement and was acknowledged. The agent knows that a list may be cut (WorkerStatus.EndsOmitted), but reports did not tell.

Reports carry EndsOmitted. Adopted placements that are not listed stay until a report omits no ends, at the first report of a term or any later one. Only then "not listed" shows that a run is absent.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -54,10 +54,11 @@
 		e.settleSuperseded(now, w, r)
 		e.reconcile(now, w, r)
 		e.settleStarts(now, w)
+		e.dropUnconfirmedAdopted(now, w, r)
 		e.adjustPaces(now, w)
 	}
 	if first {
-		e.dropUnconfirmedAdopted(now, w)
+		e.resendStops(now, w)
 		e.planNeeded = true
 	}
 	return ReportAnswer{Attached: granted, Generation: w.generation, AckedEnds: w.advanceAckedEnds(), EndsPending: len(w.pendingEnds) > 0, PollOften: w.needsFrequentPolls()}
@@ -252,13 +253,21 @@
 }
 
 // dropUnconfirmedAdopted ends adopted placements that the worker does not list when polled
-// under the new epoch, as it refuses their orders from then on. Pending stops are sent again.
-func (e *Engine) dropUnconfirmedAdopted(now time.Duration, w *worker) {
+// under the new epoch, as it refuses their orders from then on. It waits for a list without omitted ends:
+// a run that is done would be started again, and its end, listed later, would not count any more.
+func (e *Engine) dropUnconfirmedAdopted(now time.Duration, w *worker, r Report) {
+	if r.EndsOmitted {
+		return
+	}
 	for _, p := range slices.Clone(w.sortedPlacements()) {
 		if p.state == placementAdopted {
 			e.handleAbsentRun(now, p, CauseTakeover, "not listed by the worker under the new epoch")
 		}
 	}
+}
+
+// resendStops sends the pending stops to a worker that reports again.
+func (e *Engine) resendStops(now time.Duration, w *worker) {
 	for _, p := range w.sortedPlacements() {
 		if p.stopping && p.state != placementAbsent {
 			e.sendStop(now, p)
--- /dev/null
+++ b/engine/omitted_ends_test.go
@@ -0,0 +1,69 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/workload"
+)
+
+// cutReport returns a report of the worker that lists the end of another run and omits further ends.
+func (d *driver) cutReport(info WorkerInfo) Report {
+	d.endCounts[info.ID]++
+	other := workload.RunID{Task: workload.TaskID{Job: "other"}, Number: 1}
+	return Report{
+		Epoch: d.e.epoch, Polled: true, Worker: info, Generation: d.e.workers[info.ID].generation,
+		Ended: []RunEnd{{Sequence: d.endCounts[info.ID], Run: other, Reason: EndDone}}, EndsOmitted: true,
+	}
+}
+
+// remainingReport returns a report of the worker that omits no ends and lists that of run, if it is set.
+func (d *driver) remainingReport(info WorkerInfo, run *workload.RunID) Report {
+	r := d.cutReport(info)
+	r.EndsOmitted = false
+	if run == nil {
+		r.Ended = nil
+	} else {
+		r.Ended[0].Run = *run
+	}
+	return r
+}
+
+// Guards against a successor that takes a run for absent and starts its task again, although the run is
+// done: the worker's first list of ends did not reach it.
+func TestSuccessorWaitsForOmittedEnds(t *testing.T) {
+	for _, done := range []bool{true, false} {
+		c := qt.New(t)
+		d := newDriver(t, 2)
+		id := d.submit(1, "", taskStep(1, 8))
+		d.settle()
+		d.advance(500 * time.Millisecond)
+		run := d.starts[0].Run
+		on := d.startedOn[run]
+		d.takeOver()
+		for _, w := range d.e.sortedWorkers() {
+			if w.info.ID != on {
+				d.report(Report{Epoch: d.e.epoch, Polled: true, Worker: w.info})
+			}
+		}
+		info := d.e.workers[on].info
+		for range 3 {
+			d.report(d.cutReport(info))
+			d.settle()
+		}
+		c.Assert(d.starts, qt.HasLen, 1)
+		if done {
+			d.report(d.remainingReport(info, &run))
+			d.settle()
+			c.Check(d.starts, qt.HasLen, 1)
+			job, _ := d.e.Lookup(id)
+			c.Check(job.State, qt.Equals, workload.Completed)
+			continue
+		}
+		d.report(d.remainingReport(info, nil))
+		d.settle()
+		c.Check(d.starts, qt.HasLen, 2, qt.Commentf("the complete list shows that the run is absent"))
+	}
+}
--- a/engine/report.go
+++ b/engine/report.go
@@ -86,6 +86,9 @@
 	// workers that change their names.
 	UnansweredStarts []workload.RunID `cbor:"20,keyasint,omitempty"`
 	ProcessAge       time.Duration    `cbor:"21,keyasint,omitempty"`
+	// EndsOmitted means that the worker may have ended more runs than Ended lists. A run that the report
+	// does not list may then be over in any way. The worker lists further ends once those are acknowledged.
+	EndsOmitted bool `cbor:"22,keyasint,omitempty"`
 }
 
 // ReportOrigin identifies a report among those of one agent. It is zero for agents that do not
--- a/nodeagent/incarnation.go
+++ b/nodeagent/incarnation.go
@@ -61,9 +61,10 @@
 	pollsInProgress  int
 	running          []engine.RunStatus
 	// firstSeen is when a poll first returned each running run.
-	firstSeen map[workload.RunID]time.Duration
-	ended     []engine.RunEnd
-	voidEnds  map[int64]bool // sequence numbers of ends before an expiry of the lease
+	firstSeen   map[workload.RunID]time.Duration
+	ended       []engine.RunEnd
+	endsOmitted bool           // there may be more ends than ended lists
+	voidEnds    map[int64]bool // sequence numbers of ends before an expiry of the lease
 	// confirmedStops are runs whose stop was confirmed, with the time of the confirmation.
 	confirmedStops  map[workload.RunID]time.Duration
 	absent          []workload.RunID
@@ -143,7 +144,7 @@
 	inc.workerClock, inc.clockReadAt, inc.polledAt, inc.polled = status.Clock, receivedAt, sentAt, true
 	inc.running = status.Running
 	inc.updateFirstSeen()
-	inc.ended = status.Ended
+	inc.ended, inc.endsOmitted = status.Ended, status.EndsOmitted
 	for i := range inc.ended {
 		inc.ended[i].Void = inc.voidEnds[inc.ended[i].Sequence]
 	}
@@ -237,7 +238,7 @@
 		inc.pollsInReport = inc.unreportedPolls
 		r.Polled = true
 		r.Running = inc.running
-		r.Ended = inc.ended
+		r.Ended, r.EndsOmitted = inc.ended, inc.endsOmitted
 		r.ConfirmedAbsent = inc.absent
 	}
 	return r
