nodeagent: ends that the first list after an expiry omits are void too

What callers could see: a task that ran twice. Its end from before the expiry of its worker's lease counted, though the planner may have started it elsewhere by then.

Cause: after an expiry an agent voids the ends that the next poll lists, and takes that poll for proof that all earlier ends were returned. A worker lists at most 500. An end beyond them came with a later poll, was not void, and starts went on meanwhile.

Evidence: TestOmittedEndsBeforeLeaseExpiryAreVoid fails before (not void, and the lease does not count as possibly expired). Only a list without omitted ends now settles the expiry. Until then nothing extends the lease and nothing starts, so all that is listed is void.

Looked at and left: voidEndsBeforeExpiry. A restarted agent sees only its list, so ends before a cut count although the worker lists an expiry behind it. It can't wait, since further ends come only once these are acknowledged. The planner still decides once: an end counts only for a placement that it has not given up.

--- a/nodeagent/incarnation.go
+++ b/nodeagent/incarnation.go
@@ -130,7 +130,9 @@
 // returns false for an outdated answer.
 func (inc *incarnation) applyStatus(status WorkerStatus, sentAt, receivedAt, leaseEndAtSend time.Duration) bool {
 	if leaseEndAtSend != 0 && inc.leaseEnd == leaseEndAtSend && sentAt > inc.latestLeaseEnd()+leaseExpiryMargin {
-		inc.surveyedLeaseEnd = leaseEndAtSend
+		if !status.EndsOmitted {
+			inc.surveyedLeaseEnd = leaseEndAtSend
+		}
 		for _, end := range status.Ended {
 			inc.voidEnds[end.Sequence] = true
 		}
--- a/nodeagent/incarnation_test.go
+++ b/nodeagent/incarnation_test.go
@@ -142,3 +142,19 @@
 	c.Check(ended[0].Void, qt.IsTrue)
 	c.Check(ended[2].Void, qt.IsFalse)
 }
+
+// Guards against ends from before an expiry of the lease that count because the first list after it omits
+// them: the planner may have started their tasks elsewhere.
+func TestOmittedEndsBeforeLeaseExpiryAreVoid(t *testing.T) {
+	c := qt.New(t)
+	inc := newIncarnation(engine.WorkerInfo{ID: "w"})
+	inc.extendLease(6 * time.Second)
+	other := engine.RunEnd{Sequence: 1, Run: workload.RunID{Task: run1.Task, Number: 9}, Reason: engine.EndDone}
+	inc.applyStatus(WorkerStatus{Clock: 7 * time.Second, Ended: []engine.RunEnd{other}, EndsOmitted: true}, 7*time.Second, 7*time.Second, 6*time.Second)
+	c.Check(inc.report(0, 0).Ended[0].Void, qt.IsTrue)
+	c.Check(inc.leaseMayHaveExpired(7*time.Second), qt.IsTrue, qt.Commentf("nothing may start before all ends are listed"))
+	done := engine.RunEnd{Sequence: 2, Run: run1, Reason: engine.EndDone}
+	inc.applyStatus(WorkerStatus{Clock: 8 * time.Second, Ended: []engine.RunEnd{done}}, 8*time.Second, 8*time.Second, 6*time.Second)
+	c.Check(inc.report(0, 0).Ended[0].Void, qt.IsTrue)
+	c.Check(inc.leaseMayHaveExpired(8*time.Second), qt.IsFalse)
+}
