engine: a list that omits ends is no missed poll

What callers could see: a gang or a task that was stopped while it was at work, or after it was done, and was started again.

Cause: three polls in a row without a run stop its unit. A run that has ended beyond the first 500 ends of its worker is missing from each list until those are acknowledged, which takes longer while the store is slow.

Evidence: TestOmittedEndIsNoMissedPoll fails before (a stop after three cut lists); the same lists without omitted ends still stop the run. Orphans go by the list of running tasks, which is always complete.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -178,7 +179,10 @@
 	for _, run := range r.ConfirmedAbsent {
 		e.confirmAbsent(now, w, run)
 	}
-	e.countMissedPolls(now, w, ListedRuns(r.Running, r.Ended))
+	if !r.EndsOmitted {
+		e.countMissedPolls(now, w, ListedRuns(r.Running, r.Ended))
+	}
+	w.forgetEndedOrphans(r.Running)
 }
 
 // observeRun processes a run that the worker lists as running.
@@ -232,8 +236,8 @@
 	e.handleAbsentRun(now, p, CauseStartUnanswered, "stop confirmed, and the run is not present on the worker")
 }
 
-// countMissedPolls counts the polls that do not list a running task and stops the task after
-// maxMissedPolls. The answer to the stop shows whether the run exists.
+// countMissedPolls counts the polls without omitted ends that do not list a running task and stops the
+// task after maxMissedPolls. The answer to the stop shows whether the run exists.
 func (e *Engine) countMissedPolls(now time.Duration, w *worker, listed map[workload.RunID]bool) {
 	for _, p := range w.sortedPlacements() {
 		if p.state != placementRunning || p.stopping || listed[p.runID()] {
@@ -245,11 +249,13 @@
 			e.stopUnit(now, p.unit, CauseNotListed)
 		}
 	}
-	for run := range w.orphans {
-		if !listed[run] {
-			delete(w.orphans, run)
-		}
-	}
+}
+
+// forgetEndedOrphans removes the orphans that do not run any more.
+func (w *worker) forgetEndedOrphans(running []RunStatus) {
+	maps.DeleteFunc(w.orphans, func(run workload.RunID, _ time.Duration) bool {
+		return !slices.ContainsFunc(running, func(r RunStatus) bool { return r.Run == run })
+	})
 }
 
 // dropUnconfirmedAdopted ends adopted placements that the worker does not list when polled
--- a/engine/omitted_ends_test.go
+++ b/engine/omitted_ends_test.go
@@ -67,3 +67,22 @@
 		c.Check(d.starts, qt.HasLen, 2, qt.Commentf("the complete list shows that the run is absent"))
 	}
 }
+
+// Guards against a run that is stopped, and with it its gang, because lists that omit ends don't have it.
+func TestOmittedEndIsNoMissedPoll(t *testing.T) {
+	for _, omitted := range []bool{true, false} {
+		c := qt.New(t)
+		d := newDriver(t, 1)
+		d.submit(1, "", taskStep(1, 8))
+		d.settle()
+		run := d.starts[0].Run
+		info := d.e.workers[d.startedOn[run]].info
+		for range 2 * maxMissedPolls {
+			r := d.cutReport(info)
+			r.EndsOmitted = omitted
+			d.report(r)
+			d.settle()
+		}
+		c.Check(d.stops, qt.HasLen, map[bool]int{true: 0, false: 1}[omitted])
+	}
+}
