engine: an absent run is released only by a list without omitted ends

What callers could see: a task that ran again after it was done. A late call had started an absent run on a further incarnation, and its end was beyond the first 500 that this listed.

Cause: an absent placement goes once a poll is late enough to show the effect of every call. A list that omits ends does not show it.

Evidence: TestAbsentRunIsKeptWhileEndsAreOmitted fails before (run 2 is started 15 s after the order, while further ends are omitted); the end of run 1 then completes the job.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -54,7 +54,7 @@
 		}
 		e.settleSuperseded(now, w, r)
 		e.reconcile(now, w, r)
-		e.settleStarts(now, w)
+		e.settleStarts(now, w, r)
 		e.dropUnconfirmedAdopted(now, w, r)
 		e.adjustPaces(now, w)
 	}
--- a/engine/late_call.go
+++ b/engine/late_call.go
@@ -104,8 +104,12 @@
 
 // settleStarts settles the starts on a worker that has just been polled, if the poll was late enough to
 // show the effect of every call, and removes absent placements that need not stay. A worker that is not
-// polled may be followed by another incarnation, which carries out calls too.
-func (e *Engine) settleStarts(now time.Duration, w *worker) {
+// polled may be followed by another incarnation, which carries out calls too. A list that omits ends shows
+// nothing of a run that such a call has started and that is over.
+func (e *Engine) settleStarts(now time.Duration, w *worker, r Report) {
+	if r.EndsOmitted {
+		return
+	}
 	for _, p := range slices.Clone(w.sortedPlacements()) {
 		if e.lastPollAt(now) >= p.lastCallBy+MaxCallDelay {
 			p.settleStart()
--- a/engine/omitted_ends_test.go
+++ b/engine/omitted_ends_test.go
@@ -13,10 +13,12 @@
 func (d *driver) cutReport(info WorkerInfo) Report {
 	d.endCounts[info.ID]++
 	other := workload.RunID{Task: workload.TaskID{Job: "other"}, Number: 1}
-	return Report{
+	r := d.number(Report{
 		Epoch: d.e.epoch, Polled: true, Worker: info, Generation: d.e.workers[info.ID].generation,
 		Ended: []RunEnd{{Sequence: d.endCounts[info.ID], Run: other, Reason: EndDone}}, EndsOmitted: true,
-	}
+	})
+	r.Origin.BuiltAt = d.now // it arrives without delay
+	return r
 }
 
 // remainingReport returns a report of the worker that omits no ends and lists that of run, if it is set.
@@ -86,3 +88,19 @@
 		c.Check(d.stops, qt.HasLen, map[bool]int{true: 0, false: 1}[omitted])
 	}
 }
+
+// Guards against a task that runs twice because an absent run is released by a list that omits its end: a
+// late call has started it, and it is done.
+func TestAbsentRunIsKeptWhileEndsAreOmitted(t *testing.T) {
+	d := newAbsentRunScenario(t, true)
+	info := d.worker.info
+	for end := d.orderedAt + MaxCallDelay + 2*maxPollAge; d.now < end; d.pass(d.now + 100*time.Millisecond) {
+		d.report(d.cutReport(info))
+	}
+	d.c.Assert(d.starts, qt.HasLen, 1)
+	d.report(d.remainingReport(info, &d.run))
+	d.settle()
+	d.c.Check(d.starts, qt.HasLen, 1)
+	job, _ := d.e.Lookup(d.job)
+	d.c.Check(job.State, qt.Equals, workload.Completed)
+}
