engine: the next incarnation takes runs over until it omits no ends

What callers could see: a task that ran again after it was done on the next incarnation of its worker, where a call that was meant for the previous one had started it.

Cause: at the first poll of an incarnation under its own fence the earlier ones ended, with all runs that this poll did not list. A list that omits ends may lack runs that are done, and their ends, listed next, met no placement.

Evidence: TestNextIncarnationWaitsForOmittedEnds fails before (run 2 at the first report). Runs that are listed still move at once; the earlier incarnations end with the first complete list.

--- a/engine/omitted_ends_test.go
+++ b/engine/omitted_ends_test.go
@@ -104,3 +104,31 @@
 	job, _ := d.e.Lookup(d.job)
 	d.c.Check(job.State, qt.Equals, workload.Completed)
 }
+
+// Guards against a task that runs twice because its end on the next incarnation, where a call meant for the
+// previous one has started it, is omitted from the first list.
+func TestNextIncarnationWaitsForOmittedEnds(t *testing.T) {
+	for _, listedFirst := range []bool{true, false} {
+		d := newLostWorkerScenario(t, true, StartOK)
+		previous := d.worker.info.ID
+		r := d.next() // answered; reports under its own fence from now on
+		info := r.Worker
+		first := d.cutReport(info)
+		if listedFirst {
+			first.Ended[0].Run = d.run
+		}
+		d.report(first)
+		d.settle()
+		d.c.Assert(d.starts, qt.HasLen, 1)
+		if !listedFirst {
+			d.report(d.remainingReport(info, &d.run))
+		} else {
+			d.report(d.remainingReport(info, nil))
+		}
+		d.settle()
+		d.c.Check(d.starts, qt.HasLen, 1)
+		d.c.Check(d.e.workers[previous], qt.IsNil)
+		job, _ := d.e.Lookup(d.job)
+		d.c.Check(job.State, qt.Equals, workload.Completed)
+	}
+}
--- a/engine/superseded.go
+++ b/engine/superseded.go
@@ -70,8 +70,8 @@
 	e.lastGeneration = max(e.lastGeneration, generation)
 }
 
-// settleSuperseded ends the incarnations that w follows, at the first poll under its own fence.
-// Runs that this poll lists were started by orders to one of them; their placements move to w.
+// settleSuperseded ends the incarnations that w follows, at the first poll under its own fence that omits
+// no ends. Runs that polls list until then were started by orders to one of them; their placements move to w.
 func (e *Engine) settleSuperseded(now time.Duration, w *worker, r Report) {
 	earlier := e.superseded[w.info.Agent]
 	if len(earlier) == 0 {
@@ -85,6 +85,9 @@
 				e.carryOver(now, p, w)
 			}
 		}
+		if r.EndsOmitted {
+			continue
+		}
 		e.endIncarnation(now, old.info.ID, old.supersession.departure, old.supersession.evidence)
 		if len(old.placements) > 0 {
 			e.moveAbsent(old, w)
