engine, nodeagent: a crash is not counted for a run that may have been over

What callers could see: a job shown as failed because of worker crashes, though its task was done before them.

Cause: the evidence of a crash has the ends of the last list. Reports of an ended incarnation, and ends added to one later, did not tell that the list was cut.

Evidence: TestCrashAfterOmittedEndIsNotCounted fails before (1 crash); a run that the agent had seen past its startup, or a complete list, still counts. A crash that is not counted here is one that the next try shows again.

--- a/engine/crash_evidence.go
+++ b/engine/crash_evidence.go
@@ -11,14 +11,19 @@
 	// crashedBy is the latest possible time of the crash.
 	crashedBy time.Duration
 	// known is set if the agent had polled the worker. pastStartup then holds the runs that it
-	// had observed for StartupCrashWindow, and ended those that were over before the crash.
+	// had observed for StartupCrashWindow, and ended those that were over before the crash. Further
+	// runs may have been over if endsOmitted is set.
 	known       bool
 	pastStartup map[workload.RunID]bool
 	ended       map[workload.RunID]bool
+	endsOmitted bool
 }
 
 func (r *Report) crashEvidence(now time.Duration) crashEvidence {
-	evidence := crashEvidence{crashedBy: now - r.DownFor, known: r.Terminated && r.Polled, pastStartup: map[workload.RunID]bool{}, ended: map[workload.RunID]bool{}}
+	evidence := crashEvidence{
+		crashedBy: now - r.DownFor, known: r.Terminated && r.Polled,
+		pastStartup: map[workload.RunID]bool{}, ended: map[workload.RunID]bool{}, endsOmitted: r.EndsOmitted,
+	}
 	for _, run := range r.Running {
 		evidence.pastStartup[run.Run] = true
 	}
@@ -34,6 +39,9 @@
 	if p.state == placementUnrecorded || p.state == placementAbsent || p.unit.state == unitDone || ev.ended[p.runID()] {
 		return false // not ordered yet, or already over
 	}
+	if ev.endsOmitted && !ev.pastStartup[p.runID()] {
+		return false // its end may be among the omitted ones; a job must not fail by a crash after that
+	}
 	return ev.known || !p.worker.leaseExpired
 }
 
--- a/engine/omitted_ends_test.go
+++ b/engine/omitted_ends_test.go
@@ -132,3 +132,28 @@
 		d.c.Check(job.State, qt.Equals, workload.Completed)
 	}
 }
+
+// Guards against a crash that is counted for a run that was over: the last list before the crash omitted its
+// end.
+func TestCrashAfterOmittedEndIsNotCounted(t *testing.T) {
+	for _, tc := range []struct {
+		name                     string
+		omitted, runningAtTheEnd bool
+		crashes                  int
+	}{
+		{"may be over", true, false, 0},
+		{"listed as running", true, true, 1},
+		{"no ends omitted", false, false, 1},
+	} {
+		d := newDriver(t, 2)
+		id := d.submit(1, "", taskStep(1, 8))
+		d.settle()
+		run := d.starts[0].Run
+		crash := Report{Worker: d.e.workers[d.startedOn[run]].info, Terminated: true, Crashed: true, Polled: true, EndsOmitted: tc.omitted}
+		if tc.runningAtTheEnd {
+			crash.Running = []RunStatus{{Run: run}}
+		}
+		d.report(crash)
+		qt.Check(t, d.e.jobs[id].units[0].crashCountOf(0).total, qt.Equals, tc.crashes, qt.Commentf(tc.name))
+	}
+}
--- a/nodeagent/departure.go
+++ b/nodeagent/departure.go
@@ -14,10 +14,12 @@
 	crashed    bool // ended without notice
 	superseded bool // another incarnation answers under its name
 	// polled is set if a poll was answered. pastStartup are the runs that were seen running for
-	// engine.StartupCrashWindow, and ended the runs that had ended.
+	// engine.StartupCrashWindow, and ended the runs that had ended, unless endsOmitted is set: then
+	// further ones may have.
 	polled      bool
 	pastStartup []engine.RunStatus
 	ended       []engine.RunEnd
+	endsOmitted bool
 	// connectionLostAt is when the connection to the worker was lost for good; 0 if not known.
 	connectionLostAt time.Duration
 }
@@ -26,7 +28,7 @@
 func (d *departure) report(now time.Duration) engine.Report {
 	r := engine.Report{
 		Worker: d.info, Terminated: true, Crashed: d.crashed, Superseded: d.superseded,
-		Polled: d.polled, Running: d.pastStartup, Ended: d.ended,
+		Polled: d.polled, Running: d.pastStartup, Ended: d.ended, EndsOmitted: d.endsOmitted,
 	}
 	if d.connectionLostAt != 0 {
 		r.DownFor = now - d.connectionLostAt
@@ -66,7 +68,8 @@
 	a.log.WithField("worker", id).WithField("crashed", dep.crashed).WithField("superseded", dep.superseded).Info("worker gone")
 	a.endedIDs[id] = true
 	dep.info = a.incarnation.info
-	dep.polled, dep.pastStartup, dep.ended = a.incarnation.polled, a.incarnation.pastStartup(), a.incarnation.ended
+	dep.polled, dep.pastStartup = a.incarnation.polled, a.incarnation.pastStartup()
+	dep.ended, dep.endsOmitted = a.incarnation.ended, a.incarnation.endsOmitted
 	dep.connectionLostAt = a.incarnation.connectionLostAt
 	a.departures = append(a.departures, dep)
 	a.nextFence = a.incarnation.fence
@@ -84,11 +87,12 @@
 // addLateEnds adds ends to an unreported departure that are listed by a poll answered only after
 // the incarnation was found to have ended. Without them the crash would count against their runs.
 // The mutex is held.
-func (a *Agent) addLateEnds(inc *incarnation, ended []engine.RunEnd) {
+func (a *Agent) addLateEnds(inc *incarnation, status WorkerStatus) {
 	for i := range a.departures {
-		if d := &a.departures[i]; d.info.ID == inc.info.ID && len(ended) > 0 {
+		if d := &a.departures[i]; d.info.ID == inc.info.ID && len(status.Ended) > 0 {
 			d.polled = true
-			d.ended = append(slices.Clone(d.ended), ended...)
+			d.ended = append(slices.Clone(d.ended), status.Ended...)
+			d.endsOmitted = d.endsOmitted || status.EndsOmitted
 		}
 	}
 }
--- a/nodeagent/departure_test.go
+++ b/nodeagent/departure_test.go
@@ -174,3 +174,23 @@
 	c.Check(report.Polled, qt.IsTrue)
 	c.Check(report.Ended, qt.DeepEquals, ended)
 }
+
+// Guards against a report of a crash that tells which runs had ended as if the worker's last list, or one that
+// arrived after the end was noticed, had been complete.
+func TestDepartureTellsOfOmittedEnds(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		a := newPollingAgent(nil)
+		inc := a.incarnation
+		cut := WorkerStatus{Clock: time.Second, Ended: []engine.RunEnd{{Sequence: 1, Run: run1, Reason: engine.EndDone}}, EndsOmitted: true}
+		first := cut
+		if late {
+			first = WorkerStatus{Clock: time.Second}
+		}
+		inc.applyStatus(first, now(), now(), 0)
+		a.endUnannounced(false)
+		if late {
+			a.addLateEnds(inc, cut)
+		}
+		qt.Check(t, a.pendingReports()[0].EndsOmitted, qt.IsTrue, qt.Commentf("late %v", late))
+	}
+}
--- a/nodeagent/poll.go
+++ b/nodeagent/poll.go
@@ -63,7 +63,7 @@
 	inc.pollsInProgress--
 	if a.incarnation != inc {
 		if err == nil {
-			a.addLateEnds(inc, status.Ended)
+			a.addLateEnds(inc, status)
 		}
 		return 0, errIncarnationEnded
 	}
