--- a/engine/crash_evidence.go
+++ b/engine/crash_evidence.go
@@ -39,12 +39,20 @@
 	if p.state == placementUnrecorded || p.state == placementAbsent || p.unit.state == unitDone || ev.ended[p.runID()] {
 		return false // not ordered yet, or already over
 	}
-	if ev.endsOmitted && !ev.pastStartup[p.runID()] {
-		return false // its end may be among the omitted ones; a job must not fail by a crash after that
+	if ev.mayHaveEndedBefore(p) {
+		return false
 	}
 	return ev.known || !p.worker.leaseExpired
 }
 
+// mayHaveEndedBefore reports whether the end of a run may be among those that the agent's last list omitted:
+// a poll since its start was ordered did not list it as running. A job must not fail by a crash that came
+// after its task was done.
+func (ev crashEvidence) mayHaveEndedBefore(p *placement) bool {
+	polledAt := p.worker.lastPolledAt
+	return ev.endsOmitted && !ev.pastStartup[p.runID()] && p.lastSeenAt < polledAt && p.startedAt < polledAt
+}
+
 // wasRunning reports whether a run had started before its worker crashed, and its end would have
 // been reported unless it came shortly before the crash. An agent that was cut off or was lost with
 // its worker did not report the ends of the last seconds.
--- a/engine/omitted_ends_test.go
+++ b/engine/omitted_ends_test.go
@@ -137,21 +137,33 @@
 // end.
 func TestCrashAfterOmittedEndIsNotCounted(t *testing.T) {
 	for _, tc := range []struct {
-		name                     string
-		omitted, runningAtTheEnd bool
-		crashes                  int
+		name                                 string
+		omitted, polled, listed, pastStartup bool
+		crashes                              int
 	}{
-		{"may be over", true, false, 0},
-		{"listed as running", true, true, 1},
-		{"no ends omitted", false, false, 1},
+		{"may be over", true, true, false, false, 0},
+		{"ordered since the last poll", true, false, false, false, 1},
+		{"listed as running", true, true, true, false, 1},
+		{"listed as running for some time", true, true, false, true, 1},
+		{"no ends omitted", false, true, false, false, 1},
 	} {
 		d := newDriver(t, 2)
 		id := d.submit(1, "", taskStep(1, 8))
 		d.settle()
-		run := d.starts[0].Run
-		crash := Report{Worker: d.e.workers[d.startedOn[run]].info, Terminated: true, Crashed: true, Polled: true, EndsOmitted: tc.omitted}
-		if tc.runningAtTheEnd {
-			crash.Running = []RunStatus{{Run: run}}
+		run := []RunStatus{{Run: d.starts[0].Run, Percent: 1}}
+		crash := d.cutReport(d.e.workers[d.startedOn[run[0].Run]].info)
+		crash.EndsOmitted = tc.omitted
+		if tc.polled {
+			d.now += 100 * time.Millisecond
+			if tc.listed {
+				crash.Running = run
+			}
+			d.report(crash)
+		}
+		crash = d.number(crash)
+		crash.Terminated, crash.Crashed, crash.Running = true, true, nil
+		if tc.pastStartup {
+			crash.Running = run
 		}
 		d.report(crash)
 		qt.Check(t, d.e.jobs[id].units[0].crashCountOf(0).total, qt.Equals, tc.crashes, qt.Commentf(tc.name))
--- a/engine/sim_agent_poll_test.go
+++ b/engine/sim_agent_poll_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 )
 
@@ -11,6 +10,8 @@
 	running []RunStatus
 	ended   []RunEnd
 	clock   time.Duration
+	// endsOmitted means that there may be more ends than ended lists.
+	endsOmitted bool
 }
 
 // The failures of calls to a worker.
@@ -78,7 +79,7 @@
 	inc.pollsInProgress--
 	if a.inc != inc {
 		if err == nil {
-			a.addLateEnds(inc, status.ended)
+			a.addLateEnds(inc, status)
 		}
 		return 0
 	}
@@ -175,7 +176,9 @@
 	case now < at && len(w.ended) == 0 || now < w.silentUntil:
 		w.cluster.after(2*simStep, func() { w.answerPoll(at, call) })
 	default:
-		call.reply(simStatus{running: w.statuses(now), ended: slices.Clone(w.ended), clock: now}, nil)
+		status := simStatus{running: w.statuses(now), clock: now}
+		status.ended, status.endsOmitted = w.listEnds()
+		call.reply(status, nil)
 	}
 }
 
--- a/engine/sim_agent_test.go
+++ b/engine/sim_agent_test.go
@@ -344,7 +344,7 @@
 	a.endedIDs[inc.info.ID] = true
 	a.departures = append(a.departures, simDeparture{lostAt: inc.connectionLostAt, report: Report{
 		Worker: inc.info, Terminated: true, Crashed: crashed, Superseded: superseded,
-		Polled: inc.polled, Running: inc.pastStartup(), Ended: slices.Clone(inc.ended),
+		Polled: inc.polled, Running: inc.pastStartup(), Ended: slices.Clone(inc.ended), EndsOmitted: inc.endsOmitted,
 	}})
 	a.nextFence = inc.fence
 	a.nextFence.Generation += GenerationStep
@@ -353,11 +353,12 @@
 }
 
 // addLateEnds adds ends of a poll that was answered after the incarnation was found to have ended.
-func (a *simAgent) addLateEnds(inc *simIncarnation, ended []RunEnd) {
+func (a *simAgent) addLateEnds(inc *simIncarnation, status simStatus) {
 	for i := range a.departures {
-		if d := &a.departures[i].report; d.Worker.ID == inc.info.ID && len(ended) > 0 {
+		if d := &a.departures[i].report; d.Worker.ID == inc.info.ID && len(status.ended) > 0 {
 			d.Polled = true
-			d.Ended = append(slices.Clone(d.Ended), ended...)
+			d.Ended = append(slices.Clone(d.Ended), status.ended...)
+			d.EndsOmitted = d.EndsOmitted || status.endsOmitted
 		}
 	}
 }
--- a/engine/sim_cluster_test.go
+++ b/engine/sim_cluster_test.go
@@ -16,6 +16,8 @@
 const (
 	simMaxLease = 6 * time.Second
 	simStep     = 5 * time.Millisecond
+	// simListedEnds is how many ends the platform's workers list at a time.
+	simListedEnds = 500
 )
 
 // simEvent is a scheduled event.
@@ -39,6 +41,7 @@
 	workers       []*simWorker
 	incarnations  int
 	reusesNames   bool // later incarnations of a worker keep its name
+	listedEnds    int  // how many ends a worker lists at a time
 	cordons       simCordons
 	agents        []*simAgent // by worker, in worlds with delayed messages
 	delays        *simDelays  // nil in other worlds
@@ -69,6 +72,7 @@
 	w := &simCluster{
 		t:             t,
 		rng:           rand.New(rand.NewPCG(seed, 7)),
+		listedEnds:    simListedEnds,
 		jobs:          map[workload.JobID]*workload.Job{},
 		cancels:       map[workload.JobID]bool{},
 		records:       map[workload.JobID][]byte{},
--- a/engine/sim_crash_test.go
+++ b/engine/sim_crash_test.go
@@ -49,7 +49,7 @@
 	if w.crashes.crashingOneIn == 0 && !w.reusesNames || sw.disconnected || sw.leavesAt != 0 || len(sw.info.ID)%3 == 0 && !w.faultsEnded {
 		return
 	}
-	r := Report{Worker: sw.info, Terminated: true, Crashed: true, Superseded: sw.info.Name != "", Polled: sw.lastPolledAt != 0, Ended: sw.lastEnded, DownFor: downFor}
+	r := Report{Worker: sw.info, Terminated: true, Crashed: true, Superseded: sw.info.Name != "", Polled: sw.lastPolledAt != 0, Ended: sw.lastEnded, EndsOmitted: sw.lastEndsOmitted, DownFor: downFor}
 	for run, from := range sw.seenSince {
 		if sw.lastPolledAt-from >= StartupCrashWindow {
 			r.Running = append(r.Running, RunStatus{Run: run})
@@ -67,7 +67,8 @@
 			seenSince[status.Run] = since
 		}
 	}
-	w.seenSince, w.lastPolledAt, w.lastEnded = seenSince, now, r.Ended
+	w.seenSince, w.lastPolledAt = seenSince, now
+	w.lastEnded, w.lastEndsOmitted = r.Ended, r.EndsOmitted
 }
 
 // crashDelay reports whether a task crashes its workers, and how long after the start. It
--- a/engine/sim_incarnation_test.go
+++ b/engine/sim_incarnation_test.go
@@ -32,6 +32,7 @@
 	running                        []RunStatus
 	firstSeen                      map[workload.RunID]time.Duration
 	ended                          []RunEnd
+	endsOmitted                    bool // there may be more ends
 	voidEnds                       map[int64]bool
 	confirmedStops                 map[workload.RunID]time.Duration
 	absent                         []workload.RunID
@@ -115,7 +116,9 @@
 // leaseEndAtSend. It returns false for an outdated answer.
 func (inc *simIncarnation) applyStatus(status simStatus, sentAt, receivedAt, leaseEndAtSend time.Duration) bool {
 	if leaseEndAtSend != 0 && sentAt > leaseEndAtSend+simLeaseExpiryMargin && inc.leaseEnd == leaseEndAtSend {
-		inc.surveyedLeaseEnd = leaseEndAtSend
+		if !status.endsOmitted {
+			inc.surveyedLeaseEnd = leaseEndAtSend
+		}
 		for _, end := range status.ended {
 			inc.voidEnds[end.Sequence] = true
 		}
@@ -129,12 +132,14 @@
 	inc.workerClock, inc.clockReadAt, inc.polledAt, inc.polled = status.clock, receivedAt, sentAt, true
 	inc.running = status.running
 	inc.updateFirstSeen()
-	inc.ended = slices.Clone(status.ended)
+	inc.ended, inc.endsOmitted = slices.Clone(status.ended), status.endsOmitted
 	for i := range inc.ended {
 		inc.ended[i].Void = inc.voidEnds[inc.ended[i].Sequence]
 	}
 	inc.unreportedPolls++
-	inc.resolveStops(sentAt)
+	if !status.endsOmitted {
+		inc.resolveStops(sentAt)
+	}
 	return true
 }
 
@@ -231,7 +236,7 @@
 	}
 	if inc.unreportedPolls > 0 {
 		inc.pollsInReport = inc.unreportedPolls
-		r.Polled, r.Running, r.Ended, r.ConfirmedAbsent = true, inc.running, inc.ended, inc.absent
+		r.Polled, r.Running, r.Ended, r.EndsOmitted, r.ConfirmedAbsent = true, inc.running, inc.ended, inc.endsOmitted, inc.absent
 	}
 	return r
 }
--- a/engine/sim_worker_test.go
+++ b/engine/sim_worker_test.go
@@ -45,10 +45,11 @@
 	previous, next *simWorker
 	leavesAt       time.Duration // when it leaves; 0: not draining
 	// Results of the agent's last poll.
-	seenSince    map[workload.RunID]time.Duration
-	lastPolledAt time.Duration
-	lastEnded    []RunEnd
-	bornAt       time.Duration
+	seenSince       map[workload.RunID]time.Duration
+	lastPolledAt    time.Duration
+	lastEnded       []RunEnd
+	lastEndsOmitted bool // there were more ends than lastEnded
+	bornAt          time.Duration
 	// In worlds with delayed messages: until when the worker does not answer, and whether it
 	// carries out calls meanwhile.
 	silentUntil        time.Duration
@@ -124,7 +125,7 @@
 	w.ended = append(w.ended, end)
 	w.cluster.trace(w.info.ID, "end %d of %v: %s", end.Sequence, r.id, reason)
 	if w.cluster.crashes.crashingOneIn > 0 {
-		w.lastEnded = slices.Clone(w.ended) // the agent's last poll includes all ends
+		w.lastEnded, w.lastEndsOmitted = slices.Clone(w.ended), false // the agent's last polls include all ends
 	}
 	w.cluster.recordEnd(w, r, reason)
 }
@@ -192,16 +193,26 @@
 		}
 		r.Running = append(r.Running, RunStatus{Run: run.id, Percent: min(percent, 99)})
 	}
-	for _, end := range w.ended {
-		end.Void = end.Sequence <= w.voidEnds
-		r.Ended = append(r.Ended, end)
+	r.Ended, r.EndsOmitted = w.listEnds()
+	for i := range r.Ended {
+		r.Ended[i].Void = r.Ended[i].Sequence <= w.voidEnds
 	}
 	w.recordPoll(now, r)
+	if r.EndsOmitted {
+		return r // a stopped run that is not listed may have ended
+	}
 	r.ConfirmedAbsent = w.absent
 	w.absent = nil
 	return r
 }
 
+// listEnds returns the first ends that are not acknowledged, and whether there may be more.
+func (w *simWorker) listEnds() (ends []RunEnd, omitted bool) {
+	ends = slices.Clone(w.ended[:min(len(w.ended), w.cluster.listedEnds)])
+	w.cluster.counts["lists that omit ends"] += len(w.ended) - len(ends)
+	return ends, len(ends) == w.cluster.listedEnds
+}
+
 // handleAnswer processes the answer to a report sent at the given time.
 func (w *simWorker) handleAnswer(now, sent time.Duration, epoch uint64, answer ReportAnswer) {
 	if epoch < w.orderFence.Epoch || w.dead {
