engine: a run that the last poll did not list is not stuck

What callers could see: tasks and gangs that were stopped, and workers that counted as failing, while ends beyond the first 500 waited for a slow store.

Cause: a run without progress for 1.6 s to 2.5 s counts as stuck, by a poll of any content. One that is done beyond the list has no progress any more.

Evidence: TestRunWithOmittedEndIsNotStuck fails before (7 stops in 8 s). A run is now judged by a poll that lists it. Runs that complete lists lack are still stopped by countMissedPolls.

--- a/engine/omitted_ends_test.go
+++ b/engine/omitted_ends_test.go
@@ -169,3 +169,19 @@
 		qt.Check(t, d.e.jobs[id].units[0].crashCountOf(0).total, qt.Equals, tc.crashes, qt.Commentf(tc.name))
 	}
 }
+
+// Guards against a run that is taken for stuck and stopped because its end is among those that its worker omits.
+func TestRunWithOmittedEndIsNotStuck(t *testing.T) {
+	d := newDriver(t, 1)
+	d.submit(1, "", taskStep(1, 8))
+	d.settle()
+	run := d.starts[0].Run
+	info := d.e.workers[d.startedOn[run]].info
+	d.report(Report{Epoch: 1, Polled: true, Worker: info, Running: []RunStatus{{Run: run, Percent: 50}}})
+	for range 40 {
+		d.now += 200 * time.Millisecond
+		d.report(d.cutReport(info))
+		d.tick()
+	}
+	qt.Check(t, d.stops, qt.HasLen, 0)
+}
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -74,6 +74,9 @@
 	if p.worker.unresponsive || now-p.worker.lastPolledAt > maxPollAge {
 		return false // the last poll is too old to judge by
 	}
+	if p.lastSeenAt < p.worker.lastPolledAt {
+		return false // not running by the last poll, which may have omitted its end
+	}
 	minTime := minStuckTimeNoProgress
 	if e.tracker.progressQueues[p.unit.job.spec.Queue] {
 		minTime = minStuckTime
