engine: an order to a killed agent is awaited from the end of its process

Cause: the planner took the end of the lease by which it had ordered the start, 10.45 s later, for the time of the last call, and waited from then. Reports that limit this were used for placements of a predecessor and of earlier incarnations only.

Why it holds for orders of the living planner too: an order names the process of the agent that was granted the lease, and any other refuses it (startLimit in nodeagent). So once a newer process reports, only the one before it can have sent a call, before its end.

Evidence: TestOrderToKilledAgentIsAwaitedFromItsEnd fails before (1 start instead of 2).

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -49,9 +49,7 @@
 	e.recordGeneration(w, r.Generation)
 	granted := e.updateLease(now, w, r)
 	if r.Polled {
-		if first {
-			limitAdoptedCalls(now, w, r)
-		}
+		limitEarlierCalls(now, w, r, first)
 		e.settleSuperseded(now, w, r)
 		e.reconcile(now, w, r)
 		e.settleStarts(now, w, r)
--- a/engine/late_call.go
+++ b/engine/late_call.go
@@ -60,7 +60,8 @@
 }
 
 // limitCalls limits when the last call to start the run of p was sent by what its agent reports. The
-// agent sends none from then on, since the order is of a predecessor or for an earlier incarnation.
+// agent sends none from then on, since the order is of a predecessor, for an earlier incarnation or for an
+// earlier process.
 func (r *Report) limitCalls(now time.Duration, p *placement) {
 	if p.startSettled() {
 		return
@@ -72,10 +73,11 @@
 	p.lastCallBy = min(p.lastCallBy, sentBy)
 }
 
-// limitAdoptedCalls limits the calls that a predecessor has ordered, at the first report under this epoch.
-func limitAdoptedCalls(now time.Duration, w *worker, r Report) {
+// limitEarlierCalls limits the calls that a predecessor has ordered, at the first report under this epoch,
+// and those that an earlier process of the agent may have sent before it ended.
+func limitEarlierCalls(now time.Duration, w *worker, r Report, first bool) {
 	for _, p := range w.placements {
-		if p.adopted {
+		if first && p.adopted || p.orderedTo != 0 && p.orderedTo != r.Origin.Process {
 			r.limitCalls(now, p)
 		}
 	}
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -67,3 +67,29 @@
 		c.Check(d.e.workers[on].usable(d.now), qt.IsFalse)
 	}
 }
+
+// Guards against a task that waits for the end of the lease by which its start was ordered, although the agent
+// was killed and its next process refuses the order: only the earlier process can have sent a call.
+func TestOrderToKilledAgentIsAwaitedFromItsEnd(t *testing.T) {
+	const downFor = 500 * time.Millisecond
+	d := newLostWorkerScenario(t, true, StartUnknown)
+	d.restartAgent(d.worker.info.Agent)
+	restartedAt := d.orderedAt + downFor
+	report := func() {
+		r := d.currentReport()
+		r.ProcessAge = d.now - restartedAt
+		if d.now > restartedAt+time.Second {
+			r.ConfirmedAbsent = []workload.RunID{d.run}
+		}
+		d.report(r)
+		d.pass(d.now + 100*time.Millisecond)
+	}
+	for d.now = restartedAt; d.now <= restartedAt+MaxCallDelay; {
+		report()
+	}
+	d.c.Check(d.starts, qt.HasLen, 1)
+	for d.now <= restartedAt+MaxCallDelay+maxPollAge+500*time.Millisecond {
+		report()
+	}
+	d.c.Check(d.starts, qt.HasLen, 2)
+}
--- a/engine/placement.go
+++ b/engine/placement.go
@@ -53,6 +53,9 @@
 	lastSeenAt time.Duration
 	// lastCallBy is the time by which the last call to start the run is sent; 0 if the start is settled.
 	lastCallBy time.Duration
+	// orderedTo is the agent's process that the start order names, which alone carries it out; 0 if the
+	// order names none or is of a previous planner.
+	orderedTo uint64
 	// settledAtVersion is the version of the job in which the start was settled.
 	settledAtVersion int
 	// stopping is set once a stop was decided; stopSentAt is when it was last sent.
--- a/engine/write.go
+++ b/engine/write.go
@@ -177,6 +177,7 @@
 	p.unit.times.storeWait = now - p.unit.placedAt
 	p.progressedAt = now
 	o := e.ordersFor(p.worker)
+	p.orderedTo = o.Grant.Process
 	ticket, _ := p.unit.ticketFor(now, p.worker.info.ID)
 	o.Starts = append(o.Starts, StartOrder{Run: p.runID(), Spec: p.unit.job.spec.Spec, Checkpoint: p.unit.checkpoint, Ticket: ticket})
 	e.logDecision(p, "start", "")
