gateway: starts are sent only to agents that answer

Cause: an order that gets no answer may have caused a call to the worker, so its task waits until no such call can be carried out any more. On a connection nobody can tell an order that the process never got from one that it passed on before its end.

--- a/gateway/cordons.go
+++ b/gateway/cordons.go
@@ -65,7 +65,12 @@
 		return orders, nil
 	}
 	t.g.counters.StartsWithheld.Add(int64(len(orders.Starts)))
-	withheld := uniformReply(engine.Orders{Starts: orders.Starts}, engine.StartNotDelivered).Starts
+	return withoutStarts(orders)
+}
+
+// withoutStarts returns orders without their starts, and the results of those, which are not sent.
+func withoutStarts(orders engine.Orders) (engine.Orders, []engine.StartResult) {
+	unsent := uniformReply(engine.Orders{Starts: orders.Starts}, engine.StartNotDelivered).Starts
 	orders.Starts = nil
-	return orders, withheld
+	return orders, unsent
 }
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -16,6 +16,8 @@
 	GatewaysLive atomic.Int64
 	// StartsWithheld counts starts that were not sent because the cordons were too old.
 	StartsWithheld atomic.Int64
+	// StartsUnsent counts starts that were not sent because the agent did not answer before.
+	StartsUnsent atomic.Int64
 	// ZonesCordoned is the current number of cordoned zones.
 	ZonesCordoned atomic.Int64
 }
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -104,6 +105,7 @@
 	t.mu.Lock()
 	conn := t.conns[orders.Agent]
 	t.mu.Unlock()
+	orders, unsent := t.withholdUnanswered(conn, orders)
 	orders, withheld := t.withholdStarts(orders)
 	var reply *link.OrdersReply
 	if conn != nil && t.active() {
@@ -112,7 +114,7 @@
 	if reply == nil {
 		reply = uniformReply(orders, engine.StartNotDelivered)
 	}
-	reply.Starts = append(reply.Starts, withheld...)
+	reply.Starts = slices.Concat(reply.Starts, unsent, withheld)
 	if len(reply.Starts)+len(reply.Paces) > 0 {
 		t.postEvent(engine.OrdersCompleted{Worker: orders.Worker, Starts: reply.Starts, Paces: reply.Paces})
 	}
@@ -121,6 +123,9 @@
 // callAgent returns the agent's reply. Without a reply, starts are StartNotDelivered if the
 // agent has certainly not handled the orders, and StartUnknown otherwise.
 func (t *term) callAgent(conn *wire.Conn, orders engine.Orders) *link.OrdersReply {
+	if len(orders.Starts)+len(orders.Stops)+len(orders.Paces) == 0 {
+		return &link.OrdersReply{}
+	}
 	ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), ordersTimeout)
 	defer cancel()
 	raw, err := conn.Call(ctx, link.NewOrders(t.epoch, orders))
