engine, gateway: agents are probed while their placements are stored

The probe before each set of starts cost a round trip, up to 60 ms between regions. The engine now tells which agents will get starts (Placed), and the planner's process pings them while the placement is written. Starts are sent at once if the agent has been heard from in the last 100 ms, by the answer, a report or anything else.

--- a/engine/action.go
+++ b/engine/action.go
@@ -74,6 +74,10 @@
 	Report ReportRef
 }
 
+// Placed reports that a unit was placed on the workers beside these agents, which get start orders once the
+// placement is stored.
+type Placed struct{ Agents []string }
+
 // JobStarted reports that the first task of a job runs. Waited is the time since acceptance.
 type JobStarted struct {
 	Account string
@@ -93,4 +97,5 @@
 func (JobStarted) isAction()  {}
 func (JobFinished) isAction() {}
 func (Orders) isAction()      {}
+func (Placed) isAction()      {}
 func (Decision) isAction()    {}
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -158,10 +158,13 @@
 	u.probationSince = 0
 	u.times.capacityWait += r.now - u.waitingSince
 	u.outcome = outcomeNone
+	placed := Placed{}
 	for i, index := range u.taskIndexes() {
 		r.e.addPlacement(u, index, workers[i])
 		r.invalidateDomains(workers[i])
+		placed.Agents = append(placed.Agents, workers[i].info.Agent)
 	}
+	r.e.actions = append(r.e.actions, placed)
 	r.e.markChanged(u.job)
 	r.e.logDecision(u.placements[0], "place", r.placementDetail(u, workers))
 }
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -56,8 +56,9 @@
 
 	mu        sync.Mutex
 	conns     map[string]*wire.Conn // by agent
-	writeDone chan struct{}         // closed after each write
-	idle      bool                  // nothing is left to write
+	probes    map[*wire.Conn]*agentProbe
+	writeDone chan struct{} // closed after each write
+	idle      bool          // nothing is left to write
 }
 
 func newTerm(g *Gateway, epoch uint64) *term {
@@ -68,6 +69,7 @@
 		inbox:     make(chan func(time.Duration), inboxSize),
 		engine:    engine.New(g.cfg.Engine, epoch, lease.BootTime(), g.predecessorExtension(lease.BootTime(), epoch)),
 		conns:     map[string]*wire.Conn{},
+		probes:    map[*wire.Conn]*agentProbe{},
 		writeDone: make(chan struct{}),
 	}
 	g.counters.Terms.Add(1)
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -22,6 +22,8 @@
 		switch a := action.(type) {
 		case engine.Orders:
 			go t.sendOrders(a)
+		case engine.Placed:
+			t.probeAgents(a.Agents)
 		case engine.AdviceRequest:
 			go t.advise(a)
 		case engine.Decision:
@@ -102,9 +104,7 @@
 // the results to the engine.
 func (t *term) sendOrders(orders engine.Orders) {
 	t.g.counters.Orders.Add(1)
-	t.mu.Lock()
-	conn := t.conns[orders.Agent]
-	t.mu.Unlock()
+	conn := t.connTo(orders.Agent)
 	orders, unsent := t.withholdUnanswered(conn, orders)
 	orders, withheld := t.withholdStarts(orders)
 	var reply *link.OrdersReply
--- a/gateway/term_probe.go
+++ b/gateway/term_probe.go
@@ -8,14 +8,71 @@
 	"github.com/eelgrasshub/eelgrasshub/wire"
 )
 
-// agentProbeTimeout is how long an agent may take to answer before starts are sent to it. Its worker gets no
-// new tasks anyway if its reports take longer.
-const agentProbeTimeout = 600 * time.Millisecond
-
-// withholdUnanswered removes the starts from orders if the agent's process does not answer, and returns their
-// results. An order that gets no answer may have reached the process, so its tasks wait for calls to the worker
-// that may still be carried out. One that was never sent causes no call, and its tasks can start elsewhere at
-// once. That leaves processes that end within a round trip.
+// An order that gets no answer may have reached the agent, so its tasks wait until no call to the worker can be
+// carried out any more. One that was never sent causes no call, and its tasks can start elsewhere at once. So
+// starts are sent only to a process that has just been heard from. It is probed while the placement is being
+// stored, which hides the round trip. That leaves processes that end within maxContactAge.
+
+const (
+	// maxContactAge is how long ago an agent must have been heard from when starts are sent to it.
+	maxContactAge = 100 * time.Millisecond
+	// agentProbeTimeout is how long an agent may take to answer a probe. Its worker gets no new tasks anyway if
+	// its reports take longer.
+	agentProbeTimeout = 600 * time.Millisecond
+)
+
+// agentProbe is a ping of an agent's process. answered may be read once done is closed.
+type agentProbe struct {
+	done     chan struct{}
+	answered bool
+}
+
+// probeAgents starts probes of the agents that starts will be sent to.
+func (t *term) probeAgents(agents []string) {
+	for _, agent := range agents {
+		if conn := t.connTo(agent); conn != nil && !heardFrom(conn) {
+			t.probe(conn)
+		}
+	}
+}
+
+// heardFrom reports whether a message of the process at the other end of conn has just arrived.
+func heardFrom(conn *wire.Conn) bool { return time.Since(conn.LastReceived()) < maxContactAge }
+
+// probe returns the probe of the connection that is in progress, or starts one.
+func (t *term) probe(conn *wire.Conn) *agentProbe {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.probes[conn]; p != nil {
+		return p
+	}
+	p := &agentProbe{done: make(chan struct{})}
+	t.probes[conn] = p
+	go t.runProbe(conn, p)
+	return p
+}
+
+func (t *term) runProbe(conn *wire.Conn, p *agentProbe) {
+	ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), agentProbeTimeout)
+	defer cancel()
+	p.answered = conn.Ping(ctx) == nil
+	t.mu.Lock()
+	delete(t.probes, conn)
+	t.mu.Unlock()
+	close(p.done)
+}
+
+// agentAnswers reports whether the process at the other end of conn has just been heard from or answers a probe.
+func (t *term) agentAnswers(conn *wire.Conn) bool {
+	if heardFrom(conn) {
+		return true
+	}
+	p := t.probe(conn)
+	<-p.done
+	return p.answered
+}
+
+// withholdUnanswered removes the starts from orders if the agent does not answer, and returns their results.
 func (t *term) withholdUnanswered(conn *wire.Conn, orders engine.Orders) (engine.Orders, []engine.StartResult) {
 	if len(orders.Starts) == 0 || conn != nil && t.agentAnswers(conn) {
 		return orders, nil
@@ -23,10 +80,3 @@
 	t.g.counters.StartsUnsent.Add(int64(len(orders.Starts)))
 	return withoutStarts(orders)
 }
-
-// agentAnswers reports whether the process at the other end of conn answers.
-func (t *term) agentAnswers(conn *wire.Conn) bool {
-	ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), agentProbeTimeout)
-	defer cancel()
-	return conn.Ping(ctx) == nil
-}
--- a/gateway/term_report.go
+++ b/gateway/term_report.go
@@ -84,6 +84,13 @@
 	return t.writeDone
 }
 
+// connTo returns the connection on which an agent last reported, nil if there is none.
+func (t *term) connTo(agent string) *wire.Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conns[agent]
+}
+
 func (t *term) setConn(agent string, conn *wire.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
