engine: a late report of an ended incarnation does not settle that incarnation

Cause, from a trace of the worker's reports: the end of w7-46 was reported at 47.28 s, a report that it had sent before arrived at 47.37 s. settleSuperseded took w7-46 for the incarnation after itself, moved its absent run to it and removed it. Nothing releases the placement of a worker that is gone.

Only reports without numbers, or of several processes, can arrive so.

TestLateReportOfEndedIncarnationKeepsAbsentRun fails before.

--- a/engine/absent_run_test.go
+++ b/engine/absent_run_test.go
@@ -254,3 +254,23 @@
 	d.settle()
 	d.c.Check(d.starts, qt.HasLen, 2)
 }
+
+// Guards against a task that never starts again because an incarnation reports once more after its end was
+// reported, and takes its own absent run over before it is removed.
+func TestLateReportOfEndedIncarnationKeepsAbsentRun(t *testing.T) {
+	d := newAbsentRunScenario(t, true)
+	ended := d.worker.info
+	d.report(Report{Worker: ended, Terminated: true, Crashed: true, Polled: true, Superseded: true})
+	d.report(d.currentReport())
+	d.settle()
+	r := d.next()
+	d.report(r)
+	d.settle()
+	d.c.Check(d.e.workers[ended.ID], qt.IsNil)
+	d.worker = d.e.workers[r.Worker.ID]
+	d.c.Assert(d.runs(d.job)[r.Worker.ID], qt.DeepEquals, []workload.RunID{d.run})
+	d.passReporting(d.orderedAt + MaxCallDelay)
+	d.c.Check(d.starts, qt.HasLen, 1)
+	d.passReporting(d.now + maxPollAge + time.Second)
+	d.c.Check(d.starts, qt.HasLen, 2)
+}
--- a/engine/superseded.go
+++ b/engine/superseded.go
@@ -79,6 +79,9 @@
 	}
 	listed := ListedRuns(r.Running, r.Ended)
 	for _, old := range slices.Clone(earlier) {
+		if old == w {
+			continue // reported late, after its end; the next incarnation settles it
+		}
 		for _, p := range slices.Clone(old.sortedPlacements()) {
 			r.limitCalls(now, p)
 			if listed[p.runID()] && w.placements[p.taskID()] == nil {
