engine, nodeagent, link: an order that gets no answer is awaited for its limit, not for a lease

Cause: an agent could carry out an order until the end of the lease by which it was decided, 10.45 s later. The planner had to wait for that, and then 12 s for a call sent last.

Orders now tell when they were decided (DecidedAfter, from the report that was granted, both on the agent's clock). An agent refuses starts older than 2 s and sends no call after 2.75 s, which its reports state (StartLimit; 0, as from agents before this, means the end of the lease). Once a report was built after that limit by the process that the order names, it shows which calls have no answer (UnansweredStarts): if the run has none, its start is settled.

TestLostOrderIsAwaitedForItsLimit fails before in all three cases (the field did not exist), TestOldStartIsRefused and TestStartIsNotRepeatedAfterItsLimit guard the agent's side. Simulated agents do the same.

--- a/engine/action.go
+++ b/engine/action.go
@@ -61,6 +61,9 @@
 	CordonsRevision int64
 	// Grant is the report that was last answered with a lease, by which the starts were decided.
 	Grant ReportOrigin
+	// DecidedAfter is the least time from the arrival of that report until the first start was decided, on
+	// any clock.
+	DecidedAfter time.Duration
 }
 
 // Decision is a log entry about a decision on a job.
--- a/engine/expiry_test.go
+++ b/engine/expiry_test.go
@@ -26,9 +26,15 @@
 
 // newLostWorkerScenarioWith is newLostWorkerScenario with the given result of the start, whatever its run.
 func newLostWorkerScenarioWith(t *testing.T, keepsName bool, result StartResult) *lostWorkerScenario {
+	return newLimitedStartScenario(t, keepsName, 0, result)
+}
+
+// newLimitedStartScenario is newLostWorkerScenarioWith with agents that call their workers within startLimit.
+func newLimitedStartScenario(t *testing.T, keepsName bool, startLimit time.Duration, result StartResult) *lostWorkerScenario {
 	d := &lostWorkerScenario{driver: newDriver(t, 2), c: qt.New(t)}
-	if keepsName {
-		for _, w := range d.e.sortedWorkers() {
+	for _, w := range d.e.sortedWorkers() {
+		w.startLimit = startLimit
+		if keepsName {
 			w.info.Name = "name-" + string(w.info.ID)
 		}
 	}
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -141,7 +141,7 @@
 	switch {
 	case granted:
 		w.leaseExpiresAt = e.params.leaseExpiry(now)
-		w.grant = r.Origin
+		w.grant, w.grantedAt, w.startLimit = r.Origin, now, r.StartLimit
 	case r.LeaseKnown:
 		w.leaseExpiresAt = now + WithClockDrift(r.LeaseRemaining) + leaseExpirySlack
 	}
--- a/engine/late_call.go
+++ b/engine/late_call.go
@@ -19,6 +19,16 @@
 // answered or too much time has passed.
 func (p *placement) startSettled() bool { return p.lastCallBy == 0 }
 
+// lastCallTime returns the time by which the last call for an order to start p, which is given now, is sent:
+// agents refuse starts after the lease by which they were decided, or earlier if their reports say so.
+func (e *Engine) lastCallTime(now time.Duration, p *placement) time.Duration {
+	end := e.params.leaseExpiry(now)
+	if limit := p.worker.startLimit; limit != 0 && p.orderedTo != 0 {
+		end = min(end, now+WithClockDrift(limit))
+	}
+	return end
+}
+
 // settleStart records that no call to start the run can be carried out any more.
 func (p *placement) settleStart() {
 	if p.startSettled() {
@@ -113,13 +123,21 @@
 		return
 	}
 	for _, p := range slices.Clone(w.sortedPlacements()) {
-		if e.lastPollAt(now) >= p.lastCallBy+MaxCallDelay {
+		if e.lastPollAt(now) >= p.lastCallBy+MaxCallDelay || e.allCallsAnswered(now, p, r) {
 			p.settleStart()
 		}
 		e.releaseAbsent(now, p)
 	}
 }
 
+// allCallsAnswered reports whether r shows that no call to start the run of p is without an answer: the process
+// that the order names has sent its last one by then, and states which have none. The order itself may have
+// been lost, or refused as too old.
+func (e *Engine) allCallsAnswered(now time.Duration, p *placement, r Report) bool {
+	return p.orderedTo != 0 && p.orderedTo == r.Origin.Process && r.StartLimit != 0 &&
+		e.lastPollAt(now) >= p.lastCallBy && !slices.Contains(r.UnansweredStarts, p.runID())
+}
+
 // releaseAbsent removes an absent placement once no call can start its run.
 func (e *Engine) releaseAbsent(now time.Duration, p *placement) {
 	if p.state == placementAbsent && !e.awaitsCall(now, p) {
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -93,3 +93,44 @@
 	}
 	d.c.Check(d.starts, qt.HasLen, 2)
 }
+
+// Guards against a task that waits for the end of a lease because an order to start it was lost, with a
+// connection or in a process that was paused: the agent refuses the order once it is old, and knows which calls
+// got no answer.
+func TestLostOrderIsAwaitedForItsLimit(t *testing.T) {
+	const limit = 2750 * time.Millisecond
+	for _, tc := range []struct {
+		name       string
+		reports    bool
+		unanswered bool
+		wait       time.Duration // from the order
+	}{
+		{"no call is unanswered", true, false, WithClockDrift(limit)},
+		{"a call is unanswered", true, true, WithClockDrift(limit) + MaxCallDelay},
+		{"nothing is heard of the worker", false, false, WithClockDrift(limit) + MaxCallDelay + 6*time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newLimitedStartScenario(t, true, limit, StartResult{Outcome: StartUnknown})
+			report := func() {
+				if tc.reports {
+					r := d.currentReport()
+					r.StartLimit, r.ProcessAge = limit, time.Minute
+					r.ConfirmedAbsent = []workload.RunID{d.run}
+					if tc.unanswered {
+						r.UnansweredStarts = []workload.RunID{d.run}
+					}
+					d.report(r)
+				}
+				d.pass(d.now + 100*time.Millisecond)
+			}
+			for d.now < d.orderedAt+tc.wait {
+				report()
+			}
+			d.c.Check(d.starts, qt.HasLen, 1)
+			for d.now < d.orderedAt+tc.wait+maxPollAge+500*time.Millisecond {
+				report()
+			}
+			d.c.Check(d.starts, qt.HasLen, 2)
+		})
+	}
+}
--- a/engine/params.go
+++ b/engine/params.go
@@ -47,6 +47,11 @@
 	return time.Duration(float64(remaining) * clockDriftFactor)
 }
 
+// withoutClockDrift returns the shortest time that a slow clock may show while d passes.
+func withoutClockDrift(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / clockDriftFactor)
+}
+
 // leaseExpiry returns the time by which a lease granted now has certainly expired.
 func (p Params) leaseExpiry(now time.Duration) time.Duration {
 	return now + WithClockDrift(p.MaxLease) + leaseExpirySlack
--- a/engine/report.go
+++ b/engine/report.go
@@ -89,6 +89,9 @@
 	// EndsOmitted means that the worker may have ended more runs than Ended lists. A run that the report
 	// does not list may then be over in any way. The worker lists further ends once those are acknowledged.
 	EndsOmitted bool `cbor:"22,keyasint,omitempty"`
+	// StartLimit is how long after the decision on a start the agent may still call its worker for it, if
+	// the order names the agent's process. 0 means until the end of the lease by which it was decided.
+	StartLimit time.Duration `cbor:"23,keyasint,omitempty"`
 }
 
 // ReportOrigin identifies a report among those of one agent. It is zero for agents that do not
--- a/engine/sim_agent_orders_test.go
+++ b/engine/sim_agent_orders_test.go
@@ -8,6 +8,8 @@
 	simStartAttempts    = 3
 	simMinGrantForStart = time.Second
 	simOrdersTimeout    = 1500 * time.Millisecond
+	simMaxOrderAge      = 2 * time.Second
+	simStartLimit       = simMaxOrderAge + simStartAttempts*simOrderTimeout
 )
 
 // simCall is one call of an agent to its worker.
@@ -143,7 +145,7 @@
 		for i, s := range o.Starts {
 			pending++
 			a.unansweredStarts[s.Run] = a.cluster.now
-			a.start(inc, header, s, 0, func(result StartResult) {
+			a.start(inc, header, o, s, 0, func(result StartResult) {
 				results[i] = result
 				finish()
 			})
@@ -188,7 +190,7 @@
 	switch {
 	case inc.draining:
 		return header, StartDraining, inc
-	case header.until == 0 || inc.unresponsive || inc.capacityUnconfirmed || inc.leaseMayHaveExpired(now) || until-now < simMinGrantForStart:
+	case header.until == 0 || inc.unresponsive || inc.capacityUnconfirmed || inc.leaseMayHaveExpired(now) || until-now < simMinGrantForStart || now > o.Grant.BuiltAt+o.DecidedAfter+simMaxOrderAge:
 		return header, StartNotDelivered, inc
 	}
 	inc.extendLease(until)
@@ -196,7 +198,7 @@
 }
 
 // start retries a start until the worker answers.
-func (a *simAgent) start(inc *simIncarnation, header simPoll, s StartOrder, attempt int, then func(StartResult)) {
+func (a *simAgent) start(inc *simIncarnation, header simPoll, o Orders, s StartOrder, attempt int, then func(StartResult)) {
 	call := a.newCall(simOrderTimeout, func(result any, err error) {
 		outcome, _ := result.(StartOutcome)
 		if err == errSimOtherIncarnation {
@@ -208,8 +210,9 @@
 		if outcome != StartOK && attempt > 0 {
 			outcome = StartUnknown // an earlier attempt may have succeeded
 		}
-		if outcome == StartUnknown && attempt+1 < simStartAttempts {
-			a.start(inc, header, s, attempt+1, then)
+		tooLate := a.cluster.now > o.Grant.BuiltAt+o.DecidedAfter+simStartLimit-simOrderTimeout
+		if outcome == StartUnknown && attempt+1 < simStartAttempts && !tooLate {
+			a.start(inc, header, o, s, attempt+1, then)
 			return
 		}
 		a.unansweredStarts[s.Run] = a.cluster.now
--- a/engine/sim_agent_test.go
+++ b/engine/sim_agent_test.go
@@ -117,7 +117,7 @@
 			r.UnansweredStarts = append(r.UnansweredStarts, run)
 		}
 	}
-	r.ProcessAge = a.cluster.now - a.startedAt
+	r.ProcessAge, r.StartLimit = a.cluster.now-a.startedAt, simStartLimit
 }
 
 // limitGrant gives up grants beyond the end of the lease that a report states.
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -75,6 +75,8 @@
 	leaseExpiresAt      time.Duration
 	leaseExpired        bool         // leaseExpiresAt has passed without a report
 	grant               ReportOrigin // of the report that was last answered with a lease
+	grantedAt           time.Duration
+	startLimit          time.Duration // see Report.StartLimit
 	// placementsAtExpiry are the placements that were ended when the lease expired. If the worker
 	// turns out to have crashed, it crashed under them.
 	placementsAtExpiry []*placement
--- a/engine/write.go
+++ b/engine/write.go
@@ -172,12 +172,15 @@
 func (e *Engine) orderStart(now time.Duration, p *placement) {
 	p.state = placementOrdered
 	p.startedAt = now
-	p.lastCallBy = e.params.leaseExpiry(now) // agents refuse starts after the lease by which they were decided
 	p.resumed = p.unit.checkpoint != ""
 	p.unit.times.storeWait = now - p.unit.placedAt
 	p.progressedAt = now
 	o := e.ordersFor(p.worker)
+	if len(o.Starts) == 0 {
+		o.DecidedAfter = max(1, withoutClockDrift(now-p.worker.grantedAt))
+	}
 	p.orderedTo = o.Grant.Process
+	p.lastCallBy = e.lastCallTime(now, p)
 	ticket, _ := p.unit.ticketFor(now, p.worker.info.ID)
 	o.Starts = append(o.Starts, StartOrder{Run: p.runID(), Spec: p.unit.job.spec.Spec, Checkpoint: p.unit.checkpoint, Ticket: ticket})
 	e.logDecision(p, "start", "")
--- a/link/orders.go
+++ b/link/orders.go
@@ -29,6 +29,10 @@
 	// AgentProcess is 0 if the report was not numbered.
 	AgentProcess uint64        `cbor:"9,keyasint,omitempty"`
 	GrantedAt    time.Duration `cbor:"10,keyasint,omitempty"`
+	// DecidedAfter is the least time from GrantedAt until the starts were decided; 0 if it is not known. An
+	// agent refuses starts that are too old, so that the planner need not wait long for an order that gets
+	// no answer.
+	DecidedAfter time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Start is the order to start a run.
@@ -43,7 +47,7 @@
 func NewOrders(epoch uint64, o engine.Orders) *Orders {
 	m := &Orders{
 		Epoch: epoch, Worker: o.Worker, Stops: o.Stops, Paces: o.Paces, CordonsRevision: o.CordonsRevision,
-		AgentProcess: o.Grant.Process, GrantedAt: o.Grant.BuiltAt,
+		AgentProcess: o.Grant.Process, GrantedAt: o.Grant.BuiltAt, DecidedAfter: o.DecidedAfter,
 	}
 	specIndexes := map[string]int{}
 	for _, s := range o.Starts {
--- a/nodeagent/config.go
+++ b/nodeagent/config.go
@@ -59,6 +59,12 @@
 	// orderTimeout bounds one attempt of an order. Starts are idempotent and are retried.
 	orderTimeout  = 250 * time.Millisecond
 	startAttempts = 3
+	// maxOrderAge is how long after their decision starts are accepted. The planner waits no longer for the
+	// answer.
+	maxOrderAge = 2 * time.Second
+	// startLimit is how long after the decision a call to start a run may still be sent; see
+	// engine.Report.StartLimit.
+	startLimit = maxOrderAge + startAttempts*orderTimeout
 	// minGrantForStart is the minimum time left on the planner's grant for a start. An order
 	// may overtake the reply that renews the grant after a gap, and the run would expire at
 	// once.
--- a/nodeagent/late_orders_test.go
+++ b/nodeagent/late_orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,3 +88,49 @@
 	c.Assert(executeStart(c, a, orders), qt.Equals, engine.StartOK)
 	c.Check(w.leaseEnd > inc.workerTime(reported), qt.IsTrue, qt.Commentf("decided by the new grant"))
 }
+
+// Guards against a start that is carried out after the planner has stopped to wait for it: its order was held up
+// on the way, or in a paused process.
+func TestOldStartIsRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		age  time.Duration // since the decision
+		want engine.StartOutcome
+	}{
+		{"new", time.Second, engine.StartOK},
+		{"too old", maxOrderAge + 100*time.Millisecond, engine.StartNotDelivered},
+	} {
+		c := qt.New(t)
+		a := newTestAgent(&startCountingWorker{})
+		a.process = 7
+		orders := startAndStopOrders(0)
+		orders.AgentProcess, orders.GrantedAt, orders.DecidedAfter = 7, now()-tc.age-500*time.Millisecond, 500*time.Millisecond
+		c.Check(executeStart(c, a, orders), qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+}
+
+// slowStartWorker does not answer starts, and returns from them late.
+type slowStartWorker struct {
+	Worker
+	calls atomic.Int64
+}
+
+func (w *slowStartWorker) Start(context.Context, OrderHeader, engine.StartOrder) engine.StartOutcome {
+	w.calls.Add(1)
+	time.Sleep(startLimit - maxOrderAge)
+	return engine.StartUnknown
+}
+
+// Guards against a call to start a run that is repeated after the limit that reports state: the process was
+// paused in between.
+func TestStartIsNotRepeatedAfterItsLimit(t *testing.T) {
+	c := qt.New(t)
+	w := &slowStartWorker{}
+	a := newTestAgent(w)
+	a.process = 7
+	orders := startAndStopOrders(0)
+	orders.Stops = nil
+	orders.AgentProcess, orders.GrantedAt, orders.DecidedAfter = 7, now()-maxOrderAge+100*time.Millisecond, 1
+	c.Check(executeStart(c, a, orders), qt.Equals, engine.StartUnknown)
+	c.Check(w.calls.Load(), qt.Equals, int64(1))
+}
--- a/nodeagent/orders.go
+++ b/nodeagent/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -36,7 +37,7 @@
 	for i, s := range starts {
 		reply.Starts[i] = engine.StartResult{Run: s.Run, Outcome: outcome}
 		if outcome == engine.StartOK {
-			wg.Go(func() { reply.Starts[i] = a.start(header, orders.CordonsRevision, s) })
+			wg.Go(func() { reply.Starts[i] = a.start(header, orders, s) })
 		}
 	}
 	if inc != nil && len(orders.Stops) > 0 {
@@ -100,7 +101,7 @@
 	case a.cordon.refuses(orders.CordonsRevision):
 		a.counters.StartsCordoned.Add(int64(len(orders.Starts)))
 		return header, inc, engine.StartCordoned
-	case until-now() < minGrantForStart && a.grantedUntil-now() >= minGrantForStart:
+	case until-now() < minGrantForStart && a.grantedUntil-now() >= minGrantForStart, now() > ordersExpiry(orders, maxOrderAge):
 		a.counters.StartsOutdated.Add(int64(len(orders.Starts)))
 		return header, inc, engine.StartNotDelivered
 	case leaseEnd == 0 || inc.unresponsive || inc.capacityUnconfirmed || inc.leaseMayHaveExpired(now()) || until-now() < minGrantForStart:
@@ -131,13 +132,26 @@
 	return 0 // decided on reports of an earlier process
 }
 
+// ordersExpiry returns the time from which on the starts of orders are older than age. It is in the
+// far future if the planner does not tell when that was.
+func ordersExpiry(orders *link.Orders, age time.Duration) time.Duration {
+	if orders.AgentProcess == 0 || orders.DecidedAfter == 0 {
+		return math.MaxInt64
+	}
+	return orders.GrantedAt + orders.DecidedAfter + age
+}
+
 // start retries a start until the worker answers. The outcome is unknown if it never does.
-// cordonsRevision is the store revision of the cordons that the planner knew.
-func (a *Agent) start(header OrderHeader, cordonsRevision int64, s engine.StartOrder) engine.StartResult {
+func (a *Agent) start(header OrderHeader, orders *link.Orders, s engine.StartOrder) engine.StartResult {
 	a.counters.Starts.Add(1)
 	outcome, unanswered := engine.StartUnknown, false
 	for attempt := range startAttempts {
-		if attempt > 0 && a.startsRefused(cordonsRevision) {
+		tooLate := now() > ordersExpiry(orders, startLimit-orderTimeout) // the process may have been paused
+		if attempt == 0 && tooLate {
+			outcome = engine.StartNotDelivered
+			break
+		}
+		if tooLate || attempt > 0 && a.startsRefused(orders.CordonsRevision) {
 			break // the earlier attempt may have succeeded
 		}
 		ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), orderTimeout)
--- a/nodeagent/unanswered_starts.go
+++ b/nodeagent/unanswered_starts.go
@@ -47,5 +47,5 @@
 		return
 	}
 	at := now()
-	r.UnansweredStarts, r.ProcessAge = a.unansweredStarts.list(at), at-a.startedAt
+	r.UnansweredStarts, r.ProcessAge, r.StartLimit = a.unansweredStarts.list(at), at-a.startedAt, startLimit
 }
