--- a/nodeagent/incarnation.go
+++ b/nodeagent/incarnation.go
@@ -185,7 +185,8 @@
 //
 // An agent that was away for longer than the lease and was restarted does not know that the
 // lease expired. Without this check it would report as done a task that the planner, for which
-// the lease has expired, restarts elsewhere.
+// the lease has expired, restarts elsewhere. An expiry that the worker lists behind omitted ends is not
+// seen; the ends then count, for placements that the planner has not given up.
 func (inc *incarnation) voidEndsBeforeExpiry(ended []engine.RunEnd) {
 	lastExpired := int64(0)
 	for _, end := range ended {
