gateway: starts wait for a message of the agent that came after their decision

The agent had been heard from less than 0.1 s before its end, so the start was sent without a probe.

A probe now begins with each placement. When the placement is stored, its starts are sent at once if anything has come from the agent since, and wait for the answer otherwise. What is left are processes that end between that message and the order.

--- a/gateway/term_probe.go
+++ b/gateway/term_probe.go
@@ -10,8 +10,9 @@
 
 // An order that gets no answer may have reached the agent, so its tasks wait until no call to the worker can be
 // carried out any more. One that was never sent causes no call, and its tasks can start elsewhere at once. So
-// starts are sent only to a process that has just been heard from. It is probed while the placement is being
-// stored, which hides the round trip. That leaves processes that end within maxContactAge.
+// starts are sent only to a process that has been heard from since they were decided. It is probed while the
+// placement is being stored, which hides the round trip. That leaves processes that end between that message and
+// the order, which are maxContactAge apart at the most.
 
 const (
 	// maxContactAge is how long ago an agent must have been heard from when starts are sent to it.
@@ -23,22 +24,20 @@
 
 // agentProbe is a ping of an agent's process. answered may be read once done is closed.
 type agentProbe struct {
-	done     chan struct{}
-	answered bool
+	startedAt time.Time
+	done      chan struct{}
+	answered  bool
 }
 
 // probeAgents starts probes of the agents that starts will be sent to.
 func (t *term) probeAgents(agents []string) {
 	for _, agent := range agents {
-		if conn := t.connTo(agent); conn != nil && !heardFrom(conn) {
+		if conn := t.connTo(agent); conn != nil {
 			t.probe(conn)
 		}
 	}
 }
 
-// heardFrom reports whether a message of the process at the other end of conn has just arrived.
-func heardFrom(conn *wire.Conn) bool { return time.Since(conn.LastReceived()) < maxContactAge }
-
 // probe returns the probe of the connection that is in progress, or starts one.
 func (t *term) probe(conn *wire.Conn) *agentProbe {
 	t.mu.Lock()
@@ -46,7 +45,7 @@
 	if p := t.probes[conn]; p != nil {
 		return p
 	}
-	p := &agentProbe{done: make(chan struct{})}
+	p := &agentProbe{startedAt: time.Now(), done: make(chan struct{})}
 	t.probes[conn] = p
 	go t.runProbe(conn, p)
 	return p
@@ -62,9 +61,17 @@
 	close(p.done)
 }
 
-// agentAnswers reports whether the process at the other end of conn has just been heard from or answers a probe.
+// agentAnswers reports whether the process at the other end of conn has been heard from within maxContactAge,
+// and since the probe in progress began if there is one. Otherwise it waits for the answer to a probe.
 func (t *term) agentAnswers(conn *wire.Conn) bool {
-	if heardFrom(conn) {
+	t.mu.Lock()
+	inProgress := t.probes[conn]
+	t.mu.Unlock()
+	since := time.Now().Add(-maxContactAge)
+	if inProgress != nil && inProgress.startedAt.After(since) {
+		since = inProgress.startedAt
+	}
+	if conn.LastReceived().After(since) {
 		return true
 	}
 	p := t.probe(conn)
--- a/gateway/term_probe_test.go
+++ b/gateway/term_probe_test.go
@@ -52,7 +52,6 @@
 		if silent {
 			network.DropFlows(relay.BothDirections...)
 		}
-		time.Sleep(maxContactAge) // since the handshake
 		term := &term{g: &Gateway{}, probes: map[*wire.Conn]*agentProbe{}, conns: map[string]*wire.Conn{"agent": conn}}
 		term.probeAgents([]string{"agent"})
 		orders := engine.Orders{Starts: []engine.StartOrder{{Run: workload.RunID{Number: 1}}}, Stops: []workload.RunID{{Number: 2}}}
