engine, gateway: log and measure how long runs wait for the lease of a silent worker

The users' record and our logs showed that a lease had expired, not since when the planner had waited for it nor why. A run at work looked like one whose worker was gone.

A new planner logs what it adds for grants of its predecessor. workers_silent and lease_wait_us measure the same. No logic changes.

--- a/engine/expiry.go
+++ b/engine/expiry.go
@@ -15,6 +15,7 @@
 	if first {
 		w.leaseExpired = true
 		w.placementsAtExpiry = nil
+		e.reportExpiry(now, w)
 	}
 	for _, p := range slices.Clone(w.sortedPlacements()) {
 		if e.mayStartLate(now, p) {
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -107,6 +107,7 @@
 		orphans:        map[workload.RunID]time.Duration{},
 		lastReport:     now,
 		leaseExpiresAt: e.params.leaseExpiry(now),
+		leaseBasis:     LeaseAssumed,
 	}
 	e.markCordoned(w)
 	e.inheritSpeed(now, w)
@@ -140,10 +141,11 @@
 	granted := !r.Unresponsive || r.ExtendingLease
 	switch {
 	case granted:
-		w.leaseExpiresAt = e.params.leaseExpiry(now)
+		w.leaseExpiresAt, w.leaseBasis = e.params.leaseExpiry(now), LeaseGranted
 		w.grant, w.grantedAt, w.startLimit = r.Origin, now, r.StartLimit
+		w.silenceReported = false
 	case r.LeaseKnown:
-		w.leaseExpiresAt = now + WithClockDrift(r.LeaseRemaining) + leaseExpirySlack
+		w.leaseExpiresAt, w.leaseBasis = now+WithClockDrift(r.LeaseRemaining)+leaseExpirySlack, LeaseReported
 	}
 	if r.Unresponsive {
 		return granted
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -34,6 +34,8 @@
 	// discarded and late are the corresponding actions so far.
 	discarded []WorkDiscarded
 	late      []JobLate
+	// observe is called with each action if it is set.
+	observe func(Action)
 }
 
 func newDriver(t *testing.T, workers int) *driver {
@@ -119,6 +121,9 @@
 			}
 			d.decisionCounts[decision.Job][decision.Kind]++
 		}
+		if d.observe != nil {
+			d.observe(a)
+		}
 		switch a := a.(type) {
 		case WorkDiscarded:
 			d.discarded = append(d.discarded, a)
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -74,8 +74,10 @@
 	lastPolledAt        time.Duration // when the worker itself last answered
 	leaseExpiresAt      time.Duration
 	leaseExpired        bool         // leaseExpiresAt has passed without a report
+	leaseBasis          LeaseBasis   // how leaseExpiresAt is known
 	grant               ReportOrigin // of the report that was last answered with a lease
 	grantedAt           time.Duration
+	silenceReported     bool          // since the last grant
 	startLimit          time.Duration // see Report.StartLimit
 	// placementsAtExpiry are the placements that were ended when the lease expired. If the worker
 	// turns out to have crashed, it crashed under them.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	queueDelays      metrics.LabeledLatencies // of events in the planner's queue
 	jobCompletions   metrics.LabeledLatencies // from acceptance to end, by account, queue and state
 	callLatencies    metrics.LabeledLatencies // client calls, by kind and outcome
+	silentWorkers    metrics.LabeledSums      // times that runs waited for a lease, by service and engine.LeaseBasis
+	leaseWaits       metrics.LabeledLatencies // from the last grant or the takeover to the end of the lease, labels as above
 	workerDepartures metrics.LabeledSums      // ended worker incarnations, by service and kind of departure
 	workerSlowdowns  metrics.LabeledGauges    // run time relative to an average worker, by service and worker
 	lostWork         metrics.LabeledSums      // core-seconds of discarded work, by queue and cause
@@ -175,6 +177,8 @@
 	g.jobCompletions.WriteText(w, "eelgrasshub_job_completion_us")
 	g.callLatencies.WriteText(w, "eelgrasshub_call_us")
 	g.workerDepartures.WriteText(w, "eelgrasshub_workers_gone")
+	g.silentWorkers.WriteText(w, "eelgrasshub_workers_silent")
+	g.leaseWaits.WriteText(w, "eelgrasshub_lease_wait_us")
 	g.workerSlowdowns.WriteText(w, "eelgrasshub_worker_slowdown")
 	g.lostWork.WriteText(w, "eelgrasshub_work_lost_core_seconds")
 	g.savedWork.WriteText(w, "eelgrasshub_work_saved_core_seconds")
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -62,17 +62,20 @@
 }
 
 func newTerm(g *Gateway, epoch uint64) *term {
+	now := lease.BootTime()
+	extension := g.predecessorExtension(now, epoch)
 	t := &term{
 		g:         g,
 		log:       g.log.WithField("epoch", epoch),
 		epoch:     epoch,
 		inbox:     make(chan func(time.Duration), inboxSize),
-		engine:    engine.New(g.cfg.Engine, epoch, lease.BootTime(), g.predecessorExtension(lease.BootTime(), epoch)),
+		engine:    engine.New(g.cfg.Engine, epoch, now, extension),
 		conns:     map[string]*wire.Conn{},
 		probes:    map[*wire.Conn]*agentProbe{},
 		writeDone: make(chan struct{}),
 	}
 	g.counters.Terms.Add(1)
+	t.log.WithField("lease_extension_ms", extension.Milliseconds()).Info("planner term started; leases of the previous planner may last longer by the extension")
 	t.tomb.Go(t.run)
 	return t
 }
--- a/gateway/term_metrics.go
+++ b/gateway/term_metrics.go
@@ -42,6 +42,34 @@
 	t.log.WithFields(fields).Info("worker gone")
 }
 
+// logWorkerSilent counts and logs a worker whose runs wait for the end of its lease.
+func (t *term) logWorkerSilent(s engine.WorkerSilent) {
+	t.g.silentWorkers.Add(s.Worker.Service+"/"+string(s.Basis), 1)
+	fields := logrus.Fields{
+		"worker":             s.Worker.ID,
+		"agent":              s.Worker.Agent,
+		"runs":               s.Runs,
+		"lease":              s.Basis,
+		"lease_remaining_ms": s.Remaining.Milliseconds(),
+	}
+	if s.LastReport > 0 {
+		fields["last_report_ms"] = s.LastReport.Milliseconds()
+	}
+	t.log.WithFields(fields).Info("worker silent; its runs wait for the end of its lease")
+}
+
+// logLeaseExpired measures and logs how long runs waited for the end of a lease.
+func (t *term) logLeaseExpired(l engine.LeaseExpired) {
+	t.g.leaseWaits.Observe(l.Worker.Service+"/"+string(l.Basis), l.Waited)
+	t.log.WithFields(logrus.Fields{
+		"worker":    l.Worker.ID,
+		"agent":     l.Worker.Agent,
+		"runs":      l.Runs,
+		"lease":     l.Basis,
+		"waited_ms": l.Waited.Milliseconds(),
+	}).Info("worker lease expired")
+}
+
 // logWorkerSpeed logs what has been learned of a worker's speed and exposes it.
 func (t *term) logWorkerSpeed(s engine.WorkerSpeed) {
 	t.g.workerSlowdowns.Set(s.Service+"/"+string(s.Worker), s.Factor)
--- a/gateway/term_orders.go
+++ b/gateway/term_orders.go
@@ -36,6 +36,10 @@
 			t.log.WithField("worker", a.Worker).WithField("detail", a.String()).Info("worker capacity changed")
 		case engine.WorkerGone:
 			t.logWorkerGone(a)
+		case engine.WorkerSilent:
+			t.logWorkerSilent(a)
+		case engine.LeaseExpired:
+			t.logLeaseExpired(a)
 		case engine.WorkerSpeed:
 			t.logWorkerSpeed(a)
 		case engine.OutdatedReport:
