engine, gateway: planners record by when the lease of a silent worker ends

What callers saw: an accepted job has a task without a run for tens of seconds beside idle workers, and no run at all while planners change (LOST).

Cause: a successor knew nothing of the leases that its predecessors had granted and counted every one from its own takeover. Planners that change within a lease of each other put off the end of the runs of a dead worker for good. The predecessor had known when it granted the lease last; that died with it.

Now a planner that has not granted a lease for 1.2 s stores by when it ends, in the worker's record, as a remaining time, and again each second. While the record has the bound the planner grants that worker nothing: it has it removed first. A deposed planner cannot remove it, as its writes are conditional on its epoch. So a successor that reads it knows that nobody has granted the lease since, and takes the earlier of that end and the one counted from its takeover. A bound is valid only under the next epoch, since a planner of an earlier version may come between and grant regardless; each planner records what it has inherited anew with its first writes. No clock is compared.

A term that may not write takes no changes from the engine any more: grants would be suspended for a record that is never written.

TestNoGrantWhileLeaseIsRecorded and its neighbours check the promise that the bound rests on.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -65,6 +65,10 @@
 	changedSpeeds map[WorkerID]*worker
 	earlierSpeeds map[string]earlierSpeed
 	goneWorkers   map[WorkerID]bool
+	// dueLeaseRecords holds silent workers whose lease is to be recorded. leasesRecordedAt is when such
+	// records were last written.
+	dueLeaseRecords  map[WorkerID]*worker
+	leasesRecordedAt time.Duration
 	// archiving holds jobs whose records are being replaced by their outcomes, expired those
 	// whose outcomes are being removed.
 	archiving map[workload.JobID]bool
@@ -104,6 +108,7 @@
 		changedSpeeds:       map[WorkerID]*worker{},
 		earlierSpeeds:       map[string]earlierSpeed{},
 		goneWorkers:         map[WorkerID]bool{},
+		dueLeaseRecords:     map[WorkerID]*worker{},
 		archiving:           map[workload.JobID]bool{},
 		expired:             map[workload.JobID]bool{},
 		earlyCancels:        map[workload.JobID]int64{},
--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -40,6 +40,9 @@
 	}
 	w.capacityUnconfirmed = r.CapacityUnconfirmed
 	first := !w.attached
+	if r.allowsGrant() {
+		e.resumeGrants(w)
+	}
 	if !attached || first && !r.Polled {
 		// No lease is granted; the expiry of the current one is already accounted for. Without a
 		// poll the report does not show which runs are present.
@@ -130,24 +133,28 @@
 	w.leavesAt = now + r.DrainRemaining
 }
 
+// allowsGrant reports whether the answer to the report may extend the worker's lease.
+func (r *Report) allowsGrant() bool { return !r.Unresponsive || r.ExtendingLease }
+
 // updateLease updates the expiry of the worker's lease and reports whether the answer to the
 // report extends it. Every grant counts, as the agent may extend the lease by it and be lost
 // before its next report. Without a grant, a report about an unresponsive worker must not postpone
 // the expiry, or its runs would never be restarted elsewhere: the lease ends after the remaining
-// time that the agent reports or, if the agent does not know it, by the last grant.
+// time that the agent reports or, if the agent does not know it, by the last grant. A worker whose
+// grants are suspended gets none.
 func (e *Engine) updateLease(now time.Duration, w *worker, r Report) bool {
 	wasUnresponsive := w.unresponsive
 	w.unresponsive = r.Unresponsive
-	granted := !r.Unresponsive || r.ExtendingLease
+	granted := r.allowsGrant() && !w.grantsSuspended()
 	switch {
 	case granted:
 		w.leaseExpiresAt, w.leaseBasis = e.params.leaseExpiry(now), LeaseGranted
 		w.grant, w.grantedAt, w.startLimit = r.Origin, now, r.StartLimit
 		w.silenceReported = false
-	case r.LeaseKnown:
+	case r.LeaseKnown && !r.allowsGrant():
 		w.leaseExpiresAt, w.leaseBasis = now+WithClockDrift(r.LeaseRemaining)+leaseExpirySlack, LeaseReported
 	}
-	if r.Unresponsive {
+	if r.Unresponsive || !granted {
 		return granted
 	}
 	w.leaseExpired = false
--- /dev/null
+++ b/engine/lease_record.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// LeaseRecord bounds the lease of a worker that its planner has not granted for some time. It is kept in the
+// worker's record, so that the planner's successors do not count the lease anew from their takeovers.
+//
+// While a record has one, nobody grants the worker a lease: the planner removes it first, and a planner that
+// has been deposed cannot, since its writes are refused. The record holds a remaining time and no time of
+// day, as clocks of instances differ; it is read after it was written, so the lease can only end earlier.
+type LeaseRecord struct {
+	// Epoch is that of the planner that wrote it. It is not valid under a planner other than the next one:
+	// a planner of an earlier version in between may have granted the lease.
+	Epoch uint64 `json:"epoch"`
+	// Remaining is the time until the lease has certainly ended, in nanoseconds; negative afterwards.
+	Remaining time.Duration `json:"remaining"`
+}
+
+const (
+	// leaseRecordInterval is the time after which the bound of a silent worker's lease is recorded again. A
+	// takeover prolongs the wait for the lease by the age of the record.
+	leaseRecordInterval = time.Second
+	// leaseRecordPause is the minimum time between two writes for that.
+	leaseRecordPause = 250 * time.Millisecond
+)
+
+// inheritLease applies the bound of the lease in a restored record.
+func (e *Engine) inheritLease(now time.Duration, w *worker) {
+	record := w.info.Lease
+	w.info.Lease = nil
+	if record == nil {
+		return
+	}
+	w.leaseRecord, w.leaseRecordedAt = record, now
+	if end := now + record.Remaining; record.Epoch+1 == e.epoch && end < w.leaseExpiresAt {
+		w.leaseExpiresAt, w.leaseBasis = end, LeaseRecorded
+	}
+}
+
+// grantsSuspended reports whether w may be granted no lease, because a record of its lease is stored or being
+// written.
+func (w *worker) grantsSuspended() bool { return w.leaseRecord != nil }
+
+// resumeGrants has the record of the lease removed, so that w can be granted it again.
+func (e *Engine) resumeGrants(w *worker) {
+	if w.grantsSuspended() && !w.resumingGrants {
+		w.resumingGrants = true
+		e.unrecordedWorkers[w.info.ID] = w
+	}
+}
+
+// leaseRecordDue reports whether the bound of the lease of w has to be recorded. Without runs nothing waits
+// for the end of the lease.
+func (e *Engine) leaseRecordDue(now time.Duration, w *worker) bool {
+	if !w.recorded || len(w.placements) == 0 || w.resumingGrants || !e.silent(now, w) && !w.grantsSuspended() {
+		return false
+	}
+	return !w.grantsSuspended() || w.leaseRecord.Epoch != e.epoch || now-w.leaseRecordedAt >= leaseRecordInterval
+}
+
+// noteLeaseRecord marks the record of w to be written if the bound of its lease has to be recorded.
+func (e *Engine) noteLeaseRecord(now time.Duration, w *worker) {
+	if e.leaseRecordDue(now, w) {
+		e.dueLeaseRecords[w.info.ID] = w
+	}
+}
+
+// addLeaseRecords adds the records of silent workers to a write, those first that were recorded longest ago.
+func (e *Engine) addLeaseRecords(now time.Duration, write *Write, limit int) int {
+	if len(e.dueLeaseRecords) == 0 || limit <= 0 || now-e.leasesRecordedAt < leaseRecordPause {
+		return limit
+	}
+	e.leasesRecordedAt = now
+	due := make([]*worker, 0, len(e.dueLeaseRecords))
+	for id, w := range e.dueLeaseRecords {
+		if e.workers[id] == w && e.leaseRecordDue(now, w) {
+			due = append(due, w)
+		}
+	}
+	clear(e.dueLeaseRecords)
+	slices.SortFunc(due, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(a.leaseRecordedAt, b.leaseRecordedAt), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	due = due[:min(len(due), limit)]
+	for _, w := range due {
+		w.leaseRecord, w.leaseRecordedAt = &LeaseRecord{Epoch: e.epoch, Remaining: w.leaseExpiresAt - now}, now
+		delete(e.changedSpeeds, w.info.ID) // the record has the speed
+		write.Workers = append(write.Workers, w.record())
+	}
+	return limit - len(due)
+}
+
+// noteRecordWritten notes that the record of w has been stored.
+func (e *Engine) noteRecordWritten(w *worker, written WorkerInfo) {
+	w.recorded = true
+	if written.Lease == nil && w.resumingGrants {
+		w.leaseRecord, w.resumingGrants = nil, false
+	}
+	if !w.resumingGrants {
+		delete(e.unrecordedWorkers, w.info.ID)
+	}
+	e.planNeeded = true
+}
--- /dev/null
+++ b/engine/lease_record_test.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// newSuspendedScenario has a silent worker whose lease is recorded.
+func newSuspendedScenario(t *testing.T) *lostWorkerScenario {
+	d := newLostWorkerScenario(t, false, StartOK)
+	d.pass(d.now + reportTimeout + 500*time.Millisecond)
+	d.c.Assert(d.worker.record().Lease, qt.IsNotNil)
+	return d
+}
+
+// Guards against a task that runs twice because a worker is granted its lease while its record still tells
+// successors that it has ended by then.
+func TestNoGrantWhileLeaseIsRecorded(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		d := newSuspendedScenario(t)
+		if takeover {
+			d.takeOver()
+		}
+		d.c.Check(d.report(d.currentReport()).Attached, qt.IsFalse)
+		write := d.e.PendingChanges(d.now, time.Unix(1000, 0), 15)
+		d.c.Assert(write.Workers, qt.HasLen, 1)
+		d.c.Check(write.Workers[0].Lease, qt.IsNil)
+		d.c.Check(d.report(d.currentReport()).Attached, qt.IsFalse, qt.Commentf("the write has not been applied"))
+		d.handle(WriteApplied{Write: write})
+		d.c.Check(d.report(d.currentReport()).Attached, qt.IsTrue)
+	}
+}
+
+// Guards against a lease that is granted after a write of its record that began before the worker reported,
+// in place of the one that removes it.
+func TestGrantWaitsForRemovalOfLeaseRecord(t *testing.T) {
+	d := newLostWorkerScenario(t, false, StartOK)
+	d.now += reportTimeout
+	d.handle(Tick{WallTime: time.Unix(1000, 0).Add(d.now)})
+	recording := d.e.PendingChanges(d.now, time.Unix(1000, 0), 15)
+	d.c.Assert(recording.Workers, qt.Not(qt.HasLen), 0)
+	d.c.Check(d.report(d.currentReport()).Attached, qt.IsFalse)
+	d.handle(WriteApplied{Write: recording})
+	d.c.Check(d.report(d.currentReport()).Attached, qt.IsFalse)
+	d.settle()
+	d.c.Check(d.report(d.currentReport()).Attached, qt.IsTrue)
+}
+
+// Guards against a worker that gets no lease, and no work, for good after a silence without a takeover.
+func TestWorkerReturnsAfterRecordedLease(t *testing.T) {
+	d := newSuspendedScenario(t)
+	d.passReporting(d.now + time.Second)
+	d.c.Check(d.worker.usable(d.now), qt.IsTrue)
+	d.c.Check(d.worker.record().Lease, qt.IsNil)
+	d.c.Check(d.runs(d.job)[d.worker.info.ID], qt.HasLen, 1)
+}
+
+// Guards against a task that runs twice because a successor relies on a record although a planner between the
+// two, of a version that does not know such records, has granted the lease.
+func TestRecordOfEarlierPlannerIsNotValid(t *testing.T) {
+	d := newSuspendedScenario(t)
+	later := New(d.e.params, d.e.epoch+2, d.now, 0)
+	later.Step(d.now, WorkerRestored{Info: d.worker.record()})
+	d.c.Check(later.workers[d.worker.info.ID].leaseExpiresAt, qt.Equals, d.e.params.leaseExpiry(d.now))
+	next := New(d.e.params, d.e.epoch+1, d.now, 0)
+	next.Step(d.now, WorkerRestored{Info: d.worker.record()})
+	d.c.Check(next.workers[d.worker.info.ID].leaseExpiresAt, qt.Equals, d.now+d.worker.record().Lease.Remaining)
+}
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -7,7 +7,7 @@
 )
 
 // restoreWorker adds a worker from the records of a previous planner. Its recorded placements
-// count until it reports or until every lease that the previous planner granted has expired.
+// count until it reports or until every lease that previous planners granted has expired.
 func (e *Engine) restoreWorker(now time.Duration, info WorkerInfo) {
 	if e.workers[info.ID] != nil {
 		return
@@ -15,6 +15,7 @@
 	w := e.addWorker(now, info)
 	w.recorded = true
 	w.leaseExpiresAt += e.inheritedLeaseExtra
+	e.inheritLease(now, w)
 	w.lastReport = now - reportTimeout
 	if previous := e.workers[e.workerByAgent[info.Agent]]; previous != nil && previous.info.SharesName(info) {
 		// The agent's next report shows which of the two is current.
--- a/engine/speed_record.go
+++ b/engine/speed_record.go
@@ -122,6 +122,9 @@
 func (w *worker) record() WorkerInfo {
 	info := w.info
 	info.Speed = w.speed
+	if !w.resumingGrants {
+		info.Lease = w.leaseRecord
+	}
 	return info
 }
 
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -45,6 +45,7 @@
 func (e *Engine) tickWorker(now time.Duration, w *worker) {
 	e.expireLease(now, w)
 	e.reportSilence(now, w)
+	e.noteLeaseRecord(now, w)
 	if (w.ended || w.leaseExpired && now-w.lastReport > workerRetention) && len(w.placements) == 0 {
 		e.removeWorker(w)
 		return
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -27,6 +27,8 @@
 	// Speed is what a planner has learned of the worker's speed. It is set in the worker's record
 	// only.
 	Speed *SpeedRecord `json:"speed,omitempty" cbor:"-"`
+	// Lease bounds the worker's lease. It is set in the worker's record only, while the lease is not granted.
+	Lease *LeaseRecord `json:"lease,omitempty" cbor:"-"`
 }
 
 // CallName returns the name under which the worker is called.
@@ -77,8 +79,13 @@
 	leaseBasis          LeaseBasis   // how leaseExpiresAt is known
 	grant               ReportOrigin // of the report that was last answered with a lease
 	grantedAt           time.Duration
-	silenceReported     bool          // since the last grant
-	startLimit          time.Duration // see Report.StartLimit
+	silenceReported     bool // since the last grant
+	// leaseRecord is the bound of the lease in the worker's record or in a write in progress; nil if there is
+	// none and never was since the last grant. resumingGrants means that a record without it is to be stored.
+	leaseRecord     *LeaseRecord
+	leaseRecordedAt time.Duration
+	resumingGrants  bool
+	startLimit      time.Duration // see Report.StartLimit
 	// placementsAtExpiry are the placements that were ended when the lease expired. If the worker
 	// turns out to have crashed, it crashed under them.
 	placementsAtExpiry []*placement
@@ -114,7 +121,7 @@
 // usableIfUncordoned reports whether w is usable apart from a cordon of its availability zone.
 func (w *worker) usableIfUncordoned(now time.Duration) bool {
 	// After a pause of the planner the lease may be over before a tick has noticed it.
-	return w.attached && w.recorded && !w.unresponsive && !w.capacityUnconfirmed && !w.draining && !w.leaseExpired && now < w.leaseExpiresAt &&
+	return w.attached && w.recorded && !w.grantsSuspended() && !w.unresponsive && !w.capacityUnconfirmed && !w.draining && !w.leaseExpired && now < w.leaseExpiresAt &&
 		len(w.orphans) == 0 && now-w.lastReport < reportTimeout
 }
 
--- a/engine/write.go
+++ b/engine/write.go
@@ -43,6 +43,7 @@
 			return w
 		}
 		w.Workers = append(w.Workers, e.unrecordedWorkers[id].record())
+		delete(e.changedSpeeds, id)
 		limit--
 	}
 	for _, j := range e.changedJobs() {
@@ -52,6 +53,7 @@
 		w.Jobs = append(w.Jobs, JobWrite{ID: j.spec.ID, Version: j.version, Progress: j.progress(e.epoch, now, wall)})
 		limit--
 	}
+	limit = e.addLeaseRecords(now, &w, limit)
 	limit = e.addSpeeds(&w, limit)
 	return e.addRemovals(w, limit, now, wall)
 }
@@ -100,12 +102,11 @@
 func (e *Engine) handleWriteApplied(now time.Duration, w Write) {
 	for _, info := range w.Workers {
 		if known := e.workers[info.ID]; known != nil {
-			known.recorded = true
-			e.planNeeded = true
+			e.noteRecordWritten(known, info)
 		} else {
 			e.goneWorkers[info.ID] = true // gone while its record was being written
+			delete(e.unrecordedWorkers, info.ID)
 		}
-		delete(e.unrecordedWorkers, info.ID)
 	}
 	for _, written := range w.Jobs {
 		j := e.jobs[written.ID]
--- a/gateway/term_write.go
+++ b/gateway/term_write.go
@@ -23,11 +23,14 @@
 // write starts writing the engine's changes and returns them, or nil if there are none or the
 // lease has expired. The outcome is sent to result.
 func (t *term) write(result chan<- error) *engine.Write {
+	if !t.active() {
+		return nil // changes that are taken from the engine have to be written
+	}
 	w := t.engine.PendingChanges(lease.BootTime(), time.Now(), maxRecordsPerWrite)
 	t.mu.Lock()
 	t.idle = w.Empty()
 	t.mu.Unlock()
-	if w.Empty() || !t.active() {
+	if w.Empty() {
 		return nil
 	}
 	go func() { result <- t.writeUntilResolved(w) }()
