engine: a successor takes the reported end of a dead worker's lease

What callers saw: after a takeover, tasks on a worker that no longer answers start again a whole lease later than needed, though its agent reports when the lease ends.

Cause: a worker that is gone never confirms the new planner, so it is not attached, and reports of such workers counted for nothing. The planner waited for the lease counted from its takeover.

The agent that has had an answer of this planner refuses grants of earlier ones and has given up its own beyond the end that it states, whichever planner it reported to. So that end holds. An agent that does not follow this planner yet may still use a grant: its report changes nothing.

Ruled out by the test: that the task starts before the reported end. It failed before ('got false') in the case of an agent that follows; engine's tests and worlds pass.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -46,6 +46,7 @@
 	if !attached || first && !r.Polled {
 		// No lease is granted; the expiry of the current one is already accounted for. Without a
 		// poll the report does not show which runs are present.
+		e.limitLease(now, w, r)
 		return ReportAnswer{Generation: w.generation, AckedEnds: w.ackedEnds}
 	}
 	w.attached = true
@@ -152,7 +153,7 @@
 		w.grant, w.grantedAt, w.startLimit = r.Origin, now, r.StartLimit
 		w.silenceReported = false
 	case r.LeaseKnown && !r.allowsGrant():
-		w.leaseExpiresAt, w.leaseBasis = now+WithClockDrift(r.LeaseRemaining)+leaseExpirySlack, LeaseReported
+		w.leaseExpiresAt, w.leaseBasis = r.leaseEnd(now), LeaseReported
 	}
 	if r.Unresponsive || !granted {
 		return granted
@@ -165,6 +166,22 @@
 	return granted
 }
 
+// leaseEnd returns by when the lease of a worker that its agent gives up ends.
+func (r *Report) leaseEnd(now time.Duration) time.Duration {
+	return now + WithClockDrift(r.LeaseRemaining) + leaseExpirySlack
+}
+
+// limitLease applies the reported end of the lease of an unresponsive worker that is not attached. A worker
+// that is gone never is. The agent follows this planner, so it uses no grants of previous ones any more.
+func (e *Engine) limitLease(now time.Duration, w *worker, r Report) {
+	if !r.LeaseKnown || r.allowsGrant() || r.Origin.Epoch != e.epoch {
+		return
+	}
+	if end := r.leaseEnd(now); end < w.leaseExpiresAt {
+		w.leaseExpiresAt, w.leaseBasis = end, LeaseReported
+	}
+}
+
 // reconcile compares the polled state of the worker with its placements.
 func (e *Engine) reconcile(now time.Duration, w *worker, r Report) {
 	w.lastPolledAt = now
--- a/engine/unresponsive_test.go
+++ b/engine/unresponsive_test.go
@@ -84,3 +84,24 @@
 	d.reportUnresponsive(unresponsive, d.e.params.leaseExpiry(granted)-d.now+time.Second, 0, false)
 	c.Check(d.runs(id)[unresponsive], qt.HasLen, 0)
 }
+
+// Guards against a successor that waits for the lease of a dead worker from its takeover on, though the agent
+// reports when it ends: the worker cannot confirm the new planner, so its reports count for nothing else.
+func TestSuccessorTakesReportedEndOfLease(t *testing.T) {
+	for _, follows := range []bool{true, false} {
+		d := newLostWorkerScenario(t, false, StartOK)
+		leaseEnd := d.now + time.Second
+		d.takeOver()
+		r := d.currentReport()
+		r.Epoch, r.Polled = 1, false
+		r.Unresponsive, r.LeaseKnown, r.LeaseRemaining = true, true, leaseEnd-d.now
+		if !follows {
+			r.Origin.Epoch = 1 // the agent may still extend the lease by a grant of the previous planner
+		}
+		d.c.Check(d.report(r).Attached, qt.IsFalse)
+		d.pass(leaseEnd - 100*time.Millisecond)
+		d.c.Check(d.starts, qt.HasLen, 1)
+		d.pass(leaseEnd + time.Second)
+		d.c.Check(len(d.starts) == 2, qt.Equals, follows)
+	}
+}
