engine, gateway: no leases are recorded while the store does not answer

A worker whose lease is being recorded is granted nothing until the record is removed. In an outage of the store neither ends, so a worker that was silent for a moment would lose its runs although it is back; before leases were recorded it kept them. TestLeaseIsNotRecordedDuringOutage fails without the condition. A worker that was recorded just before the outage still waits for its end.

Price: a planner that the store turns away, and that writes through its peers, records none either; its successor counts leases from the takeover, as before.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -69,6 +69,8 @@
 	// records were last written.
 	dueLeaseRecords  map[WorkerID]*worker
 	leasesRecordedAt time.Duration
+	// storeUnavailable is Tick.StoreUnavailable of the last tick.
+	storeUnavailable bool
 	// archiving holds jobs whose records are being replaced by their outcomes, expired those
 	// whose outcomes are being removed.
 	archiving map[workload.JobID]bool
--- a/engine/event.go
+++ b/engine/event.go
@@ -54,6 +54,8 @@
 type Tick struct {
 	// WallTime is the wall-clock time that decides which occurrences are due.
 	WallTime time.Time
+	// StoreUnavailable means that the store has not answered lately.
+	StoreUnavailable bool
 }
 
 func (JobSubmitted) isEvent()    {}
--- a/engine/lease_record.go
+++ b/engine/lease_record.go
@@ -70,8 +70,10 @@
 }
 
 // addLeaseRecords adds the records of silent workers to a write, those first that were recorded longest ago.
+// During an outage of the store none are begun: workers that return could be granted nothing until its end,
+// and their runs would be lost.
 func (e *Engine) addLeaseRecords(now time.Duration, write *Write, limit int) int {
-	if len(e.dueLeaseRecords) == 0 || limit <= 0 || now-e.leasesRecordedAt < leaseRecordPause {
+	if len(e.dueLeaseRecords) == 0 || limit <= 0 || e.storeUnavailable || now-e.leasesRecordedAt < leaseRecordPause {
 		return limit
 	}
 	e.leasesRecordedAt = now
--- a/engine/lease_record_test.go
+++ b/engine/lease_record_test.go
@@ -68,3 +68,13 @@
 	next.Step(d.now, WorkerRestored{Info: d.worker.record()})
 	d.c.Check(next.workers[d.worker.info.ID].leaseExpiresAt, qt.Equals, d.now+d.worker.record().Lease.Remaining)
 }
+
+// Guards against runs that are lost because their worker was silent for a moment in an outage of the store, and
+// is granted no lease until the removal of a record can be written.
+func TestLeaseIsNotRecordedDuringOutage(t *testing.T) {
+	d := newLostWorkerScenario(t, false, StartOK)
+	d.now += 2 * reportTimeout
+	d.handle(Tick{WallTime: time.Unix(1000, 0).Add(d.now), StoreUnavailable: true})
+	d.c.Check(d.e.PendingChanges(d.now, time.Unix(1000, 0), 15).Workers, qt.HasLen, 0)
+	d.c.Check(d.report(d.currentReport()).Attached, qt.IsTrue)
+}
--- a/engine/tick.go
+++ b/engine/tick.go
@@ -27,6 +27,7 @@
 func (e *Engine) tick(now time.Duration, ev Tick) {
 	e.wallTime = ev.WallTime
 	e.lastTickAt = now
+	e.storeUnavailable = ev.StoreUnavailable
 	for _, w := range e.sortedWorkers() {
 		e.tickWorker(now, w)
 		e.noteSpeed(now, w)
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -170,7 +170,7 @@
 			f(lease.BootTime())
 			t.drainInbox()
 		case <-ticker.C:
-			t.engine.Step(lease.BootTime(), engine.Tick{WallTime: time.Now()})
+			t.engine.Step(lease.BootTime(), engine.Tick{WallTime: time.Now(), StoreUnavailable: t.g.cfg.SinceStoreReply() > storeReplyTTL})
 		case <-replan.C:
 		case err := <-writeErr:
 			if err != nil && isPermanent(err) {
