engine: test that takeovers do not prolong the wait for late calls

The end of the last lease bounds the calls to start a run without an answer, so the recorded bound limits that wait too. Before leases were recorded the test failed: the task had one start, 4 takeovers of 5 s apart.

--- a/engine/takeover_series_test.go
+++ b/engine/takeover_series_test.go
@@ -29,3 +29,19 @@
 		d.c.Check(d.starts[1].Run.Number, qt.Equals, 2)
 	}
 }
+
+// Guards against a task that waits anew for late calls to start its first run after each takeover.
+func TestTakeoversDoNotProlongWaitForLateCalls(t *testing.T) {
+	d := newLostWorkerScenario(t, true, StartUnknown)
+	granted := d.worker.grantedAt
+	const takeovers = 4
+	for range takeovers {
+		d.pass(d.now + 5*time.Second)
+		d.takeOver()
+	}
+	lastCall := d.e.params.leaseExpiry(granted)
+	d.pass(d.e.params.leaseExpiry(lastCall + MaxCallDelay))
+	d.c.Check(d.starts, qt.HasLen, 1)
+	d.pass(d.now + takeovers*maxBoundAge)
+	d.c.Check(d.starts, qt.HasLen, 2)
+}
