engine: a worker that returns from a silence is granted its lease

What callers saw: runs are lost though their workers are back, since a silence of 1.2 s ended in none of the next reports with a grant.

Cause: the record was removed between two reports of the agent, which come every 500 ms. The worker had not been granted anything by then, so the next tick took it for silent still, and recorded its lease again.

A silence now counts from the removal as well: until then the planner could not grant. First records of a planner do not wait for the pause between writes any more: at a hundred workers that fall silent at once the last was recorded after 1.5 s.

TestReturningWorkerIsGranted failed before.

--- a/engine/lease_record.go
+++ b/engine/lease_record.go
@@ -24,7 +24,8 @@
 	// leaseRecordInterval is the time after which the bound of a silent worker's lease is recorded again. A
 	// takeover prolongs the wait for the lease by the age of the record.
 	leaseRecordInterval = time.Second
-	// leaseRecordPause is the minimum time between two writes for that.
+	// leaseRecordPause is the minimum time between two writes for that. First records of a planner do not
+	// wait for it.
 	leaseRecordPause = 250 * time.Millisecond
 )
 
@@ -59,7 +60,12 @@
 	if !w.recorded || len(w.placements) == 0 || w.resumingGrants || !e.silent(now, w) && !w.grantsSuspended() {
 		return false
 	}
-	return !w.grantsSuspended() || w.leaseRecord.Epoch != e.epoch || now-w.leaseRecordedAt >= leaseRecordInterval
+	return !e.leaseRecorded(w) || now-w.leaseRecordedAt >= leaseRecordInterval
+}
+
+// leaseRecorded reports whether this planner has recorded the lease of w, or is doing so.
+func (e *Engine) leaseRecorded(w *worker) bool {
+	return w.grantsSuspended() && w.leaseRecord.Epoch == e.epoch
 }
 
 // noteLeaseRecord marks the record of w to be written if the bound of its lease has to be recorded.
@@ -73,23 +79,28 @@
 // During an outage of the store none are begun: workers that return could be granted nothing until its end,
 // and their runs would be lost.
 func (e *Engine) addLeaseRecords(now time.Duration, write *Write, limit int) int {
-	if len(e.dueLeaseRecords) == 0 || limit <= 0 || e.storeUnavailable || now-e.leasesRecordedAt < leaseRecordPause {
+	if len(e.dueLeaseRecords) == 0 || limit <= 0 || e.storeUnavailable {
 		return limit
 	}
-	e.leasesRecordedAt = now
-	due := make([]*worker, 0, len(e.dueLeaseRecords))
+	pausing := now-e.leasesRecordedAt < leaseRecordPause
+	var due []*worker
 	for id, w := range e.dueLeaseRecords {
-		if e.workers[id] == w && e.leaseRecordDue(now, w) {
+		if e.workers[id] != w || !e.leaseRecordDue(now, w) {
+			delete(e.dueLeaseRecords, id)
+		} else if !pausing || !e.leaseRecorded(w) {
 			due = append(due, w)
 		}
 	}
-	clear(e.dueLeaseRecords)
+	if !pausing {
+		e.leasesRecordedAt = now
+	}
 	slices.SortFunc(due, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(a.leaseRecordedAt, b.leaseRecordedAt), cmp.Compare(a.info.ID, b.info.ID))
 	})
 	due = due[:min(len(due), limit)]
 	for _, w := range due {
 		w.leaseRecord, w.leaseRecordedAt = &LeaseRecord{Epoch: e.epoch, Remaining: w.leaseExpiresAt - now}, now
+		delete(e.dueLeaseRecords, w.info.ID)
 		delete(e.changedSpeeds, w.info.ID) // the record has the speed
 		write.Workers = append(write.Workers, w.record())
 	}
@@ -97,10 +108,11 @@
 }
 
 // noteRecordWritten notes that the record of w has been stored.
-func (e *Engine) noteRecordWritten(w *worker, written WorkerInfo) {
+func (e *Engine) noteRecordWritten(now time.Duration, w *worker, written WorkerInfo) {
 	w.recorded = true
 	if written.Lease == nil && w.resumingGrants {
 		w.leaseRecord, w.resumingGrants = nil, false
+		w.grantsResumedAt = now
 	}
 	if !w.resumingGrants {
 		delete(e.unrecordedWorkers, w.info.ID)
--- a/engine/silent_worker.go
+++ b/engine/silent_worker.go
@@ -45,9 +45,9 @@
 // lastGrantAt returns when this planner last granted the lease of w or, if it has not, when its term began.
 func (e *Engine) lastGrantAt(w *worker) time.Duration { return max(w.grantedAt, e.startedAt) }
 
-// silent reports whether the planner has not granted the lease of w for reportTimeout.
+// silent reports whether the planner could have granted the lease of w for reportTimeout and has not.
 func (e *Engine) silent(now time.Duration, w *worker) bool {
-	return now-e.lastGrantAt(w) >= reportTimeout
+	return now-max(e.lastGrantAt(w), w.grantsResumedAt) >= reportTimeout
 }
 
 // reportSilence reports once for each time in which w gets no lease that its runs wait for the end of it.
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -85,6 +85,7 @@
 	leaseRecord     *LeaseRecord
 	leaseRecordedAt time.Duration
 	resumingGrants  bool
+	grantsResumedAt time.Duration // when such a record was stored last
 	startLimit      time.Duration // see Report.StartLimit
 	// placementsAtExpiry are the placements that were ended when the lease expired. If the worker
 	// turns out to have crashed, it crashed under them.
--- a/engine/write.go
+++ b/engine/write.go
@@ -102,7 +102,7 @@
 func (e *Engine) handleWriteApplied(now time.Duration, w Write) {
 	for _, info := range w.Workers {
 		if known := e.workers[info.ID]; known != nil {
-			e.noteRecordWritten(known, info)
+			e.noteRecordWritten(now, known, info)
 		} else {
 			e.goneWorkers[info.ID] = true // gone while its record was being written
 			delete(e.unrecordedWorkers, info.ID)
