engine, gateway: the answer to a report grants a lease whose record is being removed

The answer to such a report waits for the write, as it does for the ends that the report lists (at most 250 ms), and then grants, unless a later report has been handled. TestGrantFollowsRemovalOfLeaseRecord.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -64,17 +64,27 @@
 		e.resendStops(now, w)
 		e.planNeeded = true
 	}
-	return ReportAnswer{Attached: granted, Generation: w.generation, AckedEnds: w.advanceAckedEnds(), EndsPending: len(w.pendingEnds) > 0, PollOften: w.needsFrequentPolls()}
+	return ReportAnswer{Attached: granted, GrantPending: w.awaitsGrant == r.Origin && r.Origin.Process != 0, Generation: w.generation, AckedEnds: w.advanceAckedEnds(), EndsPending: len(w.pendingEnds) > 0, PollOften: w.needsFrequentPolls()}
 }
 
-// AckedEnds returns the highest sequence number of ends that the worker may forget, and whether
-// later ends still wait to be stored.
-func (e *Engine) AckedEnds(id WorkerID) (acked int64, pending bool) {
-	w := e.workers[id]
+// AnswerAfterWrite returns the answer to r, given the one before, after a write has been applied. More ends may be
+// stored, and a grant that waited may be possible. The caller must send it without delay.
+func (e *Engine) AnswerAfterWrite(now time.Duration, r Report, answer ReportAnswer) ReportAnswer {
+	w := e.workers[r.Worker.ID]
 	if w == nil {
-		return 0, false
+		answer.EndsPending, answer.GrantPending = false, false
+		return answer
 	}
-	return w.advanceAckedEnds(), len(w.pendingEnds) > 0
+	answer.AckedEnds, answer.EndsPending = w.advanceAckedEnds(), len(w.pendingEnds) > 0
+	if !answer.GrantPending || w.awaitsGrant != r.Origin || !w.attached {
+		answer.GrantPending = false // a later report has been handled
+		return answer
+	}
+	if !w.grantsSuspended() {
+		e.grantLease(now, w, r)
+		answer.Attached, answer.GrantPending = true, false
+	}
+	return answer
 }
 
 // registerWorker returns the reporting worker and adds it if it is new. A new incarnation next
@@ -147,25 +157,37 @@
 	wasUnresponsive := w.unresponsive
 	w.unresponsive = r.Unresponsive
 	granted := r.allowsGrant() && !w.grantsSuspended()
+	w.awaitsGrant = ReportOrigin{}
 	switch {
 	case granted:
-		w.leaseExpiresAt, w.leaseBasis = e.params.leaseExpiry(now), LeaseGranted
-		w.grant, w.grantedAt, w.startLimit = r.Origin, now, r.StartLimit
-		w.silenceReported = false
-	case r.LeaseKnown && !r.allowsGrant():
+		e.grantLease(now, w, r)
+	case r.allowsGrant():
+		w.awaitsGrant = r.Origin
+	case r.LeaseKnown:
 		w.leaseExpiresAt, w.leaseBasis = r.leaseEnd(now), LeaseReported
 	}
-	if r.Unresponsive || !granted {
-		return granted
-	}
-	w.leaseExpired = false
-	w.placementsAtExpiry = nil
-	if wasUnresponsive {
+	if wasUnresponsive && !r.Unresponsive {
 		e.planNeeded = true
 	}
 	return granted
 }
 
+// grantLease notes that the answer to r extends the lease of w.
+func (e *Engine) grantLease(now time.Duration, w *worker, r Report) {
+	w.leaseExpiresAt, w.leaseBasis = e.params.leaseExpiry(now), LeaseGranted
+	w.grant, w.grantedAt, w.startLimit = r.Origin, now, r.StartLimit
+	w.awaitsGrant = ReportOrigin{}
+	w.silenceReported = false
+	if r.Unresponsive {
+		return
+	}
+	if w.leaseExpired {
+		e.planNeeded = true
+	}
+	w.leaseExpired = false
+	w.placementsAtExpiry = nil
+}
+
 // leaseEnd returns by when the lease of a worker that its agent gives up ends.
 func (r *Report) leaseEnd(now time.Duration) time.Duration {
 	return now + WithClockDrift(r.LeaseRemaining) + leaseExpirySlack
--- a/engine/lease_record_test.go
+++ b/engine/lease_record_test.go
@@ -78,3 +78,27 @@
 	d.c.Check(d.e.PendingChanges(d.now, time.Unix(1000, 0), 15).Workers, qt.HasLen, 0)
 	d.c.Check(d.report(d.currentReport()).Attached, qt.IsTrue)
 }
+
+// Guards against runs that are lost because a worker that is back waits for its next report to be granted its
+// lease, and against a grant in the answer to a report that is not the last one.
+func TestGrantFollowsRemovalOfLeaseRecord(t *testing.T) {
+	for _, later := range []bool{false, true} {
+		d := newSuspendedScenario(t)
+		r := d.currentReport()
+		answer := d.report(r)
+		d.c.Assert(answer.GrantPending, qt.IsTrue)
+		answer = d.e.AnswerAfterWrite(d.now, r, answer)
+		d.c.Assert(answer.GrantPending, qt.IsTrue, qt.Commentf("another write has been applied"))
+		if later {
+			d.report(d.currentReport())
+		}
+		d.now += 50 * time.Millisecond
+		d.settle()
+		answer = d.e.AnswerAfterWrite(d.now, r, answer)
+		d.c.Check(answer.GrantPending, qt.IsFalse)
+		d.c.Check(answer.Attached, qt.Equals, !later)
+		if !later {
+			d.c.Check(d.worker.leaseExpiresAt, qt.Equals, d.e.params.leaseExpiry(d.now))
+		}
+	}
+}
--- a/engine/report.go
+++ b/engine/report.go
@@ -122,6 +122,9 @@
 	AckedEnds int64
 	// EndsPending means that some reported ends are not stored yet.
 	EndsPending bool
+	// GrantPending means that the answer is to grant a lease once a write has been applied; see
+	// Engine.AnswerAfterWrite.
+	GrantPending bool
 	// PollOften asks the agent to poll frequently, because the worker runs latency-sensitive
 	// tasks next to best-effort ones.
 	PollOften bool
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -86,7 +86,9 @@
 	leaseRecordedAt time.Duration
 	resumingGrants  bool
 	grantsResumedAt time.Duration // when such a record was stored last
-	startLimit      time.Duration // see Report.StartLimit
+	// awaitsGrant is the last report that would have been granted a lease but for leaseRecord.
+	awaitsGrant ReportOrigin
+	startLimit  time.Duration // see Report.StartLimit
 	// placementsAtExpiry are the placements that were ended when the lease expired. If the worker
 	// turns out to have crashed, it crashed under them.
 	placementsAtExpiry []*placement
--- a/gateway/term_report.go
+++ b/gateway/term_report.go
@@ -27,8 +27,8 @@
 		return reply
 	}
 	result := a.result
-	if result.EndsPending && len(m.Report.Ended) > 0 {
-		result.AckedEnds = t.awaitWrite(ctx, m.Report.Worker.ID, result, a.written)
+	if result.EndsPending && len(m.Report.Ended) > 0 || result.GrantPending {
+		result = t.awaitWrite(ctx, m.Report, result, a.written)
 	}
 	if !t.active() && !t.extendingGrants() {
 		return reply
@@ -45,34 +45,32 @@
 	return reply
 }
 
-// awaitWrite waits until a worker's reported ends are written, for at most reportWriteWait, and
-// returns up to which number they are.
-func (t *term) awaitWrite(ctx context.Context, id engine.WorkerID, result engine.ReportAnswer, written <-chan struct{}) int64 {
+// awaitWrite waits until what the answer to a report depends on is written, for at most reportWriteWait, and
+// returns the answer then: a worker's reported ends, or that its lease is granted again.
+func (t *term) awaitWrite(ctx context.Context, r engine.Report, result engine.ReportAnswer, written <-chan struct{}) engine.ReportAnswer {
 	deadline := time.NewTimer(reportWriteWait)
 	defer deadline.Stop()
 	for {
 		select {
 		case <-written:
 		case <-deadline.C:
-			return result.AckedEnds
+			return result
 		case <-ctx.Done():
-			return result.AckedEnds
+			return result
 		}
 		type answer struct {
-			ackedEnds   int64
-			endsPending bool
-			written     <-chan struct{}
+			result  engine.ReportAnswer
+			written <-chan struct{}
 		}
-		a, ok := queryEngine(t, func(time.Duration) answer {
-			ackedEnds, endsPending := t.engine.AckedEnds(id)
-			return answer{ackedEnds, endsPending, t.nextWrite()}
+		a, ok := queryEngine(t, func(now time.Duration) answer {
+			return answer{t.engine.AnswerAfterWrite(now, r, result), t.nextWrite()}
 		})
 		if !ok {
-			return result.AckedEnds
+			return result
 		}
-		result.AckedEnds, written = a.ackedEnds, a.written
-		if !a.endsPending {
-			return result.AckedEnds
+		result, written = a.result, a.written
+		if !result.EndsPending && !result.GrantPending {
+			return result
 		}
 	}
 }
