--- a/gateway/term.go
+++ b/gateway/term.go
@@ -103,8 +103,7 @@
 	if at == 0 || !t.loaded.Load() || !t.tomb.Alive() || t.g.stopping.Load() {
 		return false
 	}
-	now := lease.BootTime()
-	return now-at < maxGrantExtension && t.g.cfg.SinceStoreReply() > storeReplyTTL && t.g.storeStatus.allUnserved(now, t.g.members.livePeers())
+	return t.g.cfg.SinceStoreReply() > storeReplyTTL && t.g.mayExtendGrants(at)
 }
 
 // end stops the term permanently.
