--- /dev/null
+++ b/gateway/grant_extension_test.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a task that runs twice because a planner that is cut off forgets, one by one, the gateways
+// that could end the extension of its grants, among them the successor that relies on that.
+func TestNoExtensionAfterSuccessorHasRuledItOut(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(c, 3)
+	f.run(2 * memberTTL)
+	planner, successor := f.nodes[1], f.nodes[0]
+	planner.up = false // it is cut off from the other gateways
+	contact := f.now
+	ruledOut := 0
+	for takeover := contact; takeover < contact+2*memberTTL; takeover += second / 2 {
+		if successor.storeStatus.predecessorExtension(takeover, f.epoch) != 0 {
+			continue
+		}
+		ruledOut++
+		assumedEnd := takeover + plannerLeaseTTL
+		for _, expiredAt := range []time.Duration{takeover, assumedEnd} {
+			for f.now = assumedEnd; f.now < expiredAt+maxGrantExtension; f.now += 100 * ms {
+				c.Assert(planner.mayExtendGrants(expiredAt), qt.IsFalse, qt.Commentf("lease expired %v, extension %v after the last contact, takeover after %v", expiredAt-contact, f.now-contact, takeover-contact))
+			}
+		}
+	}
+	c.Check(ruledOut > 0, qt.IsTrue)
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -167,6 +167,13 @@
 	return addressesOf(m.live())
 }
 
+// heardSince returns the other gateways that were heard from after the given time.
+func (m *members) heardSince(since time.Duration) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return addressesOf(slices.DeleteFunc(slices.Clone(m.ring), func(p *member) bool { return p.heardAt == 0 || p.heardAt <= since }))
+}
+
 // live returns the entries of livePeers. The mutex is held.
 func (m *members) live() []*member {
 	now := m.clock()
--- a/gateway/store_status.go
+++ b/gateway/store_status.go
@@ -20,8 +20,10 @@
 	// watches return once a second.
 	storeReplyTTL = 1600 * time.Millisecond
 	// plannerContactTTL is how long after a query that the planner answered a gateway knows that
-	// the planner counts it as live: memberTTL, less a margin.
-	plannerContactTTL = memberTTL - time.Second
+	// the planner counts it as live when its lease expires, which may be plannerLeaseTTL later.
+	plannerContactTTL = memberTTL - plannerLeaseTTL - plannerContactMargin
+	// plannerContactMargin covers the drift between the clocks of both.
+	plannerContactMargin = time.Second
 )
 
 // storeStatus tracks whether the store serves this gateway and its peers. It is safe for
