gateway: extended grants end six seconds after the end of the lease, also in a process that was suspended

What callers would see: a task runs twice. Found by reading, not seen in a record.

Cause: the extension was counted from when the term noticed that its lease was lost. A planner that is suspended beyond the end of its lease notices when it resumes, and was then free to grant for 6 s more, long after the time that its successor assumes. After 10 s it has forgotten its peers, too, so nobody had to agree, and the store has not answered it since before the suspension. A limit that begins anew with the resumption, for something that is inherited.

Now the term keeps the end of its lease as last seen, which is read at least with each tick, and the extension counts from there.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -213,7 +213,7 @@
 	g.mu.Lock()
 	old := g.term
 	if ok {
-		g.term = newTerm(g, held.Epoch)
+		g.term = newTerm(g, held)
 	}
 	g.mu.Unlock()
 	if old != nil {
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -48,8 +48,10 @@
 	loaded atomic.Bool
 	// outcomesLoaded is set once the outcomes of jobs that ended under predecessors are loaded.
 	outcomesLoaded atomic.Bool
-	// frozenAt is when the lease was lost, on the boot clock; 0 if it is held.
+	// frozenAt is when the lease was lost, on the boot clock; 0 if it is held. leaseEnd is when it
+	// expires at the latest, as last seen.
 	frozenAt atomic.Int64
+	leaseEnd atomic.Int64
 
 	engine *engine.Engine
 	store  *records.PlannerStore
@@ -61,8 +63,9 @@
 	idle      bool          // nothing is left to write
 }
 
-func newTerm(g *Gateway, epoch uint64) *term {
+func newTerm(g *Gateway, held lease.Leadership) *term {
 	now := lease.BootTime()
+	epoch := held.Epoch
 	extension := g.predecessorExtension(now, epoch)
 	t := &term{
 		g:         g,
@@ -74,6 +77,7 @@
 		probes:    map[*wire.Conn]*agentProbe{},
 		writeDone: make(chan struct{}),
 	}
+	t.noteLease(held)
 	g.counters.Terms.Add(1)
 	t.log.WithField("lease_extension_ms", extension.Milliseconds()).Info("planner term started; leases of the previous planner may last longer by the extension")
 	t.tomb.Go(t.run)
@@ -87,12 +91,19 @@
 		return false
 	}
 	held, ok := t.g.plannerLease.Current()
-	return ok && held.Epoch == t.epoch
+	if !ok || held.Epoch != t.epoch {
+		return false
+	}
+	t.noteLease(held)
+	return true
 }
 
+func (t *term) noteLease(held lease.Leadership) { t.leaseEnd.Store(int64(held.ValidUntil)) }
+
+// freeze notes that the lease was lost. A process that was suspended may notice long after its end.
 func (t *term) freeze() {
 	if t.frozen.CompareAndSwap(false, true) {
-		t.frozenAt.Store(int64(lease.BootTime()))
+		t.frozenAt.Store(min(int64(lease.BootTime()), t.leaseEnd.Load()))
 	}
 }
 
