gateway: a planner extends no grants once it knows a newer planner

What callers would see: a task runs twice. Found by reading, not seen in a record; the window is small.

Cause: a report was checked against the known planner when it arrived, and up to 250 ms later, when its ends were written, only against the store status of the peers. The reply of a successor that the store does not serve at that moment counts as agreement to the extension, though it names the newer planner. Its status was also merged before the planner that it names.

Now the condition itself includes the newest planner, read last, and a reply's planner is merged before its status. So no reply that a gateway gives after it has learned of a newer planner lets an older one grant.

Evidence: TestNoExtensionUnderNewerPlanner failed before ("value is not false").

--- a/gateway/grant_extension_test.go
+++ b/gateway/grant_extension_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/eelgrasshub/eelgrasshub/link"
 )
 
 // Guards against a task that runs twice because a planner that is cut off forgets, one by one, the gateways
@@ -25,9 +27,22 @@
 		assumedEnd := takeover + plannerLeaseTTL
 		for _, expiredAt := range []time.Duration{takeover, assumedEnd} {
 			for f.now = assumedEnd; f.now < expiredAt+maxGrantExtension; f.now += 100 * ms {
-				c.Assert(planner.mayExtendGrants(expiredAt), qt.IsFalse, qt.Commentf("lease expired %v, extension %v after the last contact, takeover after %v", expiredAt-contact, f.now-contact, takeover-contact))
+				c.Assert(planner.mayExtendGrants(f.epoch, expiredAt), qt.IsFalse, qt.Commentf("lease expired %v, extension %v after the last contact, takeover after %v", expiredAt-contact, f.now-contact, takeover-contact))
 			}
 		}
 	}
 	c.Check(ruledOut > 0, qt.IsTrue)
 }
+
+// Guards against a lease that is granted on the word of a gateway that reports a newer planner in the same
+// reply.
+func TestNoExtensionUnderNewerPlanner(t *testing.T) {
+	c := qt.New(t)
+	now := 60 * second
+	p := newPeering("self", nil, func() time.Duration { return now }, func() uint64 { return 0 })
+	p.learnPlanner(4, "self")
+	p.mergeReply("b", &link.PeerReply{Epoch: 4, Planner: "self"}, now)
+	c.Check(p.mayExtendGrants(4, now), qt.IsTrue)
+	p.mergeReply("b", &link.PeerReply{Epoch: 5, Planner: "b"}, now)
+	c.Check(p.mayExtendGrants(4, now), qt.IsFalse)
+}
--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -121,6 +121,12 @@
 // peers to which to announce a planner that was not known.
 func (p *peering) mergeReply(address string, reply *link.PeerReply, sent time.Duration) (announceTo []string) {
 	p.members.markHeard(address)
+	for _, m := range reply.Members {
+		if m != address {
+			p.members.addHint(m)
+		}
+	}
+	announceTo = p.learnPlanner(reply.Epoch, reply.Planner)
 	if epoch, _ := p.planner.get(); reply.Successors != nil && reply.Epoch >= epoch {
 		p.failureDetector.setSuccessors(reply.Successors)
 	}
@@ -129,12 +135,7 @@
 		p.storeStatus.observePlanner(sent, reply.Epoch)
 		p.failureDetector.recordPeerReply(p.clock(), address, reply.PlanningEpoch)
 	}
-	for _, m := range reply.Members {
-		if m != address {
-			p.members.addHint(m)
-		}
-	}
-	return p.learnPlanner(reply.Epoch, reply.Planner)
+	return announceTo
 }
 
 // reply returns a reply with what is known of the planner and of some gateways.
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -114,7 +114,7 @@
 	if at == 0 || !t.loaded.Load() || !t.tomb.Alive() || t.g.stopping.Load() {
 		return false
 	}
-	return t.g.cfg.SinceStoreReply() > storeReplyTTL && t.g.mayExtendGrants(at)
+	return t.g.cfg.SinceStoreReply() > storeReplyTTL && t.g.mayExtendGrants(t.epoch, at)
 }
 
 // end stops the term permanently.
