gateway: a new planner allows for all earlier planners whose grants may be extended, not only the last

What callers would see: a task runs twice, where planners change within some seconds of each other. Found by reading, not seen in a record.

Cause: a new planner that was in contact with its predecessor assumed that nobody has granted a lease later than 2 s after the takeover. The planner before that one may be alive, cut off, and extend its grants for up to 8 s after it was replaced. The predecessor allowed for that; its successor began anew.

Now each gateway keeps, with each takeover that it learns of, by when the planners before have granted last: the later of the bound so far and the one that this takeover adds. Both are upper bounds of what they name, so the later one bounds all. A gateway that has just learned of its first planner, or of one whose predecessor it never knew, assumes the full extension. A new planner learns of itself before its term begins, so its replies name it from the moment that it counts the leases from.

The wait grows only where the predecessor itself began within 6 s and this gateway could not rule out an extension of the one before; it ends at the same time as the predecessor's.

--- a/gateway/failure_detector.go
+++ b/gateway/failure_detector.go
@@ -251,11 +251,3 @@
 	}
 	g.log.WithField("planner", planner).WithField("epoch", epoch).Warn("planner is unresponsive; acquiring the planner lease")
 }
-
-// predecessorExtension returns how much longer than normal the grants of the predecessor of the
-// term with the given epoch may last. A deposed planner that is still alive may grant until its
-// lease expires, and its successor cannot tell whether another gateway deposed it. This matters
-// only for workers that do not report to the successor.
-func (g *Gateway) predecessorExtension(now time.Duration, epoch uint64) time.Duration {
-	return g.storeStatus.predecessorExtension(now, epoch-1) + plannerLeaseTTL
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,6 +210,11 @@
 // plannerLeaseChanged is called by the lease candidate's goroutine when this gateway acquires or
 // loses the planner lease.
 func (g *Gateway) plannerLeaseChanged(held lease.Leadership, ok bool) {
+	var announceTo []string
+	if ok {
+		// From now on replies name this planner, which ends extended grants of its predecessors.
+		announceTo = g.learnPlanner(held.Epoch, g.cfg.Listen)
+	}
 	g.mu.Lock()
 	old := g.term
 	if ok {
@@ -227,7 +232,6 @@
 	if old != nil {
 		old.end()
 	}
-	announceTo := g.learnPlanner(held.Epoch, g.cfg.Listen)
 	g.log.WithField("epoch", held.Epoch).Info("planner lease acquired")
 	g.queryPeers(announceTo)
 }
--- a/gateway/grant_extension.go
+++ b/gateway/grant_extension.go
@@ -14,3 +14,11 @@
 	newest, _ := p.planner.get() // read last: what a reply tells of the planner is merged first
 	return newest <= epoch
 }
+
+// predecessorExtension returns how much longer than normal the grants of the predecessors of the term with
+// the given epoch may last. A deposed planner that is still alive may grant until its lease expires, and its
+// successor cannot tell whether another gateway deposed it. This matters only for workers that do not report
+// to the successor.
+func (g *Gateway) predecessorExtension(now time.Duration, epoch uint64) time.Duration {
+	return max(0, g.earlierGrants.endBefore(now, epoch, g.storeStatus)-now)
+}
--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -23,6 +23,7 @@
 	members         *members
 	planner         *plannerTracker
 	storeStatus     *storeStatus
+	earlierGrants   earlierGrants
 	failureDetector failureDetector
 	successors      atomic.Pointer[[]string] // preferred successors while this gateway is the planner
 	// onNewPlanner is called for each planner that was not known; it may be nil.
@@ -92,6 +93,7 @@
 // to announce it: contacts and, if it is this gateway, the successors that its predecessor named,
 // which are the first to depose a planner.
 func (p *peering) learnPlanner(epoch uint64, planner string) (announceTo []string) {
+	p.earlierGrants.noteTakeover(p.clock(), epoch, p.storeStatus)
 	if !p.planner.update(epoch, planner) {
 		return nil
 	}
