gateway, engine: gateways tell a new planner until when its predecessors can have granted leases

Cause: only a gateway that was in contact with the planner can rule out that it has extended its grants in a store outage. One that was just started cannot, though every other gateway may.

Now queries and replies between gateways tell, for 8 s after a change of the planner, for how long at most the planners before it can have granted leases (link.EarlierGrants, a new optional field in both). The receiver counts from when the message arrived, so that a late one tells less, and takes the earlier of that and its own bound: both are upper bounds of the same time. A planner passes the lower bound to its engine, which lowers the leases that it only assumes and the time of the last calls by them. Leases that it has granted itself, or that are reported or recorded, are not changed. No new kind of message and no new query: the new planner announces itself to six contacts and the named successors anyway, and all others query it.

TestBoundOfEarlierGrantsEndsWait and TestBoundOfEarlierGrantsKeepsOwnGrant fail without the parts of the engine that they check.

--- /dev/null
+++ b/engine/earlier_grants_test.go
@@ -0,0 +1,46 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a task that waits for grants of earlier planners after it has become known that there were
+// none, and against calls of those planners being awaited as long.
+func TestBoundOfEarlierGrantsEndsWait(t *testing.T) {
+	for _, keepsName := range []bool{false, true} {
+		d := newLostWorkerScenario(t, keepsName, StartUnknown)
+		d.takeOverAssuming(8 * time.Second)
+		takeover := d.now
+		d.worker = d.e.workers[d.worker.info.ID]
+		d.c.Assert(d.worker.leaseExpiresAt, qt.Equals, d.e.params.leaseExpiry(takeover+8*time.Second))
+		d.handle(EarlierGrantsBounded{Until: takeover + 2*time.Second})
+		end := d.e.params.leaseExpiry(takeover + 2*time.Second)
+		d.c.Check(d.worker.leaseExpiresAt, qt.Equals, end)
+		d.c.Assert(d.worker.placements, qt.HasLen, 1)
+		for _, p := range d.worker.placements {
+			d.c.Check(p.lastCallBy, qt.Equals, end)
+		}
+		d.handle(EarlierGrantsBounded{Until: takeover + 5*time.Second})
+		d.c.Check(d.worker.leaseExpiresAt, qt.Equals, end, qt.Commentf("a later bound changes nothing"))
+		if !keepsName {
+			d.pass(end + time.Second)
+			d.c.Check(d.starts, qt.HasLen, 2)
+		}
+	}
+}
+
+// Guards against a task that runs twice because a bound of the grants of earlier planners is applied to a lease
+// that this planner has granted.
+func TestBoundOfEarlierGrantsKeepsOwnGrant(t *testing.T) {
+	d := newLostWorkerScenario(t, false, StartOK)
+	d.takeOverAssuming(8 * time.Second)
+	takeover := d.now
+	d.worker = d.e.workers[d.worker.info.ID]
+	d.now += 3 * time.Second
+	d.c.Assert(d.report(d.currentReport()).Attached, qt.IsTrue)
+	d.handle(EarlierGrantsBounded{Until: takeover + 2*time.Second})
+	d.c.Check(d.worker.leaseExpiresAt, qt.Equals, d.e.params.leaseExpiry(d.now))
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -142,6 +142,8 @@
 		e.setCordons(ev)
 	case Tick:
 		e.tick(now, ev)
+	case EarlierGrantsBounded:
+		e.boundEarlierGrants(ev.Until)
 	case AdviceResponse:
 		e.handleAdvice(now, ev)
 	default:
--- a/engine/helpers_test.go
+++ b/engine/helpers_test.go
@@ -245,9 +245,12 @@
 }
 
 // takeOver replaces the engine by that of the next planner, restored from the stored records.
-func (d *driver) takeOver() {
+func (d *driver) takeOver() { d.takeOverAssuming(0) }
+
+// takeOverAssuming is takeOver by a planner whose predecessors may have granted leases for some time longer.
+func (d *driver) takeOverAssuming(inheritedLeaseExtra time.Duration) {
 	old := d.e
-	d.e = New(old.params, old.epoch+1, d.now, 0)
+	d.e = New(old.params, old.epoch+1, d.now, inheritedLeaseExtra)
 	d.handle(CatalogChanged{Catalog: old.catalog})
 	for _, w := range old.sortedWorkers() {
 		d.handle(WorkerRestored{Info: w.record()})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	}
 	g.peering = newPeering(cfg.Listen, cfg.Seeds, lease.BootTime, g.activeEpoch)
 	g.onNewPlanner = g.logNewPlanner
+	g.onEarlierGrants = g.lowerExtension
 	peer := wire.Peer{ID: cfg.ID, Role: wire.RoleEntry, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region, Zone: cfg.Zone, Address: cfg.Listen}
 	id, err := wire.NewIdentity(peer, cfg.ClusterKey)
 	if err != nil {
--- a/gateway/grant_extension.go
+++ b/gateway/grant_extension.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/engine"
+)
 
 // mayExtendGrants reports whether the planner with the given epoch, whose lease expired at the given time,
 // still grants worker leases, as far as the other gateways tell; see storeStatus. It needs the status of each
@@ -22,3 +26,16 @@
 func (g *Gateway) predecessorExtension(now time.Duration, epoch uint64) time.Duration {
 	return max(0, g.earlierGrants.endBefore(now, epoch, g.storeStatus)-now)
 }
+
+// lowerExtension passes to the term with the given epoch, if it is the current one, that another gateway has
+// lowered the bound of the grants of its predecessors.
+func (g *Gateway) lowerExtension(epoch uint64) {
+	t := g.currentTerm()
+	if t == nil || t.epoch != epoch {
+		return // a term that begins later reads the bound itself
+	}
+	until := g.earlierGrants.endBefore(g.clock(), epoch, g.storeStatus)
+	t.log.WithField("lease_extension_ms", (until - t.startedAt).Milliseconds()).Info("another gateway bounds the leases of previous planners")
+	// The caller handles a message and must not wait for the engine.
+	go t.postEvent(engine.EarlierGrantsBounded{Until: until})
+}
--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -28,6 +28,8 @@
 	successors      atomic.Pointer[[]string] // preferred successors while this gateway is the planner
 	// onNewPlanner is called for each planner that was not known; it may be nil.
 	onNewPlanner func(epoch uint64, planner string)
+	// onEarlierGrants is called when another gateway has lowered the bound of earlierGrants; it may be nil.
+	onEarlierGrants func(epoch uint64)
 }
 
 const (
@@ -115,7 +117,9 @@
 		p.members.setCapacity(msg.Address, msg.PlanningCapacity)
 		p.storeStatus.observeQuery(p.clock(), msg.Address, !msg.StoreUnreachable)
 	}
-	return p.learnPlanner(msg.Epoch, msg.Planner)
+	announceTo = p.learnPlanner(msg.Epoch, msg.Planner)
+	p.mergeEarlierGrants(msg.EarlierGrants)
+	return announceTo
 }
 
 // mergeReply merges the reply of another gateway to a query sent at the given time. What the reply
@@ -129,6 +133,7 @@
 		}
 	}
 	announceTo = p.learnPlanner(reply.Epoch, reply.Planner)
+	p.mergeEarlierGrants(reply.EarlierGrants)
 	if epoch, _ := p.planner.get(); reply.Successors != nil && reply.Epoch >= epoch {
 		p.failureDetector.setSuccessors(reply.Successors)
 	}
@@ -140,6 +145,13 @@
 	return announceTo
 }
 
+// mergeEarlierGrants merges what another gateway tells of the grants of earlier planners.
+func (p *peering) mergeEarlierGrants(told *link.EarlierGrants) {
+	if p.earlierGrants.hear(p.clock(), told) && p.onEarlierGrants != nil {
+		p.onEarlierGrants(told.Epoch)
+	}
+}
+
 // reply returns a reply with what is known of the planner and of some gateways.
 func (p *peering) reply(storeReachable bool) *link.PeerReply {
 	epoch, planner := p.planner.get()
@@ -149,6 +161,7 @@
 		PlanningEpoch:  p.planningEpoch(),
 		Members:        p.members.sample(),
 		StoreReachable: storeReachable,
+		EarlierGrants:  p.earlierGrants.tell(p.clock(), epoch),
 	}
 	if ranking := p.successors.Load(); ranking != nil && planner == p.self {
 		reply.Successors = *ranking
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -54,6 +54,7 @@
 		Planner:          planner,
 		PlanningCapacity: g.cfg.PlanningCapacity,
 		StoreUnreachable: !g.storeReachable(),
+		EarlierGrants:    g.earlierGrants.tell(g.clock(), epoch),
 	}
 	if view, ok := g.currentConfig.Snapshot(); ok {
 		msg.ConfigVersion = view.Catalog.Version
--- a/gateway/term.go
+++ b/gateway/term.go
@@ -39,8 +39,10 @@
 	g     *Gateway
 	log   logrus.FieldLogger
 	epoch uint64
-	tomb  tomb.Tomb
-	inbox chan func(now time.Duration)
+	// startedAt is the time of the takeover, on the boot clock.
+	startedAt time.Duration
+	tomb      tomb.Tomb
+	inbox     chan func(now time.Duration)
 	// frozen is set when the lease is lost. No orders are sent any more, leases are granted
 	// only under extendingGrants, and job states are served only while no newer planner is
 	// known.
@@ -71,6 +73,7 @@
 		g:         g,
 		log:       g.log.WithField("epoch", epoch),
 		epoch:     epoch,
+		startedAt: now,
 		inbox:     make(chan func(time.Duration), inboxSize),
 		engine:    engine.New(g.cfg.Engine, epoch, now, extension),
 		conns:     map[string]*wire.Conn{},
--- a/link/peer.go
+++ b/link/peer.go
@@ -19,6 +19,8 @@
 	WantConfigText bool `cbor:"7,keyasint,omitempty"`
 	// StoreUnreachable reports that the store has not recently replied to the sender.
 	StoreUnreachable bool `cbor:"8,keyasint,omitempty"`
+	// EarlierGrants is set soon after a change of the planner.
+	EarlierGrants *EarlierGrants `cbor:"9,keyasint,omitempty"`
 }
 
 // PeerReply answers PeerQuery.
@@ -41,6 +43,15 @@
 	PlanningEpoch uint64 `cbor:"10,keyasint,omitempty"`
 	// Cordons are the cordons known to the sender, nil if it has not read them.
 	Cordons *Cordons `cbor:"9,keyasint,omitempty"`
+	// EarlierGrants is set soon after a change of the planner.
+	EarlierGrants *EarlierGrants `cbor:"11,keyasint,omitempty"`
+}
+
+// EarlierGrants tells by when, as far as the sender knows, the last worker lease has been granted under epochs
+// before Epoch: Remaining after the message was sent at the latest.
+type EarlierGrants struct {
+	Epoch     uint64        `cbor:"1,keyasint"`
+	Remaining time.Duration `cbor:"2,keyasint"`
 }
 
 // Cordons are the cordoned availability zones as of a revision of the store. They were confirmed
