gateway: simulate planners that replace each other and check until when they grant leases

TestGrantsEndByAssumedTime plays gateways that are cut off one by one or in two groups, not served by the store, suspended, restarted, and messages that arrive up to 5 s late, with a takeover every few seconds by any of them. No planner may grant a lease after the time that any gateway assumes of it, by its own reasoning or by what others tell.

--- a/gateway/peering_sim_test.go
+++ b/gateway/peering_sim_test.go
@@ -23,6 +23,9 @@
 	byName map[string]*fleetNode
 	epoch  uint64
 	seeds  []string
+	// delay returns the time that a message takes, and cut reports whether none passes between two gateways.
+	delay func() time.Duration
+	cut   func(a, b *fleetNode) bool
 }
 
 // fleetNode is one simulated gateway.
@@ -60,11 +63,11 @@
 func newFleet(c *qt.C, n int) *fleet {
 	f := &fleet{c: c, now: time.Second, random: rand.New(rand.NewPCG(1, uint64(n))), byName: map[string]*fleetNode{}}
 	f.seeds = []string{"gone", nodeName(0), nodeName(1)}
+	f.delay = func() time.Duration { return linkDelay }
+	f.cut = func(a, b *fleetNode) bool { return false }
 	for i := range n {
 		node := &fleetNode{}
-		clock := func() time.Duration { return f.now }
-		node.peering = newPeering(nodeName(i), f.seeds, clock, func() uint64 { return node.epoch })
-		node.members.shuffle = f.random.Shuffle
+		f.startProcess(node, nodeName(i))
 		f.nodes = append(f.nodes, node)
 		f.byName[node.self] = node
 		f.after(f.randomTime(time.Second), func() { node.up = true; f.round(node) })
@@ -72,6 +75,13 @@
 	return f
 }
 
+// startProcess gives a gateway a process that knows nothing but the seeds.
+func (f *fleet) startProcess(node *fleetNode, name string) {
+	clock := func() time.Duration { return f.now }
+	node.peering = newPeering(name, f.seeds, clock, func() uint64 { return node.epoch })
+	node.members.shuffle = f.random.Shuffle
+}
+
 func nodeName(i int) string { return fmt.Sprint("g", i) }
 
 func (f *fleet) randomTime(limit time.Duration) time.Duration {
@@ -92,6 +102,9 @@
 
 func (f *fleet) round(node *fleetNode) {
 	if node.up {
+		if node.unserved {
+			node.storeStatus.observeSelf(f.now, time.Minute)
+		}
 		node.rankSuccessors()
 		f.query(node, node.peersToQuery(node.configStale, !node.unserved))
 		node.forgetSilent()
@@ -103,15 +116,15 @@
 	for _, address := range addresses {
 		from.sent++
 		epoch, planner := from.planner.get()
-		msg := &link.PeerQuery{Address: from.self, Epoch: epoch, Planner: planner, PlanningCapacity: 1, StoreUnreachable: from.unserved}
+		msg := &link.PeerQuery{Address: from.self, Epoch: epoch, Planner: planner, PlanningCapacity: 1, StoreUnreachable: from.unserved, EarlierGrants: from.earlierGrants.tell(f.now, epoch)}
 		sent := f.now
-		f.after(linkDelay, func() { f.deliver(from, address, msg, sent) })
+		f.after(f.delay(), func() { f.deliver(from, address, msg, sent) })
 	}
 }
 
 func (f *fleet) deliver(from *fleetNode, address string, msg *link.PeerQuery, sent time.Duration) {
 	to := f.byName[address]
-	if to == nil || !to.up {
+	if to == nil || !to.up || f.cut(from, to) {
 		f.after(peerTimeout, func() {
 			if from.up {
 				f.query(from, from.handleFailure(address))
@@ -121,8 +134,8 @@
 	}
 	f.query(to, to.mergeQuery(msg))
 	reply := to.reply(!to.unserved)
-	f.after(linkDelay, func() {
-		if from.up {
+	f.after(f.delay(), func() {
+		if from.up && !f.cut(from, to) {
 			f.query(from, from.mergeReply(address, reply, sent))
 		}
 	})
