engine: a new planner counts inherited leases from its takeover, not from when it has loaded the records

What callers saw: runs of a dead worker wait longer by the time that a new planner needs to load the records, with each planner that takes over; seconds with a slow store.

Cause: the lease of a restored worker, and the recorded bound of one, were counted from when the record was passed to the engine. But what earlier planners can have granted is bounded from the takeover on (inheritedLeaseExtra), and a recorded bound was stored before it, as writes are conditional on the epoch. The new planner itself grants nothing while it loads.

Evidence: TestSlowLoadDoesNotProlongInheritedLease failed before (1m53.33s for 1m48.33s, 1m48s for 1m43s, with a load of 5 s); go test ./engine passes.

--- a/engine/earlier_grants_test.go
+++ b/engine/earlier_grants_test.go
@@ -44,3 +44,16 @@
 	d.handle(EarlierGrantsBounded{Until: takeover + 2*time.Second})
 	d.c.Check(d.worker.leaseExpiresAt, qt.Equals, d.e.params.leaseExpiry(d.now))
 }
+
+// Guards against runs of a dead worker that wait for their lease longer by the time that a new planner took to load
+// the records.
+func TestSlowLoadDoesNotProlongInheritedLease(t *testing.T) {
+	c := qt.New(t)
+	const takeover, loadTime, extra = 100 * time.Second, 5 * time.Second, 2 * time.Second
+	e := New(newDriver(t, 1).e.params, 7, takeover, extra)
+	e.Step(takeover+loadTime, WorkerRestored{Info: WorkerInfo{ID: "assumed", Agent: "a"}})
+	recorded := &LeaseRecord{Epoch: 6, Remaining: 3 * time.Second}
+	e.Step(takeover+loadTime, WorkerRestored{Info: WorkerInfo{ID: "recorded", Agent: "b", Lease: recorded}})
+	c.Check(e.workers["assumed"].leaseExpiresAt, qt.Equals, e.params.leaseExpiry(takeover+extra))
+	c.Check(e.workers["recorded"].leaseExpiresAt, qt.Equals, takeover+recorded.Remaining)
+}
--- a/engine/lease_record.go
+++ b/engine/lease_record.go
@@ -37,7 +37,8 @@
 		return
 	}
 	w.leaseRecord, w.leaseRecordedAt = record, now
-	if end := now + record.Remaining; record.Epoch+1 == e.epoch && end < w.leaseExpiresAt {
+	// The record was stored before the takeover, since a deposed planner stores nothing.
+	if end := e.startedAt + record.Remaining; record.Epoch+1 == e.epoch && end < w.leaseExpiresAt {
 		w.leaseExpiresAt, w.leaseBasis = end, LeaseRecorded
 	}
 }
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -14,7 +14,7 @@
 	}
 	w := e.addWorker(now, info)
 	w.recorded = true
-	w.leaseExpiresAt += e.inheritedLeaseExtra
+	w.leaseExpiresAt = e.inheritedLeaseEnd()
 	e.inheritLease(now, w)
 	w.lastReport = now - reportTimeout
 	if previous := e.workers[e.workerByAgent[info.Agent]]; previous != nil && previous.info.SharesName(info) {
