--- a/gateway/earlier_grants_sim_test.go
+++ b/gateway/earlier_grants_sim_test.go
@@ -26,7 +26,10 @@
 	terms         []*grantTerm
 	// lastGrant is by epoch. extended counts grants after the end of a lease, ruledOut the takeovers after
 	// which no extension was assumed.
-	lastGrant          map[uint64]time.Duration
+	lastGrant map[uint64]time.Duration
+	// assumed is by when each planner assumed that its predecessors had granted, by epoch. It outlasts the
+	// planner's process, as the planner records the leases that end by then.
+	assumed            map[uint64]time.Duration
 	extended, ruledOut int
 }
 
@@ -41,7 +44,7 @@
 const grantWorldStep = 100 * ms
 
 func newGrantWorld(c *qt.C, seed uint64) *grantWorld {
-	w := &grantWorld{fleet: newFleet(c, 3+int(seed%3)), seed: seed, isolatedUntil: map[*fleetNode]time.Duration{}, lastGrant: map[uint64]time.Duration{}}
+	w := &grantWorld{fleet: newFleet(c, 3+int(seed%3)), seed: seed, isolatedUntil: map[*fleetNode]time.Duration{}, lastGrant: map[uint64]time.Duration{}, assumed: map[uint64]time.Duration{}}
 	w.random = rand.New(rand.NewPCG(seed, 1))
 	w.cut = func(a, b *fleetNode) bool {
 		return w.now < max(w.isolatedUntil[a], w.isolatedUntil[b]) || w.now < w.apartUntil && w.group[a] != w.group[b]
@@ -138,6 +141,15 @@
 }
 
 func (w *grantWorld) check() {
+	for _, t := range w.terms {
+		if known := &t.process.earlierGrants; known.epoch == t.epoch {
+			w.assumed[t.epoch] = known.end
+		}
+		for epoch, at := range w.lastGrant {
+			end, begun := w.assumed[t.epoch]
+			w.c.Assert(!begun || epoch >= t.epoch || at <= end, qt.IsTrue, qt.Commentf("seed %d: planner %d granted a lease at %v; planner %d assumed none after %v", w.seed, epoch, at, t.epoch, end))
+		}
+	}
 	for _, node := range w.nodes {
 		for epoch, at := range w.lastGrant {
 			known, end := node.earlierGrants.epoch, node.earlierGrants.end
