gateway, link: grants are not extended by the word of a gateway that was restarted

What callers could see: a task that runs twice.

Cause: a successor rules out extended grants since it tells its predecessor of its own term. Its next process does not know of that term. If it replies to the predecessor, under that one's epoch, that the store does not serve it, the predecessor extends its grants. The successor is gone by then, but the end of the leases that it has recorded holds for the planner after it.

Now a reply tells the age of the process, and a planner extends its grants only if the processes of all gateways that have to agree have run since before its lease was last renewed: no newer planner existed then, and a process that has run since knows all that it has heard of. A gateway of an earlier version tells no age and ends the extension.

TestNoExtensionByWordOfRestartedGateway failed without the condition ('got true').

--- a/gateway/grant_extension.go
+++ b/gateway/grant_extension.go
@@ -12,7 +12,13 @@
 // relies on that.
 func (p *peering) mayExtendGrants(epoch uint64, expiredAt time.Duration) bool {
 	now := p.clock()
-	if now-expiredAt >= maxGrantExtension || !p.storeStatus.allUnserved(now, p.members.heardSince(expiredAt-memberTTL)) {
+	peers := p.members.heardSince(expiredAt - memberTTL)
+	if now-expiredAt >= maxGrantExtension || !p.storeStatus.allUnserved(now, peers) {
+		return false
+	}
+	// A process that started after the last renewal of the lease may not know the newer planner that the
+	// process before it knew.
+	if !p.storeStatus.startedBy(expiredAt-plannerLeaseTTL, peers) {
 		return false
 	}
 	newest, _ := p.planner.get() // read last: what a reply tells of the planner is merged first
--- a/gateway/grant_extension_test.go
+++ b/gateway/grant_extension_test.go
@@ -41,8 +41,21 @@
 	now := 60 * second
 	p := newPeering("self", nil, func() time.Duration { return now }, func() uint64 { return 0 })
 	p.learnPlanner(4, "self")
-	p.mergeReply("b", &link.PeerReply{Epoch: 4, Planner: "self"}, now)
+	p.mergeReply("b", &link.PeerReply{Epoch: 4, Planner: "self", ProcessAge: time.Minute}, now)
 	c.Check(p.mayExtendGrants(4, now), qt.IsTrue)
-	p.mergeReply("b", &link.PeerReply{Epoch: 5, Planner: "b"}, now)
+	p.mergeReply("b", &link.PeerReply{Epoch: 5, Planner: "b", ProcessAge: time.Minute}, now)
 	c.Check(p.mayExtendGrants(4, now), qt.IsFalse)
 }
+
+// Guards against a task that runs twice because a planner extends its grants by the word of a gateway that was
+// its successor, was restarted and does not know of that any more.
+func TestNoExtensionByWordOfRestartedGateway(t *testing.T) {
+	c := qt.New(t)
+	for processAge, extends := range map[time.Duration]bool{second: false, time.Minute: true} {
+		now := 60 * second
+		p := newPeering("self", nil, func() time.Duration { return now }, func() uint64 { return 0 })
+		p.learnPlanner(4, "self")
+		p.mergeReply("b", &link.PeerReply{Epoch: 4, Planner: "self", ProcessAge: processAge}, now)
+		c.Check(p.mayExtendGrants(4, now), qt.Equals, extends, qt.Commentf("a process of %v", processAge))
+	}
+}
--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -137,7 +137,7 @@
 	if epoch, _ := p.planner.get(); reply.Successors != nil && reply.Epoch >= epoch {
 		p.failureDetector.setSuccessors(reply.Successors)
 	}
-	p.storeStatus.observePeer(sent, address, reply.StoreReachable)
+	p.storeStatus.observePeer(sent, address, reply.StoreReachable, p.clock()-reply.ProcessAge)
 	if reply.Planner == address {
 		p.storeStatus.observePlanner(sent, reply.Epoch)
 		p.failureDetector.recordPeerReply(p.clock(), address, reply.PlanningEpoch)
@@ -161,6 +161,7 @@
 		PlanningEpoch:  p.planningEpoch(),
 		Members:        p.members.sample(),
 		StoreReachable: storeReachable,
+		ProcessAge:     p.clock() - p.storeStatus.startedAt,
 		EarlierGrants:  p.earlierGrants.tell(p.clock(), epoch),
 	}
 	if ranking := p.successors.Load(); ranking != nil && planner == p.self {
--- a/gateway/store_status.go
+++ b/gateway/store_status.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -46,6 +47,8 @@
 type peerStoreStatus struct {
 	at     time.Duration
 	served bool
+	// startedBy is by when the replying process had started; it is not set for queries.
+	startedBy time.Duration
 }
 
 func newStoreStatus(now time.Duration) *storeStatus {
@@ -62,12 +65,12 @@
 }
 
 // observePeer records a peer's reply to a query sent at the given time, unless a later query has
-// been answered.
-func (s *storeStatus) observePeer(sent time.Duration, address string, served bool) {
+// been answered. The peer's process had started by startedBy.
+func (s *storeStatus) observePeer(sent time.Duration, address string, served bool, startedBy time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if sent >= s.replies[address].at {
-		s.replies[address] = peerStoreStatus{at: sent, served: served}
+		s.replies[address] = peerStoreStatus{at: sent, served: served, startedBy: startedBy}
 	}
 }
 
@@ -115,6 +118,14 @@
 	return true
 }
 
+// startedBy reports whether the processes of all given peers, as of their last replies, had started by the
+// given time.
+func (s *storeStatus) startedBy(at time.Duration, peers []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.ContainsFunc(peers, func(address string) bool { return s.replies[address].startedBy > at })
+}
+
 // peerUnserved reports whether a peer has recently told that the store does not serve it.
 func (s *storeStatus) peerUnserved(now time.Duration, address string) bool {
 	s.mu.Lock()
--- a/gateway/store_status_test.go
+++ b/gateway/store_status_test.go
@@ -16,13 +16,13 @@
 	s := newStoreStatus(0)
 	others := []string{"b", "c"}
 	c.Check(s.allUnserved(second, others), qt.IsFalse, qt.Commentf("no peer has reported"))
-	s.observePeer(second, "b", false)
+	s.observePeer(second, "b", false, 0)
 	c.Check(s.allUnserved(second, others), qt.IsFalse, qt.Commentf("one peer has not reported"))
-	s.observePeer(second, "c", false)
+	s.observePeer(second, "c", false, 0)
 	c.Check(s.allUnserved(second, others), qt.IsTrue)
-	s.observePeer(2*second, "b", true)
+	s.observePeer(2*second, "b", true, 0)
 	c.Check(s.allUnserved(2*second, others), qt.IsFalse, qt.Commentf("the store serves one peer again"))
-	s.observePeer(3*second, "b", false)
+	s.observePeer(3*second, "b", false, 0)
 	c.Check(s.allUnserved(3*second, others), qt.IsFalse, qt.Commentf("the other peer's report is stale"))
 	c.Check(s.allUnserved(3*second, nil), qt.IsTrue, qt.Commentf("there are no peers"))
 }
@@ -62,10 +62,10 @@
 	c := qt.New(t)
 	s := newStoreStatus(0)
 	c.Check(s.peerUnserved(second, "b"), qt.IsFalse)
-	s.observePeer(second, "b", false)
+	s.observePeer(second, "b", false, 0)
 	c.Check(s.peerUnserved(second, "b"), qt.IsTrue)
 	c.Check(s.peerUnserved(3*second, "b"), qt.IsFalse, qt.Commentf("the report is stale"))
-	s.observePeer(4*second, "b", true)
+	s.observePeer(4*second, "b", true, 0)
 	c.Check(s.peerUnserved(4*second, "b"), qt.IsFalse)
 }
 
@@ -96,7 +96,7 @@
 	s.observeQuery(second, "b", false)
 	c.Check(s.allUnserved(second, []string{"b"}), qt.IsFalse)
 	c.Check(s.peerUnserved(second, "b"), qt.IsTrue, qt.Commentf("calls are relayed elsewhere"))
-	s.observePeer(2*second, "b", false)
+	s.observePeer(2*second, "b", false, 0)
 	c.Check(s.allUnserved(2*second, []string{"b"}), qt.IsTrue)
 	s.observeQuery(2*second, "b", true)
 	c.Check(s.allUnserved(2*second, []string{"b"}), qt.IsFalse, qt.Commentf("the store serves it again"))
@@ -107,8 +107,8 @@
 func TestOlderReplyDoesNotReplaceNewerStatus(t *testing.T) {
 	c := qt.New(t)
 	s := newStoreStatus(0)
-	s.observePeer(2*second, "b", true)
-	s.observePeer(2*second-second/2, "b", false)
+	s.observePeer(2*second, "b", true, 0)
+	s.observePeer(2*second-second/2, "b", false, 0)
 	c.Check(s.allUnserved(2*second, []string{"b"}), qt.IsFalse)
 	c.Check(s.peerUnserved(2*second, "b"), qt.IsFalse)
 }
--- a/link/peer.go
+++ b/link/peer.go
@@ -45,6 +45,8 @@
 	Cordons *Cordons `cbor:"9,keyasint,omitempty"`
 	// EarlierGrants is set soon after a change of the planner.
 	EarlierGrants *EarlierGrants `cbor:"11,keyasint,omitempty"`
+	// ProcessAge is the time since the sender's process started.
+	ProcessAge time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // EarlierGrants tells by when, as far as the sender knows, the last worker lease has been granted under epochs
