--- a/gateway/term_extension_test.go
+++ b/gateway/term_extension_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"io"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrasshub/eelgrasshub/engine"
 	"github.com/eelgrasshub/eelgrasshub/lease"
+	"github.com/eelgrasshub/eelgrasshub/link"
 )
 
 // newFrozenTerm returns a term of a gateway without peers or a store whose lease expired some time ago, but
@@ -28,3 +32,29 @@
 	c.Check(newFrozenTerm(time.Second).extendingGrants(), qt.IsTrue)
 	c.Check(newFrozenTerm(maxGrantExtension).extendingGrants(), qt.IsFalse)
 }
+
+// Guards against a bound of the grants of earlier planners that does not reach the engine, or that of another term.
+func TestTermGetsBoundOfEarlierGrants(t *testing.T) {
+	c := qt.New(t)
+	p, now := newServedPeering("self")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := &Gateway{peering: p, log: log}
+	g.onEarlierGrants = g.lowerExtension
+	p.learnPlanner(6, "self")
+	g.term = &term{g: g, log: log, epoch: 6, startedAt: *now, inbox: make(chan func(time.Duration), 1), engine: engine.New(engine.Params{}, 6, *now, maxEarlierGrants)}
+	p.mergeReply("b", &link.PeerReply{Epoch: 6, Planner: "self", EarlierGrants: &link.EarlierGrants{Epoch: 6, Remaining: second}}, *now)
+	select {
+	case f := <-g.term.inbox:
+		f(*now)
+	case <-time.After(5 * time.Second):
+		c.Fatal("the term got no event")
+	}
+	p.learnPlanner(7, "b")
+	p.mergeReply("b", &link.PeerReply{Epoch: 7, Planner: "b", EarlierGrants: &link.EarlierGrants{Epoch: 7, Remaining: second}}, *now)
+	select {
+	case <-g.term.inbox:
+		c.Fatal("the term got an event for a later planner")
+	case <-time.After(100 * ms):
+	}
+}
