engine: a new planner gives workers their time to report from when it has loaded the records

What callers saw: work is evicted after a takeover although a worker with room is about to report.

Cause: the 400 ms in which a new planner evicts nothing were counted from its takeover. Agents get no answers before the records are loaded, so with a slow store the time was over when it was needed. A limit that begins at the takeover for what can only begin later.

Evidence: TestSlowLoadLeavesWorkersTimeToReport failed before (a load of 2 s); go test ./engine passes.

--- a/engine/earlier_grants_test.go
+++ b/engine/earlier_grants_test.go
@@ -57,3 +57,14 @@
 	c.Check(e.workers["assumed"].leaseExpiresAt, qt.Equals, e.params.leaseExpiry(takeover+extra))
 	c.Check(e.workers["recorded"].leaseExpiresAt, qt.Equals, takeover+recorded.Remaining)
 }
+
+// Guards against work that is evicted after a takeover for want of workers which have not had the time to report,
+// because the new planner took long to load the records.
+func TestSlowLoadLeavesWorkersTimeToReport(t *testing.T) {
+	c := qt.New(t)
+	const takeover, loaded = 100 * time.Second, 102 * time.Second
+	e := New(newDriver(t, 1).e.params, 7, takeover, 0)
+	e.Step(loaded, WorkerRestored{Info: WorkerInfo{ID: "w", Agent: "a"}})
+	c.Check(e.awaitingRecordedWorkers(loaded+workerReturnWait), qt.IsTrue)
+	c.Check(e.awaitingRecordedWorkers(loaded+workerReturnWait+1), qt.IsFalse)
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -16,6 +16,9 @@
 	// inheritedLeaseExtra is how much longer than Params.MaxLease the leases granted by a
 	// previous planner may last.
 	inheritedLeaseExtra time.Duration
+	// workersRestoredAt is when the last worker of a previous planner was restored; agents get no answers
+	// before.
+	workersRestoredAt time.Duration
 
 	jobs map[workload.JobID]*job
 	// orderedJobs lists jobs in the order in which they became known. Decisions iterate over
@@ -96,6 +99,7 @@
 		params:              params,
 		epoch:               epoch,
 		startedAt:           now,
+		workersRestoredAt:   now,
 		workerAddedAt:       now,
 		jobs:                map[workload.JobID]*job{},
 		workers:             map[WorkerID]*worker{},
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -13,6 +13,7 @@
 		return
 	}
 	w := e.addWorker(now, info)
+	e.workersRestoredAt = now
 	w.recorded = true
 	w.leaseExpiresAt = e.inheritedLeaseEnd()
 	e.inheritLease(now, w)
@@ -24,14 +25,14 @@
 	e.workerByAgent[info.Agent] = info.ID
 }
 
-// workerReturnWait is how long a new planner waits for the recorded workers to report before it
-// evicts work. Most report within a fraction of that time, and their capacity may make
+// workerReturnWait is how long a new planner that has loaded the records waits for the recorded workers to
+// report before it evicts work. Most report within a fraction of that time, and their capacity may make
 // evictions unnecessary.
 const workerReturnWait = 400 * time.Millisecond
 
 // awaitingRecordedWorkers reports whether recorded workers are still expected to report.
 func (e *Engine) awaitingRecordedWorkers(now time.Duration) bool {
-	if now-e.startedAt > workerReturnWait {
+	if now-e.workersRestoredAt > workerReturnWait {
 		return false
 	}
 	for _, w := range e.workers {
