engine: a slow load of the records makes no worker silent

A silence was counted from the takeover, but agents get no answers before the records are loaded. With a load of over 1.2 s all workers with runs were taken for silent at once, recorded and suspended. TestSlowLoadRecordsNoLeases failed before.

--- a/engine/lease_record_test.go
+++ b/engine/lease_record_test.go
@@ -102,3 +102,17 @@
 		}
 	}
 }
+
+// Guards against leases of workers that are well being recorded, and suspended, at each takeover with a slow store:
+// agents get no answers before the records are loaded.
+func TestSlowLoadRecordsNoLeases(t *testing.T) {
+	d := newLostWorkerScenario(t, false, StartOK)
+	loaded := d.now + 2*time.Second
+	info, job := d.worker.record(), d.e.jobs[d.job]
+	e := New(d.e.params, 2, d.now, 0)
+	e.Step(loaded, WorkerRestored{Info: info})
+	e.Step(loaded, JobRestored{JobSubmitted: JobSubmitted{Job: job.spec, Revision: job.revision}, Progress: job.progress(1, loaded, time.Unix(1000, 0))})
+	e.Step(loaded+time.Second, Tick{WallTime: time.Unix(1000, 0)})
+	d.c.Check(e.workers[info.ID].placements, qt.HasLen, 1)
+	d.c.Check(e.PendingChanges(loaded+time.Second, time.Unix(1000, 0), 15).Workers, qt.HasLen, 0)
+}
--- a/engine/silent_worker.go
+++ b/engine/silent_worker.go
@@ -47,7 +47,7 @@
 
 // silent reports whether the planner could have granted the lease of w for reportTimeout and has not.
 func (e *Engine) silent(now time.Duration, w *worker) bool {
-	return now-max(e.lastGrantAt(w), w.grantsResumedAt) >= reportTimeout
+	return now-max(e.lastGrantAt(w), e.workersRestoredAt, w.grantsResumedAt) >= reportTimeout
 }
 
 // reportSilence reports once for each time in which w gets no lease that its runs wait for the end of it.
