lease, records, engine: a lease record holds for all later planners of versions that heed it

Cause: a record was valid under the next epoch only. A planner that fails before its first write broke the chain, and its successor counted all leases from its own takeover. The rule was to guard against a planner of an earlier version in between, which does not heed the records, but it could not tell one from the other.

The key of the epoch now states since which epoch all leaders have been of a version that states it. It is written in the same conditional write as the epoch, so an earlier version cannot be missed: its record has no such field. A planner that restores the records drops bounds of before. Without an earlier version in between, every planner since has granted nothing while a record stood.

--- a/engine/lease_record.go
+++ b/engine/lease_record.go
@@ -13,8 +13,8 @@
 // has been deposed cannot, since its writes are refused. The record holds a remaining time and no time of
 // day, as clocks of instances differ; it is read after it was written, so the lease can only end earlier.
 type LeaseRecord struct {
-	// Epoch is that of the planner that wrote it. It is not valid under a planner other than the next one:
-	// a planner of an earlier version in between may have granted the lease.
+	// Epoch is that of the planner that wrote it. A record is not valid if a planner of an earlier version, which
+	// does not heed it, has followed; it is not restored then.
 	Epoch uint64 `json:"epoch"`
 	// Remaining is the time until the lease has certainly ended, in nanoseconds; negative afterwards.
 	Remaining time.Duration `json:"remaining"`
@@ -38,7 +38,7 @@
 	}
 	w.leaseRecord, w.leaseRecordedAt = record, now
 	// The record was stored before the takeover, since a deposed planner stores nothing.
-	if end := e.startedAt + record.Remaining; record.Epoch+1 == e.epoch && end < w.leaseExpiresAt {
+	if end := e.startedAt + record.Remaining; end < w.leaseExpiresAt {
 		w.leaseExpiresAt, w.leaseBasis = end, LeaseRecorded
 	}
 }
--- a/engine/lease_record_test.go
+++ b/engine/lease_record_test.go
@@ -57,16 +57,14 @@
 	d.c.Check(d.runs(d.job)[d.worker.info.ID], qt.HasLen, 1)
 }
 
-// Guards against a task that runs twice because a successor relies on a record although a planner between the
-// two, of a version that does not know such records, has granted the lease.
-func TestRecordOfEarlierPlannerIsNotValid(t *testing.T) {
+// Guards against a task that waits anew for the lease of its dead worker because a planner between the one that
+// recorded it and this one has ended before its first write.
+func TestLeaseRecordOutlastsPlannersWithoutWrite(t *testing.T) {
 	d := newSuspendedScenario(t)
-	later := New(d.e.params, d.e.epoch+2, d.now, 0)
-	later.Step(d.now, WorkerRestored{Info: d.worker.record()})
-	d.c.Check(later.workers[d.worker.info.ID].leaseExpiresAt, qt.Equals, d.e.params.leaseExpiry(d.now))
-	next := New(d.e.params, d.e.epoch+1, d.now, 0)
-	next.Step(d.now, WorkerRestored{Info: d.worker.record()})
-	d.c.Check(next.workers[d.worker.info.ID].leaseExpiresAt, qt.Equals, d.now+d.worker.record().Lease.Remaining)
+	record := d.worker.record()
+	later := New(d.e.params, d.e.epoch+3, d.now, 8*time.Second)
+	later.Step(d.now, WorkerRestored{Info: record})
+	d.c.Check(later.workers[record.ID].leaseExpiresAt, qt.Equals, d.now+record.Lease.Remaining)
 }
 
 // Guards against runs that are lost because their worker was silent for a moment in an outage of the store, and
--- a/gateway/term_load.go
+++ b/gateway/term_load.go
@@ -30,10 +30,11 @@
 	if err != nil {
 		return records.PlannerState{}, err
 	}
-	if epoch, err := lease.ParseEpoch(kv.Value); !ok || err != nil || epoch != t.epoch {
+	epoch, since, err := lease.ParseEpochSeries(kv.Value)
+	if !ok || err != nil || epoch != t.epoch {
 		return records.PlannerState{}, records.ErrDeposed
 	}
-	t.store = records.NewPlannerStore(t.g.relayedStore, store.Condition{Key: key, Revision: kv.Mod})
+	t.store = records.NewPlannerStore(t.g.relayedStore, store.Condition{Key: key, Revision: kv.Mod}, since)
 	return t.store.Load(ctx, time.Now())
 }
 
--- a/lease/candidate.go
+++ b/lease/candidate.go
@@ -34,6 +34,7 @@
 	store      candidateStore
 	occupied   bool   // another process was found to be the leader
 	claimValue []byte // value that this candidate wrote to the holder key
+	epochSince uint64 // of the epoch that was last read; see ParseEpochSeries
 	backOff    *backoff.ExponentialBackOff
 }
 
--- a/lease/candidate_actions.go
+++ b/lease/candidate_actions.go
@@ -74,17 +74,22 @@
 		return failedEvent(err)
 	}
 	if !ok {
+		c.epochSince = 0
 		return EpochRead{}
 	}
 	var r record
 	if err := json.Unmarshal(kv.Value, &r); err != nil {
 		return failedEvent(err)
 	}
+	c.epochSince = r.Since
 	return EpochRead{Epoch: r.Epoch, Revision: kv.Mod}
 }
 
 func (c *Candidate) raiseEpoch(ctx context.Context, act RaiseEpoch) Event {
-	r := record{Instance: c.opts.Instance, Token: uuid.NewString(), Epoch: act.Epoch}
+	r := record{Instance: c.opts.Instance, Token: uuid.NewString(), Epoch: act.Epoch, Since: act.Epoch}
+	if c.epochSince != 0 {
+		r.Since = c.epochSince // the write fails if the epoch has changed since it was read
+	}
 	succeeded, err := c.store.swap(ctx, store.Swap{Key: epochKey(c.opts.Election), Expect: act.ExpectRevision, Value: r.encode()})
 	if err != nil {
 		return failedEvent(err)
--- a/lease/record.go
+++ b/lease/record.go
@@ -14,9 +14,16 @@
 
 // ParseEpoch returns the epoch in a value of EpochKey.
 func ParseEpoch(value []byte) (uint64, error) {
+	epoch, _, err := ParseEpochSeries(value)
+	return epoch, err
+}
+
+// ParseEpochSeries returns the epoch in a value of EpochKey, and the first one of an unbroken series up to it
+// whose candidates all state the series: none was of an earlier version. since is 0 if the epoch's does not.
+func ParseEpochSeries(value []byte) (epoch, since uint64, err error) {
 	var r record
-	err := json.Unmarshal(value, &r)
-	return r.Epoch, err
+	err = json.Unmarshal(value, &r)
+	return r.Epoch, r.Since, err
 }
 
 func holderKey(election string) string       { return electionKeyPrefix + election + "/holder" }
@@ -30,6 +37,7 @@
 	Instance string `json:"instance"`
 	Token    string `json:"token"`
 	Epoch    uint64 `json:"epoch,omitempty"`
+	Since    uint64 `json:"since,omitempty"` // see ParseEpochSeries
 }
 
 func (r record) encode() []byte {
--- a/records/planner_store.go
+++ b/records/planner_store.go
@@ -28,6 +28,8 @@
 	guard store.Condition
 	// revisions of the keys that the planner writes.
 	revisions map[string]store.Revision
+	// leasesSince is the first epoch whose lease records are valid.
+	leasesSince uint64
 }
 
 // PlannerState is the state that a planner loads before it plans: all work that has not ended.
@@ -36,9 +38,10 @@
 	Workers []engine.WorkerInfo
 }
 
-// NewPlannerStore returns a PlannerStore whose writes are conditional on guard.
-func NewPlannerStore(kv store.TransactionalStore, guard store.Condition) *PlannerStore {
-	return &PlannerStore{store: kv, guard: guard, revisions: map[string]store.Revision{}}
+// NewPlannerStore returns a PlannerStore whose writes are conditional on guard. since is the first epoch of the
+// unbroken series of planners whose version heeds lease records, up to this one; 0 if there is none.
+func NewPlannerStore(kv store.TransactionalStore, guard store.Condition, since uint64) *PlannerStore {
+	return &PlannerStore{store: kv, guard: guard, revisions: map[string]store.Revision{}, leasesSince: since}
 }
 
 // Load reads the state that a planner needs before it plans. Workers and progress are written
@@ -82,6 +85,9 @@
 			out.addUnreadable(kv.Key, err)
 			w = engine.WorkerInfo{ID: id}
 		}
+		if w.Lease != nil && (ps.leasesSince == 0 || w.Lease.Epoch < ps.leasesSince) {
+			w.Lease = nil // a planner of an earlier version may have granted the lease since
+		}
 		out.Workers = append(out.Workers, w)
 	}
 }
--- a/records/planner_store_test.go
+++ b/records/planner_store_test.go
@@ -30,7 +30,7 @@
 func newPlannerStore(c *qt.C, kv *platform.KVStore) *records.PlannerStore {
 	guard, _, err := kv.Get(context.Background(), epochKey)
 	c.Assert(err, qt.IsNil)
-	return records.NewPlannerStore(kv, store.Condition{Key: epochKey, Revision: guard.Mod})
+	return records.NewPlannerStore(kv, store.Condition{Key: epochKey, Revision: guard.Mod}, 1)
 }
 
 func newJob(id workload.JobID) *workload.Job {
@@ -176,3 +176,15 @@
 		c.Check(u.Err, qt.Not(qt.IsNil), qt.Commentf("%s", u.Key))
 	}
 }
+
+// Guards against a task that runs twice because a planner relies on a lease record although a planner of an earlier
+// version, which does not heed it, has granted the lease since.
+func TestLeaseRecordsBeforeSeriesAreNotRestored(t *testing.T) {
+	c, srv, kv := openStore(t)
+	srv.Put("workloads/worker/w1", []byte(`{"id":"w1","lease":{"epoch":4,"remaining":1000}}`))
+	for since, valid := range map[uint64]bool{0: false, 4: true, 5: false} {
+		state, err := records.NewPlannerStore(kv, store.Condition{}, since).Load(context.Background(), wall)
+		c.Assert(err, qt.IsNil)
+		c.Check(state.Workers[0].Lease != nil, qt.Equals, valid, qt.Commentf("series since %d", since))
+	}
+}
