engine: a lease record of a worker's earlier entry does not make it recorded

What callers would see: a task runs twice. Found by reading, not seen in a run.

A worker that was taken for gone while its lease record was being written, and that reports again before the write is applied, has a new entry without one and is granted its lease. The completion of the write marked the new entry as recorded, so runs could start there while the stored record told successors that the lease ends before. Now such a write does not count: nothing starts until the record is written without the bound. TestRecordOfReturnedWorkerHasNoLease failed before.

--- a/engine/lease_record.go
+++ b/engine/lease_record.go
@@ -110,6 +110,9 @@
 
 // noteRecordWritten notes that the record of w has been stored.
 func (e *Engine) noteRecordWritten(now time.Duration, w *worker, written WorkerInfo) {
+	if written.Lease != nil && !w.grantsSuspended() {
+		return // of an earlier entry of the worker; its record is written again
+	}
 	w.recorded = true
 	if written.Lease == nil && w.resumingGrants {
 		w.leaseRecord, w.resumingGrants = nil, false
