engine: worlds with takeovers in series beside silent workers

Planners change in series, most within a lease of the one before, while workers fall silent for a while or for good. A deposed planner may go on for up to the extra time its successor assumes: it grants leases to the workers that reach only it, and its orders arrive; its writes get no answer.

The checks of the other worlds apply, so a task that starts while an earlier run is at work fails the world. A new check bounds the wait for the lease of a silent worker: one lease from the last grant, or from the takeover if the planner ended before it can have recorded the silence; for each takeover the age of the record; the time without a planner and without the store; MaxCallDelay and a lease more for a start without an answer on a worker that keeps its name.

The random numbers of the other worlds do not change.

--- a/engine/sim_cluster_test.go
+++ b/engine/sim_cluster_test.go
@@ -45,6 +45,7 @@
 	cordons       simCordons
 	agents        []*simAgent // by worker, in worlds with delayed messages
 	delays        *simDelays  // nil in other worlds
+	series        *simSeries  // in worlds with takeovers in series; nil in others
 
 	// State of the store.
 	records       map[workload.JobID][]byte
@@ -131,11 +132,12 @@
 
 // takeOver starts the next planner from the stored records.
 func (w *simCluster) takeOver() {
+	extra := w.endTerm()
 	w.epoch++
 	w.writing = false
 	e := New(Params{
 		MaxLease: simMaxLease, StopTime: 900 * time.Millisecond, RemoteSlowdown: 3, RestoreTime: 500 * time.Millisecond, MaxReclaimWait: 3 * time.Second, Retention: time.Hour,
-	}, w.epoch, w.now, 0)
+	}, w.epoch, w.now, extra)
 	w.engine = e
 	e.Step(w.now, CatalogChanged{Catalog: &catalog.Catalog{Accounts: map[string]catalog.Account{"big": {GuaranteedAccelerators: 32}}}})
 	e.Step(w.now, CordonsChanged{w.successorCordons()})
@@ -193,13 +195,14 @@
 				worker.advance(w.now)
 			}
 		}
-		if w.plannerPaused() {
+		if w.plannerPaused() || !w.series.step(w) {
 			continue
 		}
 		if w.now%(50*time.Millisecond) == 0 {
 			w.engine.Step(w.now, Tick{WallTime: w.wall()})
 		}
 		w.executeDecisions()
+		w.series.checkWaits(w)
 	}
 }
 
@@ -261,6 +264,7 @@
 	}
 	for _, info := range change.Workers {
 		w.workerRecords[info.ID] = info
+		w.trace(info.ID, "record with lease %+v by epoch %d", info.Lease, e.epoch)
 	}
 	for _, id := range change.RemovedWorkers {
 		delete(w.workerRecords, id)
@@ -273,6 +277,8 @@
 	w.after(w.latency(), func() {
 		if e == w.engine {
 			w.writing = false
+		}
+		if w.acts(e) {
 			e.Step(w.now, WriteApplied{Write: change})
 		}
 	})
@@ -285,7 +291,7 @@
 		return
 	}
 	sw := w.recipient(o.Worker)
-	if sw == nil || sw.disconnected || epoch < sw.orderFence.Epoch {
+	if sw == nil || sw.disconnected || epoch < sw.orderFence.Epoch || !w.reaches(e, sw) {
 		w.answerOrders(e, o, StartNotDelivered)
 		return
 	}
@@ -308,7 +314,7 @@
 	}
 	results := w.executeOrders(sw, fence, o, sw.grantedUntil)
 	w.after(w.latency(), func() {
-		if e == w.engine {
+		if w.acts(e) {
 			e.Step(w.now, OrdersCompleted{Worker: o.Worker, Starts: results})
 		}
 	})
@@ -337,7 +343,7 @@
 	for _, s := range o.Starts {
 		results = append(results, StartResult{Run: s.Run, Outcome: outcome})
 	}
-	if e == w.engine {
+	if w.acts(e) {
 		e.Step(w.now, OrdersCompleted{Worker: o.Worker, Starts: results})
 	}
 }
@@ -353,14 +359,15 @@
 			sw.pollWhileDisconnected(w.now)
 			return
 		}
-		e, sent := w.engine, w.now
+		e, sent := w.plannerOf(sw), w.now
 		sw.reported = true
 		r := sw.report(w.now)
 		w.after(w.latency(), func() {
-			if e != w.engine || sw.disconnected {
+			if !w.acts(e) || sw.disconnected {
 				return
 			}
 			answer := e.Report(w.now, r)
+			w.series.noteGrant(w, sw, e, answer)
 			cordons := w.cordons.known
 			w.after(w.latency(), func() {
 				if !sw.disconnected {
--- a/engine/sim_crash_test.go
+++ b/engine/sim_crash_test.go
@@ -55,7 +55,7 @@
 			r.Running = append(r.Running, RunStatus{Run: run})
 		}
 	}
-	w.engine.Report(w.now, r)
+	w.plannerOf(sw).Report(w.now, r)
 }
 
 // recordPoll records the runs and ends that the agent observed in a poll.
