engine: worlds in which silent workers come back to deposed planners

A deposed planner knows nothing of its successor. If it granted the lease of a worker whose end it has recorded, the successor would start the runs again while they are at work. The worlds with takeovers in series reach this rarely: the worker has to be silent for 1.2 s, and back at that planner only, before its lease has ended. Here each takeover has such workers.

--- a/engine/sim_deposed_test.go
+++ b/engine/sim_deposed_test.go
@@ -21,6 +21,7 @@
 	vacant  bool // the planner has ended without a successor
 	deposed []*simDeposed
 	cutOff  map[string]*simDeposed // by agent: the planner that it reaches in place of the current one
+	returns bool                   // silent workers come back to deposed planners
 	waits   simLeaseWaits
 }
 
@@ -97,12 +98,26 @@
 				s.cutOff[sw.info.Agent] = d
 			}
 		}
+		if s.returns {
+			w.planReturns(d)
+		}
 	}
 	s.vacant = false
 	s.waits.noteTakeover(w.now, extra)
 	return extra
 }
 
+// planReturns makes some silent workers come back to a planner that has just been deposed.
+func (w *simCluster) planReturns(d *simDeposed) {
+	for _, sw := range w.workers {
+		if !sw.disconnected || w.rng.IntN(3) == 0 {
+			continue
+		}
+		w.series.cutOff[sw.info.Agent] = d
+		w.after(w.randomTime(0, time.Second), func() { sw.disconnected = false })
+	}
+}
+
 // acts reports whether e is the current planner or a deposed one that goes on.
 func (w *simCluster) acts(e *Engine) bool {
 	if w.series == nil || e == w.engine {
--- a/engine/sim_takeover_series_test.go
+++ b/engine/sim_takeover_series_test.go
@@ -27,6 +27,19 @@
 	})
 }
 
+// Guards against tasks that run twice because a deposed planner grants the lease of a worker that was silent,
+// so that its successor relies on a record of an earlier end.
+func TestSimulationWithReturnsToDeposedPlanners(t *testing.T) {
+	runSimulations(t, *simSeriesSeeds, func(w *simCluster, seed uint64) {
+		if seed%2 == 0 {
+			w.reuseNames()
+		}
+		planTakeoverSeries(w, seed)
+		w.series.returns = true
+		w.planSilencesBeforeTakeovers()
+	})
+}
+
 func planTakeoverSeries(w *simCluster, _ uint64) {
 	w.series = newSimSeries()
 	for at := w.randomTime(0, 5*time.Second); at < faultTime; at += w.randomTime(4*time.Second, 15*time.Second) {
@@ -92,6 +105,18 @@
 	}
 }
 
+// planSilencesBeforeTakeovers schedules silences that are recorded before a planner is deposed and end while the
+// lease has not.
+func (w *simCluster) planSilencesBeforeTakeovers() {
+	for at := w.randomTime(2*time.Second, 5*time.Second); at < faultTime; at += w.randomTime(6*time.Second, 12*time.Second) {
+		w.events = append(w.events, simEvent{at, w.takeOverWhenServed})
+		for range 2 {
+			i := w.rng.IntN(len(w.workers))
+			w.events = append(w.events, simEvent{at - 1700*time.Millisecond, func() { w.disconnect(i, faultTime) }})
+		}
+	}
+}
+
 // planLongTasks schedules submissions of small tasks that run until the lease of a silent worker ends.
 func (w *simCluster) planLongTasks(end time.Duration) {
 	for at := 50 * time.Millisecond; at < end; at += w.randomTime(300*time.Millisecond, 1500*time.Millisecond) {
