gateway: grants are extended beside a gateway that has just started

What callers would have seen: runs that are lost in an outage of the store that comes soon after a gateway was started. TestWorkSurvivesALongOutage of platform found it: it failed, and passes now.

Cause: the refusal of the word of a gateway whose process started after the planner's last renewal, as an earlier process may have been a newer planner. A gateway that is new has no earlier process. Now it counts only if the planner has heard of the gateway before that process started: otherwise no earlier process was in contact, and contact is what a successor rules extended grants out by.

--- a/gateway/grant_extension.go
+++ b/gateway/grant_extension.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/engine"
@@ -16,15 +17,22 @@
 	if now-expiredAt >= maxGrantExtension || !p.storeStatus.allUnserved(now, peers) {
 		return false
 	}
-	// A process that started after the last renewal of the lease may not know the newer planner that the
-	// process before it knew.
-	if !p.storeStatus.startedBy(expiredAt-plannerLeaseTTL, peers) {
+	// Before the last renewal of the lease there was no newer planner.
+	renewedAt := expiredAt - plannerLeaseTTL
+	if slices.ContainsFunc(peers, func(address string) bool { return p.replacedSince(renewedAt, address) }) {
 		return false
 	}
 	newest, _ := p.planner.get() // read last: what a reply tells of the planner is merged first
 	return newest <= epoch
 }
 
+// replacedSince reports whether the process of a gateway may have replaced, since the given time, one that this
+// gateway has heard of. It may not know the newer planner that the earlier process knew.
+func (p *peering) replacedSince(at time.Duration, address string) bool {
+	startedBy := p.storeStatus.startedBy(address)
+	return startedBy > at && p.members.firstHeard(address) < startedBy
+}
+
 // predecessorExtension returns how much longer than normal the grants of the predecessors of the term with
 // the given epoch may last. A deposed planner that is still alive may grant until its lease expires, and its
 // successor cannot tell whether another gateway deposed it. This matters only for workers that do not report
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -31,6 +31,7 @@
 	address  string
 	seed     bool          // it is never forgotten
 	heardAt  time.Duration // a message of the gateway arrived
+	firstAt  time.Duration // the first such message arrived
 	namedAt  time.Duration // another gateway, or the registry, named it
 	failedAt time.Duration // it did not answer; zero if it was heard from since
 	capacity float64       // its Config.PlanningCapacity
@@ -86,6 +87,9 @@
 	defer m.mu.Unlock()
 	p := m.get(address)
 	p.heardAt, p.failedAt = m.clock(), 0
+	if p.firstAt == 0 {
+		p.firstAt = p.heardAt
+	}
 }
 
 // addHint adds a gateway that another one named. It is queried, but neither named to others nor
@@ -167,6 +171,16 @@
 	return addressesOf(m.live())
 }
 
+// firstHeard returns when the first message of a known gateway arrived; 0 if none has.
+func (m *members) firstHeard(address string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.known[address]; p != nil {
+		return p.firstAt
+	}
+	return 0
+}
+
 // heardSince returns the other gateways that were heard from after the given time.
 func (m *members) heardSince(since time.Duration) []string {
 	m.mu.Lock()
--- a/gateway/store_status.go
+++ b/gateway/store_status.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -118,12 +117,11 @@
 	return true
 }
 
-// startedBy reports whether the processes of all given peers, as of their last replies, had started by the
-// given time.
-func (s *storeStatus) startedBy(at time.Duration, peers []string) bool {
+// startedBy returns by when the process of a peer had started, as of its last reply.
+func (s *storeStatus) startedBy(address string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !slices.ContainsFunc(peers, func(address string) bool { return s.replies[address].startedBy > at })
+	return s.replies[address].startedBy
 }
 
 // peerUnserved reports whether a peer has recently told that the store does not serve it.
