planner: count the failures of a job across terms of planners

What callers saw: a job that fails was started again, retries after retries, by each new planner; its end as failed was put off as long as planners changed.

Cause: class.retries was compared with a count in the planner's memory. It is in the job's record now (jobs.Record.Failures), written with the next start that is recorded. A planner that ends between a failure and that write leaves the count to its successor, which finds the failed task at the agents by the record. On a permit, starts are not recorded: failures there count from the placement on, and those before it are still lost with the planner.

TestRetriesCountAcrossTerms: four planners, a failure under each, two retries allowed. Before: five starts and no end.

--- a/jobs/record.go
+++ b/jobs/record.go
@@ -46,6 +46,8 @@
 	Epoch   uint64   `json:"epoch,omitempty"`
 	Number  uint64   `json:"number,omitempty"`
 	Members []Member `json:"members,omitempty"`
+	// Failures counts the earlier attempts in which the job itself failed.
+	Failures int `json:"failures,omitempty"`
 	// Restore is the checkpoint that the next attempt resumes from.
 	Restore json.RawMessage `json:"restore,omitempty"`
 	// CancelRequested asks the planner to stop a job that is past Queued.
--- a/planner/job.go
+++ b/planner/job.go
@@ -58,7 +58,8 @@
 	// started is set by the first start, at which the waiting time is
 	// measured.
 	started bool
-	// failures counts the attempts in which the job itself failed.
+	// failures counts the attempts in which the job itself failed, those of
+	// predecessors as recorded with their next start.
 	failures int
 	// exceeded is set while the job is being stopped for a limit of its class.
 	exceeded *exceededLimit
--- a/planner/permit.go
+++ b/planner/permit.go
@@ -192,6 +192,7 @@
 	next := j.stored
 	next.Number = plan.ID.Number
 	next.Members = recordMembers(plan)
+	next.Failures = j.failures
 	p.tomb.Go(func() error {
 		ctx, cancel := p.context(requestTimeout)
 		defer cancel()
--- a/planner/record_watch.go
+++ b/planner/record_watch.go
@@ -105,7 +105,7 @@
 	if p.endIfOutranked(r) {
 		return
 	}
-	j := &job{stored: r, started: !r.IsPermit()}
+	j := &job{stored: r, started: !r.IsPermit(), failures: r.Failures}
 	p.jobs[r.ID] = j
 	p.takeOver(j)
 	p.cancelIfRequested(j)
--- a/planner/start_record.go
+++ b/planner/start_record.go
@@ -33,6 +33,7 @@
 	next.Number = plan.ID.Number
 	next.Members = recordMembers(plan)
 	next.Started = time.Now()
+	next.Failures = j.failures
 	p.tomb.Go(func() error {
 		ctx, cancel := p.context(requestTimeout)
 		defer cancel()
