engine: a reported end of a lease counts once earlier planners grant no more

What callers would see: a task runs twice.

Cause: the agent's process that reports the end of a lease follows this planner. Its next process, started within seconds, may hear only of the planner before, which is deposed but alive, and be granted the lease again: the worker is not attached and has not seen the new planner's fence.

TestReportedEndOfLeaseDoesNotBindNextProcess failed before (two starts).

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -194,9 +194,10 @@
 }
 
 // limitLease applies the reported end of the lease of an unresponsive worker that is not attached. A worker
-// that is gone never is. The agent follows this planner, so it uses no grants of previous ones any more.
+// that is gone never is. The agent follows this planner, so it uses no grants of previous ones any more. Its
+// next process might, while they grant.
 func (e *Engine) limitLease(now time.Duration, w *worker, r Report) {
-	if !r.LeaseKnown || r.allowsGrant() || r.Origin.Epoch != e.epoch {
+	if !r.LeaseKnown || r.allowsGrant() || r.Origin.Epoch != e.epoch || now-e.handling.Delay < e.startedAt+e.inheritedLeaseExtra {
 		return
 	}
 	if end := r.leaseEnd(now); end < w.leaseExpiresAt {
--- a/engine/unresponsive_test.go
+++ b/engine/unresponsive_test.go
@@ -105,3 +105,25 @@
 		d.c.Check(len(d.starts) == 2, qt.Equals, follows)
 	}
 }
+
+// Guards against a task that runs twice because a successor takes the end of a lease that an agent reports, while
+// the agent's next process hears only of the planner before and is granted the lease again.
+func TestReportedEndOfLeaseDoesNotBindNextProcess(t *testing.T) {
+	d := newLostWorkerScenario(t, false, StartOK)
+	previous, generation := d.e, d.worker.generation
+	leaseEnd := d.now + time.Second
+	d.takeOverAssuming(8 * time.Second)
+	d.worker = d.e.workers[d.worker.info.ID]
+	r := d.currentReport()
+	r.Epoch, r.Polled = previous.epoch, false
+	r.Unresponsive, r.LeaseKnown, r.LeaseRemaining = true, true, leaseEnd-d.now
+	d.report(r)
+	d.now += 500 * time.Millisecond
+	next := Report{Worker: d.worker.info, Polled: true, Epoch: previous.epoch, Generation: generation, Origin: ReportOrigin{Process: 777, Sequence: 1}}
+	previous.Report(d.now, next)
+	next.Origin.Sequence, next.Origin.Epoch = 2, previous.epoch
+	next.Running = []RunStatus{{Run: d.run, Percent: 5}}
+	d.c.Assert(previous.Report(d.now, next).Attached, qt.IsTrue)
+	d.pass(leaseEnd + time.Second)
+	d.c.Check(d.starts, qt.HasLen, 1)
+}
