engine: leases are recorded while many jobs change

What callers would see: as before leases were recorded, tasks of a dead worker wait anew after each takeover, on a fleet where 15 or more jobs have unstored changes at each write: those filled every write. Found in the review. Four places of a write are for lease records now, if there are any to write. TestLeaseIsRecordedBesideManyChanges failed before (15 jobs, no worker).

--- a/engine/lease_record.go
+++ b/engine/lease_record.go
@@ -27,6 +27,8 @@
 	// leaseRecordPause is the minimum time between two writes for that. First records of a planner do not
 	// wait for it.
 	leaseRecordPause = 250 * time.Millisecond
+	// minLeaseRecords is how many such records go first in a write. Changed jobs may fill the rest for long.
+	minLeaseRecords = 4
 )
 
 // inheritLease applies the bound of the lease in a restored record.
--- a/engine/lease_record_test.go
+++ b/engine/lease_record_test.go
@@ -114,3 +114,19 @@
 	d.c.Check(e.workers[info.ID].placements, qt.HasLen, 1)
 	d.c.Check(e.PendingChanges(loaded+time.Second, time.Unix(1000, 0), 15).Workers, qt.HasLen, 0)
 }
+
+// Guards against leases that are not recorded, and wait anew after a takeover, while many jobs change.
+func TestLeaseIsRecordedBesideManyChanges(t *testing.T) {
+	d := newLostWorkerScenario(t, false, StartOK)
+	d.now += 2 * reportTimeout
+	d.handle(Tick{WallTime: time.Unix(1000, 0).Add(d.now)})
+	for range 40 {
+		d.submit(1, "", taskStep(1, 1))
+	}
+	for _, j := range d.e.jobs {
+		d.e.markChanged(j)
+	}
+	w := d.e.PendingChanges(d.now, time.Unix(1000, 0), 15)
+	d.c.Check(w.Workers, qt.Not(qt.HasLen), 0)
+	d.c.Check(len(w.Jobs)+len(w.Workers), qt.Equals, 15)
+}
--- a/engine/write.go
+++ b/engine/write.go
@@ -46,6 +46,8 @@
 		delete(e.changedSpeeds, id)
 		limit--
 	}
+	reserved := min(limit, minLeaseRecords)
+	limit -= reserved - e.addLeaseRecords(now, &w, reserved)
 	for _, j := range e.changedJobs() {
 		if limit == 0 {
 			return w
