engine: the record of a lease stays until its worker can be granted one

What callers would see: a task waits anew for the lease of its dead worker, if its agent is restarted and planners change.

Cause: any report of a worker that might be granted a lease had the record removed, also one of a worker that has not answered under the new planner, and never will if it is dead. The record is removed now at the report that would be granted; its answer waits for that. TestLeaseRecordStaysForUnattachedWorker failed before.

--- a/engine/handle_report.go
+++ b/engine/handle_report.go
@@ -40,9 +40,6 @@
 	}
 	w.capacityUnconfirmed = r.CapacityUnconfirmed
 	first := !w.attached
-	if r.allowsGrant() {
-		e.resumeGrants(w)
-	}
 	if !attached || first && !r.Polled {
 		// No lease is granted; the expiry of the current one is already accounted for. Without a
 		// poll the report does not show which runs are present.
@@ -162,6 +159,7 @@
 	case granted:
 		e.grantLease(now, w, r)
 	case r.allowsGrant():
+		e.resumeGrants(w)
 		w.awaitsGrant = r.Origin
 	case r.LeaseKnown:
 		w.leaseExpiresAt, w.leaseBasis = r.leaseEnd(now), LeaseReported
--- a/engine/lease_record_test.go
+++ b/engine/lease_record_test.go
@@ -130,3 +130,17 @@
 	d.c.Check(w.Workers, qt.Not(qt.HasLen), 0)
 	d.c.Check(len(w.Jobs)+len(w.Workers), qt.Equals, 15)
 }
+
+// Guards against a task that waits anew for the lease of its dead worker because a report of the agent's next
+// process, which cannot be granted anything, has its record removed.
+func TestLeaseRecordStaysForUnattachedWorker(t *testing.T) {
+	d := newSuspendedScenario(t)
+	d.takeOver()
+	d.restartAgent(d.worker.info.Agent)
+	r := d.currentReport()
+	r.Epoch, r.Polled, r.Generation = 0, false, 0
+	r.Unresponsive, r.ExtendingLease = true, true
+	d.c.Check(d.report(r).Attached, qt.IsFalse)
+	d.settle()
+	d.c.Check(d.worker.record().Lease, qt.IsNotNil)
+}
