engine: work is placed only on workers with a lease of this planner

Since the record of a lease is removed at the report that would be granted, a worker could be attached without a grant. TestWorkerWithoutGrantIsNotUsable failed before.

--- a/engine/lease_record_test.go
+++ b/engine/lease_record_test.go
@@ -144,3 +144,15 @@
 	d.settle()
 	d.c.Check(d.worker.record().Lease, qt.IsNotNil)
 }
+
+// Guards against starts that are refused, one after the other, by a worker that has no lease of this planner yet.
+func TestWorkerWithoutGrantIsNotUsable(t *testing.T) {
+	d := newSuspendedScenario(t)
+	d.takeOver()
+	d.report(d.currentReport())
+	d.settle()
+	d.c.Assert(d.worker.grantsSuspended(), qt.IsFalse)
+	d.c.Check(d.worker.usable(d.now), qt.IsFalse)
+	d.report(d.currentReport())
+	d.c.Check(d.worker.usable(d.now), qt.IsTrue)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -124,7 +124,7 @@
 // usableIfUncordoned reports whether w is usable apart from a cordon of its availability zone.
 func (w *worker) usableIfUncordoned(now time.Duration) bool {
 	// After a pause of the planner the lease may be over before a tick has noticed it.
-	return w.attached && w.recorded && !w.grantsSuspended() && !w.unresponsive && !w.capacityUnconfirmed && !w.draining && !w.leaseExpired && now < w.leaseExpiresAt &&
+	return w.attached && w.recorded && w.leaseBasis == LeaseGranted && !w.grantsSuspended() && !w.unresponsive && !w.capacityUnconfirmed && !w.draining && !w.leaseExpired && now < w.leaseExpiresAt &&
 		len(w.orphans) == 0 && now-w.lastReport < reportTimeout
 }
 
