engine: the bound of earlier planners' grants lowers recorded leases too

What callers see: a part of the wait for a dead worker. A predecessor that could not rule out extended grants records the lease with them; what other gateways tell later lowered only leases that the planner assumes itself. Both are upper bounds of the same end. TestBoundOfEarlierGrantsLowersRecordedLease failed before (14.3 s where 9.3 s are due).

--- a/engine/earlier_grants.go
+++ b/engine/earlier_grants.go
@@ -13,7 +13,7 @@
 	return e.params.leaseExpiry(e.startedAt + e.inheritedLeaseExtra)
 }
 
-// boundEarlierGrants lowers the end of the leases that are only assumed, and the time of the last calls that
+// boundEarlierGrants lowers the end of the leases that are assumed, or recorded as a predecessor assumed them, and the time of the last calls that
 // previous planners can have ordered under them.
 func (e *Engine) boundEarlierGrants(until time.Duration) {
 	extra := max(0, until-e.startedAt)
@@ -23,7 +23,7 @@
 	e.inheritedLeaseExtra = extra
 	end := e.inheritedLeaseEnd()
 	for _, w := range e.sortedWorkers() {
-		if w.leaseBasis == LeaseAssumed {
+		if w.leaseBasis == LeaseAssumed || w.leaseBasis == LeaseRecorded {
 			w.leaseExpiresAt = min(w.leaseExpiresAt, end)
 		}
 		for _, p := range w.placements {
--- a/engine/earlier_grants_test.go
+++ b/engine/earlier_grants_test.go
@@ -68,3 +68,15 @@
 	c.Check(e.awaitingRecordedWorkers(loaded+workerReturnWait), qt.IsTrue)
 	c.Check(e.awaitingRecordedWorkers(loaded+workerReturnWait+1), qt.IsFalse)
 }
+
+// Guards against a task that waits for a lease as long as a predecessor assumed it to last, although it has become
+// known since that it was not granted for so long.
+func TestBoundOfEarlierGrantsLowersRecordedLease(t *testing.T) {
+	d := newLostWorkerScenario(t, false, StartOK)
+	info := d.worker.record()
+	e := New(d.e.params, 2, d.now, 8*time.Second)
+	info.Lease = &LeaseRecord{Epoch: 1, Remaining: e.params.leaseExpiry(d.now+7*time.Second) - d.now}
+	e.Step(d.now, WorkerRestored{Info: info})
+	e.Step(d.now, EarlierGrantsBounded{Until: d.now + 2*time.Second})
+	d.c.Check(e.workers[info.ID].leaseExpiresAt, qt.Equals, e.params.leaseExpiry(d.now+2*time.Second))
+}
