gateway: the bound of earlier grants is taken once replies name the new planner

What callers would see: a task runs twice. Found in the review, by reading; not seen in a run. The time was read before the planner was noted: a process suspended between the two could answer as if it knew no newer planner after the time from which it counts.

--- a/gateway/peering.go
+++ b/gateway/peering.go
@@ -95,8 +95,10 @@
 // to announce it: contacts and, if it is this gateway, the successors that its predecessor named,
 // which are the first to depose a planner.
 func (p *peering) learnPlanner(epoch uint64, planner string) (announceTo []string) {
+	isNew := p.planner.update(epoch, planner)
+	// Read after that: replies name the planner from then on, which the bound relies on.
 	p.earlierGrants.noteTakeover(p.clock(), epoch, p.storeStatus)
-	if !p.planner.update(epoch, planner) {
+	if !isNew {
 		return nil
 	}
 	if p.onNewPlanner != nil {
