--- a/engine/silent_worker.go
+++ b/engine/silent_worker.go
@@ -11,7 +11,7 @@
 	LeaseGranted LeaseBasis = "granted"
 	// LeaseReported means that the agent has told when it ends.
 	LeaseReported LeaseBasis = "reported"
-	// LeaseRecorded means that the previous planner has recorded by when it ends; see LeaseRecord.
+	// LeaseRecorded means that a previous planner has recorded by when it ends; see LeaseRecord.
 	LeaseRecorded LeaseBasis = "recorded"
 	// LeaseAssumed means that predecessors may have granted it for as long as they can have been alive.
 	LeaseAssumed LeaseBasis = "assumed"
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -80,8 +80,8 @@
 	grant               ReportOrigin // of the report that was last answered with a lease
 	grantedAt           time.Duration
 	silenceReported     bool // since the last grant
-	// leaseRecord is the bound of the lease in the worker's record or in a write in progress; nil if there is
-	// none and never was since the last grant. resumingGrants means that a record without it is to be stored.
+	// leaseRecord is the bound of the lease in the worker's record or in a write in progress, and nil if
+	// neither has one. resumingGrants means that a record without it is to be stored.
 	leaseRecord     *LeaseRecord
 	leaseRecordedAt time.Duration
 	resumingGrants  bool
