--- a/engine/speed_record.go
+++ b/engine/speed_record.go
@@ -118,16 +118,6 @@
 	})
 }
 
-// record returns the worker's record for the store.
-func (w *worker) record() WorkerInfo {
-	info := w.info
-	info.Speed = w.speed
-	if !w.resumingGrants {
-		info.Lease = w.leaseRecord
-	}
-	return info
-}
-
 // addSpeeds adds the records of workers whose speed has changed to a write.
 func (e *Engine) addSpeeds(w *Write, limit int) int {
 	for _, id := range slices.SortedFunc(maps.Keys(e.changedSpeeds), cmp.Compare[WorkerID]) {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -114,6 +114,16 @@
 	version  int
 }
 
+// record returns the worker's record for the store.
+func (w *worker) record() WorkerInfo {
+	info := w.info
+	info.Speed = w.speed
+	if !w.resumingGrants {
+		info.Lease = w.leaseRecord
+	}
+	return info
+}
+
 func (w *worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.info.Labels, label)
 }
--- a/lease/candidate_actions.go
+++ b/lease/candidate_actions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/google/uuid"
 
@@ -77,12 +76,12 @@
 		c.epochSince = 0
 		return EpochRead{}
 	}
-	var r record
-	if err := json.Unmarshal(kv.Value, &r); err != nil {
+	epoch, since, err := ParseEpochSeries(kv.Value)
+	if err != nil {
 		return failedEvent(err)
 	}
-	c.epochSince = r.Since
-	return EpochRead{Epoch: r.Epoch, Revision: kv.Mod}
+	c.epochSince = since
+	return EpochRead{Epoch: epoch, Revision: kv.Mod}
 }
 
 func (c *Candidate) raiseEpoch(ctx context.Context, act RaiseEpoch) Event {
