--- /dev/null
+++ b/review/_driver2/fleet.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/eelgrasshub/eelgrasshub/platform/standin"
+)
+
+// The bounds of the small deployments, as in their settings.
+const (
+	maxLease     = 6 * time.Second
+	stopTime     = 900 * time.Millisecond
+	contact      = 3 * time.Second
+	configApply  = 2 * time.Second
+	cancelWithin = 3 * time.Second
+	visible      = 3 * time.Second
+	reclaim      = 3400 * time.Millisecond
+	finish       = 14 * time.Second
+	gatewayMB    = 284
+	heartbeat    = 1500 * time.Millisecond
+)
+
+const (
+	serviceName = "dispatch"
+	queueHost   = "score.example"
+	apiKey      = "key-1"
+	gateways    = 3
+)
+
+var zones = []string{"akl-wharf", "akl-airside", "akl-east"}
+
+// quietLog drops what HTTP servers log of aborted calls.
+var quietLog = log.New(io.Discard, "", 0)
+
+// options are the parts of a fleet that cases choose.
+type options struct {
+	workers int
+	// runTime is the run time of a task with a given specification.
+	runTime func(spec string) time.Duration
+}
+
+// fleet is a small deployment: gateways and node agents as processes, the platform as stand-ins.
+type fleet struct {
+	rec      *record
+	dir      string
+	network  string // the first two bytes of all addresses
+	port     int
+	store    *limitedStore
+	gateways []*process
+	agents   []*process
+	workers  []*standin.Worker
+	stop     chan struct{}
+}
+
+const binary = "target/eelgrasshub"
+
+func newFleet(rec *record, o options) (*fleet, error) {
+	if _, err := os.Stat(binary); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{rec: rec, dir: dir, stop: make(chan struct{})}
+	if err := f.start(o); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) start(o options) error {
+	f.network = fmt.Sprintf("127.%d", 30+rand.IntN(200))
+	listener, err := net.Listen("tcp", f.network+".0.1:0")
+	if err != nil {
+		return err
+	}
+	f.port = listener.Addr().(*net.TCPAddr).Port
+	_ = listener.Close()
+	f.store, err = newLimitedStore(f.rec, f.addr(0, 1, 0))
+	if err != nil {
+		return err
+	}
+	f.configure(1, defaultRoutes())
+	for i := range gateways {
+		if err := f.startGateway(i); err != nil {
+			return err
+		}
+	}
+	for i := range o.workers {
+		if err := f.startNode(i, o); err != nil {
+			return err
+		}
+	}
+	return f.await(20*time.Second, "all workers are registered", func() bool {
+		return len(f.store.Keys("workloads/worker/")) >= o.workers
+	})
+}
+
+// addr returns an address of machine n of a class. Ports are the same on all machines.
+func (f *fleet) addr(class, n, port int) string {
+	return net.JoinHostPort(fmt.Sprintf("%s.%d.%d", f.network, class, n), strconv.Itoa(f.port+port))
+}
+
+// Classes of machines, and ports on a machine.
+const (
+	classFront = 1
+	classSide  = 2
+
+	portPeers   = 0
+	portCallers = 1
+	portReady   = 2
+	portControl = 3
+	portMetrics = 4
+)
+
+func (f *fleet) seeds() string {
+	var out []string
+	for i := range gateways {
+		out = append(out, strconv.Quote(f.addr(classFront, i+1, portControl)))
+	}
+	return "[" + strings.Join(out, ",") + "]"
+}
+
+// startGateway starts a gateway with the settings that deploy/gateway.toml.tmpl gives it.
+func (f *fleet) startGateway(i int) error {
+	name := fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1)
+	p, err := f.startRole("gateway", name, []string{
+		line("id", name), line("region", "akl"), line("zone", zones[i%len(zones)]),
+		line("listen", f.addr(classFront, i+1, portPeers)), line("caller_listen", f.addr(classFront, i+1, portCallers)),
+		line("ready_listen", f.addr(classFront, i+1, portReady)), line("metrics_listen", f.addr(classFront, i+1, portMetrics)),
+		"seeds = " + f.seeds(), line("cluster_key", "eelgrasshub-deployment-key"), line("store", f.store.addr),
+		line("max_hold", maxLease.String()), line("stop_time", stopTime.String()), line("restore", "600ms"), "remote_factor = 3",
+		line("reclaim", reclaim.String()), line("harm", "4000ms"), line("retention", "120s"), line("key_life", "5000ms"),
+		line("stop_grace", "6s"), "cores = 0.4", "link_mbps = 1000.0",
+	})
+	if err != nil {
+		return err
+	}
+	f.gateways = append(f.gateways, p)
+	return nil
+}
+
+// startNode starts a worker, which sends heartbeats, and its agent with the settings that
+// deploy/node-agent.toml.tmpl gives it.
+func (f *fleet) startNode(i int, o options) error {
+	zone := zones[i%len(zones)]
+	w := standin.NewWorker(fmt.Sprintf("i-%08x", rand.Uint32()), serviceName, fmt.Sprintf("r1-%d", i/3), time.Second)
+	w.Zone, w.OmitsStartTime, w.HeartbeatTimeout, w.StopTime, w.RunTimeOf = zone, true, time.Second, stopTime/2, o.runTime
+	f.workers = append(f.workers, w)
+	name := fmt.Sprintf("side-%s-%d", zone, i+1)
+	p, err := f.startRole("node-agent", name, []string{
+		line("id", name), line("region", "akl"), line("zone", zone),
+		line("listen", f.addr(classSide, i+1, portPeers)), line("registry_listen", f.addr(classSide, i+1, portControl)),
+		line("metrics_listen", f.addr(classSide, i+1, portMetrics)), fmt.Sprint("gateway_port = ", f.port),
+		"seeds = " + f.seeds(), line("cluster_key", "eelgrasshub-deployment-key"), line("store", f.store.addr),
+		line("worker", w.Addr()), line("orders", "push"), line("max_hold", maxLease.String()), line("stop_grace", "2s"),
+	})
+	if err != nil {
+		return err
+	}
+	f.agents = append(f.agents, p)
+	go f.sendHeartbeats(w, f.addr(classSide, i+1, portControl))
+	return nil
+}
+
+func (f *fleet) startRole(role, name string, settings []string) (*process, error) {
+	path := filepath.Join(f.dir, name+".toml")
+	if err := os.WriteFile(path, []byte(strings.Join(settings, "\n")+"\n"), 0o600); err != nil {
+		return nil, err
+	}
+	return startProcess(f.rec, f.dir, name, binary, role, "--settings", path)
+}
+
+func line(key, value string) string { return key + " = " + strconv.Quote(value) }
+
+// sendHeartbeats sends a worker's heartbeats until the fleet is closed.
+func (f *fleet) sendHeartbeats(w *standin.Worker, agent string) {
+	for {
+		pause := heartbeat
+		if status, err := w.SendHeartbeat(agent, "ready", 0); err != nil || status != 200 {
+			pause = heartbeat / 5
+		}
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// route is a route of the operators' configuration.
+type route struct {
+	name, prefix string
+	priority     int
+	timeoutMs    int
+}
+
+// The prefixes of the routes.
+const (
+	urgentPrefix = "/pufi791/"
+	batchPrefix  = "/pule252/"
+)
+
+func defaultRoutes() []route {
+	return []route{{"r-zzyyjsg", urgentPrefix, 0, 3000}, {"r-3ajwyy7", batchPrefix, 2, 3000}}
+}
+
+// configure writes a version of the operators' configuration.
+func (f *fleet) configure(version int, routes []route) {
+	var encoded []map[string]any
+	for _, r := range routes {
+		encoded = append(encoded, map[string]any{
+			"name": r.name, "host": queueHost, "prefix": r.prefix, "route_kind": "unsafe", "timeout_ms": r.timeoutMs,
+			"target_latency_ms": 250, "priority": r.priority, "service": serviceName, "max_attempts": 4, "stretch": 3.0, "public": false,
+		})
+	}
+	text, err := json.Marshal(map[string]any{
+		"version": version, "routes": encoded,
+		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", "rejects_overload": false}},
+		"tenants":  []map[string]any{{"name": "kaje80", "api_keys": []string{apiKey}, "priority": 1, "guaranteed": map[string]any{"gpu": 16}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+	if err != nil {
+		panic(err)
+	}
+	f.store.Put("op/config", text)
+	f.rec.add("operator: wrote configuration %d with %v; acknowledged", version, routes)
+}
+
+func (f *fleet) await(limit time.Duration, condition string, holds func() bool) error {
+	for end := time.Now().Add(limit); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("not within %v: %s", limit, condition)
+		}
+	}
+	return nil
+}
+
+// mustAwait is await for what has to hold for the case to run.
+func (f *fleet) mustAwait(limit time.Duration, condition string, holds func() bool) {
+	if err := f.await(limit, condition, holds); err != nil {
+		panic(err)
+	}
+}
+
+// runsOf returns the runs of a job on all workers.
+func (f *fleet) runsOf(job string) []standin.Run {
+	var out []standin.Run
+	for _, w := range f.workers {
+		for _, r := range w.Runs() {
+			if strings.HasPrefix(r.Task, job+".") {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// recordRuns records the runs of a job.
+func (f *fleet) recordRuns(job string) {
+	for _, r := range f.runsOf(job) {
+		end := "still running"
+		if !r.EndedAt.IsZero() {
+			end = fmt.Sprintf("%s at %.3f", r.EndReason, r.EndedAt.Sub(f.rec.start).Seconds())
+		}
+		f.rec.add("worker %s: run %s#%d began at %.3f, %s", r.Worker, r.Task, r.Number, r.StartedAt.Sub(f.rec.start).Seconds(), end)
+	}
+}
+
+// close ends all processes and stand-ins.
+func (f *fleet) close() {
+	close(f.stop)
+	for _, p := range append(f.gateways, f.agents...) {
+		p.stop()
+	}
+	for _, w := range f.workers {
+		w.Close()
+	}
+	if f.store != nil {
+		f.store.close()
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(f.dir)
+	} else {
+		fmt.Println("logs:", f.dir)
+	}
+}
