review: a worker stand-in and the cases' judgements in the driver

The worker can crash and return with a new ID, run tasks that last or fail, and reports progress; the project's stand-in never reports a lasting task as at work, so rules on such tasks could not be judged with it.

--- a/review/_driver2/client.go
+++ b/review/_driver2/client.go
@@ -21,8 +21,13 @@
 	body    string
 }
 
-// call calls a gateway as a client of the tenant.
+// call calls a gateway as a client of the first tenant.
 func (f *fleet) call(gateway int, method, path, body string) answer {
+	return f.callWith(apiKey, gateway, method, path, body)
+}
+
+// callWith calls a gateway with an API key.
+func (f *fleet) callWith(key string, gateway int, method, path, body string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.addr(classFront, gateway%gateways+1, portCallers)+path, strings.NewReader(body))
@@ -30,7 +35,7 @@
 		panic(err)
 	}
 	req.Host = queueHost
-	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", "3000")
 	resp, err := http.DefaultClient.Do(req)
@@ -51,9 +56,12 @@
 
 // submit hands a job in, and again at other gateways until it is answered for certain. It reports
 // whether it was accepted.
-func (f *fleet) submit(path, body string) bool {
+func (f *fleet) submit(path, body string) bool { return f.submitWith(apiKey, path, body) }
+
+// submitWith is submit with an API key.
+func (f *fleet) submitWith(key, path, body string) bool {
 	for try := range 8 {
-		a := f.call(try, "POST", path, body)
+		a := f.callWith(key, try, "POST", path, body)
 		f.rec.add("client: POST %s %.200s -> %d %s", path, body, a.status, a.body)
 		switch a.status {
 		case http.StatusOK:
--- a/review/_driver2/fleet.go
+++ b/review/_driver2/fleet.go
@@ -12,8 +12,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/eelgrasshub/eelgrasshub/platform/standin"
 )
 
 // The bounds of the small deployments, as in their settings.
@@ -33,7 +31,8 @@
 const (
 	serviceName = "dispatch"
 	queueHost   = "score.example"
-	apiKey      = "key-1"
+	apiKey      = "d4a3hwrr6x73d3zji9n7" // of a tenant with 16 guaranteed accelerators
+	otherKey    = "3hh2b9wu3fexd9dnn2ct" // of a tenant with 8
 	gateways    = 3
 )
 
@@ -45,8 +44,8 @@
 // options are the parts of a fleet that cases choose.
 type options struct {
 	workers int
-	// runTime is the run time of a task with a given specification.
-	runTime func(spec string) time.Duration
+	// behavior is how a task with a given specification behaves.
+	behavior func(spec string) behavior
 }
 
 // fleet is a small deployment: gateways and node agents as processes, the platform as stand-ins.
@@ -58,7 +57,7 @@
 	store    *limitedStore
 	gateways []*process
 	agents   []*process
-	workers  []*standin.Worker
+	workers  []*worker
 	stop     chan struct{}
 }
 
@@ -123,6 +122,7 @@
 	portReady   = 2
 	portControl = 3
 	portMetrics = 4
+	portApp     = 5
 )
 
 func (f *fleet) seeds() string {
@@ -156,8 +156,11 @@
 // deploy/node-agent.toml.tmpl gives it.
 func (f *fleet) startNode(i int, o options) error {
 	zone := zones[i%len(zones)]
-	w := standin.NewWorker(fmt.Sprintf("i-%08x", rand.Uint32()), serviceName, fmt.Sprintf("r1-%d", i/3), time.Second)
-	w.Zone, w.OmitsStartTime, w.HeartbeatTimeout, w.StopTime, w.RunTimeOf = zone, true, time.Second, stopTime/2, o.runTime
+	app := f.addr(classSide, i+1, portApp)
+	w, err := startWorker(f.rec, app, zone, fmt.Sprintf("r1-%d", i/3), o.behavior)
+	if err != nil {
+		return err
+	}
 	f.workers = append(f.workers, w)
 	name := fmt.Sprintf("side-%s-%d", zone, i+1)
 	p, err := f.startRole("node-agent", name, []string{
@@ -165,13 +168,13 @@
 		line("listen", f.addr(classSide, i+1, portPeers)), line("registry_listen", f.addr(classSide, i+1, portControl)),
 		line("metrics_listen", f.addr(classSide, i+1, portMetrics)), fmt.Sprint("gateway_port = ", f.port),
 		"seeds = " + f.seeds(), line("cluster_key", "eelgrasshub-deployment-key"), line("store", f.store.addr),
-		line("worker", w.Addr()), line("orders", "push"), line("max_hold", maxLease.String()), line("stop_grace", "2s"),
+		line("worker", app), line("orders", "push"), line("max_hold", maxLease.String()), line("stop_grace", "2s"),
 	})
 	if err != nil {
 		return err
 	}
 	f.agents = append(f.agents, p)
-	go f.sendHeartbeats(w, f.addr(classSide, i+1, portControl))
+	go w.sendHeartbeats(f.addr(classSide, i+1, portControl), f.stop)
 	return nil
 }
 
@@ -185,21 +188,6 @@
 
 func line(key, value string) string { return key + " = " + strconv.Quote(value) }
 
-// sendHeartbeats sends a worker's heartbeats until the fleet is closed.
-func (f *fleet) sendHeartbeats(w *standin.Worker, agent string) {
-	for {
-		pause := heartbeat
-		if status, err := w.SendHeartbeat(agent, "ready", 0); err != nil || status != 200 {
-			pause = heartbeat / 5
-		}
-		select {
-		case <-f.stop:
-			return
-		case <-time.After(pause):
-		}
-	}
-}
-
 // route is a route of the operators' configuration.
 type route struct {
 	name, prefix string
@@ -229,8 +217,11 @@
 	text, err := json.Marshal(map[string]any{
 		"version": version, "routes": encoded,
 		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", "rejects_overload": false}},
-		"tenants":  []map[string]any{{"name": "kaje80", "api_keys": []string{apiKey}, "priority": 1, "guaranteed": map[string]any{"gpu": 16}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{
+			{"name": "kaje80", "api_keys": []string{apiKey}, "priority": 1, "guaranteed": map[string]any{"gpu": 16}},
+			{"name": "muro17", "api_keys": []string{otherKey}, "priority": 1, "guaranteed": map[string]any{"gpu": 8}},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	if err != nil {
 		panic(err)
@@ -255,13 +246,19 @@
 	}
 }
 
+// jobRun is a run of a task on a worker.
+type jobRun struct {
+	taskRun
+	on *worker
+}
+
 // runsOf returns the runs of a job on all workers.
-func (f *fleet) runsOf(job string) []standin.Run {
-	var out []standin.Run
+func (f *fleet) runsOf(job string) []jobRun {
+	var out []jobRun
 	for _, w := range f.workers {
-		for _, r := range w.Runs() {
-			if strings.HasPrefix(r.Task, job+".") {
-				out = append(out, r)
+		for _, r := range w.allRuns() {
+			if strings.HasPrefix(r.task, job+".") {
+				out = append(out, jobRun{r, w})
 			}
 		}
 	}
@@ -271,11 +268,7 @@
 // recordRuns records the runs of a job.
 func (f *fleet) recordRuns(job string) {
 	for _, r := range f.runsOf(job) {
-		end := "still running"
-		if !r.EndedAt.IsZero() {
-			end = fmt.Sprintf("%s at %.3f", r.EndReason, r.EndedAt.Sub(f.rec.start).Seconds())
-		}
-		f.rec.add("worker %s: run %s#%d began at %.3f, %s", r.Worker, r.Task, r.Number, r.StartedAt.Sub(f.rec.start).Seconds(), end)
+		f.rec.add("worker %s: run %s", r.taskRun.worker, r.describe(f.rec.start))
 	}
 }
 
@@ -286,7 +279,7 @@
 		p.stop()
 	}
 	for _, w := range f.workers {
-		w.Close()
+		w.close()
 	}
 	if f.store != nil {
 		f.store.close()
