--- a/review/_driver2/cases.go
+++ b/review/_driver2/cases.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 )
 
-// cases are the cases by the number of their folder.
+// cases are the cases by their name, those of the folders and those that the report names beside them.
 var cases = map[string]struct {
 	options options
 	run     reviewCase
@@ -19,8 +18,9 @@
 	"occurrences": {options{workers: 3, behavior: specBehavior}, manyOccurrences},
 	"idle":        {options{workers: 3, behavior: specBehavior}, idleCapacity},
 	"reclaim":     {options{workers: 3, behavior: specBehavior}, reclaimShape},
-	"parallel":    {options{workers: 3, behavior: specBehavior}, parallelSteps},
+	"parallel":    {options{workers: 3, behavior: specBehavior, otherGuaranteed: 8}, parallelSteps},
 	"crashes":     {options{workers: 7, behavior: specBehavior}, workerCrashes},
+	"gang":        {options{workers: 3, behavior: specBehavior}, evictedGang},
 	"poison":      {options{workers: 3, behavior: specBehavior}, failingJob},
 	"rename":      {options{workers: 3, behavior: specBehavior}, renamedRoute},
 }
@@ -108,14 +108,13 @@
 	serving := newJobID()
 	f.mustSubmit(urgentPrefix+serving, lastingJob(3, 1))
 	f.mustAwait(10*time.Second, "the lasting tasks run", func() bool { return f.runsAtWork(serving) == 3 })
-	time.Sleep(5 * time.Second)
-	jobs := 0
+	time.Sleep(contact)
+	tasks := 100
 	if trouble {
-		jobs, _ = strconv.Atoi(os.Getenv("JOBS"))
+		tasks = 10_000
 	}
-	n, _ := strconv.Atoi(os.Getenv("TASKS"))
-	for range jobs {
-		f.mustSubmit(batchPrefix+newJobID(), fmt.Sprintf(`{"spec":"20000","steps":[{"count":%d,"cpu":1,"mem_mb":1,"est_runtime_ms":20000}]}`, n))
+	for range 4 {
+		f.mustSubmit(batchPrefix+newJobID(), fmt.Sprintf(`{"spec":"20000","steps":[{"count":%d,"cpu":1,"mem_mb":1,"est_runtime_ms":20000}]}`, tasks))
 	}
 	time.Sleep(30 * time.Second)
 	f.recordRuns(serving)
@@ -125,9 +124,8 @@
 			lapsed++
 		}
 	}
-	f.rec.add("%d at work", f.tasksAtWork())
 	if lapsed > 1 {
-		return broken("AVAIL: the leases of %d of 3 lasting tasks lapsed, 1 may miss", lapsed)
+		return broken("AVAIL: the leases of %d of 3 lasting tasks of a step lapsed, of which 1 may miss", lapsed)
 	}
 	return held("%d leases lapsed", lapsed)
 }
@@ -380,3 +378,29 @@
 	}
 	return nil
 }
+
+// evictedGang hands in a gang whose tasks last, and then a job of priority 0 that the tenant's
+// guarantee covers and that needs two whole workers.
+func evictedGang(f *fleet, trouble bool) verdict {
+	f.runSmallJob()
+	serving := newJobID()
+	f.mustSubmit(batchPrefix+serving, fmt.Sprintf(
+		`{"spec":%q,"steps":[{"count":4,"cpu":1000,"mem_mb":512,"gpu":1,"long_running":true,"may_miss":1,"gang":true,"anti_affinity":2}]}`, lastingSpec))
+	f.mustAwait(10*time.Second, "the gang runs", func() bool { return f.runsAtWork(serving) == 4 })
+	time.Sleep(contact)
+	if trouble {
+		f.mustSubmit(urgentPrefix+newJobID(), `{"spec":"2000","steps":[{"count":2,"cpu":4000,"mem_mb":4096,"gpu":8,"est_runtime_ms":2000,"gang":true}]}`)
+	}
+	time.Sleep(reclaim + contact)
+	f.recordRuns(serving)
+	stopped := 0
+	for _, r := range f.runsOf(serving) {
+		if r.reason == "stopped" {
+			stopped++
+		}
+	}
+	if stopped > 1 {
+		return broken("AVAIL: %d of 4 tasks of a step were stopped at the same time, of which 1 may miss", stopped)
+	}
+	return held("%d tasks were stopped", stopped)
+}
--- a/review/_driver2/fleet.go
+++ b/review/_driver2/fleet.go
@@ -32,7 +32,7 @@
 	serviceName = "dispatch"
 	queueHost   = "score.example"
 	apiKey      = "d4a3hwrr6x73d3zji9n7" // of a tenant with 16 guaranteed accelerators
-	otherKey    = "3hh2b9wu3fexd9dnn2ct" // of a tenant with 8
+	otherKey    = "3hh2b9wu3fexd9dnn2ct" // of a second tenant
 	gateways    = 3
 )
 
@@ -46,6 +46,8 @@
 	workers int
 	// behavior is how a task with a given specification behaves.
 	behavior func(spec string) behavior
+	// otherGuaranteed is the guarantee of the second tenant, in accelerators.
+	otherGuaranteed int
 }
 
 // fleet is a small deployment: gateways and node agents as processes, the platform as stand-ins.
@@ -59,6 +61,8 @@
 	agents   []*process
 	workers  []*worker
 	stop     chan struct{}
+	// otherGuaranteed is that of the options.
+	otherGuaranteed int
 }
 
 const binary = "target/eelgrasshub"
@@ -71,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, dir: dir, stop: make(chan struct{})}
+	f := &fleet{rec: rec, dir: dir, stop: make(chan struct{}), otherGuaranteed: o.otherGuaranteed}
 	if err := f.start(o); err != nil {
 		f.close()
 		return nil, err
@@ -219,7 +223,7 @@
 		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", "rejects_overload": false}},
 		"tenants": []map[string]any{
 			{"name": "kaje80", "api_keys": []string{apiKey}, "priority": 1, "guaranteed": map[string]any{"gpu": 16}},
-			{"name": "muro17", "api_keys": []string{otherKey}, "priority": 1, "guaranteed": map[string]any{"gpu": 8}},
+			{"name": "muro17", "api_keys": []string{otherKey}, "priority": 1, "guaranteed": map[string]any{"gpu": f.otherGuaranteed}},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
