--- a/review/_driver2/cases.go
+++ b/review/_driver2/cases.go
@@ -21,6 +21,7 @@
 	"parallel":    {options{workers: 3, behavior: specBehavior, otherGuaranteed: 8}, parallelSteps},
 	"crashes":     {options{workers: 7, behavior: specBehavior}, workerCrashes},
 	"gang":        {options{workers: 3, behavior: specBehavior}, evictedGang},
+	"hopeless":    {options{workers: 11, behavior: specBehavior, advice: true}, hopelessJobs},
 	"poison":      {options{workers: 3, behavior: specBehavior}, failingJob},
 	"rename":      {options{workers: 3, behavior: specBehavior}, renamedRoute},
 }
@@ -404,3 +405,38 @@
 	}
 	return held("%d tasks were stopped", stopped)
 }
+
+// hopelessJobs hands in jobs of priority 0 of which one in twenty needs one worker more than there are,
+// and then a small one of low priority, in queues whose steps need advice.
+func hopelessJobs(f *fleet, trouble bool) verdict {
+	const sound, hopeless = 76, 4
+	var jobs []string
+	for range sound {
+		path := urgentPrefix + newJobID()
+		f.mustSubmit(path, `{"spec":"200","steps":[{"count":1,"cpu":1000,"mem_mb":512,"gpu":1,"est_runtime_ms":200}]}`)
+		jobs = append(jobs, path)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, path := range jobs {
+		if err := f.awaitState(60*time.Second, path, "completed"); err != nil {
+			panic(err)
+		}
+	}
+	if trouble {
+		for range hopeless {
+			f.mustSubmit(urgentPrefix+newJobID(), fmt.Sprintf(
+				`{"spec":"60000","steps":[{"count":%d,"cpu":4000,"mem_mb":4096,"gpu":8,"est_runtime_ms":60000,"gang":true}]}`, len(f.workers)+1))
+		}
+	}
+	time.Sleep(contact)
+	id := newJobID()
+	f.mustSubmit(batchPrefix+id, smallJob())
+	time.Sleep(finish + contact)
+	a := f.get(batchPrefix + id)
+	f.recordRuns(id)
+	f.rec.add("workers: %d tasks are at work", f.tasksAtWork())
+	if len(f.runsOf(id)) == 0 && f.tasksAtWork() == 0 {
+		return broken("LOST: a small job has nothing running %v after its acknowledgement, while all workers are idle; it is shown as %s", finish+contact, a.state)
+	}
+	return held("the small job is shown as %s", a.state)
+}
--- a/review/_driver2/client.go
+++ b/review/_driver2/client.go
@@ -97,7 +97,10 @@
 // awaitState waits until a job is shown in a state.
 func (f *fleet) awaitState(limit time.Duration, path, state string) error {
 	return f.await(limit, path+" is "+state, func() bool {
+		if f.get(path).state == state {
+			return true
+		}
 		time.Sleep(300 * time.Millisecond)
-		return f.get(path).state == state
+		return false
 	})
 }
--- a/review/_driver2/fleet.go
+++ b/review/_driver2/fleet.go
@@ -48,6 +48,8 @@
 	behavior func(spec string) behavior
 	// otherGuaranteed is the guarantee of the second tenant, in accelerators.
 	otherGuaranteed int
+	// advice makes the queues ask an advice service which workers may run a step.
+	advice bool
 }
 
 // fleet is a small deployment: gateways and node agents as processes, the platform as stand-ins.
@@ -63,6 +65,7 @@
 	stop     chan struct{}
 	// otherGuaranteed is that of the options.
 	otherGuaranteed int
+	advice          *adviceService // nil if the queues need none
 }
 
 const binary = "target/eelgrasshub"
@@ -95,6 +98,11 @@
 	if err != nil {
 		return err
 	}
+	if o.advice {
+		if f.advice, err = newAdviceService(f.rec, f.adviceAddr()); err != nil {
+			return err
+		}
+	}
 	f.configure(1, defaultRoutes())
 	for i := range gateways {
 		if err := f.startGateway(i); err != nil {
@@ -140,7 +148,7 @@
 // startGateway starts a gateway with the settings that deploy/gateway.toml.tmpl gives it.
 func (f *fleet) startGateway(i int) error {
 	name := fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1)
-	p, err := f.startRole("gateway", name, []string{
+	settings := []string{
 		line("id", name), line("region", "akl"), line("zone", zones[i%len(zones)]),
 		line("listen", f.addr(classFront, i+1, portPeers)), line("caller_listen", f.addr(classFront, i+1, portCallers)),
 		line("ready_listen", f.addr(classFront, i+1, portReady)), line("metrics_listen", f.addr(classFront, i+1, portMetrics)),
@@ -148,7 +156,11 @@
 		line("max_hold", maxLease.String()), line("stop_time", stopTime.String()), line("restore", "600ms"), "remote_factor = 3",
 		line("reclaim", reclaim.String()), line("harm", "4000ms"), line("retention", "120s"), line("key_life", "5000ms"),
 		line("stop_grace", "6s"), "cores = 0.4", "link_mbps = 1000.0",
-	})
+	}
+	if f.advice != nil {
+		settings = append(settings, line("advice", f.adviceAddr()))
+	}
+	p, err := f.startRole("gateway", name, settings)
 	if err != nil {
 		return err
 	}
@@ -165,6 +177,7 @@
 	if err != nil {
 		return err
 	}
+	w.advice = f.advice
 	f.workers = append(f.workers, w)
 	name := fmt.Sprintf("side-%s-%d", zone, i+1)
 	p, err := f.startRole("node-agent", name, []string{
@@ -214,7 +227,8 @@
 	var encoded []map[string]any
 	for _, r := range routes {
 		encoded = append(encoded, map[string]any{
-			"name": r.name, "host": queueHost, "prefix": r.prefix, "route_kind": "unsafe", "timeout_ms": r.timeoutMs,
+			"advice": f.adviceConfig(),
+			"name":   r.name, "host": queueHost, "prefix": r.prefix, "route_kind": "unsafe", "timeout_ms": r.timeoutMs,
 			"target_latency_ms": 250, "priority": r.priority, "service": serviceName, "max_attempts": 4, "stretch": 3.0, "public": false,
 		})
 	}
@@ -234,6 +248,18 @@
 	f.rec.add("operator: wrote configuration %d with %v; acknowledged", version, routes)
 }
 
+func (f *fleet) adviceAddr() string { return f.addr(0, 2, 0) }
+
+// adviceConfig is what the configuration tells of the advice that a queue needs; nil for none.
+func (f *fleet) adviceConfig() any {
+	if f.advice == nil {
+		return nil
+	}
+	return map[string]any{
+		"decision_ms": adviceDecision.Milliseconds(), "interval_ms": adviceInterval.Milliseconds(), "valid_ms": ticketLifetime.Milliseconds(),
+	}
+}
+
 func (f *fleet) await(limit time.Duration, condition string, holds func() bool) error {
 	for end := time.Now().Add(limit); !holds(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -285,6 +311,9 @@
 	for _, w := range f.workers {
 		w.close()
 	}
+	if f.advice != nil {
+		f.advice.close()
+	}
 	if f.store != nil {
 		f.store.close()
 	}
--- a/review/_driver2/worker.go
+++ b/review/_driver2/worker.go
@@ -21,6 +21,7 @@
 	rec              *record
 	behavior         func(spec string) behavior
 	server           *http.Server
+	advice           *adviceService // nil if starts need no ticket
 	createdAt        time.Time
 
 	mu         sync.Mutex
@@ -141,6 +142,7 @@
 	Task     string `json:"task"`
 	Run      int    `json:"run"`
 	Spec     string `json:"spec"`
+	Ticket   string `json:"ticket"`
 	Until    int64  `json:"until_ms"`
 	Fence    uint64 `json:"fencing_token"`
 	LastSeen int    `json:"last_seen"`
@@ -215,6 +217,8 @@
 		return http.StatusOK, nil
 	case o.Run <= w.highestRun[o.Task] || r != nil:
 		return http.StatusConflict, map[string]any{"reason": "old"}
+	case w.advice != nil && !w.advice.valid(o.Ticket, o.Task, w.id):
+		return http.StatusConflict, map[string]any{"reason": "ticket"}
 	case o.Until <= w.clock():
 		return http.StatusConflict, map[string]any{"reason": "late"}
 	}
