engine, gateway: log and count the requests for advice

What callers see: jobs of queues with advice that wait for ever beside idle workers. The log did not tell for whom the advice service is asked, how many tickets a step holds, nor how often it was asked in vain, so that a request for a unit that can't be placed, tickets that expire ahead of others and a service that fails could not be told apart.

Each request is logged with the valid tickets and the denied workers of its step and the number of calls since a task of it last started. The gateway counts requests and failures.

--- a/engine/advice.go
+++ b/engine/advice.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -51,6 +52,21 @@
 type stepTickets struct {
 	granted map[WorkerID]ticket
 	denied  map[WorkerID]bool
+	// callsInVain counts the requests that were answered, or failed, since a task of the step last
+	// started. lastCallAt is when the last request was sent.
+	callsInVain int
+	lastCallAt  time.Duration
+}
+
+// validAt returns the number of tickets that are valid at a time.
+func (t *stepTickets) validAt(at time.Duration) int {
+	n := 0
+	for _, granted := range t.granted {
+		if at < granted.expiresAt {
+			n++
+		}
+	}
+	return n
 }
 
 type ticket struct {
@@ -84,6 +100,13 @@
 	return t.value, found && now < t.expiresAt
 }
 
+// noteStartWithTicket records that a task of u has started.
+func (u *unit) noteStartWithTicket() {
+	if u.needsTicket() {
+		u.job.ticketsFor(u.occurrenceStep()).callsInVain = 0
+	}
+}
+
 // requestAdvice requests tickets for the first unit in the queue that lacks them, else for a
 // blocked unit whose dependencies are about to end.
 func (e *Engine) requestAdvice(r *round, queue []*unit) {
@@ -126,11 +149,23 @@
 	if placeable >= u.size || len(request) == 0 {
 		return false
 	}
+	e.logAdviceRequest(r.now, u, tickets, len(request))
+	tickets.lastCallAt = r.now
 	e.adviceInFlight = true
 	e.actions = append(e.actions, AdviceRequest{Job: u.job.spec.ID, Occurrence: u.occurrence, Step: u.step, Workers: request})
 	return true
 }
 
+// logAdviceRequest logs a request for tickets for a number of workers, with what earlier ones of the
+// step led to.
+func (e *Engine) logAdviceRequest(now time.Duration, u *unit, tickets *stepTickets, workers int) {
+	detail := fmt.Sprintf("step %d of %d tasks at once: %d workers; %d valid tickets, %d workers denied", u.step, u.size, workers, tickets.validAt(now), len(tickets.denied))
+	if tickets.callsInVain > 0 {
+		detail += fmt.Sprintf("; %d calls without a start since, the last one %d ms ago", tickets.callsInVain, (now - tickets.lastCallAt).Milliseconds())
+	}
+	e.logJobDecision(u.job, "advice requested", detail)
+}
+
 // candidatesFor returns the workers with enough total capacity for a member of u, those with
 // enough free capacity first.
 func (r *round) candidatesFor(u *unit) []*worker {
@@ -177,13 +212,16 @@
 	e.planNeeded = true
 	if ev.Failed {
 		e.adviceRetryAt = now + adviceRetryDelay
-		return
 	}
 	j := e.jobs[ev.Request.Job]
 	if j == nil {
 		return
 	}
 	tickets := j.ticketsFor(occurrenceStep{ev.Request.Occurrence, ev.Request.Step})
+	tickets.callsInVain++
+	if ev.Failed {
+		return
+	}
 	for _, id := range ev.Request.Workers {
 		value, allowed := ev.Tickets[id]
 		if !allowed {
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -85,6 +85,7 @@
 	}
 	p.state = placementRunning
 	p.unit.invalidBackoff.reset()
+	p.unit.noteStartWithTicket()
 	if p.startedAt == 0 {
 		p.startedAt = now
 	}
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -18,6 +18,8 @@
 	StartsWithheld atomic.Int64
 	// StartsUnsent counts starts that were not sent because the agent did not answer before.
 	StartsUnsent atomic.Int64
+	// AdviceRequests counts requests to the advice service, AdviceFailures those without an answer.
+	AdviceRequests, AdviceFailures atomic.Int64
 	// ZonesCordoned is the current number of cordoned zones.
 	ZonesCordoned atomic.Int64
 }
--- a/gateway/term_advice.go
+++ b/gateway/term_advice.go
@@ -16,8 +16,10 @@
 	if t.g.cfg.Advisor != nil {
 		ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), adviceTimeout)
 		defer cancel()
+		t.g.counters.AdviceRequests.Add(1)
 		tickets, valid, err := t.g.cfg.Advisor.Advise(ctx, request)
 		if err != nil {
+			t.g.counters.AdviceFailures.Add(1)
 			t.log.WithError(err).WithField("job", request.Job).Warn("advice request failed")
 		} else {
 			response = engine.AdviceResponse{Request: request, Tickets: tickets, Lifetime: valid}
