engine: reserve nothing behind long-running tasks

What callers saw: with gangs of whole workers waiting and a long-running task on each worker, no other job of lower rank started, on a fleet that was idle but for these tasks.

Cause: the forecast of a waiting unit took a long-running task for an overdue run, expected to end within 150 ms. Capacity of the whole fleet was reserved from then on for the first four waiting gangs, in every round, and nothing behind them could end sooner.

Ruled out: headroom, which keeps such jobs back for 12 s at most, and guarantees, which limit only long-running units.

Fix: a long-running run that nobody stops is never expected to end, and a unit that could fit only after such an end gets no reservation. Draining workers keep their long-running tasks until they leave, as before.

Before: TestCapacityIsNotReservedBehindLongRunningTasks fails, the job has no run after 3 s. After: it starts at once; the tests of package engine pass.

--- a/engine/durations.go
+++ b/engine/durations.go
@@ -82,7 +82,8 @@
 	return j.criticalPaths
 }
 
-// remaining returns how long a run is expected to continue.
+// remaining returns how long a run is expected to continue; never for a long-running one that nobody
+// stops.
 func (e *Engine) remaining(now time.Duration, p *placement) time.Duration {
 	if p.state == placementAbsent {
 		return max(p.lastCallBy+MaxCallDelay+maxPollAge-now, minRemaining)
@@ -90,6 +91,9 @@
 	if p.stopping {
 		return max(e.params.StopTime-(now-p.stopSentAt), minRemaining)
 	}
+	if p.unit.spec().LongRunning {
+		return never
+	}
 	if remaining, ok := p.rate.remaining(now); ok {
 		return max(remaining, minRemaining)
 	}
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -202,8 +202,8 @@
 			if p.stopping || p.unit.ending() || p.state != placementRunning {
 				continue
 			}
-			if e.remaining(r.now, p) <= untilLeave {
-				continue
+			if p.unit.spec().LongRunning || e.remaining(r.now, p) <= untilLeave {
+				continue // a long-running task serves its users until the worker leaves
 			}
 			if p.unit.spec().Checkpoints && untilLeave > 2*e.params.StopTime && !r.fitsElsewhere(p.unit) {
 				continue // it makes progress here until it fits elsewhere
--- a/engine/forecast.go
+++ b/engine/forecast.go
@@ -80,7 +80,9 @@
 	d.upcoming = d.upcoming[:0]
 	for _, w := range d.workers {
 		for _, p := range w.sortedPlacements() {
-			d.upcoming = append(d.upcoming, capacityRelease{r.e.remaining(r.now, p), w, p.demand, len(d.upcoming)})
+			if at := r.e.remaining(r.now, p); at < never {
+				d.upcoming = append(d.upcoming, capacityRelease{at, w, p.demand, len(d.upcoming)})
+			}
 		}
 	}
 	slices.SortFunc(d.upcoming, func(a, b capacityRelease) int {
--- a/engine/longrunning_test.go
+++ b/engine/longrunning_test.go
@@ -104,6 +104,30 @@
 	qt.Check(t, d.runs(id)["w0"], qt.HasLen, 2)
 }
 
+// Guards against jobs that starve beside idle workers, since capacity is reserved for gangs that wait for
+// long-running tasks to end.
+func TestCapacityIsNotReservedBehindLongRunningTasks(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 6)
+	serving := longRunningStep(6, 1, 0)
+	serving.MaxPerWorker = 1
+	service := d.submit(0, "", serving)
+	d.settle()
+	d.reportFullProgress(service)
+	for range 4 {
+		d.submit(0, "", gangStep(6, 8))
+	}
+	d.settle()
+	id := d.submit(2, "", taskStep(1, 1))
+	d.settle()
+	for end := d.now + 3*time.Second; d.now < end && len(d.runs(id)) == 0; d.now += 100 * time.Millisecond {
+		d.reportFullProgress(service)
+		d.tick()
+	}
+	c.Check(d.runs(id), qt.HasLen, 1)
+	c.Check(d.runs(service), qt.HasLen, 6)
+}
+
 // Occurrences start when they are due and not before, even if they overlap. The job completes with
 // the last one.
 func TestOccurrencesStartWhenDue(t *testing.T) {
