engine: request tickets for units that lack nothing else

Cause: requestAdvice gave its one call to the first waiting unit with too few tickets, before anything was known of whether that unit could be placed, and with no regard to how often it had led nowhere. Units that can't be placed renewed their tickets without end.

Ruled out: tickets that expire ahead of others (one call names all workers), a slow or failing service (all calls answered in the declared time). It is no matter of jobs larger than the fleet: gangs that fit but not now, gangs limited to one task a worker, and units held back by guarantees starved the job too, and so did steps whose calls fail, whose tickets are rejected or expire before the last arrive.

Fix: a round decides as if all tickets were there. The service is asked for units that would be placed, or evict others, but for tickets, for the workers chosen, and shortly before a unit is expected to fit. Fit, forecast and victims see all workers that are not denied; victims are stopped only where there are tickets. Steps whose requests led to no start take turns with the first in the queue and the first without a request so far, so that no step waits for more than three requests for each other one. A wide gang asks in one call, so its tickets arrive together. While the first request of a step is in flight its capacity is kept for it. A start that is rejected for its ticket pauses as after other refusals.

TestExpiredTicketIsRequestedAgain waited for a request as soon as its job is submitted, while the only worker has a run of seconds to go. It is made shortly before the end now, so the test lets time pass until then. What it checks is as before: the ticket expires, is not used, and is requested again.

--- a/engine/advice.go
+++ b/engine/advice.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/workload"
@@ -9,22 +8,15 @@
 
 // The policy of a queue may restrict which workers may run a step. An external advice service
 // decides this. It handles one slow call at a time and issues a ticket for each allowed worker,
-// which a start order must carry. Tickets are requested in advance, for a few workers per call
-// and for the most urgent unit first; a unit is placed only on workers that it has tickets for.
+// which a start order must carry. A unit is placed only on workers that it has tickets for. Tickets
+// are requested for units that lack nothing else to be placed; see requestAdvice.
 const (
 	// minTicketValidity is how long a ticket must remain valid when a placement is decided,
-	// since storing the placement and sending the order take time.
+	// since storing the placement and sending the order take time. A ticket with a lifetime of less than
+	// twice that must remain valid for half of its lifetime.
 	minTicketValidity = 400 * time.Millisecond
-	// minAdviceWorkers and maxAdviceWorkers bound the workers in one request. A request names
-	// more workers than the unit has members, as some may be denied; each one adds to the
-	// duration of the call.
-	minAdviceWorkers = 3
-	maxAdviceWorkers = 12
 	// adviceRetryDelay is the delay before the next request after a failed one.
 	adviceRetryDelay = 250 * time.Millisecond
-	// advicePrefetchLead is added to the duration of a call to decide when to request tickets
-	// for a step whose dependencies still run.
-	advicePrefetchLead = 300 * time.Millisecond
 )
 
 // AdviceRequest asks the advice service which workers may run a step. At most one is in flight;
@@ -48,30 +40,29 @@
 func (AdviceRequest) isAction() {}
 func (AdviceResponse) isEvent() {}
 
-// stepTickets holds the tickets of one step and the workers that were denied.
+// stepTickets holds the tickets of one step, the workers that were denied, and the history of its
+// requests since one of its tasks last started.
 type stepTickets struct {
 	granted map[WorkerID]ticket
 	denied  map[WorkerID]bool
-	// callsInVain counts the requests that were answered, or failed, since a task of the step last
-	// started. lastCallAt is when the last request was sent.
-	callsInVain int
-	lastCallAt  time.Duration
-}
-
-// validAt returns the number of tickets that are valid at a time.
-func (t *stepTickets) validAt(at time.Duration) int {
-	n := 0
-	for _, granted := range t.granted {
-		if at < granted.expiresAt {
-			n++
-		}
-	}
-	return n
+	// calls counts the requests. callsInVain counts those that were answered without a denial: the
+	// step had all tickets that it asked for, and nothing started.
+	calls, callsInVain int
+	lastCallAt         time.Duration
+	// notBefore is the earliest time of the next request.
+	notBefore time.Duration
 }
 
 type ticket struct {
 	value     string
 	expiresAt time.Duration
+	// usableUntil is until when a placement may be decided with it.
+	usableUntil time.Duration
+}
+
+// newTicket returns a ticket that is valid for lifetime from now on.
+func newTicket(value string, now, lifetime time.Duration) ticket {
+	return ticket{value: value, expiresAt: now + lifetime, usableUntil: now + lifetime - min(minTicketValidity, lifetime/2)}
 }
 
 // ticketsFor returns the tickets of a step, creating an empty set if there is none.
@@ -87,6 +78,19 @@
 	return t
 }
 
+// anyUsable reports whether a placement may be decided with some ticket now.
+func (t *stepTickets) anyUsable(now time.Duration) bool {
+	for _, granted := range t.granted {
+		if now < granted.usableUntil {
+			return true
+		}
+	}
+	return false
+}
+
+// tickets returns the tickets of u's step.
+func (u *unit) tickets() *stepTickets { return u.job.ticketsFor(u.occurrenceStep()) }
+
 // needsTicket reports whether the unit may start only with a ticket of the advice service.
 func (u *unit) needsTicket() bool { return u.job.spec.QueuePolicy.Advice != nil }
 
@@ -96,138 +100,68 @@
 	if !u.needsTicket() {
 		return "", true
 	}
-	t, found := u.job.ticketsFor(u.occurrenceStep()).granted[id]
+	t, found := u.tickets().granted[id]
 	return t.value, found && now < t.expiresAt
 }
 
-// noteStartWithTicket records that a task of u has started.
-func (u *unit) noteStartWithTicket() {
-	if u.needsTicket() {
-		u.job.ticketsFor(u.occurrenceStep()).callsInVain = 0
-	}
-}
-
-// requestAdvice requests tickets for the first unit in the queue that lacks them, else for a
-// blocked unit whose dependencies are about to end.
-func (e *Engine) requestAdvice(r *round, queue []*unit) {
-	if e.adviceInFlight || r.now < e.adviceRetryAt {
-		return
-	}
-	for _, u := range queue {
-		if e.requestTickets(r, u) {
-			return
-		}
-	}
-	for _, j := range e.orderedJobs {
-		for _, u := range j.units {
-			if u.state == unitBlocked && u.needsTicket() && e.dependenciesEndSoon(r.now, u) && e.requestTickets(r, u) {
-				return
-			}
-		}
-	}
-}
-
-// requestTickets requests tickets for u if those it has don't suffice for all its members. It
-// reports whether it did.
-func (e *Engine) requestTickets(r *round, u *unit) bool {
-	if !u.needsTicket() {
-		return false
-	}
-	tickets := u.job.ticketsFor(u.occurrenceStep())
-	placeable := 0
-	var request []WorkerID
-	for _, w := range r.candidatesFor(u) {
-		id := w.info.ID
-		if _, ok := u.ticketFor(r.now+minTicketValidity, id); ok {
-			placeable += u.demand().CountFitting(w.free(), u.size)
-			continue
-		}
-		if !tickets.denied[id] && len(request) < min(max(2*u.size, minAdviceWorkers), maxAdviceWorkers) {
-			request = append(request, id)
-		}
-	}
-	if placeable >= u.size || len(request) == 0 {
-		return false
-	}
-	e.logAdviceRequest(r.now, u, tickets, len(request))
-	tickets.lastCallAt = r.now
-	e.adviceInFlight = true
-	e.actions = append(e.actions, AdviceRequest{Job: u.job.spec.ID, Occurrence: u.occurrence, Step: u.step, Workers: request})
-	return true
-}
-
-// logAdviceRequest logs a request for tickets for a number of workers, with what earlier ones of the
-// step led to.
-func (e *Engine) logAdviceRequest(now time.Duration, u *unit, tickets *stepTickets, workers int) {
-	detail := fmt.Sprintf("step %d of %d tasks at once: %d workers; %d valid tickets, %d workers denied", u.step, u.size, workers, tickets.validAt(now), len(tickets.denied))
-	if tickets.callsInVain > 0 {
-		detail += fmt.Sprintf("; %d calls without a start since, the last one %d ms ago", tickets.callsInVain, (now - tickets.lastCallAt).Milliseconds())
-	}
-	e.logJobDecision(u.job, "advice requested", detail)
+// mayPlaceOn reports whether u needs no ticket for a worker, or will have a usable one at a time.
+func (u *unit) mayPlaceOn(at time.Duration, w *worker) bool {
+	return !u.needsTicket() || at < u.tickets().granted[w.info.ID].usableUntil
 }
 
-// candidatesFor returns the workers with enough total capacity for a member of u, those with
-// enough free capacity first.
-func (r *round) candidatesFor(u *unit) []*worker {
-	var withCapacity, withoutCapacity []*worker
-	for _, w := range r.usable.workers {
-		if w.info.Service != u.job.spec.Service || !w.hasLabel(u.spec().Label) || !u.demand().FitsIn(w.info.Capacity) {
-			continue
-		}
-		if u.demand().FitsIn(w.free()) {
-			withCapacity = append(withCapacity, w)
-		} else {
-			withoutCapacity = append(withoutCapacity, w)
-		}
-	}
-	return append(withCapacity, withoutCapacity...)
+// denied reports whether the advice service does not allow u on a worker.
+func (u *unit) denied(w *worker) bool {
+	return u.needsTicket() && u.tickets().denied[w.info.ID]
 }
 
-// dependenciesEndSoon reports whether the steps that u depends on are expected to end within
-// the time that a request for tickets takes.
-func (e *Engine) dependenciesEndSoon(now time.Duration, u *unit) bool {
-	advice := u.job.spec.QueuePolicy.Advice
-	lead := advice.DecisionTime + maxAdviceWorkers*advice.TimePerWorker + advicePrefetchLead
-	for _, dep := range u.spec().DependsOn {
-		for _, o := range u.job.units {
-			if o.occurrence != u.occurrence || o.step != dep || o.state == unitDone {
-				continue
-			}
-			if o.state != unitActive {
-				return false
-			}
-			for _, p := range o.placements {
-				if e.remaining(now, p) > lead {
-					return false
-				}
-			}
-		}
+// noteStartWithTicket records that a task of u has started.
+func (u *unit) noteStartWithTicket() {
+	if u.needsTicket() {
+		t := u.tickets()
+		t.calls, t.callsInVain, t.notBefore = 0, 0, 0
 	}
-	return true
 }
 
 // handleAdvice stores the tickets and denials of a response.
 func (e *Engine) handleAdvice(now time.Duration, ev AdviceResponse) {
-	e.adviceInFlight = false
+	e.adviceCall = nil
 	e.planNeeded = true
 	if ev.Failed {
 		e.adviceRetryAt = now + adviceRetryDelay
+		return
 	}
 	j := e.jobs[ev.Request.Job]
-	if j == nil {
+	if j == nil || j.state.Final() {
 		return
 	}
 	tickets := j.ticketsFor(occurrenceStep{ev.Request.Occurrence, ev.Request.Step})
-	tickets.callsInVain++
-	if ev.Failed {
-		return
-	}
+	deniedBefore := len(tickets.denied)
 	for _, id := range ev.Request.Workers {
 		value, allowed := ev.Tickets[id]
 		if !allowed {
 			tickets.denied[id] = true
 			continue
 		}
-		tickets.granted[id] = ticket{value: value, expiresAt: now + ev.Lifetime}
+		tickets.granted[id] = newTicket(value, now, ev.Lifetime)
+	}
+	if len(tickets.denied) == deniedBefore {
+		tickets.noteGranted(now)
+	}
+}
+
+// noteGranted records that a request was answered with all of its tickets. If the ones before were too
+// and nothing started, the next request is delayed.
+func (t *stepTickets) noteGranted(now time.Duration) {
+	t.callsInVain++
+	if t.callsInVain > 1 {
+		t.notBefore = now + min(initialAdvicePause<<min(t.callsInVain-2, maxAdviceDoublings), maxAdvicePause)
 	}
 }
+
+// The delay of a step's next request after two that were answered with all tickets and led to no start.
+// It doubles with each further one, so that such steps seldom make others wait for a call in progress.
+const (
+	initialAdvicePause = 250 * time.Millisecond
+	maxAdvicePause     = 4 * time.Second
+	maxAdviceDoublings = 8 // limits the shift
+)
--- a/engine/advice_test.go
+++ b/engine/advice_test.go
@@ -43,6 +43,20 @@
 	return request
 }
 
+// awaitAdviceRequest lets runs progress until the engine requests advice, for at most limit.
+func (d *driver) awaitAdviceRequest(limit time.Duration) *AdviceRequest {
+	for end := d.now + limit; d.now < end; d.now += 100 * time.Millisecond {
+		if request := d.nextAdviceRequest(); request != nil {
+			return request
+		}
+		for _, w := range d.e.sortedWorkers() {
+			d.reportProgress(w.info.ID)
+		}
+		d.handle(Tick{WallTime: time.Unix(1000, 0).Add(d.now)})
+	}
+	return nil
+}
+
 // A start is ordered on the allowed worker with its ticket, and denied workers are not requested
 // again.
 func TestStartCarriesTicket(t *testing.T) {
@@ -72,7 +86,7 @@
 	d.submit(1, "", taskStep(1, 8))
 	d.settle()
 	d.submitWithAdvice(taskStep(1, 8))
-	request := d.nextAdviceRequest()
+	request := d.awaitAdviceRequest(12 * time.Second)
 	c.Assert(request, qt.IsNotNil)
 	d.handle(AdviceResponse{Request: *request, Tickets: map[WorkerID]string{"w0": "t0"}, Lifetime: 3 * time.Second})
 	d.nextAdviceRequest()
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -43,10 +43,12 @@
 	rankBuffer    []rankedUnit
 	cordons       catalog.Cordons
 	urgentHistory urgentHistory
-	// adviceInFlight: a request to the advice service is unanswered. adviceRetryAt is the
-	// earliest time of the next request after a failed one.
-	adviceInFlight bool
-	adviceRetryAt  time.Duration
+	// adviceCall is the request to the advice service that is in flight, nil if there is none.
+	// adviceRetryAt is the earliest time of the next request after a failed one. adviceTurn counts the
+	// requests that were chosen among steps some of which had one before.
+	adviceCall    *adviceCall
+	adviceRetryAt time.Duration
+	adviceTurn    int
 	// headroomRacks are kept free of deferrable work.
 	headroomRacks map[string]bool
 	lastPlanAt    time.Duration
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -31,8 +31,12 @@
 		return false
 	}
 	if len(u.claims) > 0 {
+		r.renewTickets(u)
 		return true // victims are being stopped already
 	}
+	if r.e.adviceCall != nil && r.ticketDelay(u) > 0 {
+		return false // victims are chosen among the workers of the tickets
+	}
 	if u.queueClass == classUseless && !r.mustReclaim(u) {
 		return false
 	}
@@ -44,7 +48,7 @@
 	if best == nil && r.mustReclaim(u) && r.allowAnySpeed(u) {
 		// The guarantee goes before the objective.
 		if workers := r.findWorkers(u); workers != nil {
-			r.place(u, workers)
+			r.placeOrAwaitTickets(u, workers)
 			return true
 		}
 		best, preferred = r.findEviction(u)
@@ -52,6 +56,10 @@
 	if best == nil || !r.worthEvicting(u, best, preferred) {
 		return false
 	}
+	if lacking := r.withoutTicket(u, sortedWorkersOf(best.slots)); len(lacking) > 0 {
+		r.addAdviceNeed(&r.needs, u, lacking)
+		return false // denied workers would be emptied in vain
+	}
 	for _, v := range best.victims {
 		r.e.logDecision(v.placements[0], "evict", fmt.Sprintf("to free capacity for job %s; all its victims lose %.0f core-seconds", u.job.spec.ID, best.cost))
 		r.stopUnit(v, CauseEvicted)
@@ -62,6 +70,17 @@
 	return true
 }
 
+// renewTickets records that u needs tickets for the workers where victims are being stopped, if those it
+// has will not be usable when these have ended.
+func (r *round) renewTickets(u *unit) {
+	if u.needsTicket() {
+		ended := max(r.now, u.claimedAt+r.e.tracker.stopTime)
+		if lacking := u.withoutTicketAt(ended, sortedWorkersOf(u.claims)); len(lacking) > 0 {
+			r.addAdviceNeed(&r.needs, u, lacking)
+		}
+	}
+}
+
 // findEviction returns the cheapest eviction for u, or nil if there is none, and the preferred domains.
 func (r *round) findEviction(u *unit) (*eviction, domainSet) {
 	preferred := r.preferredDomains(u)
@@ -101,8 +120,20 @@
 	return plan.cost <= policy.EvictionCostFactor*ownWork
 }
 
-// cheapestEviction returns the eviction that loses the least work, or nil if there is none.
+// cheapestEviction returns the eviction that loses the least work, on workers that u has tickets for if
+// there is one. It returns nil if there is none.
 func (r *round) cheapestEviction(u *unit, d domainSet) *eviction {
+	if u.needsTicket() {
+		if plan := r.cheapestAmong(u, r.withTickets(u, d)); plan != nil {
+			return plan
+		}
+	}
+	return r.cheapestAmong(u, d)
+}
+
+// cheapestAmong returns the eviction in one of the domains that loses the least work, or nil if there is
+// none.
+func (r *round) cheapestAmong(u *unit, d domainSet) *eviction {
 	var best *eviction
 	for _, set := range d.domains {
 		if plan := r.planEviction(u, set); plan != nil && (best == nil || plan.cost < best.cost) {
@@ -145,9 +176,9 @@
 }
 
 // mustReclaim reports whether u is covered by its account's guarantee and its victims have to be
-// stopped now for it to start in time.
+// stopped, or its tickets requested, now for it to start in time.
 func (r *round) mustReclaim(u *unit) bool {
-	return r.protected[u.job] && r.now+r.e.params.StopTime+reclaimMargin >= u.waitingSince+r.e.params.MaxReclaimWait
+	return r.protected[u.job] && r.now+r.ticketDelay(u)+r.e.params.StopTime+reclaimMargin >= u.waitingSince+r.e.params.MaxReclaimWait
 }
 
 // lostWork returns the work lost by stopping u now, in core-seconds.
--- a/engine/fit.go
+++ b/engine/fit.go
@@ -141,10 +141,21 @@
 	return true
 }
 
-// chooseWorkers returns workers in one of the domains: the one where u runs fastest if it prefers
+// chooseWorkers returns workers in one of the domains, those that u has tickets for if it fits there. It
+// returns nil if u fits in none.
+func (r *round) chooseWorkers(u *unit, d domainSet) []*worker {
+	if u.needsTicket() {
+		if workers := r.chooseAmong(u, r.withTickets(u, d)); workers != nil {
+			return workers
+		}
+	}
+	return r.chooseAmong(u, d)
+}
+
+// chooseAmong returns workers in one of the domains: the one where u runs fastest if it prefers
 // fast workers, else the one with the fewest accelerators left over, to keep space for large gangs
 // elsewhere. It returns nil if u fits in none.
-func (r *round) chooseWorkers(u *unit, d domainSet) []*worker {
+func (r *round) chooseAmong(u *unit, d domainSet) []*worker {
 	var best []*worker
 	leastLeftover, lowestRank := 0, 0
 	for _, set := range d.domains {
@@ -171,6 +182,8 @@
 	sameStepOnWorker, sameStepOnRack int
 	// interference is the score of sharing the worker; see Engine.interferenceScore.
 	interference int
+	// tickets is 1 if u may be placed there without a request for tickets.
+	tickets int
 	// crashRisk is the cost of a crash of the worker under the unit.
 	crashRisk float64
 }
@@ -205,6 +218,9 @@
 		}
 		o.speedRank = r.speedRank(u, w)
 		o.interference = r.e.interferenceScore(u, w)
+		if u.mayPlaceOn(r.now, w) {
+			o.tickets = 1
+		}
 		o.crashRisk = r.crashRisk(u, w)
 		candidates = append(candidates, o)
 	}
@@ -220,6 +236,7 @@
 			cmp.Compare(a.sameStepOnRack, b.sameStepOnRack),
 			cmp.Compare(a.interference, b.interference),
 			cmp.Compare(a.speedRank, b.speedRank),
+			cmp.Compare(b.tickets, a.tickets),
 			cmp.Compare(b.slots, a.slots),
 			cmp.Compare(a.leftover, b.leftover),
 		)
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -51,10 +51,10 @@
 		e.logDecision(p, "start invalid", "")
 		p.unit.notBefore = now + p.unit.invalidBackoff.next(minInvalidOrderDelay, maxInvalidOrderDelay)
 	case StartNoTicket:
-		delete(p.unit.job.ticketsFor(p.unit.occurrenceStep()).granted, p.worker.info.ID)
+		delete(p.unit.tickets().granted, p.worker.info.ID)
 	}
 	e.logDecision(p, "start refused", outcome.String())
-	if outcome == StartFenced || outcome == StartNotDelivered || outcome == StartCordoned {
+	if outcome == StartFenced || outcome == StartNotDelivered || outcome == StartCordoned || outcome == StartNoTicket {
 		p.unit.notBefore = now + refusedStartDelay
 	}
 	e.markRetry(p.unit)
@@ -63,7 +63,7 @@
 }
 
 // refusedStartDelay delays the next placement of a unit whose order was not delivered, or was
-// refused because of a newer planner or a cordon, so that it is not refused again at once.
+// refused because of a newer planner, a cordon or its ticket, so that it is not refused again at once.
 const refusedStartDelay = 100 * time.Millisecond
 
 // minInvalidOrderDelay and maxInvalidOrderDelay bound the backoff of a unit whose start order
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -33,6 +33,9 @@
 	choice     speedChoice
 	// blockedSteps holds the steps that had a unit which did not fit in this round.
 	blockedSteps map[stepKey]bool
+	// needs holds the steps with units that lack nothing but tickets, in the order of the queue, and
+	// laterNeeds those with units that are expected to fit soon.
+	needs, laterNeeds []*adviceNeed
 }
 
 // workerRoundState is what a planning round tracks per worker.
@@ -63,10 +66,10 @@
 	r.pickHeadroomRacks()
 	e.moveOffDraining(r)
 	queue := e.queue(now, r.protected)
-	e.requestAdvice(r, queue)
 	for _, u := range queue {
 		r.schedule(u)
 	}
+	r.requestAdvice()
 	r.recordStarts(queue)
 	r.countWaits(queue)
 }
@@ -124,7 +127,8 @@
 	}
 }
 
-// schedule places one unit, evicts lower-ranked work for it, or reserves capacity for it.
+// schedule places one unit, requests tickets for it, evicts lower-ranked work for it, or reserves
+// capacity for it.
 func (r *round) schedule(u *unit) {
 	key := u.key()
 	if r.blockedSteps[key] {
@@ -135,7 +139,7 @@
 		return
 	}
 	if workers := r.findWorkers(u); workers != nil {
-		r.place(u, workers)
+		r.placeOrAwaitTickets(u, workers)
 		return
 	}
 	r.blockedSteps[key] = true
@@ -147,6 +151,15 @@
 	}
 }
 
+// placeOrAwaitTickets places u on the given workers if it has tickets for them.
+func (r *round) placeOrAwaitTickets(u *unit, workers []*worker) {
+	if lacking := r.withoutTicket(u, workers); len(lacking) > 0 {
+		r.awaitTickets(u, workers, lacking)
+		return
+	}
+	r.place(u, workers)
+}
+
 // place commits a placement: its capacity is taken at once, and its orders are sent when the
 // placement is stored.
 func (r *round) place(u *unit, workers []*worker) {
@@ -216,16 +229,13 @@
 	return r.limitToHeadroom(u, w, r.e.limitPerWorker(u, w, n))
 }
 
-// eligible reports whether u may run on w. A unit avoids a worker for a while after it failed
-// or stalled there, unless other work has succeeded there since.
+// eligible reports whether u may run on w, with a ticket if it needs one. A unit avoids a worker for a
+// while after it failed or stalled there, unless other work has succeeded there since.
 func (r *round) eligible(u *unit, w *worker) bool {
 	if w.info.Service != u.job.spec.Service || !w.hasLabel(u.spec().Label) {
 		return false
 	}
-	if _, ok := u.ticketFor(r.now+minTicketValidity, w.info.ID); !ok {
-		return false
-	}
-	if !r.fastEnough(u, w) {
+	if u.denied(w) || !r.fastEnough(u, w) {
 		return false
 	}
 	return w.health.failures == 0 || r.now >= u.avoidedWorkers[w.info.ID]
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -8,19 +8,25 @@
 // waitLogInterval is the minimum interval between log lines about the same waiting unit.
 const waitLogInterval = 5 * time.Second
 
-// logWait logs why a unit waits, what it needs and when it is expected to fit.
-func (r *round) logWait(u *unit, at time.Duration, slots map[*worker]int) {
+// logWait logs for how long and why a unit waits, what it needs, and what is expected.
+func (r *round) logWait(u *unit, expected string) {
 	if r.now-u.waitingSince < waitLogInterval || r.now < u.nextWaitLog {
 		return
 	}
 	u.nextWaitLog = r.now + waitLogInterval
 	needs := fmt.Sprintf("step %d needs %d x %+v", u.step, u.size, u.demand())
 	waited := (r.now - u.waitingSince).Milliseconds()
-	detail := fmt.Sprintf("for %d ms, %s; %s; not expected to fit on the %d usable workers", waited, u.waitReason, needs, len(r.usable.workers))
-	if slots != nil {
-		detail = fmt.Sprintf("for %d ms, %s; %s; expected to fit in %d ms on %d workers", waited, u.waitReason, needs, at.Milliseconds(), len(slots))
+	r.e.logJobDecision(u.job, "waits", fmt.Sprintf("for %d ms, %s; %s; %s", waited, u.waitReason, needs, expected))
+}
+
+// logWaitForRoom logs the wait of a unit that fits after a delay on the workers of slots, or never if
+// that is nil.
+func (r *round) logWaitForRoom(u *unit, at time.Duration, slots map[*worker]int) {
+	if slots == nil {
+		r.logWait(u, fmt.Sprintf("not expected to fit on the %d usable workers", len(r.usable.workers)))
+		return
 	}
-	r.e.logJobDecision(u.job, "waits", detail)
+	r.logWait(u, fmt.Sprintf("expected to fit in %d ms on %d workers", at.Milliseconds(), len(slots)))
 }
 
 // reserve reserves the earliest capacity expected to become free for a waiting unit. Units
@@ -33,7 +39,7 @@
 			at, slots = t, s
 		}
 	}
-	r.logWait(u, at, slots)
+	r.logWaitForRoom(u, at, slots)
 	if slots == nil {
 		return
 	}
@@ -41,4 +47,7 @@
 	for w, n := range slots {
 		w.round.reserved = append(w.round.reserved, reservation{resources: u.demand().Times(n), from: r.now + at})
 	}
+	if u.needsTicket() && at > 0 && at <= r.requestLead(u) {
+		r.requestAhead(u, slots, at)
+	}
 }
--- a/engine/sim_cluster_test.go
+++ b/engine/sim_cluster_test.go
@@ -46,6 +46,7 @@
 	agents        []*simAgent // by worker, in worlds with delayed messages
 	delays        *simDelays  // nil in other worlds
 	series        *simSeries  // in worlds with takeovers in series; nil in others
+	advice        *simAdvice  // in worlds whose jobs need advice; nil in others
 
 	// State of the store.
 	records       map[workload.JobID][]byte
@@ -230,6 +231,9 @@
 		if d, ok := action.(Decision); ok && *simTracedJob != "" && string(d.Job) == *simTracedJob {
 			w.t.Logf("%v epoch %d: %s %s %v %s", w.now, e.epoch, d.Kind, d.Detail, d.Run, d.Worker)
 		}
+		if r, ok := action.(AdviceRequest); ok {
+			w.requestAdvice(e, r)
+		}
 		if o, ok := action.(Orders); ok {
 			w.after(w.orderLatency(), func() { w.deliver(e, e.epoch, o) })
 		}
--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -67,6 +67,7 @@
 }
 
 func (w *simCluster) submit(j *workload.Job, cancelAt time.Duration) {
+	w.advice.assign(j)
 	w.jobs[j.ID] = j
 	w.order = append(w.order, j.ID)
 	revision := int64(len(w.order))
@@ -208,6 +209,10 @@
 func (w *simCluster) checkSettled() {
 	for _, id := range w.order {
 		found, ok := w.engine.Lookup(id)
+		if ok && !found.State.Final() && w.advice.waitsInVain(id) {
+			w.counts["wait in vain"]++
+			continue
+		}
 		if ok && w.waitsForMissingLabel(w.jobs[id], found.State) {
 			w.counts["fit no worker"]++
 			continue
--- a/engine/sim_worker_test.go
+++ b/engine/sim_worker_test.go
@@ -81,6 +81,9 @@
 	if s.Run.Number <= w.highestRun[s.Run.Task] {
 		return StartSuperseded
 	}
+	if w.cluster.rejectsTicket(w, s) {
+		return StartNoTicket
+	}
 	w.leaseEnd = max(w.leaseEnd, until)
 	w.cluster.checkStart(w, s)
 	j := w.cluster.jobs[s.Run.Task.Job]
--- a/engine/wait_reason.go
+++ b/engine/wait_reason.go
@@ -15,6 +15,7 @@
 	WaitBehindGuarantee
 	WaitBehindPriority
 	WaitLateYields
+	WaitForTickets
 )
 
 func (r WaitReason) String() string {
@@ -25,6 +26,8 @@
 		return "behind priority"
 	case WaitLateYields:
 		return "late, yields"
+	case WaitForTickets:
+		return "no ticket"
 	default:
 		return "no room"
 	}
