engine: restarts of long-running steps take turns for advice too

What callers would see: jobs that get no ticket beside long-running tasks of higher rank that fail at once, time after time: each start made their step count as one without a request so far, which goes first.

Such a step counts as one with a request before, after its first.

--- a/engine/advice.go
+++ b/engine/advice.go
@@ -163,5 +163,5 @@
 const (
 	initialAdvicePause = 250 * time.Millisecond
 	maxAdvicePause     = 4 * time.Second
-	maxAdviceDoublings = 8 // limits the shift
+	maxAdviceDoublings = 8 // limits the doubling
 )
--- a/engine/advice_need.go
+++ b/engine/advice_need.go
@@ -16,6 +16,9 @@
 	// units need, as some may be denied. Each one adds to the duration of the call.
 	minAdviceWorkers = 3
 	maxSpareRequest  = 12
+	// maxKeptUnits is the most units of a step for which capacity is kept and tickets are requested at a
+	// time. It bounds the cost of a round.
+	maxKeptUnits = 100
 	// adviceLead is added to the duration of a call to decide when to request tickets for capacity that
 	// is expected to become free.
 	adviceLead = 300 * time.Millisecond
@@ -28,8 +31,41 @@
 	// workers are those on which the units would be placed and for which they have no ticket, at most
 	// maxAdviceWorkers.
 	workers []*worker
-	// kept is the capacity that units behind in the queue may not use; see keepCapacity.
-	kept map[*worker]workload.Resources
+	// kept is the capacity that units behind in the queue may not use, and keptUnits the number of units
+	// that it is for; see keepCapacity.
+	kept      map[*worker]workload.Resources
+	keptUnits int
+}
+
+// repeated reports whether the step had a request that has led to no start. A long-running step that
+// has to start again counts too, as its tasks may end at once, time after time.
+func (n *adviceNeed) repeated() bool {
+	return n.tickets.calls > 0 || n.unit.spec().LongRunning && n.tickets.lastCallAt > 0
+}
+
+// adviceNeeds are the steps that need tickets, in the order of their first units.
+type adviceNeeds struct {
+	inOrder []*adviceNeed
+	byStep  map[stepKey]*adviceNeed
+}
+
+// add records that u needs tickets for the given workers, and returns the need of its step.
+func (n *adviceNeeds) add(u *unit, workers []*worker) *adviceNeed {
+	need := n.byStep[u.key()]
+	if need == nil {
+		need = &adviceNeed{unit: u, tickets: u.tickets()}
+		n.inOrder = append(n.inOrder, need)
+		if n.byStep == nil {
+			n.byStep = map[stepKey]*adviceNeed{}
+		}
+		n.byStep[u.key()] = need
+	}
+	for _, w := range workers {
+		if len(need.workers) < maxAdviceWorkers && !slices.Contains(need.workers, w) {
+			need.workers = append(need.workers, w)
+		}
+	}
+	return need
 }
 
 // awaitTickets records that u would be placed on the given workers, one for each member, but has no
@@ -37,15 +73,13 @@
 func (r *round) awaitTickets(u *unit, workers, lacking []*worker) {
 	u.waitReason = WaitForTickets
 	r.logWait(u, fmt.Sprintf("no tickets for %d of %d workers", len(lacking), len(slices.Compact(slices.Clone(workers)))))
-	if call := r.e.adviceCall; call != nil {
+	if call := r.e.adviceCall; call != nil && call.tickets == u.tickets() {
 		r.blockedSteps[u.key()] = true
-		if call.tickets == u.tickets() {
-			r.reserveKept(call.kept, call.expectedAt)
-		}
+		r.reserveKept(call.kept, call.expectedAt)
 		return
 	}
-	need := r.addAdviceNeed(&r.needs, u, lacking)
-	if need != r.needs[0] || !need.keepCapacity(u, workers, lacking) {
+	need := r.needs.add(u, lacking)
+	if need != r.needs.inOrder[0] || !need.keepCapacity(u, workers, lacking) {
 		r.blockedSteps[u.key()] = true // the other units of the step would choose the same workers
 		return
 	}
@@ -59,9 +93,10 @@
 // that follow may be in vain, and would keep capacity idle for ever.
 func (n *adviceNeed) keepCapacity(u *unit, workers, lacking []*worker) bool {
 	unnamed := func(w *worker) bool { return !slices.Contains(n.workers, w) }
-	if n.tickets.calls > 0 || slices.ContainsFunc(lacking, unnamed) {
+	if n.repeated() || n.keptUnits == maxKeptUnits || slices.ContainsFunc(lacking, unnamed) {
 		return false
 	}
+	n.keptUnits++
 	if n.kept == nil {
 		n.kept = map[*worker]workload.Resources{}
 	}
@@ -78,31 +113,6 @@
 	}
 }
 
-// addAdviceNeed records that u needs tickets for the given workers, and returns the need of its step.
-func (r *round) addAdviceNeed(needs *[]*adviceNeed, u *unit, workers []*worker) *adviceNeed {
-	need := adviceNeedOf(*needs, u)
-	if need == nil {
-		need = &adviceNeed{unit: u, tickets: u.tickets()}
-		*needs = append(*needs, need)
-	}
-	for _, w := range workers {
-		if len(need.workers) < maxAdviceWorkers && !slices.Contains(need.workers, w) {
-			need.workers = append(need.workers, w)
-		}
-	}
-	return need
-}
-
-// adviceNeedOf returns the need of u's step, or nil if there is none.
-func adviceNeedOf(needs []*adviceNeed, u *unit) *adviceNeed {
-	for _, n := range needs {
-		if n.unit.key() == u.key() {
-			return n
-		}
-	}
-	return nil
-}
-
 // withoutTicket returns those of the workers, each once, for which u has no usable ticket now. If there
 // are any, it adds those whose tickets will not be usable when these have arrived.
 func (r *round) withoutTicket(u *unit, workers []*worker) []*worker {
@@ -174,10 +184,10 @@
 }
 
 // requestWorkers returns the workers to name in a request for need: those that its units would be placed
-// on, and some more as a part of them may be denied. Each request since the last start doubles that part.
+// on, and some more as a part of them may be denied, the more have been denied before.
 func (r *round) requestWorkers(need *adviceNeed) []WorkerID {
 	u := need.unit
-	size := min(max(2*u.size, minAdviceWorkers), maxSpareRequest) << min(need.tickets.calls, maxAdviceDoublings)
+	size := min(max(2*u.size, minAdviceWorkers), maxSpareRequest) + len(need.tickets.denied)
 	size = min(max(size, len(need.workers)), maxAdviceWorkers)
 	var ids []WorkerID
 	for _, w := range need.workers {
--- a/engine/advice_service_test.go
+++ b/engine/advice_service_test.go
@@ -18,6 +18,8 @@
 	// refused counts starts without a valid ticket.
 	refused  int
 	runStart map[workload.RunID]time.Duration
+	// crashes holds jobs whose tasks fail at once.
+	crashes map[workload.JobID]bool
 	// firstStart is when the first task of a job started.
 	firstStart map[workload.JobID]time.Duration
 }
@@ -48,6 +50,7 @@
 		service:    simAdviceService{advice: advice, validTo: map[string]time.Duration{}},
 		runStart:   map[workload.RunID]time.Duration{},
 		firstStart: map[workload.JobID]time.Duration{},
+		crashes:    map[workload.JobID]bool{},
 	}
 	d.observe = func(a Action) {
 		if request, ok := a.(AdviceRequest); ok {
@@ -165,6 +168,9 @@
 		case p.stopping:
 			d.endCounts[w.info.ID]++
 			r.Ended = append(r.Ended, RunEnd{Sequence: d.endCounts[w.info.ID], Run: run, Reason: EndStopped})
+		case d.crashes[run.Task.Job]:
+			d.endCounts[w.info.ID]++
+			r.Ended = append(r.Ended, RunEnd{Sequence: d.endCounts[w.info.ID], Run: run, Reason: EndFailed})
 		case p.unit.spec().LongRunning:
 			r.Running = append(r.Running, RunStatus{Run: run, Percent: 100})
 		case elapsed >= estimate:
--- a/engine/advice_turn.go
+++ b/engine/advice_turn.go
@@ -25,7 +25,7 @@
 	if e.adviceCall != nil || r.now < e.adviceRetryAt {
 		return
 	}
-	need := r.nextAdviceNeed(r.needs)
+	need := r.nextAdviceNeed(r.needs.inOrder)
 	if need == nil {
 		need = r.nextAdviceNeed(r.upcomingAdviceNeeds())
 	}
@@ -49,7 +49,7 @@
 //
 // The first request of a step goes by that order. A step may need further ones: its tickets may be
 // denied, expire before others arrive, or lose their worker to other work, or a request may fail. Such
-// steps could occupy the service for ever. So with any of them about, three rules take turns: the first
+// steps could occupy the service for ever. So if any of them waits, three rules take turns: the first
 // in the queue, the first in the queue without a request so far, and the step whose last request was the
 // longest ago. No step then waits for more than three requests for each other one, whatever comes of
 // them, and the most urgent one waits for two at most.
@@ -62,7 +62,7 @@
 		if first == nil {
 			first = n
 		}
-		if n.tickets.calls == 0 {
+		if !n.repeated() {
 			firstNew = cmp.Or(firstNew, n)
 			continue
 		}
@@ -89,7 +89,7 @@
 func (r *round) upcomingAdviceNeeds() []*adviceNeed {
 	for _, j := range r.e.orderedJobs {
 		for _, u := range j.units {
-			if u.state != unitBlocked || !u.needsTicket() || adviceNeedOf(r.laterNeeds, u) != nil {
+			if u.state != unitBlocked || !u.needsTicket() || r.laterNeeds.byStep[u.key()] != nil {
 				continue
 			}
 			if lead := r.requestLead(u); r.e.dependenciesEndWithin(r.now, u, lead) {
@@ -97,10 +97,10 @@
 			}
 		}
 	}
-	slices.SortStableFunc(r.laterNeeds, func(a, b *adviceNeed) int {
+	slices.SortStableFunc(r.laterNeeds.inOrder, func(a, b *adviceNeed) int {
 		return cmp.Compare(a.unit.job.spec.QueuePolicy.Priority, b.unit.job.spec.QueuePolicy.Priority)
 	})
-	return r.laterNeeds
+	return r.laterNeeds.inOrder
 }
 
 // requestAheadOfDependencies records that u, whose dependencies end within a time, needs tickets for
@@ -118,7 +118,7 @@
 // tickets for that.
 func (r *round) requestAhead(u *unit, slots map[*worker]int, delay time.Duration) {
 	if lacking := u.withoutTicketAt(r.now+delay, sortedWorkersOf(slots)); len(lacking) > 0 {
-		r.addAdviceNeed(&r.laterNeeds, u, lacking)
+		r.laterNeeds.add(u, lacking)
 	}
 }
 
--- a/engine/evict.go
+++ b/engine/evict.go
@@ -57,7 +57,7 @@
 		return false
 	}
 	if lacking := r.withoutTicket(u, sortedWorkersOf(best.slots)); len(lacking) > 0 {
-		r.addAdviceNeed(&r.needs, u, lacking)
+		r.needs.add(u, lacking)
 		return false // denied workers would be emptied in vain
 	}
 	for _, v := range best.victims {
@@ -76,7 +76,7 @@
 	if u.needsTicket() {
 		ended := max(r.now, u.claimedAt+r.e.tracker.stopTime)
 		if lacking := u.withoutTicketAt(ended, sortedWorkersOf(u.claims)); len(lacking) > 0 {
-			r.addAdviceNeed(&r.needs, u, lacking)
+			r.needs.add(u, lacking)
 		}
 	}
 }
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -35,7 +35,7 @@
 	blockedSteps map[stepKey]bool
 	// needs holds the steps with units that lack nothing but tickets, in the order of the queue, and
 	// laterNeeds those with units that are expected to fit soon.
-	needs, laterNeeds []*adviceNeed
+	needs, laterNeeds adviceNeeds
 }
 
 // workerRoundState is what a planning round tracks per worker.
