engine, gateway: wait for advice by what is declared

What callers would see: no job of a queue with advice starts for 10 s after one answer of the advice service was lost, beside idle workers.

Cause: one request is in flight at a time, and the gateway waited 10 s for its answer, whatever the queue declares.

Ruled out: a fixed shorter timeout. The service handles the calls of a machine in turn, so if it is slower than declared each call would be given up.

Fix: the request carries its timeout, a second more than the declared time, doubled by each failure in a row up to 10 s.

--- a/engine/advice.go
+++ b/engine/advice.go
@@ -17,6 +17,10 @@
 	minTicketValidity = 400 * time.Millisecond
 	// adviceRetryDelay is the delay before the next request after a failed one.
 	adviceRetryDelay = 250 * time.Millisecond
+	// adviceTimeoutMargin is how much longer than declared a request may take after an answered one. Each
+	// failure in a row doubles the timeout, up to maxAdviceTimeout, since the service may be slow.
+	adviceTimeoutMargin = time.Second
+	maxAdviceTimeout    = 10 * time.Second
 )
 
 // AdviceRequest asks the advice service which workers may run a step. At most one is in flight;
@@ -26,6 +30,8 @@
 	Occurrence int
 	Step       int
 	Workers    []WorkerID
+	// Timeout is how long the caller waits for an answer. Nothing else is requested meanwhile.
+	Timeout time.Duration
 }
 
 // AdviceResponse answers an AdviceRequest. Workers in the request that have no ticket may not
@@ -127,9 +133,11 @@
 	e.adviceCall = nil
 	e.planNeeded = true
 	if ev.Failed {
+		e.adviceFailures++
 		e.adviceRetryAt = now + adviceRetryDelay
 		return
 	}
+	e.adviceFailures = 0
 	j := e.jobs[ev.Request.Job]
 	if j == nil || j.state.Final() {
 		return
--- a/engine/advice_service_test.go
+++ b/engine/advice_service_test.go
@@ -31,6 +31,8 @@
 	allows func(r AdviceRequest, id WorkerID) bool
 	// fails reports whether the service fails a request; nil for never.
 	fails func(r AdviceRequest) bool
+	// loses reports whether the answer to a request is lost; nil for never.
+	loses func(r AdviceRequest) bool
 	// rejects makes the workers reject the tickets of a job.
 	rejects func(id workload.JobID) bool
 	// lifetime is that of the tickets if it differs from the declared one.
@@ -78,7 +80,10 @@
 	}
 	s.calls = append(s.calls, r)
 	s.pending = &r
-	s.answerAt = now + s.advice.DecisionTime + time.Duration(len(r.Workers))*s.advice.TimePerWorker
+	s.answerAt = now + callDuration(&s.advice, len(r.Workers))
+	if s.loses != nil && s.loses(r) {
+		s.answerAt = now + r.Timeout
+	}
 }
 
 // answer returns the answer to the pending request if it is due.
@@ -88,7 +93,7 @@
 	}
 	r := *s.pending
 	s.pending = nil
-	if s.fails != nil && s.fails(r) {
+	if s.fails != nil && s.fails(r) || s.loses != nil && s.loses(r) {
 		return AdviceResponse{Request: r, Failed: true}, true
 	}
 	lifetime := cmp.Or(s.lifetime, s.advice.TicketLifetime)
--- a/engine/advice_turn.go
+++ b/engine/advice_turn.go
@@ -36,12 +36,16 @@
 	e.logAdviceRequest(r.now, need, len(workers))
 	need.tickets.calls++
 	need.tickets.lastCallAt = r.now
-	e.adviceCall = &adviceCall{
-		tickets:    need.tickets,
-		expectedAt: r.now + callDuration(u.job.spec.QueuePolicy.Advice, len(workers)),
-		kept:       need.kept,
-	}
-	e.actions = append(e.actions, AdviceRequest{Job: u.job.spec.ID, Occurrence: u.occurrence, Step: u.step, Workers: workers})
+	duration := callDuration(u.job.spec.QueuePolicy.Advice, len(workers))
+	e.adviceCall = &adviceCall{tickets: need.tickets, expectedAt: r.now + duration, kept: need.kept}
+	e.actions = append(e.actions, AdviceRequest{
+		Job: u.job.spec.ID, Occurrence: u.occurrence, Step: u.step, Workers: workers, Timeout: e.adviceTimeout(duration),
+	})
+}
+
+// adviceTimeout returns how long to wait for the answer to a request that is declared to take duration.
+func (e *Engine) adviceTimeout(duration time.Duration) time.Duration {
+	return min((duration+adviceTimeoutMargin)<<min(e.adviceFailures, maxAdviceDoublings), maxAdviceTimeout)
 }
 
 // nextAdviceNeed returns the step whose request is next, or nil if there is none. The needs are in the
--- a/engine/advice_turn_test.go
+++ b/engine/advice_turn_test.go
@@ -264,3 +264,23 @@
 	c.Assert(started, qt.IsTrue)
 	c.Check(waited <= d.e.params.MaxReclaimWait, qt.IsTrue, qt.Commentf("started after %v", waited))
 }
+
+// Guards against a lost answer of the advice service that keeps all queues with advice waiting beside idle
+// workers.
+func TestLostAdviceIsRequestedAgainSoon(t *testing.T) {
+	d := newAdviceDriver(t, 11, reviewedAdvice)
+	d.service.loses = func(AdviceRequest) bool { return len(d.service.calls) == 1 }
+	id := d.submitAdvised(1, taskStep(1, 1))
+	waited, started := d.startedWithin(id, 20*time.Second)
+	qt.Assert(t, started, qt.IsTrue)
+	qt.Check(t, waited <= maxIdleWait, qt.IsTrue, qt.Commentf("started after %v", waited))
+}
+
+// Guards against requests that are given up time after time because the service takes longer than declared.
+func TestSlowAdviceIsAwaited(t *testing.T) {
+	d := newAdviceDriver(t, 11, reviewedAdvice)
+	d.service.loses = func(r AdviceRequest) bool { return r.Timeout < 8*time.Second }
+	id := d.submitAdvised(1, taskStep(1, 1))
+	_, started := d.startedWithin(id, 30*time.Second)
+	qt.Check(t, started, qt.IsTrue, qt.Commentf("%d calls", len(d.service.calls)))
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -44,11 +44,13 @@
 	cordons       catalog.Cordons
 	urgentHistory urgentHistory
 	// adviceCall is the request to the advice service that is in flight, nil if there is none.
-	// adviceRetryAt is the earliest time of the next request after a failed one. adviceTurn counts the
-	// requests that were chosen among steps some of which had one before.
-	adviceCall    *adviceCall
-	adviceRetryAt time.Duration
-	adviceTurn    int
+	// adviceFailures counts the requests that failed since the last answer, and adviceRetryAt is the
+	// earliest time of the next one after these. adviceTurn counts the requests that were chosen among
+	// steps some of which had one before.
+	adviceCall     *adviceCall
+	adviceFailures int
+	adviceRetryAt  time.Duration
+	adviceTurn     int
 	// headroomRacks are kept free of deferrable work.
 	headroomRacks map[string]bool
 	lastPlanAt    time.Duration
--- a/gateway/term_advice.go
+++ b/gateway/term_advice.go
@@ -2,19 +2,15 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/eelgrasshub/eelgrasshub/engine"
 )
 
-// adviceTimeout bounds one call to the advice service, including its queueing.
-const adviceTimeout = 10 * time.Second
-
 // advise calls the advice service and passes its response to the engine.
 func (t *term) advise(request engine.AdviceRequest) {
 	response := engine.AdviceResponse{Request: request, Failed: true}
 	if t.g.cfg.Advisor != nil {
-		ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), adviceTimeout)
+		ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), request.Timeout)
 		defer cancel()
 		t.g.counters.AdviceRequests.Add(1)
 		tickets, valid, err := t.g.cfg.Advisor.Advise(ctx, request)
