--- a/engine/advice_need.go
+++ b/engine/advice_need.go
@@ -72,7 +72,9 @@
 // tickets for some of them. While they are requested their capacity is kept for u.
 func (r *round) awaitTickets(u *unit, workers, lacking []*worker) {
 	u.waitReason = WaitForTickets
-	r.logWait(u, fmt.Sprintf("no tickets for %d of %d workers", len(lacking), len(slices.Compact(slices.Clone(workers)))))
+	if r.waitLogDue(u) {
+		r.logWait(u, fmt.Sprintf("no tickets for %d of the workers that it fits on", len(lacking)))
+	}
 	if call := r.e.adviceCall; call != nil && call.tickets == u.tickets() {
 		r.blockedSteps[u.key()] = true
 		r.reserveKept(call.kept, call.expectedAt)
