engine: reserve nothing beyond a step's limit per worker

What callers would see: a gang that never starts beside idle accelerators, while a step of higher rank has more tasks than its limit per worker allows to run.

Cause: the forecast applied the limit without the tasks of the step that run there, so the waiting task seemed to fit at once. Its capacity was reserved in each round, and the placement, which counts them, never took it.

Ruled out: headroom and guarantees, which the test leaves out of play.

Fix: the forecast uses the limit that is left and raises it with each end of a run of the step. TestCapacityIsNotReservedBeyondLimitPerWorker failed before and passes; the tests of package engine pass.

--- a/engine/forecast.go
+++ b/engine/forecast.go
@@ -13,6 +13,7 @@
 	at     time.Duration
 	worker *worker
 	freed  workload.Resources
+	step   stepKey // of the run that ends
 	// seq breaks ties between releases at the same time.
 	seq int
 }
@@ -81,7 +82,7 @@
 	for _, w := range d.workers {
 		for _, p := range w.sortedPlacements() {
 			if at := r.e.remaining(r.now, p); at < never {
-				d.upcoming = append(d.upcoming, capacityRelease{at, w, p.demand, len(d.upcoming)})
+				d.upcoming = append(d.upcoming, capacityRelease{at, w, p.demand, p.unit.key(), len(d.upcoming)})
 			}
 		}
 	}
@@ -134,6 +135,7 @@
 	demand       workload.Resources
 	workers      []*worker // where the unit may run, in a fixed order
 	freeCapacity []workload.Resources
+	limits       []int // how many members each worker may take by the step's limit
 	fitting      []int // how many members fit on each worker
 	total        int   // the sum of fitting
 }
@@ -142,7 +144,7 @@
 func newFitForecast(r *round, u *unit, set *domain) *fitForecast {
 	r.speedChoice(u) // may need a forecast of its own
 	f := &r.forecast
-	*f = fitForecast{unit: u, demand: u.demand(), workers: f.workers[:0], freeCapacity: f.freeCapacity[:0], fitting: f.fitting[:0]}
+	*f = fitForecast{unit: u, demand: u.demand(), workers: f.workers[:0], freeCapacity: f.freeCapacity[:0], limits: f.limits[:0], fitting: f.fitting[:0]}
 	for _, w := range set.workers {
 		if !r.eligible(u, w) {
 			continue
@@ -150,6 +152,7 @@
 		w.round.index = len(f.workers)
 		f.workers = append(f.workers, w)
 		f.freeCapacity = append(f.freeCapacity, workload.Resources{})
+		f.limits = append(f.limits, r.e.limitPerWorker(u, w, u.size))
 		f.fitting = append(f.fitting, 0)
 		f.setFree(w.round.index, w.free().Sub(w.round.claimed))
 	}
@@ -165,13 +168,16 @@
 
 // setFree sets the free capacity of the worker at an index.
 func (f *fitForecast) setFree(index int, free workload.Resources) {
-	n := max(0, capPerWorker(f.unit.spec(), f.demand.CountFitting(free, f.unit.size)))
+	n := max(0, min(f.limits[index], f.demand.CountFitting(free, f.unit.size)))
 	f.total += n - f.fitting[index]
 	f.freeCapacity[index], f.fitting[index] = free, n
 }
 
 func (f *fitForecast) addRelease(rel capacityRelease) {
 	index := rel.worker.round.index
+	if rel.step == f.unit.key() {
+		f.limits[index]++
+	}
 	f.setFree(index, f.freeCapacity[index].Add(rel.freed))
 }
 
--- a/engine/longrunning_test.go
+++ b/engine/longrunning_test.go
@@ -128,6 +128,27 @@
 	c.Check(d.runs(service), qt.HasLen, 6)
 }
 
+// Guards against jobs that starve beside idle accelerators, since capacity is reserved for a task on a
+// worker that holds as many tasks of its step as are allowed.
+func TestCapacityIsNotReservedBeyondLimitPerWorker(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver(t, 6)
+	serving := longRunningStep(7, 4, 0)
+	serving.MaxPerWorker = 1
+	service := d.submit(1, "", serving)
+	d.settle()
+	d.reportFullProgress(service)
+	gang := gangStep(6, 4)
+	gang.SameRack = false
+	id := d.submit(2, "", gang)
+	for end := d.now + 3*time.Second; d.now < end && len(d.runs(id)) == 0; d.now += 100 * time.Millisecond {
+		d.reportFullProgress(service)
+		d.tick()
+	}
+	c.Check(d.runs(service), qt.HasLen, 6)
+	c.Check(d.runs(id), qt.HasLen, 6)
+}
+
 // Occurrences start when they are due and not before, even if they overlap. The job completes with
 // the last one.
 func TestOccurrencesStartWhenDue(t *testing.T) {
