--- a/engine/advice_load_test.go
+++ b/engine/advice_load_test.go
@@ -27,7 +27,7 @@
 
 // adviceLoads are loads of the usual shape of queues on fleets of several sizes.
 var adviceLoads = []adviceLoad{
-	{"11 workers", 11, reviewedAdvice, [3]float64{0.3, 0.325, 0.196}, [3]int{3, 2, 9}},
+	{"11 workers", 11, slowAdvice, [3]float64{0.3, 0.325, 0.196}, [3]int{3, 2, 9}},
 	{"11 workers, quick advice", 11, quickAdvice, [3]float64{0.596, 0.57, 0.275}, [3]int{3, 2, 9}},
 	{"58 workers, quick advice", 58, quickAdvice, [3]float64{0.946, 0.483, 0.342}, [3]int{5, 6, 39}},
 	{"65 workers, quick advice", 65, quickAdvice, [3]float64{1.43, 0.654, 0.266}, [3]int{5, 7, 39}},
--- a/engine/advice_service_test.go
+++ b/engine/advice_service_test.go
@@ -43,8 +43,8 @@
 	validTo  map[string]time.Duration // by ticket
 }
 
-// reviewedAdvice is advice as slow as an external service may be: 650 ms for three workers.
-var reviewedAdvice = workload.Advice{DecisionTime: 500 * time.Millisecond, TimePerWorker: 50 * time.Millisecond, TicketLifetime: 3 * time.Second}
+// slowAdvice is advice as slow as an external service may be: 650 ms for three workers.
+var slowAdvice = workload.Advice{DecisionTime: 500 * time.Millisecond, TimePerWorker: 50 * time.Millisecond, TicketLifetime: 3 * time.Second}
 
 func newAdviceDriver(t *testing.T, workers int, advice workload.Advice) *adviceDriver {
 	d := &adviceDriver{
--- a/engine/advice_turn_test.go
+++ b/engine/advice_turn_test.go
@@ -68,7 +68,7 @@
 		}()},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			d := newAdviceDriver(t, 11, reviewedAdvice)
+			d := newAdviceDriver(t, 11, slowAdvice)
 			if test.occupy != nil {
 				test.occupy(d)
 			}
@@ -120,7 +120,7 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			d := newAdviceDriver(t, test.workers, reviewedAdvice)
+			d := newAdviceDriver(t, test.workers, slowAdvice)
 			vain := map[workload.JobID]bool{}
 			test.prepare(d, func(id workload.JobID) bool { return vain[id] })
 			for range vainJobs {
@@ -142,7 +142,7 @@
 // calls lead to no start.
 func TestStepWithFailedCallGetsAnother(t *testing.T) {
 	const vainJobs = 8
-	d := newAdviceDriver(t, 11, reviewedAdvice)
+	d := newAdviceDriver(t, 11, slowAdvice)
 	var small workload.JobID
 	d.service.rejects = func(id workload.JobID) bool { return id != small }
 	d.service.fails = func(r AdviceRequest) bool { return r.Job == small && d.service.callsFor(small) == 1 }
@@ -172,7 +172,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for offset := range 14 { // by the moment within the calls
-				d := newAdviceDriver(t, 11, reviewedAdvice)
+				d := newAdviceDriver(t, 11, slowAdvice)
 				others := map[workload.JobID]bool{}
 				if test.reject {
 					d.service.rejects = func(id workload.JobID) bool { return others[id] }
@@ -196,7 +196,7 @@
 // time of a call between the two.
 func TestTicketsAreRequestedShortlyBeforeCapacityIsFree(t *testing.T) {
 	c := qt.New(t)
-	d := newAdviceDriver(t, 1, reviewedAdvice)
+	d := newAdviceDriver(t, 1, slowAdvice)
 	s := wholeWorkers(1)
 	s.Estimate = 10 * time.Second
 	d.submit(0, "", s)
@@ -212,7 +212,7 @@
 // Guards against lower-ranked work that takes the capacity of a job while its tickets are requested.
 func TestCapacityIsKeptDuringFirstCall(t *testing.T) {
 	c := qt.New(t)
-	d := newAdviceDriver(t, 1, reviewedAdvice)
+	d := newAdviceDriver(t, 1, slowAdvice)
 	first := d.submitAdvised(1, wholeWorkers(1))
 	d.play(100 * time.Millisecond)
 	second := d.submit(2, "", wholeWorkers(1))
@@ -225,7 +225,7 @@
 
 // Guards against capacity that stays idle for a job whose calls are in vain.
 func TestCapacityIsNotKeptForCallsInVain(t *testing.T) {
-	d := newAdviceDriver(t, 1, reviewedAdvice)
+	d := newAdviceDriver(t, 1, slowAdvice)
 	d.service.fails = func(AdviceRequest) bool { return true }
 	d.submitAdvised(1, wholeWorkers(1))
 	d.play(100 * time.Millisecond)
@@ -237,7 +237,7 @@
 // Guards against victims on workers that the advice service turns out to deny.
 func TestUrgentJobEvictsOnlyWhereItHasTickets(t *testing.T) {
 	c := qt.New(t)
-	d := newAdviceDriver(t, 6, reviewedAdvice)
+	d := newAdviceDriver(t, 6, slowAdvice)
 	d.service.allows = func(_ AdviceRequest, id WorkerID) bool { return id == "w4" }
 	s := wholeWorkers(1)
 	s.Count, s.Gang, s.Estimate = 6, false, time.Minute
@@ -255,7 +255,7 @@
 // victims have to be stopped.
 func TestGuaranteedJobReclaimsInTimeWithAdvice(t *testing.T) {
 	c := qt.New(t)
-	d := newAdviceDriver(t, 2, reviewedAdvice)
+	d := newAdviceDriver(t, 2, slowAdvice)
 	d.submit(0, "", wholeWorkers(2)) // not guaranteed, of the same priority
 	d.play(time.Second)
 	c.Assert(d.runStart, qt.HasLen, 2)
@@ -268,7 +268,7 @@
 // Guards against a lost answer of the advice service that keeps all queues with advice waiting beside idle
 // workers.
 func TestLostAdviceIsRequestedAgainSoon(t *testing.T) {
-	d := newAdviceDriver(t, 11, reviewedAdvice)
+	d := newAdviceDriver(t, 11, slowAdvice)
 	d.service.loses = func(AdviceRequest) bool { return len(d.service.calls) == 1 }
 	id := d.submitAdvised(1, taskStep(1, 1))
 	waited, started := d.startedWithin(id, 20*time.Second)
@@ -278,7 +278,7 @@
 
 // Guards against requests that are given up time after time because the service takes longer than declared.
 func TestSlowAdviceIsAwaited(t *testing.T) {
-	d := newAdviceDriver(t, 11, reviewedAdvice)
+	d := newAdviceDriver(t, 11, slowAdvice)
 	d.service.loses = func(r AdviceRequest) bool { return r.Timeout < 8*time.Second }
 	id := d.submitAdvised(1, taskStep(1, 1))
 	_, started := d.startedWithin(id, 30*time.Second)
--- a/engine/longrunning_test.go
+++ b/engine/longrunning_test.go
@@ -29,6 +29,15 @@
 	}
 }
 
+// awaitRuns lets time pass until a job has runs, for at most 3 s, while the tasks of a long-running one are
+// at work.
+func (d *driver) awaitRuns(id, service workload.JobID) {
+	for end := d.now + 3*time.Second; d.now < end && len(d.runs(id)) == 0; d.now += 100 * time.Millisecond {
+		d.reportFullProgress(service)
+		d.tick()
+	}
+}
+
 // Tasks of a long-running step are spread evenly over workers and racks.
 func TestLongRunningTasksAreSpread(t *testing.T) {
 	c := qt.New(t)
@@ -120,10 +129,7 @@
 	d.settle()
 	id := d.submit(2, "", taskStep(1, 1))
 	d.settle()
-	for end := d.now + 3*time.Second; d.now < end && len(d.runs(id)) == 0; d.now += 100 * time.Millisecond {
-		d.reportFullProgress(service)
-		d.tick()
-	}
+	d.awaitRuns(id, service)
 	c.Check(d.runs(id), qt.HasLen, 1)
 	c.Check(d.runs(service), qt.HasLen, 6)
 }
@@ -141,10 +147,7 @@
 	gang := gangStep(6, 4)
 	gang.SameRack = false
 	id := d.submit(2, "", gang)
-	for end := d.now + 3*time.Second; d.now < end && len(d.runs(id)) == 0; d.now += 100 * time.Millisecond {
-		d.reportFullProgress(service)
-		d.tick()
-	}
+	d.awaitRuns(id, service)
 	c.Check(d.runs(service), qt.HasLen, 6)
 	c.Check(d.runs(id), qt.HasLen, 6)
 }
