engine: test of tickets for wide gangs

Before the change of the requests a gang of 40 tasks of a worker each never started on 40 idle workers, as its first tickets expired before the last ones arrived; one of 36 did after 3.3 s.

--- a/engine/advice_turn_test.go
+++ b/engine/advice_turn_test.go
@@ -284,3 +284,14 @@
 	_, started := d.startedWithin(id, 30*time.Second)
 	qt.Check(t, started, qt.IsTrue, qt.Commentf("%d calls", len(d.service.calls)))
 }
+
+// Guards against a gang on many workers whose first tickets expire before the last ones arrive.
+func TestWideGangGetsItsTickets(t *testing.T) {
+	for _, workers := range []int{60, 140} {
+		d := newAdviceDriver(t, workers, slowAdvice)
+		id := d.submitAdvised(1, patient(workers))
+		waited, started := d.startedWithin(id, time.Minute)
+		qt.Check(t, started, qt.IsTrue, qt.Commentf("%d workers, %v, %d calls", workers, waited, len(d.service.calls)))
+		qt.Check(t, d.refused, qt.Equals, 0)
+	}
+}
