document: a test of the watcher waits for the first failed listing

Cause, a race of the test: the peers are set, answer, and the store is put back within one instant of the virtual time. If the goroutine that lists the store is first run after that, its listing succeeds, and no failure is counted.

The test now waits until the watcher is blocked after its first listing, before it sets the peers. The checks are as before.

--- a/document/watcher_test.go
+++ b/document/watcher_test.go
@@ -96,6 +96,7 @@
 			queries.Add(1)
 			return peerAnswer("", true, v), nil
 		})
+		synctest.Wait() // the first listing fails before the peers answer
 		w.SetPeers([]string{"a", "b", "c"})
 		<-w.Ready()
 		c.Assert(generationOf(active), qt.Equals, uint64(1))
