engine: one simulated advice service for both kinds of test

The worlds issued and checked tickets beside the service of the other tests; they use its code now. A job that can't be done must not be shown as ended, which the worlds did not check.

--- a/engine/advice_need.go
+++ b/engine/advice_need.go
@@ -206,8 +206,8 @@
 	return ids
 }
 
-// spareWorkers returns the workers without a ticket where a member of u may run, first those of the
-// preferred domains, and in either part those with enough free capacity first.
+// spareWorkers returns the workers without a ticket where a member of u may run, first those with enough
+// free capacity, and in either part those of the preferred domains first. A worker may occur twice.
 func (r *round) spareWorkers(u *unit) []*worker {
 	var free, preferred, other []*worker
 	for _, set := range r.preferredDomains(u).domains {
--- a/engine/advice_service_test.go
+++ b/engine/advice_service_test.go
@@ -40,6 +40,7 @@
 	calls    []AdviceRequest
 	pending  *AdviceRequest
 	answerAt time.Duration
+	issued   int                      // number of answers with tickets
 	validTo  map[string]time.Duration // by ticket
 }
 
@@ -96,16 +97,27 @@
 	if s.fails != nil && s.fails(r) || s.loses != nil && s.loses(r) {
 		return AdviceResponse{Request: r, Failed: true}, true
 	}
+	return s.issue(now, r), true
+}
+
+// issue returns an answer with tickets for the allowed workers of a request.
+func (s *simAdviceService) issue(now time.Duration, r AdviceRequest) AdviceResponse {
+	s.issued++
 	lifetime := cmp.Or(s.lifetime, s.advice.TicketLifetime)
 	tickets := map[WorkerID]string{}
 	for _, id := range r.Workers {
 		if s.allows != nil && !s.allows(r, id) {
 			continue
 		}
-		tickets[id] = fmt.Sprintf("%s.%d.%d@%s#%d", r.Job, r.Occurrence, r.Step, id, len(s.calls))
+		tickets[id] = fmt.Sprintf("%s%d", ticketPrefix(workload.TaskID{Job: r.Job, Occurrence: r.Occurrence, Step: r.Step}, id), s.issued)
 		s.validTo[tickets[id]] = now + lifetime
 	}
-	return AdviceResponse{Request: r, Tickets: tickets, Lifetime: lifetime}, true
+	return AdviceResponse{Request: r, Tickets: tickets, Lifetime: lifetime}
+}
+
+// ticketPrefix is how the tickets for the step of a task on a worker begin.
+func ticketPrefix(task workload.TaskID, id WorkerID) string {
+	return fmt.Sprintf("%s.%d.%d@%s#", task.Job, task.Occurrence, task.Step, id)
 }
 
 // accepts reports whether a worker accepts the ticket of a start.
--- a/engine/plan.go
+++ b/engine/plan.go
@@ -33,8 +33,8 @@
 	choice     speedChoice
 	// blockedSteps holds the steps that had a unit which did not fit in this round.
 	blockedSteps map[stepKey]bool
-	// needs holds the steps with units that lack nothing but tickets, in the order of the queue, and
-	// laterNeeds those with units that are expected to fit soon.
+	// needs holds the steps with units that lack nothing but tickets to be placed or to evict others, in
+	// the order of the queue, and laterNeeds those with units that are expected to fit soon.
 	needs, laterNeeds adviceNeeds
 }
 
--- a/engine/sim_advice_test.go
+++ b/engine/sim_advice_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,16 +46,28 @@
 }
 
 func newSimAdvice(seed uint64) *simAdvice {
-	return &simAdvice{
-		simAdviceService: simAdviceService{
-			advice:  workload.Advice{DecisionTime: 200 * time.Millisecond, TimePerWorker: 20 * time.Millisecond, TicketLifetime: 2 * time.Second},
-			validTo: map[string]time.Duration{},
-		},
+	a := &simAdvice{
 		rng:         rand.New(rand.NewPCG(seed, 11)),
 		fitsNowhere: map[workload.JobID]bool{},
 		rejected:    map[workload.JobID]bool{},
 		started:     map[workload.JobID]bool{},
 	}
+	a.simAdviceService = simAdviceService{
+		advice:  workload.Advice{DecisionTime: 200 * time.Millisecond, TimePerWorker: 20 * time.Millisecond, TicketLifetime: 2 * time.Second},
+		allows:  deniesOneWorker,
+		rejects: func(id workload.JobID) bool { return a.rejected[id] },
+		validTo: map[string]time.Duration{},
+	}
+	return a
+}
+
+// deniesOneWorker denies each step one worker in nine, and allows it all others.
+func deniesOneWorker(r AdviceRequest, id WorkerID) bool {
+	var index, incarnation int
+	if _, err := fmt.Sscanf(string(id), "w%d-%d", &index, &incarnation); err != nil {
+		panic(err)
+	}
+	return (len(r.Job)+int(r.Job[len(r.Job)-1])+r.Step)%9 != index
 }
 
 // assign makes half of the jobs need advice.
@@ -99,46 +112,25 @@
 	a.answerAt = max(a.answerAt, w.now) + callDuration(&a.advice, len(r.Workers))
 	lost := !w.faultsEnded && a.rng.IntN(20) == 0
 	w.after(a.answerAt-w.now, func() {
-		response := AdviceResponse{Request: r, Failed: lost, Tickets: map[WorkerID]string{}, Lifetime: a.advice.TicketLifetime}
-		for _, id := range r.Workers {
-			if ticket, allowed := a.issue(w.now, r, id); allowed {
-				response.Tickets[id] = ticket
-			}
-		}
+		response := a.issue(w.now, r)
+		response.Failed = lost
 		if w.acts(e) {
 			e.Step(w.now, response)
 		}
 	})
 }
 
-// issue returns a ticket for a step on a worker. Each step is denied one worker in nine.
-func (a *simAdvice) issue(now time.Duration, r AdviceRequest, id WorkerID) (string, bool) {
-	var index, incarnation int
-	if _, err := fmt.Sscanf(string(id), "w%d-%d", &index, &incarnation); err != nil {
-		panic(err)
-	}
-	if (len(r.Job)+int(r.Job[len(r.Job)-1])+r.Step)%9 == index {
-		return "", false
-	}
-	ticket := fmt.Sprintf("%s.%d@%s", r.Job, r.Step, id)
-	a.validTo[ticket] = now + a.advice.TicketLifetime
-	return ticket, true
-}
-
 // rejectsTicket reports whether a worker rejects the ticket of a start.
 func (w *simCluster) rejectsTicket(sw *simWorker, s StartOrder) bool {
 	j := w.jobs[s.Run.Task.Job]
 	if w.advice == nil || j == nil || j.QueuePolicy.Advice == nil {
 		return false
 	}
-	if w.advice.rejected[j.ID] {
-		return true
-	}
-	if want := fmt.Sprintf("%s.%d@%s", j.ID, s.Run.Task.Step, sw.info.ID); s.Ticket != want {
+	if !strings.HasPrefix(s.Ticket, ticketPrefix(s.Run.Task, sw.info.ID)) {
 		w.reportViolation("start of %v on worker %s with ticket %q", s.Run, sw.info.ID, s.Ticket)
 	}
-	if w.now >= w.advice.validTo[s.Ticket] {
-		w.counts["starts with an expired ticket"]++
+	if !w.advice.accepts(w.now, s) {
+		w.counts["rejected tickets"]++
 		return true
 	}
 	w.advice.started[j.ID] = true
--- a/engine/sim_test.go
+++ b/engine/sim_test.go
@@ -209,7 +209,10 @@
 func (w *simCluster) checkSettled() {
 	for _, id := range w.order {
 		found, ok := w.engine.Lookup(id)
-		if ok && !found.State.Final() && w.advice.waitsInVain(id) {
+		if w.advice.waitsInVain(id) {
+			if !ok || found.State.Final() {
+				w.reportViolation("job %s, which can't be done, is shown as %s, known %v", id, found.State, ok)
+			}
 			w.counts["wait in vain"]++
 			continue
 		}
