engine: tests for the parts of advice that none guarded

Each part of the change was taken out in turn. Seven were missed by no test: the earlier request of guaranteed jobs, whose test passed without it as its victims ended at once; the turn of the step called for the longest ago; the pause after calls in vain; spare workers that grow with denials; tickets renewed while victims stop; the delay after a rejected ticket; answers for ended jobs. Each has a test now that fails without it. Stopped runs take their time in the test of guaranteed jobs, its bound is as before.

Not guarded still, all of cost only: no search for victims while a call is in flight, the preference for workers with tickets in a search over all, and tickets that are about to expire added to a request. The product is unchanged.

--- a/engine/advice_service_test.go
+++ b/engine/advice_service_test.go
@@ -20,6 +20,9 @@
 	runStart map[workload.RunID]time.Duration
 	// crashes holds jobs whose tasks fail at once.
 	crashes map[workload.JobID]bool
+	// stopTime is how long a stopped run takes to end, and stopStart when its stop was first seen.
+	stopTime  time.Duration
+	stopStart map[workload.RunID]time.Duration
 	// firstStart is when the first task of a job started.
 	firstStart map[workload.JobID]time.Duration
 }
@@ -54,6 +57,7 @@
 		runStart:   map[workload.RunID]time.Duration{},
 		firstStart: map[workload.JobID]time.Duration{},
 		crashes:    map[workload.JobID]bool{},
+		stopStart:  map[workload.RunID]time.Duration{},
 	}
 	d.observe = func(a Action) {
 		if request, ok := a.(AdviceRequest); ok {
@@ -180,9 +184,12 @@
 		if !started {
 			continue
 		}
+		if _, stopping := d.stopStart[run]; p.stopping && !stopping {
+			d.stopStart[run] = d.now
+		}
 		elapsed, estimate := d.now-startedAt, p.unit.spec().Estimate
 		switch {
-		case p.stopping:
+		case p.stopping && d.now-d.stopStart[run] >= d.stopTime:
 			d.endCounts[w.info.ID]++
 			r.Ended = append(r.Ended, RunEnd{Sequence: d.endCounts[w.info.ID], Run: run, Reason: EndStopped})
 		case d.crashes[run.Task.Job]:
--- a/engine/advice_turn_test.go
+++ b/engine/advice_turn_test.go
@@ -255,8 +255,11 @@
 // victims have to be stopped.
 func TestGuaranteedJobReclaimsInTimeWithAdvice(t *testing.T) {
 	c := qt.New(t)
-	d := newAdviceDriver(t, 2, slowAdvice)
-	d.submit(0, "", wholeWorkers(2)) // not guaranteed, of the same priority
+	advice := slowAdvice
+	advice.DecisionTime = time.Second
+	d := newAdviceDriver(t, 2, advice)
+	d.stopTime = d.e.params.StopTime
+	d.submit(0, "", patient(2)) // not guaranteed, of the same priority
 	d.play(time.Second)
 	c.Assert(d.runStart, qt.HasLen, 2)
 	id := d.submitAdvisedBy("big", 0, wholeWorkers(1))
@@ -295,3 +298,92 @@
 		qt.Check(t, d.refused, qt.Equals, 0)
 	}
 }
+
+// Guards against a step with an earlier call that is never called for again, since steps without any call
+// arrive faster than the service answers.
+func TestStepWithEarlierCallIsServedBesideNewOnes(t *testing.T) {
+	d := newAdviceDriver(t, 40, slowAdvice)
+	vain := d.submitAdvised(0, patient(1))
+	d.service.rejects = func(id workload.JobID) bool { return id == vain }
+	d.play(5 * time.Second)
+	small := d.submitAdvised(2, taskStep(1, 1))
+	d.service.fails = func(r AdviceRequest) bool { return r.Job == small && d.service.callsFor(small) == 1 }
+	for d.service.callsFor(small) == 0 {
+		d.play(50 * time.Millisecond)
+	}
+	before := len(d.service.calls)
+	for range 60 {
+		short := taskStep(1, 1)
+		short.Estimate = 300 * time.Millisecond
+		d.submitAdvised(1, short)
+		d.play(500 * time.Millisecond)
+		if _, started := d.firstStart[small]; started {
+			break
+		}
+	}
+	_, started := d.firstStart[small]
+	qt.Assert(t, started, qt.IsTrue)
+	calls := d.service.callsBefore(small, before)
+	qt.Check(t, calls <= 2*3, qt.IsTrue, qt.Commentf("%d other calls first", calls))
+}
+
+// Guards against a step that is allowed on few of many workers and asks for a few at a time.
+func TestRequestsGrowWithDenials(t *testing.T) {
+	const workers = 100
+	d := newAdviceDriver(t, workers, slowAdvice)
+	d.service.allows = func(_ AdviceRequest, id WorkerID) bool { return id == "w99" }
+	id := d.submitAdvised(1, taskStep(1, 1))
+	_, started := d.startedWithin(id, time.Minute)
+	qt.Assert(t, started, qt.IsTrue)
+	qt.Check(t, len(d.service.calls) <= 8, qt.IsTrue, qt.Commentf("%d calls", len(d.service.calls))) // 3 workers, doubled at most 6 times
+}
+
+// Guards against a step that is called for without a pause though its tickets lead to no start, so that
+// others wait for a call in progress.
+func TestCallsInVainAreMadeAtGrowingIntervals(t *testing.T) {
+	d := newAdviceDriver(t, 11, slowAdvice)
+	d.service.rejects = func(workload.JobID) bool { return true }
+	d.submitAdvised(0, patient(1))
+	d.play(40 * time.Second)
+	limit := 8 + int(40*time.Second/maxAdvicePause)
+	qt.Check(t, len(d.service.calls) <= limit, qt.IsTrue, qt.Commentf("%d calls", len(d.service.calls)))
+}
+
+// Guards against an answer for a job that has ended, whose tickets would be kept with its outcome.
+func TestAnswerForEndedJobIsDropped(t *testing.T) {
+	d := newAdviceDriver(t, 1, slowAdvice)
+	id := d.submitAdvised(1, taskStep(1, 1))
+	d.handle(CancelRequested{Job: id, Revision: 2})
+	d.play(2 * time.Second)
+	qt.Check(t, d.service.calls, qt.HasLen, 1)
+	qt.Check(t, d.e.jobs[id].ticketsByStep, qt.HasLen, 0)
+}
+
+// Guards against a second call after the victims have ended, since the tickets expire while these stop.
+func TestTicketsAreRenewedWhileVictimsStop(t *testing.T) {
+	c := qt.New(t)
+	advice := slowAdvice
+	advice.TicketLifetime = time.Second
+	d := newAdviceDriver(t, 2, advice)
+	d.stopTime = d.e.params.StopTime
+	d.submit(2, "", patient(2))
+	d.play(15 * time.Second) // beyond the headroom
+	c.Assert(d.runStart, qt.HasLen, 2)
+	urgent := d.submitAdvised(0, wholeWorkers(2))
+	waited, started := d.startedWithin(urgent, 10*time.Second)
+	c.Assert(started, qt.IsTrue)
+	call := callDuration(&advice, 2)
+	c.Check(waited < call+d.stopTime+call, qt.IsTrue, qt.Commentf("started after %v", waited))
+	c.Check(d.refused, qt.Equals, 0)
+}
+
+// Guards against a start that is ordered again at once after its ticket was rejected.
+func TestStartWithRejectedTicketIsDelayed(t *testing.T) {
+	d := newAdviceDriver(t, 11, slowAdvice)
+	d.service.rejects = func(workload.JobID) bool { return true }
+	d.submitAdvised(1, taskStep(1, 1))
+	for d.refused == 0 {
+		d.play(50 * time.Millisecond)
+	}
+	qt.Check(t, d.refused, qt.Equals, 1)
+}
