ingress: bound the memory of requests that are not answered

Callers saw a gateway that exceeded the memory of its machine and was killed, with all requests that it was serving.

Cause: nothing bounded what unserved requests hold altogether. A request of 16 KB of header lines is parsed, before any handler runs, into 0.16 to 0.48 MB (go test: live heap of 50 parsed requests); a body of 262,144 bytes grows in a slice that doubles; a client that stops just short of the end held all of it without end, since only headers had a time limit. The rest of a refused body was awaited without end, too.

Now every connection of a gateway or node agent has an account in one ledger, which is charged before memory is allocated: for header lines when they are read from the socket, for bodies as their buffer grows. If it is used up, the connections that have kept the server waiting for the largest part of their time are closed, and their memory is awaited before it is handed out again. A request that was received completely is never broken off: it is refused with 503 and Retry-After if there is no room. A body has until the deadline of its call; what is left of a refused one is read for half a second. The receive buffer of a connection is 32 KB, since unread bytes count as memory.

Ruled out: a limit on the number of header lines or on the size of a body refuses single requests inside the operators' limits; a limit on concurrent handlers comes after the headers were parsed; a server that stops to read or accept holds the bytes in its sockets.

--- a/cmd/eelgrasshub/counter_handler.go
+++ b/cmd/eelgrasshub/counter_handler.go
@@ -39,9 +39,10 @@
 
 // MetricsHandler implements metricsProvider.
 func (r *gatewayRole) MetricsHandler() http.Handler {
-	counters := counterHandler(r.gateway.Counters())
+	counters, callers := counterHandler(r.gateway.Counters()), counterHandler(r.callers.Counters())
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		counters.ServeHTTP(w, req)
+		callers.ServeHTTP(w, req)
 		r.gateway.WriteMetrics(w)
 	})
 }
--- a/cmd/eelgrasshub/gateway.go
+++ b/cmd/eelgrasshub/gateway.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrasshub/eelgrasshub/gateway"
+	"github.com/eelgrasshub/eelgrasshub/ingress"
 	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/settings"
 )
@@ -58,8 +57,8 @@
 type gatewayRole struct {
 	gateway *gateway.Gateway
 	store   *platform.KVStore
-	callers *http.Server
-	ready   *http.Server
+	callers *ingress.Server
+	ready   *ingress.Server
 	log     *logrus.Entry
 }
 
@@ -70,12 +69,12 @@
 		return nil, err
 	}
 	r := &gatewayRole{gateway: g, store: kv, log: log}
-	r.callers, err = listenHTTP(cfg.CallerListen, platform.NewCallerHandler(g, log), log)
+	r.callers, err = ingress.Start(cfg.CallerListen, platform.NewCallerHandler(g, log), callerLimits(cfg), log)
 	if err != nil {
 		return nil, err
 	}
 	if cfg.ReadyListen != "" {
-		r.ready, err = listenHTTP(cfg.ReadyListen, platform.NewReadinessHandler(g.Ready), log)
+		r.ready, err = ingress.Start(cfg.ReadyListen, platform.NewReadinessHandler(g.Ready), internalLimits(), log)
 	}
 	return r, err
 }
@@ -86,32 +85,8 @@
 	readinessDelay = 2500 * time.Millisecond
 	// shutdownMargin is reserved from the grace period for the last steps.
 	shutdownMargin = 500 * time.Millisecond
-	// Limits on connections of callers.
-	readHeaderTimeout = 3 * time.Second
-	idleTimeout       = 15 * time.Second
-	maxHeaderBytes    = 16 << 10
 )
 
-// listenHTTP serves h on addr until the returned server is shut down.
-func listenHTTP(addr string, h http.Handler, log logrus.FieldLogger) (*http.Server, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	srv := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	go func() {
-		if err := srv.Serve(l); err != http.ErrServerClosed {
-			log.WithError(err).WithField("listen", addr).Error("HTTP server failed")
-		}
-	}()
-	return srv, nil
-}
-
 // serveUntilSignal serves until SIGTERM or SIGINT and then stops the gateway within grace.
 func (r *gatewayRole) serveUntilSignal(grace time.Duration) error {
 	waitForStopSignal(r.log)
--- a/cmd/eelgrasshub/node_agent.go
+++ b/cmd/eelgrasshub/node_agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/eelgrasshub/eelgrasshub/ingress"
 	"github.com/eelgrasshub/eelgrasshub/nodeagent"
 	"github.com/eelgrasshub/eelgrasshub/platform"
 	"github.com/eelgrasshub/eelgrasshub/settings"
@@ -40,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	registry, err := listenHTTP(cfg.RegistryListen, platform.NewHeartbeatHandler(a, agentCfg.Worker, log), log)
+	registry, err := ingress.Start(cfg.RegistryListen, platform.NewHeartbeatHandler(a, agentCfg.Worker, log), internalLimits(), log)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/ingress/listener.go
@@ -0,0 +1,42 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// listener accepts the connections of clients.
+type listener struct {
+	*net.TCPListener
+	ledger *Ledger
+}
+
+func listen(addr string, ledger *Ledger) (*listener, error) {
+	config := net.ListenConfig{Control: limitReceiveBuffer}
+	l, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &listener{TCPListener: l.(*net.TCPListener), ledger: ledger}, nil
+}
+
+// limitReceiveBuffer sets the receive buffer of the connections that the socket will accept.
+func limitReceiveBuffer(_, _ string, socket syscall.RawConn) error {
+	return socket.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) // the system's default applies otherwise
+	})
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	tcp, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	account := l.ledger.Open(func() { _ = tcp.Close() }, time.Now())
+	return &conn{TCPConn: tcp, account: account}, nil
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -47,5 +47,8 @@
 	Cores    float64 `toml:"cores" default:"1" validate:"min=0.01,max=1024"`
 	LinkMbps float64 `toml:"link_mbps" default:"1000" validate:"min=0.1,max=1000000"`
 
+	// MemoryMB is the memory of this process. It bounds what callers can make it hold.
+	MemoryMB int `toml:"memory_mb" default:"256" validate:"min=64,max=1048576" unit:"MiB"`
+
 	Policy engine.Policy `toml:"policy"`
 }
