ingress: bound the connections of clients

Callers saw a gateway that had no descriptor left: it accepted none of them, and could open no connection of its own to the store.

Cause: connections were accepted without a bound.

Now half of the descriptors, beside 200 for files, and an eighth of the memory bound the connections of callers. The next connection closes the one that has used the largest part of the time that its state may last, so that a crowd that is silent does not lock out those that send. Connections are always accepted: in the backlog they would hold memory as well.

--- a/cmd/eelgrasshub/http_limits.go
+++ b/cmd/eelgrasshub/http_limits.go
@@ -12,9 +12,10 @@
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	maxHeaderBytes = 16 << 10
-	// internalMemory, in bytes, is the bound of servers that only the operators' platform and the worker
-	// on the same instance call.
-	internalMemory = 24 << 20
+	// internalConnections and internalMemory, in bytes, are the bounds of servers that only the
+	// operators' platform and the worker on the same instance call.
+	internalConnections = 64
+	internalMemory      = 24 << 20
 )
 
 // httpLimits returns the limits on a single request.
@@ -29,12 +30,12 @@
 
 // callerLimits returns the limits on a gateway's callers.
 func callerLimits(cfg settings.Gateway) ingress.Limits {
-	return httpLimits().ForInstance(int64(cfg.MemoryMB) << 20)
+	return httpLimits().ForInstance(int64(cfg.MemoryMB)<<20, cfg.Descriptors)
 }
 
 // internalLimits returns the limits on the clients of all other servers.
 func internalLimits() ingress.Limits {
 	l := httpLimits()
-	l.Memory = internalMemory
+	l.Connections, l.Memory = internalConnections, internalMemory
 	return l
 }
--- a/ingress/account.go
+++ b/ingress/account.go
@@ -102,7 +102,10 @@
 		return
 	}
 	a.ended = true
-	l.unlist(a)
+	if a.evicted.Err() == nil {
+		l.unlist(a)
+		l.open--
+	}
 	held := a.held
 	a.held = 0
 	l.mu.Unlock()
--- a/ingress/ledger.go
+++ b/ingress/ledger.go
@@ -28,7 +28,8 @@
 	memory   *semaphore.Weighted
 	counters Counters
 
-	mu sync.Mutex
+	mu   sync.Mutex
+	open int // connections that were not evicted
 	// waiting and idle hold the accounts in these states, in the order in which the states began.
 	waiting, idle list.List
 }
@@ -36,20 +37,37 @@
 // NewLedger returns a ledger without connections.
 func NewLedger(limits Limits) *Ledger {
 	l := &Ledger{limits: limits, memory: semaphore.NewWeighted(limits.Memory)}
+	l.counters.MaxConnections.Store(int64(limits.Connections))
 	l.counters.MaxRequestBytes.Store(limits.Memory)
 	return l
 }
 
-// Open returns the account of a new connection, which waits for its client. closeConn closes the
-// connection's socket.
-func (l *Ledger) Open(closeConn func(), now time.Time) *Account {
+// Open returns the account of a new connection, which waits for its client. If there are as many
+// connections as are allowed, it closes another one, or returns ErrOverloaded if all of them are being
+// served. closeConn closes the connection's socket.
+func (l *Ledger) Open(closeConn func(), now time.Time) (*Account, error) {
 	a := &Account{ledger: l, closeConn: closeConn, since: now}
 	a.evicted, a.evict = context.WithCancel(context.Background())
+	var victim *Account
 	l.mu.Lock()
+	if l.open >= l.limits.Connections {
+		for victim = range l.evictionOrder(now) {
+			break
+		}
+		if victim == nil {
+			l.mu.Unlock()
+			a.evict()
+			l.counters.ConnectionsRefused.Add(1)
+			return nil, ErrOverloaded
+		}
+		l.remove(victim)
+	}
+	l.open++
 	l.enlist(a)
 	l.mu.Unlock()
 	l.counters.Connections.Add(1)
-	return a
+	l.closeEvicted(victim)
+	return a, nil
 }
 
 // acquire reserves n bytes for an account. It evicts others for it, but none that has used less of its
@@ -141,6 +159,7 @@
 // remove marks an account as evicted. Its memory is released when its connection has ended.
 func (l *Ledger) remove(a *Account) {
 	l.unlist(a)
+	l.open--
 	a.evict()
 }
 
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -9,7 +9,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// listener accepts the connections of clients.
+// listener accepts the connections of clients. It never stops to accept: connections that are not
+// accepted hold memory as well, and lock out other clients.
 type listener struct {
 	*net.TCPListener
 	ledger *Ledger
@@ -33,10 +34,16 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	tcp, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		account, err := l.ledger.Open(func() { _ = tcp.Close() }, time.Now())
+		if err != nil {
+			_ = tcp.Close() // it was not used
+			continue
+		}
+		return &conn{TCPConn: tcp, account: account}, nil
 	}
-	account := l.ledger.Open(func() { _ = tcp.Close() }, time.Now())
-	return &conn{TCPConn: tcp, account: account}, nil
 }
--- a/ingress/overload_log.go
+++ b/ingress/overload_log.go
@@ -9,7 +9,7 @@
 // logOverload logs what was refused, at most once in overloadLogInterval.
 func (s *Server) logOverload() {
 	n := s.Counters()
-	refused := n.ConnectionsEvicted.Load() + n.Overloaded.Load()
+	refused := n.ConnectionsRefused.Load() + n.ConnectionsEvicted.Load() + n.Overloaded.Load()
 	if refused == s.loggedCount.Load() {
 		return
 	}
@@ -21,6 +21,7 @@
 	s.log.WithFields(logrus.Fields{
 		"connections":         n.Connections.Load(),
 		"request_bytes":       n.RequestBytes.Load(),
+		"connections_refused": n.ConnectionsRefused.Load(),
 		"connections_evicted": n.ConnectionsEvicted.Load(),
 		"overloaded":          n.Overloaded.Load(),
 	}).Warn("clients exceed the limits")
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -21,7 +21,7 @@
 
 func testLimits() Limits {
 	return Limits{
-		Memory: 4 << 20, HeaderBytes: 16 << 10,
+		Connections: 10, Memory: 4 << 20, HeaderBytes: 16 << 10,
 		HeaderTimeout: 10 * time.Second, RequestTimeout: 20 * time.Second, IdleTimeout: 10 * time.Second,
 	}
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -47,8 +47,10 @@
 	Cores    float64 `toml:"cores" default:"1" validate:"min=0.01,max=1024"`
 	LinkMbps float64 `toml:"link_mbps" default:"1000" validate:"min=0.1,max=1000000"`
 
-	// MemoryMB is the memory of this process. It bounds what callers can make it hold.
-	MemoryMB int `toml:"memory_mb" default:"256" validate:"min=64,max=1048576" unit:"MiB"`
+	// MemoryMB and Descriptors are the memory and the file descriptors of this process. They bound
+	// what callers can make it hold.
+	MemoryMB    int `toml:"memory_mb" default:"256" validate:"min=64,max=1048576" unit:"MiB"`
+	Descriptors int `toml:"descriptors" default:"1024" validate:"min=256,max=1048576"`
 
 	Policy engine.Policy `toml:"policy"`
 }
