ingress: connections take turns at the processor

Cause: each connection that has received something is a goroutine that can run, up to the bound of 649, and each of them used the processor until its socket was empty. All other goroutines of the process, the planner's and those to the store among them, waited in turn with them.

Now a connection processes what it has read only in its turn; as many have one at once as there are processors, the others are not runnable. Those that have had fewer turns go first, so a small request passes a crowd of large ones. The same holds for decoding a submission and for requests that were sent together.

--- a/ingress/account.go
+++ b/ingress/account.go
@@ -42,7 +42,7 @@
 	l := a.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a.ended || a.evicted.Err() != nil {
+	if a.ended || a.Evicted() {
 		return
 	}
 	l.unlist(a)
@@ -50,14 +50,16 @@
 	l.enlist(a)
 }
 
-// begin starts to wait for the client if the connection was idle.
-func (a *Account) begin(now time.Time) {
+// Received begins a request with what was received at time now, and returns true, if the connection was
+// idle.
+func (a *Account) Received(now time.Time) bool {
 	a.ledger.mu.Lock()
 	idle := a.state == Idle
 	a.ledger.mu.Unlock()
 	if idle {
 		a.SetState(Waiting, now)
 	}
+	return idle
 }
 
 // Reserve adds n bytes to what the connection holds. It returns ErrOverloaded if there is no room for
@@ -93,6 +95,9 @@
 	return held
 }
 
+// Evicted reports whether the connection has to end to make room for others.
+func (a *Account) Evicted() bool { return a.evicted.Err() != nil }
+
 // Close ends the account and releases what it holds. It may be called more than once.
 func (a *Account) Close() {
 	l := a.ledger
@@ -102,7 +107,7 @@
 		return
 	}
 	a.ended = true
-	if a.evicted.Err() == nil {
+	if !a.Evicted() {
 		l.unlist(a)
 		l.open--
 	}
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -35,6 +35,7 @@
 		return nil, refuse(w, req, err)
 	}
 	if c != nil {
+		c.turn.end()
 		c.account.SetState(Serving, time.Now())
 	}
 	return body, nil
@@ -57,6 +58,8 @@
 			return nil, ErrBodyTooLarge
 		case err == io.EOF:
 			return body, nil
+		case errors.Is(err, ErrOverloaded):
+			return nil, ErrOverloaded
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, ErrBodyTooSlow
 		case err != nil:
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -46,6 +46,7 @@
 type conn struct {
 	*net.TCPConn
 	account *Account
+	turn    turn
 	// inRequest is set from when the headers of a request were parsed until it is answered.
 	inRequest atomic.Bool
 	// unread is set if the rest of a request's body is not going to be read.
@@ -54,52 +55,65 @@
 	buffered atomic.Int64
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. What was read is processed until the next call of Read or Write.
 func (c *conn) Read(p []byte) (int, error) {
+	if len(p) == 1 {
+		return c.readAhead(p)
+	}
+	c.turn.end()
+	if c.account.Evicted() {
+		return 0, errNoRoom
+	}
 	n, err := c.TCPConn.Read(p)
+	if c.account.Evicted() {
+		return 0, errNoRoom
+	}
 	if n == 0 {
 		return n, err
 	}
+	now := time.Now()
+	if c.account.Received(now) {
+		c.turn.had = 0
+	}
 	memory := headerMemory(n, bytes.Count(p[:n], newline))
-	c.noteBuffered(len(p), n, memory)
-	if c.inRequest.Load() {
-		return n, err
+	if n > readerBuffer {
+		memory = 0 // it went past the buffer, so it is a body
 	}
-	now := time.Now()
-	c.account.begin(now)
-	if c.account.Reserve(memory, now) != nil {
+	c.buffered.Store(memory)
+	if !c.inRequest.Load() && c.account.Reserve(memory, now) != nil {
 		c.refuseHeaders()
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: ErrOverloaded} // net/http sends no reply of its own
+		return 0, errNoRoom
+	}
+	if c.turn.begin(c.account.evicted) != nil {
+		return 0, errNoRoom
 	}
 	return n, err
 }
 
+// errNoRoom is an error after which net/http sends no reply.
+var errNoRoom = &net.OpError{Op: "read", Net: "tcp", Err: ErrOverloaded}
+
+// readAhead reads the first byte of the next request. net/http does that while a request is served.
+func (c *conn) readAhead(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.buffered.Add(headerMemory(n, bytes.Count(p[:n], newline)))
+	return n, err
+}
+
 // overloadedReply is sent instead of a reply to a request that was not read.
 const overloadedReply = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // refuseHeaders replies to a request whose headers there is no room for.
 func (c *conn) refuseHeaders() {
-	_, _ = c.Write([]byte(overloadedReply)) // the connection may have been closed to make room
+	_, _ = c.Write([]byte(overloadedReply)) // the client may be gone
 	c.unread.Store(true)
 }
 
 var newline = []byte{'\n'}
 
-// noteBuffered records the memory of headers of the next request that may have been read with the end of
-// this one. net/http reads a single byte while a request is served, and beyond its buffer only bodies.
-func (c *conn) noteBuffered(space, n int, memory int64) {
-	switch {
-	case space == 1:
-		c.buffered.Add(memory)
-	case n > readerBuffer:
-		c.buffered.Store(0)
-	default:
-		c.buffered.Store(memory)
-	}
-}
-
 // Write implements net.Conn. It limits the time for which the client does not read.
 func (c *conn) Write(p []byte) (int, error) {
+	c.turn.end()
 	if err := c.SetWriteDeadline(time.Now().Add(replyTimeout)); err != nil {
 		return 0, err
 	}
@@ -109,7 +123,8 @@
 // Close implements net.Conn. If the client may still be sending what was not read, it reads that for a
 // short time: otherwise the kernel resets the connection, and the client may lose its reply.
 func (c *conn) Close() error {
-	if c.unread.Load() && c.CloseWrite() == nil {
+	c.turn.end()
+	if c.unread.Load() && !c.account.Evicted() && c.CloseWrite() == nil {
 		c.account.ReleaseAllBut(0)
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))   // it fails if the connection was closed
 		_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes) // the client may be gone
@@ -119,13 +134,16 @@
 	return err
 }
 
-// beginRequest is called when the headers of a request were parsed.
+// beginRequest is called when the headers of a request were parsed. If they were sent together with
+// another request, the request waits for a turn of its own.
 func (c *conn) beginRequest(h http.Header, hasBody bool) {
 	c.inRequest.Store(true)
 	c.account.ReleaseAllBut(max(parsedMemory(h), c.buffered.Load()))
 	if !hasBody {
 		c.account.SetState(Serving, time.Now())
 	}
+	_ = c.turn.begin(c.account.evicted) // the reply of one that was evicted goes nowhere
+	c.turn.end()
 }
 
 // becomeIdle is called when a request was answered. It closes the connection if there is no room for
--- a/ingress/ledger.go
+++ b/ingress/ledger.go
@@ -43,7 +43,7 @@
 }
 
 // Open returns the account of a new connection, which waits for its client. If there are as many
-// connections as are allowed, it closes another one, or returns ErrOverloaded if all of them are being
+// connections as are allowed, it evicts another one, or returns ErrOverloaded if all of them are being
 // served. closeConn closes the connection's socket.
 func (l *Ledger) Open(closeConn func(), now time.Time) (*Account, error) {
 	a := &Account{ledger: l, closeConn: closeConn, since: now}
@@ -51,10 +51,7 @@
 	var victim *Account
 	l.mu.Lock()
 	if l.open >= l.limits.Connections {
-		for victim = range l.evictionOrder(now) {
-			break
-		}
-		if victim == nil {
+		if victim = l.nextVictim(now); victim == nil {
 			l.mu.Unlock()
 			a.evict()
 			l.counters.ConnectionsRefused.Add(1)
@@ -70,6 +67,14 @@
 	return a, nil
 }
 
+// nextVictim returns the account that is first in the order of evictions, nil if there is none.
+func (l *Ledger) nextVictim(now time.Time) *Account {
+	for a := range l.evictionOrder(now) {
+		return a
+	}
+	return nil
+}
+
 // acquire reserves n bytes for an account. It evicts others for it, but none that has used less of its
 // time than the account itself.
 func (l *Ledger) acquire(a *Account, n int64, now time.Time) error {
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -14,6 +14,7 @@
 type listener struct {
 	*net.TCPListener
 	ledger *Ledger
+	turns  *turns
 }
 
 func listen(addr string, ledger *Ledger) (*listener, error) {
@@ -22,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &listener{TCPListener: l.(*net.TCPListener), ledger: ledger}, nil
+	return &listener{TCPListener: l.(*net.TCPListener), ledger: ledger, turns: newTurns()}, nil
 }
 
 // limitReceiveBuffer sets the receive buffer of the connections that the socket will accept.
@@ -44,6 +45,6 @@
 			_ = tcp.Close() // it was not used
 			continue
 		}
-		return &conn{TCPConn: tcp, account: account}, nil
+		return &conn{TCPConn: tcp, account: account, turn: turn{turns: l.turns}}, nil
 	}
 }
