entry: bound what callers can make it hold

Callers saw an entry that exceeded the memory of its machine, or had no descriptor left, for the causes that gateways had: no bound on connections or on what unanswered requests hold together, headers of up to 1 MB, a minute for a body. It uses the server of package ingress now, with the memory and descriptors in its settings. A request without room is refused as overloaded, 503, not run; its body and four copies of it are reserved until it is answered, for what it is decoded to and the message that contains it.

--- a/api/reason.go
+++ b/api/reason.go
@@ -38,6 +38,8 @@
 	ReasonNotReady Reason = "not-ready"
 	// ReasonDraining: the entry is shutting down; another one will take the request.
 	ReasonDraining Reason = "draining"
+	// ReasonOverloaded: the entry has no memory for the request; another one may have.
+	ReasonOverloaded Reason = "overloaded"
 	// ReasonNoPlanner: no entry that plans the service answers.
 	ReasonNoPlanner Reason = "no-planner"
 	// ReasonStoreUnavailable: the job could not be written to the store, so it was not
@@ -94,6 +96,7 @@
 	ReasonRefused:              {OutcomeNotRun, http.StatusServiceUnavailable, "refused by the targets tried"},
 	ReasonNotReady:             {OutcomeNotRun, http.StatusServiceUnavailable, "entry is not ready"},
 	ReasonDraining:             {OutcomeNotRun, http.StatusServiceUnavailable, "entry is leaving"},
+	ReasonOverloaded:           {OutcomeNotRun, http.StatusServiceUnavailable, "entry is overloaded"},
 	ReasonNoPlanner:            {OutcomeNotRun, http.StatusServiceUnavailable, "no planner just now"},
 	ReasonStoreUnavailable:     {OutcomeNotRun, http.StatusServiceUnavailable, "store is not available"},
 	ReasonCancelledBeforeStart: {OutcomeNotRun, http.StatusConflict, "cancelled before the start"},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,6 +12,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/eelgrasshub/eelgrasshub/document"
+	"github.com/eelgrasshub/eelgrasshub/ingress"
 	"github.com/eelgrasshub/eelgrasshub/jobs"
 	"github.com/eelgrasshub/eelgrasshub/lease"
 	"github.com/eelgrasshub/eelgrasshub/metrics"
@@ -37,8 +36,7 @@
 	batcher            *store.Batcher
 	endpoint           *wire.Endpoint
 	pool               *wire.Pool
-	listener           net.Listener
-	server             *http.Server
+	server             *ingress.Server
 
 	documents     *document.ActiveSet
 	watcher       *document.Watcher
@@ -139,7 +137,7 @@
 	}
 	e.pool = wire.NewPool(e.endpoint)
 	e.agents.pool = e.pool
-	e.listener, err = net.Listen("tcp", e.cfg.HTTPListen)
+	e.server, err = ingress.Listen(e.cfg.HTTPListen, callerLimits(&e.cfg), e.log)
 	if err != nil {
 		e.pool.Close()
 		_ = e.endpoint.Close()
@@ -174,12 +172,6 @@
 	e.documents = document.NewActiveSet(e.applyDocument)
 	e.watcher = document.NewWatcher(e.store, e.askPeer, e.documents, document.DefaultSyncerConfig(true), e.log)
 	e.watcher.SetPeers(e.cfg.Peers)
-	e.server = &http.Server{
-		Handler:           e.routes(),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       requestTimeout,
-		IdleTimeout:       idleTimeout,
-	}
 	e.registerGauges()
 	e.updateSharedAck(nil)
 	close(e.started)
@@ -192,17 +184,9 @@
 		e.tomb.Go(func() error { e.registry.watch(ctx); return nil })
 		return nil
 	})
-	go func() { _ = e.server.Serve(e.listener) }() // ends with Shutdown or Close
+	e.server.Serve(e.routes())
 }
 
-// Limits on a caller's connection: reading the headers, reading the whole request, and
-// the idle time between two requests.
-const (
-	headerTimeout  = 10 * time.Second
-	requestTimeout = time.Minute
-	idleTimeout    = 2 * time.Minute
-)
-
 func (e *Entry) advertisedAddr() string {
 	if e.cfg.Advertise != "" {
 		return e.cfg.Advertise
@@ -246,7 +230,7 @@
 }
 
 // HTTPAddr returns the host:port of the callers' HTTP interface.
-func (e *Entry) HTTPAddr() string { return e.listener.Addr().String() }
+func (e *Entry) HTTPAddr() string { return e.server.Addr() }
 
 // QUICAddr returns the host:port of the QUIC endpoint for agents and other entries.
 func (e *Entry) QUICAddr() string { return e.endpoint.Addr() }
--- a/entry/http_jobs.go
+++ b/entry/http_jobs.go
@@ -30,7 +30,7 @@
 
 // submitJob writes a job to the store and answers with its location.
 func (e *Entry) submitJob(w http.ResponseWriter, r *http.Request) {
-	rec, problem := e.parseJob(r)
+	rec, problem := e.parseJob(w, r)
 	if problem != nil {
 		problem.WriteResponse(w)
 		return
@@ -47,7 +47,7 @@
 	api.WriteJSON(w, http.StatusAccepted, recordStatus(accepted.Record))
 }
 
-func (e *Entry) parseJob(r *http.Request) (jobs.Record, *api.Problem) {
+func (e *Entry) parseJob(w http.ResponseWriter, r *http.Request) (jobs.Record, *api.Problem) {
 	if p := e.checkConfirmed(); p != nil {
 		return jobs.Record{}, p
 	}
@@ -57,7 +57,7 @@
 		return jobs.Record{}, api.NewProblem(api.ReasonUnknownService, "no document in force names the service "+service)
 	}
 	var req api.JobRequest
-	if p := api.Decode(r.Body, api.MaxBodyLen, &req); p != nil {
+	if p := decodeBody(w, r, &req); p != nil {
 		return jobs.Record{}, p
 	}
 	if p := req.Validate(); p != nil {
@@ -196,7 +196,7 @@
 // cancelJobs cancels several jobs; their writes share calls to the store.
 func (e *Entry) cancelJobs(w http.ResponseWriter, r *http.Request) {
 	var req api.CancelRequest
-	if p := api.Decode(r.Body, api.MaxBodyLen, &req); p != nil {
+	if p := decodeBody(w, r, &req); p != nil {
 		p.WriteResponse(w)
 		return
 	}
--- a/entry/http_quick.go
+++ b/entry/http_quick.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -19,7 +17,7 @@
 // serveQuickRequest serves one quick request.
 func (e *Entry) serveQuickRequest(w http.ResponseWriter, r *http.Request) {
 	startedAt := time.Now()
-	q, problem := e.parseQuickRequest(r, startedAt)
+	q, problem := e.parseQuickRequest(w, r, startedAt)
 	if problem != nil {
 		problem.WriteResponse(w)
 		return
@@ -37,7 +35,7 @@
 }
 
 // parseQuickRequest reads a request and checks it against the active document.
-func (e *Entry) parseQuickRequest(r *http.Request, now time.Time) (*quickRequest, *api.Problem) {
+func (e *Entry) parseQuickRequest(w http.ResponseWriter, r *http.Request, now time.Time) (*quickRequest, *api.Problem) {
 	if p := e.checkConfirmed(); p != nil {
 		return nil, p
 	}
@@ -54,7 +52,7 @@
 	if problem != nil {
 		return nil, problem
 	}
-	body, problem := readBody(r)
+	body, problem := readBody(w, r)
 	if problem != nil {
 		return nil, problem
 	}
@@ -101,20 +99,6 @@
 	return c, nil
 }
 
-// readBody reads the whole body before anything is sent, so that a truncated request
-// never runs.
-func readBody(r *http.Request) ([]byte, *api.Problem) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, api.MaxBodyLen))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, api.NewProblem(api.ReasonTooLarge, "the body is larger than allowed")
-	case err != nil:
-		return nil, api.NewInvalidProblem("body", "it was cut short")
-	}
-	return body, nil
-}
-
 func valueOr(requested *bool, fallback bool) bool {
 	if requested != nil {
 		return *requested
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -34,6 +34,14 @@
 	e.metrics.Gauge("documents_written_back", func() int64 { return e.watcher.Counts().WriteBacks })
 	e.metrics.Gauge("documents_refused", func() int64 { return e.documents.Counts().Refused })
 	e.metrics.Gauge("connections", func() int64 { return int64(len(e.endpoint.Conns())) })
+	callers := e.server.Counters()
+	e.metrics.Gauge("caller_connections", callers.Connections.Load)
+	e.metrics.Gauge("caller_connections_max", callers.MaxConnections.Load)
+	e.metrics.Gauge("caller_connections_refused", callers.ConnectionsRefused.Load)
+	e.metrics.Gauge("caller_connections_evicted", callers.ConnectionsEvicted.Load)
+	e.metrics.Gauge("caller_request_bytes", callers.RequestBytes.Load)
+	e.metrics.Gauge("caller_request_bytes_max", callers.MaxRequestBytes.Load)
+	e.metrics.Gauge("caller_requests_overloaded", callers.Overloaded.Load)
 	e.metrics.Gauge("members", func() int64 { return int64(e.members.count()) })
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -34,6 +34,16 @@
 
 // Start serves h on addr until Shutdown or Close is called.
 func Start(addr string, h http.Handler, limits Limits, log logrus.FieldLogger) (*Server, error) {
+	s, err := Listen(addr, limits, log)
+	if err != nil {
+		return nil, err
+	}
+	s.Serve(h)
+	return s, nil
+}
+
+// Listen returns a server that listens on addr and serves nothing before Serve is called.
+func Listen(addr string, limits Limits, log logrus.FieldLogger) (*Server, error) {
 	s := &Server{ledger: NewLedger(limits), log: log.WithField("listen", addr), startedAt: time.Now()}
 	var err error
 	s.listener, err = listen(addr, s.ledger)
@@ -41,7 +51,6 @@
 		return nil, err
 	}
 	s.http = &http.Server{
-		Handler:           s.account(h),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		ReadTimeout:       limits.RequestTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -51,12 +60,17 @@
 			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
+	return s, nil
+}
+
+// Serve starts to serve h. It is called once, and returns at once.
+func (s *Server) Serve(h http.Handler) {
+	s.http.Handler = s.account(h)
 	go func() {
 		if err := s.http.Serve(s.listener); err != http.ErrServerClosed {
 			s.log.WithError(err).Error("HTTP server failed")
 		}
 	}()
-	return s, nil
 }
 
 // Addr returns the address that the server listens on.
@@ -70,7 +84,10 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
 // Close closes all connections.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	_ = s.listener.Close() // the server does not know it before Serve
+	return s.http.Close()
+}
 
 type connKey struct{}
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -38,6 +38,10 @@
 	// DrainDelay is how long a stopping entry still serves new requests, until the load
 	// balancer has noticed that it is not ready.
 	DrainDelay schema.Duration `toml:"drain_delay" default:"3s" validate:"min=0s,max=60s"`
+	// MemoryMB and Descriptors are the memory and the file descriptors of this process. They bound
+	// what callers can make it hold.
+	MemoryMB    int `toml:"memory_mb" default:"256" validate:"min=64,max=1048576" unit:"MiB"`
+	Descriptors int `toml:"descriptors" default:"1024" validate:"min=256,max=1048576"`
 	// StopGrace is the maximum duration of a graceful stop.
 	StopGrace schema.Duration `toml:"stop_grace" default:"2m" validate:"min=1s,max=168h"`
 }
