cmd/eelgrasshub: metrics are served within bounds

The servers of metrics had no time limits and no bounds on connections. They use the server of package ingress with the bounds of the other internal addresses. No fault was seen; only the operators' platform reaches them.

--- a/cmd/eelgrasshub/agent.go
+++ b/cmd/eelgrasshub/agent.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	stopMetrics, err := serveMetrics(cfg.MetricsListen, a)
+	stopMetrics, err := serveMetrics(cfg.MetricsListen, a, log)
 	if err != nil {
 		a.Close()
 		return err
--- a/cmd/eelgrasshub/entry.go
+++ b/cmd/eelgrasshub/entry.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	stopMetrics, err := serveMetrics(cfg.MetricsListen, e)
+	stopMetrics, err := serveMetrics(cfg.MetricsListen, e, log)
 	if err != nil {
 		e.Close()
 		return err
--- a/cmd/eelgrasshub/gateway.go
+++ b/cmd/eelgrasshub/gateway.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	stopMetrics, err := serveMetrics(cfg.MetricsListen, g)
+	stopMetrics, err := serveMetrics(cfg.MetricsListen, g, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/eelgrasshub/node_agent.go
+++ b/cmd/eelgrasshub/node_agent.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	stopMetrics, err := serveMetrics(cfg.MetricsListen, nodeAgentMetrics{a})
+	stopMetrics, err := serveMetrics(cfg.MetricsListen, nodeAgentMetrics{a}, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/eelgrasshub/role.go
+++ b/cmd/eelgrasshub/role.go
@@ -1,8 +1,11 @@
 package main
 
 import (
-	"net"
 	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrasshub/eelgrasshub/ingress"
 )
 
 // roleOptions are the options of all long-running roles.
@@ -18,15 +21,13 @@
 
 // serveMetrics serves a role's metrics on addr until stop is called. If addr is empty, it
 // does nothing.
-func serveMetrics(addr string, role metricsProvider) (stop func(), err error) {
+func serveMetrics(addr string, role metricsProvider, log logrus.FieldLogger) (stop func(), err error) {
 	if addr == "" {
 		return func() {}, nil
 	}
-	l, err := net.Listen("tcp", addr)
+	srv, err := ingress.Start(addr, role.MetricsHandler(), internalLimits(), log)
 	if err != nil {
 		return nil, err
 	}
-	srv := &http.Server{Handler: role.MetricsHandler()}
-	go func() { _ = srv.Serve(l) }() // returns after Close
 	return func() { _ = srv.Close() }, nil
 }
