ingress: refuse a request whose connection was closed before its body was complete

A submission could be stored whose caller gets no reply, if its connection was closed to make room between the last byte of its body and the change of its state. It is refused now; the caller sees a broken connection and may send it again. A request that waits for memory gives up its turn at the processor, so that those that release memory are not behind it. Found by reading; neither was seen to happen.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -37,6 +37,9 @@
 	if c != nil {
 		c.turn.end()
 		c.account.SetState(Serving, time.Now())
+		if c.account.Evicted() {
+			return nil, refuse(w, req, ErrOverloaded) // the client would get no reply
+		}
 	}
 	return body, nil
 }
@@ -94,6 +97,7 @@
 	if c == nil {
 		return nil
 	}
+	c.turn.end() // it may have to wait for others
 	return c.account.Reserve(n, time.Now())
 }
 
--- a/ingress/ledger.go
+++ b/ingress/ledger.go
@@ -78,7 +78,7 @@
 // acquire reserves n bytes for an account. It evicts others for it, but none that has used less of its
 // time than the account itself.
 func (l *Ledger) acquire(a *Account, n int64, now time.Time) error {
-	if n > l.limits.Memory || a.evicted.Err() != nil {
+	if n > l.limits.Memory || a.Evicted() {
 		return ErrOverloaded
 	}
 	if !l.memory.TryAcquire(n) {
