ingress: the log of overload uses rate.Sometimes

It kept its own time of the last line and swapped it atomically; the library that the project uses for rates does that. At most one line in 30 s, as before.

--- a/ingress/overload_log.go
+++ b/ingress/overload_log.go
@@ -6,6 +6,9 @@
 	"github.com/sirupsen/logrus"
 )
 
+// overloadLogInterval is the minimum time between two log lines about overload.
+const overloadLogInterval = 30 * time.Second
+
 // logOverload logs what was refused, at most once in overloadLogInterval.
 func (s *Server) logOverload() {
 	n := s.Counters()
@@ -13,16 +16,14 @@
 	if refused == s.loggedCount.Load() {
 		return
 	}
-	now, last := int64(time.Since(s.startedAt)), s.loggedAt.Load()
-	if last != 0 && now-last < int64(overloadLogInterval) || !s.loggedAt.CompareAndSwap(last, now) {
-		return
-	}
-	s.loggedCount.Store(refused)
-	s.log.WithFields(logrus.Fields{
-		"connections":         n.Connections.Load(),
-		"request_bytes":       n.RequestBytes.Load(),
-		"connections_refused": n.ConnectionsRefused.Load(),
-		"connections_evicted": n.ConnectionsEvicted.Load(),
-		"overloaded":          n.Overloaded.Load(),
-	}).Warn("clients exceed the limits")
+	s.overloadLog.Do(func() {
+		s.loggedCount.Store(refused)
+		s.log.WithFields(logrus.Fields{
+			"connections":         n.Connections.Load(),
+			"request_bytes":       n.RequestBytes.Load(),
+			"connections_refused": n.ConnectionsRefused.Load(),
+			"connections_evicted": n.ConnectionsEvicted.Load(),
+			"overloaded":          n.Overloaded.Load(),
+		}).Warn("clients exceed the limits")
+	})
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -9,15 +9,12 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 )
 
-const (
-	// drainTimeout limits the wait for the rest of a body that the handler has not read. The reply is
-	// sent after that.
-	drainTimeout = 500 * time.Millisecond
-	// overloadLogInterval is the minimum time between two log lines about overload.
-	overloadLogInterval = 30 * time.Second
-)
+// drainTimeout limits the wait for the rest of a body that the handler has not read. The reply is sent
+// after that.
+const drainTimeout = 500 * time.Millisecond
 
 // Server is an HTTP server for clients that are not trusted.
 type Server struct {
@@ -25,10 +22,9 @@
 	listener *listener
 	ledger   *Ledger
 	log      logrus.FieldLogger
-	// loggedAt is when overload was last logged, in nanoseconds since startedAt; 0 if never.
-	loggedAt  atomic.Int64
-	startedAt time.Time
-	// loggedCount is the number of refusals that were logged.
+	// overloadLog limits the log lines about overload; loggedCount is the number of refusals that were
+	// logged.
+	overloadLog rate.Sometimes
 	loggedCount atomic.Int64
 }
 
@@ -44,7 +40,7 @@
 
 // Listen returns a server that listens on addr and serves nothing before Serve is called.
 func Listen(addr string, limits Limits, log logrus.FieldLogger) (*Server, error) {
-	s := &Server{ledger: NewLedger(limits), log: log.WithField("listen", addr), startedAt: time.Now()}
+	s := &Server{ledger: NewLedger(limits), log: log.WithField("listen", addr), overloadLog: rate.Sometimes{Interval: overloadLogInterval}}
 	var err error
 	s.listener, err = listen(addr, s.ledger)
 	if err != nil {
